--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# The linter and the formatters it runs are pinned here and nowhere else.
+GOLANGCI := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+
+.PHONY: build run up test lint format unit prove bench compare
+
+build:
+	go build -o bin ./cmd/...
+
+# Two data mixes through real processes, a reclaim in the middle of each.
+run: build
+	./bin/birchup --run
+
+# The same processes, left running until Ctrl-C.
+up: build
+	./bin/birchup
+
+test: lint unit
+
+lint:
+	go run $(GOLANGCI) run ./...
+	go run $(GOLANGCI) fmt --diff ./...
+	go mod tidy -diff
+
+format:
+	go run $(GOLANGCI) fmt ./...
+
+unit: build
+	go test -race ./...
--- /dev/null
+++ b/admission/gate.go
@@ -0,0 +1,124 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"birchlink.dev/birchlink/errkind"
+)
+
+// queueFactor is how many streams a slot's worth of room takes: those that run
+// and some that wait.
+const queueFactor = 1.5
+
+// The bounds of the time after which a refused caller is told to come back.
+const (
+	minRetry = 500 * time.Millisecond
+	maxRetry = 30 * time.Second
+)
+
+// Gate decides by itself, from plain figures. It is not safe for many at once.
+type Gate struct {
+	Reserve float64
+
+	root    tree
+	plain   int
+	buckets map[string]*rate.Limiter
+}
+
+// Room is what this box may have in flight: its share of the capacity.
+type Room struct {
+	Slots float64
+	Share float64
+	Plain float64
+}
+
+// Enter accepts a request, and returns what to call when it ends, or refuses it
+// with an error of kind LimitReached or Overloaded that says when to come back.
+func (g *Gate) Enter(r Request, m Room, now time.Time) (func(), error) {
+	if err := g.limit(r, m.Share, now); err != nil {
+		return nil, err
+	}
+	if r.Plain {
+		return g.enterPlain(r, m)
+	}
+	a := g.root.child(r.Account, r.Weight, now)
+	b := a.child(r.Member, 1, now)
+	c := b.child(r.Match, 1, now)
+	path := []*tree{&g.root, a, b, c}
+	room := m.Slots * queueFactor
+	if !r.Kind.Urgent() {
+		room *= 1 - g.Reserve
+	}
+	if float64(g.root.inFlight) >= max(room, 1) {
+		return nil, refuse(errkind.Overloaded, r, "the room for kind %s is full (%d of %.0f)", r.Kind, g.root.inFlight, room)
+	}
+	if err := fair(path, r, room, now); err != nil {
+		return nil, err
+	}
+	add(path, 1)
+	return func() { add(path, -1) }, nil
+}
+
+// fair refuses a party that is over its share while the room is contended.
+func fair(path []*tree, r Request, room float64, now time.Time) error {
+	if r.Kind.Urgent() || float64(path[0].inFlight) < room*contended {
+		return nil
+	}
+	for i := 1; i < len(path); i++ {
+		room = path[i-1].share(path[i], room, now)
+		if float64(path[i].inFlight) >= room {
+			return refuse(errkind.Overloaded, r, "over the share of %.1f at level %d", room, i)
+		}
+	}
+	return nil
+}
+
+func (g *Gate) enterPlain(r Request, m Room) (func(), error) {
+	room := max(m.Plain*queueFactor, 1)
+	if !r.Kind.Urgent() {
+		room *= 1 - g.Reserve
+	}
+	if float64(g.plain) >= room {
+		return nil, refuse(errkind.Overloaded, r, "the room for plain services is full (%d)", g.plain)
+	}
+	g.plain++
+	return func() { g.plain-- }, nil
+}
+
+// limit holds an account to this box's share of its rate.
+func (g *Gate) limit(r Request, share float64, now time.Time) error {
+	if g.buckets == nil {
+		g.buckets = make(map[string]*rate.Limiter)
+	}
+	v := rate.Limit(max(r.Rate*share, 0.1))
+	l, ok := g.buckets[r.Account]
+	if !ok {
+		l = rate.NewLimiter(v, 1)
+		g.buckets[r.Account] = l
+	}
+	l.SetLimitAt(now, v)
+	l.SetBurstAt(now, max(int(2*v), 1))
+	if l.AllowN(now, 1) {
+		return nil
+	}
+	e := errkind.New(errkind.LimitReached, "account %s is over its rate", r.Account)
+	return e.After(spread(time.Duration(float64(time.Second) / float64(v))))
+}
+
+func refuse(k errkind.Kind, r Request, format string, args ...any) error {
+	wait := time.Second
+	if p, _ := r.Kind.Priority(); p > urgentPriority {
+		wait *= time.Duration(p)
+	}
+	return errkind.New(k, format, args...).After(spread(wait))
+}
+
+// spread puts callers' returns at random between d and twice d, so that those
+// refused together do not come back together.
+func spread(d time.Duration) time.Duration {
+	d = min(max(d, minRetry), maxRetry)
+	return d + rand.N(d)
+}
--- /dev/null
+++ b/front/service.go
@@ -0,0 +1,152 @@
+package front
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/rcrowley/go-metrics"
+
+	"birchlink.dev/birchlink/dispatch"
+	"birchlink.dev/birchlink/errkind"
+	"birchlink.dev/birchlink/jsonhttp"
+	"birchlink.dev/birchlink/openai"
+	"birchlink.dev/birchlink/plain"
+)
+
+// maxTickets bounds the tickets of one call.
+const maxTickets = 100
+
+// body reads the body within its bounds of size and time.
+func (f *Front) body(s *session) ([]byte, func(), error) {
+	if s.r.ContentLength > int64(f.MaxBody) {
+		return nil, nil, errkind.New(errkind.TooLarge, "the body is over %d bytes", f.MaxBody)
+	}
+	room := int64(f.MaxBody)
+	if s.r.ContentLength >= 0 {
+		room = s.r.ContentLength
+	}
+	if !f.bodies.TryAcquire(room) {
+		return nil, nil, errkind.New(errkind.Overloaded, "too many bodies are held at this box").After(time.Second)
+	}
+	release := func() { f.bodies.Release(room) }
+	_ = http.NewResponseController(s.w).SetReadDeadline(time.Now().Add(bodyLimit))
+	b, err := io.ReadAll(http.MaxBytesReader(s.w, s.r.Body, int64(f.MaxBody)))
+	_ = http.NewResponseController(s.w).SetReadDeadline(time.Time{})
+	if err == nil {
+		return b, release, nil
+	}
+	release()
+	var big *http.MaxBytesError
+	if errors.As(err, &big) {
+		return nil, nil, errkind.New(errkind.TooLarge, "the body is over %d bytes", f.MaxBody)
+	}
+	return nil, nil, errkind.New(errkind.BadRequest, "the body was not read: %w", err)
+}
+
+// service carries a call of a plain service.
+func (f *Front) service(s *session) error {
+	n := mux.Vars(s.r)["service"]
+	if !s.document.HasService(n) {
+		return errkind.New(errkind.UnknownService, "no service %q", n)
+	}
+	b, release, err := f.body(s)
+	if err != nil {
+		return err
+	}
+	defer release()
+	p := strings.TrimPrefix(s.r.URL.RequestURI(), "/services/"+n)
+	if !strings.HasPrefix(p, "/") {
+		p = "/" + p
+	}
+	q := &plain.Request{
+		ID: s.id, Account: s.account.Name, Service: n, Method: s.r.Method, Path: p, Header: s.r.Header, Body: b,
+		Repeatable: callRepeatable(s.r, s.fields), Kind: s.fields.kind,
+		Weight: s.account.Weight, Rate: s.account.RequestsPerSecond, Deadline: s.fields.deadline,
+	}
+	c, cancel := f.until(s)
+	defer cancel()
+	call := dispatch.Call{Plain: q, Key: s.fields.key, Ticket: s.fields.ticket}
+	return f.dispatcher.Do(c, call, func(i dispatch.Item) error { return answer(s.w, i.Plain) })
+}
+
+// answer writes a plain service's whole response.
+func answer(w http.ResponseWriter, a *plain.Response) error {
+	for k, vs := range a.Header {
+		if k == "Connection" || k == "Transfer-Encoding" || strings.HasPrefix(k, "Birchlink-") {
+			continue
+		}
+		w.Header()[k] = vs
+	}
+	w.Header().Set(RunHeader, string(errkind.Ran))
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeLimit))
+	w.WriteHeader(a.Status)
+	if _, err := w.Write(a.Body); err != nil {
+		return errkind.New(errkind.CallerGone, "the caller left: %w", err)
+	}
+	return nil
+}
+
+// tickets answers POST /v1/tickets.
+func (f *Front) tickets(s *session) error {
+	b, release, err := f.body(s)
+	if err != nil {
+		return err
+	}
+	defer release()
+	q := struct {
+		Count int `json:"count"`
+	}{Count: 1}
+	if len(b) > 0 {
+		if err := json.Unmarshal(b, &q); err != nil {
+			return errkind.New(errkind.BadRequest, "the body is not {\"count\": n}: %w", err)
+		}
+	}
+	if q.Count < 1 || q.Count > maxTickets {
+		return errkind.New(errkind.BadRequest, "count is from 1 to %d", maxTickets)
+	}
+	ts, err := f.dispatcher.Mint(q.Count)
+	if err != nil {
+		return err
+	}
+	jsonhttp.Write(s.w, http.StatusOK, map[string][]string{"tickets": ts})
+	return nil
+}
+
+// fail answers an error by the closed table.
+func (f *Front) fail(w http.ResponseWriter, id string, err error) {
+	e := errkind.Of(err)
+	a := e.Kind.Answer()
+	metrics.GetOrRegisterCounter("front.errors."+a.Name, f.metrics).Inc(1)
+	f.Log.Info().Str("event", "answer").Str("subject", id).Str("kind", a.Name).Str("run", string(a.Run)).Str("reason", e.Message).Msg("refused or failed")
+	if e.Kind == errkind.CallerGone {
+		return
+	}
+	if a.Retry {
+		w.Header().Set("Retry-After", strconv.Itoa(retrySeconds(e.RetryAfter)))
+	}
+	w.Header().Set(RunHeader, string(a.Run))
+	resume := ""
+	if e.Kind == errkind.Moved {
+		resume = "/v1/requests/" + id + "?from=0"
+	}
+	jsonhttp.Write(w, a.Status, errorBody(id, e, resume))
+}
+
+// retrySeconds rounds up, since the header holds whole seconds.
+func retrySeconds(d time.Duration) int {
+	return max(int(math.Ceil(d.Seconds())), 1)
+}
+
+func errorBody(id string, e *errkind.Error, resume string) openai.Error {
+	a := e.Kind.Answer()
+	return openai.Error{Error: openai.ErrorBody{
+		Message: e.Message, Type: a.Name, Code: a.Name, Run: string(a.Run), RequestID: id, Resume: resume,
+	}}
+}
--- /dev/null
+++ b/member/service.go
@@ -0,0 +1,420 @@
+package member
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"birchlink.dev/birchlink/kernel"
+	"birchlink.dev/birchlink/kv"
+	"birchlink.dev/birchlink/peer"
+	"birchlink.dev/birchlink/rendezvous"
+)
+
+// Name is the name of the service.
+const Name = "member"
+
+// The times of the protocol.
+const (
+	probeEvery  = time.Second
+	probeLimit  = 400 * time.Millisecond
+	suspectFor  = 3 * time.Second
+	relayEvery  = 2 * time.Second
+	forgetAfter = time.Hour
+	joinLimit   = 3 * time.Second
+	helpers     = 2
+	relays      = 2
+)
+
+// registerPrefix is where a box leaves its address for those that join later.
+const registerPrefix = "members/"
+
+// caller is what the service needs of the peers' client.
+type caller interface {
+	Call(c context.Context, address, method string, in, out any) error
+}
+
+// store is what the service needs of the key-value service.
+type store interface {
+	Get(c context.Context, key string) (kv.Entry, error)
+	List(c context.Context, prefix string) ([]kv.Entry, error)
+	Swap(c context.Context, e kv.Entry) (kv.Entry, error)
+}
+
+// probe is a ping; the answer has the same form.
+type probe struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	From   string
+	Digest uint64
+	Target string
+}
+
+// Service is the membership of one box.
+type Service struct {
+	Seeds []string
+	Log   zerolog.Logger
+
+	mu     sync.Mutex
+	self   Member
+	table  Table
+	since  map[string]time.Time
+	order  []string
+	hooks  []func()
+	calls  caller
+	store  store
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+}
+
+// New returns the membership of a box. Its address is known once it starts.
+func New(box, dc string, seeds []string, log zerolog.Logger) *Service {
+	m := Member{Box: box, DataCentre: dc, Incarnation: uuid.NewString(), Started: time.Now().UnixNano()}
+	return &Service{Seeds: seeds, Log: log, self: m, since: map[string]time.Time{}}
+}
+
+// Name returns the service's name.
+func (s *Service) Name() string { return Name }
+
+// Start joins the others and begins to probe them.
+func (s *Service) Start(c context.Context, k *kernel.Kernel) error {
+	p, err := kernel.Find[*peer.Node](k, peer.Name)
+	if err != nil {
+		return err
+	}
+	n, err := kernel.Find[*kv.Service](k, kv.Name)
+	if err != nil {
+		return err
+	}
+	s.calls, s.store = p.Client, n.Client
+	peer.Handle(p.Server, "member.probe", s.answerProbe)
+	peer.Handle(p.Server, "member.sync", s.answerSync)
+	s.mu.Lock()
+	s.self.Address = p.Advertise
+	s.table.Merge([]Member{s.self})
+	s.mu.Unlock()
+	s.join(c)
+	x, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.group.Go(func() { s.every(x, probeEvery, s.round) })
+	s.group.Go(func() { s.every(x, relayEvery, s.relay) })
+	return nil
+}
+
+// Stop tells the others that the box leaves and ends the probes.
+func (s *Service) Stop(c context.Context) error {
+	s.cancel()
+	s.group.Wait()
+	s.mu.Lock()
+	s.self.State = Left
+	s.table.Merge([]Member{s.self})
+	s.mu.Unlock()
+	c, cancel := context.WithTimeout(c, probeLimit)
+	defer cancel()
+	var g sync.WaitGroup
+	for _, m := range s.Up(s.self.DataCentre) {
+		g.Go(func() { s.sync(c, m.Address) })
+	}
+	g.Wait()
+	return nil
+}
+
+// Self returns the own row.
+func (s *Service) Self() Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.self
+}
+
+// Up returns the members that are up in a data centre, or in all for "".
+func (s *Service) Up(dc string) []Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Up(dc)
+}
+
+// Names returns the boxes that are up in the own data centre.
+func (s *Service) Names() []string {
+	ms := s.Up(s.self.DataCentre)
+	ns := make([]string, len(ms))
+	for i, m := range ms {
+		ns[i] = m.Box
+	}
+	return ns
+}
+
+// Owner reports whether this box is among the first n of its data centre for
+// a key, and returns the first.
+func (s *Service) Owner(key string, n int) (bool, Member) {
+	ns := rendezvous.Top(rendezvous.Key(key), s.Names(), n)
+	if len(ns) == 0 {
+		return true, s.Self()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, _ := s.table.Get(ns[0])
+	return slices.Contains(ns, s.self.Box), m
+}
+
+// Find returns the member of an incarnation, if it is up.
+func (s *Service) Find(incarnation string) (Member, bool) {
+	for _, m := range s.Up("") {
+		if m.Incarnation == incarnation {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+// OnChange calls f after each change of the table.
+func (s *Service) OnChange(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hooks = append(s.hooks, f)
+}
+
+// Merge takes rows from another box.
+func (s *Service) Merge(ms []Member) {
+	s.mu.Lock()
+	changed := s.table.Merge(ms)
+	for _, m := range changed {
+		s.since[m.Box] = time.Now()
+		s.Log.Info().Str("member", m.Box).Uint8("state", uint8(m.State)).Str("incarnation", m.Incarnation).Msg("member changed")
+	}
+	s.refute()
+	hooks := s.hooks
+	s.mu.Unlock()
+	if len(changed) == 0 {
+		return
+	}
+	for _, f := range hooks {
+		f()
+	}
+}
+
+// refute answers a rumour that this process is down. The caller holds the lock.
+func (s *Service) refute() {
+	m, ok := s.table.Get(s.self.Box)
+	if !ok || m.Incarnation != s.self.Incarnation || m.State == s.self.State || s.self.State == Left {
+		return
+	}
+	s.self.Number = m.Number + 1
+	s.table.Merge([]Member{s.self})
+}
+
+func (s *Service) digest() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Digest()
+}
+
+func (s *Service) rows() []Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Rows()
+}
+
+func (s *Service) every(c context.Context, d time.Duration, f func(context.Context)) {
+	t := time.NewTicker(d)
+	defer t.Stop()
+	for {
+		select {
+		case <-c.Done():
+			return
+		case <-t.C:
+			f(c)
+		}
+	}
+}
+
+// join asks the seeds, and the platform's service for boxes that came later.
+func (s *Service) join(c context.Context) {
+	c, cancel := context.WithTimeout(c, joinLimit)
+	defer cancel()
+	addresses := slices.Clone(s.Seeds)
+	if es, err := s.store.List(c, registerPrefix); err == nil {
+		for _, e := range es {
+			var m Member
+			if msgpack.Unmarshal(e.Value, &m) == nil && !slices.Contains(addresses, m.Address) {
+				addresses = append(addresses, m.Address)
+			}
+		}
+	}
+	var g sync.WaitGroup
+	for _, a := range addresses {
+		if a != s.self.Address {
+			g.Go(func() { s.sync(c, a) })
+		}
+	}
+	g.Wait()
+	s.register(c)
+}
+
+func (s *Service) register(c context.Context) {
+	k := registerPrefix + s.self.Box
+	e, err := s.store.Get(c, k)
+	if err != nil {
+		s.Log.Warn().Err(err).Msg("not registered")
+		return
+	}
+	b, err := msgpack.Marshal(s.Self())
+	if err != nil {
+		return
+	}
+	if _, err := s.store.Swap(c, kv.Entry{Key: k, Rev: e.Rev, Value: b}); err != nil {
+		s.Log.Warn().Err(err).Msg("not registered")
+	}
+}
+
+// round probes the next member and settles old suspicions.
+func (s *Service) round(c context.Context) {
+	s.expire()
+	m, ok := s.nextTarget()
+	if !ok {
+		s.rejoin(c)
+		return
+	}
+	if s.probe(c, m) || s.probeThrough(c, m) {
+		return
+	}
+	m.State = Suspect
+	s.Merge([]Member{m})
+}
+
+// rejoin looks for the seeds when nobody of the own data centre is known.
+func (s *Service) rejoin(c context.Context) {
+	if len(s.Seeds) == 0 {
+		return
+	}
+	c, cancel := context.WithTimeout(c, probeLimit)
+	defer cancel()
+	s.sync(c, s.Seeds[rand.IntN(len(s.Seeds))])
+}
+
+func (s *Service) probe(c context.Context, m Member) bool {
+	c, cancel := context.WithTimeout(c, probeLimit)
+	defer cancel()
+	var a probe
+	if err := s.calls.Call(c, m.Address, "member.probe", probe{From: s.self.Box, Digest: s.digest()}, &a); err != nil {
+		return false
+	}
+	if a.From != m.Box {
+		return false
+	}
+	if a.Digest != s.digest() {
+		s.sync(c, m.Address)
+	}
+	return true
+}
+
+// probeThrough asks others to probe m.
+func (s *Service) probeThrough(c context.Context, m Member) bool {
+	c, cancel := context.WithTimeout(c, 2*probeLimit)
+	defer cancel()
+	ms := s.Up(s.self.DataCentre)
+	rand.Shuffle(len(ms), func(i, j int) { ms[i], ms[j] = ms[j], ms[i] })
+	n := 0
+	for _, h := range ms {
+		if h.Box == s.self.Box || h.Box == m.Box || n == helpers {
+			continue
+		}
+		n++
+		var a probe
+		if err := s.calls.Call(c, h.Address, "member.probe", probe{From: s.self.Box, Digest: s.digest(), Target: m.Address}, &a); err == nil && a.Target == m.Address {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Service) answerProbe(c context.Context, p probe) (probe, error) {
+	a := probe{From: s.self.Box, Digest: s.digest()}
+	if p.Target == "" {
+		return a, nil
+	}
+	c, cancel := context.WithTimeout(c, probeLimit)
+	defer cancel()
+	if err := s.calls.Call(c, p.Target, "member.probe", probe{From: s.self.Box}, &probe{}); err == nil {
+		a.Target = p.Target
+	}
+	return a, nil
+}
+
+func (s *Service) sync(c context.Context, address string) {
+	var ms []Member
+	if err := s.calls.Call(c, address, "member.sync", s.rows(), &ms); err == nil {
+		s.Merge(ms)
+	}
+}
+
+func (s *Service) answerSync(_ context.Context, ms []Member) ([]Member, error) {
+	s.Merge(ms)
+	return s.rows(), nil
+}
+
+// nextTarget goes round the members of the data centre in shuffled order.
+func (s *Service) nextTarget() (Member, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for range 2 {
+		for len(s.order) > 0 {
+			b := s.order[0]
+			s.order = s.order[1:]
+			if m, ok := s.table.Get(b); ok && m.up() && b != s.self.Box {
+				return m, true
+			}
+		}
+		for _, m := range s.table.Up(s.self.DataCentre) {
+			s.order = append(s.order, m.Box)
+		}
+		rand.Shuffle(len(s.order), func(i, j int) { s.order[i], s.order[j] = s.order[j], s.order[i] })
+	}
+	return Member{}, false
+}
+
+// expire turns suspects into dead and forgets those that are long gone.
+func (s *Service) expire() {
+	s.mu.Lock()
+	var dead []Member
+	for _, m := range s.table.Rows() {
+		age := time.Since(s.since[m.Box])
+		switch {
+		case m.State == Suspect && age > suspectFor:
+			m.State = Dead
+			dead = append(dead, m)
+		case !m.up() && age > forgetAfter:
+			s.table.Forget(m.Box)
+			delete(s.since, m.Box)
+		}
+	}
+	s.mu.Unlock()
+	s.Merge(dead)
+}
+
+// relay exchanges tables with one member of each other data centre, if this box
+// is one of its data centre's relays.
+func (s *Service) relay(c context.Context) {
+	if mine, _ := s.Owner("relay", relays); !mine {
+		return
+	}
+	by := map[string][]Member{}
+	for _, m := range s.Up("") {
+		by[m.DataCentre] = append(by[m.DataCentre], m)
+	}
+	delete(by, s.self.DataCentre)
+	c, cancel := context.WithTimeout(c, relayEvery)
+	defer cancel()
+	var g sync.WaitGroup
+	for _, ms := range by {
+		m := ms[rand.IntN(len(ms))]
+		g.Go(func() { s.probe(c, m) })
+	}
+	g.Go(func() { s.rejoin(c) })
+	g.Wait()
+}
--- /dev/null
+++ b/observer/observer.go
@@ -0,0 +1,363 @@
+// Package observer fills the view: two boxes of a data centre read each
+// endpoint's load, the box list and the notices, and tell the others. A box
+// that hears nothing asks for itself.
+package observer
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"birchlink.dev/birchlink/admission"
+	"birchlink.dev/birchlink/cloud"
+	"birchlink.dev/birchlink/fleet"
+	"birchlink.dev/birchlink/jsonhttp"
+	"birchlink.dev/birchlink/kernel"
+	"birchlink.dev/birchlink/member"
+	"birchlink.dev/birchlink/peer"
+	"birchlink.dev/birchlink/view"
+)
+
+// Name is the name of the service.
+const Name = "observer"
+
+// The times of the protocol. A horizon older than staleAfter makes a box ask
+// the cloud itself, a load report older than that the endpoint.
+const (
+	readEvery   = time.Second
+	readLimit   = 900 * time.Millisecond
+	staleAfter  = 3 * time.Second
+	perMember   = 80 * time.Millisecond
+	watchers    = 2
+	factsPushes = 10
+)
+
+// Push is what one box tells the others of its data centre. Ages are used in
+// place of times, so that the boxes' clocks need not agree.
+type Push struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	From       string
+	HorizonAge time.Duration
+	Digest     uint64
+	Notices    map[string]time.Time
+	Boxes      []fleet.Box
+	Facts      []view.Facts
+	Rows       []view.Row
+	Demand     admission.Demand
+}
+
+// Observer is the service of one box.
+type Observer struct {
+	Platform *cloud.Client
+	Log      zerolog.Logger
+
+	view    *view.View
+	members *member.Service
+	peers   *peer.Node
+	demand  *admission.Admission
+	http    *jsonhttp.Client
+
+	mu      sync.Mutex
+	told    map[uint32]view.Facts
+	rows    map[uint32]view.Row
+	lastTo  uint64
+	lastAt  time.Time
+	pushes  int
+	asking  sync.Mutex
+	cancel  context.CancelFunc
+	group   sync.WaitGroup
+	noticed chan struct{}
+}
+
+// New returns the observer of a box.
+func New(p *cloud.Client, log zerolog.Logger) *Observer {
+	return &Observer{
+		Platform: p, Log: log, told: map[uint32]view.Facts{}, rows: map[uint32]view.Row{},
+		noticed: make(chan struct{}, 1),
+	}
+}
+
+// Name returns the service's name.
+func (o *Observer) Name() string { return Name }
+
+// Start reads everything once and goes on every second.
+func (o *Observer) Start(c context.Context, k *kernel.Kernel) error {
+	var err error
+	if o.view, err = kernel.Find[*view.View](k, view.Name); err != nil {
+		return err
+	}
+	if o.members, err = kernel.Find[*member.Service](k, member.Name); err != nil {
+		return err
+	}
+	if o.peers, err = kernel.Find[*peer.Node](k, peer.Name); err != nil {
+		return err
+	}
+	if o.demand, err = kernel.Find[*admission.Admission](k, admission.Name); err != nil {
+		return err
+	}
+	o.http = &jsonhttp.Client{HTTP: &http.Client{Timeout: readLimit}, Caller: o.members.Self().Box}
+	peer.Handle(o.peers.Server, "view.push", o.take)
+	peer.Handle(o.peers.Server, "view.all", o.giveAll)
+	o.fetchAll(c)
+	o.readPlatform(c)
+	o.readLoads(c)
+	x, cancel := context.WithCancel(context.Background())
+	o.cancel = cancel
+	o.group.Go(func() { o.loop(x) })
+	return nil
+}
+
+// Stop ends the reading.
+func (o *Observer) Stop(context.Context) error {
+	o.cancel()
+	o.group.Wait()
+	o.http.HTTP.CloseIdleConnections()
+	return nil
+}
+
+func (o *Observer) loop(c context.Context) {
+	t := time.NewTicker(readEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-c.Done():
+			return
+		case <-o.noticed:
+			o.push(c, true)
+			continue
+		case <-t.C:
+		}
+		o.round(c)
+	}
+}
+
+func (o *Observer) round(c context.Context) {
+	var g sync.WaitGroup
+	mine, _ := o.members.Owner("notices", watchers)
+	if mine || o.Stale() {
+		g.Go(func() { o.readPlatform(c) })
+	}
+	g.Go(func() { o.readLoads(c) })
+	g.Wait()
+	o.push(c, false)
+}
+
+// Stale reports whether notices may have been missed.
+func (o *Observer) Stale() bool { return time.Since(o.view.Horizon()) > staleAfter }
+
+// Ensure asks the cloud itself if the horizon is old, before new work is sent.
+// It reports whether the horizon is fresh now.
+func (o *Observer) Ensure(c context.Context) bool {
+	if !o.Stale() {
+		return true
+	}
+	if o.asking.TryLock() {
+		defer o.asking.Unlock()
+		o.readPlatform(c)
+	}
+	return !o.Stale()
+}
+
+// readPlatform reads the box list and the notices.
+func (o *Observer) readPlatform(c context.Context) {
+	c, cancel := context.WithTimeout(c, readLimit)
+	defer cancel()
+	var g sync.WaitGroup
+	g.Go(func() {
+		bs, err := o.Platform.Boxes(c)
+		if err != nil {
+			o.Log.Warn().Err(err).Msg("box list not read")
+			return
+		}
+		o.view.SetBoxes(bs)
+	})
+	g.Go(func() { o.readNotices(c) })
+	g.Wait()
+}
+
+func (o *Observer) readNotices(c context.Context) {
+	asOf := time.Now()
+	bs, err := o.Platform.Notices(c)
+	if err != nil {
+		o.Log.Warn().Err(err).Msg("notices not read")
+		return
+	}
+	m := make(map[string]time.Time, len(bs))
+	for _, b := range bs {
+		m[b.Name] = b.Deadline
+	}
+	if o.view.SetNotices(m, asOf) > 0 {
+		o.wake()
+	}
+}
+
+func (o *Observer) wake() {
+	select {
+	case o.noticed <- struct{}{}:
+	default:
+	}
+}
+
+// readLoads reads the endpoints of the own data centre that this box observes,
+// and those of which nobody has told it for some time.
+func (o *Observer) readLoads(c context.Context) {
+	c, cancel := context.WithTimeout(c, readLimit)
+	defer cancel()
+	dc := o.members.Self().DataCentre
+	var g sync.WaitGroup
+	for _, s := range o.view.Slots() {
+		if s.DataCentre != dc {
+			continue
+		}
+		mine, _ := o.members.Owner(s.Name, watchers)
+		if mine || time.Since(s.Seen) > staleAfter {
+			g.Go(func() { o.readLoad(c, s) })
+		}
+	}
+	g.Wait()
+}
+
+func (o *Observer) readLoad(c context.Context, s *view.Slot) {
+	h := jsonhttp.Client{Base: "http://" + s.Address, HTTP: o.http.HTTP, Caller: o.http.Caller}
+	var l fleet.Load
+	if err := h.Do(c, http.MethodGet, "/load", nil, &l); err != nil {
+		o.Log.Debug().Str("box", s.Name).Err(err).Msg("load not read")
+		return
+	}
+	f := view.Facts{
+		Box: s.Name, Incarnation: l.Incarnation, Loaded: l.Loaded, Slots: l.Slots,
+		TokensPerSecond: l.TokensPerSecond, ChecksFence: l.ChecksFence,
+	}
+	o.note(f, view.Row{ID: view.ID(s.Name), Running: uint16(l.Running), Waiting: uint16(l.Waiting)})
+}
+
+// note enters a report in the view and keeps what the others must be told.
+func (o *Observer) note(f view.Facts, r view.Row) {
+	o.mu.Lock()
+	old, known := o.told[r.ID]
+	same := known && old.Incarnation == f.Incarnation && slices.Equal(old.Loaded, f.Loaded) && old.Slots == f.Slots
+	if !same {
+		o.told[r.ID] = f
+		o.lastAt = time.Time{}
+	}
+	o.rows[r.ID] = r
+	o.mu.Unlock()
+	if !same {
+		o.view.SetFacts([]view.Facts{f})
+	}
+	o.view.SetRows([]view.Row{r})
+}
+
+// push tells the others of the data centre. The time between pushes grows with
+// their number, so that a box's traffic does not.
+func (o *Observer) push(c context.Context, now bool) {
+	self := o.members.Self()
+	ms := o.members.Up(self.DataCentre)
+	o.mu.Lock()
+	if !now && time.Since(o.lastAt) < time.Duration(len(ms))*perMember {
+		o.mu.Unlock()
+		return
+	}
+	p := o.message(self.Box)
+	o.lastAt = time.Now()
+	o.mu.Unlock()
+	c, cancel := context.WithTimeout(c, readLimit)
+	defer cancel()
+	var g sync.WaitGroup
+	for _, m := range ms {
+		if m.Box != self.Box {
+			g.Go(func() { _ = o.peers.Client.Call(c, m.Address, "view.push", p, nil) })
+		}
+	}
+	g.Wait()
+}
+
+// message builds a push: rows read since the last, and the facts when they
+// changed or after some pushes. The caller holds the lock.
+func (o *Observer) message(box string) Push {
+	p := Push{
+		From: box, HorizonAge: time.Since(o.view.Horizon()), Digest: o.view.Digest(),
+		Notices: o.view.Notices(), Demand: o.demand.Demand(),
+	}
+	o.pushes++
+	for id, r := range o.rows {
+		p.Rows = append(p.Rows, r)
+		if o.lastAt.IsZero() || o.pushes%factsPushes == 0 {
+			p.Facts = append(p.Facts, o.told[id])
+		}
+	}
+	clear(o.rows)
+	if p.Digest != o.lastTo {
+		p.Boxes, _ = o.view.Boxes()
+		o.lastTo = p.Digest
+	}
+	return p
+}
+
+func (o *Observer) take(c context.Context, p Push) (struct{}, error) {
+	fresh := o.view.SetNotices(p.Notices, time.Now().Add(-p.HorizonAge))
+	if fresh > 0 {
+		o.wake()
+	}
+	mine, _ := o.members.Owner("notices", watchers)
+	if len(p.Boxes) > 0 && !mine {
+		o.view.SetBoxes(p.Boxes)
+	}
+	o.view.SetFacts(p.Facts)
+	missing := o.view.SetRows(p.Rows)
+	o.demand.SetDemand(p.From, p.Demand)
+	lacksBoxes := p.Digest != o.view.Digest() && len(p.Boxes) == 0 && !mine && p.HorizonAge < time.Since(o.view.Horizon())+readEvery
+	if len(missing) > 0 || lacksBoxes {
+		if m, ok := o.memberOf(p.From); ok {
+			o.group.Go(func() { o.fetch(context.WithoutCancel(c), m.Address) })
+		}
+	}
+	return struct{}{}, nil
+}
+
+func (o *Observer) memberOf(box string) (member.Member, bool) {
+	for _, m := range o.members.Up("") {
+		if m.Box == box {
+			return m, true
+		}
+	}
+	return member.Member{}, false
+}
+
+func (o *Observer) giveAll(context.Context, struct{}) (Push, error) {
+	p := Push{
+		From: o.members.Self().Box, HorizonAge: time.Since(o.view.Horizon()),
+		Digest: o.view.Digest(), Notices: o.view.Notices(), Facts: o.view.Facts(nil),
+	}
+	p.Boxes, _ = o.view.Boxes()
+	return p, nil
+}
+
+// fetch takes the whole view of another box.
+func (o *Observer) fetch(c context.Context, address string) bool {
+	c, cancel := context.WithTimeout(c, readLimit)
+	defer cancel()
+	var p Push
+	if err := o.peers.Client.Call(c, address, "view.all", struct{}{}, &p); err != nil || len(p.Boxes) == 0 {
+		return false
+	}
+	o.view.SetBoxes(p.Boxes)
+	o.view.SetNotices(p.Notices, time.Now().Add(-p.HorizonAge))
+	o.view.SetFacts(p.Facts)
+	return true
+}
+
+// fetchAll asks the others of the data centre until one has a view to give.
+func (o *Observer) fetchAll(c context.Context) {
+	self := o.members.Self()
+	for _, m := range o.members.Up(self.DataCentre) {
+		if m.Box != self.Box && o.fetch(c, m.Address) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/operator/operator.go
@@ -0,0 +1,248 @@
+// Package operator is the HTTP face towards operators, the balancer's checks
+// and whoever reads the metrics.
+package operator
+
+import (
+	"context"
+	"crypto/subtle"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"birchlink.dev/birchlink/errkind"
+	"birchlink.dev/birchlink/fleet"
+	"birchlink.dev/birchlink/follower"
+	"birchlink.dev/birchlink/front"
+	"birchlink.dev/birchlink/iniread"
+	"birchlink.dev/birchlink/journal"
+	"birchlink.dev/birchlink/jsonhttp"
+	"birchlink.dev/birchlink/kernel"
+	"birchlink.dev/birchlink/member"
+	"birchlink.dev/birchlink/peer"
+	"birchlink.dev/birchlink/placement"
+	"birchlink.dev/birchlink/placer"
+	"birchlink.dev/birchlink/stream"
+	"birchlink.dev/birchlink/view"
+)
+
+// Name is the name of the service.
+const Name = "operator"
+
+const callLimit = 10 * time.Second
+
+// Edit is an operator's new configuration, made from version Base.
+type Edit struct {
+	Base   uint64 `json:"base"`
+	Text   string `json:"text"`
+	Editor string `json:"editor"`
+}
+
+// Refusal says why an edit or a check was refused.
+type Refusal struct {
+	Kind     string            `json:"kind"`
+	Message  string            `json:"message"`
+	Mistakes []iniread.Mistake `json:"mistakes,omitempty"`
+}
+
+// Status is what a box knows.
+type Status struct {
+	Box         string           `json:"box"`
+	DataCentre  string           `json:"data_centre"`
+	Incarnation string           `json:"incarnation"`
+	Version     uint64           `json:"version"`
+	Ready       string           `json:"ready"`
+	Streams     int              `json:"streams"`
+	HorizonAge  time.Duration    `json:"horizon_age"`
+	Members     []member.Member  `json:"members"`
+	Endpoints   []fleet.Endpoint `json:"endpoints"`
+	DutyHolder  string           `json:"duty_holder"`
+	DutyFence   uint64           `json:"duty_fence"`
+	Plan        placement.Plan   `json:"plan"`
+}
+
+// Operator is the service of one box.
+type Operator struct {
+	Address string
+	Key     string
+	Log     zerolog.Logger
+	Metrics metrics.Registry
+
+	follower *follower.Follower
+	members  *member.Service
+	view     *view.View
+	placer   *placer.Placer
+	keeper   *stream.Keeper
+	front    *front.Front
+	journal  *journal.Journal
+	peers    *peer.Node
+	server   *http.Server
+	listener net.Listener
+}
+
+// New returns the operators' face of a box. Calls need the key.
+func New(address, key string, m metrics.Registry, log zerolog.Logger) *Operator {
+	return &Operator{Address: address, Key: key, Metrics: m, Log: log}
+}
+
+// Name returns the service's name.
+func (o *Operator) Name() string { return Name }
+
+// Start listens for operators.
+func (o *Operator) Start(_ context.Context, k *kernel.Kernel) error {
+	if err := o.find(k); err != nil {
+		return err
+	}
+	var err error
+	if o.listener, err = net.Listen("tcp", o.Address); err != nil {
+		return fmt.Errorf("listen for operators: %w", err)
+	}
+	o.server = &http.Server{Handler: o.routes(), ReadHeaderTimeout: callLimit, WriteTimeout: 2 * callLimit}
+	go func() {
+		if err := o.server.Serve(o.listener); !errors.Is(err, http.ErrServerClosed) {
+			o.Log.Error().Err(err).Msg("operators are no longer served")
+		}
+	}()
+	return nil
+}
+
+func (o *Operator) find(k *kernel.Kernel) error {
+	var err error
+	if o.follower, err = kernel.Find[*follower.Follower](k, follower.Name); err != nil {
+		return err
+	}
+	if o.members, err = kernel.Find[*member.Service](k, member.Name); err != nil {
+		return err
+	}
+	if o.view, err = kernel.Find[*view.View](k, view.Name); err != nil {
+		return err
+	}
+	if o.placer, err = kernel.Find[*placer.Placer](k, placer.Name); err != nil {
+		return err
+	}
+	if o.keeper, err = kernel.Find[*stream.Keeper](k, stream.Name); err != nil {
+		return err
+	}
+	if o.front, err = kernel.Find[*front.Front](k, front.Name); err != nil {
+		return err
+	}
+	if o.journal, err = kernel.Find[*journal.Journal](k, journal.Name); err != nil {
+		return err
+	}
+	o.peers, err = kernel.Find[*peer.Node](k, peer.Name)
+	return err
+}
+
+// Stop closes.
+func (o *Operator) Stop(context.Context) error { return o.server.Close() }
+
+// Listening returns where operators are served, once it has started.
+func (o *Operator) Listening() string { return o.listener.Addr().String() }
+
+func (o *Operator) routes() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	r.HandleFunc("/ready", func(w http.ResponseWriter, _ *http.Request) {
+		if err := o.front.Ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		}
+	})
+	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { jsonhttp.Write(w, http.StatusOK, o.Metrics.GetAll()) })
+	r.HandleFunc("/operator/config", o.known(o.show)).Methods(http.MethodGet)
+	r.HandleFunc("/operator/config", o.known(o.put)).Methods(http.MethodPut)
+	r.HandleFunc("/operator/check", o.known(o.check)).Methods(http.MethodPost)
+	r.HandleFunc("/operator/status", o.known(o.status)).Methods(http.MethodGet)
+	r.HandleFunc("/operator/explain/{subject}", o.known(o.explain)).Methods(http.MethodGet)
+	return r
+}
+
+// known lets only operators in.
+func (o *Operator) known(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte("Bearer "+o.Key)) != 1 {
+			refuse(w, errkind.New(errkind.UnknownAccount, "the operators' key is wrong"), nil)
+			return
+		}
+		h(w, r)
+	}
+}
+
+func refuse(w http.ResponseWriter, err error, ms []iniread.Mistake) {
+	e := errkind.Of(err)
+	jsonhttp.Write(w, e.Kind.Answer().Status, Refusal{Kind: e.Kind.String(), Message: e.Message, Mistakes: ms})
+}
+
+func (o *Operator) show(w http.ResponseWriter, _ *http.Request) {
+	jsonhttp.Write(w, http.StatusOK, o.follower.Revision())
+}
+
+func (o *Operator) put(w http.ResponseWriter, r *http.Request) {
+	var e Edit
+	if !jsonhttp.Read(w, r, &e) {
+		return
+	}
+	c, cancel := context.WithTimeout(r.Context(), callLimit)
+	defer cancel()
+	bs, _ := o.view.Boxes()
+	if ms := follower.Check(e.Text, bs); len(ms) > 0 {
+		refuse(w, errkind.New(errkind.ConfigInvalid, "%d mistakes", len(ms)), ms)
+		return
+	}
+	v, err := o.follower.Put(c, e.Base, e.Text, e.Editor, bs)
+	o.Log.Info().Str("event", "edit").Str("editor", e.Editor).Uint64("base", e.Base).Err(err).Msg("configuration edited")
+	if err != nil {
+		refuse(w, err, nil)
+		return
+	}
+	jsonhttp.Write(w, http.StatusOK, v)
+}
+
+func (o *Operator) check(w http.ResponseWriter, r *http.Request) {
+	var e Edit
+	if !jsonhttp.Read(w, r, &e) {
+		return
+	}
+	bs, _ := o.view.Boxes()
+	if ms := follower.Check(e.Text, bs); len(ms) > 0 {
+		refuse(w, errkind.New(errkind.ConfigInvalid, "%d mistakes", len(ms)), ms)
+		return
+	}
+	jsonhttp.Write(w, http.StatusOK, struct{}{})
+}
+
+func (o *Operator) status(w http.ResponseWriter, _ *http.Request) {
+	m := o.members.Self()
+	s := Status{
+		Box: m.Box, DataCentre: m.DataCentre, Incarnation: m.Incarnation, Version: o.follower.Revision().Version,
+		Ready: "yes", Streams: o.keeper.Live(), HorizonAge: time.Since(o.view.Horizon()), Members: o.members.Up(""),
+		Plan: o.placer.Plan(),
+	}
+	if err := o.front.Ready(); err != nil {
+		s.Ready = err.Error()
+	}
+	for _, e := range o.view.Slots() {
+		s.Endpoints = append(s.Endpoints, e.Endpoint)
+	}
+	s.DutyHolder, s.DutyFence = o.placer.Duty()
+	jsonhttp.Write(w, http.StatusOK, s)
+}
+
+// explain gathers what every box that can be reached decided about a subject.
+func (o *Operator) explain(w http.ResponseWriter, r *http.Request) {
+	subject := mux.Vars(r)["subject"]
+	ds := o.journal.Find(subject)
+	c, cancel := context.WithTimeout(r.Context(), callLimit/2)
+	defer cancel()
+	for _, m := range o.members.Up("") {
+		var more []journal.Decision
+		if m.Box != o.members.Self().Box && o.peers.Client.Call(c, m.Address, "journal.find", subject, &more) == nil {
+			ds = append(ds, more...)
+		}
+	}
+	jsonhttp.Write(w, http.StatusOK, ds)
+}
--- /dev/null
+++ b/peer/client.go
@@ -0,0 +1,243 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"birchlink.dev/birchlink/errkind"
+	"birchlink.dev/birchlink/frame"
+)
+
+// dialLimit bounds how long a connection may take to stand.
+const dialLimit = time.Second
+
+// Client calls peers by address and keeps one connection to each.
+type Client struct {
+	secret string
+	local  *net.TCPAddr
+	mu     sync.Mutex
+	links  map[string]*link
+	group  sync.WaitGroup
+}
+
+// link is one connection with the calls that wait on it.
+type link struct {
+	conn  *frame.Conn
+	mu    sync.Mutex
+	next  uint64
+	calls map[uint64]*inbox
+	done  chan struct{}
+}
+
+// NewClient returns a client without connections.
+func NewClient(secret string) *Client { return &Client{secret: secret, links: map[string]*link{}} }
+
+// Call makes a call and decodes its last value into out, unless that is nil.
+func (c *Client) Call(x context.Context, address, method string, in, out any) error {
+	return c.Stream(x, address, method, in, out, nil)
+}
+
+// Stream makes a call and hands each item before the last value to each. A
+// failure of the connection is of kind Unavailable: whether the call took
+// effect is not known.
+func (c *Client) Stream(x context.Context, address, method string, in, out any, each func([]byte) error) error {
+	l, err := c.link(x, address)
+	if err != nil {
+		return &errkind.Error{Kind: errkind.Unavailable, Message: "peer " + address, Err: err}
+	}
+	id, ch := l.open()
+	defer l.forget(id)
+	b, err := msgpack.Marshal(in)
+	if err != nil {
+		return fmt.Errorf("encode call: %w", err)
+	}
+	if err := l.conn.Write(frame.Message{ID: id, Type: frame.Call, Method: method, Body: b}, writeLimit); err != nil {
+		l.conn.Close()
+		return &errkind.Error{Kind: errkind.Unavailable, Message: "peer " + address, Err: err}
+	}
+	for {
+		for _, m := range ch.take() {
+			if last, err := take(m, out, each); last || err != nil {
+				return err
+			}
+		}
+		select {
+		case <-ch.ready:
+		case <-x.Done():
+			_ = l.conn.Write(frame.Message{ID: id, Type: frame.Cancel}, writeLimit)
+			return x.Err()
+		case <-l.done:
+			// Frames that came before the end still count.
+			if ch.empty() {
+				return errkind.New(errkind.Unavailable, "peer %s left", address)
+			}
+		}
+	}
+}
+
+func take(m frame.Message, out any, each func([]byte) error) (bool, error) {
+	switch m.Type {
+	case frame.Item:
+		if each == nil {
+			return false, nil
+		}
+		return false, each(m.Body)
+	case frame.Fail:
+		var f failure
+		if err := msgpack.Unmarshal(m.Body, &f); err != nil {
+			return true, fmt.Errorf("decode failure: %w", err)
+		}
+		return true, &errkind.Error{Kind: f.Kind, Message: f.Message, RetryAfter: f.RetryAfter}
+	default:
+		if out == nil {
+			return true, nil
+		}
+		if err := msgpack.Unmarshal(m.Body, out); err != nil {
+			return true, fmt.Errorf("decode answer: %w", err)
+		}
+		return true, nil
+	}
+}
+
+// Bytes returns what went over all open connections, both ways.
+func (c *Client) Bytes() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var n int64
+	for _, l := range c.links {
+		n += l.conn.Bytes.Load()
+	}
+	return n
+}
+
+// Close ends all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	for _, l := range c.links {
+		l.conn.Close()
+	}
+	c.mu.Unlock()
+	c.group.Wait()
+}
+
+func (c *Client) link(x context.Context, address string) (*link, error) {
+	c.mu.Lock()
+	l := c.links[address]
+	c.mu.Unlock()
+	if l != nil {
+		return l, nil
+	}
+	l, err := c.dial(x, address)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if o := c.links[address]; o != nil {
+		l.conn.Close()
+		return o, nil
+	}
+	c.links[address] = l
+	c.group.Go(func() { c.read(address, l) })
+	return l, nil
+}
+
+func (c *Client) dial(x context.Context, address string) (*link, error) {
+	d := net.Dialer{Timeout: dialLimit}
+	if c.local != nil {
+		d.LocalAddr = c.local
+	}
+	n, err := d.DialContext(x, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("dial: %w", err)
+	}
+	f := frame.New(n)
+	_ = n.SetReadDeadline(time.Now().Add(helloLimit))
+	if err := greet(f, c.secret); err != nil {
+		f.Close()
+		return nil, err
+	}
+	_ = n.SetReadDeadline(time.Time{})
+	return &link{conn: f, calls: map[uint64]*inbox{}, done: make(chan struct{})}, nil
+}
+
+// read hands each frame to its call until the connection ends.
+func (c *Client) read(address string, l *link) {
+	defer func() {
+		c.mu.Lock()
+		delete(c.links, address)
+		c.mu.Unlock()
+		l.conn.Close()
+		close(l.done)
+	}()
+	for {
+		m, err := l.conn.Read()
+		if err != nil {
+			return
+		}
+		l.hand(m)
+	}
+}
+
+// inbox holds the frames of one call until they are read. What a call may
+// answer is bounded by its handler, so the inbox is too; a reader that is slow
+// does not hold up the other calls of the connection.
+type inbox struct {
+	mu     sync.Mutex
+	frames []frame.Message
+	ready  chan struct{}
+}
+
+func (b *inbox) put(m frame.Message) {
+	b.mu.Lock()
+	b.frames = append(b.frames, m)
+	b.mu.Unlock()
+	select {
+	case b.ready <- struct{}{}:
+	default:
+	}
+}
+
+func (b *inbox) take() []frame.Message {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	ms := b.frames
+	b.frames = nil
+	return ms
+}
+
+func (b *inbox) empty() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.frames) == 0
+}
+
+func (l *link) open() (uint64, *inbox) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.next++
+	b := &inbox{ready: make(chan struct{}, 1)}
+	l.calls[l.next] = b
+	return l.next, b
+}
+
+func (l *link) forget(id uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.calls, id)
+}
+
+// hand gives a frame to its call, unless that has ended.
+func (l *link) hand(m frame.Message) {
+	l.mu.Lock()
+	b, ok := l.calls[m.ID]
+	l.mu.Unlock()
+	if ok {
+		b.put(m)
+	}
+}
--- /dev/null
+++ b/peer/node.go
@@ -0,0 +1,45 @@
+package peer
+
+import (
+	"context"
+	"net"
+
+	"birchlink.dev/birchlink/kernel"
+)
+
+// Name is the name of the service.
+const Name = "peer"
+
+// Node is the server and the client of one box, as a service.
+type Node struct {
+	Server *Server
+	Client *Client
+
+	// Advertise is the address that peers are told.
+	Advertise string
+
+	address string
+}
+
+// NewNode returns a node that will listen on an address. It also calls from
+// that IP number, so that a peer can be known by it.
+func NewNode(address, advertise, secret string) *Node {
+	n := &Node{Server: NewServer(secret), Client: NewClient(secret), Advertise: advertise, address: address}
+	if a, err := net.ResolveTCPAddr("tcp", address); err == nil {
+		n.Client.local = &net.TCPAddr{IP: a.IP}
+	}
+	return n
+}
+
+// Name returns the service's name.
+func (n *Node) Name() string { return Name }
+
+// Start begins to listen. Handlers may be entered afterwards.
+func (n *Node) Start(context.Context, *kernel.Kernel) error { return n.Server.Listen(n.address) }
+
+// Stop ends all connections.
+func (n *Node) Stop(context.Context) error {
+	n.Client.Close()
+	n.Server.Close()
+	return nil
+}
--- /dev/null
+++ b/placement/sticky.go
@@ -0,0 +1,243 @@
+package placement
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+
+	"birchlink.dev/birchlink/fleet"
+)
+
+// defaultRoom is how many workloads an engine holds unless its box has the
+// label "workloads".
+const defaultRoom = 4
+
+// headroom is how many streams' worth of slots is planned for each that is
+// wanted.
+const headroom = 1.3
+
+// Sticky moves only what must move: a workload stays where it is loaded while
+// that is allowed, and is given up only when its other copies are loaded.
+type Sticky struct{}
+
+// Plan decides the assignments, and what boxes to hold.
+func (Sticky) Plan(in Input) Plan { return plan(in, true) }
+
+// Anew places everything from nothing. It is a baseline.
+type Anew struct{}
+
+// Plan decides without regard to what is loaded.
+func (Anew) Plan(in Input) Plan { return plan(in, false) }
+
+// engine is a live engine with its room and what is planned for it.
+type engine struct {
+	fleet.Endpoint
+	price float64
+	room  int
+	want  []string
+}
+
+// planner is the work of one plan.
+type planner struct {
+	in      Input
+	sticky  bool
+	engines []*engine
+	loads   int
+	plan    Plan
+}
+
+func plan(in Input, sticky bool) Plan {
+	p := &planner{in: in, sticky: sticky}
+	p.gather()
+	for _, w := range p.order() {
+		p.place(w)
+	}
+	p.assign()
+	p.hold()
+	return p.plan
+}
+
+// gather takes the live engines of the data centre.
+func (p *planner) gather() {
+	for _, e := range p.in.Endpoints {
+		if e.Role == fleet.EngineRole && e.DataCentre == p.in.DataCentre && e.Usable() {
+			p.engines = append(p.engines, &engine{Endpoint: e, price: p.price(e), room: room(e)})
+		}
+	}
+	slices.SortFunc(p.engines, func(a, b *engine) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+func room(e fleet.Endpoint) int {
+	n, err := strconv.Atoi(e.Label("workloads"))
+	if err != nil || n < 1 {
+		return defaultRoom
+	}
+	return n
+}
+
+// price is what a slot of an endpoint costs an hour for its speed.
+func (p *planner) price(e fleet.Endpoint) float64 {
+	for _, q := range p.in.Prices {
+		if q.DataCentre == e.DataCentre && q.Class == e.Class && q.Reclaimable == e.Reclaimable {
+			return q.PerHour / max(float64(e.Slots)*e.TokensPerSecond, 1)
+		}
+	}
+	return 0
+}
+
+// order places the workloads with the fewest allowed engines first, so that
+// the others do not take their room.
+func (p *planner) order() []string {
+	ws := p.in.Document.Workloads()
+	n := make(map[string]int, len(ws))
+	for _, w := range ws {
+		for _, e := range p.engines {
+			if ok, _ := p.in.Document.Allowed(w, e.Box); ok {
+				n[w]++
+			}
+		}
+	}
+	slices.SortStableFunc(ws, func(a, b string) int {
+		return cmp.Or(cmp.Compare(n[a], n[b]), cmp.Compare(p.in.Demand[b], p.in.Demand[a]))
+	})
+	return ws
+}
+
+// copies is how many engines shall have a workload.
+func (p *planner) copies(w string) int {
+	n := 1
+	for _, m := range p.in.Document.Models {
+		if slices.Contains(m.Workloads(), w) {
+			n = m.Copies
+		}
+	}
+	slots := 0
+	for _, e := range p.engines {
+		slots += e.Slots
+	}
+	if len(p.engines) == 0 || slots == 0 {
+		return n
+	}
+	mean := float64(slots) / float64(len(p.engines))
+	return max(n, int(math.Ceil(p.in.Demand[w]*headroom/mean)))
+}
+
+// place gives a workload its engines: at least one that is not reclaimable if
+// there is one, the rest by worth.
+func (p *planner) place(w string) {
+	c := p.candidates(w)
+	n := p.copies(w)
+	if len(c) < n {
+		p.unmet(w, len(c), n)
+	}
+	slices.SortStableFunc(c, func(a, b *engine) int { return p.compare(w, a, b) })
+	c = p.keepOne(w, c, min(n, len(c)))
+	for _, e := range c {
+		e.want = append(e.want, w)
+	}
+}
+
+func (p *planner) candidates(w string) []*engine {
+	var c []*engine
+	for _, e := range p.engines {
+		if ok, _ := p.in.Document.Allowed(w, e.Box); ok && len(e.want) < e.room {
+			c = append(c, e)
+		}
+	}
+	return c
+}
+
+// keepOne takes the first n, and lets one that stays through a reclaim in.
+func (p *planner) keepOne(w string, c []*engine, n int) []*engine {
+	stays := func(e *engine) bool { return !e.Reclaimable }
+	if n == 0 || slices.ContainsFunc(c[:n], stays) {
+		return c[:n]
+	}
+	i := slices.IndexFunc(c, stays)
+	if i < 0 {
+		p.plan.Unmet = append(p.plan.Unmet, Unmet{Workload: w, Reason: "every engine that may run it is reclaimable"})
+		return c[:n]
+	}
+	return append(slices.Clone(c[:n-1]), c[i])
+}
+
+// compare orders engines for a workload: those that have it first, then by
+// preference, by how full they are, and by price for their speed.
+func (p *planner) compare(w string, a, b *engine) int {
+	stay := 0
+	if p.sticky {
+		stay = -compareBool(a.Has(w), b.Has(w))
+	}
+	return cmp.Or(
+		stay,
+		cmp.Compare(p.in.Document.Preference(w, b.Box), p.in.Document.Preference(w, a.Box)),
+		cmp.Compare(len(a.want), len(b.want)),
+		cmp.Compare(a.price, b.price),
+	)
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
+// unmet says why a workload has fewer engines than it shall have.
+func (p *planner) unmet(w string, have, want int) {
+	u := Unmet{Workload: w, Reason: fmt.Sprintf("%d of %d copies have a place", have, want)}
+	for _, e := range p.engines {
+		if ok, s := p.in.Document.Allowed(w, e.Box); !ok {
+			u.Selector = s
+		}
+	}
+	if u.Selector == "" {
+		u.Reason += ": the engines have no more room"
+	}
+	p.plan.Unmet = append(p.plan.Unmet, u)
+}
+
+// assign turns what is wanted into orders in two steps: load first, and give up
+// what is no longer wanted only when every engine that wants it has it.
+func (p *planner) assign() {
+	for _, e := range p.engines {
+		a := Assignment{Box: e.Name, Reason: "as wanted"}
+		for _, w := range e.want {
+			switch {
+			case e.Has(w):
+				a.Workloads = append(a.Workloads, w)
+			case p.loads < p.in.Loads:
+				p.loads++
+				a.Load = append(a.Load, w)
+				a.Workloads = append(a.Workloads, w)
+			default:
+				a.Later = append(a.Later, w)
+			}
+		}
+		for _, w := range e.Loaded {
+			if !slices.Contains(e.want, w) && !p.loadedWhereWanted(w) {
+				a.Keep = append(a.Keep, w)
+				a.Workloads = append(a.Workloads, w)
+				a.Reason = "keeps what others have yet to load"
+			}
+		}
+		p.plan.Assignments = append(p.plan.Assignments, a)
+	}
+}
+
+// loadedWhereWanted reports whether every engine that wants w has it, or no
+// engine wants it and it is no longer configured.
+func (p *planner) loadedWhereWanted(w string) bool {
+	for _, e := range p.engines {
+		if slices.Contains(e.want, w) && !e.Has(w) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/router/affinity.go
@@ -0,0 +1,99 @@
+package router
+
+import "time"
+
+// prefillFactor is how many times faster an engine computes a prompt than an
+// answer.
+const prefillFactor = 40
+
+// preferencePenalty is what an endpoint that meets no preference is taken to
+// cost.
+const preferencePenalty = 400 * time.Millisecond
+
+// Affinity sends a request where the answer is expected first: work in flight,
+// measured speed and the prompt's cached prefix decide. A prefix has a home by
+// rendezvous hash among the targets whose load is within Bound times the mean.
+type Affinity struct {
+	Bound float64
+}
+
+// Pick returns the target with the least expected time.
+func (a Affinity) Pick(ts []Target, q Query) Choice {
+	if len(ts) == 0 {
+		return none
+	}
+	limit := a.limit(ts)
+	home := homeOf(ts, q.Prefix, limit)
+	best := Choice{Index: -1}
+	for i := range ts {
+		if !within(&ts[i], limit) {
+			continue
+		}
+		d := expected(&ts[i], q, i == home)
+		if best.Index < 0 || d < best.Expected {
+			best = Choice{Index: i, Expected: d, Home: i == home, Reason: "least expected time"}
+		}
+	}
+	if best.Index < 0 {
+		return LeastLoaded{}.Pick(ts, q)
+	}
+	return best
+}
+
+// limit is the share of its slots that a target may have busy.
+func (a Affinity) limit(ts []Target) float64 {
+	busy, slots := 1, 0
+	for i := range ts {
+		busy += ts[i].Busy
+		slots += ts[i].Slots
+	}
+	if slots == 0 {
+		return 1
+	}
+	return max(a.Bound, 1) * float64(busy) / float64(slots)
+}
+
+// within reports whether a target may take one more stream. A free slot is
+// always within the bound of a fleet that is hardly busy.
+func within(t *Target, limit float64) bool {
+	return float64(t.Busy) < limit*float64(t.Slots)+1
+}
+
+// homeOf returns the target with the highest weight for a prefix.
+func homeOf(ts []Target, prefix uint64, limit float64) int {
+	home, top := -1, uint64(0)
+	for i := range ts {
+		if w := weight(prefix, ts[i].Hash); (home < 0 || w > top) && within(&ts[i], limit) {
+			home, top = i, w
+		}
+	}
+	return home
+}
+
+func weight(key, member uint64) uint64 {
+	const golden, mix = 0x9e3779b97f4a7c15, 0xff51afd7ed558ccd
+	h := member ^ key*golden
+	h ^= h >> 33
+	h *= mix
+	return h ^ h>>33
+}
+
+// expected estimates the time to the first token for an urgent request and to
+// the last for any other.
+func expected(t *Target, q Query, home bool) time.Duration {
+	v := max(t.TokensPerSecond, 1)
+	stream := seconds(float64(q.AnswerTokens) / v)
+	d := t.Remote + time.Duration((1-t.Preference)*float64(preferencePenalty))
+	if over := t.Busy + 1 - t.Slots; over > 0 && t.Slots > 0 {
+		d += stream * time.Duration(over) / time.Duration(t.Slots)
+	}
+	if !home && !t.Held {
+		d += seconds(float64(q.PromptTokens) / (v * prefillFactor))
+	}
+	if q.Urgent {
+		return d + seconds(1/v)
+	}
+	return d + stream
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/router/baseline.go
@@ -0,0 +1,73 @@
+package router
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+)
+
+// LeastLoaded sends a request to the target with the most free slots for its
+// size. It is a baseline, and the choice when no target is within its bound.
+type LeastLoaded struct{}
+
+// Pick returns the target with the least share of its slots busy.
+func (LeastLoaded) Pick(ts []Target, q Query) Choice {
+	if len(ts) == 0 {
+		return none
+	}
+	best := 0
+	for i := range ts {
+		if ts[i].Busy*ts[best].Slots < ts[best].Busy*ts[i].Slots {
+			best = i
+		}
+	}
+	return Choice{Index: best, Expected: expected(&ts[best], q, false), Reason: "least loaded"}
+}
+
+// RoundRobin sends requests to the targets in turn. It is a baseline.
+type RoundRobin struct {
+	n atomic.Uint64
+}
+
+// Pick returns the next target.
+func (r *RoundRobin) Pick(ts []Target, q Query) Choice {
+	if len(ts) == 0 {
+		return none
+	}
+	i := int((r.n.Add(1) - 1) % uint64(len(ts)))
+	return Choice{Index: i, Expected: expected(&ts[i], q, false), Reason: "next in turn"}
+}
+
+// Random sends a request anywhere. It is a baseline.
+type Random struct {
+	Int func(n int) int
+}
+
+// Pick returns a target at random.
+func (r Random) Pick(ts []Target, q Query) Choice {
+	if len(ts) == 0 {
+		return none
+	}
+	f := r.Int
+	if f == nil {
+		f = rand.IntN
+	}
+	i := f(len(ts))
+	return Choice{Index: i, Expected: expected(&ts[i], q, false), Reason: "at random"}
+}
+
+// New returns the policy of a name, as the settings have it.
+func New(name string, bound float64) (Policy, error) {
+	switch name {
+	case "affinity":
+		return Affinity{Bound: bound}, nil
+	case "least_loaded":
+		return LeastLoaded{}, nil
+	case "round_robin":
+		return &RoundRobin{}, nil
+	case "random":
+		return Random{}, nil
+	default:
+		return nil, fmt.Errorf("no routing policy %q", name)
+	}
+}
--- /dev/null
+++ b/stand/kvstore/server.go
@@ -0,0 +1,209 @@
+// Package kvstore is a stand-in for the platform's key-value service:
+// compare-and-swap, leases and watches, with counted and limited rates and the
+// failures that the brief names.
+package kvstore
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"golang.org/x/time/rate"
+
+	"birchlink.dev/birchlink/jsonhttp"
+	"birchlink.dev/birchlink/kv"
+	"birchlink.dev/birchlink/stand/faults"
+)
+
+// Server holds the keys in memory. Faults: "outage", "slow", "lost_answer",
+// "stale" (reads answer with the value before the last).
+type Server struct {
+	Faults faults.Switch
+
+	mu      sync.Mutex
+	rev     uint64
+	entries map[string]kv.Entry
+	before  map[string]kv.Entry
+	expires map[string]time.Time
+	changed chan struct{}
+	counts  map[string]map[string]int
+	reads   *rate.Limiter
+	writes  *rate.Limiter
+	router  *mux.Router
+}
+
+// New returns an empty store that bears so many writes and reads a second.
+func New(writes, reads int) *Server {
+	s := &Server{
+		entries: map[string]kv.Entry{}, before: map[string]kv.Entry{}, expires: map[string]time.Time{},
+		changed: make(chan struct{}), counts: map[string]map[string]int{},
+		writes: rate.NewLimiter(rate.Limit(writes), writes), reads: rate.NewLimiter(rate.Limit(reads), reads),
+	}
+	s.router = mux.NewRouter()
+	s.router.Handle("/control", &s.Faults)
+	s.router.HandleFunc("/audit", s.audit)
+	s.router.HandleFunc("/kv/{key:.+}", s.call("get", s.reads, s.get)).Methods(http.MethodGet)
+	s.router.HandleFunc("/kv/{key:.+}", s.call("swap", s.writes, s.swap)).Methods(http.MethodPut)
+	s.router.HandleFunc("/watch/{key:.+}", s.call("watch", s.reads, s.watch))
+	s.router.HandleFunc("/list/{key:.+}", s.call("list", s.reads, s.list))
+	return s
+}
+
+// ServeHTTP answers one call.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
+
+func (s *Server) call(name string, l *rate.Limiter, h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.count(name, r.Header.Get(jsonhttp.CallerHeader))
+		if m, ok := s.Faults.Take("outage"); ok && strings.HasPrefix(r.Header.Get(jsonhttp.CallerHeader), m.Match) {
+			http.Error(w, "outage", http.StatusServiceUnavailable)
+			return
+		}
+		if m, ok := s.Faults.Take("slow"); ok {
+			wait(r, m.Delay)
+		}
+		if !l.Allow() {
+			s.count("limited", r.Header.Get(jsonhttp.CallerHeader))
+			http.Error(w, "rate limit", http.StatusTooManyRequests)
+			return
+		}
+		h(w, r)
+	}
+}
+
+func wait(r *http.Request, d time.Duration) {
+	select {
+	case <-r.Context().Done():
+	case <-time.After(d):
+	}
+}
+
+func (s *Server) count(kind, caller string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.counts[kind] == nil {
+		s.counts[kind] = map[string]int{}
+	}
+	s.counts[kind][caller]++
+}
+
+func (s *Server) audit(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	jsonhttp.Write(w, http.StatusOK, s.counts)
+}
+
+// expire drops a key whose lease has ended. The caller holds the lock.
+func (s *Server) expire(key string) {
+	if t, ok := s.expires[key]; ok && time.Now().After(t) {
+		delete(s.entries, key)
+		delete(s.expires, key)
+	}
+}
+
+func (s *Server) read(key string) (kv.Entry, chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(key)
+	e := s.entries[key]
+	e.Key = key
+	return e, s.changed
+}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	key := mux.Vars(r)["key"]
+	e, _ := s.read(key)
+	if _, ok := s.Faults.Take("stale"); ok {
+		s.mu.Lock()
+		e = s.before[key]
+		s.mu.Unlock()
+	}
+	jsonhttp.Write(w, http.StatusOK, e)
+}
+
+func (s *Server) swap(w http.ResponseWriter, r *http.Request) {
+	var in kv.Entry
+	if !jsonhttp.Read(w, r, &in) {
+		return
+	}
+	if len(in.Value) > kv.MaxValue {
+		http.Error(w, "value too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	in.Key = mux.Vars(r)["key"]
+	e, ok := s.apply(in)
+	if m, lost := s.Faults.Look("lost_answer"); lost && strings.HasPrefix(in.Key, m.Match) {
+		s.Faults.Take("lost_answer")
+		panic(http.ErrAbortHandler) // the change took effect, its answer is lost
+	}
+	if !ok {
+		jsonhttp.Write(w, http.StatusConflict, e)
+		return
+	}
+	jsonhttp.Write(w, http.StatusOK, kv.Entry{Key: e.Key, Rev: e.Rev})
+}
+
+func (s *Server) apply(in kv.Entry) (kv.Entry, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(in.Key)
+	old := s.entries[in.Key]
+	if old.Rev != in.Rev {
+		old.Key = in.Key
+		return old, false
+	}
+	s.rev++
+	s.before[in.Key] = old
+	in.Rev = s.rev
+	s.entries[in.Key] = in
+	delete(s.expires, in.Key)
+	if in.TTL > 0 {
+		s.expires[in.Key] = time.Now().Add(in.TTL)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return in, true
+}
+
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	limit, err := time.ParseDuration(r.URL.Query().Get("wait"))
+	if err != nil {
+		http.Error(w, "bad wait", http.StatusBadRequest)
+		return
+	}
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	for {
+		e, c := s.read(mux.Vars(r)["key"])
+		if e.Rev != after {
+			jsonhttp.Write(w, http.StatusOK, e)
+			return
+		}
+		select {
+		case <-c:
+		case <-t.C:
+			jsonhttp.Write(w, http.StatusOK, e)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	es := []kv.Entry{}
+	for k := range s.entries {
+		s.expire(k)
+		if e, ok := s.entries[k]; ok && strings.HasPrefix(k, mux.Vars(r)["key"]) {
+			e.Key = k
+			es = append(es, e)
+		}
+	}
+	jsonhttp.Write(w, http.StatusOK, es)
+}
--- /dev/null
+++ b/stand/lab/lab.go
@@ -0,0 +1,561 @@
+// Package lab starts the real processes of a small fleet on loopback, and
+// stops, kills, freezes and cuts them. It serves trials and tests only.
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"birchlink.dev/birchlink/cloud"
+	"birchlink.dev/birchlink/config"
+	"birchlink.dev/birchlink/fleet"
+	"birchlink.dev/birchlink/iniread"
+	"birchlink.dev/birchlink/jsonhttp"
+	"birchlink.dev/birchlink/operator"
+	"birchlink.dev/birchlink/stand/faults"
+)
+
+// The keys of every lab.
+const (
+	OperatorKey = "operators-of-the-lab"
+	secret      = "peers-of-the-lab-0123"
+)
+
+// startLimit is how long a process may take to answer.
+const startLimit = 20 * time.Second
+
+// Process is one running process. Callers, Peers and Admin are set for entry
+// boxes, Address for stand-ins.
+type Process struct {
+	Name       string
+	Role       string
+	DataCentre string
+	Address    string
+	Peers      string
+	Admin      string
+	Log        string
+
+	ip     string
+	args   []string
+	cmd    *exec.Cmd
+	link   *link
+	exited chan struct{}
+	code   int
+}
+
+// PID returns the process id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Exited is closed when the process has ended.
+func (p *Process) Exited() <-chan struct{} { return p.exited }
+
+// Code returns how the process ended.
+func (p *Process) Code() int { return p.code }
+
+// Lab is a fleet of processes.
+type Lab struct {
+	Bin     string
+	Dir     string
+	Options Options
+
+	mu    sync.Mutex
+	procs map[string]*Process
+	order []string
+	net   int
+	next  int
+}
+
+// Options says what fleet to start.
+type Options struct {
+	DataCentres []string
+	Entries     int
+	Engines     []EngineKind
+	Services    []string
+	Config      string
+	TokenEvery  time.Duration
+	BoxListLag  time.Duration
+	StopNotice  time.Duration
+	StopLimit   time.Duration
+	Policy      string
+}
+
+// EngineKind is one engine of each data centre.
+type EngineKind struct {
+	Class       string
+	Reclaimable bool
+	Stopped     bool
+	Slots       int
+	NoFence     bool
+	Loaded      []string
+	Slower      int
+}
+
+// New returns a lab without processes. Bin holds the programs, dir takes the
+// settings and logs.
+func New(bin, dir string, o Options) *Lab {
+	const nets = 200
+	return &Lab{Bin: bin, Dir: dir, Options: o, procs: map[string]*Process{}, net: 20 + rand.IntN(nets)}
+}
+
+// Get returns a process by name.
+func (l *Lab) Get(name string) (*Process, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p, ok := l.procs[name]
+	if !ok {
+		return nil, fmt.Errorf("no process %q", name)
+	}
+	return p, nil
+}
+
+// All returns the processes with a role, in the order they started; all for "".
+func (l *Lab) All(role string) []*Process {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var ps []*Process
+	for _, n := range l.order {
+		if p := l.procs[n]; role == "" || p.Role == role {
+			ps = append(ps, p)
+		}
+	}
+	return ps
+}
+
+// address asks the system for a free port on an IP number of its own for each
+// process, so that no other connection of the machine can take it meanwhile.
+func (l *Lab) address(ip string) (string, error) {
+	c, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		return "", fmt.Errorf("find a port: %w", err)
+	}
+	defer c.Close()
+	return c.Addr().String(), nil
+}
+
+func (l *Lab) ip() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.next++
+	return fmt.Sprintf("127.%d.%d.%d", l.net, os.Getpid()%250+1, l.next)
+}
+
+// start runs a program and waits until it answers.
+func (l *Lab) start(p *Process, probe string) error {
+	f, err := os.OpenFile(p.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return fmt.Errorf("open log: %w", err)
+	}
+	defer f.Close()
+	p.cmd = exec.Command(filepath.Join(l.Bin, p.args[0]), p.args[1:]...)
+	p.cmd.Stdout, p.cmd.Stderr = f, f
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.cmd.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", p.Name, err)
+	}
+	p.exited = make(chan struct{})
+	go func(c *exec.Cmd, done chan struct{}) {
+		_ = c.Wait()
+		p.code = c.ProcessState.ExitCode()
+		close(done)
+	}(p.cmd, p.exited)
+	l.mu.Lock()
+	if _, again := l.procs[p.Name]; !again {
+		l.order = append(l.order, p.Name)
+	}
+	l.procs[p.Name] = p
+	l.mu.Unlock()
+	return waitFor(p, probe)
+}
+
+// waitFor asks a process until it answers at all.
+func waitFor(p *Process, url string) error {
+	const every = 20 * time.Millisecond
+	h := http.Client{Timeout: time.Second}
+	for end := time.Now().Add(startLimit); time.Now().Before(end); time.Sleep(every) {
+		select {
+		case <-p.exited:
+			return fmt.Errorf("%s ended; see %s", p.Name, p.Log)
+		default:
+		}
+		if a, err := h.Get(url); err == nil {
+			a.Body.Close()
+			return nil
+		}
+	}
+	return fmt.Errorf("%s does not answer; see %s", p.Name, p.Log)
+}
+
+// Stand starts a stand-in: its kind and its own arguments.
+func (l *Lab) Stand(name, role, dc, kind string, args ...string) (*Process, error) {
+	p := &Process{Name: name, Role: role, DataCentre: dc, ip: l.ip(), Log: filepath.Join(l.Dir, name+".log")}
+	var err error
+	if p.Address, err = l.address(p.ip); err != nil {
+		return nil, err
+	}
+	p.args = append([]string{"birchstand", "--listen", p.Address, kind}, args...)
+	return p, l.start(p, "http://"+p.Address+"/audit")
+}
+
+// Up starts the platform, the endpoints and the entry boxes, and puts the
+// configuration in force.
+func (l *Lab) Up(c context.Context) error {
+	if err := l.upPlatform(); err != nil {
+		return err
+	}
+	if err := l.upEntries(); err != nil {
+		return err
+	}
+	return l.Configure(c, 0, l.Options.Config)
+}
+
+func (l *Lab) upPlatform() error {
+	kv, err := l.Stand("kv", "platform", "", "kv")
+	if err != nil {
+		return err
+	}
+	_ = kv
+	w, err := l.Stand("weights", "platform", "", "weights")
+	if err != nil {
+		return err
+	}
+	bs, ps, err := l.upEndpoints(w.Address)
+	if err != nil {
+		return err
+	}
+	bf, pf := filepath.Join(l.Dir, "boxes.json"), filepath.Join(l.Dir, "prices.json")
+	if err := writeJSON(bf, bs); err != nil {
+		return err
+	}
+	if err := writeJSON(pf, ps); err != nil {
+		return err
+	}
+	cl, err := l.Stand("cloud", "platform", "", "cloud", "--boxes", bf, "--prices", pf)
+	if err != nil {
+		return err
+	}
+	_, err = l.Stand("boxlist", "platform", "", "boxlist", "--cloud", cl.Address, "--lag", l.Options.BoxListLag.String())
+	return err
+}
+
+// upEndpoints starts the engines and services, and lists them with the entry
+// boxes that will come.
+func (l *Lab) upEndpoints(weights string) ([]fleet.Box, []cloud.Price, error) {
+	var bs []fleet.Box
+	var ps []cloud.Price
+	for i, dc := range l.Options.DataCentres {
+		for n, e := range l.Options.Engines {
+			b, err := l.engine(dc, fmt.Sprintf("%s-engine-%d", dc, n+1), e, weights)
+			if err != nil {
+				return nil, nil, err
+			}
+			bs = append(bs, b)
+			ps = addPrice(ps, b, i)
+		}
+		for _, s := range l.Options.Services {
+			p, err := l.Stand(dc+"-"+s, "service", dc, "service", "--name", s)
+			if err != nil {
+				return nil, nil, err
+			}
+			bs = append(bs, fleet.Box{Name: p.Name, DataCentre: dc, Address: p.Address, Role: fleet.ServiceRole, Service: s, Class: "small", State: fleet.Live})
+		}
+		for n := range l.Options.Entries {
+			bs = append(bs, fleet.Box{Name: entryName(dc, n), DataCentre: dc, Role: fleet.EntryRole, Class: "entry", State: fleet.Live})
+		}
+	}
+	return bs, ps, nil
+}
+
+func (l *Lab) engine(dc, name string, e EngineKind, weights string) (fleet.Box, error) {
+	every := l.Options.TokenEvery * time.Duration(max(e.Slower, 1))
+	args := []string{"--name", name, "--slots", fmt.Sprint(e.Slots), "--token-every", every.String(), "--weights", weights}
+	for _, w := range e.Loaded {
+		args = append(args, "--loaded", w)
+	}
+	if e.NoFence {
+		args = append(args, "--no-fence")
+	}
+	b := fleet.Box{Name: name, DataCentre: dc, Role: fleet.EngineRole, Class: e.Class, Reclaimable: e.Reclaimable, State: fleet.Live}
+	if e.Stopped {
+		b.State = fleet.Stopped
+	}
+	p, err := l.Stand(name, "engine", dc, "engine", args...)
+	if err != nil {
+		return b, err
+	}
+	b.Address = p.Address
+	return b, nil
+}
+
+// addPrice prices a kind of box: old hardware and later data centres cost less,
+// reclaimable boxes a third.
+func addPrice(ps []cloud.Price, b fleet.Box, dc int) []cloud.Price {
+	p := cloud.Price{DataCentre: b.DataCentre, Class: b.Class, Reclaimable: b.Reclaimable, PerHour: 3 - 0.2*float64(dc)}
+	if b.Class == "old" {
+		p.PerHour /= 2
+	}
+	if b.Reclaimable {
+		p.PerHour /= 3
+	}
+	for i, q := range ps {
+		if q.DataCentre == p.DataCentre && q.Class == p.Class && q.Reclaimable == p.Reclaimable {
+			if b.State == fleet.Stopped {
+				ps[i].Supply++
+			}
+			return ps
+		}
+	}
+	if b.State == fleet.Stopped {
+		p.Supply = 1
+	}
+	return append(ps, p)
+}
+
+func entryName(dc string, n int) string { return fmt.Sprintf("%s-entry-%d", dc, n+1) }
+
+// upEntries prepares every entry box, so that each knows the others, and starts
+// them together.
+func (l *Lab) upEntries() error {
+	var ps []*Process
+	var seeds []string
+	for _, dc := range l.Options.DataCentres {
+		for n := range l.Options.Entries {
+			p, err := l.prepare(entryName(dc, n), dc)
+			if err != nil {
+				return err
+			}
+			ps = append(ps, p)
+			seeds = append(seeds, p.link.address())
+		}
+	}
+	errs := make(chan error, len(ps))
+	for _, p := range ps {
+		if err := l.writeSettings(p, seeds); err != nil {
+			return err
+		}
+		go func() { errs <- l.start(p, "http://"+p.Admin+"/live") }()
+	}
+	var first error
+	for range ps {
+		if err := <-errs; err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+func (l *Lab) prepare(name, dc string) (*Process, error) {
+	p := &Process{Name: name, Role: "entry", DataCentre: dc, ip: l.ip(), Log: filepath.Join(l.Dir, name+".log")}
+	for _, a := range []*string{&p.Address, &p.Peers, &p.Admin} {
+		var err error
+		if *a, err = l.address(p.ip); err != nil {
+			return nil, err
+		}
+	}
+	k, err := newLink(l.ip(), p.Peers)
+	p.link = k
+	p.args = []string{"birchlinkd", filepath.Join(l.Dir, name+".ini")}
+	return p, err
+}
+
+func (l *Lab) writeSettings(p *Process, seeds []string) error {
+	o := l.Options
+	at := func(n string) string { return l.procs[n].Address }
+	t := fmt.Sprintf(`[box]
+name = %s
+data_centre = %s
+[listen]
+callers = %s
+peers = %s
+admin = %s
+[platform]
+kv = %s
+box_list = %s
+cloud = %s
+writes_per_second = 50
+reads_per_second = 50
+[peers]
+seeds = %s
+advertise = %s
+secret = %s
+[operator]
+key = %s
+[stop]
+notice = %v
+limit = %v
+[routing]
+policy = %s
+`, p.Name, p.DataCentre, p.Address, p.Peers, p.Admin, at("kv"), at("boxlist"), at("cloud"),
+		strings.Join(seeds, ", "), p.link.address(), secret, OperatorKey, o.StopNotice, o.StopLimit, o.Policy)
+	if err := os.WriteFile(p.args[1], []byte(t), 0o600); err != nil {
+		return fmt.Errorf("write settings: %w", err)
+	}
+	return nil
+}
+
+// Restart starts a process that has ended again, with the same settings.
+func (l *Lab) Restart(name string) error {
+	p, err := l.Get(name)
+	if err != nil {
+		return err
+	}
+	<-p.exited
+	if p.Role == "entry" {
+		return l.start(p, "http://"+p.Admin+"/live")
+	}
+	return l.start(p, "http://"+p.Address+"/audit")
+}
+
+// Signal sends a signal to a process.
+func (l *Lab) Signal(name string, s syscall.Signal) error {
+	p, err := l.Get(name)
+	if err != nil {
+		return err
+	}
+	if err := p.cmd.Process.Signal(s); err != nil {
+		return fmt.Errorf("signal %s: %w", name, err)
+	}
+	return nil
+}
+
+// Control sets a fault at a stand-in.
+func (l *Lab) Control(c context.Context, name string, m faults.Mode) error {
+	p, err := l.Get(name)
+	if err != nil {
+		return err
+	}
+	return jsonhttp.New(p.Address, "lab", startLimit).Do(c, http.MethodPost, "/control", m, nil)
+}
+
+// Notice makes the cloud ask boxes to leave.
+func (l *Lab) Notice(c context.Context, n cloud.Notice) error {
+	p, err := l.Get("cloud")
+	if err != nil {
+		return err
+	}
+	return jsonhttp.New(p.Address, "lab", startLimit).Do(c, http.MethodPost, "/notices", n, nil)
+}
+
+// Cut breaks, or joins again, the peers' links between two entry boxes.
+func (l *Lab) Cut(a, b string, cut bool) error {
+	p, err := l.Get(a)
+	if err != nil {
+		return err
+	}
+	q, err := l.Get(b)
+	if err != nil {
+		return err
+	}
+	p.link.set(q.ip, cut)
+	q.link.set(p.ip, cut)
+	return nil
+}
+
+// Admin calls the operators' face of an entry box.
+func (l *Lab) Admin(c context.Context, box, method, path string, in, out any) error {
+	p, err := l.Get(box)
+	if err != nil {
+		return err
+	}
+	h := jsonhttp.New(p.Admin, "lab", startLimit)
+	h.HTTP.Transport = bearer(OperatorKey)
+	return h.Do(c, method, path, in, out)
+}
+
+type bearer string
+
+func (b bearer) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.Header.Set("Authorization", "Bearer "+string(b))
+	return http.DefaultTransport.RoundTrip(r)
+}
+
+// Configure puts a configuration in force and waits until every entry box that
+// runs has it.
+func (l *Lab) Configure(c context.Context, base uint64, text string) error {
+	e := l.All("entry")
+	if err := l.Admin(c, e[0].Name, http.MethodPut, "/operator/config", operator.Edit{Base: base, Text: text, Editor: "lab"}, nil); err != nil {
+		return fmt.Errorf("put configuration: %w", err)
+	}
+	for _, p := range e {
+		if err := l.Await(c, p.Name, func(s operator.Status) bool { return s.Version > base }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Await asks a box for its status until it satisfies ok.
+func (l *Lab) Await(c context.Context, box string, ok func(operator.Status) bool) error {
+	const every = 20 * time.Millisecond
+	c, cancel := context.WithTimeout(c, startLimit)
+	defer cancel()
+	for {
+		var s operator.Status
+		if err := l.Admin(c, box, http.MethodGet, "/operator/status", nil, &s); err == nil && ok(s) {
+			return nil
+		}
+		select {
+		case <-c.Done():
+			return fmt.Errorf("box %s did not come to what was awaited", box)
+		case <-time.After(every):
+		}
+	}
+}
+
+// Down ends every process, by its own id.
+func (l *Lab) Down() {
+	for _, p := range l.All("") {
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		_ = p.cmd.Process.Kill()
+		<-p.exited
+		if p.link != nil {
+			p.link.listener.Close()
+		}
+	}
+}
+
+func writeJSON(path string, v any) error {
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return fmt.Errorf("encode %s: %w", path, err)
+	}
+	if err := os.WriteFile(path, b, 0o600); err != nil {
+		return fmt.Errorf("write %s: %w", path, err)
+	}
+	return nil
+}
+
+// AwaitLoaded waits until every configured workload is loaded somewhere in
+// every data centre, as its entry boxes see it.
+func (l *Lab) AwaitLoaded(c context.Context) error {
+	d, ms := config.Parse(1, []byte(l.Options.Config))
+	if len(ms) > 0 {
+		return iniread.Join(ms)
+	}
+	for _, p := range l.All("entry") {
+		err := l.Await(c, p.Name, func(s operator.Status) bool {
+			for _, w := range d.Workloads() {
+				if !slices.ContainsFunc(s.Endpoints, func(e fleet.Endpoint) bool { return e.DataCentre == p.DataCentre && e.Usable() && e.Has(w) }) {
+					return false
+				}
+			}
+			return true
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/stream/choose.go
@@ -0,0 +1,128 @@
+package stream
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"birchlink.dev/birchlink/config"
+	"birchlink.dev/birchlink/engine"
+	"birchlink.dev/birchlink/errkind"
+	"birchlink.dev/birchlink/fleet"
+	"birchlink.dev/birchlink/journal"
+	"birchlink.dev/birchlink/member"
+	"birchlink.dev/birchlink/router"
+	"birchlink.dev/birchlink/view"
+)
+
+// maxFigures bounds the candidates that a log line names.
+const maxFigures = 4
+
+// candidates holds the targets of one decision and the slots behind them, kept
+// between decisions so that a decision does not allocate with the fleet's size.
+type candidates struct {
+	targets []router.Target
+	slots   []*view.Slot
+}
+
+// gather fills the candidates: live, loaded, allowed, in this data centre and
+// not to be avoided.
+func (c *candidates) gather(ss []*view.Slot, d *config.Document, dc, workload, held string, avoid map[string]bool) {
+	c.targets, c.slots = c.targets[:0], c.slots[:0]
+	for _, s := range ss {
+		if s.DataCentre != dc || !s.Usable() || !s.Has(workload) || avoid[s.Name] {
+			continue
+		}
+		if ok, _ := d.Allowed(workload, s.Box); !ok {
+			continue
+		}
+		c.slots = append(c.slots, s)
+		c.targets = append(c.targets, router.Target{
+			Box: s.Name, Hash: s.Hash, Busy: s.Busy(), Slots: s.Slots, TokensPerSecond: s.TokensPerSecond,
+			Preference: d.Preference(workload, s.Box), Held: s.Name == held,
+		})
+	}
+}
+
+// choose picks the endpoint of the next attempt, or a peer in another data
+// centre when there is none here.
+func (r *run) choose(c context.Context) error {
+	d := r.k.follower.Current()
+	if d == nil {
+		return errkind.New(errkind.NotReady, "no configuration yet")
+	}
+	r.k.fresh.Ensure(c)
+	b := r.k.buffers.Get().(*candidates)
+	defer r.k.buffers.Put(b)
+	prefix := engine.Prefix(r.s.Workload, r.s.Prompt)
+	held, _ := r.k.prefixes.Get(prefix)
+	b.gather(r.k.view.Slots(), d, r.k.dc, r.s.Workload, held, r.avoid)
+	q := router.Query{
+		Prefix: prefix, PromptTokens: engine.PromptTokens(r.s.Prompt), AnswerTokens: r.s.MaxTokens - r.splice.Next,
+		Urgent: r.s.Kind.Urgent(), Deadline: time.Until(r.s.Deadline),
+	}
+	ch := r.pick(b, q)
+	r.k.noteRoute(r, b, ch)
+	if ch.Index < 0 {
+		return r.overflow()
+	}
+	s := b.slots[ch.Index]
+	r.aim(target{box: s.Name, incarnation: s.Incarnation, address: s.Address, slot: s})
+	return nil
+}
+
+// pick takes the endpoint that a reclaim plan named, or asks the policy.
+func (r *run) pick(b *candidates, q router.Query) router.Choice {
+	p := r.prefer
+	r.prefer = ""
+	for i := range b.targets {
+		if b.targets[i].Box == p {
+			return router.Choice{Index: i, Reason: "the reclaim plan's destination"}
+		}
+	}
+	return r.k.policy().Pick(b.targets, q)
+}
+
+// overflow sends the request to the entry boxes of another data centre. One
+// that came from there already is not sent on.
+func (r *run) overflow() error {
+	var ms []member.Member
+	for _, m := range r.k.members.Up("") {
+		if m.DataCentre != r.k.dc && !r.avoid[m.Box] {
+			ms = append(ms, m)
+		}
+	}
+	if len(ms) == 0 || r.s.relayed {
+		return errkind.New(errkind.NoEndpoint, "no endpoint is live, allowed and loaded with %s", r.s.Workload)
+	}
+	m := ms[rand.IntN(len(ms))]
+	r.aim(target{box: m.Box, incarnation: m.Incarnation, address: m.Address})
+	r.note("overflow", "no endpoint here, data centre "+m.DataCentre+" is asked")
+	return nil
+}
+
+func (k *Keeper) noteRoute(r *run, b *candidates, ch router.Choice) {
+	d := journal.Decision{Subject: r.s.ID, Event: "route", Reason: ch.Reason, Attempt: r.attempt + 1, Workload: r.s.Workload}
+	for i := range b.targets {
+		if i == ch.Index {
+			d.Choice = b.targets[i].Box
+		}
+		if i == ch.Index || len(d.Figures) < maxFigures {
+			t := b.targets[i]
+			d.Figures = append(d.Figures, journal.Figure{Box: t.Box, Score: float64(t.Busy) / float64(max(t.Slots, 1))})
+		}
+	}
+	k.journal.Note(d)
+}
+
+// destinations are the endpoints that can take streams from a box that leaves,
+// with this box's part of their free slots.
+func (k *Keeper) destinations() map[string]fleet.Endpoint {
+	m := map[string]fleet.Endpoint{}
+	for _, s := range k.view.Slots() {
+		if s.DataCentre == k.dc && s.Usable() && s.Role == fleet.EngineRole {
+			m[s.Name] = s.Endpoint
+		}
+	}
+	return m
+}
--- /dev/null
+++ b/view/digest.go
@@ -0,0 +1,21 @@
+package view
+
+import (
+	"cmp"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
+	"birchlink.dev/birchlink/fleet"
+)
+
+func compare(a, b string) int { return cmp.Compare(a, b) }
+
+// digest hashes what the boxes of a list must agree on.
+func digest(bs []fleet.Box) uint64 {
+	h := xxhash.New()
+	for _, b := range bs {
+		fmt.Fprintf(h, "%s|%s|%s|%s|%s|%v;", b.Name, b.Address, b.State, b.Role, b.Service, b.Reclaimable)
+	}
+	return h.Sum64()
+}
