--- a/admission/gate.go
+++ b/admission/gate.go
@@ -96,11 +96,11 @@
 	v := rate.Limit(max(r.Rate*share, 0.1))
 	l, ok := g.buckets[r.Account]
 	if !ok {
-		l = rate.NewLimiter(v, 1)
+		l = rate.NewLimiter(v, burst(v))
 		g.buckets[r.Account] = l
 	}
 	l.SetLimitAt(now, v)
-	l.SetBurstAt(now, max(int(2*v), 1))
+	l.SetBurstAt(now, burst(v))
 	if l.AllowN(now, 1) {
 		return nil
 	}
@@ -108,6 +108,9 @@
 	return e.After(spread(time.Duration(float64(time.Second) / float64(v))))
 }
 
+// burst lets an account spend two seconds' worth at once.
+func burst(v rate.Limit) int { return max(int(2*v), 1) }
+
 func refuse(k errkind.Kind, r Request, format string, args ...any) error {
 	wait := time.Second
 	if p, _ := r.Kind.Priority(); p > urgentPriority {
--- a/admission/service.go
+++ b/admission/service.go
@@ -19,8 +19,10 @@
 // demandHalf is the time in which an account's remembered demand halves.
 const demandHalf = 10 * time.Second
 
-// The retry budget: each request adds a share of a retry, up to a most.
+// The retry budget of an account: it begins with some, each request adds a
+// share of a retry, up to a most.
 const (
+	retryFirst = 10
 	retryShare = 0.2
 	retryMost  = 20
 )
@@ -107,7 +109,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a.retries[r.Account] = min(a.retries[r.Account]+retryShare, retryMost)
+	a.retries[r.Account] = min(a.budget(r.Account)+retryShare, retryMost)
 	a.streams[r.Workload]++
 	a.peak[r.Workload] = max(a.peak[r.Workload], float64(a.streams[r.Workload]))
 	return sync.OnceFunc(func() {
@@ -122,13 +124,22 @@
 func (a *Admission) Retry(account string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.retries[account] < 1 {
+	left := a.budget(account)
+	if left < 1 {
 		return false
 	}
-	a.retries[account]--
+	a.retries[account] = left - 1
 	return true
 }
 
+// budget is what an account has left. The caller holds the lock.
+func (a *Admission) budget(account string) float64 {
+	if v, known := a.retries[account]; known {
+		return v
+	}
+	return retryFirst
+}
+
 // measure computes this box's room from the endpoints and the entry boxes.
 func (a *Admission) measure(account string) Room {
 	all := float64(max(len(a.members.Up("")), 1))
--- a/cmd/birchstand/main.go
+++ b/cmd/birchstand/main.go
@@ -54,10 +54,12 @@
 	LoadLag     time.Duration `arg:"--load-lag" default:"500ms" help:"how far load reports lag"`
 	NoFence     bool          `arg:"--no-fence" help:"take orders from anybody"`
 	Weights     string        `help:"the weight store's address"`
+	AuditFile   string        `arg:"--audit-file" help:"where the audit goes when the box is taken"`
 }
 
 type serviceArguments struct {
-	Name string `arg:"required" help:"the service"`
+	Name      string `arg:"required" help:"the service"`
+	AuditFile string `arg:"--audit-file" help:"where the audit goes when the box is taken"`
 }
 
 type arguments struct {
@@ -115,7 +117,9 @@
 	case a.Engine != nil:
 		return engine.New(a.Engine.options(a.Listen)), nil
 	case a.Service != nil:
-		return service.New(a.Service.Name), nil
+		s := service.New(a.Service.Name)
+		s.AuditFile = a.Service.AuditFile
+		return s, nil
 	default:
 		return nil, errors.New("name a stand-in: kv, cloud, boxlist, weights, engine or service")
 	}
@@ -124,7 +128,7 @@
 func (e engineArguments) options(listen string) engine.Options {
 	return engine.Options{
 		Name: e.Name, Address: listen, Loaded: e.Loaded, Slots: e.Slots, TokenEvery: e.TokenEvery,
-		PrefillRate: e.PrefillRate, CacheSize: e.Cache, LoadLag: e.LoadLag, ChecksFence: !e.NoFence, Weights: e.Weights,
+		PrefillRate: e.PrefillRate, CacheSize: e.Cache, LoadLag: e.LoadLag, ChecksFence: !e.NoFence, Weights: e.Weights, AuditFile: e.AuditFile,
 	}
 }
 
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -29,6 +29,7 @@
 const (
 	maxRecords = 200_000
 	retryPeer  = 2 * time.Second
+	verdictIn  = 500 * time.Millisecond
 )
 
 // Result is what a run gave: a stream that may go on, a response, or an error.
@@ -110,7 +111,8 @@
 
 // Do carries a call to its whole answer.
 func (d *Dispatcher) Do(c context.Context, q Call, sink Sink) error {
-	c, cancel := context.WithDeadline(c, q.deadline())
+	// The stream ends at the deadline by itself, and says how.
+	c, cancel := context.WithDeadline(c, q.deadline().Add(verdictIn))
 	defer cancel()
 	switch {
 	case q.Ticket != "":
--- a/engine/client.go
+++ b/engine/client.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"birchlink.dev/birchlink/jsonhttp"
@@ -26,6 +27,7 @@
 	ErrNotRun      = errors.New("the engine did not run it")
 	ErrRestarted   = errors.New("the engine is another process now")
 	ErrUnreachable = errors.New("no connection to the engine")
+	ErrEnded       = errors.New("nothing listens at the engine's address")
 )
 
 // Client calls model engines by address.
@@ -112,6 +114,9 @@
 
 func classify(err error) error {
 	var o *net.OpError
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return fmt.Errorf("%w: %w: %w", ErrUnreachable, ErrEnded, err)
+	}
 	if errors.As(err, &o) && o.Op == "dial" {
 		return fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
@@ -136,7 +141,10 @@
 	if errors.As(err, &s) {
 		return fmt.Errorf("%w: %w", refusal(s.Status), err)
 	}
-	return err
+	if err != nil {
+		return classify(err)
+	}
+	return nil
 }
 
 // Cancel stops an attempt and returns its final state. Without an error the
--- a/front/chat.go
+++ b/front/chat.go
@@ -45,7 +45,8 @@
 	defer cancel()
 	call := dispatch.Call{Chat: p, Key: s.fields.key, Ticket: s.fields.ticket}
 	o := newWriter(s, q, p.ID)
-	return o.close(f.dispatcher.Do(c, call, func(i dispatch.Item) error { return o.token(i.Index, i.Token) }))
+	err = f.dispatcher.Do(c, call, func(i dispatch.Item) error { return o.token(i.Index, i.Token) })
+	return o.close(orClosing(c, err))
 }
 
 // until ends with the caller, and when the box must close.
@@ -58,6 +59,14 @@
 	}
 }
 
+// orClosing returns errClosing for an error that came of it.
+func orClosing(c context.Context, err error) error {
+	if err != nil && errors.Is(context.Cause(c), errClosing) {
+		return errClosing
+	}
+	return err
+}
+
 // errClosing ends a request whose box closes; a peer goes on with its stream.
 var errClosing = errors.New("the box closes")
 
@@ -103,7 +112,8 @@
 	o.next = from
 	c, cancel := f.until(s)
 	defer cancel()
-	return o.close(f.keeper.ReadAnywhere(c, id, s.account.Name, from, o.token))
+	err := f.keeper.ReadAnywhere(c, id, s.account.Name, from, o.token)
+	return o.close(orClosing(c, err))
 }
 
 // models answers GET /v1/models.
--- a/load/audit.go
+++ b/load/audit.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"time"
 
 	"birchlink.dev/birchlink/engine"
@@ -21,8 +24,8 @@
 	Unread     []string
 }
 
-// ReadAudit gathers the audits of engines and services. One that cannot be read,
-// since its box was taken, is listed as unread.
+// ReadAudit gathers the audits of engines and services, from their addresses or
+// from files that they left. One that cannot be read is listed as unread.
 func ReadAudit(c context.Context, engines, services []string) Audit {
 	a := Audit{Engine: map[string][]standengine.Run{}, Service: map[string][]service.Run{}}
 	for _, e := range engines {
@@ -58,9 +61,16 @@
 	return id[:min(len(id), uuidLength)]
 }
 
-func get(c context.Context, address string, v any) error {
+func get(c context.Context, from string, v any) error {
 	const limit = 5 * time.Second
-	return jsonhttp.New(address, "load", limit).Do(c, http.MethodGet, "/audit", nil, v)
+	if filepath.IsAbs(from) {
+		b, err := os.ReadFile(from)
+		if err != nil {
+			return fmt.Errorf("read audit: %w", err)
+		}
+		return json.Unmarshal(b, v)
+	}
+	return jsonhttp.New(from, "load", limit).Do(c, http.MethodGet, "/audit", nil, v)
 }
 
 // Check returns how an outcome breaks a promise by what the stand-ins ran: a
--- a/load/mix.go
+++ b/load/mix.go
@@ -43,6 +43,15 @@
 // Mix makes the n-th request of a deployment's mix.
 type Mix func(r *rand.Rand, n int) Spec
 
+func init() {
+	Mixes["both"] = func(r *rand.Rand, n int) Spec {
+		if n%2 == 0 {
+			return Mixes["pamoja"](r, n)
+		}
+		return Mixes["freight"](r, n)
+	}
+}
+
 // part is one kind of a mix with its share in a hundred.
 type part struct {
 	share int
--- a/load/report.go
+++ b/load/report.go
@@ -96,3 +96,10 @@
 func at(h *hdrhistogram.Histogram, q float64) string {
 	return (time.Duration(h.ValueAtQuantile(q)) * time.Microsecond).Round(100 * time.Microsecond).String()
 }
+
+// Len returns how many outcomes there are.
+func (r *Report) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.Outcomes)
+}
--- a/stand/engine/server.go
+++ b/stand/engine/server.go
@@ -5,7 +5,6 @@
 
 import (
 	"net/http"
-	"os"
 	"slices"
 	"sync"
 	"time"
@@ -32,6 +31,7 @@
 	LoadLag     time.Duration
 	ChecksFence bool
 	Weights     string
+	AuditFile   string
 }
 
 // Server is the engine. Faults: "cut", "gap", "double", "no_end", "cross" (each
@@ -77,7 +77,7 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.router.ServeHTTP(w, r)
 	if _, die := s.Faults.Look("die"); die {
-		os.Exit(0)
+		faults.Die(s.AuditFile, s.runs())
 	}
 }
 
@@ -216,6 +216,10 @@
 }
 
 func (s *Server) audit(w http.ResponseWriter, _ *http.Request) {
+	jsonhttp.Write(w, http.StatusOK, s.runs())
+}
+
+func (s *Server) runs() []Run {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	us := make([]Run, 0, len(s.order))
@@ -223,5 +227,5 @@
 		_, u, _ := a.view()
 		us = append(us, u)
 	}
-	jsonhttp.Write(w, http.StatusOK, us)
+	return us
 }
--- a/stand/faults/switch.go
+++ b/stand/faults/switch.go
@@ -2,7 +2,9 @@
 package faults
 
 import (
+	"encoding/json"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -66,6 +68,24 @@
 	return m, ok
 }
 
+// Die ends the process as a box that is taken, and leaves its audit in a file
+// where one is named.
+func Die(file string, audit any) {
+	dying.Lock() // and never unlock: the first caller ends the process
+	if file != "" {
+		b, err := json.Marshal(audit)
+		if err == nil {
+			err = os.WriteFile(file, b, 0o600)
+		}
+		if err != nil {
+			os.Exit(1)
+		}
+	}
+	os.Exit(0)
+}
+
+var dying sync.Mutex
+
 // ServeHTTP sets the mode in the body.
 func (s *Switch) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var m Mode
--- a/stand/lab/lab.go
+++ b/stand/lab/lab.go
@@ -61,6 +61,15 @@
 // Exited is closed when the process has ended.
 func (p *Process) Exited() <-chan struct{} { return p.exited }
 
+func (p *Process) running() bool {
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return true
+	}
+}
+
 // Code returns how the process ended.
 func (p *Process) Code() int { return p.code }
 
@@ -264,7 +273,7 @@
 			ps = addPrice(ps, b, i)
 		}
 		for _, s := range l.Options.Services {
-			p, err := l.Stand(dc+"-"+s, "service", dc, "service", "--name", s)
+			p, err := l.Stand(dc+"-"+s, "service", dc, "service", "--name", s, "--audit-file", l.auditFile(dc+"-"+s))
 			if err != nil {
 				return nil, nil, err
 			}
@@ -279,7 +288,7 @@
 
 func (l *Lab) engine(dc, name string, e EngineKind, weights string) (fleet.Box, error) {
 	every := l.Options.TokenEvery * time.Duration(max(e.Slower, 1))
-	args := []string{"--name", name, "--slots", fmt.Sprint(e.Slots), "--token-every", every.String(), "--weights", weights}
+	args := []string{"--name", name, "--slots", fmt.Sprint(e.Slots), "--token-every", every.String(), "--weights", weights, "--audit-file", l.auditFile(name)}
 	for _, w := range e.Loaded {
 		args = append(args, "--loaded", w)
 	}
@@ -339,11 +348,13 @@
 			seeds = append(seeds, p.link.address())
 		}
 	}
-	errs := make(chan error, len(ps))
 	for _, p := range ps {
 		if err := l.writeSettings(p, seeds); err != nil {
 			return err
 		}
+	}
+	errs := make(chan error, len(ps))
+	for _, p := range ps {
 		go func() { errs <- l.start(p, "http://"+p.Admin+"/live") }()
 	}
 	var first error
@@ -438,6 +449,37 @@
 	return jsonhttp.New(p.Address, "lab", startLimit).Do(c, http.MethodPost, "/control", m, nil)
 }
 
+func (l *Lab) auditFile(name string) string { return filepath.Join(l.Dir, name+".audit.json") }
+
+// Audits returns where the audits of a role's stand-ins are to be read: at
+// their addresses, and in the files that ended ones left.
+func (l *Lab) Audits(role string) []string {
+	var from []string
+	for _, p := range l.All(role) {
+		_, err := os.Stat(l.auditFile(p.Name))
+		if err == nil {
+			from = append(from, l.auditFile(p.Name))
+		}
+		if err != nil || p.running() {
+			from = append(from, p.Address)
+		}
+	}
+	return from
+}
+
+// KeepAudit saves the audit of a stand-in that is about to be killed.
+func (l *Lab) KeepAudit(c context.Context, name string) error {
+	p, err := l.Get(name)
+	if err != nil || p.Role != "engine" && p.Role != "service" {
+		return err
+	}
+	var v any
+	if err := jsonhttp.New(p.Address, "lab", time.Second).Do(c, http.MethodGet, "/audit", nil, &v); err != nil {
+		return err
+	}
+	return writeJSON(l.auditFile(name), v)
+}
+
 // Notice makes the cloud ask boxes to leave.
 func (l *Lab) Notice(c context.Context, n cloud.Notice) error {
 	p, err := l.Get("cloud")
--- a/stand/service/server.go
+++ b/stand/service/server.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -32,8 +32,9 @@
 // "short" (the body is cut), "drop" (the connection ends after the run),
 // "drop_before" (it ends before the run), "die".
 type Server struct {
-	Name   string
-	Faults faults.Switch
+	Name      string
+	AuditFile string
+	Faults    faults.Switch
 
 	incarnation string
 	mu          sync.Mutex
@@ -56,14 +57,18 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.router.ServeHTTP(w, r)
 	if _, die := s.Faults.Look("die"); die {
-		os.Exit(0)
+		faults.Die(s.AuditFile, s.all())
 	}
 }
 
 func (s *Server) audit(w http.ResponseWriter, _ *http.Request) {
+	jsonhttp.Write(w, http.StatusOK, s.all())
+}
+
+func (s *Server) all() []Run {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	jsonhttp.Write(w, http.StatusOK, s.runs)
+	return slices.Clone(s.runs)
 }
 
 func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
--- a/stream/leave.go
+++ b/stream/leave.go
@@ -1,11 +1,14 @@
 package stream
 
 import (
+	"cmp"
 	"context"
+	"slices"
 
 	"birchlink.dev/birchlink/engine"
 	"birchlink.dev/birchlink/reclaim"
 	"birchlink.dev/birchlink/recovery"
+	"birchlink.dev/birchlink/view"
 )
 
 // leave takes the stream away from its endpoint as the reclaim plan says, or
@@ -43,11 +46,13 @@
 	return e, b
 }
 
+// maxLandings is how many endpoints are tried for an exported cache.
+const maxLandings = 3
+
 // transfer moves the KV cache to another endpoint and goes on there. It reports
-// false if the cache did not get there; the attempt may be stopped then.
+// false if nothing was exported; otherwise the attempt here has stopped.
 func (r *run) transfer(c context.Context, to string) (end, recovery.Break, bool) {
-	d := r.k.view.Slot(to)
-	if d == nil || !d.Usable() || r.target.slot == nil {
+	if r.target.slot == nil {
 		return broken, 0, false
 	}
 	x, cancel := context.WithTimeout(c, settleIn)
@@ -60,16 +65,59 @@
 	if e != broken || b != recovery.Halted && b != recovery.NeverSeen {
 		return e, b, e == whole
 	}
-	if err := r.k.engines.Import(x, d.Address, f); err != nil {
-		return broken, 0, false
-	}
-	r.k.transferred.Inc(1)
-	r.kv = f.Handle
-	r.aim(target{box: d.Name, incarnation: d.Incarnation, address: d.Address, slot: d})
-	e, b = r.generate(c)
+	e, b = r.land(c, f, to)
 	return e, b, true
 }
 
+// land goes on at the first endpoint that takes the exported cache and the
+// attempt: what this box knows of the planned one may be old.
+func (r *run) land(c context.Context, f engine.Export, to string) (end, recovery.Break) {
+	for _, d := range r.landings(to) {
+		x, cancel := context.WithTimeout(c, settleIn)
+		err := r.k.engines.Import(x, d.Address, f)
+		cancel()
+		if err != nil {
+			r.note("move", d.Name+" did not import: "+err.Error())
+			continue
+		}
+		r.kv = f.Handle
+		r.aim(target{box: d.Name, incarnation: d.Incarnation, address: d.Address, slot: d})
+		e, b := r.generate(c)
+		if e != broken || b != recovery.Refused && b != recovery.Unreachable {
+			r.k.transferred.Inc(1)
+			return e, b
+		}
+		r.note("move", "refused the attempt")
+	}
+	// No endpoint runs the stream now, and the last that did confirmed its stop.
+	return broken, recovery.Halted
+}
+
+// landings are the planned destination and others that may do as well.
+func (r *run) landings(to string) []*view.Slot {
+	d := r.k.follower.Current()
+	var ss []*view.Slot
+	for _, s := range r.k.view.Slots() {
+		ok, _ := d.Allowed(r.s.Workload, s.Box)
+		if !ok || s.DataCentre != r.k.dc || !s.Usable() || !s.Has(r.s.Workload) || s.Name == r.target.box {
+			continue
+		}
+		ss = append(ss, s)
+	}
+	slices.SortStableFunc(ss, func(a, b *view.Slot) int {
+		return cmp.Or(first(a, to)-first(b, to), cmp.Compare(a.Busy(), b.Busy()))
+	})
+	return ss[:min(len(ss), maxLandings)]
+}
+
+// first orders the endpoint on a box before the others.
+func first(s *view.Slot, box string) int {
+	if s.Name == box {
+		return 0
+	}
+	return 1
+}
+
 // aim makes an endpoint the target of the next attempt.
 func (r *run) aim(t target) {
 	r.target = t
--- a/stream/run.go
+++ b/stream/run.go
@@ -124,11 +124,11 @@
 	}
 	st := recovery.State{
 		Break: b, Repeatable: r.s.Repeatable, Tries: r.tries, Attempts: r.attempt, Ran: r.ran,
-		Expired: c.Err() != nil,
+		Expired: c.Err() != nil, Budget: true,
 	}
 	d := recovery.Decide(st)
-	if d.Step == recovery.Elsewhere {
-		st.Budget = b == recovery.Halted || r.k.retry(r.s.Account)
+	if d.Step == recovery.Elsewhere && b != recovery.Halted {
+		st.Budget = r.k.retry(r.s.Account)
 		d = recovery.Decide(st)
 	}
 	if r.shared && d.Step != recovery.Reattach {
@@ -172,7 +172,10 @@
 	defer done()
 	x, cancel := context.WithCancel(c)
 	defer cancel()
-	l, err := r.open(x, cancel, open)
+	l, late, err := r.open(x, cancel, open)
+	if late {
+		return broken, recovery.Stalled
+	}
 	if err != nil {
 		return broken, breakOf(err, resumed)
 	}
@@ -204,11 +207,18 @@
 	}
 }
 
-// open bounds how long an endpoint may take to answer at all.
-func (r *run) open(x context.Context, cancel context.CancelFunc, open func(context.Context) (lines, error)) (lines, error) {
+// open bounds how long an endpoint may take to answer at all, and reports
+// whether it took longer.
+func (r *run) open(x context.Context, cancel context.CancelFunc, open func(context.Context) (lines, error)) (l lines, late bool, err error) {
 	t := time.AfterFunc(r.patience(x), cancel)
-	defer t.Stop()
-	return open(x)
+	l, err = open(x)
+	if t.Stop() {
+		return l, false, err
+	}
+	if l != nil {
+		_ = l.Close()
+	}
+	return nil, true, err
 }
 
 // patience is how long a run waits for its first token: a third of the time
@@ -300,6 +310,7 @@
 // stop asks the endpoint to stop the attempt until it confirms, and takes the
 // tokens that came before.
 func (r *run) stop(c context.Context) (end, recovery.Break) {
+	ended := 0
 	for c.Err() == nil {
 		st, err := r.place.Cancel(c, r.s.attempt(r.attempt, r.target.incarnation, 0))
 		switch {
@@ -309,6 +320,10 @@
 			return r.rest(c)
 		case errors.Is(err, engine.ErrRestarted):
 			return broken, recovery.Restarted
+		case errors.Is(err, engine.ErrEnded) && ended >= recovery.MaxTries:
+			return broken, recovery.Gone
+		case errors.Is(err, engine.ErrEnded):
+			ended++
 		case r.k.gone(r.target.box):
 			return broken, recovery.Gone
 		}
