Prove whole answers, leaving, planned stops and configuration by scripts

The scripts failed first on: - config_cut: a watch that waited when the outage began was still answered, so the cut-off data centre got the new version through the stand-in. A process that stops now gives its records (open ones, and answers of the last two minutes) to a peer, and its last row among the members names that peer. It begins nothing after it has given them, so there is still one process that may run each. - The second of these two: the row of the stopped process is replaced by the row of the new process of the same box, so a box that started later did not know the successor. Successors now travel beside the rows for an hour.

Ruled out: letting another process run a key whose holder is gone after some time (a paused holder would run it too); keeping every outcome in the platform's service (a second write for every keyed request).

Conclusion: a planned stop no longer costs a keyed request its outcome. A killed holder still does: outcome_unknown, as the promise demands.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -37,6 +37,10 @@
 	Stream *stream.Stream
 	Plain  *plain.Response
 	Err    error
+
+	// Inherited is the part of a stream that another process had, whose rest, if
+	// any, is to be read by its id.
+	Inherited *inherited
 }
 
 // Dispatcher is the service of one box.
@@ -87,12 +91,15 @@
 		return err
 	}
 	d.peers.Server.Handle("once.do", d.answer)
+	peer.Handle(d.peers.Server, "once.inherit", d.inherit)
 	return nil
 }
 
-// Stop waits for runs whose callers have left.
-func (d *Dispatcher) Stop(context.Context) error {
+// Stop waits for runs whose callers have left, and gives what this process
+// remembers to another.
+func (d *Dispatcher) Stop(c context.Context) error {
 	d.group.Wait()
+	d.bequeath(c)
 	return nil
 }
 
@@ -171,10 +178,11 @@
 	if err != nil {
 		return errkind.New(errkind.HeaderRange, "%w", err)
 	}
-	if t.Incarnation != d.members.Self().Incarnation {
+	_, known := d.records.Find(q.Ticket)
+	if t.Incarnation != d.members.Self().Incarnation && !known {
 		return d.forward(c, t.Incarnation, q, sink)
 	}
-	if _, known := d.records.Find(q.Ticket); !known {
+	if !known {
 		return errkind.New(errkind.OutcomeUnknown, "the ticket is no longer remembered")
 	}
 	r, _, err := d.records.Enter(q.Ticket, q.digest())
@@ -197,10 +205,12 @@
 	switch {
 	case err != nil:
 		return err
+	case in.Nonce == r.Nonce:
+		// Claimed by this process, or by one whose records it inherited.
 	case in.Holder != self:
 		d.records.Drop(name)
 		return d.forward(c, in.Holder, q, sink)
-	case in.Nonce != r.Nonce && fresh:
+	case fresh:
 		return errkind.New(errkind.OutcomeUnknown, "the key was used here and is no longer remembered")
 	}
 	return d.runRecord(c, r, q, sink)
@@ -208,12 +218,12 @@
 
 // forward has the process of an incarnation run the call, or give what it has.
 func (d *Dispatcher) forward(c context.Context, incarnation string, q Call, sink Sink) error {
-	m, up := d.members.Find(incarnation)
-	if !up {
+	m, up := d.members.Answering(incarnation)
+	if !up || m.Incarnation == d.members.Self().Incarnation {
 		return errkind.New(errkind.OutcomeUnknown, "the process that may run it has ended; it ran there or not at all")
 	}
 	d.journal.Note(journal.Decision{Subject: q.id(), Event: "forward", Choice: m.Box, Reason: "it holds the key or issued the ticket"})
-	err := d.peers.Client.Stream(c, m.Address, "once.do", forwarded{Call: q, To: incarnation}, nil, func(b []byte) error {
+	err := d.peers.Client.Stream(c, m.Address, "once.do", forwarded{Call: q, To: m.Incarnation}, nil, func(b []byte) error {
 		var i Item
 		if err := msgpack.Unmarshal(b, &i); err != nil {
 			return errkind.New(errkind.Internal, "decode item: %w", err)
@@ -242,15 +252,16 @@
 	if f.To != d.members.Self().Incarnation {
 		return nil, errkind.New(errkind.OutcomeUnknown, "the process that may run it has ended; it ran there or not at all")
 	}
-	if q.Ticket != "" {
-		return nil, d.doTicket(c, q, sink)
+	name := q.Ticket
+	if name == "" {
+		k := ledger.NewKey(q.account(), q.Key)
+		name = string(k[:])
 	}
-	k := ledger.NewKey(q.account(), q.Key)
-	r, known := d.records.Find(string(k[:]))
-	if !known {
-		return nil, errkind.New(errkind.OutcomeUnknown, "the key was used here and is no longer remembered")
+	if _, known := d.records.Find(name); !known {
+		return nil, errkind.New(errkind.OutcomeUnknown, "the key or ticket is no longer remembered")
 	}
-	if _, _, err := d.records.Enter(string(k[:]), q.digest()); err != nil {
+	r, _, err := d.records.Enter(name, q.digest())
+	if err != nil {
 		return nil, err
 	}
 	return nil, d.runRecord(c, r, q, sink)
@@ -275,6 +286,8 @@
 		return errkind.New(errkind.StillRunning, "it still runs; come back for its answer").After(retryPeer)
 	case v.Stream != nil:
 		return d.read(c, v.Stream, sink)
+	case v.Inherited != nil:
+		return d.readInherited(c, v.Inherited, sink)
 	case v.Err != nil:
 		return v.Err
 	case st == once.Open:
--- a/member/member.go
+++ b/member/member.go
@@ -21,7 +21,8 @@
 	Left
 )
 
-// Member is one process of an entry box. Started orders the processes of one
+// Member is one process of an entry box. Successor is the incarnation that
+// answers for a process that has left. Started orders the processes of one
 // box; Number grows when a member refutes a suspicion.
 type Member struct {
 	_msgpack struct{} `msgpack:",as_array"`
@@ -33,6 +34,7 @@
 	Started     int64
 	Number      uint32
 	State       State
+	Successor   string
 }
 
 // newer reports whether m replaces o in the table.
@@ -56,7 +58,7 @@
 	var changed []Member
 	for _, m := range ms {
 		o, known := t.rows[m.Box]
-		if known && !m.newer(o) || !known && !m.up() {
+		if known && !m.newer(o) || !known && !m.up() && m.Successor == "" {
 			continue
 		}
 		t.rows[m.Box] = m
@@ -71,6 +73,16 @@
 	return m, ok
 }
 
+// find returns the row of an incarnation.
+func (t *Table) find(incarnation string) (Member, bool) {
+	for _, m := range t.rows {
+		if m.Incarnation == incarnation {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
 // Rows returns every row, by box.
 func (t *Table) Rows() []Member {
 	ms := make([]Member, 0, len(t.rows))
--- a/member/service.go
+++ b/member/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -30,6 +31,8 @@
 	joinLimit   = 3 * time.Second
 	helpers     = 2
 	relays      = 2
+
+	maxSuccessions = 8
 )
 
 // registerPrefix is where a box leaves its address for those that join later.
@@ -56,6 +59,21 @@
 	Target string
 }
 
+// exchange is what two boxes tell each other when their tables differ: the rows,
+// and the successors of processes that have left.
+type exchange struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Rows []Member
+	Left map[string]string
+}
+
+// succession says which incarnation answers for one that has left.
+type succession struct {
+	to string
+	at time.Time
+}
+
 // Service is the membership of one box.
 type Service struct {
 	Seeds []string
@@ -65,6 +83,7 @@
 	self   Member
 	table  Table
 	since  map[string]time.Time
+	left   map[string]succession
 	order  []string
 	hooks  []func()
 	calls  caller
@@ -76,7 +95,7 @@
 // New returns the membership of a box. Its address is known once it starts.
 func New(box, dc string, seeds []string, log zerolog.Logger) *Service {
 	m := Member{Box: box, DataCentre: dc, Incarnation: uuid.NewString(), Started: time.Now().UnixNano()}
-	return &Service{Seeds: seeds, Log: log, self: m, since: map[string]time.Time{}}
+	return &Service{Seeds: seeds, Log: log, self: m, since: map[string]time.Time{}, left: map[string]succession{}}
 }
 
 // Name returns the service's name.
@@ -172,6 +191,33 @@
 	return Member{}, false
 }
 
+// Succeed names the incarnation that will answer for this process when it has
+// left.
+func (s *Service) Succeed(incarnation string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.self.Successor = incarnation
+}
+
+// Answering returns the member that answers for an incarnation: itself while it
+// is up, or else its successor, or the successor's.
+func (s *Service) Answering(incarnation string) (Member, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for range maxSuccessions {
+		m, known := s.table.find(incarnation)
+		if known && m.up() {
+			return m, true
+		}
+		next, left := s.left[incarnation]
+		if !left {
+			break
+		}
+		incarnation = next.to
+	}
+	return Member{}, false
+}
+
 // OnChange calls f after each change of the table.
 func (s *Service) OnChange(f func()) {
 	s.mu.Lock()
@@ -183,6 +229,11 @@
 func (s *Service) Merge(ms []Member) {
 	s.mu.Lock()
 	changed := s.table.Merge(ms)
+	for _, m := range ms {
+		if m.Successor != "" {
+			s.left[m.Incarnation] = succession{to: m.Successor, at: time.Now()}
+		}
+	}
 	for _, m := range changed {
 		s.since[m.Box] = time.Now()
 		s.Log.Info().Str("member", m.Box).Uint8("state", uint8(m.State)).Str("incarnation", m.Incarnation).Msg("member changed")
@@ -214,12 +265,6 @@
 	return s.table.Digest()
 }
 
-func (s *Service) rows() []Member {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.table.Rows()
-}
-
 func (s *Service) every(c context.Context, d time.Duration, f func(context.Context)) {
 	t := time.NewTicker(d)
 	defer t.Stop()
@@ -347,15 +392,36 @@
 }
 
 func (s *Service) sync(c context.Context, address string) {
-	var ms []Member
-	if err := s.calls.Call(c, address, "member.sync", s.rows(), &ms); err == nil {
-		s.Merge(ms)
+	var t exchange
+	if err := s.calls.Call(c, address, "member.sync", s.exchange(), &t); err == nil {
+		s.take(t)
+	}
+}
+
+func (s *Service) answerSync(_ context.Context, t exchange) (exchange, error) {
+	s.take(t)
+	return s.exchange(), nil
+}
+
+func (s *Service) exchange() exchange {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := exchange{Rows: s.table.Rows(), Left: make(map[string]string, len(s.left))}
+	for from, n := range s.left {
+		t.Left[from] = n.to
 	}
+	return t
 }
 
-func (s *Service) answerSync(_ context.Context, ms []Member) ([]Member, error) {
-	s.Merge(ms)
-	return s.rows(), nil
+func (s *Service) take(t exchange) {
+	s.mu.Lock()
+	for from, to := range t.Left {
+		if _, known := s.left[from]; !known {
+			s.left[from] = succession{to: to, at: time.Now()}
+		}
+	}
+	s.mu.Unlock()
+	s.Merge(t.Rows)
 }
 
 // nextTarget goes round the members of the data centre in shuffled order.
@@ -393,6 +459,7 @@
 			delete(s.since, m.Box)
 		}
 	}
+	maps.DeleteFunc(s.left, func(_ string, n succession) bool { return time.Since(n.at) > forgetAfter })
 	s.mu.Unlock()
 	s.Merge(dead)
 }
--- a/once/table.go
+++ b/once/table.go
@@ -28,6 +28,7 @@
 	Digest uint64
 
 	mu      sync.Mutex
+	given   bool
 	state   State
 	result  R
 	made    time.Time
@@ -40,6 +41,7 @@
 	TTL  time.Duration
 
 	mu      sync.Mutex
+	closed  bool
 	records map[string]*Record[R]
 }
 
@@ -54,6 +56,9 @@
 func (t *Table[R]) Enter(key string, digest uint64) (r *Record[R], fresh bool, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.closed {
+		return nil, false, errkind.New(errkind.Unavailable, "this process gives its records to another").After(time.Second)
+	}
 	r, ok := t.records[key]
 	if ok {
 		return r, false, r.match(digest)
@@ -79,6 +84,39 @@
 	return nil
 }
 
+// Close ends the table and returns its records, which no longer begin to run
+// here: another process may answer for them from now on.
+func (t *Table[R]) Close() map[string]*Record[R] {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closed = true
+	for _, r := range t.records {
+		r.mu.Lock()
+		r.given = true
+		r.mu.Unlock()
+	}
+	return t.records
+}
+
+// Inherit enters a record that another process gave away, unless its key is
+// known here.
+func (t *Table[R]) Inherit(key string, r *Record[R]) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, known := t.records[key]; !known && !t.closed {
+		t.records[key] = r
+	}
+}
+
+// Inherited returns a record as it was at another process: its age, its state,
+// and its result.
+func Inherited[R any](nonce, digest uint64, age time.Duration, s State, result R) *Record[R] {
+	return &Record[R]{Nonce: nonce, Digest: digest, made: time.Now().Add(-age), state: s, result: result, changed: make(chan struct{})}
+}
+
+// Age returns how long ago the record was made.
+func (r *Record[R]) Age() time.Duration { return time.Since(r.made) }
+
 // Find returns the record of a key, if there is one.
 func (t *Table[R]) Find(key string) (*Record[R], bool) {
 	t.mu.Lock()
@@ -116,7 +154,7 @@
 func (r *Record[R]) Begin(limit time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.state != Open || time.Since(r.made) > limit {
+	if r.given || r.state != Open || time.Since(r.made) > limit {
 		return false
 	}
 	var none R
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -31,7 +31,7 @@
 	"send": cmdSend, "tokens": cmdTokens, "end": cmdEnd, "resume": cmdResume, "ticket": cmdTicket,
 	"signal": cmdSignal, "restart": cmdRestart, "fault": cmdFault, "cut": cmdCut, "join": cmdJoin,
 	"runs": cmdRuns, "recomputed": cmdRecomputed, "where": cmdWhere, "mark": cmdMark, "unchanged": cmdUnchanged,
-	"put": cmdPut, "calls": cmdCalls, "logged": cmdLogged, "order": cmdOrder,
+	"put": cmdPut, "calls": cmdCalls, "logged": cmdLogged, "order": cmdOrder, "pause": cmdPause,
 }
 
 func TestQuick(t *testing.T) {
@@ -154,6 +154,12 @@
 	}
 }
 
+// pause D: lets time pass that a failure takes, such as how long a process is
+// frozen
+func cmdPause(ts *testscript.TestScript, _ bool, args []string) {
+	<-time.After(span(ts, args[0]))
+}
+
 // put BOX FILE base=N [editor=E]; with ! it must be refused
 func cmdPut(ts *testscript.TestScript, neg bool, args []string) {
 	w, m := worldOf(ts), fields(ts, args[2:])
--- a/stand/kvstore/server.go
+++ b/stand/kvstore/server.go
@@ -179,6 +179,10 @@
 	defer t.Stop()
 	for {
 		e, c := s.read(mux.Vars(r)["key"])
+		if m, out := s.Faults.Look("outage"); out && strings.HasPrefix(r.Header.Get(jsonhttp.CallerHeader), m.Match) {
+			http.Error(w, "outage", http.StatusServiceUnavailable)
+			return
+		}
 		if e.Rev != after {
 			jsonhttp.Write(w, http.StatusOK, e)
 			return
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -103,6 +103,13 @@
 	return ts, s.done, s.changed, s.err
 }
 
+// Tokens returns the tokens so far, whether they are the whole answer, and how
+// the stream ended otherwise.
+func (s *Stream) Tokens() (ts []string, whole bool, err error) {
+	ts, done, _, err := s.view(0)
+	return ts, done && err == nil, err
+}
+
 // Stats returns what the stream has cost so far.
 func (s *Stream) Stats() Stats {
 	s.mu.Lock()
