--- /dev/null
+++ b/claims/committer_test.go
@@ -0,0 +1,164 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"birchlink.dev/birchlink/errkind"
+	"birchlink.dev/birchlink/kv"
+	"birchlink.dev/birchlink/ledger"
+)
+
+// fakeStore is one page in memory. It takes time, and loses answers and calls
+// as its dice say.
+type fakeStore struct {
+	mu    sync.Mutex
+	entry kv.Entry
+	swaps int
+	away  bool
+	dice  *rand.Rand
+	lose  float64
+}
+
+func (f *fakeStore) Get(context.Context, string) (kv.Entry, error) {
+	time.Sleep(time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.away {
+		return kv.Entry{}, kv.ErrAway
+	}
+	return f.entry, nil
+}
+
+func (f *fakeStore) Swap(_ context.Context, e kv.Entry) (kv.Entry, error) {
+	time.Sleep(time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.away:
+		return kv.Entry{}, kv.ErrAway
+	case f.dice.Float64() < f.lose:
+		return kv.Entry{}, kv.ErrUnknown
+	case e.Rev != f.entry.Rev:
+		return f.entry, kv.ErrConflict
+	}
+	f.swaps++
+	f.entry = kv.Entry{Key: e.Key, Rev: f.entry.Rev + 1, Value: e.Value}
+	if f.dice.Float64() < f.lose {
+		return kv.Entry{}, kv.ErrUnknown
+	}
+	return f.entry, nil
+}
+
+func claim(key, holder string, nonce uint64) ledger.Claim {
+	k := ledger.NewKey("account", key)
+	return ledger.Claim{Key: k[:], Holder: holder, Nonce: nonce, At: time.Now().Unix()}
+}
+
+// Two owners of a slot commit the same keys at once, and a quarter of all calls
+// is lost, before or after it took effect. For each key both tell every asker
+// the same holder.
+func TestTwoOwnersAgree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeStore{dice: rand.New(rand.NewPCG(1, 2)), lose: 0.25}
+		a := &committer{store: f, key: "p", ttl: time.Hour, every: commitEvery}
+		b := &committer{store: f, key: "p", ttl: time.Hour, every: commitEvery}
+		var mu sync.Mutex
+		holders := map[string]map[string]bool{}
+		var g sync.WaitGroup
+		for n := range 400 {
+			m, box := a, "box-a"
+			if n%2 == 1 {
+				m, box = b, "box-b"
+			}
+			key := fmt.Sprint(n / 4)
+			g.Go(func() {
+				c, err := m.submit(t.Context(), claim(key, box, uint64(n)), func(f func()) { g.Go(f) })
+				if err != nil {
+					return
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				if holders[key] == nil {
+					holders[key] = map[string]bool{}
+				}
+				holders[key][fmt.Sprint(c.Holder, c.Nonce)] = true
+			})
+		}
+		g.Wait()
+		require.Len(t, holders, 100)
+		for k, h := range holders {
+			require.Len(t, h, 1, "key %s", k)
+		}
+		require.Less(t, f.swaps, 100, "claims are committed in groups")
+	})
+}
+
+// While the platform is away a claim is refused, and nothing is claimed.
+func TestAwayIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeStore{dice: rand.New(rand.NewPCG(1, 2)), away: true}
+		m := &committer{store: f, key: "p", ttl: time.Hour, every: commitEvery}
+		var g sync.WaitGroup
+		_, err := m.submit(t.Context(), claim("k", "a", 1), func(f func()) { g.Go(f) })
+		require.True(t, errkind.Is(err, errkind.ClaimUnavailable))
+		require.Positive(t, errkind.Of(err).RetryAfter)
+		g.Wait()
+		require.Zero(t, f.entry.Rev)
+	})
+}
+
+// A page that is nearly as large as the service holds takes no more claims, and
+// takes them again when old ones have expired.
+func TestFullPage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeStore{dice: rand.New(rand.NewPCG(1, 2))}
+		m := &committer{store: f, key: "p", ttl: time.Hour, every: commitEvery}
+		m.page = &ledger.Page{Claims: map[ledger.Key]ledger.Claim{}}
+		holder := "0fd6a3a4-8f3c-4d0e-b6f9-4d8c1e0b2a77"
+		for n := range fullBytes / 60 {
+			m.page.Add(claim(fmt.Sprint(n), holder, uint64(n)))
+		}
+		var g sync.WaitGroup
+		spawn := func(f func()) { g.Go(f) }
+		_, err := m.submit(t.Context(), claim("more", holder, 1), spawn)
+		require.True(t, errkind.Is(err, errkind.ClaimUnavailable), "%v", err)
+		g.Wait()
+		m.page = &ledger.Page{Claims: map[ledger.Key]ledger.Claim{}}
+		m.page.Add(claim("old", holder, 1))
+		time.Sleep(2 * time.Hour)
+		_, err = m.submit(t.Context(), claim("new", holder, 2), spawn)
+		require.NoError(t, err)
+		g.Wait()
+		p, err := ledger.Parse(f.entry.Value)
+		require.NoError(t, err)
+		require.Len(t, p.Claims, 1)
+	})
+}
+
+// BenchmarkCommit measures a group of claims on a page of a size.
+func BenchmarkCommit(b *testing.B) {
+	for _, n := range []int{100, 1000, 8000} {
+		b.Run(fmt.Sprintf("page=%d", n), func(b *testing.B) {
+			p := &ledger.Page{Claims: map[ledger.Key]ledger.Claim{}}
+			for i := range n {
+				p.Add(claim(fmt.Sprint(i), "0fd6a3a4-8f3c-4d0e-b6f9-4d8c1e0b2a77", uint64(i)))
+			}
+			size := 0
+			for b.Loop() {
+				p.Expire(time.Now(), time.Hour)
+				v, err := p.Bytes()
+				require.NoError(b, err)
+				size = len(v)
+			}
+			b.ReportMetric(float64(size)/float64(n), "bytes/claim")
+		})
+	}
+}
--- /dev/null
+++ b/splice/splicer_test.go
@@ -0,0 +1,56 @@
+package splice_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"birchlink.dev/birchlink/engine"
+	"birchlink.dev/birchlink/splice"
+)
+
+func ExampleSplicer_Take() {
+	s := splice.Splicer{RequestID: "r", Attempt: 2, Max: 2}
+	fmt.Println(s.Take(engine.Line{RequestID: "r", Attempt: 1, Token: "late "}) == splice.Dropped)
+	fmt.Println(s.Take(engine.Line{RequestID: "r", Attempt: 2, Token: "on "}) == splice.Accepted)
+	fmt.Println(s.Take(engine.Line{RequestID: "r", Attempt: 2, Index: 1, End: true, Reason: "stop"}) == splice.Ended)
+	// Output:
+	// true
+	// true
+	// true
+}
+
+// Whatever lines arrive, in any order and from anywhere, what is accepted is
+// the answer's own tokens, each once and in order, and an end is believed only
+// right behind the last of them.
+func TestAcceptedIsInOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := splice.Splicer{RequestID: "r", Attempt: 1, Max: 20}
+		for range rapid.IntRange(0, 200).Draw(t, "lines") {
+			l := engine.Line{
+				RequestID: rapid.SampledFrom([]string{"r", "r", "r", "x"}).Draw(t, "id"),
+				Attempt:   rapid.IntRange(0, 3).Draw(t, "attempt"),
+				Index:     rapid.IntRange(0, 22).Draw(t, "index"),
+				End:       rapid.IntRange(0, 9).Draw(t, "end") == 0,
+				Reason:    rapid.SampledFrom([]string{"stop", "cancelled", ""}).Draw(t, "reason"),
+			}
+			before := s.Next
+			v := s.Take(l)
+			own := l.RequestID == "r" && l.Attempt == s.Attempt
+			require.Equal(t, v == splice.Accepted, own && !l.End && l.Index == before && before < s.Max)
+			if v == splice.Accepted {
+				require.Equal(t, before+1, s.Next)
+			} else {
+				require.Equal(t, before, s.Next)
+			}
+			if v == splice.Ended {
+				require.True(t, own && l.End && l.Index == s.Next && l.Reason == "stop")
+			}
+			if rapid.IntRange(0, 19).Draw(t, "again") == 0 {
+				s.Begin(s.Attempt + 1)
+			}
+		}
+	})
+}
