--- /dev/null
+++ b/admission/gate_test.go
@@ -0,0 +1,129 @@
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"birchlink.dev/birchlink/admission"
+	"birchlink.dev/birchlink/errkind"
+)
+
+func ask(account string, k admission.Kind) admission.Request {
+	return admission.Request{Account: account, Kind: k, Weight: 1, Rate: 1e6}
+}
+
+var room = admission.Room{Slots: 40, Share: 1, Plain: 40}
+
+// fill enters requests until one is refused, and returns how many entered.
+func fill(t require.TestingT, g *admission.Gate, r admission.Request, now time.Time) int {
+	for n := range 1000 {
+		if _, err := g.Enter(r, room, now); err != nil {
+			require.True(t, errkind.Is(err, errkind.Overloaded))
+			require.Positive(t, errkind.Of(err).RetryAfter)
+			return n
+		}
+	}
+	return 1000
+}
+
+// Drafts fill the room but for the reserve, which alerts still have.
+func TestUrgentHasRoom(t *testing.T) {
+	g := admission.Gate{Reserve: 0.25}
+	drafts := fill(t, &g, ask("a", admission.Draft), time.Now())
+	require.Equal(t, 45, drafts)
+	require.Equal(t, 15, fill(t, &g, ask("b", admission.Alert), time.Now()))
+}
+
+// An account that fills the room leaves the others their shares: once they ask,
+// what it gives up goes to them.
+func TestFairByAccount(t *testing.T) {
+	var g admission.Gate
+	now := time.Now()
+	var leave []func()
+	for {
+		f, err := g.Enter(ask("large", admission.Draft), room, now)
+		if err != nil {
+			break
+		}
+		leave = append(leave, f)
+	}
+	_, err := g.Enter(ask("small", admission.Draft), room, now)
+	require.Error(t, err, "the room is full")
+	for _, f := range leave[:20] {
+		f()
+	}
+	require.Equal(t, 20, fill(t, &g, ask("small", admission.Draft), now))
+	_, err = g.Enter(ask("large", admission.Draft), room, now)
+	require.Error(t, err)
+}
+
+// What enters leaves: after any sequence the gate is as it was.
+func TestNothingLeaks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var g admission.Gate
+		now := time.Now()
+		var leave []func()
+		for range rapid.IntRange(0, 200).Draw(t, "steps") {
+			r := ask(rapid.StringMatching("[a-c]").Draw(t, "account"), rapid.SampledFrom(admission.Kinds()).Draw(t, "kind"))
+			r.Plain = rapid.Bool().Draw(t, "plain")
+			if f, err := g.Enter(r, room, now); err == nil {
+				leave = append(leave, f)
+			}
+			if len(leave) > 0 && rapid.Bool().Draw(t, "leave") {
+				leave[0]()
+				leave = leave[1:]
+			}
+		}
+		for _, f := range leave {
+			f()
+		}
+		now = now.Add(time.Hour)
+		require.Equal(t, 60, fill(t, &g, ask("fresh", admission.Draft), now))
+	})
+}
+
+// Two boxes that share an account's rate by demand let no more through together
+// than the account may send.
+func TestRateHoldsOverBoxes(t *testing.T) {
+	now := time.Now()
+	boxes := make([]admission.Gate, 4)
+	shares := []float64{0.4, 0.3, 0.2, 0.1}
+	got := 0
+	const seconds = 20
+	for range seconds * 100 {
+		now = now.Add(10 * time.Millisecond)
+		for i := range boxes {
+			r := admission.Request{Account: "a", Kind: admission.Tick, Weight: 1, Rate: 50, Plain: true}
+			if f, err := boxes[i].Enter(r, admission.Room{Share: shares[i], Plain: 1e6}, now); err == nil {
+				got++
+				f()
+			} else {
+				require.True(t, errkind.Is(err, errkind.LimitReached))
+			}
+		}
+	}
+	require.InDelta(t, 50*(seconds+2), got, 50)
+}
+
+func BenchmarkEnter(b *testing.B) {
+	for _, n := range []int{5, 50, 500} {
+		b.Run(fmt.Sprintf("accounts=%d", n), func(b *testing.B) {
+			g := admission.Gate{Reserve: 0.2}
+			now := time.Now()
+			rs := make([]admission.Request, n)
+			for i := range rs {
+				rs[i] = ask(fmt.Sprint(i), admission.Draft)
+			}
+			m := admission.Room{Slots: 1e6, Share: 1}
+			for i := 0; b.Loop(); i++ {
+				if f, err := g.Enter(rs[i%n], m, now); err == nil {
+					f()
+				}
+			}
+		})
+	}
+}
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -69,6 +69,7 @@
 	lastAt  time.Time
 	pushes  int
 	asking  sync.Mutex
+	asked   time.Time
 	cancel  context.CancelFunc
 	group   sync.WaitGroup
 	noticed chan struct{}
@@ -151,15 +152,20 @@
 func (o *Observer) Stale() bool { return time.Since(o.view.Horizon()) > staleAfter }
 
 // Ensure asks the cloud itself if the horizon is old, before new work is sent.
-// It reports whether the horizon is fresh now.
+// Those that come meanwhile wait for the one that asks. It reports whether the
+// horizon is fresh now.
 func (o *Observer) Ensure(c context.Context) bool {
 	if !o.Stale() {
 		return true
 	}
-	if o.asking.TryLock() {
-		defer o.asking.Unlock()
-		o.readPlatform(c)
+	o.asking.Lock()
+	defer o.asking.Unlock()
+	// Another may have asked meanwhile: it found the answer, or just now none.
+	if !o.Stale() || time.Since(o.asked) < readEvery {
+		return !o.Stale()
 	}
+	o.readPlatform(c)
+	o.asked = time.Now()
 	return !o.Stale()
 }
 
--- a/placement/hold.go
+++ b/placement/hold.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 
 	"birchlink.dev/birchlink/cloud"
@@ -16,6 +15,10 @@
 // reclaimable box.
 const urgentPart = 0.3
 
+// keptByWeight is how much of the demand more is carried without reclaimable
+// boxes for the whole weight on recomputed tokens.
+const keptByWeight = 0.7
+
 // hold decides which boxes to ask for and which to give back, cheapest first.
 func (p *planner) hold() {
 	var want float64
@@ -23,16 +26,20 @@
 		want += d * headroom
 	}
 	slots, kept := p.slots()
-	mean := p.mean()
 	p.cost()
-	if kept < want*urgentPart {
-		p.start(int(math.Ceil((want*urgentPart-kept)/mean)), false)
+	part := max(urgentPart, p.in.Document.Targets.RecomputeWeight*keptByWeight)
+	if kept < want*part {
+		got := p.start(want*part-kept, func(q cloud.Price) bool { return !q.Reclaimable })
+		slots += got
 	}
 	if slots < want {
-		p.start(int(math.Ceil((want-slots)/mean)), true)
+		got := p.start(want-slots, func(q cloud.Price) bool { return !q.Reclaimable || !p.onDemand })
+		if got < want-slots {
+			p.plan.Unmet = append(p.plan.Unmet, Unmet{Reason: "the cloud has no more boxes for the demand"})
+		}
 		return
 	}
-	p.stop(slots, want, mean)
+	p.stop(slots, want)
 }
 
 func (p *planner) slots() (all, kept float64) {
@@ -45,44 +52,66 @@
 	return all, kept
 }
 
-func (p *planner) mean() float64 {
-	if len(p.engines) == 0 {
-		return 1
+// class returns what engines of a class can do. One that was never measured is
+// taken for the mean.
+func (p *planner) class(name string) Class {
+	if c, ok := p.in.Classes[name]; ok && c.Slots > 0 {
+		return c
 	}
-	all, _ := p.slots()
-	return max(all/float64(len(p.engines)), 1)
+	return Class{Slots: defaultSlots, TokensPerSecond: defaultSpeed}
 }
 
-// start asks for n boxes of the cheapest kinds that have supply and were not
-// refused. Where reclaimable boxes do, on-demand ones may be cheaper and do too.
-func (p *planner) start(n int, reclaimable bool) {
+const (
+	defaultSlots = 8
+	defaultSpeed = 40
+)
+
+// start asks for boxes with so many slots together, of the kinds that cost
+// least for their work, are fast enough, have supply and were not refused. It
+// returns the slots asked for.
+func (p *planner) start(need float64, ok func(cloud.Price) bool) float64 {
 	ps := slices.Clone(p.in.Prices)
-	slices.SortStableFunc(ps, func(a, b cloud.Price) int { return cmp.Compare(a.PerHour, b.PerHour) })
+	slices.SortStableFunc(ps, func(a, b cloud.Price) int { return cmp.Compare(p.worth(a), p.worth(b)) })
+	got := 0.0
 	for _, q := range ps {
 		s := cloud.Start{DataCentre: q.DataCentre, Class: q.Class, Reclaimable: q.Reclaimable}
-		if q.DataCentre != p.in.DataCentre || q.Reclaimable && !reclaimable || slices.Contains(p.in.Refused, s) {
+		c := p.class(q.Class)
+		slow := c.TokensPerSecond*p.in.Document.Targets.BetweenTokens.Seconds() < 1
+		if q.DataCentre != p.in.DataCentre || slow || !ok(q) || slices.Contains(p.in.Refused, s) {
 			continue
 		}
-		for range min(n, q.Supply) {
+		for n := p.asked(s); n < q.Supply && got < need; n++ {
 			p.plan.Start = append(p.plan.Start, s)
 			p.plan.Cost += q.PerHour
-			n--
+			got += float64(c.Slots)
 		}
 	}
-	if n > 0 {
-		p.plan.Unmet = append(p.plan.Unmet, Unmet{Reason: "the cloud has no more boxes for the demand"})
+	return got
+}
+
+// asked counts the boxes of a kind that the plan already asks for.
+func (p *planner) asked(s cloud.Start) int {
+	n := 0
+	for _, o := range p.plan.Start {
+		if o == s {
+			n++
+		}
 	}
+	return n
+}
+
+// worth is what a kind of box costs for the work that it does.
+func (p *planner) worth(q cloud.Price) float64 {
+	c := p.class(q.Class)
+	return q.PerHour / (float64(c.Slots) * c.TokensPerSecond)
 }
 
 // stop gives back the dearest box that holds nothing wanted, if the demand is
 // carried well without it.
-func (p *planner) stop(slots, want, mean float64) {
-	if slots-mean < want*spare {
-		return
-	}
+func (p *planner) stop(slots, want float64) {
 	var free []*engine
 	for _, e := range p.engines {
-		if len(e.want) == 0 && e.Running == 0 {
+		if len(e.want) == 0 && e.Running == 0 && slots-float64(e.Slots) >= want*spare {
 			free = append(free, e)
 		}
 	}
@@ -107,4 +136,5 @@
 var (
 	_ Planner = Sticky{}
 	_ Planner = Anew{}
+	_ Planner = OnDemand{}
 )
--- a/placement/input.go
+++ b/placement/input.go
@@ -20,6 +20,13 @@
 	Demand     map[string]float64
 	Loads      int
 	Refused    []cloud.Start
+	Classes    map[string]Class
+}
+
+// Class is what an engine of a class can do, as it was measured.
+type Class struct {
+	Slots           int
+	TokensPerSecond float64
 }
 
 // Unmet says what the plan could not do, and which selector stood in the way.
--- a/placement/sticky.go
+++ b/placement/sticky.go
@@ -23,13 +23,19 @@
 type Sticky struct{}
 
 // Plan decides the assignments, and what boxes to hold.
-func (Sticky) Plan(in Input) Plan { return plan(in, true) }
+func (Sticky) Plan(in Input) Plan { return plan(&planner{in: in, sticky: true}) }
 
 // Anew places everything from nothing. It is a baseline.
 type Anew struct{}
 
 // Plan decides without regard to what is loaded.
-func (Anew) Plan(in Input) Plan { return plan(in, false) }
+func (Anew) Plan(in Input) Plan { return plan(&planner{in: in}) }
+
+// OnDemand is Sticky, but asks for no reclaimable boxes. It is a baseline.
+type OnDemand struct{}
+
+// Plan decides without reclaimable boxes.
+func (OnDemand) Plan(in Input) Plan { return plan(&planner{in: in, sticky: true, onDemand: true}) }
 
 // engine is a live engine with its room and what is planned for it.
 type engine struct {
@@ -41,15 +47,15 @@
 
 // planner is the work of one plan.
 type planner struct {
-	in      Input
-	sticky  bool
-	engines []*engine
-	loads   int
-	plan    Plan
+	in       Input
+	sticky   bool
+	onDemand bool
+	engines  []*engine
+	loads    int
+	plan     Plan
 }
 
-func plan(in Input, sticky bool) Plan {
-	p := &planner{in: in, sticky: sticky}
+func plan(p *planner) Plan {
 	p.gather()
 	for _, w := range p.order() {
 		p.place(w)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -153,8 +153,12 @@
 		DataCentre: p.members.Self().DataCentre, Document: p.follower.Current(),
 		Demand: p.admission.DataCentreDemand(), Loads: loadsAtOnce,
 	}
+	in.Classes = map[string]placement.Class{}
 	for _, s := range p.view.Slots() {
 		in.Endpoints = append(in.Endpoints, s.Endpoint)
+		if s.Role == fleet.EngineRole && s.Slots > 0 {
+			in.Classes[s.Class] = placement.Class{Slots: s.Slots, TokensPerSecond: s.TokensPerSecond}
+		}
 	}
 	ps, err := p.Platform.Prices(c)
 	if err != nil {
--- a/router/affinity.go
+++ b/router/affinity.go
@@ -15,6 +15,10 @@
 // rendezvous hash among the targets whose load is within Bound times the mean.
 type Affinity struct {
 	Bound float64
+
+	// Recompute is the weight on tokens computed again: a prompt that must be
+	// computed counts for so much more than the time that it takes.
+	Recompute float64
 }
 
 // Pick returns the target with the least expected time.
@@ -30,6 +34,9 @@
 			continue
 		}
 		d := expected(&ts[i], q, i == home)
+		if i != home && !ts[i].Held {
+			d += time.Duration(a.Recompute * float64(prefill(&ts[i], q)))
+		}
 		if best.Index < 0 || d < best.Expected {
 			best = Choice{Index: i, Expected: d, Home: i == home, Reason: "least expected time"}
 		}
@@ -88,7 +95,7 @@
 		d += stream * time.Duration(over) / time.Duration(t.Slots)
 	}
 	if !home && !t.Held {
-		d += seconds(float64(q.PromptTokens) / (v * prefillFactor))
+		d += prefill(t, q)
 	}
 	if q.Urgent {
 		return d + seconds(1/v)
@@ -96,4 +103,9 @@
 	return d + stream
 }
 
+// prefill is how long a target takes to compute the prompt.
+func prefill(t *Target, q Query) time.Duration {
+	return seconds(float64(q.PromptTokens) / (max(t.TokensPerSecond, 1) * prefillFactor))
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/router/baseline.go
+++ b/router/baseline.go
@@ -57,10 +57,10 @@
 }
 
 // New returns the policy of a name, as the settings have it.
-func New(name string, bound float64) (Policy, error) {
+func New(name string, bound, recompute float64) (Policy, error) {
 	switch name {
 	case "affinity":
-		return Affinity{Bound: bound}, nil
+		return Affinity{Bound: bound, Recompute: recompute}, nil
 	case "least_loaded":
 		return LeastLoaded{}, nil
 	case "round_robin":
--- a/stream/choose.go
+++ b/stream/choose.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"birchlink.dev/birchlink/config"
@@ -18,6 +19,59 @@
 // maxFigures bounds the candidates that a log line names.
 const maxFigures = 4
 
+// candidate is an endpoint that may run a workload, and how well it meets the
+// selectors' preferences.
+type candidate struct {
+	*view.Slot
+	preference float64
+}
+
+// index remembers which endpoints may run each workload, as one snapshot and
+// one document have it: selectors are read once for both, not for each request.
+type index struct {
+	snapshot *view.Snapshot
+	document *config.Document
+	dc       string
+
+	mu sync.Mutex
+	by map[string][]candidate
+}
+
+// of returns the endpoints that may run a workload: live, loaded, allowed and
+// in this data centre.
+func (x *index) of(workload string) []candidate {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	cs, known := x.by[workload]
+	if known {
+		return cs
+	}
+	for _, s := range x.snapshot.Slots {
+		if s.DataCentre != x.dc || !s.Usable() || !s.Has(workload) {
+			continue
+		}
+		if ok, _ := x.document.Allowed(workload, s.Box); ok {
+			cs = append(cs, candidate{s, x.document.Preference(workload, s.Box)})
+		}
+	}
+	if x.by == nil {
+		x.by = make(map[string][]candidate)
+	}
+	x.by[workload] = cs
+	return cs
+}
+
+// indexOf returns the index of the present snapshot and document.
+func (k *Keeper) indexOf(d *config.Document) *index {
+	n := k.view.Snapshot()
+	x := k.index.Load()
+	if x == nil || x.snapshot != n || x.document != d {
+		x = &index{snapshot: n, document: d, dc: k.dc}
+		k.index.Store(x)
+	}
+	return x
+}
+
 // candidates holds the targets of one decision and the slots behind them, kept
 // between decisions so that a decision does not allocate with the fleet's size.
 type candidates struct {
@@ -25,21 +79,17 @@
 	slots   []*view.Slot
 }
 
-// gather fills the candidates: live, loaded, allowed, in this data centre and
-// not to be avoided.
-func (c *candidates) gather(ss []*view.Slot, d *config.Document, dc, workload, held string, avoid map[string]bool) {
+// gather fills the candidates, but for those to be avoided.
+func (c *candidates) gather(cs []candidate, held string, avoid map[string]bool) {
 	c.targets, c.slots = c.targets[:0], c.slots[:0]
-	for _, s := range ss {
-		if s.DataCentre != dc || !s.Usable() || !s.Has(workload) || avoid[s.Name] {
-			continue
-		}
-		if ok, _ := d.Allowed(workload, s.Box); !ok {
+	for _, s := range cs {
+		if avoid[s.Name] {
 			continue
 		}
-		c.slots = append(c.slots, s)
+		c.slots = append(c.slots, s.Slot)
 		c.targets = append(c.targets, router.Target{
 			Box: s.Name, Hash: s.Hash, Busy: s.Busy(), Slots: s.Slots, TokensPerSecond: s.TokensPerSecond,
-			Preference: d.Preference(workload, s.Box), Held: s.Name == held,
+			Preference: s.preference, Held: s.Name == held,
 		})
 	}
 }
@@ -56,7 +106,7 @@
 	defer r.k.buffers.Put(b)
 	prefix := engine.Prefix(r.s.Workload, r.s.Prompt)
 	held, _ := r.k.prefixes.Get(prefix)
-	b.gather(r.k.view.Slots(), d, r.k.dc, r.s.Workload, held, r.avoid)
+	b.gather(r.k.indexOf(d).of(r.s.Workload), held, r.avoid)
 	q := router.Query{
 		Prefix: prefix, PromptTokens: engine.PromptTokens(r.s.Prompt), AnswerTokens: r.s.MaxTokens - r.splice.Next,
 		Urgent: r.s.Kind.Urgent(), Deadline: time.Until(r.s.Deadline),
--- /dev/null
+++ b/stream/choose_test.go
@@ -0,0 +1,78 @@
+package stream
+
+import (
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"birchlink.dev/birchlink/config"
+	"birchlink.dev/birchlink/fleet"
+	"birchlink.dev/birchlink/rendezvous"
+	"birchlink.dev/birchlink/router"
+	"birchlink.dev/birchlink/view"
+)
+
+// document has ten models, each with a selector that asks and prefers.
+func document(tb testing.TB) *config.Document {
+	var b strings.Builder
+	for i := range 10 {
+		fmt.Fprintf(&b, "[model \"m%d\"]\nversions = 1, 2\n[selector \"s%d\"]\nworkloads = m%d*\nrequire = class=new|old\nprefer = generation=g2, supply=reclaimable\n", i, i, i)
+	}
+	d, ms := config.Parse(1, []byte(b.String()))
+	require.Empty(tb, ms)
+	return d
+}
+
+func slots(n int) []*view.Slot {
+	ss := make([]*view.Slot, n)
+	for i := range ss {
+		e := fleet.Endpoint{
+			Box:  fleet.Box{Name: fmt.Sprintf("box-%d", i), DataCentre: "a", Role: fleet.EngineRole, Class: "new", State: fleet.Live},
+			Load: fleet.Load{Incarnation: "i", Loaded: []string{"m1@1", "m1@2", "m2@1", "m2@2"}, Slots: 8, TokensPerSecond: 50},
+		}
+		ss[i] = &view.Slot{Endpoint: e, Hash: rendezvous.Key(e.Name), Sent: new(atomic.Int64)}
+	}
+	return ss
+}
+
+// Only endpoints that are live, loaded, allowed, near and not to be avoided are
+// candidates.
+func TestGather(t *testing.T) {
+	d, ms := config.Parse(1, []byte("[model \"m\"]\nversions = 1\n[selector \"s\"]\nworkloads = m*\nrequire = class=new\n"))
+	require.Empty(t, ms)
+	ss := slots(7)
+	for i := range ss {
+		ss[i].Loaded = []string{"m@1"}
+	}
+	ss[1].State = fleet.Leaving
+	ss[2].Loaded = nil
+	ss[3].Class = "old"
+	ss[4].DataCentre = "b"
+	ss[6].Incarnation = ""
+	var c candidates
+	x := &index{snapshot: &view.Snapshot{Slots: ss}, document: d, dc: "a"}
+	c.gather(x.of("m@1"), "", map[string]bool{"box-5": true})
+	require.Len(t, c.targets, 1)
+	require.Equal(t, "box-0", c.targets[0].Box)
+}
+
+// BenchmarkRoute is the whole routing decision but for its log line: gathering
+// the candidates and choosing one.
+func BenchmarkRoute(b *testing.B) {
+	d := document(b)
+	for _, n := range []int{9, 37, 111, 333} {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			x := &index{snapshot: &view.Snapshot{Slots: slots(n)}, document: d, dc: "a"}
+			var c candidates
+			p := router.Affinity{Bound: 1.25, Recompute: 0.2}
+			b.ReportAllocs()
+			for b.Loop() {
+				c.gather(x.of("m1@2"), "", nil)
+				p.Pick(c.targets, router.Query{Prefix: 7, PromptTokens: 500, AnswerTokens: 128})
+			}
+		})
+	}
+}
--- a/stream/keeper.go
+++ b/stream/keeper.go
@@ -59,6 +59,7 @@
 	prefixes  *lru.Cache[uint64, string]
 	buffers   sync.Pool
 	chosen    atomic.Value
+	index     atomic.Pointer[index]
 
 	recomputed  metrics.Counter
 	moved       metrics.Counter
@@ -137,7 +138,7 @@
 }
 
 func (k *Keeper) configure(d *config.Document) {
-	p, err := router.New(k.PolicyName, d.Targets.LoadBound)
+	p, err := router.New(k.PolicyName, d.Targets.LoadBound, d.Targets.RecomputeWeight)
 	if err != nil {
 		k.Log.Error().Err(err).Msg("routing policy kept")
 		return
--- a/view/view.go
+++ b/view/view.go
@@ -80,7 +80,13 @@
 	leaving []func(box string, deadline time.Time)
 	label   func(fleet.Box) fleet.Box
 
-	slots atomic.Pointer[[]*Slot]
+	snapshot atomic.Pointer[Snapshot]
+}
+
+// Snapshot is the endpoints at one moment. It is never changed, so two that
+// are the same pointer are the same.
+type Snapshot struct {
+	Slots []*Slot
 }
 
 // New returns an empty view.
@@ -89,7 +95,7 @@
 		notices: map[string]time.Time{}, facts: map[uint32]Facts{}, rows: map[uint32]Row{}, seen: map[uint32]time.Time{},
 		sent: map[string]*atomic.Int64{}, base: map[uint32]int64{}, label: func(b fleet.Box) fleet.Box { return b },
 	}
-	v.slots.Store(&[]*Slot{})
+	v.snapshot.Store(&Snapshot{})
 	return v
 }
 
@@ -109,8 +115,11 @@
 // Stop does nothing.
 func (v *View) Stop(context.Context) error { return nil }
 
+// Snapshot returns the endpoints as they are now.
+func (v *View) Snapshot() *Snapshot { return v.snapshot.Load() }
+
 // Slots returns the endpoints as they are now. The slice is not to be changed.
-func (v *View) Slots() []*Slot { return *v.slots.Load() }
+func (v *View) Slots() []*Slot { return v.Snapshot().Slots }
 
 // Slot returns the endpoint on a box, or nil.
 func (v *View) Slot(box string) *Slot {
@@ -313,5 +322,5 @@
 			Seen: v.seen[id], Sent: v.counter(b.Name), base: v.base[id],
 		})
 	}
-	v.slots.Store(&ss)
+	v.snapshot.Store(&Snapshot{Slots: ss})
 }
