Compare the decisions with their baselines, and mend what the tables showed

Cause: no figure said whether the decisions are good. birchcompare decides scripted data files step by step (make compare; 20 s, equal to the byte).

Cause: an engine's slots were counted in full for every workload it holds, so two hot workloads shared two engines each while the third idled.

Cause: a box that became dear was never given up. Change: the dearest box is shed when work costs 1.25 times less elsewhere, after its replacement stands.

Cause: copies were chosen afresh among holders in each plan, and full engines pushed each other's workloads out. Change: what is loaded and allowed stays; others get room only from copies to spare.

A property test then found a workload left without any copy while others had copies by demand (4 engines, 6 models). Least copies now go before more.

Ruled out: a heavier queueing term in the routing score (it moves the same streams later); more copies for every workload (the weight store bears 4 loads together).

--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,10 @@
 
 unit: build
 	go test -race ./...
+
+bench:
+	go test -run '^$$' -bench . -benchtime 0.3s ./...
+
+# Decisions by the chosen policies and by their baselines; the same every time.
+compare:
+	@go run ./cmd/birchcompare compare/data/*.txt
--- a/config/document.go
+++ b/config/document.go
@@ -144,6 +144,18 @@
 	return ws
 }
 
+// Copies returns how many copies of a workload its model asks for.
+func (d *Document) Copies(w string) int {
+	base, _, _ := strings.Cut(w, "@")
+	name, _, _ := strings.Cut(base, ":")
+	for _, m := range d.Models {
+		if m.Name == name {
+			return m.Copies
+		}
+	}
+	return 1
+}
+
 // Resolve turns a caller's model field into a canonical workload. A field
 // without a version means the last version listed.
 func (d *Document) Resolve(field string) (string, bool) {
--- a/placement/hold.go
+++ b/placement/hold.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"birchlink.dev/birchlink/cloud"
@@ -19,16 +20,76 @@
 // boxes for the whole weight on recomputed tokens.
 const keptByWeight = 0.7
 
-// hold decides which boxes to ask for and which to give back, cheapest first.
-func (p *planner) hold() {
+// dearer is by how much the work of a box must cost more than that of one that
+// can be had before the one is given up for the other.
+const dearer = 1.25
+
+// shedDear marks one box to be given back: the dearest for its work, if boxes
+// that cost much less stand ready or can be had, and the demand is carried
+// without it. While it is not, such a box is asked for first.
+func (p *planner) shedDear() {
+	i := p.dearest()
+	if i < 0 {
+		return
+	}
+	e := p.engines[i]
+	want := p.want()
+	all, kept := p.slots()
+	if !e.Reclaimable && kept-float64(e.Slots) < want*p.keptPart() {
+		return
+	}
+	if all-float64(e.Slots) >= want {
+		e.shed = true
+		return
+	}
+	p.start(float64(e.Slots), func(q cloud.Price) bool { return p.worth(q)*dearer < e.price })
+}
+
+// dearest returns the box whose work costs most, if that is much more than that
+// of the cheapest kind that can be had; it is -1 otherwise.
+func (p *planner) dearest() int {
+	cheapest := math.Inf(1)
+	for _, q := range p.in.Prices {
+		s := cloud.Start{DataCentre: q.DataCentre, Class: q.Class, Reclaimable: q.Reclaimable}
+		if q.DataCentre == p.in.DataCentre && q.Supply > 0 && (!q.Reclaimable || !p.onDemand) && !slices.Contains(p.in.Refused, s) && !p.slow(q.Class) {
+			cheapest = min(cheapest, p.worth(q))
+		}
+	}
+	best := -1
+	for i, e := range p.engines {
+		swap := e.price > cheapest*dearer
+		if swap && (best < 0 || e.price > p.engines[best].price) {
+			best = i
+		}
+	}
+	return best
+}
+
+// slow reports whether a class misses the target between tokens.
+func (p *planner) slow(class string) bool {
+	return p.class(class).TokensPerSecond*p.in.Document.Targets.BetweenTokens.Seconds() < 1
+}
+
+// want is how many slots the demand takes.
+func (p *planner) want() float64 {
 	var want float64
 	for _, d := range p.in.Demand {
 		want += d * headroom
 	}
+	return want
+}
+
+// keptPart is the part of the demand that is carried without reclaimable boxes.
+func (p *planner) keptPart() float64 {
+	return max(urgentPart, p.in.Document.Targets.RecomputeWeight*keptByWeight)
+}
+
+// hold decides which boxes to ask for and which to give back, cheapest first.
+func (p *planner) hold() {
+	want := p.want()
 	slots, kept := p.slots()
 	p.cost()
-	part := max(urgentPart, p.in.Document.Targets.RecomputeWeight*keptByWeight)
-	if kept < want*part {
+	if part := p.keptPart(); kept < want*part {
 		got := p.start(want*part-kept, func(q cloud.Price) bool { return !q.Reclaimable })
 		slots += got
 	}
@@ -76,8 +137,7 @@
 	for _, q := range ps {
 		s := cloud.Start{DataCentre: q.DataCentre, Class: q.Class, Reclaimable: q.Reclaimable}
 		c := p.class(q.Class)
-		slow := c.TokensPerSecond*p.in.Document.Targets.BetweenTokens.Seconds() < 1
-		if q.DataCentre != p.in.DataCentre || slow || !ok(q) || slices.Contains(p.in.Refused, s) {
+		if q.DataCentre != p.in.DataCentre || p.slow(q.Class) || !ok(q) || slices.Contains(p.in.Refused, s) {
 			continue
 		}
 		for n := p.asked(s); n < q.Supply && got < need; n++ {
@@ -106,12 +166,14 @@
 	return q.PerHour / (float64(c.Slots) * c.TokensPerSecond)
 }
 
-// stop gives back the dearest box that holds nothing wanted, if the demand is
-// carried well without it.
+// stop gives back the dearest box that holds nothing wanted: one that is shed,
+// or one without which the demand is still carried well.
 func (p *planner) stop(slots, want float64) {
 	var free []*engine
 	for _, e := range p.engines {
-		if len(e.want) == 0 && e.Running == 0 && slots-float64(e.Slots) >= want*spare {
+		idle := len(e.want) == 0 && e.Running == 0 && e.Waiting == 0
+		empty := !slices.ContainsFunc(e.Loaded, func(w string) bool { return !p.loadedWhereWanted(w) })
+		if idle && empty && (e.shed || slots-float64(e.Slots) >= want*spare) {
 			free = append(free, e)
 		}
 	}
--- a/placement/plan_test.go
+++ b/placement/plan_test.go
@@ -73,15 +73,19 @@
 		for i := range es {
 			es[i].Loaded = rapid.SliceOfNDistinct(rapid.SampledFrom(ws), 0, min(len(ws), 4), rapid.ID[string]).Draw(t, "loaded")
 		}
-		in := placement.Input{DataCentre: "a", Document: d, Loads: rapid.IntRange(1, 4).Draw(t, "loads")}
-		for range 40 {
+		in := placement.Input{DataCentre: "a", Document: d, Loads: rapid.IntRange(1, 4).Draw(t, "loads"), Demand: map[string]float64{}}
+		for _, w := range ws {
+			in.Demand[w] = rapid.Float64Range(0, 40).Draw(t, "demand")
+		}
+		loads := 1
+		for range 60 {
 			in.Endpoints = es
 			p := placement.Sticky{}.Plan(in)
 			before := map[string]int{}
 			for _, w := range ws {
 				before[w] = copies(es, w)
 			}
-			loads := carryOut(es, p)
+			loads = carryOut(es, p)
 			require.LessOrEqual(t, loads, in.Loads)
 			for _, w := range ws {
 				require.GreaterOrEqual(t, copies(es, w), min(before[w], 2), w)
@@ -90,6 +94,7 @@
 				break
 			}
 		}
+		require.Zero(t, loads, "it does not come to rest")
 		for _, w := range ws {
 			require.GreaterOrEqual(t, copies(es, w), 2, w)
 			require.True(t, slices.ContainsFunc(es, func(e fleet.Endpoint) bool { return !e.Reclaimable && e.Has(w) }), w)
--- a/placement/sticky.go
+++ b/placement/sticky.go
@@ -43,6 +43,7 @@
 	price float64
 	room  int
 	want  []string
+	shed  bool
 }
 
 // planner is the work of one plan.
@@ -51,15 +52,25 @@
 	sticky   bool
 	onDemand bool
 	engines  []*engine
-	loads    int
 	plan     Plan
+
+	// by holds the engines that shall have each workload, may those that its
+	// selectors allow: both are asked for again and again.
+	by  map[string][]*engine
+	may map[string][]*engine
 }
 
 func plan(p *planner) Plan {
+	p.by, p.may = map[string][]*engine{}, map[string][]*engine{}
 	p.gather()
+	p.shedDear()
+	if p.sticky {
+		p.keep()
+	}
 	for _, w := range p.order() {
 		p.place(w)
 	}
+	p.widen()
 	p.assign()
 	p.hold()
 	return p.plan
@@ -111,14 +122,12 @@
 	return ws
 }
 
+// least is how many copies a workload shall have whatever its demand.
+func (p *planner) least(w string) int { return p.in.Document.Copies(w) }
+
 // copies is how many engines shall have a workload.
 func (p *planner) copies(w string) int {
-	n := 1
-	for _, m := range p.in.Document.Models {
-		if slices.Contains(m.Workloads(), w) {
-			n = m.Copies
-		}
-	}
+	n := p.least(w)
 	slots := 0
 	for _, e := range p.engines {
 		slots += e.Slots
@@ -130,45 +139,73 @@
 	return max(n, int(math.Ceil(p.in.Demand[w]*headroom/mean)))
 }
 
-// place gives a workload its engines: at least one that is not reclaimable if
-// there is one, the rest by worth.
+// place gives a workload the engines that it lacks: at least one that is not
+// reclaimable if there is one, the rest by worth.
 func (p *planner) place(w string) {
-	c := p.candidates(w)
 	n := p.copies(w)
-	if len(c) < n {
-		p.unmet(w, len(c), n)
+	have := len(p.with(w))
+	for ; have < n && p.placeOne(w, anyEngine); have++ {
+	}
+	if have < n {
+		p.unmet(w, have, n)
 	}
-	slices.SortStableFunc(c, func(a, b *engine) int { return p.compare(w, a, b) })
-	c = p.keepOne(w, c, min(n, len(c)))
-	for _, e := range c {
-		e.want = append(e.want, w)
+	if have == 0 || slices.ContainsFunc(p.with(w), stays) {
+		return
+	}
+	if !p.placeOne(w, stays) {
+		p.plan.Unmet = append(p.plan.Unmet, Unmet{Workload: w, Reason: "every engine that may run it is reclaimable"})
 	}
 }
 
-func (p *planner) candidates(w string) []*engine {
-	var c []*engine
-	for _, e := range p.engines {
-		if ok, _ := p.in.Document.Allowed(w, e.Box); ok && len(e.want) < e.room {
-			c = append(c, e)
-		}
+func anyEngine(*engine) bool { return true }
+
+func stays(e *engine) bool { return !e.Reclaimable }
+
+// placeOne gives a workload one more engine, making room on one if it must.
+func (p *planner) placeOne(w string, ok func(*engine) bool) bool {
+	c := slices.DeleteFunc(p.candidates(w), func(e *engine) bool { return !ok(e) })
+	if len(c) == 0 {
+		return p.evictFor(w, ok)
 	}
-	return c
+	p.give(w, slices.MinFunc(c, func(a, b *engine) int { return p.compare(w, a, b) }))
+	return true
 }
 
-// keepOne takes the first n, and lets one that stays through a reclaim in.
-func (p *planner) keepOne(w string, c []*engine, n int) []*engine {
-	stays := func(e *engine) bool { return !e.Reclaimable }
-	if n == 0 || slices.ContainsFunc(c[:n], stays) {
-		return c[:n]
-	}
-	i := slices.IndexFunc(c, stays)
-	if i < 0 {
-		p.plan.Unmet = append(p.plan.Unmet, Unmet{Workload: w, Reason: "every engine that may run it is reclaimable"})
-		return c[:n]
+// give lets an engine have a workload.
+func (p *planner) give(w string, e *engine) {
+	e.want = append(e.want, w)
+	p.by[w] = append(p.by[w], e)
+}
+
+// take lets an engine no longer have a workload.
+func (p *planner) take(w string, e *engine) {
+	e.want = slices.DeleteFunc(slices.Clone(e.want), func(v string) bool { return v == w })
+	p.by[w] = slices.DeleteFunc(p.by[w], func(o *engine) bool { return o == e })
+}
+
+// allowed returns the engines that may have one more copy of a workload, were
+// there room.
+func (p *planner) allowed(w string) []*engine {
+	all, known := p.may[w]
+	if !known {
+		for _, e := range p.engines {
+			if ok, _ := p.in.Document.Allowed(w, e.Box); ok && !e.shed {
+				all = append(all, e)
+			}
+		}
+		p.may[w] = all
 	}
-	return append(slices.Clone(c[:n-1]), c[i])
+	return slices.DeleteFunc(slices.Clone(all), func(e *engine) bool { return slices.Contains(e.want, w) })
+}
+
+// candidates returns the engines that may have one more copy of a workload.
+func (p *planner) candidates(w string) []*engine {
+	return slices.DeleteFunc(p.allowed(w), func(e *engine) bool { return len(e.want) >= e.room })
 }
 
+// with returns the engines that shall have a workload.
+func (p *planner) with(w string) []*engine { return p.by[w] }
+
 // compare orders engines for a workload: those that have it first, then by
 // preference, by how full they are, and by price for their speed.
 func (p *planner) compare(w string, a, b *engine) int {
@@ -212,14 +249,14 @@
 // assign turns what is wanted into orders in two steps: load first, and give up
 // what is no longer wanted only when every engine that wants it has it.
 func (p *planner) assign() {
+	now := p.loadsNow()
 	for _, e := range p.engines {
 		a := Assignment{Box: e.Name, Reason: "as wanted"}
 		for _, w := range e.want {
 			switch {
 			case e.Has(w):
 				a.Workloads = append(a.Workloads, w)
-			case p.loads < p.in.Loads:
-				p.loads++
+			case now[load{e, w}]:
 				a.Load = append(a.Load, w)
 				a.Workloads = append(a.Workloads, w)
 			default:
@@ -237,6 +274,35 @@
 	}
 }
 
+// load is one workload to be fetched by one engine.
+type load struct {
+	engine   *engine
+	workload string
+}
+
+// loadsNow chooses the loads that the weight store bears now: for those first
+// that have the fewest copies loaded.
+func (p *planner) loadsNow() map[load]bool {
+	var all []load
+	loaded := map[string]int{}
+	for _, e := range p.engines {
+		for _, w := range e.Loaded {
+			loaded[w]++
+		}
+		for _, w := range e.want {
+			if !e.Has(w) {
+				all = append(all, load{e, w})
+			}
+		}
+	}
+	slices.SortStableFunc(all, func(a, b load) int { return cmp.Compare(loaded[a.workload], loaded[b.workload]) })
+	now := map[load]bool{}
+	for _, l := range all[:min(len(all), p.in.Loads)] {
+		now[l] = true
+	}
+	return now
+}
+
 // loadedWhereWanted reports whether every engine that wants w has it, or no
 // engine wants it and it is no longer configured.
 func (p *planner) loadedWhereWanted(w string) bool {
--- a/router/affinity.go
+++ b/router/affinity.go
@@ -27,10 +27,11 @@
 		return none
 	}
 	limit := a.limit(ts)
-	home := homeOf(ts, q.Prefix, limit)
+	open := anyFree(ts)
+	home := homeOf(ts, q.Prefix, limit, open)
 	best := Choice{Index: -1}
 	for i := range ts {
-		if !within(&ts[i], limit) {
+		if !within(&ts[i], limit, open) {
 			continue
 		}
 		d := expected(&ts[i], q, i == home)
@@ -60,17 +61,31 @@
 	return max(a.Bound, 1) * float64(busy) / float64(slots)
 }
 
-// within reports whether a target may take one more stream. A free slot is
-// always within the bound of a fleet that is hardly busy.
-func within(t *Target, limit float64) bool {
+// anyFree reports whether a target has a free slot.
+func anyFree(ts []Target) bool {
+	for i := range ts {
+		if ts[i].Busy < ts[i].Slots {
+			return true
+		}
+	}
+	return false
+}
+
+// within reports whether a target may take one more stream: no stream waits
+// for a slot while another target has one free, however fast its hardware, and
+// none takes more than its share of the load. Hardly any load is no bound.
+func within(t *Target, limit float64, open bool) bool {
+	if open && t.Busy >= t.Slots {
+		return false
+	}
 	return float64(t.Busy) < limit*float64(t.Slots)+1
 }
 
 // homeOf returns the target with the highest weight for a prefix.
-func homeOf(ts []Target, prefix uint64, limit float64) int {
+func homeOf(ts []Target, prefix uint64, limit float64, open bool) int {
 	home, top := -1, uint64(0)
 	for i := range ts {
-		if w := weight(prefix, ts[i].Hash); (home < 0 || w > top) && within(&ts[i], limit) {
+		if w := weight(prefix, ts[i].Hash); (home < 0 || w > top) && within(&ts[i], limit, open) {
 			home, top = i, w
 		}
 	}
