Hold the boxes' pushes to a budget, measured on 39 real boxes

Each push repeated every row, and the time between pushes grew with the boxes only.

Change: rows go out when they changed, all with every tenth push; demand with every third, of the 24 accounts that want most; and the time between pushes follows from their size and the boxes, so that pushes take at most 4500 B/s sent and received.

Also found: a box's ports could collide with the ports of its own calls to peers, since both were on one IP number (39 boxes: one did not start; once in stop_cut); and a script went on before a killed process had ended (notrun_service: connection reset, one of two runs). Both were the lab's.

--- a/admission/service.go
+++ b/admission/service.go
@@ -1,8 +1,10 @@
 package admission
 
 import (
+	"cmp"
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -174,6 +176,10 @@
 	return Demand{Accounts: narrow(a.demand), Workloads: narrow(a.peak)}
 }
 
+// maxTold bounds the accounts, and the workloads, that a box tells of: those
+// with the most demand. For the others an even share of a rate is assumed.
+const maxTold = 24
+
 // DataCentreDemand returns the streams by workload of this box and of all that
 // told theirs.
 func (a *Admission) DataCentreDemand() map[string]float64 {
@@ -190,9 +196,10 @@
 }
 
 func narrow(m map[string]float64) map[string]float32 {
-	n := make(map[string]float32, len(m))
-	for k, v := range m {
-		n[k] = float32(v)
+	ks := slices.SortedFunc(maps.Keys(m), func(x, y string) int { return cmp.Or(cmp.Compare(m[y], m[x]), cmp.Compare(x, y)) })
+	n := make(map[string]float32, maxTold)
+	for _, k := range ks[:min(len(ks), maxTold)] {
+		n[k] = float32(m[k])
 	}
 	return n
 }
--- a/cmd/birchup/main.go
+++ b/cmd/birchup/main.go
@@ -33,6 +33,9 @@
 	Rate     float64       `default:"20" help:"requests a second of each mix"`
 	Duration time.Duration `default:"20s" help:"how long each mix is sent"`
 	Seed     uint64        `default:"1"`
+	Measure  bool          `arg:"--measure" help:"measure what control costs an idle entry box of one data centre, and stop"`
+	Entries  int           `default:"6" help:"entry boxes, with --measure"`
+	Engines  int           `default:"12" help:"engines, with --measure"`
 	Wave     bool          `arg:"--wave" help:"reclaim a whole data centre's reclaimable boxes, not one box"`
 }
 
@@ -81,10 +84,16 @@
 		return fmt.Errorf("make a folder: %w", err)
 	}
 	l := lab.New(a.Bin, dir, options(a.Policy, string(text)))
+	if a.Measure {
+		l.Options = measured(l.Options, a)
+	}
 	defer l.Down()
 	if err := l.Up(c); err != nil {
 		return err
 	}
+	if a.Measure {
+		return measure(c, l, a.Duration)
+	}
 	if a.Run {
 		return try(c, l, d, a)
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -76,7 +76,7 @@
 	}, m, log)
 	d.Operator = operator.New(s.Admin, s.OperatorKey, m, log)
 	return []kernel.Service{
-		peer.NewNode(s.Peers, s.Advertise, s.Secret),
+		peer.NewNode(s.Peers, s.Advertise, s.Secret, m),
 		&kv.Service{Client: kv.New(s.KV, s.Box, s.WriteRate, s.ReadRate, m)},
 		member.New(s.Box, s.DataCentre, s.Seeds, log),
 		journal.New(s.Box, log),
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"birchlink.dev/birchlink/admission"
 	"birchlink.dev/birchlink/cloud"
@@ -31,11 +32,19 @@
 	readEvery   = time.Second
 	readLimit   = 900 * time.Millisecond
 	staleAfter  = 3 * time.Second
-	perMember   = 80 * time.Millisecond
 	watchers    = 2
-	factsPushes = 10
+	fullPushes  = 10
+	demandEvery = 3
 )
 
+// pushBudget is what a box's pushes may take of its control traffic, in bytes a
+// second, sent and received. The time between pushes follows from it, so that
+// more boxes or endpoints make the view older and not the traffic more.
+const pushBudget = 4500
+
+// overheadBytes is what a push takes beyond its body: its frame and its answer.
+const overheadBytes = 64
+
 // Push is what one box tells the others of its data centre. Ages are used in
 // place of times, so that the boxes' clocks need not agree.
 type Push struct {
@@ -66,7 +75,10 @@
 	told    map[uint32]view.Facts
 	rows    map[uint32]view.Row
 	lastTo  uint64
-	lastAt  time.Time
+	pushed  map[uint32]view.Row
+	fresh   bool
+	nextAt  time.Time
+	period  time.Duration
 	pushes  int
 	asking  sync.Mutex
 	asked   time.Time
@@ -78,7 +90,7 @@
 // New returns the observer of a box.
 func New(p *cloud.Client, log zerolog.Logger) *Observer {
 	return &Observer{
-		Platform: p, Log: log, told: map[uint32]view.Facts{}, rows: map[uint32]view.Row{},
+		Platform: p, Log: log, told: map[uint32]view.Facts{}, rows: map[uint32]view.Row{}, pushed: map[uint32]view.Row{},
 		noticed: make(chan struct{}, 1),
 	}
 }
@@ -221,13 +233,21 @@
 			continue
 		}
 		mine, _ := o.members.Owner(s.Name, watchers)
-		if mine || time.Since(s.Seen) > staleAfter {
+		if mine || time.Since(s.Seen) > o.loadStale() {
 			g.Go(func() { o.readLoad(c, s) })
 		}
 	}
 	g.Wait()
 }
 
+// loadStale is how old a load report may be before a box reads the endpoint
+// itself: unchanged rows are told only with every full push.
+func (o *Observer) loadStale() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return staleAfter + 2*fullPushes*max(o.period, readEvery)
+}
+
 func (o *Observer) readLoad(c context.Context, s *view.Slot) {
 	h := jsonhttp.Client{Base: "http://" + s.Address, HTTP: o.http.HTTP, Caller: o.http.Caller}
 	var l fleet.Load
@@ -249,7 +269,8 @@
 	same := known && old.Incarnation == f.Incarnation && slices.Equal(old.Loaded, f.Loaded) && old.Slots == f.Slots
 	if !same {
 		o.told[r.ID] = f
-		o.lastAt = time.Time{}
+		o.fresh = true
+		o.nextAt = time.Time{}
 	}
 	o.rows[r.ID] = r
 	o.mu.Unlock()
@@ -259,18 +280,18 @@
 	o.view.SetRows([]view.Row{r})
 }
 
-// push tells the others of the data centre. The time between pushes grows with
-// their number, so that a box's traffic does not.
+// push tells the others of the data centre, now or when the budget allows.
 func (o *Observer) push(c context.Context, now bool) {
 	self := o.members.Self()
 	ms := o.members.Up(self.DataCentre)
 	o.mu.Lock()
-	if !now && time.Since(o.lastAt) < time.Duration(len(ms))*perMember {
+	if !now && time.Now().Before(o.nextAt) {
 		o.mu.Unlock()
 		return
 	}
 	p := o.message(self.Box)
-	o.lastAt = time.Now()
+	o.period = interval(p, len(ms)-1)
+	o.nextAt = time.Now().Add(o.period)
 	o.mu.Unlock()
 	c, cancel := context.WithTimeout(c, readLimit)
 	defer cancel()
@@ -283,17 +304,34 @@
 	g.Wait()
 }
 
-// message builds a push: rows read since the last, and the facts when they
-// changed or after some pushes. The caller holds the lock.
+// interval is how long the push must suffice: others send as much here.
+func interval(p Push, others int) time.Duration {
+	b, err := msgpack.Marshal(p)
+	if err != nil {
+		return readEvery
+	}
+	return time.Duration(float64(2*others*(len(b)+overheadBytes)) / pushBudget * float64(time.Second))
+}
+
+// message builds a push: rows that changed since the last, and after some
+// pushes all of them with their facts. The caller holds the lock.
 func (o *Observer) message(box string) Push {
 	p := Push{
 		From: box, HorizonAge: time.Since(o.view.Horizon()), Digest: o.view.Digest(),
-		Notices: o.view.Notices(), Demand: o.demand.Demand(),
+		Notices: o.view.Notices(),
+	}
+	full := o.fresh || o.pushes%fullPushes == 0
+	if o.pushes%demandEvery == 0 {
+		p.Demand = o.demand.Demand()
 	}
 	o.pushes++
+	o.fresh = false
 	for id, r := range o.rows {
-		p.Rows = append(p.Rows, r)
-		if o.lastAt.IsZero() || o.pushes%factsPushes == 0 {
+		if r != o.pushed[id] || full {
+			p.Rows = append(p.Rows, r)
+			o.pushed[id] = r
+		}
+		if full {
 			p.Facts = append(p.Facts, o.told[id])
 		}
 	}
@@ -316,7 +354,9 @@
 	}
 	o.view.SetFacts(p.Facts)
 	missing := o.view.SetRows(p.Rows)
-	o.demand.SetDemand(p.From, p.Demand)
+	if p.Demand.Accounts != nil {
+		o.demand.SetDemand(p.From, p.Demand)
+	}
 	lacksBoxes := p.Digest != o.view.Digest() && len(p.Boxes) == 0 && !mine && p.HorizonAge < time.Since(o.view.Horizon())+readEvery
 	if len(missing) > 0 || lacksBoxes {
 		if m, ok := o.memberOf(p.From); ok {
--- a/peer/node.go
+++ b/peer/node.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 
+	"github.com/rcrowley/go-metrics"
+
 	"birchlink.dev/birchlink/kernel"
 )
 
@@ -22,9 +24,12 @@
 }
 
 // NewNode returns a node that will listen on an address. It also calls from
-// that IP number, so that a peer can be known by it.
-func NewNode(address, advertise, secret string) *Node {
+// that IP number, so that a peer can be known by it. What goes over its
+// connections is the gauge peers.bytes.
+func NewNode(address, advertise, secret string, m metrics.Registry) *Node {
 	n := &Node{Server: NewServer(secret), Client: NewClient(secret), Advertise: advertise, address: address}
+	// The registry is the node's own, so the name is free.
+	_ = m.Register("peers.bytes", metrics.NewFunctionalGauge(func() int64 { return n.Server.Bytes() + n.Client.Bytes() }))
 	if a, err := net.ResolveTCPAddr("tcp", address); err == nil {
 		n.Client.local = &net.TCPAddr{IP: a.IP}
 	}
--- a/peer/server.go
+++ b/peer/server.go
@@ -89,6 +89,17 @@
 	s.group.Wait()
 }
 
+// Bytes returns what went over all open connections, both ways.
+func (s *Server) Bytes() int64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var n int64
+	for c := range s.conns {
+		n += c.Bytes.Load()
+	}
+	return n
+}
+
 func (s *Server) accept(c context.Context, l net.Listener) {
 	for {
 		n, err := l.Accept()
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -48,6 +48,11 @@
 		}
 	}
 	ts.Check(w.Signal(args[0], s))
+	if s == syscall.SIGKILL {
+		p, err := w.Get(args[0])
+		ts.Check(err)
+		<-p.Exited()
+	}
 }
 
 // restart BOX: starts again what was killed or has stopped.
--- a/stand/lab/lab.go
+++ b/stand/lab/lab.go
@@ -114,7 +114,7 @@
 // New returns a lab without processes. Bin holds the programs, dir takes the
 // settings and logs.
 func New(bin, dir string, o Options) *Lab {
-	const nets = 200
+	const nets = 200 // and a few more for a large lab
 	return &Lab{Bin: bin, Dir: dir, Options: o, procs: map[string]*Process{}, net: 20 + rand.IntN(nets)}
 }
 
@@ -157,7 +157,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.next++
-	return fmt.Sprintf("127.%d.%d.%d", l.net, os.Getpid()%250+1, l.next)
+	const perNet = 250
+	return fmt.Sprintf("127.%d.%d.%d", l.net+l.next/perNet, os.Getpid()%perNet+1, l.next%perNet+1)
 }
 
 // start runs a program and waits until it answers.
@@ -368,9 +369,11 @@
 
 func (l *Lab) prepare(name, dc string) (*Process, error) {
 	p := &Process{Name: name, Role: "entry", DataCentre: dc, ip: l.ip(), Log: filepath.Join(l.Dir, name+".log")}
-	for _, a := range []*string{&p.Address, &p.Peers, &p.Admin} {
+	// A box calls its peers from its own IP number, so callers and operators are
+	// served on others: a call's own port cannot be one of theirs.
+	for a, ip := range map[*string]string{&p.Address: l.ip(), &p.Peers: p.ip, &p.Admin: l.ip()} {
 		var err error
-		if *a, err = l.address(p.ip); err != nil {
+		if *a, err = l.address(ip); err != nil {
 			return nil, err
 		}
 	}
