Hold whole sessions in golden files, and meet the OpenAI client

Cause: nothing held a whole session of either deployment, and no OpenAI client had been tried.

Found: an error of GET /v1/requests/{id} named another request id in its body than in its header (golden file of freight differed in every run). The header's is used now.

--- /dev/null
+++ b/daemon/daemon_test.go
@@ -0,0 +1,229 @@
+package daemon_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"github.com/rogpeppe/go-internal/txtar"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"birchlink.dev/birchlink/cloud"
+	"birchlink.dev/birchlink/daemon"
+	"birchlink.dev/birchlink/fleet"
+	"birchlink.dev/birchlink/front"
+	"birchlink.dev/birchlink/journal"
+	"birchlink.dev/birchlink/jsonhttp"
+	"birchlink.dev/birchlink/operator"
+	"birchlink.dev/birchlink/settings"
+	"birchlink.dev/birchlink/stand/answer"
+	"birchlink.dev/birchlink/stand/boxlist"
+	standcloud "birchlink.dev/birchlink/stand/cloud"
+	standengine "birchlink.dev/birchlink/stand/engine"
+	"birchlink.dev/birchlink/stand/kvstore"
+	"birchlink.dev/birchlink/stand/service"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+const operatorKey = "operators-of-the-test"
+
+// box is a daemon in this process, between stand-ins in this process.
+type box struct {
+	daemon *daemon.Daemon
+	text   string
+}
+
+func serve(t *testing.T, h http.Handler) string {
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// start puts an example configuration in force on one box with one engine and
+// its plain service.
+func start(t *testing.T, example, name string) *box {
+	text, err := os.ReadFile(filepath.Join("..", "examples", example))
+	require.NoError(t, err)
+	e := standengine.New(standengine.Options{Name: "engine-1", Slots: 8, TokenEvery: time.Millisecond, PrefillRate: 1e6, CacheSize: 8, ChecksFence: true})
+	bs := []fleet.Box{
+		{Name: "engine-1", DataCentre: "hall", Address: serve(t, e), Role: fleet.EngineRole, Class: "new", State: fleet.Live},
+		{Name: "service-1", DataCentre: "hall", Address: serve(t, service.New(name)), Role: fleet.ServiceRole, Service: name, State: fleet.Live},
+	}
+	c := serve(t, standcloud.New(bs, []cloud.Price{{DataCentre: "hall", Class: "new", PerHour: 3}}))
+	list := boxlist.New(c, 0)
+	x, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	go list.Run(x)
+	d, err := daemon.New(settings.Settings{
+		Box: "entry-1", DataCentre: "hall", Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Advertise: "127.0.0.1:0", Admin: "127.0.0.1:0",
+		KV: serve(t, kvstore.New(1000, 1000)), BoxList: serve(t, list), Cloud: c, Secret: "peers-of-the-test-0123", OperatorKey: operatorKey,
+		MaxBody: 4096, MaxRequests: 100, MaxHeld: 100, StopLimit: 5 * time.Second, ClaimSlots: 4, ClaimTTL: time.Hour,
+		WriteRate: 100, ReadRate: 100, Policy: "affinity", LogLevel: "error",
+	}, io.Discard)
+	require.NoError(t, err)
+	require.NoError(t, d.App.Start(t.Context()))
+	t.Cleanup(func() {
+		require.NoError(t, d.App.Stop(context.Background()))
+		http.DefaultClient.CloseIdleConnections()
+	})
+	b := &box{daemon: d, text: string(text)}
+	b.operate(t, http.MethodPut, "/operator/config", operator.Edit{Text: b.text, Editor: "test"}, nil)
+	b.awaitLoaded(t)
+	return b
+}
+
+type bearer struct{}
+
+func (bearer) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.Header.Set("Authorization", "Bearer "+operatorKey)
+	return http.DefaultTransport.RoundTrip(r)
+}
+
+func (b *box) operate(t *testing.T, method, path string, in, out any) {
+	h := jsonhttp.New(b.daemon.Operator.Listening(), "test", 10*time.Second)
+	h.HTTP.Transport = bearer{}
+	require.NoError(t, h.Do(t.Context(), method, path, in, out))
+}
+
+// awaitLoaded waits until the placer has had every workload loaded.
+func (b *box) awaitLoaded(t *testing.T) {
+	require.Eventually(t, func() bool {
+		var s operator.Status
+		b.operate(t, http.MethodGet, "/operator/status", nil, &s)
+		n := 0
+		for _, e := range s.Endpoints {
+			if e.Role == fleet.EngineRole {
+				n += len(e.Loaded)
+			}
+		}
+		return n == strings.Count(b.text, "[model")*2
+	}, time.Minute, 20*time.Millisecond)
+}
+
+// What a service starts ends with it.
+func TestNothingIsLeftRunning(t *testing.T) {
+	ignore := goleak.IgnoreCurrent()
+	t.Run("box", func(t *testing.T) {
+		b := start(t, "pamoja.ini", "matokeo-api")
+		a, err := http.Get("http://" + b.daemon.Front.Listening() + "/ready")
+		require.NoError(t, err)
+		require.NoError(t, a.Body.Close())
+		require.Equal(t, http.StatusOK, a.StatusCode)
+	})
+	http.DefaultTransport.(*http.Transport).CloseIdleConnections()
+	goleak.VerifyNone(t, ignore)
+}
+
+// The OpenAI project's own client gets a plain and a streamed answer.
+func TestOpenAIClient(t *testing.T) {
+	b := start(t, "pamoja.ini", "matokeo-api")
+	c := openai.NewClient(option.WithBaseURL("http://"+b.daemon.Front.Listening()+"/v1"), option.WithAPIKey("pamoja-key-msasani"))
+	p := openai.ChatCompletionNewParams{
+		Model: "maandishi-llm", MaxTokens: openai.Int(20), Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("hello")},
+	}
+	want := answer.Text("maandishi-llm@1", "user: hello\n", 20)
+	a, err := c.Chat.Completions.New(t.Context(), p)
+	require.NoError(t, err)
+	require.Equal(t, want, a.Choices[0].Message.Content)
+	require.EqualValues(t, 20, a.Usage.CompletionTokens)
+	s := c.Chat.Completions.NewStreaming(t.Context(), p)
+	got := ""
+	for s.Next() {
+		got += s.Current().Choices[0].Delta.Content
+	}
+	require.NoError(t, s.Err())
+	require.Equal(t, want, got)
+	ms, err := c.Models.List(t.Context())
+	require.NoError(t, err)
+	require.Len(t, ms.Data, 2)
+	p.Model = "nothing"
+	_, err = c.Chat.Completions.New(t.Context(), p)
+	var e *openai.Error
+	require.ErrorAs(t, err, &e)
+	require.Equal(t, "unknown_model", e.Code)
+}
+
+// Whole sessions of each deployment: request, decisions, answer.
+func TestSessions(t *testing.T) {
+	for example, name := range map[string]string{"pamoja": "matokeo-api", "freight": "yard-api"} {
+		t.Run(example, func(t *testing.T) {
+			b := start(t, example+".ini", name)
+			f := filepath.Join("testdata", example+".txtar")
+			golden, err := txtar.ParseFile(f)
+			require.NoError(t, err)
+			got := &txtar.Archive{Comment: golden.Comment}
+			for _, r := range golden.Files {
+				if n, ok := strings.CutSuffix(r.Name, ".request"); ok {
+					decisions, answer := b.session(t, string(r.Data))
+					got.Files = append(got.Files, r, txtar.File{Name: n + ".decisions", Data: decisions}, txtar.File{Name: n + ".answer", Data: answer})
+				}
+			}
+			if *update {
+				require.NoError(t, os.WriteFile(f, txtar.Format(got), 0o600))
+			}
+			require.Equal(t, string(txtar.Format(golden)), string(txtar.Format(got)))
+		})
+	}
+}
+
+// session sends one request, written as HTTP, and returns the decisions that
+// were noted and the answer, both without what differs from run to run.
+func (b *box) session(t *testing.T, request string) (decisions, answer []byte) {
+	head, body, _ := strings.Cut(request, "\n\n")
+	raw := fmt.Sprintf("%s\r\nHost: x\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", strings.ReplaceAll(head, "\n", "\r\n"), len(body), body)
+	c, err := net.Dial("tcp", b.daemon.Front.Listening())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, raw)
+	require.NoError(t, err)
+	a, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	defer a.Body.Close()
+	text, err := io.ReadAll(a.Body)
+	require.NoError(t, err)
+	id := a.Header.Get(front.RequestIDHeader)
+	var out bytes.Buffer
+	fmt.Fprintln(&out, a.Status)
+	for _, h := range []string{"Content-Type", front.RunHeader, "Retry-After"} {
+		if v := a.Header.Get(h); v != "" {
+			fmt.Fprintf(&out, "%s: %s\n", h, v)
+		}
+	}
+	created := regexp.MustCompile(`"created":\d+`)
+	text = created.ReplaceAll(bytes.ReplaceAll(text, []byte(id), []byte("ID")), []byte(`"created":0`))
+	fmt.Fprintf(&out, "\n%s", text)
+	if !bytes.HasSuffix(out.Bytes(), []byte("\n")) {
+		out.WriteByte('\n')
+	}
+	return b.decisions(t, id), out.Bytes()
+}
+
+func (b *box) decisions(t *testing.T, id string) []byte {
+	var ds []journal.Decision
+	b.operate(t, http.MethodGet, "/operator/explain/"+id, nil, &ds)
+	var out bytes.Buffer
+	for _, d := range ds {
+		f, err := json.Marshal(d.Figures)
+		require.NoError(t, err)
+		fmt.Fprintf(&out, "%s attempt=%d workload=%s choice=%s reason=%q figures=%s\n", d.Event, d.Attempt, d.Workload, d.Choice, d.Reason, f)
+	}
+	return out.Bytes()
+}
--- a/front/front.go
+++ b/front/front.go
@@ -212,7 +212,8 @@
 		id := uuid.NewString()
 		w.Header().Set(RequestIDHeader, id)
 		if err := f.admit(w, r, id, h); err != nil {
-			f.fail(w, id, err)
+			// A resume answers under the id of the request that it resumes.
+			f.fail(w, w.Header().Get(RequestIDHeader), err)
 		}
 	}
 }
