--- a/member/member.go
+++ b/member/member.go
@@ -45,9 +45,12 @@
 // up reports whether work may be sent to m.
 func (m Member) up() bool { return m.State == Alive || m.State == Suspect }
 
-// Table holds one row a box. It is plain data and not safe for many at once.
+// Table holds one row a box. It is plain data and not safe for many at once. The
+// members that are up are asked for with every request, so they are listed once
+// for each change.
 type Table struct {
 	rows map[string]Member
+	up   map[string][]Member
 }
 
 // Merge takes rows from elsewhere and returns those that changed the table.
@@ -62,6 +65,7 @@
 			continue
 		}
 		t.rows[m.Box] = m
+		t.up = nil
 		changed = append(changed, m)
 	}
 	return changed
@@ -93,9 +97,18 @@
 	return ms
 }
 
-// Up returns the members that are up in a data centre, or in all for "".
+// Up returns the members that are up in a data centre, or in all for "". The
+// slice is not to be changed.
 func (t *Table) Up(dc string) []Member {
-	return slices.DeleteFunc(t.Rows(), func(m Member) bool { return !m.up() || dc != "" && m.DataCentre != dc })
+	if ms, listed := t.up[dc]; listed {
+		return ms
+	}
+	if t.up == nil {
+		t.up = make(map[string][]Member)
+	}
+	ms := slices.DeleteFunc(t.Rows(), func(m Member) bool { return !m.up() || dc != "" && m.DataCentre != dc })
+	t.up[dc] = slices.Clip(ms)
+	return t.up[dc]
 }
 
 // Forget drops the row of a box that is down.
--- a/member/service.go
+++ b/member/service.go
@@ -362,7 +362,7 @@
 func (s *Service) probeThrough(c context.Context, m Member) bool {
 	c, cancel := context.WithTimeout(c, 2*probeLimit)
 	defer cancel()
-	ms := s.Up(s.self.DataCentre)
+	ms := slices.Clone(s.Up(s.self.DataCentre))
 	rand.Shuffle(len(ms), func(i, j int) { ms[i], ms[j] = ms[j], ms[i] })
 	n := 0
 	for _, h := range ms {
--- /dev/null
+++ b/member/service_test.go
@@ -0,0 +1,201 @@
+package member
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+	"pgregory.net/rapid"
+)
+
+// network carries the calls of the boxes of one test, and counts their bytes.
+type network struct {
+	mu    sync.Mutex
+	boxes map[string]*Service
+	down  map[string]bool
+	bytes int
+}
+
+// end is one box's side of the network.
+type end struct {
+	*network
+	from string
+}
+
+func (e end) reach(to string) *Service {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down[e.from] || e.down[to] {
+		return nil
+	}
+	return e.boxes[to]
+}
+
+func (e end) Call(c context.Context, address, method string, in, out any) error {
+	s := e.reach(address)
+	if s == nil {
+		return context.DeadlineExceeded
+	}
+	b, err := msgpack.Marshal(in)
+	if err != nil {
+		return err
+	}
+	var a any
+	if method == "member.probe" {
+		var p probe
+		if err := msgpack.Unmarshal(b, &p); err != nil {
+			return err
+		}
+		a, err = s.answerProbe(c, p)
+	} else {
+		var x exchange
+		if err := msgpack.Unmarshal(b, &x); err != nil {
+			return err
+		}
+		a, err = s.answerSync(c, x)
+	}
+	if err != nil {
+		return err
+	}
+	v, err := msgpack.Marshal(a)
+	e.mu.Lock()
+	e.bytes += len(b) + len(v)
+	e.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	return msgpack.Unmarshal(v, out)
+}
+
+// group makes n boxes of one data centre that know each other.
+func group(n int) (*network, []*Service) {
+	w := &network{boxes: map[string]*Service{}, down: map[string]bool{}}
+	ss := make([]*Service, n)
+	for i := range ss {
+		b := fmt.Sprintf("box-%03d", i)
+		ss[i] = New(b, "a", nil, zerolog.Nop())
+		ss[i].self.Address, ss[i].calls = b, end{w, b}
+		w.boxes[b] = ss[i]
+	}
+	for _, s := range ss {
+		for _, o := range ss {
+			s.table.Merge([]Member{o.self})
+		}
+	}
+	return w, ss
+}
+
+// rounds lets every box probe so many times.
+func rounds(t *testing.T, w *network, ss []*Service, n int) {
+	for range n {
+		for _, s := range ss {
+			if !w.down[s.self.Box] {
+				s.round(t.Context())
+			}
+		}
+		time.Sleep(probeEvery)
+	}
+}
+
+// A box that is cut off is dead to the others within seconds, and alive again,
+// under the same identity, soon after it is back.
+func TestCutOffAndBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, ss := group(9)
+		w.down["box-003"] = true
+		rounds(t, w, ss, 20)
+		for _, s := range ss {
+			if s.self.Box != "box-003" {
+				require.Len(t, s.Names(), 8)
+			}
+		}
+		w.down["box-003"] = false
+		rounds(t, w, ss, 20)
+		for _, s := range ss {
+			require.Len(t, s.Names(), 9)
+			_, known := s.Find(ss[3].self.Incarnation)
+			require.True(t, known)
+		}
+	})
+}
+
+// Half of the boxes are cut off at once: each half goes on with itself, and
+// they find each other again by their seeds.
+func TestSplitAndJoin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, ss := group(8)
+		half := &network{boxes: map[string]*Service{}, down: map[string]bool{}}
+		for _, s := range ss[4:] {
+			s.calls = end{half, s.self.Box}
+			half.boxes[s.self.Box] = s
+			delete(w.boxes, s.self.Box)
+		}
+		rounds(t, w, ss, 30)
+		for _, s := range ss {
+			require.Len(t, s.Names(), 4)
+		}
+		for _, s := range ss[4:] {
+			s.calls = end{w, s.self.Box}
+			w.boxes[s.self.Box] = s
+			s.Seeds = []string{"box-000"}
+		}
+		for _, s := range ss[4:] {
+			s.rejoin(t.Context())
+		}
+		rounds(t, w, ss, 20)
+		for _, s := range ss {
+			require.Len(t, s.Names(), 8)
+		}
+	})
+}
+
+// Tables that have heard the same rows, in whatever order, agree.
+func TestOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ms := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Member {
+			return Member{
+				Box: rapid.StringMatching("[a-d]").Draw(t, "box"), Started: rapid.Int64Range(1, 3).Draw(t, "started"),
+				Number: rapid.Uint32Range(0, 3).Draw(t, "number"), State: State(rapid.IntRange(int(Alive), int(Left)).Draw(t, "state")), Successor: "x",
+			}
+		}), 1, 20).Draw(t, "rows")
+		var a, b Table
+		a.Merge(ms)
+		for _, i := range rapid.Permutation(indexes(len(ms))).Draw(t, "order") {
+			b.Merge(ms[i : i+1])
+		}
+		require.Equal(t, a.Rows(), b.Rows())
+		require.Equal(t, a.Digest(), b.Digest())
+	})
+}
+
+func indexes(n int) []int {
+	is := make([]int, n)
+	for i := range is {
+		is[i] = i
+	}
+	return is
+}
+
+// BenchmarkRound is one probe of one box in a quiet group, and what it sends.
+func BenchmarkRound(b *testing.B) {
+	for _, n := range []int{6, 39, 350} {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			w, ss := group(n)
+			k := 0
+			for b.Loop() {
+				ss[0].round(b.Context())
+				k++
+			}
+			x, err := msgpack.Marshal(ss[0].exchange())
+			require.NoError(b, err)
+			b.ReportMetric(float64(w.bytes)/float64(k), "bytes/probe")
+			b.ReportMetric(float64(len(x)), "bytes/exchange")
+		})
+	}
+}
