--- a/admission/service.go
+++ b/admission/service.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"sync"
@@ -75,11 +76,11 @@
 
 // Start finds what the room is computed from.
 func (a *Admission) Start(_ context.Context, k *kernel.Kernel) error {
-	var err error
-	if a.view, err = kernel.Find[*view.View](k, view.Name); err != nil {
-		return err
-	}
-	if a.members, err = kernel.Find[*member.Service](k, member.Name); err != nil {
+	err := errors.Join(
+		kernel.Bind(k, view.Name, &a.view),
+		kernel.Bind(k, member.Name, &a.members),
+	)
+	if err != nil {
 		return err
 	}
 	f, err := kernel.Find[*follower.Follower](k, follower.Name)
--- a/claims/committer.go
+++ b/claims/committer.go
@@ -12,6 +12,7 @@
 	"birchlink.dev/birchlink/errkind"
 	"birchlink.dev/birchlink/kv"
 	"birchlink.dev/birchlink/ledger"
+	"birchlink.dev/birchlink/wait"
 )
 
 // The bounds of a commit. A page is refused more claims when it is nearly as
@@ -38,8 +39,8 @@
 	err   error
 }
 
-// wait is one claim on its way.
-type wait struct {
+// pending is one claim on its way.
+type pending struct {
 	claim ledger.Claim
 	done  chan result
 }
@@ -52,7 +53,7 @@
 	every time.Duration
 
 	mu      sync.Mutex
-	waiting []wait
+	waiting []pending
 	busy    bool
 	page    *ledger.Page
 	rev     uint64
@@ -61,7 +62,7 @@
 // submit enters a claim and waits for the claim in force. The commit goes on
 // when the waiter leaves.
 func (m *committer) submit(c context.Context, claim ledger.Claim, spawn func(func())) (ledger.Claim, error) {
-	w := wait{claim: claim, done: make(chan result, 1)}
+	w := pending{claim: claim, done: make(chan result, 1)}
 	m.mu.Lock()
 	m.waiting = append(m.waiting, w)
 	if !m.busy {
@@ -94,7 +95,7 @@
 	}
 }
 
-func (m *committer) commit(ws []wait) {
+func (m *committer) commit(ws []pending) {
 	c, cancel := context.WithTimeout(context.Background(), commitLimit)
 	defer cancel()
 	var rs []result
@@ -111,7 +112,7 @@
 		}
 		if errors.Is(err, kv.ErrAway) {
 			// The claims may stand already: look again before giving up.
-			pause(c, lookAgain)
+			wait.For(c, lookAgain)
 		}
 	}
 	for _, w := range ws {
@@ -119,24 +120,15 @@
 	}
 }
 
-func answer(ws []wait, rs []result) {
+func answer(ws []pending, rs []result) {
 	for i, w := range ws {
 		w.done <- rs[i]
 	}
 }
 
-func pause(c context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-c.Done():
-	case <-t.C:
-	}
-}
-
 // try applies the claims to the page as it is known and swaps it once. Claims
 // that find their key taken need no swap.
-func (m *committer) try(c context.Context, ws []wait) ([]result, error) {
+func (m *committer) try(c context.Context, ws []pending) ([]result, error) {
 	if err := m.load(c); err != nil {
 		return nil, err
 	}
--- a/claims/service.go
+++ b/claims/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -49,10 +50,10 @@
 		return err
 	}
 	s.store = n
-	if s.members, err = kernel.Find[*member.Service](k, member.Name); err != nil {
-		return err
-	}
-	if s.peers, err = kernel.Find[*peer.Node](k, peer.Name); err != nil {
+	if err := errors.Join(
+		kernel.Bind(k, member.Name, &s.members),
+		kernel.Bind(k, peer.Name, &s.peers),
+	); err != nil {
 		return err
 	}
 	peer.Handle(s.peers.Server, "claims.commit", s.commit)
--- a/cmd/birchup/measure.go
+++ b/cmd/birchup/measure.go
@@ -11,6 +11,7 @@
 
 	"birchlink.dev/birchlink/jsonhttp"
 	"birchlink.dev/birchlink/stand/lab"
+	"birchlink.dev/birchlink/wait"
 )
 
 // settleTime lets joins, first loads and first pushes pass before measuring.
@@ -42,7 +43,7 @@
 // measure prints what an idle entry box spends on control: the mean and the
 // most over all of them.
 func measure(c context.Context, l *lab.Lab, d time.Duration) error {
-	pause(c, settleTime)
+	wait.For(c, settleTime)
 	ps := l.All("entry")
 	before := make([]usage, len(ps))
 	for i, p := range ps {
@@ -52,7 +53,7 @@
 		}
 		before[i] = u
 	}
-	pause(c, d)
+	wait.For(c, d)
 	var cpu, most, rss, bytes, kv float64
 	for i, p := range ps {
 		u, err := read(c, p)
@@ -73,13 +74,6 @@
 	return nil
 }
 
-func pause(c context.Context, d time.Duration) {
-	select {
-	case <-c.Done():
-	case <-time.After(d):
-	}
-}
-
 // read asks the system and the process itself.
 func read(c context.Context, p *lab.Process) (usage, error) {
 	u := usage{calls: map[string]int64{}}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -68,26 +68,15 @@
 
 // Start lets peers have calls run here.
 func (d *Dispatcher) Start(_ context.Context, k *kernel.Kernel) error {
-	var err error
-	if d.members, err = kernel.Find[*member.Service](k, member.Name); err != nil {
-		return err
-	}
-	if d.peers, err = kernel.Find[*peer.Node](k, peer.Name); err != nil {
-		return err
-	}
-	if d.claims, err = kernel.Find[*claims.Claims](k, claims.Name); err != nil {
-		return err
-	}
-	if d.keeper, err = kernel.Find[*stream.Keeper](k, stream.Name); err != nil {
-		return err
-	}
-	if d.proxy, err = kernel.Find[*plain.Proxy](k, plain.Name); err != nil {
-		return err
-	}
-	if d.admission, err = kernel.Find[*admission.Admission](k, admission.Name); err != nil {
-		return err
-	}
-	if d.journal, err = kernel.Find[*journal.Journal](k, journal.Name); err != nil {
+	if err := errors.Join(
+		kernel.Bind(k, member.Name, &d.members),
+		kernel.Bind(k, peer.Name, &d.peers),
+		kernel.Bind(k, claims.Name, &d.claims),
+		kernel.Bind(k, stream.Name, &d.keeper),
+		kernel.Bind(k, plain.Name, &d.proxy),
+		kernel.Bind(k, admission.Name, &d.admission),
+		kernel.Bind(k, journal.Name, &d.journal),
+	); err != nil {
 		return err
 	}
 	d.peers.Server.Handle("once.do", d.answer)
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -23,6 +23,7 @@
 	"birchlink.dev/birchlink/kv"
 	"birchlink.dev/birchlink/member"
 	"birchlink.dev/birchlink/peer"
+	"birchlink.dev/birchlink/wait"
 )
 
 // Name is the name of the service.
@@ -86,10 +87,10 @@
 		return err
 	}
 	f.store = s
-	if f.members, err = kernel.Find[*member.Service](k, member.Name); err != nil {
-		return err
-	}
-	if f.peers, err = kernel.Find[*peer.Node](k, peer.Name); err != nil {
+	if err := errors.Join(
+		kernel.Bind(k, member.Name, &f.members),
+		kernel.Bind(k, peer.Name, &f.peers),
+	); err != nil {
 		return err
 	}
 	peer.Handle(f.peers.Server, "config.get", f.give)
@@ -229,12 +230,12 @@
 	var after uint64
 	for c.Err() == nil {
 		if mine, _ := f.members.Owner("config", watchers); !mine {
-			pause(c, gossip)
+			wait.For(c, gossip)
 			continue
 		}
 		e, err := f.store.Watch(c, Key, after, watchWait)
 		if err != nil {
-			pause(c, retryAfter+rand.N(retryAfter))
+			wait.For(c, retryAfter+rand.N(retryAfter))
 			continue
 		}
 		after = e.Rev
@@ -269,7 +270,7 @@
 // is made good.
 func (f *Follower) exchange(c context.Context) {
 	for c.Err() == nil {
-		pause(c, gossip)
+		wait.For(c, gossip)
 		ms := f.members.Up("")
 		if m := ms[rand.IntN(len(ms))]; m.Box != f.members.Self().Box {
 			f.fetch(c, m.Address)
@@ -280,15 +281,6 @@
 	}
 }
 
-func pause(c context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-c.Done():
-	case <-t.C:
-	}
-}
-
 // Check reads a text and reports every mistake, against the boxes there are.
 func Check(text string, boxes []fleet.Box) []iniread.Mistake {
 	d, ms := config.Parse(0, []byte(text))
@@ -360,7 +352,7 @@
 	c, cancel := context.WithTimeout(c, readBack)
 	defer cancel()
 	for c.Err() == nil {
-		pause(c, retryAfter)
+		wait.For(c, retryAfter)
 		e, err := f.store.Get(c, Key)
 		if err != nil {
 			continue
--- a/front/front.go
+++ b/front/front.go
@@ -23,6 +23,7 @@
 	"birchlink.dev/birchlink/kernel"
 	"birchlink.dev/birchlink/plain"
 	"birchlink.dev/birchlink/stream"
+	"birchlink.dev/birchlink/wait"
 )
 
 // Name is the name of the service.
@@ -81,17 +82,13 @@
 
 // Start listens for callers.
 func (f *Front) Start(_ context.Context, k *kernel.Kernel) error {
-	var err error
-	if f.dispatcher, err = kernel.Find[*dispatch.Dispatcher](k, dispatch.Name); err != nil {
-		return err
-	}
-	if f.keeper, err = kernel.Find[*stream.Keeper](k, stream.Name); err != nil {
-		return err
-	}
-	if f.proxy, err = kernel.Find[*plain.Proxy](k, plain.Name); err != nil {
-		return err
-	}
-	if f.follower, err = kernel.Find[*follower.Follower](k, follower.Name); err != nil {
+	err := errors.Join(
+		kernel.Bind(k, dispatch.Name, &f.dispatcher),
+		kernel.Bind(k, stream.Name, &f.keeper),
+		kernel.Bind(k, plain.Name, &f.proxy),
+		kernel.Bind(k, follower.Name, &f.follower),
+	)
+	if err != nil {
 		return err
 	}
 	if f.listener, err = net.Listen("tcp", f.Address); err != nil {
@@ -113,7 +110,7 @@
 func (f *Front) Stop(c context.Context) error {
 	f.Leave()
 	f.keeper.Drain()
-	wait(c, f.StopNotice)
+	wait.For(c, f.StopNotice)
 	f.server.SetKeepAlivesEnabled(false)
 	c, cancel := context.WithTimeout(c, f.StopLimit)
 	defer cancel()
@@ -162,15 +159,6 @@
 	return nil
 }
 
-func wait(c context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-c.Done():
-	case <-t.C:
-	}
-}
-
 func (f *Front) routes() http.Handler {
 	r := mux.NewRouter()
 	r.HandleFunc("/ready", f.ready)
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -54,6 +54,13 @@
 	return t, nil
 }
 
+// Bind puts the service of a name into a field.
+func Bind[T any](k *Kernel, name string, to *T) error {
+	s, err := Find[T](k, name)
+	*to = s
+	return err
+}
+
 // Run enters the services and ties their start and stop, in order, to fx.
 func Run(l fx.Lifecycle, k *Kernel, ss []Service) error {
 	for _, s := range ss {
--- a/load/balancer.go
+++ b/load/balancer.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"birchlink.dev/birchlink/wait"
 )
 
 // The balancer's check.
@@ -29,7 +31,7 @@
 	h := &http.Client{Timeout: checkLimit}
 	for c.Err() == nil {
 		b.Check(c, h)
-		sleep(c, checkEvery)
+		wait.For(c, checkEvery)
 	}
 }
 
--- a/load/client.go
+++ b/load/client.go
@@ -18,6 +18,7 @@
 	"birchlink.dev/birchlink/front"
 	"birchlink.dev/birchlink/openai"
 	"birchlink.dev/birchlink/stand/answer"
+	"birchlink.dev/birchlink/wait"
 )
 
 // maxSends bounds how often a request is sent before the client gives up.
@@ -253,7 +254,7 @@
 		if !p.ended && p.fail.Type != "moved" && p.broken == nil {
 			return p
 		}
-		sleep(x, 200*time.Millisecond)
+		wait.For(x, 200*time.Millisecond)
 	}
 	return p
 }
@@ -266,9 +267,9 @@
 	}
 	o.Last = kind
 	o.Refusals = append(o.Refusals, kind)
-	wait := p.after
-	if wait == 0 {
-		wait = 100 * time.Millisecond
+	after := p.after
+	if after == 0 {
+		after = 100 * time.Millisecond
 	}
 	switch {
 	case p.fail.Run == "not_run" && p.after > 0:
@@ -277,19 +278,10 @@
 	default:
 		return false
 	}
-	sleep(x, wait)
+	wait.For(x, after)
 	return x.Err() == nil
 }
 
-func sleep(x context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-x.Done():
-	case <-t.C:
-	}
-}
-
 // judge compares the answer with the one that the stand-ins give.
 func (c *Client) judge(s Spec, p reply, o *Outcome, began time.Time) {
 	o.ID = p.request
--- a/load/run.go
+++ b/load/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"birchlink.dev/birchlink/config"
+	"birchlink.dev/birchlink/wait"
 )
 
 // Plan says what to send, and for how long. The same seed makes the same
@@ -39,7 +40,7 @@
 	for n := 0; time.Now().Before(end) && c.Err() == nil; n++ {
 		s := Mixes[p.Mix](d, n)
 		g.Go(func() { r.Add(l.Send(x, s)) })
-		sleep(c, time.Duration(d.ExpFloat64()/p.Rate*float64(time.Second)))
+		wait.For(c, time.Duration(d.ExpFloat64()/p.Rate*float64(time.Second)))
 	}
 	g.Wait()
 }
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"sync"
@@ -100,17 +101,12 @@
 
 // Start reads everything once and goes on every second.
 func (o *Observer) Start(c context.Context, k *kernel.Kernel) error {
-	var err error
-	if o.view, err = kernel.Find[*view.View](k, view.Name); err != nil {
-		return err
-	}
-	if o.members, err = kernel.Find[*member.Service](k, member.Name); err != nil {
-		return err
-	}
-	if o.peers, err = kernel.Find[*peer.Node](k, peer.Name); err != nil {
-		return err
-	}
-	if o.demand, err = kernel.Find[*admission.Admission](k, admission.Name); err != nil {
+	if err := errors.Join(
+		kernel.Bind(k, view.Name, &o.view),
+		kernel.Bind(k, member.Name, &o.members),
+		kernel.Bind(k, peer.Name, &o.peers),
+		kernel.Bind(k, admission.Name, &o.demand),
+	); err != nil {
 		return err
 	}
 	o.http = &jsonhttp.Client{HTTP: &http.Client{Timeout: readLimit}, Caller: o.members.Self().Box}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -112,30 +112,16 @@
 }
 
 func (o *Operator) find(k *kernel.Kernel) error {
-	var err error
-	if o.follower, err = kernel.Find[*follower.Follower](k, follower.Name); err != nil {
-		return err
-	}
-	if o.members, err = kernel.Find[*member.Service](k, member.Name); err != nil {
-		return err
-	}
-	if o.view, err = kernel.Find[*view.View](k, view.Name); err != nil {
-		return err
-	}
-	if o.placer, err = kernel.Find[*placer.Placer](k, placer.Name); err != nil {
-		return err
-	}
-	if o.keeper, err = kernel.Find[*stream.Keeper](k, stream.Name); err != nil {
-		return err
-	}
-	if o.front, err = kernel.Find[*front.Front](k, front.Name); err != nil {
-		return err
-	}
-	if o.journal, err = kernel.Find[*journal.Journal](k, journal.Name); err != nil {
-		return err
-	}
-	o.peers, err = kernel.Find[*peer.Node](k, peer.Name)
-	return err
+	return errors.Join(
+		kernel.Bind(k, follower.Name, &o.follower),
+		kernel.Bind(k, member.Name, &o.members),
+		kernel.Bind(k, view.Name, &o.view),
+		kernel.Bind(k, placer.Name, &o.placer),
+		kernel.Bind(k, stream.Name, &o.keeper),
+		kernel.Bind(k, front.Name, &o.front),
+		kernel.Bind(k, journal.Name, &o.journal),
+		kernel.Bind(k, peer.Name, &o.peers),
+	)
 }
 
 // Stop closes.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -75,19 +75,13 @@
 	if err != nil {
 		return err
 	}
-	if p.view, err = kernel.Find[*view.View](k, view.Name); err != nil {
-		return err
-	}
-	if p.members, err = kernel.Find[*member.Service](k, member.Name); err != nil {
-		return err
-	}
-	if p.follower, err = kernel.Find[*follower.Follower](k, follower.Name); err != nil {
-		return err
-	}
-	if p.journal, err = kernel.Find[*journal.Journal](k, journal.Name); err != nil {
-		return err
-	}
-	if p.admission, err = kernel.Find[*admission.Admission](k, admission.Name); err != nil {
+	if err := errors.Join(
+		kernel.Bind(k, view.Name, &p.view),
+		kernel.Bind(k, member.Name, &p.members),
+		kernel.Bind(k, follower.Name, &p.follower),
+		kernel.Bind(k, journal.Name, &p.journal),
+		kernel.Bind(k, admission.Name, &p.admission),
+	); err != nil {
 		return err
 	}
 	m := p.members.Self()
--- a/plain/proxy.go
+++ b/plain/proxy.go
@@ -99,24 +99,14 @@
 
 // Start finds the services that the calls need.
 func (p *Proxy) Start(_ context.Context, k *kernel.Kernel) error {
-	var err error
-	if p.view, err = kernel.Find[*view.View](k, view.Name); err != nil {
-		return err
-	}
-	if p.members, err = kernel.Find[*member.Service](k, member.Name); err != nil {
-		return err
-	}
-	if p.follower, err = kernel.Find[*follower.Follower](k, follower.Name); err != nil {
-		return err
-	}
-	if p.journal, err = kernel.Find[*journal.Journal](k, journal.Name); err != nil {
-		return err
-	}
-	if p.admission, err = kernel.Find[*admission.Admission](k, admission.Name); err != nil {
-		return err
-	}
-	p.fresh, err = kernel.Find[*observer.Observer](k, observer.Name)
-	return err
+	return errors.Join(
+		kernel.Bind(k, view.Name, &p.view),
+		kernel.Bind(k, member.Name, &p.members),
+		kernel.Bind(k, follower.Name, &p.follower),
+		kernel.Bind(k, journal.Name, &p.journal),
+		kernel.Bind(k, admission.Name, &p.admission),
+		kernel.Bind(k, observer.Name, &p.fresh),
+	)
 }
 
 // Stop ends idle connections.
--- a/stream/keeper.go
+++ b/stream/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -25,6 +26,7 @@
 	"birchlink.dev/birchlink/reclaim"
 	"birchlink.dev/birchlink/router"
 	"birchlink.dev/birchlink/view"
+	"birchlink.dev/birchlink/wait"
 )
 
 // Name is the name of the service.
@@ -97,26 +99,15 @@
 
 // Start finds the services that the streams need.
 func (k *Keeper) Start(_ context.Context, n *kernel.Kernel) error {
-	var err error
-	if k.view, err = kernel.Find[*view.View](n, view.Name); err != nil {
-		return err
-	}
-	if k.members, err = kernel.Find[*member.Service](n, member.Name); err != nil {
-		return err
-	}
-	if k.peers, err = kernel.Find[*peer.Node](n, peer.Name); err != nil {
-		return err
-	}
-	if k.journal, err = kernel.Find[*journal.Journal](n, journal.Name); err != nil {
-		return err
-	}
-	if k.follower, err = kernel.Find[*follower.Follower](n, follower.Name); err != nil {
-		return err
-	}
-	if k.admission, err = kernel.Find[*admission.Admission](n, admission.Name); err != nil {
-		return err
-	}
-	if k.fresh, err = kernel.Find[*observer.Observer](n, observer.Name); err != nil {
+	if err := errors.Join(
+		kernel.Bind(n, view.Name, &k.view),
+		kernel.Bind(n, member.Name, &k.members),
+		kernel.Bind(n, peer.Name, &k.peers),
+		kernel.Bind(n, journal.Name, &k.journal),
+		kernel.Bind(n, follower.Name, &k.follower),
+		kernel.Bind(n, admission.Name, &k.admission),
+		kernel.Bind(n, observer.Name, &k.fresh),
+	); err != nil {
 		return err
 	}
 	k.dc = k.members.Self().DataCentre
@@ -256,7 +247,7 @@
 func (k *Keeper) clear(box string, deadline time.Time) {
 	for k.base.Err() == nil && time.Now().Before(deadline) {
 		k.clearOnce(box, time.Until(deadline))
-		pause(k.base, replanEvery)
+		wait.For(k.base, replanEvery)
 	}
 }
 
--- a/stream/relay.go
+++ b/stream/relay.go
@@ -16,6 +16,7 @@
 	"birchlink.dev/birchlink/member"
 	"birchlink.dev/birchlink/peer"
 	"birchlink.dev/birchlink/recovery"
+	"birchlink.dev/birchlink/wait"
 )
 
 // attemptsPerRelay keeps the attempts that a relay makes apart from others of
@@ -343,7 +344,7 @@
 		if c.Err() != nil {
 			return false
 		}
-		pause(c, look)
+		wait.For(c, look)
 	}
 	return true
 }
--- a/stream/run.go
+++ b/stream/run.go
@@ -13,6 +13,7 @@
 	"birchlink.dev/birchlink/recovery"
 	"birchlink.dev/birchlink/splice"
 	"birchlink.dev/birchlink/view"
+	"birchlink.dev/birchlink/wait"
 )
 
 // The times of a run. A stream without a token for stallFirst or stallNext is
@@ -103,7 +104,7 @@
 		switch d.Step {
 		case recovery.Reattach:
 			r.tries++
-			pause(c, reattachIn<<r.tries)
+			wait.For(c, reattachIn<<r.tries)
 			e, b = r.reattach(c)
 		case recovery.Stop:
 			e, b = r.stop(c)
@@ -285,7 +286,7 @@
 func (r *run) noChoice(c context.Context, err error) (end, recovery.Break) {
 	clear(r.avoid)
 	for c.Err() == nil {
-		pause(c, stopEvery)
+		wait.For(c, stopEvery)
 		if r.choose(c) == nil {
 			return r.generate(c)
 		}
@@ -327,7 +328,7 @@
 		case r.k.gone(r.target.box):
 			return broken, recovery.Gone
 		}
-		pause(c, stopEvery)
+		wait.For(c, stopEvery)
 	}
 	return broken, recovery.Stalled
 }
@@ -339,7 +340,7 @@
 		if e != broken || b != recovery.Cut && b != recovery.Stalled {
 			return e, b
 		}
-		pause(c, reattachIn)
+		wait.For(c, reattachIn)
 	}
 	return broken, recovery.Restarted
 }
--- a/stream/source.go
+++ b/stream/source.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"birchlink.dev/birchlink/engine"
 	"birchlink.dev/birchlink/recovery"
@@ -88,12 +87,3 @@
 	}()
 	return ch
 }
-
-func pause(c context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-c.Done():
-	case <-t.C:
-	}
-}
