Ask another data centre before refusing for want of room

Change: a chat that admission has no room for goes to a box of another data centre, two at most; if they refuse it too it is refused at once as overloaded, which has not run. Test: admit_abroad, failed before.

Ruled out: a larger room in each data centre (the promise would not hold in a wave); waiting here for room (a refusal must leave at once).

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -122,7 +122,7 @@
 
 // doFree runs a call that no other call can be the same as.
 func (d *Dispatcher) doFree(c context.Context, q Call, sink Sink) error {
-	leave, err := d.enter(q)
+	leave, abroad, err := d.enter(q)
 	if err != nil {
 		return err
 	}
@@ -134,17 +134,30 @@
 		}
 		return sink(Item{Plain: a})
 	}
-	return d.read(c, d.keeper.Run(*q.Chat), sink)
+	return d.read(c, d.start(q, abroad), sink)
 }
 
-func (d *Dispatcher) enter(q Call) (func(), error) {
-	leave, err := d.admission.Enter(q.admission())
+// start starts a call's stream, here or in another data centre.
+func (d *Dispatcher) start(q Call, abroad bool) *stream.Stream {
+	if abroad {
+		return d.keeper.RunAbroad(*q.Chat)
+	}
+	return d.keeper.Run(*q.Chat)
+}
+
+// enter asks admission. A chat for which there is no room here may go abroad.
+func (d *Dispatcher) enter(q Call) (leave func(), abroad bool, err error) {
+	leave, err = d.admission.Enter(q.admission())
 	n := journal.Decision{Subject: q.id(), Event: "admit", Choice: "accepted"}
+	if errkind.Is(err, errkind.Overloaded) && q.Chat != nil && d.keeper.Abroad() {
+		n.Choice, n.Reason = "abroad", err.Error()
+		leave, abroad, err = func() {}, true, nil
+	}
 	if err != nil {
 		n.Choice, n.Reason = "refused", err.Error()
 	}
 	d.journal.Note(n)
-	return leave, err
+	return leave, abroad, err
 }
 
 // read hands a stream to a sink; when a peer goes on with it, from there.
@@ -259,14 +272,14 @@
 // runRecord runs a record's call if it has not run, and reads what it gave.
 func (d *Dispatcher) runRecord(c context.Context, r *once.Record[Result], q Call, sink Sink) error {
 	if r.Begin(d.TTL / 2) {
-		leave, err := d.enter(q)
+		leave, abroad, err := d.enter(q)
 		if err != nil {
 			r.Settle(Result{Err: err}, false)
 			return err
 		}
 		d.group.Go(func() {
 			defer leave()
-			d.run(r, q)
+			d.run(r, q, abroad)
 		})
 	}
 	st, v, err := r.Wait(c, settled)
@@ -291,13 +304,13 @@
 }
 
 // run makes the run of a record. It goes on when its caller leaves.
-func (d *Dispatcher) run(r *once.Record[Result], q Call) {
+func (d *Dispatcher) run(r *once.Record[Result], q Call, abroad bool) {
 	if q.Plain != nil {
 		a, err := d.proxy.Do(context.Background(), *q.Plain)
 		r.Settle(Result{Plain: a, Err: err}, didRun(err))
 		return
 	}
-	s := d.keeper.Run(*q.Chat)
+	s := d.start(q, abroad)
 	r.Share(Result{Stream: s})
 	err := s.Wait(context.Background())
 	if err != nil && !didRun(err) {
--- a/stream/choose.go
+++ b/stream/choose.go
@@ -19,6 +19,13 @@
 // maxFigures bounds the candidates that a log line names.
 const maxFigures = 4
 
+// The bounds of a request for which there is no room here: so many boxes of
+// other data centres are asked, and then its caller is told to come back.
+const (
+	maxAbroad   = 2
+	abroadRetry = 2 * time.Second
+)
+
 // candidate is an endpoint that may run a workload, and how well it meets the
 // selectors' preferences.
 type candidate struct {
@@ -101,6 +108,9 @@
 	if d == nil {
 		return errkind.New(errkind.NotReady, "no configuration yet")
 	}
+	if r.s.abroad && !r.ran {
+		return r.overflow()
+	}
 	r.k.fresh.Ensure(c)
 	b := r.k.buffers.Get().(*candidates)
 	defer r.k.buffers.Put(b)
@@ -142,12 +152,15 @@
 			ms = append(ms, m)
 		}
 	}
+	if r.s.abroad && (len(ms) == 0 || r.attempt >= maxAbroad) {
+		return errkind.New(errkind.Overloaded, "no room for kind %s, here or in %d other boxes that were asked", r.s.Kind, r.attempt).After(abroadRetry)
+	}
 	if len(ms) == 0 || r.s.relayed {
 		return errkind.New(errkind.NoEndpoint, "no endpoint is live, allowed and loaded with %s", r.s.Workload)
 	}
 	m := ms[rand.IntN(len(ms))]
 	r.aim(target{box: m.Box, incarnation: m.Incarnation, address: m.Address})
-	r.note("overflow", "no endpoint here, data centre "+m.DataCentre+" is asked")
+	r.note("overflow", "nothing here, data centre "+m.DataCentre+" is asked")
 	return nil
 }
 
--- a/stream/keeper.go
+++ b/stream/keeper.go
@@ -148,6 +148,20 @@
 	return s
 }
 
+// RunAbroad starts the stream of a request for which this data centre has no
+// room: another one takes it, or it is refused.
+func (k *Keeper) RunAbroad(q Request) *Stream {
+	s := newStream(q)
+	s.abroad = true
+	k.launch(s, func(c context.Context) { newRun(k, s).begin(c) })
+	return s
+}
+
+// Abroad reports whether there are other data centres to ask.
+func (k *Keeper) Abroad() bool {
+	return slices.ContainsFunc(k.members.Up(""), func(m member.Member) bool { return m.DataCentre != k.dc })
+}
+
 // launch enters a stream and runs it until its deadline.
 func (k *Keeper) launch(s *Stream, f func(context.Context)) {
 	c, cancel := context.WithDeadline(k.base, s.Deadline)
--- a/stream/run.go
+++ b/stream/run.go
@@ -34,7 +34,7 @@
 	broken end = iota // recovery decides
 	whole             // the answer is whole
 	moving            // the stream leaves its endpoint
-	handed            // a peer goes on with the stream
+	handed            // nothing is left to do here
 )
 
 // signal tells a run to leave the endpoint on a box, or to go to the peer at an
@@ -276,10 +276,17 @@
 		r.abandon()
 	}
 	r.avoid[r.target.box] = true
-	if err := r.choose(c); err != nil {
+	err := r.choose(c)
+	switch {
+	case err == nil:
+		return r.generate(c)
+	case r.s.abroad && !r.ran:
+		// Nobody accepted it, so it is refused at once.
+		r.s.finish(err)
+		return handed, 0
+	default:
 		return r.noChoice(c, err)
 	}
-	return r.generate(c)
 }
 
 // noChoice waits a little for an endpoint, since the request was accepted.
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -60,6 +60,7 @@
 	stats   Stats
 	changed chan struct{}
 	relayed bool
+	abroad  bool
 	readers int
 	left    time.Time
 	ended   time.Time
