Build into a folder that a fresh clone does not have

Cause: go build -o bin with several programs needs bin to be there; in a fresh clone make run and make test failed at once. Change: -o bin/ makes it. Ruled out: mkdir in the Makefile (the slash does it).

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 .PHONY: build run up test lint format unit prove bench compare
 
 build:
-	go build -o bin ./cmd/...
+	go build -o bin/ ./cmd/...
 
 # Two data mixes through real processes, a reclaim in the middle of each.
 run: build
