Read on from a peer that is back, and believe one that failed

A request that may not be repeated ended in outcome_unknown while it still ran to its end. Behind it: a stop was asked of peers, which never confirm one, until the deadline; and a peer's word that it had failed was asked for again until then.

Ruled out: cancelling at the peer (it would need the peer's own confirmation; not built, PROOFS.md says so).

--- a/member/service.go
+++ b/member/service.go
@@ -82,7 +82,6 @@
 	since  map[string]time.Time
 	left   map[string]succession
 	order  []string
-	hooks  []func()
 	calls  caller
 	store  store
 	cancel context.CancelFunc
@@ -178,16 +177,6 @@
 	return slices.Contains(ns, s.self.Box), m
 }
 
-// Find returns the member of an incarnation, if it is up.
-func (s *Service) Find(incarnation string) (Member, bool) {
-	for _, m := range s.Up("") {
-		if m.Incarnation == incarnation {
-			return m, true
-		}
-	}
-	return Member{}, false
-}
-
 // Succeed names the incarnation that will answer for this process when it has
 // left.
 func (s *Service) Succeed(incarnation string) {
@@ -215,16 +204,10 @@
 	return Member{}, false
 }
 
-// OnChange calls f after each change of the table.
-func (s *Service) OnChange(f func()) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.hooks = append(s.hooks, f)
-}
-
 // Merge takes rows from another box.
 func (s *Service) Merge(ms []Member) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	changed := s.table.Merge(ms)
 	for _, m := range ms {
 		if m.Successor != "" {
@@ -236,14 +219,6 @@
 		s.Log.Info().Str("member", m.Box).Uint8("state", uint8(m.State)).Str("incarnation", m.Incarnation).Msg("member changed")
 	}
 	s.refute()
-	hooks := s.hooks
-	s.mu.Unlock()
-	if len(changed) == 0 {
-		return
-	}
-	for _, f := range hooks {
-		f()
-	}
 }
 
 // refute answers a rumour that this process is down. The caller holds the lock.
--- a/member/service_test.go
+++ b/member/service_test.go
@@ -119,7 +119,7 @@
 		rounds(t, w, ss, 20)
 		for _, s := range ss {
 			require.Len(t, s.Names(), 9)
-			_, known := s.Find(ss[3].self.Incarnation)
+			_, known := s.Answering(ss[3].self.Incarnation)
 			require.True(t, known)
 		}
 	})
--- a/stream/relay.go
+++ b/stream/relay.go
@@ -331,10 +331,15 @@
 // relayError says with the engine's errors what a peer's refusal means.
 func relayError(err error) error {
 	e := errkind.Of(err)
-	if e.Kind.Answer().Run == errkind.NotRun {
+	switch {
+	case e.Kind.Answer().Run == errkind.NotRun:
 		return fmt.Errorf("%w: %w", engine.ErrNotRun, err)
+	case e.Kind == errkind.Unavailable, e.Kind == errkind.CallerGone:
+		return err
+	default:
+		// The peer's word that it failed is final: there is nothing to read on.
+		return fmt.Errorf("%w: %w", engine.ErrRestarted, err)
 	}
-	return err
 }
 
 // Drained waits until no stream is left, or the context ends.
--- a/stream/run.go
+++ b/stream/run.go
@@ -263,12 +263,22 @@
 }
 
 func (r *run) cutOrGone() recovery.Break {
-	if r.k.gone(r.target.box) {
+	if r.gone() {
 		return recovery.Gone
 	}
 	return recovery.Cut
 }
 
+// gone reports whether the endpoint's box was taken, or the peer that carries
+// the stream has ended.
+func (r *run) gone() bool {
+	if r.target.slot != nil {
+		return r.k.gone(r.target.box)
+	}
+	m, up := r.k.members.Answering(r.target.incarnation)
+	return !up || m.Box != r.target.box
+}
+
 // elsewhere goes on at another endpoint. The attempt that broke is told to
 // stop, where that was not confirmed.
 func (r *run) elsewhere(c context.Context, b recovery.Break) (end, recovery.Break) {
@@ -318,6 +328,9 @@
 // stop asks the endpoint to stop the attempt until it confirms, and takes the
 // tokens that came before.
 func (r *run) stop(c context.Context) (end, recovery.Break) {
+	if r.target.slot == nil {
+		return r.readOn(c)
+	}
 	ended := 0
 	for c.Err() == nil {
 		st, err := r.place.Cancel(c, r.s.attempt(r.attempt, r.target.incarnation, 0))
@@ -332,7 +345,7 @@
 			return broken, recovery.Gone
 		case errors.Is(err, engine.ErrEnded):
 			ended++
-		case r.k.gone(r.target.box):
+		case r.gone():
 			return broken, recovery.Gone
 		}
 		wait.For(c, stopEvery)
@@ -340,6 +353,22 @@
 	return broken, recovery.Stalled
 }
 
+// readOn waits for a peer that carries the stream to be reached again: it goes
+// on with it meanwhile. A peer that has ended leaves the outcome unknown.
+func (r *run) readOn(c context.Context) (end, recovery.Break) {
+	for c.Err() == nil {
+		if r.gone() {
+			return broken, recovery.Gone
+		}
+		e, b := r.reattach(c)
+		if e != broken || b != recovery.Cut && b != recovery.Stalled {
+			return e, b
+		}
+		wait.For(c, stopEvery)
+	}
+	return broken, recovery.Stalled
+}
+
 // rest reads what a stopped attempt still has, up to its end mark.
 func (r *run) rest(c context.Context) (end, recovery.Break) {
 	for range recovery.MaxTries {
