Keep one box that no reclaim takes in each data centre

Cause: tried by hand (make up, birchctl status): an idle data centre gave back its on-demand engine within seconds, since shedding the dearest box has no bound when nothing is wanted. Every workload then ran on reclaimable boxes only, against the promise that what is accepted survives a reclaim.

Change: the last box that is not reclaimable is neither shed nor stopped, and a data centre without one asks for it.

Ruled out: a floor on demand (it hides the cause and depends on slots).

--- a/placement/hold.go
+++ b/placement/hold.go
@@ -35,7 +35,7 @@
 	e := p.engines[i]
 	want := p.want()
 	all, kept := p.slots()
-	if !e.Reclaimable && kept-float64(e.Slots) < want*p.keptPart() {
+	if !e.Reclaimable && (kept <= float64(e.Slots) || kept-float64(e.Slots) < want*p.keptPart()) {
 		return
 	}
 	if all-float64(e.Slots) >= want {
@@ -89,8 +89,9 @@
 	want := p.want()
 	slots, kept := p.slots()
 	p.cost()
-	if part := p.keptPart(); kept < want*part {
-		got := p.start(want*part-kept, func(q cloud.Price) bool { return !q.Reclaimable })
+	// One box that no reclaim takes is kept whatever the demand.
+	if least := max(want*p.keptPart(), 1); kept < least {
+		got := p.start(least-kept, func(q cloud.Price) bool { return !q.Reclaimable })
 		slots += got
 	}
 	if slots < want {
@@ -113,6 +114,11 @@
 	return all, kept
 }
 
+func (p *planner) keptSlots() float64 {
+	_, kept := p.slots()
+	return kept
+}
+
 // class returns what engines of a class can do. One that was never measured is
 // taken for the mean.
 func (p *planner) class(name string) Class {
@@ -173,7 +179,8 @@
 	for _, e := range p.engines {
 		idle := len(e.want) == 0 && e.Running == 0 && e.Waiting == 0
 		empty := !slices.ContainsFunc(e.Loaded, func(w string) bool { return !p.loadedWhereWanted(w) })
-		if idle && empty && (e.shed || slots-float64(e.Slots) >= want*spare) {
+		last := !e.Reclaimable && p.keptSlots() <= float64(e.Slots)
+		if idle && empty && !last && (e.shed || slots-float64(e.Slots) >= want*spare) {
 			free = append(free, e)
 		}
 	}
--- a/placement/plan_test.go
+++ b/placement/plan_test.go
@@ -171,3 +171,28 @@
 		})
 	}
 }
+
+// Without any demand a data centre keeps one box that no reclaim takes, however
+// dear, and asks for one if it has none.
+func TestKeepsOneThatStays(t *testing.T) {
+	spot := cloud.Start{DataCentre: "a", Class: "new", Reclaimable: true}
+	in := placement.Input{
+		DataCentre: "a", Document: models(t, 1, ""), Loads: 9,
+		Prices: []cloud.Price{
+			{DataCentre: "a", Class: "new", Reclaimable: true, PerHour: 1, Supply: 9},
+			{DataCentre: "a", Class: "new", PerHour: 3, Supply: 9},
+		},
+	}
+	es := engines(3)
+	for range 10 {
+		in.Endpoints = es
+		p := placement.Sticky{}.Plan(in)
+		require.NotContains(t, p.Stop, es[0].Name)
+		carryOut(es, p)
+		require.True(t, es[0].Has("m0@1"))
+	}
+	in.Endpoints = es[1:]
+	p := placement.Sticky{}.Plan(in)
+	require.Contains(t, p.Start, cloud.Start{DataCentre: "a", Class: "new"})
+	require.NotContains(t, p.Start, spot)
+}
