Ask other data centres for the configuration by the relays

Change: each box asks one of its own data centre; its relays ask one of each other data centre, together. Ruled out: a longer wait in the script (the promise is seconds), a push to all data centres on each change (it fails in a cut as well).

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -267,20 +267,41 @@
 }
 
 // exchange asks one box at random for a higher version, so that a lost offer
-// is made good.
+// is made good; a relay of its data centre asks one of each other too, so that
+// a data centre that was cut off has it soon after it is joined again.
 func (f *Follower) exchange(c context.Context) {
 	for c.Err() == nil {
 		wait.For(c, gossip)
-		ms := f.members.Up("")
-		if m := ms[rand.IntN(len(ms))]; m.Box != f.members.Self().Box {
-			f.fetch(c, m.Address)
+		var g sync.WaitGroup
+		for _, m := range f.partners() {
+			g.Go(func() { f.fetch(c, m.Address) })
 		}
+		g.Wait()
 		if f.version() == 0 {
 			f.readStore(c)
 		}
 	}
 }
 
+// partners chooses whom to ask in one round.
+func (f *Follower) partners() []member.Member {
+	self := f.members.Self()
+	by := map[string][]member.Member{}
+	for _, m := range f.members.Up("") {
+		if m.Box != self.Box {
+			by[m.DataCentre] = append(by[m.DataCentre], m)
+		}
+	}
+	relay, _ := f.members.Owner("relay", watchers)
+	var ps []member.Member
+	for dc, ms := range by {
+		if dc == self.DataCentre || relay {
+			ps = append(ps, ms[rand.IntN(len(ms))])
+		}
+	}
+	return ps
+}
+
 // Check reads a text and reports every mistake, against the boxes there are.
 func Check(text string, boxes []fleet.Box) []iniread.Mistake {
 	d, ms := config.Parse(0, []byte(text))
