--- a/cmd/birchctl/main.go
+++ b/cmd/birchctl/main.go
@@ -14,9 +14,9 @@
 
 	"github.com/alexflint/go-arg"
 
+	"birchlink.dev/birchlink/decisions"
 	"birchlink.dev/birchlink/follower"
 	"birchlink.dev/birchlink/iniread"
-	"birchlink.dev/birchlink/journal"
 	"birchlink.dev/birchlink/jsonhttp"
 	"birchlink.dev/birchlink/operator"
 )
@@ -167,7 +167,7 @@
 }
 
 func explain(c context.Context, h *jsonhttp.Client, subject string) error {
-	var ds []journal.Decision
+	var ds []decisions.Decision
 	if err := h.Do(c, http.MethodGet, "/operator/explain/"+subject, nil, &ds); err != nil {
 		return told(err)
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -14,10 +14,10 @@
 	"birchlink.dev/birchlink/admission"
 	"birchlink.dev/birchlink/claims"
 	"birchlink.dev/birchlink/cloud"
+	"birchlink.dev/birchlink/decisions"
 	"birchlink.dev/birchlink/dispatch"
 	"birchlink.dev/birchlink/follower"
 	"birchlink.dev/birchlink/front"
-	"birchlink.dev/birchlink/journal"
 	"birchlink.dev/birchlink/kernel"
 	"birchlink.dev/birchlink/kv"
 	"birchlink.dev/birchlink/member"
@@ -79,7 +79,7 @@
 		peer.NewNode(s.Peers, s.Advertise, s.Secret, m),
 		&kv.Service{Client: kv.New(s.KV, s.Box, s.WriteRate, s.ReadRate, m)},
 		member.New(s.Box, s.DataCentre, s.Seeds, log),
-		journal.New(s.Box, log),
+		decisions.New(s.Box, log),
 		follower.New(log),
 		view.New(),
 		admission.New(),
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -26,9 +26,9 @@
 
 	"birchlink.dev/birchlink/cloud"
 	"birchlink.dev/birchlink/daemon"
+	"birchlink.dev/birchlink/decisions"
 	"birchlink.dev/birchlink/fleet"
 	"birchlink.dev/birchlink/front"
-	"birchlink.dev/birchlink/journal"
 	"birchlink.dev/birchlink/jsonhttp"
 	"birchlink.dev/birchlink/operator"
 	"birchlink.dev/birchlink/settings"
@@ -217,7 +217,7 @@
 }
 
 func (b *box) decisions(t *testing.T, id string) []byte {
-	var ds []journal.Decision
+	var ds []decisions.Decision
 	b.operate(t, http.MethodGet, "/operator/explain/"+id, nil, &ds)
 	var out bytes.Buffer
 	for _, d := range ds {
--- a/journal/journal.go
+++ b/decisions/log.go
@@ -1,6 +1,6 @@
-// Package journal notes each routing, admission and placement decision: as a
+// Package decisions notes each routing, admission and placement decision: as a
 // log line, and in bounded memory for birchctl explain.
-package journal
+package decisions
 
 import (
 	"context"
@@ -15,7 +15,7 @@
 )
 
 // Name is the name of the service.
-const Name = "journal"
+const Name = "decisions"
 
 // kept is how many decisions a box remembers.
 const kept = 4096
@@ -41,41 +41,41 @@
 	Workload string    `json:"workload,omitempty"`
 }
 
-// Journal is the service of one box.
-type Journal struct {
+// Log is the service of one box.
+type Log struct {
 	Box string
-	Log zerolog.Logger
+	Out zerolog.Logger
 
 	mu   sync.Mutex
 	ring [kept]Decision
 	next int
 }
 
-// New returns the journal of a box.
-func New(box string, log zerolog.Logger) *Journal { return &Journal{Box: box, Log: log} }
+// New returns the log of a box.
+func New(box string, log zerolog.Logger) *Log { return &Log{Box: box, Out: log} }
 
 // Name returns the service's name.
-func (j *Journal) Name() string { return Name }
+func (l *Log) Name() string { return Name }
 
 // Start lets peers ask for decisions.
-func (j *Journal) Start(_ context.Context, k *kernel.Kernel) error {
+func (l *Log) Start(_ context.Context, k *kernel.Kernel) error {
 	n, err := kernel.Find[*peer.Node](k, peer.Name)
 	if err != nil {
 		return err
 	}
-	peer.Handle(n.Server, "journal.find", func(_ context.Context, subject string) ([]Decision, error) {
-		return j.Find(subject), nil
+	peer.Handle(n.Server, "decisions.find", func(_ context.Context, subject string) ([]Decision, error) {
+		return l.Find(subject), nil
 	})
 	return nil
 }
 
 // Stop does nothing.
-func (j *Journal) Stop(context.Context) error { return nil }
+func (l *Log) Stop(context.Context) error { return nil }
 
 // Note logs a decision and keeps it.
-func (j *Journal) Note(d Decision) {
-	d.At, d.Box = time.Now(), j.Box
-	e := j.Log.Info().Str("event", d.Event).Str("subject", d.Subject)
+func (l *Log) Note(d Decision) {
+	d.At, d.Box = time.Now(), l.Box
+	e := l.Out.Info().Str("event", d.Event).Str("subject", d.Subject)
 	if d.Workload != "" {
 		e = e.Str("workload", d.Workload)
 	}
@@ -86,18 +86,18 @@
 		e = e.Interface("figures", d.Figures)
 	}
 	e.Str("choice", d.Choice).Str("reason", d.Reason).Msg("decision")
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.ring[j.next%kept] = d
-	j.next++
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ring[l.next%kept] = d
+	l.next++
 }
 
 // Find returns the decisions about a subject, oldest first.
-func (j *Journal) Find(subject string) []Decision {
-	j.mu.Lock()
-	defer j.mu.Unlock()
+func (l *Log) Find(subject string) []Decision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	ds := []Decision{}
-	for _, d := range j.ring {
+	for _, d := range l.ring {
 		if d.Subject == subject && !d.At.IsZero() {
 			ds = append(ds, d)
 		}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -10,8 +10,8 @@
 
 	"birchlink.dev/birchlink/admission"
 	"birchlink.dev/birchlink/claims"
+	"birchlink.dev/birchlink/decisions"
 	"birchlink.dev/birchlink/errkind"
-	"birchlink.dev/birchlink/journal"
 	"birchlink.dev/birchlink/kernel"
 	"birchlink.dev/birchlink/ledger"
 	"birchlink.dev/birchlink/member"
@@ -54,7 +54,7 @@
 	keeper    *stream.Keeper
 	proxy     *plain.Proxy
 	admission *admission.Admission
-	journal   *journal.Journal
+	decisions *decisions.Log
 	group     sync.WaitGroup
 }
 
@@ -75,7 +75,7 @@
 		kernel.Bind(k, stream.Name, &d.keeper),
 		kernel.Bind(k, plain.Name, &d.proxy),
 		kernel.Bind(k, admission.Name, &d.admission),
-		kernel.Bind(k, journal.Name, &d.journal),
+		kernel.Bind(k, decisions.Name, &d.decisions),
 	); err != nil {
 		return err
 	}
@@ -148,7 +148,7 @@
 // enter asks admission. A chat for which there is no room here may go abroad.
 func (d *Dispatcher) enter(q Call) (leave func(), abroad bool, err error) {
 	leave, err = d.admission.Enter(q.admission())
-	n := journal.Decision{Subject: q.id(), Event: "admit", Choice: "accepted"}
+	n := decisions.Decision{Subject: q.id(), Event: "admit", Choice: "accepted"}
 	if errkind.Is(err, errkind.Overloaded) && q.Chat != nil && d.keeper.Abroad() {
 		n.Choice, n.Reason = "abroad", err.Error()
 		leave, abroad, err = func() {}, true, nil
@@ -156,7 +156,7 @@
 	if err != nil {
 		n.Choice, n.Reason = "refused", err.Error()
 	}
-	d.journal.Note(n)
+	d.decisions.Note(n)
 	return leave, abroad, err
 }
 
@@ -224,7 +224,7 @@
 	if !up || m.Incarnation == d.members.Self().Incarnation {
 		return errkind.New(errkind.OutcomeUnknown, "the process that may run it has ended; it ran there or not at all")
 	}
-	d.journal.Note(journal.Decision{Subject: q.id(), Event: "forward", Choice: m.Box, Reason: "it holds the key or issued the ticket"})
+	d.decisions.Note(decisions.Decision{Subject: q.id(), Event: "forward", Choice: m.Box, Reason: "it holds the key or issued the ticket"})
 	err := d.peers.Client.Stream(c, m.Address, "once.do", forwarded{Call: q, To: m.Incarnation}, nil, func(b []byte) error {
 		var i Item
 		if err := msgpack.Unmarshal(b, &i); err != nil {
--- a/dispatch/inherit.go
+++ b/dispatch/inherit.go
@@ -5,8 +5,8 @@
 	"errors"
 	"time"
 
+	"birchlink.dev/birchlink/decisions"
 	"birchlink.dev/birchlink/errkind"
-	"birchlink.dev/birchlink/journal"
 	"birchlink.dev/birchlink/member"
 	"birchlink.dev/birchlink/once"
 	"birchlink.dev/birchlink/plain"
@@ -61,13 +61,13 @@
 	for len(all) > 0 {
 		n := min(len(all), bequestSize)
 		if err := d.peers.Client.Call(c, to.Address, "once.inherit", all[:n], nil); err != nil {
-			d.journal.Note(journal.Decision{Subject: "records", Event: "bequeath", Choice: to.Box, Reason: "not taken: " + err.Error()})
+			d.decisions.Note(decisions.Decision{Subject: "records", Event: "bequeath", Choice: to.Box, Reason: "not taken: " + err.Error()})
 			return
 		}
 		all = all[n:]
 	}
 	d.members.Succeed(to.Incarnation)
-	d.journal.Note(journal.Decision{Subject: "records", Event: "bequeath", Choice: to.Box, Reason: "this process ends"})
+	d.decisions.Note(decisions.Decision{Subject: "records", Event: "bequeath", Choice: to.Box, Reason: "this process ends"})
 }
 
 func (d *Dispatcher) heir() (member.Member, bool) {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -15,12 +15,12 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"birchlink.dev/birchlink/decisions"
 	"birchlink.dev/birchlink/errkind"
 	"birchlink.dev/birchlink/fleet"
 	"birchlink.dev/birchlink/follower"
 	"birchlink.dev/birchlink/front"
 	"birchlink.dev/birchlink/iniread"
-	"birchlink.dev/birchlink/journal"
 	"birchlink.dev/birchlink/jsonhttp"
 	"birchlink.dev/birchlink/kernel"
 	"birchlink.dev/birchlink/member"
@@ -73,16 +73,16 @@
 	Log     zerolog.Logger
 	Metrics metrics.Registry
 
-	follower *follower.Follower
-	members  *member.Service
-	view     *view.View
-	placer   *placer.Placer
-	keeper   *stream.Keeper
-	front    *front.Front
-	journal  *journal.Journal
-	peers    *peer.Node
-	server   *http.Server
-	listener net.Listener
+	follower  *follower.Follower
+	members   *member.Service
+	view      *view.View
+	placer    *placer.Placer
+	keeper    *stream.Keeper
+	front     *front.Front
+	decisions *decisions.Log
+	peers     *peer.Node
+	server    *http.Server
+	listener  net.Listener
 }
 
 // New returns the operators' face of a box. Calls need the key.
@@ -119,7 +119,7 @@
 		kernel.Bind(k, placer.Name, &o.placer),
 		kernel.Bind(k, stream.Name, &o.keeper),
 		kernel.Bind(k, front.Name, &o.front),
-		kernel.Bind(k, journal.Name, &o.journal),
+		kernel.Bind(k, decisions.Name, &o.decisions),
 		kernel.Bind(k, peer.Name, &o.peers),
 	)
 }
@@ -221,12 +221,12 @@
 // explain gathers what every box that can be reached decided about a subject.
 func (o *Operator) explain(w http.ResponseWriter, r *http.Request) {
 	subject := mux.Vars(r)["subject"]
-	ds := o.journal.Find(subject)
+	ds := o.decisions.Find(subject)
 	c, cancel := context.WithTimeout(r.Context(), callLimit/2)
 	defer cancel()
 	for _, m := range o.members.Up("") {
-		var more []journal.Decision
-		if m.Box != o.members.Self().Box && o.peers.Client.Call(c, m.Address, "journal.find", subject, &more) == nil {
+		var more []decisions.Decision
+		if m.Box != o.members.Self().Box && o.peers.Client.Call(c, m.Address, "decisions.find", subject, &more) == nil {
 			ds = append(ds, more...)
 		}
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -15,11 +15,11 @@
 
 	"birchlink.dev/birchlink/admission"
 	"birchlink.dev/birchlink/cloud"
+	"birchlink.dev/birchlink/decisions"
 	"birchlink.dev/birchlink/duty"
 	"birchlink.dev/birchlink/engine"
 	"birchlink.dev/birchlink/fleet"
 	"birchlink.dev/birchlink/follower"
-	"birchlink.dev/birchlink/journal"
 	"birchlink.dev/birchlink/kernel"
 	"birchlink.dev/birchlink/kv"
 	"birchlink.dev/birchlink/member"
@@ -48,7 +48,7 @@
 	view      *view.View
 	members   *member.Service
 	follower  *follower.Follower
-	journal   *journal.Journal
+	decisions *decisions.Log
 	admission *admission.Admission
 	engines   *engine.Client
 
@@ -79,7 +79,7 @@
 		kernel.Bind(k, view.Name, &p.view),
 		kernel.Bind(k, member.Name, &p.members),
 		kernel.Bind(k, follower.Name, &p.follower),
-		kernel.Bind(k, journal.Name, &p.journal),
+		kernel.Bind(k, decisions.Name, &p.decisions),
 		kernel.Bind(k, admission.Name, &p.admission),
 	); err != nil {
 		return err
@@ -179,7 +179,7 @@
 	p.mu.Unlock()
 	for _, u := range n.Unmet {
 		if !slices.Contains(old.Unmet, u) {
-			p.journal.Note(journal.Decision{Subject: "placement", Event: "unmet", Workload: u.Workload, Choice: u.Selector, Reason: u.Reason})
+			p.decisions.Note(decisions.Decision{Subject: "placement", Event: "unmet", Workload: u.Workload, Choice: u.Selector, Reason: u.Reason})
 		}
 	}
 }
@@ -220,7 +220,7 @@
 	if busy {
 		return
 	}
-	p.journal.Note(journal.Decision{Subject: "placement", Event: "order", Choice: e.Name, Workload: fmt.Sprint(a.Workloads), Reason: a.Reason})
+	p.decisions.Note(decisions.Decision{Subject: "placement", Event: "order", Choice: e.Name, Workload: fmt.Sprint(a.Workloads), Reason: a.Reason})
 	p.group.Go(func() {
 		defer func() {
 			p.mu.Lock()
@@ -240,22 +240,22 @@
 
 func (p *Placer) start(c context.Context, s cloud.Start) {
 	b, err := p.Platform.Start(c, s)
-	n := journal.Decision{Subject: "placement", Event: "start", Choice: b.Name, Workload: s.Class, Reason: "demand needs it"}
+	n := decisions.Decision{Subject: "placement", Event: "start", Choice: b.Name, Workload: s.Class, Reason: "demand needs it"}
 	if err != nil {
 		n.Reason = err.Error()
 		p.mu.Lock()
 		p.refused[s] = time.Now()
 		p.mu.Unlock()
 	}
-	p.journal.Note(n)
+	p.decisions.Note(n)
 }
 
 func (p *Placer) stop(c context.Context, box string) {
-	n := journal.Decision{Subject: "placement", Event: "stop", Choice: box, Reason: "not needed for the demand"}
+	n := decisions.Decision{Subject: "placement", Event: "stop", Choice: box, Reason: "not needed for the demand"}
 	if err := p.Platform.Stop(c, box); err != nil {
 		n.Reason = err.Error()
 	}
-	p.journal.Note(n)
+	p.decisions.Note(n)
 }
 
 func sameSet(a, b []string) bool {
--- a/plain/proxy.go
+++ b/plain/proxy.go
@@ -16,10 +16,10 @@
 
 	"birchlink.dev/birchlink/admission"
 	"birchlink.dev/birchlink/config"
+	"birchlink.dev/birchlink/decisions"
 	"birchlink.dev/birchlink/errkind"
 	"birchlink.dev/birchlink/fleet"
 	"birchlink.dev/birchlink/follower"
-	"birchlink.dev/birchlink/journal"
 	"birchlink.dev/birchlink/kernel"
 	"birchlink.dev/birchlink/member"
 	"birchlink.dev/birchlink/observer"
@@ -73,7 +73,7 @@
 	view      *view.View
 	members   *member.Service
 	follower  *follower.Follower
-	journal   *journal.Journal
+	decisions *decisions.Log
 	admission *admission.Admission
 	fresh     *observer.Observer
 	reused    *http.Client
@@ -103,7 +103,7 @@
 		kernel.Bind(k, view.Name, &p.view),
 		kernel.Bind(k, member.Name, &p.members),
 		kernel.Bind(k, follower.Name, &p.follower),
-		kernel.Bind(k, journal.Name, &p.journal),
+		kernel.Bind(k, decisions.Name, &p.decisions),
 		kernel.Bind(k, admission.Name, &p.admission),
 		kernel.Bind(k, observer.Name, &p.fresh),
 	)
@@ -151,7 +151,7 @@
 	st.Ran = st.Ran || b != recovery.Unreachable && b != recovery.Refused
 	st.Budget = b == recovery.Unreachable || st.Attempts < maxAttempts && p.admission.Retry(q.Account)
 	d := recovery.Decide(*st)
-	p.journal.Note(journal.Decision{Subject: q.ID, Event: "recover", Choice: box, Attempt: st.Attempts, Reason: d.Reason + ": " + cause.Error(), Workload: q.Service})
+	p.decisions.Note(decisions.Decision{Subject: q.ID, Event: "recover", Choice: box, Attempt: st.Attempts, Reason: d.Reason + ": " + cause.Error(), Workload: q.Service})
 	switch d.Step {
 	case recovery.Elsewhere:
 		return nil
@@ -203,16 +203,16 @@
 		ts[i] = router.Target{Box: s.Name, Hash: s.Hash, Busy: s.Busy(), Slots: max(s.Slots, 1), TokensPerSecond: 1}
 	}
 	ch := router.LeastLoaded{}.Pick(ts, router.Query{})
-	n := journal.Decision{Subject: q.ID, Event: "route", Attempt: attempt, Reason: ch.Reason, Workload: q.Service}
+	n := decisions.Decision{Subject: q.ID, Event: "route", Attempt: attempt, Reason: ch.Reason, Workload: q.Service}
 	for _, t := range ts {
-		n.Figures = append(n.Figures, journal.Figure{Box: t.Box, Score: float64(t.Busy) / float64(t.Slots)})
+		n.Figures = append(n.Figures, decisions.Figure{Box: t.Box, Score: float64(t.Busy) / float64(t.Slots)})
 	}
 	if ch.Index < 0 {
-		p.journal.Note(n)
+		p.decisions.Note(n)
 		return nil
 	}
 	n.Choice = ss[ch.Index].Name
-	p.journal.Note(n)
+	p.decisions.Note(n)
 	return ss[ch.Index]
 }
 
--- a/stream/choose.go
+++ b/stream/choose.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"birchlink.dev/birchlink/config"
+	"birchlink.dev/birchlink/decisions"
 	"birchlink.dev/birchlink/engine"
 	"birchlink.dev/birchlink/errkind"
 	"birchlink.dev/birchlink/fleet"
-	"birchlink.dev/birchlink/journal"
 	"birchlink.dev/birchlink/member"
 	"birchlink.dev/birchlink/router"
 	"birchlink.dev/birchlink/view"
@@ -165,17 +165,17 @@
 }
 
 func (k *Keeper) noteRoute(r *run, b *candidates, ch router.Choice) {
-	d := journal.Decision{Subject: r.s.ID, Event: "route", Reason: ch.Reason, Attempt: r.attempt + 1, Workload: r.s.Workload}
+	d := decisions.Decision{Subject: r.s.ID, Event: "route", Reason: ch.Reason, Attempt: r.attempt + 1, Workload: r.s.Workload}
 	for i := range b.targets {
 		if i == ch.Index {
 			d.Choice = b.targets[i].Box
 		}
 		if i == ch.Index || len(d.Figures) < maxFigures {
 			t := b.targets[i]
-			d.Figures = append(d.Figures, journal.Figure{Box: t.Box, Score: float64(t.Busy) / float64(max(t.Slots, 1))})
+			d.Figures = append(d.Figures, decisions.Figure{Box: t.Box, Score: float64(t.Busy) / float64(max(t.Slots, 1))})
 		}
 	}
-	k.journal.Note(d)
+	k.decisions.Note(d)
 }
 
 // destinations are the endpoints that can take streams from a box that leaves,
--- a/stream/keeper.go
+++ b/stream/keeper.go
@@ -14,11 +14,11 @@
 
 	"birchlink.dev/birchlink/admission"
 	"birchlink.dev/birchlink/config"
+	"birchlink.dev/birchlink/decisions"
 	"birchlink.dev/birchlink/engine"
 	"birchlink.dev/birchlink/errkind"
 	"birchlink.dev/birchlink/fleet"
 	"birchlink.dev/birchlink/follower"
-	"birchlink.dev/birchlink/journal"
 	"birchlink.dev/birchlink/kernel"
 	"birchlink.dev/birchlink/member"
 	"birchlink.dev/birchlink/observer"
@@ -53,7 +53,7 @@
 	view      *view.View
 	members   *member.Service
 	peers     *peer.Node
-	journal   *journal.Journal
+	decisions *decisions.Log
 	follower  *follower.Follower
 	admission *admission.Admission
 	fresh     *observer.Observer
@@ -103,7 +103,7 @@
 		kernel.Bind(n, view.Name, &k.view),
 		kernel.Bind(n, member.Name, &k.members),
 		kernel.Bind(n, peer.Name, &k.peers),
-		kernel.Bind(n, journal.Name, &k.journal),
+		kernel.Bind(n, decisions.Name, &k.decisions),
 		kernel.Bind(n, follower.Name, &k.follower),
 		kernel.Bind(n, admission.Name, &k.admission),
 		kernel.Bind(n, observer.Name, &k.fresh),
@@ -283,7 +283,7 @@
 	}
 	l := reclaim.Limits{Notice: notice, Margin: notice / marginPart, BytesPerSecond: transferRate}
 	for _, m := range reclaim.Plan(ss, k.rooms(), l) {
-		k.journal.Note(journal.Decision{Subject: m.ID, Event: "reclaim", Choice: m.To, Reason: m.Reason, Workload: by[m.ID].Workload})
+		k.decisions.Note(decisions.Decision{Subject: m.ID, Event: "reclaim", Choice: m.To, Reason: m.Reason, Workload: by[m.ID].Workload})
 		if m.Act == reclaim.Finish {
 			continue
 		}
--- a/stream/run.go
+++ b/stream/run.go
@@ -5,9 +5,9 @@
 	"errors"
 	"time"
 
+	"birchlink.dev/birchlink/decisions"
 	"birchlink.dev/birchlink/engine"
 	"birchlink.dev/birchlink/errkind"
-	"birchlink.dev/birchlink/journal"
 	"birchlink.dev/birchlink/member"
 	"birchlink.dev/birchlink/reclaim"
 	"birchlink.dev/birchlink/recovery"
@@ -140,7 +140,7 @@
 }
 
 func (r *run) note(event, reason string) {
-	r.k.journal.Note(journal.Decision{
+	r.k.decisions.Note(decisions.Decision{
 		Subject: r.s.ID, Event: event, Choice: r.target.box, Reason: reason, Attempt: r.attempt, Workload: r.s.Workload,
 	})
 }
