--- /dev/null
+++ b/balance/book.go
@@ -0,0 +1,192 @@
+// Package balance chooses the endpoint of a call from what this box has sent
+// and seen, and from what other boxes told.
+package balance
+
+import (
+	"sync"
+	"time"
+
+	"birchlink.dev/birchlink/endpoint"
+)
+
+// Book keeps one account of each endpoint. Its zero value is ready.
+type Book struct {
+	mu    sync.Mutex
+	pages map[string]*page
+}
+
+// page is what is known of one endpoint. Tokens are those of prompts that were
+// sent and of which no answer has begun.
+type page struct {
+	running  int
+	waiting  int
+	tokens   int
+	told     told
+	parts    parts
+	slowness float64   // expected over observed times to the first event, smoothed
+	failures float64   // part of the calls that failed, smoothed
+	broken   int       // failures to reach it or to get any answer, in a row
+	until    time.Time // until then it is used only if there is no other
+	progress time.Time // when it last answered anything
+	since    time.Time // since when calls have been with it without a break
+}
+
+// told is the load that the other boxes reported.
+type told struct {
+	running int
+	tokens  int
+}
+
+// Smoothing of the figures taken from answers: each new one counts for so much.
+const (
+	slownessWeight = 0.15
+	failureWeight  = 0.12
+)
+
+// The time for which an endpoint that did not answer is avoided: it doubles
+// with each failure in a row.
+const (
+	minAvoid = 300 * time.Millisecond
+	maxAvoid = 3 * time.Second
+)
+
+func (b *Book) page(id string) *page {
+	if b.pages == nil {
+		b.pages = map[string]*page{}
+	}
+	p := b.pages[id]
+	if p == nil {
+		p = &page{slowness: 1}
+		b.pages[id] = p
+	}
+	return p
+}
+
+// Forget drops endpoints that are gone and have nothing running.
+func (b *Book) Forget(in map[string]bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, p := range b.pages {
+		if !in[id] && p.running == 0 {
+			delete(b.pages, id)
+		}
+	}
+}
+
+// Load is what one box has at an endpoint.
+type Load struct {
+	Running int
+	Tokens  int
+}
+
+// Own returns this box's load by endpoint.
+func (b *Book) Own() map[string]Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := map[string]Load{}
+	for id, p := range b.pages {
+		if p.running > 0 {
+			out[id] = Load{p.running, p.tokens}
+		}
+	}
+	return out
+}
+
+// Tell replaces what the other boxes have at the endpoints.
+func (b *Book) Tell(sum map[string]Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range b.pages {
+		p.told = told{}
+	}
+	for id, l := range sum {
+		b.page(id).told = told{l.Running, l.Tokens}
+	}
+}
+
+// Silent returns for how long an endpoint that has calls has answered none.
+func (b *Book) Silent(id string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.page(id)
+	if p.running == 0 {
+		return 0
+	}
+	from := p.progress
+	if p.since.After(from) {
+		from = p.since
+	}
+	return time.Since(from)
+}
+
+// Entry is one call at an endpoint, from its sending to its end.
+type Entry struct {
+	book     *Book
+	page     *page
+	tokens   int
+	expected time.Duration
+	began    time.Time
+	first    bool
+}
+
+// Begin notes that a call is sent.
+func (b *Book) Begin(e endpoint.Endpoint, c Choice) *Entry {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.page(e.ID)
+	now := time.Now()
+	if p.running == 0 {
+		p.since = now
+	}
+	p.running++
+	p.waiting++
+	p.tokens += c.Tokens
+	p.parts.sent(c.Parts, now)
+	return &Entry{book: b, page: p, tokens: c.Tokens, expected: c.Expected, began: now}
+}
+
+// Progress notes that the endpoint sent something for this call.
+func (n *Entry) Progress() {
+	n.book.mu.Lock()
+	defer n.book.mu.Unlock()
+	now := time.Now()
+	n.page.progress = now
+	n.page.broken = 0
+	n.page.until = time.Time{}
+	if n.first {
+		return
+	}
+	n.first = true
+	n.page.waiting--
+	n.page.tokens -= n.tokens
+	if n.expected > 0 {
+		r := min(max(float64(now.Sub(n.began))/float64(n.expected), 0.3), 20)
+		n.page.slowness += slownessWeight * (r - n.page.slowness)
+	}
+}
+
+// End notes that the call is over, and whether the endpoint failed it.
+func (n *Entry) End(failed bool) {
+	n.book.mu.Lock()
+	defer n.book.mu.Unlock()
+	if !n.first {
+		n.page.waiting--
+		n.page.tokens -= n.tokens
+	}
+	n.page.running--
+	v := 0.0
+	if failed {
+		v = 1
+	}
+	n.page.failures += failureWeight * (v - n.page.failures)
+}
+
+// Avoid notes that an endpoint could not be reached or did not answer at all.
+func (b *Book) Avoid(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.page(id)
+	d := min(minAvoid<<min(p.broken, 8), maxAvoid)
+	p.broken++
+	p.until = time.Now().Add(d)
+}
--- /dev/null
+++ b/balance/choose.go
@@ -0,0 +1,142 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"birchlink.dev/birchlink/call"
+	"birchlink.dev/birchlink/endpoint"
+)
+
+// The figures by which the time to a first event is estimated.
+const (
+	// tokensPerMillisecond is how fast an engine reads a prompt; the users' sheet
+	// gives 32.4 for each of their engines.
+	tokensPerMillisecond = 32.0
+
+	// perRunning is what each running request adds to the wait for a first event:
+	// a step takes longer with each (0.02 ms), and reading is done between steps.
+	perRunning = 2 * time.Millisecond
+
+	// elsewhere is what an endpoint of another data centre must be better by,
+	// since bytes between data centres are paid for.
+	elsewhere = 250 * time.Millisecond
+
+	// failurePenalty is the time that a certain failure is taken to cost.
+	failurePenalty = 3 * time.Second
+
+	// coldPart is the part of a cold endpoint's remaining warm-up that counts.
+	coldPart = 0.2
+
+	// homePart is the part of a prompt's shared pieces that the endpoint which all
+	// boxes prefer for it is taken to hold already.
+	homePart = 0.7
+)
+
+// Query is what a choice depends on. Parts are those that other requests share.
+type Query struct {
+	DataCentre string
+	Parts      []call.Part
+	Shared     int // how many of Parts, from the first, other requests may share
+	Prompt     int // tokens, all parts together
+	Engine     bool
+	Skip       map[string]bool
+}
+
+// Choice is the endpoint chosen, the time to its first event that was expected,
+// and the tokens that it has to read. Slots is how much of its room was taken.
+type Choice struct {
+	Endpoint endpoint.Endpoint
+	Expected time.Duration
+	Tokens   int
+	Parts    []call.Part
+	Avoided  bool
+	Running  int
+}
+
+// Choose returns the endpoint with the least expected time to the first event,
+// and false if there is none.
+func (b *Book) Choose(es []endpoint.Endpoint, q Query) (Choice, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	home := homeOf(es, q)
+	var best Choice
+	var cost time.Duration
+	found := false
+	for i := range es {
+		if q.Skip[es[i].ID] {
+			continue
+		}
+		c := b.judge(&es[i], q, es[i].ID == home, now)
+		d := c.Expected + b.penalty(&es[i], q, now)
+		switch {
+		case !found, best.Avoided && !c.Avoided, best.Avoided == c.Avoided && d < cost:
+			best, cost, found = c, d, true
+		}
+	}
+	return best, found
+}
+
+// judge estimates the time to the first event at one endpoint.
+func (b *Book) judge(e *endpoint.Endpoint, q Query, home bool, now time.Time) Choice {
+	p := b.page(e.ID)
+	c := Choice{Endpoint: *e, Parts: q.Parts, Avoided: now.Before(p.until), Running: p.running + p.told.running}
+	if !q.Engine {
+		over := max(c.Running+1-e.Slots, 0)
+		c.Expected = time.Duration(c.Running)*perRunning + time.Duration(over)*10*perRunning
+		return c
+	}
+	held := p.parts.held(q.Parts, now)
+	if home {
+		held = max(held, int(homePart*float64(shared(q))))
+	}
+	c.Tokens = max(q.Prompt-held, 0)
+	wait := float64(p.tokens + p.told.tokens + c.Tokens)
+	c.Expected = time.Duration(wait/tokensPerMillisecond*float64(time.Millisecond)) + time.Duration(c.Running)*perRunning
+	if c.Running >= e.Slots {
+		c.Expected += time.Duration(c.Running-e.Slots+1) * 20 * perRunning
+	}
+	return c
+}
+
+// penalty is what counts against an endpoint besides its load.
+func (b *Book) penalty(e *endpoint.Endpoint, q Query, now time.Time) time.Duration {
+	p := b.page(e.ID)
+	d := time.Duration(p.failures*p.failures*float64(failurePenalty)) + time.Duration(coldPart*float64(e.Cold))
+	if e.DataCentre != q.DataCentre {
+		d += elsewhere
+	}
+	if p.slowness > 1.5 {
+		d += time.Duration((p.slowness - 1) * float64(50*time.Millisecond))
+	}
+	return d
+}
+
+func shared(q Query) int {
+	n := 0
+	for _, p := range q.Parts[:min(q.Shared, len(q.Parts))] {
+		n += p.Tokens
+	}
+	return n
+}
+
+// homeOf returns the endpoint of the box's own data centre that every box there
+// prefers for prompts that begin alike: the highest rendezvous hash.
+func homeOf(es []endpoint.Endpoint, q Query) string {
+	if q.Shared == 0 || q.Shared > len(q.Parts) {
+		return ""
+	}
+	key := q.Parts[q.Shared-1].ID
+	home, top := "", uint64(0)
+	for i := range es {
+		if es[i].DataCentre != q.DataCentre || q.Skip[es[i].ID] {
+			continue
+		}
+		if w := xxhash.Sum64String(key + "/" + es[i].ID); home == "" || w > top {
+			home, top = es[i].ID, w
+		}
+	}
+	return home
+}
--- a/cmd/birchlinkd/main.go
+++ b/cmd/birchlinkd/main.go
@@ -3,10 +3,16 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/alexflint/go-arg"
+	"github.com/rs/zerolog/diode"
+	"go.uber.org/fx"
 
 	"birchlink.dev/birchlink/daemon"
 	"birchlink.dev/birchlink/settings"
@@ -14,12 +20,16 @@
 
 type arguments struct {
 	Settings string `arg:"positional,required" help:"the INI file with this box's settings"`
+	Platform bool   `arg:"--platform" help:"run on the users' platform: the file is the one that deploy/box.ini makes"`
 	Check    bool   `arg:"--check" help:"report every mistake in the settings and exit"`
 }
 
 // Description says what the program is for.
 func (arguments) Description() string { return "birchlinkd serves callers on one entry box." }
 
+// logLines bounds the log lines that wait for a slow reader; more are dropped.
+const logLines = 4096
+
 func main() {
 	var a arguments
 	arg.MustParse(&a)
@@ -30,6 +40,9 @@
 }
 
 func run(a arguments) error {
+	if a.Platform {
+		return runEntry(a)
+	}
 	s, err := settings.Load(a.Settings)
 	if err != nil {
 		return err
@@ -42,20 +55,67 @@
 	if err != nil {
 		return err
 	}
-	return serve(d)
+	stop := make(chan struct{})
+	go func() {
+		<-d.App.Wait()
+		close(stop)
+	}()
+	return serve(d.App, stop)
+}
+
+func runEntry(a arguments) error {
+	s, err := settings.LoadEntry(a.Settings)
+	if err != nil {
+		return err
+	}
+	if a.Check {
+		fmt.Println("settings are in order")
+		return nil
+	}
+	w := output()
+	defer w.Close()
+	d, err := daemon.NewEntry(s, w)
+	if err != nil {
+		return err
+	}
+	stop := make(chan struct{})
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		stopping := false
+		for v := range signals {
+			if v == syscall.SIGHUP {
+				d.Reload(a.Settings)
+				continue
+			}
+			if !stopping {
+				stopping = true
+				close(stop)
+			}
+		}
+	}()
+	return serve(d.App, stop)
+}
+
+// output returns a writer that never blocks: lines that a slow reader leaves
+// waiting are dropped beyond logLines, and their number is told.
+func output() io.WriteCloser {
+	return diode.NewWriter(os.Stdout, logLines, 0, func(missed int) {
+		fmt.Fprintf(os.Stdout, "{\"level\":\"warn\",\"event\":\"log lines dropped\",\"count\":%d}\n", missed)
+	})
 }
 
-// serve runs until a signal, or until the box's own notice, and stops in order.
-func serve(d *daemon.Daemon) error {
-	c, cancel := context.WithTimeout(context.Background(), d.App.StartTimeout())
+// serve runs until stop is closed, and stops in order.
+func serve(app *fx.App, stop <-chan struct{}) error {
+	c, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
 	defer cancel()
-	if err := d.App.Start(c); err != nil {
+	if err := app.Start(c); err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
-	<-d.App.Wait()
-	x, stop := context.WithTimeout(context.Background(), d.App.StopTimeout())
-	defer stop()
-	if err := d.App.Stop(x); err != nil {
+	<-stop
+	x, end := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer end()
+	if err := app.Stop(x); err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		return fmt.Errorf("stop: %w", err)
 	}
 	return nil
--- /dev/null
+++ b/forward/forwarder.go
@@ -0,0 +1,72 @@
+// Package forward carries one call to the endpoints that may answer it: it
+// chooses, sends, and decides what follows when an attempt breaks.
+package forward
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"birchlink.dev/birchlink/balance"
+	"birchlink.dev/birchlink/budget"
+	"birchlink.dev/birchlink/call"
+	"birchlink.dev/birchlink/catalog"
+	"birchlink.dev/birchlink/endpoint"
+	"birchlink.dev/birchlink/exchange"
+)
+
+// Codec translates between calls and the headers that endpoints speak.
+type Codec interface {
+	Head(c *call.Call, a call.Attempt) http.Header
+	Outcome(status int, h http.Header) call.Outcome
+}
+
+// Sink takes an answer. Head is called once, before the first Event; Whole is
+// called instead of both for an answer that is no stream of events.
+type Sink interface {
+	Head(status int, h http.Header) error
+	Event(raw []byte) error
+	Whole(status int, h http.Header, body []byte) error
+}
+
+// Request is a call with what the configuration says of it.
+type Request struct {
+	Call    *call.Call
+	Route   *catalog.Route
+	Service *catalog.Service
+	Account *catalog.Account // nil where no key is needed
+	Expires time.Time
+}
+
+// Began is told of each request that an endpoint began to run.
+type Began func(account string, at time.Time)
+
+// Forwarder carries calls. All fields must be set.
+type Forwarder struct {
+	DataCentre string
+	Roster     *endpoint.Roster
+	Book       *balance.Book
+	Pool       *exchange.Pool
+	Budget     *budget.Budget
+	Codec      Codec
+	Began      Began
+	Log        zerolog.Logger
+}
+
+// Do carries a request to its end. A nil error means that the sink has the whole
+// answer. Another is of a kind of package errkind; if the sink has been given a
+// head by then, the answer must be broken off.
+func (f *Forwarder) Do(c context.Context, q Request, s Sink) error {
+	r := &run{f: f, q: q, sink: s, skip: map[string]bool{}, last: q.Call.LastEvent}
+	f.Budget.Request(q.Service.Name, time.Now())
+	c, cancel := context.WithDeadline(c, q.Expires)
+	defer cancel()
+	for {
+		done, err := r.step(c)
+		if done || err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/forward/run.go
@@ -0,0 +1,248 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"birchlink.dev/birchlink/balance"
+	"birchlink.dev/birchlink/call"
+	"birchlink.dev/birchlink/catalog"
+	"birchlink.dev/birchlink/endpoint"
+	"birchlink.dev/birchlink/errkind"
+	"birchlink.dev/birchlink/exchange"
+	"birchlink.dev/birchlink/recovery"
+	"birchlink.dev/birchlink/wait"
+)
+
+// maxDials bounds the endpoints of one request that could not be reached.
+const maxDials = 3
+
+// noneWait is how long a request waits for an endpoint where none is known, and
+// nonePause the time between looks. An order for one takes seconds.
+const (
+	noneWait  = 100 * time.Millisecond
+	nonePause = 20 * time.Millisecond
+)
+
+// run is one request on its way.
+type run struct {
+	f    *Forwarder
+	q    Request
+	sink Sink
+
+	skip     map[string]bool // endpoints that were tried
+	attempts int             // that reached an endpoint
+	dials    int             // that reached none
+	ran      bool            // an attempt may have run
+	counted  bool
+	headSent bool
+	last     string // the last event that the caller has
+	held     *whole // a failure that an endpoint answered, if nothing better comes
+}
+
+// whole is an answer that has been read to its end.
+type whole struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// ended is how an attempt ended.
+type ended struct {
+	breakage recovery.Break
+	err      error
+	done     bool // the sink has the whole answer
+	progress bool // it added events to the caller's stream
+}
+
+// step makes one attempt. It reports whether the request is done.
+func (r *run) step(c context.Context) (bool, error) {
+	ch, ok := r.choose(c)
+	if !ok {
+		return r.fail(errkind.NoEndpoint, "no endpoint of "+r.q.Service.Name+" is left")
+	}
+	e := ch.Endpoint
+	r.skip[e.ID] = true
+	if r.attempts > 0 && !r.f.Budget.Spend(r.q.Service.Name, time.Now()) {
+		return r.fail(errkind.Overloaded, "the service's retries are used up")
+	}
+	out := r.attempt(c, ch)
+	if out.done {
+		return true, nil
+	}
+	if errors.Is(out.err, errSink) || errors.Is(c.Err(), context.Canceled) {
+		return false, errkind.New(errkind.CallerGone, "the caller left: %w", out.err)
+	}
+	r.note(out, e)
+	d := recovery.Decide(recovery.State{
+		Break: out.breakage, Repeatable: r.q.Route.Repeatable(), Tries: recovery.MaxTries,
+		Attempts: r.attempts + max(r.dials-maxDials+1, 0)*recovery.MaxAttempts, Ran: r.ran,
+		Expired: c.Err() != nil, Limit: r.limit(),
+		Budget:  out.breakage == recovery.Unreachable || r.f.Budget.Allowed(r.q.Service.Name, time.Now()),
+		Charged: true,
+	})
+	r.f.Log.Info().Str("event", "attempt broke").Str("request", r.q.Call.ID).Str("endpoint", e.ID).Int("attempt", r.attempts).
+		Int("break", int(out.breakage)).Str("last_event", r.last).Bool("ran", r.ran).Err(out.err).Str("reason", d.Reason).Msg("decision")
+	if d.Step == recovery.Elsewhere {
+		return false, nil
+	}
+	return r.fail(d.Kind, d.Reason+": "+errText(out.err))
+}
+
+// note counts an attempt by how it ended.
+func (r *run) note(out ended, e endpoint.Endpoint) {
+	switch out.breakage {
+	case recovery.Unreachable:
+		r.dials++
+		r.f.Book.Avoid(e.ID)
+	case recovery.Refused:
+		r.attempts++
+	default:
+		r.attempts++
+		r.ran = true
+		if out.progress {
+			// A stream that went on here may go on there: what it has is kept.
+			r.held = nil
+		}
+	}
+}
+
+// limit is the number of endpoints that the request may be sent to.
+func (r *run) limit() int { return max(r.q.Route.MaxAttempts, 1) }
+
+// fail ends a request that no attempt answered. What an endpoint itself said of
+// a failure is passed on in place of an error of this box, where there is one.
+func (r *run) fail(k errkind.Kind, reason string) (bool, error) {
+	if r.held != nil && !r.headSent {
+		r.f.Log.Info().Str("event", "answer").Str("request", r.q.Call.ID).Int("status", r.held.status).Str("reason", reason).Msg("the endpoint's own failure")
+		if err := r.sink.Whole(r.held.status, r.held.header, r.held.body); err != nil {
+			return false, errkind.New(errkind.CallerGone, "the caller left: %w", err)
+		}
+		return true, nil
+	}
+	if r.ran && k.Answer().Run == errkind.NotRun {
+		k = errkind.EngineFailed
+		if !r.q.Route.Repeatable() {
+			k = errkind.OutcomeUnknown
+		}
+	}
+	return false, errkind.New(k, "%s", reason)
+}
+
+// choose picks an endpoint that was not tried, and waits a moment where none
+// is known.
+func (r *run) choose(c context.Context) (balance.Choice, bool) {
+	q := r.query()
+	end := time.Now().Add(noneWait)
+	for {
+		es := r.f.Roster.Serving(r.q.Service.Name)
+		if ch, ok := r.f.Book.Choose(es, q); ok {
+			return ch, true
+		}
+		if len(es) > 0 || r.attempts+r.dials > 0 || time.Now().After(end) || c.Err() != nil {
+			return balance.Choice{}, false
+		}
+		wait.For(c, nonePause)
+	}
+}
+
+func (r *run) query() balance.Query {
+	q := balance.Query{
+		DataCentre: r.f.DataCentre, Engine: r.q.Service.Engine != nil, Skip: r.skip,
+		Parts: r.q.Call.Parts, Prompt: r.q.Call.PromptTokens,
+	}
+	// The last part belongs to the request or to its session.
+	q.Shared = max(len(q.Parts)-1, 0)
+	n := 0
+	for _, p := range q.Parts {
+		n += p.Tokens
+	}
+	q.Prompt = max(q.Prompt, n)
+	return q
+}
+
+// The times for which a connection may have rested before it is used again. A
+// request that may not be repeated is lost with its connection, so it gets one
+// that was in use a moment ago, or a new one.
+const (
+	restRepeatable = 5 * time.Second
+	restOnce       = time.Second
+)
+
+// attempt sends the request to one endpoint and passes on what it answers.
+func (r *run) attempt(c context.Context, ch balance.Choice) ended {
+	x, cancel := context.WithCancelCause(c)
+	defer cancel(nil)
+	rest := restOnce
+	if r.q.Route.Repeatable() {
+		rest = restRepeatable
+	}
+	e := ch.Endpoint
+	a := call.Attempt{Endpoint: e.ID, Left: time.Until(r.q.Expires), LastEvent: r.last, Priority: r.priority()}
+	if r.q.Account != nil {
+		a.Account = r.q.Account.Name
+	}
+	cl := r.q.Call
+	n := r.f.Book.Begin(e, ch)
+	w := r.watch(cancel, e.ID)
+	defer w.stop()
+	sent := time.Now()
+	ans, err := r.f.Pool.Do(x, exchange.Request{
+		Address: e.Address, Method: cl.Method, Target: cl.Target, Host: cl.Host, Header: r.f.Codec.Head(cl, a), Body: cl.Body, Rest: rest,
+		Mine: func(h http.Header) bool { return r.f.Codec.Outcome(0, h).ID == cl.ID },
+	})
+	if err != nil {
+		unreachable := errors.Is(err, exchange.ErrUnreachable)
+		n.End(c.Err() == nil)
+		if unreachable {
+			return ended{breakage: recovery.Unreachable, err: err}
+		}
+		return ended{breakage: recovery.Gone, err: cause(x, err)}
+	}
+	defer ans.Close()
+	out := r.take(ans, n, w, sent)
+	out.err = cause(x, out.err)
+	n.End(!out.done && out.breakage != recovery.Refused && c.Err() == nil)
+	return out
+}
+
+// priority is the rank at the endpoint: the account's before the route's.
+func (r *run) priority() int {
+	p := r.q.Route.Priority
+	if r.q.Account != nil {
+		p += 3 * r.q.Account.Priority
+	}
+	return p
+}
+
+func (r *run) began(at time.Time) {
+	if r.counted {
+		return
+	}
+	r.counted = true
+	if r.q.Account != nil {
+		r.f.Began(r.q.Account.Name, at)
+	}
+}
+
+func (r *run) stream() bool { return r.q.Route.Kind == catalog.Stream }
+
+// cause returns why an attempt was ended by this box, if it was.
+func cause(x context.Context, err error) error {
+	if err == nil {
+		return nil
+	}
+	if v := context.Cause(x); v != nil {
+		return v
+	}
+	return err
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/forward/take.go
@@ -0,0 +1,104 @@
+package forward
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"birchlink.dev/birchlink/balance"
+	"birchlink.dev/birchlink/exchange"
+	"birchlink.dev/birchlink/recovery"
+	"birchlink.dev/birchlink/sse"
+)
+
+// maxAnswer bounds an answer that is held whole, in bytes.
+const maxAnswer = 8 << 20
+
+// errSink says that the caller did not take what it was given.
+var errSink = errors.New("the caller does not read")
+
+// take reads one answer.
+func (r *run) take(a *exchange.Answer, n *balance.Entry, w *watch, sent time.Time) ended {
+	o := r.f.Codec.Outcome(a.Status, a.Header)
+	if o.NotRun {
+		n.Progress()
+		_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxAnswer))
+		return ended{breakage: recovery.Refused, err: fmt.Errorf("status %d: not run", a.Status)}
+	}
+	if a.Event && a.Status < http.StatusMultipleChoices && r.stream() {
+		return r.events(a, n, w)
+	}
+	b, err := io.ReadAll(io.LimitReader(a.Body, maxAnswer+1))
+	if err == nil && len(b) > maxAnswer {
+		err = fmt.Errorf("the answer is over %d bytes", maxAnswer)
+	}
+	if err != nil {
+		return ended{breakage: recovery.Gone, err: fmt.Errorf("the answer was cut: %w", err)}
+	}
+	n.Progress()
+	r.began(sent)
+	if a.Status >= http.StatusInternalServerError {
+		r.keep(a, b)
+		return ended{breakage: recovery.Gone, err: fmt.Errorf("status %d", a.Status)}
+	}
+	if r.headSent {
+		return ended{breakage: recovery.Gone, err: fmt.Errorf("status %d in place of the rest of a stream", a.Status)}
+	}
+	// The connection is free for others before a slow caller has read.
+	a.Close()
+	if err := r.sink.Whole(a.Status, a.Header, b); err != nil {
+		return ended{breakage: recovery.Gone, err: fmt.Errorf("%w: %w", errSink, err)}
+	}
+	return ended{done: true}
+}
+
+// keep holds on to an endpoint's own failure, to be passed on if nothing better
+// comes. A status that promises that nothing ran is not one to pass on here.
+func (r *run) keep(a *exchange.Answer, b []byte) {
+	if a.Status == http.StatusServiceUnavailable {
+		return
+	}
+	r.held = &whole{a.Status, a.Header, b}
+}
+
+// events passes on whole events as they come. The head of the first endpoint
+// that has an event is the answer's.
+func (r *run) events(a *exchange.Answer, n *balance.Entry, w *watch) ended {
+	rd := sse.NewReader(a.Body)
+	out := ended{breakage: recovery.Gone}
+	for {
+		e, err := rd.Next()
+		if errors.Is(err, io.EOF) {
+			if !r.headSent {
+				out.err = errors.New("the stream ended before its first event")
+				return out
+			}
+			out.done = true
+			return out
+		}
+		if err != nil {
+			out.err = fmt.Errorf("the stream broke: %w", err)
+			return out
+		}
+		w.saw()
+		n.Progress()
+		r.began(time.Now())
+		if !r.headSent {
+			r.headSent = true
+			if err := r.sink.Head(a.Status, a.Header); err != nil {
+				out.err = fmt.Errorf("%w: %w", errSink, err)
+				return out
+			}
+		}
+		if err := r.sink.Event(e.Raw); err != nil {
+			out.err = fmt.Errorf("%w: %w", errSink, err)
+			return out
+		}
+		out.progress = true
+		if e.ID != "" {
+			r.last = e.ID
+		}
+	}
+}
--- /dev/null
+++ b/forward/watch.go
@@ -0,0 +1,77 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+)
+
+// errSilent says that an attempt was given up because its endpoint was silent.
+var errSilent = errors.New("the endpoint is silent")
+
+// The silence after which an endpoint is taken to be gone: none of its calls has
+// had anything from it, and this one neither. Reading the longest prompt of the
+// users' sheets takes 0.6 s.
+const (
+	silence   = 1200 * time.Millisecond
+	watchStep = 200 * time.Millisecond
+)
+
+// plainPart is how many objectives a repeatable call of a plain service is given
+// at one endpoint before another is tried.
+const plainPart = 1.0
+
+// watch ends an attempt whose endpoint is silent. A request that may not run
+// twice is left alone: a silent endpoint may still be running it.
+type watch struct {
+	mu    sync.Mutex
+	last  time.Time
+	timer *time.Timer
+	over  bool
+}
+
+func (r *run) watch(cancel context.CancelCauseFunc, id string) *watch {
+	w := &watch{last: time.Now()}
+	if !r.q.Route.Repeatable() {
+		return w
+	}
+	if !r.stream() {
+		if r.attempts+1 < r.limit() && r.q.Route.Objective > 0 {
+			d := time.Duration(plainPart * float64(r.q.Route.Objective))
+			w.timer = time.AfterFunc(d, func() { cancel(errSilent) })
+		}
+		return w
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(watchStep, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.over {
+			return
+		}
+		if time.Since(w.last) > silence && r.f.Book.Silent(id) > silence {
+			r.f.Book.Avoid(id)
+			cancel(errSilent)
+			return
+		}
+		w.timer.Reset(watchStep)
+	})
+	return w
+}
+
+func (w *watch) saw() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.last = time.Now()
+}
+
+func (w *watch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.over = true
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
--- /dev/null
+++ b/known/known.go
@@ -0,0 +1,223 @@
+// Package known holds what a box has learnt of its fleet: the configuration in
+// force and the endpoints, and how fresh each is.
+package known
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"birchlink.dev/birchlink/catalog"
+	"birchlink.dev/birchlink/endpoint"
+	"birchlink.dev/birchlink/kernel"
+	"birchlink.dev/birchlink/mirror"
+	"birchlink.dev/birchlink/session"
+	"birchlink.dev/birchlink/store"
+)
+
+// Name is the name of the service.
+const Name = "known"
+
+// lapse is how long a key that vanished may come back: after an outage of the
+// store, endpoints that live write their records again within two seconds.
+const lapse = 2 * time.Second
+
+// outageMargin is how long after an outage a vanished record may be due to it.
+const outageMargin = 2500 * time.Millisecond
+
+// Source says where the configuration and the endpoints stand, and decodes them.
+type Source struct {
+	ConfigKey       string
+	EndpointsPrefix string
+	Document        func([]byte) (*catalog.Document, error)
+	Endpoint        func(key string, value []byte) (endpoint.Endpoint, error)
+}
+
+// Known is the service of one box.
+type Known struct {
+	Source
+	Store  store.Store
+	Roster endpoint.Roster
+
+	log     zerolog.Logger
+	session *session.Session
+	cancel  context.CancelFunc
+	group   sync.WaitGroup
+
+	table  atomic.Pointer[catalog.Table]
+	listed atomic.Bool // the endpoints have been read once
+
+	mu     sync.Mutex
+	raw    []byte                 // the configuration as it was written
+	absent map[string]*time.Timer // records that may come back
+	subs   []func(*catalog.Table)
+}
+
+// New returns the service.
+func New(src Source, s store.Store, log zerolog.Logger) *Known {
+	return &Known{Source: src, Store: s, log: log, absent: map[string]*time.Timer{}}
+}
+
+// Name returns the service's name.
+func (k *Known) Name() string { return Name }
+
+// Start begins to follow the store.
+func (k *Known) Start(_ context.Context, n *kernel.Kernel) error {
+	if err := kernel.Bind(n, session.Name, &k.session); err != nil {
+		return err
+	}
+	c, cancel := context.WithCancel(context.Background())
+	k.cancel = cancel
+	for _, m := range []*mirror.Mirror{
+		{Store: k.Store, Prefix: k.ConfigKey, Apply: k.applyConfig, Log: k.log},
+		{Store: k.Store, Prefix: k.EndpointsPrefix, Apply: k.applyEndpoints, Log: k.log},
+	} {
+		k.session.OnReturn(m.Restart)
+		k.group.Go(func() { m.Run(c) })
+	}
+	return nil
+}
+
+// Stop ends the following.
+func (k *Known) Stop(context.Context) error {
+	k.cancel()
+	k.group.Wait()
+	return nil
+}
+
+// Table returns the configuration in force, or nil if none is known.
+func (k *Known) Table() *catalog.Table { return k.table.Load() }
+
+// Ready reports whether the configuration and the endpoints are known.
+func (k *Known) Ready() bool { return k.table.Load() != nil && k.listed.Load() }
+
+// OnConfig sets what is called with each configuration installed from now on.
+func (k *Known) OnConfig(f func(*catalog.Table)) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.subs = append(k.subs, f)
+}
+
+// Raw returns the version in force and its text, for a box that lacks it.
+func (k *Known) Raw() (uint64, []byte) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if t := k.table.Load(); t != nil {
+		return t.Document.Version, k.raw
+	}
+	return 0, nil
+}
+
+// Install takes a configuration if it is newer than the one in force. From says
+// where it came from.
+func (k *Known) Install(raw []byte, from string) error {
+	d, err := k.Document(raw)
+	if err != nil {
+		return fmt.Errorf("configuration from %s: %w", from, err)
+	}
+	t := catalog.NewTable(d)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	old := k.table.Load()
+	if old != nil && d.Version <= old.Document.Version {
+		return nil
+	}
+	k.table.Store(t)
+	k.raw = raw
+	for _, f := range k.subs {
+		f(t)
+	}
+	k.log.Info().Str("event", "configuration").Uint64("version", d.Version).Str("from", from).
+		Int("routes", len(d.Routes)).Int("accounts", len(d.Accounts)).Msg("in force")
+	return nil
+}
+
+func (k *Known) applyConfig(items []store.Item, _ bool, _ uint64) {
+	for _, i := range items {
+		if i.Deleted || i.Key != k.ConfigKey {
+			continue
+		}
+		if err := k.Install(i.Value, "store"); err != nil {
+			k.log.Error().Str("event", "configuration").Uint64("revision", i.Revision).Err(err).Msg("not taken; the one in force stays")
+		}
+	}
+}
+
+func (k *Known) applyEndpoints(items []store.Item, whole bool, revision uint64) {
+	seen := map[string]bool{}
+	for _, i := range items {
+		e, err := k.endpoint(i)
+		switch {
+		case i.Deleted:
+			k.vanish(e.ID, revision)
+		case err != nil:
+			k.log.Error().Str("event", "endpoint").Str("key", i.Key).Err(err).Msg("record not read")
+		default:
+			seen[e.ID] = true
+			k.enter(e, i.Revision)
+		}
+	}
+	if whole {
+		for _, id := range k.Roster.IDs() {
+			if !seen[id] {
+				k.vanish(id, revision)
+			}
+		}
+		k.listed.Store(true)
+	}
+}
+
+// endpoint decodes a record; of one that was deleted only the ID is known.
+func (k *Known) endpoint(i store.Item) (endpoint.Endpoint, error) {
+	if i.Deleted {
+		return endpoint.Endpoint{ID: i.Key[len(k.EndpointsPrefix):]}, nil
+	}
+	return k.Endpoint(i.Key, i.Value)
+}
+
+func (k *Known) enter(e endpoint.Endpoint, revision uint64) {
+	k.mu.Lock()
+	if t := k.absent[e.ID]; t != nil {
+		t.Stop()
+		delete(k.absent, e.ID)
+	}
+	k.mu.Unlock()
+	old, had := k.Roster.Get(e.ID)
+	k.Roster.Put(e)
+	if had && old.Draining == e.Draining {
+		return
+	}
+	k.log.Info().Str("event", "endpoint").Str("endpoint", e.ID).Str("service", e.Service).Str("address", e.Address).
+		Str("data_centre", e.DataCentre).Bool("draining", e.Draining).Bool("reclaimable", e.Reclaimable).
+		Dur("leaves", e.Leaves).Uint64("revision", revision).Msg("known")
+}
+
+// vanish removes an endpoint whose record is gone: at once, or after lapse if
+// the record may have ended during an outage of the store.
+func (k *Known) vanish(id string, revision uint64) {
+	e, had := k.Roster.Get(id)
+	if !had {
+		return
+	}
+	if !e.Draining && k.session.SinceReturn() < outageMargin {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		if k.absent[id] == nil {
+			k.absent[id] = time.AfterFunc(lapse, func() { k.gone(id, revision) })
+		}
+		return
+	}
+	k.gone(id, revision)
+}
+
+func (k *Known) gone(id string, revision uint64) {
+	k.mu.Lock()
+	delete(k.absent, id)
+	k.mu.Unlock()
+	k.Roster.Remove(id)
+	k.log.Info().Str("event", "endpoint").Str("endpoint", id).Uint64("revision", revision).Msg("gone")
+}
--- /dev/null
+++ b/mirror/mirror.go
@@ -0,0 +1,89 @@
+// Package mirror keeps a copy of the keys under a prefix of the store.
+package mirror
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"birchlink.dev/birchlink/store"
+	"birchlink.dev/birchlink/wait"
+)
+
+// The times of a watch. Each call is paid for, so a watch waits long; one that
+// hangs on a connection that was cut is ended by Restart.
+const (
+	watchWait = 15 * time.Second
+	minPause  = 50 * time.Millisecond
+	maxPause  = 400 * time.Millisecond
+)
+
+// Mirror follows one prefix. Apply gets changes in the order of their revisions;
+// with whole set, the items are all that there is, and a key that is missing is
+// gone. It is called by one goroutine.
+type Mirror struct {
+	Store  store.Store
+	Prefix string
+	Apply  func(items []store.Item, whole bool, revision uint64)
+	Log    zerolog.Logger
+
+	mu      sync.Mutex
+	restart context.CancelFunc
+}
+
+// Restart ends the call under way, and begins again from the last revision.
+func (m *Mirror) Restart() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.restart != nil {
+		m.restart()
+	}
+}
+
+// Run follows the prefix until c ends.
+func (m *Mirror) Run(c context.Context) {
+	var revision uint64
+	for c.Err() == nil {
+		x, cancel := context.WithCancel(c)
+		m.mu.Lock()
+		m.restart = cancel
+		m.mu.Unlock()
+		next, err := m.step(x, revision)
+		restarted := x.Err() != nil
+		cancel()
+		switch {
+		case err == nil:
+			revision = next
+		case errors.Is(err, store.ErrHistory):
+			m.Log.Info().Str("event", "watch").Str("prefix", m.Prefix).Uint64("revision", revision).Msg("the history is gone; reading everything")
+			revision = 0
+		case restarted:
+		default:
+			m.Log.Debug().Str("event", "watch").Str("prefix", m.Prefix).Err(err).Msg("no answer")
+			wait.For(c, minPause+rand.N(maxPause-minPause))
+		}
+	}
+}
+
+func (m *Mirror) step(c context.Context, revision uint64) (uint64, error) {
+	if revision == 0 {
+		items, at, err := m.Store.Range(c, m.Prefix)
+		if err != nil {
+			return 0, err
+		}
+		m.Apply(items, true, at)
+		return at, nil
+	}
+	items, at, err := m.Store.Watch(c, m.Prefix, revision, watchWait)
+	if err != nil {
+		return 0, err
+	}
+	if len(items) > 0 {
+		m.Apply(items, false, at)
+	}
+	return max(at, revision), nil
+}
--- a/recovery/decide.go
+++ b/recovery/decide.go
@@ -40,6 +40,11 @@
 	Ran        bool
 	Expired    bool
 	Budget     bool
+
+	// Limit is the number of attempts allowed; zero is MaxAttempts. Charged says
+	// that the budget also pays for another attempt after a confirmed refusal.
+	Limit   int
+	Charged bool
 }
 
 // The bounds of the decision.
@@ -72,13 +77,20 @@
 		return Decision{Reattach, 0, "the connection broke"}
 	case !confirmed && !s.Repeatable:
 		return unconfirmed(s)
-	case s.Attempts >= MaxAttempts || !s.Budget && !confirmed:
+	case s.Attempts >= s.limit() || !s.Budget && (!confirmed || s.Charged):
 		return Decision{Fail, exhausted(s.Ran), "retries are used up"}
 	default:
 		return Decision{Elsewhere, 0, "another endpoint goes on"}
 	}
 }
 
+func (s State) limit() int {
+	if s.Limit > 0 {
+		return s.Limit
+	}
+	return MaxAttempts
+}
+
 // unconfirmed decides for a request that is not repeatable and may still run.
 func unconfirmed(s State) Decision {
 	switch s.Break {
--- /dev/null
+++ b/session/session.go
@@ -0,0 +1,179 @@
+// Package session keeps a box's lease in the store. Renewing it is the cheapest
+// call that the store takes, so it also tells whether the store can be reached.
+package session
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"birchlink.dev/birchlink/kernel"
+	"birchlink.dev/birchlink/store"
+	"birchlink.dev/birchlink/wait"
+)
+
+// Name is the name of the service.
+const Name = "session"
+
+// The times of the lease. Three renewals may be lost before it ends. A store
+// that is away is asked again after Retry.
+const (
+	TTL   = 4 * time.Second
+	Renew = time.Second
+	Retry = 300 * time.Millisecond
+)
+
+// Session is the service of one box.
+type Session struct {
+	Store store.Store
+	Key   string
+	Value []byte
+
+	log    zerolog.Logger
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+
+	mu       sync.Mutex
+	lease    store.Lease
+	renewed  time.Time
+	reached  bool
+	answered bool
+	returned time.Time // when the store could last be reached again
+	watchers []func()
+}
+
+// New returns the session that keeps a key with a value.
+func New(s store.Store, key string, value []byte, log zerolog.Logger) *Session {
+	return &Session{Store: s, Key: key, Value: value, log: log}
+}
+
+// Name returns the service's name.
+func (s *Session) Name() string { return Name }
+
+// Start begins to keep the lease.
+func (s *Session) Start(context.Context, *kernel.Kernel) error {
+	c, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.group.Go(func() { s.run(c) })
+	return nil
+}
+
+// Stop gives the lease back, so that others learn at once that the box left.
+func (s *Session) Stop(c context.Context) error {
+	s.cancel()
+	s.group.Wait()
+	s.mu.Lock()
+	l := s.lease
+	s.mu.Unlock()
+	if l == 0 {
+		return nil
+	}
+	if err := s.Store.Revoke(c, l); err != nil {
+		s.log.Info().Str("event", "lease").Err(err).Msg("not given back; it ends by itself")
+	}
+	return nil
+}
+
+// OnReturn sets what is called when the store can be reached again after it
+// could not be.
+func (s *Session) OnReturn(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watchers = append(s.watchers, f)
+}
+
+// Lease returns the lease under which this box's own keys stand; zero for none.
+func (s *Session) Lease() store.Lease {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lease
+}
+
+// Silent returns for how long the store has not answered a renewal.
+func (s *Session) Silent() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.renewed)
+}
+
+// SinceReturn returns how long ago the store came back.
+func (s *Session) SinceReturn() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.returned)
+}
+
+func (s *Session) run(c context.Context) {
+	for c.Err() == nil {
+		err := s.step(c)
+		if c.Err() != nil {
+			return
+		}
+		s.note(err)
+		if err != nil {
+			wait.For(c, Retry)
+			continue
+		}
+		wait.For(c, Renew)
+	}
+}
+
+// step renews the lease, or takes one and writes the box's key under it.
+func (s *Session) step(c context.Context) error {
+	l := s.Lease()
+	if l != 0 {
+		err := s.Store.Renew(c, l)
+		if errors.Is(err, store.ErrNoLease) {
+			s.set(0)
+			return nil
+		}
+		return err
+	}
+	l, _, err := s.Store.Grant(c, TTL)
+	if err != nil {
+		return err
+	}
+	if _, err := s.Store.Commit(c, store.Change{Put: []store.Put{{Key: s.Key, Value: s.Value, Lease: l}}}); err != nil {
+		return err
+	}
+	s.set(l)
+	return nil
+}
+
+func (s *Session) set(l store.Lease) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lease = l
+}
+
+// note keeps whether the store answered, and tells of a change.
+func (s *Session) note(err error) {
+	s.mu.Lock()
+	was := s.reached
+	s.reached = err == nil
+	if err == nil {
+		s.renewed = time.Now()
+	}
+	var call []func()
+	if err == nil && !was {
+		call = s.watchers
+		// The first answer ever is no return: nothing is known to have lapsed.
+		if s.answered {
+			s.returned = s.renewed
+		}
+		s.answered = true
+	}
+	s.mu.Unlock()
+	switch {
+	case err == nil && !was:
+		s.log.Info().Str("event", "dependency regained").Str("of", "store").Msg("the store answers")
+	case err != nil && was:
+		s.log.Warn().Str("event", "dependency lost").Str("of", "store").Err(err).Msg("the store does not answer")
+	}
+	for _, f := range call {
+		f()
+	}
+}
