Report usage, order endpoints and let boxes tell each other their load

One box holds the duties by a leased key whose revision is the fence (election); usage is summed from the boxes' parts and fixed in the store before it is sent (reporter); scaling plans and orders places; gossip carries load, demand and newer configurations.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -6,21 +6,31 @@
 	"io"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
 
 	"birchlink.dev/birchlink/balance"
 	"birchlink.dev/birchlink/budget"
+	"birchlink.dev/birchlink/demand"
+	"birchlink.dev/birchlink/election"
 	"birchlink.dev/birchlink/exchange"
 	"birchlink.dev/birchlink/forward"
+	"birchlink.dev/birchlink/gossip"
 	"birchlink.dev/birchlink/ingress"
 	"birchlink.dev/birchlink/kernel"
 	"birchlink.dev/birchlink/known"
+	"birchlink.dev/birchlink/orders"
+	"birchlink.dev/birchlink/peer"
 	"birchlink.dev/birchlink/platform"
 	"birchlink.dev/birchlink/quota"
+	"birchlink.dev/birchlink/reporter"
+	"birchlink.dev/birchlink/scaling"
 	"birchlink.dev/birchlink/session"
 	"birchlink.dev/birchlink/settings"
+	"birchlink.dev/birchlink/store"
+	"birchlink.dev/birchlink/tally"
 )
 
 // dialEndpoint bounds how long a connection to an endpoint may take to stand; it
@@ -29,11 +39,21 @@
 
 // The times of a stop: the balancer asks each second and believes two misses.
 const (
-	stopNotice   = 2500 * time.Millisecond
-	stopReserve  = 700 * time.Millisecond
-	boxKeyPrefix = platform.OwnPrefix + "boxes/"
+	stopNotice  = 2500 * time.Millisecond
+	stopReserve = 700 * time.Millisecond
 )
 
+// Where birchlink's own keys stand in the store.
+const (
+	boxesPrefix = platform.OwnPrefix + "boxes/"
+	usagePrefix = platform.OwnPrefix + "usage/"
+	dutyKey     = platform.OwnPrefix + "duty"
+)
+
+// peerSecret is no secret: on the users' platform only boxes reach the address
+// for peers, and nothing secret is known before the store is reached.
+const peerSecret = "birchlink-on-the-platform"
+
 // Entry is one entry box on the users' platform.
 type Entry struct {
 	App *fx.App
@@ -64,29 +84,120 @@
 	return d, nil
 }
 
-// entryServices makes every service, in the order in which they start.
+// entryParts are what the services of an entry box share.
+type entryParts struct {
+	settings settings.Entry
+	store    store.Store
+	book     *balance.Book
+	budget   *budget.Budget
+	quota    *quota.Quota
+	meter    *demand.Meter
+	tally    *tally.Tally
+	known    *known.Known
+	gossip   *gossip.Gossip
+}
+
+// entryServices makes every service, in the order in which they start. They
+// stop in the reverse order, so callers are drained first.
 func entryServices(s settings.Entry, m metrics.Registry, log zerolog.Logger) []kernel.Service {
 	st := platform.NewStore(s.Store)
-	kn := known.New(known.Source{
+	p := &entryParts{
+		settings: s, store: st, book: &balance.Book{}, quota: &quota.Quota{}, meter: &demand.Meter{},
+		budget: budget.New(budget.Terms{Ratio: s.RetryRatio, Slack: float64(s.RetrySlack), Window: s.RetryWindow}),
+		tally:  &tally.Tally{Window: s.ReportWindow},
+		gossip: gossip.New(log),
+	}
+	p.known = known.New(known.Source{
 		ConfigKey: platform.ConfigKey, EndpointsPrefix: platform.ServersPrefix,
 		Document: platform.Document, Endpoint: platform.Endpoint,
 	}, st, log)
+	p.tell()
 	f := &forward.Forwarder{
-		DataCentre: s.DataCentre, Roster: &kn.Roster, Book: &balance.Book{},
-		Pool:   &exchange.Pool{DialLimit: dialEndpoint},
-		Budget: budget.New(budget.Terms{Ratio: s.RetryRatio, Slack: float64(s.RetrySlack), Window: s.RetryWindow}),
-		Codec:  platform.Wire{}, Began: func(string, time.Time) {}, Log: log,
+		DataCentre: s.DataCentre, Roster: &p.known.Roster, Book: p.book, Budget: p.budget, Meter: p.meter,
+		Pool: &exchange.Pool{DialLimit: dialEndpoint}, Codec: platform.Wire{}, Began: p.tally.Add, Log: log,
 	}
-	q := &quota.Quota{}
 	o := ingress.Options{
 		Address: s.Callers, Ready: s.Ready, ReadyPath: platform.ReadyPath,
 		Notice: min(stopNotice, s.StopLimit/3), Limit: s.StopLimit - stopReserve,
 	}
-	return []kernel.Service{
-		session.New(st, boxKeyPrefix+s.Box, []byte(s.Peers), log),
-		kn,
-		ingress.New(o, platform.Wire{}, f, q, m, log),
+	ss := []kernel.Service{
+		session.New(st, boxesPrefix+s.Box, []byte(s.Peers), log),
+		peer.NewNode(s.Peers, s.Peers, peerSecret, m),
+		p.known,
+		p.gossip,
+	}
+	ss = append(ss, p.duties(log)...)
+	return append(ss, ingress.New(o, platform.Wire{}, f, p.quota, m, log))
+}
+
+// duties returns the services of the calls that one box makes for all.
+func (p *entryParts) duties(log zerolog.Logger) []kernel.Service {
+	s := p.settings
+	if !s.Usage && !s.Orders {
+		return nil
+	}
+	e := &election.Election{Store: p.store, Key: dutyKey, Box: s.Box, Term: s.Lease, Log: log}
+	cl := platform.NewCloud(s.Cloud)
+	ss := []kernel.Service{e}
+	if s.Usage {
+		o := reporter.Options{Prefix: usagePrefix, BoxesPrefix: boxesPrefix, Box: s.Box, Incarnation: uuid.NewString()[:8], Due: s.ReportDue}
+		ss = append(ss, reporter.New(o, p.tally, p.store, cl, e, log))
+	}
+	if s.Orders {
+		o := orders.New(log)
+		o.Box, o.Cloud, o.Election, o.Policy, o.Demand = s.Box, cl, e, scaling.Default, p.demand
+		ss = append(ss, o)
+	}
+	return ss
+}
+
+// tell sets up what this box tells the others, and what it does with theirs.
+func (p *entryParts) tell() {
+	g, s := p.gossip, p.settings
+	g.Box, g.Address, g.Prefix, g.Seeds, g.Store = s.Box, s.Peers, boxesPrefix, s.Seeds, p.store
+	g.Own = func() gossip.Status {
+		now := time.Now()
+		v, _ := p.known.Raw()
+		return gossip.Status{
+			Box: s.Box, DataCentre: s.DataCentre, Address: s.Peers, Version: v,
+			Asked: p.quota.Demand(now), Load: p.book.Own(), Demand: p.meter.Figures(now),
+		}
+	}
+	g.OnChange = p.heard
+}
+
+// heard takes the other boxes' statuses into this box's decisions.
+func (p *entryParts) heard() {
+	p.budget.Boxes(p.gossip.Count())
+	others := p.gossip.Others()
+	sum := map[string]balance.Load{}
+	var asked []map[string]float64
+	for _, o := range others {
+		asked = append(asked, o.Asked)
+		for id, l := range o.Load {
+			sum[id] = balance.Load{Running: sum[id].Running + l.Running, Tokens: sum[id].Tokens + l.Tokens}
+		}
+	}
+	if p.gossip.Alone() {
+		// What the others do is not known: this box keeps to the share it had.
+		p.book.Tell(nil)
+		return
+	}
+	p.book.Tell(sum)
+	p.quota.SetShares(quota.Shares(p.quota.Demand(time.Now()), asked))
+}
+
+// demand sums up what each data centre's boxes carry for a service.
+func (p *entryParts) demand(service string) map[string]demand.Figure {
+	out := map[string]demand.Figure{}
+	add := func(dc string, f demand.Figure) {
+		out[dc] = demand.Figure{Tokens: out[dc].Tokens + f.Tokens, Running: out[dc].Running + f.Running}
+	}
+	add(p.settings.DataCentre, p.meter.Figures(time.Now())[service])
+	for _, o := range p.gossip.Others() {
+		add(o.DataCentre, o.Demand[service])
 	}
+	return out
 }
 
 // logLife notes the start and the stop.
--- /dev/null
+++ b/election/election.go
@@ -0,0 +1,189 @@
+// Package election lets one box at a time hold a duty: by a key that stands
+// under the holder's lease in the store, whose revision is the fence.
+package election
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"birchlink.dev/birchlink/kernel"
+	"birchlink.dev/birchlink/store"
+	"birchlink.dev/birchlink/wait"
+)
+
+// The parts of the term. A holder renews three times in it, and stops acting
+// when less than stopPart of it is left on its own steady clock, so that it has
+// stopped before the store ends the lease. A challenger asks for the duty each
+// challenge; most find the key there, which costs one read.
+const (
+	renewParts = 3
+	stopPart   = 0.3
+	challenge  = 1500 * time.Millisecond
+	retry      = 300 * time.Millisecond
+)
+
+// Election is one box's part in a duty. Its exported fields are set before it starts.
+type Election struct {
+	Store store.Store
+	Key   string
+	Box   string
+	Term  time.Duration
+	Log   zerolog.Logger
+
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+
+	mu    sync.Mutex
+	fence uint64
+	until time.Time // the holder acts until then
+	lease store.Lease
+	acted time.Time // when this box last acted, under whatever fence
+	under uint64    // the fence under which it did
+}
+
+// Act returns the fence and true if this box may make a call now. A box that
+// gets the duty back waits a term after its last call under an earlier fence, so
+// that it does not act by turns with the holder between; so does a process that
+// has just started, which does not know of calls before.
+func (e *Election) Act() (uint64, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	if e.fence == 0 || !now.Before(e.until) {
+		return 0, false
+	}
+	if e.under != e.fence && now.Sub(e.acted) < e.Term {
+		return 0, false
+	}
+	e.acted, e.under = now, e.fence
+	return e.fence, true
+}
+
+// Drop gives the duty up for good under this fence: it was refused.
+func (e *Election) Drop(fence uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.fence == fence {
+		e.fence = 0
+	}
+}
+
+// Name is the name of the service.
+const Name = "election"
+
+// Name returns the service's name.
+func (e *Election) Name() string { return Name }
+
+// Start begins to take part.
+func (e *Election) Start(context.Context, *kernel.Kernel) error {
+	c, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	e.group.Go(func() { e.run(c) })
+	return nil
+}
+
+// Stop gives the duty back if it is held.
+func (e *Election) Stop(context.Context) error {
+	e.cancel()
+	e.group.Wait()
+	return nil
+}
+
+// run takes part until c ends, then gives the duty back if it is held.
+func (e *Election) run(c context.Context) {
+	e.mu.Lock()
+	e.acted = time.Now()
+	e.mu.Unlock()
+	for c.Err() == nil {
+		pause := e.step(c)
+		wait.For(c, pause)
+	}
+	e.release(context.WithoutCancel(c))
+}
+
+func (e *Election) release(c context.Context) {
+	e.mu.Lock()
+	l := e.lease
+	e.fence, e.lease = 0, 0
+	e.mu.Unlock()
+	if l == 0 {
+		return
+	}
+	if err := e.Store.Revoke(c, l); err != nil {
+		e.Log.Info().Str("event", "duty").Err(err).Msg("not given back; it ends by itself")
+	}
+}
+
+// step renews the duty or asks for it, and returns when to step again.
+func (e *Election) step(c context.Context) time.Duration {
+	e.mu.Lock()
+	l, fence := e.lease, e.fence
+	e.mu.Unlock()
+	began := time.Now()
+	if l != 0 && fence != 0 {
+		return e.renew(c, l, began)
+	}
+	if l != 0 {
+		e.release(c)
+	}
+	i, err := e.Store.Get(c, e.Key)
+	if err != nil {
+		return retry
+	}
+	if i.Revision != 0 {
+		return challenge
+	}
+	return e.take(c)
+}
+
+func (e *Election) renew(c context.Context, l store.Lease, began time.Time) time.Duration {
+	err := e.Store.Renew(c, l)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case err == nil:
+		e.until = began.Add(time.Duration((1 - stopPart) * float64(e.Term)))
+		return e.Term / renewParts
+	case errors.Is(err, store.ErrNoLease):
+		e.Log.Warn().Str("event", "duty lost").Uint64("fence", e.fence).Msg("the lease has ended")
+		e.fence, e.lease = 0, 0
+		return retry
+	default:
+		return retry
+	}
+}
+
+// take creates the key under a new lease. The revision that created it is
+// higher than that of any holder before, so it is the fence.
+func (e *Election) take(c context.Context) time.Duration {
+	began := time.Now()
+	l, _, err := e.Store.Grant(c, e.Term)
+	if err != nil {
+		return retry
+	}
+	x := store.Change{
+		If:  []store.Condition{{Key: e.Key}},
+		Put: []store.Put{{Key: e.Key, Value: []byte(e.Box), Lease: l}},
+	}
+	rev, err := e.Store.Commit(c, x)
+	if err != nil {
+		// The change may still be done: ending the lease takes the key with it.
+		if err := e.Store.Revoke(c, l); err != nil {
+			e.Log.Info().Str("event", "duty").Err(err).Msg("a lease that is of no use ends by itself")
+		}
+		if errors.Is(err, store.ErrConflict) {
+			return challenge
+		}
+		return retry
+	}
+	e.mu.Lock()
+	e.fence, e.lease = rev, l
+	e.until = began.Add(time.Duration((1 - stopPart) * float64(e.Term)))
+	e.mu.Unlock()
+	e.Log.Info().Str("event", "duty taken").Uint64("fence", rev).Msg("this box holds the duty")
+	return e.Term / renewParts
+}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -13,6 +13,7 @@
 	"birchlink.dev/birchlink/budget"
 	"birchlink.dev/birchlink/call"
 	"birchlink.dev/birchlink/catalog"
+	"birchlink.dev/birchlink/demand"
 	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/exchange"
 )
@@ -50,6 +51,7 @@
 	Book       *balance.Book
 	Pool       *exchange.Pool
 	Budget     *budget.Budget
+	Meter      *demand.Meter
 	Codec      Codec
 	Began      Began
 	Log        zerolog.Logger
--- a/forward/run.go
+++ b/forward/run.go
@@ -185,6 +185,7 @@
 		a.Account = r.q.Account.Name
 	}
 	cl := r.q.Call
+	defer r.f.Meter.Begin(r.q.Service.Name, ch.Tokens, time.Now())()
 	n := r.f.Book.Begin(e, ch)
 	w := r.watch(cancel, e.ID)
 	defer w.stop()
--- /dev/null
+++ b/orders/orders.go
@@ -0,0 +1,215 @@
+// Package orders has the fleet's size changed at the cloud, by the box that
+// holds the duty.
+package orders
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"birchlink.dev/birchlink/catalog"
+	"birchlink.dev/birchlink/cloudapi"
+	"birchlink.dev/birchlink/demand"
+	"birchlink.dev/birchlink/election"
+	"birchlink.dev/birchlink/endpoint"
+	"birchlink.dev/birchlink/kernel"
+	"birchlink.dev/birchlink/known"
+	"birchlink.dev/birchlink/scaling"
+	"birchlink.dev/birchlink/wait"
+)
+
+// Name is the name of the service.
+const Name = "orders"
+
+// The times of the orders. What was refused for want of supply is asked for
+// again after dryPause; what is ordered but does not come is ordered again after
+// again, since the answer of an order may be lost with the order.
+const (
+	step       = 400 * time.Millisecond
+	dryPause   = 2 * time.Second
+	again      = 8 * time.Second
+	downSettle = 6 * time.Second
+)
+
+// Orders is the service of one box. Demand returns what each data centre's
+// boxes carry for a service.
+type Orders struct {
+	Box      string
+	Cloud    cloudapi.Cloud
+	Election *election.Election
+	Policy   scaling.Policy
+	Demand   func(service string) map[string]demand.Figure
+
+	log    zerolog.Logger
+	known  *known.Known
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+
+	fence   uint64
+	placed  map[subject]placed
+	reclaim map[string]time.Time // by data centre, when it last began
+	lower   map[subject]lowering
+}
+
+// subject is one kind of endpoint of a service in a data centre.
+type subject struct {
+	service, dataCentre string
+	reclaimable         bool
+}
+
+// placed is the last order of a subject.
+type placed struct {
+	count int
+	at    time.Time
+	done  bool
+	dry   bool
+}
+
+// lowering is a smaller count that has been wanted since a time, at most.
+type lowering struct {
+	count int
+	since time.Time
+}
+
+// New returns the service; its exported fields are to be set before it starts.
+func New(log zerolog.Logger) *Orders {
+	return &Orders{log: log, reclaim: map[string]time.Time{}, lower: map[subject]lowering{}}
+}
+
+// Name returns the service's name.
+func (o *Orders) Name() string { return Name }
+
+// Start begins to order.
+func (o *Orders) Start(_ context.Context, k *kernel.Kernel) error {
+	if err := kernel.Bind(k, known.Name, &o.known); err != nil {
+		return err
+	}
+	c, cancel := context.WithCancel(context.Background())
+	o.cancel = cancel
+	o.group.Go(func() { o.run(c) })
+	return nil
+}
+
+// Stop ends the orders.
+func (o *Orders) Stop(context.Context) error {
+	o.cancel()
+	o.group.Wait()
+	return nil
+}
+
+func (o *Orders) run(c context.Context) {
+	for c.Err() == nil {
+		wait.For(c, step)
+		t := o.known.Table()
+		fence, ok := o.Election.Act()
+		if !ok || t == nil || !o.known.Ready() {
+			continue
+		}
+		if fence != o.fence {
+			o.fence, o.placed = fence, map[subject]placed{}
+			o.lower = map[subject]lowering{}
+		}
+		for i := range t.Document.Services {
+			if s := &t.Document.Services[i]; s.Scaling != nil {
+				o.service(c, s)
+			}
+		}
+	}
+}
+
+// service orders what one service lacks or has too much of.
+func (o *Orders) service(c context.Context, s *catalog.Service) {
+	now := time.Now()
+	all := o.known.Roster.All()
+	load := o.Demand(s.Name)
+	var sites []scaling.Site
+	for _, dc := range scaling.DataCentres(s.Scaling) {
+		f := load[dc]
+		site := scaling.Site{
+			DataCentre: dc, Demand: scaling.Demand{Tokens: f.Tokens, Running: f.Running},
+			Have:      scaling.Serving(o.known.Roster.Serving(s.Name), dc),
+			Dry:       o.placed[subject{s.Name, dc, true}].dry,
+			Reclaimed: o.reclaimed(all, s.Name, dc, now),
+		}
+		sites = append(sites, site)
+	}
+	plan := o.Policy.Plan(s.Scaling, sites)
+	for _, site := range sites {
+		p := plan[site.DataCentre]
+		o.want(c, subject{s.Name, site.DataCentre, true}, p.Reclaimable, site)
+		// What is on demand goes only when what replaces it serves.
+		if site.Have.Reclaimable < p.Reclaimable {
+			p.OnDemand = max(p.OnDemand, min(site.Have.OnDemand, p.OnDemand+p.Reclaimable-site.Have.Reclaimable))
+		}
+		o.want(c, subject{s.Name, site.DataCentre, false}, p.OnDemand, site)
+	}
+}
+
+// reclaimed reports whether a data centre's reclaimable endpoints are being
+// taken, or were a moment ago.
+func (o *Orders) reclaimed(all []endpoint.Endpoint, service, dc string, now time.Time) bool {
+	for i := range all {
+		e := &all[i]
+		if e.Service == service && e.DataCentre == dc && e.Reclaimable && e.Draining && e.Leaves > 0 {
+			o.reclaim[dc] = now
+		}
+	}
+	return now.Sub(o.reclaim[dc]) < o.Policy.Wary
+}
+
+// want orders a count, if it is another than the last. A smaller one is ordered
+// when it has been wanted for a while.
+func (o *Orders) want(c context.Context, s subject, n int, site scaling.Site) {
+	now := time.Now()
+	p, had := o.placed[s]
+	have := site.Have.OnDemand
+	if s.reclaimable {
+		have = site.Have.Reclaimable
+	}
+	switch {
+	case had && p.dry && now.Sub(p.at) < dryPause:
+		return
+	case had && p.done && p.count == n && (have >= n || now.Sub(p.at) < again):
+		return
+	}
+	if n < max(p.count, have) && !o.settled(s, n, now) {
+		return
+	}
+	o.order(c, s, n, site)
+}
+
+// settled reports whether a smaller count has been wanted for long enough.
+func (o *Orders) settled(s subject, n int, now time.Time) bool {
+	l, ok := o.lower[s]
+	if !ok || n > l.count || now.Sub(l.since) > 2*downSettle {
+		o.lower[s] = lowering{n, now}
+		return false
+	}
+	return now.Sub(l.since) >= downSettle
+}
+
+func (o *Orders) order(c context.Context, s subject, n int, site scaling.Site) {
+	fence, ok := o.Election.Act()
+	if !ok || fence != o.fence {
+		return
+	}
+	delete(o.lower, s)
+	err := o.Cloud.Order(c, cloudapi.Duty{Holder: o.Box, Fence: fence}, cloudapi.Order{
+		Service: s.service, DataCentre: s.dataCentre, Reclaimable: s.reclaimable, Count: n,
+	})
+	p := placed{count: n, at: time.Now(), done: err == nil}
+	if errors.Is(err, cloudapi.ErrFenced) {
+		p.dry = s.reclaimable
+		if !s.reclaimable {
+			o.Election.Drop(fence)
+		}
+	}
+	o.placed[s] = p
+	o.log.Info().Str("event", "order").Str("service", s.service).Str("data_centre", s.dataCentre).Bool("reclaimable", s.reclaimable).
+		Int("count", n).Uint64("fence", fence).Float64("tokens_per_s", site.Demand.Tokens).Float64("running", site.Demand.Running).
+		Int("have_on_demand", site.Have.OnDemand).Int("have_reclaimable", site.Have.Reclaimable).
+		Bool("reclaimed", site.Reclaimed).Bool("dry", site.Dry).Err(err).Msg("decision")
+}
--- /dev/null
+++ b/reporter/reporter.go
@@ -0,0 +1,260 @@
+// Package reporter reports to the cloud how many requests of each account began
+// to run in each window. Each box writes its counts to the store; the holder of
+// the duty fixes their sum there before it sends it, so that a successor sends
+// the same.
+package reporter
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"birchlink.dev/birchlink/cloudapi"
+	"birchlink.dev/birchlink/election"
+	"birchlink.dev/birchlink/kernel"
+	"birchlink.dev/birchlink/store"
+	"birchlink.dev/birchlink/tally"
+	"birchlink.dev/birchlink/wait"
+)
+
+// Name is the name of the service.
+const Name = "reporter"
+
+// The times of a report. A box writes its part partDelay after the window's end,
+// when the requests that began in it have been counted. The holder looks for the
+// parts after collectDelay, and waits for missing ones until collectMargin
+// before the report is due; the rest is for the call itself.
+const (
+	partDelay     = 150 * time.Millisecond
+	collectDelay  = 500 * time.Millisecond
+	collectMargin = 3500 * time.Millisecond
+	step          = 400 * time.Millisecond
+)
+
+// keptWindows is how many windows stay in the store.
+const keptWindows = 8
+
+// Options says where things stand. Incarnation tells this process from those
+// before it on the same box, whose counts stand beside its own.
+type Options struct {
+	Prefix      string
+	BoxesPrefix string
+	Box         string
+	Incarnation string
+	Due         time.Duration
+}
+
+// Reporter is the service of one box.
+type Reporter struct {
+	Options
+	Tally    *tally.Tally
+	Store    store.Store
+	Cloud    cloudapi.Cloud
+	Election *election.Election
+
+	log    zerolog.Logger
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+	fence  uint64
+	sent   map[int64]bool
+}
+
+// New returns the reporter of a box.
+func New(o Options, t *tally.Tally, s store.Store, l cloudapi.Cloud, e *election.Election, log zerolog.Logger) *Reporter {
+	return &Reporter{Options: o, Tally: t, Store: s, Cloud: l, Election: e, log: log}
+}
+
+// Name returns the service's name.
+func (r *Reporter) Name() string { return Name }
+
+// Start begins to write and to report.
+func (r *Reporter) Start(context.Context, *kernel.Kernel) error {
+	c, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+	r.group.Go(func() { r.write(c) })
+	r.group.Go(func() { r.report(c) })
+	return nil
+}
+
+// Stop writes what has been counted and ends.
+func (r *Reporter) Stop(c context.Context) error {
+	r.cancel()
+	r.group.Wait()
+	return r.put(c, r.Tally.Number(time.Now()))
+}
+
+// write puts this box's part into the store after each window.
+func (r *Reporter) write(c context.Context) {
+	next := r.Tally.Number(time.Now())
+	for {
+		wait.For(c, time.Until(r.Tally.End(next).Add(partDelay)))
+		if c.Err() != nil {
+			return
+		}
+		if err := r.put(c, next); err != nil {
+			if time.Since(r.Tally.End(next)) < r.Due {
+				wait.For(c, step)
+				continue
+			}
+			r.log.Warn().Str("event", "usage").Int64("window", next).Err(err).Msg("this box's part is lost")
+		}
+		next++
+		r.Tally.Forget(next - keptWindows)
+	}
+}
+
+func (r *Reporter) part(window int64) string {
+	return r.parts(window) + r.Box + "." + r.Incarnation
+}
+
+func (r *Reporter) parts(window int64) string {
+	return r.Prefix + "part/" + strconv.FormatInt(window, 10) + "/"
+}
+
+func (r *Reporter) sum(window int64) string {
+	return r.Prefix + "sum/" + strconv.FormatInt(window, 10)
+}
+
+// put writes a window's part, and drops an old one of this process.
+func (r *Reporter) put(c context.Context, window int64) error {
+	b, err := encode(r.Tally.Of(window))
+	if err != nil {
+		return err
+	}
+	_, err = r.Store.Commit(c, store.Change{
+		Put:    []store.Put{{Key: r.part(window), Value: b}},
+		Delete: []string{r.part(window - keptWindows)},
+	})
+	return err
+}
+
+func encode(counts map[string]int) ([]byte, error) {
+	if counts == nil {
+		counts = map[string]int{}
+	}
+	b, err := json.Marshal(counts)
+	if err != nil {
+		return nil, fmt.Errorf("encode counts: %w", err)
+	}
+	return b, nil
+}
+
+// report sends what is due while this box holds the duty.
+func (r *Reporter) report(c context.Context) {
+	for c.Err() == nil {
+		wait.For(c, step)
+		if fence, ok := r.Election.Act(); ok {
+			r.round(c, fence)
+		}
+	}
+}
+
+// round looks at the windows that have ended and are still due.
+func (r *Reporter) round(c context.Context, fence uint64) {
+	if fence != r.fence {
+		r.fence, r.sent = fence, map[int64]bool{}
+	}
+	now := time.Now()
+	for w := r.Tally.Number(now.Add(-r.Due)); now.After(r.Tally.End(w).Add(collectDelay)); w++ {
+		if r.sent[w] || now.After(r.Tally.End(w).Add(r.Due)) {
+			continue
+		}
+		if err := r.send(c, fence, w); err != nil {
+			r.log.Info().Str("event", "usage").Int64("window", w).Uint64("fence", fence).Err(err).Msg("not reported yet")
+			if errors.Is(err, cloudapi.ErrFenced) {
+				r.Election.Drop(fence)
+				return
+			}
+		}
+	}
+}
+
+var errMissing = errors.New("parts are missing")
+
+func (r *Reporter) send(c context.Context, fence uint64, window int64) error {
+	counts, err := r.fixed(c, window)
+	if err != nil {
+		return err
+	}
+	f, ok := r.Election.Act()
+	if !ok || f != fence {
+		return errors.New("the duty is no longer held")
+	}
+	if err := r.Cloud.Report(c, cloudapi.Duty{Holder: r.Box, Fence: fence}, window, counts); err != nil {
+		return err
+	}
+	r.sent[window] = true
+	r.log.Info().Str("event", "usage").Int64("window", window).Uint64("fence", fence).Interface("counts", counts).Msg("reported")
+	return nil
+}
+
+// fixed returns the sum of a window as it stands in the store, and puts it
+// there if it does not stand yet.
+func (r *Reporter) fixed(c context.Context, window int64) (map[string]int, error) {
+	i, err := r.Store.Get(c, r.sum(window))
+	if err != nil {
+		return nil, err
+	}
+	if i.Revision != 0 {
+		return decode(i.Value)
+	}
+	counts, err := r.collect(c, window)
+	if err != nil {
+		return nil, err
+	}
+	b, err := encode(counts)
+	if err != nil {
+		return nil, err
+	}
+	_, err = r.Store.Commit(c, store.Change{
+		If:     []store.Condition{{Key: r.sum(window)}},
+		Put:    []store.Put{{Key: r.sum(window), Value: b}},
+		Delete: []string{r.sum(window - keptWindows)},
+	})
+	if err != nil {
+		// Whoever fixed it, it is read in the next round.
+		return nil, err
+	}
+	return counts, nil
+}
+
+// collect adds the parts up once each box that is there has written its own, or
+// when there is no more time to wait for one.
+func (r *Reporter) collect(c context.Context, window int64) (map[string]int, error) {
+	parts, _, err := r.Store.Range(c, r.parts(window))
+	if err != nil {
+		return nil, err
+	}
+	boxes, _, err := r.Store.Range(c, r.BoxesPrefix)
+	if err != nil {
+		return nil, err
+	}
+	if len(parts) < len(boxes) && time.Since(r.Tally.End(window)) < r.Due-collectMargin {
+		return nil, fmt.Errorf("%w: %d of %d", errMissing, len(parts), len(boxes))
+	}
+	sum := map[string]int{}
+	for _, p := range parts {
+		m, err := decode(p.Value)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", p.Key, err)
+		}
+		for a, n := range m {
+			sum[a] += n
+		}
+	}
+	return sum, nil
+}
+
+func decode(b []byte) (map[string]int, error) {
+	var m map[string]int
+	if err := json.Unmarshal(b, &m); err != nil {
+		return nil, fmt.Errorf("decode counts: %w", err)
+	}
+	return m, nil
+}
