Bound how long a lost change can go unheard by the watches' wait

The store forgot its history while changes were made and never told the calls that waited; they ended 15 s after they began, 4 s too late. Ruled out: a lost connection (the watch of the endpoints, which had other changes, saw the history gone at 2.8 s).

A call now waits 1.2 s.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -30,6 +30,10 @@
 	reserved  = 8 * time.Second
 )
 
+// watchWait is how long a call waits for changes of the list of boxes, which
+// nothing urgent depends on.
+const watchWait = 15 * time.Second
+
 // Gossip is the service of one box. Own returns what to tell; OnChange is called
 // after each round.
 type Gossip struct {
@@ -81,7 +85,7 @@
 	})
 	c, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
-	m := &mirror.Mirror{Store: g.Store, Prefix: g.Prefix, Apply: g.apply, Log: g.log}
+	m := &mirror.Mirror{Store: g.Store, Prefix: g.Prefix, Wait: watchWait, Apply: g.apply, Log: g.log}
 	s.OnReturn(m.Restart)
 	g.group.Go(func() { m.Run(c) })
 	g.group.Go(func() { g.run(c) })
--- a/known/known.go
+++ b/known/known.go
@@ -26,6 +26,10 @@
 // store, endpoints that live write their records again within two seconds.
 const lapse = 2 * time.Second
 
+// watchWait is how long a call waits for changes: well inside the 2 s within
+// which a configuration has to be in force and a leaving endpoint known.
+const watchWait = 1200 * time.Millisecond
+
 // outageMargin is how long after an outage a vanished record may be due to it.
 const outageMargin = 2500 * time.Millisecond
 
@@ -73,8 +77,8 @@
 	c, cancel := context.WithCancel(context.Background())
 	k.cancel = cancel
 	for _, m := range []*mirror.Mirror{
-		{Store: k.Store, Prefix: k.ConfigKey, Apply: k.applyConfig, Log: k.log},
-		{Store: k.Store, Prefix: k.EndpointsPrefix, Apply: k.applyEndpoints, Log: k.log},
+		{Store: k.Store, Prefix: k.ConfigKey, Wait: watchWait, Apply: k.applyConfig, Log: k.log},
+		{Store: k.Store, Prefix: k.EndpointsPrefix, Wait: watchWait, Apply: k.applyEndpoints, Log: k.log},
 	} {
 		k.session.OnReturn(m.Restart)
 		k.group.Go(func() { m.Run(c) })
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -14,10 +14,8 @@
 	"birchlink.dev/birchlink/wait"
 )
 
-// The times of a watch. Each call is paid for, so a watch waits long; one that
-// hangs on a connection that was cut is ended by Restart.
+// The pause after a call that got no answer, at random between these.
 const (
-	watchWait = 15 * time.Second
 	minPause  = 50 * time.Millisecond
 	maxPause  = 400 * time.Millisecond
 )
@@ -28,6 +26,11 @@
 type Mirror struct {
 	Store  store.Store
 	Prefix string
+
+	// Wait is how long one call waits for changes. A store that forgets its history
+	// does not end the calls that wait, so a change may go unheard for as long.
+	Wait time.Duration
+
 	Apply  func(items []store.Item, whole bool, revision uint64)
 	Log    zerolog.Logger
 
@@ -78,7 +81,7 @@
 		m.Apply(items, true, at)
 		return at, nil
 	}
-	items, at, err := m.Store.Watch(c, m.Prefix, revision, watchWait)
+	items, at, err := m.Store.Watch(c, m.Prefix, revision, m.Wait)
 	if err != nil {
 		return 0, err
 	}
