Tell each account's level, and start from nothing known

All boxes were killed twice within the window, and each new process began with a third of the burst; boxes that heard each other for the first time disagreed by 270000 tokens about what was left.

A bucket now fills from the process's start, a box told of for the first time counts whole if it is younger and by its level if it is older, and shares are overcommitted only while all together ask for less than the rate.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -105,7 +105,7 @@
 func entryServices(s settings.Entry, m metrics.Registry, log zerolog.Logger) []kernel.Service {
 	st := platform.NewStore(s.Store)
 	p := &entryParts{
-		settings: s, store: st, book: &balance.Book{}, quota: &quota.Quota{Tolerance: float64(s.QuotaTolerance)}, meter: &demand.Meter{},
+		settings: s, store: st, book: &balance.Book{}, quota: &quota.Quota{Tolerance: float64(s.QuotaTolerance), Started: time.Now()}, meter: &demand.Meter{},
 		budget: budget.New(budget.Terms{Ratio: s.RetryRatio, Slack: float64(s.RetrySlack), Window: s.RetryWindow}),
 		tally:  &tally.Tally{Window: s.ReportWindow},
 		gossip: gossip.New(log), incarnation: uuid.NewString()[:8],
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -16,8 +16,8 @@
 
 // The pause after a call that got no answer, at random between these.
 const (
-	minPause  = 50 * time.Millisecond
-	maxPause  = 400 * time.Millisecond
+	minPause = 50 * time.Millisecond
+	maxPause = 400 * time.Millisecond
 )
 
 // Mirror follows one prefix. Apply gets changes in the order of their revisions;
@@ -31,8 +31,8 @@
 	// does not end the calls that wait, so a change may go unheard for as long.
 	Wait time.Duration
 
-	Apply  func(items []store.Item, whole bool, revision uint64)
-	Log    zerolog.Logger
+	Apply func(items []store.Item, whole bool, revision uint64)
+	Log   zerolog.Logger
 
 	mu      sync.Mutex
 	restart context.CancelFunc
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -15,17 +15,14 @@
 // enough to smooth arrivals, short against the window that rates are judged by.
 const demandHalf = 2 * time.Second
 
-// startPart is the part of a burst that a process has when it starts: what the
-// account has spent a moment before is not known.
-const startPart = 0.3
-
 // floorPart is the part of the whole that is divided evenly, so that a box with
 // no demand yet can serve the first that comes.
 const floorPart = 0.2
 
-// A box may spend overcommit times its share and spareShare more between two
-// rounds: requests are few and large against half a second, and one box's need
-// is not known before it comes. What all take too much is owed in the next round.
+// While all together ask for less than an account's rate, a box may spend
+// overcommit times its share and spareShare more between two rounds: requests are
+// few and large against half a second, and one box's need is not known before it
+// comes. What all take too much is owed in the next round.
 const (
 	overcommit = 2
 	spareShare = 0.15
@@ -43,6 +40,12 @@
 	Incarnation string
 	Spent       map[string]float64
 	Asked       map[string]float64
+
+	// Age is how long ago the process started.
+	Age time.Duration
+
+	// Level is what this box takes the fleet to have left.
+	Level map[string]float64
 }
 
 // Quota is one box's part. Its zero value is ready. Tolerance is by how many
@@ -50,10 +53,14 @@
 type Quota struct {
 	Tolerance float64
 
+	// Started is when the process began: what an account had left then is not
+	// known, so its bucket fills from nothing.
+	Started time.Time
+
 	mu       sync.Mutex
 	accounts map[string]*bucket
-	heard    map[string]Told
-	others   int
+	heard    map[string]Told // the last from each box, also of those away
+	present  []Told
 }
 
 // bucket is the fleet's token bucket of one account as this box knows it.
@@ -61,6 +68,8 @@
 	level  float64 // what all boxes may still spend
 	filled time.Time
 	share  float64
+	rate   float64 // the account's
+	wanted float64 // what all boxes are asked for, units a second
 	own    float64 // what this box may still spend before the next round
 	spent  float64 // by this box since it started
 	asked  float64 // of this box, units a second
@@ -71,10 +80,10 @@
 func (q *Quota) Own(box, incarnation string, now time.Time) Told {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	t := Told{Box: box, Incarnation: incarnation, Spent: map[string]float64{}, Asked: map[string]float64{}}
+	t := Told{Box: box, Incarnation: incarnation, Age: now.Sub(q.Started), Spent: map[string]float64{}, Asked: map[string]float64{}, Level: map[string]float64{}}
 	for n, b := range q.accounts {
 		b.ask(0, now)
-		t.Spent[n], t.Asked[n] = b.spent, b.asked
+		t.Spent[n], t.Asked[n], t.Level[n] = b.spent, b.asked, b.level
 	}
 	return t
 }
@@ -84,42 +93,60 @@
 func (q *Quota) Hear(ts []Told, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	next := map[string]Told{}
+	if q.heard == nil {
+		q.heard = map[string]Told{}
+	}
 	for _, t := range ts {
-		old, known := q.heard[t.Box]
-		next[t.Box] = t
-		for a, n := range t.Spent {
-			switch {
-			case known && old.Incarnation == t.Incarnation:
-				n -= old.Spent[a]
-			case !known:
-				n = 0 // spent before this box listened
-			}
-			q.bucket(a, now).level -= n
-		}
+		q.spend(t, now)
+		q.heard[t.Box] = t
 	}
-	q.heard, q.others = next, len(ts)
+	q.present = ts
 	for n, b := range q.accounts {
 		b.ask(0, now)
-		b.share = q.shareOf(n, b.asked)
+		b.share, b.wanted = q.shareOf(n, b.asked)
 		b.own = b.part() * b.level
 	}
 }
 
+// spend takes what one box has spent since it was last heard out of the buckets.
+// What a box spent that runs for longer than this one and was never heard is in
+// the level that it tells.
+func (q *Quota) spend(t Told, now time.Time) {
+	old, known := q.heard[t.Box]
+	known = known && old.Incarnation == t.Incarnation
+	for a, n := range t.Spent {
+		b := q.bucket(a, now)
+		switch {
+		case known:
+			b.level -= n - old.Spent[a]
+		case t.Age < now.Sub(q.Started):
+			b.level -= n
+		default:
+			b.level = min(b.level, t.Level[a])
+		}
+	}
+}
+
 // part is what this box may spend of what is left before the next round.
-func (b *bucket) part() float64 { return min(overcommit*b.share+spareShare, 1) }
+func (b *bucket) part() float64 {
+	if b.wanted > b.rate {
+		return b.share
+	}
+	return min(overcommit*b.share+spareShare, 1)
+}
 
-// shareOf returns the part of an account that this box may spend.
-func (q *Quota) shareOf(account string, asked float64) float64 {
-	sum := asked
-	for _, t := range q.heard {
+// shareOf returns the part of an account that this box may spend, and what all
+// boxes together are asked for.
+func (q *Quota) shareOf(account string, asked float64) (share, sum float64) {
+	sum = asked
+	for _, t := range q.present {
 		sum += t.Asked[account]
 	}
-	even := 1 / float64(q.others+1)
+	even := 1 / float64(len(q.present)+1)
 	if sum <= 0 {
-		return even
+		return even, 0
 	}
-	return floorPart*even + (1-floorPart)*asked/sum
+	return floorPart*even + (1-floorPart)*asked/sum, sum
 }
 
 // State describes what is left of an account, for the log.
@@ -143,7 +170,7 @@
 	if a.Rate <= 0 {
 		return 0, true
 	}
-	b.fill(a, a.Burst+tolerancePart*q.Tolerance, now)
+	q.fill(b, a, a.Burst+tolerancePart*q.Tolerance, now)
 	if b.own <= 0 || b.level <= 0 {
 		need := max(-b.own/b.part(), -b.level) + size
 		return time.Duration(need / a.Rate * float64(time.Second)), false
@@ -161,17 +188,17 @@
 	b := q.accounts[name]
 	if b == nil {
 		b = &bucket{at: now}
-		b.share = q.shareOf(name, 0)
+		b.share, _ = q.shareOf(name, 0)
 		q.accounts[name] = b
 	}
 	return b
 }
 
 // fill adds what the rate gave since the last time.
-func (b *bucket) fill(a *catalog.Account, burst float64, now time.Time) {
+func (q *Quota) fill(b *bucket, a *catalog.Account, burst float64, now time.Time) {
+	b.rate = a.Rate
 	if b.filled.IsZero() {
-		b.filled = now
-		b.level += startPart * burst
+		b.filled = q.Started
 		b.own = b.part() * b.level
 	}
 	got := a.Rate * max(now.Sub(b.filled), 0).Seconds()
