Hold accounts to rate and burst in each window, as the settings define it

Half of the burst is dealt out evenly over the window, and half of the operators' tolerance is used.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -70,7 +70,7 @@
 			continue
 		}
 		c := b.judge(&es[i], q, es[i].ID == home, now)
-		d := c.Expected + b.penalty(&es[i], q, now)
+		d := c.Expected + b.penalty(&es[i], q)
 		switch {
 		case !found, best.Avoided && !c.Avoided, best.Avoided == c.Avoided && d < cost:
 			best, cost, found = c, d, true
@@ -102,7 +102,7 @@
 }
 
 // penalty is what counts against an endpoint besides its load.
-func (b *Book) penalty(e *endpoint.Endpoint, q Query, now time.Time) time.Duration {
+func (b *Book) penalty(e *endpoint.Endpoint, q Query) time.Duration {
 	p := b.page(e.ID)
 	d := time.Duration(p.failures*p.failures*float64(failurePenalty)) + time.Duration(coldPart*float64(e.Cold))
 	if e.DataCentre != q.DataCentre {
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -105,7 +105,10 @@
 func entryServices(s settings.Entry, m metrics.Registry, log zerolog.Logger) []kernel.Service {
 	st := platform.NewStore(s.Store)
 	p := &entryParts{
-		settings: s, store: st, book: &balance.Book{}, quota: &quota.Quota{Tolerance: float64(s.QuotaTolerance), Started: time.Now()}, meter: &demand.Meter{},
+		settings: s, store: st, book: &balance.Book{}, quota: &quota.Quota{
+			Terms:   quota.Terms{Window: s.QuotaWindow, Overage: s.QuotaOverage, Slack: float64(s.QuotaSlack)},
+			Started: time.Now(),
+		}, meter: &demand.Meter{},
 		budget: budget.New(budget.Terms{Ratio: s.RetryRatio, Slack: float64(s.RetrySlack), Window: s.RetryWindow}),
 		tally:  &tally.Tally{Window: s.ReportWindow},
 		gossip: gossip.New(log), incarnation: uuid.NewString()[:8],
@@ -174,7 +177,7 @@
 	p.budget.Boxes(p.gossip.Count())
 	others := p.gossip.Others()
 	sum := map[string]balance.Load{}
-	var told []quota.Told
+	told := make([]quota.Told, 0, len(others))
 	for _, o := range others {
 		told = append(told, o.Quota)
 		for id, l := range o.Load {
--- a/endpoint/roster.go
+++ b/endpoint/roster.go
@@ -35,7 +35,7 @@
 	r.index()
 	f := r.removed
 	r.mu.Unlock()
-	if e.Draining && !(had && old.Draining) && f != nil {
+	if e.Draining && (!had || !old.Draining) && f != nil {
 		f(e)
 	}
 }
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -81,7 +81,7 @@
 	stop := context.AfterFunc(c, func() { _ = n.net.SetDeadline(time.Unix(1, 0)) })
 	wrote := make(chan error, 1)
 	go func() { wrote <- write(n, q) }()
-	r, err := head(n, q)
+	r, err := head(n, q) //nolint:bodyclose // Answer.Close ends the connection or keeps it
 	if err != nil {
 		stop()
 		_ = n.net.Close()
--- a/orders/orders.go
+++ b/orders/orders.go
@@ -125,8 +125,9 @@
 	now := time.Now()
 	all := o.known.Roster.All()
 	load := o.Demand(s.Name)
-	var sites []scaling.Site
-	for _, dc := range scaling.DataCentres(s.Scaling) {
+	dcs := scaling.DataCentres(s.Scaling)
+	sites := make([]scaling.Site, 0, len(dcs))
+	for _, dc := range dcs {
 		f := load[dc]
 		site := scaling.Site{
 			DataCentre: dc, Demand: scaling.Demand{Tokens: f.Tokens, Running: f.Running},
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -29,10 +29,14 @@
 )
 
 // tolerancePart is the part of the operators' tolerance that is given to the
-// account as burst, so that what is within its rate is not refused for want of
-// knowledge; the rest is for what boxes spend in the same moment.
+// account, so that what is within its limit is not refused for want of knowledge;
+// the rest is for what boxes spend in the same moment.
 const tolerancePart = 0.5
 
+// evenPart is the part of a burst that is dealt out evenly over a window: each
+// window may hold the rate's and the burst, not only the first.
+const evenPart = 0.5
+
 // Told is what one box tells of its accounts. Spent grows from the process's
 // start, which Incarnation names; Asked is in units a second.
 type Told struct {
@@ -48,10 +52,31 @@
 	Level map[string]float64
 }
 
-// Quota is one box's part. Its zero value is ready. Tolerance is by how many
-// units an account may be over its limit in the operators' window.
+// Terms say how an account's limit is judged: in each Window it may spend its
+// rate over the window and its burst. Overage, a part of that, and Slack, in
+// units, are what boxes together may be over it.
+type Terms struct {
+	Window  time.Duration
+	Overage float64
+	Slack   float64
+}
+
+// limit returns the rate and the burst of a bucket that keeps an account to its
+// limit under the terms.
+func (t Terms) limit(a *catalog.Account) (rate, burst float64) {
+	x := 1 + tolerancePart*t.Overage
+	rate = a.Rate
+	burst = a.Burst
+	if s := t.Window.Seconds(); s > 0 {
+		rate += evenPart * a.Burst / s
+		burst -= evenPart * a.Burst
+	}
+	return x * rate, x*burst + tolerancePart*t.Slack
+}
+
+// Quota is one box's part. Its zero value, with Terms and Started set, is ready.
 type Quota struct {
-	Tolerance float64
+	Terms
 
 	// Started is when the process began: what an account had left then is not
 	// known, so its bucket fills from nothing.
@@ -170,10 +195,11 @@
 	if a.Rate <= 0 {
 		return 0, true
 	}
-	q.fill(b, a, a.Burst+tolerancePart*q.Tolerance, now)
+	rate, burst := q.limit(a)
+	q.fill(b, rate, burst, now)
 	if b.own <= 0 || b.level <= 0 {
 		need := max(-b.own/b.part(), -b.level) + size
-		return time.Duration(need / a.Rate * float64(time.Second)), false
+		return time.Duration(need / rate * float64(time.Second)), false
 	}
 	b.level -= size
 	b.own -= size
@@ -195,13 +221,13 @@
 }
 
 // fill adds what the rate gave since the last time.
-func (q *Quota) fill(b *bucket, a *catalog.Account, burst float64, now time.Time) {
-	b.rate = a.Rate
+func (q *Quota) fill(b *bucket, rate, burst float64, now time.Time) {
+	b.rate = rate
 	if b.filled.IsZero() {
 		b.filled = q.Started
 		b.own = b.part() * b.level
 	}
-	got := a.Rate * max(now.Sub(b.filled), 0).Seconds()
+	got := rate * max(now.Sub(b.filled), 0).Seconds()
 	b.filled = now
 	b.level = min(b.level+got, burst)
 	b.own = min(b.own+b.part()*got, burst)
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -33,9 +33,12 @@
 	RetryWindow time.Duration
 	RetrySlack  int
 
-	// QuotaTolerance is by how many units an account's requests of one window may
-	// be over its limit, summed over all boxes.
-	QuotaTolerance int
+	// An account may spend its rate over QuotaWindow and its burst in each such
+	// window. Summed over all boxes it may be over that by the part QuotaOverage
+	// and by QuotaSlack units.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	QuotaSlack   int
 
 	// Lease is within how long two holders of a duty must not act by turns. A
 	// usage window is reported at the latest ReportDue after its end.
@@ -63,24 +66,26 @@
 	r := iniread.New(text)
 	duties := r.List("cloud", "duties")
 	s := Entry{
-		Box:            r.Required("box", "name"),
-		DataCentre:     r.Required("box", "data_centre"),
-		Callers:        r.Address("listen", "callers"),
-		Ready:          r.Address("listen", "ready"),
-		Peers:          r.Address("listen", "peers"),
-		Seeds:          r.Addresses("peers", "seeds"),
-		Store:          r.Address("store", "address"),
-		Orders:         slices.Contains(duties, "scale"),
-		Usage:          slices.Contains(duties, "usage"),
-		StopLimit:      r.Duration("stop", "limit", 8*time.Second, time.Second, time.Hour),
-		RetryRatio:     r.Float("retries", "ratio", 0.2, 0, 10),
-		RetryWindow:    r.Duration("retries", "window", 10*time.Second, time.Second, time.Hour),
-		RetrySlack:     r.Int("retries", "slack", 0, 0, maxRequests),
-		QuotaTolerance: r.Int("quota", "tolerance", 0, 0, maxTolerance),
-		Lease:          r.Duration("duties", "lease", 3*time.Second, time.Second, time.Hour),
-		ReportWindow:   r.Duration("duties", "report_window", 5*time.Second, time.Second, time.Hour),
-		ReportDue:      r.Duration("duties", "report_due", 10*time.Second, time.Second, time.Hour),
-		LogLevel:       r.Choice("log", "level", "info", "debug", "info", "warn", "error"),
+		Box:          r.Required("box", "name"),
+		DataCentre:   r.Required("box", "data_centre"),
+		Callers:      r.Address("listen", "callers"),
+		Ready:        r.Address("listen", "ready"),
+		Peers:        r.Address("listen", "peers"),
+		Seeds:        r.Addresses("peers", "seeds"),
+		Store:        r.Address("store", "address"),
+		Orders:       slices.Contains(duties, "scale"),
+		Usage:        slices.Contains(duties, "usage"),
+		StopLimit:    r.Duration("stop", "limit", 8*time.Second, time.Second, time.Hour),
+		RetryRatio:   r.Float("retries", "ratio", 0.2, 0, 10),
+		RetryWindow:  r.Duration("retries", "window", 10*time.Second, time.Second, time.Hour),
+		RetrySlack:   r.Int("retries", "slack", 0, 0, maxRequests),
+		QuotaWindow:  r.Duration("quota", "window", 8*time.Second, time.Second, time.Hour),
+		QuotaOverage: r.Float("quota", "overage", 0, 0, 10),
+		QuotaSlack:   r.Int("quota", "slack", 0, 0, maxTolerance),
+		Lease:        r.Duration("duties", "lease", 3*time.Second, time.Second, time.Hour),
+		ReportWindow: r.Duration("duties", "report_window", 5*time.Second, time.Second, time.Hour),
+		ReportDue:    r.Duration("duties", "report_due", 10*time.Second, time.Second, time.Hour),
+		LogLevel:     r.Choice("log", "level", "info", "debug", "info", "warn", "error"),
 	}
 	if len(duties) > 0 {
 		s.Cloud = r.Address("cloud", "address")
