Order reclaimable endpoints first when the load grows

The load beyond the least on demand is now ordered 1.5 times as reclaimable endpoints, evenly, and on demand only as far as those do not serve.

--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -28,10 +29,15 @@
 
 // Policy holds the figures of the decision.
 type Policy struct {
-	// Reclaimable is how many reclaimable endpoints each data centre has while
-	// they can be had: they cost a fifth, and carry bursts and cut data centres.
+	// Reclaimable is how many reclaimable endpoints each data centre has at least
+	// while they can be had: they cost a fifth, and carry bursts and cut data
+	// centres.
 	Reclaimable int
 
+	// Surplus is how many reclaimable endpoints are ordered for each that the load
+	// needs beyond the least on demand.
+	Surplus float64
+
 	// Trust is the part of the serving reclaimable endpoints that the load may
 	// count on; the rest is for the reclaim of one data centre's.
 	Trust float64
@@ -53,7 +59,8 @@
 // tokens a second with nothing else to do; what each may be given is measured in
 // rounds (docs/DESIGN.md).
 var Default = Policy{
-	Reclaimable: 2, Trust: 0.6, Least: 5, TokensPerEndpoint: 16_000, RunningPerEndpoint: 40, Wary: 1500 * time.Millisecond,
+	Reclaimable: 3, Surplus: 1.5, Trust: 0.6, Least: 5,
+	TokensPerEndpoint: 16_000, RunningPerEndpoint: 40, Wary: 1500 * time.Millisecond,
 }
 
 // Site is what is known of a service in one data centre.
@@ -67,40 +74,48 @@
 
 // Plan returns the wanted counts by data centre. Bytes between data centres cost
 // little against an endpoint, so the fleet is one: each data centre keeps its
-// least, and what is missing is ordered on demand where that is cheapest. Sites
-// are in the order of their price.
+// least on demand. What the load needs beyond that is ordered as reclaimable
+// endpoints, evenly, and on demand, where that is cheapest, as far as those do
+// not serve. Sites are in the order of their price.
 func (p Policy) Plan(s *catalog.Scaling, sites []Site) map[string]Count {
 	out := map[string]Count{}
+	if len(sites) == 0 {
+		return out
+	}
 	var all Demand
 	trusted := 0.0
-	have := 0
+	base := min(max(s.Min, 1), s.Max)
 	for _, d := range sites {
 		all.Tokens += d.Demand.Tokens
 		all.Running += d.Demand.Running
 		if !d.Reclaimed {
 			trusted += p.Trust * float64(d.Have.Reclaimable)
 		}
-		onDemand := min(max(s.Min, 1), s.Max)
-		out[d.DataCentre] = Count{OnDemand: onDemand, Reclaimable: max(min(p.Reclaimable, s.Max-onDemand), 0)}
-		have += onDemand
 	}
-	missing := max(p.need(all), p.Least) - have - int(trusted)
+	need := max(p.need(all), p.Least)
+	beyond := max(need-base*len(sites), 0)
+	each := max(p.Reclaimable, ceil(p.Surplus*float64(beyond)/float64(len(sites))))
+	missing := max(beyond-int(trusted), 0)
 	for _, d := range sites {
-		c := out[d.DataCentre]
-		add := min(max(missing, 0), s.Max-c.OnDemand)
-		c.OnDemand += add
-		c.Reclaimable = min(c.Reclaimable, s.Max-c.OnDemand)
-		missing -= add
+		c := Count{OnDemand: base}
+		if missing > 0 {
+			// An endpoint on demand does not take the place of one that serves.
+			c.OnDemand += min(missing, s.Max-base-min(d.Have.Reclaimable, s.Max-base))
+		}
+		missing -= c.OnDemand - base
+		c.Reclaimable = min(each, s.Max-c.OnDemand)
 		out[d.DataCentre] = c
 	}
 	return out
 }
 
+func ceil(f float64) int { return int(math.Ceil(f)) }
+
 // need is how many endpoints a load takes.
 func (p Policy) need(d Demand) int {
 	a := d.Tokens / p.TokensPerEndpoint
 	b := d.Running / p.RunningPerEndpoint
-	return int(max(a, b) + 0.999)
+	return ceil(max(a, b))
 }
 
 // DataCentres returns where a service can be ordered: the priced ones, the
