--- a/balance/book.go
+++ b/balance/book.go
@@ -13,8 +13,24 @@
 type Book struct {
 	mu    sync.Mutex
 	pages map[string]*page
+	sites map[string]*site
 }
 
+// site is what is known of a data centre as a whole: when one of its endpoints
+// could last not be reached, and until when all are avoided for it.
+type site struct {
+	endpoint string
+	failed   time.Time
+	until    time.Time
+}
+
+// A data centre of which two endpoints could not be reached within siteWindow is
+// taken to be cut off, and tried again after siteAvoid.
+const (
+	siteWindow = time.Second
+	siteAvoid  = time.Second
+)
+
 // page is what is known of one endpoint. Tokens are those of prompts that were
 // sent and of which no answer has begun.
 type page struct {
@@ -121,12 +137,14 @@
 
 // Entry is one call at an endpoint, from its sending to its end.
 type Entry struct {
-	book     *Book
-	page     *page
-	tokens   int
-	expected time.Duration
-	began    time.Time
-	first    bool
+	book *Book
+	page *page
+
+	dataCentre string
+	tokens     int
+	expected   time.Duration
+	began      time.Time
+	first      bool
 }
 
 // Begin notes that a call is sent.
@@ -142,7 +160,7 @@
 	p.waiting++
 	p.tokens += c.Tokens
 	p.parts.sent(c.Parts, now)
-	return &Entry{book: b, page: p, tokens: c.Tokens, expected: c.Expected, began: now}
+	return &Entry{book: b, page: p, dataCentre: e.DataCentre, tokens: c.Tokens, expected: c.Expected, began: now}
 }
 
 // Progress notes that the endpoint sent something for this call.
@@ -153,6 +171,7 @@
 	n.page.progress = now
 	n.page.broken = 0
 	n.page.until = time.Time{}
+	n.book.site(n.dataCentre).until = time.Time{}
 	if n.first {
 		return
 	}
@@ -182,11 +201,29 @@
 }
 
 // Avoid notes that an endpoint could not be reached or did not answer at all.
-func (b *Book) Avoid(id string) {
+func (b *Book) Avoid(e endpoint.Endpoint) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	p := b.page(id)
+	now := time.Now()
+	p := b.page(e.ID)
 	d := min(minAvoid<<min(p.broken, 8), maxAvoid)
 	p.broken++
-	p.until = time.Now().Add(d)
+	p.until = now.Add(d)
+	s := b.site(e.DataCentre)
+	if s.endpoint != e.ID && now.Sub(s.failed) < siteWindow || now.Sub(s.until) < siteWindow {
+		s.until = now.Add(siteAvoid)
+	}
+	s.endpoint, s.failed = e.ID, now
+}
+
+func (b *Book) site(dc string) *site {
+	if b.sites == nil {
+		b.sites = map[string]*site{}
+	}
+	s := b.sites[dc]
+	if s == nil {
+		s = &site{}
+		b.sites[dc] = s
+	}
+	return s
 }
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -82,7 +82,7 @@
 // judge estimates the time to the first event at one endpoint.
 func (b *Book) judge(e *endpoint.Endpoint, q Query, home bool, now time.Time) Choice {
 	p := b.page(e.ID)
-	c := Choice{Endpoint: *e, Parts: q.Parts, Avoided: now.Before(p.until), Running: p.running + p.told.running}
+	c := Choice{Endpoint: *e, Parts: q.Parts, Avoided: now.Before(p.until) || now.Before(b.site(e.DataCentre).until), Running: p.running + p.told.running}
 	if !q.Engine {
 		over := max(c.Running+1-e.Slots, 0)
 		c.Expected = time.Duration(c.Running)*perRunning + time.Duration(over)*10*perRunning
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -37,6 +37,9 @@
 // stands within milliseconds, also in another data centre.
 const dialEndpoint = 250 * time.Millisecond
 
+// toldWindows is how many ended windows' counts a box tells the others.
+const toldWindows = 2
+
 // The times of a stop: the balancer asks each second and believes two misses.
 const (
 	stopNotice  = 2500 * time.Millisecond
@@ -95,6 +98,7 @@
 	tally    *tally.Tally
 	known    *known.Known
 	gossip   *gossip.Gossip
+	reporter *reporter.Reporter // nil without that duty
 
 	// incarnation tells this process from those before it on the same box.
 	incarnation string
@@ -147,7 +151,8 @@
 	ss := []kernel.Service{e}
 	if s.Usage {
 		o := reporter.Options{Prefix: usagePrefix, BoxesPrefix: boxesPrefix, Box: s.Box, Incarnation: p.incarnation, Due: s.ReportDue}
-		ss = append(ss, reporter.New(o, p.tally, p.store, cl, e, log))
+		p.reporter = reporter.New(o, p.tally, p.store, cl, e, log)
+		ss = append(ss, p.reporter)
 	}
 	if s.Orders {
 		o := orders.New(log)
@@ -167,6 +172,7 @@
 		return gossip.Status{
 			Box: s.Box, DataCentre: s.DataCentre, Address: s.Peers, Version: v,
 			Quota: p.quota.Own(s.Box, p.incarnation, now), Load: p.book.Own(), Demand: p.meter.Figures(now),
+			Usage: p.tally.Recent(s.Box+"."+p.incarnation, p.tally.Number(now)-toldWindows),
 		}
 	}
 	g.OnChange = p.heard
@@ -180,6 +186,9 @@
 	told := make([]quota.Told, 0, len(others))
 	for _, o := range others {
 		told = append(told, o.Quota)
+		if p.reporter != nil {
+			p.reporter.Hear(o.Usage)
+		}
 		for id, l := range o.Load {
 			sum[id] = balance.Load{Running: sum[id].Running + l.Running, Tokens: sum[id].Tokens + l.Tokens}
 		}
--- a/election/election.go
+++ b/election/election.go
@@ -17,12 +17,12 @@
 
 // The parts of the term. A holder renews three times in it, and stops acting
 // when less than stopPart of it is left on its own steady clock, so that it has
-// stopped before the store ends the lease. A challenger asks for the duty each
-// challenge; most find the key there, which costs one read.
+// stopped before the store ends the lease. A challenger watches the key, each
+// call for challenge, and asks for the duty when the key goes.
 const (
 	renewParts = 3
 	stopPart   = 0.3
-	challenge  = 1500 * time.Millisecond
+	challenge  = 8 * time.Second
 	retry      = 300 * time.Millisecond
 )
 
@@ -130,14 +130,27 @@
 	if l != 0 {
 		e.release(c)
 	}
-	i, err := e.Store.Get(c, e.Key)
+	i, at, err := e.look(c)
 	if err != nil {
 		return retry
 	}
-	if i.Revision != 0 {
-		return challenge
+	if i.Revision == 0 {
+		return e.take(c)
 	}
-	return e.take(c)
+	// Whatever ends the watch, the next step looks at the key again.
+	if _, _, err := e.Store.Watch(c, e.Key, at, challenge); err != nil {
+		return retry
+	}
+	return 0
+}
+
+// look returns the key's item, and a revision from which a watch misses nothing.
+func (e *Election) look(c context.Context) (store.Item, uint64, error) {
+	items, at, err := e.Store.Range(c, e.Key)
+	if err != nil || len(items) == 0 {
+		return store.Item{}, at, err
+	}
+	return items[0], at, nil
 }
 
 func (e *Election) renew(c context.Context, l store.Lease, began time.Time) time.Duration {
@@ -175,9 +188,6 @@
 		if err := e.Store.Revoke(c, l); err != nil {
 			e.Log.Info().Str("event", "duty").Err(err).Msg("a lease that is of no use ends by itself")
 		}
-		if errors.Is(err, store.ErrConflict) {
-			return challenge
-		}
 		return retry
 	}
 	e.mu.Lock()
--- a/forward/run.go
+++ b/forward/run.go
@@ -33,7 +33,7 @@
 	sink Sink
 
 	skip     map[string]bool // endpoints that were tried
-	attempts int             // that reached an endpoint
+	sent     []string        // the endpoints that the request reached
 	dials    int             // that reached none
 	ran      bool            // an attempt may have run
 	counted  bool
@@ -65,7 +65,7 @@
 	}
 	e := ch.Endpoint
 	r.skip[e.ID] = true
-	if r.attempts > 0 && !r.f.Budget.Spend(r.q.Service.Name, time.Now()) {
+	if len(r.sent) > 0 && !r.f.Budget.Spend(r.q.Service.Name, time.Now()) {
 		return r.fail(errkind.Overloaded, "the service's retries are used up")
 	}
 	out := r.attempt(c, ch)
@@ -78,12 +78,12 @@
 	r.note(out, e)
 	d := recovery.Decide(recovery.State{
 		Break: out.breakage, Repeatable: r.q.Route.Repeatable(), Tries: recovery.MaxTries,
-		Attempts: r.attempts + max(r.dials-maxDials+1, 0)*recovery.MaxAttempts, Ran: r.ran,
+		Attempts: r.attempts() + max(r.dials-maxDials+1, 0)*recovery.MaxAttempts, Ran: r.ran,
 		Expired: c.Err() != nil, Limit: r.limit(),
 		Budget:  out.breakage == recovery.Unreachable || r.f.Budget.Allowed(r.q.Service.Name, time.Now()),
 		Charged: true,
 	})
-	r.f.Log.Info().Str("event", "attempt broke").Str("request", r.q.Call.ID).Str("endpoint", e.ID).Int("attempt", r.attempts).
+	r.f.Log.Info().Str("event", "attempt broke").Str("request", r.q.Call.ID).Str("endpoint", e.ID).Int("attempt", len(r.sent)).
 		Int("break", int(out.breakage)).Str("last_event", r.last).Bool("ran", r.ran).Err(out.err).Str("reason", d.Reason).Msg("decision")
 	if d.Step == recovery.Elsewhere {
 		return false, nil
@@ -96,11 +96,11 @@
 	switch out.breakage {
 	case recovery.Unreachable:
 		r.dials++
-		r.f.Book.Avoid(e.ID)
+		r.f.Book.Avoid(e)
 	case recovery.Refused:
-		r.attempts++
+		r.sent = append(r.sent, e.ID)
 	default:
-		r.attempts++
+		r.sent = append(r.sent, e.ID)
 		r.ran = true
 		if out.progress {
 			// A stream that went on here may go on there: what it has is kept.
@@ -109,6 +109,22 @@
 	}
 }
 
+// attempts counts the endpoints that the request reached, without those that
+// have left since: what they had is lost, whatever is done. All count once there
+// have been more than a request can use.
+func (r *run) attempts() int {
+	if len(r.sent) >= recovery.MaxAttempts {
+		return recovery.MaxAttempts
+	}
+	n := 0
+	for _, id := range r.sent {
+		if e, ok := r.f.Roster.Get(id); ok && !e.Draining {
+			n++
+		}
+	}
+	return n
+}
+
 // limit is the number of endpoints that the request may be sent to.
 func (r *run) limit() int { return max(r.q.Route.MaxAttempts, 1) }
 
@@ -141,7 +157,7 @@
 		if ch, ok := r.f.Book.Choose(es, q); ok {
 			return ch, true
 		}
-		if len(es) > 0 || r.attempts+r.dials > 0 || time.Now().After(end) || c.Err() != nil {
+		if len(es) > 0 || len(r.sent)+r.dials > 0 || time.Now().After(end) || c.Err() != nil {
 			return balance.Choice{}, false
 		}
 		wait.For(c, nonePause)
@@ -187,7 +203,7 @@
 	cl := r.q.Call
 	defer r.f.Meter.Begin(r.q.Service.Name, ch.Tokens, time.Now())()
 	n := r.f.Book.Begin(e, ch)
-	w := r.watch(cancel, e.ID)
+	w := r.watch(cancel, e)
 	defer w.stop()
 	sent := time.Now()
 	ans, err := r.f.Pool.Do(x, exchange.Request{
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -5,6 +5,8 @@
 	"errors"
 	"sync"
 	"time"
+
+	"birchlink.dev/birchlink/endpoint"
 )
 
 // errSilent says that an attempt was given up because its endpoint was silent.
@@ -31,13 +33,13 @@
 	over  bool
 }
 
-func (r *run) watch(cancel context.CancelCauseFunc, id string) *watch {
+func (r *run) watch(cancel context.CancelCauseFunc, e endpoint.Endpoint) *watch {
 	w := &watch{last: time.Now()}
 	if !r.q.Route.Repeatable() {
 		return w
 	}
 	if !r.stream() {
-		if r.attempts+1 < r.limit() && r.q.Route.Objective > 0 {
+		if r.attempts()+1 < r.limit() && r.q.Route.Objective > 0 {
 			d := time.Duration(plainPart * float64(r.q.Route.Objective))
 			w.timer = time.AfterFunc(d, func() { cancel(errSilent) })
 		}
@@ -51,8 +53,8 @@
 		if w.over {
 			return
 		}
-		if time.Since(w.last) > silence && r.f.Book.Silent(id) > silence {
-			r.f.Book.Avoid(id)
+		if time.Since(w.last) > silence && r.f.Book.Silent(e.ID) > silence {
+			r.f.Book.Avoid(e)
 			cancel(errSilent)
 			return
 		}
--- a/gossip/status.go
+++ b/gossip/status.go
@@ -8,6 +8,7 @@
 	"birchlink.dev/birchlink/balance"
 	"birchlink.dev/birchlink/demand"
 	"birchlink.dev/birchlink/quota"
+	"birchlink.dev/birchlink/tally"
 )
 
 // Status is what one box tells the others.
@@ -19,6 +20,7 @@
 	Quota      quota.Told
 	Load       map[string]balance.Load
 	Demand     map[string]demand.Figure
+	Usage      tally.Part
 }
 
 // heard is a status and when it came.
--- a/known/known.go
+++ b/known/known.go
@@ -28,7 +28,7 @@
 
 // watchWait is how long a call waits for changes: well inside the 2 s within
 // which a configuration has to be in force and a leaving endpoint known.
-const watchWait = 1200 * time.Millisecond
+const watchWait = 1400 * time.Millisecond
 
 // outageMargin is how long after an outage a vanished record may be due to it.
 const outageMargin = 2500 * time.Millisecond
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -14,6 +14,10 @@
 	"birchlink.dev/birchlink/wait"
 )
 
+// gather is how long a mirror waits after changes before it asks for more, so
+// that changes that come together cost one call.
+const gather = 100 * time.Millisecond
+
 // The pause after a call that got no answer, at random between these.
 const (
 	minPause = 50 * time.Millisecond
@@ -87,6 +91,7 @@
 	}
 	if len(items) > 0 {
 		m.Apply(items, false, at)
+		wait.For(c, gather)
 	}
 	return max(at, revision), nil
 }
--- a/orders/orders.go
+++ b/orders/orders.go
@@ -31,7 +31,7 @@
 	step       = 400 * time.Millisecond
 	dryPause   = 2 * time.Second
 	again      = 8 * time.Second
-	downSettle = 6 * time.Second
+	downSettle = 4 * time.Second
 )
 
 // Orders is the service of one box. Demand returns what each data centre's
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -9,7 +9,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -63,6 +65,9 @@
 	group  sync.WaitGroup
 	fence  uint64
 	sent   map[int64]bool
+
+	mu   sync.Mutex
+	told map[int64]map[string]map[string]int // by window and source
 }
 
 // New returns the reporter of a box.
@@ -89,6 +94,30 @@
 	return r.put(c, r.Tally.Number(time.Now()))
 }
 
+// Hear keeps what another process told of its counts, in case it ends or is cut
+// off before it has written them.
+func (r *Reporter) Hear(p tally.Part) {
+	oldest := r.Tally.Number(time.Now()) - keptWindows
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.told == nil {
+		r.told = map[int64]map[string]map[string]int{}
+	}
+	maps.DeleteFunc(r.told, func(w int64, _ map[string]map[string]int) bool { return w < oldest })
+	for w, counts := range p.Windows {
+		if w < oldest {
+			continue
+		}
+		if r.told[w] == nil {
+			r.told[w] = map[string]map[string]int{}
+		}
+		r.told[w][p.Source] = counts
+	}
+}
+
+// Source names this process among those that count.
+func (r *Reporter) Source() string { return r.Box + "." + r.Incarnation }
+
 // write puts this box's part into the store after each window.
 func (r *Reporter) write(c context.Context) {
 	next := r.Tally.Number(time.Now())
@@ -110,7 +139,7 @@
 }
 
 func (r *Reporter) part(window int64) string {
-	return r.parts(window) + r.Box + "." + r.Incarnation
+	return r.parts(window) + r.Source()
 }
 
 func (r *Reporter) parts(window int64) string {
@@ -238,12 +267,21 @@
 	if len(parts) < len(boxes) && time.Since(r.Tally.End(window)) < r.Due-collectMargin {
 		return nil, fmt.Errorf("%w: %d of %d", errMissing, len(parts), len(boxes))
 	}
-	sum := map[string]int{}
+	all := r.heard(window)
 	for _, p := range parts {
 		m, err := decode(p.Value)
 		if err != nil {
 			return nil, fmt.Errorf("%s: %w", p.Key, err)
 		}
+		// Counts only grow: of two from one process, the higher is the later.
+		source := strings.TrimPrefix(p.Key, r.parts(window))
+		for a, n := range all[source] {
+			m[a] = max(m[a], n)
+		}
+		all[source] = m
+	}
+	sum := map[string]int{}
+	for _, m := range all {
 		for a, n := range m {
 			sum[a] += n
 		}
@@ -251,6 +289,15 @@
 	return sum, nil
 }
 
+// heard returns what the processes told of a window.
+func (r *Reporter) heard(window int64) map[string]map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := map[string]map[string]int{}
+	maps.Copy(out, r.told[window])
+	return out
+}
+
 func decode(b []byte) (map[string]int, error) {
 	var m map[string]int
 	if err := json.Unmarshal(b, &m); err != nil {
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -60,7 +60,7 @@
 // rounds (docs/DESIGN.md).
 var Default = Policy{
 	Reclaimable: 3, Surplus: 1.5, Trust: 0.6, Least: 5,
-	TokensPerEndpoint: 16_000, RunningPerEndpoint: 40, Wary: 1500 * time.Millisecond,
+	TokensPerEndpoint: 20_000, RunningPerEndpoint: 40, Wary: 1500 * time.Millisecond,
 }
 
 // Site is what is known of a service in one data centre.
