--- /dev/null
+++ b/balance/book_test.go
@@ -0,0 +1,137 @@
+package balance_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"birchlink.dev/birchlink/balance"
+	"birchlink.dev/birchlink/call"
+	"birchlink.dev/birchlink/endpoint"
+	"birchlink.dev/birchlink/wait"
+)
+
+func endpoints(n int) []endpoint.Endpoint {
+	var es []endpoint.Endpoint
+	for i := range n {
+		es = append(es, endpoint.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Slots: 128, DataCentre: fmt.Sprint("dc", i%3)})
+	}
+	return es
+}
+
+func prompt(shared string, own int) balance.Query {
+	return balance.Query{
+		DataCentre: "dc0", Engine: true, Shared: 1, Prompt: 4000 + own,
+		Parts: []call.Part{{ID: shared, Tokens: 4000}, {ID: "own", Tokens: own}},
+	}
+}
+
+// Boxes that know nothing of each other send prompts that begin alike to the
+// same endpoint, from whatever data centre.
+func TestSameHome(t *testing.T) {
+	es := endpoints(9)
+	for i := range 20 {
+		q := prompt(fmt.Sprint("p", i), 500)
+		a, ok := (&balance.Book{}).Choose(es, q)
+		require.True(t, ok)
+		q.DataCentre = "dc1"
+		b, _ := (&balance.Book{}).Choose(es, q)
+		require.Equal(t, a.Endpoint.ID, b.Endpoint.ID)
+		require.Less(t, a.Tokens, q.Prompt)
+	}
+}
+
+// A home with much to read is left for an endpoint that has to read it all.
+func TestLoadGoesBeforeHome(t *testing.T) {
+	es := endpoints(9)
+	var b balance.Book
+	q := prompt("p", 500)
+	home, _ := b.Choose(es, q)
+	b.Tell(map[string]balance.Load{home.Endpoint.ID: {Running: 3, Tokens: 20000}})
+	c, _ := b.Choose(es, q)
+	require.NotEqual(t, home.Endpoint.ID, c.Endpoint.ID)
+}
+
+// A box's own sends count at once, without waiting for anybody's report.
+func TestOwnSendsCount(t *testing.T) {
+	es := endpoints(3)
+	var b balance.Book
+	seen := map[string]bool{}
+	for i := range 3 {
+		c, _ := b.Choose(es, balance.Query{DataCentre: "dc0", Engine: true, Prompt: 9000 + i})
+		b.Begin(c.Endpoint, c)
+		seen[c.Endpoint.ID] = true
+	}
+	require.Len(t, seen, 3)
+}
+
+// An endpoint that fails its calls is used less, though it answers.
+func TestFailuresCount(t *testing.T) {
+	es := endpoints(3)
+	var b balance.Book
+	q := balance.Query{DataCentre: "dc0"}
+	bad, _ := b.Choose(es, q)
+	for range 10 {
+		n := b.Begin(bad.Endpoint, bad)
+		n.Progress()
+		n.End(true)
+	}
+	c, _ := b.Choose(es, q)
+	require.NotEqual(t, bad.Endpoint.ID, c.Endpoint.ID)
+}
+
+// Two endpoints of a data centre that cannot be reached make all of it avoided,
+// until a moment later or until one of them answers.
+func TestDataCentreCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		es := endpoints(9)
+		var b balance.Book
+		b.Avoid(es[1])
+		b.Avoid(es[4])
+		q := balance.Query{DataCentre: "dc1", Skip: map[string]bool{}}
+		for range 6 {
+			c, _ := b.Choose(es, q)
+			require.NotEqual(t, "dc1", c.Endpoint.DataCentre)
+			q.Skip[c.Endpoint.ID] = true
+		}
+		c, ok := b.Choose(es, q)
+		require.True(t, ok, "an avoided endpoint is better than none")
+		require.True(t, c.Avoided)
+		wait.For(t.Context(), 3*time.Second)
+		c, _ = b.Choose(es, balance.Query{DataCentre: "dc1"})
+		require.Equal(t, "dc1", c.Endpoint.DataCentre)
+	})
+}
+
+// An endpoint is silent only while calls are with it and none gets anything.
+func TestSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		es := endpoints(1)
+		var b balance.Book
+		c, _ := b.Choose(es, balance.Query{})
+		wait.For(t.Context(), time.Minute)
+		one, two := b.Begin(es[0], c), b.Begin(es[0], c)
+		require.Zero(t, b.Silent("e0"))
+		wait.For(t.Context(), 2*time.Second)
+		require.Equal(t, 2*time.Second, b.Silent("e0"))
+		one.Progress()
+		require.Zero(t, b.Silent("e0"))
+		one.End(false)
+		two.End(false)
+		wait.For(t.Context(), time.Second)
+		require.Zero(t, b.Silent("e0"))
+	})
+}
+
+func BenchmarkChoose(b *testing.B) {
+	es := endpoints(111)
+	var k balance.Book
+	q := prompt("p", 500)
+	b.ReportAllocs()
+	for b.Loop() {
+		k.Choose(es, q)
+	}
+}
--- /dev/null
+++ b/election/election_test.go
@@ -0,0 +1,109 @@
+package election_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"birchlink.dev/birchlink/election"
+	"birchlink.dev/birchlink/stand/memstore"
+	"birchlink.dev/birchlink/wait"
+)
+
+const term = 3 * time.Second
+
+func enter(t *testing.T, m *memstore.Memory, box string) *election.Election {
+	t.Helper()
+	e := &election.Election{Store: m, Key: "duty", Box: box, Term: term, Log: zerolog.Nop()}
+	require.NoError(t, e.Start(t.Context(), nil))
+	return e
+}
+
+func acting(es ...*election.Election) (n int, fence uint64) {
+	for _, e := range es {
+		if f, ok := e.Act(); ok {
+			n, fence = n+1, f
+		}
+	}
+	return n, fence
+}
+
+// The duty passes from a holder that stops to another, under a higher fence,
+// and never is with two.
+func TestHandOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &memstore.Memory{}
+		a := enter(t, m, "a")
+		wait.For(t.Context(), 2 * term)
+		b := enter(t, m, "b")
+		wait.For(t.Context(), 2 * term)
+		n, first := acting(a, b)
+		require.Equal(t, 1, n)
+		require.NoError(t, a.Stop(context.Background()))
+		wait.For(t.Context(), term)
+		n, second := acting(a, b)
+		require.Equal(t, 1, n)
+		require.Greater(t, second, first)
+		require.NoError(t, b.Stop(context.Background()))
+	})
+}
+
+// A holder that the store does not answer stops acting before its lease can
+// end, by its own steady clock alone.
+func TestStopsBeforeTheLeaseEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &memstore.Memory{}
+		a := enter(t, m, "a")
+		wait.For(t.Context(), 2 * term)
+		_, ok := a.Act()
+		require.True(t, ok)
+		m.SetDown(true)
+		wait.For(t.Context(), term)
+		_, ok = a.Act()
+		require.False(t, ok)
+		m.SetDown(false)
+		require.NoError(t, a.Stop(context.Background()))
+	})
+}
+
+// A box that gets the duty back does not act until a term after its last call
+// under the earlier fence: else it and the holder between would act by turns.
+func TestWaitsBeforeActingAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &memstore.Memory{}
+		a := enter(t, m, "a")
+		wait.For(t.Context(), 2 * term)
+		f, ok := a.Act()
+		require.True(t, ok)
+		last := time.Now()
+		a.Drop(f)
+		for {
+			g, ok := a.Act()
+			if ok {
+				require.Greater(t, g, f)
+				require.GreaterOrEqual(t, time.Since(last), term)
+				break
+			}
+			wait.For(t.Context(), 50 * time.Millisecond)
+		}
+		require.NoError(t, a.Stop(context.Background()))
+	})
+}
+
+// A change whose answer is lost does not leave two holders, nor none for long.
+func TestLostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &memstore.Memory{}
+		m.LoseAnswers(1)
+		a, b := enter(t, m, "a"), enter(t, m, "b")
+		wait.For(t.Context(), 3 * term)
+		n, _ := acting(a, b)
+		require.Equal(t, 1, n)
+		require.NoError(t, a.Stop(context.Background()))
+		require.NoError(t, b.Stop(context.Background()))
+	})
+}
--- /dev/null
+++ b/forward/endpoint_test.go
@@ -0,0 +1,180 @@
+package forward_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// fake is an endpoint that answers as a script says, one behaviour a request;
+// the last one is used for all that follow.
+type fake struct {
+	t        *testing.T
+	name     string
+	listener net.Listener
+	behave   []string
+	leave    func()        // states that this endpoint drains
+	closed   chan struct{} // gets an item for each connection that the endpoint closed
+
+	mu    sync.Mutex
+	runs  int
+	conns int
+	from  []string // the last event that each request came with
+}
+
+func newFake(t *testing.T, name string, behave []string) *fake {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	f := &fake{t: t, name: name, listener: l, behave: behave, closed: make(chan struct{}, 16)}
+	if behave[0] == "refuse" {
+		require.NoError(t, l.Close())
+		return f
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go f.accept()
+	return f
+}
+
+func (f *fake) accept() {
+	for {
+		c, err := f.listener.Accept()
+		if err != nil {
+			return
+		}
+		f.mu.Lock()
+		f.conns++
+		f.mu.Unlock()
+		go f.serve(c)
+	}
+}
+
+// next returns how to answer a request that has been read.
+func (f *fake) next(last string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b := f.behave[0]
+	if len(f.behave) > 1 {
+		f.behave = f.behave[1:]
+	}
+	if b != "shed" && b != "elsewhere" {
+		f.runs++
+	}
+	f.from = append(f.from, last)
+	return b
+}
+
+func (f *fake) serve(c net.Conn) {
+	defer func() {
+		_ = c.Close()
+		f.closed <- struct{}{}
+	}()
+	r := bufio.NewReader(c)
+	for {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, q.Body)
+		last := q.Header.Get("Last-Event")
+		if !f.answer(c, f.next(last), q.Header.Get("Id"), last) {
+			return
+		}
+	}
+}
+
+func reset(c net.Conn) {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
+// answer plays one behaviour and reports whether the connection stays.
+func (f *fake) answer(c net.Conn, behave, id, last string) bool {
+	kind, arg, _ := strings.Cut(behave, ":")
+	n, _ := strconv.Atoi(arg)
+	body := "from " + f.name
+	// Answers that belong together go out in one write, so that they arrive together.
+	whole := func(ids ...string) {
+		var b strings.Builder
+		for _, id := range ids {
+			fmt.Fprintf(&b, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+		}
+		fmt.Fprint(c, b.String())
+	}
+	switch kind {
+	case "ok":
+		whole(id)
+	case "shed":
+		fmt.Fprintf(c, "HTTP/1.1 503 Full\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
+	case "elsewhere":
+		fmt.Fprintf(c, "HTTP/1.1 421 Elsewhere\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
+	case "error":
+		fmt.Fprintf(c, "HTTP/1.1 %d Bad\r\nId: %s\r\nContent-Length: 3\r\n\r\nbad", n, id)
+	case "crossed":
+		whole("another", id)
+	case "foreign":
+		whole("another")
+		return false
+	case "extra":
+		whole(id, "another")
+	case "unframed":
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\n%s", id, body)
+		return false
+	case "unframed_reset":
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\n%s", id, body[:3])
+		reset(c)
+		return false
+	case "short":
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 100\r\n\r\n%s", id, body)
+		return false
+	case "nonsense":
+		fmt.Fprint(c, "these bytes are no answer\r\n\r\n")
+		return false
+	case "reset":
+		reset(c)
+		return false
+	case "close":
+		return false
+	case "close_idle":
+		whole(id)
+		return false
+	case "mute":
+		_, _ = io.Copy(io.Discard, c)
+		return false
+	case "stream", "stream_cut", "stream_torn", "stream_leave":
+		return f.stream(c, kind, id, last, n)
+	default:
+		f.t.Errorf("no behaviour %q", behave)
+	}
+	return true
+}
+
+// stream sends the events after last up to n, and ends as kind says.
+func (f *fake) stream(c net.Conn, kind, id, last string, n int) bool {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id)
+	chunk := func(s string) { fmt.Fprintf(c, "%x\r\n%s\r\n", len(s), s) }
+	from, _ := strconv.Atoi(last)
+	for i := from + 1; i <= n; i++ {
+		chunk(fmt.Sprintf("id: %d\ndata: %d\n\n", i, i))
+	}
+	switch kind {
+	case "stream_torn":
+		chunk(fmt.Sprintf("id: %d\nda", n+1))
+		return false
+	case "stream_leave":
+		f.leave()
+		return false
+	case "stream_cut":
+		return false
+	}
+	fmt.Fprint(c, "0\r\n\r\n")
+	return true
+}
--- /dev/null
+++ b/forward/forward_test.go
@@ -0,0 +1,199 @@
+package forward_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"birchlink.dev/birchlink/balance"
+	"birchlink.dev/birchlink/budget"
+	"birchlink.dev/birchlink/call"
+	"birchlink.dev/birchlink/catalog"
+	"birchlink.dev/birchlink/demand"
+	"birchlink.dev/birchlink/endpoint"
+	"birchlink.dev/birchlink/errkind"
+	"birchlink.dev/birchlink/exchange"
+	"birchlink.dev/birchlink/forward"
+)
+
+// codec speaks the fakes' headers.
+type codec struct{}
+
+func (codec) Head(c *call.Call, a call.Attempt) http.Header {
+	h := http.Header{"Id": {c.ID}}
+	if a.LastEvent != "" {
+		h.Set("Last-Event", a.LastEvent)
+	}
+	return h
+}
+
+func (codec) Outcome(status int, h http.Header) call.Outcome {
+	return call.Outcome{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Elsewhere: status == http.StatusMisdirectedRequest}
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	body   string
+	heads  int
+}
+
+func (a *answer) Head(status int, _ http.Header) error {
+	a.status = status
+	a.heads++
+	return nil
+}
+
+func (a *answer) Event(raw []byte) error {
+	a.body += string(raw)
+	return nil
+}
+
+func (a *answer) Whole(status int, _ http.Header, body []byte) error {
+	a.status, a.body = status, string(body)
+	a.heads++
+	return nil
+}
+
+// events returns the numbers of the events that the caller got.
+func (a *answer) events() string {
+	var out []string
+	for l := range strings.SplitSeq(a.body, "\n") {
+		if id, ok := strings.CutPrefix(l, "id: "); ok {
+			out = append(out, id)
+		}
+	}
+	return strings.Join(out, " ")
+}
+
+// script is one file: endpoints with their behaviours, and calls with what is to
+// come of them.
+type script struct {
+	t      *testing.T
+	f      *forward.Forwarder
+	fakes  map[string]*fake
+	route  catalog.Route
+	began  int
+	last   *answer
+	err    error
+	serial int
+}
+
+// TestScripts plays the files in testdata.
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, p := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(p), ".txt"), func(t *testing.T) { play(t, p) })
+	}
+}
+
+func play(t *testing.T, path string) {
+	f, err := os.Open(path)
+	require.NoError(t, err)
+	defer f.Close()
+	s := &script{t: t, fakes: map[string]*fake{}}
+	s.f = &forward.Forwarder{
+		Roster: &endpoint.Roster{}, Book: &balance.Book{}, Pool: &exchange.Pool{DialLimit: time.Second},
+		Budget: budget.New(budget.Terms{Ratio: 1, Slack: 1000, Window: time.Minute}), Meter: &demand.Meter{},
+		Codec: codec{}, Began: func(string, time.Time) { s.began++ }, Log: zerolog.Nop(),
+	}
+	r := bufio.NewScanner(f)
+	for n := 1; r.Scan(); n++ {
+		words := strings.Fields(r.Text())
+		if len(words) == 0 || strings.HasPrefix(words[0], "#") {
+			continue
+		}
+		s.step(words, path+":"+strconv.Itoa(n))
+	}
+	require.NoError(t, r.Err())
+}
+
+func (s *script) step(words []string, at string) {
+	switch words[0] {
+	case "route":
+		s.setRoute(words[1:])
+	case "endpoint":
+		s.fakes[words[1]] = newFake(s.t, words[1], words[2:])
+		s.fakes[words[1]].leave = func() { s.f.Roster.Put(endpoint.Endpoint{ID: words[1], Draining: true}) }
+		s.f.Roster.Put(endpoint.Endpoint{ID: words[1], Service: "s", Slots: 4, Address: s.fakes[words[1]].listener.Addr().String()})
+	case "budget":
+		s.f.Budget = budget.New(budget.Terms{Window: time.Minute})
+	case "call":
+		s.call()
+	case "closed":
+		<-s.fakes[words[1]].closed
+	case "expect":
+		s.expect(words[1:], at)
+	default:
+		s.t.Fatalf("%s: no step %q", at, words[0])
+	}
+}
+
+// setRoute reads: kind, resumable or not, then attempts.
+func (s *script) setRoute(words []string) {
+	kinds := map[string]catalog.Kind{"idempotent": catalog.Idempotent, "mutating": catalog.Mutating, "stream": catalog.Stream}
+	n, err := strconv.Atoi(words[len(words)-1])
+	require.NoError(s.t, err)
+	s.route = catalog.Route{
+		Kind: kinds[words[0]], Resumable: slices.Contains(words, "resumable"), MaxAttempts: n, Objective: 200 * time.Millisecond,
+	}
+}
+
+func (s *script) call() {
+	s.serial++
+	s.last = &answer{}
+	c := &call.Call{ID: strconv.Itoa(s.serial), Method: http.MethodPost, Host: "h", Target: "/x", Path: "/x", Body: []byte("body"), Arrived: time.Now()}
+	q := forward.Request{
+		Call: c, Route: &s.route, Service: &catalog.Service{Name: "s"}, Account: &catalog.Account{Name: "a"}, Expires: time.Now().Add(5 * time.Second),
+	}
+	s.err = s.f.Do(context.Background(), q, s.last)
+}
+
+func (s *script) expect(words []string, at string) {
+	switch words[0] {
+	case "status":
+		require.NoError(s.t, s.err, at)
+		require.Equal(s.t, words[1], strconv.Itoa(s.last.status), at)
+	case "body":
+		require.Equal(s.t, strings.Join(words[1:], " "), s.last.body, at)
+	case "events":
+		require.Equal(s.t, strings.Join(words[1:], " "), s.last.events(), at)
+		require.Equal(s.t, 1, s.last.heads, at)
+	case "error":
+		var e *errkind.Error
+		require.True(s.t, errors.As(s.err, &e), "%s: %v", at, s.err)
+		require.Equal(s.t, words[1], e.Kind.String(), at)
+	case "runs":
+		f := s.fakes[words[1]]
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		require.Equal(s.t, words[2], strconv.Itoa(f.runs), at)
+	case "connections":
+		f := s.fakes[words[1]]
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		require.Equal(s.t, words[2], strconv.Itoa(f.conns), at)
+	case "resumed":
+		f := s.fakes[words[1]]
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		require.Contains(s.t, f.from, words[2], at)
+	case "began":
+		require.Equal(s.t, words[1], strconv.Itoa(s.began), at)
+	default:
+		s.t.Fatalf("%s: nothing to expect is called %q", at, words[0])
+	}
+}
--- a/known/known.go
+++ b/known/known.go
@@ -207,7 +207,7 @@
 	if !had {
 		return
 	}
-	if !e.Draining && k.session.SinceReturn() < outageMargin {
+	if !e.Draining && !k.session.Settled(outageMargin) {
 		k.mu.Lock()
 		defer k.mu.Unlock()
 		if k.absent[id] == nil {
--- /dev/null
+++ b/known/known_test.go
@@ -0,0 +1,163 @@
+package known_test
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"birchlink.dev/birchlink/catalog"
+	"birchlink.dev/birchlink/endpoint"
+	"birchlink.dev/birchlink/kernel"
+	"birchlink.dev/birchlink/known"
+	"birchlink.dev/birchlink/session"
+	"birchlink.dev/birchlink/stand/memstore"
+	"birchlink.dev/birchlink/wait"
+)
+
+// The bound within which a change has to be known, and that of a record that
+// lapsed during an outage.
+const (
+	applied = 2 * time.Second
+	lapsed  = 2500 * time.Millisecond
+)
+
+var source = known.Source{
+	ConfigKey: "config", EndpointsPrefix: "e/",
+	Document: func(b []byte) (*catalog.Document, error) {
+		var d catalog.Document
+		return &d, json.Unmarshal(b, &d)
+	},
+	Endpoint: func(key string, b []byte) (endpoint.Endpoint, error) {
+		return endpoint.Endpoint{ID: strings.TrimPrefix(key, "e/"), Service: "s", Draining: string(b) == "draining"}, nil
+	},
+}
+
+// box is one box's view of a store.
+type box struct {
+	*known.Known
+	session *session.Session
+	t       *testing.T
+}
+
+func start(t *testing.T, m *memstore.Memory) *box {
+	t.Helper()
+	s := session.New(m, "boxes/a", []byte("address"), zerolog.Nop())
+	k := known.New(source, m, zerolog.Nop())
+	n := &kernel.Kernel{}
+	require.NoError(t, n.Add(s))
+	require.NoError(t, s.Start(t.Context(), n))
+	require.NoError(t, k.Start(t.Context(), n))
+	return &box{k, s, t}
+}
+
+func (b *box) stop() {
+	require.NoError(b.t, b.Stop(context.Background()))
+	_ = b.session.Stop(context.Background())
+}
+
+func (b *box) version() uint64 {
+	if b.Table() == nil {
+		return 0
+	}
+	return b.Table().Document.Version
+}
+
+func run(t *testing.T, f func(t *testing.T, m *memstore.Memory, b *box)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		m := &memstore.Memory{}
+		m.Set("config", `{"Version":3}`)
+		m.Set("e/one", "ready")
+		b := start(t, m)
+		defer b.stop()
+		wait.For(t.Context(), time.Second)
+		require.True(t, b.Ready())
+		f(t, m, b)
+	})
+}
+
+// A change is in force within the bound, also when the store drops its history
+// and tells the calls that wait nothing.
+func TestChangeThatWatchesNeverHear(t *testing.T) {
+	run(t, func(t *testing.T, m *memstore.Memory, b *box) {
+		m.SetDeaf(true)
+		m.Set("config", `{"Version":5}`)
+		m.Unset("e/one")
+		m.Forget()
+		m.SetDeaf(false)
+		wait.For(t.Context(), applied)
+		require.EqualValues(t, 5, b.version())
+		require.Empty(t, b.Roster.Serving("s"))
+	})
+}
+
+// A version never falls, whatever the store or a neighbour says.
+func TestVersionNeverFalls(t *testing.T) {
+	run(t, func(t *testing.T, m *memstore.Memory, b *box) {
+		require.NoError(t, b.Install([]byte(`{"Version":9}`), "a neighbour"))
+		m.Set("config", `{"Version":4}`)
+		wait.For(t.Context(), applied)
+		require.EqualValues(t, 9, b.version())
+		require.NoError(t, b.Install([]byte(`{"Version":8}`), "a neighbour"))
+		require.EqualValues(t, 9, b.version())
+	})
+}
+
+// A configuration that cannot be read leaves the one in force.
+func TestUnreadable(t *testing.T) {
+	run(t, func(t *testing.T, m *memstore.Memory, b *box) {
+		m.Set("config", `{"Version":`)
+		wait.For(t.Context(), applied)
+		require.EqualValues(t, 3, b.version())
+		require.Error(t, b.Install([]byte("{"), "a neighbour"))
+	})
+}
+
+// An endpoint that drains never serves again, even if an older record comes.
+func TestDrainingIsFinal(t *testing.T) {
+	run(t, func(t *testing.T, m *memstore.Memory, b *box) {
+		m.Set("e/one", "draining")
+		wait.For(t.Context(), applied)
+		m.Set("e/one", "ready")
+		wait.For(t.Context(), applied)
+		require.Empty(t, b.Roster.Serving("s"))
+	})
+}
+
+// Records that end while the store is away come back for a moment afterwards:
+// the endpoint serves on meanwhile, and is gone if it has not come back.
+func TestLapsedDuringOutage(t *testing.T) {
+	run(t, func(t *testing.T, m *memstore.Memory, b *box) {
+		m.Set("e/two", "ready")
+		wait.For(t.Context(), applied)
+		m.SetDown(true)
+		wait.For(t.Context(), 4*time.Second)
+		m.Unset("e/one")
+		m.Unset("e/two")
+		m.SetDown(false)
+		wait.For(t.Context(), time.Second)
+		require.Len(t, b.Roster.Serving("s"), 2)
+		m.Set("e/two", "ready")
+		wait.For(t.Context(), lapsed)
+		es := b.Roster.Serving("s")
+		require.Len(t, es, 1)
+		require.Equal(t, "two", es[0].ID)
+	})
+}
+
+// Without an outage a record that is gone means an endpoint that is gone.
+func TestGoneAtOnce(t *testing.T) {
+	run(t, func(t *testing.T, m *memstore.Memory, b *box) {
+		wait.For(t.Context(), 2*lapsed)
+		m.Unset("e/one")
+		synctest.Wait()
+		wait.For(t.Context(), 200*time.Millisecond)
+		require.Empty(t, b.Roster.Serving("s"))
+	})
+}
--- /dev/null
+++ b/quota/quota_test.go
@@ -0,0 +1,167 @@
+package quota_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"birchlink.dev/birchlink/catalog"
+	"birchlink.dev/birchlink/quota"
+)
+
+var terms = quota.Terms{Window: 8 * time.Second, Overage: 0.1, Slack: 72000}
+
+var account = &catalog.Account{Name: "a", Tokens: true, Rate: 100000, Burst: 100000}
+
+// limit is what any window may hold.
+func limit() float64 {
+	return (account.Rate*terms.Window.Seconds()+account.Burst)*(1+terms.Overage) + terms.Slack
+}
+
+// fleet is boxes that tell each other what they spent every round.
+type fleet struct {
+	now    time.Time
+	boxes  []*quota.Quota
+	lives  []int
+	cut    map[int]bool
+	run    []entry
+	served int
+	asked  int
+}
+
+type entry struct {
+	at   time.Time
+	size float64
+}
+
+const round = 500 * time.Millisecond
+
+func newFleet(n int) *fleet {
+	f := &fleet{now: time.Unix(1000, 0), cut: map[int]bool{}, lives: make([]int, n)}
+	for range n {
+		f.boxes = append(f.boxes, &quota.Quota{Terms: terms, Started: f.now})
+	}
+	return f
+}
+
+func (f *fleet) restart(i int) {
+	f.lives[i]++
+	f.boxes[i] = &quota.Quota{Terms: terms, Started: f.now}
+}
+
+// gossip lets the boxes that are not cut off hear each other. What a box that is
+// cut off told last is kept.
+func (f *fleet) gossip() {
+	told := make([]quota.Told, len(f.boxes))
+	for i, b := range f.boxes {
+		told[i] = b.Own(fmt.Sprint(i), fmt.Sprint(f.lives[i]), f.now)
+	}
+	for i, b := range f.boxes {
+		if f.cut[i] {
+			continue
+		}
+		var ts []quota.Told
+		for j := range told {
+			if j != i && !f.cut[j] {
+				ts = append(ts, told[j])
+			}
+		}
+		b.Hear(ts, f.now)
+	}
+}
+
+// send asks for tokens a second at weights over the boxes, in requests of a size.
+func (f *fleet) send(d time.Duration, perSecond, size float64, weights ...int) {
+	total := 0
+	for _, w := range weights {
+		total += w
+	}
+	owed := make([]float64, len(f.boxes))
+	const tick = 10 * time.Millisecond
+	for n := range int(d / tick) {
+		f.now = f.now.Add(tick)
+		if n%int(round/tick) == 0 {
+			f.gossip()
+		}
+		for i, b := range f.boxes {
+			owed[i] += perSecond * tick.Seconds() * float64(weights[i]) / float64(total)
+			for ; owed[i] >= size; owed[i] -= size {
+				f.asked++
+				if _, ok := b.Take(account, size, f.now); ok {
+					f.run = append(f.run, entry{f.now, size})
+					f.served++
+				}
+			}
+		}
+	}
+}
+
+// most is the most that any window held.
+func (f *fleet) most() float64 {
+	top, sum, from := 0.0, 0.0, 0
+	for _, e := range f.run {
+		sum += e.size
+		for e.at.Sub(f.run[from].at) >= terms.Window {
+			sum -= f.run[from].size
+			from++
+		}
+		top = max(top, sum)
+	}
+	return top
+}
+
+// An account under its rate is not refused, however uneven its boxes are.
+func TestUnderTheRate(t *testing.T) {
+	f := newFleet(6)
+	f.send(5*time.Second, 1000, 500, 1, 1, 1, 1, 1, 1)
+	f.send(30*time.Second, 0.8*account.Rate, 5000, 9, 1, 4, 0, 2, 0)
+	require.Greater(t, float64(f.served)/float64(f.asked), 0.99)
+}
+
+// An account at many times its rate stays within its limit, and gets most of it.
+func TestManyTimesTheRate(t *testing.T) {
+	f := newFleet(6)
+	f.send(5*time.Second, 0.5*account.Rate, 8000, 1, 2, 3, 1, 1, 1)
+	f.send(20*time.Second, 6*account.Rate, 8000, 1, 2, 3, 1, 1, 1)
+	require.LessOrEqual(t, f.most(), limit())
+	require.GreaterOrEqual(t, f.most(), account.Rate*terms.Window.Seconds())
+}
+
+// Killing every box, twice within a window, gives nobody its burst again.
+func TestAllRestarted(t *testing.T) {
+	f := newFleet(8)
+	f.send(10*time.Second, 5*account.Rate, 8000, 1, 1, 1, 1, 1, 1, 1, 1)
+	for range 2 {
+		for i := range f.boxes {
+			f.restart(i)
+		}
+		f.now = f.now.Add(500 * time.Millisecond)
+		f.send(3500*time.Millisecond, 5*account.Rate, 8000, 1, 1, 1, 1, 1, 1, 1, 1)
+	}
+	require.LessOrEqual(t, f.most(), limit())
+}
+
+// A box that comes anew among others takes over what they know to be left.
+func TestOneRestarted(t *testing.T) {
+	f := newFleet(6)
+	f.send(10*time.Second, 5*account.Rate, 8000, 1, 1, 1, 1, 1, 1)
+	f.restart(2)
+	f.send(10*time.Second, 5*account.Rate, 8000, 1, 1, 1, 1, 1, 1)
+	require.LessOrEqual(t, f.most(), limit())
+}
+
+// A refusal says when there may be room, and no later than what is owed.
+func TestRefusalSaysWhen(t *testing.T) {
+	q := &quota.Quota{Terms: terms, Started: time.Unix(0, 0)}
+	now := time.Unix(100, 0)
+	for {
+		after, ok := q.Take(account, 50000, now)
+		if !ok {
+			require.Positive(t, after)
+			require.Less(t, after, 2*time.Second)
+			return
+		}
+	}
+}
--- a/session/session.go
+++ b/session/session.go
@@ -99,11 +99,13 @@
 	return time.Since(s.renewed)
 }
 
-// SinceReturn returns how long ago the store came back.
-func (s *Session) SinceReturn() time.Duration {
+// Settled reports whether the store has answered every renewal of the last d. It
+// is false during an outage, and for d after one.
+func (s *Session) Settled(d time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return time.Since(s.returned)
+	now := time.Now()
+	return s.reached && now.Sub(s.renewed) < 2*Renew && now.Sub(s.returned) >= d
 }
 
 func (s *Session) run(c context.Context) {
--- /dev/null
+++ b/sse/reader_test.go
@@ -0,0 +1,54 @@
+package sse_test
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"birchlink.dev/birchlink/sse"
+)
+
+func ExampleReader() {
+	r := sse.NewReader(strings.NewReader("id: 1\ndata: a\n\nid:2\ndata: b\n\n"))
+	for {
+		e, err := r.Next()
+		if err != nil {
+			fmt.Println(err)
+			return
+		}
+		fmt.Printf("%s %q\n", e.ID, e.Raw)
+	}
+	// Output:
+	// 1 "id: 1\ndata: a\n\n"
+	// 2 "id:2\ndata: b\n\n"
+	// EOF
+}
+
+func TestCutInsideAnEvent(t *testing.T) {
+	r := sse.NewReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\nda"))
+	_, err := r.Next()
+	require.NoError(t, err)
+	_, err = r.Next()
+	require.ErrorIs(t, err, sse.ErrCut)
+}
+
+func TestLongLinesAndReturns(t *testing.T) {
+	long := strings.Repeat("x", 20000)
+	r := sse.NewReader(strings.NewReader("x-versions: 3\r\nid: 7\r\ndata: " + long + "\r\n\r\n"))
+	e, err := r.Next()
+	require.NoError(t, err)
+	require.Equal(t, "7", e.ID)
+	require.True(t, strings.HasSuffix(string(e.Raw), long+"\r\n\r\n"))
+	_, err = r.Next()
+	require.True(t, errors.Is(err, io.EOF))
+}
+
+func TestEndless(t *testing.T) {
+	r := sse.NewReader(strings.NewReader(strings.Repeat("data: x\n", 1<<18)))
+	_, err := r.Next()
+	require.ErrorContains(t, err, "over")
+}
