--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -70,6 +70,8 @@
 
 	server  *http.Server
 	probe   *http.Server
+	callers net.Listener
+	asked   net.Listener
 	leaving atomic.Bool
 	live    atomic.Int64
 	end     context.Context
@@ -99,23 +101,30 @@
 	r := mux.NewRouter()
 	r.HandleFunc(i.ReadyPath, i.ready)
 	i.probe = &http.Server{Handler: r, ReadHeaderTimeout: headerLimit}
-	if err := i.listen(i.server, i.Address); err != nil {
+	if i.callers, err = i.listen(i.server, i.Address); err != nil {
 		return err
 	}
-	return i.listen(i.probe, i.Ready)
+	i.asked, err = i.listen(i.probe, i.Ready)
+	return err
 }
 
-func (i *Ingress) listen(s *http.Server, address string) error {
+func (i *Ingress) listen(s *http.Server, address string) (net.Listener, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return fmt.Errorf("listen on %s: %w", address, err)
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			i.log.Error().Str("event", "listen").Str("address", address).Err(err).Msg("no longer served")
 		}
 	}()
-	return nil
+	return l, nil
+}
+
+// Listening returns where callers are served and where the balancer asks, once
+// the ingress has started.
+func (i *Ingress) Listening() (callers, ready string) {
+	return i.callers.Addr().String(), i.asked.Addr().String()
 }
 
 func (i *Ingress) ready(w http.ResponseWriter, _ *http.Request) {
--- /dev/null
+++ b/ingress/ingress_test.go
@@ -0,0 +1,296 @@
+package ingress_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"birchlink.dev/birchlink/balance"
+	"birchlink.dev/birchlink/budget"
+	"birchlink.dev/birchlink/call"
+	"birchlink.dev/birchlink/catalog"
+	"birchlink.dev/birchlink/demand"
+	"birchlink.dev/birchlink/endpoint"
+	"birchlink.dev/birchlink/exchange"
+	"birchlink.dev/birchlink/forward"
+	"birchlink.dev/birchlink/ingress"
+	"birchlink.dev/birchlink/kernel"
+	"birchlink.dev/birchlink/known"
+	"birchlink.dev/birchlink/quota"
+	"birchlink.dev/birchlink/session"
+	"birchlink.dev/birchlink/stand/memstore"
+)
+
+// codec is a small interface towards callers and endpoints.
+type codec struct{}
+
+func (codec) Decode(r *http.Request, arrived time.Time) (*call.Call, error) {
+	c := &call.Call{
+		ID: r.Header.Get("Id"), Method: r.Method, Host: r.Host, Target: r.RequestURI, Path: r.URL.Path,
+		Key: r.Header.Get("Key"), Arrived: arrived, Header: http.Header{"Id": r.Header["Id"]},
+	}
+	if c.ID == "" {
+		return c, fmt.Errorf("no id")
+	}
+	return c, nil
+}
+
+func (codec) Answer(h http.Header) http.Header { return h.Clone() }
+
+func (codec) Own(http.Header, *call.Call) {}
+
+func (codec) Head(c *call.Call, a call.Attempt) http.Header {
+	return http.Header{"Id": {c.ID}, "Account": {a.Account}}
+}
+
+func (codec) Outcome(_ int, h http.Header) call.Outcome { return call.Outcome{ID: h.Get("Id")} }
+
+// document is the configuration of the tests.
+var document = catalog.Document{
+	Version: 3,
+	Routes: []catalog.Route{
+		{Name: "r", Host: "h", Prefix: "/a/", Shares: []catalog.Share{{Service: "s", Weight: 1}}, Timeout: time.Minute, MaxAttempts: 1},
+		{Name: "open", Host: "h", Prefix: "/open/", Public: true, Shares: []catalog.Share{{Service: "s", Weight: 1}}, Timeout: time.Minute, MaxAttempts: 1},
+	},
+	Services: []catalog.Service{{Name: "s"}},
+	Accounts: []catalog.Account{{Name: "acc", Keys: []string{"k"}}, {Name: "small", Keys: []string{"s"}, Rate: 1, Burst: 1}},
+	Limits:   catalog.Limits{BodyBytes: 100},
+}
+
+// box is an ingress with what it needs.
+type box struct {
+	*ingress.Ingress
+	t       *testing.T
+	store   *memstore.Memory
+	session *session.Session
+	known   *known.Known
+	callers string
+	ready   string
+	hold    chan struct{} // the endpoint answers /a/hold when this is closed
+	held    chan struct{} // gets an item when the endpoint has such a request
+}
+
+func start(t *testing.T, configured bool) *box {
+	t.Helper()
+	b := &box{t: t, store: &memstore.Memory{}, hold: make(chan struct{}), held: make(chan struct{}, 8)}
+	e := httptest.NewServer(http.HandlerFunc(b.endpoint))
+	t.Cleanup(e.Close)
+	if configured {
+		text, err := json.Marshal(document)
+		require.NoError(t, err)
+		b.store.Set("config", string(text))
+		b.store.Set("e/one", strings.TrimPrefix(e.URL, "http://"))
+	}
+	b.session = session.New(b.store, "boxes/a", nil, zerolog.Nop())
+	b.known = known.New(known.Source{
+		ConfigKey: "config", EndpointsPrefix: "e/",
+		Document: func(v []byte) (*catalog.Document, error) {
+			var d catalog.Document
+			return &d, json.Unmarshal(v, &d)
+		},
+		Endpoint: func(k string, v []byte) (endpoint.Endpoint, error) {
+			return endpoint.Endpoint{ID: k, Service: "s", Slots: 4, Address: string(v)}, nil
+		},
+	}, b.store, zerolog.Nop())
+	f := &forward.Forwarder{
+		Roster: &b.known.Roster, Book: &balance.Book{}, Pool: &exchange.Pool{DialLimit: time.Second}, Meter: &demand.Meter{},
+		Budget: budget.New(budget.Terms{Window: time.Minute}), Codec: codec{}, Began: func(string, time.Time) {}, Log: zerolog.Nop(),
+	}
+	o := ingress.Options{Address: "127.0.0.1:0", Ready: "127.0.0.1:0", ReadyPath: "/ready", Notice: time.Millisecond, Limit: 20 * time.Second}
+	b.Ingress = ingress.New(o, codec{}, f, &quota.Quota{Started: time.Now().Add(-time.Minute)}, metrics.NewRegistry(), zerolog.Nop())
+	k := &kernel.Kernel{}
+	for _, s := range []kernel.Service{b.session, b.known, b.Ingress} {
+		require.NoError(t, k.Add(s))
+		require.NoError(t, s.Start(t.Context(), k))
+	}
+	b.callers, b.ready = b.Listening()
+	t.Cleanup(b.close)
+	return b
+}
+
+func (b *box) close() {
+	select {
+	case <-b.hold:
+	default:
+		close(b.hold)
+	}
+	_ = b.Stop(context.Background())
+	_ = b.known.Stop(context.Background())
+	_ = b.session.Stop(context.Background())
+}
+
+func (b *box) endpoint(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/a/hold" {
+		b.held <- struct{}{}
+		<-b.hold
+	}
+	w.Header().Set("Id", r.Header.Get("Id"))
+	fmt.Fprintf(w, "for %s", r.Header.Get("Account"))
+}
+
+// get makes a call and returns its answer with its body.
+func (b *box) get(path, key, body string) (*http.Response, string) {
+	b.t.Helper()
+	q, err := http.NewRequest(http.MethodPost, "http://"+b.callers+path, strings.NewReader(body))
+	require.NoError(b.t, err)
+	q.Host = "h"
+	q.Header.Set("Id", "1")
+	q.Header.Set("Key", key)
+	a, err := http.DefaultClient.Do(q)
+	require.NoError(b.t, err)
+	defer a.Body.Close()
+	text, err := io.ReadAll(a.Body)
+	require.NoError(b.t, err)
+	return a, string(text)
+}
+
+func (b *box) isReady() bool {
+	a, err := http.Get("http://" + b.ready + "/ready")
+	require.NoError(b.t, err)
+	defer a.Body.Close()
+	return a.StatusCode == http.StatusOK
+}
+
+func (b *box) await(f func() bool) {
+	b.t.Helper()
+	require.Eventually(b.t, f, 20*time.Second, time.Millisecond)
+}
+
+func TestAnswers(t *testing.T) {
+	b := start(t, true)
+	b.await(b.isReady)
+	for _, c := range []struct {
+		path, key, body string
+		status          int
+		text            string
+	}{
+		{"/a/x", "k", "", 200, "for acc"},
+		{"/open/x", "", "", 200, "for "},
+		{"/a/x", "unknown", "", 401, "unknown_account"},
+		{"/nowhere/x", "k", "", 404, "unknown_service"},
+		{"/a/x", "k", strings.Repeat("x", 101), 413, "too_large"},
+	} {
+		a, text := b.get(c.path, c.key, c.body)
+		require.Equal(t, c.status, a.StatusCode, text)
+		require.Contains(t, text, c.text)
+	}
+}
+
+// A box that knows no configuration says that it is not ready: it cannot know
+// that a key or a route does not exist.
+func TestNothingKnown(t *testing.T) {
+	b := start(t, false)
+	require.False(t, b.isReady())
+	a, text := b.get("/a/x", "unknown", "")
+	require.Equal(t, http.StatusServiceUnavailable, a.StatusCode)
+	require.Contains(t, text, "not_ready")
+	require.NotEmpty(t, a.Header.Get("Retry-After"))
+}
+
+// A box that has not heard from the store does not say that a key is unknown;
+// what it knows it goes on serving.
+func TestStoreAway(t *testing.T) {
+	b := start(t, true)
+	b.await(b.isReady)
+	b.store.SetDown(true)
+	b.await(func() bool {
+		a, _ := b.get("/a/x", "unknown", "")
+		return a.StatusCode == http.StatusServiceUnavailable
+	})
+	a, _ := b.get("/nowhere/x", "k", "")
+	require.Equal(t, http.StatusServiceUnavailable, a.StatusCode)
+	a, _ = b.get("/a/x", "k", "")
+	require.Equal(t, http.StatusOK, a.StatusCode)
+}
+
+// An account over its rate is told when to come back.
+func TestOverTheRate(t *testing.T) {
+	b := start(t, true)
+	b.await(b.isReady)
+	b.await(func() bool {
+		a, _ := b.get("/a/x", "s", "")
+		if a.StatusCode != http.StatusTooManyRequests {
+			return false
+		}
+		s, err := strconv.ParseFloat(a.Header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		require.Positive(t, s)
+		return true
+	})
+}
+
+// A planned stop makes the box unready, and cuts off nothing.
+func TestStop(t *testing.T) {
+	b := start(t, true)
+	b.await(b.isReady)
+	answer := make(chan int, 1)
+	go func() {
+		a, _ := b.get("/a/hold", "k", "")
+		answer <- a.StatusCode
+	}()
+	<-b.held
+	stopped := make(chan error, 1)
+	go func() { stopped <- b.Stop(context.Background()) }()
+	b.await(func() bool { return !b.isReady() })
+	close(b.hold)
+	require.Equal(t, http.StatusOK, <-answer)
+	require.NoError(t, <-stopped)
+}
+
+// A caller that leaves ends the endpoint's work.
+func TestCallerLeaves(t *testing.T) {
+	b := start(t, true)
+	b.await(b.isReady)
+	c, cancel := context.WithCancel(context.Background())
+	q, err := http.NewRequestWithContext(c, http.MethodPost, "http://"+b.callers+"/a/hold", http.NoBody)
+	require.NoError(t, err)
+	q.Host = "h"
+	q.Header.Set("Id", "1")
+	q.Header.Set("Key", "k")
+	done := make(chan error, 1)
+	go func() {
+		a, err := http.DefaultClient.Do(q)
+		if err == nil {
+			_ = a.Body.Close()
+		}
+		done <- err
+	}()
+	<-b.held
+	cancel()
+	require.Error(t, <-done)
+	b.await(func() bool { return b.Live() == 0 })
+}
+
+// Two requests that came in one packet are answered in order, each with its own.
+func TestPipelined(t *testing.T) {
+	b := start(t, true)
+	b.await(b.isReady)
+	n, err := net.Dial("tcp", b.callers)
+	require.NoError(t, err)
+	defer n.Close()
+	for _, id := range []string{"1", "2"} {
+		fmt.Fprintf(n, "POST /a/x HTTP/1.1\r\nHost: h\r\nId: %s\r\nKey: k\r\nContent-Length: 0\r\n\r\n", id)
+	}
+	r := bufio.NewReader(n)
+	for _, id := range []string{"1", "2"} {
+		a, err := http.ReadResponse(r, nil)
+		require.NoError(t, err)
+		require.Equal(t, id, a.Header.Get("Id"))
+		_, err = io.Copy(io.Discard, a.Body)
+		require.NoError(t, err)
+		require.NoError(t, a.Body.Close())
+	}
+}
