Let two boxes of each data centre watch the store and sum up for the rest

Relays hold leased places in the store, push configurations and records to their members, and exchange sums with other relays; a member without a relay that hears the store watches it itself. Only relays stand for the duty.

A box that is cut off now keeps to the share it told last, the others reserve it for 20 s, and while an account asks for more than its rate a box is only given its share of the rate.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -54,6 +54,13 @@
 	b.boxes = max(n, 1)
 }
 
+// Known returns over how many boxes the slack is divided.
+func (b *Budget) Known() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.boxes
+}
+
 // Request counts a request for a service.
 func (b *Budget) Request(service string, now time.Time) {
 	b.mu.Lock()
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -49,9 +51,9 @@
 
 // Where birchlink's own keys stand in the store.
 const (
-	boxesPrefix = platform.OwnPrefix + "boxes/"
-	usagePrefix = platform.OwnPrefix + "usage/"
-	dutyKey     = platform.OwnPrefix + "duty"
+	relaysPrefix = platform.OwnPrefix + "relays/"
+	usagePrefix  = platform.OwnPrefix + "usage/"
+	dutyKey      = platform.OwnPrefix + "duty"
 )
 
 // peerSecret is no secret: on the users' platform only boxes reach the address
@@ -101,6 +103,9 @@
 	gossip   *gossip.Gossip
 	reporter *reporter.Reporter // nil without that duty
 
+	mu     sync.Mutex
+	others map[string]map[string]demand.Figure // by service and data centre
+
 	// incarnation tells this process from those before it on the same box.
 	incarnation string
 }
@@ -132,7 +137,7 @@
 		Notice: min(stopNotice, s.StopLimit/3), Limit: s.StopLimit - stopReserve,
 	}
 	ss := []kernel.Service{
-		session.New(st, boxesPrefix+s.Box, []byte(s.Peers), log),
+		session.New(st, log),
 		peer.NewNode(s.Peers, s.Peers, peerSecret, m),
 		p.known,
 		p.gossip,
@@ -142,7 +147,7 @@
 	fs := figures.New(s.Metrics, m, log)
 	fs.Gauge("configuration.version", func() int64 { v, _ := p.known.Raw(); return int64(v) })
 	fs.Gauge("endpoints.known", func() int64 { return int64(len(p.known.Roster.IDs())) })
-	fs.Gauge("boxes.known", func() int64 { return int64(p.gossip.Count()) })
+	fs.Gauge("boxes.known", func() int64 { return int64(p.budget.Known()) })
 	fs.Gauge("requests.live", func() int64 { return int64(in.Live()) })
 	fs.Gauge("connections.idle", func() int64 { return int64(f.Pool.Idle()) })
 	return append(ss, fs, in)
@@ -154,11 +159,11 @@
 	if !s.Usage && !s.Orders {
 		return nil
 	}
-	e := &election.Election{Store: p.store, Key: dutyKey, Box: s.Box, Term: s.Lease, Log: log}
+	e := &election.Election{Store: p.store, Key: dutyKey, Box: s.Box, Term: s.Lease, Eligible: p.gossip.Relay, Log: log}
 	cl := platform.NewCloud(s.Cloud)
 	ss := []kernel.Service{e}
 	if s.Usage {
-		o := reporter.Options{Prefix: usagePrefix, BoxesPrefix: boxesPrefix, Box: s.Box, Incarnation: p.incarnation, Due: s.ReportDue}
+		o := reporter.Options{Prefix: usagePrefix, WritersPrefix: relaysPrefix, Box: s.Box, Incarnation: p.incarnation, Due: s.ReportDue, Writes: p.writes}
 		p.reporter = reporter.New(o, p.tally, p.store, cl, e, log)
 		ss = append(ss, p.reporter)
 	}
@@ -173,53 +178,55 @@
 // tell sets up what this box tells the others, and what it does with theirs.
 func (p *entryParts) tell() {
 	g, s := p.gossip, p.settings
-	g.Box, g.Address, g.Prefix, g.Seeds, g.Store = s.Box, s.Peers, boxesPrefix, s.Seeds, p.store
+	g.Box, g.DataCentre, g.Address, g.Prefix, g.Seeds, g.Store = s.Box, s.DataCentre, s.Peers, relaysPrefix, s.Seeds, p.store
 	g.Own = func() gossip.Status {
 		now := time.Now()
 		v, _ := p.known.Raw()
+		d := map[string]map[string]demand.Figure{}
+		for n, f := range p.meter.Figures(now) {
+			d[n] = map[string]demand.Figure{s.DataCentre: f}
+		}
 		return gossip.Status{
 			Box: s.Box, DataCentre: s.DataCentre, Address: s.Peers, Version: v,
-			Quota: p.quota.Own(s.Box, p.incarnation, now), Load: p.book.Own(), Demand: p.meter.Figures(now),
-			Usage: p.tally.Recent(s.Box+"."+p.incarnation, p.tally.Number(now)-toldWindows),
+			Quota: p.quota.Own(s.Box, p.incarnation, now), Load: p.book.Own(), Demand: d,
+			Usage: []tally.Part{p.tally.Recent(s.Box+"."+p.incarnation, p.tally.Number(now)-toldWindows)},
 		}
 	}
 	g.OnChange = p.heard
 }
 
 // heard takes the other boxes' statuses into this box's decisions.
-func (p *entryParts) heard() {
-	p.budget.Boxes(p.gossip.Count())
-	others := p.gossip.Others()
-	sum := map[string]balance.Load{}
-	told := make([]quota.Told, 0, len(others))
-	for _, o := range others {
-		told = append(told, o.Quota)
-		if p.reporter != nil {
-			p.reporter.Hear(o.Usage)
-		}
-		for id, l := range o.Load {
-			sum[id] = balance.Load{Running: sum[id].Running + l.Running, Tokens: sum[id].Tokens + l.Tokens}
+func (p *entryParts) heard(others gossip.Status) {
+	p.budget.Boxes(others.Boxes + 1)
+	if p.reporter != nil {
+		for _, u := range others.Usage {
+			p.reporter.Hear(u)
 		}
 	}
 	if p.gossip.Alone() {
 		// What the others do is not known: this box keeps to the share it had.
 		p.book.Tell(nil)
+		p.quota.Alone()
 		return
 	}
-	p.book.Tell(sum)
-	p.quota.Hear(told, time.Now())
+	p.mu.Lock()
+	p.others = others.Demand
+	p.mu.Unlock()
+	p.book.Tell(others.Load)
+	if others.Boxes > 0 {
+		p.quota.Hear([]quota.Told{others.Quota}, time.Now())
+	}
 }
 
 // demand sums up what each data centre's boxes carry for a service.
 func (p *entryParts) demand(service string) map[string]demand.Figure {
 	out := map[string]demand.Figure{}
-	add := func(dc string, f demand.Figure) {
-		out[dc] = demand.Figure{Tokens: out[dc].Tokens + f.Tokens, Running: out[dc].Running + f.Running}
-	}
-	add(p.settings.DataCentre, p.meter.Figures(time.Now())[service])
-	for _, o := range p.gossip.Others() {
-		add(o.DataCentre, o.Demand[service])
-	}
+	p.mu.Lock()
+	maps.Copy(out, p.others[service])
+	p.mu.Unlock()
+	own := p.meter.Figures(time.Now())[service]
+	f := out[p.settings.DataCentre]
+	out[p.settings.DataCentre] = demand.Figure{Tokens: f.Tokens + own.Tokens, Running: f.Running + own.Running}
 	return out
 }
 
@@ -253,3 +260,7 @@
 	zerolog.SetGlobalLevel(l)
 	d.log.Info().Str("event", "reload").Str("level", s.LogLevel).Msg("in force")
 }
+
+// writes reports whether this box writes its counts itself: as a relay, or while
+// no relay takes them.
+func (p *entryParts) writes() bool { return p.gossip.Relay() || p.known.Follows() }
--- a/election/election.go
+++ b/election/election.go
@@ -34,6 +34,10 @@
 	Term  time.Duration
 	Log   zerolog.Logger
 
+	// Eligible reports whether this box may ask for the duty; nil is always. One
+	// that may not any more keeps the duty while it holds it.
+	Eligible func() bool
+
 	cancel context.CancelFunc
 	group  sync.WaitGroup
 
@@ -130,6 +134,9 @@
 	if l != 0 {
 		e.release(c)
 	}
+	if e.Eligible != nil && !e.Eligible() {
+		return challenge / 4
+	}
 	i, at, err := e.look(c)
 	if err != nil {
 		return retry
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -38,9 +38,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		m := &memstore.Memory{}
 		a := enter(t, m, "a")
-		wait.For(t.Context(), 2 * term)
+		wait.For(t.Context(), 2*term)
 		b := enter(t, m, "b")
-		wait.For(t.Context(), 2 * term)
+		wait.For(t.Context(), 2*term)
 		n, first := acting(a, b)
 		require.Equal(t, 1, n)
 		require.NoError(t, a.Stop(context.Background()))
@@ -58,7 +58,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		m := &memstore.Memory{}
 		a := enter(t, m, "a")
-		wait.For(t.Context(), 2 * term)
+		wait.For(t.Context(), 2*term)
 		_, ok := a.Act()
 		require.True(t, ok)
 		m.SetDown(true)
@@ -76,7 +76,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		m := &memstore.Memory{}
 		a := enter(t, m, "a")
-		wait.For(t.Context(), 2 * term)
+		wait.For(t.Context(), 2*term)
 		f, ok := a.Act()
 		require.True(t, ok)
 		last := time.Now()
@@ -88,7 +88,7 @@
 				require.GreaterOrEqual(t, time.Since(last), term)
 				break
 			}
-			wait.For(t.Context(), 50 * time.Millisecond)
+			wait.For(t.Context(), 50*time.Millisecond)
 		}
 		require.NoError(t, a.Stop(context.Background()))
 	})
@@ -100,7 +100,7 @@
 		m := &memstore.Memory{}
 		m.LoseAnswers(1)
 		a, b := enter(t, m, "a"), enter(t, m, "b")
-		wait.For(t.Context(), 3 * term)
+		wait.For(t.Context(), 3*term)
 		n, _ := acting(a, b)
 		require.Equal(t, 1, n)
 		require.NoError(t, a.Stop(context.Background()))
--- /dev/null
+++ b/gossip/enlist.go
@@ -0,0 +1,129 @@
+package gossip
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"birchlink.dev/birchlink/store"
+)
+
+// relays is how many boxes of a data centre watch the store: with two, one may
+// be lost without a moment in which the others are told nothing.
+const relays = 2
+
+// enlistPause is the time between two looks for a free place as relay.
+const enlistPause = 700 * time.Millisecond
+
+// seat is one place for a relay: its key, who has it, and where that box is.
+type seat struct {
+	dataCentre, key, box, address string
+}
+
+// value is what a relay writes at its place.
+func (g *Gossip) value() []byte { return []byte(g.Box + " " + g.Address) }
+
+func (g *Gossip) seatKey(n int) string { return fmt.Sprintf("%s%s/%d", g.Prefix, g.DataCentre, n) }
+
+// parse reads a place from the store.
+func (g *Gossip) parse(i store.Item) seat {
+	dc, _, _ := strings.Cut(strings.TrimPrefix(i.Key, g.Prefix), "/")
+	box, address, _ := strings.Cut(string(i.Value), " ")
+	return seat{dc, i.Key, box, address}
+}
+
+// apply takes the places from the store.
+func (g *Gossip) apply(items []store.Item, whole bool, _ uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if whole {
+		g.seats = map[string]seat{}
+	}
+	for _, i := range items {
+		if i.Deleted {
+			delete(g.seats, i.Key)
+			continue
+		}
+		g.seats[i.Key] = g.parse(i)
+	}
+}
+
+// holds reports whether this box is a relay as far as it knows.
+func (g *Gossip) holds() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.seats {
+		if s.box == g.Box && s.address == g.Address {
+			return true
+		}
+	}
+	return false
+}
+
+// enlist looks at the places, and takes one of its data centre's if it is free.
+func (g *Gossip) enlist(c context.Context) {
+	g.mu.Lock()
+	due := time.Since(g.looked) >= enlistPause
+	if due {
+		g.looked = time.Now()
+	}
+	g.mu.Unlock()
+	if !due {
+		return
+	}
+	items, at, err := g.Store.Range(c, g.Prefix)
+	if err != nil {
+		return
+	}
+	g.apply(items, true, at)
+	l := g.session.Lease()
+	if l == 0 || g.holds() {
+		return
+	}
+	for n := range relays {
+		k := g.seatKey(n)
+		if _, taken := g.seat(k); taken {
+			continue
+		}
+		_, err := g.Store.Commit(c, store.Change{
+			If:  []store.Condition{{Key: k}},
+			Put: []store.Put{{Key: k, Value: g.value(), Lease: l}},
+		})
+		if err == nil {
+			g.apply([]store.Item{{Key: k, Value: g.value()}}, false, 0)
+			g.log.Info().Str("event", "relay").Str("place", k).Msg("this box watches the store for others")
+			return
+		}
+		if !errors.Is(err, store.ErrConflict) {
+			return
+		}
+	}
+}
+
+func (g *Gossip) seat(key string) (seat, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s, ok := g.seats[key]
+	return s, ok
+}
+
+// own returns the relays of this data centre besides this box, in an order of
+// this box's own, so that members spread over them; far the others'.
+func (g *Gossip) targets() (own, far []seat) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for n := range relays {
+		k := g.seatKey((n + g.turn) % relays)
+		if s, ok := g.seats[k]; ok && s.box != g.Box {
+			own = append(own, s)
+		}
+	}
+	for _, s := range g.seats {
+		if s.box != g.Box && s.dataCentre != g.DataCentre {
+			far = append(far, s)
+		}
+	}
+	return own, far
+}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -6,12 +6,14 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"birchlink.dev/birchlink/kernel"
 	"birchlink.dev/birchlink/known"
 	"birchlink.dev/birchlink/mirror"
 	"birchlink.dev/birchlink/peer"
+	"birchlink.dev/birchlink/quota"
 	"birchlink.dev/birchlink/session"
 	"birchlink.dev/birchlink/store"
 	"birchlink.dev/birchlink/wait"
@@ -20,47 +22,60 @@
 // Name is the name of the service.
 const Name = "gossip"
 
-// The times of an exchange. Of two boxes, the one whose name comes first calls
-// each period. A box that has not been heard for lost is taken to be away, and
-// what it told is kept for reserved beyond that: it may still spend its share.
+// The times of an exchange. A box that has not been heard for lost is taken to be
+// away, and is forgotten after forgotten; its share of quotas is kept for
+// reserved, since it may still spend it: cuts of 12 s have been played. A relay
+// whose store has been silent for longer than stale is no use.
 const (
 	period    = 500 * time.Millisecond
 	callLimit = 450 * time.Millisecond
 	lost      = 2 * time.Second
-	reserved  = 8 * time.Second
+	forgotten = 8 * time.Second
+	reserved  = 20 * time.Second
+	stale     = 2 * time.Second
 )
 
-// watchWait is how long a call waits for changes of the list of boxes, which
-// nothing urgent depends on.
+// watchWait is how long a call waits for changes of the list of relays. One that
+// is gone is noticed by its silence.
 const watchWait = 15 * time.Second
 
 // Gossip is the service of one box. Own returns what to tell; OnChange is called
-// after each round.
+// after each round with the sum of what the others told.
 type Gossip struct {
-	Box      string
-	Address  string
-	Prefix   string
-	Seeds    []string
-	Store    store.Store
-	Own      func() Status
-	OnChange func()
+	Box        string
+	DataCentre string
+	Address    string
+	Prefix     string
+	Seeds      []string
+	Store      store.Store
+	Own        func() Status
+	OnChange   func(others Status)
 
-	log    zerolog.Logger
-	known  *known.Known
-	node   *peer.Node
-	cancel context.CancelFunc
-	group  sync.WaitGroup
+	log     zerolog.Logger
+	known   *known.Known
+	session *session.Session
+	node    *peer.Node
+	cancel  context.CancelFunc
+	group   sync.WaitGroup
+	turn    int
+	watch   *mirror.Mirror
+	unwatch context.CancelFunc // set while this box watches the places
 
-	mu    sync.Mutex
-	boxes map[string]string // addresses by name, as the store lists them
-	heard map[string]heard
-	last  time.Time // when another box was last heard
+	mu      sync.Mutex
+	seats   map[string]seat
+	looked  time.Time
+	members map[string]heard // that tell this box, while it is a relay
+	others  map[string]heard // relays
+	near    quota.Sum        // of the members
+	far     quota.Sum        // of the other relays
+	world   World            // the last answer of this box's relay
+	at      time.Time        // when it came
+	last    time.Time        // when any other box was last heard
 }
 
-// New returns the service. Box, Address, Prefix, Seeds, Store, Own and OnChange
-// are to be set before it starts.
+// New returns the service. Its exported fields are to be set before it starts.
 func New(log zerolog.Logger) *Gossip {
-	return &Gossip{log: log, boxes: map[string]string{}, heard: map[string]heard{}}
+	return &Gossip{log: log, seats: map[string]seat{}, members: map[string]heard{}, others: map[string]heard{}}
 }
 
 // Name returns the service's name.
@@ -68,26 +83,29 @@
 
 // Start answers other boxes and begins to call them.
 func (g *Gossip) Start(_ context.Context, k *kernel.Kernel) error {
-	var s *session.Session
 	err := errors.Join(
-		kernel.Bind(k, known.Name, &g.known), kernel.Bind(k, peer.Name, &g.node), kernel.Bind(k, session.Name, &s),
+		kernel.Bind(k, known.Name, &g.known), kernel.Bind(k, peer.Name, &g.node), kernel.Bind(k, session.Name, &g.session),
 	)
 	if err != nil {
 		return err
 	}
-	peer.Handle(g.node.Server, "gossip.status", func(_ context.Context, in Status) (Status, error) {
-		g.hear(in)
-		return g.Own(), nil
-	})
+	g.turn = int(xxhash.Sum64String(g.Box) % relays)
+	peer.Handle(g.node.Server, "gossip.member", g.fromMember)
+	peer.Handle(g.node.Server, "gossip.relay", g.fromRelay)
+	peer.Handle(g.node.Server, "gossip.update", g.fromOwn)
 	peer.Handle(g.node.Server, "gossip.configuration", func(context.Context, uint64) ([]byte, error) {
 		_, raw := g.known.Raw()
 		return raw, nil
 	})
+	peer.Handle(g.node.Server, "gossip.records", func(context.Context, uint64) (known.Records, error) {
+		return g.known.Records(), nil
+	})
 	c, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
-	m := &mirror.Mirror{Store: g.Store, Prefix: g.Prefix, Wait: watchWait, Apply: g.apply, Log: g.log}
-	s.OnReturn(m.Restart)
-	g.group.Go(func() { m.Run(c) })
+	g.watch = &mirror.Mirror{Store: g.Store, Prefix: g.Prefix, Wait: watchWait, Apply: g.apply, Log: g.log}
+	g.session.OnReturn(g.watch.Restart)
+	g.known.OnRecords(func(r known.Records) { g.push(c, update{Records: &r, From: g.Box}) })
+	g.known.OnRaw(func(raw []byte) { g.push(c, update{Configuration: raw, From: g.Box}) })
 	g.group.Go(func() { g.run(c) })
 	return nil
 }
@@ -99,158 +117,164 @@
 	return nil
 }
 
-// Others returns the statuses of the boxes that were heard lately enough that
-// they may still spend what they told.
-func (g *Gossip) Others() []Status {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var out []Status
-	for n, h := range g.heard {
-		if _, listed := g.boxes[n]; listed || time.Since(h.at) < reserved {
-			out = append(out, h.Status)
-		}
-	}
-	return out
-}
+// Relay reports whether this box is one of those that watch the store.
+func (g *Gossip) Relay() bool { return g.holds() }
 
-// Alone reports whether other boxes are known and none has been heard lately.
+// Alone reports whether no other box has been heard lately, though there were.
 func (g *Gossip) Alone() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.heard) > 0 && time.Since(g.last) > lost
+	return !g.last.IsZero() && time.Since(g.last) > lost
 }
 
-// Count returns how many boxes there are, this one included.
-func (g *Gossip) Count() int {
+// Members returns the statuses of the boxes that tell this one, as they last were.
+func (g *Gossip) Members() []Status {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	n := 1
-	for b := range g.boxes {
-		if b != g.Box {
-			n++
-		}
+	out := make([]Status, 0, len(g.members))
+	for _, h := range g.members {
+		out = append(out, h.Status)
 	}
-	for b, h := range g.heard {
-		if _, listed := g.boxes[b]; !listed && time.Since(h.at) < lost {
-			n++
-		}
+	return out
+}
+
+func (g *Gossip) run(c context.Context) {
+	for c.Err() == nil {
+		began := time.Now()
+		g.round(c)
+		g.OnChange(g.sum(""))
+		wait.For(c, period-time.Since(began))
+	}
+	if g.unwatch != nil {
+		g.unwatch()
 	}
-	return n
 }
 
-// apply takes the list of boxes from the store.
-func (g *Gossip) apply(items []store.Item, whole bool, _ uint64) {
+// round tells those that this box has to tell, and finds its part anew where
+// nobody answers.
+func (g *Gossip) round(c context.Context) {
+	if !g.holds() {
+		g.asMember(c)
+		return
+	}
+	g.followPlaces(c, true)
+	g.known.Follow(true)
+	g.exchange(c)
+	if g.session.Lease() != 0 && g.lostPlace() {
+		g.enlist(c)
+	}
+}
+
+// lostPlace reports whether the store does not list this box at its place.
+func (g *Gossip) lostPlace() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if whole {
-		g.boxes = map[string]string{}
-	}
-	for _, i := range items {
-		n := i.Key[len(g.Prefix):]
-		if i.Deleted {
-			delete(g.boxes, n)
-			continue
+	n := 0
+	for _, s := range g.seats {
+		if s.dataCentre == g.DataCentre {
+			n++
 		}
-		g.boxes[n] = string(i.Value)
 	}
+	return n < relays && time.Since(g.looked) > watchWait
 }
 
-func (g *Gossip) hear(s Status) {
-	if s.Box == g.Box {
+// followPlaces begins or ends watching which boxes are relays.
+func (g *Gossip) followPlaces(c context.Context, on bool) {
+	if on == (g.unwatch != nil) {
 		return
 	}
-	now := time.Now()
-	g.mu.Lock()
-	old, had := g.heard[s.Box]
-	g.heard[s.Box] = heard{s, now}
-	g.last = now
-	g.mu.Unlock()
-	if !had || now.Sub(old.at) > lost {
-		g.log.Info().Str("event", "box heard").Str("other", s.Box).Uint64("version", s.Version).Msg("in touch")
+	if !on {
+		g.unwatch()
+		g.unwatch = nil
+		return
 	}
+	x, stop := context.WithCancel(c)
+	g.unwatch = stop
+	g.group.Go(func() { g.watch.Run(x) })
 }
 
-func (g *Gossip) run(c context.Context) {
-	for c.Err() == nil {
-		began := time.Now()
-		g.round(c)
-		g.OnChange()
-		wait.For(c, period-time.Since(began))
+// asMember tells a relay of this data centre. Without one that hears the store,
+// the box watches the store itself and looks for a free place.
+func (g *Gossip) asMember(c context.Context) {
+	g.followPlaces(c, false)
+	own, _ := g.targets()
+	status := g.self()
+	for _, s := range own {
+		var w World
+		if err := g.call(c, s.address, "gossip.member", status, &w); err != nil || w.Silent > stale {
+			continue
+		}
+		g.heardWorld(w)
+		g.known.Follow(false)
+		g.catchUp(c, s, w)
+		if len(own) < relays {
+			g.enlist(c)
+		}
+		return
 	}
+	g.known.Follow(true)
+	g.enlist(c)
+	g.ask(c, status)
 }
 
-// round tells the boxes that it is this one's to call, and takes a newer
-// configuration from one that has it.
-func (g *Gossip) round(c context.Context) {
-	own := g.Own()
+// ask takes a configuration from any box that answers while neither the store
+// nor a relay does.
+func (g *Gossip) ask(c context.Context, status Status) {
+	if g.session.Silent() < stale {
+		return
+	}
+	_, far := g.targets()
+	addresses := append([]string{}, g.Seeds...)
+	for _, s := range far {
+		addresses = append(addresses, s.address)
+	}
 	var w sync.WaitGroup
-	for _, a := range g.targets() {
+	for _, a := range addresses {
+		if a == g.Address {
+			continue
+		}
 		w.Go(func() {
-			x, cancel := context.WithTimeout(c, callLimit)
-			defer cancel()
-			var s Status
-			if err := g.node.Client.Call(x, a, "gossip.status", own, &s); err == nil {
-				g.hear(s)
+			var x World
+			if err := g.call(c, a, "gossip.member", status, &x); err != nil {
+				return
 			}
+			g.heardWorld(x)
+			g.catchUp(c, seat{address: a}, x)
 		})
 	}
 	w.Wait()
-	if a, v := g.newer(own.Version); a != "" {
-		g.fetch(c, a, v)
-	}
 }
 
-// targets returns the boxes to call: those whose names come after this one's,
-// and the seeds while no other box is known.
-func (g *Gossip) targets() []string {
+func (g *Gossip) heardWorld(w World) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	all := map[string]string{}
-	for n, h := range g.heard {
-		if time.Since(h.at) < reserved {
-			all[n] = h.Address
-		}
-	}
-	for n, a := range g.boxes {
-		all[n] = a
-	}
-	var out []string
-	for n, a := range all {
-		if n > g.Box {
-			out = append(out, a)
+	g.world, g.at, g.last = w, time.Now(), time.Now()
+}
+
+// catchUp fetches what a relay knows and this box does not.
+func (g *Gossip) catchUp(c context.Context, s seat, w World) {
+	if v, _ := g.known.Raw(); w.Others.Version > v {
+		var raw []byte
+		if err := g.call(c, s.address, "gossip.configuration", v, &raw); err == nil && len(raw) > 0 {
+			g.install(raw, s.address)
 		}
 	}
-	if len(g.heard) == 0 {
-		for _, a := range g.Seeds {
-			if a != g.Address {
-				out = append(out, a)
-			}
+	if at := g.known.Revision(); w.Revision > at {
+		var r known.Records
+		if err := g.call(c, s.address, "gossip.records", at, &r); err == nil {
+			g.known.Tell(r)
 		}
 	}
-	return out
 }
 
-// newer returns a box that has a newer configuration.
-func (g *Gossip) newer(than uint64) (address string, version uint64) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, h := range g.heard {
-		if h.Version > than && time.Since(h.at) < lost {
-			address, version, than = h.Address, h.Version, h.Version
-		}
+func (g *Gossip) install(raw []byte, from string) {
+	if err := g.known.Install(raw, from); err != nil {
+		g.log.Error().Str("event", "configuration").Str("from", from).Err(err).Msg("not taken; the one in force stays")
 	}
-	return address, version
 }
 
-func (g *Gossip) fetch(c context.Context, address string, version uint64) {
+func (g *Gossip) call(c context.Context, address, method string, in, out any) error {
 	x, cancel := context.WithTimeout(c, callLimit)
 	defer cancel()
-	var raw []byte
-	err := g.node.Client.Call(x, address, "gossip.configuration", version, &raw)
-	if err == nil && len(raw) > 0 {
-		err = g.known.Install(raw, address)
-	}
-	if err != nil {
-		g.log.Info().Str("event", "configuration").Str("from", address).Uint64("version", version).Err(err).Msg("not fetched")
-	}
+	return g.node.Client.Call(x, address, method, in, out)
 }
--- /dev/null
+++ b/gossip/relay.go
@@ -0,0 +1,211 @@
+package gossip
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"birchlink.dev/birchlink/quota"
+)
+
+// self returns what this box alone tells.
+func (g *Gossip) self() Status {
+	s := g.Own()
+	s.Boxes = 1
+	return s
+}
+
+// together returns what this box tells for itself and its members.
+func (g *Gossip) together() Status {
+	s := empty(g.Box, g.DataCentre, g.Address)
+	own := g.self()
+	s.add(own)
+	s.Quota = own.Quota
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, h := range g.members {
+		if time.Since(h.at) < lost {
+			s.add(h.Status)
+		}
+	}
+	s.Quota.Reserved = map[string]float64{}
+	g.near.AddTo(&s.Quota, "", time.Now())
+	s.Quota.Boxes = s.Boxes
+	return s
+}
+
+// sum returns all others together as one box sees them: a member, or this box
+// itself for an empty name.
+func (g *Gossip) sum(member string) Status {
+	s := empty(g.Box, g.DataCentre, g.Address)
+	if !g.holds() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if time.Since(g.at) < forgotten {
+			return g.world.Others
+		}
+		return s
+	}
+	own := g.self()
+	s.Quota = quota.Told{
+		Box: g.Box + "/others", Incarnation: own.Quota.Incarnation, Age: own.Quota.Age,
+		Spent: map[string]float64{}, Asked: map[string]float64{}, Level: own.Quota.Level,
+		Share: map[string]float64{}, Reserved: map[string]float64{},
+	}
+	if member != "" {
+		s.add(own)
+		s.Quota.Boxes = 1
+		for a, n := range own.Quota.Spent {
+			s.Quota.Spent[a] += n
+		}
+		for a, n := range own.Quota.Asked {
+			s.Quota.Asked[a] += n
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	for n, h := range g.members {
+		if n != member && now.Sub(h.at) < lost {
+			s.add(h.Status)
+		}
+	}
+	for _, h := range g.others {
+		if now.Sub(h.at) < lost {
+			s.add(h.Status)
+		}
+	}
+	g.near.AddTo(&s.Quota, member, now)
+	g.far.AddTo(&s.Quota, "", now)
+	return s
+}
+
+// fromMember answers a box of this data centre, or one that has lost its relays.
+func (g *Gossip) fromMember(_ context.Context, in Status) (World, error) {
+	now := time.Now()
+	g.mu.Lock()
+	_, had := g.members[in.Box]
+	g.members[in.Box] = heard{in, now}
+	g.near.Hear(in.Quota, now)
+	g.last = now
+	g.mu.Unlock()
+	if !had {
+		g.log.Info().Str("event", "member").Str("other", in.Box).Uint64("version", in.Version).Msg("in touch")
+	}
+	w := World{Others: g.sum(in.Box), Revision: g.known.Revision(), Silent: g.session.Silent()}
+	w.Others.Version, _ = g.known.Raw()
+	w.Others.Usage = nil
+	return w, nil
+}
+
+// fromRelay takes what another relay tells, and answers with this one's.
+func (g *Gossip) fromRelay(_ context.Context, in Status) (Status, error) {
+	g.hearRelay(in)
+	return g.together(), nil
+}
+
+func (g *Gossip) hearRelay(in Status) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.others[in.Box] = heard{in, now}
+	g.far.Hear(in.Quota, now)
+	g.last = now
+}
+
+// fromOwn takes what this box's relay learnt from the store.
+func (g *Gossip) fromOwn(_ context.Context, in update) (bool, error) {
+	if len(in.Configuration) > 0 {
+		g.install(in.Configuration, in.From)
+	}
+	if in.Records != nil {
+		return g.known.Tell(*in.Records), nil
+	}
+	return true, nil
+}
+
+// exchange tells the other relays whose names come after this one's, and hears
+// them; a newer configuration there is fetched.
+func (g *Gossip) exchange(c context.Context) {
+	status := g.together()
+	own, far := g.targets()
+	var w sync.WaitGroup
+	for _, s := range append(own, far...) {
+		if s.box < g.Box {
+			continue
+		}
+		w.Go(func() {
+			var in Status
+			if err := g.call(c, s.address, "gossip.relay", status, &in); err == nil {
+				g.hearRelay(in)
+			}
+		})
+	}
+	w.Wait()
+	g.fetch(c)
+	g.forget()
+}
+
+// fetch takes a newer configuration from a relay that has it.
+func (g *Gossip) fetch(c context.Context) {
+	v, _ := g.known.Raw()
+	g.mu.Lock()
+	from := ""
+	for _, h := range g.others {
+		if h.Version > v && time.Since(h.at) < lost {
+			from, v = h.Address, h.Version
+		}
+	}
+	g.mu.Unlock()
+	if from == "" {
+		return
+	}
+	var raw []byte
+	if err := g.call(c, from, "gossip.configuration", v, &raw); err == nil && len(raw) > 0 {
+		g.install(raw, from)
+	}
+}
+
+// forget drops boxes that have been away for long.
+func (g *Gossip) forget() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	before := time.Now().Add(-forgotten)
+	for n, h := range g.members {
+		if h.at.Before(before) {
+			delete(g.members, n)
+		}
+	}
+	for n, h := range g.others {
+		if h.at.Before(before) {
+			delete(g.others, n)
+		}
+	}
+	quotas := time.Now().Add(-reserved)
+	g.near.Forget(quotas)
+	g.far.Forget(quotas)
+}
+
+// push tells the members of a change at once. One that is not reached finds out
+// in its next round.
+func (g *Gossip) push(c context.Context, u update) {
+	if !g.holds() {
+		return
+	}
+	g.mu.Lock()
+	var to []string
+	for _, h := range g.members {
+		if time.Since(h.at) < lost {
+			to = append(to, h.Address)
+		}
+	}
+	g.mu.Unlock()
+	for _, a := range to {
+		g.group.Go(func() {
+			var took bool
+			if err := g.call(c, a, "gossip.update", u, &took); err != nil {
+				g.log.Debug().Str("event", "update").Str("to", a).Err(err).Msg("not reached")
+			}
+		})
+	}
+}
--- a/gossip/status.go
+++ b/gossip/status.go
@@ -1,5 +1,6 @@
-// Package gossip lets the boxes tell each other what they carry, and carries
-// configurations to a box that the store does not reach.
+// Package gossip lets the boxes tell each other what they carry. In each data
+// centre a few boxes are relays: they alone watch the store, tell the others what
+// changes there, and exchange sums with the relays of other data centres.
 package gossip
 
 import (
@@ -7,20 +8,38 @@
 
 	"birchlink.dev/birchlink/balance"
 	"birchlink.dev/birchlink/demand"
+	"birchlink.dev/birchlink/known"
 	"birchlink.dev/birchlink/quota"
 	"birchlink.dev/birchlink/tally"
 )
 
-// Status is what one box tells the others.
+// Status is what one box tells its relay, or what a relay tells other relays for
+// itself and its members. Boxes is for how many it speaks.
 type Status struct {
 	Box        string
 	DataCentre string
 	Address    string
-	Version    uint64 // of the configuration in force there
+	Boxes      int
+	Version    uint64 // of the configuration in force
 	Quota      quota.Told
 	Load       map[string]balance.Load
-	Demand     map[string]demand.Figure
-	Usage      tally.Part
+	Demand     map[string]map[string]demand.Figure // by service and data centre
+	Usage      []tally.Part
+}
+
+// World is what a relay answers a member: all others together, how far it
+// follows the store, and for how long the store has been silent there.
+type World struct {
+	Others   Status
+	Revision uint64
+	Silent   time.Duration
+}
+
+// update carries a configuration or records to a member.
+type update struct {
+	Configuration []byte
+	Records       *known.Records
+	From          string
 }
 
 // heard is a status and when it came.
@@ -28,3 +47,27 @@
 	Status
 	at time.Time
 }
+
+// add sums another status up into s.
+func (s *Status) add(o Status) {
+	s.Boxes += o.Boxes
+	s.Version = max(s.Version, o.Version)
+	for id, l := range o.Load {
+		s.Load[id] = balance.Load{Running: s.Load[id].Running + l.Running, Tokens: s.Load[id].Tokens + l.Tokens}
+	}
+	for n, by := range o.Demand {
+		if s.Demand[n] == nil {
+			s.Demand[n] = map[string]demand.Figure{}
+		}
+		for dc, f := range by {
+			g := s.Demand[n][dc]
+			s.Demand[n][dc] = demand.Figure{Tokens: g.Tokens + f.Tokens, Running: g.Running + f.Running}
+		}
+	}
+	s.Usage = append(s.Usage, o.Usage...)
+}
+
+// empty returns a status to add others to.
+func empty(box, dc, address string) Status {
+	return Status{Box: box, DataCentre: dc, Address: address, Load: map[string]balance.Load{}, Demand: map[string]map[string]demand.Figure{}}
+}
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -94,7 +94,7 @@
 		b.store.Set("config", string(text))
 		b.store.Set("e/one", strings.TrimPrefix(e.URL, "http://"))
 	}
-	b.session = session.New(b.store, "boxes/a", nil, zerolog.Nop())
+	b.session = session.New(b.store, zerolog.Nop())
 	b.known = known.New(known.Source{
 		ConfigKey: "config", EndpointsPrefix: "e/",
 		Document: func(v []byte) (*catalog.Document, error) {
--- a/known/known.go
+++ b/known/known.go
@@ -48,7 +48,9 @@
 
 	log     zerolog.Logger
 	session *session.Session
-	cancel  context.CancelFunc
+	mirrors []*mirror.Mirror
+	life    context.Context
+	end     context.CancelFunc
 	group   sync.WaitGroup
 
 	table  atomic.Pointer[catalog.Table]
@@ -57,7 +59,11 @@
 	mu     sync.Mutex
 	raw    []byte                 // the configuration as it was written
 	absent map[string]*time.Timer // records that may come back
-	subs   []func(*catalog.Table)
+	subs   []func([]byte)
+	stop   context.CancelFunc // set while this box watches the store
+
+	records recordSet
+	heard   []func(Records)
 }
 
 // New returns the service.
@@ -73,21 +79,48 @@
 	if err := kernel.Bind(n, session.Name, &k.session); err != nil {
 		return err
 	}
-	c, cancel := context.WithCancel(context.Background())
-	k.cancel = cancel
-	for _, m := range []*mirror.Mirror{
+	k.mirrors = []*mirror.Mirror{
 		{Store: k.Store, Prefix: k.ConfigKey, Wait: watchWait, Apply: k.applyConfig, Log: k.log},
 		{Store: k.Store, Prefix: k.EndpointsPrefix, Wait: watchWait, Apply: k.applyEndpoints, Log: k.log},
-	} {
+	}
+	for _, m := range k.mirrors {
 		k.session.OnReturn(m.Restart)
-		k.group.Go(func() { m.Run(c) })
 	}
+	k.life, k.end = context.WithCancel(context.Background())
+	k.Follow(true)
 	return nil
 }
 
+// Follow begins or ends watching the store. A box that does not watch is told of
+// changes by one that does.
+func (k *Known) Follow(on bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if on == (k.stop != nil) || k.life.Err() != nil {
+		return
+	}
+	if !on {
+		k.stop()
+		k.stop = nil
+		return
+	}
+	c, stop := context.WithCancel(k.life)
+	k.stop = stop
+	for _, m := range k.mirrors {
+		k.group.Go(func() { m.Run(c) })
+	}
+}
+
+// Follows reports whether this box watches the store itself.
+func (k *Known) Follows() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.stop != nil
+}
+
 // Stop ends the following.
 func (k *Known) Stop(context.Context) error {
-	k.cancel()
+	k.end()
 	k.group.Wait()
 	return nil
 }
@@ -98,8 +131,9 @@
 // Ready reports whether the configuration and the endpoints are known.
 func (k *Known) Ready() bool { return k.table.Load() != nil && k.listed.Load() }
 
-// OnConfig sets what is called with each configuration installed from now on.
-func (k *Known) OnConfig(f func(*catalog.Table)) {
+// OnRaw sets what is called, on a goroutine of its own, with the text of each
+// configuration installed from now on.
+func (k *Known) OnRaw(f func([]byte)) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.subs = append(k.subs, f)
@@ -132,7 +166,7 @@
 	k.table.Store(t)
 	k.raw = raw
 	for _, f := range k.subs {
-		f(t)
+		k.group.Go(func() { f(raw) })
 	}
 	k.log.Info().Str("event", "configuration").Uint64("version", d.Version).Str("from", from).
 		Int("routes", len(d.Routes)).Int("accounts", len(d.Accounts)).Msg("in force")
@@ -151,6 +185,9 @@
 }
 
 func (k *Known) applyEndpoints(items []store.Item, whole bool, revision uint64) {
+	if told := k.records.take(items, whole, revision); told != nil {
+		k.announce(Records{Items: items, Whole: whole, From: told.from, To: revision})
+	}
 	seen := map[string]bool{}
 	for _, i := range items {
 		e, err := k.endpoint(i)
--- a/known/known_test.go
+++ b/known/known_test.go
@@ -47,7 +47,7 @@
 
 func start(t *testing.T, m *memstore.Memory) *box {
 	t.Helper()
-	s := session.New(m, "boxes/a", []byte("address"), zerolog.Nop())
+	s := session.New(m, zerolog.Nop())
 	k := known.New(source, m, zerolog.Nop())
 	n := &kernel.Kernel{}
 	require.NoError(t, n.Add(s))
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -37,14 +37,21 @@
 // window may hold the rate's and the burst, not only the first.
 const evenPart = 0.5
 
-// Told is what one box tells of its accounts. Spent grows from the process's
-// start, which Incarnation names; Asked is in units a second.
+// Told is what one box tells of its accounts, or what it tells for Boxes boxes
+// together. Spent grows from the process's start, which Incarnation names; Asked
+// is in units a second.
 type Told struct {
 	Box         string
 	Incarnation string
+	Boxes       int
 	Spent       map[string]float64
 	Asked       map[string]float64
 
+	// Share is the part of each account that these boxes spend if they hear nobody
+	// any more, and Reserved what boxes that are away may be spending.
+	Share    map[string]float64
+	Reserved map[string]float64
+
 	// Age is how long ago the process started.
 	Age time.Duration
 
@@ -84,8 +91,8 @@
 
 	mu       sync.Mutex
 	accounts map[string]*bucket
-	heard    map[string]Told // the last from each box, also of those away
-	present  []Told
+	heard    map[string]Told // the last from each box
+	alone    bool
 }
 
 // bucket is the fleet's token bucket of one account as this box knows it.
@@ -105,10 +112,10 @@
 func (q *Quota) Own(box, incarnation string, now time.Time) Told {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	t := Told{Box: box, Incarnation: incarnation, Age: now.Sub(q.Started), Spent: map[string]float64{}, Asked: map[string]float64{}, Level: map[string]float64{}}
+	t := Told{Box: box, Incarnation: incarnation, Boxes: 1, Age: now.Sub(q.Started), Spent: map[string]float64{}, Asked: map[string]float64{}, Level: map[string]float64{}, Share: map[string]float64{}}
 	for n, b := range q.accounts {
 		b.ask(0, now)
-		t.Spent[n], t.Asked[n], t.Level[n] = b.spent, b.asked, b.level
+		t.Spent[n], t.Asked[n], t.Level[n], t.Share[n] = b.spent, b.asked, b.level, b.share
 	}
 	return t
 }
@@ -118,24 +125,49 @@
 func (q *Quota) Hear(ts []Told, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.heard == nil {
-		q.heard = map[string]Told{}
-	}
+	next := map[string]Told{}
 	for _, t := range ts {
 		q.spend(t, now)
-		q.heard[t.Box] = t
+		next[t.Box] = t
 	}
-	q.present = ts
+	q.heard, q.alone = next, false
 	for n, b := range q.accounts {
 		b.ask(0, now)
 		b.share, b.wanted = q.shareOf(n, b.asked)
-		b.own = b.part() * b.level
+		b.deal()
+	}
+}
+
+// Alone says that no other box is heard. The box then keeps to the shares that it
+// last told, which the others reserve for it.
+func (q *Quota) Alone() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.alone {
+		return
+	}
+	q.alone = true
+	for _, b := range q.accounts {
+		b.wanted = math.Inf(1)
+		b.own = min(b.own, b.share*b.level)
+	}
+}
+
+// deal sets what this box may spend before it hears the others again. While more
+// is asked than the rate gives, what it has left is only lowered, since what the
+// others spent in the last round is not known yet; its share of the rate is added
+// as time goes on.
+func (b *bucket) deal() {
+	part := b.part() * b.level
+	if b.wanted > b.rate {
+		part = min(part, b.own)
 	}
+	b.own = part
 }
 
 // spend takes what one box has spent since it was last heard out of the buckets.
-// What a box spent that runs for longer than this one and was never heard is in
-// the level that it tells.
+// What a box spent that was not heard before and has run for a while is in the
+// level that it tells.
 func (q *Quota) spend(t Told, now time.Time) {
 	old, known := q.heard[t.Box]
 	known = known && old.Incarnation == t.Incarnation
@@ -144,7 +176,7 @@
 		switch {
 		case known:
 			b.level -= n - old.Spent[a]
-		case t.Age < now.Sub(q.Started):
+		case t.Age < young:
 			b.level -= n
 		default:
 			b.level = min(b.level, t.Level[a])
@@ -164,14 +196,19 @@
 // boxes together are asked for.
 func (q *Quota) shareOf(account string, asked float64) (share, sum float64) {
 	sum = asked
-	for _, t := range q.present {
+	boxes := 1
+	reserved := 0.0
+	for _, t := range q.heard {
 		sum += t.Asked[account]
+		boxes += max(t.Boxes, 1)
+		reserved += t.Reserved[account]
 	}
-	even := 1 / float64(len(q.present)+1)
+	free := max(1-reserved, 0)
+	even := free / float64(boxes)
 	if sum <= 0 {
 		return even, 0
 	}
-	return floorPart*even + (1-floorPart)*asked/sum, sum
+	return floorPart*even + (1-floorPart)*free*asked/sum, sum
 }
 
 // State describes what is left of an account, for the log.
--- /dev/null
+++ b/quota/sum.go
@@ -0,0 +1,85 @@
+package quota
+
+import (
+	"maps"
+	"time"
+)
+
+// young is the age below which a process that was never heard has spent nothing
+// yet that others could have counted: all that it tells counts.
+const young = 5 * time.Second
+
+// away is the silence after which a box is taken to spend what it last told as
+// its share, and no more to be part of those that are dealt shares.
+const away = 2 * time.Second
+
+// Sum adds up what several boxes tell into counters that only grow, so that one
+// box can tell for all of them. Its zero value is empty.
+type Sum struct {
+	spent map[string]float64
+	from  map[string]*source
+}
+
+// source is one box as it was last heard, and what it has added to the sum.
+type source struct {
+	Told
+	added map[string]float64
+	at    time.Time
+}
+
+// Hear takes what a box tells.
+func (s *Sum) Hear(t Told, now time.Time) {
+	if s.from == nil {
+		s.spent, s.from = map[string]float64{}, map[string]*source{}
+	}
+	old := s.from[t.Box]
+	next := &source{Told: t, added: map[string]float64{}, at: now}
+	if old != nil {
+		maps.Copy(next.added, old.added)
+	}
+	for a, n := range t.Spent {
+		switch {
+		case old != nil && old.Incarnation == t.Incarnation:
+			n -= old.Spent[a]
+		case t.Age > young:
+			n = 0
+		}
+		s.spent[a] += n
+		next.added[a] += n
+	}
+	s.from[t.Box] = next
+}
+
+// Forget drops the boxes that were not heard since a time. What they spent stays.
+func (s *Sum) Forget(before time.Time) {
+	maps.DeleteFunc(s.from, func(_ string, x *source) bool { return x.at.Before(before) })
+}
+
+// AddTo adds the sum without one box, or all of it for an empty name, to t.
+func (s *Sum) AddTo(t *Told, without string, now time.Time) {
+	for a, n := range s.spent {
+		t.Spent[a] += n
+	}
+	for b, x := range s.from {
+		if b == without {
+			for a, n := range x.added {
+				t.Spent[a] -= n
+			}
+			continue
+		}
+		addAll(t.Reserved, x.Reserved)
+		addAll(t.Share, x.Share)
+		if now.Sub(x.at) > away {
+			addAll(t.Reserved, x.Share)
+			continue
+		}
+		t.Boxes += max(x.Boxes, 1)
+		addAll(t.Asked, x.Asked)
+	}
+}
+
+func addAll(to, from map[string]float64) {
+	for a, n := range from {
+		to[a] += n
+	}
+}
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -11,7 +11,6 @@
 	"fmt"
 	"maps"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -29,12 +28,13 @@
 const Name = "reporter"
 
 // The times of a report. A box writes its part partDelay after the window's end,
-// when the requests that began in it have been counted. The holder looks for the
+// when the others have told it what they
+// counted until then. The holder looks for the
 // parts after collectDelay, and waits for missing ones until collectMargin
 // before the report is due; the rest is for the call itself.
 const (
-	partDelay     = 150 * time.Millisecond
-	collectDelay  = 500 * time.Millisecond
+	partDelay     = 800 * time.Millisecond
+	collectDelay  = 1200 * time.Millisecond
 	collectMargin = 3500 * time.Millisecond
 	step          = 400 * time.Millisecond
 )
@@ -46,10 +46,16 @@
 // before it on the same box, whose counts stand beside its own.
 type Options struct {
 	Prefix      string
-	BoxesPrefix string
 	Box         string
 	Incarnation string
 	Due         time.Duration
+
+	// WritersPrefix is where the store lists the boxes that write parts: each for
+	// itself and for those that tell it.
+	WritersPrefix string
+
+	// Writes reports whether this box is one of them; nil is always.
+	Writes func() bool
 }
 
 // Reporter is the service of one box.
@@ -111,7 +117,7 @@
 		if r.told[w] == nil {
 			r.told[w] = map[string]map[string]int{}
 		}
-		r.told[w][p.Source] = counts
+		r.told[w][p.Source] = higher(r.told[w][p.Source], counts)
 	}
 }
 
@@ -126,6 +132,11 @@
 		if c.Err() != nil {
 			return
 		}
+		if r.Writes != nil && !r.Writes() {
+			next++
+			r.Tally.Forget(next - keptWindows)
+			continue
+		}
 		if err := r.put(c, next); err != nil {
 			if time.Since(r.Tally.End(next)) < r.Due {
 				wait.For(c, step)
@@ -152,9 +163,11 @@
 
 // put writes a window's part, and drops an old one of this process.
 func (r *Reporter) put(c context.Context, window int64) error {
-	b, err := encode(r.Tally.Of(window))
+	all := r.heard(window)
+	all[r.Source()] = r.Tally.Of(window)
+	b, err := json.Marshal(all)
 	if err != nil {
-		return err
+		return fmt.Errorf("encode counts: %w", err)
 	}
 	_, err = r.Store.Commit(c, store.Change{
 		Put:    []store.Put{{Key: r.part(window), Value: b}},
@@ -260,25 +273,22 @@
 	if err != nil {
 		return nil, err
 	}
-	boxes, _, err := r.Store.Range(c, r.BoxesPrefix)
+	writers, _, err := r.Store.Range(c, r.WritersPrefix)
 	if err != nil {
 		return nil, err
 	}
-	if len(parts) < len(boxes) && time.Since(r.Tally.End(window)) < r.Due-collectMargin {
-		return nil, fmt.Errorf("%w: %d of %d", errMissing, len(parts), len(boxes))
+	if len(parts) < max(len(writers), 1) && time.Since(r.Tally.End(window)) < r.Due-collectMargin {
+		return nil, fmt.Errorf("%w: %d of %d", errMissing, len(parts), len(writers))
 	}
 	all := r.heard(window)
 	for _, p := range parts {
-		m, err := decode(p.Value)
-		if err != nil {
-			return nil, fmt.Errorf("%s: %w", p.Key, err)
+		var by map[string]map[string]int
+		if err := json.Unmarshal(p.Value, &by); err != nil {
+			return nil, fmt.Errorf("decode %s: %w", p.Key, err)
 		}
-		// Counts only grow: of two from one process, the higher is the later.
-		source := strings.TrimPrefix(p.Key, r.parts(window))
-		for a, n := range all[source] {
-			m[a] = max(m[a], n)
+		for source, counts := range by {
+			all[source] = higher(all[source], counts)
 		}
-		all[source] = m
 	}
 	sum := map[string]int{}
 	for _, m := range all {
@@ -289,6 +299,17 @@
 	return sum, nil
 }
 
+// higher merges two counts of one process: they only grow, so of each the higher
+// is the later.
+func higher(a, b map[string]int) map[string]int {
+	out := map[string]int{}
+	maps.Copy(out, a)
+	for k, n := range b {
+		out[k] = max(out[k], n)
+	}
+	return out
+}
+
 // heard returns what the processes told of a window.
 func (r *Reporter) heard(window int64) map[string]map[string]int {
 	r.mu.Lock()
--- a/reporter/reporter_test.go
+++ b/reporter/reporter_test.go
@@ -70,7 +70,7 @@
 	t.Helper()
 	b := &box{name: name, tally: &tally.Tally{Window: window}}
 	b.election = &election.Election{Store: m, Key: "duty", Box: name, Term: term, Log: zerolog.Nop()}
-	o := reporter.Options{Prefix: "usage/", BoxesPrefix: "boxes/", Box: name, Incarnation: "1", Due: due}
+	o := reporter.Options{Prefix: "usage/", WritersPrefix: "boxes/", Box: name, Incarnation: "1", Due: due}
 	b.reporter = reporter.New(o, b.tally, m, l, b.election, zerolog.Nop())
 	m.Set("boxes/"+name, "")
 	require.NoError(t, b.election.Start(t.Context(), nil))
--- a/session/session.go
+++ b/session/session.go
@@ -29,8 +29,6 @@
 // Session is the service of one box.
 type Session struct {
 	Store store.Store
-	Key   string
-	Value []byte
 
 	log    zerolog.Logger
 	cancel context.CancelFunc
@@ -45,10 +43,8 @@
 	watchers []func()
 }
 
-// New returns the session that keeps a key with a value.
-func New(s store.Store, key string, value []byte, log zerolog.Logger) *Session {
-	return &Session{Store: s, Key: key, Value: value, log: log}
-}
+// New returns a session with a store.
+func New(s store.Store, log zerolog.Logger) *Session { return &Session{Store: s, log: log} }
 
 // Name returns the service's name.
 func (s *Session) Name() string { return Name }
@@ -126,7 +122,7 @@
 	}
 }
 
-// step renews the lease, or takes one and writes the box's key under it.
+// step renews the lease, or takes one.
 func (s *Session) step(c context.Context) error {
 	l := s.Lease()
 	if l != 0 {
@@ -141,9 +137,6 @@
 	if err != nil {
 		return err
 	}
-	if _, err := s.Store.Commit(c, store.Change{Put: []store.Put{{Key: s.Key, Value: s.Value, Lease: l}}}); err != nil {
-		return err
-	}
 	s.set(l)
 	return nil
 }
