Let members look for a free place when one of their relays does not answer

Cause: found by TestRelayGoes, which failed first: a member still had the places as it last read them, with the relay that had gone, so it never saw that one was free. A relay that does not answer now makes its members read the places again.

--- a/balance/book_test.go
+++ b/balance/book_test.go
@@ -15,7 +15,7 @@
 )
 
 func endpoints(n int) []endpoint.Endpoint {
-	var es []endpoint.Endpoint
+	es := make([]endpoint.Endpoint, 0, n)
 	for i := range n {
 		es = append(es, endpoint.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Slots: 128, DataCentre: fmt.Sprint("dc", i%3)})
 	}
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -25,15 +25,17 @@
 // terms in every window.
 func TestBoxesTogether(t *testing.T) {
 	const boxes = 8
-	var bs []*budget.Budget
+	bs := make([]*budget.Budget, 0, boxes)
 	for range boxes {
 		b := budget.New(terms)
 		b.Boxes(boxes)
 		bs = append(bs, b)
 	}
-	var requests, repeats []time.Time
+	const sends = 6000
+	requests := make([]time.Time, 0, sends)
+	repeats := make([]time.Time, 0, sends)
 	now := time.Unix(1000, 0)
-	for n := range 6000 {
+	for n := range sends {
 		now = now.Add(10 * time.Millisecond)
 		b := bs[n%boxes]
 		b.Request("s", now)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -199,15 +199,17 @@
 	g.followPlaces(c, false)
 	own, _ := g.targets()
 	status := g.self()
+	missing := len(own) < relays
 	for _, s := range own {
 		var w World
 		if err := g.call(c, s.address, "gossip.member", status, &w); err != nil || w.Silent > stale {
+			missing = true
 			continue
 		}
 		g.heardWorld(w)
 		g.known.Follow(false)
 		g.catchUp(c, s, w)
-		if len(own) < relays {
+		if missing {
 			g.enlist(c)
 		}
 		return
--- /dev/null
+++ b/gossip/gossip_test.go
@@ -0,0 +1,207 @@
+package gossip_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"birchlink.dev/birchlink/balance"
+	"birchlink.dev/birchlink/catalog"
+	"birchlink.dev/birchlink/endpoint"
+	"birchlink.dev/birchlink/gossip"
+	"birchlink.dev/birchlink/kernel"
+	"birchlink.dev/birchlink/known"
+	"birchlink.dev/birchlink/peer"
+	"birchlink.dev/birchlink/quota"
+	"birchlink.dev/birchlink/session"
+	"birchlink.dev/birchlink/stand/memstore"
+	"birchlink.dev/birchlink/store"
+)
+
+// box is one box with what gossip needs.
+type box struct {
+	*gossip.Gossip
+	t       *testing.T
+	known   *known.Known
+	session *session.Session
+	node    *peer.Node
+	stopped bool
+
+	mu     sync.Mutex
+	others gossip.Status
+}
+
+func address(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// start begins a box; seeds are the addresses it knows from its settings.
+func start(t *testing.T, s store.Store, name, dc string, seeds ...string) *box {
+	t.Helper()
+	a := address(t)
+	b := &box{t: t, session: session.New(s, zerolog.Nop()), node: peer.NewNode(a, a, "secret", metrics.NewRegistry())}
+	b.known = known.New(known.Source{
+		ConfigKey: "config", EndpointsPrefix: "e/",
+		Document: func(v []byte) (*catalog.Document, error) {
+			var d catalog.Document
+			return &d, json.Unmarshal(v, &d)
+		},
+		Endpoint: func(k string, _ []byte) (endpoint.Endpoint, error) {
+			return endpoint.Endpoint{ID: strings.TrimPrefix(k, "e/"), Service: "s"}, nil
+		},
+	}, s, zerolog.Nop())
+	b.Gossip = gossip.New(zerolog.Nop())
+	b.Box, b.DataCentre, b.Address, b.Prefix, b.Seeds, b.Store = name, dc, a, "relays/", seeds, s
+	b.Own = func() gossip.Status {
+		v, _ := b.known.Raw()
+		return gossip.Status{
+			Box: name, DataCentre: dc, Address: a, Version: v, Load: map[string]balance.Load{"x": {Running: 1, Tokens: 10}},
+			Quota: quota.Told{Box: name, Incarnation: "1", Boxes: 1, Spent: map[string]float64{"a": 5}, Asked: map[string]float64{"a": 2}},
+		}
+	}
+	b.OnChange = func(others gossip.Status) {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.others = others
+	}
+	k := &kernel.Kernel{}
+	for _, s := range []kernel.Service{b.session, b.node, b.known, b.Gossip} {
+		require.NoError(t, k.Add(s))
+		require.NoError(t, s.Start(t.Context(), k))
+	}
+	t.Cleanup(b.stop)
+	return b
+}
+
+func (b *box) stop() {
+	if b.stopped {
+		return
+	}
+	b.stopped = true
+	_ = b.Stop(context.Background())
+	_ = b.known.Stop(context.Background())
+	_ = b.node.Stop(context.Background())
+	_ = b.session.Stop(context.Background())
+}
+
+func (b *box) sum() gossip.Status {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.others
+}
+
+func (b *box) version() uint64 {
+	v, _ := b.known.Raw()
+	return v
+}
+
+func await(t *testing.T, f func() bool) {
+	t.Helper()
+	require.Eventually(t, f, 30*time.Second, 5*time.Millisecond)
+}
+
+func seven(t *testing.T, m *memstore.Memory) []*box {
+	t.Helper()
+	bs := make([]*box, 0, 7)
+	for i := range 7 {
+		bs = append(bs, start(t, m, fmt.Sprint("box", i), fmt.Sprint("dc", i%2)))
+	}
+	return bs
+}
+
+func count(bs []*box, f func(*box) bool) int {
+	n := 0
+	for _, b := range bs {
+		if f(b) {
+			n++
+		}
+	}
+	return n
+}
+
+// Two boxes of each data centre become relays and watch the store; each box
+// knows the sums of all others, and a change of the store reaches all.
+func TestRelaysAndMembers(t *testing.T) {
+	m := &memstore.Memory{}
+	m.Set("config", `{"Version":3}`)
+	m.Set("e/x", "ready")
+	bs := seven(t, m)
+	await(t, func() bool { return count(bs, (*box).Relay) == 4 })
+	await(t, func() bool { return count(bs, func(b *box) bool { return b.known.Follows() }) == 4 })
+	await(t, func() bool {
+		return count(bs, func(b *box) bool {
+			s := b.sum()
+			return s.Boxes == 6 && s.Load["x"].Tokens == 60 && s.Quota.Asked["a"] == 12
+		}) == 7
+	})
+	m.Set("config", `{"Version":5}`)
+	m.Set("e/y", "ready")
+	await(t, func() bool {
+		return count(bs, func(b *box) bool { return b.version() == 5 && len(b.known.Roster.IDs()) == 2 }) == 7
+	})
+}
+
+// When a relay goes, a member takes its place, and the others are told on.
+func TestRelayGoes(t *testing.T) {
+	m := &memstore.Memory{}
+	m.Set("config", `{"Version":3}`)
+	bs := seven(t, m)
+	await(t, func() bool { return count(bs, (*box).Relay) == 4 })
+	var left []*box
+	gone := false
+	for _, b := range bs {
+		if !gone && b.Relay() && b.DataCentre == "dc0" {
+			gone = true
+			b.stop()
+			continue
+		}
+		left = append(left, b)
+	}
+	await(t, func() bool { return count(left, (*box).Relay) == 4 })
+	m.Set("config", `{"Version":6}`)
+	await(t, func() bool { return count(left, func(b *box) bool { return b.version() == 6 }) == 6 })
+}
+
+// away is a store that turns one box away while it serves the others.
+type away struct {
+	store.Store
+}
+
+func (away) Range(context.Context, string) ([]store.Item, uint64, error) {
+	return nil, 0, store.ErrAway
+}
+
+func (away) Watch(context.Context, string, uint64, time.Duration) ([]store.Item, uint64, error) {
+	return nil, 0, store.ErrAway
+}
+
+func (away) Grant(context.Context, time.Duration) (store.Lease, time.Duration, error) {
+	return 0, 0, store.ErrAway
+}
+
+// A box that the store turns away from its start learns the configuration and
+// the endpoints from its neighbours, of whom its settings name one.
+func TestTurnedAway(t *testing.T) {
+	m := &memstore.Memory{}
+	m.Set("config", `{"Version":3}`)
+	m.Set("e/x", "ready")
+	a := start(t, m, "a", "dc0")
+	await(t, func() bool { return a.version() == 3 })
+	b := start(t, away{m}, "b", "dc1", a.Address)
+	await(t, func() bool { return b.version() == 3 && len(b.known.Roster.IDs()) == 1 })
+	m.Set("config", `{"Version":4}`)
+	await(t, func() bool { return b.version() == 4 })
+}
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -141,8 +141,15 @@
 	fmt.Fprintf(w, "for %s", r.Header.Get("Account"))
 }
 
-// get makes a call and returns its answer with its body.
-func (b *box) get(path, key, body string) (*http.Response, string) {
+// got is what a caller was answered.
+type got struct {
+	status int
+	header http.Header
+	text   string
+}
+
+// get makes a call and returns its answer.
+func (b *box) get(path, key, body string) got {
 	b.t.Helper()
 	q, err := http.NewRequest(http.MethodPost, "http://"+b.callers+path, strings.NewReader(body))
 	require.NoError(b.t, err)
@@ -154,7 +161,7 @@
 	defer a.Body.Close()
 	text, err := io.ReadAll(a.Body)
 	require.NoError(b.t, err)
-	return a, string(text)
+	return got{a.StatusCode, a.Header, string(text)}
 }
 
 func (b *box) isReady() bool {
@@ -183,9 +190,9 @@
 		{"/nowhere/x", "k", "", 404, "unknown_service"},
 		{"/a/x", "k", strings.Repeat("x", 101), 413, "too_large"},
 	} {
-		a, text := b.get(c.path, c.key, c.body)
-		require.Equal(t, c.status, a.StatusCode, text)
-		require.Contains(t, text, c.text)
+		a := b.get(c.path, c.key, c.body)
+		require.Equal(t, c.status, a.status, a.text)
+		require.Contains(t, a.text, c.text)
 	}
 }
 
@@ -194,10 +201,10 @@
 func TestNothingKnown(t *testing.T) {
 	b := start(t, false)
 	require.False(t, b.isReady())
-	a, text := b.get("/a/x", "unknown", "")
-	require.Equal(t, http.StatusServiceUnavailable, a.StatusCode)
-	require.Contains(t, text, "not_ready")
-	require.NotEmpty(t, a.Header.Get("Retry-After"))
+	a := b.get("/a/x", "unknown", "")
+	require.Equal(t, http.StatusServiceUnavailable, a.status)
+	require.Contains(t, a.text, "not_ready")
+	require.NotEmpty(t, a.header.Get("Retry-After"))
 }
 
 // A box that has not heard from the store does not say that a key is unknown;
@@ -207,13 +214,10 @@
 	b.await(b.isReady)
 	b.store.SetDown(true)
 	b.await(func() bool {
-		a, _ := b.get("/a/x", "unknown", "")
-		return a.StatusCode == http.StatusServiceUnavailable
+		return b.get("/a/x", "unknown", "").status == http.StatusServiceUnavailable
 	})
-	a, _ := b.get("/nowhere/x", "k", "")
-	require.Equal(t, http.StatusServiceUnavailable, a.StatusCode)
-	a, _ = b.get("/a/x", "k", "")
-	require.Equal(t, http.StatusOK, a.StatusCode)
+	require.Equal(t, http.StatusServiceUnavailable, b.get("/nowhere/x", "k", "").status)
+	require.Equal(t, http.StatusOK, b.get("/a/x", "k", "").status)
 }
 
 // An account over its rate is told when to come back.
@@ -221,11 +225,11 @@
 	b := start(t, true)
 	b.await(b.isReady)
 	b.await(func() bool {
-		a, _ := b.get("/a/x", "s", "")
-		if a.StatusCode != http.StatusTooManyRequests {
+		a := b.get("/a/x", "s", "")
+		if a.status != http.StatusTooManyRequests {
 			return false
 		}
-		s, err := strconv.ParseFloat(a.Header.Get("Retry-After"), 64)
+		s, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
 		require.NoError(t, err)
 		require.Positive(t, s)
 		return true
@@ -238,8 +242,7 @@
 	b.await(b.isReady)
 	answer := make(chan int, 1)
 	go func() {
-		a, _ := b.get("/a/hold", "k", "")
-		answer <- a.StatusCode
+		answer <- b.get("/a/hold", "k", "").status
 	}()
 	<-b.held
 	stopped := make(chan error, 1)
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -116,7 +116,10 @@
 func (q *Quota) Own(box, incarnation string, now time.Time) Told {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	t := Told{Box: box, Incarnation: incarnation, Boxes: 1, Age: now.Sub(q.Started), Spent: map[string]float64{}, Asked: map[string]float64{}, Level: map[string]float64{}, Share: map[string]float64{}}
+	t := Told{
+		Box: box, Incarnation: incarnation, Boxes: 1, Age: now.Sub(q.Started),
+		Spent: map[string]float64{}, Asked: map[string]float64{}, Level: map[string]float64{}, Share: map[string]float64{},
+	}
 	for n, b := range q.accounts {
 		b.ask(0, now)
 		t.Spent[n], t.Asked[n], t.Level[n], t.Share[n] = b.spent, b.asked, b.level, b.share
--- a/reporter/reporter_test.go
+++ b/reporter/reporter_test.go
@@ -97,15 +97,16 @@
 	})
 }
 
-// next waits for a new window to begin, and counts requests in it on each box.
-func next(t *testing.T, a, b *box, n, m int) int64 {
+// next waits for a new window to begin, and counts three requests in it on box a
+// and four on box b.
+func next(t *testing.T, a, b *box) int64 {
 	t.Helper()
 	w := a.tally.Number(time.Now()) + 1
 	wait.For(t.Context(), time.Until(a.tally.End(w-1).Add(time.Second)))
-	for range n {
+	for range 3 {
 		a.tally.Add("x", time.Now())
 	}
-	for range m {
+	for range 4 {
 		b.tally.Add("x", time.Now())
 	}
 	return w
@@ -125,7 +126,7 @@
 
 func TestSumOfAllBoxes(t *testing.T) {
 	run(t, func(t *testing.T, _ *memstore.Memory, l *cloud, a, b *box) {
-		w := next(t, a, b, 3, 4)
+		w := next(t, a, b)
 		wait.For(t.Context(), 2*window)
 		l.same(t, w, a.tally.End(w), map[string]int{"x": 7})
 		a.stop(t)
@@ -137,7 +138,7 @@
 // box that takes the duty over.
 func TestHolderGoesAfterALostAnswer(t *testing.T) {
 	run(t, func(t *testing.T, _ *memstore.Memory, l *cloud, a, b *box) {
-		w := next(t, a, b, 3, 4)
+		w := next(t, a, b)
 		l.mu.Lock()
 		l.lose = 1
 		l.mu.Unlock()
@@ -153,7 +154,7 @@
 // What a box told before it was killed counts, though it never wrote it.
 func TestBoxKilledBeforeItWrote(t *testing.T) {
 	run(t, func(t *testing.T, m *memstore.Memory, l *cloud, a, b *box) {
-		w := next(t, a, b, 3, 4)
+		w := next(t, a, b)
 		a.reporter.Hear(b.tally.Recent(b.reporter.Source(), w))
 		kill(t, m, b)
 		wait.For(t.Context(), 2*window)
@@ -182,7 +183,7 @@
 // Without the store for a while, the report still comes in time.
 func TestStoreAwayForAWhile(t *testing.T) {
 	run(t, func(t *testing.T, m *memstore.Memory, l *cloud, a, b *box) {
-		w := next(t, a, b, 3, 4)
+		w := next(t, a, b)
 		wait.For(t.Context(), time.Until(a.tally.End(w).Add(-100*time.Millisecond)))
 		m.SetDown(true)
 		wait.For(t.Context(), 4500*time.Millisecond)
--- a/scaling/plan_test.go
+++ b/scaling/plan_test.go
@@ -14,8 +14,9 @@
 
 // sites returns three data centres with the same demand each.
 func sites(tokens float64, reclaimable int) []scaling.Site {
-	var out []scaling.Site
-	for _, dc := range scaling.DataCentres(service) {
+	dcs := scaling.DataCentres(service)
+	out := make([]scaling.Site, 0, len(dcs))
+	for _, dc := range dcs {
 		out = append(out, scaling.Site{
 			DataCentre: dc, Demand: scaling.Demand{Tokens: tokens}, Have: scaling.Count{OnDemand: 1, Reclaimable: reclaimable}, Since: time.Hour,
 		})
