--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -29,8 +29,9 @@
 		}
 	}
 	s.Quota.Reserved = map[string]float64{}
-	g.near.AddTo(&s.Quota, "", time.Now())
-	s.Quota.Boxes = s.Boxes
+	now := time.Now()
+	g.near.AddTo(&s.Quota, "", now, g.present(now))
+	// What the other relays reserve, they tell themselves.
 	return s
 }
 
@@ -75,11 +76,21 @@
 			s.add(h.Status)
 		}
 	}
-	g.near.AddTo(&s.Quota, member, now)
-	g.far.AddTo(&s.Quota, "", now)
+	here := g.present(now)
+	g.near.AddTo(&s.Quota, member, now, here)
+	g.far.AddTo(&s.Quota, "", now, here)
+	s.Quota.Names = nil
 	return s
 }
 
+// present returns the boxes that this one or another relay hears.
+func (g *Gossip) present(now time.Time) map[string]bool {
+	in := map[string]bool{g.Box: true}
+	g.near.Present(in, now)
+	g.far.Present(in, now)
+	return in
+}
+
 // fromMember answers a box of this data centre, or one that has lost its relays.
 func (g *Gossip) fromMember(_ context.Context, in Status) (World, error) {
 	now := time.Now()
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -28,6 +28,17 @@
 	spareShare = 0.15
 )
 
+// A process that has just started and heard nobody takes newShare of each
+// account for newFor: it does not know how many others there are, and when all
+// start at once each would spend the whole.
+const (
+	newShare = 0.12
+	newFor   = 2 * time.Second
+)
+
+// leastShare keeps divisions by shares in bounds; it is below any share dealt.
+const leastShare = 0.001
+
 // raisePart is how much of what an account has left is dealt out in one round
 // while it is contended: what is spent is known everywhere after two rounds.
 const raisePart = 0.3
@@ -48,6 +59,7 @@
 	Box         string
 	Incarnation string
 	Boxes       int
+	Names       []string // of these boxes
 	Spent       map[string]float64
 	Asked       map[string]float64
 
@@ -103,7 +115,8 @@
 type bucket struct {
 	level  float64 // what all boxes may still spend
 	filled time.Time
-	share  float64
+	share  float64 // of the account, that this box spends
+	free   float64 // of the account, that is not reserved for boxes that are away
 	rate   float64 // the account's
 	wanted float64 // what all boxes are asked for, units a second
 	own    float64 // what this box may still spend before the next round
@@ -117,7 +130,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	t := Told{
-		Box: box, Incarnation: incarnation, Boxes: 1, Age: now.Sub(q.Started),
+		Box: box, Incarnation: incarnation, Boxes: 1, Names: []string{box}, Age: now.Sub(q.Started),
 		Spent: map[string]float64{}, Asked: map[string]float64{}, Level: map[string]float64{}, Share: map[string]float64{},
 	}
 	for n, b := range q.accounts {
@@ -140,7 +153,7 @@
 	q.heard, q.alone = next, false
 	for n, b := range q.accounts {
 		b.ask(0, now)
-		b.share, b.wanted = q.shareOf(n, b.asked)
+		b.share, b.free, b.wanted = q.shareOf(n, b.asked, now)
 		b.deal()
 	}
 }
@@ -157,6 +170,8 @@
 	for _, b := range q.accounts {
 		b.wanted = math.Inf(1)
 		b.own = min(b.own, b.share*b.level)
+		b.level *= b.share
+		b.free = b.share
 	}
 }
 
@@ -165,7 +180,7 @@
 // only, since what the others spent in the last round is not known yet; its share
 // of the rate is added as time goes on.
 func (b *bucket) deal() {
-	part := b.part() * b.level
+	part := b.part() * b.level / max(b.free, b.share, leastShare)
 	if b.wanted > b.rate && part > b.own {
 		part = b.own + raisePart*(part-b.own)
 	}
@@ -199,9 +214,12 @@
 	return min(overcommit*b.share+spareShare, 1)
 }
 
-// shareOf returns the part of an account that this box may spend, and what all
-// boxes together are asked for.
-func (q *Quota) shareOf(account string, asked float64) (share, sum float64) {
+// shareOf returns the part of an account that this box may spend, the part that
+// is not reserved, and what all boxes together are asked for.
+func (q *Quota) shareOf(account string, asked float64, now time.Time) (share, free, sum float64) {
+	if len(q.heard) == 0 && now.Sub(q.Started) < newFor {
+		return newShare, 1, math.Inf(1)
+	}
 	sum = asked
 	boxes := 1
 	reserved := 0.0
@@ -210,12 +228,12 @@
 		boxes += max(t.Boxes, 1)
 		reserved += t.Reserved[account]
 	}
-	free := max(1-reserved, 0)
+	free = max(1-reserved, 0)
 	even := free / float64(boxes)
 	if sum <= 0 {
-		return even, 0
+		return even, free, 0
 	}
-	return floorPart*even + (1-floorPart)*free*asked/sum, sum
+	return floorPart*even + (1-floorPart)*free*asked/sum, free, sum
 }
 
 // State describes what is left of an account, for the log.
@@ -258,7 +276,7 @@
 	b := q.accounts[name]
 	if b == nil {
 		b = &bucket{at: now}
-		b.share, _ = q.shareOf(name, 0)
+		b.share, b.free, b.wanted = q.shareOf(name, 0, now)
 		q.accounts[name] = b
 	}
 	return b
@@ -273,8 +291,8 @@
 	}
 	got := rate * max(now.Sub(b.filled), 0).Seconds()
 	b.filled = now
-	b.level = min(b.level+got, burst)
-	b.own = min(b.own+b.part()*got, burst)
+	b.level = min(b.level+b.free*got, b.free*burst)
+	b.own = min(b.own+b.part()*got, b.part()*burst)
 }
 
 // ask adds to the smoothed demand.
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -26,6 +26,7 @@
 	boxes  []*quota.Quota
 	lives  []int
 	cut    map[int]bool
+	sum    quota.Sum // as a relay that hears all that are not cut off
 	run    []entry
 	served int
 	asked  int
@@ -51,24 +52,30 @@
 	f.boxes[i] = &quota.Quota{Terms: terms, Started: f.now}
 }
 
-// gossip lets the boxes that are not cut off hear each other. What a box that is
-// cut off told last is kept.
+// gossip lets the boxes that are not cut off hear the sum of the others.
 func (f *fleet) gossip() {
 	told := make([]quota.Told, len(f.boxes))
 	for i, b := range f.boxes {
 		told[i] = b.Own(fmt.Sprint(i), fmt.Sprint(f.lives[i]), f.now)
 	}
+	for i := range told {
+		if !f.cut[i] {
+			f.sum.Hear(told[i], f.now)
+		}
+	}
+	here := map[string]bool{}
+	f.sum.Present(here, f.now)
 	for i, b := range f.boxes {
 		if f.cut[i] {
+			b.Alone()
 			continue
 		}
-		var ts []quota.Told
-		for j := range told {
-			if j != i && !f.cut[j] {
-				ts = append(ts, told[j])
-			}
+		others := quota.Told{
+			Box: "others", Incarnation: "1", Age: time.Hour, Level: told[i].Level,
+			Spent: map[string]float64{}, Asked: map[string]float64{}, Share: map[string]float64{}, Reserved: map[string]float64{},
 		}
-		b.Hear(ts, f.now)
+		f.sum.AddTo(&others, fmt.Sprint(i), f.now, here)
+		b.Hear([]quota.Told{others}, f.now)
 	}
 }
 
@@ -165,3 +172,33 @@
 		}
 	}
 }
+
+// Boxes that all start at once, and do not know of each other yet, do not spend
+// what they then have to owe.
+func TestAllNew(t *testing.T) {
+	f := newFleet(8)
+	const tick = 10 * time.Millisecond
+	for range int(round / tick) {
+		f.now = f.now.Add(tick)
+		for _, b := range f.boxes {
+			if _, ok := b.Take(account, 2000, f.now); ok {
+				f.run = append(f.run, entry{f.now, 2000})
+			}
+		}
+	}
+	require.LessOrEqual(t, f.most(), account.Rate*round.Seconds()+8*2000)
+}
+
+// Boxes that are cut off while little is asked, and asked for much afterwards,
+// spend the shares that the others reserve for them.
+func TestCutOff(t *testing.T) {
+	f := newFleet(8)
+	f.send(10*time.Second, 0.4*account.Rate, 4000, 1, 1, 1, 1, 1, 1, 1, 1)
+	for i := range 3 {
+		f.cut[i] = true
+	}
+	f.send(8*time.Second, 0.2*account.Rate, 4000, 1, 1, 1, 1, 1, 1, 1, 1)
+	f.send(10*time.Second, 6*account.Rate, 4000, 1, 1, 1, 1, 1, 1, 1, 1)
+	require.LessOrEqual(t, f.most(), limit())
+	require.GreaterOrEqual(t, f.most(), 0.8*account.Rate*terms.Window.Seconds())
+}
--- a/quota/sum.go
+++ b/quota/sum.go
@@ -55,8 +55,22 @@
 	maps.DeleteFunc(s.from, func(_ string, x *source) bool { return x.at.Before(before) })
 }
 
-// AddTo adds the sum without one box, or all of it for an empty name, to t.
-func (s *Sum) AddTo(t *Told, without string, now time.Time) {
+// Present adds the names of the boxes that were heard lately to in.
+func (s *Sum) Present(in map[string]bool, now time.Time) {
+	for _, x := range s.from {
+		if now.Sub(x.at) > away {
+			continue
+		}
+		for _, n := range x.Names {
+			in[n] = true
+		}
+	}
+}
+
+// AddTo adds the sum without one box, or all of it for an empty name, to t. Of a
+// source that is away, the shares of those of its boxes are reserved that are not
+// present: the others are heard by another way.
+func (s *Sum) AddTo(t *Told, without string, now time.Time, present map[string]bool) {
 	for a, n := range s.spent {
 		t.Spent[a] += n
 	}
@@ -67,19 +81,31 @@
 			}
 			continue
 		}
-		addAll(t.Reserved, x.Reserved)
-		addAll(t.Share, x.Share)
 		if now.Sub(x.at) > away {
-			addAll(t.Reserved, x.Share)
+			addPart(t.Reserved, x.Share, missing(x.Names, present))
 			continue
 		}
+		addPart(t.Reserved, x.Reserved, 1)
+		addPart(t.Share, x.Share, 1)
+		addPart(t.Asked, x.Asked, 1)
 		t.Boxes += max(x.Boxes, 1)
-		addAll(t.Asked, x.Asked)
+		t.Names = append(t.Names, x.Names...)
+	}
+}
+
+// missing is the part of names that is not present.
+func missing(names []string, present map[string]bool) float64 {
+	n := 0
+	for _, x := range names {
+		if !present[x] {
+			n++
+		}
 	}
+	return float64(n) / float64(max(len(names), 1))
 }
 
-func addAll(to, from map[string]float64) {
+func addPart(to, from map[string]float64, part float64) {
 	for a, n := range from {
-		to[a] += n
+		to[a] += part * n
 	}
 }
