--- a/balance/book_test.go
+++ b/balance/book_test.go
@@ -135,3 +135,22 @@
 		k.Choose(es, q)
 	}
 }
+
+// A request that has lost an endpoint stays in its data centre if it can.
+func TestNearAfterABreak(t *testing.T) {
+	es := endpoints(9)
+	var b balance.Book
+	load := map[string]balance.Load{}
+	for _, e := range es {
+		if e.DataCentre == "dc0" {
+			load[e.ID] = balance.Load{Running: 5, Tokens: 3000}
+		}
+	}
+	b.Tell(load, 2)
+	q := balance.Query{DataCentre: "dc0", Engine: true, Prompt: 500}
+	c, _ := b.Choose(es, q)
+	require.NotEqual(t, "dc0", c.Endpoint.DataCentre)
+	q.Broke = true
+	c, _ = b.Choose(es, q)
+	require.Equal(t, "dc0", c.Endpoint.DataCentre)
+}
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -24,6 +24,10 @@
 	// way there and back takes some milliseconds, and its bytes are paid for.
 	elsewhere = 10 * time.Millisecond
 
+	// afterBreak is that for a request that has lost an endpoint: the way to other
+	// data centres may be what broke, and it has few attempts.
+	afterBreak = 300 * time.Millisecond
+
 	// failurePenalty is the time that a certain failure is taken to cost.
 	failurePenalty = 3 * time.Second
 
@@ -49,6 +53,7 @@
 	Shared     int // how many of Parts, from the first, other requests may share
 	Prompt     int // tokens, all parts together
 	Engine     bool
+	Broke      bool // an endpoint was lost with this request
 	Skip       map[string]bool
 }
 
@@ -127,7 +132,11 @@
 func (b *Book) penalty(e *endpoint.Endpoint, q Query) time.Duration {
 	p := b.page(e.ID)
 	d := time.Duration(p.failures*p.failures*float64(failurePenalty)) + time.Duration(coldPart*float64(e.Cold))
-	if e.DataCentre != q.DataCentre {
+	switch {
+	case e.DataCentre == q.DataCentre:
+	case q.Broke:
+		d += afterBreak
+	default:
 		d += elsewhere
 	}
 	if p.slowness > 1.5 {
