--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The linter and the formatters it runs are pinned here and nowhere else.
 GOLANGCI := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
-.PHONY: build run up test lint format unit prove bench compare
+.PHONY: build run up test lint format unit bench compare soak
 
 build:
 	go build -o bin/ ./cmd/...
@@ -33,3 +33,10 @@
 # Decisions by the chosen policies and by their baselines; the same every time.
 compare:
 	@go run ./cmd/birchcompare compare/data/*.txt
+
+# Boxes as real processes under faults drawn from a seed: make soak SEED=7 FOR=30s
+SEED ?= 1
+FOR ?= 6s
+SEEDS ?= 1
+soak: build
+	./bin/birchsoak --seed $(SEED) --seeds $(SEEDS) --for $(FOR)
--- /dev/null
+++ b/cmd/birchsoak/main.go
@@ -0,0 +1,81 @@
+// Command birchsoak runs boxes under faults drawn from seeds.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"birchlink.dev/birchlink/soak"
+)
+
+type arguments struct {
+	Seed    uint64        `arg:"--seed" default:"1" help:"the first seed"`
+	Seeds   int           `arg:"--seeds" default:"1" help:"how many seeds to play, one after the other"`
+	For     time.Duration `arg:"--for" default:"10s" help:"how long faults are injected"`
+	Boxes   int           `arg:"--boxes" default:"5"`
+	Servers int           `arg:"--servers" default:"6"`
+	Callers int           `arg:"--callers" default:"24"`
+	Program string        `arg:"--program" default:"bin/birchlinkd" help:"the daemon to run"`
+	Keep    string        `arg:"--keep" help:"a folder for the logs of seeds that broke something"`
+	Quiet   bool          `arg:"--quiet" help:"do not print the faults as they are injected"`
+}
+
+// Description says what the program is for.
+func (arguments) Description() string {
+	return "birchsoak runs boxes as real processes, injects faults drawn from a seed, and checks the promises.\n" +
+		"Example: birchsoak --seed 7 --seeds 50 --for 20s"
+}
+
+func main() {
+	var a arguments
+	arg.MustParse(&a)
+	broken := 0
+	for i := range a.Seeds {
+		n, err := play(a, a.Seed+uint64(i))
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(2)
+		}
+		broken += n
+	}
+	if broken > 0 {
+		fmt.Println(broken, "broken promises")
+		os.Exit(1)
+	}
+}
+
+func play(a arguments, seed uint64) (int, error) {
+	dir, err := os.MkdirTemp("", "birchsoak")
+	if err != nil {
+		return 0, fmt.Errorf("make a folder: %w", err)
+	}
+	defer func() {
+		if err := os.RemoveAll(dir); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
+	}()
+	out := io.Writer(os.Stdout)
+	if a.Quiet {
+		out = io.Discard
+	}
+	faults, err := soak.Run(context.Background(), soak.Options{
+		Seed: seed, For: a.For, Boxes: a.Boxes, Servers: a.Servers, Callers: a.Callers, Dir: dir, Program: a.Program, Out: out,
+	})
+	if err != nil {
+		return 0, err
+	}
+	fmt.Printf("seed %d: %d broken\n", seed, len(faults))
+	for _, f := range faults {
+		fmt.Println("  ", f)
+	}
+	if len(faults) > 0 && a.Keep != "" {
+		return len(faults), os.CopyFS(filepath.Join(a.Keep, fmt.Sprint("seed-", seed)), os.DirFS(dir))
+	}
+	return len(faults), nil
+}
--- /dev/null
+++ b/soak/proxy_test.go
@@ -0,0 +1,63 @@
+package soak_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"birchlink.dev/birchlink/soak"
+)
+
+// echo answers each line with itself.
+func echo(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for s := bufio.NewScanner(c); s.Scan(); {
+					fmt.Fprintln(c, s.Text())
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Bytes that are held go on when the proxy passes again; Reset ends what there is.
+func TestModes(t *testing.T) {
+	p, err := soak.NewProxy(echo(t))
+	require.NoError(t, err)
+	defer p.Close()
+	for _, m := range []soak.Mode{soak.Pass, soak.Delay, soak.Silence, soak.OneWay} {
+		c, err := net.Dial("tcp", p.Address())
+		require.NoError(t, err)
+		p.Set(m)
+		fmt.Fprintln(c, "hello")
+		p.Set(soak.Pass)
+		line, err := bufio.NewReader(c).ReadString('\n')
+		require.NoError(t, err, m)
+		require.Equal(t, "hello\n", line)
+		require.NoError(t, c.Close())
+	}
+	c, err := net.Dial("tcp", p.Address())
+	require.NoError(t, err)
+	defer c.Close()
+	fmt.Fprintln(c, "hello")
+	r := bufio.NewReader(c)
+	_, err = r.ReadString('\n')
+	require.NoError(t, err)
+	p.Set(soak.Reset)
+	_, err = r.ReadString('\n')
+	require.Error(t, err)
+}
