--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -44,9 +44,9 @@
 // Server is an endpoint with its proxy.
 type Server struct {
 	*standin.Server
-	zone   string
-	proxy  *Proxy
-	http   *http.Server
+	zone  string
+	proxy *Proxy
+	http  *http.Server
 }
 
 // Fleet is all that runs.
