--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -32,9 +32,12 @@
 	lost      = 2 * time.Second
 	forgotten = 8 * time.Second
 	reserved  = 20 * time.Second
-	stale     = 2 * time.Second
+	stale     = 1100 * time.Millisecond
 )
 
+// quiet is the silence of the store after which any box is asked that answers.
+const quiet = 2 * time.Second
+
 // watchWait is how long a call waits for changes of the list of relays. One that
 // is gone is noticed by its silence.
 const watchWait = 15 * time.Second
@@ -153,6 +156,7 @@
 // round tells those that this box has to tell, and finds its part anew where
 // nobody answers.
 func (g *Gossip) round(c context.Context) {
+	g.session.Fast(g.holds())
 	if !g.holds() {
 		g.asMember(c)
 		return
@@ -222,7 +226,7 @@
 // ask takes a configuration from any box that answers while neither the store
 // nor a relay does.
 func (g *Gossip) ask(c context.Context, status Status) {
-	if g.session.Silent() < stale {
+	if g.session.Silent() < quiet {
 		return
 	}
 	_, far := g.targets()
--- a/session/session.go
+++ b/session/session.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -18,12 +19,15 @@
 // Name is the name of the service.
 const Name = "session"
 
-// The times of the lease. Three renewals may be lost before it ends. A store
-// that is away is asked again after Retry.
+// The times of the lease. Three renewals may be lost before it ends. A box on
+// whose word others rest renews each RenewFast, so that a store that is silent to
+// it is noticed well within the 2 s in which a leaving endpoint must be known. A
+// store that is away is asked again after Retry.
 const (
-	TTL   = 4 * time.Second
-	Renew = time.Second
-	Retry = 300 * time.Millisecond
+	TTL       = 4 * time.Second
+	Renew     = time.Second
+	RenewFast = 500 * time.Millisecond
+	Retry     = 300 * time.Millisecond
 )
 
 // Session is the service of one box.
@@ -31,6 +35,7 @@
 	Store store.Store
 
 	log    zerolog.Logger
+	fast   atomic.Bool
 	cancel context.CancelFunc
 	group  sync.WaitGroup
 
@@ -73,6 +78,9 @@
 	return nil
 }
 
+// Fast says whether others rest on this box's word of the store.
+func (s *Session) Fast(on bool) { s.fast.Store(on) }
+
 // OnReturn sets what is called when the store can be reached again after it
 // could not be.
 func (s *Session) OnReturn(f func()) {
@@ -118,6 +126,10 @@
 			wait.For(c, Retry)
 			continue
 		}
+		if s.fast.Load() {
+			wait.For(c, RenewFast)
+			continue
+		}
 		wait.For(c, Renew)
 	}
 }
