--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -61,6 +61,7 @@
 	cancel  context.CancelFunc
 	group   sync.WaitGroup
 	turn    int
+	packed  packed
 	watch   *mirror.Mirror
 	unwatch context.CancelFunc // set while this box watches the places
 
@@ -98,7 +99,7 @@
 	peer.Handle(g.node.Server, "gossip.update", g.fromOwn)
 	peer.Handle(g.node.Server, "gossip.configuration", func(context.Context, uint64) ([]byte, error) {
 		_, raw := g.known.Raw()
-		return raw, nil
+		return g.packed.pack(raw)
 	})
 	peer.Handle(g.node.Server, "gossip.records", func(context.Context, uint64) (known.Records, error) {
 		return g.known.Records(), nil
@@ -108,7 +109,7 @@
 	g.watch = &mirror.Mirror{Store: g.Store, Prefix: g.Prefix, Wait: watchWait, Apply: g.apply, Log: g.log}
 	g.session.OnReturn(g.watch.Restart)
 	g.known.OnRecords(func(r known.Records) { g.push(c, update{Records: &r, From: g.Box}) })
-	g.known.OnRaw(func(raw []byte) { g.push(c, update{Configuration: raw, From: g.Box}) })
+	g.known.OnRaw(func(raw []byte) { g.pushConfiguration(c, raw) })
 	g.group.Go(func() { g.run(c) })
 	return nil
 }
@@ -273,8 +274,21 @@
 	}
 }
 
-func (g *Gossip) install(raw []byte, from string) {
-	if err := g.known.Install(raw, from); err != nil {
+func (g *Gossip) pushConfiguration(c context.Context, raw []byte) {
+	zip, err := g.packed.pack(raw)
+	if err != nil {
+		g.log.Error().Str("event", "configuration").Err(err).Msg("not pushed; members fetch it")
+		return
+	}
+	g.push(c, update{Configuration: zip, From: g.Box})
+}
+
+func (g *Gossip) install(zip []byte, from string) {
+	raw, err := unpack(zip)
+	if err == nil {
+		err = g.known.Install(raw, from)
+	}
+	if err != nil {
 		g.log.Error().Str("event", "configuration").Str("from", from).Err(err).Msg("not taken; the one in force stays")
 	}
 }
