Count what a box spends once when it changes its relay

A box that came back to a relay was counted there for what another relay had counted meanwhile; the lowest level told then spread. TestBackAtARelay failed first.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -36,6 +36,11 @@
 	newFor   = 2 * time.Second
 )
 
+// maxDebt is the most that an account may owe, in bursts. What boxes spend too
+// much in a moment is less; more would be a mistake in what was told, which must
+// not shut an account out for long.
+const maxDebt = 2
+
 // leastShare keeps divisions by shares in bounds; it is below any share dealt.
 const leastShare = 0.001
 
@@ -291,8 +296,8 @@
 	}
 	got := rate * max(now.Sub(b.filled), 0).Seconds()
 	b.filled = now
-	b.level = min(b.level+b.free*got, b.free*burst)
-	b.own = min(b.own+b.part()*got, b.part()*burst)
+	b.level = min(max(b.level, -maxDebt*burst)+b.free*got, b.free*burst)
+	b.own = min(max(b.own, -maxDebt*b.part()*burst)+b.part()*got, b.part()*burst)
 }
 
 // ask adds to the smoothed demand.
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -202,3 +202,28 @@
 	require.LessOrEqual(t, f.most(), limit())
 	require.GreaterOrEqual(t, f.most(), 0.8*account.Rate*terms.Window.Seconds())
 }
+
+// What a box spends while another relay hears it is counted once: a relay that it
+// comes back to begins anew.
+func TestBackAtARelay(t *testing.T) {
+	var a, b quota.Sum
+	now := time.Unix(1000, 0)
+	told := func(spent float64) quota.Told {
+		return quota.Told{Box: "m", Incarnation: "1", Age: time.Hour, Spent: map[string]float64{"a": spent}}
+	}
+	sum := func() float64 {
+		t := quota.Told{Spent: map[string]float64{}, Asked: map[string]float64{}, Share: map[string]float64{}, Reserved: map[string]float64{}}
+		a.AddTo(&t, "", now, nil)
+		b.AddTo(&t, "", now, nil)
+		return t.Spent["a"]
+	}
+	a.Hear(told(1000), now)
+	for i := range 10 {
+		now = now.Add(round)
+		b.Hear(told(1000+100*float64(i)), now)
+	}
+	require.InDelta(t, 900, sum(), 1)
+	now = now.Add(round)
+	a.Hear(told(1950), now)
+	require.InDelta(t, 900, sum(), 60)
+}
--- a/quota/sum.go
+++ b/quota/sum.go
@@ -39,8 +39,10 @@
 	}
 	for a, n := range t.Spent {
 		switch {
-		case old != nil && old.Incarnation == t.Incarnation:
+		case old != nil && old.Incarnation == t.Incarnation && now.Sub(old.at) <= away:
 			n -= old.Spent[a]
+		case old != nil && old.Incarnation == t.Incarnation:
+			n = 0 // another relay heard it meanwhile, or its share was reserved
 		case t.Age > young:
 			n = 0
 		}
