--- a/settings/entry_test.go
+++ b/settings/entry_test.go
@@ -25,7 +25,8 @@
 	t.Helper()
 	b, err := os.ReadFile("../deploy/box.ini")
 	require.NoError(t, err)
-	return regexp.MustCompile(`\{\{([^}]+)\}\}`).ReplaceAllStringFunc(string(b), func(s string) string {
+	text := regexp.MustCompile(`\{\{[#/][^}]+\}\}`).ReplaceAllString(string(b), "")
+	return regexp.MustCompile(`\{\{([^}]+)\}\}`).ReplaceAllStringFunc(text, func(s string) string {
 		if v, ok := values[s[2:len(s)-2]]; ok {
 			return v
 		}
@@ -44,6 +45,18 @@
 	require.Equal(t, 8*time.Second, s.QuotaWindow)
 }
 
+// A deployment that gives none of its optional values is served with the defaults.
+func TestTemplateWithoutOptional(t *testing.T) {
+	b, err := os.ReadFile("../deploy/box.ini")
+	require.NoError(t, err)
+	text := regexp.MustCompile(`(?m)^\{\{#.*$`).ReplaceAllString(string(b), "")
+	text = regexp.MustCompile(`\{\{([^}]+)\}\}`).ReplaceAllStringFunc(text, func(s string) string { return values[s[2:len(s)-2]] })
+	s, err := settings.ParseEntry([]byte(text))
+	require.NoError(t, err)
+	require.Equal(t, 8*time.Second, s.StopLimit)
+	require.False(t, s.Orders || s.Usage)
+}
+
 // Every mistake is named at once, with its section and key.
 func TestEntryMistakes(t *testing.T) {
 	_, err := settings.ParseEntry([]byte("[box]\nname = x\n[listen]\ncallers = here\n[duties]\nlease = soon\n[quota]\nslack = -1\n[nowhere]\nx = 1\n"))
