--- a/figures/figures.go
+++ b/figures/figures.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -48,14 +47,17 @@
 	_ = f.registry.Register(name, metrics.NewFunctionalGauge(read))
 }
 
-// Start listens.
+// Start listens. An address that cannot be had is logged, and costs no more than
+// the metrics.
 func (f *Figures) Start(context.Context, *kernel.Kernel) error {
 	if f.Address == "" {
 		return nil
 	}
 	l, err := net.Listen("tcp", f.Address)
 	if err != nil {
-		return fmt.Errorf("listen for readers of metrics: %w", err)
+		// Callers are served without metrics rather than not at all.
+		f.log.Error().Str("event", "listen").Str("address", f.Address).Err(err).Msg("metrics are not served")
+		return nil
 	}
 	r := mux.NewRouter()
 	r.HandleFunc(Path, f.serve).Methods(http.MethodGet)
--- a/figures/figures_test.go
+++ b/figures/figures_test.go
@@ -33,3 +33,13 @@
 	require.Regexp(t, `counter refused.overloaded\s+count:\s+3`, string(b))
 	require.NoError(t, f.Stop(context.Background()))
 }
+
+// An address that another process has does not keep the box from starting.
+func TestAddressTaken(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	f := figures.New(l.Addr().String(), metrics.NewRegistry(), zerolog.Nop())
+	require.NoError(t, f.Start(t.Context(), nil))
+	require.NoError(t, f.Stop(context.Background()))
+}
