Learn from answers how fast endpoints are, and order and choose by it

The figures by which the load of an endpoint was judged (20,000 tokens a second, 40 running, 24 tokens a ms) are of the first customers' engines; the new ones read five times as fast.

estimate.Model fits the time to the first event by least squares over what a box sees (tokens to read, tokens ahead, requests running), and pauses by what runs; sums add up over boxes and travel with what boxes tell anyway. From it follow the expected time of a choice and, with the objectives, how much an endpoint bears until too many requests wait for others' prompts. Errors count relative to what is seen, so slow endpoints bend it little; a prior of slow endpoints fades as answers come. Endpoints on demand are given more to do, since they cost several times as much.

--- a/balance/book.go
+++ b/balance/book.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"birchlink.dev/birchlink/endpoint"
+	"birchlink.dev/birchlink/estimate"
 )
 
 // Book keeps one account of each endpoint. Its zero value is ready.
@@ -16,6 +17,7 @@
 	toldAt time.Time // when other boxes' load was last told
 	pages  map[string]*page
 	sites  map[string]*site
+	models map[string]*estimate.Model // by service
 }
 
 // site is what is known of a data centre as a whole: when one of its endpoints
@@ -110,6 +112,46 @@
 	return out
 }
 
+// Model returns what is known of how fast a service's endpoints are.
+func (b *Book) Model(service string) *estimate.Model {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.model(service)
+}
+
+func (b *Book) model(service string) *estimate.Model {
+	if b.models == nil {
+		b.models = map[string]*estimate.Model{}
+	}
+	m := b.models[service]
+	if m == nil {
+		m = &estimate.Model{}
+		b.models[service] = m
+	}
+	return m
+}
+
+// Speeds returns what this box has observed of each service.
+func (b *Book) Speeds() map[string]estimate.Stats {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	out := map[string]estimate.Stats{}
+	for n, m := range b.models {
+		out[n] = m.Own(now)
+	}
+	return out
+}
+
+// TellSpeeds replaces what the other boxes have observed of the services.
+func (b *Book) TellSpeeds(sum map[string]estimate.Stats) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for n, s := range sum {
+		b.model(n).Tell(s)
+	}
+}
+
 // Tell replaces what the other boxes have at the endpoints, and how many they are.
 func (b *Book) Tell(sum map[string]Load, others int) {
 	b.mu.Lock()
@@ -141,14 +183,19 @@
 
 // Entry is one call at an endpoint, from its sending to its end.
 type Entry struct {
-	book *Book
-	page *page
+	book  *Book
+	page  *page
+	model *estimate.Model
 
 	dataCentre string
 	tokens     int
+	load       estimate.Load
 	expected   time.Duration
+	objective  time.Duration
 	began      time.Time
-	first      bool
+	first      time.Time // when the endpoint first sent something; zero before
+	last       time.Time // when it last did
+	events     int
 }
 
 // Begin notes that a call is sent.
@@ -164,7 +211,10 @@
 	p.waiting++
 	p.tokens += c.Tokens
 	p.parts.sent(c.Parts, now)
-	return &Entry{book: b, page: p, dataCentre: e.DataCentre, tokens: c.Tokens, expected: c.Expected, began: now}
+	return &Entry{
+		book: b, page: p, model: b.model(e.Service), dataCentre: e.DataCentre, tokens: c.Tokens, load: c.Load,
+		expected: c.Expected, objective: c.Objective, began: now,
+	}
 }
 
 // Progress notes that the endpoint sent something for this call.
@@ -176,14 +226,25 @@
 	n.page.broken = 0
 	n.page.until = time.Time{}
 	n.book.site(n.dataCentre).until = time.Time{}
-	if n.first {
+	n.events++
+	n.last = now
+	if !n.first.IsZero() {
 		return
 	}
-	n.first = true
+	n.first = now
 	n.page.waiting--
 	n.page.tokens -= n.tokens
+}
+
+// Answered notes that what the endpoint sent first was an answer and no failure: its
+// time tells how fast the endpoint is.
+func (n *Entry) Answered() {
+	n.book.mu.Lock()
+	defer n.book.mu.Unlock()
+	took := n.first.Sub(n.began)
+	n.model.Observe(n.load, took, n.objective, n.last)
 	if n.expected > 0 {
-		r := min(max(float64(now.Sub(n.began))/float64(n.expected), 0.3), 20)
+		r := min(max(float64(took)/float64(n.expected), 0.3), 20)
 		n.page.slowness += slownessWeight * (r - n.page.slowness)
 	}
 }
@@ -192,11 +253,18 @@
 func (n *Entry) End(failed bool) {
 	n.book.mu.Lock()
 	defer n.book.mu.Unlock()
-	if !n.first {
+	if n.events > 1 {
+		n.model.ObservePause(n.load.Running, n.last.Sub(n.first)/time.Duration(n.events-1), n.last)
+	}
+	if n.first.IsZero() {
 		n.page.waiting--
 		n.page.tokens -= n.tokens
 	}
 	n.page.running--
+	if !failed && n.events > 0 {
+		now := time.Now()
+		n.model.ObserveRun(now.Sub(n.began), now)
+	}
 	v := 0.0
 	if failed {
 		v = 1
--- a/balance/book_test.go
+++ b/balance/book_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -126,6 +129,79 @@
 	})
 }
 
+// Where a service mixes endpoints of two kinds, each is met by what it does itself:
+// after a minute what is expected is within a third of what is seen at the median.
+func TestMixedKinds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		es := endpoints(6)
+		var b balance.Book
+		r := rand.New(rand.NewPCG(1, 0))
+		seen := func(e endpoint.Endpoint, tokens int) time.Duration {
+			d := 30*time.Millisecond + time.Duration(tokens)*time.Second/100_000
+			if e.ID < "e3" {
+				d *= 2
+			}
+			return d
+		}
+		var off []float64
+		for i := range 600 {
+			c, _ := b.Choose(es, balance.Query{Engine: true, Prompt: 500 + r.IntN(20_000), Objective: time.Second})
+			d := seen(c.Endpoint, c.Tokens)
+			n := b.Begin(c.Endpoint, c)
+			wait.For(t.Context(), d)
+			n.Progress()
+			n.Answered()
+			n.End(false)
+			wait.For(t.Context(), 100*time.Millisecond-d%(100*time.Millisecond))
+			if i >= 400 {
+				off = append(off, math.Abs(float64(c.Expected-d))/float64(d))
+			}
+		}
+		slices.Sort(off)
+		require.Less(t, off[len(off)/2], 1.0/3)
+	})
+}
+
+// A failure that comes at once does not make its endpoint look fast.
+func TestFailureTellsNoSpeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		es := endpoints(1)
+		var b balance.Book
+		q := balance.Query{Engine: true, Prompt: 5000}
+		before, _ := b.Choose(es, q)
+		for range 100 {
+			c, _ := b.Choose(es, q)
+			n := b.Begin(c.Endpoint, c)
+			wait.For(t.Context(), time.Millisecond)
+			n.Progress()
+			n.End(true)
+		}
+		after, _ := b.Choose(es, q)
+		require.Equal(t, before.Expected, after.Expected)
+		require.Zero(t, b.Model("s").Samples())
+	})
+}
+
+// What others observed counts where this box has seen nothing.
+func TestSpeedsAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		es := endpoints(1)
+		var one, two balance.Book
+		q := balance.Query{Engine: true, Prompt: 5000}
+		for range 100 {
+			c, _ := one.Choose(es, q)
+			n := one.Begin(c.Endpoint, c)
+			wait.For(t.Context(), 40*time.Millisecond)
+			n.Progress()
+			n.Answered()
+			n.End(false)
+		}
+		two.TellSpeeds(one.Speeds())
+		c, _ := two.Choose(es, q)
+		require.InDelta(t, 40, c.Expected.Milliseconds(), 10)
+	})
+}
+
 func BenchmarkChoose(b *testing.B) {
 	es := endpoints(111)
 	var k balance.Book
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -8,23 +8,11 @@
 
 	"birchlink.dev/birchlink/call"
 	"birchlink.dev/birchlink/endpoint"
+	"birchlink.dev/birchlink/estimate"
 )
 
-// The figures by which the time to a first event is estimated.
+// The figures that count against an endpoint besides its expected time.
 const (
-	// tokensPerMillisecond is how fast an engine reads a prompt beside its usual
-	// load: the users' sheet gives 32.4 for an engine that does nothing else, and on
-	// gleisplan-birchlink quiet-1 the median is 1.3 to 1.5 times that time.
-	tokensPerMillisecond = 24.0
-
-	// firstEvent is the time from the end of the prompt to the first event, which
-	// holds several tokens; the median of the shortest prompts there is 110 ms.
-	firstEvent = 64 * time.Millisecond
-
-	// perRunning is what each running request adds to the wait for a first event:
-	// a step takes longer with each (0.02 ms), and reading is done between steps.
-	perRunning = 2 * time.Millisecond
-
 	// elsewhere is what an endpoint of another data centre must be better by: the
 	// way there and back takes some milliseconds, and its bytes are paid for.
 	elsewhere = 10 * time.Millisecond
@@ -33,6 +21,10 @@
 	// data centres may be what broke, and it has few attempts.
 	afterBreak = 300 * time.Millisecond
 
+	// slow is how many times the expected time an endpoint takes, smoothed, from which
+	// on its own pace is believed before its service's.
+	slow = 1.5
+
 	// failurePenalty is the time that a certain failure is taken to cost.
 	failurePenalty = 3 * time.Second
 
@@ -59,6 +51,7 @@
 	Prompt     int // tokens, all parts together
 	Engine     bool
 	Broke      bool // an endpoint was lost with this request
+	Objective  time.Duration
 	Skip       map[string]bool
 }
 
@@ -66,13 +59,15 @@
 // and the tokens that it has to read. Running is how many requests it has, and
 // Age how old the other boxes' word of that was.
 type Choice struct {
-	Endpoint endpoint.Endpoint
-	Expected time.Duration
-	Tokens   int
-	Parts    []call.Part
-	Avoided  bool
-	Running  int
-	Age      time.Duration
+	Endpoint  endpoint.Endpoint
+	Expected  time.Duration
+	Objective time.Duration
+	Tokens    int
+	Load      estimate.Load
+	Parts     []call.Part
+	Avoided   bool
+	Running   int
+	Age       time.Duration
 }
 
 // Choose returns the endpoint with the least expected time to the first event,
@@ -119,21 +114,27 @@
 // judge estimates the time to the first event at one endpoint.
 func (b *Book) judge(e *endpoint.Endpoint, q Query, home bool, now time.Time) Choice {
 	p := b.page(e.ID)
-	c := Choice{Endpoint: *e, Parts: q.Parts, Avoided: now.Before(p.until) || now.Before(b.site(e.DataCentre).until), Running: p.running + p.told.running}
-	if !q.Engine {
-		over := max(c.Running+1-e.Slots, 0)
-		c.Expected = time.Duration(c.Running)*perRunning + time.Duration(over)*10*perRunning
-		return c
+	c := Choice{
+		Endpoint: *e, Parts: q.Parts, Objective: q.Objective, Running: p.running + p.told.running,
+		Avoided: now.Before(p.until) || now.Before(b.site(e.DataCentre).until),
 	}
-	held := p.parts.held(q.Parts, now)
-	if home {
-		held = max(held, int(homePart*float64(shared(q))))
+	c.Load.Running = c.Running
+	if q.Engine {
+		held := p.parts.held(q.Parts, now)
+		if home {
+			held = max(held, int(homePart*float64(shared(q))))
+		}
+		c.Tokens = max(q.Prompt-held, 0)
+		c.Load.Read, c.Load.Ahead, c.Load.Told = c.Tokens, p.tokens, p.told.tokens
+	}
+	m := b.model(e.Service)
+	c.Expected = m.Expect(c.Load, now)
+	if over := c.Running + 1 - e.Slots; over > 0 {
+		// A slot comes free for each part of the time that an answer holds one.
+		c.Expected += m.Held() * time.Duration(over) / time.Duration(max(e.Slots, 1))
 	}
-	c.Tokens = max(q.Prompt-held, 0)
-	wait := float64(p.tokens + p.told.tokens + c.Tokens)
-	c.Expected = firstEvent + time.Duration(wait/tokensPerMillisecond*float64(time.Millisecond)) + time.Duration(c.Running)*perRunning
-	if c.Running >= e.Slots {
-		c.Expected += time.Duration(c.Running-e.Slots+1) * 20 * perRunning
+	if p.slowness > slow {
+		c.Expected = time.Duration(p.slowness * float64(c.Expected))
 	}
 	return c
 }
@@ -149,9 +150,6 @@
 	default:
 		d += elsewhere
 	}
-	if p.slowness > 1.5 {
-		d += time.Duration((p.slowness - 1) * float64(50*time.Millisecond))
-	}
 	return d
 }
 
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -170,7 +170,13 @@
 	}
 	if s.Orders {
 		o := orders.New(log)
-		o.Box, o.Cloud, o.Election, o.Policy, o.Demand, o.Boxes = s.Box, cl, e, scaling.Default, p.demand, p.budget.Known
+		o.Box, o.Cloud, o.Election, o.Policy, o.Demand = s.Box, cl, e, scaling.Default, p.demand
+		o.Bears = func(service string, slots int, pause time.Duration) scaling.Bears {
+			m := p.book.Model(service)
+			return scaling.Bears{
+				Reclaimable: m.Bear(scaling.Late, slots, pause), OnDemand: m.Bear(scaling.LateOnDemand, slots, pause),
+			}
+		}
 		ss = append(ss, o)
 	}
 	return ss
@@ -189,7 +195,7 @@
 		}
 		return gossip.Status{
 			Box: s.Box, DataCentre: s.DataCentre, Address: s.Peers, Version: v,
-			Quota: p.quota.Own(s.Box, p.incarnation, now), Load: p.book.Own(), Demand: d,
+			Quota: p.quota.Own(s.Box, p.incarnation, now), Load: p.book.Own(), Demand: d, Speeds: p.book.Speeds(),
 			Usage: []tally.Part{p.tally.Recent(s.Box+"."+p.incarnation, p.tally.Number(now)-toldWindows)},
 		}
 	}
@@ -222,6 +228,7 @@
 	p.others = others.Demand
 	p.mu.Unlock()
 	p.book.Tell(others.Load, others.Boxes)
+	p.book.TellSpeeds(others.Speeds)
 	if others.Boxes > 0 {
 		p.quota.Hear([]quota.Told{others.Quota}, time.Now())
 	}
--- /dev/null
+++ b/estimate/fit.go
@@ -0,0 +1,173 @@
+package estimate
+
+import "math"
+
+// tiny keeps divisions in bounds; it is below any time in seconds that is observed.
+const tiny = 1e-9
+
+// The features of the time to the first event, in this order. Tokens are in thousands
+// and requests in tens, so that the sums are of one size.
+const (
+	fixed = iota
+	perRead
+	perAhead
+	perTold
+	perRunning
+	perReadSquare
+	features
+)
+
+const (
+	thousand = 1000.0
+	ten      = 10.0
+)
+
+func (l Load) features() []float64 {
+	r := float64(l.Read) / thousand
+	return []float64{1, r, float64(l.Ahead) / thousand, float64(l.Told) / thousand, float64(l.Running) / ten, r * r / ten}
+}
+
+// fit is the coefficients in seconds by feature, and those of the pauses.
+type fit struct {
+	of    [features]float64
+	pause [2]float64
+}
+
+// prior is what a service is taken to be before anything is known: slow endpoints, so
+// that the first requests spread widely. Each of its rows counts as one answer at
+// first, and as half of one when priorFades answers are known.
+var prior = []struct {
+	Load
+	seconds float64
+}{
+	{Load{}, 0.05},
+	{Load{Read: 1000}, 0.1},
+	{Load{Read: 10_000}, 0.6},
+	{Load{Read: 1000, Ahead: 10_000}, 0.6},
+	{Load{Read: 1000, Told: 10_000}, 0.35},
+	{Load{Read: 1000, Running: 50}, 0.2},
+	{Load{Read: 30_000}, 1.7},
+}
+
+const priorFades = 5
+
+// priorPauses are the same for the pauses between events.
+var priorPauses = []struct{ running, seconds float64 }{{0, 0.02}, {20, 0.04}}
+
+// solve returns the coefficients that fit best. None is negative: more to do never
+// takes less time.
+func solve(s Stats) fit {
+	first, pauses := Sums{}, Sums{}
+	for _, p := range prior {
+		first.add(p.features(), p.seconds)
+	}
+	for _, p := range priorPauses {
+		pauses.add([]float64{1, p.running}, p.seconds)
+	}
+	f := fit{}
+	copy(f.of[:], first.with(s.First))
+	copy(f.pause[:], pauses.with(s.Pause))
+	return f
+}
+
+// with solves sums together with a prior, s, that fades with what is known.
+func (s *Sums) with(known Sums) []float64 {
+	s.scale(priorFades / (priorFades + known.Count))
+	s.merge(known)
+	return s.solve()
+}
+
+// solve returns the coefficients with the least squares of errors of which none is
+// negative: the most negative one is left out until there is none.
+func (s *Sums) solve() []float64 {
+	n := len(s.Observed)
+	out := make([]bool, n)
+	for {
+		x := s.eliminate(out)
+		worst := -1
+		for i, v := range x {
+			if v < 0 && (worst < 0 || v < x[worst]) {
+				worst = i
+			}
+		}
+		if worst < 0 {
+			return x
+		}
+		out[worst] = true
+	}
+}
+
+// eliminate solves the normal equations by Gauss's elimination without the features
+// left out. The matrix is positive definite, by the prior.
+func (s *Sums) eliminate(out []bool) []float64 {
+	n := len(s.Observed)
+	a := make([][]float64, n)
+	k := 0
+	for i := range n {
+		a[i] = make([]float64, n+1)
+	}
+	for i := range n {
+		for j := i; j < n; j++ {
+			if !out[i] && !out[j] {
+				a[i][j], a[j][i] = s.Products[k], s.Products[k]
+			}
+			k++
+		}
+		a[i][n] = s.Observed[i]
+		if out[i] {
+			a[i][i], a[i][n] = 1, 0
+		}
+	}
+	for i := range n {
+		for j := i + 1; j < n; j++ {
+			m := a[j][i] / max(a[i][i], tiny)
+			for c := i; c <= n; c++ {
+				a[j][c] -= m * a[i][c]
+			}
+		}
+	}
+	x := make([]float64, n)
+	for i := n - 1; i >= 0; i-- {
+		v := a[i][n]
+		for j := i + 1; j < n; j++ {
+			v -= a[i][j] * x[j]
+		}
+		x[i] = v / max(a[i][i], tiny)
+	}
+	return x
+}
+
+// first is the expected time to the first event, in seconds.
+func (f *fit) first(l Load) float64 {
+	r := float64(l.Read) / thousand
+	return f.of[fixed] + f.of[perRead]*r + f.of[perAhead]*float64(l.Ahead)/thousand + f.of[perTold]*float64(l.Told)/thousand +
+		f.of[perRunning]*float64(l.Running)/ten + f.of[perReadSquare]*r*r/ten
+}
+
+// reading is the time that an endpoint takes to read prompts of so many thousand
+// tokens in all, whose squares add up to so much, in seconds.
+func (f *fit) reading(tokens, squares float64) float64 {
+	return f.of[perRead]*tokens + f.of[perReadSquare]*squares/ten
+}
+
+// readingSquared is the sum of the squares of those times.
+func (f *fit) readingSquared(m *[5]float64) float64 {
+	b, q := f.of[perRead], f.of[perReadSquare]/ten
+	return b*b*m[2] + 2*b*q*m[3] + q*q*m[4]
+}
+
+// perToken is the mean time for each token of the prompts that were read, in seconds.
+func (f *fit) perToken(s *Stats) float64 {
+	if s.Moments[1] <= 0 {
+		return f.of[perRead] / thousand
+	}
+	return f.reading(s.Moments[1], s.Moments[2]) / s.Moments[1] / thousand
+}
+
+// running is how many requests may run at once for a mean pause, in seconds.
+func (f *fit) running(pause float64) float64 {
+	if f.pause[1] <= tiny {
+		return math.Inf(1)
+	}
+	return (pause - f.pause[0]) / f.pause[1]
+}
--- /dev/null
+++ b/estimate/stats.go
@@ -0,0 +1,146 @@
+package estimate
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Stats are sums over observations, each weighed down by its age. Those of several
+// boxes add up to what all observed.
+type Stats struct {
+	First Sums // by the features of Load
+	Pause Sums // by a constant and the requests that run
+
+	// Moments are the answers, and sums of the tokens read for each, in thousands, up
+	// to their fourth power.
+	Moments [5]float64
+
+	// Classes are the same answers by their objective in milliseconds.
+	Classes map[int]Class
+
+	Runs float64 // that ended
+	Held float64 // seconds that they took in all
+}
+
+// Class is the answers with one objective, and sums of the tokens read for each, in
+// thousands, and of their squares.
+type Class struct {
+	Count, Tokens, Squares float64
+}
+
+// maxClasses bounds the objectives that are told apart.
+const maxClasses = 16
+
+// Sums are those of a least squares fit: products of features with each other, as the
+// upper triangle row by row, and with what is to be fitted.
+type Sums struct {
+	Count    float64 // of the observations
+	Products []float64
+	Observed []float64
+}
+
+// count takes in how much was read for an answer with an objective.
+func (s *Stats) count(tokens int, objective time.Duration) {
+	t := float64(tokens) / thousand
+	power := 1.0
+	for i := range s.Moments {
+		s.Moments[i] += power
+		power *= t
+	}
+	k := int(objective.Milliseconds())
+	if s.Classes == nil {
+		s.Classes = map[int]Class{}
+	}
+	c, known := s.Classes[k]
+	if objective <= 0 || !known && len(s.Classes) >= maxClasses {
+		return
+	}
+	s.Classes[k] = Class{c.Count + 1, c.Tokens + t, c.Squares + t*t}
+}
+
+// Add adds what another box observed.
+func (s *Stats) Add(o Stats) {
+	s.First.merge(o.First)
+	s.Pause.merge(o.Pause)
+	for i := range s.Moments {
+		s.Moments[i] += o.Moments[i]
+	}
+	if s.Classes == nil {
+		s.Classes = map[int]Class{}
+	}
+	for k, v := range o.Classes {
+		c := s.Classes[k]
+		s.Classes[k] = Class{c.Count + v.Count, c.Tokens + v.Tokens, c.Squares + v.Squares}
+	}
+	s.Runs += o.Runs
+	s.Held += o.Held
+}
+
+func (s *Stats) clone() Stats {
+	c := *s
+	c.First.Products, c.First.Observed = slices.Clone(s.First.Products), slices.Clone(s.First.Observed)
+	c.Pause.Products, c.Pause.Observed = slices.Clone(s.Pause.Products), slices.Clone(s.Pause.Observed)
+	c.Classes = maps.Clone(s.Classes)
+	return c
+}
+
+func (s *Stats) scale(x float64) {
+	s.First.scale(x)
+	s.Pause.scale(x)
+	for i := range s.Moments {
+		s.Moments[i] *= x
+	}
+	for k, c := range s.Classes {
+		s.Classes[k] = Class{c.Count * x, c.Tokens * x, c.Squares * x}
+	}
+	s.Runs *= x
+	s.Held *= x
+}
+
+// add takes one observation, weighed by the inverse of its square.
+func (s *Sums) add(x []float64, observed float64) {
+	n := len(x)
+	if s.Products == nil {
+		s.Products, s.Observed = make([]float64, n*(n+1)/2), make([]float64, n)
+	}
+	s.Count++
+	w := 1 / max(observed*observed, tiny)
+	k := 0
+	for i := range n {
+		for j := i; j < n; j++ {
+			s.Products[k] += w * x[i] * x[j]
+			k++
+		}
+		s.Observed[i] += w * x[i] * observed
+	}
+}
+
+func (s *Sums) scale(x float64) {
+	s.Count *= x
+	for i := range s.Products {
+		s.Products[i] *= x
+	}
+	for i := range s.Observed {
+		s.Observed[i] *= x
+	}
+}
+
+// merge adds sums over the same features. Those of another number of features come
+// from a box that runs another version, and are left out.
+func (s *Sums) merge(o Sums) {
+	if s.Products == nil {
+		s.Count, s.Products, s.Observed = o.Count, slices.Clone(o.Products), slices.Clone(o.Observed)
+		return
+	}
+	if len(s.Products) != len(o.Products) || len(s.Observed) != len(o.Observed) {
+		return
+	}
+	s.Count += o.Count
+	for i := range o.Products {
+		s.Products[i] += o.Products[i]
+	}
+	for i := range o.Observed {
+		s.Observed[i] += o.Observed[i]
+	}
+}
--- a/forward/run.go
+++ b/forward/run.go
@@ -172,7 +172,8 @@
 func (r *run) query() balance.Query {
 	q := balance.Query{
 		DataCentre: r.f.DataCentre, Engine: r.q.Service.Engine != nil, Skip: r.skip, Broke: r.ran || r.dials > 0,
-		Parts: r.q.Call.Parts, Prompt: r.q.Call.PromptTokens,
+		Objective: r.q.Route.Objective,
+		Parts:     r.q.Call.Parts, Prompt: r.q.Call.PromptTokens,
 	}
 	// The last part belongs to the request or to its session.
 	q.Shared = max(len(q.Parts)-1, 0)
--- a/forward/take.go
+++ b/forward/take.go
@@ -39,6 +39,9 @@
 	}
 	n.Progress()
 	r.began(sent)
+	if a.Status < http.StatusMultipleChoices {
+		n.Answered()
+	}
 	if a.Status >= http.StatusInternalServerError {
 		r.keep(a, b)
 		return ended{breakage: recovery.Gone, err: fmt.Errorf("status %d", a.Status)}
@@ -84,6 +87,9 @@
 		}
 		w.saw()
 		n.Progress()
+		if !out.progress {
+			n.Answered()
+		}
 		r.began(time.Now())
 		if !r.headSent {
 			r.headSent = true
--- a/gossip/status.go
+++ b/gossip/status.go
@@ -8,6 +8,7 @@
 
 	"birchlink.dev/birchlink/balance"
 	"birchlink.dev/birchlink/demand"
+	"birchlink.dev/birchlink/estimate"
 	"birchlink.dev/birchlink/known"
 	"birchlink.dev/birchlink/quota"
 	"birchlink.dev/birchlink/tally"
@@ -26,6 +27,7 @@
 	Load       map[string]balance.Load
 	Demand     map[string]map[string]demand.Figure // by service and data centre
 	Usage      []tally.Part
+	Speeds     map[string]estimate.Stats // by service, what was observed of its endpoints
 }
 
 // World is what a box answers a member: all others together, how far it follows
@@ -70,9 +72,17 @@
 		}
 	}
 	s.Usage = append(s.Usage, o.Usage...)
+	for n, v := range o.Speeds {
+		sum := s.Speeds[n]
+		sum.Add(v)
+		s.Speeds[n] = sum
+	}
 }
 
 // empty returns a status to add others to.
 func empty(box, dc, address string) Status {
-	return Status{Box: box, DataCentre: dc, Address: address, Load: map[string]balance.Load{}, Demand: map[string]map[string]demand.Figure{}}
+	return Status{
+		Box: box, DataCentre: dc, Address: address, Load: map[string]balance.Load{},
+		Demand: map[string]map[string]demand.Figure{}, Speeds: map[string]estimate.Stats{},
+	}
 }
--- a/orders/orders.go
+++ b/orders/orders.go
@@ -16,6 +16,7 @@
 	"birchlink.dev/birchlink/demand"
 	"birchlink.dev/birchlink/election"
 	"birchlink.dev/birchlink/endpoint"
+	"birchlink.dev/birchlink/estimate"
 	"birchlink.dev/birchlink/kernel"
 	"birchlink.dev/birchlink/known"
 	"birchlink.dev/birchlink/scaling"
@@ -38,15 +39,10 @@
 // A smaller count is ordered when it has been wanted for so long. Reclaimable
 // endpoints cost a fifth, and each that comes back has to read its prompts anew.
 const (
-	settleOnDemand    = 4 * time.Second
+	settleOnDemand    = 1500 * time.Millisecond
 	settleReclaimable = 12 * time.Second
 )
 
-// foundPart is the part of the endpoints found at first that the load is taken to
-// need until the demand is known: the first fleets of the users' sites carry a
-// tenth to a half more than their usual load needs.
-const foundPart = 0.8
-
 // cutFor is for how long a data centre that is not heard is taken to be cut off: the
 // users' cuts last up to 12 s.
 const cutFor = 20 * time.Second
@@ -62,7 +58,10 @@
 	Election *election.Election
 	Policy   scaling.Policy
 	Demand   func(service string) map[string]demand.Figure
-	Boxes    func() int // that send to the endpoints
+
+	// Bears returns what one endpoint of a service bears, by its slots and by the
+	// longest pause between events that the service's routes allow.
+	Bears func(service string, slots int, pause time.Duration) scaling.Bears
 
 	log    zerolog.Logger
 	known  *known.Known
@@ -76,6 +75,7 @@
 	found   map[string]int       // by service, how many endpoints there were at first
 	lower   map[subject]lowering
 	heard   map[place]time.Time // when its boxes' demand was last told
+	bears   scaling.Bears       // by an endpoint of the service being planned
 }
 
 // place is a service in a data centre.
@@ -176,9 +176,12 @@
 	}
 	policy := o.Policy
 	if !o.seen(s.Name, load, now) {
-		policy.Least = max(policy.Least, o.foundOf(s.Name, sites))
+		// What was found carries the load, as far as is known: no more is ordered than
+		// stands in for it.
+		policy.Least, policy.Surplus = max(policy.Least, o.foundOf(s.Name, sites)), 1
 	}
-	plan := policy.Plan(s.Scaling, sites, o.Boxes())
+	o.bears = o.Bears(s.Name, slotsOf(all, s), estimate.PauseTarget(o.known.Table().Document, s.Name))
+	plan := policy.Plan(s.Scaling, sites, o.bears)
 	for _, site := range sites {
 		if cut[site.DataCentre] {
 			continue
@@ -189,6 +192,21 @@
 	}
 }
 
+// slotsOf returns the slots of a service's endpoints: the least that one has, else what
+// the configuration says.
+func slotsOf(all []endpoint.Endpoint, s *catalog.Service) int {
+	n := 0
+	for i := range all {
+		if e := &all[i]; e.Service == s.Name && e.Slots > 0 && (n == 0 || e.Slots < n) {
+			n = e.Slots
+		}
+	}
+	if n == 0 && s.Engine != nil {
+		n = s.Engine.Slots
+	}
+	return n
+}
+
 // cut reports whether a data centre's boxes were heard until a while ago and are not
 // now. Its endpoints' records lapse then, though they serve: that is no reclaim, and
 // what is ordered there stays.
@@ -213,7 +231,7 @@
 		n += s.Have.OnDemand
 	}
 	o.found[service] = max(o.found[service], n)
-	return int(foundPart * float64(o.found[service]))
+	return o.found[service]
 }
 
 // seen reports whether a service's demand has been seen for long enough to judge
@@ -325,7 +343,8 @@
 	}
 	o.placed[s] = p
 	o.log.Info().Str("event", "order").Str("service", s.service).Str("data_centre", s.dataCentre).Bool("reclaimable", s.reclaimable).
-		Int("count", n).Uint64("fence", fence).Float64("tokens_per_s", site.Demand.Tokens).Float64("running", site.Demand.Running).
+		Int("count", n).Uint64("fence", fence).Float64("bears_tokens_per_s", o.bears.Reclaimable.Tokens).Float64("on_demand_bears", o.bears.OnDemand.Tokens).Float64("bears_running", o.bears.OnDemand.Running).
+		Float64("tokens_per_s", site.Demand.Tokens).Float64("running", site.Demand.Running).
 		Int("have_on_demand", site.Have.OnDemand).Int("have_reclaimable", site.Have.Reclaimable).
 		Dur("since_reclaim", min(site.Since, longAgo)).Bool("dry", site.Dry).Err(err).Msg("decision")
 }
--- a/orders/orders_test.go
+++ b/orders/orders_test.go
@@ -19,6 +19,7 @@
 	"birchlink.dev/birchlink/demand"
 	"birchlink.dev/birchlink/election"
 	"birchlink.dev/birchlink/endpoint"
+	"birchlink.dev/birchlink/estimate"
 	"birchlink.dev/birchlink/kernel"
 	"birchlink.dev/birchlink/known"
 	"birchlink.dev/birchlink/orders"
@@ -175,7 +176,10 @@
 		}
 		return out
 	}
-	o.Boxes = func() int { return 6 }
+	o.Bears = func(string, int, time.Duration) scaling.Bears {
+		b := estimate.Bearable{Tokens: 20_000, Running: 40}
+		return scaling.Bears{Reclaimable: b, OnDemand: b}
+	}
 	n := &kernel.Kernel{}
 	services := []kernel.Service{s, k, e, o}
 	for _, x := range services {
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -11,6 +11,7 @@
 
 	"birchlink.dev/birchlink/catalog"
 	"birchlink.dev/birchlink/endpoint"
+	"birchlink.dev/birchlink/estimate"
 )
 
 // Count is a number of endpoints of each kind.
@@ -46,23 +47,25 @@
 
 	// Least is how many endpoints the fleet needs, whatever its load.
 	Least int
-
-	// TokensPerEndpoint is the prompt tokens a second that an endpoint reads with
-	// room for bursts while Few boxes or fewer send to it; from Many on it is
-	// ManyTokens, since each box then knows less of what the others send.
-	// RunningPerEndpoint is the requests that it runs well.
-	TokensPerEndpoint  float64
-	ManyTokens         float64
-	Few, Many          int
-	RunningPerEndpoint float64
 }
 
-// Default is the policy in use. An engine of the users' sheets reads 32,000
-// tokens a second with nothing else to do; what each may be given is measured in
-// rounds (docs/DESIGN.md).
-var Default = Policy{
-	Surplus: 1.5, Lost: 1, WaryLost: 2, Wary: 15 * time.Second, BasePart: 0.05, Least: 4,
-	TokensPerEndpoint: 20_000, ManyTokens: 14_000, Few: 12, Many: 60, RunningPerEndpoint: 40,
+// Default is the policy in use; its figures are measured in rounds (docs/DESIGN.md).
+var Default = Policy{Surplus: 1.5, Lost: 1, WaryLost: 2, Wary: 15 * time.Second, BasePart: 0.05, Least: 4}
+
+// Late and LateOnDemand are the parts of the requests that may miss their objective
+// for having waited at an endpoint for the prompts of others: the first where
+// reclaimable endpoints carry the load, the second for those on demand, which cost
+// several times as much.
+const (
+	Late         = 0.08
+	LateOnDemand = 0.15
+)
+
+// Bears is what one endpoint bears, where reclaimable endpoints carry the load and
+// where it takes others.
+type Bears struct {
+	Reclaimable estimate.Bearable
+	OnDemand    estimate.Bearable
 }
 
 // Site is what is known of a service in one data centre.
@@ -80,9 +83,9 @@
 // little against an endpoint, so the fleet is one. The load is carried by
 // reclaimable endpoints, as many in each data centre, with enough of them that
 // those of one may go. What would be missing after such a loss is had on demand.
-// Sites are in the order of their price; boxes is how many send to the
-// fleet.
-func (p Policy) Plan(s *catalog.Scaling, sites []Site, boxes int) map[string]Count {
+// Sites are in the order of their price; bears is what one endpoint
+// bears.
+func (p Policy) Plan(s *catalog.Scaling, sites []Site, bears Bears) map[string]Count {
 	if len(sites) == 0 {
 		return map[string]Count{}
 	}
@@ -91,11 +94,12 @@
 		all.Tokens += d.Demand.Tokens
 		all.Running += d.Demand.Running
 	}
-	need := max(p.need(all, boxes), p.Least)
-	each := ceil(p.Surplus * float64(need) / float64(max(len(sites)-1, 1)))
-	base := ceil(p.BasePart * float64(need))
-	keep := max(need-p.survivors(sites, 0), base)
-	add := max(need-p.survivors(sites, min(each, s.Max)), base)
+	want := max(need(all, bears.Reclaimable), p.Least)
+	must := max(need(all, bears.OnDemand), p.Least)
+	each := ceil(p.Surplus * float64(want) / float64(max(len(sites)-1, 1)))
+	base := ceil(p.BasePart * float64(must))
+	keep := max(must-p.survivors(sites, 0), base)
+	add := max(must-p.survivors(sites, min(each, s.Max)), base)
 	out := p.onDemand(s, sites, keep, add)
 	for dc, c := range out {
 		c.Reclaimable = min(max(each, s.Min-c.OnDemand), s.Max-c.OnDemand)
@@ -162,11 +166,8 @@
 func ceil(f float64) int { return int(math.Ceil(f)) }
 
 // need is how many endpoints a load takes.
-func (p Policy) need(d Demand, boxes int) int {
-	blind := min(max(float64(boxes-p.Few)/float64(p.Many-p.Few), 0), 1)
-	a := d.Tokens / (p.TokensPerEndpoint + blind*(p.ManyTokens-p.TokensPerEndpoint))
-	b := d.Running / p.RunningPerEndpoint
-	return ceil(max(a, b))
+func need(d Demand, b estimate.Bearable) int {
+	return ceil(max(d.Tokens/max(b.Tokens, 1), d.Running/max(b.Running, 1)))
 }
 
 // DataCentres returns where a service can be ordered: the priced ones, the
