Have endpoints read short prompts before long ones

Hypothesis: with fewer endpoints, short answers wait behind long prompts; endpoints admit by rank, so shorter prompts of the same urgency should rank first.

--- a/forward/run.go
+++ b/forward/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/bits"
 	"net/http"
 	"time"
 
@@ -202,7 +203,7 @@
 		rest = restRepeatable
 	}
 	e := ch.Endpoint
-	a := call.Attempt{Endpoint: e.ID, Left: time.Until(r.q.Expires), LastEvent: r.last, Priority: r.priority()}
+	a := call.Attempt{Endpoint: e.ID, Left: time.Until(r.q.Expires), LastEvent: r.last, Priority: r.priority(ch)}
 	if r.q.Account != nil {
 		a.Account = r.q.Account.Name
 	}
@@ -241,15 +242,21 @@
 	return ch.Tokens
 }
 
-// priority is the rank at the endpoint: the account's before the route's.
-func (r *run) priority() int {
-	p := r.q.Route.Priority
+// priority is the rank at the endpoint: the account's before the route's, and within
+// these, short prompts before long ones. Shortest first keeps short answers from
+// waiting for the reading of long prompts.
+func (r *run) priority(ch balance.Choice) int {
+	p := r.q.Route.Priority + bits.Len(uint(ch.Tokens/shortPrompt))
 	if r.q.Account != nil {
 		p += 3 * r.q.Account.Priority
 	}
 	return p
 }
 
+// shortPrompt is the tokens up to which a prompt is short; each doubling beyond it is
+// one rank less urgent.
+const shortPrompt = 500
+
 func (r *run) began(at time.Time) {
 	if r.counted {
 		return
