Weigh the reading of shared parts again five times over

Hypothesis: a choice counts only what reading delays its own answer. Shared parts that some other endpoint holds are read again then whenever that is a few milliseconds sooner; what is read again keeps others waiting and drives out what they would have found.

--- a/balance/book_test.go
+++ b/balance/book_test.go
@@ -47,14 +47,18 @@
 	}
 }
 
-// A home with much to read is left for an endpoint that has to read it all.
+// A home with more to read than sharing saves, several times over, is left for an
+// endpoint that has to read it all; one with less is kept.
 func TestLoadGoesBeforeHome(t *testing.T) {
 	es := endpoints(9)
 	var b balance.Book
 	q := prompt("p", 500)
 	home, _ := b.Choose(es, q)
-	b.Tell(map[string]balance.Load{home.Endpoint.ID: {Running: 3, Tokens: 20000}}, 2)
+	b.Tell(map[string]balance.Load{home.Endpoint.ID: {Running: 3, Tokens: 3000}}, 2)
 	c, _ := b.Choose(es, q)
+	require.Equal(t, home.Endpoint.ID, c.Endpoint.ID)
+	b.Tell(map[string]balance.Load{home.Endpoint.ID: {Running: 3, Tokens: 60000}}, 2)
+	c, _ = b.Choose(es, q)
 	require.NotEqual(t, home.Endpoint.ID, c.Endpoint.ID)
 }
 
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -25,6 +25,11 @@
 	// on its own pace is believed before its service's.
 	slow = 1.5
 
+	// again is how many times the time to read shared parts counts that an endpoint does
+	// not hold, beyond the once that it delays the answer: what is read again also keeps
+	// other answers waiting, and has others read again what then gives way.
+	again = 4
+
 	// failurePenalty is the time that a certain failure is taken to cost.
 	failurePenalty = 3 * time.Second
 
@@ -63,6 +68,7 @@
 	Expected  time.Duration
 	Objective time.Duration
 	Tokens    int
+	Again     int // of Tokens, those of parts that other requests share
 	Load      estimate.Load
 	Parts     []call.Part
 	Avoided   bool
@@ -89,7 +95,7 @@
 			continue
 		}
 		c := b.judge(&es[i], q, es[i].ID == home, now)
-		d := c.Expected + b.penalty(&es[i], q)
+		d := c.Expected + b.penalty(&c, q, now)
 		switch {
 		case !found, best.Avoided && !c.Avoided, best.Avoided == c.Avoided && d < cost:
 			best, cost, found = c, d, true
@@ -125,6 +131,7 @@
 			held = max(held, int(homePart*float64(shared(q))))
 		}
 		c.Tokens = max(q.Prompt-held, 0)
+		c.Again = max(shared(q)-held, 0)
 		c.Load.Read, c.Load.Ahead, c.Load.Told = c.Tokens, p.tokens, p.told.tokens
 	}
 	m := b.model(e.Service)
@@ -139,10 +146,14 @@
 	return c
 }
 
-// penalty is what counts against an endpoint besides its load.
-func (b *Book) penalty(e *endpoint.Endpoint, q Query) time.Duration {
+// penalty is what counts against a choice besides its expected time.
+func (b *Book) penalty(c *Choice, q Query, now time.Time) time.Duration {
+	e := &c.Endpoint
 	p := b.page(e.ID)
 	d := time.Duration(p.failures*p.failures*float64(failurePenalty)) + time.Duration(coldPart*float64(e.Cold))
+	if c.Again > 0 {
+		d += again * b.model(e.Service).Reading(c.Again, now)
+	}
 	switch {
 	case e.DataCentre == q.DataCentre:
 	case q.Broke:
--- a/estimate/model.go
+++ b/estimate/model.go
@@ -88,6 +88,14 @@
 	return time.Duration(m.current(now).first(l) * float64(time.Second))
 }
 
+// Reading returns the expected time that an endpoint takes to read so many tokens.
+func (m *Model) Reading(tokens int, now time.Time) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t := float64(tokens) / thousand
+	return time.Duration(m.current(now).reading(t, t*t) * float64(time.Second))
+}
+
 // Own returns what this box has observed, to be told to others.
 func (m *Model) Own(now time.Time) Stats {
 	m.mu.Lock()
