Tell other boxes at once which long prompts are sent where

Cause: boxes hear each other's load twice a second, and a prompt is read within 50 to 300 ms, so a choice knew of one prompt in seven.

A box now sends a datagram of some 30 bytes to the others for each prompt that takes an endpoint 10 ms or more to read. They count what is left of it by the learnt pace, until it is read. Sums of waiting tokens count only for boxes that are not heard at once. Datagrams, since a hint that is late is of no use and a lost one costs little.

With it an endpoint may be given more: the part of requests that may wait too long by the estimate, which takes choices to be blind, goes from 0.08 to 0.2.

--- a/balance/book.go
+++ b/balance/book.go
@@ -14,6 +14,7 @@
 type Book struct {
 	mu     sync.Mutex
 	boxes  int       // that send to the same endpoints, this one included
+	near   int       // of the other boxes, those whose long prompts are heard at once
 	toldAt time.Time // when other boxes' load was last told
 	pages  map[string]*page
 	sites  map[string]*site
@@ -42,6 +43,7 @@
 	waiting  int
 	tokens   int
 	told     told
+	heard    backlog
 	parts    parts
 	slowness float64   // expected over observed times to the first event, smoothed
 	failures float64   // part of the calls that failed, smoothed
@@ -51,6 +53,19 @@
 	since    time.Time // since when calls have been with it without a break
 }
 
+// backlog is prompts of other boxes that an endpoint has to read, as those boxes said
+// when they sent them.
+type backlog struct {
+	tokens float64
+	at     time.Time
+}
+
+// left returns the tokens that are still to be read, where an endpoint reads so many
+// a second.
+func (l *backlog) left(perSecond float64, now time.Time) float64 {
+	return max(l.tokens-perSecond*now.Sub(l.at).Seconds(), 0)
+}
+
 // told is the load that the other boxes reported.
 type told struct {
 	running int
@@ -166,6 +181,31 @@
 	}
 }
 
+// Near sets how many of the other boxes tell this one at once of their long prompts.
+func (b *Book) Near(boxes int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.near = boxes
+}
+
+// Hear takes in that another box sends an endpoint a prompt.
+func (b *Book) Hear(e endpoint.Endpoint, tokens int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	h := &b.page(e.ID).heard
+	h.tokens = h.left(b.model(e.Service).Pace(now), now) + float64(tokens)
+	h.at = now
+}
+
+// blind is the part of the other boxes whose prompts are not heard of at once.
+func (b *Book) blind() float64 {
+	if b.boxes <= 1 {
+		return 0
+	}
+	return max(1-float64(b.near)/float64(b.boxes-1), 0)
+}
+
 // Silent returns for how long an endpoint that has calls has answered none.
 func (b *Book) Silent(id string) time.Duration {
 	b.mu.Lock()
--- a/balance/book_test.go
+++ b/balance/book_test.go
@@ -186,6 +186,37 @@
 	})
 }
 
+// A long prompt that another box sends counts as soon as it is heard of, and no longer
+// than its reading takes.
+func TestHeardPromptsCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		es := endpoints(3)
+		var b balance.Book
+		q := balance.Query{DataCentre: "dc0", Engine: true, Prompt: 500}
+		c, _ := b.Choose(es, q)
+		first := c.Endpoint
+		b.Hear(first, 30_000)
+		c, _ = b.Choose(es, q)
+		require.NotEqual(t, first.ID, c.Endpoint.ID)
+		wait.For(t.Context(), time.Minute)
+		c, _ = b.Choose(es, q)
+		require.Equal(t, first.ID, c.Endpoint.ID)
+	})
+}
+
+// The sums that come later count only for boxes that are not heard at once.
+func TestSumsOfBoxesNotHeard(t *testing.T) {
+	es := endpoints(1)
+	var b balance.Book
+	q := balance.Query{Engine: true, Prompt: 500}
+	b.Tell(map[string]balance.Load{"e0": {Running: 1, Tokens: 8000}}, 4)
+	for near, told := range []int{8000, 6000, 4000, 2000, 0} {
+		b.Near(near)
+		c, _ := b.Choose(es, q)
+		require.Equal(t, told, c.Load.Told)
+	}
+}
+
 // What others observed counts where this box has seen nothing.
 func TestSpeedsAreTold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -125,6 +125,7 @@
 		Avoided: now.Before(p.until) || now.Before(b.site(e.DataCentre).until),
 	}
 	c.Load.Running = c.Running
+	m := b.model(e.Service)
 	if q.Engine {
 		held := p.parts.held(q.Parts, now)
 		if home {
@@ -132,9 +133,9 @@
 		}
 		c.Tokens = max(q.Prompt-held, 0)
 		c.Again = max(shared(q)-held, 0)
-		c.Load.Read, c.Load.Ahead, c.Load.Told = c.Tokens, p.tokens, p.told.tokens
+		told := p.heard.left(m.Pace(now), now) + b.blind()*float64(p.told.tokens)
+		c.Load.Read, c.Load.Ahead, c.Load.Told = c.Tokens, p.tokens, int(told)
 	}
-	m := b.model(e.Service)
 	c.Expected = m.Expect(c.Load, now)
 	if over := c.Running + 1 - e.Slots; over > 0 {
 		// A slot comes free for each part of the time that an answer holds one.
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -17,10 +18,12 @@
 	"birchlink.dev/birchlink/budget"
 	"birchlink.dev/birchlink/demand"
 	"birchlink.dev/birchlink/election"
+	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/exchange"
 	"birchlink.dev/birchlink/figures"
 	"birchlink.dev/birchlink/forward"
 	"birchlink.dev/birchlink/gossip"
+	"birchlink.dev/birchlink/hint"
 	"birchlink.dev/birchlink/ingress"
 	"birchlink.dev/birchlink/kernel"
 	"birchlink.dev/birchlink/known"
@@ -102,9 +105,11 @@
 	tally    *tally.Tally
 	known    *known.Known
 	gossip   *gossip.Gossip
+	hints    *hint.Hints
 	reporter *reporter.Reporter // nil without that duty
 
 	mu     sync.Mutex
+	peers  []netip.AddrPort                    // that are told of prompts at once
 	others map[string]map[string]demand.Figure // by service and data centre
 
 	// incarnation tells this process from those before it on the same box.
@@ -132,7 +137,10 @@
 	f := &forward.Forwarder{
 		DataCentre: s.DataCentre, Roster: &p.known.Roster, Book: p.book, Budget: p.budget, Meter: p.meter,
 		Pool: &exchange.Pool{DialLimit: dialEndpoint}, Codec: platform.Wire{}, Began: p.tally.Add, Metrics: m, Log: log,
+		Sent: p.sent,
 	}
+	p.hints = hint.New(log)
+	p.hints.Address, p.hints.Peers, p.hints.Heard = s.Peers, p.near, p.hinted
 	o := ingress.Options{
 		Address: s.Callers, Ready: s.Ready, ReadyPath: platform.ReadyPath,
 		Notice: min(stopNotice, s.StopLimit/3), Limit: s.StopLimit - stopReserve,
@@ -142,6 +150,7 @@
 		peer.NewNode(s.Peers, s.Peers, peerSecret, m),
 		p.known,
 		p.gossip,
+		p.hints,
 	}
 	ss = append(ss, p.duties(log)...)
 	in := ingress.New(o, platform.Wire{}, f, p.quota, m, log)
@@ -213,6 +222,7 @@
 // heard takes the other boxes' statuses into this box's decisions.
 func (p *entryParts) heard(others gossip.Status) {
 	p.budget.Boxes(others.Boxes + 1)
+	p.follow()
 	if p.reporter != nil {
 		for _, u := range others.Usage {
 			p.reporter.Hear(u)
@@ -234,6 +244,44 @@
 	}
 }
 
+// longPrompt is the time that an endpoint takes to read a prompt from which on other
+// boxes are told of it: a shorter one keeps nobody waiting for long.
+const longPrompt = 10 * time.Millisecond
+
+// sent tells the other boxes of a long prompt.
+func (p *entryParts) sent(e endpoint.Endpoint, tokens int) {
+	if tokens > 0 && p.book.Model(e.Service).Reading(tokens, time.Now()) >= longPrompt {
+		p.hints.Tell(hint.Sent{Endpoint: e.ID, Tokens: tokens})
+	}
+}
+
+// hinted takes in what another box sends.
+func (p *entryParts) hinted(s hint.Sent) {
+	if e, ok := p.known.Roster.Get(s.Endpoint); ok {
+		p.book.Hear(e, s.Tokens)
+	}
+}
+
+func (p *entryParts) near() []netip.AddrPort {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.peers
+}
+
+// follow learns anew which boxes are told at once.
+func (p *entryParts) follow() {
+	var peers []netip.AddrPort
+	for _, a := range p.gossip.Near() {
+		if x, err := netip.ParseAddrPort(a); err == nil {
+			peers = append(peers, x)
+		}
+	}
+	p.mu.Lock()
+	p.peers = peers
+	p.mu.Unlock()
+	p.book.Near(len(peers))
+}
+
 // demand sums up what each data centre's boxes carry for a service.
 func (p *entryParts) demand(service string) map[string]demand.Figure {
 	out := map[string]demand.Figure{}
--- a/estimate/model.go
+++ b/estimate/model.go
@@ -96,6 +96,13 @@
 	return time.Duration(m.current(now).reading(t, t*t) * float64(time.Second))
 }
 
+// Pace returns how many tokens of a prompt of usual length an endpoint reads a second.
+func (m *Model) Pace(now time.Time) float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return thousand / max(m.current(now).of[perRead], tiny)
+}
+
 // Own returns what this box has observed, to be told to others.
 func (m *Model) Own(now time.Time) Stats {
 	m.mu.Lock()
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -45,6 +45,9 @@
 // Began is told of each request that an endpoint began to run.
 type Began func(account string, at time.Time)
 
+// Sent is told of each prompt that is sent to an endpoint.
+type Sent func(e endpoint.Endpoint, tokens int)
+
 // Forwarder carries calls. All fields must be set.
 type Forwarder struct {
 	DataCentre string
@@ -55,6 +58,7 @@
 	Meter      *demand.Meter
 	Codec      Codec
 	Began      Began
+	Sent       Sent
 	Metrics    metrics.Registry
 	Log        zerolog.Logger
 }
--- a/forward/run.go
+++ b/forward/run.go
@@ -210,6 +210,7 @@
 	cl := r.q.Call
 	defer r.f.Meter.Begin(r.q.Service.Name, r.load(ch), time.Now())()
 	n := r.f.Book.Begin(e, ch)
+	r.f.Sent(e, ch.Tokens)
 	w := r.watch(cancel, ch)
 	defer w.stop()
 	sent := time.Now()
--- /dev/null
+++ b/hint/hint.go
@@ -0,0 +1,125 @@
+// Package hint has the boxes tell each other at once which long prompts they send to
+// which endpoint. Sums of load come twice a second; a prompt is read within a fraction
+// of that, so by then the sums say nothing of what is being read. Hints are datagrams:
+// one that is lost only makes a choice a little worse, and one that is late is of no
+// use, so nothing is sent again.
+package hint
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/rs/zerolog"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"birchlink.dev/birchlink/kernel"
+)
+
+// Name is the name of the service.
+const Name = "hint"
+
+// maxSize bounds a datagram, in bytes: an endpoint's ID and a number.
+const maxSize = 512
+
+// Sent is a prompt that a box sends to an endpoint, with the tokens to be read there.
+type Sent struct {
+	Endpoint string `msgpack:"e"`
+	Tokens   int    `msgpack:"t"`
+}
+
+// Hints is the service of one box. Peers returns the addresses of the boxes to tell;
+// Heard is called with what others send.
+type Hints struct {
+	Address string
+	Peers   func() []netip.AddrPort
+	Heard   func(Sent)
+
+	log   zerolog.Logger
+	conn  *net.UDPConn
+	group sync.WaitGroup
+}
+
+// New returns the service. Its exported fields are to be set before it starts.
+func New(log zerolog.Logger) *Hints { return &Hints{log: log} }
+
+// Name returns the service's name.
+func (h *Hints) Name() string { return Name }
+
+// Start listens for other boxes' hints. Where that fails the box serves without them.
+func (h *Hints) Start(context.Context, *kernel.Kernel) error {
+	conn, err := listen(h.Address)
+	if err != nil {
+		h.log.Error().Str("event", "hint").Str("address", h.Address).Err(err).Msg("serving without hints")
+		return nil
+	}
+	h.conn = conn
+	h.group.Go(h.read)
+	return nil
+}
+
+func listen(address string) (*net.UDPConn, error) {
+	a, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, fmt.Errorf("address for hints: %w", err)
+	}
+	c, err := net.ListenUDP("udp", a)
+	if err != nil {
+		return nil, fmt.Errorf("listen for hints: %w", err)
+	}
+	return c, nil
+}
+
+// Stop ends the service.
+func (h *Hints) Stop(context.Context) error {
+	if h.conn == nil {
+		return nil
+	}
+	err := h.conn.Close()
+	h.group.Wait()
+	return err
+}
+
+// Listening returns the address at which hints are heard, once the service has
+// started; it is not valid where there is none.
+func (h *Hints) Listening() netip.AddrPort {
+	if h.conn == nil {
+		return netip.AddrPort{}
+	}
+	return h.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// Tell sends a hint to all peers. It does not wait for any.
+func (h *Hints) Tell(s Sent) {
+	if h.conn == nil {
+		return
+	}
+	b, err := msgpack.Marshal(s)
+	if err != nil {
+		h.log.Error().Str("event", "hint").Err(err).Msg("not sent")
+		return
+	}
+	for _, p := range h.Peers() {
+		if _, err := h.conn.WriteToUDPAddrPort(b, p); err != nil {
+			h.log.Debug().Str("event", "hint").Stringer("to", p).Err(err).Msg("not sent")
+		}
+	}
+}
+
+func (h *Hints) read() {
+	b := make([]byte, maxSize)
+	for {
+		n, from, err := h.conn.ReadFromUDPAddrPort(b)
+		if err != nil {
+			return
+		}
+		var s Sent
+		if err := msgpack.Unmarshal(b[:n], &s); err != nil || s.Tokens <= 0 {
+			h.log.Debug().Str("event", "hint").Stringer("from", from).Err(err).Msg("not understood")
+			continue
+		}
+		h.Heard(s)
+	}
+}
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -57,7 +57,7 @@
 // reclaimable endpoints carry the load, the second for those on demand, which cost
 // several times as much.
 const (
-	Late         = 0.08
+	Late         = 0.2
 	LateOnDemand = 0.15
 )
 
