Insure only a part of the load against the next losses

What reclaimable endpoints do not carry is still had on demand at once; of what further losses would leave missing, 0.6 is. The rest starts within the boot time if it comes to that.

--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -41,6 +41,11 @@
 	Lost, WaryLost int
 	Wary           time.Duration
 
+	// Insured is the part of what the load needs that remains when those data centres
+	// lose theirs: an endpoint on demand costs several times a reclaimable one for as
+	// long as it waits for a loss, and the rest starts within seconds.
+	Insured float64
+
 	// BasePart is the part of what the load needs that is on demand whatever else
 	// there is: a cloud that is away when reclaims come replaces nothing.
 	BasePart float64
@@ -50,7 +55,7 @@
 }
 
 // Default is the policy in use; its figures are measured in rounds (docs/DESIGN.md).
-var Default = Policy{Surplus: 1.5, Lost: 1, WaryLost: 2, Wary: 15 * time.Second, BasePart: 0.05, Least: 4}
+var Default = Policy{Surplus: 1.5, Lost: 1, WaryLost: 2, Wary: 15 * time.Second, Insured: 0.6, BasePart: 0.05, Least: 4}
 
 // Late and LateOnDemand are the parts of the requests that may miss their objective
 // for having waited at an endpoint for the prompts of others: the first where
@@ -79,10 +84,20 @@
 	Since time.Duration
 }
 
+// reclaimable is how many reclaimable endpoints serve there, or coming if that is more
+// and they can be had.
+func (d *Site) reclaimable(coming int) int {
+	if d.Dry {
+		return d.Have.Reclaimable
+	}
+	return max(d.Have.Reclaimable, coming)
+}
+
 // Plan returns the wanted counts by data centre. Bytes between data centres cost
 // little against an endpoint, so the fleet is one. The load is carried by
 // reclaimable endpoints, as many in each data centre, with enough of them that
-// those of one may go. What would be missing after such a loss is had on demand.
+// those of one may go. On demand is had what they do not carry, and of what would be
+// missing after such a loss the part that is insured.
 // Sites are in the order of their price; bears is what one endpoint
 // bears.
 func (p Policy) Plan(s *catalog.Scaling, sites []Site, bears Bears) map[string]Count {
@@ -97,9 +112,15 @@
 	want := max(need(all, bears.Reclaimable), p.Least)
 	must := max(need(all, bears.OnDemand), p.Least)
 	each := ceil(p.Surplus * float64(want) / float64(max(len(sites)-1, 1)))
-	base := ceil(p.BasePart * float64(must))
-	keep := max(must-p.survivors(sites, 0), base)
-	add := max(must-p.survivors(sites, min(each, s.Max)), base)
+	// Where some were taken lately, none is counted that does not serve yet.
+	least := func(coming int) int {
+		if p.wary(sites) {
+			coming = 0
+		}
+		insured := ceil(p.Insured*float64(must)) - p.survivors(sites, coming)
+		return max(must-serving(sites, coming), insured, ceil(p.BasePart*float64(must)))
+	}
+	keep, add := least(0), least(min(each, s.Max))
 	out := p.onDemand(s, sites, keep, add)
 	for dc, c := range out {
 		c.Reclaimable = min(max(each, s.Min-c.OnDemand), s.Max-c.OnDemand)
@@ -108,21 +129,26 @@
 	return out
 }
 
-// survivors is how many reclaimable endpoints serve when the data centres that
-// have most of them lose theirs. While they can be had and none was taken lately,
-// coming is how many each data centre has soon, if it does not yet.
+// serving is how many reclaimable endpoints serve. While they can be had, coming is how
+// many each data centre has soon, if it does not yet.
+func serving(sites []Site, coming int) int {
+	n := 0
+	for i := range sites {
+		n += sites[i].reclaimable(coming)
+	}
+	return n
+}
+
+// survivors is how many of those remain when the data centres that have most of them
+// lose theirs.
 func (p Policy) survivors(sites []Site, coming int) int {
 	lost := p.Lost
 	if p.wary(sites) {
-		lost, coming = p.WaryLost, 0
+		lost = p.WaryLost
 	}
 	have := make([]int, 0, len(sites))
-	for _, d := range sites {
-		n := d.Have.Reclaimable
-		if !d.Dry {
-			n = max(n, coming)
-		}
-		have = append(have, n)
+	for i := range sites {
+		have = append(have, sites[i].reclaimable(coming))
 	}
 	slices.Sort(have)
 	n := 0
--- a/scaling/plan_test.go
+++ b/scaling/plan_test.go
@@ -141,6 +141,21 @@
 	require.Greater(t, after, before)
 }
 
+// While enough reclaimable endpoints serve, on demand is had the part that is insured of
+// what the next losses would leave missing; when they do not, all that is missing is.
+func TestInsured(t *testing.T) {
+	s := sites(60000, 3) // nine endpoints carry the load, of which six are insured
+	s[0].Since = time.Second
+	d, _ := total(scaling.Default.Plan(service, s, bears))
+	require.Equal(t, 3, d)
+	for i := range s[:2] {
+		s[i].Have.Reclaimable = 0
+	}
+	s[2].Have.Reclaimable = 1
+	d, _ = total(scaling.Default.Plan(service, s, bears))
+	require.Equal(t, 8, d)
+}
+
 // Whatever the load, the bounds of each data centre hold.
 func TestBounds(t *testing.T) {
 	for _, tokens := range []float64{0, 1e4, 1e5, 1e6, 1e9} {
