Keep what is known of endpoints' speeds over a restart of all boxes

Cause: after all boxes lost power, the fit began anew while the boxes did not know which parts of prompts endpoints hold; what they did not have to read looked like speed.

A relay that was cut off with its data centre counts those it hears, and wrote that as soon as it reached the store again.

--- a/balance/book.go
+++ b/balance/book.go
@@ -63,6 +63,9 @@
 // left returns the tokens that are still to be read, where an endpoint reads so many
 // a second.
 func (l *backlog) left(perSecond float64, now time.Time) float64 {
+	if l.tokens <= 0 {
+		return 0
+	}
 	return max(l.tokens-perSecond*now.Sub(l.at).Seconds(), 0)
 }
 
@@ -146,6 +149,16 @@
 	return m
 }
 
+// Recall takes in what a box before this one had observed.
+func (b *Book) Recall(speeds map[string]estimate.Stats) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	for n, s := range speeds {
+		b.model(n).Recall(s, now)
+	}
+}
+
 // Speeds returns what this box has observed of each service.
 func (b *Book) Speeds() map[string]estimate.Stats {
 	b.mu.Lock()
@@ -158,6 +171,18 @@
 	return out
 }
 
+// AllSpeeds returns what all boxes have observed of each service.
+func (b *Book) AllSpeeds() map[string]estimate.Stats {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	out := map[string]estimate.Stats{}
+	for n, m := range b.models {
+		out[n] = m.All(now)
+	}
+	return out
+}
+
 // TellSpeeds replaces what the other boxes have observed of the services.
 func (b *Book) TellSpeeds(sum map[string]estimate.Stats) {
 	b.mu.Lock()
@@ -193,8 +218,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
+	v := b.model(e.Service).View(now)
 	h := &b.page(e.ID).heard
-	h.tokens = h.left(b.model(e.Service).Pace(now), now) + float64(tokens)
+	h.tokens = h.left(v.Pace(), now) + float64(tokens)
 	h.at = now
 }
 
--- a/balance/book_test.go
+++ b/balance/book_test.go
@@ -186,6 +186,27 @@
 	})
 }
 
+// A process that starts takes over what those before it had observed.
+func TestRecall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		es := endpoints(1)
+		var before, after balance.Book
+		q := balance.Query{Engine: true, Prompt: 5000}
+		for range 100 {
+			c, _ := before.Choose(es, q)
+			n := before.Begin(c.Endpoint, c)
+			wait.For(t.Context(), 40*time.Millisecond)
+			n.Progress()
+			n.Answered()
+			n.End(false)
+		}
+		after.Recall(before.AllSpeeds())
+		one, _ := before.Choose(es, q)
+		two, _ := after.Choose(es, q)
+		require.InDelta(t, one.Expected.Milliseconds(), two.Expected.Milliseconds(), 2)
+	})
+}
+
 // A long prompt that another box sends counts as soon as it is heard of, and no longer
 // than its reading takes.
 func TestHeardPromptsCount(t *testing.T) {
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -42,10 +42,12 @@
 )
 
 // Up to lookAll boxes each choose among all endpoints; more look at a part that
-// falls with their number, and at lookLeast endpoints or more.
+// falls with their number, and at lookLeast endpoints or more. Of the endpoints of its
+// data centre, whose long prompts a box hears of, it looks at lookNear or more.
 const (
 	lookAll   = 6
 	lookLeast = 3
+	lookNear  = 0.4
 )
 
 // Query is what a choice depends on. Parts are those that other requests share.
@@ -77,12 +79,16 @@
 }
 
 // Choose returns the endpoint with the least expected time to the first event,
-// and false if there is none.
+// and false if there is none. All are of one service.
 func (b *Book) Choose(es []endpoint.Endpoint, q Query) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
+	if len(es) == 0 {
+		return Choice{}, false
+	}
 	home := homeOf(es, q)
+	view := b.model(es[0].Service).View(now)
 	var best Choice
 	var cost time.Duration
 	found := false
@@ -91,11 +97,15 @@
 		if q.Skip[es[i].ID] {
 			continue
 		}
-		if found && part < 1 && es[i].ID != home && rand.Float64() > part {
+		look := part
+		if es[i].DataCentre == q.DataCentre && b.near > 0 {
+			look = max(look, lookNear)
+		}
+		if found && look < 1 && es[i].ID != home && rand.Float64() > look {
 			continue
 		}
-		c := b.judge(&es[i], q, es[i].ID == home, now)
-		d := c.Expected + b.penalty(&c, q, now)
+		c := b.judge(&es[i], q, es[i].ID == home, &view, now)
+		d := c.Expected + b.penalty(&c, q, &view)
 		switch {
 		case !found, best.Avoided && !c.Avoided, best.Avoided == c.Avoided && d < cost:
 			best, cost, found = c, d, true
@@ -118,14 +128,13 @@
 }
 
 // judge estimates the time to the first event at one endpoint.
-func (b *Book) judge(e *endpoint.Endpoint, q Query, home bool, now time.Time) Choice {
+func (b *Book) judge(e *endpoint.Endpoint, q Query, home bool, v *estimate.View, now time.Time) Choice {
 	p := b.page(e.ID)
 	c := Choice{
 		Endpoint: *e, Parts: q.Parts, Objective: q.Objective, Running: p.running + p.told.running,
 		Avoided: now.Before(p.until) || now.Before(b.site(e.DataCentre).until),
 	}
 	c.Load.Running = c.Running
-	m := b.model(e.Service)
 	if q.Engine {
 		held := p.parts.held(q.Parts, now)
 		if home {
@@ -133,13 +142,13 @@
 		}
 		c.Tokens = max(q.Prompt-held, 0)
 		c.Again = max(shared(q)-held, 0)
-		told := p.heard.left(m.Pace(now), now) + b.blind()*float64(p.told.tokens)
+		told := p.heard.left(v.Pace(), now) + b.blind()*float64(p.told.tokens)
 		c.Load.Read, c.Load.Ahead, c.Load.Told = c.Tokens, p.tokens, int(told)
 	}
-	c.Expected = m.Expect(c.Load, now)
+	c.Expected = v.Expect(c.Load)
 	if over := c.Running + 1 - e.Slots; over > 0 {
 		// A slot comes free for each part of the time that an answer holds one.
-		c.Expected += m.Held() * time.Duration(over) / time.Duration(max(e.Slots, 1))
+		c.Expected += v.Held * time.Duration(over) / time.Duration(max(e.Slots, 1))
 	}
 	if p.slowness > slow {
 		c.Expected = time.Duration(p.slowness * float64(c.Expected))
@@ -148,12 +157,12 @@
 }
 
 // penalty is what counts against a choice besides its expected time.
-func (b *Book) penalty(c *Choice, q Query, now time.Time) time.Duration {
+func (b *Book) penalty(c *Choice, q Query, v *estimate.View) time.Duration {
 	e := &c.Endpoint
 	p := b.page(e.ID)
 	d := time.Duration(p.failures*p.failures*float64(failurePenalty)) + time.Duration(coldPart*float64(e.Cold))
 	if c.Again > 0 {
-		d += again * b.model(e.Service).Reading(c.Again, now)
+		d += again * v.Reading(c.Again)
 	}
 	switch {
 	case e.DataCentre == q.DataCentre:
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -210,7 +210,8 @@
 		}
 	}
 	g.OnChange = p.heard
-	g.BeforeKey, g.Expect = beforeKey, p.quota.Expect
+	g.BeforeKey, g.Expect, g.Recall = beforeKey, p.quota.Expect, p.book.Recall
+	g.Speeds = p.book.AllSpeeds
 	g.Before = func(boxes int) quota.Before {
 		t := p.known.Table()
 		if t == nil {
@@ -251,7 +252,11 @@
 
 // sent tells the other boxes of a long prompt.
 func (p *entryParts) sent(e endpoint.Endpoint, tokens int) {
-	if tokens > 0 && p.book.Model(e.Service).Reading(tokens, time.Now()) >= longPrompt {
+	if tokens <= 0 {
+		return
+	}
+	v := p.book.Model(e.Service).View(time.Now())
+	if v.Reading(tokens) >= longPrompt {
 		p.hints.Tell(hint.Sent{Endpoint: e.ID, Tokens: tokens})
 	}
 }
--- a/estimate/model.go
+++ b/estimate/model.go
@@ -71,44 +71,46 @@
 	m.own.Held += held.Seconds()
 }
 
-// Held returns how long an answer holds its slot on average; zero if that is not known.
-func (m *Model) Held() time.Duration {
+// View returns what the model expects at a moment.
+func (m *Model) View(now time.Time) View {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	v := View{fit: *m.current(now)}
 	if n := m.own.Runs + m.others.Runs; n > 0 {
-		return time.Duration((m.own.Held + m.others.Held) / n * float64(time.Second))
+		v.Held = seconds((m.own.Held + m.others.Held) / n)
 	}
-	return 0
+	return v
 }
 
-// Expect returns the expected time to the first event.
-func (m *Model) Expect(l Load, now time.Time) time.Duration {
+// Own returns what this box has observed, to be told to others.
+func (m *Model) Own(now time.Time) Stats {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return time.Duration(m.current(now).first(l) * float64(time.Second))
+	m.weighDown(now)
+	return m.own.clone()
 }
 
-// Reading returns the expected time that an endpoint takes to read so many tokens.
-func (m *Model) Reading(tokens int, now time.Time) time.Duration {
+// All returns what all boxes have observed.
+func (m *Model) All(now time.Time) Stats {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	t := float64(tokens) / thousand
-	return time.Duration(m.current(now).reading(t, t*t) * float64(time.Second))
+	m.weighDown(now)
+	return m.all()
 }
 
-// Pace returns how many tokens of a prompt of usual length an endpoint reads a second.
-func (m *Model) Pace(now time.Time) float64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return thousand / max(m.current(now).of[perRead], tiny)
+// all returns this box's sums with the others'.
+func (m *Model) all() Stats {
+	s := m.own.clone()
+	s.Add(m.others)
+	return s
 }
 
-// Own returns what this box has observed, to be told to others.
-func (m *Model) Own(now time.Time) Stats {
+// Recall takes in what was observed before this process started.
+func (m *Model) Recall(s Stats, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.weighDown(now)
-	return m.own.clone()
+	m.own.Add(s)
 }
 
 // Tell replaces what the other boxes have observed together.
@@ -136,14 +138,14 @@
 // current returns the fit, which is made anew now and then.
 func (m *Model) current(now time.Time) *fit {
 	if m.solved.IsZero() || now.Sub(m.solved) >= solveEvery {
-		s := m.own.clone()
-		s.Add(m.others)
-		m.fit = solve(s)
+		m.fit = solve(m.all())
 		m.solved = now
 	}
 	return &m.fit
 }
 
+func seconds(f float64) time.Duration { return time.Duration(f * float64(time.Second)) }
+
 // Bearable is how much load one endpoint bears.
 type Bearable struct {
 	Tokens  float64 // prompt tokens to read a second
@@ -156,8 +158,7 @@
 func (m *Model) Bear(late float64, slots int, pause time.Duration) Bearable {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := m.own.clone()
-	s.Add(m.others)
+	s := m.all()
 	f := solve(s)
 	b := Bearable{Tokens: f.busy(&s, late) / max(f.perToken(&s), tiny), Running: slotPart * float64(max(slots, 1))}
 	if pause > 0 {
--- a/estimate/model_test.go
+++ b/estimate/model_test.go
@@ -62,6 +62,11 @@
 	return l
 }
 
+func expect(m *estimate.Model, l estimate.Load, now time.Time) time.Duration {
+	v := m.View(now)
+	return v.Expect(l)
+}
+
 // observe lets a model see a minute of answers, ten a second, from engines in turn.
 func observe(m *estimate.Model, es []engine, seed uint64) {
 	r := rand.New(rand.NewPCG(seed, 0))
@@ -78,7 +83,7 @@
 	for i := range 200 {
 		l := load(r)
 		saw := es[i%len(es)].first(l, r)
-		expected := m.Expect(l, start.Add(time.Minute+time.Duration(i)*time.Second))
+		expected := expect(m, l, start.Add(time.Minute+time.Duration(i)*time.Second))
 		errs = append(errs, math.Abs(float64(expected-saw))/float64(saw))
 	}
 	slices.Sort(errs)
@@ -132,7 +137,7 @@
 	now := start.Add(time.Second)
 	one.Tell(two.Own(now))
 	l := estimate.Load{Read: 3000, Running: 4}
-	require.InEpsilon(t, float64(all.Expect(l, now)), float64(one.Expect(l, now)), 0.01)
+	require.InEpsilon(t, float64(expect(&all, l, now)), float64(expect(&one, l, now)), 0.01)
 	require.InEpsilon(t, all.Bear(0.1, 24, 0).Tokens, one.Bear(0.1, 24, 0).Tokens, 0.01)
 	require.InDelta(t, 100, one.Samples(), 3)
 }
@@ -142,9 +147,9 @@
 	var m estimate.Model
 	observe(&m, engines(t)[:1], 5)
 	l := estimate.Load{Read: 3000}
-	before := m.Expect(l, start.Add(time.Minute))
+	before := expect(&m, l, start.Add(time.Minute))
 	m.Tell(estimate.Stats{First: estimate.Sums{Products: []float64{1}, Observed: []float64{1}}})
-	require.Equal(t, before, m.Expect(l, start.Add(2*time.Minute)))
+	require.Equal(t, before, expect(&m, l, start.Add(2*time.Minute)))
 }
 
 // More to do is never expected to take less time, whatever was observed.
@@ -156,7 +161,7 @@
 	now := start.Add(time.Second)
 	last := time.Duration(0)
 	for _, n := range []int{0, 1000, 10_000, 50_000} {
-		d := m.Expect(estimate.Load{Read: n}, now)
+		d := expect(&m, estimate.Load{Read: n}, now)
 		require.GreaterOrEqual(t, d, last)
 		last = d
 	}
@@ -212,13 +217,13 @@
 	}
 }
 
-func BenchmarkExpect(b *testing.B) {
+func BenchmarkView(b *testing.B) {
 	var m estimate.Model
 	for i := range 100 {
 		m.Observe(estimate.Load{Read: 100 * i}, time.Duration(i)*time.Millisecond, time.Second, start)
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		m.Expect(estimate.Load{Read: 3000}, start)
+		expect(&m, estimate.Load{Read: 3000}, start)
 	}
 }
--- a/estimate/stats.go
+++ b/estimate/stats.go
@@ -77,6 +77,13 @@
 	s.Held += o.Held
 }
 
+// Part returns a part of what was observed, as one of several boxes takes it over.
+func (s *Stats) Part(x float64) Stats {
+	c := s.clone()
+	c.scale(x)
+	return c
+}
+
 func (s *Stats) clone() Stats {
 	c := *s
 	c.First.Products, c.First.Observed = slices.Clone(s.First.Products), slices.Clone(s.First.Observed)
--- /dev/null
+++ b/estimate/view.go
@@ -0,0 +1,23 @@
+package estimate
+
+import "time"
+
+// View is what a model expects at one moment.
+type View struct {
+	// Held is how long an answer holds its slot on average; zero if that is not known.
+	Held time.Duration
+
+	fit fit
+}
+
+// Expect returns the expected time to the first event.
+func (v *View) Expect(l Load) time.Duration { return seconds(v.fit.first(l)) }
+
+// Reading returns the expected time that an endpoint takes to read so many tokens.
+func (v *View) Reading(tokens int) time.Duration {
+	t := float64(tokens) / thousand
+	return seconds(v.fit.reading(t, t*t))
+}
+
+// Pace returns how many tokens of a prompt of usual length an endpoint reads a second.
+func (v *View) Pace() float64 { return thousand / max(v.fit.of[perRead], tiny) }
--- a/gossip/before.go
+++ b/gossip/before.go
@@ -6,6 +6,7 @@
 	"maps"
 	"time"
 
+	"birchlink.dev/birchlink/estimate"
 	"birchlink.dev/birchlink/quota"
 	"birchlink.dev/birchlink/store"
 )
@@ -14,7 +15,7 @@
 // readFor after the start, until it is known. It is written at most each writeEvery,
 // when an account is or was short, or when the number of boxes has differed from
 // what stands by more than a part of it for countAfter: boxes that restart in turn
-// cause no writes. A process that has started writes nothing until heardAfter, when
+// cause no writes. What is known of the endpoints' speeds is written each speedsEvery. A process that has started writes nothing until heardAfter, when
 // it has heard the others.
 const (
 	readFor     = 3 * time.Second
@@ -22,8 +23,16 @@
 	writeEvery  = time.Second
 	countChange = 0.1
 	countAfter  = 5 * time.Second
+	speedsEvery = 10 * time.Second
 )
 
+// record is what is written: what the quotas need to know, and how fast the endpoints
+// of each service were.
+type record struct {
+	quota.Before
+	Speeds map[string]estimate.Stats
+}
+
 // before is what this box knows of the record in the store.
 type before struct {
 	began   time.Time
@@ -50,14 +59,18 @@
 	if i.Revision == 0 {
 		return
 	}
-	var p quota.Before
+	var p record
 	if err := json.Unmarshal(i.Value, &p); err != nil {
 		g.log.Error().Str("event", "before").Str("key", i.Key).Err(err).Msg("not read; boxes are counted as they are heard")
 		return
 	}
-	s.stands = p
+	s.stands = p.Before
 	g.log.Info().Str("event", "before").Int("boxes", p.Boxes).Interface("short", p.Short).Uint64("revision", i.Revision).Msg("known from the store")
-	g.Expect(p)
+	g.Expect(p.Before)
+	for n, v := range p.Speeds {
+		p.Speeds[n] = v.Part(1 / float64(max(p.Boxes, 1)))
+	}
+	g.Recall(p.Speeds)
 }
 
 // writeBefore writes what has changed. One relay does, the first in the order of
@@ -69,14 +82,15 @@
 		return
 	}
 	p := g.Before(others + 1)
-	if !s.counts(p, now) {
-		if maps.Equal(p.Short, s.stands.Short) || now.Sub(s.wrote) < writeEvery {
+	if !s.counts(p, g.session.Silent() > stale, now) {
+		same := maps.Equal(p.Short, s.stands.Short) && now.Sub(s.wrote) < speedsEvery
+		if same || now.Sub(s.wrote) < writeEvery {
 			return
 		}
 		p.Boxes = max(s.stands.Boxes, p.Boxes)
 	}
 	s.wrote = now
-	b, err := json.Marshal(p)
+	b, err := json.Marshal(record{p, g.Speeds()})
 	if err == nil {
 		_, err = g.Store.Commit(c, store.Change{Put: []store.Put{{Key: g.BeforeKey, Value: b}}})
 	}
@@ -87,10 +101,11 @@
 	s.stands, s.differs = p, time.Time{}
 }
 
-// counts reports whether the number of boxes has been another for long enough.
-func (s *before) counts(p quota.Before, now time.Time) bool {
+// counts reports whether the number of boxes has been another for long enough. While
+// the store is away this box may be the one that is cut off, and hear few for that.
+func (s *before) counts(p quota.Before, away bool, now time.Time) bool {
 	d := float64(p.Boxes - s.stands.Boxes)
-	if max(d, -d) <= countChange*float64(s.stands.Boxes) {
+	if away || max(d, -d) <= countChange*float64(s.stands.Boxes) {
 		s.differs = time.Time{}
 		return false
 	}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
+	"birchlink.dev/birchlink/estimate"
 	"birchlink.dev/birchlink/kernel"
 	"birchlink.dev/birchlink/known"
 	"birchlink.dev/birchlink/mirror"
@@ -54,12 +55,14 @@
 	Own        func() Status
 	OnChange   func(others Status)
 
-	// BeforeKey is where a relay writes what Before returns for a number of boxes, so
-	// that processes that start all at once know it before they have heard each other;
-	// Expect is told it.
+	// BeforeKey is where a relay writes what Before returns for a number of boxes, and
+	// Speeds of all, so that processes that start all at once know it before they have
+	// heard each other; Expect and Recall are told it.
 	BeforeKey string
 	Before    func(boxes int) quota.Before
 	Expect    func(quota.Before)
+	Speeds    func() map[string]estimate.Stats
+	Recall    func(map[string]estimate.Stats)
 
 	log     zerolog.Logger
 	known   *known.Known
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -19,6 +19,7 @@
 	"birchlink.dev/birchlink/balance"
 	"birchlink.dev/birchlink/catalog"
 	"birchlink.dev/birchlink/endpoint"
+	"birchlink.dev/birchlink/estimate"
 	"birchlink.dev/birchlink/gossip"
 	"birchlink.dev/birchlink/kernel"
 	"birchlink.dev/birchlink/known"
@@ -42,6 +43,8 @@
 	others gossip.Status
 	rounds int
 	before quota.Before // as the box was told at its start
+
+	recalled map[string]estimate.Stats // what it was told then of speeds
 }
 
 func address(t *testing.T) string {
@@ -86,6 +89,14 @@
 	b.Before = func(boxes int) quota.Before {
 		return quota.Before{Boxes: boxes, Short: map[string]float64{"a": -7}}
 	}
+	b.Speeds = func() map[string]estimate.Stats {
+		return map[string]estimate.Stats{"s": {Moments: [5]float64{30}}}
+	}
+	b.Recall = func(s map[string]estimate.Stats) {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.recalled = s
+	}
 	b.Expect = func(p quota.Before) {
 		b.mu.Lock()
 		defer b.mu.Unlock()
@@ -339,6 +350,6 @@
 	await(t, func() bool {
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		return b.before.Boxes == 3 && b.before.Short["a"] == -7
+		return b.before.Boxes == 3 && b.before.Short["a"] == -7 && b.recalled["s"].Moments[0] == 10
 	})
 }
