Split the book of endpoints, what a box tells, and what orders watch

What was observed of speeds is told in one round of four (some 500 bytes a service, packed without names) and kept in between; TestRelaysAndMembers holds that it reaches all.

--- /dev/null
+++ b/balance/entry.go
@@ -0,0 +1,96 @@
+package balance
+
+import (
+	"time"
+
+	"birchlink.dev/birchlink/endpoint"
+	"birchlink.dev/birchlink/estimate"
+)
+
+// Entry is one call at an endpoint, from its sending to its end.
+type Entry struct {
+	book  *Book
+	page  *page
+	model *estimate.Model
+
+	dataCentre string
+	tokens     int
+	load       estimate.Load
+	expected   time.Duration
+	objective  time.Duration
+	began      time.Time
+	first      time.Time // when the endpoint first sent something; zero before
+	last       time.Time // when it last did
+	events     int
+}
+
+// Begin notes that a call is sent.
+func (b *Book) Begin(e endpoint.Endpoint, c Choice) *Entry {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.page(e.ID)
+	now := time.Now()
+	if p.running == 0 {
+		p.since = now
+	}
+	p.running++
+	p.tokens += c.Tokens
+	p.parts.sent(c.Parts, now)
+	return &Entry{
+		book: b, page: p, model: b.model(e.Service), dataCentre: e.DataCentre, tokens: c.Tokens, load: c.Load,
+		expected: c.Expected, objective: c.Objective, began: now,
+	}
+}
+
+// Progress notes that the endpoint sent something for this call.
+func (n *Entry) Progress() {
+	n.book.mu.Lock()
+	defer n.book.mu.Unlock()
+	now := time.Now()
+	n.page.progress = now
+	n.page.broken = 0
+	n.page.until = time.Time{}
+	n.book.site(n.dataCentre).until = time.Time{}
+	n.events++
+	n.last = now
+	if !n.first.IsZero() {
+		return
+	}
+	n.first = now
+	n.page.tokens -= n.tokens
+}
+
+// Answered notes that what the endpoint sent first was an answer and no failure: its
+// time tells how fast the endpoint is.
+func (n *Entry) Answered() {
+	n.book.mu.Lock()
+	defer n.book.mu.Unlock()
+	took := n.first.Sub(n.began)
+	n.model.Observe(n.load, took, n.objective, n.last)
+	if n.expected > 0 {
+		r := min(max(float64(took)/float64(n.expected), 0.3), 20)
+		n.page.slowness += slownessWeight * (r - n.page.slowness)
+	}
+}
+
+// End notes that the call is over, and whether the endpoint failed it.
+func (n *Entry) End(failed bool) {
+	n.book.mu.Lock()
+	defer n.book.mu.Unlock()
+	if n.events > 1 {
+		n.model.ObservePause(n.load.Running, n.last.Sub(n.first)/time.Duration(n.events-1), n.last)
+	}
+	if n.first.IsZero() {
+		n.page.tokens -= n.tokens
+	}
+	n.page.running--
+	if !failed && n.events > 0 {
+		now := time.Now()
+		n.model.ObserveRun(now.Sub(n.began), now)
+	}
+	v := 0.0
+	if failed {
+		v = 1
+	}
+	n.page.failures += failureWeight * (v - n.page.failures)
+}
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"maps"
 	"net/netip"
 	"sync"
 	"time"
@@ -18,7 +17,6 @@
 	"birchlink.dev/birchlink/budget"
 	"birchlink.dev/birchlink/demand"
 	"birchlink.dev/birchlink/election"
-	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/exchange"
 	"birchlink.dev/birchlink/figures"
 	"birchlink.dev/birchlink/forward"
@@ -192,114 +190,6 @@
 	return ss
 }
 
-// tell sets up what this box tells the others, and what it does with theirs.
-func (p *entryParts) tell() {
-	g, s := p.gossip, p.settings
-	g.Box, g.DataCentre, g.Address, g.Prefix, g.Seeds, g.Store = s.Box, s.DataCentre, s.Peers, relaysPrefix, s.Seeds, p.store
-	g.Own = func() gossip.Status {
-		now := time.Now()
-		v, _ := p.known.Raw()
-		d := map[string]map[string]demand.Figure{}
-		for n, f := range p.meter.Figures(now) {
-			d[n] = map[string]demand.Figure{s.DataCentre: f}
-		}
-		return gossip.Status{
-			Box: s.Box, DataCentre: s.DataCentre, Address: s.Peers, Version: v,
-			Quota: p.quota.Own(s.Box, p.incarnation, now), Load: p.book.Own(), Demand: d, Speeds: p.book.Speeds(),
-			Usage: []tally.Part{p.tally.Recent(s.Box+"."+p.incarnation, p.tally.Number(now)-toldWindows)},
-		}
-	}
-	g.OnChange = p.heard
-	g.BeforeKey, g.Expect, g.Recall = beforeKey, p.quota.Expect, p.book.Recall
-	g.Speeds = p.book.AllSpeeds
-	g.Before = func(boxes int) quota.Before {
-		t := p.known.Table()
-		if t == nil {
-			return quota.Before{Boxes: boxes}
-		}
-		return p.quota.Before(boxes, t.Document.Accounts, time.Now())
-	}
-}
-
-// heard takes the other boxes' statuses into this box's decisions.
-func (p *entryParts) heard(others gossip.Status) {
-	p.budget.Boxes(others.Boxes + 1)
-	p.follow()
-	if p.reporter != nil {
-		for _, u := range others.Usage {
-			p.reporter.Hear(u)
-		}
-	}
-	if p.gossip.Alone() {
-		// What the others do is not known: this box keeps to the share it had.
-		p.book.Tell(nil, others.Boxes)
-		p.quota.Alone()
-		return
-	}
-	p.mu.Lock()
-	p.others = others.Demand
-	p.mu.Unlock()
-	p.book.Tell(others.Load, others.Boxes)
-	p.book.TellSpeeds(others.Speeds)
-	if others.Boxes > 0 {
-		p.quota.Hear([]quota.Told{others.Quota}, time.Now())
-	}
-}
-
-// longPrompt is the time that an endpoint takes to read a prompt from which on other
-// boxes are told of it: a shorter one keeps nobody waiting for long.
-const longPrompt = 10 * time.Millisecond
-
-// sent tells the other boxes of a long prompt.
-func (p *entryParts) sent(e endpoint.Endpoint, tokens int) {
-	if tokens <= 0 {
-		return
-	}
-	v := p.book.Model(e.Service).View(time.Now())
-	if v.Reading(tokens) >= longPrompt {
-		p.hints.Tell(hint.Sent{Endpoint: e.ID, Tokens: tokens})
-	}
-}
-
-// hinted takes in what another box sends.
-func (p *entryParts) hinted(s hint.Sent) {
-	if e, ok := p.known.Roster.Get(s.Endpoint); ok {
-		p.book.Hear(e, s.Tokens)
-	}
-}
-
-func (p *entryParts) near() []netip.AddrPort {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.peers
-}
-
-// follow learns anew which boxes are told at once.
-func (p *entryParts) follow() {
-	var peers []netip.AddrPort
-	for _, a := range p.gossip.Near() {
-		if x, err := netip.ParseAddrPort(a); err == nil {
-			peers = append(peers, x)
-		}
-	}
-	p.mu.Lock()
-	p.peers = peers
-	p.mu.Unlock()
-	p.book.Near(len(peers))
-}
-
-// demand sums up what each data centre's boxes carry for a service.
-func (p *entryParts) demand(service string) map[string]demand.Figure {
-	out := map[string]demand.Figure{}
-	p.mu.Lock()
-	maps.Copy(out, p.others[service])
-	p.mu.Unlock()
-	own := p.meter.Figures(time.Now())[service]
-	f := out[p.settings.DataCentre]
-	out[p.settings.DataCentre] = demand.Figure{Tokens: f.Tokens + own.Tokens, Running: f.Running + own.Running}
-	return out
-}
-
 // logLife notes the start and the stop.
 func logLife(l fx.Lifecycle, s settings.Entry, log zerolog.Logger) {
 	l.Append(fx.Hook{
@@ -330,7 +220,3 @@
 	zerolog.SetGlobalLevel(l)
 	d.log.Info().Str("event", "reload").Str("level", s.LogLevel).Msg("in force")
 }
-
-// writes reports whether this box writes its counts itself: as a relay, or while
-// no relay takes them.
-func (p *entryParts) writes() bool { return p.gossip.Relay() || p.known.Follows() }
--- a/estimate/model_test.go
+++ b/estimate/model_test.go
@@ -76,11 +76,14 @@
 	}
 }
 
+// answers is how many the errors are taken over.
+const answers = 200
+
 // off is the median of the errors of what is expected, as a part of what is seen.
 func off(m *estimate.Model, es []engine) float64 {
 	r := rand.New(rand.NewPCG(99, 0))
-	var errs []float64
-	for i := range 200 {
+	errs := make([]float64, 0, answers)
+	for i := range answers {
 		l := load(r)
 		saw := es[i%len(es)].first(l, r)
 		expected := expect(m, l, start.Add(time.Minute+time.Duration(i)*time.Second))
--- a/estimate/stats.go
+++ b/estimate/stats.go
@@ -9,6 +9,8 @@
 // Stats are sums over observations, each weighed down by its age. Those of several
 // boxes add up to what all observed.
 type Stats struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
 	First Sums // by the features of Load
 	Pause Sums // by a constant and the requests that run
 
@@ -26,6 +28,8 @@
 // Class is the answers with one objective, and sums of the tokens read for each, in
 // thousands, and of their squares.
 type Class struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
 	Count, Tokens, Squares float64
 }
 
@@ -35,6 +39,8 @@
 // Sums are those of a least squares fit: products of features with each other, as the
 // upper triangle row by row, and with what is to be fitted.
 type Sums struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
 	Count    float64 // of the observations
 	Products []float64
 	Observed []float64
@@ -56,7 +62,7 @@
 	if objective <= 0 || !known && len(s.Classes) >= maxClasses {
 		return
 	}
-	s.Classes[k] = Class{c.Count + 1, c.Tokens + t, c.Squares + t*t}
+	s.Classes[k] = Class{Count: c.Count + 1, Tokens: c.Tokens + t, Squares: c.Squares + t*t}
 }
 
 // Add adds what another box observed.
@@ -71,7 +77,7 @@
 	}
 	for k, v := range o.Classes {
 		c := s.Classes[k]
-		s.Classes[k] = Class{c.Count + v.Count, c.Tokens + v.Tokens, c.Squares + v.Squares}
+		s.Classes[k] = Class{Count: c.Count + v.Count, Tokens: c.Tokens + v.Tokens, Squares: c.Squares + v.Squares}
 	}
 	s.Runs += o.Runs
 	s.Held += o.Held
@@ -99,7 +105,7 @@
 		s.Moments[i] *= x
 	}
 	for k, c := range s.Classes {
-		s.Classes[k] = Class{c.Count * x, c.Tokens * x, c.Squares * x}
+		s.Classes[k] = Class{Count: c.Count * x, Tokens: c.Tokens * x, Squares: c.Squares * x}
 	}
 	s.Runs *= x
 	s.Held *= x
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -36,6 +37,10 @@
 	stale     = 1100 * time.Millisecond
 )
 
+// speedsRounds is how many rounds pass between two tellings of what was observed of
+// endpoints' speeds: some hundred bytes a service, which change over seconds.
+const speedsRounds = 4
+
 // quiet is the silence of the store after which any box is asked that answers.
 const quiet = 2 * time.Second
 
@@ -71,6 +76,7 @@
 	cancel  context.CancelFunc
 	group   sync.WaitGroup
 	turn    int
+	rounds  atomic.Int64
 	relay   seat               // of the relay that counts this box; its own while it is one
 	vacant  bool               // a place of a relay may be free
 	counted map[string]float64 // what this box had spent when a relay last counted it
@@ -162,6 +168,7 @@
 		began := time.Now()
 		g.readBefore(c)
 		g.round(c)
+		g.rounds.Add(1)
 		others := g.sum("")
 		g.OnChange(others)
 		g.writeBefore(c, others.Boxes)
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -44,6 +44,7 @@
 	rounds int
 	before quota.Before // as the box was told at its start
 
+	speeds   map[string]estimate.Stats
 	recalled map[string]estimate.Stats // what it was told then of speeds
 }
 
@@ -75,7 +76,8 @@
 	b.Own = func() gossip.Status {
 		v, _ := b.known.Raw()
 		return gossip.Status{
-			Box: name, DataCentre: dc, Address: a, Version: v, Load: map[string]balance.Load{"x": {Running: 1, Tokens: 10}},
+			Box: name, DataCentre: dc, Address: a, Version: v,
+			Speeds: map[string]estimate.Stats{"s": {Moments: [5]float64{1}}}, Load: map[string]balance.Load{"x": {Running: 1, Tokens: 10}},
 			Quota: quota.Told{Box: name, Incarnation: "1", Boxes: 1, Spent: map[string]float64{"a": 5}, Asked: map[string]float64{"a": 2}},
 		}
 	}
@@ -83,6 +85,9 @@
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		b.others = others
+		if others.Speeds != nil {
+			b.speeds = others.Speeds
+		}
 		b.rounds++
 	}
 	b.BeforeKey = "before"
@@ -128,6 +133,13 @@
 	return b.others
 }
 
+// speed is how many answers the others were last told to have observed.
+func (b *box) speed() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.speeds["s"].Moments[0]
+}
+
 func (b *box) played() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -204,6 +216,9 @@
 			return s.Boxes == 6 && s.Load["x"].Tokens == 60 && s.Quota.Asked["a"] == 12
 		}) == 7
 	})
+	await(t, func() bool {
+		return count(bs, func(b *box) bool { return b.speed() == 6 }) == 7
+	})
 	m.Set("config", `{"Version":5}`)
 	m.Set("e/y", "ready")
 	await(t, func() bool {
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -12,6 +12,9 @@
 func (g *Gossip) self() Status {
 	s := g.Own()
 	s.Boxes = 1
+	if g.rounds.Load()%speedsRounds != 0 {
+		s.Speeds = nil
+	}
 	g.mu.Lock()
 	s.Quota.Joined = g.joined
 	g.mu.Unlock()
@@ -32,6 +35,9 @@
 			s.Members = append(s.Members, h.Address)
 		}
 	}
+	if own.Speeds == nil {
+		s.Speeds = nil
+	}
 	s.Quota.Reserved = map[string]float64{}
 	now := time.Now()
 	g.near.AddTo(&s.Quota, "", now, g.present(now))
@@ -102,9 +108,11 @@
 	now := time.Now()
 	relay := g.holds()
 	counted := relay && in.Relay == g.Box
+	told := in.Speeds != nil
 	g.mu.Lock()
-	_, had := g.members[in.Box]
+	old, had := g.members[in.Box]
 	if counted {
+		in.keepSpeeds(old.Status)
 		g.members[in.Box] = heard{in, now}
 		g.near.Hear(in.Quota, now)
 	}
@@ -116,6 +124,9 @@
 	w := World{Relay: relay, Vacant: relay && g.places() < relays, Others: g.sum(in.Box), Revision: g.known.Revision(), Silent: g.session.Silent(), Near: g.nearby()}
 	w.Others.Version, _ = g.known.Raw()
 	w.Others.Usage = nil
+	if !told {
+		w.Others.Speeds = nil
+	}
 	return w, nil
 }
 
@@ -129,6 +140,7 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	in.keepSpeeds(g.others[in.Box].Status)
 	g.others[in.Box] = heard{in, now}
 	g.far.Hear(in.Quota, now)
 	g.last = now
--- a/gossip/status.go
+++ b/gossip/status.go
@@ -27,7 +27,7 @@
 	Load       map[string]balance.Load
 	Demand     map[string]map[string]demand.Figure // by service and data centre
 	Usage      []tally.Part
-	Speeds     map[string]estimate.Stats // by service, what was observed of its endpoints
+	Speeds     map[string]estimate.Stats // by service, what was observed of its endpoints; none means as last told
 	Members    []string                  // addresses of the boxes that a relay counts
 }
 
@@ -81,6 +81,13 @@
 	}
 }
 
+// keepSpeeds takes over the speeds that were told last if none are told now.
+func (s *Status) keepSpeeds(old Status) {
+	if s.Speeds == nil {
+		s.Speeds = old.Speeds
+	}
+}
+
 // empty returns a status to add others to.
 func empty(box, dc, address string) Status {
 	return Status{
