Bound hints, tell each box once, and pass on what endpoints bear

A hint of more tokens than any prompt has is not believed, since it would keep an endpoint from being chosen for as long; TestTold sends one. A box that has just changed its relay is counted by two and was told twice. What an endpoint bears is handed from the plan to the order's log line instead of standing in the service.

--- a/gossip/near.go
+++ b/gossip/near.go
@@ -13,8 +13,9 @@
 // Near returns the addresses of the other boxes that are told at once what this one
 // sends.
 func (g *Gossip) Near() []string {
-	near := g.nearby()
-	return slices.DeleteFunc(near, func(a string) bool { return a == g.Address })
+	near := slices.DeleteFunc(g.nearby(), func(a string) bool { return a == g.Address })
+	slices.Sort(near) // a box that has just moved may be counted by two relays
+	return slices.Compact(near)
 }
 
 // nearby returns the addresses of all boxes that tell each other, as a relay knows
--- a/hint/hint.go
+++ b/hint/hint.go
@@ -21,8 +21,12 @@
 // Name is the name of the service.
 const Name = "hint"
 
-// maxSize bounds a datagram, in bytes: an endpoint's ID and a number.
-const maxSize = 512
+// The bounds of a hint: of its datagram in bytes, an endpoint's ID and a number, and of
+// the tokens, which no prompt reaches. What is beyond them was not sent by a box.
+const (
+	maxSize   = 512
+	maxTokens = 10_000_000
+)
 
 // Sent is a prompt that a box sends to an endpoint, with the tokens to be read there.
 type Sent struct {
@@ -116,7 +120,7 @@
 			return
 		}
 		var s Sent
-		if err := msgpack.Unmarshal(b[:n], &s); err != nil || s.Tokens <= 0 {
+		if err := msgpack.Unmarshal(b[:n], &s); err != nil || s.Tokens <= 0 || s.Tokens > maxTokens {
 			h.log.Debug().Str("event", "hint").Stringer("from", from).Err(err).Msg("not understood")
 			continue
 		}
--- a/hint/hint_test.go
+++ b/hint/hint_test.go
@@ -33,7 +33,7 @@
 	c, err := net.Dial("udp", one.Listening().String())
 	require.NoError(t, err)
 	defer c.Close()
-	for _, b := range []string{"", "no hint", "\x82\xa1e\xa1x\xa1t\xff"} {
+	for _, b := range []string{"", "no hint", "\x82\xa1e\xa1x\xa1t\xff", "\x82\xa1e\xa1x\xa1t\xce\xff\xff\xff\xff"} {
 		_, err := c.Write([]byte(b))
 		require.NoError(t, err)
 	}
--- a/orders/orders.go
+++ b/orders/orders.go
@@ -73,7 +73,6 @@
 	found   map[string]int       // by service, how many endpoints there were at first
 	lower   map[subject]lowering
 	heard   map[place]time.Time // when its boxes' demand was last told
-	bears   scaling.Bears       // by an endpoint of the service being planned
 }
 
 // place is a service in a data centre.
@@ -178,21 +177,21 @@
 		// stands in for it.
 		policy.Least, policy.Surplus = max(policy.Least, o.foundOf(s.Name, sites)), 1
 	}
-	o.bears = o.Bears(s.Name, slotsOf(all, s), estimate.PauseTarget(o.known.Table().Document, s.Name))
-	plan := policy.Plan(s.Scaling, sites, o.bears)
+	bears := o.Bears(s.Name, slotsOf(all, s), estimate.PauseTarget(o.known.Table().Document, s.Name))
+	plan := policy.Plan(s.Scaling, sites, bears)
 	for _, site := range sites {
 		if cut[site.DataCentre] {
 			continue
 		}
 		p := plan[site.DataCentre]
-		o.want(c, subject{s.Name, site.DataCentre, true}, p.Reclaimable, site)
-		o.want(c, subject{s.Name, site.DataCentre, false}, p.OnDemand, site)
+		o.want(c, subject{s.Name, site.DataCentre, true}, p.Reclaimable, site, bears)
+		o.want(c, subject{s.Name, site.DataCentre, false}, p.OnDemand, site, bears)
 	}
 }
 
 // want orders a count, if it is another than the last. A smaller one is ordered
 // when it has been wanted for a while.
-func (o *Orders) want(c context.Context, s subject, n int, site scaling.Site) {
+func (o *Orders) want(c context.Context, s subject, n int, site scaling.Site, bears scaling.Bears) {
 	now := time.Now()
 	p, had := o.placed[s]
 	have := site.Have.OnDemand
@@ -215,7 +214,7 @@
 	if lower && !none && !o.settled(s, n, now) {
 		return
 	}
-	o.order(c, s, n, site)
+	o.order(c, s, n, site, bears)
 }
 
 // settled reports whether a smaller count has been wanted for long enough.
@@ -232,7 +231,7 @@
 	return now.Sub(l.since) >= settle
 }
 
-func (o *Orders) order(c context.Context, s subject, n int, site scaling.Site) {
+func (o *Orders) order(c context.Context, s subject, n int, site scaling.Site, bears scaling.Bears) {
 	fence, ok := o.Election.Act()
 	if !ok || fence != o.fence {
 		return
@@ -252,8 +251,8 @@
 	o.placed[s] = p
 	o.log.Info().Str("event", "order").Str("service", s.service).Str("data_centre", s.dataCentre).Bool("reclaimable", s.reclaimable).
 		Int("count", n).Uint64("fence", fence).
-		Float64("bears_tokens_per_s", o.bears.Reclaimable.Tokens).Float64("on_demand_bears", o.bears.OnDemand.Tokens).
-		Float64("bears_running", o.bears.OnDemand.Running).
+		Float64("bears_tokens_per_s", bears.Reclaimable.Tokens).Float64("on_demand_bears", bears.OnDemand.Tokens).
+		Float64("bears_running", bears.OnDemand.Running).
 		Float64("tokens_per_s", site.Demand.Tokens).Float64("running", site.Demand.Running).
 		Int("have_on_demand", site.Have.OnDemand).Int("have_reclaimable", site.Have.Reclaimable).
 		Dur("since_reclaim", min(site.Since, longAgo)).Bool("dry", site.Dry).Err(err).Msg("decision")
