Solve the fit by a library

The elimination written by hand is gonum's Cholesky factorization now, which also tells when sums cannot be solved; the prior stands then (TestNotSolvable: a sum that is not a number made every expectation one).

--- a/estimate/fit.go
+++ b/estimate/fit.go
@@ -1,6 +1,10 @@
 package estimate
 
-import "math"
+import (
+	"math"
+
+	"gonum.org/v1/gonum/mat"
+)
 
 // tiny keeps divisions in bounds; it is below any time in seconds that is observed.
 const tiny = 1e-9
@@ -72,10 +76,16 @@
 	return f
 }
 
-// with solves sums together with a prior, s, that fades with what is known.
+// with solves sums together with a prior, s, that fades with what is known. Where what
+// is known cannot be solved, the prior alone is.
 func (s *Sums) with(known Sums) []float64 {
-	s.scale(priorFades / (priorFades + known.Count))
-	s.merge(known)
+	all := Sums{}
+	all.merge(*s)
+	all.scale(priorFades / (priorFades + known.Count))
+	all.merge(known)
+	if x := all.solve(); x != nil {
+		return x
+	}
 	return s.solve()
 }
 
@@ -85,7 +95,7 @@
 	n := len(s.Observed)
 	out := make([]bool, n)
 	for {
-		x := s.eliminate(out)
+		x := s.without(out)
 		worst := -1
 		for i, v := range x {
 			if v < 0 && (worst < 0 || v < x[worst]) {
@@ -99,44 +109,31 @@
 	}
 }
 
-// eliminate solves the normal equations by Gauss's elimination without the features
-// left out. The matrix is positive definite, by the prior.
-func (s *Sums) eliminate(out []bool) []float64 {
+// without solves the normal equations without some of the features, whose coefficients
+// are zero. Nil stands for sums that cannot be solved.
+func (s *Sums) without(out []bool) []float64 {
 	n := len(s.Observed)
-	a := make([][]float64, n)
+	a, b := mat.NewSymDense(n, nil), mat.NewVecDense(n, nil)
 	k := 0
-	for i := range n {
-		a[i] = make([]float64, n+1)
-	}
 	for i := range n {
 		for j := i; j < n; j++ {
 			if !out[i] && !out[j] {
-				a[i][j], a[j][i] = s.Products[k], s.Products[k]
+				a.SetSym(i, j, s.Products[k])
 			}
 			k++
 		}
-		a[i][n] = s.Observed[i]
 		if out[i] {
-			a[i][i], a[i][n] = 1, 0
+			a.SetSym(i, i, 1)
+		} else {
+			b.SetVec(i, s.Observed[i])
 		}
 	}
-	for i := range n {
-		for j := i + 1; j < n; j++ {
-			m := a[j][i] / max(a[i][i], tiny)
-			for c := i; c <= n; c++ {
-				a[j][c] -= m * a[i][c]
-			}
-		}
-	}
-	x := make([]float64, n)
-	for i := n - 1; i >= 0; i-- {
-		v := a[i][n]
-		for j := i + 1; j < n; j++ {
-			v -= a[i][j] * x[j]
-		}
-		x[i] = v / max(a[i][i], tiny)
+	var c mat.Cholesky
+	var x mat.VecDense
+	if !c.Factorize(a) || c.SolveVecTo(&x, b) != nil || math.IsNaN(mat.Sum(&x)) {
+		return nil
 	}
-	return x
+	return x.RawVector().Data
 }
 
 // first is the expected time to the first event, in seconds.
--- a/estimate/model_test.go
+++ b/estimate/model_test.go
@@ -208,6 +208,17 @@
 	require.Equal(t, before, expect(&m, l, start.Add(2*time.Minute)))
 }
 
+// Sums that cannot be solved leave the prior.
+func TestNotSolvable(t *testing.T) {
+	var m, none estimate.Model
+	m.Observe(estimate.Load{Read: 100}, time.Second, time.Second, start)
+	s := m.Own(start)
+	s.First.Products[0] = math.NaN()
+	m.Tell(s)
+	l := estimate.Load{Read: 3000}
+	require.Equal(t, expect(&none, l, start), expect(&m, l, start.Add(time.Second)))
+}
+
 // More to do is never expected to take less time, whatever was observed.
 func TestNeverLessForMore(t *testing.T) {
 	var m estimate.Model
