--- a/balance/book_test.go
+++ b/balance/book_test.go
@@ -26,6 +26,18 @@
 	return es
 }
 
+// answer sends a request where the book chooses, and has it answered after a time.
+func answer(t *testing.T, b *balance.Book, es []endpoint.Endpoint, q balance.Query, after time.Duration) {
+	t.Helper()
+	c, ok := b.Choose(es, q)
+	require.True(t, ok)
+	n := b.Begin(c.Endpoint, c)
+	wait.For(t.Context(), after)
+	n.Progress()
+	n.Answered()
+	n.End(false)
+}
+
 func prompt(shared string, own int) balance.Query {
 	return balance.Query{
 		DataCentre: "dc0", Engine: true, Shared: 1, Prompt: 4000 + own,
@@ -194,12 +206,7 @@
 		var before, after balance.Book
 		q := balance.Query{Engine: true, Prompt: 5000}
 		for range 100 {
-			c, _ := before.Choose(es, q)
-			n := before.Begin(c.Endpoint, c)
-			wait.For(t.Context(), 40*time.Millisecond)
-			n.Progress()
-			n.Answered()
-			n.End(false)
+			answer(t, &before, es, q, 40*time.Millisecond)
 		}
 		after.Recall(before.AllSpeeds())
 		one, _ := before.Choose(es, q)
@@ -246,12 +253,7 @@
 		var one, two balance.Book
 		q := balance.Query{Engine: true, Prompt: 5000}
 		for range 100 {
-			c, _ := one.Choose(es, q)
-			n := one.Begin(c.Endpoint, c)
-			wait.For(t.Context(), 40*time.Millisecond)
-			n.Progress()
-			n.Answered()
-			n.End(false)
+			answer(t, &one, es, q, 40*time.Millisecond)
 		}
 		two.TellSpeeds(one.Speeds())
 		c, _ := two.Choose(es, q)
