Forget objectives that no route has any more

Cause, found by reading: the fit tells sixteen objectives apart and never gave one up, so a process that has seen sixteen by changes of the configuration would have judged the load that endpoints bear by old ones for good. One with less than a thousandth of an answer left is dropped. TestObjectivesChange failed first.

--- a/estimate/model_test.go
+++ b/estimate/model_test.go
@@ -208,6 +208,16 @@
 	require.Equal(t, before, expect(&m, l, start.Add(2*time.Minute)))
 }
 
+// Objectives that no route has any more give their places to new ones.
+func TestObjectivesChange(t *testing.T) {
+	var m estimate.Model
+	for i := range 100 {
+		at := start.Add(time.Duration(i) * 10 * time.Minute)
+		m.Observe(estimate.Load{Read: 1000}, time.Millisecond, time.Duration(i+1)*time.Second, at)
+		require.Contains(t, m.Own(at).Classes, 1000*(i+1))
+	}
+}
+
 // Sums that cannot be solved leave the prior.
 func TestNotSolvable(t *testing.T) {
 	var m, none estimate.Model
--- a/estimate/stats.go
+++ b/estimate/stats.go
@@ -33,8 +33,12 @@
 	Count, Tokens, Squares float64
 }
 
-// maxClasses bounds the objectives that are told apart.
-const maxClasses = 16
+// maxClasses bounds the objectives that are told apart. One of which less than forgotten
+// of an answer is left, by its age, gives its place to others.
+const (
+	maxClasses = 16
+	forgotten  = 0.001
+)
 
 // Sums are those of a least squares fit: products of features with each other, as the
 // upper triangle row by row, and with what is to be fitted.
@@ -105,6 +109,10 @@
 		s.Moments[i] *= x
 	}
 	for k, c := range s.Classes {
+		if c.Count*x < forgotten {
+			delete(s.Classes, k)
+			continue
+		}
 		s.Classes[k] = Class{Count: c.Count * x, Tokens: c.Tokens * x, Squares: c.Squares * x}
 	}
 	s.Runs *= x
