Count an endpoint that answered a failure as an attempt though it leaves

Cause: attempts left out every endpoint that drains or has left since, also one that had read the request and answered it with a failure. A request of two attempts was then run by three.

Ruled out: refusals (they never run) and connections that end with their endpoint (their work is lost, and they are still not counted).

idempotent_error_leaving failed first: a third endpoint ran the request.

--- a/forward/endpoint_test.go
+++ b/forward/endpoint_test.go
@@ -116,7 +116,10 @@
 		fmt.Fprintf(c, "HTTP/1.1 503 Full\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
 	case "elsewhere":
 		fmt.Fprintf(c, "HTTP/1.1 421 Elsewhere\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
-	case "error":
+	case "error", "error_leave":
+		if kind == "error_leave" {
+			f.leave()
+		}
 		fmt.Fprintf(c, "HTTP/1.1 %d Bad\r\nId: %s\r\nContent-Length: 3\r\n\r\nbad", n, id)
 	case "crossed":
 		whole("another", id)
--- a/forward/run.go
+++ b/forward/run.go
@@ -36,7 +36,7 @@
 	sink Sink
 
 	skip     map[string]bool // endpoints that were tried
-	sent     []string        // the endpoints that the request reached
+	sent     []reached       // the endpoints that the request reached
 	dials    int             // that reached none
 	ran      bool            // an attempt may have run
 	counted  bool
@@ -46,6 +46,12 @@
 	held     *whole // a failure that an endpoint answered, if nothing better comes
 }
 
+// reached is an endpoint that the request reached. One that answered has run it.
+type reached struct {
+	id       string
+	answered bool
+}
+
 // whole is an answer that has been read to its end.
 type whole struct {
 	status int
@@ -59,6 +65,7 @@
 	err      error
 	done     bool // the sink has the whole answer
 	progress bool // it added events to the caller's stream
+	answered bool // with a whole answer, that is of no use
 }
 
 // step makes one attempt. It reports whether the request is done.
@@ -104,9 +111,9 @@
 		r.dials++
 		r.f.Book.Avoid(e)
 	case recovery.Refused:
-		r.sent = append(r.sent, e.ID)
+		r.sent = append(r.sent, reached{id: e.ID})
 	default:
-		r.sent = append(r.sent, e.ID)
+		r.sent = append(r.sent, reached{e.ID, out.answered})
 		r.ran = true
 		if out.progress {
 			// A stream that went on here may go on there: what it has is kept.
@@ -116,15 +123,15 @@
 }
 
 // attempts counts the endpoints that the request reached, without those that
-// have left since: what they had is lost, whatever is done. All count once there
-// have been more than a request can use.
+// have left since without an answer: what they had is lost, whatever is done. All
+// count once there have been more than a request can use.
 func (r *run) attempts() int {
 	if len(r.sent) >= recovery.MaxAttempts {
 		return recovery.MaxAttempts
 	}
 	n := 0
-	for _, id := range r.sent {
-		if e, ok := r.f.Roster.Get(id); ok && !e.Draining {
+	for _, s := range r.sent {
+		if e, ok := r.f.Roster.Get(s.id); s.answered || ok && !e.Draining {
 			n++
 		}
 	}
--- a/forward/take.go
+++ b/forward/take.go
@@ -44,10 +44,10 @@
 	}
 	if a.Status >= http.StatusInternalServerError {
 		r.keep(a, b)
-		return ended{breakage: recovery.Gone, err: fmt.Errorf("status %d", a.Status)}
+		return ended{breakage: recovery.Gone, answered: true, err: fmt.Errorf("status %d", a.Status)}
 	}
 	if r.headSent {
-		return ended{breakage: recovery.Gone, err: fmt.Errorf("status %d in place of the rest of a stream", a.Status)}
+		return ended{breakage: recovery.Gone, answered: true, err: fmt.Errorf("status %d in place of the rest of a stream", a.Status)}
 	}
 	// The connection is free for others before a slow caller has read.
 	a.Close()
