--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -25,6 +25,7 @@
 	"birchlink.dev/birchlink/ingress"
 	"birchlink.dev/birchlink/kernel"
 	"birchlink.dev/birchlink/known"
+	"birchlink.dev/birchlink/limit"
 	"birchlink.dev/birchlink/orders"
 	"birchlink.dev/birchlink/peer"
 	"birchlink.dev/birchlink/platform"
@@ -120,8 +121,8 @@
 	st := platform.NewStore(s.Store)
 	p := &entryParts{
 		settings: s, store: st, book: &balance.Book{}, quota: &quota.Quota{
-			Terms:   quota.Terms{Window: s.QuotaWindow, Overage: s.QuotaOverage, Slack: float64(s.QuotaSlack)},
-			Started: time.Now(),
+			Terms: quota.Terms{Window: s.QuotaWindow, Overage: s.QuotaOverage, Slack: float64(s.QuotaSlack)},
+			Self:  quota.Arbiter{Box: s.Box, DataCentre: s.DataCentre, Address: s.Peers}, Started: time.Now(),
 		}, meter: &demand.Meter{},
 		budget: budget.New(budget.Terms{Ratio: s.RetryRatio, Slack: float64(s.RetrySlack), Window: s.RetryWindow}),
 		tally:  &tally.Tally{Window: s.ReportWindow},
@@ -131,6 +132,7 @@
 		ConfigKey: platform.ConfigKey, EndpointsPrefix: platform.ServersPrefix,
 		Document: platform.Document, Endpoint: platform.Endpoint,
 	}, st, log)
+	p.quota.Incarnation = p.incarnation
 	p.tell()
 	f := &forward.Forwarder{
 		DataCentre: s.DataCentre, Roster: &p.known.Roster, Book: p.book, Budget: p.budget, Meter: p.meter,
@@ -143,15 +145,18 @@
 		Address: s.Callers, Ready: s.Ready, ReadyPath: platform.ReadyPath,
 		Notice: min(stopNotice, s.StopLimit/3), Limit: s.StopLimit - stopReserve,
 	}
+	limits := limit.New(p.quota, m, log)
 	ss := []kernel.Service{
 		session.New(st, log),
 		peer.NewNode(s.Peers, s.Peers, peerSecret, m),
 		p.known,
 		p.gossip,
 		p.hints,
+		limits,
 	}
 	ss = append(ss, p.duties(log)...)
-	in := ingress.New(o, platform.Wire{}, f, p.quota, m, log)
+	in := ingress.New(o, platform.Wire{}, f, limits, m, log)
+	p.gossip.Leaving = in.Leaving
 	fs := figures.New(s.Metrics, m, log)
 	fs.Gauge("configuration.version", func() int64 { v, _ := p.known.Raw(); return int64(v) })
 	fs.Gauge("endpoints.known", func() int64 { return int64(len(p.known.Roster.IDs())) })
--- a/daemon/tell.go
+++ b/daemon/tell.go
@@ -26,11 +26,11 @@
 		}
 		return gossip.Status{
 			Box: s.Box, DataCentre: s.DataCentre, Address: s.Peers, Version: v,
-			Quota: p.quota.Own(s.Box, p.incarnation, now), Load: p.book.Own(), Demand: d, Speeds: p.book.Speeds(),
+			Load: p.book.Own(), Demand: d, Speeds: p.book.Speeds(),
 			Usage: []tally.Part{p.tally.Recent(s.Box+"."+p.incarnation, p.tally.Number(now)-toldWindows)},
 		}
 	}
-	g.OnChange = p.heard
+	g.OnChange, g.Quota = p.heard, p.quota
 	g.BeforeKey, g.Expect, g.Recall = beforeKey, p.quota.Expect, p.book.Recall
 	g.Speeds = p.book.AllSpeeds
 	g.Before = func(boxes int) quota.Before {
@@ -52,9 +52,7 @@
 		}
 	}
 	if p.gossip.Alone() {
-		// What the others do is not known: this box keeps to the share it had.
 		p.book.Tell(nil, others.Boxes)
-		p.quota.Alone()
 		return
 	}
 	p.mu.Lock()
@@ -62,9 +60,6 @@
 	p.mu.Unlock()
 	p.book.Tell(others.Load, others.Boxes)
 	p.book.TellSpeeds(others.Speeds)
-	if others.Boxes > 0 {
-		p.quota.Hear([]quota.Told{others.Quota}, time.Now())
-	}
 }
 
 // longPrompt is the time that an endpoint takes to read a prompt from which on other
--- a/gossip/before.go
+++ b/gossip/before.go
@@ -12,7 +12,8 @@
 )
 
 // What processes that start all at once have to know of the time before is read for
-// readFor after the start, until it is known. It is written at most each writeEvery,
+// readFor after the start, until it is known, and longer while nobody tells how many
+// boxes there are. It is written at most each writeEvery,
 // when an account is or was short, or when the number of boxes has differed from
 // what stands by more than a part of it for countAfter: boxes that restart in turn
 // cause no writes. What is known of the endpoints' speeds is written each speedsEvery. A process that has started writes nothing until heardAfter, when
@@ -38,6 +39,7 @@
 	began   time.Time
 	read    bool
 	stands  quota.Before
+	at      uint64 // the revision of what stands; zero for none
 	wrote   time.Time
 	differs time.Time // since when another number is true; zero while it is not
 }
@@ -48,14 +50,15 @@
 	if s.began.IsZero() {
 		s.began = time.Now()
 	}
-	if s.read || time.Since(s.began) > readFor {
+	late := time.Since(s.began) > readFor
+	if s.read || late && (g.session.Lost() || g.Quota.Division().Version > 0 && !g.firstPlace()) {
 		return
 	}
 	i, err := g.Store.Get(c, g.BeforeKey)
 	if err != nil {
 		return
 	}
-	s.read = true
+	s.read, s.at = true, i.Revision
 	if i.Revision == 0 {
 		return
 	}
@@ -64,8 +67,13 @@
 		g.log.Error().Str("event", "before").Str("key", i.Key).Err(err).Msg("not read; boxes are counted as they are heard")
 		return
 	}
+	p.Division.Version = i.Revision
 	s.stands = p.Before
 	g.log.Info().Str("event", "before").Int("boxes", p.Boxes).Interface("short", p.Short).Uint64("revision", i.Revision).Msg("known from the store")
+	if late {
+		g.Quota.Adopt(p.Division, time.Now())
+		return
+	}
 	g.Expect(p.Before)
 	for n, v := range p.Speeds {
 		p.Speeds[n] = v.Part(1 / float64(max(p.Boxes, 1)))
@@ -78,7 +86,7 @@
 func (g *Gossip) writeBefore(c context.Context, others int) {
 	s := &g.before
 	now := time.Now()
-	if others == 0 || now.Sub(s.began) < heardAfter || !s.read && now.Sub(s.began) < readFor || !g.firstPlace() {
+	if others == 0 || now.Sub(s.began) < heardAfter || !s.read || !g.firstPlace() {
 		return
 	}
 	p := g.Before(others + 1)
@@ -90,14 +98,21 @@
 		p.Boxes = max(s.stands.Boxes, p.Boxes)
 	}
 	s.wrote = now
+	var at uint64
 	b, err := json.Marshal(record{p, g.Speeds()})
 	if err == nil {
-		_, err = g.Store.Commit(c, store.Change{Put: []store.Put{{Key: g.BeforeKey, Value: b}}})
+		at, err = g.Store.Commit(c, store.Change{
+			If:  []store.Condition{{Key: g.BeforeKey, Revision: s.at}},
+			Put: []store.Put{{Key: g.BeforeKey, Value: b}},
+		})
 	}
 	if err != nil {
+		s.read = false // another may have written, or this change taken effect
 		g.log.Info().Str("event", "before").Int("boxes", p.Boxes).Err(err).Msg("not written; tried again")
 		return
 	}
+	p.Division.Version, s.at = at, at
+	g.Quota.Adopt(p.Division, now)
 	s.stands, s.differs = p, time.Time{}
 }
 
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -25,16 +25,19 @@
 const Name = "gossip"
 
 // The times of an exchange. A box that has not been heard for lost is taken to be
-// away, and is forgotten after forgotten; its share of quotas is kept for
-// reserved, since it may still spend it: cuts of 12 s have been played. A relay
-// whose store has been silent for longer than stale is no use.
+// away, and is forgotten after forgotten; one that has not been heard for recent is
+// no arbiter. A relay whose store has been silent for longer than stale is no use. A
+// process younger than young exchanges each youngPeriod: boxes that all start at once
+// have then heard each other after half a second in place of one and a half.
 const (
-	period    = 500 * time.Millisecond
-	callLimit = 450 * time.Millisecond
-	lost      = 2 * time.Second
-	forgotten = 8 * time.Second
-	reserved  = 20 * time.Second
-	stale     = 1100 * time.Millisecond
+	period      = 500 * time.Millisecond
+	callLimit   = 450 * time.Millisecond
+	lost        = 2 * time.Second
+	recent      = 1200 * time.Millisecond
+	forgotten   = 8 * time.Second
+	stale       = 1100 * time.Millisecond
+	young       = 3 * time.Second
+	youngPeriod = 150 * time.Millisecond
 )
 
 // speedsRounds is how many rounds pass between two tellings of what was observed of
@@ -66,6 +69,8 @@
 	BeforeKey string
 	Before    func(boxes int) quota.Before
 	Expect    func(quota.Before)
+	Quota     *quota.Quota
+	Leaving   func() bool // reports whether this box stops; nil for one that does not
 	Speeds    func() map[string]estimate.Stats
 	Recall    func(map[string]estimate.Stats)
 
@@ -77,9 +82,8 @@
 	group   sync.WaitGroup
 	turn    int
 	rounds  atomic.Int64
-	relay   seat               // of the relay that counts this box; its own while it is one
-	vacant  bool               // a place of a relay may be free
-	counted map[string]float64 // what this box had spent when a relay last counted it
+	relay   seat // of the relay that counts this box; its own while it is one
+	vacant  bool // a place of a relay may be free
 	packed  packed
 	watch   *mirror.Mirror
 	unwatch context.CancelFunc // set while this box watches the places
@@ -89,12 +93,10 @@
 	looked  time.Time
 	members map[string]heard // that tell this box, while it is a relay
 	others  map[string]heard // relays
-	near    quota.Sum        // of the members
-	far     quota.Sum        // of the other relays
 	world   World            // the last answer of this box's relay
 	at      time.Time        // when it came
 	last    time.Time        // when any other box was last heard
-	joined  int              // how often the relay that counts this box has changed
+	began   time.Time
 	before  before
 }
 
@@ -114,6 +116,7 @@
 	if err != nil {
 		return err
 	}
+	g.began = time.Now()
 	g.turn = int(xxhash.Sum64String(g.Box) % relays)
 	peer.Handle(g.node.Server, "gossip.member", g.fromMember)
 	peer.Handle(g.node.Server, "gossip.relay", g.fromRelay)
@@ -167,18 +170,26 @@
 	for c.Err() == nil {
 		began := time.Now()
 		g.readBefore(c)
+		g.limit()
 		g.round(c)
 		g.rounds.Add(1)
 		others := g.sum("")
 		g.OnChange(others)
 		g.writeBefore(c, others.Boxes)
-		wait.For(c, period-time.Since(began))
+		wait.For(c, g.period()-time.Since(began))
 	}
 	if g.unwatch != nil {
 		g.unwatch()
 	}
 }
 
+func (g *Gossip) period() time.Duration {
+	if time.Since(g.began) < young {
+		return youngPeriod
+	}
+	return period
+}
+
 // round tells those that this box has to tell, and finds its part anew where
 // nobody answers.
 func (g *Gossip) round(c context.Context) {
@@ -187,10 +198,7 @@
 		g.asMember(c)
 		return
 	}
-	if g.relay.box != g.Box {
-		g.setRelay(seat{g.DataCentre, "", g.Box, g.Address})
-	}
-	g.counted = g.self().Quota.Spent
+	g.relay = seat{g.DataCentre, "", g.Box, g.Address}
 	g.followPlaces(c, true)
 	g.known.Follow(true)
 	g.exchange(c)
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -50,7 +50,6 @@
 		g.log.Debug().Str("event", "relay").Str("other", g.relay.box).Bool("relay", w.Relay).Err(err).Msg("no longer of use")
 		return false, false
 	}
-	g.counted = status.Quota.Spent
 	g.heardWorld(w)
 	g.vacant = g.vacant || w.Vacant && g.relay.dataCentre == g.DataCentre
 	g.catchUp(c, g.relay, w)
@@ -77,14 +76,7 @@
 
 func (g *Gossip) joinRelay(s seat, w World) {
 	g.log.Info().Str("event", "relay").Str("other", s.box).Str("before", g.relay.box).Dur("silent", w.Silent).Msg("tells this box from now on")
-	g.setRelay(s)
-}
-
-func (g *Gossip) setRelay(s seat) {
 	g.relay = s
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.joined++
 }
 
 // ask takes what some other box knows while neither the store nor a relay of this
@@ -115,9 +107,6 @@
 		s.Speeds = nil
 	}
 	s.Relay = g.relay.box
-	s.Quota.Uncounted = map[string]float64{}
-	for a, n := range s.Quota.Spent {
-		s.Quota.Uncounted[a] = n - g.counted[a]
-	}
+	s.Divided = g.Quota.Division().Version
 	return s
 }
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -4,17 +4,12 @@
 	"context"
 	"sync"
 	"time"
-
-	"birchlink.dev/birchlink/quota"
 )
 
 // self returns what this box alone tells.
 func (g *Gossip) self() Status {
 	s := g.Own()
 	s.Boxes = 1
-	g.mu.Lock()
-	s.Quota.Joined = g.joined
-	g.mu.Unlock()
 	return s
 }
 
@@ -24,9 +19,8 @@
 // together returns what this box tells for itself and its members.
 func (g *Gossip) together() Status {
 	s := empty(g.Box, g.DataCentre, g.Address)
-	own := g.self()
-	s.add(own)
-	s.Quota = own.Quota
+	s.add(g.self())
+	s.Leaving = g.leaves()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, h := range g.members {
@@ -38,10 +32,6 @@
 	if !g.tellsSpeeds() {
 		s.Speeds = nil
 	}
-	s.Quota.Reserved = map[string]float64{}
-	now := time.Now()
-	g.near.AddTo(&s.Quota, "", now, g.present(now))
-	// What the other relays reserve, they tell themselves.
 	return s
 }
 
@@ -57,21 +47,8 @@
 		}
 		return s
 	}
-	own := g.self()
-	s.Quota = quota.Told{
-		Box: g.Box + "/others", Incarnation: own.Quota.Incarnation, Age: own.Quota.Age,
-		Spent: map[string]float64{}, Asked: map[string]float64{}, Level: own.Quota.Level,
-		Share: map[string]float64{}, Reserved: map[string]float64{},
-	}
 	if member != "" {
-		s.add(own)
-		s.Quota.Boxes = 1
-		for a, n := range own.Quota.Spent {
-			s.Quota.Spent[a] += n
-		}
-		for a, n := range own.Quota.Asked {
-			s.Quota.Asked[a] += n
-		}
+		s.add(g.self())
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -86,21 +63,9 @@
 			s.add(h.Status)
 		}
 	}
-	here := g.present(now)
-	g.near.AddTo(&s.Quota, member, now, here)
-	g.far.AddTo(&s.Quota, "", now, here)
-	s.Quota.Names = nil
 	return s
 }
 
-// present returns the boxes that this one or another relay hears.
-func (g *Gossip) present(now time.Time) map[string]bool {
-	in := map[string]bool{g.Box: true}
-	g.near.Present(in, now)
-	g.far.Present(in, now)
-	return in
-}
-
 // fromMember answers a box of this data centre, or one that has lost its relays.
 // It is counted only if this is the relay that it has chosen: a box that asks
 // around for one is counted where it was.
@@ -114,7 +79,6 @@
 	if counted {
 		in.keepSpeeds(old.Status)
 		g.members[in.Box] = heard{in, now}
-		g.near.Hear(in.Quota, now)
 	}
 	g.last = now
 	g.mu.Unlock()
@@ -122,6 +86,10 @@
 		g.log.Info().Str("event", "member").Str("other", in.Box).Uint64("version", in.Version).Msg("in touch")
 	}
 	w := World{Relay: relay, Vacant: relay && g.places() < relays, Others: g.sum(in.Box), Revision: g.known.Revision(), Silent: g.session.Silent(), Near: g.nearby()}
+	w.Arbiters, w.Counts = g.arbiters(), g.counts()
+	if d := g.Quota.Division(); d.Version > in.Divided {
+		w.Division = d
+	}
 	w.Others.Version, _ = g.known.Raw()
 	w.Others.Usage = nil
 	if !told {
@@ -133,16 +101,18 @@
 // fromRelay takes what another relay tells, and answers with this one's.
 func (g *Gossip) fromRelay(_ context.Context, in Status) (Status, error) {
 	g.hearRelay(in)
-	return g.together(), nil
+	s := g.together()
+	s.Limits = g.Quota.Tell(in.Box, time.Now())
+	return s, nil
 }
 
 func (g *Gossip) hearRelay(in Status) {
 	now := time.Now()
+	g.Quota.Hear(in.Limits, now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	in.keepSpeeds(g.others[in.Box].Status)
 	g.others[in.Box] = heard{in, now}
-	g.far.Hear(in.Quota, now)
 	g.last = now
 }
 
@@ -169,7 +139,9 @@
 		}
 		w.Go(func() {
 			var in Status
-			if err := g.call(c, s.address, "gossip.relay", status, &in); err == nil {
+			out := status
+			out.Limits = g.Quota.Tell(s.box, time.Now())
+			if err := g.call(c, s.address, "gossip.relay", out, &in); err == nil {
 				g.hearRelay(in)
 			}
 		})
@@ -212,11 +184,9 @@
 	for n, h := range g.others {
 		if h.at.Before(before) {
 			delete(g.others, n)
+			g.Quota.Forget(n)
 		}
 	}
-	quotas := time.Now().Add(-reserved)
-	g.near.Forget(quotas)
-	g.far.Forget(quotas)
 }
 
 // push tells the members of a change at once. One that is not reached finds out
--- a/gossip/status.go
+++ b/gossip/status.go
@@ -22,8 +22,11 @@
 	Address    string
 	Relay      string // the relay that counts this box; any other only answers it
 	Boxes      int
-	Version    uint64 // of the configuration in force
-	Quota      quota.Told
+	Counted    int         // of these, the boxes of a relay's own data centre
+	Version    uint64      // of the configuration in force
+	Limits     quota.Lease // what this relay leases to the one that is told
+	Divided    uint64      // the version by which a member divides the limits
+	Leaving    bool        // the box stops
 	Load       map[string]balance.Load
 	Demand     map[string]map[string]demand.Figure // by service and data centre
 	Usage      []tally.Part
@@ -39,6 +42,9 @@
 	Relay    bool
 	Vacant   bool
 	Others   Status
+	Arbiters []quota.Arbiter // the relays that may be asked
+	Counts   map[string]int  // of the boxes that are heard, by data centre
+	Division quota.Division  // if it is newer than the member's
 	Revision uint64
 	Silent   time.Duration
 	Near     []string // addresses of the boxes that are told at once what a box sends
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -45,6 +45,12 @@
 	Own(h http.Header, c *call.Call)
 }
 
+// Limits lets requests in by their accounts' rates. The answer's arbiter is the box
+// that gave it, if any did.
+type Limits interface {
+	Take(c context.Context, x quota.Question) (quota.Answer, quota.Arbiter)
+}
+
 // Options sets the ingress up. Notice is how long a box that stops still takes
 // connections, until the balancer has seen that it is not ready; Limit is how
 // long the stop may take in all.
@@ -59,8 +65,8 @@
 // Ingress is the service of one box.
 type Ingress struct {
 	Options
-	Codec Codec
-	Quota *quota.Quota
+	Codec  Codec
+	Limits Limits
 
 	forwarder *forward.Forwarder
 	known     *known.Known
@@ -79,8 +85,8 @@
 }
 
 // New returns the ingress of a box.
-func New(o Options, codec Codec, f *forward.Forwarder, q *quota.Quota, m metrics.Registry, log zerolog.Logger) *Ingress {
-	i := &Ingress{Options: o, Codec: codec, Quota: q, forwarder: f, metrics: m, log: log}
+func New(o Options, codec Codec, f *forward.Forwarder, l Limits, m metrics.Registry, log zerolog.Logger) *Ingress {
+	i := &Ingress{Options: o, Codec: codec, Limits: l, forwarder: f, metrics: m, log: log}
 	i.end, i.endAll = context.WithCancelCause(context.Background())
 	return i
 }
@@ -158,6 +164,9 @@
 	return errors.Join(err, i.probe.Close())
 }
 
+// Leaving reports whether the box stops.
+func (i *Ingress) Leaving() bool { return i.leaving.Load() }
+
 // Live returns how many requests are under way.
 func (i *Ingress) Live() int { return int(i.live.Load()) }
 
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -17,6 +17,7 @@
 	"birchlink.dev/birchlink/forward"
 	"birchlink.dev/birchlink/jsonhttp"
 	"birchlink.dev/birchlink/openai"
+	"birchlink.dev/birchlink/quota"
 )
 
 // staleAfter is the silence of the store after which this box does not trust
@@ -47,7 +48,7 @@
 		i.fail(w, q, err)
 		return
 	}
-	if err := i.admit(q); err != nil {
+	if err := i.admit(r.Context(), q); err != nil {
 		i.fail(w, q, err)
 		return
 	}
@@ -164,17 +165,21 @@
 }
 
 // admit counts the request against its account's rate.
-func (i *Ingress) admit(q forward.Request) error {
-	if q.Account == nil {
+func (i *Ingress) admit(c context.Context, q forward.Request) error {
+	a := q.Account
+	if a == nil || a.Rate <= 0 {
 		return nil
 	}
-	after, ok := i.Quota.Take(q.Account, size(q), time.Now())
-	if ok {
+	x := quota.Question{Account: a.Name, Size: size(q), Urgent: q.Route.Priority <= 0}
+	v, by := i.Limits.Take(c, x)
+	if v.OK {
 		return nil
 	}
-	level, own, share := i.Quota.State(q.Account.Name)
-	return errkind.New(errkind.LimitReached, "account %s is over its rate of %.0f with a burst of %.0f: %.0f are left, %.0f of them for this box (share %.2f)",
-		q.Account.Name, q.Account.Rate, q.Account.Burst, level, own, share).After(after)
+	if by.Box == "" {
+		return errkind.New(errkind.LimitReached, "no box that could be reached knows what account %s has left", a.Name).After(v.After)
+	}
+	return errkind.New(errkind.LimitReached, "account %s is over its rate of %.0f with a burst of %.0f: %s, with %.3f of the rate, has %.0f left for a request of %.0f",
+		a.Name, a.Rate, a.Burst, by.Box, v.Part, v.Level, x.Size).After(v.After)
 }
 
 // size is what a request counts against its account's rate.
--- /dev/null
+++ b/quota/arbiter.go
@@ -0,0 +1,100 @@
+package quota
+
+import (
+	"cmp"
+	"slices"
+
+	"birchlink.dev/birchlink/rendezvous"
+)
+
+// Arbiter is a box that others may ask.
+type Arbiter struct {
+	Box        string
+	DataCentre string
+	Address    string
+	Leaving    bool // it answers, and leases are to go to others
+}
+
+// shards is into how many groups accounts are dealt, each with arbiters of its own:
+// enough to spread them over the relays of nine data centres, and few enough to be
+// told in one message.
+const shards = 16
+
+func shard(account string) int { return int(rendezvous.Key(account) % shards) }
+
+// ranked orders boxes by rendezvous for a shard.
+func ranked(among []Arbiter, shard int) []Arbiter {
+	s := slices.Clone(among)
+	slices.SortFunc(s, func(a, b Arbiter) int {
+		k := uint64(shard) + 1
+		return cmp.Or(cmp.Compare(rendezvous.Weight(k, b.Box), rendezvous.Weight(k, a.Box)), cmp.Compare(a.Box, b.Box))
+	})
+	return s
+}
+
+// pick returns a shard's arbiters: the first by rendezvous, and the first of another
+// data centre, if there is one.
+func pick(among []Arbiter, shard int) []Arbiter {
+	s := ranked(among, shard)
+	if len(s) <= perShard {
+		return s
+	}
+	second := slices.IndexFunc(s, func(a Arbiter) bool { return a.DataCentre != s[0].DataCentre })
+	return []Arbiter{s[0], s[max(second, 1)]}
+}
+
+// pickHome returns the relay that keeps what stays in this data centre of a shard.
+func pickHome(self Arbiter, among []Arbiter, shard int) Arbiter {
+	near := slices.DeleteFunc(slices.Clone(among), func(a Arbiter) bool { return a.DataCentre != self.DataCentre })
+	if len(near) == 0 {
+		return self
+	}
+	return ranked(near, shard)[0]
+}
+
+// staying returns those that do not leave.
+func staying(among []Arbiter) []Arbiter {
+	return slices.DeleteFunc(slices.Clone(among), func(a Arbiter) bool { return a.Leaving })
+}
+
+// order returns whom a box asks for an account, in turn: the relay that keeps what stays
+// in its data centre, the account's arbiters, and the other relays of the data centre,
+// to which leases may have moved. Those that leave hold what was leased to them for a
+// while.
+func order(self Arbiter, among []Arbiter, account string) []Arbiter {
+	stay, sh := staying(among), shard(account)
+	var out []Arbiter
+	add := func(as ...Arbiter) {
+		for _, a := range as {
+			if !contains(out, a.Box) {
+				out = append(out, a)
+			}
+		}
+	}
+	if h := pickHome(self, stay, sh); contains(among, h.Box) {
+		add(h)
+	}
+	far := pick(stay, sh)
+	if rendezvous.Key(self.Box)%perShard == 1 {
+		slices.Reverse(far) // half of the boxes ask the one first, half the other
+	}
+	add(far...)
+	for _, a := range among {
+		if a.Leaving || a.DataCentre == self.DataCentre {
+			add(a)
+		}
+	}
+	return out
+}
+
+func contains(among []Arbiter, box string) bool {
+	return slices.ContainsFunc(among, func(a Arbiter) bool { return a.Box == box })
+}
+
+func names(among []Arbiter) []string {
+	out := make([]string, 0, len(among))
+	for _, a := range among {
+		out = append(out, a.Box)
+	}
+	return out
+}
--- a/quota/before.go
+++ b/quota/before.go
@@ -7,107 +7,124 @@
 	"birchlink.dev/birchlink/catalog"
 )
 
-// firstFor is the time of an account's rate that boxes which have heard nobody may
-// take together besides their shares: they hear each other within it or little more.
-const firstFor = 300 * time.Millisecond
-
 // startPart is the part of a burst with which an account that was not short begins
-// anew when its boxes do: what was spent in the last second before is not known.
-const startPart = 0.6
+// anew when its boxes do: what was spent in the last second before is not known, and
+// until boxes have heard each other each has only its part for requests that are large
+// against it.
+const startPart = 1.1
 
-// lowPart is the part of its burst below which an account is short though no more than
-// its rate is asked for: large requests that come together take most of a burst, and it
-// is back within a second or two. In a large fleet what is asked and spent is heard late,
-// and what is not short there is let spend by many boxes at once: it is short below
-// fullPart.
-const lowPart = 0.2
+// shortPart is the part of its burst below which an account is short, so that its
+// level is written down for a restart of all boxes.
+const shortPart = 0.6
 
-func (q *Quota) shortPart() float64 {
-	if q.many() {
-		return fullPart
-	}
-	return lowPart
-}
+// seedFor is the age up to which a process may begin with what accounts had left
+// before: when all start at once, that is when they have heard each other.
+const seedFor = 3 * time.Second
 
 // Before is what the boxes knew together before this process started: how many they
-// were, and what was left of the accounts that were short, for being asked for more
-// than their rate or for having little left.
+// were, what was left of the accounts that were short, and how limits were divided.
 type Before struct {
-	Boxes int
-	Short map[string]float64
+	Boxes    int
+	Short    map[string]float64
+	Division Division
+}
+
+// left returns what an account begins with.
+func (q *Quota) left(b *bucket) float64 {
+	if n, ok := q.before.Short[b.account]; ok {
+		return n
+	}
+	return startPart * b.burst
 }
 
-// Before returns what a process that starts within a second needs to know: what
-// accounts have left, less what they go on spending meanwhile.
+// Before returns what processes that start anew need to know: the accounts that are
+// short, by what all relays lack together, and a division by what is known now.
 func (q *Quota) Before(boxes int, accounts []catalog.Account, now time.Time) Before {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	p := Before{Boxes: boxes, Short: map[string]float64{}}
+	q.fillAll(now)
+	lack := q.lack()
+	p := Before{Boxes: boxes, Short: map[string]float64{}, Division: q.divide(now)}
 	for i := range accounts {
 		a := &accounts[i]
-		b := q.accounts[a.Name]
-		if b == nil || a.Rate <= 0 {
+		if a.Rate <= 0 {
 			continue
 		}
-		rate, burst := q.limit(a)
-		q.fill(b, rate, burst, now)
-		if left := b.left() - b.unheard; b.contended() || left < q.shortPart()*burst {
+		_, burst := q.limit(a)
+		left := burst - lack[a.Name]
+		for _, l := range q.heard {
+			left -= l.Lacks[a.Name]
+		}
+		if left < shortPart*burst {
 			p.Short[a.Name] = math.Round(left)
 		}
 	}
 	return p
 }
 
-// Expect tells a process that has heard none yet what was before it started.
-func (q *Quota) Expect(p Before) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if len(q.heard) > 0 || p.Boxes < 2 {
-		return
-	}
-	q.before, q.boxes = &p, p.Boxes
-	for n, b := range q.accounts {
-		b.share, b.free, b.wanted = q.shareOf(n, b.asked, q.Started)
-		b.own = min(b.own, b.share*b.left())
+// divide returns a new division, by what is known now; the last one while only a part
+// of the fleet is heard.
+func (q *Quota) divide(now time.Time) Division {
+	if d := q.divisions.newest(); d != nil && q.apart {
+		return *d
 	}
+	return divide(q.counts(now), q.demands(now))
 }
 
-// expected returns how many boxes there were before this process started, 1 if that
-// is not known.
-func (q *Quota) expected() int {
-	if q.before == nil {
-		return 1
+// counts returns how many boxes each data centre has: those that were heard within
+// thereFor, and before this process has run for so long those of the last division.
+func (q *Quota) counts(now time.Time) map[string]int {
+	n := q.boxes.most()
+	if d := q.divisions.newest(); d != nil && q.age(now) < thereFor {
+		return most(n, d.Boxes)
 	}
-	return q.before.Boxes
+	return n
 }
 
-// atStart returns what an account has left when it is first asked for here, without
-// what the rate gave since the start. Where nothing is known of before, it had nothing.
-func (q *Quota) atStart(b *bucket, burst float64) float64 {
-	if q.before == nil {
-		return b.level
+// demands returns what accounts are asked for by data centre, as the relays tell.
+func (q *Quota) demands(now time.Time) map[string]map[string]float64 {
+	out := map[string]map[string]float64{}
+	add := func(dc string, asked map[string]float64) {
+		for a, n := range asked {
+			if out[a] == nil {
+				out[a] = map[string]float64{}
+			}
+			out[a][dc] += n
+		}
 	}
-	if left, ok := q.before.Short[b.name]; ok {
-		return b.level + left
+	add(q.Self.DataCentre, q.asked(now))
+	for _, l := range q.heard {
+		add(l.DataCentre, l.Asked)
 	}
-	return b.level + startPart*burst
+	return out
 }
 
-// blind reports whether this process has heard nobody yet, knows that there were
-// others, and does not know that they left the account nearly all of its burst.
-func (q *Quota) blind(account string) bool {
-	if len(q.heard) > 0 || q.before == nil {
-		return false
+// Expect tells a process that has started what was before.
+func (q *Quota) Expect(p Before) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.divisions.take(p.Division, q.Started)
+	if p.Boxes > 0 && q.before == nil {
+		q.before = &p
 	}
-	_, short := q.before.Short[account]
-	return short
 }
 
-// owing reports whether an account owed something before this process started.
-func (q *Quota) owing(account string) bool { return q.before != nil && q.before.Short[account] < 0 }
-
-// first is what each box may take besides its share while it has heard nobody: all
-// together firstFor of the rate.
-func (q *Quota) first(rate float64) float64 {
-	return rate * firstFor.Seconds() / float64(q.expected())
+// seed lets buckets begin with what was left before, as far as parts are leased to this
+// young process for the first time: what was held of them is lost, here or where they
+// were leased to before.
+func (q *Quota) seed(from string, h hold, now time.Time) {
+	if q.before == nil || q.age(now) > seedFor || len(h.pieces) != shards {
+		return
+	}
+	if q.seeds == nil {
+		q.seeds = map[string]map[string]float64{}
+	}
+	if q.seeds[from] == nil {
+		q.seeds[from] = map[string]float64{}
+	}
+	for n, b := range q.buckets {
+		more := max(h.of(n, b.shard)-q.seeds[from][n], 0)
+		q.seeds[from][n] += more
+		b.level += more * q.left(b)
+	}
 }
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -3,107 +3,96 @@
 import (
 	"math"
 	"time"
-)
 
-// demandHalf is the half-life of the demand by which shares are told: long
-// enough to smooth arrivals, short against the window that rates are judged by.
-const demandHalf = 2 * time.Second
+	"birchlink.dev/birchlink/catalog"
+)
 
-// debtPart is the most that an account may owe, as a part of what its rate gives in
-// a window. Many boxes of a large fleet can take several seconds' worth before they
-// hear of each other, and the window holds all of it.
+// debtPart is the most that a bucket may owe, as a part of what its account's rate
+// gives in a window: one request may be larger than that, and the account is not to be
+// refused for minutes.
 const debtPart = 0.75
 
-// leastShare keeps divisions by shares in bounds; it is below any share dealt.
-const leastShare = 0.001
-
-// An account has nearly all that it may have from fullPart of its burst on. Boxes may
-// then take a part of the burst more than they were dealt, leewayTotal bursts together
-// at most.
-const (
-	fullPart    = 0.8
-	leewayTotal = 2
-)
-
-// bucket is the fleet's token bucket of one account as this box knows it.
+// bucket is the token bucket of one account at one box, which fills by the leases
+// that the box holds.
 type bucket struct {
-	margins
-	name    string
-	level   float64 // what all boxes may still spend, without what is unheard
-	others  float64 // what the others were heard to have spent
-	pace    pace    // at which they spend
-	unheard float64 // what they are taken to have spent since they were heard
-	filled  time.Time
-	share   float64 // of the account, that this box spends
-	free    float64 // of the account, that is not reserved for boxes that are away
-	rate    float64 // the account's; zero until it is first asked for here
+	account string
+	shard   int
+	rate    float64 // the account's, units a second
 	burst   float64
-	wanted  float64 // what all boxes are asked for, units a second
-	own     float64 // what this box may still spend before the next round
-	spent   float64 // by this box since it started
-	asked   float64 // of this box, units a second
-	at      time.Time
-	past    past // what was asked of this box at its last rounds
-}
-
-// extrapolate takes the pace at which the others were heard to spend as that at
-// which they go on.
-func (b *bucket) extrapolate(spent float64, now time.Time) {
-	b.others += spent
-	b.unheard = b.pace.rate(b.others, now) * b.late.Seconds()
+	level   float64
+	queue   float64 // what callers were told to come back for, and may not have
+	demand  demand
+	filled  time.Time
 }
 
-// left is what all boxes may still spend.
-func (b *bucket) left() float64 { return b.level - b.unheard }
-
-// raised is the part of the way to what it would be dealt that a box is given in one
-// round while much more is asked than the rate gives.
-func (b *bucket) raised() float64 {
-	if !b.scaled {
-		return b.raise
+// bucket returns an account's bucket under its limit of now.
+func (q *Quota) bucket(a *catalog.Account, now time.Time) *bucket {
+	if q.buckets == nil {
+		q.buckets = map[string]*bucket{}
+	}
+	rate, burst := q.limit(a)
+	b := q.buckets[a.Name]
+	if b == nil {
+		b = &bucket{account: a.Name, shard: shard(a.Name), rate: rate, burst: burst, filled: now}
+		q.buckets[a.Name] = b
 	}
-	full := max(b.left()/max(b.burst, 1), 0)
-	return b.raise * full * full
+	if b.rate != rate || b.burst != burst {
+		q.fill(b, now)
+		b.rate, b.burst = rate, burst
+	}
+	return b
 }
 
-// deal sets what this box may spend before it hears the others again. While much
-// more is asked than the rate gives, what it has left rises by a part of the way
-// only, and by less the less of the burst is left: what the others spent in the
-// last rounds is not known yet, and boxes that were let off together would all take
-// their next request together. Its share of the rate is added as time goes on.
-func (b *bucket) deal() {
-	part := b.part() * b.left() / max(b.free, b.share, leastShare)
-	switch {
-	case !b.contended() || part < b.own:
-		b.own = part
-	default:
-		b.own += b.raised() * (part - b.own)
+func (q *Quota) fillAll(now time.Time) {
+	for _, b := range q.buckets {
+		q.fill(b, now)
 	}
 }
 
-// contended reports whether much more is asked of all boxes than the rate gives.
-func (b *bucket) contended() bool { return b.wanted > b.much*b.rate }
-
-// beyond is how far a box may go beyond what it was dealt while the account has
-// nearly all that it may have: requests come together.
-func (b *bucket) beyond(boxes int) float64 {
-	if b.contended() || b.left() < fullPart*b.burst {
-		return 0
+// fill adds what the rate gave since the last time, by the leases that were held, and
+// returns the part of the rate that this box has now. What a lease left behind goes
+// with it: all buckets together never hold more than one burst.
+func (q *Quota) fill(b *bucket, now time.Time) float64 {
+	given, part := q.lessee.given(b.account, b.shard, b.filled, now)
+	passed := max(now.Sub(b.filled), 0).Seconds()
+	b.filled = now
+	if room := part * b.burst; b.level < room {
+		b.level = min(b.level+given*b.rate, room)
+	} else if q.age(now) > seedFor {
+		b.level = room
 	}
-	return min(b.leeway, leewayTotal/float64(max(boxes, 1))) * b.burst
+	b.level = max(b.level, -debtPart*b.rate*q.window().Seconds())
+	b.queue = max(b.queue-passed*b.rate, 0)
+	return part
 }
 
-// part is what this box may spend of what is left before the next round.
-func (b *bucket) part() float64 {
-	if b.contended() {
-		return b.share
+// lack returns what the buckets of this box lack, of accounts that lack a twentieth or
+// more of what it may hold.
+func (q *Quota) lack() map[string]float64 {
+	const least = 0.05
+	var out map[string]float64
+	for n, b := range q.buckets {
+		_, part := q.lessee.given(b.account, b.shard, b.filled, b.filled)
+		d := part*b.burst - b.level
+		if d <= least*part*b.burst || d <= 0 {
+			continue
+		}
+		if out == nil {
+			out = map[string]float64{}
+		}
+		out[n] = d
 	}
-	return min(b.over*b.share+b.spare, 1)
+	return out
 }
 
-// ask adds to the smoothed demand.
-func (b *bucket) ask(size float64, now time.Time) {
-	const ln2 = 0.693
-	b.asked = b.asked*math.Exp2(-float64(now.Sub(b.at))/float64(demandHalf)) + size*ln2/demandHalf.Seconds()
-	b.at = now
+// asked returns what accounts are asked for here by boxes of this data centre.
+func (q *Quota) asked(now time.Time) map[string]float64 {
+	out := map[string]float64{}
+	for n, b := range q.buckets {
+		b.demand.decay(now)
+		if b.demand.rate >= 1 {
+			out[n] = math.Round(b.demand.rate)
+		}
+	}
+	return out
 }
--- /dev/null
+++ b/quota/hold.go
@@ -0,0 +1,55 @@
+package quota
+
+import (
+	"maps"
+	"time"
+)
+
+// lessee holds what this box may spend. Its zero value holds nothing.
+type lessee struct {
+	from map[string]hold
+}
+
+// hold is what one lessor has leased: pieces of its part of each account, by the
+// account's shard.
+type hold struct {
+	parts  map[string]float64
+	pieces []Pieces
+	until  time.Time
+}
+
+// of is the part of an account that the lease gives.
+func (h hold) of(account string, shard int) float64 {
+	return h.parts[account] * h.pieces[shard].size()
+}
+
+// take holds a lease in place of its lessor's last. All buckets must have been filled
+// up to now, which drops what has ended.
+func (l *lessee) take(from string, h hold, now time.Time) {
+	if l.from == nil {
+		l.from = map[string]hold{}
+	}
+	maps.DeleteFunc(l.from, func(_ string, h hold) bool { return !now.Before(h.until) })
+	if len(h.pieces) == shards && now.Before(h.until) {
+		l.from[from] = h
+	}
+}
+
+// drop gives up what a lessor has leased. All buckets must have been filled up to now.
+func (l *lessee) drop(from string) { delete(l.from, from) }
+
+// given returns how many seconds' worth of its rate an account was given between two
+// moments, and the part of the rate that it has at the second.
+func (l *lessee) given(account string, shard int, since, now time.Time) (seconds, part float64) {
+	for _, h := range l.from {
+		p := h.of(account, shard)
+		end := now
+		if h.until.Before(now) {
+			end = h.until
+		} else {
+			part += p
+		}
+		seconds += p * max(end.Sub(since), 0).Seconds()
+	}
+	return seconds, part
+}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -1,263 +1,337 @@
-// Package quota holds accounts to their rates over all boxes together. Each box
-// follows the whole fleet's spending as the others tell it, and between two
-// rounds spends at most its share of what was left.
+// Package quota holds accounts to their rates over all boxes together, so that a
+// limit is kept because nobody can spend what was not given to it. Each box has an
+// equal part of every account's rate. A relay speaks for the boxes that it counts,
+// and leases their parts to two arbiters of each account, which the other boxes ask.
 package quota
 
 import (
-	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"birchlink.dev/birchlink/catalog"
 )
 
-// floorPart is the part of the whole that is divided evenly, so that a box with
-// no demand yet can serve the first that comes.
-const floorPart = 0.2
-
-// A process that has just started and heard nobody takes newShare of each account
-// for newFor, or its even part where it knows how many boxes there were: when all
-// start at once each would spend the whole. For settleFor it takes boxes that were
-// there and are not heard yet to be asked for as much as those that are.
-const (
-	newShare  = 0.12
-	newFor    = 2 * time.Second
-	settleFor = 5 * time.Second
-)
-
-// longestRetry bounds when a refused caller is told to come back: what boxes are
-// dealt changes each round, so what this one owes now says little about later.
-const longestRetry = 8 * time.Second
-
 // Terms say how an account's limit is judged: in each Window it may spend its
 // rate over the window and its burst. Overage, a part of that, and Slack, in
-// units, are what boxes together may be over it.
+// units, are what boxes together may be over it; they are kept for what is let in
+// beyond what a bucket holds, and for what is forgotten at a restart.
 type Terms struct {
 	Window  time.Duration
 	Overage float64
 	Slack   float64
 }
 
+// evenPart is the part of a burst that is dealt out over a window: each window may
+// hold the rate's and the burst, not only the first.
+const evenPart = 0.25
+
+// What boxes may be over a limit in a window is given to the account in part, so that
+// what is within the limit is not refused: toleratedRate of it over the window, and
+// toleratedBurst at once. The rest is kept for requests that are larger than what is
+// left, for what is forgotten at a restart, and for boxes that are counted twice while
+// they move. With more an account goes over its limit in some of the courses of
+// TestAnyCourse.
+const (
+	toleratedRate  = 0.25
+	toleratedBurst = 0.2
+)
+
+// defaultWindow stands in for terms that name none.
+const defaultWindow = 8 * time.Second
+
+func (t Terms) window() time.Duration {
+	if t.Window > 0 {
+		return t.Window
+	}
+	return defaultWindow
+}
+
 // limit returns the rate and the burst of a bucket that keeps an account to its
-// limit.
-func (q *Quota) limit(a *catalog.Account) (rate, burst float64) {
-	g := q.margins()
-	x := 1 + g.tolerance*q.Overage
-	even := g.even * a.Burst
-	return x * (a.Rate + even/q.window().Seconds()), x*(a.Burst-even) + g.tolerance*q.Slack
+// limit in each window.
+func (t Terms) limit(a *catalog.Account) (rate, burst float64) {
+	even := evenPart * a.Burst
+	over := t.tolerated(a)
+	w := t.window().Seconds()
+	return a.Rate + even/w + toleratedRate*over/w, a.Burst - even + toleratedBurst*over
 }
 
-// Quota is one box's part. Its zero value, with Terms and Started set, is ready.
+// tolerated is what boxes together may be over an account's limit in a window.
+func (t Terms) tolerated(a *catalog.Account) float64 {
+	return t.Overage*(a.Rate*t.window().Seconds()+a.Burst) + t.Slack
+}
+
+// View is what a box knows of the fleet.
+type View struct {
+	// Arbiters are the relays that this box hears, or that its relay names.
+	Arbiters []Arbiter
+
+	// Counted is how many boxes of its data centre this one speaks for: itself and
+	// those that it counts as a relay; zero while a relay counts it.
+	Counted int
+
+	// Boxes is how many boxes of each data centre are heard, this one included.
+	Boxes map[string]int
+
+	// Division is that of this box's relay.
+	Division Division
+}
+
+// Quota is one box's part. Its zero value, with the exported fields set, is ready.
 type Quota struct {
 	Terms
+	Self        Arbiter
+	Incarnation string
 
 	// Started is when the process began. What an account had left then is known if
-	// the store tells (Expect); else its bucket fills from nothing.
+	// the store tells (Expect); else its buckets fill from nothing.
 	Started time.Time
 
-	mu       sync.Mutex
-	accounts map[string]*bucket
-	heard    map[string]Told // the last from each box
-	boxes    int             // how many there are, this one included; zero if not known
-	before   *Before         // what was before this process started, if that is known
-	alone    bool
+	// Chance returns numbers from 0 to 1; nil stands for random ones.
+	Chance func() float64
+
+	mu        sync.Mutex
+	arbiters  []Arbiter
+	divisions divisions
+	boxes     boxes
+	apart     bool // fewer boxes are heard than there are
+	buckets   map[string]*bucket
+	lessor    lessor
+	lessee    lessee
+	heard     map[string]Lease              // what other relays told last
+	before    *Before                       // what was before this process started, if known
+	seeds     map[string]map[string]float64 // by lessor and account, the parts that began with what was left before
 }
 
-// Own returns what this box tells.
-func (q *Quota) Own(box, incarnation string, now time.Time) Told {
+// apartBelow is the part of all boxes below which those that are heard are a part of
+// the fleet only.
+const apartBelow = 0.9
+
+// Round leases this box's part anew, by what it now knows of the fleet. Accounts are
+// those of the configuration in force.
+func (q *Quota) Round(v View, accounts []catalog.Account, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	t := Told{
-		Box: box, Incarnation: incarnation, Boxes: 1, Names: []string{box}, Age: now.Sub(q.Started),
-		Spent: map[string]float64{}, Asked: map[string]float64{}, Level: map[string]float64{}, Share: map[string]float64{},
+	q.divisions.take(v.Division, now)
+	q.boxes.hear(v.Boxes, now)
+	d, n := q.divisions.newest(), Division{Boxes: v.Boxes}
+	q.apart = d != nil && float64(n.all()) < apartBelow*float64(d.all())
+	q.arbiters = v.Arbiters
+	if !q.apart && q.agreed() {
+		q.divisions.settle()
 	}
-	for n, b := range q.accounts {
-		b.ask(0, now)
-		b.past.note(b.asked, now)
-		t.Spent[n], t.Asked[n], t.Level[n], t.Share[n] = b.spent, b.asked, b.left(), b.share
+	for i := range accounts {
+		q.bucket(&accounts[i], now)
 	}
-	return t
+	q.fillAll(now)
+	if v.Counted == 0 {
+		q.lessor.leave(now)
+		q.lessee.drop(q.Self.Box)
+		return
+	}
+	among := staying(v.Arbiters)
+	if !contains(v.Arbiters, q.Self.Box) || len(among) == 0 {
+		among = []Arbiter{q.Self}
+	}
+	boxes := q.lessor.speaksFor(v.Counted, now)
+	parts := map[string]float64{}
+	for a := range q.buckets {
+		parts[a] = q.divisions.part(a, q.Self.DataCentre, boxes, now)
+	}
+	q.lessor.lease(q.Self, among, parts, now)
+	h := hold{parts, q.lessor.pieces(q.Self.Box, now), now.Add(leaseFor)}
+	q.seed(q.Self.Box, h, now)
+	q.lessee.take(q.Self.Box, h, now)
 }
 
-// Hear takes what the other boxes told into the buckets and deals this box's
-// shares anew. Boxes that are not in ts any more have no share.
-func (q *Quota) Hear(ts []Told, now time.Time) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	next := map[string]Told{}
-	spent := map[string]float64{}
-	boxes := 1
-	for _, t := range ts {
-		q.spend(t, spent, now)
-		next[t.Box] = t
-		boxes += max(t.Boxes, 1)
-	}
-	q.heard, q.boxes, q.alone = next, boxes, false
-	for n, b := range q.accounts {
-		b.ask(0, now)
-		if b.rate > 0 {
-			q.fill(b, b.rate, b.burst, now)
-		}
-		b.margins = q.margins()
-		b.extrapolate(spent[n], now)
-		asked := b.asked
-		if q.many() {
-			asked = b.past.before(now.Add(-b.late), asked)
-		}
-		b.share, b.free, b.wanted = q.shareOf(n, asked, now)
-		if q.owing(n) && now.Sub(q.Started) < settleFor {
-			b.wanted = math.Inf(1) // what is asked of all is not known yet, and was too much
+// agreed reports whether all relays that are heard keep to this box's division.
+func (q *Quota) agreed() bool {
+	for _, a := range q.arbiters {
+		if a.Box != q.Self.Box && q.heard[a.Box].Version < q.divisions.version() {
+			return false
 		}
-		b.deal()
 	}
+	return true
 }
 
-// Alone says that no other box is heard. The box then keeps to the shares that it
-// last told, which the others reserve for it.
-func (q *Quota) Alone() {
+// Division returns how this box divides the limits.
+func (q *Quota) Division() Division {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.alone {
-		return
-	}
-	q.alone = true
-	for _, b := range q.accounts {
-		b.wanted = math.Inf(1)
-		b.own = min(b.own, b.share*b.left())
-		b.level = b.share * b.left()
-		b.pace, b.unheard = pace{}, 0
-		b.free = b.share
+	if d := q.divisions.newest(); d != nil {
+		return *d
 	}
+	return Division{}
 }
 
-// spend takes what one teller's boxes have spent since it was last heard out of the
-// buckets, and adds it to spent. What boxes spent that another teller told of before
-// is in this box's level already; what a teller that has run for a while, or for
-// longer, takes to be left may be less, and is believed.
-func (q *Quota) spend(t Told, spent map[string]float64, now time.Time) {
-	old, known := q.heard[t.Box]
-	known = known && old.Incarnation == t.Incarnation
-	older := t.Age >= min(now.Sub(q.Started), young)
-	for a, n := range t.Spent {
-		b := q.bucket(a, now)
-		switch {
-		case known:
-			b.level -= n - old.Spent[a]
-			spent[a] += n - old.Spent[a]
-		case older:
-			b.level = min(b.level, t.Level[a]+b.unheard)
-		}
-	}
+// Adopt takes a division that this box has written.
+func (q *Quota) Adopt(d Division, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.divisions.take(d, now)
 }
 
-// shareOf returns the part of an account that this box may spend, the part that
-// is not reserved, and what all boxes together are asked for.
-func (q *Quota) shareOf(account string, asked float64, now time.Time) (share, free, sum float64) {
-	if len(q.heard) == 0 && now.Sub(q.Started) < newFor {
-		share = min(newShare, 1/float64(q.expected()))
-		if q.before == nil || q.blind(account) {
-			return share, 1, math.Inf(1)
-		}
-		return share, 1, 0
+// Tell returns what this relay tells another: its lease, what accounts lack here, and
+// what they are asked for.
+func (q *Quota) Tell(to string, now time.Time) Lease {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.fillAll(now)
+	l := Lease{From: q.Self.Box, DataCentre: q.Self.DataCentre, Now: q.stamp(now), Seen: q.heard[to].Now, Version: q.divisions.version(), Lacks: q.lack(), Asked: q.asked(now)}
+	if d := q.divisions.newest(); d != nil && q.heard[to].Version < d.Version {
+		l.Division = *d
 	}
-	sum = asked
-	boxes := 1
-	reserved := 0.0
-	for _, t := range q.heard {
-		sum += t.Asked[account]
-		boxes += max(t.Boxes, 1)
-		reserved += t.Reserved[account]
+	l.Pieces = q.lessor.pieces(to, now)
+	if slices.Max(l.Pieces) > 0 {
+		l.Parts = q.lessor.parts
 	}
-	if n := q.expected(); boxes < n && now.Sub(q.Started) < settleFor {
-		// The others have not all been heard yet.
-		sum *= float64(n) / float64(boxes)
-		boxes = n
+	return l
+}
+
+// Hear takes what another relay tells. A lease counts from the moment that its
+// lessor had last heard of here, so that one which was held up on the way, or read
+// after a pause of this process, has no more time than its lessor gave it.
+func (q *Quota) Hear(l Lease, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.heard == nil {
+		q.heard = map[string]Lease{}
 	}
-	free = max(1-reserved, 0)
-	even := free / float64(boxes)
-	if sum <= 0 {
-		return even, free, 0
+	if old, ok := q.heard[l.From]; ok && old.Now.Incarnation != l.Now.Incarnation {
+		// What the process before leased is leased anew.
+		q.fillAll(now)
+		q.lessee.drop(l.From)
 	}
-	return floorPart*even + (1-floorPart)*free*asked/sum, free, sum
+	q.heard[l.From] = l
+	q.divisions.take(l.Division, now)
+	if l.Seen.Incarnation != q.Incarnation {
+		return
+	}
+	q.fillAll(now)
+	h := hold{l.Parts, l.Pieces, q.Started.Add(l.Seen.At).Add(leaseFor)}
+	q.seed(l.From, h, now)
+	q.lessee.take(l.From, h, now)
 }
 
-// State describes what is left of an account, for the log.
-func (q *Quota) State(name string) (level, own, share float64) {
+// Forget drops what a relay told that is not heard any more; its leases end by
+// themselves.
+func (q *Quota) Forget(relay string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if b := q.accounts[name]; b != nil {
-		return b.left(), b.own, b.share
+	delete(q.heard, relay)
+}
+
+// Take asks for a request in turn until one lets it in: the relays of this data centre,
+// which keep a part at home, then the account's arbiters, and a box that no relay counts
+// itself. If none lets it in, the answer is that of the one with the soonest way
+// back; ask reports false for one that did not answer.
+func (q *Quota) Take(x Question, now time.Time, ask func(Arbiter, Question) (Answer, bool)) (Answer, Arbiter) {
+	soonest, from := Answer{After: unheardRetry}, Arbiter{}
+	heard := false
+	x.DataCentre = q.Self.DataCentre
+	for _, a := range q.order(x.Account, now) {
+		v, ok := ask(a, x)
+		if ok && v.OK {
+			return v, a
+		}
+		if ok && (!heard || v.After < soonest.After) {
+			soonest, from, heard = v, a, true
+		}
 	}
-	return 0, 0, 0
+	return soonest, from
 }
 
-// Take counts a request of a size against its account, or returns when to come
-// back. A request may be larger than a share, so it is let in while anything is
-// left, and what it takes beyond that is owed. A process that has heard nobody yet
-// lets in requests of an account that was short before as often as its share pays
-// for them.
-func (q *Quota) Take(a *catalog.Account, size float64, now time.Time) (time.Duration, bool) {
+// unheardRetry is when a caller is told to come back whom nobody could be asked for: by
+// then leases have moved on.
+const unheardRetry = leaseFor / 2
+
+// order returns whom to ask for an account, in turn.
+func (q *Quota) order(account string, now time.Time) []Arbiter {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	b := q.bucket(a.Name, now)
-	b.ask(size, now)
-	if a.Rate <= 0 {
-		return 0, true
+	out := order(q.Self, q.arbiters, account)
+	if contains(out, q.Self.Box) {
+		return out
 	}
-	rate, burst := q.limit(a)
-	q.fill(b, rate, burst, now)
-	if b.own <= -b.beyond(q.boxes) || b.left() <= 0 || q.sparing(b, rate, size) {
-		need := max(-b.own/b.part(), -b.left(), 0) + size
-		return min(time.Duration(need/rate*float64(time.Second)), longestRetry), false
+	if _, part := q.lessee.given(account, shard(account), now, now); part > 0 {
+		return append(out, q.Self)
 	}
-	b.level -= size
-	b.own -= size
-	b.spent += size
-	return 0, true
+	return out
 }
 
-// sparing reports whether a request is left out so that requests are let in only as
-// often as what this box may spend pays for them. A box that hears nobody is, for what
-// it takes too much nobody else makes good.
-func (q *Quota) sparing(b *bucket, rate, size float64) bool {
-	switch {
-	case q.blind(b.name):
-		return b.own+q.first(rate) < size*rand.Float64()
-	case q.alone && q.many():
-		return b.own < size*rand.Float64()
-	default:
-		return false
-	}
+// Question asks whether a request may be let in. Urgent requests may spend what
+// others leave.
+type Question struct {
+	Account    string
+	Size       float64
+	DataCentre string // of the box that asks
+	Urgent     bool
 }
 
-func (q *Quota) bucket(name string, now time.Time) *bucket {
-	if q.accounts == nil {
-		q.accounts = map[string]*bucket{}
-	}
-	b := q.accounts[name]
+// Answer says whether a request was let in, else when its caller may come back.
+// Level and Part are what the bucket holds that it was judged by, and the part of the
+// account's rate that fills it.
+type Answer struct {
+	OK    bool
+	After time.Duration
+	Level float64
+	Part  float64
+}
+
+// longestRetry bounds when a refused caller is told to come back: the longest that
+// a window takes to be empty.
+const longestRetry = defaultWindow
+
+// Ask answers a question by this box's bucket. A request may be larger than what a
+// bucket ever holds, so it is let in while anything is left, and what it takes beyond
+// that is owed. Many boxes with a small part each would together let in too much in
+// that way: there a request is let in as often as what is left pays for it.
+func (q *Quota) Ask(x Question, now time.Time) Answer {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	b := q.buckets[x.Account]
 	if b == nil {
-		b = &bucket{name: name, at: now}
-		b.margins = q.margins()
-		b.share, b.free, b.wanted = q.shareOf(name, 0, now)
-		q.accounts[name] = b
+		return Answer{After: unheardRetry}
+	}
+	part := q.fill(b, now)
+	if part <= 0 && b.level <= 0 {
+		return Answer{After: unheardRetry, Level: b.level}
+	}
+	if x.DataCentre == q.Self.DataCentre {
+		b.demand.add(x.Size, now)
+	}
+	need := 0.0
+	if !x.Urgent {
+		need = urgentPart * part * b.burst
 	}
-	return b
+	if part < smallPart {
+		need = max(need, x.Size*q.chance())
+	}
+	if b.level > 0 && b.level >= need {
+		b.level -= x.Size
+		return Answer{OK: true, Level: b.level, Part: part}
+	}
+	b.queue += x.Size
+	wait := b.queue/max(b.rate, 1) + (need-b.level)/max(b.rate*part, 1)
+	return Answer{After: min(time.Duration(wait*float64(time.Second)), longestRetry), Level: b.level, Part: part}
 }
 
-// fill adds what the rate gave since the last time.
-func (q *Quota) fill(b *bucket, rate, burst float64, now time.Time) {
-	b.rate, b.burst = rate, burst
-	if b.filled.IsZero() {
-		b.level, b.filled = q.atStart(b, burst), q.Started
-		b.own = b.part() * b.left()
-	}
-	got := rate * max(now.Sub(b.filled), 0).Seconds()
-	b.filled = now
-	debt := debtPart * rate * q.window().Seconds()
-	b.level = min(max(b.level, -debt)+b.free*got, b.free*burst+b.unheard)
-	if !b.contended() {
-		b.own = max(b.own, -b.part()*debt)
+// urgentPart is the part of its bucket that an account short of its rate keeps for
+// its most urgent requests; smallPart the part of the rate below which a bucket is one
+// of many.
+const (
+	urgentPart = 0.1
+	smallPart  = 0.12
+)
+
+func (q *Quota) chance() float64 {
+	if q.Chance != nil {
+		return q.Chance()
 	}
-	b.own = min(b.own+b.part()*got, b.part()*burst)
+	return rand.Float64()
 }
+
+func (q *Quota) age(now time.Time) time.Duration { return now.Sub(q.Started) }
+
+func (q *Quota) stamp(now time.Time) Stamp { return Stamp{q.Incarnation, q.age(now)} }
