Number windows by a time of day that does not jump with a box's own clock

Cause: tally and reporter numbered usage windows by each reading of the box's own clock, and the budget of repeats cut its window by it: after a step back it forgot nothing until the clock had caught up.

Change: daytime.Clock carries the time of day on by the steady clock. A process that has just started, perhaps in a step, goes by the median of the relays that it hears; later it follows its own clock by a thousandth. The budget cuts its window by the steady clock. Ruled out: taking the time from the store, whose answers do not tell it.

Left as they were: record times in logs, and differences of two readings, which are steady already (leases, elections, orders, limits).

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -34,6 +34,7 @@
 	mu       sync.Mutex
 	services map[string]*window
 	boxes    int
+	began    time.Time // from which windows are cut, by the steady clock
 }
 
 type window struct {
@@ -106,7 +107,10 @@
 		b.services[service] = w
 	}
 	width := max(b.Window/buckets, time.Millisecond)
-	slot := now.UnixNano() / int64(width)
+	if b.began.IsZero() {
+		b.began = now.Add(-b.Window)
+	}
+	slot := int64(now.Sub(b.began) / width)
 	for n := 0; w.slot < slot && n < buckets; n++ {
 		w.slot++
 		if n == 0 && slot-w.slot >= buckets {
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -15,6 +15,7 @@
 
 	"birchlink.dev/birchlink/balance"
 	"birchlink.dev/birchlink/budget"
+	"birchlink.dev/birchlink/daytime"
 	"birchlink.dev/birchlink/demand"
 	"birchlink.dev/birchlink/election"
 	"birchlink.dev/birchlink/exchange"
@@ -102,6 +103,7 @@
 	quota    *quota.Quota
 	meter    *demand.Meter
 	tally    *tally.Tally
+	clock    *daytime.Clock
 	known    *known.Known
 	gossip   *gossip.Gossip
 	hints    *hint.Hints
@@ -125,7 +127,7 @@
 			Self:  quota.Arbiter{Box: s.Box, DataCentre: s.DataCentre, Address: s.Peers}, Started: time.Now(),
 		}, meter: &demand.Meter{},
 		budget: budget.New(budget.Terms{Ratio: s.RetryRatio, Slack: float64(s.RetrySlack), Window: s.RetryWindow}),
-		tally:  &tally.Tally{Window: s.ReportWindow},
+		tally:  &tally.Tally{Window: s.ReportWindow}, clock: daytime.New(time.Now),
 		gossip: gossip.New(log), incarnation: uuid.NewString()[:8],
 	}
 	p.known = known.New(known.Source{
@@ -136,7 +138,7 @@
 	p.tell()
 	f := &forward.Forwarder{
 		DataCentre: s.DataCentre, Roster: &p.known.Roster, Book: p.book, Budget: p.budget, Meter: p.meter,
-		Pool: &exchange.Pool{DialLimit: dialEndpoint}, Codec: platform.Wire{}, Began: p.tally.Add, Metrics: m, Log: log,
+		Pool: &exchange.Pool{DialLimit: dialEndpoint}, Codec: platform.Wire{}, Began: p.began, Metrics: m, Log: log,
 		Sent: p.sent,
 	}
 	p.hints = hint.New(log)
@@ -176,7 +178,7 @@
 	cl := platform.NewCloud(s.Cloud)
 	ss := []kernel.Service{e}
 	if s.Usage {
-		o := reporter.Options{Prefix: usagePrefix, WritersPrefix: relaysPrefix, Box: s.Box, Incarnation: p.incarnation, Due: s.ReportDue, Writes: p.writes}
+		o := reporter.Options{Prefix: usagePrefix, WritersPrefix: relaysPrefix, Box: s.Box, Incarnation: p.incarnation, Due: s.ReportDue, Writes: p.writes, Now: p.clock.Now}
 		p.reporter = reporter.New(o, p.tally, p.store, cl, e, log)
 		ss = append(ss, p.reporter)
 	}
--- a/daemon/tell.go
+++ b/daemon/tell.go
@@ -27,10 +27,10 @@
 		return gossip.Status{
 			Box: s.Box, DataCentre: s.DataCentre, Address: s.Peers, Version: v,
 			Load: p.book.Own(), Demand: d, Speeds: p.book.Speeds(),
-			Usage: []tally.Part{p.tally.Recent(s.Box+"."+p.incarnation, p.tally.Number(now)-toldWindows)},
+			Usage: []tally.Part{p.tally.Recent(s.Box+"."+p.incarnation, p.tally.Number(p.clock.At(now))-toldWindows)},
 		}
 	}
-	g.OnChange, g.Quota = p.heard, p.quota
+	g.OnChange, g.Quota, g.Clock = p.heard, p.quota, p.clock
 	g.BeforeKey, g.Expect, g.Recall = beforeKey, p.quota.Expect, p.book.Recall
 	g.Speeds = p.book.AllSpeeds
 	g.Before = func(boxes int) quota.Before {
@@ -77,6 +77,9 @@
 	}
 }
 
+// began counts a request that an endpoint began to run at a moment.
+func (p *entryParts) began(account string, at time.Time) { p.tally.Add(account, p.clock.At(at)) }
+
 // hinted takes in what another box sends.
 func (p *entryParts) hinted(s hint.Sent) {
 	if e, ok := p.known.Roster.Get(s.Endpoint); ok {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
+	"birchlink.dev/birchlink/daytime"
 	"birchlink.dev/birchlink/estimate"
 	"birchlink.dev/birchlink/kernel"
 	"birchlink.dev/birchlink/known"
@@ -70,6 +71,7 @@
 	Before    func(boxes int) quota.Before
 	Expect    func(quota.Before)
 	Quota     *quota.Quota
+	Clock     *daytime.Clock
 	Leaving   func() bool // reports whether this box stops; nil for one that does not
 	Speeds    func() map[string]estimate.Stats
 	Recall    func(map[string]estimate.Stats)
@@ -95,6 +97,7 @@
 	others  map[string]heard // relays
 	world   World            // the last answer of this box's relay
 	at      time.Time        // when it came
+	ahead   time.Duration    // how far its time of day was ahead then
 	last    time.Time        // when any other box was last heard
 	began   time.Time
 	before  before
@@ -171,6 +174,7 @@
 		began := time.Now()
 		g.readBefore(c)
 		g.limit()
+		g.Clock.Follow(g.clocks())
 		g.round(c)
 		g.rounds.Add(1)
 		others := g.sum("")
@@ -183,6 +187,25 @@
 	}
 }
 
+// clocks returns how far the time of day of the relays that were heard in the last round
+// is ahead of this box's.
+func (g *Gossip) clocks() []time.Duration {
+	relay := g.holds()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []time.Duration
+	if !relay && time.Since(g.at) < period {
+		// The relay has compared its own with the others'.
+		return []time.Duration{g.ahead, g.ahead}
+	}
+	for _, h := range g.others {
+		if time.Since(h.at) < period {
+			out = append(out, h.ahead)
+		}
+	}
+	return out
+}
+
 func (g *Gossip) period() time.Duration {
 	if time.Since(g.began) < young {
 		return youngPeriod
@@ -246,7 +269,7 @@
 func (g *Gossip) heardWorld(w World) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.world, g.at, g.last = w, time.Now(), time.Now()
+	g.world, g.at, g.last, g.ahead = w, time.Now(), time.Now(), w.Now.Sub(g.Clock.Now())
 }
 
 // catchUp fetches what a relay knows and this box does not.
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -18,6 +18,7 @@
 
 	"birchlink.dev/birchlink/balance"
 	"birchlink.dev/birchlink/catalog"
+	"birchlink.dev/birchlink/daytime"
 	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/estimate"
 	"birchlink.dev/birchlink/gossip"
@@ -72,6 +73,7 @@
 		},
 	}, s, zerolog.Nop())
 	b.Gossip = gossip.New(zerolog.Nop())
+	b.Clock = daytime.New(time.Now)
 	b.Quota = &quota.Quota{Self: quota.Arbiter{Box: name, DataCentre: dc, Address: a}, Started: time.Now(), Incarnation: a}
 	b.Box, b.DataCentre, b.Address, b.Prefix, b.Seeds, b.Store = name, dc, a, "relays/", seeds, s
 	b.Own = func() gossip.Status {
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -78,7 +78,7 @@
 	old, had := g.members[in.Box]
 	if counted {
 		in.keepSpeeds(old.Status)
-		g.members[in.Box] = heard{in, now}
+		g.members[in.Box] = heard{Status: in, at: now}
 	}
 	g.last = now
 	g.mu.Unlock()
@@ -86,7 +86,7 @@
 		g.log.Info().Str("event", "member").Str("other", in.Box).Uint64("version", in.Version).Msg("in touch")
 	}
 	w := World{Relay: relay, Vacant: relay && g.places() < relays, Others: g.sum(in.Box), Revision: g.known.Revision(), Silent: g.session.Silent(), Near: g.nearby()}
-	w.Arbiters, w.Counts = g.arbiters(), g.counts()
+	w.Arbiters, w.Counts, w.Now = g.arbiters(), g.counts(), g.Clock.Now()
 	if d := g.Quota.Division(); d.Version > in.Divided {
 		w.Division = d
 	}
@@ -102,7 +102,7 @@
 func (g *Gossip) fromRelay(_ context.Context, in Status) (Status, error) {
 	g.hearRelay(in)
 	s := g.together()
-	s.Limits = g.Quota.Tell(in.Box, time.Now())
+	s.Limits, s.Now = g.Quota.Tell(in.Box, time.Now()), g.Clock.Now()
 	return s, nil
 }
 
@@ -112,7 +112,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	in.keepSpeeds(g.others[in.Box].Status)
-	g.others[in.Box] = heard{in, now}
+	g.others[in.Box] = heard{in, now, in.Now.Sub(g.Clock.Now())}
 	g.last = now
 }
 
@@ -140,7 +140,7 @@
 		w.Go(func() {
 			var in Status
 			out := status
-			out.Limits = g.Quota.Tell(s.box, time.Now())
+			out.Limits, out.Now = g.Quota.Tell(s.box, time.Now()), g.Clock.Now()
 			if err := g.call(c, s.address, "gossip.relay", out, &in); err == nil {
 				g.hearRelay(in)
 			}
--- a/gossip/status.go
+++ b/gossip/status.go
@@ -27,6 +27,7 @@
 	Limits     quota.Lease // what this relay leases to the one that is told
 	Divided    uint64      // the version by which a member divides the limits
 	Leaving    bool        // the box stops
+	Now        time.Time   // the time of day there
 	Load       map[string]balance.Load
 	Demand     map[string]map[string]demand.Figure // by service and data centre
 	Usage      []tally.Part
@@ -43,6 +44,7 @@
 	Vacant   bool
 	Others   Status
 	Arbiters []quota.Arbiter // the relays that may be asked
+	Now      time.Time       // the time of day there
 	Counts   map[string]int  // of the boxes that are heard, by data centre
 	Division quota.Division  // if it is newer than the member's
 	Revision uint64
@@ -60,7 +62,8 @@
 // heard is a status and when it came.
 type heard struct {
 	Status
-	at time.Time
+	at    time.Time
+	ahead time.Duration // how far its time of day was ahead of this box's
 }
 
 // add sums another status up into s.
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -56,6 +56,9 @@
 
 	// Writes reports whether this box is one of them; nil is always.
 	Writes func() bool
+
+	// Now returns the time of day by which windows are numbered; nil is the box's own.
+	Now func() time.Time
 }
 
 // Reporter is the service of one box.
@@ -78,6 +81,9 @@
 
 // New returns the reporter of a box.
 func New(o Options, t *tally.Tally, s store.Store, l cloudapi.Cloud, e *election.Election, log zerolog.Logger) *Reporter {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
 	return &Reporter{Options: o, Tally: t, Store: s, Cloud: l, Election: e, log: log}
 }
 
@@ -97,13 +103,13 @@
 func (r *Reporter) Stop(c context.Context) error {
 	r.cancel()
 	r.group.Wait()
-	return r.put(c, r.Tally.Number(time.Now()))
+	return r.put(c, r.Tally.Number(r.Now()))
 }
 
 // Hear keeps what another process told of its counts, in case it ends or is cut
 // off before it has written them.
 func (r *Reporter) Hear(p tally.Part) {
-	oldest := r.Tally.Number(time.Now()) - keptWindows
+	oldest := r.Tally.Number(r.Now()) - keptWindows
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.told == nil {
@@ -126,9 +132,9 @@
 
 // write puts this box's part into the store after each window.
 func (r *Reporter) write(c context.Context) {
-	next := r.Tally.Number(time.Now())
+	next := r.Tally.Number(r.Now())
 	for {
-		wait.For(c, time.Until(r.Tally.End(next).Add(partDelay)))
+		wait.For(c, r.Tally.End(next).Add(partDelay).Sub(r.Now()))
 		if c.Err() != nil {
 			return
 		}
@@ -138,7 +144,7 @@
 			continue
 		}
 		if err := r.put(c, next); err != nil {
-			if time.Since(r.Tally.End(next)) < r.Due {
+			if r.Now().Sub(r.Tally.End(next)) < r.Due {
 				wait.For(c, step)
 				continue
 			}
@@ -202,7 +208,7 @@
 	if fence != r.fence {
 		r.fence, r.sent = fence, map[int64]bool{}
 	}
-	now := time.Now()
+	now := r.Now()
 	for w := r.Tally.Number(now.Add(-r.Due)); now.After(r.Tally.End(w).Add(collectDelay)); w++ {
 		if r.sent[w] || now.After(r.Tally.End(w).Add(r.Due)) {
 			continue
@@ -277,7 +283,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if len(parts) < max(len(writers), 1) && time.Since(r.Tally.End(window)) < r.Due-collectMargin {
+	if len(parts) < max(len(writers), 1) && r.Now().Sub(r.Tally.End(window)) < r.Due-collectMargin {
 		return nil, fmt.Errorf("%w: %d of %d", errMissing, len(parts), len(writers))
 	}
 	all := r.heard(window)
