Close connections between boxes that have gone silent

Cause: a connection between boxes that goes silent without a reset was kept until TCP gave up, minutes later; each call over it waited for its own limit, and a box whose relay's connection had gone silent was told nothing meanwhile.

Change: a connection on which calls have waited for 0.9 s without a frame is closed at the next call that is given up; the call after that dials anew. Ruled out: keep-alive probes of TCP, whose shortest useful settings take several seconds, and a ping of our own, which each round of half a second already is.

Connections to the store and to endpoints end with the call that is given up on them, as before.

--- a/peer/client.go
+++ b/peer/client.go
@@ -16,6 +16,12 @@
 // dialLimit bounds how long a connection may take to stand.
 const dialLimit = time.Second
 
+// silentFor is how long a connection on which calls wait may carry nothing before it is
+// closed: it may have gone silent for good without a reset, and TCP takes minutes to
+// notice. It is longer than a busy box takes to answer, and lets two rounds of half a
+// second fail.
+const silentFor = 900 * time.Millisecond
+
 // Client calls peers by address and keeps one connection to each.
 type Client struct {
 	secret string
@@ -32,6 +38,9 @@
 	next  uint64
 	calls map[uint64]*inbox
 	done  chan struct{}
+
+	// waits is since when calls wait without a frame for any; zero while none does.
+	waits time.Time
 }
 
 // NewClient returns a client without connections.
@@ -69,6 +78,7 @@
 		select {
 		case <-ch.ready:
 		case <-x.Done():
+			l.closeIfSilent()
 			_ = l.conn.Write(frame.Message{ID: id, Type: frame.Cancel}, writeLimit)
 			return x.Err()
 		case <-l.done:
@@ -221,6 +231,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.next++
+	if l.waits.IsZero() {
+		l.waits = time.Now()
+	}
 	b := &inbox{ready: make(chan struct{}, 1)}
 	l.calls[l.next] = b
 	return l.next, b
@@ -232,10 +245,22 @@
 	delete(l.calls, id)
 }
 
+// closeIfSilent closes a connection on which calls have waited for too long without a
+// sign of the far side.
+func (l *link) closeIfSilent() {
+	l.mu.Lock()
+	silent := !l.waits.IsZero() && time.Since(l.waits) >= silentFor
+	l.mu.Unlock()
+	if silent {
+		l.conn.Close()
+	}
+}
+
 // hand gives a frame to its call, unless that has ended.
 func (l *link) hand(m frame.Message) {
 	l.mu.Lock()
 	b, ok := l.calls[m.ID]
+	l.waits = time.Time{}
 	l.mu.Unlock()
 	if ok {
 		b.put(m)
