Keep a relay's place over a restart of its process

Change: a place names the process that took it; the next one puts it under its own lease, if nobody else has it by then.

TestKeepsItsPlace failed first (the key was created anew 4 s later).

--- a/gossip/enlist.go
+++ b/gossip/enlist.go
@@ -20,18 +20,22 @@
 // seat is one place for a relay: its key, who has it, and where that box is.
 type seat struct {
 	dataCentre, key, box, address string
+
+	life     string // of the process that took it
+	revision uint64
 }
 
 // value is what a relay writes at its place.
-func (g *Gossip) value() []byte { return []byte(g.Box + " " + g.Address) }
+func (g *Gossip) value() []byte { return []byte(g.Box + " " + g.Address + " " + g.Quota.Incarnation) }
 
 func (g *Gossip) seatKey(n int) string { return fmt.Sprintf("%s%s/%d", g.Prefix, g.DataCentre, n) }
 
 // parse reads a place from the store.
 func (g *Gossip) parse(i store.Item) seat {
 	dc, _, _ := strings.Cut(strings.TrimPrefix(i.Key, g.Prefix), "/")
-	box, address, _ := strings.Cut(string(i.Value), " ")
-	return seat{dc, i.Key, box, address}
+	box, rest, _ := strings.Cut(string(i.Value), " ")
+	address, life, _ := strings.Cut(rest, " ")
+	return seat{dc, i.Key, box, address, life, i.Revision}
 }
 
 // apply takes the places from the store.
@@ -103,6 +107,39 @@
 	}
 }
 
+// keepPlace puts a place that the process before this one had under this one's lease.
+// Else it is free some seconds after the restart, and all that this relay tells, and
+// leases, moves once more.
+func (g *Gossip) keepPlace(c context.Context) {
+	l := g.session.Lease()
+	s, ok := g.formerPlace()
+	if l == 0 || !ok {
+		return
+	}
+	at, err := g.Store.Commit(c, store.Change{
+		If:  []store.Condition{{Key: s.key, Revision: s.revision}},
+		Put: []store.Put{{Key: s.key, Value: g.value(), Lease: l}},
+	})
+	if err != nil {
+		g.log.Info().Str("event", "relay").Str("place", s.key).Err(err).Msg("not kept over the restart; looked for anew when it is free")
+		return
+	}
+	g.apply([]store.Item{{Key: s.key, Value: g.value(), Revision: at}}, false, 0)
+	g.log.Info().Str("event", "relay").Str("place", s.key).Msg("kept over the restart")
+}
+
+// formerPlace returns the place that another process on this box took.
+func (g *Gossip) formerPlace() (seat, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.seats {
+		if s.box == g.Box && s.address == g.Address && s.life != g.Quota.Incarnation {
+			return s, true
+		}
+	}
+	return seat{}, false
+}
+
 func (g *Gossip) seat(key string) (seat, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -221,7 +221,8 @@
 		g.asMember(c)
 		return
 	}
-	g.relay = seat{g.DataCentre, "", g.Box, g.Address}
+	g.relay = seat{dataCentre: g.DataCentre, box: g.Box, address: g.Address}
+	g.keepPlace(c)
 	g.followPlaces(c, true)
 	g.known.Follow(true)
 	g.exchange(c)
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -60,7 +60,15 @@
 // start begins a box; seeds are the addresses it knows from its settings.
 func start(t *testing.T, s store.Store, name, dc string, seeds ...string) *box {
 	t.Helper()
-	a := address(t)
+	return startAt(t, s, name, dc, address(t), seeds...)
+}
+
+// lives numbers the processes that were started.
+var lives atomic.Int64
+
+// startAt begins a box whose address for peers is given.
+func startAt(t *testing.T, s store.Store, name, dc, a string, seeds ...string) *box {
+	t.Helper()
 	b := &box{t: t, session: session.New(s, zerolog.Nop()), node: peer.NewNode(a, a, "secret", metrics.NewRegistry())}
 	b.known = known.New(known.Source{
 		ConfigKey: "config", EndpointsPrefix: "e/",
@@ -74,7 +82,7 @@
 	}, s, zerolog.Nop())
 	b.Gossip = gossip.New(zerolog.Nop())
 	b.Clock = daytime.New(time.Now)
-	b.Quota = &quota.Quota{Self: quota.Arbiter{Box: name, DataCentre: dc, Address: a}, Started: time.Now(), Incarnation: a}
+	b.Quota = &quota.Quota{Self: quota.Arbiter{Box: name, DataCentre: dc, Address: a}, Started: time.Now(), Incarnation: fmt.Sprint("life", lives.Add(1))}
 	b.Box, b.DataCentre, b.Address, b.Prefix, b.Seeds, b.Store = name, dc, a, "relays/", seeds, s
 	b.Own = func() gossip.Status {
 		v, _ := b.known.Raw()
@@ -304,6 +312,35 @@
 	return p.Store.Renew(c, l)
 }
 
+func (p *partial) Revoke(c context.Context, l store.Lease) error {
+	if p.silent.Load() {
+		return store.ErrAway
+	}
+	return p.Store.Revoke(c, l)
+}
+
+// A relay whose process is killed and starts again keeps its place: it does not wait
+// until the lease of the process before has ended.
+func TestKeepsItsPlace(t *testing.T) {
+	m := &memstore.Memory{}
+	m.Set("config", `{"Version":3}`)
+	p := &partial{Store: m}
+	a := start(t, p, "a", "dc0")
+	await(t, a.Relay)
+	first, err := m.Get(t.Context(), "relays/dc0/0")
+	require.NoError(t, err)
+	p.silent.Store(true) // a killed process gives nothing back
+	a.stop()
+	b := startAt(t, m, "a", "dc0", a.Address)
+	await(t, func() bool {
+		i, err := m.Get(t.Context(), "relays/dc0/0")
+		return err == nil && strings.HasSuffix(string(i.Value), b.Quota.Incarnation)
+	})
+	i, err := m.Get(t.Context(), "relays/dc0/0")
+	require.NoError(t, err)
+	require.Equal(t, first.Created, i.Created)
+}
+
 // four starts two relays of a data centre, each with its own way to the store, a
 // member of it, and a box of another data centre.
 func four(t *testing.T, m *memstore.Memory, p, q *partial) []*box {
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -61,7 +61,7 @@
 // one that counts this box from the next round on.
 func (g *Gossip) join(c context.Context, among []seat) bool {
 	for _, s := range among {
-		if s == g.relay {
+		if s.box == g.relay.box && s.address == g.relay.address {
 			continue
 		}
 		var w World
