--- a/quota/quota.go
+++ b/quota/quota.go
@@ -235,7 +235,7 @@
 		if ok && v.OK {
 			return v, a
 		}
-		if ok && (!heard || v.After < soonest.After) {
+		if ok && v.Part > 0 && (!heard || v.After < soonest.After) {
 			soonest, from, heard = v, a, true
 		}
 	}
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -95,6 +95,28 @@
 	require.LessOrEqual(t, after[199], terms.Window)
 }
 
+// TestNoPartNoAnswer tells a caller when to come back by what those say that have a part of
+// the account: a box that has given its part away knows nothing of it.
+func TestNoPartNoAnswer(t *testing.T) {
+	f := settled(few, 1)
+	for f.take(0, 20000).OK {
+	}
+	x := quota.Question{Account: account.Name, Size: 300000, Urgent: true}
+	var first quota.Arbiter
+	v, by := f.nodes[0].Take(x, f.now, func(a quota.Arbiter, x quota.Question) (quota.Answer, bool) {
+		if first.Box == "" {
+			first = a
+		}
+		if a != first {
+			return quota.Answer{After: time.Millisecond}, true
+		}
+		return quota.Answer{After: 2 * time.Second, Part: 0.3}, true
+	})
+	require.False(t, v.OK)
+	require.Equal(t, 2*time.Second, v.After)
+	require.Equal(t, first, by)
+}
+
 // Boxes that all start at once, and do not know of each other yet, do not spend
 // what they then have to owe.
 func TestAllNew(t *testing.T) {
