Divide a data centre's part by the boxes that are heard there, if they are more

Cause: boxes that are added share their data centre's part only once a new division is written, some seconds later; until then each took an equal part of the old number besides the others.

Change: the part of a box is the least by the division and by the most boxes of the data centre that were heard. Ruled out: writing the division at once, a call for each box that is added and still later than the boxes ask.

Besides: what refused callers were told to come back for counts for no more than the longest time to return; names of the first seconds of a process; Take and Ask in a file of their own; windows numbered without a division of a clock's reading.

TestAddedBoxes failed first.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -28,7 +28,7 @@
 // The times of an exchange. A box that has not been heard for lost is taken to be
 // away, and is forgotten after forgotten; one that has not been heard for recent is
 // no arbiter. A relay whose store has been silent for longer than stale is no use. A
-// process younger than young exchanges each youngPeriod: boxes that all start at once
+// process younger than starting exchanges each startPeriod: boxes that all start at once
 // have then heard each other after half a second in place of one and a half. One younger
 // than selfFor speaks for itself in matters of limits.
 const (
@@ -38,9 +38,9 @@
 	recent      = 1200 * time.Millisecond
 	forgotten   = 8 * time.Second
 	stale       = 1100 * time.Millisecond
-	young       = 3 * time.Second
+	starting    = 3 * time.Second
 	selfFor     = 2 * time.Second
-	youngPeriod = 150 * time.Millisecond
+	startPeriod = 150 * time.Millisecond
 )
 
 // speedsRounds is how many rounds pass between two tellings of what was observed of
@@ -212,8 +212,8 @@
 }
 
 func (g *Gossip) period() time.Duration {
-	if time.Since(g.began) < young {
-		return youngPeriod
+	if time.Since(g.began) < starting {
+		return startPeriod
 	}
 	return period
 }
--- a/gossip/limit.go
+++ b/gossip/limit.go
@@ -20,7 +20,7 @@
 	switch {
 	case relay:
 		v.Counted = g.counted()
-	case time.Since(g.at) >= recent || g.young():
+	case time.Since(g.at) >= recent || g.forItself():
 		v.Counted = 1
 	}
 	v.Division = g.world.Division
@@ -28,17 +28,17 @@
 	g.Quota.Round(v, t.Document.Accounts, time.Now())
 }
 
-// young reports whether this process has just started. It speaks for itself until then:
+// forItself reports whether this process has just started, and speaks for itself alone:
 // when all boxes start at once, relays need a second or two to have heard their members
 // and to lease what they have.
-func (g *Gossip) young() bool { return time.Since(g.began) < selfFor }
+func (g *Gossip) forItself() bool { return time.Since(g.began) < selfFor }
 
 // counted returns for how many boxes of its data centre this relay speaks. The lock
 // must be held.
 func (g *Gossip) counted() int {
 	n := 1
 	for _, h := range g.members {
-		if time.Since(h.at) < lost && h.DataCentre == g.DataCentre && !h.Young {
+		if time.Since(h.at) < lost && h.DataCentre == g.DataCentre && !h.ForItself {
 			n++
 		}
 	}
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -109,7 +109,7 @@
 		s.Speeds = nil
 	}
 	s.Relay = g.relay.box
-	s.Young = time.Since(g.began) < selfFor+youngPeriod // until the round after its last as such
+	s.ForItself = time.Since(g.began) < selfFor+startPeriod // until the round after its last as such
 	s.Divided = g.Quota.Division().Version
 	return s
 }
--- a/gossip/status.go
+++ b/gossip/status.go
@@ -27,7 +27,7 @@
 	Limits     quota.Lease // what this relay leases to the one that is told
 	Divided    uint64      // the version by which a member divides the limits
 	Leaving    bool        // the box stops
-	Young      bool        // a member speaks for itself in matters of limits
+	ForItself  bool        // the relay does not speak for this member yet
 	Now        time.Time   // the time of day there
 	Load       map[string]balance.Load
 	Demand     map[string]map[string]demand.Figure // by service and data centre
--- /dev/null
+++ b/quota/ask.go
@@ -0,0 +1,116 @@
+package quota
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Take asks for a request in turn until one lets it in: a box that no relay counts
+// itself, the relay of this data centre that keeps a part at home, then the account's
+// arbiters. If none lets it in, the answer is that of the one with the soonest way
+// back; ask reports false for one that did not answer.
+func (q *Quota) Take(x Question, now time.Time, ask func(Arbiter, Question) (Answer, bool)) (Answer, Arbiter) {
+	soonest, from := Answer{After: unheardRetry}, Arbiter{}
+	heard := false
+	x.DataCentre = q.Self.DataCentre
+	for _, a := range q.order(x.Account, now) {
+		v, ok := ask(a, x)
+		if ok && v.OK {
+			return v, a
+		}
+		if ok && v.Part > 0 && (!heard || v.After < soonest.After) {
+			soonest, from, heard = v, a, true
+		}
+	}
+	return soonest, from
+}
+
+// unheardRetry is when a caller is told to come back whom nobody could be asked for: by
+// then leases have moved on.
+const unheardRetry = leaseFor / 2
+
+// order returns whom to ask for an account, in turn.
+func (q *Quota) order(account string, now time.Time) []Arbiter {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	out := order(q.Self, q.arbiters, account)
+	if contains(out, q.Self.Box) {
+		return out
+	}
+	if _, part := q.lessee.given(account, shard(account), now, now); part > 0 {
+		return append([]Arbiter{q.Self}, out...)
+	}
+	return out
+}
+
+// Question asks whether a request may be let in. Urgent requests may spend what
+// others leave.
+type Question struct {
+	Account    string
+	Size       float64
+	DataCentre string // of the box that asks
+	Urgent     bool
+}
+
+// Answer says whether a request was let in, else when its caller may come back.
+// Level and Part are what the bucket holds that it was judged by, and the part of the
+// account's rate that fills it.
+type Answer struct {
+	OK    bool
+	After time.Duration
+	Level float64
+	Part  float64
+}
+
+// longestRetry bounds when a refused caller is told to come back: the longest that
+// a window takes to be empty.
+const longestRetry = defaultWindow
+
+// Ask answers a question by this box's bucket. A request may be larger than what a
+// bucket ever holds, so it is let in while anything is left, and what it takes beyond
+// that is owed. Many boxes with a small part each would together let in too much in
+// that way: there a request is let in as often as what is left pays for it.
+func (q *Quota) Ask(x Question, now time.Time) Answer {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	b := q.buckets[x.Account]
+	if b == nil {
+		return Answer{After: unheardRetry}
+	}
+	part := q.fill(b, now)
+	if part <= 0 && b.level <= 0 {
+		return Answer{After: unheardRetry, Level: b.level}
+	}
+	if x.DataCentre == q.Self.DataCentre {
+		b.demand.add(x.Size, now)
+	}
+	need := 0.0
+	if !x.Urgent {
+		need = urgentPart * part * b.burst
+	}
+	if part < smallPart {
+		need = max(need, x.Size*q.chance())
+	}
+	if b.level > 0 && b.level >= need {
+		b.level -= x.Size
+		return Answer{OK: true, Level: b.level, Part: part}
+	}
+	b.queue = min(b.queue+x.Size, b.rate*longestRetry.Seconds())
+	wait := b.queue/max(b.rate, 1) + (need-b.level)/max(b.rate*part, 1)
+	return Answer{After: min(time.Duration(wait*float64(time.Second)), longestRetry), Level: b.level, Part: part}
+}
+
+// urgentPart is the part of its bucket that an account short of its rate keeps for
+// its most urgent requests; smallPart the part of the rate below which a bucket is one
+// of many.
+const (
+	urgentPart = 0.1
+	smallPart  = 0.12
+)
+
+func (q *Quota) chance() float64 {
+	if q.Chance != nil {
+		return q.Chance()
+	}
+	return rand.Float64()
+}
--- a/quota/division.go
+++ b/quota/division.go
@@ -84,17 +84,17 @@
 	return 0
 }
 
-// part returns the part of an account that some boxes of a data centre have. It is the
-// least by any division that a box which is not heard may keep to, so that all parts
-// together are never more than the whole.
-func (s *divisions) part(account, dc string, boxes int, now time.Time) float64 {
+// part returns the part of an account that some boxes of a data centre have, of those
+// heard there. It is the least by any division that a box which is not heard may keep
+// to, so that all parts together are never more than the whole.
+func (s *divisions) part(account, dc string, boxes, heard int, now time.Time) float64 {
 	s.tables = slices.DeleteFunc(s.tables, func(t table) bool { return !t.replaced.IsZero() && now.Sub(t.replaced) > thereFor })
 	if len(s.tables) == 0 {
 		return float64(boxes) / assumed
 	}
 	least := 1.0
 	for _, t := range s.tables {
-		n := max(t.Boxes[dc], boxes, 1)
+		n := max(t.Boxes[dc], heard, boxes, 1)
 		least = min(least, t.weight(account, dc)*float64(boxes)/float64(n))
 	}
 	return least
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -249,6 +249,24 @@
 	}
 }
 
+// TestAddedBoxes holds an account to its limit when as many boxes again are added at once,
+// before the division tells of them.
+func TestAddedBoxes(t *testing.T) {
+	for _, size := range []float64{0, 2000, 8000} {
+		f := newFleet(12, 3, 1)
+		for i := few; i < 12; i++ {
+			f.kill(i)
+		}
+		f.idle(10 * time.Second)
+		f.send(9*time.Second, 6*account.Rate, size)
+		for i := few; i < 12; i++ {
+			f.start(i, f.store)
+		}
+		f.send(12*time.Second, 6*account.Rate, size)
+		require.LessOrEqual(t, f.most(), limit(), "requests of %.0f", size)
+	}
+}
+
 // TestNewAccount lets requests of an account in that the configuration did not have
 // before, and holds it to a lower limit.
 func TestNewAccount(t *testing.T) {
--- a/tally/tally.go
+++ b/tally/tally.go
@@ -16,8 +16,9 @@
 	counts map[int64]map[string]int
 }
 
-// Number returns the number of the window that holds a time.
-func (t *Tally) Number(at time.Time) int64 { return at.UnixNano() / int64(t.Window) }
+// Number returns the number of the window that holds a time of day, which callers take
+// from a clock that does not jump.
+func (t *Tally) Number(at time.Time) int64 { return int64(at.Sub(time.Unix(0, 0)) / t.Window) }
 
 // End returns when a window ends.
 func (t *Tally) End(window int64) time.Time { return time.Unix(0, (window+1)*int64(t.Window)) }
