--- a/gossip/before.go
+++ b/gossip/before.go
@@ -69,7 +69,7 @@
 	}
 	p.Division.Version = i.Revision
 	s.stands = p.Before
-	g.log.Info().Str("event", "before").Int("boxes", p.Boxes).Interface("short", p.Short).Uint64("revision", i.Revision).Msg("known from the store")
+	g.noteBefore(p.Before, "known from the store")
 	if late {
 		g.Quota.Adopt(p.Division, time.Now())
 		return
@@ -113,9 +113,16 @@
 	}
 	p.Division.Version, s.at = at, at
 	g.Quota.Adopt(p.Division, now)
+	g.noteBefore(p, "written")
 	s.stands, s.differs = p, time.Time{}
 }
 
+// noteBefore logs what the record says: at most a line each writeEvery.
+func (g *Gossip) noteBefore(p quota.Before, what string) {
+	g.log.Info().Str("event", "before").Int("boxes", p.Boxes).Interface("short", p.Short).Uint64("revision", p.Division.Version).
+		Interface("counts", p.Division.Boxes).Interface("weights", p.Division.Weights).Msg(what)
+}
+
 // counts reports whether the number of boxes has been another for long enough. While
 // the store is away this box may be the one that is cut off, and hear few for that.
 func (s *before) counts(p quota.Before, away bool, now time.Time) bool {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -29,8 +29,8 @@
 // away, and is forgotten after forgotten; one that has not been heard for recent is
 // no arbiter. A relay whose store has been silent for longer than stale is no use. A
 // process younger than starting exchanges each startPeriod: boxes that all start at once
-// have then heard each other after half a second in place of one and a half. One younger
-// than selfFor speaks for itself in matters of limits.
+// need three rounds to have heard each other. One younger than selfFor speaks for itself
+// in matters of limits.
 const (
 	period      = 500 * time.Millisecond
 	callLimit   = 450 * time.Millisecond
@@ -200,7 +200,8 @@
 	defer g.mu.Unlock()
 	var out []time.Duration
 	if !relay && time.Since(g.at) < period {
-		// The relay has compared its own with the others'.
+		// The relay has compared its own with the others', so it has two votes against
+		// this box's one.
 		return []time.Duration{g.ahead, g.ahead}
 	}
 	for _, h := range g.others {
--- a/gossip/status.go
+++ b/gossip/status.go
@@ -22,7 +22,6 @@
 	Address    string
 	Relay      string // the relay that counts this box; any other only answers it
 	Boxes      int
-	Counted    int         // of these, the boxes of a relay's own data centre
 	Version    uint64      // of the configuration in force
 	Limits     quota.Lease // what this relay leases to the one that is told
 	Divided    uint64      // the version by which a member divides the limits
--- a/peer/client_test.go
+++ b/peer/client_test.go
@@ -78,37 +78,37 @@
 	return c.Call(x, address, "echo", "a", &out) == nil && out == "a"
 }
 
-// TestSilentConnection calls over a connection that has gone silent without a reset: a
-// bounded number of calls is lost, and the next one goes over a new connection.
-func TestSilentConnection(t *testing.T) {
+// connected returns a client that has called a server over a link.
+func connected(t *testing.T) (*link, *peer.Client) {
+	t.Helper()
 	s := peer.NewServer("secret")
 	peer.Handle(s, "echo", func(_ context.Context, in string) (string, error) { return in, nil })
+	peer.Handle(s, "hang", func(c context.Context, _ string) (string, error) {
+		<-c.Done()
+		return "", io.EOF
+	})
 	require.NoError(t, s.Listen("127.0.0.1:0"))
 	t.Cleanup(s.Close)
 	k := newLink(t, s.Address())
 	c := peer.NewClient("secret")
 	t.Cleanup(c.Close)
+	require.Eventually(t, func() bool { return call(t, c, k.Addr().String()) }, 30*time.Second, time.Millisecond)
+	return k, c
+}
+
+// TestSilentConnection calls over a connection that has gone silent without a reset: a
+// bounded number of calls is lost, and the next one goes over a new connection.
+func TestSilentConnection(t *testing.T) {
+	k, c := connected(t)
 	address := k.Addr().String()
-	require.Eventually(t, func() bool { return call(t, c, address) }, 30*time.Second, time.Millisecond)
 	k.silence()
 	require.Eventually(t, func() bool { return call(t, c, address) }, 30*time.Second, time.Millisecond)
 }
 
 // A connection over which answers come is kept, though some calls are not answered.
 func TestSlowCallKeepsTheConnection(t *testing.T) {
-	s := peer.NewServer("secret")
-	peer.Handle(s, "echo", func(_ context.Context, in string) (string, error) { return in, nil })
-	peer.Handle(s, "hang", func(c context.Context, _ string) (string, error) {
-		<-c.Done()
-		return "", io.EOF
-	})
-	require.NoError(t, s.Listen("127.0.0.1:0"))
-	t.Cleanup(s.Close)
-	k := newLink(t, s.Address())
-	c := peer.NewClient("secret")
-	t.Cleanup(c.Close)
+	k, c := connected(t)
 	address := k.Addr().String()
-	require.Eventually(t, func() bool { return call(t, c, address) }, 30*time.Second, time.Millisecond)
 	opened := k.opened.Load()
 	for range 8 {
 		x, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
