--- a/endpoint/roster.go
+++ b/endpoint/roster.go
@@ -8,11 +8,14 @@
 )
 
 // Roster is the set of endpoints known to one box. Its zero value is empty.
+//
+// The list of those that serve is made when it is asked for: a box that reads all
+// records would otherwise make it once for each. Entering 3,000 endpoints takes 2.0 ms
+// and 2.3 MB so, and 1.5 s and 1.65 GB with a list for each (BenchmarkFill).
 type Roster struct {
 	mu      sync.Mutex
 	all     map[string]Endpoint
-	serving map[string][]Endpoint // by service, those that take work, by ID
-	version uint64
+	serving map[string][]Endpoint // by service, those that take work, by ID; none while not asked for
 	removed func(Endpoint)
 }
 
@@ -31,8 +34,11 @@
 	if r.all == nil {
 		r.all = map[string]Endpoint{}
 	}
-	r.all[e.ID] = e
-	r.index()
+	if e != old {
+		r.all[e.ID] = e
+		delete(r.serving, old.Service)
+		delete(r.serving, e.Service)
+	}
 	f := r.removed
 	r.mu.Unlock()
 	if e.Draining && (!had || !old.Draining) && f != nil {
@@ -45,7 +51,7 @@
 	r.mu.Lock()
 	e, had := r.all[id]
 	delete(r.all, id)
-	r.index()
+	delete(r.serving, e.Service)
 	f := r.removed
 	r.mu.Unlock()
 	if had && !e.Draining && f != nil {
@@ -73,29 +79,34 @@
 func (r *Roster) Serving(service string) []Endpoint {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.serving[service]
+	es, ok := r.serving[service]
+	if !ok {
+		es = r.list(service)
+		if r.serving == nil {
+			r.serving = map[string][]Endpoint{}
+		}
+		r.serving[service] = es
+	}
+	return es
 }
 
 // All returns every endpoint, also those that drain.
 func (r *Roster) All() []Endpoint {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.SortedFunc(maps.Values(r.all), func(a, b Endpoint) int { return strings.Compare(a.ID, b.ID) })
-}
-
-// Version changes with each change of the roster.
-func (r *Roster) Version() uint64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.version
+	return slices.SortedFunc(maps.Values(r.all), byID)
 }
 
-func (r *Roster) index() {
-	r.version++
-	r.serving = map[string][]Endpoint{}
-	for _, id := range slices.Sorted(maps.Keys(r.all)) {
-		if e := r.all[id]; !e.Draining {
-			r.serving[e.Service] = append(r.serving[e.Service], e)
+// list returns the endpoints of a service that take work, by ID.
+func (r *Roster) list(service string) []Endpoint {
+	var es []Endpoint
+	for _, e := range r.all {
+		if e.Service == service && !e.Draining {
+			es = append(es, e)
 		}
 	}
+	slices.SortFunc(es, byID)
+	return es
 }
+
+func byID(a, b Endpoint) int { return strings.Compare(a.ID, b.ID) }
--- /dev/null
+++ b/endpoint/roster_test.go
@@ -0,0 +1,76 @@
+package endpoint_test
+
+import (
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"birchlink.dev/birchlink/endpoint"
+)
+
+func fill(r *endpoint.Roster, n int) {
+	for i := range n {
+		r.Put(endpoint.Endpoint{ID: "e-" + strconv.Itoa(i), Service: "s", Address: "10.0.0.1:80", Slots: 96})
+	}
+}
+
+// Entering an endpoint takes no step for each of the others, so that a box which
+// reads all records takes one for each.
+func TestPutIgnoresTheOthers(t *testing.T) {
+	var r endpoint.Roster
+	fill(&r, 1000)
+	require.Len(t, r.Serving("s"), 1000)
+	e, _ := r.Get("e-500")
+	require.LessOrEqual(t, testing.AllocsPerRun(100, func() {
+		e.Slots++
+		r.Put(e)
+	}), 1.0)
+}
+
+// The list is made anew after a change of its service alone.
+func TestServingIsKept(t *testing.T) {
+	var r endpoint.Roster
+	fill(&r, 3)
+	first := r.Serving("s")
+	e, _ := r.Get("e-1")
+	r.Put(e)
+	r.Put(endpoint.Endpoint{ID: "other", Service: "t"})
+	require.Same(t, &first[0], &r.Serving("s")[0])
+	r.Remove("e-1")
+	require.Len(t, r.Serving("s"), 2)
+	require.Len(t, first, 3)
+	r.Put(endpoint.Endpoint{ID: "e-0", Service: "t"})
+	require.Len(t, r.Serving("s"), 1)
+	require.Len(t, r.Serving("t"), 2)
+}
+
+// One that drains never serves again, whatever is entered later.
+func TestDrainingStays(t *testing.T) {
+	var r endpoint.Roster
+	left := 0
+	r.OnLeave(func(endpoint.Endpoint) { left++ })
+	fill(&r, 2)
+	require.Len(t, r.Serving("s"), 2)
+	r.Put(endpoint.Endpoint{ID: "e-0", Service: "s", Draining: true})
+	fill(&r, 2)
+	require.Len(t, r.Serving("s"), 1)
+	r.Remove("e-0")
+	r.Remove("e-1")
+	require.Equal(t, 2, left)
+	require.Empty(t, r.Serving("s"))
+}
+
+// BenchmarkFill is what a box does that reads all records and then sends a request.
+func BenchmarkFill(b *testing.B) {
+	for _, n := range []int{100, 300, 1000, 3000} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				var r endpoint.Roster
+				fill(&r, n)
+				r.Serving("s")
+			}
+		})
+	}
+}
