--- a/balance/avoid.go
+++ b/balance/avoid.go
@@ -22,10 +22,9 @@
 )
 
 // Avoid notes that an endpoint could not be reached or did not answer at all.
-func (b *Book) Avoid(e endpoint.Endpoint) {
+func (b *Book) Avoid(e endpoint.Endpoint, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := time.Now()
 	p := b.page(e.ID)
 	d := min(minAvoid<<min(p.broken, 8), maxAvoid)
 	p.broken++
--- a/balance/backlog.go
+++ b/balance/backlog.go
@@ -30,10 +30,9 @@
 }
 
 // Hear takes in that another box sends an endpoint a prompt.
-func (b *Book) Hear(e endpoint.Endpoint, tokens int) {
+func (b *Book) Hear(e endpoint.Endpoint, tokens int, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := time.Now()
 	v := b.model(e.Service).View(now)
 	h := &b.page(e.ID).heard
 	h.tokens = h.left(v.Pace(), now) + float64(tokens)
--- a/balance/book.go
+++ b/balance/book.go
@@ -1,5 +1,6 @@
 // Package balance chooses the endpoint of a call from what this box has sent
-// and seen, and from what other boxes told.
+// and seen, and from what other boxes told. It does no I/O: times are arguments and
+// chance is a field, so that the same course of calls leads to the same choices.
 package balance
 
 import (
@@ -11,6 +12,10 @@
 
 // Book keeps one account of each endpoint. Its zero value is ready.
 type Book struct {
+	// Chance returns numbers from 0 to 1, at random. Without it a choice looks at all
+	// endpoints, however many boxes choose.
+	Chance func() float64
+
 	mu     sync.Mutex
 	boxes  int       // that send to the same endpoints, this one included
 	near   int       // of the other boxes, those whose long prompts are heard at once
@@ -98,11 +103,11 @@
 }
 
 // Tell replaces what the other boxes have at the endpoints, and how many they are.
-func (b *Book) Tell(sum map[string]Load, others int) {
+func (b *Book) Tell(sum map[string]Load, others int, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.boxes = others + 1
-	b.toldAt = time.Now()
+	b.toldAt = now
 	for _, p := range b.pages {
 		p.told = told{}
 	}
@@ -112,7 +117,7 @@
 }
 
 // Silent returns for how long an endpoint that has calls has answered none.
-func (b *Book) Silent(id string) time.Duration {
+func (b *Book) Silent(id string, now time.Time) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.page(id)
@@ -123,5 +128,5 @@
 	if p.since.After(from) {
 		from = p.since
 	}
-	return time.Since(from)
+	return now.Sub(from)
 }
--- a/balance/book_test.go
+++ b/balance/book_test.go
@@ -29,13 +29,13 @@
 // answer sends a request where the book chooses, and has it answered after a time.
 func answer(t *testing.T, b *balance.Book, es []endpoint.Endpoint, q balance.Query, after time.Duration) {
 	t.Helper()
-	c, ok := b.Choose(es, q)
+	c, ok := b.Choose(es, q, time.Now())
 	require.True(t, ok)
-	n := b.Begin(c.Endpoint, c)
+	n := b.Begin(c.Endpoint, c, time.Now())
 	wait.For(t.Context(), after)
-	n.Progress()
+	n.Progress(time.Now())
 	n.Answered()
-	n.End(false)
+	n.End(false, time.Now())
 }
 
 func prompt(shared string, own int) balance.Query {
@@ -51,10 +51,10 @@
 	es := endpoints(9)
 	for i := range 20 {
 		q := prompt(fmt.Sprint("p", i), 500)
-		a, ok := (&balance.Book{}).Choose(es, q)
+		a, ok := (&balance.Book{}).Choose(es, q, time.Now())
 		require.True(t, ok)
 		q.DataCentre = "dc1"
-		b, _ := (&balance.Book{}).Choose(es, q)
+		b, _ := (&balance.Book{}).Choose(es, q, time.Now())
 		require.Equal(t, a.Endpoint.ID, b.Endpoint.ID)
 		require.Less(t, a.Tokens, q.Prompt)
 	}
@@ -66,12 +66,12 @@
 	es := endpoints(9)
 	var b balance.Book
 	q := prompt("p", 500)
-	home, _ := b.Choose(es, q)
-	b.Tell(map[string]balance.Load{home.Endpoint.ID: {Running: 3, Tokens: 3000}}, 2)
-	c, _ := b.Choose(es, q)
+	home, _ := b.Choose(es, q, time.Now())
+	b.Tell(map[string]balance.Load{home.Endpoint.ID: {Running: 3, Tokens: 3000}}, 2, time.Now())
+	c, _ := b.Choose(es, q, time.Now())
 	require.Equal(t, home.Endpoint.ID, c.Endpoint.ID)
-	b.Tell(map[string]balance.Load{home.Endpoint.ID: {Running: 3, Tokens: 60000}}, 2)
-	c, _ = b.Choose(es, q)
+	b.Tell(map[string]balance.Load{home.Endpoint.ID: {Running: 3, Tokens: 60000}}, 2, time.Now())
+	c, _ = b.Choose(es, q, time.Now())
 	require.NotEqual(t, home.Endpoint.ID, c.Endpoint.ID)
 }
 
@@ -81,8 +81,8 @@
 	var b balance.Book
 	seen := map[string]bool{}
 	for i := range 3 {
-		c, _ := b.Choose(es, balance.Query{DataCentre: "dc0", Engine: true, Prompt: 9000 + i})
-		b.Begin(c.Endpoint, c)
+		c, _ := b.Choose(es, balance.Query{DataCentre: "dc0", Engine: true, Prompt: 9000 + i}, time.Now())
+		b.Begin(c.Endpoint, c, time.Now())
 		seen[c.Endpoint.ID] = true
 	}
 	require.Len(t, seen, 3)
@@ -93,13 +93,13 @@
 	es := endpoints(3)
 	var b balance.Book
 	q := balance.Query{DataCentre: "dc0"}
-	bad, _ := b.Choose(es, q)
+	bad, _ := b.Choose(es, q, time.Now())
 	for range 10 {
-		n := b.Begin(bad.Endpoint, bad)
-		n.Progress()
-		n.End(true)
+		n := b.Begin(bad.Endpoint, bad, time.Now())
+		n.Progress(time.Now())
+		n.End(true, time.Now())
 	}
-	c, _ := b.Choose(es, q)
+	c, _ := b.Choose(es, q, time.Now())
 	require.NotEqual(t, bad.Endpoint.ID, c.Endpoint.ID)
 }
 
@@ -109,19 +109,19 @@
 	synctest.Test(t, func(t *testing.T) {
 		es := endpoints(9)
 		var b balance.Book
-		b.Avoid(es[1])
-		b.Avoid(es[4])
+		b.Avoid(es[1], time.Now())
+		b.Avoid(es[4], time.Now())
 		q := balance.Query{DataCentre: "dc1", Skip: map[string]bool{}}
 		for range 6 {
-			c, _ := b.Choose(es, q)
+			c, _ := b.Choose(es, q, time.Now())
 			require.NotEqual(t, "dc1", c.Endpoint.DataCentre)
 			q.Skip[c.Endpoint.ID] = true
 		}
-		c, ok := b.Choose(es, q)
+		c, ok := b.Choose(es, q, time.Now())
 		require.True(t, ok, "an avoided endpoint is better than none")
 		require.True(t, c.Avoided)
 		wait.For(t.Context(), 3*time.Second)
-		c, _ = b.Choose(es, balance.Query{DataCentre: "dc1"})
+		c, _ = b.Choose(es, balance.Query{DataCentre: "dc1"}, time.Now())
 		require.Equal(t, "dc1", c.Endpoint.DataCentre)
 	})
 }
@@ -131,18 +131,18 @@
 	synctest.Test(t, func(t *testing.T) {
 		es := endpoints(1)
 		var b balance.Book
-		c, _ := b.Choose(es, balance.Query{})
+		c, _ := b.Choose(es, balance.Query{}, time.Now())
 		wait.For(t.Context(), time.Minute)
-		one, two := b.Begin(es[0], c), b.Begin(es[0], c)
-		require.Zero(t, b.Silent("e0"))
+		one, two := b.Begin(es[0], c, time.Now()), b.Begin(es[0], c, time.Now())
+		require.Zero(t, b.Silent("e0", time.Now()))
 		wait.For(t.Context(), 2*time.Second)
-		require.Equal(t, 2*time.Second, b.Silent("e0"))
-		one.Progress()
-		require.Zero(t, b.Silent("e0"))
-		one.End(false)
-		two.End(false)
+		require.Equal(t, 2*time.Second, b.Silent("e0", time.Now()))
+		one.Progress(time.Now())
+		require.Zero(t, b.Silent("e0", time.Now()))
+		one.End(false, time.Now())
+		two.End(false, time.Now())
 		wait.For(t.Context(), time.Second)
-		require.Zero(t, b.Silent("e0"))
+		require.Zero(t, b.Silent("e0", time.Now()))
 	})
 }
 
@@ -162,13 +162,13 @@
 		}
 		var off []float64
 		for i := range 600 {
-			c, _ := b.Choose(es, balance.Query{Engine: true, Prompt: 500 + r.IntN(20_000), Objective: time.Second})
+			c, _ := b.Choose(es, balance.Query{Engine: true, Prompt: 500 + r.IntN(20_000), Objective: time.Second}, time.Now())
 			d := seen(c.Endpoint, c.Tokens)
-			n := b.Begin(c.Endpoint, c)
+			n := b.Begin(c.Endpoint, c, time.Now())
 			wait.For(t.Context(), d)
-			n.Progress()
+			n.Progress(time.Now())
 			n.Answered()
-			n.End(false)
+			n.End(false, time.Now())
 			wait.For(t.Context(), 100*time.Millisecond-d%(100*time.Millisecond))
 			if i >= 400 {
 				off = append(off, math.Abs(float64(c.Expected-d))/float64(d))
@@ -185,15 +185,15 @@
 		es := endpoints(1)
 		var b balance.Book
 		q := balance.Query{Engine: true, Prompt: 5000}
-		before, _ := b.Choose(es, q)
+		before, _ := b.Choose(es, q, time.Now())
 		for range 100 {
-			c, _ := b.Choose(es, q)
-			n := b.Begin(c.Endpoint, c)
+			c, _ := b.Choose(es, q, time.Now())
+			n := b.Begin(c.Endpoint, c, time.Now())
 			wait.For(t.Context(), time.Millisecond)
-			n.Progress()
-			n.End(true)
+			n.Progress(time.Now())
+			n.End(true, time.Now())
 		}
-		after, _ := b.Choose(es, q)
+		after, _ := b.Choose(es, q, time.Now())
 		require.Equal(t, before.Expected, after.Expected)
 		require.Zero(t, b.Model("s").Samples())
 	})
@@ -208,9 +208,9 @@
 		for range 100 {
 			answer(t, &before, es, q, 40*time.Millisecond)
 		}
-		after.Recall(before.AllSpeeds())
-		one, _ := before.Choose(es, q)
-		two, _ := after.Choose(es, q)
+		after.Recall(before.AllSpeeds(time.Now()), time.Now())
+		one, _ := before.Choose(es, q, time.Now())
+		two, _ := after.Choose(es, q, time.Now())
 		require.InDelta(t, one.Expected.Milliseconds(), two.Expected.Milliseconds(), 2)
 	})
 }
@@ -222,13 +222,13 @@
 		es := endpoints(3)
 		var b balance.Book
 		q := balance.Query{DataCentre: "dc0", Engine: true, Prompt: 500}
-		c, _ := b.Choose(es, q)
+		c, _ := b.Choose(es, q, time.Now())
 		first := c.Endpoint
-		b.Hear(first, 30_000)
-		c, _ = b.Choose(es, q)
+		b.Hear(first, 30_000, time.Now())
+		c, _ = b.Choose(es, q, time.Now())
 		require.NotEqual(t, first.ID, c.Endpoint.ID)
 		wait.For(t.Context(), time.Minute)
-		c, _ = b.Choose(es, q)
+		c, _ = b.Choose(es, q, time.Now())
 		require.Equal(t, first.ID, c.Endpoint.ID)
 	})
 }
@@ -238,10 +238,10 @@
 	es := endpoints(1)
 	var b balance.Book
 	q := balance.Query{Engine: true, Prompt: 500}
-	b.Tell(map[string]balance.Load{"e0": {Running: 1, Tokens: 8000}}, 4)
+	b.Tell(map[string]balance.Load{"e0": {Running: 1, Tokens: 8000}}, 4, time.Now())
 	for near, told := range []int{8000, 6000, 4000, 2000, 0} {
 		b.Near(near)
-		c, _ := b.Choose(es, q)
+		c, _ := b.Choose(es, q, time.Now())
 		require.Equal(t, told, c.Load.Told)
 	}
 }
@@ -255,8 +255,8 @@
 		for range 100 {
 			answer(t, &one, es, q, 40*time.Millisecond)
 		}
-		two.TellSpeeds(one.Speeds())
-		c, _ := two.Choose(es, q)
+		two.TellSpeeds(one.Speeds(time.Now()))
+		c, _ := two.Choose(es, q, time.Now())
 		require.InDelta(t, 40, c.Expected.Milliseconds(), 10)
 	})
 }
@@ -265,9 +265,10 @@
 	es := endpoints(111)
 	var k balance.Book
 	q := prompt("p", 500)
+	now := time.Now()
 	b.ReportAllocs()
 	for b.Loop() {
-		k.Choose(es, q)
+		k.Choose(es, q, now)
 	}
 }
 
@@ -287,11 +288,11 @@
 			load[e.ID] = balance.Load{Running: 5, Tokens: 3000}
 		}
 	}
-	b.Tell(load, 2)
+	b.Tell(load, 2, time.Now())
 	q := balance.Query{DataCentre: "dc0", Engine: true, Prompt: 500}
-	c, _ := b.Choose(es, q)
+	c, _ := b.Choose(es, q, time.Now())
 	require.NotEqual(t, "dc0", c.Endpoint.DataCentre)
 	q.Broke = true
-	c, _ = b.Choose(es, q)
+	c, _ = b.Choose(es, q, time.Now())
 	require.Equal(t, "dc0", c.Endpoint.DataCentre)
 }
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -87,10 +86,9 @@
 
 // Choose returns the endpoint with the least expected time to the first event,
 // and false if there is none. All are of one service.
-func (b *Book) Choose(es []endpoint.Endpoint, q Query) (Choice, bool) {
+func (b *Book) Choose(es []endpoint.Endpoint, q Query, now time.Time) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := time.Now()
 	if len(es) == 0 {
 		return Choice{}, false
 	}
@@ -108,7 +106,7 @@
 		if es[i].DataCentre == q.DataCentre && b.near > 0 {
 			look = max(look, lookNear)
 		}
-		if found && look < 1 && es[i].ID != home && rand.Float64() > look {
+		if found && look < 1 && es[i].ID != home && b.Chance() > look {
 			continue
 		}
 		c := b.judge(&es[i], q, es[i].ID == home, &view, now)
@@ -128,7 +126,7 @@
 // have sent is known late; where many boxes send, all would choose the same
 // endpoint until they know, so each looks at some, taken at random.
 func (b *Book) looked(n int) float64 {
-	if b.boxes <= lookAll || n == 0 {
+	if b.Chance == nil || b.boxes <= lookAll || n == 0 {
 		return 1
 	}
 	return max(float64(lookAll)/float64(b.boxes), float64(lookLeast)/float64(n))
--- a/balance/entry.go
+++ b/balance/entry.go
@@ -25,11 +25,10 @@
 }
 
 // Begin notes that a call is sent.
-func (b *Book) Begin(e endpoint.Endpoint, c Choice) *Entry {
+func (b *Book) Begin(e endpoint.Endpoint, c Choice, now time.Time) *Entry {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.page(e.ID)
-	now := time.Now()
 	if p.running == 0 {
 		p.since = now
 	}
@@ -43,10 +42,9 @@
 }
 
 // Progress notes that the endpoint sent something for this call.
-func (n *Entry) Progress() {
+func (n *Entry) Progress(now time.Time) {
 	n.book.mu.Lock()
 	defer n.book.mu.Unlock()
-	now := time.Now()
 	n.page.progress = now
 	n.page.broken = 0
 	n.page.until = time.Time{}
@@ -74,7 +72,7 @@
 }
 
 // End notes that the call is over, and whether the endpoint failed it.
-func (n *Entry) End(failed bool) {
+func (n *Entry) End(failed bool, now time.Time) {
 	n.book.mu.Lock()
 	defer n.book.mu.Unlock()
 	if n.events > 1 {
@@ -85,7 +83,6 @@
 	}
 	n.page.running--
 	if !failed && n.events > 0 {
-		now := time.Now()
 		n.model.ObserveRun(now.Sub(n.began), now)
 	}
 	v := 0.0
--- a/balance/speeds.go
+++ b/balance/speeds.go
@@ -26,20 +26,18 @@
 }
 
 // Recall takes in what a box before this one had observed.
-func (b *Book) Recall(speeds map[string]estimate.Stats) {
+func (b *Book) Recall(speeds map[string]estimate.Stats, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := time.Now()
 	for n, s := range speeds {
 		b.model(n).Recall(s, now)
 	}
 }
 
 // Speeds returns what this box has observed of each service.
-func (b *Book) Speeds() map[string]estimate.Stats {
+func (b *Book) Speeds(now time.Time) map[string]estimate.Stats {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := time.Now()
 	out := map[string]estimate.Stats{}
 	for n, m := range b.models {
 		out[n] = m.Own(now)
@@ -48,10 +46,9 @@
 }
 
 // AllSpeeds returns what all boxes have observed of each service.
-func (b *Book) AllSpeeds() map[string]estimate.Stats {
+func (b *Book) AllSpeeds(now time.Time) map[string]estimate.Stats {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := time.Now()
 	out := map[string]estimate.Stats{}
 	for n, m := range b.models {
 		out[n] = m.All(now)
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -122,9 +123,10 @@
 func entryServices(s settings.Entry, m metrics.Registry, log zerolog.Logger) []kernel.Service {
 	st := platform.NewStore(s.Store)
 	p := &entryParts{
-		settings: s, store: st, book: &balance.Book{}, quota: &quota.Quota{
+		settings: s, store: st, book: &balance.Book{Chance: rand.Float64}, quota: &quota.Quota{
 			Terms: quota.Terms{Window: s.QuotaWindow, Overage: s.QuotaOverage, Slack: float64(s.QuotaSlack)},
 			Self:  quota.Arbiter{Box: s.Box, DataCentre: s.DataCentre, Address: s.Peers}, Started: time.Now(),
+			Chance: rand.Float64,
 		}, meter: &demand.Meter{},
 		budget: budget.New(budget.Terms{Ratio: s.RetryRatio, Slack: float64(s.RetrySlack), Window: s.RetryWindow}),
 		tally:  &tally.Tally{Window: s.ReportWindow}, clock: daytime.New(time.Now),
--- a/daemon/tell.go
+++ b/daemon/tell.go
@@ -7,6 +7,7 @@
 
 	"birchlink.dev/birchlink/demand"
 	"birchlink.dev/birchlink/endpoint"
+	"birchlink.dev/birchlink/estimate"
 	"birchlink.dev/birchlink/gossip"
 	"birchlink.dev/birchlink/hint"
 	"birchlink.dev/birchlink/quota"
@@ -26,13 +27,14 @@
 		}
 		return gossip.Status{
 			Box: s.Box, DataCentre: s.DataCentre, Address: s.Peers, Version: v,
-			Load: p.book.Own(), Demand: d, Speeds: p.book.Speeds(),
+			Load: p.book.Own(), Demand: d, Speeds: p.book.Speeds(now),
 			Usage: []tally.Part{p.tally.Recent(s.Box+"."+p.incarnation, p.tally.Number(p.clock.At(now))-toldWindows)},
 		}
 	}
 	g.OnChange, g.Quota, g.Clock = p.heard, p.quota, p.clock
-	g.BeforeKey, g.Expect, g.Recall = beforeKey, p.quota.Expect, p.book.Recall
-	g.Speeds = p.book.AllSpeeds
+	g.BeforeKey, g.Expect = beforeKey, p.quota.Expect
+	g.Recall = func(s map[string]estimate.Stats) { p.book.Recall(s, time.Now()) }
+	g.Speeds = func() map[string]estimate.Stats { return p.book.AllSpeeds(time.Now()) }
 	g.Before = func(boxes int) quota.Before {
 		t := p.known.Table()
 		if t == nil {
@@ -44,6 +46,7 @@
 
 // heard takes the other boxes' statuses into this box's decisions.
 func (p *entryParts) heard(others gossip.Status) {
+	now := time.Now()
 	p.budget.Boxes(others.Boxes + 1)
 	p.follow()
 	if p.reporter != nil {
@@ -52,13 +55,13 @@
 		}
 	}
 	if p.gossip.Alone() {
-		p.book.Tell(nil, others.Boxes)
+		p.book.Tell(nil, others.Boxes, now)
 		return
 	}
 	p.mu.Lock()
 	p.others = others.Demand
 	p.mu.Unlock()
-	p.book.Tell(others.Load, others.Boxes)
+	p.book.Tell(others.Load, others.Boxes, now)
 	p.book.TellSpeeds(others.Speeds)
 }
 
@@ -83,7 +86,7 @@
 // hinted takes in what another box sends.
 func (p *entryParts) hinted(s hint.Sent) {
 	if e, ok := p.known.Roster.Get(s.Endpoint); ok {
-		p.book.Hear(e, s.Tokens)
+		p.book.Hear(e, s.Tokens, time.Now())
 	}
 }
 
--- a/forward/run.go
+++ b/forward/run.go
@@ -109,7 +109,7 @@
 	switch out.breakage {
 	case recovery.Unreachable:
 		r.dials++
-		r.f.Book.Avoid(e)
+		r.f.Book.Avoid(e, time.Now())
 	case recovery.Refused:
 		r.sent = append(r.sent, reached{id: e.ID})
 	default:
@@ -167,7 +167,7 @@
 	end := time.Now().Add(noneWait)
 	for {
 		es := r.f.Roster.Serving(r.q.Service.Name)
-		if ch, ok := r.f.Book.Choose(es, q); ok {
+		if ch, ok := r.f.Book.Choose(es, q, time.Now()); ok {
 			return ch, true
 		}
 		if len(es) > 0 || len(r.sent)+r.dials > 0 || time.Now().After(end) || c.Err() != nil {
@@ -216,7 +216,7 @@
 	}
 	cl := r.q.Call
 	defer r.f.Meter.Begin(r.q.Service.Name, r.load(ch), time.Now())()
-	n := r.f.Book.Begin(e, ch)
+	n := r.f.Book.Begin(e, ch, time.Now())
 	r.f.Sent(e, ch.Tokens)
 	w := r.watch(cancel, ch)
 	defer w.stop()
@@ -227,7 +227,7 @@
 	})
 	if err != nil {
 		unreachable := errors.Is(err, exchange.ErrUnreachable)
-		n.End(c.Err() == nil)
+		n.End(c.Err() == nil, time.Now())
 		if unreachable {
 			return ended{breakage: recovery.Unreachable, err: err}
 		}
@@ -237,7 +237,7 @@
 	r.trace.First = time.Since(sent)
 	out := r.take(ans, n, w, sent)
 	out.err = cause(x, out.err)
-	n.End(!out.done && out.breakage != recovery.Refused && c.Err() == nil)
+	n.End(!out.done && out.breakage != recovery.Refused && c.Err() == nil, time.Now())
 	return out
 }
 
--- a/forward/take.go
+++ b/forward/take.go
@@ -23,7 +23,7 @@
 func (r *run) take(a *exchange.Answer, n *balance.Entry, w *watch, sent time.Time) ended {
 	o := r.f.Codec.Outcome(a.Status, a.Header)
 	if o.NotRun {
-		n.Progress()
+		n.Progress(time.Now())
 		_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxAnswer))
 		return ended{breakage: recovery.Refused, err: fmt.Errorf("status %d: not run", a.Status)}
 	}
@@ -37,7 +37,7 @@
 	if err != nil {
 		return ended{breakage: recovery.Gone, err: fmt.Errorf("the answer was cut: %w", err)}
 	}
-	n.Progress()
+	n.Progress(time.Now())
 	r.began(sent)
 	if a.Status < http.StatusMultipleChoices {
 		n.Answered()
@@ -86,7 +86,7 @@
 			return out
 		}
 		w.saw()
-		n.Progress()
+		n.Progress(time.Now())
 		if !out.progress {
 			n.Answered()
 		}
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -59,8 +59,8 @@
 		if w.over {
 			return
 		}
-		if time.Since(w.last) > w.limit && r.f.Book.Silent(e.ID) > w.limit {
-			r.f.Book.Avoid(e)
+		if time.Since(w.last) > w.limit && r.f.Book.Silent(e.ID, time.Now()) > w.limit {
+			r.f.Book.Avoid(e, time.Now())
 			cancel(errSilent)
 			return
 		}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"strings"
@@ -82,7 +83,7 @@
 	}, s, zerolog.Nop())
 	b.Gossip = gossip.New(zerolog.Nop())
 	b.Clock = daytime.New(time.Now)
-	b.Quota = &quota.Quota{Self: quota.Arbiter{Box: name, DataCentre: dc, Address: a}, Started: time.Now(), Incarnation: fmt.Sprint("life", lives.Add(1))}
+	b.Quota = &quota.Quota{Self: quota.Arbiter{Box: name, DataCentre: dc, Address: a}, Started: time.Now(), Incarnation: fmt.Sprint("life", lives.Add(1)), Chance: rand.Float64}
 	b.Box, b.DataCentre, b.Address, b.Prefix, b.Seeds, b.Store = name, dc, a, "relays/", seeds, s
 	b.Own = func() gossip.Status {
 		v, _ := b.known.Raw()
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -47,7 +48,7 @@
 
 // alone returns the limits of a box that has run for a while.
 func alone() books {
-	q := &quota.Quota{Self: quota.Arbiter{Box: "x"}, Started: time.Now().Add(-time.Minute)}
+	q := &quota.Quota{Self: quota.Arbiter{Box: "x"}, Started: time.Now().Add(-time.Minute), Chance: rand.Float64}
 	q.Expect(quota.Before{Division: quota.Division{Version: 1, Boxes: one.Boxes}})
 	b := books{q}
 	b.Round(one, document.Accounts, time.Now().Add(-time.Second))
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"testing"
 	"time"
@@ -39,7 +40,7 @@
 	q := &quota.Quota{
 		Terms:       quota.Terms{Window: 8 * time.Second},
 		Self:        quota.Arbiter{Box: name, DataCentre: "dc", Address: a},
-		Incarnation: name, Started: time.Now().Add(-time.Minute),
+		Incarnation: name, Started: time.Now().Add(-time.Minute), Chance: rand.Float64,
 	}
 	b.Limit = limit.New(q, b.metrics, zerolog.Nop())
 	k := &kernel.Kernel{}
--- a/quota/ask.go
+++ b/quota/ask.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"math/rand/v2"
 	"time"
 )
 
@@ -89,7 +88,7 @@
 		need = urgentPart * part * b.burst
 	}
 	if part < smallPart {
-		need = max(need, x.Size*q.chance())
+		need = max(need, x.Size*q.Chance())
 	}
 	if b.level > 0 && b.level >= need {
 		b.level -= x.Size
@@ -107,10 +106,3 @@
 	urgentPart = 0.1
 	smallPart  = 0.12
 )
-
-func (q *Quota) chance() float64 {
-	if q.Chance != nil {
-		return q.Chance()
-	}
-	return rand.Float64()
-}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -89,7 +89,7 @@
 	// the store tells (Expect); else its buckets fill from nothing.
 	Started time.Time
 
-	// Chance returns numbers from 0 to 1; nil stands for random ones.
+	// Chance returns numbers from 0 to 1, at random.
 	Chance func() float64
 
 	mu        sync.Mutex
