--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,13 +30,16 @@
 // away, and is forgotten after forgotten; one that has not been heard for recent is
 // no arbiter. A relay whose store has been silent for longer than stale is no use. A
 // process younger than starting exchanges each startPeriod: boxes that all start at once
-// need three rounds to have heard each other. One younger than selfFor speaks for itself
+// need three rounds to have heard each other. A relay that watches the store for others
+// and has missed one round, watcherLost, is counted on no more: a change has to be known
+// within 2 s, and what it had not told is then read by another. One younger than selfFor speaks for itself
 // in matters of limits.
 const (
 	period      = 500 * time.Millisecond
 	callLimit   = 450 * time.Millisecond
 	lost        = 2 * time.Second
 	recent      = 1200 * time.Millisecond
+	watcherLost = 800 * time.Millisecond
 	forgotten   = 8 * time.Second
 	stale       = 1100 * time.Millisecond
 	starting    = 3 * time.Second
@@ -230,13 +234,49 @@
 	g.relay = seat{dataCentre: g.DataCentre, box: g.Box, address: g.Address}
 	g.keepPlace(c)
 	g.followPlaces(c, true)
-	g.known.Follow(true)
 	g.exchange(c)
+	g.known.Follow(g.watches())
 	if g.session.Lease() != 0 && g.lostPlace() {
 		g.enlist(c)
 	}
 }
 
+// watches reports whether this relay is one of those that watch the store for all: the
+// first that hears it, and the first of another data centre.
+func (g *Gossip) watches() bool {
+	own := g.session.Silent() <= stale
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var hear []seat
+	for _, h := range g.others {
+		if time.Since(h.at) < watcherLost && h.Silent <= stale {
+			hear = append(hear, seat{dataCentre: h.DataCentre, box: h.Box})
+		}
+	}
+	if !own {
+		return len(hear) == 0
+	}
+	return watcher(seat{dataCentre: g.DataCentre, box: g.Box}, hear)
+}
+
+// watcher reports whether one relay is among the first two by name, of different data
+// centres where there are several, together with others that hear the store.
+func watcher(own seat, others []seat) bool {
+	first := own
+	for _, s := range others {
+		if s.box < first.box {
+			first = s
+		}
+	}
+	if first.box == own.box {
+		return true
+	}
+	apart := slices.ContainsFunc(append(others, own), func(s seat) bool { return s.dataCentre != first.dataCentre })
+	return !slices.ContainsFunc(others, func(s seat) bool {
+		return s.box != first.box && s.box < own.box && (!apart || s.dataCentre != first.dataCentre)
+	}) && (!apart || own.dataCentre != first.dataCentre)
+}
+
 // lostPlace reports whether the store does not list this box at its place.
 func (g *Gossip) lostPlace() bool {
 	n := g.places()
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"birchlink.dev/birchlink/known"
 )
 
 // self returns what this box alone tells.
@@ -21,6 +23,7 @@
 	s := empty(g.Box, g.DataCentre, g.Address)
 	s.add(g.self())
 	s.Leaving = g.leaves()
+	s.Revision, s.Silent = g.known.Revision(), g.session.Silent()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, h := range g.members {
@@ -148,6 +151,7 @@
 	}
 	w.Wait()
 	g.fetch(c)
+	g.fetchRecords(c)
 	g.forget()
 }
 
@@ -171,6 +175,27 @@
 	}
 }
 
+// fetchRecords takes newer records of the endpoints from a relay that has them: what it
+// told of a change may have been lost.
+func (g *Gossip) fetchRecords(c context.Context) {
+	at := g.known.Revision()
+	g.mu.Lock()
+	from := ""
+	for _, h := range g.others {
+		if h.Revision > at && time.Since(h.at) < lost {
+			from, at = h.Address, h.Revision
+		}
+	}
+	g.mu.Unlock()
+	if from == "" {
+		return
+	}
+	var r known.Records
+	if err := g.call(c, from, "gossip.records", at, &r); err == nil {
+		g.known.Tell(r)
+	}
+}
+
 // forget drops boxes that have been away for long.
 func (g *Gossip) forget() {
 	g.mu.Lock()
@@ -189,14 +214,20 @@
 	}
 }
 
-// push tells the members of a change at once. One that is not reached finds out
-// in its next round.
+// push tells the members of a change at once, and a relay that watches the store the
+// other relays too. One that is not reached finds out in its next round.
 func (g *Gossip) push(c context.Context, u update) {
 	if !g.holds() {
 		return
 	}
+	watches := g.known.Follows()
 	g.mu.Lock()
 	var to []string
+	for _, h := range g.others {
+		if watches && time.Since(h.at) < lost {
+			to = append(to, h.Address)
+		}
+	}
 	for _, h := range g.members {
 		if time.Since(h.at) < lost {
 			to = append(to, h.Address)
--- a/gossip/status.go
+++ b/gossip/status.go
@@ -22,12 +22,14 @@
 	Address    string
 	Relay      string // the relay that counts this box; any other only answers it
 	Boxes      int
-	Version    uint64      // of the configuration in force
-	Limits     quota.Lease // what this relay leases to the one that is told
-	Divided    uint64      // the version by which a member divides the limits
-	Leaving    bool        // the box stops
-	ForItself  bool        // the relay does not speak for this member yet
-	Now        time.Time   // the time of day there
+	Version    uint64        // of the configuration in force
+	Revision   uint64        // of the endpoints' records that a relay knows
+	Silent     time.Duration // for how long the store has been silent to a relay
+	Limits     quota.Lease   // what this relay leases to the one that is told
+	Divided    uint64        // the version by which a member divides the limits
+	Leaving    bool          // the box stops
+	ForItself  bool          // the relay does not speak for this member yet
+	Now        time.Time     // the time of day there
 	Load       map[string]balance.Load
 	Demand     map[string]map[string]demand.Figure // by service and data centre
 	Usage      []tally.Part
--- a/known/known.go
+++ b/known/known.go
@@ -81,7 +81,7 @@
 	}
 	k.mirrors = []*mirror.Mirror{
 		{Store: k.Store, Prefix: k.ConfigKey, Wait: watchWait, Apply: k.applyConfig, Log: k.log, Away: k.session.Away},
-		{Store: k.Store, Prefix: k.EndpointsPrefix, Wait: watchWait, Apply: k.applyEndpoints, Log: k.log, Away: k.session.Away},
+		{Store: k.Store, Prefix: k.EndpointsPrefix, Wait: watchWait, Apply: k.applyEndpoints, Since: k.Revision, Log: k.log, Away: k.session.Away},
 	}
 	for _, m := range k.mirrors {
 		k.session.OnReturn(m.Restart)
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -42,6 +42,10 @@
 	Apply func(items []store.Item, whole bool, revision uint64)
 	Log   zerolog.Logger
 
+	// Since returns a revision up to which all is known when Run begins; zero, or nil,
+	// is nothing.
+	Since func() uint64
+
 	// Away reports whether the store is known to answer nothing; nil is never. Whoever
 	// knows that it answers again restarts the mirror.
 	Away func() bool
@@ -62,6 +66,9 @@
 // Run follows the prefix until c ends.
 func (m *Mirror) Run(c context.Context) {
 	var revision uint64
+	if m.Since != nil {
+		revision = m.Since()
+	}
 	for c.Err() == nil {
 		x, cancel := context.WithCancel(c)
 		m.mu.Lock()
--- a/session/session.go
+++ b/session/session.go
@@ -145,14 +145,13 @@
 	return !s.reached
 }
 
-// Check reports whether the store answers this box now. It makes a call if the last
-// answer is older than RenewFast, so that a box to which the store has just become silent
-// does not count on it: members renew seldom.
+// Check reports whether the store answers this box now. It makes a call, so that a box to
+// which the store has just become silent does not count on it: members renew seldom.
 func (s *Session) Check(c context.Context) bool {
 	s.mu.Lock()
-	l, reached, fresh := s.lease, s.reached, time.Since(s.renewed) < RenewFast
+	l, reached := s.lease, s.reached
 	s.mu.Unlock()
-	if !reached || fresh || l == 0 {
+	if !reached || l == 0 {
 		return reached
 	}
 	err := s.Store.Renew(c, l)
