--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -29,6 +29,7 @@
 	tick       = 10 * time.Millisecond
 	lost       = 2 * time.Second // after which a box that is not heard is not counted
 	recent     = 1200 * time.Millisecond
+	stopTakes  = 3 * time.Second // from a box's word that it leaves to its end
 )
 
 // node is one box of a fleet.
@@ -40,6 +41,7 @@
 	told    time.Time
 	dead    bool
 	frozen  bool
+	leaving time.Time // when a box that stops ends; zero for one that does not stop
 	side    int // boxes reach those of their side
 	members map[int]time.Time
 	others  map[int]heardRelay
@@ -106,7 +108,10 @@
 }
 
 func (f *fleet) arbiter(i int) quota.Arbiter {
-	return quota.Arbiter{Box: fmt.Sprint("box", i), DataCentre: fmt.Sprint("dc", i%f.cells), Address: fmt.Sprint(i)}
+	return quota.Arbiter{
+		Box: fmt.Sprint("box", i), DataCentre: fmt.Sprint("dc", i%f.cells), Address: fmt.Sprint(i),
+		Leaving: !f.nodes[i].leaving.IsZero(),
+	}
 }
 
 func index(a quota.Arbiter) int {
@@ -278,6 +283,13 @@
 // kill ends a box's process; start begins it again.
 func (f *fleet) kill(i int) { f.nodes[i].dead = true }
 
+// stop lets a box say that it leaves, and end some seconds later.
+func (f *fleet) stop(i int) {
+	if n := f.nodes[i]; n.leaving.IsZero() {
+		n.leaving = f.now.Add(stopTakes)
+	}
+}
+
 func (f *fleet) start(i int, p *quota.Before) {
 	if f.nodes[i].dead {
 		f.begin(i, p)
@@ -343,6 +355,9 @@
 	f.write()
 	at := int(f.now.UnixNano()/int64(tick)) % int(round/tick)
 	for i, n := range f.nodes {
+		if !n.leaving.IsZero() && !f.now.Before(n.leaving) {
+			f.kill(i)
+		}
 		every := int(round / tick)
 		if f.now.Sub(n.Started) < young {
 			every = int(youngRound / tick)
--- a/quota/hold.go
+++ b/quota/hold.go
@@ -25,11 +25,26 @@
 	return h.parts[account] * h.pieces[shard].size()
 }
 
-// take holds a lease in place of its lessor's last. All buckets must have been filled
-// up to now, which drops what has ended.
+// without takes pieces out of the lease, and reports whether any are left.
+func (h hold) without(pieces []Pieces) bool {
+	left := false
+	for s := range h.pieces {
+		h.pieces[s] &^= pieces[s]
+		left = left || h.pieces[s] != 0
+	}
+	return left
+}
+
+// take holds a lease in place of its lessor's last. Pieces that the new one lacks are
+// kept for the time that they were leased for: until then their lessor gives them to
+// nobody else, so that nobody could spend them. All buckets must have been filled up to
+// now, which drops what has ended.
 func (l *lessee) take(h hold, now time.Time) {
-	l.holds = slices.DeleteFunc(l.holds, func(o hold) bool { return o.from == h.from || !now.Before(o.until) })
-	if len(h.pieces) != shards || !now.Before(h.until) {
+	valid := len(h.pieces) == shards
+	l.holds = slices.DeleteFunc(l.holds, func(o hold) bool {
+		return !now.Before(o.until) || o.from == h.from && (!valid || !o.without(h.pieces))
+	})
+	if !valid || !now.Before(h.until) {
 		return
 	}
 	at, _ := slices.BinarySearchFunc(l.holds, h.from, func(o hold, from string) int { return cmp.Compare(o.from, from) })
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -269,6 +269,22 @@
 	}
 }
 
+// TestRelaysStop serves an account under half of its rate while a relay of each data
+// centre stops: those that stop spend what was leased to them until it is another's.
+func TestRelaysStop(t *testing.T) {
+	for relays := range 8 {
+		f := newFleet(70, 3, 1)
+		f.idle(10 * time.Second)
+		f.send(5*time.Second, 0.5*account.Rate, 2000)
+		for dc := range 3 {
+			f.stop(dc + 3*(relays>>dc&1))
+		}
+		f.reset()
+		f.send(2500*time.Millisecond, 0.5*account.Rate, 2000)
+		require.Greater(t, f.served(), 0.97, "relays %03b", relays)
+	}
+}
+
 // TestAddedBoxes holds an account to its limit when as many boxes again are added at once,
 // before the division tells of them.
 func TestAddedBoxes(t *testing.T) {
@@ -318,29 +334,45 @@
 		for seed := range courses {
 			t.Run(fmt.Sprint(n, "/", seed), func(t *testing.T) {
 				t.Parallel()
-				f := course(n, seed)
+				f := course(n, seed, anyTrouble)
+				require.LessOrEqual(t, f.most(), limit())
+			})
+		}
+	}
+}
+
+// TestAnyCourseWithStops is the same where boxes also stop as they are asked to.
+func TestAnyCourseWithStops(t *testing.T) {
+	for n, courses := range map[int]uint64{6: 30, 8: 20, 24: 3} {
+		for seed := range courses {
+			t.Run(fmt.Sprint(n, "/", seed), func(t *testing.T) {
+				t.Parallel()
+				f := course(n, seed, anyTrouble+1)
 				require.LessOrEqual(t, f.most(), limit())
 			})
 		}
 	}
 }
 
-// course plays half a minute of trouble.
-func course(n int, seed uint64) *fleet {
+// anyTrouble is how many kinds of trouble there are without stops.
+const anyTrouble = 7
+
+// course plays half a minute of trouble of some kinds.
+func course(n int, seed uint64, kinds int) *fleet {
 	f := settled(n, seed)
 	size := []float64{0, 2000, 9000}[f.rng.IntN(3)]
 	f.send(3*time.Second, 0.5*account.Rate, size)
 	for range 8 {
-		f.trouble()
+		f.trouble(kinds)
 		f.send(time.Duration(1+f.rng.IntN(5))*time.Second, []float64{0.5, 2, 6}[f.rng.IntN(3)]*account.Rate, size)
 		f.mend()
 	}
 	return f
 }
 
-func (f *fleet) trouble() {
+func (f *fleet) trouble(kinds int) {
 	some := rand.New(rand.NewPCG(f.rng.Uint64(), 2)).Perm(len(f.nodes))[:1+f.rng.IntN(1+len(f.nodes)/3)]
-	switch f.rng.IntN(7) {
+	switch f.rng.IntN(kinds) {
 	case 0:
 		for _, i := range some {
 			f.kill(i)
@@ -368,6 +400,10 @@
 		f.restartAll(f.store)
 	case 6:
 		f.loss = 0.1
+	case anyTrouble:
+		for _, i := range some {
+			f.stop(i)
+		}
 	}
 }
 
