--- a/balance/backlog.go
+++ b/balance/backlog.go
@@ -22,11 +22,12 @@
 	return max(l.tokens-perSecond*now.Sub(l.at).Seconds(), 0)
 }
 
-// Near sets how many of the other boxes tell this one at once of their long prompts.
-func (b *Book) Near(boxes int) {
+// Peers sets how many of the other boxes tell this one at once of their long prompts, and
+// how many of the very long ones only.
+func (b *Book) Peers(near, far int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.near = boxes
+	b.near, b.far = near, far
 }
 
 // Hear takes in that another box sends an endpoint a prompt.
@@ -39,7 +40,7 @@
 	h.at = now
 }
 
-// Blind returns the part of the other boxes whose prompts are not heard of at once.
+// Blind returns the part of the other boxes' prompts that is not heard of at once.
 func (b *Book) Blind() float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -50,5 +51,6 @@
 	if b.boxes <= 1 {
 		return 0
 	}
-	return max(1-float64(b.near)/float64(b.boxes-1), 0)
+	heard := float64(b.near) + float64(b.far)*b.sent.part()
+	return max(1-heard/float64(b.boxes-1), 0)
 }
--- a/balance/book_test.go
+++ b/balance/book_test.go
@@ -240,7 +240,7 @@
 	q := balance.Query{Engine: true, Prompt: 500}
 	b.Tell(map[string]balance.Load{"e0": {Running: 1, Tokens: 8000}}, 4, time.Now())
 	for near, told := range []int{8000, 6000, 4000, 2000, 0} {
-		b.Near(near)
+		b.Peers(near, 0)
 		c, _ := b.Choose(es, q, time.Now())
 		require.Equal(t, told, c.Load.Told)
 	}
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -111,7 +111,8 @@
 	reporter *reporter.Reporter // nil without that duty
 
 	mu     sync.Mutex
-	peers  []netip.AddrPort                    // that are told of prompts at once
+	near   []netip.AddrPort                    // that are told of long prompts at once
+	far    []netip.AddrPort                    // that are told of very long ones
 	others map[string]map[string]demand.Figure // by service and data centre
 
 	// incarnation tells this process from those before it on the same box.
@@ -144,7 +145,7 @@
 		Sent: p.sent,
 	}
 	p.hints = hint.New(log)
-	p.hints.Address, p.hints.Peers, p.hints.Heard = s.Peers, p.near, p.hinted
+	p.hints.Address, p.hints.Heard = s.Peers, p.hinted
 	o := ingress.Options{
 		Address: s.Callers, Ready: s.Ready, ReadyPath: platform.ReadyPath,
 		Notice: min(stopNotice, s.StopLimit/3), Limit: s.StopLimit - stopReserve,
--- a/daemon/tell.go
+++ b/daemon/tell.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"birchlink.dev/birchlink/balance"
 	"birchlink.dev/birchlink/demand"
 	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/estimate"
@@ -65,18 +66,17 @@
 	p.book.TellSpeeds(others.Speeds)
 }
 
-// longPrompt is the time that an endpoint takes to read a prompt from which on other
-// boxes are told of it: a shorter one keeps nobody waiting for long.
-const longPrompt = 10 * time.Millisecond
-
-// sent tells the other boxes of a long prompt.
+// sent tells other boxes of a long prompt.
 func (p *entryParts) sent(e endpoint.Endpoint, tokens int) {
-	if tokens <= 0 {
-		return
-	}
-	v := p.book.Model(e.Service).View(time.Now())
-	if v.Reading(tokens) >= longPrompt {
-		p.hints.Tell(hint.Sent{Endpoint: e.ID, Tokens: tokens})
+	h := hint.Sent{Endpoint: e.ID, Tokens: tokens}
+	near, far := p.peers()
+	switch p.book.Reach(e.Service, tokens, time.Now()) {
+	case balance.ToAll:
+		p.hints.Tell(h, near)
+		p.hints.Tell(h, far)
+	case balance.ToNear:
+		p.hints.Tell(h, near)
+	case balance.ToNone:
 	}
 }
 
@@ -90,24 +90,31 @@
 	}
 }
 
-func (p *entryParts) near() []netip.AddrPort {
+// peers returns the boxes that are told of long prompts, and of very long ones.
+func (p *entryParts) peers() (near, far []netip.AddrPort) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.peers
+	return p.near, p.far
 }
 
 // follow learns anew which boxes are told at once.
 func (p *entryParts) follow() {
-	var peers []netip.AddrPort
-	for _, a := range p.gossip.Near() {
+	l := p.gossip.Peers()
+	near, far := addresses(l.Near), addresses(l.Far)
+	p.mu.Lock()
+	p.near, p.far = near, far
+	p.mu.Unlock()
+	p.book.Peers(len(near), len(far))
+}
+
+func addresses(as []string) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, a := range as {
 		if x, err := netip.ParseAddrPort(a); err == nil {
-			peers = append(peers, x)
+			out = append(out, x)
 		}
 	}
-	p.mu.Lock()
-	p.peers = peers
-	p.mu.Unlock()
-	p.book.Near(len(peers))
+	return out
 }
 
 // demand sums up what each data centre's boxes carry for a service.
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -316,6 +316,9 @@
 func (g *Gossip) heardWorld(w World) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if w.Peers.Sum == g.world.Peers.Sum {
+		w.Peers = g.world.Peers
+	}
 	g.world, g.at, g.last, g.ahead = w, time.Now(), time.Now(), w.Now.Sub(g.Clock.Now())
 }
 
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -196,13 +196,14 @@
 	bs := seven(t, m)
 	await(t, func() bool {
 		return count(bs, func(b *box) bool {
-			near := b.Near()
+			near := b.Peers().Near
 			return len(near) == 6 && !slices.Contains(near, b.Address)
 		}) == 7
 	})
 }
 
-// In a larger fleet the boxes of a data centre do.
+// In a larger fleet the boxes of a data centre do, and those of others are told of very
+// long prompts only.
 func TestNearInALargeFleet(t *testing.T) {
 	m := &memstore.Memory{}
 	m.Set("config", `{"Version":3}`)
@@ -211,7 +212,10 @@
 		bs = append(bs, start(t, m, fmt.Sprint("box", i), fmt.Sprint("dc", i%2)))
 	}
 	await(t, func() bool {
-		return count(bs, func(b *box) bool { return len(b.Near()) == 6 && b.sum().Boxes == 13 }) == 14
+		return count(bs, func(b *box) bool {
+			p := b.Peers()
+			return len(p.Near) == 6 && len(p.Far) == 7 && b.sum().Boxes == 13
+		}) == 14
 	})
 }
 
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -120,5 +120,8 @@
 	s.Relay = g.relay.box
 	s.ForItself = time.Since(g.began) < selfFor+startPeriod // until the round after its last as such
 	s.Divided = g.Quota.Division().Version
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s.Knows = g.world.Peers.Sum
 	return s
 }
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -88,7 +88,10 @@
 	if counted && !had {
 		g.log.Info().Str("event", "member").Str("other", in.Box).Uint64("version", in.Version).Msg("in touch")
 	}
-	w := World{Relay: relay, Vacant: relay && g.places() < relays, Others: g.sum(in.Box), Revision: g.known.Revision(), Silent: g.session.Silent(), Near: g.nearby()}
+	w := World{Relay: relay, Vacant: relay && g.places() < relays, Others: g.sum(in.Box), Revision: g.known.Revision(), Silent: g.session.Silent(), Peers: g.peers()}
+	if w.Peers.Sum == in.Knows {
+		w.Peers.Near, w.Peers.Far = nil, nil
+	}
 	w.Arbiters, w.Counts, w.Now = g.arbiters(), g.counts(), g.Clock.Now()
 	if d := g.Quota.Division(); d.Version > in.Divided {
 		w.Division = d
--- a/gossip/status.go
+++ b/gossip/status.go
@@ -29,6 +29,7 @@
 	Divided    uint64        // the version by which a member divides the limits
 	Leaving    bool          // the box stops
 	ForItself  bool          // the relay does not speak for this member yet
+	Knows      uint64        // the sum of the peers that a member was last told
 	Now        time.Time     // the time of day there
 	Load       map[string]balance.Load
 	Demand     map[string]map[string]demand.Figure // by service and data centre
@@ -51,7 +52,7 @@
 	Division quota.Division  // if it is newer than the member's
 	Revision uint64
 	Silent   time.Duration
-	Near     []string // addresses of the boxes that are told at once what a box sends
+	Peers    Peers // without the lists, if the member has those
 }
 
 // update carries a configuration or records to a member.
--- a/hint/hint.go
+++ b/hint/hint.go
@@ -35,11 +35,9 @@
 	Tokens   int    `msgpack:"t"`
 }
 
-// Hints is the service of one box. Peers returns the addresses of the boxes to tell;
-// Heard is called with what others send.
+// Hints is the service of one box. Heard is called with what others send.
 type Hints struct {
 	Address string
-	Peers   func() []netip.AddrPort
 	Heard   func(Sent)
 
 	log   zerolog.Logger
@@ -96,8 +94,8 @@
 	return h.conn.LocalAddr().(*net.UDPAddr).AddrPort()
 }
 
-// Tell sends a hint to all peers. It does not wait for any.
-func (h *Hints) Tell(s Sent) {
+// Tell sends a hint to some boxes. It does not wait for any.
+func (h *Hints) Tell(s Sent, to []netip.AddrPort) {
 	if h.conn == nil {
 		return
 	}
@@ -106,7 +104,7 @@
 		h.log.Error().Str("event", "hint").Err(err).Msg("not sent")
 		return
 	}
-	for _, p := range h.Peers() {
+	for _, p := range to {
 		if _, err := h.conn.WriteToUDPAddrPort(b, p); err != nil {
 			h.log.Debug().Str("event", "hint").Stringer("to", p).Err(err).Msg("not sent")
 		}
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -42,7 +42,7 @@
 	dead    bool
 	frozen  bool
 	leaving time.Time // when a box that stops ends; zero for one that does not stop
-	side    int // boxes reach those of their side
+	side    int       // boxes reach those of their side
 	members map[int]time.Time
 	others  map[int]heardRelay
 	seen    view
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -225,7 +225,7 @@
 			asked, done = asked+f.asked, done+f.done
 			require.LessOrEqual(t, f.most(), limit())
 		}
-require.Greater(t, float64(done), least*float64(asked), "requests of %.0f: %d of %d", size, done, asked)
+		require.Greater(t, float64(done), least*float64(asked), "requests of %.0f: %d of %d", size, done, asked)
 	}
 }
 
