--- a/orders/orders.go
+++ b/orders/orders.go
@@ -173,10 +173,20 @@
 		sites = append(sites, site)
 	}
 	policy := o.Policy
+	replacing := false // what was found, while its load is not known
 	if !o.seen(s.Name, load, now) {
 		// What was found carries the load, as far as is known: no more is ordered than
 		// stands in for it.
-		policy.Least, policy.Surplus = max(policy.Least, o.foundOf(s.Name, sites)), 1
+		found := o.foundOf(s.Name, sites)
+		policy.Least, policy.Surplus = max(policy.Least, found), 1
+		replacing = found > 0
+	}
+	for i := range sites {
+		if replacing {
+			// In the first second the load is known, and nothing yet of the endpoints' speed:
+			// 33 endpoints too many were ordered for 12 s.
+			sites[i].Demand = scaling.Demand{}
+		}
 	}
 	bears := o.Bears(s.Name, slotsOf(all, s), estimate.PauseTarget(o.known.Table().Document, s.Name))
 	plan := policy.Plan(s.Scaling, sites, bears)
@@ -185,14 +195,14 @@
 			continue
 		}
 		p := plan[site.DataCentre]
-		o.want(c, subject{s.Name, site.DataCentre, true}, p.Reclaimable, site, bears)
-		o.want(c, subject{s.Name, site.DataCentre, false}, p.OnDemand, site, bears)
+		o.want(c, subject{s.Name, site.DataCentre, true}, p.Reclaimable, site, bears, false)
+		o.want(c, subject{s.Name, site.DataCentre, false}, p.OnDemand, site, bears, replacing)
 	}
 }
 
-// want orders a count, if it is another than the last. A smaller one is ordered
-// when it has been wanted for a while.
-func (o *Orders) want(c context.Context, s subject, n int, site scaling.Site, bears scaling.Bears) {
+// want orders a count, if it is another than the last. A smaller one is ordered when it
+// has been wanted for a while, or at once: no load swings while what was found is replaced.
+func (o *Orders) want(c context.Context, s subject, n int, site scaling.Site, bears scaling.Bears, atOnce bool) {
 	now := time.Now()
 	p, had := o.placed[s]
 	have := site.Have.OnDemand
@@ -212,7 +222,7 @@
 	// Those that were ordered and cannot be had now are given up at once: the order
 	// would keep their places from others.
 	none := s.reclaimable && have == 0 && (p.dry || p.taken)
-	if lower && !none && !o.settled(s, n, now) {
+	if lower && !none && !atOnce && !o.settled(s, n, now) {
 		return
 	}
 	o.order(c, s, n, site, bears)
--- a/orders/orders_test.go
+++ b/orders/orders_test.go
@@ -220,6 +220,34 @@
 	})
 }
 
+// What was found is given up as soon as what replaces it serves, while there are no
+// callers whose load could swing.
+func TestReplacedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(t, 4, 4)
+		for f.count(true) == 0 {
+			f.pass(10 * time.Millisecond)
+		}
+		f.pass(boot + 900*time.Millisecond)
+		require.Equal(t, 1, f.count(false))
+	})
+}
+
+// The first callers order nothing, as nothing is known of the endpoints' speed yet; after
+// some seconds their load does.
+func TestFirstCallers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(t, 4, 4)
+		f.pass(15 * time.Second)
+		before := f.count(true)
+		f.ask(200_000)
+		f.pass(2 * time.Second)
+		require.Equal(t, before, f.count(true))
+		f.pass(4 * time.Second)
+		require.Greater(t, f.count(true), before)
+	})
+}
+
 // When a data centre's reclaimable endpoints are taken, which they tell by
 // draining only, the insured part of what another such loss would leave missing is
 // ordered on demand at once; it is given up when reclaimable ones serve again.
