--- a/cloudapi/orders.go
+++ b/cloudapi/orders.go
@@ -9,7 +9,7 @@
 // The ways a call can be refused. After ErrUnknown it may have been carried
 // out, or may still be.
 var (
-	ErrFenced  = errors.New("a higher fence has been used, or none can be had")
+	ErrFenced  = errors.New("refused: an old fence, or none of the kind can be had")
 	ErrUnknown = errors.New("no answer: the call may be carried out")
 	ErrRefused = errors.New("the cloud refused the call")
 )
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"net/http"
@@ -101,10 +102,9 @@
 	}
 }
 
-func play(t *testing.T, path string) {
-	f, err := os.Open(path)
-	require.NoError(t, err)
-	defer f.Close()
+// newScript returns a script whose forwarder knows no endpoint yet.
+func newScript(t *testing.T) *script {
+	t.Helper()
 	s := &script{t: t, fakes: map[string]*fake{}}
 	s.f = &forward.Forwarder{
 		Roster: &endpoint.Roster{}, Book: &balance.Book{}, Pool: &exchange.Pool{DialLimit: time.Second},
@@ -112,6 +112,14 @@
 		Codec: codec{}, Began: func(string, time.Time) { s.began++ }, Sent: func(endpoint.Endpoint, int) {},
 		Metrics: metrics.NewRegistry(), Log: zerolog.Nop(),
 	}
+	return s
+}
+
+func play(t *testing.T, path string) {
+	f, err := os.Open(path)
+	require.NoError(t, err)
+	defer f.Close()
+	s := newScript(t)
 	r := bufio.NewScanner(f)
 	for n := 1; r.Scan(); n++ {
 		words := strings.Fields(r.Text())
@@ -199,3 +207,17 @@
 		s.t.Fatalf("%s: nothing to expect is called %q", at, words[0])
 	}
 }
+
+// A log line tells an endpoint that answered a failure from one that did not answer.
+func TestBreaksAreNamed(t *testing.T) {
+	for behave, want := range map[string]string{"error:500": "failed", "reset": "gone"} {
+		var out bytes.Buffer
+		s := newScript(t)
+		s.f.Log = zerolog.New(&out)
+		s.step([]string{"route", "idempotent", "1"}, "")
+		s.step([]string{"endpoint", "a", behave}, "")
+		s.call()
+		require.Contains(t, out.String(), `"break":"`+want+`"`)
+		require.EqualValues(t, 1, metrics.GetOrRegisterCounter("attempts.broke."+want, s.f.Metrics).Count())
+	}
+}
--- a/forward/run.go
+++ b/forward/run.go
@@ -68,6 +68,15 @@
 	answered bool // with a whole answer, that is of no use
 }
 
+// name is what logs and metrics call the end of an attempt. An endpoint that answered a
+// failure is not gone, though what follows is the same.
+func (e ended) name() string {
+	if e.answered {
+		return "failed"
+	}
+	return e.breakage.String()
+}
+
 // step makes one attempt. It reports whether the request is done.
 func (r *run) step(c context.Context) (bool, error) {
 	ch, ok := r.choose(c)
@@ -88,7 +97,7 @@
 		return false, errkind.New(errkind.CallerGone, "the caller left: %w", out.err)
 	}
 	r.note(out, e)
-	metrics.GetOrRegisterCounter("attempts.broke."+out.breakage.String(), r.f.Metrics).Inc(1)
+	metrics.GetOrRegisterCounter("attempts.broke."+out.name(), r.f.Metrics).Inc(1)
 	d := recovery.Decide(recovery.State{
 		Break: out.breakage, Repeatable: r.q.Route.Repeatable(), Tries: recovery.MaxTries,
 		Attempts: r.attempts() + max(r.dials-maxDials+1, 0)*recovery.MaxAttempts, Ran: r.ran,
@@ -97,7 +106,7 @@
 		Charged: true,
 	})
 	r.f.Log.Info().Str("event", "attempt broke").Str("request", r.q.Call.ID).Str("endpoint", e.ID).Int("attempt", len(r.sent)).
-		Str("break", out.breakage.String()).Str("last_event", r.last).Bool("ran", r.ran).Err(out.err).Str("reason", d.Reason).Msg("decision")
+		Str("break", out.name()).Str("last_event", r.last).Bool("ran", r.ran).Err(out.err).Str("reason", d.Reason).Msg("decision")
 	if d.Step == recovery.Elsewhere {
 		return false, nil
 	}
--- a/orders/orders.go
+++ b/orders/orders.go
@@ -266,5 +266,20 @@
 		Float64("bears_running", bears.OnDemand.Running).
 		Float64("tokens_per_s", site.Demand.Tokens).Float64("running", site.Demand.Running).
 		Int("have_on_demand", site.Have.OnDemand).Int("have_reclaimable", site.Have.Reclaimable).
-		Dur("since_reclaim", min(site.Since, longAgo)).Bool("dry", site.Dry).Err(err).Msg("decision")
+		Dur("since_reclaim", min(site.Since, longAgo)).Bool("dry", site.Dry).Str("outcome", outcome(s, err)).Err(err).Msg("decision")
+}
+
+// outcome says what came of an order. The cloud refuses with one status both an old fence
+// and reclaimable endpoints of which there are none.
+func outcome(s subject, err error) string {
+	switch {
+	case err == nil:
+		return "ordered"
+	case errors.Is(err, cloudapi.ErrFenced) && s.reclaimable:
+		return "none can be had now; asked for again later"
+	case errors.Is(err, cloudapi.ErrFenced):
+		return "another box holds the duty"
+	default:
+		return "not known; ordered again later"
+	}
 }
