--- a/balance/reach.go
+++ b/balance/reach.go
@@ -16,8 +16,8 @@
 )
 
 // A prompt is long from the reading time longPrompt on: a shorter one keeps nobody waiting
-// for long. A veryLongPrompt is one in eight where drafts are mixed with short answers,
-// and half of all that is read.
+// for long. A veryLongPrompt is one prompt in six where drafts are mixed with short
+// answers, and half of all tokens that are read (counted in the log of a day).
 const (
 	longPrompt     = 10 * time.Millisecond
 	veryLongPrompt = 120 * time.Millisecond
--- a/gossip/near.go
+++ b/gossip/near.go
@@ -9,8 +9,9 @@
 
 // nearBoxes is up to how many boxes all tell each other at once of every long prompt; in
 // a larger fleet those of a data centre do. farBoxes is up to how many all tell each other
-// of very long prompts: one in eight of 470 requests a second is 60 datagrams a second to
-// each box, 3.5 KB/s. What a box hears does not grow with the fleet beyond that.
+// of very long prompts: where those are one in nine of 420 requests a second, each box is
+// sent 45 datagrams a second, 2.6 KB/s. What a box hears does not grow with the fleet beyond
+// that.
 const (
 	nearBoxes = 12
 	farBoxes  = 100
