--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -93,6 +93,7 @@
 	relay   seat // of the relay that counts this box; its own while it is one
 	vacant  bool // a place of a relay may be free
 	packed  packed
+	records packedRecords
 	watch   *mirror.Mirror
 	unwatch context.CancelFunc // set while this box watches the places
 
@@ -134,14 +135,14 @@
 		_, raw := g.known.Raw()
 		return g.packed.pack(raw)
 	})
-	peer.Handle(g.node.Server, "gossip.records", func(context.Context, uint64) (known.Records, error) {
-		return g.known.Records(), nil
+	peer.Handle(g.node.Server, "gossip.records", func(context.Context, uint64) ([]byte, error) {
+		return g.records.pack(g.known)
 	})
 	c, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
 	g.watch = &mirror.Mirror{Store: g.Store, Prefix: g.Prefix, Wait: watchWait, Apply: g.apply, Log: g.log, Away: g.session.Away}
 	g.session.OnReturn(g.watch.Restart)
-	g.known.OnRecords(func(r known.Records) { g.push(c, update{Records: &r, From: g.Box}) })
+	g.known.OnRecords(func(r known.Records) { g.pushRecords(c, r) })
 	g.known.OnRaw(func(raw []byte) {
 		g.limit() // accounts that are new are known from the first request on
 		g.pushConfiguration(c, raw)
@@ -331,12 +332,39 @@
 			g.install(raw, s.address)
 		}
 	}
-	if at := g.known.Revision(); w.Revision > at {
-		var r known.Records
-		if err := g.call(c, s.address, "gossip.records", at, &r); err == nil {
-			g.known.Tell(r)
-		}
+	if w.Revision > g.known.Revision() {
+		g.takeRecords(c, s.address)
+	}
+}
+
+// takeRecords fetches all records of the endpoints from another box.
+func (g *Gossip) takeRecords(c context.Context, address string) {
+	var zip []byte
+	if err := g.call(c, address, "gossip.records", g.known.Revision(), &zip); err != nil {
+		return
+	}
+	r, err := unpackRecords(zip)
+	if err != nil {
+		g.log.Error().Str("event", "endpoint").Str("from", address).Err(err).Msg("records not taken; asked for again in the next round")
+		return
+	}
+	g.known.Tell(r)
+}
+
+// fewRecords is how many records are told as they are: packing pays where there are more.
+const fewRecords = 50
+
+func (g *Gossip) pushRecords(c context.Context, r known.Records) {
+	if len(r.Items) <= fewRecords {
+		g.push(c, update{Records: &r, From: g.Box})
+		return
+	}
+	zip, err := packRecords(r)
+	if err != nil {
+		g.log.Error().Str("event", "endpoint").Err(err).Msg("records not pushed; members fetch them")
+		return
 	}
+	g.push(c, update{Packed: zip, From: g.Box})
 }
 
 func (g *Gossip) pushConfiguration(c context.Context, raw []byte) {
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -552,6 +552,18 @@
 	await(t, all(5))
 }
 
+// Many endpoints that change together reach all boxes.
+func TestManyRecords(t *testing.T) {
+	m := &memstore.Memory{}
+	m.Set("config", `{"Version":3}`)
+	bs := seven(t, m)
+	await(t, func() bool { return count(bs, (*box).Relay) == 4 && len(watchers(bs)) == 2 })
+	for i := range 200 {
+		m.Set(fmt.Sprint("e/", i), "ready")
+	}
+	await(t, func() bool { return count(bs, func(b *box) bool { return len(b.known.Roster.IDs()) == 200 }) == 7 })
+}
+
 // placesOf returns which boxes have the places of relays, by the store.
 func placesOf(t *testing.T, m *memstore.Memory) []string {
 	t.Helper()
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"birchlink.dev/birchlink/known"
 )
 
 // self returns what this box alone tells.
@@ -127,6 +126,13 @@
 	if len(in.Configuration) > 0 {
 		g.install(in.Configuration, in.From)
 	}
+	if len(in.Packed) > 0 {
+		r, err := unpackRecords(in.Packed)
+		if err != nil {
+			return false, err
+		}
+		in.Records = &r
+	}
 	if in.Records != nil {
 		return g.known.Tell(*in.Records), nil
 	}
@@ -193,10 +199,7 @@
 	if from == "" {
 		return
 	}
-	var r known.Records
-	if err := g.call(c, from, "gossip.records", at, &r); err == nil {
-		g.known.Tell(r)
-	}
+	g.takeRecords(c, from)
 }
 
 // forget drops boxes that have been away for long.
--- a/gossip/status.go
+++ b/gossip/status.go
@@ -59,6 +59,7 @@
 type update struct {
 	Configuration []byte
 	Records       *known.Records
+	Packed        []byte // records, where there are many
 	From          string
 }
 
--- /dev/null
+++ b/gossip/zip_test.go
@@ -0,0 +1,46 @@
+package gossip
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"birchlink.dev/birchlink/known"
+	"birchlink.dev/birchlink/store"
+)
+
+// many returns the records of some endpoints, as the store has them.
+func many(n int) known.Records {
+	r := known.Records{Whole: true, From: 3, To: 9}
+	for i := range n {
+		v := fmt.Sprintf(`{"service":"s%d","address":"10.%d.%d.7:8188","zone":"dc%d","version":1,"slots":96,"state":"ready","seq":%d}`, i%2, i%9, i%251, i%3, i)
+		r.Items = append(r.Items, store.Item{Key: fmt.Sprintf("e/i-%08x", 2654435761*uint32(i)), Value: []byte(v), Revision: uint64(i), Created: uint64(i)})
+	}
+	return r
+}
+
+// Records come out as they went in, in less than a fifth of the bytes.
+func TestPackRecords(t *testing.T) {
+	r := many(3000)
+	zip, err := packRecords(r)
+	require.NoError(t, err)
+	plain, err := msgpack.Marshal(r)
+	require.NoError(t, err)
+	require.Less(t, len(zip), len(plain)/5)
+	out, err := unpackRecords(zip)
+	require.NoError(t, err)
+	require.Equal(t, r, out)
+	_, err = unpackRecords(zip[:len(zip)/2])
+	require.Error(t, err)
+}
+
+func BenchmarkPackRecords(b *testing.B) {
+	r := many(3000)
+	for b.Loop() {
+		if _, err := packRecords(r); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
