--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"sync"
 	"time"
-
 )
 
 // self returns what this box alone tells.
