--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -108,6 +107,7 @@
 	last    time.Time        // when any other box was last heard
 	began   time.Time
 	before  before
+	stopped bool
 }
 
 // New returns the service. Its exported fields are to be set before it starts.
@@ -154,10 +154,22 @@
 // Stop ends the exchange.
 func (g *Gossip) Stop(context.Context) error {
 	g.cancel()
+	g.mu.Lock()
+	g.stopped = true
+	g.mu.Unlock()
 	g.group.Wait()
 	return nil
 }
 
+// spawn begins a goroutine that Stop waits for; once it stops, none.
+func (g *Gossip) spawn(f func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.stopped {
+		g.group.Go(f)
+	}
+}
+
 // Relay reports whether this box is one of those that watch the store.
 func (g *Gossip) Relay() bool { return g.holds() }
 
@@ -243,42 +255,6 @@
 	}
 }
 
-// watches reports whether this relay is one of those that watch the store for all: the
-// first that hears it, and the first of another data centre.
-func (g *Gossip) watches() bool {
-	own := g.session.Silent() <= stale
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var hear []seat
-	for _, h := range g.others {
-		if time.Since(h.at) < watcherLost && h.Silent <= stale {
-			hear = append(hear, seat{dataCentre: h.DataCentre, box: h.Box})
-		}
-	}
-	if !own {
-		return len(hear) == 0
-	}
-	return watcher(seat{dataCentre: g.DataCentre, box: g.Box}, hear)
-}
-
-// watcher reports whether one relay is among the first two by name, of different data
-// centres where there are several, together with others that hear the store.
-func watcher(own seat, others []seat) bool {
-	first := own
-	for _, s := range others {
-		if s.box < first.box {
-			first = s
-		}
-	}
-	if first.box == own.box {
-		return true
-	}
-	apart := slices.ContainsFunc(append(others, own), func(s seat) bool { return s.dataCentre != first.dataCentre })
-	return !slices.ContainsFunc(others, func(s seat) bool {
-		return s.box != first.box && s.box < own.box && (!apart || s.dataCentre != first.dataCentre)
-	}) && (!apart || own.dataCentre != first.dataCentre)
-}
-
 // lostPlace reports whether the store does not list this box at its place.
 func (g *Gossip) lostPlace() bool {
 	n := g.places()
@@ -337,36 +313,6 @@
 	}
 }
 
-// takeRecords fetches all records of the endpoints from another box.
-func (g *Gossip) takeRecords(c context.Context, address string) {
-	var zip []byte
-	if err := g.call(c, address, "gossip.records", g.known.Revision(), &zip); err != nil {
-		return
-	}
-	r, err := unpackRecords(zip)
-	if err != nil {
-		g.log.Error().Str("event", "endpoint").Str("from", address).Err(err).Msg("records not taken; asked for again in the next round")
-		return
-	}
-	g.known.Tell(r)
-}
-
-// fewRecords is how many records are told as they are: packing pays where there are more.
-const fewRecords = 50
-
-func (g *Gossip) pushRecords(c context.Context, r known.Records) {
-	if len(r.Items) <= fewRecords {
-		g.push(c, update{Records: &r, From: g.Box})
-		return
-	}
-	zip, err := packRecords(r)
-	if err != nil {
-		g.log.Error().Str("event", "endpoint").Err(err).Msg("records not pushed; members fetch them")
-		return
-	}
-	g.push(c, update{Packed: zip, From: g.Box})
-}
-
 func (g *Gossip) pushConfiguration(c context.Context, raw []byte) {
 	zip, err := g.packed.pack(raw)
 	if err != nil {
--- /dev/null
+++ b/gossip/records.go
@@ -0,0 +1,108 @@
+package gossip
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"birchlink.dev/birchlink/known"
+)
+
+// takeRecords fetches all records of the endpoints from another box.
+func (g *Gossip) takeRecords(c context.Context, address string) {
+	var zip []byte
+	if err := g.call(c, address, "gossip.records", g.known.Revision(), &zip); err != nil {
+		return
+	}
+	r, err := unpackRecords(zip)
+	if err != nil {
+		g.log.Error().Str("event", "endpoint").Str("from", address).Err(err).Msg("records not taken; asked for again in the next round")
+		return
+	}
+	g.known.Tell(r)
+}
+
+// fewRecords is how many records are told as they are: packing pays where there are more.
+const fewRecords = 50
+
+func (g *Gossip) pushRecords(c context.Context, r known.Records) {
+	if len(r.Items) <= fewRecords {
+		g.push(c, update{Records: &r, From: g.Box})
+		return
+	}
+	zip, err := packRecords(r)
+	if err != nil {
+		g.log.Error().Str("event", "endpoint").Err(err).Msg("records not pushed; members fetch them")
+		return
+	}
+	g.push(c, update{Packed: zip, From: g.Box})
+}
+
+// fetchRecords takes newer records of the endpoints from a relay that has them: what it
+// told of a change may have been lost.
+func (g *Gossip) fetchRecords(c context.Context) {
+	at := g.known.Revision()
+	g.mu.Lock()
+	from := ""
+	for _, h := range g.others {
+		if h.Revision > at && time.Since(h.at) < lost {
+			from, at = h.Address, h.Revision
+		}
+	}
+	g.mu.Unlock()
+	if from == "" {
+		return
+	}
+	g.takeRecords(c, from)
+}
+
+// packRecords returns records as they go between boxes where there are many. A relay that
+// has read those of 3,000 endpoints tells them to a hundred members at once: with
+// a copy of its own for each, the busiest of 300 boxes needed 287 MB and 21 MB/s; packed
+// once for all, 49 MB and 3.6 MB/s.
+func packRecords(r known.Records) ([]byte, error) {
+	b, err := msgpack.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("encode records: %w", err)
+	}
+	return pack(b)
+}
+
+// packedRecords keeps the records of the last revision that was asked for.
+type packedRecords struct {
+	mu       sync.Mutex
+	revision uint64
+	zip      []byte
+}
+
+// pack returns all records packed, doing the work once for each revision.
+func (p *packedRecords) pack(k *known.Known) ([]byte, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.zip != nil && p.revision == k.Revision() {
+		return p.zip, nil
+	}
+	r := k.Records()
+	zip, err := packRecords(r)
+	if err != nil {
+		return nil, err
+	}
+	p.revision, p.zip = r.To, zip
+	return zip, nil
+}
+
+// unpackRecords returns the records of what packRecords made.
+func unpackRecords(zip []byte) (known.Records, error) {
+	var r known.Records
+	b, err := unpack(zip)
+	if err != nil {
+		return r, err
+	}
+	if err := msgpack.Unmarshal(b, &r); err != nil {
+		return r, fmt.Errorf("decode records: %w", err)
+	}
+	return r, nil
+}
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -183,24 +183,6 @@
 	}
 }
 
-// fetchRecords takes newer records of the endpoints from a relay that has them: what it
-// told of a change may have been lost.
-func (g *Gossip) fetchRecords(c context.Context) {
-	at := g.known.Revision()
-	g.mu.Lock()
-	from := ""
-	for _, h := range g.others {
-		if h.Revision > at && time.Since(h.at) < lost {
-			from, at = h.Address, h.Revision
-		}
-	}
-	g.mu.Unlock()
-	if from == "" {
-		return
-	}
-	g.takeRecords(c, from)
-}
-
 // forget drops boxes that have been away for long.
 func (g *Gossip) forget() {
 	g.mu.Lock()
@@ -240,7 +222,7 @@
 	}
 	g.mu.Unlock()
 	for _, a := range to {
-		g.group.Go(func() {
+		g.spawn(func() {
 			var took bool
 			if err := g.call(c, a, "gossip.update", u, &took); err != nil {
 				g.log.Debug().Str("event", "update").Str("to", a).Err(err).Msg("not reached")
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -31,6 +31,7 @@
 		defer cancel()
 		go m.Run(c)
 		wait.For(c, 300*time.Millisecond)
+		synctest.Wait()
 		require.Equal(t, "1", seen)
 		s.SetDown(true)
 		before := s.Calls()
