--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -220,81 +219,6 @@
 	})
 }
 
-// watchers returns the data centres of the boxes that watch the store, sorted.
-func watchers(bs []*box) []string {
-	var dcs []string
-	for _, b := range bs {
-		if !b.stopped && b.known.Follows() {
-			dcs = append(dcs, b.DataCentre)
-		}
-	}
-	slices.Sort(dcs)
-	return dcs
-}
-
-// gate is one box's way to the store, which may be closed to it alone.
-type gate struct {
-	store.Store
-	closed atomic.Bool
-}
-
-func (g *gate) Renew(c context.Context, l store.Lease) error {
-	if g.closed.Load() {
-		return store.ErrAway
-	}
-	return g.Store.Renew(c, l)
-}
-
-func (g *gate) Watch(c context.Context, prefix string, since uint64, wait time.Duration) ([]store.Item, uint64, error) {
-	if g.closed.Load() {
-		return nil, 0, store.ErrAway
-	}
-	return g.Store.Watch(c, prefix, since, wait)
-}
-
-// Of all relays two watch the store, of different data centres. When one stops, or the
-// store answers it no more, another does, and all boxes hear of each change.
-func TestWatchers(t *testing.T) {
-	m := &memstore.Memory{}
-	m.Set("config", `{"Version":1}`)
-	bs, gates := make([]*box, 0, 9), make([]*gate, 0, 9)
-	for i := range 9 {
-		g := &gate{Store: m}
-		gates = append(gates, g)
-		bs = append(bs, start(t, g, fmt.Sprint("box", i), fmt.Sprint("dc", i%3)))
-	}
-	version := 1
-	heard := func() bool {
-		return !slices.ContainsFunc(bs, func(b *box) bool {
-			return !b.stopped && (b.version() != uint64(version) || len(b.known.Roster.IDs()) != version-1)
-		})
-	}
-	settled := func() bool {
-		w := watchers(bs)
-		return len(w) == 2 && w[0] != w[1]
-	}
-	change := func() {
-		version++
-		m.Set("config", fmt.Sprintf(`{"Version":%d}`, version))
-		m.Set(fmt.Sprint("e/", version), "ready")
-		await(t, heard)
-	}
-	await(t, func() bool { return count(bs, (*box).Relay) == 6 })
-	await(t, settled)
-	change()
-	first := slices.IndexFunc(bs, func(b *box) bool { return b.known.Follows() })
-	bs[first].stop()
-	change()
-	await(t, settled)
-	next := slices.IndexFunc(bs, func(b *box) bool { return !b.stopped && b.known.Follows() })
-	gates[next].closed.Store(true)
-	change()
-	await(t, func() bool {
-		return len(watchers(bs)) >= 2 && !bs[next].known.Follows()
-	})
-	change()
-}
-
 // Two boxes of each data centre become relays, and two of these watch the store; each box
 // knows the sums of all others, and a change of the store reaches all.
 func TestRelaysAndMembers(t *testing.T) {
@@ -400,28 +324,6 @@
 	return p.Store.Revoke(c, l)
 }
 
-// A relay whose process is killed and starts again keeps its place: it does not wait
-// until the lease of the process before has ended.
-func TestKeepsItsPlace(t *testing.T) {
-	m := &memstore.Memory{}
-	m.Set("config", `{"Version":3}`)
-	p := &partial{Store: m}
-	a := start(t, p, "a", "dc0")
-	await(t, a.Relay)
-	first, err := m.Get(t.Context(), "relays/dc0/0")
-	require.NoError(t, err)
-	p.silent.Store(true) // a killed process gives nothing back
-	a.stop()
-	b := startAt(t, m, "a", "dc0", a.Address)
-	await(t, func() bool {
-		i, err := m.Get(t.Context(), "relays/dc0/0")
-		return err == nil && strings.HasSuffix(string(i.Value), b.Quota.Incarnation)
-	})
-	i, err := m.Get(t.Context(), "relays/dc0/0")
-	require.NoError(t, err)
-	require.Equal(t, first.Created, i.Created)
-}
-
 // four starts two relays of a data centre, each with its own way to the store, a
 // member of it, and a box of another data centre.
 func four(t *testing.T, m *memstore.Memory, p, q *partial) []*box {
@@ -435,21 +337,6 @@
 	return bs
 }
 
-// A box that has lost its place as a relay counts nobody any more: the boxes that
-// told it tell another.
-func TestRelayLosesItsPlace(t *testing.T) {
-	m := &memstore.Memory{}
-	m.Set("config", `{"Version":3}`)
-	p := &partial{Store: m}
-	bs := four(t, m, p, &partial{Store: m})
-	p.readOnly.Store(true)
-	m.Unset("relays/dc0/0")
-	await(t, func() bool { return !bs[0].Relay() && bs[2].Relay() })
-	await(t, func() bool {
-		return count(bs, func(b *box) bool { return b.sum().Boxes == 3 && b.sum().Load["x"].Tokens == 30 }) == 4
-	})
-}
-
 // While a relay does not hear the store, the boxes that told it are counted by
 // another, and by that one only.
 func TestCountedOnce(t *testing.T) {
@@ -470,149 +357,6 @@
 	require.Equal(t, 30, bs[3].sum().Load["x"].Tokens)
 }
 
-// parts returns which part of an account's rate each box has.
-func parts(bs []*box) (sum float64, arbiters int) {
-	for _, b := range bs {
-		p := b.Quota.Ask(quota.Question{Account: "a", Size: 0.001, Urgent: true}, time.Now()).Part
-		sum += p
-		if p > 0.01 {
-			arbiters++
-		}
-	}
-	return sum, arbiters
-}
-
-// Two relays of different data centres have all of an account's rate, and no other box any
-// of it. When one of the two goes, another takes its part.
-func TestArbiters(t *testing.T) {
-	for _, dc := range []string{"dc0", "dc1"} {
-		t.Run(dc, func(t *testing.T) {
-			m := &memstore.Memory{}
-			m.Set("config", `{"Version":3,"Accounts":[{"Name":"a","Rate":1000,"Burst":1000}]}`)
-			bs := seven(t, m)
-			await(t, settled(bs))
-			i := slices.IndexFunc(bs, func(b *box) bool {
-				return b.DataCentre == dc && b.Quota.Ask(quota.Question{Account: "a", Urgent: true}, time.Now()).Part > 0.4
-			})
-			bs[i].stop()
-			await(t, settled(slices.Delete(slices.Clone(bs), i, i+1)))
-		})
-	}
-}
-
-// settled reports whether two of some of seven boxes have all that these may have. Half of
-// the account is each data centre's, and an equal part of that each of its boxes'.
-func settled(bs []*box) func() bool {
-	of := map[string]float64{"dc0": 0.5 / 4, "dc1": 0.5 / 3}
-	want := 0.0
-	for _, b := range bs {
-		want += of[b.DataCentre]
-	}
-	return func() bool {
-		sum, n := parts(bs)
-		return n == 2 && math.Abs(sum-want) < 0.001
-	}
-}
-
-// counting counts the calls that read what is under a prefix, or wait for changes there.
-type counting struct {
-	*memstore.Memory
-	ranges  atomic.Int64
-	watches atomic.Int64
-}
-
-func (c *counting) Watch(x context.Context, prefix string, since uint64, wait time.Duration) ([]store.Item, uint64, error) {
-	c.watches.Add(1)
-	return c.Memory.Watch(x, prefix, since, wait)
-}
-
-func (c *counting) Range(x context.Context, prefix string) ([]store.Item, uint64, error) {
-	c.ranges.Add(1)
-	return c.Memory.Range(x, prefix)
-}
-
-// While the store answers nobody, members stay with what they know: none asks it for
-// everything for want of a relay that hears it. When it is back, all hear of changes.
-func TestStoreAwayFromAll(t *testing.T) {
-	m := &counting{Memory: &memstore.Memory{}}
-	m.Set("config", `{"Version":3}`)
-	bs := make([]*box, 0, 12)
-	for i := range 12 {
-		bs = append(bs, start(t, m, fmt.Sprint("box", i), fmt.Sprint("dc", i%2)))
-	}
-	all := func(version uint64) func() bool {
-		return func() bool {
-			return !slices.ContainsFunc(bs, func(b *box) bool { return b.version() != version || b.sum().Boxes != 11 })
-		}
-	}
-	await(t, all(3))
-	last, since := int64(0), 0
-	await(t, func() bool {
-		if n := m.ranges.Load(); n != last {
-			last, since = n, bs[0].played()
-		}
-		return bs[0].played() >= since+6 // nobody looks for a place, or for a relay, any more
-	})
-	m.SetDown(true)
-	before := m.ranges.Load() + m.watches.Load()
-	await(t, func() bool {
-		return !slices.ContainsFunc(bs, func(b *box) bool { return b.session.Silent() < 3*time.Second })
-	})
-	require.LessOrEqual(t, m.ranges.Load()+m.watches.Load()-before, int64(24))
-	m.SetDown(false)
-	m.Set("config", `{"Version":5}`)
-	await(t, all(5))
-}
-
-// Many endpoints that change together reach all boxes.
-func TestManyRecords(t *testing.T) {
-	m := &memstore.Memory{}
-	m.Set("config", `{"Version":3}`)
-	bs := seven(t, m)
-	await(t, func() bool { return count(bs, (*box).Relay) == 4 && len(watchers(bs)) == 2 })
-	for i := range 200 {
-		m.Set(fmt.Sprint("e/", i), "ready")
-	}
-	await(t, func() bool { return count(bs, func(b *box) bool { return len(b.known.Roster.IDs()) == 200 }) == 7 })
-}
-
-// placesOf returns which boxes have the places of relays, by the store.
-func placesOf(t *testing.T, m *memstore.Memory) []string {
-	t.Helper()
-	items, _, err := m.Range(t.Context(), "relays/")
-	require.NoError(t, err)
-	out := make([]string, 0, len(items))
-	for _, i := range items {
-		out = append(out, i.Key+" "+string(i.Value))
-	}
-	return out
-}
-
-// Where the store is away for so long that all leases end, the relays before it are those
-// after it: nothing that they hold or know has to move when it is back.
-func TestPlacesLapse(t *testing.T) {
-	m := &memstore.Memory{}
-	m.Set("config", `{"Version":3}`)
-	bs := make([]*box, 0, 9)
-	for i := range 9 {
-		bs = append(bs, start(t, m, fmt.Sprint("box", i), fmt.Sprint("dc", i%2)))
-	}
-	await(t, func() bool {
-		return len(placesOf(t, m)) == 4 && count(bs, func(b *box) bool { return b.sum().Boxes == 8 }) == 9
-	})
-	before := placesOf(t, m)
-	m.SetDown(true)
-	await(t, func() bool {
-		return count(bs, func(b *box) bool { return b.session.Silent() > session.TTL+time.Second }) == 9
-	})
-	m.SetDown(false)
-	require.Empty(t, placesOf(t, m))
-	await(t, func() bool { return len(placesOf(t, m)) == 4 })
-	require.Equal(t, before, placesOf(t, m))
-	m.Set("config", `{"Version":5}`)
-	await(t, func() bool { return count(bs, func(b *box) bool { return b.version() == 5 }) == 9 })
-}
-
 // A box that starts learns from the store how many there were, and which accounts
 // were short, before it has heard any of them.
 func TestWhatWasBefore(t *testing.T) {
