--- a/balance/book.go
+++ b/balance/book.go
@@ -17,10 +17,10 @@
 	Chance func() float64
 
 	mu     sync.Mutex
-	boxes  int // that send to the same endpoints, this one included
-	near   int // of the other boxes, those whose long prompts are heard at once
-	far    int // those whose very long prompts alone are
-	sent   share
+	boxes  int       // that send to the same endpoints, this one included
+	near   int       // of the other boxes, those whose long prompts are heard at once
+	far    int       // those whose very long prompts alone are
+	sent   share     // what this box sends, by tokens
 	toldAt time.Time // when other boxes' load was last told
 	pages  map[string]*page
 	sites  map[string]*site
--- a/orders/orders.go
+++ b/orders/orders.go
@@ -181,10 +181,10 @@
 		policy.Least, policy.Surplus = max(policy.Least, found), 1
 		replacing = found > 0
 	}
-	for i := range sites {
-		if replacing {
-			// In the first second the load is known, and nothing yet of the endpoints' speed:
-			// 33 endpoints too many were ordered for 12 s.
+	if replacing {
+		// In the first second the load is known, and nothing yet of the endpoints' speed:
+		// 33 endpoints too many were ordered for 12 s.
+		for i := range sites {
 			sites[i].Demand = scaling.Demand{}
 		}
 	}
