Say in the log what each request asks for

An incident's logs could not tell whether two requests had the same content: account, route and size were only a guess. Lines about a request and its attempts have a hash of account, method, host, target and body now; a refused request's line has its last choice too, which only answered ones had.

--- /dev/null
+++ b/content/hash_test.go
@@ -0,0 +1,36 @@
+package content_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"birchlink.dev/birchlink/call"
+	"birchlink.dev/birchlink/content"
+)
+
+// Only what is asked for and by whom tells two hashes apart, not what the request is
+// called or how long its caller waits.
+func TestOf(t *testing.T) {
+	base := call.Call{ID: "1", Method: "POST", Host: "h", Target: "/a?b", Body: []byte("body"), Wait: 1}
+	same := base
+	same.ID, same.Wait, same.LastEvent, same.Key = "2", 2, "7", "another key of the account"
+	require.Equal(t, content.Of("a", &base), content.Of("a", &same))
+
+	seen := map[content.Hash]bool{content.Of("a", &base): true}
+	for _, change := range []func(c *call.Call){
+		func(c *call.Call) { c.Method = "PUT" },
+		func(c *call.Call) { c.Host = "i" },
+		func(c *call.Call) { c.Target = "/a?c" },
+		func(c *call.Call) { c.Body = []byte("bodx") },
+		func(c *call.Call) { c.Body = nil },
+		func(c *call.Call) { c.Host, c.Target = "h/", "a?b" },
+	} {
+		other := base
+		change(&other)
+		h := content.Of("a", &other)
+		require.False(t, seen[h])
+		seen[h] = true
+	}
+	require.False(t, seen[content.Of("b", &base)])
+}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -14,6 +14,7 @@
 	"birchlink.dev/birchlink/budget"
 	"birchlink.dev/birchlink/call"
 	"birchlink.dev/birchlink/catalog"
+	"birchlink.dev/birchlink/content"
 	"birchlink.dev/birchlink/demand"
 	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/exchange"
@@ -42,6 +43,14 @@
 	Expires time.Time
 }
 
+// content stands for what the request asks for.
+func (q *Request) content() content.Hash {
+	if q.Account == nil {
+		return content.Of("", q.Call)
+	}
+	return content.Of(q.Account.Name, q.Call)
+}
+
 // Began is told of each request that an endpoint began to run.
 type Began func(account string, at time.Time)
 
@@ -68,6 +77,7 @@
 // head by then, the answer must be broken off. The trace is for the log.
 func (f *Forwarder) Do(c context.Context, q Request, s Sink) (Trace, error) {
 	r := &run{f: f, q: q, sink: s, skip: map[string]bool{}, last: q.Call.LastEvent}
+	r.trace.Content = q.content()
 	f.Budget.Request(q.Service.Name, time.Now())
 	c, cancel := context.WithDeadline(c, q.Expires)
 	defer cancel()
--- a/forward/run.go
+++ b/forward/run.go
@@ -85,7 +85,7 @@
 	}
 	e := ch.Endpoint
 	r.skip[e.ID] = true
-	r.trace = Trace{Attempts: r.trace.Attempts + 1, Choice: ch}
+	r.trace = Trace{Content: r.trace.Content, Attempts: r.trace.Attempts + 1, Choice: ch}
 	if len(r.sent) > 0 && !r.f.Budget.Spend(r.q.Service.Name, time.Now()) {
 		return r.fail(errkind.Overloaded, "the service's retries are used up")
 	}
@@ -105,7 +105,7 @@
 		Budget:  out.breakage == recovery.Unreachable || r.f.Budget.Allowed(r.q.Service.Name, time.Now()),
 		Charged: true,
 	})
-	r.f.Log.Info().Str("event", "attempt broke").Str("request", r.q.Call.ID).Str("endpoint", e.ID).Int("attempt", len(r.sent)).
+	r.f.Log.Info().Str("event", "attempt broke").Str("request", r.q.Call.ID).Stringer("content", r.trace.Content).Str("endpoint", e.ID).Int("attempt", len(r.sent)).
 		Str("break", out.name()).Str("last_event", r.last).Bool("ran", r.ran).Err(out.err).Str("reason", d.Reason).Msg("decision")
 	if d.Step == recovery.Elsewhere {
 		return false, nil
--- a/forward/trace.go
+++ b/forward/trace.go
@@ -6,12 +6,14 @@
 	"github.com/rs/zerolog"
 
 	"birchlink.dev/birchlink/balance"
+	"birchlink.dev/birchlink/content"
 )
 
 // Trace is what a request met on its way: its last choice of an endpoint, with
 // what that rested on, and what came of it.
 type Trace struct {
-	Attempts int // endpoints that were chosen
+	Content  content.Hash // what the request asks for
+	Attempts int          // endpoints that were chosen
 	Choice   balance.Choice
 
 	// First is the time from the sending of the last attempt to its first event, or
@@ -21,6 +23,9 @@
 
 // MarshalZerologObject writes the trace into a line about its request.
 func (t Trace) MarshalZerologObject(e *zerolog.Event) {
+	if t.Content != 0 {
+		e.Stringer("content", t.Content)
+	}
 	if t.Attempts == 0 {
 		return
 	}
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -37,7 +37,7 @@
 	}
 	cl, err := i.Codec.Decode(r, arrived)
 	if err != nil {
-		i.fail(w, forward.Request{Call: cl}, errkind.New(errkind.BadRequest, "%w", err))
+		i.fail(w, forward.Request{Call: cl}, errkind.New(errkind.BadRequest, "%w", err), forward.Trace{})
 		return
 	}
 	q, err := i.resolve(cl)
@@ -45,11 +45,11 @@
 		err = i.body(w, r, cl)
 	}
 	if err != nil {
-		i.fail(w, q, err)
+		i.fail(w, q, err, forward.Trace{})
 		return
 	}
 	if err := i.admit(r.Context(), q); err != nil {
-		i.fail(w, q, err)
+		i.fail(w, q, err, forward.Trace{})
 		return
 	}
 	i.carry(w, r, q)
@@ -76,7 +76,7 @@
 		// The caller must not take what it has for the whole.
 		panic(http.ErrAbortHandler)
 	}
-	i.fail(w, q, err)
+	i.fail(w, q, err, trace)
 }
 
 // resolve finds the route, the account and the service of a call.
@@ -201,13 +201,14 @@
 	counted(l, q).EmbedObject(t).Msg("answered")
 }
 
-// fail answers an error by the closed table.
-func (i *Ingress) fail(w http.ResponseWriter, q forward.Request, err error) {
+// fail answers an error by the closed table. The trace is empty for a request that was
+// not forwarded.
+func (i *Ingress) fail(w http.ResponseWriter, q forward.Request, err error, t forward.Trace) {
 	c := q.Call
 	e := errkind.Of(err)
 	a := e.Kind.Answer()
 	metrics.GetOrRegisterCounter("refused."+a.Name, i.metrics).Inc(1)
-	i.note(q, err).Msg("refused or failed")
+	i.note(q, err).EmbedObject(t).Msg("refused or failed")
 	if e.Kind == errkind.CallerGone {
 		panic(http.ErrAbortHandler)
 	}
