Test that a request under which endpoints end is sent on no more, which it is

One content ended 39 endpoints in 16 s and another 18 in 10 s, as each request is judged by its own attempts alone, whatever its content did before, here or at another box. The first test holds this for one box, in a script; the second for six boxes of three data centres, and for all of them beginning anew.

--- /dev/null
+++ b/daemon/entry_test.go
@@ -0,0 +1,214 @@
+package daemon_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"birchlink.dev/birchlink/daemon"
+	"birchlink.dev/birchlink/platform/standin"
+	"birchlink.dev/birchlink/settings"
+	"birchlink.dev/birchlink/stand/memstore"
+)
+
+// crashing is the body of the request that ends every server which begins to run it.
+const crashing = "the body that ends servers"
+
+// platform is what entry boxes stand between: the platform's store, and servers of which
+// a new one takes the place of each that ends.
+type platform struct {
+	t     *testing.T
+	store *memstore.Memory
+	text  string // the store's address
+
+	mu     sync.Mutex
+	serial int
+	ended  int
+}
+
+func newPlatform(t *testing.T, servers int) *platform {
+	p := &platform{t: t, store: &memstore.Memory{}}
+	p.text = serve(t, standin.StoreHandler(p.store))
+	p.store.Set(standin.ConfigKey, standin.Config(1, "api"))
+	for range servers {
+		p.startServer()
+	}
+	return p
+}
+
+// startServer begins a server under an ID of its own, which ends when it gets the body
+// that ends servers.
+func (p *platform) startServer() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.serial++
+	s := &standin.Server{ID: fmt.Sprintf("i-%d", p.serial), Service: "api", Slots: 64, Events: 3, Audit: &standin.Audit{}}
+	var h *httptest.Server
+	h = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil || string(body) != crashing {
+			s.ServeHTTP(w, r)
+			return
+		}
+		p.end(h.Config)
+		p.startServer()
+	}))
+	p.t.Cleanup(h.Close)
+	p.store.Set(s.Record(h.Listener.Addr().String(), "north", "ready"))
+}
+
+func (p *platform) end(h *http.Server) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h.Close() == nil {
+		p.ended++
+	}
+}
+
+func (p *platform) endedServers() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ended
+}
+
+// entryBox is one daemon, and where callers reach it and its metrics.
+type entryBox struct {
+	*daemon.Entry
+	callers, metrics string
+}
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (p *platform) startBox(name, dc string) *entryBox {
+	p.t.Helper()
+	b := &entryBox{callers: freeAddress(p.t), metrics: freeAddress(p.t)}
+	s, err := settings.ParseEntry(fmt.Appendf(nil, `[box]
+name = %s
+data_centre = %s
+[listen]
+callers = %s
+ready = %s
+peers = %s
+metrics = %s
+[store]
+address = %s
+[retries]
+slack = 100
+[log]
+level = error
+`, name, dc, b.callers, freeAddress(p.t), freeAddress(p.t), b.metrics, p.text))
+	require.NoError(p.t, err)
+	b.Entry, err = daemon.NewEntry(s, io.Discard)
+	require.NoError(p.t, err)
+	require.NoError(p.t, b.App.Start(p.t.Context()))
+	return b
+}
+
+func (b *entryBox) stop(t *testing.T) { require.NoError(t, b.App.Stop(context.Background())) }
+
+// call makes a request to a box and returns the status and the text of its answer.
+func (b *entryBox) call(t *testing.T, id, body string) (int, string) {
+	t.Helper()
+	q, err := standin.NewRequest(b.callers, "/again/x", id, 10*time.Second)
+	require.NoError(t, err)
+	q.Body, q.ContentLength, q.GetBody = io.NopCloser(strings.NewReader(body)), int64(len(body)), nil
+	a, err := http.DefaultClient.Do(q)
+	require.NoError(t, err)
+	defer a.Body.Close()
+	text, err := io.ReadAll(a.Body)
+	require.NoError(t, err)
+	return a.StatusCode, string(text)
+}
+
+// metric reports whether the box's metrics have a figure.
+func (b *entryBox) metric(t *testing.T, name string, value int) bool {
+	t.Helper()
+	a, err := http.Get("http://" + b.metrics + "/metrics")
+	require.NoError(t, err)
+	defer a.Body.Close()
+	text, err := io.ReadAll(a.Body)
+	require.NoError(t, err)
+	f := strings.Fields(string(text))
+	for i := range f {
+		if f[i] == name && i+2 < len(f) && f[i+2] == fmt.Sprint(value) {
+			return true
+		}
+	}
+	return false
+}
+
+// A request had ended three servers, and boxes that had not seen that sent it on: each box
+// judged by its own attempts alone, and told nobody. Two boxes wrote, each twice and within
+// 0.2 ms of the other,
+//
+//	"event":"attempt broke","endpoint":"i-970da63aca","break":"gone","reason":"another endpoint goes on"
+//	"event":"attempt broke","endpoint":"i-033250d373","break":"gone","reason":"retries are used up"
+//
+// of two requests that asked for the same, and 15 later requests for it, at all eight boxes,
+// ended 16 servers more in ten seconds.
+// All boxes refuse it once three servers have ended under it, also after all of them have
+// ended and begun anew, and go on serving everything else.
+func TestAllBoxesRefuseWhatEndsServers(t *testing.T) {
+	p := newPlatform(t, 12)
+	names := []string{"a", "b", "c", "d", "e", "f"}
+	dcs := []string{"north", "south", "west"}
+	startAll := func() []*entryBox {
+		var bs []*entryBox
+		for i, n := range names {
+			bs = append(bs, p.startBox(n, dcs[i%len(dcs)]))
+		}
+		for _, b := range bs {
+			require.Eventually(t, func() bool { return b.metric(t, "boxes.known", len(names)) }, 20*time.Second, 5*time.Millisecond)
+		}
+		return bs
+	}
+	refused := func(bs []*entryBox, round string) {
+		for i, b := range bs {
+			assert.Eventually(t, func() bool { return b.metric(t, "contents.refused", 1) }, 20*time.Second, 5*time.Millisecond)
+			status, text := b.call(t, round+names[i], crashing)
+			require.Equal(t, http.StatusServiceUnavailable, status, text)
+			require.Contains(t, text, "not_run")
+			status, text = b.call(t, "other"+round+names[i], "another body")
+			require.Equal(t, http.StatusOK, status, text)
+		}
+	}
+	bs := startAll()
+	for i := 0; p.endedServers() < 3; i++ {
+		bs[i].call(t, fmt.Sprint("r", i), crashing)
+	}
+	refused(bs, "first")
+	require.LessOrEqual(t, p.endedServers(), 4)
+	ended := p.endedServers()
+
+	require.Eventually(t, func() bool { return written(p.store) }, 20*time.Second, 5*time.Millisecond)
+	for _, b := range bs {
+		b.stop(t)
+	}
+	bs = startAll()
+	refused(bs, "second")
+	require.Equal(t, ended, p.endedServers())
+	for _, b := range bs {
+		b.stop(t)
+	}
+}
+
+// written reports whether what processes that start anew have to know names a content.
+func written(m *memstore.Memory) bool {
+	i, err := m.Get(context.Background(), "birchlink/before")
+	return err == nil && strings.Contains(string(i.Value), `"Contents":[{`)
+}
--- a/forward/endpoint_test.go
+++ b/forward/endpoint_test.go
@@ -28,6 +28,8 @@
 	runs  int
 	conns int
 	from  []string // the last event that each request came with
+	open  []net.Conn
+	ended bool // it crashed
 }
 
 func newFake(t *testing.T, name string, behave []string) *fake {
@@ -52,6 +54,7 @@
 		}
 		f.mu.Lock()
 		f.conns++
+		f.open = append(f.open, c)
 		f.mu.Unlock()
 		go f.serve(c)
 	}
@@ -96,6 +99,18 @@
 	_ = c.Close()
 }
 
+// crash ends the endpoint as the end of its process does: nobody listens at its address
+// any more, and every connection is closed.
+func (f *fake) crash() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ended = true
+	_ = f.listener.Close()
+	for _, c := range f.open {
+		_ = c.Close()
+	}
+}
+
 // answer plays one behaviour and reports whether the connection stays.
 func (f *fake) answer(c net.Conn, behave, id, last string) bool {
 	kind, arg, _ := strings.Cut(behave, ":")
@@ -152,6 +167,14 @@
 	case "mute":
 		_, _ = io.Copy(io.Discard, c)
 		return false
+	case "crash":
+		f.crash()
+		return false
+	case "stream_crash":
+		// The head goes out before the first token is there, and nothing after it.
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id)
+		f.crash()
+		return false
 	case "stream", "stream_cut", "stream_torn", "stream_leave":
 		return f.stream(c, kind, id, last, n)
 	default:
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -201,6 +201,16 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		require.Contains(s.t, f.from, words[2], at)
+	case "ended":
+		n := 0
+		for _, f := range s.fakes {
+			f.mu.Lock()
+			if f.ended {
+				n++
+			}
+			f.mu.Unlock()
+		}
+		require.Equal(s.t, words[1], strconv.Itoa(n), at)
 	case "began":
 		require.Equal(s.t, words[1], strconv.Itoa(s.began), at)
 	default:
