Count the time in which a box is suspended

Cause: the steady clock stands still while a box is suspended, and all ages, leases and deadlines rested on it. A holder of a duty that wakes acted on a lease that the store had ended; what was heard of others and of the store looked fresh; a request was sent on with time that its caller no longer had; usage windows would be numbered late for an hour.

Package boottime takes the steady clock on by what the boot clock is ahead. Ways weighed: the boot clock at each reading (a system call each); a look each 100 ms (a box that wakes acts on old knowledge for so long). Chosen: the boot clock is asked when the time of day, which comes with each reading, has jumped by 50 ms against the steady clock.

TestSuspended (session, daytime, boottime), TestSuspendedHolder and the script suspended fail with time.Now in place of it.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -15,6 +15,7 @@
 	"go.uber.org/fx"
 
 	"birchlink.dev/birchlink/balance"
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/budget"
 	"birchlink.dev/birchlink/daytime"
 	"birchlink.dev/birchlink/demand"
@@ -127,7 +128,7 @@
 	p := &entryParts{
 		settings: s, store: st, book: &balance.Book{Chance: rand.Float64}, quota: &quota.Quota{
 			Terms: quota.Terms{Window: s.QuotaWindow, Overage: s.QuotaOverage, Slack: float64(s.QuotaSlack)},
-			Self:  quota.Arbiter{Box: s.Box, DataCentre: s.DataCentre, Address: s.Peers}, Started: time.Now(),
+			Self:  quota.Arbiter{Box: s.Box, DataCentre: s.DataCentre, Address: s.Peers}, Started: boottime.Now(),
 			Chance: rand.Float64,
 		}, meter: &demand.Meter{},
 		budget: budget.New(budget.Terms{Ratio: s.RetryRatio, Slack: float64(s.RetrySlack), Window: s.RetryWindow}),
@@ -141,10 +142,10 @@
 	p.quota.Incarnation = p.incarnation
 	q := p.gossip.Quarantine
 	q.Log = log
-	p.gossip.OnEnded = func(id string) { p.book.Ended(id, time.Now()) }
+	p.gossip.OnEnded = func(id string) { p.book.Ended(id, boottime.Now()) }
 	p.known.Roster.OnLeave(func(e endpoint.Endpoint) {
 		if !e.Draining {
-			q.Ended(e.ID, "its record is gone", time.Now())
+			q.Ended(e.ID, "its record is gone", boottime.Now())
 		}
 	})
 	p.tell()
@@ -176,7 +177,7 @@
 	fs.Gauge("endpoints.known", func() int64 { return int64(len(p.known.Roster.IDs())) })
 	fs.Gauge("boxes.known", func() int64 { return int64(p.budget.Known()) })
 	fs.Gauge("requests.live", func() int64 { return int64(in.Live()) })
-	fs.Gauge("contents.refused", func() int64 { return int64(len(q.Refused(time.Now()))) })
+	fs.Gauge("contents.refused", func() int64 { return int64(len(q.Refused(boottime.Now()))) })
 	fs.Gauge("connections.idle", func() int64 { return int64(f.Pool.Idle()) })
 	return append(ss, fs, in)
 }
--- a/daemon/tell.go
+++ b/daemon/tell.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"birchlink.dev/birchlink/balance"
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/demand"
 	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/estimate"
@@ -20,7 +21,7 @@
 	g, s := p.gossip, p.settings
 	g.Box, g.DataCentre, g.Address, g.Prefix, g.Seeds, g.Store = s.Box, s.DataCentre, s.Peers, relaysPrefix, s.Seeds, p.store
 	g.Own = func() gossip.Status {
-		now := time.Now()
+		now := boottime.Now()
 		v, _ := p.known.Raw()
 		d := map[string]map[string]demand.Figure{}
 		for n, f := range p.meter.Figures(now) {
@@ -34,20 +35,20 @@
 	}
 	g.OnChange, g.Quota, g.Clock = p.heard, p.quota, p.clock
 	g.BeforeKey, g.Expect = beforeKey, p.quota.Expect
-	g.Recall = func(s map[string]estimate.Stats) { p.book.Recall(s, time.Now()) }
-	g.Speeds = func() map[string]estimate.Stats { return p.book.AllSpeeds(time.Now()) }
+	g.Recall = func(s map[string]estimate.Stats) { p.book.Recall(s, boottime.Now()) }
+	g.Speeds = func() map[string]estimate.Stats { return p.book.AllSpeeds(boottime.Now()) }
 	g.Before = func(boxes int) quota.Before {
 		t := p.known.Table()
 		if t == nil {
 			return quota.Before{Boxes: boxes}
 		}
-		return p.quota.Before(boxes, t.Document.Accounts, time.Now())
+		return p.quota.Before(boxes, t.Document.Accounts, boottime.Now())
 	}
 }
 
 // heard takes the other boxes' statuses into this box's decisions.
 func (p *entryParts) heard(others gossip.Status) {
-	now := time.Now()
+	now := boottime.Now()
 	p.budget.Boxes(others.Boxes + 1)
 	p.follow()
 	if p.reporter != nil {
@@ -70,7 +71,7 @@
 func (p *entryParts) sent(e endpoint.Endpoint, tokens int) {
 	h := hint.Sent{Endpoint: e.ID, Tokens: tokens}
 	near, far := p.peers()
-	switch p.book.Reach(e.Service, tokens, time.Now()) {
+	switch p.book.Reach(e.Service, tokens, boottime.Now()) {
 	case balance.ToAll:
 		p.hints.Tell(h, near)
 		p.hints.Tell(h, far)
@@ -86,7 +87,7 @@
 // hinted takes in what another box sends.
 func (p *entryParts) hinted(s hint.Sent) {
 	if e, ok := p.known.Roster.Get(s.Endpoint); ok {
-		p.book.Hear(e, s.Tokens, time.Now())
+		p.book.Hear(e, s.Tokens, boottime.Now())
 	}
 }
 
@@ -123,7 +124,7 @@
 	p.mu.Lock()
 	maps.Copy(out, p.others[service])
 	p.mu.Unlock()
-	own := p.meter.Figures(time.Now())[service]
+	own := p.meter.Figures(boottime.Now())[service]
 	f := out[p.settings.DataCentre]
 	out[p.settings.DataCentre] = demand.Figure{Tokens: f.Tokens + own.Tokens, Running: f.Running + own.Running}
 	return out
--- a/daytime/daytime.go
+++ b/daytime/daytime.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"birchlink.dev/birchlink/boottime"
 )
 
 // maxSlew is how much of a difference to the box's own clock is taken over in a second:
@@ -32,11 +34,11 @@
 
 // New returns a clock that starts from the box's own, which is time.Now but in tests.
 func New(own func() time.Time) *Clock {
-	now := time.Now()
+	now := boottime.Now()
 	return &Clock{own: own, wall: own().Round(0), start: now, slewed: now}
 }
 
-// At returns the time of day of a moment that time.Now returned.
+// At returns the time of day of a moment that boottime.Now returned.
 func (c *Clock) At(t time.Time) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -44,12 +46,12 @@
 }
 
 // Now returns the time of day.
-func (c *Clock) Now() time.Time { return c.At(time.Now()) }
+func (c *Clock) Now() time.Time { return c.At(boottime.Now()) }
 
 // Follow takes how far other boxes' clocks are ahead of this one. A process that has
 // just started goes by their median; later it follows its own clock slowly.
 func (c *Clock) Follow(ahead []time.Duration) {
-	now := time.Now()
+	now := boottime.Now()
 	own := c.own().Round(0).Sub(c.At(now))
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/daytime/daytime_test.go
+++ b/daytime/daytime_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/daytime"
 )
 
@@ -86,7 +87,18 @@
 
 func ExampleClock_At() {
 	c := daytime.New(func() time.Time { return time.Unix(1000, 0) })
-	at := c.At(time.Now().Add(time.Minute))
+	at := c.At(boottime.Now().Add(time.Minute))
 	fmt.Println(at.Unix())
 	// Output: 1060
 }
+
+// The steady clock stands still while a box is suspended, and the time of day does not: a
+// suspension of five seconds would put an hour's counts into windows that are over.
+func TestSuspended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := start(0)
+		before := b.Now()
+		boottime.Skip(5 * time.Second)
+		require.Equal(t, 5*time.Second, b.Now().Sub(before))
+	})
+}
--- a/election/election.go
+++ b/election/election.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/kernel"
 	"birchlink.dev/birchlink/store"
 	"birchlink.dev/birchlink/wait"
@@ -56,7 +57,7 @@
 func (e *Election) Act() (uint64, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	if e.fence == 0 || !now.Before(e.until) {
 		return 0, false
 	}
@@ -100,7 +101,7 @@
 // run takes part until c ends, then gives the duty back if it is held.
 func (e *Election) run(c context.Context) {
 	e.mu.Lock()
-	e.acted = time.Now()
+	e.acted = boottime.Now()
 	e.mu.Unlock()
 	for c.Err() == nil {
 		pause := e.step(c)
@@ -127,7 +128,7 @@
 	e.mu.Lock()
 	l, fence := e.lease, e.fence
 	e.mu.Unlock()
-	began := time.Now()
+	began := boottime.Now()
 	if l != 0 && fence != 0 {
 		return e.renew(c, l, began)
 	}
@@ -180,7 +181,7 @@
 // take creates the key under a new lease. The revision that created it is
 // higher than that of any holder before, so it is the fence.
 func (e *Election) take(c context.Context) time.Duration {
-	began := time.Now()
+	began := boottime.Now()
 	l, _, err := e.Store.Grant(c, e.Term)
 	if err != nil {
 		return retry
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/election"
 	"birchlink.dev/birchlink/stand/memstore"
 	"birchlink.dev/birchlink/wait"
@@ -107,3 +108,19 @@
 		require.NoError(t, b.Stop(context.Background()))
 	})
 }
+
+// A holder that wakes from a suspension, in which the steady clock stood still, does not act
+// on the lease that it had: the store has ended it, and another may hold the duty.
+func TestSuspendedHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &memstore.Memory{}
+		a := enter(t, m, "a")
+		wait.For(t.Context(), 2*term)
+		n, _ := acting(a)
+		require.Equal(t, 1, n)
+		boottime.Skip(term)
+		n, _ = acting(a)
+		require.Zero(t, n)
+		require.NoError(t, a.Stop(context.Background()))
+	})
+}
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sync/singleflight"
+
+	"birchlink.dev/birchlink/boottime"
 )
 
 // Pool dials endpoints and keeps connections that are idle. Its zero value is
@@ -35,7 +37,7 @@
 // take returns an idle connection to an address that has rested no longer than
 // rest, or nil.
 func (p *Pool) take(address string, rest time.Duration) *Conn {
-	now := time.Now()
+	now := boottime.Now()
 	for {
 		p.mu.Lock()
 		cs := p.idle[address]
@@ -62,7 +64,7 @@
 
 // put keeps a connection for another call.
 func (p *Pool) put(address string, c *Conn) {
-	c.rested = time.Now()
+	c.rested = boottime.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle == nil {
@@ -74,7 +76,7 @@
 // Sweep closes connections that have rested too long, and all to addresses
 // that in does not hold.
 func (p *Pool) Sweep(in map[string]bool) {
-	now := time.Now()
+	now := boottime.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for a, cs := range p.idle {
--- a/forward/endpoint_test.go
+++ b/forward/endpoint_test.go
@@ -10,8 +10,11 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"birchlink.dev/birchlink/boottime"
 )
 
 // fake is an endpoint that answers as a script says, one behaviour a request;
@@ -167,6 +170,10 @@
 	case "mute":
 		_, _ = io.Copy(io.Discard, c)
 		return false
+	case "suspend": // the box, for some seconds, before the connection breaks
+		boottime.Skip(time.Duration(n) * time.Second)
+		reset(c)
+		return false
 	case "crash":
 		f.crash()
 		return false
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -19,6 +19,7 @@
 	"github.com/stretchr/testify/require"
 
 	"birchlink.dev/birchlink/balance"
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/budget"
 	"birchlink.dev/birchlink/call"
 	"birchlink.dev/birchlink/catalog"
@@ -167,9 +168,9 @@
 func (s *script) call() {
 	s.serial++
 	s.last = &answer{}
-	c := &call.Call{ID: strconv.Itoa(s.serial), Method: http.MethodPost, Host: "h", Target: "/x", Path: "/x", Body: []byte("body"), Arrived: time.Now()}
+	c := &call.Call{ID: strconv.Itoa(s.serial), Method: http.MethodPost, Host: "h", Target: "/x", Path: "/x", Body: []byte("body"), Arrived: boottime.Now()}
 	q := forward.Request{
-		Call: c, Route: &s.route, Service: &catalog.Service{Name: "s"}, Account: &catalog.Account{Name: "a"}, Expires: time.Now().Add(5 * time.Second),
+		Call: c, Route: &s.route, Service: &catalog.Service{Name: "s"}, Account: &catalog.Account{Name: "a"}, Expires: boottime.Now().Add(5 * time.Second),
 		Content: content.Of("a", c),
 	}
 	if s.err = s.f.Check(q); s.err == nil {
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"birchlink.dev/birchlink/balance"
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/budget"
 	"birchlink.dev/birchlink/call"
 	"birchlink.dev/birchlink/catalog"
@@ -83,7 +84,7 @@
 // Check returns an error if a request is to be sent to no endpoint, since others ended
 // under what it asks for.
 func (f *Forwarder) Check(q Request) error {
-	left, refused := f.Quarantine.Refuses(q.Content, time.Now())
+	left, refused := f.Quarantine.Refuses(q.Content, boottime.Now())
 	if !refused {
 		return nil
 	}
@@ -96,8 +97,8 @@
 func (f *Forwarder) Do(c context.Context, q Request, s Sink) (Trace, error) {
 	r := &run{f: f, q: q, sink: s, skip: map[string]bool{}, last: q.Call.LastEvent}
 	r.trace.Content = q.Content
-	f.Budget.Request(q.Service.Name, time.Now())
-	c, cancel := context.WithDeadline(c, q.Expires)
+	f.Budget.Request(q.Service.Name, boottime.Now())
+	c, cancel := context.WithTimeout(c, boottime.Until(q.Expires))
 	defer cancel()
 	for {
 		done, err := r.step(c)
--- a/forward/run.go
+++ b/forward/run.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"birchlink.dev/birchlink/balance"
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/call"
 	"birchlink.dev/birchlink/catalog"
 	"birchlink.dev/birchlink/endpoint"
@@ -93,6 +94,10 @@
 		}
 		return false, err
 	}
+	if r.expired(c) {
+		// The timer of its context stands still while the box is suspended.
+		return r.late()
+	}
 	ch, ok := r.choose(c)
 	if !ok {
 		return r.fail(errkind.NoEndpoint, "no endpoint of "+r.q.Service.Name+" is left")
@@ -100,10 +105,10 @@
 	e := ch.Endpoint
 	r.skip[e.ID] = true
 	r.trace = Trace{Content: r.trace.Content, Attempts: r.trace.Attempts + 1, Choice: ch}
-	if len(r.sent) > 0 && !r.f.Budget.Spend(r.q.Service.Name, time.Now()) {
+	if len(r.sent) > 0 && !r.f.Budget.Spend(r.q.Service.Name, boottime.Now()) {
 		return r.fail(errkind.Overloaded, "the service's retries are used up")
 	}
-	r.f.Quarantine.Sent(r.q.Content, time.Now())
+	r.f.Quarantine.Sent(r.q.Content, boottime.Now())
 	out := r.attempt(c, ch)
 	if out.done {
 		return true, nil
@@ -117,8 +122,8 @@
 	d := recovery.Decide(recovery.State{
 		Break: out.breakage, Repeatable: r.q.Route.Repeatable(), Tries: recovery.MaxTries,
 		Attempts: r.attempts() + (max(r.dials-maxDials+1, 0)+max(r.refusals-maxRefusals+1, 0))*recovery.MaxAttempts, Ran: r.ran,
-		Expired: c.Err() != nil, Limit: r.limit(),
-		Budget:  out.breakage == recovery.Unreachable || r.f.Budget.Allowed(r.q.Service.Name, time.Now()),
+		Expired: r.expired(c), Limit: r.limit(),
+		Budget:  out.breakage == recovery.Unreachable || r.f.Budget.Allowed(r.q.Service.Name, boottime.Now()),
 		Charged: true,
 	})
 	r.f.Log.Info().Str("event", "attempt broke").Str("request", r.q.Call.ID).Stringer("content", r.trace.Content).Str("endpoint", e.ID).Int("attempt", len(r.sent)).
@@ -136,7 +141,7 @@
 		r.refusals++
 	case out.breakage == recovery.Unreachable:
 		r.dials++
-		r.f.Book.Avoid(e, time.Now())
+		r.f.Book.Avoid(e, boottime.Now())
 	case out.breakage == recovery.Refused:
 		r.sent = append(r.sent, reached{id: e.ID})
 	default:
@@ -165,6 +170,19 @@
 	return n
 }
 
+// expired reports whether the answer is of no more use.
+func (r *run) expired(c context.Context) bool {
+	return c.Err() != nil || boottime.Until(r.q.Expires) <= 0
+}
+
+// late ends a request whose time is over before another attempt.
+func (r *run) late() (bool, error) {
+	if r.ran {
+		return r.fail(errkind.DeadlinePassed, "deadline passed")
+	}
+	return r.fail(errkind.DeadlineShort, "deadline passed before it ran")
+}
+
 // limit is the number of endpoints that the request may be sent to.
 func (r *run) limit() int { return max(r.q.Route.MaxAttempts, 1) }
 
@@ -191,13 +209,13 @@
 // is known.
 func (r *run) choose(c context.Context) (balance.Choice, bool) {
 	q := r.query()
-	end := time.Now().Add(noneWait)
+	end := boottime.Now().Add(noneWait)
 	for {
 		es := r.f.Roster.Serving(r.q.Service.Name)
-		if ch, ok := r.f.Book.Choose(es, q, time.Now()); ok {
+		if ch, ok := r.f.Book.Choose(es, q, boottime.Now()); ok {
 			return ch, true
 		}
-		if len(es) > 0 || len(r.sent)+r.dials+r.refusals > 0 || time.Now().After(end) || c.Err() != nil {
+		if len(es) > 0 || len(r.sent)+r.dials+r.refusals > 0 || boottime.Now().After(end) || c.Err() != nil {
 			return balance.Choice{}, false
 		}
 		wait.For(c, nonePause)
@@ -237,31 +255,31 @@
 		rest = restRepeatable
 	}
 	e := ch.Endpoint
-	a := call.Attempt{Endpoint: e.ID, Account: r.q.AccountName(), Left: time.Until(r.q.Expires), LastEvent: r.last, Priority: r.priority(ch)}
+	a := call.Attempt{Endpoint: e.ID, Account: r.q.AccountName(), Left: boottime.Until(r.q.Expires), LastEvent: r.last, Priority: r.priority(ch)}
 	cl := r.q.Call
-	defer r.f.Meter.Begin(r.q.Service.Name, r.load(ch), time.Now())()
-	n := r.f.Book.Begin(e, ch, time.Now())
+	defer r.f.Meter.Begin(r.q.Service.Name, r.load(ch), boottime.Now())()
+	n := r.f.Book.Begin(e, ch, boottime.Now())
 	r.f.Sent(e, ch.Tokens)
 	w := r.watch(cancel, ch)
 	defer w.stop()
-	sent := time.Now()
+	sent := boottime.Now()
 	ans, err := r.f.Pool.Do(x, exchange.Request{
 		Address: e.Address, Method: cl.Method, Target: cl.Target, Host: cl.Host, Header: r.f.Codec.Head(cl, a), Body: cl.Body, Rest: rest,
 		Mine: func(h http.Header) bool { return r.f.Codec.Outcome(0, h).ID == cl.ID },
 	})
 	if err != nil {
 		unreachable := errors.Is(err, exchange.ErrUnreachable)
-		n.End(c.Err() == nil, time.Now())
+		n.End(c.Err() == nil, boottime.Now())
 		if unreachable {
 			return ended{breakage: recovery.Unreachable, err: err}
 		}
 		return ended{breakage: recovery.Gone, err: cause(x, err)}
 	}
 	defer ans.Close()
-	r.trace.First = time.Since(sent)
+	r.trace.First = boottime.Since(sent)
 	out := r.take(ans, n, w, sent)
 	out.err = cause(x, out.err)
-	n.End(!out.done && out.breakage != recovery.Refused && c.Err() == nil, time.Now())
+	n.End(!out.done && out.breakage != recovery.Refused && c.Err() == nil, boottime.Now())
 	return out
 }
 
--- a/forward/suspect.go
+++ b/forward/suspect.go
@@ -4,8 +4,8 @@
 	"context"
 	"errors"
 	"syscall"
-	"time"
 
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/recovery"
 )
@@ -24,7 +24,7 @@
 	if now, ok := r.f.Roster.Get(e.ID); !ok || now.Draining {
 		return
 	}
-	r.f.Quarantine.Broke(r.trace.Content, e.ID, time.Now())
+	r.f.Quarantine.Broke(r.trace.Content, e.ID, boottime.Now())
 	if errors.Is(out.err, errSilent) || !r.f.Pool.Refused(c, e.Address) {
 		return
 	}
@@ -33,7 +33,7 @@
 
 // ended notes that an endpoint refuses connections: its process has ended.
 func (r *run) ended(e endpoint.Endpoint) {
-	now := time.Now()
+	now := boottime.Now()
 	r.f.Book.Ended(e.ID, now)
 	r.f.Quarantine.Ended(e.ID, "it refuses connections", now)
 	r.f.Ended(e)
--- a/forward/take.go
+++ b/forward/take.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"birchlink.dev/birchlink/balance"
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/exchange"
 	"birchlink.dev/birchlink/recovery"
 	"birchlink.dev/birchlink/sse"
@@ -23,7 +24,7 @@
 func (r *run) take(a *exchange.Answer, n *balance.Entry, w *watch, sent time.Time) ended {
 	o := r.f.Codec.Outcome(a.Status, a.Header)
 	if o.NotRun {
-		n.Progress(time.Now())
+		n.Progress(boottime.Now())
 		_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxAnswer))
 		return ended{breakage: recovery.Refused, err: fmt.Errorf("status %d: not run", a.Status)}
 	}
@@ -37,7 +38,7 @@
 	if err != nil {
 		return ended{breakage: recovery.Gone, err: fmt.Errorf("the answer was cut: %w", err)}
 	}
-	n.Progress(time.Now())
+	n.Progress(boottime.Now())
 	r.began(sent)
 	if a.Status < http.StatusMultipleChoices {
 		n.Answered()
@@ -63,7 +64,7 @@
 // connection, of one that ended.
 func (r *run) survived(a *exchange.Answer) {
 	if a.Status < http.StatusInternalServerError && a.Framed() {
-		r.f.Quarantine.Answered(r.trace.Content, time.Now())
+		r.f.Quarantine.Answered(r.trace.Content, boottime.Now())
 	}
 }
 
@@ -97,11 +98,11 @@
 			return out
 		}
 		w.saw()
-		n.Progress(time.Now())
+		n.Progress(boottime.Now())
 		if !out.progress {
 			n.Answered()
 		}
-		r.began(time.Now())
+		r.began(boottime.Now())
 		if !r.headSent {
 			r.headSent = true
 			if err := r.sink.Head(a.Status, a.Header); err != nil {
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"birchlink.dev/birchlink/balance"
+	"birchlink.dev/birchlink/boottime"
 )
 
 // errSilent says that an attempt was given up because its endpoint was silent.
@@ -32,7 +33,7 @@
 // twice is left alone: a silent endpoint may still be running it.
 type watch struct {
 	mu    sync.Mutex
-	last  time.Time
+	last  time.Time     // on the steady clock: a box that is suspended hears nobody
 	limit time.Duration // the silence allowed until the next event
 	timer *time.Timer
 	over  bool
@@ -59,8 +60,8 @@
 		if w.over {
 			return
 		}
-		if time.Since(w.last) > w.limit && r.f.Book.Silent(e.ID, time.Now()) > w.limit {
-			r.f.Book.Avoid(e, time.Now())
+		if time.Since(w.last) > w.limit && r.f.Book.Silent(e.ID, boottime.Now()) > w.limit {
+			r.f.Book.Avoid(e, boottime.Now())
 			cancel(errSilent)
 			return
 		}
--- a/gossip/before.go
+++ b/gossip/before.go
@@ -6,6 +6,7 @@
 	"maps"
 	"time"
 
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/estimate"
 	"birchlink.dev/birchlink/quarantine"
 	"birchlink.dev/birchlink/quota"
@@ -51,9 +52,9 @@
 func (g *Gossip) readBefore(c context.Context) {
 	s := &g.before
 	if s.began.IsZero() {
-		s.began = time.Now()
+		s.began = boottime.Now()
 	}
-	late := time.Since(s.began) > readFor
+	late := boottime.Since(s.began) > readFor
 	if s.read || late && (g.session.Lost() || g.Quota.Division().Version > 0 && !g.firstPlace()) {
 		return
 	}
@@ -73,9 +74,9 @@
 	p.Division.Version = i.Revision
 	s.stands, s.refused = p.Before, quarantine.Sum(p.Contents)
 	g.noteBefore(p.Before, "known from the store")
-	g.Quarantine.Hear(p.Contents, time.Now())
+	g.Quarantine.Hear(p.Contents, boottime.Now())
 	if late {
-		g.Quota.Adopt(p.Division, time.Now())
+		g.Quota.Adopt(p.Division, boottime.Now())
 		return
 	}
 	g.Expect(p.Before)
@@ -89,7 +90,7 @@
 // their places.
 func (g *Gossip) writeBefore(c context.Context, others int) {
 	s := &g.before
-	now := time.Now()
+	now := boottime.Now()
 	if others == 0 || now.Sub(s.began) < heardAfter || !s.read || !g.firstPlace() {
 		return
 	}
--- a/gossip/enlist.go
+++ b/gossip/enlist.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/store"
 )
 
@@ -69,7 +70,7 @@
 			continue
 		}
 		if s.lapsed.IsZero() {
-			s.lapsed = time.Now()
+			s.lapsed = boottime.Now()
 		}
 		g.seats[k] = s
 	}
@@ -81,7 +82,9 @@
 	unsettled := g.session.Unsettled(settle) > 0
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	maps.DeleteFunc(g.seats, func(_ string, s seat) bool { return !unsettled && !s.lapsed.IsZero() && time.Since(s.lapsed) > settle })
+	maps.DeleteFunc(g.seats, func(_ string, s seat) bool {
+		return !unsettled && !s.lapsed.IsZero() && boottime.Since(s.lapsed) > settle
+	})
 }
 
 // holds reports whether this box is a relay as far as it knows.
@@ -99,9 +102,9 @@
 // enlist looks at the places, and takes one of its data centre's if it is free.
 func (g *Gossip) enlist(c context.Context) {
 	g.mu.Lock()
-	due := time.Since(g.looked) >= enlistPause
+	due := boottime.Since(g.looked) >= enlistPause
 	if due {
-		g.looked = time.Now()
+		g.looked = boottime.Now()
 	}
 	g.mu.Unlock()
 	if !due {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/rs/zerolog"
 
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/daytime"
 	"birchlink.dev/birchlink/estimate"
 	"birchlink.dev/birchlink/kernel"
@@ -141,7 +142,7 @@
 	if err != nil {
 		return err
 	}
-	g.began = time.Now()
+	g.began = boottime.Now()
 	g.turn = int(xxhash.Sum64String(g.Box) % relays)
 	peer.Handle(g.node.Server, "gossip.member", g.fromMember)
 	peer.Handle(g.node.Server, "gossip.relay", g.fromRelay)
@@ -195,7 +196,7 @@
 func (g *Gossip) Alone() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !g.last.IsZero() && time.Since(g.last) > lost
+	return !g.last.IsZero() && boottime.Since(g.last) > lost
 }
 
 // Members returns the statuses of the boxes that tell this one, as they last were.
@@ -211,7 +212,7 @@
 
 func (g *Gossip) run(c context.Context) {
 	for c.Err() == nil {
-		began := time.Now()
+		began := boottime.Now()
 		g.readBefore(c)
 		g.limit()
 		g.Clock.Follow(g.clocks())
@@ -220,7 +221,7 @@
 		others := g.sum("")
 		g.OnChange(others)
 		g.writeBefore(c, others.Boxes)
-		wait.For(c, g.period()-time.Since(began))
+		wait.For(c, g.period()-boottime.Since(began))
 	}
 	if g.unwatch != nil {
 		g.unwatch()
@@ -234,13 +235,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var out []time.Duration
-	if !relay && time.Since(g.at) < period {
+	if !relay && boottime.Since(g.at) < period {
 		// The relay has compared its own with the others', so it has two votes against
 		// this box's one.
 		return []time.Duration{g.ahead, g.ahead}
 	}
 	for _, h := range g.others {
-		if time.Since(h.at) < period {
+		if boottime.Since(h.at) < period {
 			out = append(out, h.ahead)
 		}
 	}
@@ -248,7 +249,7 @@
 }
 
 func (g *Gossip) period() time.Duration {
-	if time.Since(g.began) < starting {
+	if boottime.Since(g.began) < starting {
 		return startPeriod
 	}
 	return period
@@ -286,7 +287,7 @@
 	n := g.places()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return n < relays && time.Since(g.looked) > watchWait
+	return n < relays && boottime.Since(g.looked) > watchWait
 }
 
 // places returns how many relays this data centre has.
@@ -318,14 +319,14 @@
 }
 
 func (g *Gossip) heardWorld(w World) {
-	g.Quarantine.Hear(w.Verdicts, time.Now())
+	g.Quarantine.Hear(w.Verdicts, boottime.Now())
 	w.Verdicts = nil
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if w.Peers.Sum == g.world.Peers.Sum {
 		w.Peers = g.world.Peers
 	}
-	g.world, g.at, g.last, g.ahead = w, time.Now(), time.Now(), w.Now.Sub(g.Clock.Now())
+	g.world, g.at, g.last, g.ahead = w, boottime.Now(), boottime.Now(), w.Now.Sub(g.Clock.Now())
 }
 
 // catchUp fetches what a relay knows and this box does not.
--- a/gossip/limit.go
+++ b/gossip/limit.go
@@ -3,8 +3,8 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/quota"
 )
 
@@ -20,25 +20,25 @@
 	switch {
 	case relay:
 		v.Counted = g.counted()
-	case time.Since(g.at) >= recent || g.forItself():
+	case boottime.Since(g.at) >= recent || g.forItself():
 		v.Counted = 1
 	}
 	v.Division = g.world.Division
 	g.mu.Unlock()
-	g.Quota.Round(v, t.Document.Accounts, time.Now())
+	g.Quota.Round(v, t.Document.Accounts, boottime.Now())
 }
 
 // forItself reports whether this process has just started, and speaks for itself alone:
 // when all boxes start at once, relays need a second or two to have heard their members
 // and to lease what they have.
-func (g *Gossip) forItself() bool { return time.Since(g.began) < selfFor }
+func (g *Gossip) forItself() bool { return boottime.Since(g.began) < selfFor }
 
 // counted returns for how many boxes of its data centre this relay speaks. The lock
 // must be held.
 func (g *Gossip) counted() int {
 	n := 1
 	for _, h := range g.members {
-		if time.Since(h.at) < lost && h.DataCentre == g.DataCentre && !h.ForItself {
+		if boottime.Since(h.at) < lost && h.DataCentre == g.DataCentre && !h.ForItself {
 			n++
 		}
 	}
@@ -54,7 +54,7 @@
 	switch {
 	case relay:
 		return g.countAll()
-	case time.Since(g.at) < lost:
+	case boottime.Since(g.at) < lost:
 		return g.world.Counts
 	default:
 		return map[string]int{g.DataCentre: 1}
@@ -71,12 +71,12 @@
 		heard[dc][address] = true
 	}
 	for _, h := range g.members {
-		if time.Since(h.at) < lost {
+		if boottime.Since(h.at) < lost {
 			enter(h.DataCentre, h.Address)
 		}
 	}
 	for _, h := range g.others {
-		if time.Since(h.at) >= lost {
+		if boottime.Since(h.at) >= lost {
 			continue
 		}
 		enter(h.DataCentre, h.Address)
@@ -98,14 +98,14 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !relay {
-		if time.Since(g.at) < forgotten {
+		if boottime.Since(g.at) < forgotten {
 			return g.world.Arbiters
 		}
 		return nil
 	}
 	out := []quota.Arbiter{{Box: g.Box, DataCentre: g.DataCentre, Address: g.Address, Leaving: g.leaves()}}
 	for _, h := range g.others {
-		if time.Since(h.at) < recent {
+		if boottime.Since(h.at) < recent {
 			out = append(out, quota.Arbiter{Box: h.Box, DataCentre: h.DataCentre, Address: h.Address, Leaving: h.Leaving})
 		}
 	}
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -4,7 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"time"
+
+	"birchlink.dev/birchlink/boottime"
 )
 
 // askAtOnce is how many boxes a member asks in one round while neither the store
@@ -118,9 +119,9 @@
 		s.Speeds = nil
 	}
 	s.Relay = g.relay.box
-	s.ForItself = time.Since(g.began) < selfFor+startPeriod // until the round after its last as such
+	s.ForItself = boottime.Since(g.began) < selfFor+startPeriod // until the round after its last as such
 	s.Divided = g.Quota.Division().Version
-	s.Suspects = g.Quarantine.Own(time.Now())
+	s.Suspects = g.Quarantine.Own(boottime.Now())
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s.Knows, s.Judged = g.world.Peers.Sum, g.world.Judged
--- a/gossip/near.go
+++ b/gossip/near.go
@@ -2,9 +2,10 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"birchlink.dev/birchlink/boottime"
 )
 
 // nearBoxes is up to how many boxes all tell each other at once of every long prompt; in
@@ -43,7 +44,7 @@
 	if relay {
 		return g.peersHeard()
 	}
-	if time.Since(g.at) < forgotten {
+	if boottime.Since(g.at) < forgotten {
 		return g.world.Peers
 	}
 	return Peers{}
@@ -54,13 +55,13 @@
 func (g *Gossip) peersHeard() Peers {
 	own, far := []string{g.Address}, []string{}
 	for _, m := range g.members {
-		if time.Since(m.at) < lost {
+		if boottime.Since(m.at) < lost {
 			own = append(own, m.Address)
 		}
 	}
 	for _, o := range g.others {
 		switch {
-		case time.Since(o.at) >= lost:
+		case boottime.Since(o.at) >= lost:
 		case o.DataCentre == g.DataCentre:
 			own = append(append(own, o.Address), o.Members...)
 		default:
--- a/gossip/news.go
+++ b/gossip/news.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/content"
 	"birchlink.dev/birchlink/quarantine"
 	"birchlink.dev/birchlink/wait"
@@ -93,7 +94,7 @@
 
 // fromNews takes what a member or another relay has learnt.
 func (g *Gossip) fromNews(_ context.Context, in news) (bool, error) {
-	suspected := g.Quarantine.Hear(in.Suspects, time.Now())
+	suspected := g.Quarantine.Hear(in.Suspects, boottime.Now())
 	fresh := news{}
 	for _, e := range in.Ended {
 		if g.firstWord(e) {
@@ -118,7 +119,7 @@
 // told others last, the verdicts on contents.
 func (g *Gossip) tellMembers(ended []string) {
 	n := news{Relay: true, Ended: ended}
-	verdicts := g.Quarantine.Verdicts(time.Now())
+	verdicts := g.Quarantine.Verdicts(boottime.Now())
 	sum := quarantine.Sum(verdicts)
 	g.mu.Lock()
 	if g.judged != sum {
--- a/gossip/records.go
+++ b/gossip/records.go
@@ -4,10 +4,10 @@
 	"context"
 	"fmt"
 	"sync"
-	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/known"
 )
 
@@ -48,7 +48,7 @@
 	g.mu.Lock()
 	from := ""
 	for _, h := range g.others {
-		if h.Revision > at && time.Since(h.at) < lost {
+		if h.Revision > at && boottime.Since(h.at) < lost {
 			from, at = h.Address, h.Revision
 		}
 	}
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"sync"
-	"time"
 
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/quarantine"
 )
 
@@ -27,7 +27,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, h := range g.members {
-		if time.Since(h.at) < lost {
+		if boottime.Since(h.at) < lost {
 			s.add(h.Status)
 			s.Members = append(s.Members, h.Address)
 		}
@@ -35,7 +35,7 @@
 	if !g.tellsSpeeds() {
 		s.Speeds = nil
 	}
-	s.Suspects = g.suspects(time.Now())
+	s.Suspects = g.suspects(boottime.Now())
 	return s
 }
 
@@ -46,7 +46,7 @@
 	if !g.holds() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		if time.Since(g.at) < forgotten {
+		if boottime.Since(g.at) < forgotten {
 			return g.world.Others
 		}
 		return s
@@ -56,7 +56,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	for n, h := range g.members {
 		if n != member && now.Sub(h.at) < lost {
 			s.add(h.Status)
@@ -74,7 +74,7 @@
 // It is counted only if this is the relay that it has chosen: a box that asks
 // around for one is counted where it was.
 func (g *Gossip) fromMember(_ context.Context, in Status) (World, error) {
-	now := time.Now()
+	now := boottime.Now()
 	g.Quarantine.Hear(in.Suspects, now)
 	in.Suspects = nil
 	relay := g.holds()
@@ -115,12 +115,12 @@
 func (g *Gossip) fromRelay(_ context.Context, in Status) (Status, error) {
 	g.hearRelay(in)
 	s := g.together()
-	s.Limits, s.Now = g.Quota.Tell(in.Box, time.Now()), g.Clock.Now()
+	s.Limits, s.Now = g.Quota.Tell(in.Box, boottime.Now()), g.Clock.Now()
 	return s, nil
 }
 
 func (g *Gossip) hearRelay(in Status) {
-	now := time.Now()
+	now := boottime.Now()
 	g.Quota.Hear(in.Limits, now)
 	g.Quarantine.Hear(in.Suspects, now)
 	in.Suspects = nil
@@ -162,7 +162,7 @@
 		w.Go(func() {
 			var in Status
 			out := status
-			out.Limits, out.Now = g.Quota.Tell(s.box, time.Now()), g.Clock.Now()
+			out.Limits, out.Now = g.Quota.Tell(s.box, boottime.Now()), g.Clock.Now()
 			if err := g.call(c, s.address, "gossip.relay", out, &in); err == nil {
 				g.hearRelay(in)
 			}
@@ -180,7 +180,7 @@
 	g.mu.Lock()
 	from := ""
 	for _, h := range g.others {
-		if h.Version > v && time.Since(h.at) < lost {
+		if h.Version > v && boottime.Since(h.at) < lost {
 			from, v = h.Address, h.Version
 		}
 	}
@@ -198,7 +198,7 @@
 func (g *Gossip) forget() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	before := time.Now().Add(-forgotten)
+	before := boottime.Now().Add(-forgotten)
 	for n, h := range g.members {
 		if h.at.Before(before) {
 			delete(g.members, n)
@@ -243,7 +243,7 @@
 	defer g.mu.Unlock()
 	var to []string
 	for _, h := range of {
-		if time.Since(h.at) < lost {
+		if boottime.Since(h.at) < lost {
 			to = append(to, h.Address)
 		}
 	}
--- a/gossip/watchers.go
+++ b/gossip/watchers.go
@@ -3,7 +3,8 @@
 import (
 	"slices"
 	"strings"
-	"time"
+
+	"birchlink.dev/birchlink/boottime"
 )
 
 // watches reports whether this relay is one of those that watch the store for all.
@@ -13,7 +14,7 @@
 	defer g.mu.Unlock()
 	var hear []seat
 	for _, h := range g.others {
-		if time.Since(h.at) < watcherLost && h.Silent <= stale {
+		if boottime.Since(h.at) < watcherLost && h.Silent <= stale {
 			hear = append(hear, seat{dataCentre: h.DataCentre, box: h.Box})
 		}
 	}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -15,6 +15,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/call"
 	"birchlink.dev/birchlink/forward"
 	"birchlink.dev/birchlink/kernel"
@@ -148,10 +149,10 @@
 // that, and lets every request end. What has not ended at the limit is ended.
 func (i *Ingress) Stop(c context.Context) error {
 	i.leaving.Store(true)
-	began := time.Now()
+	began := boottime.Now()
 	i.log.Info().Str("event", "stop").Int64("requests", i.live.Load()).Msg("not ready; serving what comes")
 	wait.For(c, i.Notice)
-	x, cancel := context.WithDeadline(c, began.Add(i.Limit))
+	x, cancel := context.WithTimeout(c, i.Limit-boottime.Since(began))
 	defer cancel()
 	err := i.server.Shutdown(x)
 	if err != nil {
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rcrowley/go-metrics"
 
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/call"
 	"birchlink.dev/birchlink/catalog"
 	"birchlink.dev/birchlink/content"
@@ -32,7 +33,7 @@
 func (i *Ingress) serve(w http.ResponseWriter, r *http.Request) {
 	i.live.Add(1)
 	defer i.live.Add(-1)
-	arrived := time.Now()
+	arrived := boottime.Now()
 	if i.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -200,7 +201,7 @@
 }
 
 func (i *Ingress) done(q forward.Request, status int, t forward.Trace) {
-	d := time.Since(q.Call.Arrived)
+	d := boottime.Since(q.Call.Arrived)
 	metrics.GetOrRegisterTimer("requests."+q.Route.Kind.String(), i.metrics).Update(d)
 	l := i.log.Info().Str("event", "answer").Str("request", q.Call.ID).Str("route", q.Route.Name).Int("status", status).Dur("took", d)
 	counted(l, q).EmbedObject(t).Msg("answered")
--- a/ingress/sink.go
+++ b/ingress/sink.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/errkind"
 	"birchlink.dev/birchlink/forward"
 )
@@ -65,7 +66,7 @@
 	a := e.Kind.Answer()
 	l := i.log.Info().Str("event", "answer").Str("kind", a.Name).Str("run", string(a.Run)).Str("reason", e.Message).Dur("retry_after", e.RetryAfter)
 	if q.Call != nil {
-		l = l.Str("request", q.Call.ID).Dur("took", time.Since(q.Call.Arrived))
+		l = l.Str("request", q.Call.ID).Dur("took", boottime.Since(q.Call.Arrived))
 	}
 	if q.Route != nil {
 		l = l.Str("route", q.Route.Name)
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/kernel"
 	"birchlink.dev/birchlink/peer"
 	"birchlink.dev/birchlink/quota"
@@ -60,7 +61,7 @@
 		return err
 	}
 	peer.Handle(l.node.Server, method, func(_ context.Context, x quota.Question) (quota.Answer, error) {
-		return l.Quota.Ask(x, time.Now()), nil
+		return l.Quota.Ask(x, boottime.Now()), nil
 	})
 	return nil
 }
@@ -71,7 +72,7 @@
 // Take asks whether a request may be let in. It returns the answer and the box that
 // gave it, which is of no name if none did.
 func (l *Limit) Take(c context.Context, x quota.Question) (quota.Answer, quota.Arbiter) {
-	began := time.Now()
+	began := boottime.Now()
 	v, by := l.Quota.Take(x, began, func(a quota.Arbiter, x quota.Question) (quota.Answer, bool) {
 		if l.doubted(a.Box) {
 			return quota.Answer{}, false
@@ -90,7 +91,7 @@
 // ask asks one box. It reports false if that does not answer.
 func (l *Limit) ask(c context.Context, a quota.Arbiter, x quota.Question, limit time.Duration) (quota.Answer, bool) {
 	if a.Box == l.Quota.Self.Box {
-		return l.Quota.Ask(x, time.Now()), true
+		return l.Quota.Ask(x, boottime.Now()), true
 	}
 	t, cancel := context.WithTimeout(c, limit)
 	defer cancel()
@@ -107,7 +108,7 @@
 	l.log.Info().Str("event", "limit").Str("other", a.Box).Str("account", x.Account).Dur("limit", limit).Err(err).Msg("did not answer; others are asked for a while")
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.doubts[a.Box] = time.Now()
+	l.doubts[a.Box] = boottime.Now()
 	return v, false
 }
 
@@ -117,8 +118,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	at, ok := l.doubts[box]
-	if ok && time.Since(at) >= l.Doubt {
-		l.doubts[box] = time.Now()
+	if ok && boottime.Since(at) >= l.Doubt {
+		l.doubts[box] = boottime.Now()
 		return false
 	}
 	return ok
--- a/orders/orders.go
+++ b/orders/orders.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/catalog"
 	"birchlink.dev/birchlink/cloudapi"
 	"birchlink.dev/birchlink/demand"
@@ -152,7 +153,7 @@
 
 // service orders what one service lacks or has too much of.
 func (o *Orders) service(c context.Context, s *catalog.Service) {
-	now := time.Now()
+	now := boottime.Now()
 	all := o.known.Roster.All()
 	load := o.Demand(s.Name)
 	dcs := scaling.DataCentres(s.Scaling)
@@ -203,7 +204,7 @@
 // want orders a count, if it is another than the last. A smaller one is ordered when it
 // has been wanted for a while, or at once: no load swings while what was found is replaced.
 func (o *Orders) want(c context.Context, s subject, n int, site scaling.Site, bears scaling.Bears, atOnce bool) {
-	now := time.Now()
+	now := boottime.Now()
 	p, had := o.placed[s]
 	have := site.Have.OnDemand
 	if s.reclaimable {
@@ -252,7 +253,7 @@
 		Service: s.service, DataCentre: s.dataCentre, Reclaimable: s.reclaimable, Count: n,
 	})
 	old := o.placed[s]
-	p := placed{count: n, at: time.Now(), done: err == nil, served: min(old.served, n), taken: old.taken}
+	p := placed{count: n, at: boottime.Now(), done: err == nil, served: min(old.served, n), taken: old.taken}
 	if errors.Is(err, cloudapi.ErrFenced) {
 		p.dry = s.reclaimable
 		if !s.reclaimable {
--- a/session/session.go
+++ b/session/session.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/kernel"
 	"birchlink.dev/birchlink/store"
 	"birchlink.dev/birchlink/wait"
@@ -109,7 +110,7 @@
 func (s *Session) Told(silent time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.told = later(s.told, time.Now().Add(-silent))
+	s.told = later(s.told, boottime.Now().Add(-silent))
 }
 
 // Silent returns for how long the store has answered neither a renewal nor the box that
@@ -117,7 +118,7 @@
 func (s *Session) Silent() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return time.Since(s.heard())
+	return boottime.Since(s.heard())
 }
 
 // heard returns when the store last answered. The lock must be held.
@@ -167,7 +168,7 @@
 func (s *Session) Unsettled(d time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	if !s.reached || now.Sub(s.heard()) >= 2*Renew {
 		return d
 	}
@@ -191,10 +192,10 @@
 
 // pause waits until the lease is to be renewed.
 func (s *Session) pause(c context.Context) {
-	began := time.Now()
+	began := boottime.Now()
 	for c.Err() == nil {
 		wait.For(c, RenewFast)
-		if s.Away() || time.Since(began) >= s.every() {
+		if s.Away() || boottime.Since(began) >= s.every() {
 			return
 		}
 	}
@@ -203,7 +204,7 @@
 // every returns how often the lease is renewed now.
 func (s *Session) every() time.Duration {
 	s.mu.Lock()
-	told := time.Since(s.told) < toldFor
+	told := boottime.Since(s.told) < toldFor
 	s.mu.Unlock()
 	switch {
 	case s.fast.Load():
@@ -245,7 +246,7 @@
 	was := s.reached
 	s.reached = err == nil
 	if err == nil {
-		s.renewed = time.Now()
+		s.renewed = boottime.Now()
 	}
 	var call []func()
 	if err == nil && !was {
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/session"
 	"birchlink.dev/birchlink/stand/memstore"
 	"birchlink.dev/birchlink/store"
@@ -135,3 +136,23 @@
 		require.NoError(t, s.Stop(context.Background()))
 	})
 }
+
+// A box that wakes from a suspension does not take what it heard before for fresh, and has a
+// lease again soon.
+func TestSuspended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &memstore.Memory{}
+		s := session.New(m, zerolog.Nop())
+		require.NoError(t, s.Start(t.Context(), nil))
+		wait.For(t.Context(), time.Second)
+		l := s.Lease()
+		s.Told(0)
+		boottime.Skip(5 * time.Second)
+		m.EndLease(l)
+		require.GreaterOrEqual(t, s.Silent(), 5*time.Second)
+		wait.For(t.Context(), session.RenewFast)
+		require.Less(t, s.Silent(), session.RenewFast+time.Millisecond)
+		require.NotEqual(t, l, s.Lease())
+		require.NoError(t, s.Stop(context.Background()))
+	})
+}
