Tell a process that starts under an endpoint's ID from the one before, and foreign records

Cause: an ID was taken to be one process for good. A new process under it inherited the load, speeds, shared parts and the drained state of the one before, counted as tried, and calls at the one before waited for their silence. A record that another wrote was an endpoint if any JSON came out of it, and one that could not be read left the record before it in force.

Attempts at one that was replaced end at once: what is repeatable goes on, of the rest the outcome is unknown. The decoder has a closed list of reasons, each counted and logged; a key that turns foreign takes its endpoint out.

--- a/balance/book.go
+++ b/balance/book.go
@@ -74,6 +74,14 @@
 	return p
 }
 
+// Reset forgets what is known of an endpoint whose process has started anew. Calls that are
+// under way at the one before are counted there until they end, and nowhere else.
+func (b *Book) Reset(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.pages, id)
+}
+
 // Forget drops endpoints that are gone and have nothing running.
 func (b *Book) Forget(in map[string]bool) {
 	b.mu.Lock()
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -65,7 +65,7 @@
 	Engine     bool
 	Broke      bool // an endpoint was lost with this request
 	Objective  time.Duration
-	Skip       map[string]bool
+	Skip       map[string]bool // incarnations
 }
 
 // Choice is the endpoint chosen, the time to its first event that was expected,
@@ -99,7 +99,7 @@
 	found := false
 	part := b.looked(len(es))
 	for i := range es {
-		if q.Skip[es[i].ID] {
+		if len(q.Skip) > 0 && q.Skip[es[i].Incarnation()] {
 			continue
 		}
 		look := part
@@ -196,7 +196,7 @@
 	key := q.Parts[q.Shared-1].ID
 	home, top := "", uint64(0)
 	for i := range es {
-		if q.Skip[es[i].ID] {
+		if len(q.Skip) > 0 && q.Skip[es[i].Incarnation()] {
 			continue
 		}
 		if w := xxhash.Sum64String(key + "/" + es[i].ID); home == "" || w > top {
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -142,17 +142,21 @@
 	p.quota.Incarnation = p.incarnation
 	q := p.gossip.Quarantine
 	q.Log = log
-	p.gossip.OnEnded = func(id string) { p.book.Ended(id, boottime.Now()) }
+	p.gossip.OnEnded = p.ended
 	p.known.Roster.OnLeave(func(e endpoint.Endpoint) {
 		if !e.Draining {
-			q.Ended(e.ID, "its record is gone", boottime.Now())
+			q.Ended(e.Incarnation(), "its record is gone", boottime.Now())
 		}
 	})
 	p.tell()
 	f := &forward.Forwarder{
 		DataCentre: s.DataCentre, Roster: &p.known.Roster, Book: p.book, Budget: p.budget, Meter: p.meter, Quarantine: q,
 		Pool: &exchange.Pool{DialLimit: dialEndpoint}, Codec: platform.Wire{}, Began: p.began, Metrics: m, Log: log,
-		Sent: p.sent, Ended: func(e endpoint.Endpoint) { p.gossip.Ended(e.ID) },
+		Sent: p.sent, Ended: func(e endpoint.Endpoint) { p.gossip.Ended(e.Incarnation()) },
+	}
+	p.known.Roster.OnReplaced(f.Replaced)
+	p.known.OnForeign = func(r endpoint.Reason) {
+		metrics.GetOrRegisterCounter("endpoints.foreign."+string(r), m).Inc(1)
 	}
 	p.hints = hint.New(log)
 	p.hints.Address, p.hints.Heard = s.Peers, p.hinted
--- a/daemon/tell.go
+++ b/daemon/tell.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"net/netip"
+	"strings"
 	"time"
 
 	"birchlink.dev/birchlink/balance"
@@ -67,6 +68,15 @@
 	p.book.TellSpeeds(others.Speeds)
 }
 
+// ended takes in that another box found an endpoint's process to have ended. One that has
+// started since under its ID is another.
+func (p *entryParts) ended(incarnation string) {
+	id, _, _ := strings.Cut(incarnation, "/")
+	if e, ok := p.known.Roster.Get(id); ok && e.Incarnation() == incarnation {
+		p.book.Ended(id, boottime.Now())
+	}
+}
+
 // sent tells other boxes of a long prompt.
 func (p *entryParts) sent(e endpoint.Endpoint, tokens int) {
 	h := hint.Sent{Endpoint: e.ID, Tokens: tokens}
--- a/endpoint/roster.go
+++ b/endpoint/roster.go
@@ -13,10 +13,11 @@
 // records would otherwise make it once for each. Entering 3,000 endpoints takes 2.0 ms
 // and 2.3 MB so, and 1.5 s and 1.65 GB with a list for each (BenchmarkFill).
 type Roster struct {
-	mu      sync.Mutex
-	all     map[string]Endpoint
-	serving map[string][]Endpoint // by service, those that take work, by ID; none while not asked for
-	removed func(Endpoint)
+	mu       sync.Mutex
+	all      map[string]Endpoint
+	serving  map[string][]Endpoint // by service, those that take work, by ID; none while not asked for
+	removed  func(Endpoint)
+	replaced func(Endpoint)
 }
 
 // OnLeave sets what is called, outside the lock, when an endpoint drains or goes.
@@ -26,10 +27,21 @@
 	r.removed = f
 }
 
-// Put enters or replaces an endpoint. One that drains never serves again.
+// OnReplaced sets what is called, outside the lock, with an endpoint in whose place another
+// has started under its ID.
+func (r *Roster) OnReplaced(f func(old Endpoint)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.replaced = f
+}
+
+// Put enters or replaces an endpoint. One that drains never serves again; one that has
+// started anew is another.
 func (r *Roster) Put(e Endpoint) {
 	r.mu.Lock()
 	old, had := r.all[e.ID]
+	anew := had && old.Born != e.Born
+	had = had && !anew
 	e.Draining = e.Draining || had && old.Draining
 	if r.all == nil {
 		r.all = map[string]Endpoint{}
@@ -39,8 +51,11 @@
 		delete(r.serving, old.Service)
 		delete(r.serving, e.Service)
 	}
-	f := r.removed
+	f, replaced := r.removed, r.replaced
 	r.mu.Unlock()
+	if anew && replaced != nil {
+		replaced(old)
+	}
 	if e.Draining && (!had || !old.Draining) && f != nil {
 		f(e)
 	}
--- a/endpoint/roster_test.go
+++ b/endpoint/roster_test.go
@@ -61,6 +61,23 @@
 	require.Empty(t, r.Serving("s"))
 }
 
+// A process that starts under the ID of one that drained, or that ended, is another: it serves,
+// and what is known of the one before is forgotten.
+func TestBornAnew(t *testing.T) {
+	var r endpoint.Roster
+	var replaced []string
+	r.OnReplaced(func(e endpoint.Endpoint) { replaced = append(replaced, e.Incarnation()) })
+	first := endpoint.Endpoint{ID: "e", Born: 1, Service: "s", Draining: true}
+	second := endpoint.Endpoint{ID: "e", Born: 2, Service: "s"}
+	r.Put(first)
+	require.Empty(t, r.Serving("s"))
+	r.Put(second)
+	require.Len(t, r.Serving("s"), 1)
+	require.Equal(t, []string{first.Incarnation()}, replaced)
+	r.Put(second)
+	require.Len(t, replaced, 1)
+}
+
 // BenchmarkFill is what a box does that reads all records and then sends a request.
 func BenchmarkFill(b *testing.B) {
 	for _, n := range []int{100, 300, 1000, 3000} {
--- a/forward/endpoint_test.go
+++ b/forward/endpoint_test.go
@@ -25,6 +25,7 @@
 	listener net.Listener
 	behave   []string
 	leave    func()        // states that this endpoint drains
+	anew     func()        // states that another process has started under its ID
 	closed   chan struct{} // gets an item for each connection that the endpoint closed
 
 	mu    sync.Mutex
@@ -167,6 +168,10 @@
 	case "close_idle":
 		whole(id)
 		return false
+	case "mute_anew": // the box of the process is gone, and another starts
+		f.anew()
+		_, _ = io.Copy(io.Discard, c)
+		return false
 	case "mute":
 		_, _ = io.Copy(io.Discard, c)
 		return false
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -115,6 +115,7 @@
 		Codec: codec{}, Began: func(string, time.Time) { s.began++ }, Sent: func(endpoint.Endpoint, int) {}, Ended: func(endpoint.Endpoint) {},
 		Metrics: metrics.NewRegistry(), Log: zerolog.Nop(),
 	}
+	s.f.Roster.OnReplaced(s.f.Replaced)
 	return s
 }
 
@@ -142,6 +143,11 @@
 		s.fakes[words[1]] = newFake(s.t, words[1], words[2:])
 		s.fakes[words[1]].leave = func() { s.f.Roster.Put(endpoint.Endpoint{ID: words[1], Draining: true}) }
 		s.f.Roster.Put(endpoint.Endpoint{ID: words[1], Service: "s", Slots: 4, Address: s.fakes[words[1]].listener.Addr().String()})
+		s.fakes[words[1]].anew = func() {
+			s.f.Roster.Put(endpoint.Endpoint{ID: words[1], Born: 2, Service: "s", Slots: 4, Address: s.fakes["anew"].listener.Addr().String()})
+		}
+	case "process": // that is no endpoint yet
+		s.fakes[words[1]] = newFake(s.t, words[1], words[2:])
 	case "budget":
 		s.f.Budget = budget.New(budget.Terms{Window: time.Minute})
 	case "call":
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -79,6 +79,8 @@
 	Ended      Ended
 	Metrics    metrics.Registry
 	Log        zerolog.Logger
+
+	flights flights
 }
 
 // Check returns an error if a request is to be sent to no endpoint, since others ended
--- a/forward/run.go
+++ b/forward/run.go
@@ -57,7 +57,7 @@
 
 // reached is an endpoint that the request reached. One that answered has run it.
 type reached struct {
-	id       string
+	endpoint endpoint.Endpoint
 	answered bool
 }
 
@@ -103,7 +103,7 @@
 		return r.fail(errkind.NoEndpoint, "no endpoint of "+r.q.Service.Name+" is left")
 	}
 	e := ch.Endpoint
-	r.skip[e.ID] = true
+	r.skip[e.Incarnation()] = true
 	r.trace = Trace{Content: r.trace.Content, Attempts: r.trace.Attempts + 1, Choice: ch}
 	if len(r.sent) > 0 && !r.f.Budget.Spend(r.q.Service.Name, boottime.Now()) {
 		return r.fail(errkind.Overloaded, "the service's retries are used up")
@@ -143,9 +143,9 @@
 		r.dials++
 		r.f.Book.Avoid(e, boottime.Now())
 	case out.breakage == recovery.Refused:
-		r.sent = append(r.sent, reached{id: e.ID})
+		r.sent = append(r.sent, reached{endpoint: e})
 	default:
-		r.sent = append(r.sent, reached{e.ID, out.answered})
+		r.sent = append(r.sent, reached{e, out.answered})
 		r.ran = true
 		if out.progress {
 			// A stream that went on here may go on there: what it has is kept.
@@ -163,7 +163,7 @@
 	}
 	n := 0
 	for _, s := range r.sent {
-		if e, ok := r.f.Roster.Get(s.id); s.answered || ok && !e.Draining {
+		if s.answered || r.f.serves(s.endpoint) {
 			n++
 		}
 	}
@@ -262,6 +262,7 @@
 	r.f.Sent(e, ch.Tokens)
 	w := r.watch(cancel, ch)
 	defer w.stop()
+	defer r.f.flights.begin(e.Incarnation(), cancel)()
 	sent := boottime.Now()
 	ans, err := r.f.Pool.Do(x, exchange.Request{
 		Address: e.Address, Method: cl.Method, Target: cl.Target, Host: cl.Host, Header: r.f.Codec.Head(cl, a), Body: cl.Body, Rest: rest,
--- a/known/known.go
+++ b/known/known.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"sync"
@@ -47,6 +48,9 @@
 	Store  store.Store
 	Roster endpoint.Roster
 
+	// OnForeign, if set, is called with why a record names no endpoint.
+	OnForeign func(endpoint.Reason)
+
 	log     zerolog.Logger
 	session *session.Session
 	mirrors []*mirror.Mirror
@@ -232,12 +236,34 @@
 	case i.Deleted:
 		k.vanish(strings.TrimPrefix(i.Key, k.EndpointsPrefix), i.Revision)
 	case d.err != nil:
-		k.log.Error().Str("event", "endpoint").Str("key", i.Key).Err(d.err).Msg("record not read")
+		k.foreign(i, d.err)
 	default:
 		k.enter(d.endpoint, i.Revision)
 	}
 }
 
+// foreign takes out the endpoint of a key that another has written: it gets no new work. An
+// endpoint that lives writes its record again, and is back then; calls under way there go on.
+func (k *Known) foreign(i store.Item, err error) {
+	id := strings.TrimPrefix(i.Key, k.EndpointsPrefix)
+	k.mu.Lock()
+	if t := k.absent[id]; t != nil {
+		t.Stop()
+		delete(k.absent, id)
+	}
+	k.mu.Unlock()
+	k.Roster.Remove(id)
+	reason := endpoint.Unreadable
+	var f *endpoint.ForeignError
+	if errors.As(err, &f) {
+		reason = f.Reason
+	}
+	k.log.Warn().Str("event", "endpoint").Str("endpoint", id).Uint64("revision", i.Revision).Err(err).Msg("the record names none to use")
+	if k.OnForeign != nil {
+		k.OnForeign(reason)
+	}
+}
+
 func (k *Known) enter(e endpoint.Endpoint, revision uint64) {
 	k.mu.Lock()
 	if t := k.absent[e.ID]; t != nil {
@@ -247,10 +273,10 @@
 	k.mu.Unlock()
 	old, had := k.Roster.Get(e.ID)
 	k.Roster.Put(e)
-	if had && old.Draining == e.Draining {
+	if had && old.Draining == e.Draining && old.Born == e.Born {
 		return
 	}
-	k.log.Info().Str("event", "endpoint").Str("endpoint", e.ID).Str("service", e.Service).Str("address", e.Address).
+	k.log.Info().Str("event", "endpoint").Str("endpoint", e.ID).Int64("born", e.Born).Str("service", e.Service).Str("address", e.Address).
 		Str("data_centre", e.DataCentre).Bool("draining", e.Draining).Bool("reclaimable", e.Reclaimable).
 		Dur("leaves", e.Leaves).Uint64("revision", revision).Msg("known")
 }
--- a/known/known_test.go
+++ b/known/known_test.go
@@ -35,6 +35,9 @@
 		return &d, json.Unmarshal(b, &d)
 	},
 	Endpoint: func(key string, b []byte) (endpoint.Endpoint, error) {
+		if string(b) == "foreign" {
+			return endpoint.Endpoint{}, endpoint.NewForeign(endpoint.UnknownState, "foreign")
+		}
 		return endpoint.Endpoint{ID: strings.TrimPrefix(key, "e/"), Service: "s", Draining: string(b) == "draining"}, nil
 	},
 }
@@ -190,7 +193,7 @@
 		wait.For(t.Context(), lapsed)
 		at := b.Revision()
 		newer := known.Records{Items: []store.Item{{Key: "e/three", Value: []byte("ready"), Revision: at + 6}}, From: at + 5, To: at + 6}
-		b.Source.Endpoint = func(key string, v []byte) (endpoint.Endpoint, error) {
+		b.Endpoint = func(key string, v []byte) (endpoint.Endpoint, error) {
 			if key == "e/two" {
 				b.Tell(newer)
 			}
@@ -220,3 +223,23 @@
 		require.Empty(t, b.Roster.Serving("s"))
 	})
 }
+
+// A record that another wrote takes its endpoint out at once, though the record before was
+// sound, and leaves the others. The endpoint is back once it has written its own again.
+func TestForeign(t *testing.T) {
+	run(t, func(t *testing.T, m *memstore.Memory, b *box) {
+		var reasons []endpoint.Reason
+		b.OnForeign = func(r endpoint.Reason) { reasons = append(reasons, r) }
+		m.Set("e/two", "ready")
+		wait.For(t.Context(), applied)
+		m.Set("e/one", "foreign")
+		wait.For(t.Context(), applied)
+		es := b.Roster.Serving("s")
+		require.Len(t, es, 1)
+		require.Equal(t, "two", es[0].ID)
+		require.Equal(t, []endpoint.Reason{endpoint.UnknownState}, reasons)
+		m.Set("e/one", "ready")
+		wait.For(t.Context(), applied)
+		require.Len(t, b.Roster.Serving("s"), 2)
+	})
+}
