Take back what was sent to an endpoint that is given up

Its connection was closed, and what had not arrived stayed queued: the endpoint got it when the cut was over, after it had said that it leaves.

A connection whose call is given up is reset.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -23,6 +23,15 @@
 
 func newConn(c net.Conn) *Conn { return &Conn{net: c, reader: bufio.NewReaderSize(c, readBuffer)} }
 
+// reset ends a connection and takes back what has not arrived. Without it what was sent into
+// a cut reaches its endpoint when that is over, though the call has long been given up.
+func (c *Conn) reset() {
+	if t, ok := c.net.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // it only fails on a connection that has ended
+	}
+	_ = c.net.Close()
+}
+
 // quiet reports whether nothing has arrived on an idle connection: neither its
 // end nor bytes that belong to no request.
 func (c *Conn) quiet() bool {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -84,7 +84,7 @@
 	r, err := head(n, q) //nolint:bodyclose // Answer.Close ends the connection or keeps it
 	if err != nil {
 		stop()
-		_ = n.net.Close()
+		n.reset()
 		if c.Err() != nil {
 			err = c.Err()
 		}
@@ -153,8 +153,8 @@
 // Interrupt makes a read that is under way fail.
 func (a *Answer) Interrupt() { _ = a.conn.net.SetDeadline(time.Unix(1, 0)) }
 
-// Close ends the call; closing again does nothing. The connection is kept only if the answer was whole, the
-// request was sent whole, and neither side wants it closed.
+// Close ends the call; closing again does nothing. The connection is kept only if the answer was
+// whole, the request was sent whole, and neither side wants it closed.
 func (a *Answer) Close() {
 	if a.closed {
 		return
@@ -166,7 +166,11 @@
 		a.pool.put(a.address, a.conn)
 		return
 	}
-	_ = a.conn.net.Close()
+	if a.whole && !cancelled {
+		_ = a.conn.net.Close()
+		return
+	}
+	a.conn.reset()
 }
 
 // Framed reports whether the answer says where it ends: one that does not ends with its
