--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -56,9 +57,9 @@
 	return s.Listener.Addr().String()
 }
 
-// start puts an example configuration in force on one box with one engine and
-// its plain service.
-func start(t *testing.T, example, name string) *box {
+// start puts an example configuration in force on one box with one engine, its plain
+// service, and more endpoints.
+func start(t *testing.T, example, name string, more ...fleet.Box) *box {
 	text, err := os.ReadFile(filepath.Join("..", "examples", example))
 	require.NoError(t, err)
 	e := standengine.New(standengine.Options{Name: "engine-1", Slots: 8, TokenEvery: time.Millisecond, PrefillRate: 1e6, CacheSize: 8, ChecksFence: true})
@@ -66,6 +67,7 @@
 		{Name: "engine-1", DataCentre: "hall", Address: serve(t, e), Role: fleet.EngineRole, Class: "new", State: fleet.Live},
 		{Name: "service-1", DataCentre: "hall", Address: serve(t, service.New(name)), Role: fleet.ServiceRole, Service: name, State: fleet.Live},
 	}
+	bs = append(bs, more...)
 	c := serve(t, standcloud.New(bs, []cloud.Price{{DataCentre: "hall", Class: "new", PerHour: 3}}))
 	list := boxlist.New(c, 0)
 	x, stop := context.WithCancel(context.Background())
@@ -227,3 +229,34 @@
 	}
 	return out.Bytes()
 }
+
+// A call ended each endpoint that ran it, was sent to three one after the other, and came
+// again: the own interface judges each call by its own attempts, as the users' platform's did.
+// Once three endpoints have ended under it, it is refused.
+func TestRefusesWhatEndsEndpoints(t *testing.T) {
+	var ended atomic.Int64
+	var more []fleet.Box
+	for i := range 8 {
+		var h *httptest.Server
+		h = httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			if h.Config.Close() == nil {
+				ended.Add(1)
+			}
+		}))
+		t.Cleanup(h.Close)
+		more = append(more, fleet.Box{
+			Name: fmt.Sprint("ending-", i), DataCentre: "hall", Address: h.Listener.Addr().String(), Role: fleet.ServiceRole,
+			Service: "matokeo-api", State: fleet.Live,
+		})
+	}
+	b := start(t, "pamoja.ini", "another-api", more...)
+	for range 3 {
+		q, err := http.NewRequest(http.MethodGet, "http://"+b.daemon.Front.Listening()+"/services/matokeo-api/x", http.NoBody)
+		require.NoError(t, err)
+		q.Header.Set("Authorization", "Bearer pamoja-key-msasani")
+		a, err := http.DefaultClient.Do(q)
+		require.NoError(t, err)
+		require.NoError(t, a.Body.Close())
+	}
+	require.EqualValues(t, 3, ended.Load())
+}
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -56,7 +56,7 @@
 		end <- err
 	})
 	p := &exchange.Pool{DialLimit: time.Minute}
-	_, err := p.Do(c, request(l)) //nolint:bodyclose // there is no answer
+	_, err := p.Do(c, request(l))
 	require.ErrorIs(t, err, context.Canceled)
 	require.ErrorIs(t, <-end, syscall.ECONNRESET)
 }
@@ -75,7 +75,7 @@
 		end <- err
 	})
 	p := &exchange.Pool{DialLimit: time.Minute}
-	a, err := p.Do(t.Context(), request(l)) //nolint:bodyclose // Answer.Close ends the connection
+	a, err := p.Do(t.Context(), request(l))
 	require.NoError(t, err)
 	a.Close()
 	require.ErrorIs(t, <-end, syscall.ECONNRESET)
