Take records at once, and enter them into the roster as they stand then

A change is taken at once again, and the roster takes of each key what the records hold when it does. TestTwoChangesAtOnce and TestLateRecord hold as they were; TestManyGone is new, for more removals at once than it is kept when they were.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -63,11 +63,10 @@
 	text, err := os.ReadFile(filepath.Join("..", "examples", example))
 	require.NoError(t, err)
 	e := standengine.New(standengine.Options{Name: "engine-1", Slots: 8, TokenEvery: time.Millisecond, PrefillRate: 1e6, CacheSize: 8, ChecksFence: true})
-	bs := []fleet.Box{
+	bs := append([]fleet.Box{
 		{Name: "engine-1", DataCentre: "hall", Address: serve(t, e), Role: fleet.EngineRole, Class: "new", State: fleet.Live},
 		{Name: "service-1", DataCentre: "hall", Address: serve(t, service.New(name)), Role: fleet.ServiceRole, Service: name, State: fleet.Live},
-	}
-	bs = append(bs, more...)
+	}, more...)
 	c := serve(t, standcloud.New(bs, []cloud.Price{{DataCentre: "hall", Class: "new", PerHour: 3}}))
 	list := boxlist.New(c, 0)
 	x, stop := context.WithCancel(context.Background())
@@ -235,8 +234,8 @@
 // Once three endpoints have ended under it, it is refused.
 func TestRefusesWhatEndsEndpoints(t *testing.T) {
 	var ended atomic.Int64
-	var more []fleet.Box
-	for i := range 8 {
+	more := make([]fleet.Box, 8)
+	for i := range more {
 		var h *httptest.Server
 		h = httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 			if h.Config.Close() == nil {
@@ -244,10 +243,10 @@
 			}
 		}))
 		t.Cleanup(h.Close)
-		more = append(more, fleet.Box{
+		more[i] = fleet.Box{
 			Name: fmt.Sprint("ending-", i), DataCentre: "hall", Address: h.Listener.Addr().String(), Role: fleet.ServiceRole,
 			Service: "matokeo-api", State: fleet.Live,
-		})
+		}
 	}
 	b := start(t, "pamoja.ini", "another-api", more...)
 	for range 3 {
--- a/known/known.go
+++ b/known/known.go
@@ -67,7 +67,7 @@
 	subs   []func([]byte)
 	stop   context.CancelFunc // set while this box watches the store
 
-	applying sync.Mutex // held while a change is entered
+	applying sync.Mutex // held while a record is entered into the roster
 	records  recordSet
 	heard    []func(Records)
 }
@@ -194,19 +194,22 @@
 	k.applyRecords(Records{Items: items, Whole: whole, To: revision})
 }
 
-// applyRecords enters a change into the records and the roster. Both are changed in one
-// step, since changes come from the store and from other boxes at once.
+// applyRecords enters a change into the records, and from there into the roster. Changes come
+// from the store and from other boxes at once: the roster takes of each key what the records
+// hold when it does, whichever change is done first.
 func (k *Known) applyRecords(c Records) {
-	es := k.decode(c.Items)
-	k.applying.Lock()
 	t := k.records.take(c)
+	es := k.decode(t.items)
 	for _, i := range t.items {
-		k.applyRecord(i, es[i.Key])
+		k.applying.Lock()
+		if k.records.holds(i) {
+			k.applyRecord(i, es[i.Key])
+		}
+		k.applying.Unlock()
 	}
 	if c.Whole {
 		k.listed.Store(true)
 	}
-	k.applying.Unlock()
 	if t.fresh {
 		c.From = t.from
 		k.announce(c)
--- a/known/known_test.go
+++ b/known/known_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -243,3 +244,21 @@
 		require.Len(t, b.Roster.Serving("s"), 2)
 	})
 }
+
+// More endpoints go at once than it is kept of when they went; all of them are gone.
+func TestManyGone(t *testing.T) {
+	run(t, func(t *testing.T, _ *memstore.Memory, b *box) {
+		b.Follow(false)
+		wait.For(t.Context(), lapsed)
+		at := b.Revision()
+		items := make([]store.Item, 5000)
+		for i := range items {
+			items[i] = store.Item{Key: fmt.Sprint("e/", i), Value: []byte("ready"), Revision: at + 1}
+		}
+		require.True(t, b.Tell(known.Records{Items: items, Whole: true, To: at + 1}))
+		require.Len(t, b.Roster.IDs(), 5000)
+		require.True(t, b.Tell(known.Records{Whole: true, To: at + 2}))
+		wait.For(t.Context(), lapsed)
+		require.Empty(t, b.Roster.IDs())
+	})
+}
--- a/known/records.go
+++ b/known/records.go
@@ -85,6 +85,17 @@
 	return had
 }
 
+// holds reports whether an item is still the last that is known of its key.
+func (r *recordSet) holds(i store.Item) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	last, had := r.items[i.Key]
+	if i.Deleted {
+		return !had
+	}
+	return had && last.Revision == i.Revision
+}
+
 // Revision returns the store's revision up to which the records are known.
 func (k *Known) Revision() uint64 {
 	k.records.mu.Lock()
