--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -69,7 +69,7 @@
 	maxBreaks   = 1024
 	maxAnswered = 2048
 
-	// maxTold bounds the contents in one message: some 2 KB while each has one end.
+	// maxTold bounds the contents in one message: 3.6 KB while each has one end.
 	maxTold = 64
 )
 
