Let the renewal that is due be done before a test looks

Traced: the test and the session wake at the same moment of the fake clock, in any order, and the test looked first. What it asks is the same.

--- a/session/session_test.go
+++ b/session/session_test.go
@@ -151,6 +151,7 @@
 		m.EndLease(l)
 		require.GreaterOrEqual(t, s.Silent(), 5*time.Second)
 		wait.For(t.Context(), session.RenewFast)
+		synctest.Wait() // the renewal is due at this moment, too
 		require.Less(t, s.Silent(), session.RenewFast+time.Millisecond)
 		require.NotEqual(t, l, s.Lease())
 		require.NoError(t, s.Stop(context.Background()))
