Log what answers say of their endpoints

Logs could not tell which answers said that their endpoint leaves, nor for how long a refusal asked for rest. Nothing decides by them yet.

--- a/call/attempt.go
+++ b/call/attempt.go
@@ -22,9 +22,12 @@
 
 // Outcome is what an answer says besides its status. NotRun is a promise that
 // the endpoint did not and will not run the attempt; Elsewhere that another
-// incarnation has the address.
+// incarnation has the address. The rest is what the endpoint says of itself:
+// Leaving that it ends soon, Rest for how long it wants no work from this box.
 type Outcome struct {
 	ID        string
 	NotRun    bool
 	Elsewhere bool
+	Leaving   bool
+	Rest      time.Duration
 }
--- a/forward/run.go
+++ b/forward/run.go
@@ -127,7 +127,7 @@
 		Charged: true,
 	})
 	r.f.Log.Info().Str("event", "attempt broke").Str("request", r.q.Call.ID).Stringer("content", r.trace.Content).Str("endpoint", e.ID).Int("attempt", len(r.sent)).
-		Str("break", out.name()).Str("last_event", r.last).Bool("ran", r.ran).Err(out.err).Str("reason", d.Reason).Msg("decision")
+		Str("break", out.name()).Str("last_event", r.last).Bool("ran", r.ran).Err(out.err).Str("reason", d.Reason).Func(r.trace.said).Msg("decision")
 	if d.Step == recovery.Elsewhere {
 		return false, nil
 	}
--- a/forward/take.go
+++ b/forward/take.go
@@ -7,8 +7,11 @@
 	"net/http"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"birchlink.dev/birchlink/balance"
 	"birchlink.dev/birchlink/boottime"
+	"birchlink.dev/birchlink/call"
 	"birchlink.dev/birchlink/exchange"
 	"birchlink.dev/birchlink/recovery"
 	"birchlink.dev/birchlink/sse"
@@ -23,6 +26,7 @@
 // take reads one answer.
 func (r *run) take(a *exchange.Answer, n *balance.Entry, w *watch, sent time.Time) ended {
 	o := r.f.Codec.Outcome(a.Status, a.Header)
+	r.hear(o)
 	if o.NotRun {
 		n.Progress(boottime.Now())
 		_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, maxAnswer))
@@ -59,6 +63,17 @@
 	return ended{done: true}
 }
 
+// hear takes what an answer says of its endpoint.
+func (r *run) hear(o call.Outcome) {
+	r.trace.Outcome = o
+	if o.Leaving {
+		metrics.GetOrRegisterCounter("answers.says_leaving", r.f.Metrics).Inc(1)
+	}
+	if o.Rest > 0 {
+		metrics.GetOrRegisterCounter("answers.says_rest", r.f.Metrics).Inc(1)
+	}
+}
+
 // survived notes that the endpoint lives after a whole answer. A failure may come of an
 // endpoint that did not begin to run the request, and an answer that ends with its
 // connection, of one that ended.
--- a/forward/trace.go
+++ b/forward/trace.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"birchlink.dev/birchlink/balance"
+	"birchlink.dev/birchlink/call"
 	"birchlink.dev/birchlink/content"
 )
 
@@ -16,6 +17,9 @@
 	Attempts int          // endpoints that were chosen
 	Choice   balance.Choice
 
+	// Outcome is what the last answer said.
+	Outcome call.Outcome
+
 	// First is the time from the sending of the last attempt to its first event, or
 	// to its whole answer; zero if neither came.
 	First time.Duration
@@ -32,4 +36,15 @@
 	c := t.Choice
 	e.Str("endpoint", c.Endpoint.ID).Int("attempts", t.Attempts).Int("running", c.Running).Int("to_read", c.Tokens).
 		Dur("expected", c.Expected).Dur("first", t.First).Dur("load_age", c.Age)
+	t.said(e)
+}
+
+// said writes what the last answer said of its endpoint, if anything.
+func (t Trace) said(e *zerolog.Event) {
+	if t.Outcome.Leaving {
+		e.Bool("says_leaving", true)
+	}
+	if t.Outcome.Rest > 0 {
+		e.Dur("says_rest", t.Outcome.Rest)
+	}
 }
