--- a/daemon/entry_test.go
+++ b/daemon/entry_test.go
@@ -31,9 +31,10 @@
 	store *memstore.Memory
 	text  string // the store's address
 
-	mu     sync.Mutex
-	serial int
-	ended  int
+	mu      sync.Mutex
+	serial  int
+	ended   int
+	servers []*standin.Server
 }
 
 func newPlatform(t *testing.T, servers int) *platform {
@@ -53,6 +54,7 @@
 	defer p.mu.Unlock()
 	p.serial++
 	s := &standin.Server{ID: fmt.Sprintf("i-%d", p.serial), Service: "api", Slots: 64, Events: 3, Audit: &standin.Audit{}}
+	p.servers = append(p.servers, s)
 	var h *httptest.Server
 	h = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
@@ -175,17 +177,6 @@
 func TestAllBoxesRefuseWhatEndsServers(t *testing.T) {
 	p := newPlatform(t, 12)
 	names := []string{"a", "b", "c", "d", "e", "f"}
-	dcs := []string{"north", "south", "west"}
-	startAll := func() []*entryBox {
-		bs := make([]*entryBox, len(names))
-		for i, n := range names {
-			bs[i] = p.startBox(n, dcs[i%len(dcs)])
-		}
-		for _, b := range bs {
-			require.Eventually(t, func() bool { return b.metric(t, "boxes.known", len(names)) }, 20*time.Second, 5*time.Millisecond)
-		}
-		return bs
-	}
 	refused := func(bs []*entryBox, round string) {
 		for i, b := range bs {
 			require.Eventually(t, func() bool { return b.metric(t, "contents.refused", 1) }, 20*time.Second, 5*time.Millisecond)
@@ -196,7 +187,7 @@
 			require.Equal(t, http.StatusOK, status, text)
 		}
 	}
-	bs := startAll()
+	bs := p.startFleet(names...)
 	for i := 0; p.endedServers() < 3; i++ {
 		bs[i].call(t, fmt.Sprint("r", i), crashing)
 	}
@@ -206,12 +197,79 @@
 
 	require.Eventually(t, func() bool { return written(p.store) }, 20*time.Second, 5*time.Millisecond)
 	stopAll(t, bs)
-	bs = startAll()
+	bs = p.startFleet(names...)
 	refused(bs, "second")
 	require.Equal(t, ended, p.endedServers())
 	stopAll(t, bs)
 }
 
+// startFleet starts a box for each name, over three data centres, and waits until all know each
+// other.
+func (p *platform) startFleet(names ...string) []*entryBox {
+	dcs := []string{"north", "south", "west"}
+	bs := make([]*entryBox, len(names))
+	for i, n := range names {
+		bs[i] = p.startBox(n, dcs[i%len(dcs)])
+	}
+	for _, b := range bs {
+		require.Eventually(p.t, func() bool { return b.metric(p.t, "boxes.known", len(names)) }, 20*time.Second, 5*time.Millisecond)
+	}
+	return bs
+}
+
+// A server said in its answers that it leaves while the store was away, and all boxes sent to it
+// until the store was back and its record came, 13 s later: each knew of leaving from records
+// alone. Two boxes passed on such answers, and sent it work 3.2 s and 3.0 s later, where 2 s are
+// allowed; four boxes sent 13 requests more, of which no answer had told them.
+// What one box is told in an answer, all know, and none sends the server anything more.
+func TestAllBoxesLeaveWhatSaysItLeaves(t *testing.T) {
+	p := newPlatform(t, 4)
+	bs := p.startFleet("a", "b", "c", "d", "e", "f")
+	defer stopAll(t, bs)
+	p.store.SetDown(true)
+	s := p.servers[0]
+	s.SayLeaving()
+	for i := 0; s.Asked() == 0; i++ {
+		status, text := bs[0].call(t, fmt.Sprint("first", i), "body")
+		require.Equal(t, http.StatusOK, status, text)
+	}
+	for _, b := range bs {
+		require.Eventually(t, func() bool { return b.metric(t, "endpoints.leaving", 1) }, 20*time.Second, 5*time.Millisecond)
+	}
+	asked := s.Asked()
+	for i, b := range bs {
+		for j := range 12 {
+			status, text := b.call(t, fmt.Sprint("then", i, "-", j), "body")
+			require.Equal(t, http.StatusOK, status, text)
+		}
+	}
+	require.Equal(t, asked, s.Asked())
+}
+
+// A server that turns requests away asks each box for rest by itself. One box sent it 8 requests in
+// 4 s for the 2 that may come, as it read no such word, and told its callers to come back in 50 ms.
+// The box leaves it alone, its callers do not notice, and where all servers rest they are told how
+// long.
+func TestServersRest(t *testing.T) {
+	p := newPlatform(t, 2)
+	bs := p.startFleet("a")
+	defer stopAll(t, bs)
+	p.servers[0].TurnAway(time.Hour)
+	for i := range 30 {
+		status, text := bs[0].call(t, fmt.Sprint("one", i), "body")
+		require.Equal(t, http.StatusOK, status, text)
+	}
+	require.LessOrEqual(t, p.servers[0].Asked(), 1)
+	p.servers[1].TurnAway(2 * time.Hour)
+	for i := range 30 {
+		status, text := bs[0].call(t, fmt.Sprint("both", i), "body")
+		require.Equal(t, http.StatusServiceUnavailable, status, text)
+		require.Contains(t, text, "not_run")
+	}
+	require.Equal(t, 1, p.servers[0].Asked())
+	require.Equal(t, 31, p.servers[1].Asked())
+}
+
 // written reports whether what processes that start anew have to know names a content.
 func written(m *memstore.Memory) bool {
 	i, err := m.Get(context.Background(), "birchlink/before")
--- a/forward/endpoint_test.go
+++ b/forward/endpoint_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -29,6 +30,7 @@
 	closed   chan struct{} // gets an item for each connection that the endpoint closed
 
 	mu    sync.Mutex
+	asked int // requests that were read, run or not
 	runs  int
 	conns int
 	from  []string // the last event that each request came with
@@ -72,7 +74,8 @@
 	if len(f.behave) > 1 {
 		f.behave = f.behave[1:]
 	}
-	if b != "shed" && b != "elsewhere" {
+	f.asked++
+	if kind, _, _ := strings.Cut(b, ":"); !slices.Contains([]string{"shed", "rest", "shed_says_leaving", "elsewhere"}, kind) {
 		f.runs++
 	}
 	f.from = append(f.from, last)
@@ -133,6 +136,16 @@
 		whole(id)
 	case "shed":
 		fmt.Fprintf(c, "HTTP/1.1 503 Full\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
+	case "rest": // for some milliseconds
+		fmt.Fprintf(c, "HTTP/1.1 503 Full\r\nId: %s\r\nNot-Run: 1\r\nRest: %s\r\nContent-Length: 0\r\n\r\n", id, arg)
+	case "says_leaving":
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nLeaving: 1\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+	case "shed_says_leaving":
+		fmt.Fprintf(c, "HTTP/1.1 503 Full\r\nId: %s\r\nNot-Run: 1\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n", id)
+	case "error_says_leaving":
+		fmt.Fprintf(c, "HTTP/1.1 500 Bad\r\nId: %s\r\nLeaving: 1\r\nContent-Length: 3\r\n\r\nbad", id)
+	case "elsewhere_says_leaving":
+		fmt.Fprintf(c, "HTTP/1.1 421 Elsewhere\r\nId: %s\r\nNot-Run: 1\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n", id)
 	case "elsewhere":
 		fmt.Fprintf(c, "HTTP/1.1 421 Elsewhere\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
 	case "error", "error_leave":
@@ -187,7 +200,7 @@
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id)
 		f.crash()
 		return false
-	case "stream", "stream_cut", "stream_torn", "stream_leave":
+	case "stream", "stream_cut", "stream_torn", "stream_leave", "stream_says_leaving":
 		return f.stream(c, kind, id, last, n)
 	default:
 		f.t.Errorf("no behaviour %q", behave)
@@ -197,7 +210,11 @@
 
 // stream sends the events after last up to n, and ends as kind says.
 func (f *fake) stream(c net.Conn, kind, id, last string, n int) bool {
-	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id)
+	says := ""
+	if kind == "stream_says_leaving" {
+		says = "Leaving: 1\r\n"
+	}
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, says)
 	chunk := func(s string) { fmt.Fprintf(c, "%x\r\n%s\r\n", len(s), s) }
 	from, _ := strconv.Atoi(last)
 	for i := from + 1; i <= n; i++ {
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -44,7 +44,13 @@
 }
 
 func (codec) Outcome(status int, h http.Header) call.Outcome {
-	return call.Outcome{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Elsewhere: status == http.StatusMisdirectedRequest}
+	o := call.Outcome{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Elsewhere: status == http.StatusMisdirectedRequest}
+	if o.Elsewhere {
+		return o
+	}
+	ms, _ := strconv.Atoi(h.Get("Rest"))
+	o.Leaving, o.Rest = h.Get("Leaving") != "", time.Duration(ms)*time.Millisecond
+	return o
 }
 
 // answer is what a caller got.
@@ -152,6 +158,12 @@
 		s.f.Budget = budget.New(budget.Terms{Window: time.Minute})
 	case "call":
 		s.call()
+	case "skip": // the time that passes until the next step
+		d, err := time.ParseDuration(words[1])
+		require.NoError(s.t, err, at)
+		boottime.Skip(d)
+	case "anew": // another process starts under the ID of an endpoint
+		s.fakes[words[1]].anew()
 	case "closed":
 		<-s.fakes[words[1]].closed
 	case "expect":
@@ -203,6 +215,17 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		require.Equal(s.t, words[2], strconv.Itoa(f.runs), at)
+	case "asked":
+		f := s.fakes[words[1]]
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		require.Equal(s.t, words[2], strconv.Itoa(f.asked), at)
+	case "retry_after": // at least so long, and a fifth more at most
+		var e *errkind.Error
+		require.True(s.t, errors.As(s.err, &e), "%s: %v", at, s.err)
+		d, err := time.ParseDuration(words[1])
+		require.NoError(s.t, err, at)
+		require.InDelta(s.t, d.Seconds()*1.1, e.RetryAfter.Seconds(), d.Seconds()*0.1, at)
 	case "connections":
 		f := s.fakes[words[1]]
 		f.mu.Lock()
