Keep rests on the own interface too, in one package for both

TestPlainServicesRest failed before this: 20 of 20 calls went to it and ended in 503, while another served.

Leaving needs nothing there: no answer of an engine speaks of it.

--- a/balance/book.go
+++ b/balance/book.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"birchlink.dev/birchlink/estimate"
+	"birchlink.dev/birchlink/rest"
 )
 
 // Book keeps one account of each endpoint. Its zero value is ready.
@@ -16,6 +17,8 @@
 	// endpoints, however many boxes choose.
 	Chance func() float64
 
+	rests rest.Rests // by incarnation
+
 	mu     sync.Mutex
 	boxes  int       // that send to the same endpoints, this one included
 	near   int       // of the other boxes, those whose long prompts are heard at once
@@ -25,7 +28,6 @@
 	pages  map[string]*page
 	sites  map[string]*site
 	models map[string]*estimate.Model // by service
-	rested time.Time                  // when the last rest of any endpoint ends
 }
 
 // page is what is known of one endpoint. Tokens are those of prompts that were
@@ -40,8 +42,7 @@
 	failures float64   // part of the calls that failed, smoothed
 	broken   int       // failures to reach it or to get any answer, in a row
 	until    time.Time // until then it is used only if there is no other
-	rests    time.Time // until then it is used for none, as it has asked
-	refuses  bool      // it asked for rest, and has run nothing since
+	proves   time.Time // after a rest, its end, until it has run a call that began later; else zero
 	progress time.Time // when it last answered anything
 	since    time.Time // since when calls have been with it without a break
 }
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -92,14 +92,14 @@
 	if len(es) == 0 {
 		return Choice{}, false
 	}
-	home := b.homeOf(es, q, now)
+	home := b.homeOf(es, &q, now)
 	view := b.model(es[0].Service).View(now)
 	var best Choice
 	var cost time.Duration
 	found := false
 	part := b.looked(len(es))
 	for i := range es {
-		if len(q.Skip) > 0 && q.Skip[es[i].Incarnation()] || b.rests(es[i].ID, now) {
+		if b.out(&es[i], &q, now) {
 			continue
 		}
 		look := part
@@ -137,7 +137,7 @@
 	p := b.page(e.ID)
 	c := Choice{
 		Endpoint: *e, Parts: q.Parts, Objective: q.Objective, Running: p.running + p.told.running,
-		Avoided: now.Before(p.until) || now.Before(b.site(e.DataCentre).until) || p.refuses && p.running > 0,
+		Avoided: now.Before(p.until) || now.Before(b.site(e.DataCentre).until) || !p.proves.IsZero() && p.running > 0,
 	}
 	c.Load.Running = c.Running
 	if q.Engine {
@@ -189,14 +189,14 @@
 
 // homeOf returns the endpoint that every box prefers for prompts that begin
 // alike: the highest rendezvous hash.
-func (b *Book) homeOf(es []endpoint.Endpoint, q Query, now time.Time) string {
+func (b *Book) homeOf(es []endpoint.Endpoint, q *Query, now time.Time) string {
 	if q.Shared == 0 || q.Shared > len(q.Parts) {
 		return ""
 	}
 	key := q.Parts[q.Shared-1].ID
 	home, top := "", uint64(0)
 	for i := range es {
-		if len(q.Skip) > 0 && q.Skip[es[i].Incarnation()] || b.rests(es[i].ID, now) {
+		if b.out(&es[i], q, now) {
 			continue
 		}
 		if w := xxhash.Sum64String(key + "/" + es[i].ID); home == "" || w > top {
--- a/balance/entry.go
+++ b/balance/entry.go
@@ -13,15 +13,16 @@
 	page  *page
 	model *estimate.Model
 
-	dataCentre string
-	tokens     int
-	load       estimate.Load
-	expected   time.Duration
-	objective  time.Duration
-	began      time.Time
-	first      time.Time // when the endpoint first sent something; zero before
-	last       time.Time // when it last did
-	events     int
+	incarnation string
+	dataCentre  string
+	tokens      int
+	load        estimate.Load
+	expected    time.Duration
+	objective   time.Duration
+	began       time.Time
+	first       time.Time // when the endpoint first sent something; zero before
+	last        time.Time // when it last did
+	events      int
 }
 
 // Begin notes that a call is sent.
@@ -36,7 +37,7 @@
 	p.tokens += c.Tokens
 	p.parts.sent(c.Parts, now)
 	return &Entry{
-		book: b, page: p, model: b.model(e.Service), dataCentre: e.DataCentre, tokens: c.Tokens, load: c.Load,
+		book: b, page: p, model: b.model(e.Service), incarnation: e.Incarnation(), dataCentre: e.DataCentre, tokens: c.Tokens, load: c.Load,
 		expected: c.Expected, objective: c.Objective, began: now,
 	}
 }
@@ -46,8 +47,8 @@
 	n.book.mu.Lock()
 	defer n.book.mu.Unlock()
 	n.heard(now)
-	if !n.began.Before(n.page.rests) {
-		n.page.refuses = false
+	if !n.began.Before(n.page.proves) {
+		n.page.proves = time.Time{}
 	}
 }
 
--- a/balance/rest.go
+++ b/balance/rest.go
@@ -21,48 +21,33 @@
 	}
 	n.book.mu.Lock()
 	defer n.book.mu.Unlock()
-	n.page.refuses = true
-	n.page.rests = later(n.page.rests, now.Add(d))
-	n.book.rested = later(n.book.rested, n.page.rests)
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
+	n.book.rests.Ask(n.incarnation, d, now)
+	n.page.proves = now.Add(n.book.rests.Left(n.incarnation, now))
 }
 
 // Rests reports whether an endpoint wants no calls of this box.
-func (b *Book) Rests(id string, now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.rests(id, now)
+func (b *Book) Rests(e endpoint.Endpoint, now time.Time) bool {
+	return !b.rests.None(now) && b.rests.Left(e.Incarnation(), now) > 0
 }
 
-// rests is Rests while the lock is held. Where no endpoint rests it looks at no page.
-func (b *Book) rests(id string, now time.Time) bool {
-	if !now.Before(b.rested) {
-		return false
-	}
-	p := b.pages[id]
-	return p != nil && now.Before(p.rests)
+// out reports whether an endpoint is out for a query: it was tried, or it rests.
+func (b *Book) out(e *endpoint.Endpoint, q *Query, now time.Time) bool {
+	return len(q.Skip) > 0 && q.Skip[e.Incarnation()] || b.Rests(*e, now)
 }
 
 // Back returns when the first of some endpoints takes calls again, with some spread; zero if
 // one does now.
 func (b *Book) Back(es []endpoint.Endpoint, now time.Time) time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var first time.Duration
-	for i := range es {
-		if !b.rests(es[i].ID, now) {
-			return 0
-		}
-		if left := b.pages[es[i].ID].rests.Sub(now); first == 0 || left < first {
-			first = left
-		}
+	if b.rests.None(now) {
+		return 0
 	}
+	first := b.rests.First(func(yield func(string) bool) {
+		for i := range es {
+			if !yield(es[i].Incarnation()) {
+				return
+			}
+		}
+	}, now)
 	if b.Chance == nil {
 		return first
 	}
@@ -70,14 +55,4 @@
 }
 
 // Resting returns how many endpoints want no calls of this box.
-func (b *Book) Resting(now time.Time) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	n := 0
-	for _, p := range b.pages {
-		if now.Before(p.rests) {
-			n++
-		}
-	}
-	return n
-}
+func (b *Book) Resting(now time.Time) int { return b.rests.Len(now) }
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -14,6 +14,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -28,6 +29,7 @@
 	"birchlink.dev/birchlink/cloud"
 	"birchlink.dev/birchlink/daemon"
 	"birchlink.dev/birchlink/decisions"
+	"birchlink.dev/birchlink/errkind"
 	"birchlink.dev/birchlink/fleet"
 	"birchlink.dev/birchlink/front"
 	"birchlink.dev/birchlink/jsonhttp"
@@ -259,3 +261,59 @@
 	}
 	require.EqualValues(t, 3, ended.Load())
 }
+
+// A plain service that refused and asked for an hour of rest got every second call of the own
+// interface as before: like what an endpoint says on the users' platform, the word was passed on
+// to one caller and kept by nobody. Once it has been said, the box leaves the endpoint alone; where
+// all rest, callers are told so at once.
+func TestPlainServicesRest(t *testing.T) {
+	asked := make([]atomic.Int64, 2)
+	resting := make([]atomic.Bool, 2)
+	more := make([]fleet.Box, 2)
+	for i := range more {
+		a := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != "/x" {
+				http.NotFound(w, r)
+				return
+			}
+			asked[i].Add(1)
+			if resting[i].Load() {
+				w.Header().Set("Retry-After", "3600")
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+		}))
+		more[i] = fleet.Box{Name: fmt.Sprint("resting-", i), DataCentre: "hall", Address: a, Role: fleet.ServiceRole, Service: "matokeo-api", State: fleet.Live}
+	}
+	b := start(t, "pamoja.ini", "another-api", more...)
+	call := func() (int, http.Header) {
+		q, err := http.NewRequest(http.MethodGet, "http://"+b.daemon.Front.Listening()+"/services/matokeo-api/x", http.NoBody)
+		require.NoError(t, err)
+		q.Header.Set("Authorization", "Bearer pamoja-key-msasani")
+		a, err := http.DefaultClient.Do(q)
+		require.NoError(t, err)
+		require.NoError(t, a.Body.Close())
+		return a.StatusCode, a.Header
+	}
+	resting[0].Store(true)
+	refused := 0
+	for range 20 {
+		if status, _ := call(); status != http.StatusOK {
+			refused++
+		}
+	}
+	require.LessOrEqual(t, refused, 1)
+	require.LessOrEqual(t, asked[0].Load(), int64(1))
+	for i := range resting {
+		resting[i].Store(true)
+	}
+	for range 10 {
+		status, _ := call()
+		require.Equal(t, http.StatusServiceUnavailable, status)
+	}
+	require.Equal(t, int64(1), asked[0].Load())
+	_, h := call()
+	require.Equal(t, string(errkind.NotRun), h.Get(front.RunHeader))
+	s, err := strconv.Atoi(h.Get("Retry-After"))
+	require.NoError(t, err)
+	require.InDelta(t, 3600, s, 900)
+}
--- a/engine/client.go
+++ b/engine/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"birchlink.dev/birchlink/jsonhttp"
+	"birchlink.dev/birchlink/rest"
 )
 
 // callLimit bounds a call that is no stream.
@@ -30,6 +31,17 @@
 	ErrEnded       = errors.New("nothing listens at the engine's address")
 )
 
+// RestError says that an engine did not run it, and for how long it wants nothing.
+type RestError struct{ For time.Duration }
+
+// Error returns what the engine asks for.
+func (e *RestError) Error() string {
+	return ErrNotRun.Error() + ", and asks for rest: " + e.For.String()
+}
+
+// Unwrap returns ErrNotRun.
+func (e *RestError) Unwrap() error { return ErrNotRun }
+
 // Client calls model engines by address.
 type Client struct {
 	Caller string
@@ -105,6 +117,9 @@
 	}
 	if a.StatusCode != http.StatusOK {
 		defer a.Body.Close()
+		if d := rest.Of(a.Header); d > 0 && a.StatusCode == http.StatusServiceUnavailable {
+			return nil, &RestError{d}
+		}
 		return nil, refusal(a.StatusCode)
 	}
 	s := bufio.NewScanner(a.Body)
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -107,7 +107,7 @@
 
 // takes reports whether an endpoint that was chosen still takes calls.
 func (f *Forwarder) takes(e endpoint.Endpoint) bool {
-	return f.serves(e) && !f.Book.Rests(e.ID, boottime.Now())
+	return f.serves(e) && !f.Book.Rests(e, boottime.Now())
 }
 
 // Do carries a request to its end. A nil error means that the sink has the whole
--- a/plain/proxy.go
+++ b/plain/proxy.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"birchlink.dev/birchlink/admission"
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/config"
 	"birchlink.dev/birchlink/decisions"
 	"birchlink.dev/birchlink/errkind"
@@ -24,6 +25,7 @@
 	"birchlink.dev/birchlink/member"
 	"birchlink.dev/birchlink/observer"
 	"birchlink.dev/birchlink/recovery"
+	"birchlink.dev/birchlink/rest"
 	"birchlink.dev/birchlink/router"
 	"birchlink.dev/birchlink/view"
 )
@@ -172,20 +174,45 @@
 			return s, nil
 		}
 		clear(avoid)
+		if left := p.resting(q); left > time.Until(q.Deadline) {
+			return nil, noneLeft(q, st).After(left)
+		}
 		t := time.NewTimer(noneWait)
 		select {
 		case <-t.C:
 		case <-c.Done():
 			t.Stop()
-			k := errkind.NoEndpoint
-			if st.Ran {
-				k = errkind.OutcomeUnknown
-			}
-			return nil, errkind.New(k, "no endpoint of %s until the deadline", q.Service)
+			return nil, noneLeft(q, st)
 		}
 	}
 }
 
+// noneLeft is the error of a call for which no endpoint is left in time.
+func noneLeft(q Request, st recovery.State) *errkind.Error {
+	k := errkind.NoEndpoint
+	if st.Ran {
+		k = errkind.OutcomeUnknown
+	}
+	return errkind.New(k, "no endpoint of %s until the deadline", q.Service)
+}
+
+// resting returns when the first endpoint of a service takes calls again, if all have asked for
+// rest.
+func (p *Proxy) resting(q Request) time.Duration {
+	d := p.follower.Current()
+	if d == nil {
+		return 0
+	}
+	ss := p.allowed(d, q.Service, nil, func(s *view.Slot) bool { return s.State == fleet.Live })
+	return p.view.Rests.First(func(yield func(string) bool) {
+		for _, s := range ss {
+			if !yield(s.Process()) {
+				return
+			}
+		}
+	}, boottime.Now())
+}
+
 // choose picks an endpoint: of this data centre first, of others if there is
 // none here.
 func (p *Proxy) choose(q Request, avoid map[string]bool, attempt int) *view.Slot {
@@ -194,9 +221,11 @@
 		return nil
 	}
 	dc := p.members.Self().DataCentre
-	ss := p.allowed(d, q.Service, avoid, func(s *view.Slot) bool { return s.DataCentre == dc && s.Usable() })
+	now := boottime.Now()
+	takes := func(s *view.Slot) bool { return p.view.Rests.Left(s.Process(), now) == 0 }
+	ss := p.allowed(d, q.Service, avoid, func(s *view.Slot) bool { return s.DataCentre == dc && s.Usable() && takes(s) })
 	if len(ss) == 0 {
-		ss = p.allowed(d, q.Service, avoid, func(s *view.Slot) bool { return s.State == fleet.Live })
+		ss = p.allowed(d, q.Service, avoid, func(s *view.Slot) bool { return s.State == fleet.Live && takes(s) })
 	}
 	ts := make([]router.Target, len(ss))
 	for i, s := range ss {
@@ -252,6 +281,10 @@
 		return nil, recovery.Unreachable, fmt.Errorf("reach %s: %w", s.Name, err)
 	}
 	defer a.Body.Close()
+	if a.StatusCode == http.StatusServiceUnavailable {
+		// A service that refuses is the least loaded: it would get every call.
+		p.view.Rests.Ask(s.Process(), rest.Of(a.Header), boottime.Now())
+	}
 	return whole(a, s.Name)
 }
 
--- a/stream/choose.go
+++ b/stream/choose.go
@@ -2,16 +2,19 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
 
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/config"
 	"birchlink.dev/birchlink/decisions"
 	"birchlink.dev/birchlink/engine"
 	"birchlink.dev/birchlink/errkind"
 	"birchlink.dev/birchlink/fleet"
 	"birchlink.dev/birchlink/member"
+	"birchlink.dev/birchlink/rest"
 	"birchlink.dev/birchlink/router"
 	"birchlink.dev/birchlink/view"
 )
@@ -86,11 +89,13 @@
 	slots   []*view.Slot
 }
 
-// gather fills the candidates, but for those to be avoided.
-func (c *candidates) gather(cs []candidate, held string, avoid map[string]bool) {
+// gather fills the candidates, but for those to be avoided and those that rest.
+func (c *candidates) gather(cs []candidate, held string, avoid map[string]bool, rests *rest.Rests) {
 	c.targets, c.slots = c.targets[:0], c.slots[:0]
+	now := boottime.Now()
+	none := rests.None(now)
 	for _, s := range cs {
-		if avoid[s.Name] {
+		if avoid[s.Name] || !none && rests.Left(s.Process(), now) > 0 {
 			continue
 		}
 		c.slots = append(c.slots, s.Slot)
@@ -116,7 +121,8 @@
 	defer r.k.buffers.Put(b)
 	prefix := engine.Prefix(r.s.Workload, r.s.Prompt)
 	held, _ := r.k.prefixes.Get(prefix)
-	b.gather(r.k.indexOf(d).of(r.s.Workload), held, r.avoid)
+	cs := r.k.indexOf(d).of(r.s.Workload)
+	b.gather(cs, held, r.avoid, &r.k.view.Rests)
 	q := router.Query{
 		Prefix: prefix, PromptTokens: engine.PromptTokens(r.s.Prompt), AnswerTokens: r.s.MaxTokens - r.splice.Next,
 		Urgent: r.s.Kind.Urgent(), Deadline: time.Until(r.s.Deadline),
@@ -124,13 +130,30 @@
 	ch := r.pick(b, q)
 	r.k.noteRoute(r, b, ch)
 	if ch.Index < 0 {
-		return r.overflow()
+		return r.restsOver(cs, r.overflow())
 	}
 	s := b.slots[ch.Index]
 	r.aim(target{box: s.Name, incarnation: s.Incarnation, address: s.Address, slot: s})
 	return nil
 }
 
+// restsOver tells who is refused for want of an endpoint when the first one's rest is over, if
+// all that there are have asked for one.
+func (r *run) restsOver(cs []candidate, err error) error {
+	var e *errkind.Error
+	if !errors.As(err, &e) || e.Kind != errkind.NoEndpoint {
+		return err
+	}
+	left := r.k.view.Rests.First(func(yield func(string) bool) {
+		for _, s := range cs {
+			if !yield(s.Process()) {
+				return
+			}
+		}
+	}, boottime.Now())
+	return e.After(left)
+}
+
 // pick takes the endpoint that a reclaim plan named, or asks the policy.
 func (r *run) pick(b *candidates, q router.Query) router.Choice {
 	p := r.prefer
--- a/stream/choose_test.go
+++ b/stream/choose_test.go
@@ -5,12 +5,15 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/config"
 	"birchlink.dev/birchlink/fleet"
 	"birchlink.dev/birchlink/rendezvous"
+	"birchlink.dev/birchlink/rest"
 	"birchlink.dev/birchlink/router"
 	"birchlink.dev/birchlink/view"
 )
@@ -54,9 +57,14 @@
 	ss[6].Incarnation = ""
 	var c candidates
 	x := &index{snapshot: &view.Snapshot{Slots: ss}, document: d, dc: "a"}
-	c.gather(x.of("m@1"), "", map[string]bool{"box-5": true})
+	var rests rest.Rests
+	c.gather(x.of("m@1"), "", map[string]bool{"box-5": true}, &rests)
 	require.Len(t, c.targets, 1)
 	require.Equal(t, "box-0", c.targets[0].Box)
+	rests.Ask(ss[0].Process(), time.Minute, boottime.Now())
+	c.gather(x.of("m@1"), "", nil, &rests)
+	require.Len(t, c.targets, 1)
+	require.Equal(t, "box-5", c.targets[0].Box)
 }
 
 // BenchmarkRoute is the whole routing decision but for its log line: gathering
@@ -70,7 +78,7 @@
 			p := router.Affinity{Bound: 1.25, Recompute: 0.2}
 			b.ReportAllocs()
 			for b.Loop() {
-				c.gather(x.of("m1@2"), "", nil)
+				c.gather(x.of("m1@2"), "", nil, &rest.Rests{})
 				p.Pick(c.targets, router.Query{Prefix: 7, PromptTokens: 500, AnswerTokens: 128})
 			}
 		})
--- a/stream/run.go
+++ b/stream/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/decisions"
 	"birchlink.dev/birchlink/engine"
 	"birchlink.dev/birchlink/errkind"
@@ -178,6 +179,7 @@
 		return broken, recovery.Stalled
 	}
 	if err != nil {
+		r.noteRest(err)
 		return broken, breakOf(err, resumed)
 	}
 	ch := pump(x, l)
@@ -208,6 +210,15 @@
 	}
 }
 
+// noteRest keeps for how long an engine that refused wants nothing: it has the most free slots,
+// and would get every stream.
+func (r *run) noteRest(err error) {
+	var e *engine.RestError
+	if r.target.slot != nil && errors.As(err, &e) {
+		r.k.view.Rests.Ask(r.target.slot.Process(), e.For, boottime.Now())
+	}
+}
+
 // open bounds how long an endpoint may take to answer at all, and reports
 // whether it took longer.
 func (r *run) open(x context.Context, cancel context.CancelFunc, open func(context.Context) (lines, error)) (l lines, late bool, err error) {
--- a/view/view.go
+++ b/view/view.go
@@ -14,6 +14,7 @@
 	"birchlink.dev/birchlink/follower"
 	"birchlink.dev/birchlink/kernel"
 	"birchlink.dev/birchlink/rendezvous"
+	"birchlink.dev/birchlink/rest"
 )
 
 // Name is the name of the service.
@@ -61,12 +62,18 @@
 	return max(s.Running+s.Waiting+int(s.Sent.Load()-s.base), int(s.Sent.Load()), 0)
 }
 
+// Process names the process at the endpoint: what it said holds for no other.
+func (s *Slot) Process() string { return s.Name + "/" + s.Incarnation }
+
 // ID returns the short name of a box in rows.
 func ID(box string) uint32 { return uint32(rendezvous.Key(box)) }
 
 // View is the table of endpoints. Readers take the slots as they are at a
 // moment; writers replace them.
 type View struct {
+	// Rests are those that endpoints' processes asked this box for.
+	Rests rest.Rests
+
 	mu      sync.Mutex
 	boxes   []fleet.Box
 	digest  uint64
