Refuse what ends endpoints on the own interface, at all boxes

Cause: calls of the own interface were judged by their own attempts alone, as the users' platform's had been. Package suspects gives them the same quarantine: a break at a process that refuses connections counts against the content, all other boxes are told at once, and one box a second is told again what it may have missed.

The test is corrected: its endpoints ended also when the box asked for their load, so that it could not pass; they answer that now.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"birchlink.dev/birchlink/plain"
 	"birchlink.dev/birchlink/settings"
 	"birchlink.dev/birchlink/stream"
+	"birchlink.dev/birchlink/suspects"
 	"birchlink.dev/birchlink/view"
 )
 
@@ -84,6 +85,7 @@
 		view.New(),
 		admission.New(),
 		observer.New(platform, log),
+		suspects.New(log),
 		stream.New(s.Policy, s.MaxHeld, m, log),
 		plain.New(),
 		claims.New(s.ClaimSlots, s.ClaimTTL),
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -239,7 +239,11 @@
 	more := make([]fleet.Box, 8)
 	for i := range more {
 		var h *httptest.Server
-		h = httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		h = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != "/x" {
+				http.NotFound(w, r) // the box asks for the load
+				return
+			}
 			if h.Config.Close() == nil {
 				ended.Add(1)
 			}
--- a/member/service.go
+++ b/member/service.go
@@ -147,7 +147,8 @@
 	return s.self
 }
 
-// Up returns the members that are up in a data centre, or in all for "".
+// Up returns the members that are up in a data centre, or in all for "", this box among them. The
+// slice is shared and must not be changed.
 func (s *Service) Up(dc string) []Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/plain/proxy.go
+++ b/plain/proxy.go
@@ -16,7 +16,9 @@
 
 	"birchlink.dev/birchlink/admission"
 	"birchlink.dev/birchlink/boottime"
+	"birchlink.dev/birchlink/call"
 	"birchlink.dev/birchlink/config"
+	"birchlink.dev/birchlink/content"
 	"birchlink.dev/birchlink/decisions"
 	"birchlink.dev/birchlink/errkind"
 	"birchlink.dev/birchlink/fleet"
@@ -27,6 +29,7 @@
 	"birchlink.dev/birchlink/recovery"
 	"birchlink.dev/birchlink/rest"
 	"birchlink.dev/birchlink/router"
+	"birchlink.dev/birchlink/suspects"
 	"birchlink.dev/birchlink/view"
 )
 
@@ -78,6 +81,7 @@
 	decisions *decisions.Log
 	admission *admission.Admission
 	fresh     *observer.Observer
+	suspects  *suspects.Suspects
 	reused    *http.Client
 	single    *http.Client
 	live      atomic.Int64
@@ -108,6 +112,7 @@
 		kernel.Bind(k, decisions.Name, &p.decisions),
 		kernel.Bind(k, admission.Name, &p.admission),
 		kernel.Bind(k, observer.Name, &p.fresh),
+		kernel.Bind(k, suspects.Name, &p.suspects),
 	)
 }
 
@@ -127,16 +132,24 @@
 	c, cancel := context.WithDeadline(c, q.Deadline)
 	defer cancel()
 	avoid := map[string]bool{}
+	h := q.content()
 	st := recovery.State{Repeatable: q.Repeatable, Tries: recovery.MaxTries}
 	for st.Attempts = 1; ; st.Attempts++ {
 		s, err := p.wait(c, q, avoid, st)
 		if err != nil {
 			return nil, err
 		}
+		if err := p.suspects.Check(h); err != nil {
+			return nil, unrun(err, st)
+		}
 		a, b, err := p.attempt(c, q, s, st.Attempts)
 		if err == nil {
+			p.answered(h, a)
 			return a, nil
 		}
+		if b == recovery.Cut && c.Err() == nil {
+			p.suspects.Broke(c, h, s.Process(), s.Address)
+		}
 		if errkind.Is(err, errkind.AnswerTooLarge) {
 			return nil, err
 		}
@@ -147,6 +160,28 @@
 	}
 }
 
+// content returns what a call asks for, whatever its ID is.
+func (q Request) content() content.Hash {
+	return content.Of(q.Account, &call.Call{Method: q.Method, Host: q.Service, Target: q.Path, Body: q.Body})
+}
+
+// answered notes a whole answer. A failure may come of a service that did not begin to run the
+// call.
+func (p *Proxy) answered(h content.Hash, a *Response) {
+	if a.Status < http.StatusInternalServerError {
+		p.suspects.Answered(h)
+	}
+}
+
+// unrun returns the error of a call that goes to no further endpoint; only if none has run it may
+// that be said.
+func unrun(err error, st recovery.State) error {
+	if st.Ran {
+		return errkind.New(errkind.EngineFailed, "%w", err)
+	}
+	return err
+}
+
 // again returns nil if the call may go to another endpoint.
 func (p *Proxy) again(c context.Context, q Request, st *recovery.State, b recovery.Break, box string, cause error) error {
 	st.Break, st.Expired = b, c.Err() != nil
--- a/stream/choose.go
+++ b/stream/choose.go
@@ -116,6 +116,9 @@
 	if r.s.abroad && !r.ran {
 		return r.overflow()
 	}
+	if err := r.k.suspects.Check(r.content); err != nil {
+		return err
+	}
 	r.k.fresh.Ensure(c)
 	b := r.k.buffers.Get().(*candidates)
 	defer r.k.buffers.Put(b)
--- a/stream/keeper.go
+++ b/stream/keeper.go
@@ -25,6 +25,7 @@
 	"birchlink.dev/birchlink/peer"
 	"birchlink.dev/birchlink/reclaim"
 	"birchlink.dev/birchlink/router"
+	"birchlink.dev/birchlink/suspects"
 	"birchlink.dev/birchlink/view"
 	"birchlink.dev/birchlink/wait"
 )
@@ -57,6 +58,7 @@
 	follower  *follower.Follower
 	admission *admission.Admission
 	fresh     *observer.Observer
+	suspects  *suspects.Suspects
 	engines   *engine.Client
 	prefixes  *lru.Cache[uint64, string]
 	buffers   sync.Pool
@@ -107,6 +109,7 @@
 		kernel.Bind(n, follower.Name, &k.follower),
 		kernel.Bind(n, admission.Name, &k.admission),
 		kernel.Bind(n, observer.Name, &k.fresh),
+		kernel.Bind(n, suspects.Name, &k.suspects),
 	); err != nil {
 		return err
 	}
--- a/stream/run.go
+++ b/stream/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"birchlink.dev/birchlink/boottime"
+	"birchlink.dev/birchlink/content"
 	"birchlink.dev/birchlink/decisions"
 	"birchlink.dev/birchlink/engine"
 	"birchlink.dev/birchlink/errkind"
@@ -61,6 +62,7 @@
 	prefer  string
 	avoid   map[string]bool
 	signal  signal
+	content content.Hash // what the stream asks for
 }
 
 // target is the endpoint, or the peer in another data centre, of an attempt.
@@ -73,7 +75,7 @@
 
 func newRun(k *Keeper, s *Stream) *run {
 	return &run{
-		k: k, s: s, avoid: map[string]bool{},
+		k: k, s: s, avoid: map[string]bool{}, content: s.content(),
 		splice: splice.Splicer{RequestID: s.ID, Max: s.MaxTokens, Next: s.Len()},
 	}
 }
@@ -93,6 +95,7 @@
 	for {
 		switch e {
 		case whole:
+			r.k.suspects.Answered(r.content)
 			r.s.finish(nil)
 			return
 		case handed:
@@ -121,6 +124,9 @@
 
 // decide asks recovery, and notes what it says.
 func (r *run) decide(c context.Context, b recovery.Break) recovery.Decision {
+	if b == recovery.Cut && r.target.slot != nil && c.Err() == nil {
+		r.k.suspects.Broke(c, r.content, r.target.slot.Process(), r.target.address)
+	}
 	if b != recovery.Refused && b != recovery.Unreachable && b != recovery.NeverSeen {
 		r.ran = true
 	}
@@ -301,6 +307,12 @@
 	switch {
 	case err == nil:
 		return r.generate(c)
+	case errkind.Is(err, errkind.Quarantined):
+		if r.ran {
+			err = errkind.New(errkind.EngineFailed, "%w", err)
+		}
+		r.s.finish(err)
+		return handed, 0
 	case r.s.abroad && !r.ran:
 		// Nobody accepted it, so it is refused at once.
 		r.s.finish(err)
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -5,10 +5,13 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
 	"birchlink.dev/birchlink/admission"
+	"birchlink.dev/birchlink/call"
+	"birchlink.dev/birchlink/content"
 	"birchlink.dev/birchlink/engine"
 	"birchlink.dev/birchlink/errkind"
 )
@@ -34,6 +37,11 @@
 	return admission.Request{Account: q.Account, Member: q.Member, Match: q.Match, Kind: q.Kind, Weight: q.Weight, Rate: q.Rate, Workload: q.Workload}
 }
 
+// content returns what the request asks for, whatever its ID is.
+func (q Request) content() content.Hash {
+	return content.Of(q.Account, &call.Call{Host: q.Workload, Target: strconv.Itoa(q.MaxTokens), Body: []byte(q.Prompt)})
+}
+
 // MovedError is the error that ends a stream here because a peer goes on with it.
 type MovedError struct {
 	To string
--- /dev/null
+++ b/suspects/suspects_test.go
@@ -0,0 +1,92 @@
+package suspects_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"birchlink.dev/birchlink/content"
+	"birchlink.dev/birchlink/errkind"
+	"birchlink.dev/birchlink/kernel"
+	"birchlink.dev/birchlink/kv"
+	"birchlink.dev/birchlink/member"
+	"birchlink.dev/birchlink/peer"
+	"birchlink.dev/birchlink/stand/kvstore"
+	"birchlink.dev/birchlink/suspects"
+)
+
+// box is the part of an entry box that the service needs.
+type box struct {
+	*suspects.Suspects
+	members *member.Service
+	address string
+}
+
+// freeAddress returns an address that nobody listens on, of an IP number from which nothing
+// connects.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.4:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func start(t *testing.T, name, dc string, seeds ...string) *box {
+	t.Helper()
+	b := &box{Suspects: suspects.New(zerolog.Nop()), members: member.New(name, dc, seeds, zerolog.Nop()), address: freeAddress(t)}
+	k := &kernel.Kernel{}
+	store := httptest.NewServer(kvstore.New(1000, 1000))
+	t.Cleanup(store.Close)
+	m := metrics.NewRegistry()
+	keys := &kv.Service{Client: kv.New(store.Listener.Addr().String(), name, 100, 100, m)}
+	for _, s := range []kernel.Service{peer.NewNode(b.address, b.address, "secret", m), keys, b.members, b.Suspects} {
+		require.NoError(t, k.Add(s))
+		require.NoError(t, s.Start(t.Context(), k))
+		t.Cleanup(func() { _ = s.Stop(context.Background()) })
+	}
+	return b
+}
+
+func await(t *testing.T, f func() bool) {
+	t.Helper()
+	require.Eventually(t, f, 30*time.Second, 5*time.Millisecond)
+}
+
+func (b *box) refuses(h content.Hash) bool { return errkind.Is(b.Check(h), errkind.Quarantined) }
+
+// A request under which three endpoints ended at one box is refused by all, in each data centre,
+// and by one that starts later. An endpoint that still listens has not ended.
+func TestTold(t *testing.T) {
+	a := start(t, "a", "north")
+	b := start(t, "b", "north", a.address)
+	c := start(t, "c", "south", a.address)
+	bs := []*box{a, b, c}
+	await(t, func() bool {
+		return len(a.members.Up("")) == 3 && len(b.members.Up("")) == 3 && len(c.members.Up("")) == 3
+	})
+	lives, err := net.Listen("tcp", "127.0.0.4:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = lives.Close() })
+	for i := range 5 {
+		a.Broke(t.Context(), 1, fmt.Sprint("e", i), lives.Addr().String())
+		require.False(t, a.refuses(1))
+	}
+	for i := range 3 {
+		require.False(t, a.refuses(2))
+		a.Broke(t.Context(), 2, fmt.Sprint("e", i), freeAddress(t))
+	}
+	for _, x := range bs {
+		await(t, func() bool { return x.refuses(2) })
+		require.False(t, x.refuses(3))
+	}
+	d := start(t, "d", "south", a.address)
+	await(t, func() bool { return d.refuses(2) })
+}
