--- a/forward/take.go
+++ b/forward/take.go
@@ -68,14 +68,15 @@
 // record that says so may not come for as long as the store is away.
 func (r *run) hear(o call.Outcome) {
 	r.trace.Outcome = o
+	e := r.trace.Choice.Endpoint
 	if o.Rest > 0 {
 		metrics.GetOrRegisterCounter("answers.says_rest", r.f.Metrics).Inc(1)
+		r.f.Log.Info().Str("event", "endpoint").Str("endpoint", e.ID).Int64("born", e.Born).Str("request", r.q.Call.ID).Dur("rest", o.Rest).Msg("rests")
 	}
 	if !o.Leaving {
 		return
 	}
 	metrics.GetOrRegisterCounter("answers.says_leaving", r.f.Metrics).Inc(1)
-	e := r.trace.Choice.Endpoint
 	if r.f.Roster.Leave(e.Incarnation()) {
 		r.f.Log.Info().Str("event", "endpoint").Str("endpoint", e.ID).Int64("born", e.Born).Str("request", r.q.Call.ID).Str("seen", "it said so in an answer").Msg("leaves")
 		r.f.Leaves(e)
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -229,13 +229,21 @@
 
 // Drain lets a server leave as announced, and a new one come.
 func (f *Fleet) Drain(i int) error {
+	return f.leave(i, func(s *Server) { f.Store.Set(s.Record(s.proxy.Address(), s.zone, "draining")) })
+}
+
+// Leave lets a server leave that says so in its answers alone, and a new one come.
+func (f *Fleet) Leave(i int) error { return f.leave(i, func(s *Server) { s.SayLeaving() }) }
+
+// leave lets a server announce that it leaves, and a new one take its place.
+func (f *Fleet) leave(i int, announce func(*Server)) error {
 	s := f.Servers[i]
 	n, err := f.newServer(s.zone)
 	if err != nil {
 		return err
 	}
 	f.Servers[i] = n
-	f.Store.Set(s.Record(s.proxy.Address(), s.zone, "draining"))
+	announce(s)
 	time.AfterFunc(drainTime, func() {
 		f.Store.Unset("servers/" + s.ID)
 		_ = s.http.Close()
--- a/soak/run.go
+++ b/soak/run.go
@@ -126,6 +126,15 @@
 		if err := r.fleet.Drain(f.Target); err != nil {
 			r.fault("a server could not be replaced: %v", err)
 		}
+	case Leave:
+		if err := r.fleet.Leave(f.Target); err != nil {
+			r.fault("a server could not be replaced: %v", err)
+		}
+	case TurnAway:
+		s := r.fleet.Servers[f.Target]
+		s.TurnAway(f.For)
+		time.Sleep(f.For)
+		s.TurnAway(0)
 	case Config:
 		r.configure()
 	default:
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -28,6 +28,8 @@
 	Compact    Kind = "store history lost"
 	Drain      Kind = "drain" // an endpoint leaves as announced, another comes
 	Config     Kind = "configuration"
+	Leave      Kind = "leave"     // an endpoint says in its answers that it leaves, its record does not; another comes
+	TurnAway   Kind = "turn away" // an endpoint refuses each call, and asks for rest
 )
 
 // Fault is one entry of a schedule.
@@ -53,8 +55,30 @@
 	lead    = 2 * time.Second
 )
 
-// Schedule draws the faults of a run. The same seed gives the same faults.
+// wordGap is the mean time between two endpoints that say something of themselves.
+const wordGap = 2 * time.Second
+
+// Schedule draws the faults of a run, and what endpoints say of themselves meanwhile. The same
+// seed gives the same.
 func Schedule(seed uint64, span time.Duration, boxes, servers int) []Fault {
+	out := append(faults(seed, span, boxes, servers), words(seed, span, servers)...)
+	slices.SortStableFunc(out, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return out
+}
+
+// words draws what endpoints say of themselves.
+func words(seed uint64, span time.Duration, servers int) []Fault {
+	r := rand.New(rand.NewPCG(seed, 2))
+	kinds := []Kind{Leave, TurnAway}
+	var out []Fault
+	for at := lead; at < span; at += time.Duration(r.Int64N(int64(2 * wordGap))) {
+		out = append(out, Fault{At: at, For: minFor + time.Duration(r.Int64N(int64(maxFor-minFor))), Kind: kinds[r.IntN(len(kinds))], Target: r.IntN(servers)})
+	}
+	return out
+}
+
+// faults draws the faults.
+func faults(seed uint64, span time.Duration, boxes, servers int) []Fault {
 	r := rand.New(rand.NewPCG(seed, 1))
 	kinds := []Kind{Kill, Term, Term, Hup, Pause, StoreLink, StoreLink, ServerLink, ServerLink, StoreDown, StoreLost, Compact, Drain, Config, Config}
 	modes := []Mode{Delay, Reset, Silence, OneWay}
@@ -67,6 +91,5 @@
 		}
 		out = append(out, f)
 	}
-	slices.SortStableFunc(out, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return out
 }
