Take a record that lacks its birth, where those before it had one, for another's

Found by asking what could undo a mark of leaving: such a record passed for another process under the ID, and what was known of the one there was dropped. TestRecordWithoutItsBirth failed first.

--- a/known/known.go
+++ b/known/known.go
@@ -64,6 +64,7 @@
 	mu     sync.Mutex
 	raw    []byte                 // the configuration as it was written
 	absent map[string]*time.Timer // records that may come back
+	born   map[string]bool        // IDs whose records say when the process started
 	subs   []func([]byte)
 	stop   context.CancelFunc // set while this box watches the store
 
@@ -74,7 +75,7 @@
 
 // New returns the service.
 func New(src Source, s store.Store, log zerolog.Logger) *Known {
-	return &Known{Source: src, Store: s, log: log, absent: map[string]*time.Timer{}}
+	return &Known{Source: src, Store: s, log: log, absent: map[string]*time.Timer{}, born: map[string]bool{}}
 }
 
 // Name returns the service's name.
@@ -240,11 +241,25 @@
 		k.vanish(strings.TrimPrefix(i.Key, k.EndpointsPrefix), i.Revision)
 	case d.err != nil:
 		k.foreign(i, d.err)
+	case k.lacksBirth(d.endpoint):
+		k.foreign(i, endpoint.NewForeign(endpoint.Missing, "born"))
 	default:
 		k.enter(d.endpoint, i.Revision)
 	}
 }
 
+// lacksBirth reports whether a record does not say when the process started though one before it
+// did: no endpoint leaves that out, and taken for another process it would drop what is known of
+// the one there. Where no record says so, endpoints have no births.
+func (k *Known) lacksBirth(e endpoint.Endpoint) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if e.Born != 0 {
+		k.born[e.ID] = true
+	}
+	return e.Born == 0 && k.born[e.ID]
+}
+
 // foreign takes out the endpoint of a key that another has written: it gets no new work. An
 // endpoint that lives writes its record again, and is back then; calls under way there go on.
 func (k *Known) foreign(i store.Item, err error) {
@@ -289,6 +304,9 @@
 func (k *Known) vanish(id string, revision uint64) {
 	e, had := k.Roster.Get(id)
 	if !had {
+		k.mu.Lock()
+		delete(k.born, id)
+		k.mu.Unlock()
 		return
 	}
 	if hold := k.session.Unsettled(lapse); hold > 0 && !e.Draining {
@@ -305,6 +323,7 @@
 func (k *Known) gone(id string, revision uint64) {
 	k.mu.Lock()
 	delete(k.absent, id)
+	delete(k.born, id)
 	k.mu.Unlock()
 	k.Roster.Remove(id)
 	k.log.Info().Str("event", "endpoint").Str("endpoint", id).Uint64("revision", revision).Msg("gone")
--- a/known/known_test.go
+++ b/known/known_test.go
@@ -39,7 +39,9 @@
 		if string(b) == "foreign" {
 			return endpoint.Endpoint{}, endpoint.NewForeign(endpoint.UnknownState, "foreign")
 		}
-		return endpoint.Endpoint{ID: strings.TrimPrefix(key, "e/"), Service: "s", Draining: string(b) == "draining"}, nil
+		e := endpoint.Endpoint{ID: strings.TrimPrefix(key, "e/"), Service: "s", Draining: string(b) == "draining"}
+		_, _ = fmt.Sscanf(string(b), "born %d", &e.Born) // a record of another form says nothing of it
+		return e, nil
 	},
 }
 
@@ -245,6 +247,45 @@
 	})
 }
 
+// A record lacked when its endpoint's process started, though those before it had said so. It was
+// taken for another process under the ID: what was known of the one there, that it leaves among
+// it, no longer held. Another has written such a record, and it names none to use, nor does a
+// second one. A key that is gone begins anew.
+func TestRecordWithoutItsBirth(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var reasons []endpoint.Reason
+		var replaced int
+		m := &memstore.Memory{}
+		b := start(t, m)
+		defer b.stop()
+		b.OnForeign = func(r endpoint.Reason) { reasons = append(reasons, r) }
+		b.Roster.OnReplaced(func(endpoint.Endpoint) { replaced++ })
+		m.Set("e/one", "born 7")
+		m.Set("e/other", "ready")
+		wait.For(t.Context(), applied)
+		require.Len(t, b.Roster.Serving("s"), 2)
+		require.True(t, b.Roster.Leave("one/7"))
+		for range 2 {
+			m.Set("e/one", "ready")
+			wait.For(t.Context(), applied)
+			require.Len(t, b.Roster.Serving("s"), 1)
+		}
+		require.Equal(t, []endpoint.Reason{endpoint.Missing, endpoint.Missing}, reasons)
+		m.Set("e/one", "born 7")
+		wait.For(t.Context(), applied)
+		require.Len(t, b.Roster.Serving("s"), 1)
+		require.Zero(t, replaced)
+		m.Set("e/one", "born 8")
+		wait.For(t.Context(), applied)
+		require.Len(t, b.Roster.Serving("s"), 2)
+		m.Unset("e/one")
+		wait.For(t.Context(), applied)
+		m.Set("e/one", "ready")
+		wait.For(t.Context(), applied)
+		require.Len(t, b.Roster.Serving("s"), 2)
+	})
+}
+
 // More endpoints go at once than it is kept of when they went; all of them are gone.
 func TestManyGone(t *testing.T) {
 	run(t, func(t *testing.T, _ *memstore.Memory, b *box) {
