--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -231,6 +231,17 @@
 	return out.Bytes()
 }
 
+// callService calls a plain service by its path x, and returns the status and head of the answer.
+func (b *box) callService(t *testing.T, name string) (int, http.Header) {
+	q, err := http.NewRequest(http.MethodGet, "http://"+b.daemon.Front.Listening()+"/services/"+name+"/x", http.NoBody)
+	require.NoError(t, err)
+	q.Header.Set("Authorization", "Bearer pamoja-key-msasani")
+	a, err := http.DefaultClient.Do(q)
+	require.NoError(t, err)
+	require.NoError(t, a.Body.Close())
+	return a.StatusCode, a.Header
+}
+
 // A call ended each endpoint that ran it, was sent to three one after the other, and came
 // again: the own interface judges each call by its own attempts, as the users' platform's did.
 // Once three endpoints have ended under it, it is refused.
@@ -256,18 +267,13 @@
 	}
 	b := start(t, "pamoja.ini", "another-api", more...)
 	for range 3 {
-		q, err := http.NewRequest(http.MethodGet, "http://"+b.daemon.Front.Listening()+"/services/matokeo-api/x", http.NoBody)
-		require.NoError(t, err)
-		q.Header.Set("Authorization", "Bearer pamoja-key-msasani")
-		a, err := http.DefaultClient.Do(q)
-		require.NoError(t, err)
-		require.NoError(t, a.Body.Close())
+		b.callService(t, "matokeo-api")
 	}
 	require.EqualValues(t, 3, ended.Load())
 }
 
-// A plain service that refused and asked for an hour of rest got every second call of the own
-// interface as before: like what an endpoint says on the users' platform, the word was passed on
+// A plain service that refused and asked for an hour of rest got each of 20 calls of the own
+// interface, while another served, as the least loaded one: like what an endpoint says on the users' platform, the word was passed on
 // to one caller and kept by nobody. Once it has been said, the box leaves the endpoint alone; where
 // all rest, callers are told so at once.
 func TestPlainServicesRest(t *testing.T) {
@@ -289,15 +295,7 @@
 		more[i] = fleet.Box{Name: fmt.Sprint("resting-", i), DataCentre: "hall", Address: a, Role: fleet.ServiceRole, Service: "matokeo-api", State: fleet.Live}
 	}
 	b := start(t, "pamoja.ini", "another-api", more...)
-	call := func() (int, http.Header) {
-		q, err := http.NewRequest(http.MethodGet, "http://"+b.daemon.Front.Listening()+"/services/matokeo-api/x", http.NoBody)
-		require.NoError(t, err)
-		q.Header.Set("Authorization", "Bearer pamoja-key-msasani")
-		a, err := http.DefaultClient.Do(q)
-		require.NoError(t, err)
-		require.NoError(t, a.Body.Close())
-		return a.StatusCode, a.Header
-	}
+	call := func() (int, http.Header) { return b.callService(t, "matokeo-api") }
 	resting[0].Store(true)
 	refused := 0
 	for range 20 {
