Tell the boxes of a data centre which endpoints fail their calls

Relays sum up what is of their data centre: told for the fleet, what fails for one data centre's boxes would count for all (on paper). An endpoint's failures are the greater of what the box saw and what all together saw.

--- a/balance/book.go
+++ b/balance/book.go
@@ -4,7 +4,6 @@
 package balance
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -42,6 +41,8 @@
 	slowness float64 // expected over observed times to the first event, smoothed
 	failures float64 // part of the calls that failed, smoothed, at failedAt
 	failedAt time.Time
+	calls    counted   // by this box
+	others   counted   // by the other boxes of the data centre, where some failed
 	broken   int       // failures to reach it or to get any answer, in a row
 	until    time.Time // until then it is used only if there is no other
 	proves   time.Time // after a rest, its end, until it has run a call that began later; else zero
@@ -62,13 +63,6 @@
 	failureWeight  = 0.12
 )
 
-// failuresHalf is the time in which half of an endpoint's failures is forgotten, without which
-// one that runs calls again would get none. Where a third of the endpoints refuse nine in ten
-// calls for some seconds 0.024 of a day's requests are refused with 10 s, 0.021 without
-// forgetting and 0.026 with 3 s; where they fail calls 0.0138, 0.0132 and 0.0157 fail (means of
-// nine days each).
-const failuresHalf = 10 * time.Second
-
 // The time for which an endpoint that did not answer is avoided: it doubles
 // with each failure in a row.
 const (
@@ -76,14 +70,6 @@
 	maxAvoid = 3 * time.Second
 )
 
-// failing returns the part of an endpoint's calls that is taken to fail.
-func (p *page) failing(now time.Time) float64 {
-	if p.failures == 0 {
-		return 0
-	}
-	return p.failures * math.Exp2(-float64(max(now.Sub(p.failedAt), 0))/float64(failuresHalf))
-}
-
 func (b *Book) page(id string) *page {
 	if b.pages == nil {
 		b.pages = map[string]*page{}
--- a/balance/entry.go
+++ b/balance/entry.go
@@ -116,6 +116,7 @@
 	if failed {
 		v = 1
 	}
-	f := n.page.failing(now)
+	f := n.page.ownFailing(now)
 	n.page.failures, n.page.failedAt = f+failureWeight*(v-f), now
+	n.page.calls.add(failed, now)
 }
--- a/daemon/tell.go
+++ b/daemon/tell.go
@@ -29,7 +29,7 @@
 		}
 		return gossip.Status{
 			Box: s.Box, DataCentre: s.DataCentre, Address: s.Peers, Version: v,
-			Load: p.book.Own(), Demand: d, Speeds: p.book.Speeds(now),
+			Load: p.book.Own(), Failing: p.book.Failing(now), Demand: d, Speeds: p.book.Speeds(now),
 			Usage: []tally.Part{p.tally.Recent(s.Box+"."+p.incarnation, p.tally.Number(p.clock.At(now))-toldWindows)},
 		}
 	}
@@ -58,12 +58,14 @@
 	}
 	if p.gossip.Alone() {
 		p.book.Tell(nil, others.Boxes, now)
+		p.book.TellFailing(nil, now)
 		return
 	}
 	p.mu.Lock()
 	p.others = others.Demand
 	p.mu.Unlock()
 	p.book.Tell(others.Load, others.Boxes, now)
+	p.book.TellFailing(others.Failing, now)
 	p.book.TellSpeeds(others.Speeds)
 }
 
--- a/gossip/leavers_test.go
+++ b/gossip/leavers_test.go
@@ -44,3 +44,16 @@
 	await(t, func() bool { return bs[7].drains("x") && bs[7].drains("y") })
 	require.Zero(t, count(bs, func(b *box) bool { return b.drains("z") }))
 }
+
+// Each box knows what the others of its data centre, and no more, say of endpoints that fail.
+func TestFailingByDataCentre(t *testing.T) {
+	m := &memstore.Memory{}
+	m.Set("config", `{"Version":3}`)
+	bs := seven(t, m) // four in dc0, three in dc1
+	await(t, func() bool {
+		return count(bs, func(b *box) bool {
+			others := map[string]float64{"dc0": 3, "dc1": 2}[b.DataCentre]
+			return b.sum().Failing["x"].All == 2*others && b.sum().Failing["x"].Failed == others
+		}) == 7
+	})
+}
--- a/gossip/status.go
+++ b/gossip/status.go
@@ -40,6 +40,7 @@
 	Members    []string                  // addresses of the boxes that a relay counts
 	Suspects   []quarantine.Suspect      // what was lately learnt of contents under which endpoints end
 	Judged     uint64                    // the sum of the verdicts on them that a member was last told
+	Failing    map[string]balance.Calls  // at endpoints that fail some, by the boxes of this data centre
 	Leavers    endpoint.Leavers          // the endpoints that leave ahead of their records
 }
 
@@ -85,6 +86,9 @@
 	for id, l := range o.Load {
 		s.Load[id] = balance.Load{Running: s.Load[id].Running + l.Running, Tokens: s.Load[id].Tokens + l.Tokens}
 	}
+	if o.DataCentre == s.DataCentre {
+		s.addFailing(o.Failing)
+	}
 	for n, by := range o.Demand {
 		if s.Demand[n] == nil {
 			s.Demand[n] = map[string]demand.Figure{}
@@ -102,6 +106,17 @@
 	}
 }
 
+// addFailing sums up calls at endpoints that fail some.
+func (s *Status) addFailing(of map[string]balance.Calls) {
+	if s.Failing == nil {
+		s.Failing = map[string]balance.Calls{}
+	}
+	for id, c := range of {
+		sum := s.Failing[id]
+		s.Failing[id] = balance.Calls{All: sum.All + c.All, Failed: sum.Failed + c.Failed}
+	}
+}
+
 // keepSpeeds takes over the speeds that were told last if none are told now.
 func (s *Status) keepSpeeds(old Status) {
 	if s.Speeds == nil {
