Ask once for each choice whether any endpoint rests

27.8 -> 25.4 us a choice among 111 endpoints (BenchmarkChoose, medians of three); two locks fewer for each endpoint, of which there may be 3,000.

--- a/balance/book_test.go
+++ b/balance/book_test.go
@@ -261,6 +261,8 @@
 	})
 }
 
+// BenchmarkChoose chooses among 111 endpoints of which none rests: 27.8 us where each is looked up
+// among those that rest, 25.4 us where it is asked once whether any does (medians of three).
 func BenchmarkChoose(b *testing.B) {
 	es := endpoints(111)
 	var k balance.Book
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -92,14 +92,15 @@
 	if len(es) == 0 {
 		return Choice{}, false
 	}
-	home := b.homeOf(es, &q, now)
+	out := b.out(&q, now)
+	home := homeOf(es, &q, out)
 	view := b.model(es[0].Service).View(now)
 	var best Choice
 	var cost time.Duration
 	found := false
 	part := b.looked(len(es))
 	for i := range es {
-		if b.out(&es[i], &q, now) {
+		if out(&es[i]) {
 			continue
 		}
 		look := part
@@ -190,14 +191,14 @@
 
 // homeOf returns the endpoint that every box prefers for prompts that begin
 // alike: the highest rendezvous hash.
-func (b *Book) homeOf(es []endpoint.Endpoint, q *Query, now time.Time) string {
+func homeOf(es []endpoint.Endpoint, q *Query, out func(*endpoint.Endpoint) bool) string {
 	if q.Shared == 0 || q.Shared > len(q.Parts) {
 		return ""
 	}
 	key := q.Parts[q.Shared-1].ID
 	home, top := "", uint64(0)
 	for i := range es {
-		if b.out(&es[i], q, now) {
+		if out(&es[i]) {
 			continue
 		}
 		if w := xxhash.Sum64String(key + "/" + es[i].ID); home == "" || w > top {
--- a/balance/rest.go
+++ b/balance/rest.go
@@ -30,9 +30,17 @@
 	return !b.rests.None(now) && b.rests.Left(e.Incarnation(), now) > 0
 }
 
-// out reports whether an endpoint is out for a query: it was tried, or it rests.
-func (b *Book) out(e *endpoint.Endpoint, q *Query, now time.Time) bool {
-	return len(q.Skip) > 0 && q.Skip[e.Incarnation()] || b.Rests(*e, now)
+// out returns what tells which endpoints are out for a query: those that were tried, and those
+// that rest. Where there are none of either it looks up nothing, for up to 3,000 endpoints.
+func (b *Book) out(q *Query, now time.Time) func(*endpoint.Endpoint) bool {
+	tried, resting := len(q.Skip) > 0, !b.rests.None(now)
+	if !tried && !resting {
+		return func(*endpoint.Endpoint) bool { return false }
+	}
+	return func(e *endpoint.Endpoint) bool {
+		name := e.Incarnation()
+		return tried && q.Skip[name] || resting && b.rests.Left(name, now) > 0
+	}
 }
 
 // Back returns when the first of some endpoints takes calls again, with some spread; zero if
