Write the search for the first rest's end once, for any kind of endpoint

It stood three times, in balance, plain and stream, each with an iterator of names of its own. A generic function of package rest takes the list and what names its elements. Behaviour is as it was; the tests of rest, balance, plain (through the daemon) and stream pass unchanged but for the call.

--- a/balance/rest.go
+++ b/balance/rest.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"birchlink.dev/birchlink/endpoint"
+	"birchlink.dev/birchlink/rest"
 )
 
 // restSpread is the part of a rest that is added at random to the time at which callers are
@@ -49,13 +50,7 @@
 	if b.rests.None(now) {
 		return 0
 	}
-	first := b.rests.First(func(yield func(string) bool) {
-		for i := range es {
-			if !yield(es[i].Incarnation()) {
-				return
-			}
-		}
-	}, now)
+	first := rest.First(&b.rests, es, endpoint.Endpoint.Incarnation, now)
 	if b.Chance == nil {
 		return first
 	}
--- a/plain/proxy.go
+++ b/plain/proxy.go
@@ -239,13 +239,7 @@
 		return 0
 	}
 	ss := p.allowed(d, q.Service, nil, func(s *view.Slot) bool { return s.State == fleet.Live })
-	return p.view.Rests.First(func(yield func(string) bool) {
-		for _, s := range ss {
-			if !yield(s.Process()) {
-				return
-			}
-		}
-	}, boottime.Now())
+	return rest.First(&p.view.Rests, ss, (*view.Slot).Process, boottime.Now())
 }
 
 // choose picks an endpoint: of this data centre first, of others if there is
--- a/rest/rest.go
+++ b/rest/rest.go
@@ -3,7 +3,6 @@
 package rest
 
 import (
-	"iter"
 	"maps"
 	"net/http"
 	"strconv"
@@ -84,13 +83,13 @@
 }
 
 // First returns when the first of some endpoints takes calls again; zero if one does now, or
-// there is none.
-func (r *Rests) First(names iter.Seq[string], now time.Time) time.Duration {
+// there is none. Name gives the name of an endpoint's incarnation.
+func First[E any](r *Rests, es []E, name func(E) string, now time.Time) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var first time.Duration
-	for n := range names {
-		d := r.left(n, now)
+	for _, e := range es {
+		d := r.left(name(e), now)
 		if d == 0 {
 			return 0
 		}
--- a/rest/rest_test.go
+++ b/rest/rest_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"slices"
 	"testing"
 	"time"
 
@@ -14,11 +13,13 @@
 
 var now = time.Unix(1_000_000, 0)
 
+func itself(name string) string { return name }
+
 func ExampleRests() {
 	var r rest.Rests
 	r.Ask("a", 3*time.Second, now)
 	r.Ask("b", time.Second, now)
-	fmt.Println(r.Left("a", now), r.First(slices.Values([]string{"a", "b"}), now))
+	fmt.Println(r.Left("a", now), rest.First(&r, []string{"a", "b"}, itself, now))
 	fmt.Println(r.Left("b", now.Add(time.Second)))
 	// Output:
 	// 3s 1s
@@ -58,8 +59,8 @@
 	require.False(t, r.None(now))
 	require.Equal(t, 3*time.Second, r.Left("a", now))
 	require.Equal(t, 1, r.Len(now))
-	require.Zero(t, r.First(slices.Values([]string{"a", "b"}), now))
-	require.Zero(t, r.First(slices.Values([]string{}), now))
+	require.Zero(t, rest.First(&r, []string{"a", "b"}, itself, now))
+	require.Zero(t, rest.First(&r, nil, itself, now))
 	end := now.Add(3 * time.Second)
 	require.Equal(t, time.Nanosecond, r.Left("a", end.Add(-1)))
 	require.Zero(t, r.Left("a", end))
--- a/stream/choose.go
+++ b/stream/choose.go
@@ -147,13 +147,7 @@
 	if !errors.As(err, &e) || e.Kind != errkind.NoEndpoint {
 		return err
 	}
-	left := r.k.view.Rests.First(func(yield func(string) bool) {
-		for _, s := range cs {
-			if !yield(s.Process()) {
-				return
-			}
-		}
-	}, boottime.Now())
+	left := rest.First(&r.k.view.Rests, cs, candidate.Process, boottime.Now())
 	return e.After(left)
 }
 
