Wait until boxes are ready before a test calls them

Traced: the test waited until the box knew one box, and a box that is alone counts itself before it has read the store.

--- a/daemon/entry_test.go
+++ b/daemon/entry_test.go
@@ -86,7 +86,7 @@
 // entryBox is one daemon, and where callers reach it and its metrics.
 type entryBox struct {
 	*daemon.Entry
-	callers, metrics string
+	callers, metrics, ready string
 }
 
 // freeAddress returns an address that nobody listens on. Its IP number is none from which
@@ -100,7 +100,7 @@
 
 func (p *platform) startBox(name, dc string) *entryBox {
 	p.t.Helper()
-	b := &entryBox{callers: freeAddress(p.t), metrics: freeAddress(p.t)}
+	b := &entryBox{callers: freeAddress(p.t), metrics: freeAddress(p.t), ready: freeAddress(p.t)}
 	s, err := settings.ParseEntry(fmt.Appendf(nil, `[box]
 name = %s
 data_centre = %s
@@ -115,7 +115,7 @@
 slack = 100
 [log]
 level = error
-`, name, dc, b.callers, freeAddress(p.t), freeAddress(p.t), b.metrics, p.text))
+`, name, dc, b.callers, b.ready, freeAddress(p.t), b.metrics, p.text))
 	require.NoError(p.t, err)
 	b.Entry, err = daemon.NewEntry(s, io.Discard)
 	require.NoError(p.t, err)
@@ -203,8 +203,17 @@
 	stopAll(t, bs)
 }
 
-// startFleet starts a box for each name, over three data centres, and waits until all know each
-// other.
+// isReady reports whether the box says that it takes requests.
+func (b *entryBox) isReady(t *testing.T) bool {
+	t.Helper()
+	a, err := http.Get("http://" + b.ready + standin.ReadyPath)
+	require.NoError(t, err)
+	require.NoError(t, a.Body.Close())
+	return a.StatusCode == http.StatusOK
+}
+
+// startFleet starts a box for each name, over three data centres, and waits until all are ready
+// and know each other. One that is alone counts itself before it has read a configuration.
 func (p *platform) startFleet(names ...string) []*entryBox {
 	dcs := []string{"north", "south", "west"}
 	bs := make([]*entryBox, len(names))
@@ -212,7 +221,7 @@
 		bs[i] = p.startBox(n, dcs[i%len(dcs)])
 	}
 	for _, b := range bs {
-		require.Eventually(p.t, func() bool { return b.metric(p.t, "boxes.known", len(names)) }, 20*time.Second, 5*time.Millisecond)
+		require.Eventually(p.t, func() bool { return b.isReady(p.t) && b.metric(p.t, "boxes.known", len(names)) }, 20*time.Second, 5*time.Millisecond)
 	}
 	return bs
 }
