Answer a box that lacks a change of the records with that change

Cause: a box whose relay was at a later revision fetched all records, also where its push of the change was on its way or lost. While endpoints are replaced, 100 members of a relay may ask twice a second. Ruled out: that members ask since no push reaches them (each change is pushed; the question overtakes it).

A question carries the asker's revision, as it did, and is answered with what has changed since; with all of it where the keys that went since are not known: before the last whole read, and past 4,096 keys that went.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -151,8 +151,8 @@
 		_, raw := g.known.Raw()
 		return g.packed.pack(raw)
 	})
-	peer.Handle(g.node.Server, "gossip.records", func(context.Context, uint64) ([]byte, error) {
-		return g.records.pack(g.known)
+	peer.Handle(g.node.Server, "gossip.records", func(_ context.Context, since uint64) ([]byte, error) {
+		return g.records.pack(g.known, since)
 	})
 	peer.Handle(g.node.Server, "gossip.news", g.fromNews)
 	c, cancel := context.WithCancel(context.Background())
--- a/gossip/records.go
+++ b/gossip/records.go
@@ -11,7 +11,9 @@
 	"birchlink.dev/birchlink/known"
 )
 
-// takeRecords fetches all records of the endpoints from another box.
+// takeRecords fetches from another box the endpoints' records that this one lacks. With all of
+// them each time, the members of a relay fetched 10,000 records for each change that overtook
+// its push.
 func (g *Gossip) takeRecords(c context.Context, address string) {
 	var zip []byte
 	if err := g.call(c, address, "gossip.records", g.known.Revision(), &zip); err != nil {
@@ -71,26 +73,37 @@
 	return pack(b)
 }
 
-// packedRecords keeps the records of the last revision that was asked for.
+// packedRecords keeps what was last asked for of the records of one revision, by the revision
+// since which it was asked for: after a lost push many members ask for the same.
 type packedRecords struct {
 	mu       sync.Mutex
 	revision uint64
-	zip      []byte
+	zips     map[uint64][]byte
 }
 
-// pack returns all records packed, doing the work once for each revision.
-func (p *packedRecords) pack(k *known.Known) ([]byte, error) {
+// pack returns the records that have changed since a revision, packed, doing the work once for
+// each pair of revisions.
+func (p *packedRecords) pack(k *known.Known, since uint64) ([]byte, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.zip != nil && p.revision == k.Revision() {
-		return p.zip, nil
+	if zip, ok := p.zips[since]; ok && p.revision == k.Revision() {
+		return zip, nil
 	}
-	r := k.Records()
-	zip, err := packRecords(r)
-	if err != nil {
-		return nil, err
+	r := k.Since(since)
+	if p.zips == nil || p.revision != r.To {
+		p.revision, p.zips = r.To, map[uint64][]byte{}
+	}
+	zip, ok := p.zips[0]
+	if !ok || !r.Whole {
+		var err error
+		if zip, err = packRecords(r); err != nil {
+			return nil, err
+		}
+	}
+	if r.Whole {
+		p.zips[0] = zip
 	}
-	p.revision, p.zip = r.To, zip
+	p.zips[since] = zip
 	return zip, nil
 }
 
--- a/known/records.go
+++ b/known/records.go
@@ -27,6 +27,7 @@
 	mu       sync.Mutex
 	items    map[string]store.Item
 	gone     map[string]uint64 // the revisions at which keys went
+	floor    uint64            // the first revision since which all that went is known
 	revision uint64
 }
 
@@ -52,6 +53,8 @@
 		}
 	}
 	if c.Whole {
+		// What went before without this box having known it is not in the list.
+		r.floor = max(r.floor, c.To)
 		for _, k := range slices.Sorted(maps.Keys(r.items)) {
 			went := store.Item{Key: k, Revision: c.To, Deleted: true}
 			if !listed[k] && r.enter(went) {
@@ -79,6 +82,9 @@
 	}
 	delete(r.items, i.Key)
 	if len(r.gone) >= keptGone {
+		for _, at := range r.gone {
+			r.floor = max(r.floor, at)
+		}
 		clear(r.gone)
 	}
 	r.gone[i.Key] = i.Revision
@@ -96,6 +102,29 @@
 	return had && last.Revision == i.Revision
 }
 
+// since returns what has changed after a revision; all records where not all that went since
+// is known.
+func (r *recordSet) since(revision uint64) Records {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := Records{From: revision, To: r.revision}
+	if c.Whole = revision < r.floor; c.Whole {
+		c.Items = slices.Collect(maps.Values(r.items))
+		return c
+	}
+	for _, i := range r.items {
+		if i.Revision > revision {
+			c.Items = append(c.Items, i)
+		}
+	}
+	for k, at := range r.gone {
+		if at > revision {
+			c.Items = append(c.Items, store.Item{Key: k, Revision: at, Deleted: true})
+		}
+	}
+	return c
+}
+
 // Revision returns the store's revision up to which the records are known.
 func (k *Known) Revision() uint64 {
 	k.records.mu.Lock()
@@ -103,12 +132,9 @@
 	return k.records.revision
 }
 
-// Records returns all records.
-func (k *Known) Records() Records {
-	k.records.mu.Lock()
-	defer k.records.mu.Unlock()
-	return Records{Items: slices.Collect(maps.Values(k.records.items)), Whole: true, To: k.records.revision}
-}
+// Since returns the records that have changed after a revision, as a box lacks them that has
+// missed a change; to one that knows none, or has been away for long, all of them.
+func (k *Known) Since(revision uint64) Records { return k.records.since(revision) }
 
 // Tell applies records that another box has read from the store. It returns
 // false if this box lacks what came before.
