Let boxes that start look for a relay before they read everything from the store

Cause: each box began to watch the store at its start, with a whole read of the configuration and of all records, and looked for its relays afterwards. At 985 boxes and 10,000 endpoints that is 985 x 20 pages and, at 270 B a record, 2.7 GB over the store's 1 Gbit/s: 21 s worked out, again after each loss of power. Ruled out: that relays tell members late (a member that has found its relay fetches what it lacks in the same round).

A box that starts looks at the relays' places, once, takes one if it is free, and watches the store itself only if it has found no relay for 1.5 s. A free place is left to boxes with wider links, for the time in which the own link carries 10 Mbit (a relay sends 100 members 24 MB of records after a loss of power: 9 s at 20 Mbit/s, 0.9 s at 200).

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -139,6 +139,7 @@
 		ConfigKey: platform.ConfigKey, EndpointsPrefix: platform.ServersPrefix,
 		Document: platform.Document, Endpoint: platform.Endpoint,
 	}, st, log)
+	p.known.Told = true
 	p.quota.Incarnation = p.incarnation
 	q := p.gossip.Quarantine
 	q.Log = log
--- a/gossip/enlist.go
+++ b/gossip/enlist.go
@@ -27,6 +27,21 @@
 // before (70 boxes, two courses), and none with it.
 const settle = 2 * time.Second
 
+// A free place of a relay is left to boxes with wider links for courtesyBits over the box's own
+// link, maxCourtesy at most: what a relay sends its members after a wave of changes. A relay with
+// 20 Mbit/s before 100 members and 10,000 endpoints would need 9 s to send all records to each.
+// A box looks for the relays no later than firstLook after its start.
+const (
+	courtesyBits = 10e6
+	maxCourtesy  = time.Second
+	firstLook    = 300 * time.Millisecond
+)
+
+// alone is the age from which on a box that has found no relay watches the store itself. Without
+// it each of all boxes that start at once reads everything: 20 pages where there are 10,000
+// endpoints, 2.7 GB in all for 985 boxes.
+const alone = 1500 * time.Millisecond
+
 // seat is one place for a relay: its key, who has it, and where that box is.
 type seat struct {
 	dataCentre, key, box, address string
@@ -99,15 +114,58 @@
 	return false
 }
 
-// enlist looks at the places, and takes one of its data centre's if it is free.
-func (g *Gossip) enlist(c context.Context) {
+// courtesy is how long this box leaves a free place to others.
+func (g *Gossip) courtesy() time.Duration {
+	if g.LinkMbps <= 0 {
+		return 0
+	}
+	return min(time.Duration(courtesyBits/(g.LinkMbps*1e6)*float64(time.Second)), maxCourtesy)
+}
+
+// young reports whether this process has just started, and may not have looked for its relays yet.
+func (g *Gossip) young() bool { return boottime.Since(g.began) < alone }
+
+// lookDue reports whether it is time to look at the places, and notes that it is done.
+func (g *Gossip) lookDue() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := boottime.Now()
+	first := g.looked.IsZero() && now.Sub(g.began) < min(g.courtesy(), firstLook)
+	if first || now.Before(g.next) {
+		return false
+	}
+	g.looked, g.next = now, now.Add(enlistPause)
+	return true
+}
+
+// mayTake reports whether this box may take a free place of its data centre now. A place that is
+// free at the start has been free since then.
+func (g *Gossip) mayTake() bool {
+	vacant := g.places() < relays
 	g.mu.Lock()
-	due := boottime.Since(g.looked) >= enlistPause
-	if due {
-		g.looked = boottime.Now()
+	defer g.mu.Unlock()
+	if !vacant {
+		g.freeSince = time.Time{}
+		return false
+	}
+	now := boottime.Now()
+	if g.freeSince.IsZero() {
+		g.freeSince = now
+		if g.began.Add(firstLook + enlistPause).After(now) {
+			g.freeSince = g.began
+		}
+	}
+	left := g.courtesy() - now.Sub(g.freeSince)
+	if left > 0 {
+		g.next = now.Add(min(left, enlistPause))
 	}
-	g.mu.Unlock()
-	if !due {
+	return left <= 0
+}
+
+// enlist looks at the places, and takes one of its data centre's if it is free.
+func (g *Gossip) enlist(c context.Context) {
+	l := g.session.Lease()
+	if l == 0 && g.young() || !g.lookDue() {
 		return
 	}
 	items, at, err := g.Store.Range(c, g.Prefix)
@@ -116,8 +174,7 @@
 	}
 	g.vacant = false
 	g.apply(items, true, at)
-	l := g.session.Lease()
-	if l == 0 || g.holds() || g.session.Unsettled(settle) > 0 {
+	if l == 0 || g.holds() || g.session.Unsettled(settle) > 0 || !g.mayTake() {
 		return
 	}
 	for n := range relays {
@@ -138,6 +195,15 @@
 			return
 		}
 	}
+	// Others were faster: who they are is read at once.
+	g.lookAgain()
+}
+
+// lookAgain lets the places be looked at in the next round.
+func (g *Gossip) lookAgain() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.next = time.Time{}
 }
 
 // keepPlace puts a place that the process before this one had, or that lapsed in an outage
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -68,9 +68,13 @@
 	Address    string
 	Prefix     string
 	Seeds      []string
-	Store      store.Store
-	Own        func() Status
-	OnChange   func(others Status)
+
+	// LinkMbps is the rate of this box's link; zero if it is not known.
+	LinkMbps float64
+
+	Store    store.Store
+	Own      func() Status
+	OnChange func(others Status)
 
 	// BeforeKey is where a relay writes what Before returns for a number of boxes, and
 	// Speeds of all, so that processes that start all at once know it before they have
@@ -107,18 +111,21 @@
 	watch   *mirror.Mirror
 	unwatch context.CancelFunc // set while this box watches the places
 
-	mu      sync.Mutex
-	seats   map[string]seat
-	looked  time.Time
-	members map[string]heard // that tell this box, while it is a relay
-	others  map[string]heard // relays
-	world   World            // the last answer of this box's relay
-	at      time.Time        // when it came
-	ahead   time.Duration    // how far its time of day was ahead then
-	last    time.Time        // when any other box was last heard
-	began   time.Time
-	before  before
-	stopped bool
+	mu     sync.Mutex
+	seats  map[string]seat
+	looked time.Time // at the places
+	next   time.Time // when they may be looked at again
+	// since when a place of this data centre is known to be free; zero while none is
+	freeSince time.Time
+	members   map[string]heard // that tell this box, while it is a relay
+	others    map[string]heard // relays
+	world     World            // the last answer of this box's relay
+	at        time.Time        // when it came
+	ahead     time.Duration    // how far its time of day was ahead then
+	last      time.Time        // when any other box was last heard
+	began     time.Time
+	before    before
+	stopped   bool
 
 	relayAddress string // of the relay that counts this box
 	news         news   // that is to be told
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -84,6 +84,7 @@
 			return endpoint.Endpoint{ID: strings.TrimPrefix(k, "e/"), Service: "s"}, nil
 		},
 	}, s, zerolog.Nop())
+	b.known.Told = true
 	b.Gossip = gossip.New(zerolog.Nop())
 	b.Clock = daytime.New(time.Now)
 	b.Quota = &quota.Quota{Self: quota.Arbiter{Box: name, DataCentre: dc, Address: a}, Started: time.Now(), Incarnation: fmt.Sprint("life", lives.Add(1)), Chance: rand.Float64}
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -31,6 +31,8 @@
 			g.enlist(c)
 		}
 		return
+	case g.young() && !g.session.Away():
+		g.enlist(c)
 	case g.reaches(c):
 		g.known.Follow(true)
 		g.enlist(c)
--- a/known/known.go
+++ b/known/known.go
@@ -48,6 +48,10 @@
 	Store  store.Store
 	Roster endpoint.Roster
 
+	// Told says that others may tell this box of the store: it begins to watch the store when
+	// Follow is called, and not at its start.
+	Told bool
+
 	// OnForeign, if set, is called with why a record names no endpoint.
 	OnForeign func(endpoint.Reason)
 
@@ -94,7 +98,7 @@
 		k.session.OnReturn(m.Restart)
 	}
 	k.life, k.end = context.WithCancel(context.Background())
-	k.Follow(true)
+	k.Follow(!k.Told)
 	return nil
 }
 
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -20,6 +20,9 @@
 	Metrics string // where metrics are read; empty for nowhere
 	Seeds   []string
 
+	// LinkMbps is the rate of the box's link in Mbit/s; zero if it is not known.
+	LinkMbps float64
+
 	Store string
 	Cloud string
 
@@ -53,6 +56,9 @@
 // maxTolerance bounds the tolerance, in units of a rate.
 const maxTolerance = 1_000_000_000
 
+// maxLink bounds the rate of a link in Mbit/s: none is so fast.
+const maxLink = 1e6
+
 // LoadEntry reads and checks a file. The error joins every mistake in it.
 func LoadEntry(path string) (Entry, error) {
 	b, err := os.ReadFile(path)
@@ -74,6 +80,7 @@
 		Peers:        r.Address("listen", "peers"),
 		Metrics:      r.String("listen", "metrics", ""),
 		Seeds:        r.Addresses("peers", "seeds"),
+		LinkMbps:     r.Float("box", "link_mbps", 0, 0, maxLink),
 		Store:        r.Address("store", "address"),
 		Orders:       slices.Contains(duties, "scale"),
 		Usage:        slices.Contains(duties, "usage"),
