Choose any of the endpoints that are equal, and look up no page for those never met

Cause: a choice began with the first endpoint by ID and kept it against equal ones.

Pages of endpoints that are gone can be forgotten by asking who is known; nobody did so before.

--- a/balance/book.go
+++ b/balance/book.go
@@ -82,6 +82,17 @@
 	return p
 }
 
+// unknown is the page of an endpoint of which nothing is known.
+var unknown = page{slowness: 1}
+
+// peek returns an endpoint's page to read. A choice looks at many of which nothing is known.
+func (b *Book) peek(id string) *page {
+	if p := b.pages[id]; p != nil {
+		return p
+	}
+	return &unknown
+}
+
 // Reset forgets what is known of an endpoint whose process has started anew. Calls that are
 // under way at the one before are counted there until they end, and nowhere else.
 func (b *Book) Reset(id string) {
@@ -90,12 +101,12 @@
 	delete(b.pages, id)
 }
 
-// Forget drops endpoints that are gone and have nothing running.
-func (b *Book) Forget(in map[string]bool) {
+// Forget drops endpoints that are not known any more and have nothing running.
+func (b *Book) Forget(known func(id string) bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, p := range b.pages {
-		if !in[id] && p.running == 0 {
+		if p.running == 0 && !known(id) {
 			delete(b.pages, id)
 		}
 	}
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -3,11 +3,10 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"birchlink.dev/birchlink/call"
 	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/estimate"
+	"birchlink.dev/birchlink/rendezvous"
 )
 
 // The figures that count against an endpoint besides its expected time.
@@ -66,6 +65,18 @@
 	Broke      bool // an endpoint was lost with this request
 	Objective  time.Duration
 	Skip       map[string]bool // incarnations
+
+	// Home, if it has an ID, is the endpoint that all boxes prefer for the shared parts. It
+	// is judged also if it is none of those to choose among. Else it is found among these.
+	Home endpoint.Endpoint
+}
+
+// HomeKey names the shared parts, by which their home is found; empty for none.
+func (q *Query) HomeKey() string {
+	if q.Shared == 0 || q.Shared > len(q.Parts) {
+		return ""
+	}
+	return q.Parts[q.Shared-1].ID
 }
 
 // Choice is the endpoint chosen, the time to its first event that was expected,
@@ -85,42 +96,74 @@
 }
 
 // Choose returns the endpoint with the least expected time to the first event,
-// and false if there is none that takes calls. All are of one service.
+// and false if there is none that takes calls. All are of one service. Of those that are
+// equal any may be chosen: with the first by ID, boxes that know of no load all choose the same
+// few, and 123 of 317 endpoints got no call while the busiest got ten times the mean (985 boxes).
 func (b *Book) Choose(es []endpoint.Endpoint, q Query, now time.Time) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(es) == 0 {
 		return Choice{}, false
 	}
-	out := b.out(&q, now)
-	home := homeOf(es, &q, out)
-	view := b.model(es[0].Service).View(now)
-	var best Choice
-	var cost time.Duration
-	found := false
+	s := search{book: b, query: &q, now: now, out: b.out(&q, now), view: b.model(es[0].Service).View(now)}
+	home := q.Home.ID
+	if home == "" {
+		home = homeOf(es, &q, s.out)
+	} else {
+		s.look(&q.Home, true)
+	}
 	part := b.looked(len(es))
+	first := b.first(len(es))
 	for i := range es {
-		if out(&es[i]) {
-			continue
-		}
+		e := &es[(first+i)%len(es)]
 		look := part
-		if es[i].DataCentre == q.DataCentre && b.near > 0 {
+		if e.DataCentre == q.DataCentre && b.near > 0 {
 			look = max(look, lookNear)
 		}
-		if found && look < 1 && es[i].ID != home && b.Chance() > look {
+		if s.found && look < 1 && e.ID != home && b.Chance() > look {
 			continue
 		}
-		c := b.judge(&es[i], q, es[i].ID == home, &view, now)
-		d := c.Expected + b.penalty(&c, q, &view, now)
-		switch {
-		case !found, best.Avoided && !c.Avoided, best.Avoided == c.Avoided && d < cost:
-			best, cost, found = c, d, true
-		}
+		s.look(e, e.ID == home)
 	}
 	if !b.toldAt.IsZero() {
-		best.Age = now.Sub(b.toldAt)
+		s.best.Age = now.Sub(b.toldAt)
+	}
+	return s.best, s.found
+}
+
+// first is where a choice among n endpoints begins to look.
+func (b *Book) first(n int) int {
+	if b.Chance == nil {
+		return 0
+	}
+	return min(int(b.Chance()*float64(n)), n-1)
+}
+
+// search is one choice under way: the best endpoint of those that it has looked at. The book's
+// lock is held.
+type search struct {
+	book  *Book
+	query *Query
+	now   time.Time
+	out   func(*endpoint.Endpoint) bool
+	view  estimate.View
+
+	best  Choice
+	cost  time.Duration
+	found bool
+}
+
+// look judges an endpoint, and keeps it if it is better than the best so far.
+func (s *search) look(e *endpoint.Endpoint, home bool) {
+	if s.out(e) {
+		return
+	}
+	c := s.book.judge(e, *s.query, home, &s.view, s.now)
+	d := c.Expected + s.book.penalty(&c, *s.query, &s.view, s.now)
+	switch {
+	case !s.found, s.best.Avoided && !c.Avoided, s.best.Avoided == c.Avoided && d < s.cost:
+		s.best, s.cost, s.found = c, d, true
 	}
-	return best, found
 }
 
 // looked is the part of the endpoints that one choice looks at. What the others
@@ -135,7 +178,7 @@
 
 // judge estimates the time to the first event at one endpoint.
 func (b *Book) judge(e *endpoint.Endpoint, q Query, home bool, v *estimate.View, now time.Time) Choice {
-	p := b.page(e.ID)
+	p := b.peek(e.ID)
 	c := Choice{
 		Endpoint: *e, Parts: q.Parts, Objective: q.Objective, Running: p.running + p.told.running,
 		Avoided: now.Before(p.until) || now.Before(b.site(e.DataCentre).until) || !p.proves.IsZero() && p.trying > 0,
@@ -165,7 +208,7 @@
 // penalty is what counts against a choice besides its expected time.
 func (b *Book) penalty(c *Choice, q Query, v *estimate.View, now time.Time) time.Duration {
 	e := &c.Endpoint
-	p := b.page(e.ID)
+	p := b.peek(e.ID)
 	f := p.failing(now)
 	d := time.Duration(f*f*float64(failurePenalty)) + time.Duration(coldPart*float64(e.Cold))
 	if c.Again > 0 {
@@ -192,16 +235,16 @@
 // homeOf returns the endpoint that every box prefers for prompts that begin
 // alike: the highest rendezvous hash.
 func homeOf(es []endpoint.Endpoint, q *Query, out func(*endpoint.Endpoint) bool) string {
-	if q.Shared == 0 || q.Shared > len(q.Parts) {
+	if q.HomeKey() == "" {
 		return ""
 	}
-	key := q.Parts[q.Shared-1].ID
+	key := rendezvous.Key(q.HomeKey())
 	home, top := "", uint64(0)
 	for i := range es {
 		if out(&es[i]) {
 			continue
 		}
-		if w := xxhash.Sum64String(key + "/" + es[i].ID); home == "" || w > top {
+		if w := rendezvous.Weight(key, es[i].ID); home == "" || w > top {
 			home, top = es[i].ID, w
 		}
 	}
--- /dev/null
+++ b/balance/spread_test.go
@@ -0,0 +1,41 @@
+package balance_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"birchlink.dev/birchlink/balance"
+	"birchlink.dev/birchlink/endpoint"
+)
+
+// Where 985 boxes sent half a request a second each to 305 plain endpoints, 123 of these got none
+// and the busiest ten times the mean: where nothing was under way each box chose the first that it
+// had looked at, in the order of IDs. Each of equal ones is as likely now.
+func TestEqualEndpointsAreEquallyLikely(t *testing.T) {
+	es := make([]endpoint.Endpoint, 305)
+	for i := range es {
+		es[i] = endpoint.Endpoint{ID: fmt.Sprintf("e%03d", i), Service: "s", Slots: 6, DataCentre: fmt.Sprint("dc", i%5)}
+	}
+	sent := map[string]int{}
+	now := time.Now()
+	for i := range 985 {
+		b := &balance.Book{Chance: rand.New(rand.NewPCG(uint64(i), 0)).Float64}
+		b.Tell(nil, 984, now)
+		b.Peers(196, 0)
+		for range 2 {
+			c, ok := b.Choose(es, balance.Query{DataCentre: fmt.Sprint("dc", i%5)}, now)
+			require.True(t, ok)
+			sent[c.Endpoint.ID]++
+		}
+	}
+	most := 0
+	for _, n := range sent {
+		most = max(most, n)
+	}
+	require.Greater(t, len(sent), 280)
+	require.LessOrEqual(t, most, 20, "6.5 are the mean")
+}
--- a/rendezvous/rank.go
+++ b/rendezvous/rank.go
@@ -10,9 +10,13 @@
 )
 
 // Weight returns the weight of a member for a key. It does not allocate.
-func Weight(key uint64, member string) uint64 {
+func Weight(key uint64, member string) uint64 { return Mix(key, Key(member)) }
+
+// Mix returns the weight of a member for a key, by the member's hash: whoever ranks thousands of
+// members again and again keeps their hashes.
+func Mix(key, member uint64) uint64 {
 	const golden, mix = 0x9e3779b97f4a7c15, 0xff51afd7ed558ccd
-	h := xxhash.Sum64String(member) ^ key*golden
+	h := member ^ key*golden
 	h ^= h >> 33
 	h *= mix
 	h ^= h >> 33
