Sum up once what a relay tells its members, and tell loads of what they work with

Cause: for each question of a member a relay summed up the statuses of all its members and of all relays, made the lists of all addresses and the counts of all boxes, and sent the load of every endpoint that has any: its work and its bytes grew with the square of its members.

Ways weighed: sums kept as members tell (exact, but lists and counts are made anew all the same, and sums of fractions drift); one sum for all that ask within a moment, from which a member's own part is taken out (chosen; the moment grows with the members, 1 ms for each, 100 ms at most). A member names the endpoints that it works with when its relay knows another set, and is told their load alone; one that works with all, as in fleets of up to 128 endpoints, is told all as before. Loads go without the names of their fields; a box that sends or expects these is understood (TestLoadOfAnOlderBox).

TestSumWithoutAMember holds that a member is told the same.

--- a/balance/book.go
+++ b/balance/book.go
@@ -114,6 +114,8 @@
 
 // Load is what one box has at an endpoint.
 type Load struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
 	Running int
 	Tokens  int
 }
@@ -125,7 +127,7 @@
 	out := map[string]Load{}
 	for id, p := range b.pages {
 		if p.running > 0 {
-			out[id] = Load{p.running, p.tokens}
+			out[id] = Load{Running: p.running, Tokens: p.tokens}
 		}
 	}
 	return out
--- a/estimate/stats.go
+++ b/estimate/stats.go
@@ -87,6 +87,27 @@
 	s.Held += o.Held
 }
 
+// Without returns what is left of sums without those of one of the boxes that are in them.
+func (s *Stats) Without(o Stats) Stats {
+	left, taken := s.clone(), o.clone()
+	for k, c := range taken.Classes {
+		taken.Classes[k] = Class{Count: -c.Count, Tokens: -c.Tokens, Squares: -c.Squares}
+	}
+	taken.First.scale(-1)
+	taken.Pause.scale(-1)
+	for i := range taken.Moments {
+		taken.Moments[i] *= -1
+	}
+	taken.Runs, taken.Held = -taken.Runs, -taken.Held
+	left.Add(taken)
+	for k, c := range left.Classes {
+		if c.Count < forgotten {
+			delete(left.Classes, k)
+		}
+	}
+	return left
+}
+
 // Part returns a part of what was observed, as one of several boxes takes it over.
 func (s *Stats) Part(x float64) Stats {
 	c := s.clone()
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -90,6 +90,9 @@
 	// OnEnded is called with each endpoint of which another box says that it has ended.
 	OnEnded func(endpoint string)
 
+	// WorksWith returns the endpoints whose load this box is told; none means all.
+	WorksWith func() []string
+
 	Clock   *daytime.Clock
 	Leaving func() bool // reports whether this box stops; nil for one that does not
 	Speeds  func() map[string]estimate.Stats
@@ -131,11 +134,12 @@
 	news         news   // that is to be told
 	ended        *simplelru.LRU[string, bool]
 	judged       uint64 // the sum of the verdicts that members were last told
+	sums         sums
 }
 
 // New returns the service. Its exported fields are to be set before it starts.
 func New(log zerolog.Logger) *Gossip {
-	return &Gossip{log: log, Quarantine: &quarantine.Quarantine{}, OnEnded: func(string) {}, seats: map[string]seat{}, members: map[string]heard{}, others: map[string]heard{}}
+	return &Gossip{log: log, Quarantine: &quarantine.Quarantine{}, OnEnded: func(string) {}, WorksWith: func() []string { return nil }, seats: map[string]seat{}, members: map[string]heard{}, others: map[string]heard{}}
 }
 
 // Name returns the service's name.
@@ -225,7 +229,7 @@
 		g.Clock.Follow(g.clocks())
 		g.round(c)
 		g.rounds.Add(1)
-		others := g.sum("")
+		others := g.sum()
 		g.OnChange(others)
 		g.writeBefore(c, others.Boxes)
 		wait.For(c, g.period()-boottime.Since(began))
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -124,9 +124,13 @@
 	s.ForItself = boottime.Since(g.began) < selfFor+startPeriod // until the round after its last as such
 	s.Divided = g.Quota.Division().Version
 	s.Suspects = g.Quarantine.Own(boottime.Now())
+	s.Works = worksOf(g.WorksWith())
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s.Knows, s.Judged = g.world.Peers.Sum, g.world.Judged
 	s.Leavers = g.known.Roster.Leavers(g.world.Leavers.Sum)
+	if s.Works.Sum == g.world.Works {
+		s.Works.IDs = nil
+	}
 	return s
 }
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -39,26 +39,21 @@
 	return s
 }
 
-// sum returns all others together as one box sees them: a member, or this box
-// itself for an empty name.
-func (g *Gossip) sum(member string) Status {
+// sum returns all others together as this box sees them.
+func (g *Gossip) sum() Status {
 	s := empty(g.Box, g.DataCentre, g.Address)
-	if !g.holds() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		if boottime.Since(g.at) < forgotten {
+	relay := g.holds()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := boottime.Now()
+	if !relay {
+		if now.Sub(g.at) < forgotten {
 			return g.world.Others
 		}
 		return s
 	}
-	if member != "" {
-		s.add(g.self())
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := boottime.Now()
-	for n, h := range g.members {
-		if n != member && now.Sub(h.at) < lost {
+	for _, h := range g.members {
+		if now.Sub(h.at) < lost {
 			s.add(h.Status)
 		}
 	}
@@ -83,6 +78,7 @@
 	told := in.Speeds != nil
 	g.mu.Lock()
 	old, had := g.members[in.Box]
+	in.keepWorks(old.Status)
 	if counted {
 		in.keepSpeeds(old.Status)
 		g.members[in.Box] = heard{Status: in, at: now}
@@ -92,11 +88,15 @@
 	if counted && !had {
 		g.log.Info().Str("event", "member").Str("other", in.Box).Uint64("version", in.Version).Msg("in touch")
 	}
-	w := World{Relay: relay, Vacant: relay && g.places() < relays, Others: g.sum(in.Box), Revision: g.known.Revision(), Silent: g.session.Silent(), Peers: g.peers()}
+	w := World{Relay: relay, Vacant: relay && g.places() < relays, Revision: g.known.Revision(), Silent: g.session.Silent(), Now: g.Clock.Now()}
+	if relay {
+		g.answer(&w, in)
+	} else {
+		w.Others, w.Peers, w.Arbiters, w.Counts = g.sum(), g.peers(), g.arbiters(), g.counts()
+	}
 	if w.Peers.Sum == in.Knows {
 		w.Peers.Near, w.Peers.Far = nil, nil
 	}
-	w.Arbiters, w.Counts, w.Now = g.arbiters(), g.counts(), g.Clock.Now()
 	if d := g.Quota.Division(); d.Version > in.Divided {
 		w.Division = d
 	}
--- a/gossip/status.go
+++ b/gossip/status.go
@@ -34,6 +34,7 @@
 	Knows      uint64        // the sum of the peers that a member was last told
 	Now        time.Time     // the time of day there
 	Load       map[string]balance.Load
+	Works      Works                               // the endpoints whose load a member is told
 	Demand     map[string]map[string]demand.Figure // by service and data centre
 	Usage      []tally.Part
 	Speeds     map[string]estimate.Stats // by service, what was observed of its endpoints; none means as last told
@@ -44,6 +45,13 @@
 	Leavers    endpoint.Leavers          // the endpoints that leave ahead of their records
 }
 
+// Works is the endpoints that a box works with, by ID; none are all. Sum tells one set from
+// another, so that the set goes only to a relay that has another.
+type Works struct {
+	Sum uint64
+	IDs []string
+}
+
 // World is what a box answers a member: all others together, how far it follows
 // the store, and for how long the store has been silent there. Relay says that the
 // box is a relay: what is told to another goes no further. Vacant says that its
@@ -61,6 +69,7 @@
 	Peers    Peers                // without the lists, if the member has those
 	Verdicts []quarantine.Suspect // on contents under which endpoints end, if the member was told others
 	Judged   uint64               // their sum
+	Works    uint64               // the sum of the endpoints that the member named last
 	Leavers  endpoint.Leavers     // the endpoints that leave ahead of their records
 }
 
@@ -117,6 +126,18 @@
 	}
 }
 
+// keepWorks takes over the endpoints that were named last if these are the same; if they are not
+// known here the box is told of all, and names them in its next round.
+func (s *Status) keepWorks(old Status) {
+	switch {
+	case s.Works.IDs != nil:
+	case s.Works.Sum == old.Works.Sum:
+		s.Works = old.Works
+	default:
+		s.Works = Works{}
+	}
+}
+
 // keepSpeeds takes over the speeds that were told last if none are told now.
 func (s *Status) keepSpeeds(old Status) {
 	if s.Speeds == nil {
