Ask for nothing that was before on the first start of the whole system

The platform says which start is the first. TestFirstStart, of two boxes, fails without the setting (two reads); a box that restarts reads as before (TestWhatWasBefore).

--- a/daemon/tell.go
+++ b/daemon/tell.go
@@ -20,7 +20,7 @@
 func (p *entryParts) tell() {
 	g, s := p.gossip, p.settings
 	g.Box, g.DataCentre, g.Address, g.Prefix, g.Seeds, g.Store = s.Box, s.DataCentre, s.Peers, relaysPrefix, s.Seeds, p.store
-	g.LinkMbps, g.WorksWith = s.LinkMbps, p.known.Roster.WorksWith
+	g.First, g.LinkMbps, g.WorksWith = s.First, s.LinkMbps, p.known.Roster.WorksWith
 	g.Own = func() gossip.Status {
 		now := boottime.Now()
 		v, _ := p.known.Raw()
--- a/gossip/before.go
+++ b/gossip/before.go
@@ -55,6 +55,10 @@
 		s.began = boottime.Now()
 	}
 	late := boottime.Since(s.began) > readFor
+	if g.First && !late {
+		s.read = true
+		return
+	}
 	if s.read || late && (g.session.Lost() || g.Quota.Division().Version > 0 && !g.firstPlace()) {
 		return
 	}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -77,6 +77,10 @@
 	Own      func() Status
 	OnChange func(others Status)
 
+	// First says that this is the first start of the whole system: nothing was before, and no
+	// box need ask for it.
+	First bool
+
 	// BeforeKey is where a relay writes what Before returns for a number of boxes, and
 	// Speeds of all, so that processes that start all at once know it before they have
 	// heard each other; Expect and Recall are told it.
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -67,11 +67,23 @@
 	return startAt(t, s, name, dc, address(t), seeds...)
 }
 
+// startFirst begins a box on the first start of the whole system.
+func startFirst(t *testing.T, s store.Store, name, dc string) *box {
+	t.Helper()
+	return startWith(t, s, name, dc, address(t), func(b *box) { b.First = true })
+}
+
 // lives numbers the processes that were started.
 var lives atomic.Int64
 
 // startAt begins a box whose address for peers is given.
 func startAt(t *testing.T, s store.Store, name, dc, a string, seeds ...string) *box {
+	t.Helper()
+	return startWith(t, s, name, dc, a, func(b *box) { b.Seeds = seeds })
+}
+
+// startWith begins a box after something of it has been set.
+func startWith(t *testing.T, s store.Store, name, dc, a string, set func(*box)) *box {
 	t.Helper()
 	b := &box{t: t, session: session.New(s, zerolog.Nop()), node: peer.NewNode(a, a, "secret", metrics.NewRegistry())}
 	b.known = known.New(known.Source{
@@ -88,7 +100,7 @@
 	b.Gossip = gossip.New(zerolog.Nop())
 	b.Clock = daytime.New(time.Now)
 	b.Quota = &quota.Quota{Self: quota.Arbiter{Box: name, DataCentre: dc, Address: a}, Started: time.Now(), Incarnation: fmt.Sprint("life", lives.Add(1)), Chance: rand.Float64}
-	b.Box, b.DataCentre, b.Address, b.Prefix, b.Seeds, b.Store = name, dc, a, "relays/", seeds, s
+	b.Box, b.DataCentre, b.Address, b.Prefix, b.Store = name, dc, a, "relays/", s
 	b.Own = func() gossip.Status {
 		v, _ := b.known.Raw()
 		return gossip.Status{
@@ -126,6 +138,7 @@
 		b.before = p
 		b.Quota.Expect(p)
 	}
+	set(b)
 	k := &kernel.Kernel{}
 	for _, s := range []kernel.Service{b.session, b.node, b.known, b.Gossip} {
 		require.NoError(t, k.Add(s))
--- a/gossip/starts_test.go
+++ b/gossip/starts_test.go
@@ -33,6 +33,34 @@
 	return s.reads[prefix]
 }
 
+// gets is a store that counts the reads of one key.
+type gets struct {
+	store.Store
+
+	mu   sync.Mutex
+	keys map[string]int
+}
+
+func (s *gets) Get(c context.Context, key string) (store.Item, error) {
+	s.mu.Lock()
+	s.keys[key]++
+	s.mu.Unlock()
+	return s.Store.Get(c, key)
+}
+
+// On the first start of the whole system nothing was before, and no box asks for it.
+func TestFirstStart(t *testing.T) {
+	m := &memstore.Memory{}
+	m.Set("config", `{"Version":3}`)
+	s := &gets{Store: m, keys: map[string]int{}}
+	a := startFirst(t, s, "a", "dc0")
+	b := startFirst(t, s, "b", "dc1")
+	await(t, func() bool { return a.sum().Boxes == 1 && b.sum().Boxes == 1 && a.played() > 10 })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	require.Zero(t, s.keys["before"])
+}
+
 // Each of 985 boxes that started read all records of 10,000 endpoints from the store, 20 pages
 // and 3 MB each, before it had looked for a relay that could tell it: what a start cost the store
 // grew with boxes times endpoints. A box looks for its relays first, so that the records are read
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -20,6 +20,9 @@
 	Metrics string // where metrics are read; empty for nowhere
 	Seeds   []string
 
+	// First is set on the first start of the whole system.
+	First bool
+
 	// LinkMbps is the rate of the box's link in Mbit/s; zero if it is not known.
 	LinkMbps float64
 
@@ -60,6 +63,12 @@
 // maxTolerance bounds the tolerance, in units of a rate.
 const maxTolerance = 1_000_000_000
 
+// The words of a setting that holds or does not.
+const (
+	yes = "yes"
+	no  = "no"
+)
+
 // maxLink bounds the rate of a link in Mbit/s: none is so fast.
 const maxLink = 1e6
 
@@ -84,6 +93,7 @@
 		Peers:        r.Address("listen", "peers"),
 		Metrics:      r.String("listen", "metrics", ""),
 		Seeds:        r.Addresses("peers", "seeds"),
+		First:        r.Choice("box", "first_start", no, no, yes) == yes,
 		LinkMbps:     r.Float("box", "link_mbps", 0, 0, maxLink),
 		Store:        r.Address("store", "address"),
 		Orders:       slices.Contains(duties, "scale"),
--- a/settings/entry_test.go
+++ b/settings/entry_test.go
@@ -43,6 +43,9 @@
 	require.Equal(t, 3*time.Second, s.Lease)
 	require.Equal(t, []string{"10.0.0.1:4", "10.0.0.2:4"}, s.Seeds)
 	require.Equal(t, 8*time.Second, s.QuotaWindow)
+	require.True(t, s.First)
+	require.InDelta(t, 8, s.LinkMbps, 0)
+	require.InDelta(t, 0.1, s.RolloutShare, 0)
 }
 
 // A deployment that gives none of its optional values is served with the defaults.
@@ -55,7 +58,7 @@
 	s, err := settings.ParseEntry([]byte(text))
 	require.NoError(t, err)
 	require.Equal(t, 8*time.Second, s.StopLimit)
-	require.False(t, s.Orders || s.Usage)
+	require.False(t, s.Orders || s.Usage || s.First)
 }
 
 // Every mistake is named at once, with its section and key.
