Tell fewer prompts where more boxes are nearby

Cause: each prompt that takes 10 ms to read or more is told to all boxes of the data centre: with 197 of them before 104 requests a second each box is sent some 88 datagrams a second and sends as many (worked out from the sheet's lengths), and twice as many in a fleet of twice the size. Ways weighed: none beyond a hundred boxes (waits at the 97th of 100 are 165 ms then and 68 with hints, measured with 70 boxes); to some boxes at random (what each hears says little); from a reading time on that grows with the boxes nearby beyond 32 (chosen: some 34 a second at 197 boxes, worked out; up to 32 nothing changes). What a choice takes the others' prompts for follows (Blind). TestReachWithManyNearby fails before: 5,000 tokens of 50 ms reading are told.

--- a/balance/backlog.go
+++ b/balance/backlog.go
@@ -51,6 +51,10 @@
 	if b.boxes <= 1 {
 		return 0
 	}
-	heard := float64(b.near) + float64(b.far)*b.sent.part()
+	near := 1.0
+	if b.near > fullNear {
+		near = b.told.part()
+	}
+	heard := near*float64(b.near) + float64(b.far)*b.sent.part()
 	return max(1-heard/float64(b.boxes-1), 0)
 }
--- a/balance/book.go
+++ b/balance/book.go
@@ -23,7 +23,8 @@
 	boxes  int       // that send to the same endpoints, this one included
 	near   int       // of the other boxes, those whose long prompts are heard at once
 	far    int       // those whose very long prompts alone are
-	sent   share     // what this box sends, by tokens
+	sent   share     // what this box sends, by tokens, and the part in very long prompts
+	told   share     // the same, and the part that the boxes nearby are told of
 	toldAt time.Time // when other boxes' load was last told
 	pages  map[string]*page
 	sites  map[string]*site
--- a/balance/reach.go
+++ b/balance/reach.go
@@ -17,12 +17,21 @@
 
 // A prompt is long from the reading time longPrompt on: a shorter one keeps nobody waiting
 // for long. A veryLongPrompt is one prompt in six where drafts are mixed with short
-// answers, and half of all tokens that are read (counted in the log of a day).
+// answers, and half of all tokens that are read (counted in the log of a day). Where more than
+// fullNear boxes are nearby, a prompt is long from as many times longPrompt on as there are times
+// more boxes: each is told of some dozens a second, however many there are. With 197 boxes nearby
+// that send 104 requests a second, each would be sent 88, and as many would it send.
 const (
 	longPrompt     = 10 * time.Millisecond
 	veryLongPrompt = 120 * time.Millisecond
+	fullNear       = 32
 )
 
+// long is the reading time from which on a prompt is told to the boxes nearby.
+func (b *Book) long() time.Duration {
+	return max(longPrompt, longPrompt*time.Duration(b.near)/fullNear)
+}
+
 // Reach returns which other boxes are to be told of a prompt that this one sends.
 func (b *Book) Reach(service string, tokens int, now time.Time) Reach {
 	b.mu.Lock()
@@ -33,10 +42,11 @@
 	v := b.model(service).View(now)
 	d := v.Reading(tokens)
 	b.sent.add(float64(tokens), d >= veryLongPrompt, now)
+	b.told.add(float64(tokens), d >= b.long(), now)
 	switch {
 	case d >= veryLongPrompt:
 		return ToAll
-	case d >= longPrompt:
+	case d >= b.long():
 		return ToNear
 	default:
 		return ToNone
--- a/balance/reach_test.go
+++ b/balance/reach_test.go
@@ -44,3 +44,17 @@
 	}
 	require.InDelta(t, 1-(20+0.75*50)/70, b.Blind(), 1e-9)
 }
+
+// Where 197 boxes are nearby each was sent a datagram for nearly every prompt of the data centre,
+// 88 a second: what a box hears follows the fleet. Only prompts that keep others waiting for longer
+// are told there, and what choices know of others' prompts is less by the others.
+func TestReachWithManyNearby(t *testing.T) {
+	b, now := learnt()
+	b.Tell(nil, 984, now)
+	b.Peers(196, 0)
+	for range 30 {
+		require.Equal(t, balance.ToNone, b.Reach("s", 5000, now))
+		require.Equal(t, balance.ToNear, b.Reach("s", 10_000, now))
+	}
+	require.InDelta(t, 1-2.0/3*196/984, b.Blind(), 1e-9)
+}
