Encode once what is told to many boxes

Cause: a relay that pushes a change or news made the message anew for each member: at 100 members and ten changes a second, as while endpoints are replaced, 1,000 encodings of up to 50 records. Ruled out: packing smaller changes (a reader of packed bytes takes 40 KB of memory for each, worked out).

--- a/gossip/news.go
+++ b/gossip/news.go
@@ -161,16 +161,7 @@
 	}
 }
 
-func (g *Gossip) sendNews(to []string, n news) {
-	for _, a := range to {
-		g.spawn(func() {
-			var took bool
-			if err := g.call(g.life, a, "gossip.news", n, &took); err != nil {
-				g.log.Debug().Str("event", "news").Str("to", a).Err(err).Msg("not reached")
-			}
-		})
-	}
-}
+func (g *Gossip) sendNews(to []string, n news) { g.tellAll(g.life, to, "gossip.news", n) }
 
 // tries reports whether this box is the one of all that sends a refused content on as a
 // trial: of the relays that it hears or is told of, the first by rendezvous.
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/quarantine"
 	"birchlink.dev/birchlink/rollout"
@@ -233,7 +235,7 @@
 }
 
 // push tells the members of a change at once, and a relay that watches the store the
-// other relays too. One that is not reached finds out in its next round.
+// other relays too.
 func (g *Gossip) push(c context.Context, u update) {
 	if !g.holds() {
 		return
@@ -242,11 +244,25 @@
 	if g.known.Follows() {
 		to = append(to, g.relaysHeard()...)
 	}
+	g.tellAll(c, to, "gossip.update", u)
+}
+
+// tellAll makes the same call to some boxes, encoded once for all. One that is not reached finds
+// out in its next round.
+func (g *Gossip) tellAll(c context.Context, to []string, method string, in any) {
+	if len(to) == 0 {
+		return
+	}
+	b, err := msgpack.Marshal(in)
+	if err != nil {
+		g.log.Error().Str("event", "told").Str("method", method).Err(err).Msg("not told; others ask for it")
+		return
+	}
 	for _, a := range to {
 		g.spawn(func() {
 			var took bool
-			if err := g.call(c, a, "gossip.update", u, &took); err != nil {
-				g.log.Debug().Str("event", "update").Str("to", a).Err(err).Msg("not reached")
+			if err := g.call(c, a, method, msgpack.RawMessage(b), &took); err != nil {
+				g.log.Debug().Str("event", "told").Str("method", method).Str("to", a).Err(err).Msg("not reached")
 			}
 		})
 	}
