--- a/forward/rollout.go
+++ b/forward/rollout.go
@@ -20,17 +20,17 @@
 // findFor chooses among the endpoints of the versions to which a request may go. One that is to
 // go to the new version goes to the others if that has no endpoint that takes it; where no other
 // version has any endpoint left, the new one takes all, unless it was found to be bad.
-func (f *Forwarder) findFor(service string, q balance.Query, p rollout.Pass) (ch balance.Choice, any, ok bool) {
+func (f *Forwarder) findFor(service string, q balance.Query, p rollout.Pass) (ch balance.Choice, some, ok bool) {
 	if p.Any() {
 		return f.find(service, q)
 	}
 	q.Takes = func(e *endpoint.Endpoint) bool { return p.Takes(e.Version) }
-	if ch, any, ok = f.find(service, q); ok {
-		return ch, any, ok
+	if ch, some, ok = f.find(service, q); ok {
+		return ch, some, ok
 	}
 	version, stage := f.Rollouts.Stage(service, boottime.Now())
 	if p.Not != "" && (stage == rollout.Reverted || f.serve(service, rollout.Pass{Not: version})) {
-		return ch, any, false
+		return ch, some, false
 	}
 	q.Takes = nil
 	return f.find(service, q)
--- a/forward/run.go
+++ b/forward/run.go
@@ -226,11 +226,11 @@
 	pass := r.f.Rollouts.Admit(r.q.Service.Name, len(r.sent)+r.dials+r.refusals > 0, boottime.Now())
 	end := boottime.Now().Add(noneWait)
 	for {
-		ch, any, ok := r.f.findFor(r.q.Service.Name, q, pass)
+		ch, some, ok := r.f.findFor(r.q.Service.Name, q, pass)
 		if ok {
 			return ch, true
 		}
-		if any || len(r.sent)+r.dials+r.refusals > 0 || boottime.Now().After(end) || c.Err() != nil {
+		if some || len(r.sent)+r.dials+r.refusals > 0 || boottime.Now().After(end) || c.Err() != nil {
 			return balance.Choice{}, false
 		}
 		wait.For(c, nonePause)
@@ -239,7 +239,7 @@
 
 // find chooses among the endpoints that this box works with or, if none of these takes the call,
 // among all of the service. It also reports whether there are any.
-func (f *Forwarder) find(service string, q balance.Query) (ch balance.Choice, any, ok bool) {
+func (f *Forwarder) find(service string, q balance.Query) (ch balance.Choice, some, ok bool) {
 	es, whole := f.Roster.Part(service)
 	if k := q.HomeKey(); k != "" && !whole {
 		q.Home, _ = f.Roster.Home(service, k)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -147,7 +147,11 @@
 
 // New returns the service. Its exported fields are to be set before it starts.
 func New(log zerolog.Logger) *Gossip {
-	return &Gossip{log: log, Quarantine: &quarantine.Quarantine{}, Rollouts: &rollout.Gate{}, OnEnded: func(string) {}, WorksWith: func() []string { return nil }, seats: map[string]seat{}, members: map[string]heard{}, others: map[string]heard{}}
+	return &Gossip{
+		log: log, Quarantine: &quarantine.Quarantine{}, Rollouts: &rollout.Gate{},
+		OnEnded: func(string) {}, WorksWith: func() []string { return nil },
+		seats: map[string]seat{}, members: map[string]heard{}, others: map[string]heard{},
+	}
 }
 
 // Name returns the service's name.
