Fetch configurations and records beside the rounds, and send them in turn

Cause: what a box lacked it fetched within its round, whose calls have 0.45 s, on the connection of its rounds. The records of 10,000 endpoints are 240 KB packed: where all members of a relay ask at once, as after a loss of power, each gets its own after the last byte of all, later than that on a link of 200 Mbit/s (1 s for 100 members, worked out) and than ten rounds on one of 20. So each gave up, held up its rounds, was not told in time and read everything from the store instead, or asked again. Ruled out: longer rounds (load and liveness are told in them).

They are fetched on connections of their own (peer.Node.Bulk) in up to 10 s, one fetch at a time, and a box sends four such answers at once while the others wait their turn (peer.Server.InTurn). TestSlowRecords fails on the code before (the box reads the store); TestInTurn is new.

--- /dev/null
+++ b/gossip/fetch_test.go
@@ -0,0 +1,99 @@
+package gossip_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"birchlink.dev/birchlink/stand/memstore"
+)
+
+// slowLink passes connections on to an address, and holds back what comes from there on each once
+// it is more than some bytes, until it is released.
+type slowLink struct {
+	t        *testing.T
+	to       string
+	free     int64
+	released chan struct{}
+	conns    atomic.Int64
+	mu       sync.Mutex
+	open     []net.Conn
+}
+
+func newSlowLink(t *testing.T, to string, free int64) (link *slowLink, address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.4:0")
+	require.NoError(t, err)
+	s := &slowLink{t: t, to: to, free: free, released: make(chan struct{})}
+	t.Cleanup(func() {
+		_ = l.Close()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, c := range s.open {
+			_ = c.Close()
+		}
+	})
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			go s.carry(c)
+		}
+	}()
+	return s, l.Addr().String()
+}
+
+func (s *slowLink) carry(near net.Conn) {
+	far, err := net.Dial("tcp", s.to)
+	if err != nil {
+		_ = near.Close()
+		return
+	}
+	s.mu.Lock()
+	s.open = append(s.open, near, far)
+	s.mu.Unlock()
+	go func() {
+		_, _ = io.Copy(far, near)
+		_ = far.Close()
+	}()
+	_, _ = io.CopyN(near, far, s.free)
+	<-s.released
+	_, _ = io.Copy(near, far)
+	_ = near.Close()
+}
+
+// The records of 10,000 endpoints take a relay's link longer than a round has when all its members
+// ask for them: each member gave up after 0.45 s, held up its rounds meanwhile, closed the
+// connection as a silent one and asked again, so that none got them. They are fetched beside the
+// rounds, on a connection of their own.
+func TestSlowRecords(t *testing.T) {
+	m := &memstore.Memory{}
+	m.Set("config", `{"Version":3}`)
+	for i := range 3000 {
+		m.Set(fmt.Sprintf("e/i-%08x", 2654435761*uint32(i)), "ready")
+	}
+	at := address(t)
+	link, seen := newSlowLink(t, at, 24<<10)
+	a := startWith(t, m, "a", "dc0", at, func(b *box) { b.Address = seen })
+	await(t, func() bool { return a.Relay() && len(a.known.Roster.IDs()) == 3000 })
+	await(t, func() bool { return len(placesOf(t, m)) == 1 })
+	own := &partial{Store: m}
+	own.readOnly.Store(true) // it takes no place of a relay
+	b := start(t, own, "b", "dc0")
+	await(t, func() bool { return b.sum().Boxes == 1 })
+	before := b.played()
+	await(t, func() bool { return b.played() > before+5 })
+	require.Equal(t, 1, b.sum().Boxes)
+	require.Zero(t, b.known.Roster.Len())
+	require.Equal(t, int64(2), link.conns.Load())
+	close(link.released)
+	await(t, func() bool { return len(b.known.Roster.IDs()) == 3000 })
+}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -106,21 +106,22 @@
 	Speeds  func() map[string]estimate.Stats
 	Recall  func(map[string]estimate.Stats)
 
-	log     zerolog.Logger
-	known   *known.Known
-	session *session.Session
-	node    *peer.Node
-	life    context.Context
-	cancel  context.CancelFunc
-	group   sync.WaitGroup
-	turn    int
-	rounds  atomic.Int64
-	relay   seat // of the relay that counts this box; its own while it is one
-	vacant  bool // a place of a relay may be free
-	packed  packed
-	records packedRecords
-	watch   *mirror.Mirror
-	unwatch context.CancelFunc // set while this box watches the places
+	log      zerolog.Logger
+	known    *known.Known
+	session  *session.Session
+	node     *peer.Node
+	life     context.Context
+	cancel   context.CancelFunc
+	group    sync.WaitGroup
+	turn     int
+	rounds   atomic.Int64
+	relay    seat // of the relay that counts this box; its own while it is one
+	vacant   bool // a place of a relay may be free
+	packed   packed
+	records  packedRecords
+	fetching atomic.Bool // what another box knows is being fetched
+	watch    *mirror.Mirror
+	unwatch  context.CancelFunc // set while this box watches the places
 
 	mu     sync.Mutex
 	seats  map[string]seat
@@ -177,6 +178,8 @@
 	peer.Handle(g.node.Server, "gossip.records", func(_ context.Context, since uint64) ([]byte, error) {
 		return g.records.pack(g.known, since)
 	})
+	g.node.Server.InTurn("gossip.configuration", sendsAtOnce)
+	g.node.Server.InTurn("gossip.records", sendsAtOnce)
 	peer.Handle(g.node.Server, "gossip.news", g.fromNews)
 	c, cancel := context.WithCancel(context.Background())
 	g.life, g.cancel = c, cancel
@@ -354,19 +357,6 @@
 	g.world, g.at, g.last, g.ahead = w, boottime.Now(), boottime.Now(), w.Now.Sub(g.Clock.Now())
 }
 
-// catchUp fetches what a relay knows and this box does not.
-func (g *Gossip) catchUp(c context.Context, s seat, w World) {
-	if v, _ := g.known.Raw(); w.Others.Version > v {
-		var raw []byte
-		if err := g.call(c, s.address, "gossip.configuration", v, &raw); err == nil && len(raw) > 0 {
-			g.install(raw, s.address)
-		}
-	}
-	if w.Revision > g.known.Revision() {
-		g.takeRecords(c, s.address)
-	}
-}
-
 func (g *Gossip) pushConfiguration(c context.Context, raw []byte) {
 	zip, err := g.packed.pack(raw)
 	if err != nil {
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -66,7 +66,7 @@
 	g.heardWorld(w)
 	g.session.Told(w.Silent)
 	g.vacant = g.vacant || w.Vacant && g.relay.dataCentre == g.DataCentre
-	g.catchUp(c, g.relay, w)
+	g.catchUp(g.relay.address, w.Others.Version, w.Revision)
 	return true, w.Silent <= stale
 }
 
@@ -82,7 +82,7 @@
 			continue
 		}
 		g.joinRelay(s, w)
-		g.catchUp(c, s, w)
+		g.catchUp(s.address, w.Others.Version, w.Revision)
 		return true
 	}
 	return false
@@ -106,7 +106,7 @@
 		if err := g.call(c, s.address, "gossip.member", g.status(), &w); err != nil {
 			continue
 		}
-		g.catchUp(c, s, w)
+		g.catchUp(s.address, w.Others.Version, w.Revision)
 		if w.Relay && s.box != "" {
 			g.joinRelay(s, w)
 			return
--- a/gossip/records.go
+++ b/gossip/records.go
@@ -7,26 +7,9 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/known"
 )
 
-// takeRecords fetches from another box the endpoints' records that this one lacks. With all of
-// them each time, the members of a relay fetched 10,000 records for each change that overtook
-// its push.
-func (g *Gossip) takeRecords(c context.Context, address string) {
-	var zip []byte
-	if err := g.call(c, address, "gossip.records", g.known.Revision(), &zip); err != nil {
-		return
-	}
-	r, err := unpackRecords(zip)
-	if err != nil {
-		g.log.Error().Str("event", "endpoint").Str("from", address).Err(err).Msg("records not taken; asked for again in the next round")
-		return
-	}
-	g.known.Tell(r)
-}
-
 // fewRecords is how many records are told as they are: packing pays where there are more.
 const fewRecords = 50
 
@@ -43,24 +26,6 @@
 	g.push(c, update{Packed: zip, From: g.Box})
 }
 
-// fetchRecords takes newer records of the endpoints from a relay that has them: what it
-// told of a change may have been lost.
-func (g *Gossip) fetchRecords(c context.Context) {
-	at := g.known.Revision()
-	g.mu.Lock()
-	from := ""
-	for _, h := range g.others {
-		if h.Revision > at && boottime.Since(h.at) < lost {
-			from, at = h.Address, h.Revision
-		}
-	}
-	g.mu.Unlock()
-	if from == "" {
-		return
-	}
-	g.takeRecords(c, from)
-}
-
 // packRecords returns records as they go between boxes where there are many. A relay that
 // has read those of 3,000 endpoints tells them to a hundred members at once: with
 // a copy of its own for each, the busiest of 300 boxes needed 287 MB and 21 MB/s; packed
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -184,8 +184,7 @@
 		})
 	}
 	w.Wait()
-	g.fetch(c)
-	g.fetchRecords(c)
+	g.fetch()
 	g.forget()
 }
 
@@ -196,26 +195,6 @@
 	return g.others[relay].Leavers.Sum
 }
 
-// fetch takes a newer configuration from a relay that has it.
-func (g *Gossip) fetch(c context.Context) {
-	v, _ := g.known.Raw()
-	g.mu.Lock()
-	from := ""
-	for _, h := range g.others {
-		if h.Version > v && boottime.Since(h.at) < lost {
-			from, v = h.Address, h.Version
-		}
-	}
-	g.mu.Unlock()
-	if from == "" {
-		return
-	}
-	var raw []byte
-	if err := g.call(c, from, "gossip.configuration", v, &raw); err == nil && len(raw) > 0 {
-		g.install(raw, from)
-	}
-}
-
 // forget drops boxes that have been away for long.
 func (g *Gossip) forget() {
 	g.mu.Lock()
--- a/peer/node.go
+++ b/peer/node.go
@@ -17,6 +17,10 @@
 	Server *Server
 	Client *Client
 
+	// Bulk calls on connections of its own, for answers that are so large that they would hold
+	// up the other calls of a connection.
+	Bulk *Client
+
 	// Advertise is the address that peers are told.
 	Advertise string
 
@@ -27,11 +31,12 @@
 // that IP number, so that a peer can be known by it. What goes over its
 // connections is the gauge peers.bytes.
 func NewNode(address, advertise, secret string, m metrics.Registry) *Node {
-	n := &Node{Server: NewServer(secret), Client: NewClient(secret), Advertise: advertise, address: address}
+	n := &Node{Server: NewServer(secret), Client: NewClient(secret), Bulk: NewClient(secret), Advertise: advertise, address: address}
 	// The registry is the node's own, so the name is free.
-	_ = m.Register("peers.bytes", metrics.NewFunctionalGauge(func() int64 { return n.Server.Bytes() + n.Client.Bytes() }))
+	_ = m.Register("peers.bytes", metrics.NewFunctionalGauge(func() int64 { return n.Server.Bytes() + n.Client.Bytes() + n.Bulk.Bytes() }))
 	if a, err := net.ResolveTCPAddr("tcp", address); err == nil {
 		n.Client.local = &net.TCPAddr{IP: a.IP}
+		n.Bulk.local = n.Client.local
 	}
 	return n
 }
@@ -45,6 +50,7 @@
 // Stop ends all connections.
 func (n *Node) Stop(context.Context) error {
 	n.Client.Close()
+	n.Bulk.Close()
 	n.Server.Close()
 	return nil
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -33,6 +33,7 @@
 	secret   string
 	mu       sync.RWMutex
 	handlers map[string]Handler
+	turns    map[string]chan struct{} // of the methods whose calls are answered in turn
 	conns    map[*frame.Conn]bool
 	group    sync.WaitGroup
 	listener net.Listener
@@ -41,7 +42,7 @@
 
 // NewServer returns a server without handlers.
 func NewServer(secret string) *Server {
-	return &Server{secret: secret, handlers: map[string]Handler{}, conns: map[*frame.Conn]bool{}}
+	return &Server{secret: secret, handlers: map[string]Handler{}, turns: map[string]chan struct{}{}, conns: map[*frame.Conn]bool{}}
 }
 
 // Handle enters the handler of a method.
@@ -51,6 +52,15 @@
 	s.handlers[method] = h
 }
 
+// InTurn lets no more than so many calls of a method be answered at once, from the handler's begin
+// until the answer has been written. The others wait their turn: sent to all that ask at once, a
+// large answer would reach each of them after the last byte of all.
+func (s *Server) InTurn(method string, atOnce int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.turns[method] = make(chan struct{}, atOnce)
+}
+
 // Handle enters a handler of typed messages without items.
 func Handle[I, O any](s *Server, method string, f func(context.Context, I) (O, error)) {
 	s.Handle(method, func(c context.Context, body []byte, _ func(any) error) (any, error) {
@@ -174,8 +184,16 @@
 
 func (s *Server) answer(c context.Context, f *frame.Conn, m frame.Message) {
 	s.mu.RLock()
-	h := s.handlers[m.Method]
+	h, turn := s.handlers[m.Method], s.turns[m.Method]
 	s.mu.RUnlock()
+	if turn != nil {
+		select {
+		case turn <- struct{}{}:
+			defer func() { <-turn }()
+		case <-c.Done():
+			return
+		}
+	}
 	send := func(v any) error { return write(f, m.ID, frame.Item, v) }
 	if h == nil {
 		_ = write(f, m.ID, frame.Fail, failure{Kind: errkind.Unavailable, Message: "no method " + m.Method})
--- /dev/null
+++ b/peer/turn_test.go
@@ -0,0 +1,51 @@
+package peer_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"birchlink.dev/birchlink/peer"
+)
+
+// Calls that are answered in turn wait for each other; one that is given up does not take a turn.
+func TestInTurn(t *testing.T) {
+	s := peer.NewServer("secret")
+	require.NoError(t, s.Listen("127.0.0.1:0"))
+	t.Cleanup(s.Close)
+	var mu sync.Mutex
+	under, most := 0, 0
+	entered, release := make(chan struct{}, 10), make(chan struct{})
+	peer.Handle(s, "large", func(context.Context, int) (int, error) {
+		mu.Lock()
+		under++
+		most = max(most, under)
+		mu.Unlock()
+		entered <- struct{}{}
+		<-release
+		mu.Lock()
+		under--
+		mu.Unlock()
+		return 1, nil
+	})
+	s.InTurn("large", 2)
+	c := peer.NewClient("secret")
+	t.Cleanup(c.Close)
+	var g sync.WaitGroup
+	for range 6 {
+		g.Go(func() {
+			var out int
+			require.NoError(t, c.Call(t.Context(), s.Address(), "large", 1, &out))
+		})
+	}
+	<-entered
+	<-entered
+	x, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.Error(t, c.Call(x, s.Address(), "large", 1, nil))
+	close(release)
+	g.Wait()
+	require.Equal(t, 2, most)
+}
