--- a/balance/choose.go
+++ b/balance/choose.go
@@ -105,8 +105,8 @@
 
 // Choose returns the endpoint with the least expected time to the first event,
 // and false if there is none that takes calls. All are of one service. Of those that are
-// equal any may be chosen: with the first by ID, boxes that know of no load all choose the same
-// few, and 123 of 317 endpoints got no call while the busiest got ten times the mean (985 boxes).
+// equal any may be chosen: with the first by ID, boxes that know of no load would all choose the
+// same few.
 func (b *Book) Choose(es []endpoint.Endpoint, q Query, now time.Time) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/balance/reach.go
+++ b/balance/reach.go
@@ -19,8 +19,7 @@
 // for long. A veryLongPrompt is one prompt in six where drafts are mixed with short
 // answers, and half of all tokens that are read (counted in the log of a day). Where more than
 // fullNear boxes are nearby, a prompt is long from as many times longPrompt on as there are times
-// more boxes: each is told of some dozens a second, however many there are. With 197 boxes nearby
-// that send 104 requests a second, each would be sent 88, and as many would it send.
+// more boxes, so that what each is told does not grow with them.
 const (
 	longPrompt     = 10 * time.Millisecond
 	veryLongPrompt = 120 * time.Millisecond
--- a/gossip/enlist.go
+++ b/gossip/enlist.go
@@ -27,19 +27,17 @@
 // before (70 boxes, two courses), and none with it.
 const settle = 2 * time.Second
 
-// A free place of a relay is left to boxes with wider links for courtesyBits over the box's own
-// link, maxCourtesy at most: what a relay sends its members after a wave of changes. A relay with
-// 20 Mbit/s before 100 members and 10,000 endpoints would need 9 s to send all records to each.
-// A box looks for the relays no later than firstLook after its start.
+// A free place of a relay is left to boxes with wider links for the time that courtesyBits take on
+// the box's own link, maxCourtesy at most: a relay sends all records to each of its members when
+// they have lost theirs. A box looks for the relays no later than firstLook after its start.
 const (
 	courtesyBits = 10e6
 	maxCourtesy  = time.Second
 	firstLook    = 300 * time.Millisecond
 )
 
-// alone is the age from which on a box that has found no relay watches the store itself. Without
-// it each of all boxes that start at once reads everything: 20 pages where there are 10,000
-// endpoints, 2.7 GB in all for 985 boxes.
+// alone is the age from which on a box that has found no relay watches the store itself: each of
+// all boxes that start at once would read everything otherwise.
 const alone = 1500 * time.Millisecond
 
 // seat is one place for a relay: its key, who has it, and where that box is.
--- a/gossip/fetch.go
+++ b/gossip/fetch.go
@@ -7,9 +7,8 @@
 	"birchlink.dev/birchlink/boottime"
 )
 
-// fetchLimit bounds how long it may take to fetch a configuration and records: a relay with a link
-// of 20 Mbit/s sends the records of 10,000 endpoints, 240 KB, in a tenth of a second, and a hundred
-// members ask for them at once when all boxes have started.
+// fetchLimit bounds how long it may take to fetch a configuration and records, its turn included:
+// a relay with a link of 20 Mbit/s sends a hundred members 240 KB each in it.
 const fetchLimit = 10 * time.Second
 
 // sendsAtOnce is to how many boxes a box sends such answers at once; the others wait their turn.
@@ -48,9 +47,7 @@
 	g.install(raw, address)
 }
 
-// takeRecords fetches the endpoints' records that another box has and this one lacks. With all of
-// them each time, the members of a relay fetched 10,000 records for each change that overtook
-// its push.
+// takeRecords fetches the endpoints' records that another box has and this one lacks.
 func (g *Gossip) takeRecords(c context.Context, address string, revision uint64) {
 	at := g.known.Revision()
 	if revision <= at {
--- a/known/known.go
+++ b/known/known.go
@@ -266,8 +266,8 @@
 	return out
 }
 
-// fewRecords is how many endpoints that become known by one change are each logged. A box that
-// reads the records of 10,000 wrote 3.5 MB of lines at its start.
+// fewRecords is how many endpoints that become known by one change are each logged: a box that
+// starts would write a line for each of the fleet.
 const fewRecords = 50
 
 // applyRecord enters one record. Where it is one of many, endpoints that serve get no line.
--- a/session/session.go
+++ b/session/session.go
@@ -33,9 +33,8 @@
 )
 
 // toldFor is how long a box that was told by another that the store answers makes no call of its
-// own: its lease runs out meanwhile, and is taken anew when it is needed. With a renewal each
-// second three quarters of all calls to the store were renewals on 95 boxes, a fifth of their
-// price; with one in three seconds 985 boxes made 16,000 in a day of 49 s.
+// own: its lease runs out meanwhile, and is taken anew when it is needed. Most boxes need none, and
+// their renewals would be most of all calls to the store.
 const toldFor = 1500 * time.Millisecond
 
 // Session is the service of one box.
