Give up a fetch whose source is not heard any more, and fetch configurations by themselves

Cause, by reading: a fetch takes up to 10 s, and only one was under way: one that a cut holds up kept a box from fetching a configuration, or from its next relay, for as long. Configurations and records are fetched each by themselves now, and a fetch older than 1 s whose source is not the box's relay, nor a relay that it hears, gives way to the next. TestFetchHeldUp is new (not run on the code before it). TestSlowRecords allows a third connection: both fetches may open one at once.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -106,22 +106,21 @@
 	Speeds  func() map[string]estimate.Stats
 	Recall  func(map[string]estimate.Stats)
 
-	log      zerolog.Logger
-	known    *known.Known
-	session  *session.Session
-	node     *peer.Node
-	life     context.Context
-	cancel   context.CancelFunc
-	group    sync.WaitGroup
-	turn     int
-	rounds   atomic.Int64
-	relay    seat // of the relay that counts this box; its own while it is one
-	vacant   bool // a place of a relay may be free
-	packed   packed
-	records  packedRecords
-	fetching atomic.Bool // what another box knows is being fetched
-	watch    *mirror.Mirror
-	unwatch  context.CancelFunc // set while this box watches the places
+	log     zerolog.Logger
+	known   *known.Known
+	session *session.Session
+	node    *peer.Node
+	life    context.Context
+	cancel  context.CancelFunc
+	group   sync.WaitGroup
+	turn    int
+	rounds  atomic.Int64
+	relay   seat // of the relay that counts this box; its own while it is one
+	vacant  bool // a place of a relay may be free
+	packed  packed
+	records packedRecords
+	watch   *mirror.Mirror
+	unwatch context.CancelFunc // set while this box watches the places
 
 	mu     sync.Mutex
 	seats  map[string]seat
@@ -142,6 +141,8 @@
 	relayAddress string // of the relay that counts this box
 	news         news   // that is to be told
 	ended        *simplelru.LRU[string, bool]
+	configFetch  fetch
+	recordsFetch fetch
 	judged       uint64 // the sum of the verdicts that members were last told
 	sums         sums
 }
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -184,7 +184,7 @@
 		})
 	}
 	w.Wait()
-	g.fetch()
+	g.fetchNewer()
 	g.forget()
 }
 
