Let a completed order say nothing more after 10 s

Cause, by reading: once complete, an order kept all other versions from work for as long as it stood in the store, so that endpoints of a later version that came without an order got none while one of the ordered version served. rollout_done fails without it (the endpoint is asked 0 times; tried by taking the line out).

--- a/rollout/gate.go
+++ b/rollout/gate.go
@@ -16,6 +16,10 @@
 	canaryStale = 4500 * time.Millisecond
 )
 
+// doneAfter is how long after its completion an order says nothing more: the versions before have
+// stopped by then, and a later one may come without an order.
+const doneAfter = 10 * time.Second
+
 // Gate is what one box knows of roll-outs: which of its requests may go to which version, and
 // what became of them. Its zero value knows of none. Chance returns numbers from 0 to 1.
 type Gate struct {
@@ -146,6 +150,8 @@
 	stage, share := s.stage(now)
 	v := s.order.Version
 	switch {
+	case stage == Complete && now.Sub(s.heard) > doneAfter:
+		return Pass{}
 	case stage == Complete || stage == Whole:
 		return Pass{Only: v}
 	case repeat || share <= 0:
