--- a/rollout/fleet_test.go
+++ b/rollout/fleet_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -75,12 +76,19 @@
 	order   rollout.Order
 	began   time.Time
 	pending answers
+	due     []due
 
 	sent, got, late, cutOff int
 	stage                   map[uint64][]string // the operator's states of each order, in turn
 	reverted                time.Time           // when boxes were told
 }
 
+// due is what is to be done at a time.
+type due struct {
+	at time.Time
+	do func()
+}
+
 type answer struct {
 	at      time.Time
 	box     int
@@ -179,6 +187,7 @@
 // step lets some time pass: requests, answers, rounds, the holder.
 func (f *fleet) step(perSecond int) {
 	now := time.Now()
+	f.doDue(now)
 	for f.pending.Len() > 0 && !f.pending[0].at.After(now) {
 		a := heap.Pop(&f.pending).(answer)
 		a.end()
@@ -310,6 +319,20 @@
 	}
 }
 
+// after has something done when some time has passed.
+func (f *fleet) after(d time.Duration, do func()) { f.due = append(f.due, due{time.Now().Add(d), do}) }
+
+// doDue does what is due.
+func (f *fleet) doDue(now time.Time) {
+	f.due = slices.DeleteFunc(f.due, func(d due) bool {
+		if d.at.After(now) {
+			return false
+		}
+		d.do()
+		return true
+	})
+}
+
 // trouble strikes now and then: a box, the store or, of kind 0, the holder of the duty.
 func (f *fleet) trouble(kind int) {
 	i := f.chance.IntN(len(f.nodes))
@@ -322,21 +345,21 @@
 	switch kind {
 	case 1:
 		f.nodes[i].dead = true
-		time.AfterFunc(1500*time.Millisecond, func() { f.begin(i) })
+		f.after(1500*time.Millisecond, func() { f.begin(i) })
 	case 0:
 		if i = f.holds; i >= 0 {
 			f.nodes[i].dead = true
-			time.AfterFunc(2*time.Second, func() { f.begin(i) })
+			f.after(2*time.Second, func() { f.begin(i) })
 		}
 	case 2:
 		f.nodes[i].frozen = true
-		time.AfterFunc(2500*time.Millisecond, func() { f.nodes[i].frozen = false })
+		f.after(2500*time.Millisecond, func() { f.nodes[i].frozen = false })
 	case 3:
 		f.nodes[i].cut = true
-		time.AfterFunc(4*time.Second, func() { f.nodes[i].cut = false })
+		f.after(4*time.Second, func() { f.nodes[i].cut = false })
 	case 4:
 		f.store.SetDown(true)
-		time.AfterFunc(2*time.Second, func() { f.store.SetDown(false) })
+		f.after(2*time.Second, func() { f.store.SetDown(false) })
 	case 5:
 		f.store.LoseAnswers(1)
 	default:
