Read and log the rate that an endpoint takes

What an answer says of a limit was in no line and no metric, so that the logs of an incident could not tell a limit that nobody reads from one that each box keeps for itself. Lines of answers and of broken attempts have says_limit or says_unreadable_limit now, and two counters count them. Nothing decides by it.

--- a/call/attempt.go
+++ b/call/attempt.go
@@ -1,6 +1,10 @@
 package call
 
-import "time"
+import (
+	"time"
+
+	"birchlink.dev/birchlink/endpoint"
+)
 
 // Attempt is one sending of a call to an endpoint.
 type Attempt struct {
@@ -22,12 +26,10 @@
 
 // Outcome is what an answer says besides its status. NotRun is a promise that
 // the endpoint did not and will not run the attempt; Elsewhere that another
-// incarnation has the address. The rest is what the endpoint says of itself:
-// Leaving that it ends soon, Rest for how long it wants no work from this box.
+// incarnation has the address, which says nothing of the one that was asked.
 type Outcome struct {
 	ID        string
 	NotRun    bool
 	Elsewhere bool
-	Leaving   bool
-	Rest      time.Duration
+	endpoint.Statement
 }
--- a/forward/take.go
+++ b/forward/take.go
@@ -76,6 +76,12 @@
 		metrics.GetOrRegisterCounter("answers.says_rest", r.f.Metrics).Inc(1)
 		r.f.Log.Info().Str("event", "endpoint").Str("endpoint", e.ID).Int64("born", e.Born).Str("request", r.q.Call.ID).Dur("rest", o.Rest).Msg("rests")
 	}
+	if o.Limit.Named {
+		metrics.GetOrRegisterCounter("answers.says_limit", r.f.Metrics).Inc(1)
+	}
+	if o.Unreadable != "" {
+		metrics.GetOrRegisterCounter("answers.says_unreadable_limit", r.f.Metrics).Inc(1)
+	}
 	if !o.Leaving {
 		return
 	}
--- a/forward/trace.go
+++ b/forward/trace.go
@@ -47,4 +47,10 @@
 	if t.Outcome.Rest > 0 {
 		e.Dur("says_rest", t.Outcome.Rest)
 	}
+	if l := t.Outcome.Limit; l.Named {
+		e.Float64("says_limit", l.PerSecond)
+	}
+	if t.Outcome.Unreadable != "" {
+		e.Str("says_unreadable_limit", t.Outcome.Unreadable)
+	}
 }
