Lease parts of rates that are no account's, and permit requests by them

A rate that all boxes keep together, of which each box learns only from answers, has to be divided like the accounts' limits, or two boxes that do not hear each other both spend it. Relays lease their boxes' even part of every such rate, by shards of names, to two arbiters, beside the parts of accounts; package throttle lets a request pass where a whole one is there, package stated keeps what was said, by age, and package availability answers when an endpoint takes a request. Nothing asks them yet.

An equal part for each of 80 boxes is no whole request in a minute.

--- a/quota/arbiter.go
+++ b/quota/arbiter.go
@@ -75,8 +75,8 @@
 		add(h)
 	}
 	far := pick(stay, sh)
-	if rendezvous.Key(self.Box)%perShard == 1 {
-		slices.Reverse(far) // half of the boxes ask the one first, half the other
+	if swaps(self) {
+		slices.Reverse(far)
 	}
 	add(far...)
 	for _, a := range among {
@@ -87,6 +87,9 @@
 	return out
 }
 
+// swaps reports whether a box asks a shard's second arbiter first, as half of all boxes do.
+func swaps(self Arbiter) bool { return rendezvous.Key(self.Box)%perShard == 1 }
+
 func contains(among []Arbiter, box string) bool {
 	return slices.ContainsFunc(among, func(a Arbiter) bool { return a.Box == box })
 }
--- a/quota/division.go
+++ b/quota/division.go
@@ -100,6 +100,14 @@
 	return least
 }
 
+// even returns the part that some boxes of a data centre have of a rate that is divided evenly.
+func (s *divisions) even(dc string, boxes, heard int, now time.Time) float64 {
+	return s.part(everything, dc, boxes, heard, now)
+}
+
+// everything stands for all rates that are divided evenly. No account has this name.
+const everything = ""
+
 // evenWeight is the part of an account that is divided evenly over the data centres:
 // what is asked for there may move.
 const evenWeight = 0.3
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -8,8 +8,10 @@
 	"slices"
 	"time"
 
+	"birchlink.dev/birchlink/availability"
 	"birchlink.dev/birchlink/catalog"
 	"birchlink.dev/birchlink/quota"
+	"birchlink.dev/birchlink/throttle"
 )
 
 var terms = quota.Terms{Window: 8 * time.Second, Overage: 0.1, Slack: 72000}
@@ -46,6 +48,9 @@
 	members map[int]time.Time
 	others  map[int]heardRelay
 	seen    view
+
+	available *availability.Availability
+	throttle  *throttle.Throttle
 }
 
 type heardRelay struct {
@@ -76,6 +81,9 @@
 	asked    int
 	done     int
 	calls    int
+
+	evenly    bool // boxes keep an equal part of each endpoint's rate, and ask nobody
+	endpoints []*limited
 }
 
 type entry struct {
@@ -101,6 +109,7 @@
 		Terms: terms, Started: f.now, Incarnation: fmt.Sprint(n.life),
 		Self: f.arbiter(i), Chance: f.rng.Float64,
 	}
+	n.available, n.throttle = &availability.Availability{}, &throttle.Throttle{Leases: f.leases(i)}
 	if before != nil {
 		n.Expect(*before)
 	}
@@ -243,6 +252,7 @@
 		n.told = f.now
 		v := f.view(n.relay)
 		n.seen = view{v.Arbiters, v.Boxes, r.Division()}
+		f.tellRates(n, r)
 		return
 	}
 	for dc := range f.cells {
@@ -266,6 +276,7 @@
 			}
 			n.Hear(o.Tell(n.Self.Box, f.now), f.now)
 			n.others[j] = heardRelay{f.now, f.counted(j)}
+			f.tellRates(n, o)
 		}
 	}
 }
--- a/quota/lease.go
+++ b/quota/lease.go
@@ -26,6 +26,8 @@
 	Version  uint64
 	Division Division
 
+	Even Even // of rates that are divided evenly
+
 	Lacks map[string]float64 // what the lessor's own buckets lack, by account
 	Asked map[string]float64 // what boxes of its data centre ask it for, by account
 }
@@ -109,14 +111,15 @@
 	return counted
 }
 
-// lease gives the pieces of all shards to their arbiters among some. A piece that
-// another may still spend is given to nobody. What a lessee was told of a part that
-// has become smaller it still spends for up to leaseFor.
-func (l *lessor) lease(self Arbiter, among []Arbiter, parts map[string]float64, now time.Time) {
+// lease gives the pieces of all shards to their arbiters among some, and the piece home to
+// one of those that homes returns for a shard. A piece that another may still spend is given
+// to nobody. What a lessee was told of a part that has become smaller it still spends for up
+// to leaseFor.
+func (l *lessor) lease(among []Arbiter, homes func(shard int) []string, parts map[string]float64, now time.Time) {
 	l.parts = parts
 	for s := range shards {
 		g := &l.given[s]
-		g[home].move([]string{pickHome(self, among, s).Box}, now)
+		g[home].move(homes(s), now)
 		to := names(pick(among, s))
 		if slices.Contains(to, g[1].to) {
 			g[1].move(to, now)
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -2,6 +2,8 @@
 // limit is kept because nobody can spend what was not given to it. Each box has an
 // equal part of every account's rate. A relay speaks for the boxes that it counts,
 // and leases their parts to two arbiters of each account, which the other boxes ask.
+// Rates that are not of accounts, and are known only once they are met, are divided
+// and leased in the same way (Given, Arbiters).
 package quota
 
 import (
@@ -100,6 +102,7 @@
 	buckets   map[string]*bucket
 	lessor    lessor
 	lessee    lessee
+	even      even
 	heard     map[string]Lease              // what other relays told last
 	before    *Before                       // what was before this process started, if known
 	seeds     map[string]map[string]float64 // by lessor and account, the parts that began with what was left before
@@ -120,6 +123,7 @@
 	q.apart = d != nil && float64(n.all()) < apartBelow*float64(d.all())
 	q.arbiters = v.Arbiters
 	q.lessee.leaving = slices.ContainsFunc(v.Arbiters, func(a Arbiter) bool { return a.Box == q.Self.Box && a.Leaving })
+	q.even.lessee.leaving = q.lessee.leaving
 	if !q.apart && q.agreed() {
 		q.divisions.settle()
 	}
@@ -130,6 +134,7 @@
 	if v.Counted == 0 {
 		q.lessor.leave(now)
 		q.lessee.drop(q.Self.Box)
+		q.even.leave(q.Self.Box, now)
 		return
 	}
 	among := staying(v.Arbiters)
@@ -142,10 +147,12 @@
 	for a := range q.buckets {
 		parts[a] = q.divisions.part(a, q.Self.DataCentre, boxes, heard, now)
 	}
-	q.lessor.lease(q.Self, among, parts, now)
+	homes := func(shard int) []string { return []string{pickHome(q.Self, among, shard).Box} }
+	q.lessor.lease(among, homes, parts, now)
 	h := hold{q.Self.Box, parts, q.lessor.pieces(q.Self.Box, now), now.Add(leaseFor)}
 	q.seed(h, now)
 	q.lessee.take(h, now)
+	q.even.lease(q.Self.Box, among, q.divisions.even(q.Self.DataCentre, boxes, heard, now), now)
 }
 
 // agreed reports whether all relays that are heard keep to this box's division.
@@ -186,6 +193,7 @@
 		l.Division = *d
 	}
 	l.Pieces, l.Parts = q.lessor.pieces(to, now), q.lessor.parts
+	l.Even = q.even.tell(to, now)
 	return l
 }
 
@@ -202,6 +210,7 @@
 		// What the process before leased is leased anew.
 		q.fillAll(now)
 		q.lessee.drop(l.From)
+		q.even.drop(l.From, now)
 	}
 	q.heard[l.From] = l
 	q.divisions.take(l.Division, now)
@@ -209,9 +218,11 @@
 		return
 	}
 	q.fillAll(now)
-	h := hold{l.From, l.Parts, l.Pieces, q.Started.Add(l.Seen.At).Add(leaseFor)}
+	until := q.Started.Add(l.Seen.At).Add(leaseFor)
+	h := hold{l.From, l.Parts, l.Pieces, until}
 	q.seed(h, now)
 	q.lessee.take(h, now)
+	q.even.hear(l.From, l.Even, until, now)
 }
 
 // Forget drops what a relay told that is not heard any more; its leases end by
--- /dev/null
+++ b/quota/rates_test.go
@@ -0,0 +1,388 @@
+package quota_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"birchlink.dev/birchlink/endpoint"
+	"birchlink.dev/birchlink/quota"
+	"birchlink.dev/birchlink/stated"
+	"birchlink.dev/birchlink/throttle"
+)
+
+// What boxes that have been told may send an endpoint in rateWindow, from rateSettles after a
+// limit was first named.
+const (
+	rateWindow  = 4 * time.Second
+	rateSettles = 3 * time.Second
+	rateOver    = 1.5
+	rateMore    = 5
+)
+
+// limited is an endpoint that may name a limit.
+type limited struct {
+	endpoint.Endpoint
+	limit endpoint.Limit
+	past  []past
+	sent  []sent
+	turns int // requests that it got
+}
+
+// past is a limit that was named until a time; infinite for none.
+type past struct {
+	perSecond float64
+	until     time.Time
+}
+
+// most returns the highest limit that a window up to now may rest on.
+func (e *limited) most(now time.Time) float64 {
+	m := math.Inf(1)
+	if e.limit.Named {
+		m = e.limit.PerSecond
+	}
+	for _, p := range e.past {
+		if now.Sub(p.until) < rateSettles+rateWindow {
+			m = max(m, p.perSecond)
+		}
+	}
+	return m
+}
+
+// sent is one request that an endpoint got.
+type sent struct {
+	at   time.Time
+	box  int
+	knew bool // its box had been told of the limit
+}
+
+// equal is an equal part of each rate for a box, by the number of boxes that it hears.
+type equal struct {
+	fleet *fleet
+	box   int
+	at    time.Time
+	given float64
+}
+
+func (e *equal) Given(_ string, now time.Time) (seconds, part float64) {
+	n := 0
+	for _, k := range e.fleet.view(e.box).Boxes {
+		n += k
+	}
+	part = 1 / math.Max(float64(n), 1)
+	if !e.at.IsZero() {
+		e.given += part * now.Sub(e.at).Seconds()
+	}
+	e.at = now
+	return e.given, part
+}
+
+func (f *fleet) leases(i int) throttle.Leases {
+	if f.evenly {
+		return &equal{fleet: f, box: i}
+	}
+	return f.nodes[i].Quota
+}
+
+// tellRates lets two boxes tell each other the rates that they know.
+func (f *fleet) tellRates(a, b *node) {
+	p := a.available.Rates.Report(b.available.Rates.Sum(), f.now)
+	b.available.Rates.Hear(p.Words, f.now)
+	p = b.available.Rates.Report(a.available.Rates.Sum(), f.now)
+	a.available.Rates.Hear(p.Words, f.now)
+}
+
+// spread tells all boxes what one was told: through its relay, and that one's fellows.
+func (f *fleet) spread(i int, w stated.Word) {
+	from := i
+	if !f.isRelay(i) {
+		from = f.nodes[i].relay
+		if from < 0 || !f.hears(i, from) {
+			return
+		}
+		f.nodes[from].available.Rates.Hear([]stated.Word{w}, f.now)
+	}
+	relays := []int{from}
+	for dc := range f.cells {
+		for _, r := range f.relays(dc) {
+			if r != from && f.hears(from, r) {
+				f.nodes[r].available.Rates.Hear([]stated.Word{w}, f.now)
+				relays = append(relays, r)
+			}
+		}
+	}
+	for _, r := range relays {
+		for m := range f.nodes[r].members {
+			if f.hears(r, m) {
+				f.nodes[m].available.Rates.Hear([]stated.Word{w}, f.now)
+			}
+		}
+	}
+}
+
+// limitEach adds endpoints that name limits; zero or less is none.
+func (f *fleet) limitEach(perSecond ...float64) {
+	for _, x := range perSecond {
+		e := &limited{Endpoint: endpoint.Endpoint{ID: fmt.Sprint("e", len(f.endpoints))}}
+		f.endpoints = append(f.endpoints, e)
+		f.name(e, x)
+	}
+}
+
+// name lets an endpoint name another limit from now on.
+func (f *fleet) name(e *limited, perSecond float64) {
+	old := math.Inf(1)
+	if e.limit.Named {
+		old = e.limit.PerSecond
+	}
+	e.past = append(e.past, past{old, f.now})
+	e.limit = endpoint.Limit{Named: perSecond > 0, PerSecond: max(perSecond, 0)}
+}
+
+// permit asks for one request to an endpoint as a box does, and defers it if it may not be sent.
+func (f *fleet) permit(i int, e *limited) bool {
+	n := f.nodes[i]
+	l, age := n.available.Rates.Limit(e.ID, f.now)
+	if !l.Named {
+		return true
+	}
+	x := throttle.Question{Endpoint: e.ID, PerSecond: l.PerSecond, Age: age}
+	if f.evenly {
+		a := n.throttle.Ask(x, f.now)
+		if !a.OK {
+			n.available.Defer(e.ID, l.PerSecond, a.After, f.now)
+		}
+		return a.OK
+	}
+	soonest := throttle.Answer{After: time.Second}
+	for _, a := range n.Arbiters(e.ID, f.now) {
+		j := index(a)
+		f.calls++
+		if i != j && !f.hears(i, j) {
+			continue
+		}
+		v := f.answerFor(f.nodes[j], x)
+		if v.OK {
+			return true
+		}
+		if v.Part > 0 && (soonest.Part == 0 || v.After < soonest.After) {
+			soonest = v
+		}
+	}
+	n.available.Defer(e.ID, l.PerSecond, soonest.After, f.now)
+	return false
+}
+
+// answerFor is what an arbiter answers.
+func (f *fleet) answerFor(n *node, x throttle.Question) throttle.Answer {
+	n.available.Rates.Hear([]stated.Word{{Incarnation: x.Endpoint, Named: true, PerSecond: x.PerSecond, Age: x.Age}}, f.now)
+	l, _ := n.available.Rates.Limit(x.Endpoint, f.now)
+	if !l.Named {
+		return throttle.Answer{OK: true}
+	}
+	x.PerSecond = l.PerSecond
+	return n.throttle.Ask(x, f.now)
+}
+
+// request sends a box's request to the first endpoint that takes it, in an order at random: those
+// with a limit first, which have the least to do.
+func (f *fleet) request(i int) {
+	f.asked++
+	n := f.nodes[i]
+	for _, k := range f.rng.Perm(len(f.endpoints)) {
+		e := f.endpoints[k]
+		if n.available.Left(e.ID, f.now) > 0 || !f.permit(i, e) {
+			continue
+		}
+		f.done++
+		e.turns++
+		knew := n.available.Limited(e.ID, f.now)
+		e.sent = append(e.sent, sent{f.now, i, knew})
+		if w, news := n.available.Rates.Say(e.ID, e.limit, f.now); news {
+			f.spread(i, w)
+		}
+		return
+	}
+}
+
+// ask sends requests a second at random boxes for a time, and looks after each step.
+func (f *fleet) ask(d time.Duration, perSecond float64, look func()) {
+	for range int(d / tick) {
+		f.step()
+		for _, e := range f.endpoints {
+			for len(e.sent) > 0 && f.now.Sub(e.sent[0].at) > rateWindow {
+				e.sent = e.sent[1:]
+			}
+		}
+		look()
+		for n := perSecond * tick.Seconds(); n > 0 && f.rng.Float64() < n; n-- {
+			if i := f.rng.IntN(len(f.nodes)); !f.nodes[i].dead && !f.nodes[i].frozen {
+				f.request(i)
+			}
+		}
+	}
+}
+
+// kept returns what holds that no endpoint got more in the last window than its limit allows from
+// boxes that had been told, whatever happens to them.
+func (f *fleet) kept(t *testing.T) func() {
+	return func() {
+		t.Helper()
+		for _, e := range f.endpoints {
+			n := 0
+			for _, s := range e.sent {
+				if s.knew {
+					n++
+				}
+			}
+			require.LessOrEqual(t, float64(n), rateOver*rateWindow.Seconds()*e.most(f.now)+rateMore, "%s with %v at %v", e.ID, e.limit, f.now)
+		}
+	}
+}
+
+// An endpoint that takes a rate gets about that, from few boxes and from many, and nobody is
+// refused while others have room.
+func TestRateIsUsed(t *testing.T) {
+	for _, n := range []int{few, many} {
+		for _, rate := range []float64{0.3, 1, 10} {
+			t.Run(fmt.Sprint(n, "/", rate), func(t *testing.T) {
+				t.Parallel()
+				f := settled(n, 1)
+				f.limitEach(rate, 0, 0)
+				f.ask(10*time.Second, 60, f.kept(t))
+				f.endpoints[0].turns = 0
+				f.reset()
+				const d = 60 * time.Second
+				f.ask(d, 60, f.kept(t))
+				require.Equal(t, f.asked, f.done)
+				require.InEpsilon(t, rate*d.Seconds(), f.endpoints[0].turns, 0.2)
+			})
+		}
+	}
+}
+
+// The whole fleet keeps to rates of which each box alone would have a thousandth, and uses them.
+func TestRatesOfTheLargestFleet(t *testing.T) {
+	f := newFleet(985, 5, 1)
+	f.idle(10 * time.Second)
+	rates := []float64{0.5, 1, 10, 0, 0, 0, 0, 0, 0, 0}
+	f.limitEach(rates...)
+	f.ask(10*time.Second, 520, f.kept(t))
+	f.reset()
+	for _, e := range f.endpoints {
+		e.turns = 0
+	}
+	const d = 10 * time.Second
+	f.ask(d, 520, f.kept(t))
+	require.Equal(t, f.asked, f.done)
+	for i, e := range f.endpoints[:3] {
+		require.InDelta(t, rates[i]*d.Seconds(), e.turns, 2)
+	}
+}
+
+// Where all endpoints name limits, boxes together send what these take and no less.
+func TestRatesOfAll(t *testing.T) {
+	for _, n := range []int{few, many} {
+		f := settled(n, 1)
+		f.limitEach(10, 10, 10)
+		f.ask(10*time.Second, 60, f.kept(t))
+		f.reset()
+		f.ask(20*time.Second, 60, f.kept(t))
+		require.InEpsilon(t, 600, f.done, 0.1, "%d boxes", n)
+		f.reset()
+		f.ask(20*time.Second, 20, f.kept(t))
+		require.GreaterOrEqual(t, f.served(), 0.95, "%d boxes", n)
+	}
+}
+
+// A limit that an endpoint names no more is gone within seconds, also a low one.
+func TestRateEnds(t *testing.T) {
+	for _, rate := range []float64{0.01, 1} {
+		f := settled(few, 1)
+		f.limitEach(rate, 0)
+		f.ask(20*time.Second, 60, f.kept(t))
+		f.name(f.endpoints[0], 0)
+		f.ask(12*time.Second, 60, f.kept(t))
+		f.endpoints[0].turns = 0
+		f.ask(2*time.Second, 60, f.kept(t))
+		require.Greater(t, f.endpoints[0].turns, 30, "%v a second", rate)
+	}
+}
+
+// TestAnyRates holds endpoints to the rates that they take, whatever happens to the boxes, and
+// while limits are named by many at once, raised, lowered and ended.
+func TestAnyRates(t *testing.T) {
+	for n, courses := range map[int]uint64{3: 30, 6: 30, 8: 20, 24: 3, 95: 1} {
+		for seed := range courses {
+			t.Run(fmt.Sprint(n, "/", seed), func(t *testing.T) {
+				t.Parallel()
+				f := newFleet(n, min(n/2, 5), seed)
+				f.idle(10 * time.Second)
+				f.limitEach(0, 0, 0, 0, 0)
+				for i := range 12 {
+					if i%4 == 0 {
+						f.nameSome()
+					}
+					f.trouble(anyTrouble + 1)
+					f.ask(time.Duration(1+f.rng.IntN(8))*time.Second, []float64{5, 40, 200}[f.rng.IntN(3)], f.kept(t))
+					f.mend()
+				}
+			})
+		}
+	}
+}
+
+// nameSome lets some endpoints name other limits, or all of them.
+func (f *fleet) nameSome() {
+	for _, e := range f.endpoints[:1+rand.New(rand.NewPCG(f.rng.Uint64(), 3)).IntN(len(f.endpoints))] {
+		f.name(e, []float64{0, 0.1, 0.5, 1, 3, 10, 40}[f.rng.IntN(7)])
+	}
+}
+
+// BenchmarkRates compares two ways of keeping a rate over a minute, by what an endpoint gets of what
+// it takes and by the most that it gets in a window: permits of arbiters, and an equal part for
+// each box.
+func BenchmarkRates(b *testing.B) {
+	for _, evenly := range []bool{false, true} {
+		for _, n := range []int{few, many} {
+			for _, rate := range []float64{0.3, 1, 10} {
+				b.Run(fmt.Sprintf("evenly=%v/boxes=%d/rate=%v", evenly, n, rate), func(b *testing.B) {
+					for b.Loop() {
+						compareRates(b, n, rate, evenly)
+					}
+				})
+			}
+		}
+	}
+}
+
+func compareRates(b *testing.B, n int, rate float64, evenly bool) {
+	b.Helper()
+	f := newFleet(n, min(n/2, 5), 1)
+	f.evenly = evenly
+	f.restartAll(nil)
+	f.idle(10 * time.Second)
+	f.limitEach(rate, 0, 0)
+	e := f.endpoints[0]
+	f.ask(10*time.Second, 60, func() {})
+	e.turns = 0
+	most := 0
+	f.ask(time.Minute, 60, func() { most = max(most, len(e.sent)) })
+	b.ReportMetric(float64(e.turns)/(rate*time.Minute.Seconds()), "used")
+	b.ReportMetric(float64(most)/(rate*rateWindow.Seconds()), "window")
+}
+
+// A box finds one of the two arbiters of a rate before the other as often as not.
+func TestArbitersOfRates(t *testing.T) {
+	f := settled(many, 1)
+	for i := range 5 {
+		as := f.nodes[40].Arbiters(fmt.Sprint("e", i), f.now)
+		require.GreaterOrEqual(t, len(as), 2)
+		require.NotEqual(t, as[0].Box, as[1].Box)
+	}
+	require.Empty(t, (&quota.Quota{}).Arbiters("e", f.now))
+}
