Stand in for endpoints that take a bounded rate

Callers waited to their deadlines while endpoints named limits: a fleet has few endpoints to spare, and counted those that take one request a second as if they carried their part of the load. Ruled out: permits (85 refusals at two boxes, none of a request that went nowhere) and repeats.

The plan counts limited endpoints besides those that carry the load, so that others are ordered for them and given up when they take any rate again.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -224,6 +224,7 @@
 	if s.Orders {
 		o := orders.New(log)
 		o.Box, o.Cloud, o.Election, o.Policy, o.Demand = s.Box, cl, e, scaling.Default, p.demand
+		o.Limited = func(e endpoint.Endpoint) bool { return p.book.Available.Limited(e.Incarnation(), boottime.Now()) }
 		o.Bears = func(service string, slots int, pause time.Duration) scaling.Bears {
 			m := p.book.Model(service)
 			return scaling.Bears{
--- a/orders/orders.go
+++ b/orders/orders.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +16,7 @@
 	"birchlink.dev/birchlink/cloudapi"
 	"birchlink.dev/birchlink/demand"
 	"birchlink.dev/birchlink/election"
+	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/estimate"
 	"birchlink.dev/birchlink/kernel"
 	"birchlink.dev/birchlink/known"
@@ -68,6 +70,9 @@
 	Policy   scaling.Policy
 	Demand   func(service string) map[string]demand.Figure
 
+	// Limited reports whether an endpoint takes a bounded rate of requests.
+	Limited func(endpoint.Endpoint) bool
+
 	// Bears returns what one endpoint of a service bears, by its slots and by the
 	// longest pause between events that the service's routes allow.
 	Bears func(service string, slots int, pause time.Duration) scaling.Bears
@@ -117,7 +122,7 @@
 
 // New returns the service; its exported fields are to be set before it starts.
 func New(log zerolog.Logger) *Orders {
-	return &Orders{log: log, reclaim: map[string]time.Time{}, first: map[string]time.Time{}, found: map[string]int{}, lower: map[subject]lowering{}, heard: map[place]time.Time{}}
+	return &Orders{log: log, Limited: func(endpoint.Endpoint) bool { return false }, reclaim: map[string]time.Time{}, first: map[string]time.Time{}, found: map[string]int{}, lower: map[subject]lowering{}, heard: map[place]time.Time{}}
 }
 
 // Name returns the service's name.
@@ -166,6 +171,8 @@
 	now := boottime.Now()
 	all := o.known.Roster.All()
 	load := o.Demand(s.Name)
+	serving := o.known.Roster.Serving(s.Name)
+	limited := slices.DeleteFunc(slices.Clone(serving), func(e endpoint.Endpoint) bool { return !o.Limited(e) })
 	dcs := scaling.DataCentres(s.Scaling)
 	sites := make([]scaling.Site, 0, len(dcs))
 	cut := map[string]bool{}
@@ -174,7 +181,7 @@
 		cut[dc] = o.cut(place{s.Name, dc}, told, now)
 		site := scaling.Site{
 			DataCentre: dc, Demand: scaling.Demand{Tokens: f.Tokens, Running: f.Running},
-			Have: scaling.Serving(o.known.Roster.Serving(s.Name), dc),
+			Have: scaling.Serving(serving, dc), Limited: scaling.Serving(limited, dc),
 			Dry:  o.placed[subject{s.Name, dc, true}].dry,
 		}
 		if !cut[dc] {
@@ -288,6 +295,7 @@
 		Float64("bears_running", bears.OnDemand.Running).
 		Float64("tokens_per_s", site.Demand.Tokens).Float64("running", site.Demand.Running).
 		Int("have_on_demand", site.Have.OnDemand).Int("have_reclaimable", site.Have.Reclaimable).
+		Int("limited", site.Limited.OnDemand+site.Limited.Reclaimable).
 		Dur("since_reclaim", min(site.Since, longAgo)).Bool("dry", site.Dry).Str("outcome", outcome(s, err)).Err(err).Msg("decision")
 }
 
--- a/orders/orders_test.go
+++ b/orders/orders_test.go
@@ -125,7 +125,8 @@
 
 	mu     sync.Mutex
 	tokens float64
-	cut    string // the data centre that is not heard
+	cut    string   // the data centre that is not heard
+	slow   []string // endpoints that take a bounded rate
 }
 
 // start begins with endpoints on demand in each data centre; found says how many
@@ -182,6 +183,11 @@
 		}
 		return out
 	}
+	o.Limited = func(e endpoint.Endpoint) bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return slices.Contains(f.slow, e.ID)
+	}
 	o.Bears = func(string, int, time.Duration) scaling.Bears {
 		b := estimate.Bearable{Tokens: 20_000, Running: 40}
 		return scaling.Bears{Reclaimable: b, OnDemand: b}
@@ -275,6 +281,39 @@
 	})
 }
 
+// Two of five endpoints took one request a second each, and the three others had up to 72 requests
+// under way where 10 to 20 are usual: they were counted as if they carried their part of the load,
+// and nothing was ordered for them. One in thirty requests failed, most at their deadline.
+// Endpoints that take a bounded rate are stood in for, and no longer once they take any rate.
+func TestLimitedAreStoodInFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(t, 3, 3)
+		f.ask(60_000)
+		f.pass(40 * time.Second)
+		before := f.count(true)
+		f.limit(f.some(3))
+		f.pass(10 * time.Second)
+		require.Equal(t, before+3, f.count(true))
+		f.limit(nil)
+		f.pass(20 * time.Second)
+		require.Equal(t, before, f.count(true))
+	})
+}
+
+// limit lets some endpoints take a bounded rate, and the others any.
+func (f *fleet) limit(ids []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.slow = ids
+}
+
+// some returns some reclaimable endpoints of one data centre.
+func (f *fleet) some(n int) []string {
+	f.cloud.mu.Lock()
+	defer f.cloud.mu.Unlock()
+	return slices.Clone(f.have[kind{"a", true}][:n])
+}
+
 // A data centre that is cut off, whose endpoints' records lapse, has not lost them:
 // what is ordered there stays.
 func TestCutIsNoReclaim(t *testing.T) {
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -89,26 +89,35 @@
 	DataCentre string
 	Demand     Demand
 	Have       Count // that serve
+	Limited    Count // of them, those that take a bounded rate of requests
 	Dry        bool  // no reclaimable endpoint can be had now
 
 	// Since is how long ago its reclaimable endpoints began to be taken.
 	Since time.Duration
 }
 
-// reclaimable is how many reclaimable endpoints serve there, or coming if that is more
+// free is how many endpoints there take any rate.
+func (d *Site) free() Count {
+	return Count{d.Have.OnDemand - d.Limited.OnDemand, d.Have.Reclaimable - d.Limited.Reclaimable}
+}
+
+// reclaimable is how many reclaimable endpoints carry load there, or coming if that is more
 // and they can be had.
 func (d *Site) reclaimable(coming int) int {
+	n := d.free().Reclaimable
 	if d.Dry {
-		return d.Have.Reclaimable
+		return n
 	}
-	return max(d.Have.Reclaimable, coming)
+	return max(n, coming)
 }
 
 // Plan returns the wanted counts by data centre. Bytes between data centres cost
 // little against an endpoint, so the fleet is one. The load is carried by
 // reclaimable endpoints, as many in each data centre, with enough of them that
 // those of one may go. On demand is had what they do not carry, and of what would be
-// missing after such a loss the part that is insured.
+// missing after such a loss the part that is insured. Endpoints that take a bounded rate
+// carry none of the load, and are counted besides: a fleet that has few to spare would
+// leave theirs to the others.
 // Sites are in the order of their price; bears is what one endpoint
 // bears.
 func (p Policy) Plan(s *catalog.Scaling, sites []Site, bears Bears) map[string]Count {
@@ -133,9 +142,11 @@
 	}
 	keep, add := least(0), least(min(each, s.Max))
 	out := p.onDemand(s, sites, keep, add)
-	for dc, c := range out {
-		c.Reclaimable = min(max(each, s.Min-c.OnDemand), s.Max-c.OnDemand)
-		out[dc] = c
+	for _, d := range sites {
+		c := out[d.DataCentre]
+		c.OnDemand = min(c.OnDemand+d.Limited.OnDemand, s.Max)
+		c.Reclaimable = min(max(each, s.Min-c.OnDemand)+d.Limited.Reclaimable, s.Max-c.OnDemand)
+		out[d.DataCentre] = c
 	}
 	return out
 }
@@ -192,7 +203,7 @@
 		out[d.DataCentre] = Count{}
 	}
 	for _, d := range sites {
-		grow(d, keep, min(d.Have.OnDemand, s.Max))
+		grow(d, keep, min(d.free().OnDemand, s.Max))
 	}
 	for _, d := range sites {
 		grow(d, add, s.Max-d.Have.Reclaimable)
