--- a/orders/orders.go
+++ b/orders/orders.go
@@ -122,7 +122,10 @@
 
 // New returns the service; its exported fields are to be set before it starts.
 func New(log zerolog.Logger) *Orders {
-	return &Orders{log: log, Limited: func(endpoint.Endpoint) bool { return false }, reclaim: map[string]time.Time{}, first: map[string]time.Time{}, found: map[string]int{}, lower: map[subject]lowering{}, heard: map[place]time.Time{}}
+	return &Orders{
+		log: log, Limited: func(endpoint.Endpoint) bool { return false },
+		reclaim: map[string]time.Time{}, first: map[string]time.Time{}, found: map[string]int{}, lower: map[subject]lowering{}, heard: map[place]time.Time{},
+	}
 }
 
 // Name returns the service's name.
@@ -182,7 +185,7 @@
 		site := scaling.Site{
 			DataCentre: dc, Demand: scaling.Demand{Tokens: f.Tokens, Running: f.Running},
 			Have: scaling.Serving(serving, dc), Limited: scaling.Serving(limited, dc),
-			Dry:  o.placed[subject{s.Name, dc, true}].dry,
+			Dry: o.placed[subject{s.Name, dc, true}].dry,
 		}
 		if !cut[dc] {
 			o.watchReclaim(all, s.Name, site, now)
