Divide the slack of retries by all boxes that there may be

The slack of the retries was divided by the boxes that a box heard at the moment: one that had just started, or was cut off, took all of it.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -48,20 +48,14 @@
 	return &Budget{Terms: t, services: map[string]*window{}, boxes: 1}
 }
 
-// Boxes sets over how many boxes the slack is divided.
+// Boxes sets over how many boxes the slack is divided: all that there may be, or those that do
+// not hear each other would have more of it together than there is.
 func (b *Budget) Boxes(n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.boxes = max(n, 1)
 }
 
-// Known returns over how many boxes the slack is divided.
-func (b *Budget) Known() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.boxes
-}
-
 // Request counts a request for a service.
 func (b *Budget) Request(service string, now time.Time) {
 	b.mu.Lock()
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -115,6 +116,8 @@
 	reporter *reporter.Reporter // nil without that duty
 	rollouts *rollout.Holder
 
+	boxes atomic.Int64 // that this box hears, itself included
+
 	mu     sync.Mutex
 	near   []netip.AddrPort                    // that are told of long prompts at once
 	far    []netip.AddrPort                    // that are told of very long ones
@@ -149,6 +152,7 @@
 	p.known.Told = true
 	p.known.Roster.Box, p.known.Roster.DataCentre = s.Box, s.DataCentre
 	p.quota.Incarnation = p.incarnation
+	p.budget.Boxes(p.quota.MostBoxes())
 	q := p.gossip.Quarantine
 	q.Log = log
 	p.gossip.OnEnded = p.ended
@@ -200,7 +204,7 @@
 	fs.Gauge("endpoints.leaving", func() int64 { return int64(p.known.Roster.Draining()) })
 	fs.Gauge("endpoints.resting", func() int64 { return int64(p.book.Available.Resting(boottime.Now())) })
 	fs.Gauge("endpoints.limited", func() int64 { return int64(p.book.Available.Rates.Len()) })
-	fs.Gauge("boxes.known", func() int64 { return int64(p.budget.Known()) })
+	fs.Gauge("boxes.known", func() int64 { return p.boxes.Load() })
 	fs.Gauge("requests.live", func() int64 { return int64(in.Live()) })
 	fs.Gauge("contents.refused", func() int64 { return int64(len(p.gossip.Quarantine.Refused(boottime.Now()))) })
 	fs.Gauge("connections.idle", func() int64 { return int64(f.Pool.Idle()) })
--- a/daemon/tell.go
+++ b/daemon/tell.go
@@ -51,7 +51,8 @@
 // heard takes the other boxes' statuses into this box's decisions.
 func (p *entryParts) heard(others gossip.Status) {
 	now := boottime.Now()
-	p.budget.Boxes(others.Boxes + 1)
+	p.boxes.Store(int64(others.Boxes + 1))
+	p.budget.Boxes(p.quota.MostBoxes())
 	p.follow()
 	p.book.Forget(func(id string) bool { _, ok := p.known.Roster.Get(id); return ok })
 	p.book.Available.Rates.Forget(func(incarnation string) bool {
--- a/gossip/before.go
+++ b/gossip/before.go
@@ -57,6 +57,7 @@
 	late := boottime.Since(s.began) > readFor
 	if g.First && !late {
 		s.read = true
+		g.Expect(quota.Before{})
 		return
 	}
 	if s.read || late && (g.session.Lost() || g.Quota.Division().Version > 0 && !g.firstPlace()) {
@@ -68,6 +69,7 @@
 	}
 	s.read, s.at = true, i.Revision
 	if i.Revision == 0 {
+		g.Expect(quota.Before{})
 		return
 	}
 	var p record
--- a/quota/before.go
+++ b/quota/before.go
@@ -100,11 +100,12 @@
 	return out
 }
 
-// Expect tells a process that has started what was before.
+// Expect tells a process that has started what was before; nothing, if this is the first start.
 func (q *Quota) Expect(p Before) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.divisions.take(p.Division, q.Started)
+	q.first = p.Boxes == 0
 	if p.Boxes > 0 && q.before == nil {
 		q.before = &p
 	}
--- a/quota/boxes.go
+++ b/quota/boxes.go
@@ -35,6 +35,15 @@
 	return out
 }
 
+// all is the number of boxes.
+func all(by map[string]int) int {
+	n := 0
+	for _, k := range by {
+		n += k
+	}
+	return n
+}
+
 // most returns the larger numbers of two.
 func most(a, b map[string]int) map[string]int {
 	out := map[string]int{}
@@ -45,3 +54,20 @@
 	}
 	return out
 }
+
+// MostBoxes returns how many boxes there may be, also those that are not heard now: a bound on
+// all of them together is divided by it. A process that knows of none before it and has heard few
+// may be one of many that started anew while the store was away.
+func (q *Quota) MostBoxes() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	n := max(all(q.boxes.most()), 1)
+	switch d := q.divisions.newest(); {
+	case d != nil:
+		return max(n, d.all())
+	case q.first:
+		return n
+	default:
+		return max(n, assumed)
+	}
+}
--- a/quota/division.go
+++ b/quota/division.go
@@ -35,13 +35,7 @@
 }
 
 // all is the number of boxes.
-func (d *Division) all() int {
-	n := 0
-	for _, k := range d.Boxes {
-		n += k
-	}
-	return n
-}
+func (d *Division) all() int { return all(d.Boxes) }
 
 // divisions are those that some box may keep to. The zero value knows of none.
 type divisions struct {
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"birchlink.dev/birchlink/availability"
+	"birchlink.dev/birchlink/budget"
 	"birchlink.dev/birchlink/catalog"
 	"birchlink.dev/birchlink/quota"
 	"birchlink.dev/birchlink/throttle"
@@ -51,6 +52,7 @@
 
 	available *availability.Availability
 	throttle  *throttle.Throttle
+	retries   *budget.Budget
 }
 
 type heardRelay struct {
@@ -110,6 +112,8 @@
 		Self: f.arbiter(i), Chance: f.rng.Float64,
 	}
 	n.available, n.throttle = &availability.Availability{}, &throttle.Throttle{Leases: f.leases(i)}
+	n.retries = budget.New(retryTerms)
+	n.retries.Boxes(n.MostBoxes())
 	if before != nil {
 		n.Expect(*before)
 	}
@@ -238,6 +242,7 @@
 	}
 	n.begun = true
 	n.Round(f.view(i), f.accounts, f.now)
+	n.retries.Boxes(n.MostBoxes())
 	if !f.isRelay(i) {
 		rs := f.relays(i % f.cells)
 		if len(rs) == 0 {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -105,6 +105,7 @@
 	even      even
 	heard     map[string]Lease              // what other relays told last
 	before    *Before                       // what was before this process started, if known
+	first     bool                          // nothing was
 	seeds     map[string]map[string]float64 // by lessor and account, the parts that began with what was left before
 }
 
