Let boxes with a part of a repeat make one as often as that is of a whole

A box repeats a request only if its part of what all may repeat holds a whole one. 500 boxes, each of which gets a request in two seconds, made 114 repeats in 10 s of the 552 that the terms allow; callers got failures that another endpoint would have answered.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -31,6 +31,10 @@
 type Budget struct {
 	Terms
 
+	// Chance returns numbers from 0 to 1, at random. With it a box whose part is no whole repeat
+	// makes one as often as its part is of one; else none.
+	Chance func() float64
+
 	mu       sync.Mutex
 	services map[string]*window
 	boxes    int
@@ -41,6 +45,8 @@
 	slot     int64
 	requests [buckets]int
 	repeats  [buckets]int
+	need     float64 // room that the next repeat needs, from 0 to 1; zero if it is to be drawn
+	drawn    int64   // the slot in which it was
 }
 
 // New returns a budget under terms.
@@ -80,6 +86,7 @@
 		return false
 	}
 	w.repeats[w.slot%buckets]++
+	w.need = 0
 	return true
 }
 
@@ -90,7 +97,19 @@
 		repeats += w.repeats[i]
 	}
 	room := ratioPart*b.Ratio*float64(requests) + slackPart*b.Slack/float64(b.boxes)
-	return float64(repeats+1) <= room
+	return float64(repeats)+b.need(w) <= room
+}
+
+// need is the room that a repeat needs beyond those made: a whole one, or a number at random. That
+// stays for a window or until a repeat is made, so that asking more often finds no more room.
+func (b *Budget) need(w *window) float64 {
+	if b.Chance == nil {
+		return 1
+	}
+	if w.need == 0 || w.slot-w.drawn >= buckets {
+		w.need, w.drawn = 1-b.Chance(), w.slot
+	}
+	return w.need
 }
 
 // at returns the window of a service, moved on to now.
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -51,6 +52,40 @@
 	}
 }
 
+// 500 boxes, each of which got a request in two seconds, repeated 114 requests in 10 s of 2,500 that
+// broke, where 552 may be: the part of most was less than a whole repeat, and they made none.
+// Together they repeat what the terms leave them, and no more.
+func TestManyBoxesTogether(t *testing.T) {
+	const boxes = 500
+	rnd := rand.New(rand.NewPCG(1, 1))
+	bs := make([]*budget.Budget, 0, boxes)
+	for range boxes {
+		b := budget.New(terms)
+		b.Boxes(boxes)
+		b.Chance = rnd.Float64
+		bs = append(bs, b)
+	}
+	const sends = 10_000
+	requests, repeats := make([]time.Time, 0, sends), make([]time.Time, 0, sends)
+	now := time.Unix(1000, 0)
+	for range sends {
+		now = now.Add(4 * time.Millisecond)
+		b := bs[rnd.IntN(boxes)]
+		b.Request("s", now)
+		requests = append(requests, now)
+		for range 3 {
+			if b.Spend("s", now) {
+				repeats = append(repeats, now)
+			}
+		}
+	}
+	for end := time.Unix(1010, 0); end.Before(now); end = end.Add(time.Second) {
+		n, m := within(requests, end), within(repeats, end)
+		require.LessOrEqual(t, float64(m), terms.Ratio*float64(n)+terms.Slack)
+		require.GreaterOrEqual(t, float64(m), 0.5*terms.Ratio*float64(n))
+	}
+}
+
 func within(ts []time.Time, end time.Time) int {
 	n := 0
 	for _, x := range ts {
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -129,9 +129,8 @@
 	incarnation string
 }
 
-// entryServices makes every service, in the order in which they start. They
-// stop in the reverse order, so callers are drained first.
-func entryServices(s settings.Entry, m metrics.Registry, log zerolog.Logger) []kernel.Service {
+// newEntryParts makes what the services share.
+func newEntryParts(s settings.Entry, log zerolog.Logger) *entryParts {
 	st := platform.NewStore(s.Store)
 	p := &entryParts{
 		settings: s, store: st, book: &balance.Book{Chance: rand.Float64}, quota: &quota.Quota{
@@ -152,6 +151,7 @@
 	p.known.Told = true
 	p.known.Roster.Box, p.known.Roster.DataCentre = s.Box, s.DataCentre
 	p.quota.Incarnation = p.incarnation
+	p.budget.Chance = rand.Float64
 	p.budget.Boxes(p.quota.MostBoxes())
 	q := p.gossip.Quarantine
 	q.Log = log
@@ -163,9 +163,16 @@
 		}
 	})
 	p.tell()
+	return p
+}
+
+// entryServices makes every service, in the order in which they start. They
+// stop in the reverse order, so callers are drained first.
+func entryServices(s settings.Entry, m metrics.Registry, log zerolog.Logger) []kernel.Service {
+	p := newEntryParts(s, log)
 	limits := limit.New(p.quota, &p.book.Available.Rates, m, log)
 	f := &forward.Forwarder{
-		DataCentre: s.DataCentre, Roster: &p.known.Roster, Book: p.book, Budget: p.budget, Meter: p.meter, Quarantine: q, Rollouts: p.gossip.Rollouts,
+		DataCentre: s.DataCentre, Roster: &p.known.Roster, Book: p.book, Budget: p.budget, Meter: p.meter, Quarantine: p.gossip.Quarantine, Rollouts: p.gossip.Rollouts,
 		Pool: &exchange.Pool{DialLimit: dialEndpoint}, Codec: platform.Wire{}, Began: p.began, Metrics: m, Log: log,
 		Sent: p.sent, Ended: func(e endpoint.Endpoint) { p.gossip.Ended(e.Incarnation()) },
 		Leaves: func(e endpoint.Endpoint) { p.gossip.Leaves(e.Incarnation()) },
@@ -182,7 +189,7 @@
 		Notice: min(stopNotice, s.StopLimit/3), Limit: s.StopLimit - stopReserve,
 	}
 	ss := []kernel.Service{
-		session.New(st, log),
+		session.New(p.store, log),
 		peer.NewNode(s.Peers, s.Peers, peerSecret, m),
 		p.known,
 		p.gossip,
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -113,6 +113,7 @@
 	}
 	n.available, n.throttle = &availability.Availability{}, &throttle.Throttle{Leases: f.leases(i)}
 	n.retries = budget.New(retryTerms)
+	n.retries.Chance = f.rng.Float64
 	n.retries.Boxes(n.MostBoxes())
 	if before != nil {
 		n.Expect(*before)
