Ask again for an endpoint's rate by the time at which leases have moved

Found by a test of our own: in a fleet that has just begun a box has a hundredth of each rate until the division is written a second later. What it refused was held to the time that this part gives: a box was told to come back in 26 s for a rate of 5 a second, and an endpoint that named no limit any more got one request in 20 s. A refusal holds for two seconds, in which leases move, or until the whole rate gives a request.

--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -25,8 +25,11 @@
 	// that are told one may not come.
 	longestQueue = time.Second
 
-	// unleased is when a box asks again that asked one without a part of the rate: by then leases
-	// have moved.
+	// leasesMove is the time in which the part that a box has may grow to all of the rate. A box that
+	// was refused asks again by then, or when all of the rate gives a request.
+	leasesMove = 2 * time.Second
+
+	// unleased is when a box asks again that asked one without a part of the rate.
 	unleased = time.Second
 
 	// maxBuckets bounds the endpoints that a box answers for. One that is forgotten begins with
@@ -90,10 +93,12 @@
 	}
 	missing := 1 - b.level + b.queue
 	b.queue = min(b.queue+1, part*rate*longestQueue.Seconds())
-	after := time.Duration(missing / (part * rate) * float64(time.Second))
+	after := min(inSeconds(missing/(part*rate)), max(inSeconds(missing/rate), leasesMove))
 	return Answer{After: max(after, soonest), Part: part}
 }
 
+func inSeconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 // fill adds what the leases gave, up to a most.
 func (b *bucket) fill(given, rate, most float64) {
 	n := (given - b.given) * rate
--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -70,6 +70,20 @@
 	}
 }
 
+// A box that started with its fleet had a hundredth of a rate of five a second, and another that asked
+// it was told to come back in 26 s: it sent nothing there for that time, though a second later all of
+// the rate was leased. The log has
+//
+//	"event":"permit","per_second":5,"part":0.0075,"after":26666.666666
+//
+// A refusal holds no longer than it takes for leases to move, or for the whole rate to give a request.
+func TestSmallPart(t *testing.T) {
+	th := &throttle.Throttle{Leases: leased(0.0075)}
+	require.Equal(t, 2*time.Second, th.Ask(throttle.Question{Endpoint: "e", PerSecond: 5}, epoch).After)
+	th = &throttle.Throttle{Leases: leased(0.5)}
+	require.Equal(t, 4*time.Second, th.Ask(throttle.Question{Endpoint: "e", PerSecond: 0.25}, epoch).After)
+}
+
 // A box to which nothing is leased lets nothing pass, and says so.
 func TestNothingLeased(t *testing.T) {
 	th := &throttle.Throttle{Leases: leased(0)}
