Let the soak's endpoints name the rate that they take

The soak does not judge rates, as its endpoints cannot tell from which box a call comes; TestAnyRates does.

--- a/soak/run.go
+++ b/soak/run.go
@@ -135,6 +135,11 @@
 		s.TurnAway(f.For)
 		time.Sleep(f.For)
 		s.TurnAway(0)
+	case SayLimit:
+		s := r.fleet.Servers[f.Target]
+		s.SayLimit(limitSaid)
+		time.Sleep(f.For)
+		s.SayLimit("")
 	case Config:
 		r.configure()
 	default:
@@ -143,6 +148,9 @@
 	}
 }
 
+// limitSaid is the rate that an endpoint names, in calls a second.
+const limitSaid = "1.5"
+
 // injectStore makes the store, or a box's way to it, misbehave.
 func (r *run) injectStore(f Fault) {
 	s := r.fleet.Store
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -30,6 +30,7 @@
 	Config     Kind = "configuration"
 	Leave      Kind = "leave"     // an endpoint says in its answers that it leaves, its record does not; another comes
 	TurnAway   Kind = "turn away" // an endpoint refuses each call, and asks for rest
+	SayLimit   Kind = "limit"     // an endpoint names the rate of calls that it takes from all boxes together
 )
 
 // Fault is one entry of a schedule.
@@ -69,7 +70,7 @@
 // words draws what endpoints say of themselves.
 func words(seed uint64, span time.Duration, servers int) []Fault {
 	r := rand.New(rand.NewPCG(seed, 2))
-	kinds := []Kind{Leave, TurnAway}
+	kinds := []Kind{Leave, TurnAway, SayLimit}
 	var out []Fault
 	for at := lead; at < span; at += time.Duration(r.Int64N(int64(2 * wordGap))) {
 		out = append(out, Fault{At: at, For: minFor + time.Duration(r.Int64N(int64(maxFor-minFor))), Kind: kinds[r.IntN(len(kinds))], Target: r.IntN(servers)})
