Count a lease's time once where two callers' times cross

Found by reading: a caller whose time was taken before another's moved the count back, so that the span between was given twice. A field is renamed.

--- a/forward/permit.go
+++ b/forward/permit.go
@@ -21,13 +21,13 @@
 
 // permits is what one choice of an endpoint has asked for.
 type permits struct {
-	began  time.Time
-	first  time.Duration // when the first of those that were refused is worth another try
-	refuse bool          // some were refused
+	began   time.Time
+	refused bool          // some were
+	first   time.Duration // when the first of those is worth another try
 }
 
 // over reports whether enough has been asked.
-func (p *permits) over() bool { return p.refuse && boottime.Since(p.began) > permitsFor }
+func (p *permits) over() bool { return p.refused && boottime.Since(p.began) > permitsFor }
 
 // permit reports whether the request may be sent to an endpoint. A rate holds for all boxes
 // together, so that no box can tell by itself: each attempt takes its permit from an arbiter. An
@@ -45,8 +45,8 @@
 		return true
 	}
 	available.Defer(e.Incarnation(), l.PerSecond, a.After, boottime.Now())
-	if !p.refuse || a.After < p.first {
-		p.refuse, p.first = true, a.After
+	if !p.refused || a.After < p.first {
+		p.refused, p.first = true, a.After
 	}
 	metrics.GetOrRegisterCounter("permits.refused", r.f.Metrics).Inc(1)
 	r.f.Log.Info().Str("event", "permit").Str("request", r.q.Call.ID).Str("endpoint", e.ID).Int64("born", e.Born).Float64("per_second", l.PerSecond).
--- a/quota/even.go
+++ b/quota/even.go
@@ -54,6 +54,9 @@
 
 // fill counts what the leases have given since the last time.
 func (e *even) fill(now time.Time) {
+	if now.Before(e.at) {
+		return // the caller took its time before another's
+	}
 	for s := range e.given {
 		seconds, _ := e.lessee.given(everything, s, e.at, now)
 		e.given[s] += seconds
