--- a/quota/rates_test.go
+++ b/quota/rates_test.go
@@ -1,9 +1,12 @@
 package quota_test
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"os"
+	"strconv"
 	"testing"
 	"time"
 
@@ -314,9 +317,12 @@
 }
 
 // TestAnyRates holds endpoints to the rates that they take, whatever happens to the boxes, and
-// while limits are named by many at once, raised, lowered and ended.
+// while limits are named by many at once, raised, lowered and ended. RATES_SEEDS asks for that many
+// courses of each small fleet.
 func TestAnyRates(t *testing.T) {
-	for n, courses := range map[int]uint64{3: 30, 6: 30, 8: 20, 24: 3, 95: 1} {
+	seeds, err := strconv.ParseUint(cmp.Or(os.Getenv("RATES_SEEDS"), "30"), 10, 64)
+	require.NoError(t, err)
+	for n, courses := range map[int]uint64{3: seeds, 6: seeds, 8: seeds, 24: 3, 95: 1} {
 		for seed := range courses {
 			t.Run(fmt.Sprint(n, "/", seed), func(t *testing.T) {
 				t.Parallel()
