Take a slack that is a fraction

No box starts whose retries are allowed a slack of 33.16, as in the small twin of the whole fleet: the setting was read as a whole number, and the process ended with its mistake. Both slacks are read as numbers; a test fills the template with fractions throughout.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -134,11 +134,11 @@
 	st := platform.NewStore(s.Store)
 	p := &entryParts{
 		settings: s, store: st, book: &balance.Book{Chance: rand.Float64}, quota: &quota.Quota{
-			Terms: quota.Terms{Window: s.QuotaWindow, Overage: s.QuotaOverage, Slack: float64(s.QuotaSlack)},
+			Terms: quota.Terms{Window: s.QuotaWindow, Overage: s.QuotaOverage, Slack: s.QuotaSlack},
 			Self:  quota.Arbiter{Box: s.Box, DataCentre: s.DataCentre, Address: s.Peers}, Started: boottime.Now(),
 			Chance: rand.Float64,
 		}, meter: &demand.Meter{},
-		budget: budget.New(budget.Terms{Ratio: s.RetryRatio, Slack: float64(s.RetrySlack), Window: s.RetryWindow}),
+		budget: budget.New(budget.Terms{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}),
 		tally:  &tally.Tally{Window: s.ReportWindow}, clock: daytime.New(time.Now),
 		gossip: gossip.New(log), incarnation: uuid.NewString()[:8],
 	}
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -38,14 +38,14 @@
 	// The bounds on repeats of a service's requests, over all boxes together.
 	RetryRatio  float64
 	RetryWindow time.Duration
-	RetrySlack  int
+	RetrySlack  float64
 
 	// An account may spend its rate over QuotaWindow and its burst in each such
 	// window. Summed over all boxes it may be over that by the part QuotaOverage
 	// and by QuotaSlack units.
 	QuotaWindow  time.Duration
 	QuotaOverage float64
-	QuotaSlack   int
+	QuotaSlack   float64
 
 	// Lease is within how long two holders of a duty must not act by turns. A
 	// usage window is reported at the latest ReportDue after its end.
@@ -101,10 +101,10 @@
 		StopLimit:    r.Duration("stop", "limit", 8*time.Second, time.Second, time.Hour),
 		RetryRatio:   r.Float("retries", "ratio", 0.2, 0, 10),
 		RetryWindow:  r.Duration("retries", "window", 10*time.Second, time.Second, time.Hour),
-		RetrySlack:   r.Int("retries", "slack", 0, 0, maxRequests),
+		RetrySlack:   r.Float("retries", "slack", 0, 0, maxRequests),
 		QuotaWindow:  r.Duration("quota", "window", 8*time.Second, time.Second, time.Hour),
 		QuotaOverage: r.Float("quota", "overage", 0, 0, 10),
-		QuotaSlack:   r.Int("quota", "slack", 0, 0, maxTolerance),
+		QuotaSlack:   r.Float("quota", "slack", 0, 0, maxTolerance),
 		Lease:        r.Duration("duties", "lease", 3*time.Second, time.Second, time.Hour),
 		ReportWindow: r.Duration("duties", "report_window", 5*time.Second, time.Second, time.Hour),
 		ReportDue:    r.Duration("duties", "report_due", 10*time.Second, time.Second, time.Hour),
--- a/settings/entry_test.go
+++ b/settings/entry_test.go
@@ -48,6 +48,21 @@
 	require.InDelta(t, 0.1, s.RolloutShare, 0)
 }
 
+// No box of a fleet started whose retries were allowed a slack of 33.16: each ended with
+//
+//	[retries] slack = "33.1578947368421": allowed: a whole number from 0 to 100000
+//
+// Every figure that the platform fills in may be a fraction.
+func TestTemplateWithFractions(t *testing.T) {
+	text := regexp.MustCompile(`= 8(s|ms)?\b`).ReplaceAllString(filled(t), "= 8.25$1")
+	require.Contains(t, text, "slack = 8.25")
+	s, err := settings.ParseEntry([]byte(text))
+	require.NoError(t, err)
+	require.InDelta(t, 8.25, s.RetrySlack, 0)
+	require.InDelta(t, 8.25, s.QuotaSlack, 0)
+	require.Equal(t, 8250*time.Millisecond, s.StopLimit)
+}
+
 // A deployment that gives none of its optional values is served with the defaults.
 func TestTemplateWithoutOptional(t *testing.T) {
 	b, err := os.ReadFile("../deploy/box.ini")
