--- a/orders/orders_test.go
+++ b/orders/orders_test.go
@@ -281,9 +281,9 @@
 	})
 }
 
-// Two of five endpoints took one request a second each, and the three others had up to 72 requests
-// under way where 10 to 20 are usual: they were counted as if they carried their part of the load,
-// and nothing was ordered for them. One in thirty requests failed, most at their deadline.
+// Endpoints that took one request a second each were counted as if they carried their part of the
+// load, and nothing was ordered for them: two others carried all, with up to 72 requests under way,
+// and one stream in thirty failed, most at their deadline.
 // Endpoints that take a bounded rate are stood in for, and no longer once they take any rate.
 func TestLimitedAreStoodInFor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
