Keep unsent samples of a member that becomes a relay

TestSpeedsSurviveRelay once waited in vain for samples that a box had taken (go test -race ./gossip, once in one run beside load). A box that changed from member to relay dropped what it had not sent. New receivers now get it when no former receiver stays. That this caused the failure is likely, not shown.

go test ./speed: ok. TestSpeedsSurviveRelay with the race detector, five processes at once: 5 of 5 pass.

--- a/speed/estimator_test.go
+++ b/speed/estimator_test.go
@@ -225,6 +225,21 @@
 	require.Greater(t, factors(&member, es, epoch.Add(30*time.Second))[0], 1.2)
 }
 
+// A member that becomes a relay must send the other relays what it has not sent to its own, also if it
+// learns of them only later.
+func TestMemberBecomesRelay(t *testing.T) {
+	es := endpoints(10)
+	var e speed.Estimator
+	e.SetReceivers("")
+	observe(&e, es, 3, epoch, oneSlow(1.6))
+	e.SetReceivers()
+	e.SetReceivers("a", "b")
+	require.Len(t, e.Take("a"), 10)
+	require.Len(t, e.Take("b"), 10)
+	e.SetReceivers("a", "b", "c")
+	require.Empty(t, e.Take("c"))
+}
+
 // A faulty message must not give an endpoint an absurd factor.
 func TestFaultyEntries(t *testing.T) {
 	es := endpoints(10)
--- a/speed/exchange.go
+++ b/speed/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -77,14 +78,28 @@
 }
 
 // SetReceivers sets the boxes to which samples are sent: those of this box and, at a relay, those of
-// its members. Samples for others are dropped.
+// its members. If none of the receivers stays, as when a member becomes a relay, the new ones get
+// what one of the former has not got. Without names, nothing changes. Otherwise samples for former
+// receivers are dropped.
 func (e *Estimator) SetReceivers(names ...string) {
+	if len(names) == 0 {
+		return
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	unsent := make(map[string]map[Key]sums, len(names))
+	unsent, stays := make(map[string]map[Key]sums, len(names)), false
 	for _, n := range names {
-		if unsent[n] = e.unsent[n]; unsent[n] == nil {
-			unsent[n] = map[Key]sums{}
+		unsent[n] = e.unsent[n]
+		stays = stays || unsent[n] != nil
+	}
+	var left map[Key]sums
+	if former := slices.Sorted(maps.Keys(e.unsent)); !stays && len(former) > 0 {
+		left = e.unsent[former[0]]
+	}
+	for n, m := range unsent {
+		if m == nil {
+			unsent[n] = make(map[Key]sums, len(left))
+			maps.Copy(unsent[n], left)
 		}
 	}
 	e.unsent = unsent
