Exchange samples of endpoint speeds in gossip rounds

A box has a sample of an endpoint once in some seconds; the others have the rest.

go test -race ./gossip: ok (53.8 s).

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -22,6 +22,7 @@
 	"birchlink.dev/birchlink/quarantine"
 	"birchlink.dev/birchlink/quota"
 	"birchlink.dev/birchlink/rollout"
+	"birchlink.dev/birchlink/speed"
 	"birchlink.dev/birchlink/store"
 	"birchlink.dev/birchlink/storesession"
 	"birchlink.dev/birchlink/wait"
@@ -102,6 +103,9 @@
 	// Rates holds the request rates that endpoints accept from all boxes together.
 	Rates *endpointlimit.Rates
 
+	// EndpointSpeeds holds the samples of endpoints' speeds; nil if they aren't exchanged.
+	EndpointSpeeds *speed.Estimator
+
 	// OnCrash is called with the incarnation of each endpoint that another box reports as crashed.
 	OnCrash func(incarnation string)
 
@@ -296,6 +300,7 @@
 func (g *Gossip) runRound(c context.Context) {
 	g.dropLapsedSlots()
 	g.session.SetFast(g.holdsSlot())
+	g.setSampleReceivers()
 	if !g.holdsSlot() {
 		g.runMemberRound(c)
 		return
@@ -360,6 +365,7 @@
 	g.mergeDraining(w.Leavers)
 	g.mergeRates(w.Rates.Words)
 	g.mergeRollouts(w.Orders, w.Others.Words)
+	g.acceptSamples(w.SpeedSamples)
 	w.Verdicts, w.Leavers.Incarnations, w.Rates.Words = nil, nil, nil
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -59,7 +59,9 @@
 	}
 	var w MemberReply
 	status := g.memberStatus()
+	status.SpeedSamples = g.takeSamples(ownRelay)
 	if err := g.call(c, g.relay.address, "gossip.member", status, &w); err != nil || !w.Relay {
+		g.returnSamples(ownRelay, status.SpeedSamples)
 		g.log.Debug().Str("event", "relay").Str("other", g.relay.box).Bool("relay", w.Relay).Err(err).Msg("relay not usable")
 		return false, false
 	}
@@ -129,6 +131,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s.Knows, s.Judged = g.reply.Peers.Sum, g.reply.Judged
+	if r := g.reply.SpeedSamples; r != nil {
+		s.SpeedsSeen = r.Sequence
+	}
 	s.Leavers = g.state.Roster.DrainingSet(g.reply.Leavers.Sum)
 	s.Rates = g.Rates.Report(g.reply.Rates.Sum, boottime.Now())
 	if s.Works.Sum == g.reply.Works {
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -89,6 +89,8 @@
 	old, known := g.members[in.Box]
 	in.keepEndpointSet(old.Status)
 	if represented {
+		g.addMemberSamples(in.SpeedSamples)
+		in.SpeedSamples = nil
 		in.keepStats(old.Status)
 		g.members[in.Box] = receivedStatus{Status: in, receivedAt: now}
 	}
@@ -134,6 +136,7 @@
 	s.Limits, s.Now = g.Quota.IssueLease(in.Box, boottime.Now()), g.Clock.Now()
 	s.Leavers = g.state.Roster.DrainingSet(in.Leavers.Sum)
 	s.Rates = g.Rates.Report(in.Rates.Sum, boottime.Now())
+	s.SpeedSamples = g.takeSamples(in.Box)
 	return s, nil
 }
 
@@ -144,6 +147,8 @@
 	g.mergeDraining(in.Leavers)
 	g.mergeRates(in.Rates.Words)
 	g.mergeRollouts(in.Orders, in.Words)
+	g.addRelaySamples(in.SpeedSamples)
+	in.SpeedSamples = nil
 	in.Suspects, in.Leavers.Incarnations, in.Rates.Words = nil, nil, nil
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -187,9 +192,12 @@
 			last := g.lastRelayStatus(s.box)
 			out.Leavers = g.state.Roster.DrainingSet(last.Leavers.Sum)
 			out.Rates = g.Rates.Report(last.Rates.Sum, boottime.Now())
-			if err := g.call(c, s.address, "gossip.relay", out, &in); err == nil {
-				g.mergeRelayStatus(in)
+			out.SpeedSamples = g.takeSamples(s.box)
+			if err := g.call(c, s.address, "gossip.relay", out, &in); err != nil {
+				g.returnSamples(s.box, out.SpeedSamples)
+				return
 			}
+			g.mergeRelayStatus(in)
 		})
 	}
 	w.Wait()
--- a/gossip/status.go
+++ b/gossip/status.go
@@ -16,6 +16,7 @@
 	"birchlink.dev/birchlink/quarantine"
 	"birchlink.dev/birchlink/quota"
 	"birchlink.dev/birchlink/rollout"
+	"birchlink.dev/birchlink/speed"
 	"birchlink.dev/birchlink/usage"
 )
 
@@ -50,6 +51,11 @@
 	Orders     rollout.Orders                // of rollouts; set by relays
 	Words      map[string]rollout.Progress   // progress of rollouts, by service
 	Evidence   map[string]rollout.Evidence
+
+	// SpeedSamples are new samples of endpoints' speeds, and SpeedsSeen the sequence of the last
+	// MemberReply.SpeedSamples that a member got.
+	SpeedSamples []speed.Entry `msgpack:",omitempty"`
+	SpeedsSeen   uint64        `msgpack:",omitempty"`
 }
 
 // EndpointSet holds the IDs of the endpoints that a box uses; none means all. Sum is a checksum of
@@ -79,6 +85,10 @@
 	Leavers  endpoint.DrainingSet // draining endpoints whose records don't say so yet
 	Rates    endpointlimit.Report // request rates that endpoints accept from all boxes together
 	Orders   rollout.Orders       // of rollouts
+
+	// SpeedSamples are the samples of the endpoints whose speed has changed; nil if the relay doesn't
+	// represent the member.
+	SpeedSamples *speed.Reply `msgpack:",omitempty"`
 }
 
 // update carries a change of the configuration or of endpoint records.
--- a/gossip/sums.go
+++ b/gossip/sums.go
@@ -81,6 +81,7 @@
 	t := g.currentTotal()
 	w.Others = t.excluding(to)
 	w.Peers, w.Counts, w.Arbiters = t.peers, t.counts, t.arbiters
+	w.SpeedSamples = g.samplesFor(to)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	w.Works = g.members[to.Box].Works.Sum
