--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -65,6 +65,7 @@
 			p.reporter.Merge(u)
 		}
 	}
+	p.updateSpeeds(now)
 	if p.gossip.IsIsolated() {
 		p.balancer.SetRemoteLoad(nil, others.Boxes, now)
 		p.balancer.SetRemoteFailures(nil, now)
@@ -78,6 +79,37 @@
 	p.balancer.SetRemoteStats(others.Speeds)
 }
 
+// updateSpeeds recomputes the speed factors of the endpoints from the samples of all boxes.
+func (p *platformComponents) updateSpeeds(now time.Time) {
+	if p.balancer.Speeds == nil {
+		return
+	}
+	roster := &p.state.Roster
+	var services [][]endpoint.Endpoint
+	for _, s := range roster.Services() {
+		services = append(services, roster.Serving(s))
+	}
+	p.balancer.Speeds.Update(services, now)
+	roster.SetClasses(p.balancer.Speeds.Class)
+}
+
+// countBySpeed returns how many endpoints are known to be faster and slower than the mean of their
+// service.
+func (p *platformComponents) countBySpeed() (faster, slower int64) {
+	if p.balancer.Speeds == nil {
+		return 0, 0
+	}
+	for _, r := range p.balancer.Speeds.Ratings() {
+		switch {
+		case r.Factor < 1:
+			faster++
+		case r.Factor > 1:
+			slower++
+		}
+	}
+	return faster, slower
+}
+
 // recordCrash records a crash of an endpoint that another box reported. It ignores the report if
 // another process has started under the endpoint's ID since.
 func (p *platformComponents) recordCrash(incarnation string) {
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -39,6 +39,7 @@
 	"birchlink.dev/birchlink/rollout"
 	"birchlink.dev/birchlink/scaling"
 	"birchlink.dev/birchlink/settings"
+	"birchlink.dev/birchlink/speed"
 	"birchlink.dev/birchlink/store"
 	"birchlink.dev/birchlink/storesession"
 	"birchlink.dev/birchlink/usage"
@@ -160,6 +161,10 @@
 	q.Log = log
 	p.gossip.OnCrash = p.recordCrash
 	p.gossip.Rates = &p.balancer.Availability.Rates
+	if s.EndpointSpeeds {
+		p.balancer.Speeds = &speed.Estimator{}
+		p.gossip.EndpointSpeeds = p.balancer.Speeds
+	}
 	p.state.Roster.OnUnavailable(func(e endpoint.Endpoint) {
 		if !e.Draining {
 			q.RecordCrash(e.Incarnation(), "its record was deleted", boottime.Now())
@@ -215,6 +220,8 @@
 	s.RegisterGauge("endpoints.leaving", func() int64 { return int64(p.state.Roster.CountDraining()) })
 	s.RegisterGauge("endpoints.resting", func() int64 { return int64(p.balancer.Availability.CountBackingOff(boottime.Now())) })
 	s.RegisterGauge("endpoints.limited", func() int64 { return int64(p.balancer.Availability.Rates.Len()) })
+	s.RegisterGauge("endpoints.faster", func() int64 { n, _ := p.countBySpeed(); return n })
+	s.RegisterGauge("endpoints.slower", func() int64 { _, n := p.countBySpeed(); return n })
 	s.RegisterGauge("boxes.known", func() int64 { return p.reachableBoxes.Load() })
 	s.RegisterGauge("requests.live", func() int64 { return int64(in.InFlight()) })
 	s.RegisterGauge("contents.refused", func() int64 { return int64(len(p.gossip.Quarantine.Refused(boottime.Now()))) })
--- a/settings/platform_test.go
+++ b/settings/platform_test.go
@@ -45,6 +45,7 @@
 	require.True(t, s.FirstStart)
 	require.InDelta(t, 8, s.LinkMbps, 0)
 	require.InDelta(t, 0.1, s.RolloutShare, 0)
+	require.True(t, s.EndpointSpeeds)
 }
 
 // Every number that the platform fills in may be a fraction. No box starts if a setting that is a
@@ -72,6 +73,19 @@
 	require.False(t, s.Autoscale || s.ReportUsage || s.FirstStart)
 }
 
+// Choices don't take speeds into account unless the setting says so: a deployment whose settings
+// don't mention them is served as before.
+func TestEndpointSpeedsOffByDefault(t *testing.T) {
+	text := fillTemplate(t)
+	for value, want := range map[string]bool{"": false, "endpoint_speeds = no": false, "endpoint_speeds = yes": true} {
+		s, err := settings.ParsePlatform([]byte(regexp.MustCompile(`endpoint_speeds = yes`).ReplaceAllString(text, value)))
+		require.NoError(t, err)
+		require.Equal(t, want, s.EndpointSpeeds)
+	}
+	_, err := settings.ParsePlatform([]byte(regexp.MustCompile(`endpoint_speeds = yes`).ReplaceAllString(text, "endpoint_speeds = perhaps")))
+	require.ErrorContains(t, err, "endpoint_speeds")
+}
+
 // All mistakes are reported together, each with its section and key.
 func TestPlatformMistakes(t *testing.T) {
 	_, err := settings.ParsePlatform([]byte("[box]\nname = x\n[listen]\ncallers = here\n[duties]\nlease = soon\n[quota]\nslack = -1\n[nowhere]\nx = 1\n"))
