--- a/call/attempt.go
+++ b/call/attempt.go
@@ -22,6 +22,11 @@
 
 	// Priority is the call's rank at the endpoint. Rank 0 is served first.
 	Priority int
+
+	// HandleAddress and Handle, if set, name the memory of a run that was stopped and the address of
+	// the endpoint where it ran. The attempt continues that run.
+	HandleAddress string
+	Handle        string
 }
 
 // Outcome is what an answer reports besides its status. With NotRun set, the endpoint guarantees that
--- a/catalog/document.go
+++ b/catalog/document.go
@@ -63,6 +63,7 @@
 	KVTransfer         bool          // the KV cache of a running request can be moved
 	KVBackup           bool          // the KV cache of a running request can be copied as it grows
 	BackupTTL          time.Duration // how long a copy is kept for its request
+	TokensPerEvent     int           // tokens in an event of a stream; zero if unknown
 }
 
 // Service is a set of interchangeable endpoints.
--- a/settings/platform.go
+++ b/settings/platform.go
@@ -60,6 +60,9 @@
 	// receive before it is judged good.
 	RolloutShare float64
 
+	// MoveRequests moves running requests away from endpoints that announce their end.
+	MoveRequests bool
+
 	LogLevel string
 }
 
@@ -112,6 +115,7 @@
 		ReportWindow: r.Duration("duties", "report_window", 5*time.Second, time.Second, time.Hour),
 		ReportDue:    r.Duration("duties", "report_due", 10*time.Second, time.Second, time.Hour),
 		RolloutShare: r.Float("rollout", "share", 0.1, 0, 1),
+		MoveRequests: r.Choice("reclaim", "move_requests", no, no, yes) == yes,
 		LogLevel:     r.Choice("log", "level", "info", "debug", "info", "warn", "error"),
 	}
 	if len(duties) > 0 {
--- a/settings/platform_test.go
+++ b/settings/platform_test.go
@@ -45,6 +45,14 @@
 	require.True(t, s.FirstStart)
 	require.InDelta(t, 8, s.LinkMbps, 0)
 	require.InDelta(t, 0.1, s.RolloutShare, 0)
+	require.True(t, s.MoveRequests)
+}
+
+// A settings file from before an entry was introduced keeps the earlier decisions.
+func TestMoveRequestsOffByDefault(t *testing.T) {
+	s, err := settings.ParsePlatform([]byte(regexp.MustCompile(`(?m)^move_requests = .*$`).ReplaceAllString(fillTemplate(t), "")))
+	require.NoError(t, err)
+	require.False(t, s.MoveRequests)
 }
 
 // Every number that the platform fills in may be a fraction. No box starts if a setting that is a
