Move running requests away from endpoints that end

A stream at an endpoint that drains was cut with it, and one that must not run twice was lost. If Moves is set, forward now carries out the decisions of package migration: it copies the run's memory while events pass, stops the run, reads its stream to the close and continues it at the destination in the same answer, without a new attempt. After the call that stops the run nothing starts elsewhere until its handle is known, its stream has closed or the source is gone; the watchdog is off meanwhile.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -27,47 +27,69 @@
 func (r *run) attempt(c context.Context, ch balance.Choice) attemptResult {
 	x, cancel := context.WithCancelCause(c)
 	defer cancel(nil)
-	maxIdle := maxIdleOnce
-	if r.q.Route.Repeatable() {
-		maxIdle = maxIdleRepeatable
-	}
 	e := ch.Endpoint
-	a := call.Attempt{Endpoint: e.ID, Account: r.q.AccountName(), Timeout: boottime.Until(r.q.Expires), LastEventID: r.lastEventID, Priority: r.priority(ch)}
+	a, maxIdle := r.newAttempt(ch)
 	cl := r.q.Call
 	defer r.f.Meter.Begin(r.q.Service.Name, r.addedTokens(ch), boottime.Now())()
-	n := r.f.Balancer.Begin(e, ch, boottime.Now())
+	n := r.reserved
+	if n == nil {
+		n = r.f.Balancer.Begin(e, ch, boottime.Now())
+	}
 	r.f.OnSend(e, ch.Tokens)
 	w := r.startWatchdog(cancel, ch)
 	defer w.stop()
 	defer r.f.attempts.add(e.Incarnation(), cancel)()
+	r.stream = r.trackStream(c, x, cancel, ch, w)
+	defer r.stream.end()
 	defer r.f.Rollouts.Begin(r.q.Service.Name, e.Version)()
 	sent := boottime.Now()
 	resp, err := r.f.Pool.Do(x, httpconn.Request{
 		Address: e.Address, Method: cl.Method, Target: cl.Target, Host: cl.Host, Header: r.f.Codec.Head(cl, a), Body: cl.Body, MaxIdle: maxIdle,
-		ShouldSend: func() bool { return r.maySend(e) },
+		ShouldSend: func() bool { return r.isContinuedAtSource(ch) || r.maySend(e) },
 		Matches:    func(h http.Header) bool { return r.f.Codec.Outcome(0, h).ID == cl.ID },
 	})
 	if err != nil {
 		unreachable := errors.Is(err, httpconn.ErrUnreachable)
 		notSent := errors.Is(err, httpconn.ErrNotSent)
-		n.End(c.Err() == nil && !notSent, boottime.Now())
+		out := attemptResult{interruption: recovery.Gone, err: cancelCause(x, err)}
+		if !unreachable && !notSent {
+			out.stopped = r.stream.settle(false)
+		}
+		n.End(c.Err() == nil && !notSent && out.stopped == nil, boottime.Now())
 		switch {
 		case unreachable:
 			return attemptResult{interruption: recovery.Unreachable, err: err}
 		case notSent:
 			return attemptResult{interruption: recovery.NeverSeen, err: err}
 		}
-		return attemptResult{interruption: recovery.Gone, err: cancelCause(x, err)}
+		return out
 	}
 	defer resp.Close()
 	r.trace.ResponseTime = boottime.Since(sent)
 	out := r.readResponse(resp, n, w, sent)
 	r.recordForRollout(ch, out, sent)
 	out.err = cancelCause(x, out.err)
-	n.End(!out.done && c.Err() == nil, boottime.Now())
+	n.End(!out.done && out.stopped == nil && c.Err() == nil, boottime.Now())
 	return out
 }
 
+// newAttempt returns the attempt at the chosen endpoint, and the idle time up to which it may use a
+// connection.
+func (r *run) newAttempt(ch balance.Choice) (call.Attempt, time.Duration) {
+	a := call.Attempt{
+		Endpoint: ch.Endpoint.ID, Account: r.q.AccountName(), Timeout: boottime.Until(r.q.Expires), LastEventID: r.lastEventID, Priority: r.priority(ch),
+	}
+	switch s := r.continued; {
+	case s != nil:
+		a.HandleAddress, a.Handle = s.source.Address, s.handle
+		return a, 0 // a handle serves once, so it must not be lost with an idle connection
+	case r.q.Route.Repeatable():
+		return a, maxIdleRepeatable
+	default:
+		return a, maxIdleOnce
+	}
+}
+
 // addedTokens returns the prompt tokens that an attempt adds to the demand of the service: none
 // if an earlier attempt that did not run has added them already.
 func (r *run) addedTokens(ch balance.Choice) int {
--- /dev/null
+++ b/forward/continue.go
@@ -0,0 +1,117 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/rcrowley/go-metrics"
+
+	"birchlink.dev/birchlink/balance"
+	"birchlink.dev/birchlink/boottime"
+	"birchlink.dev/birchlink/call"
+	"birchlink.dev/birchlink/recovery"
+)
+
+// continueMoved continues a request whose run was stopped to be moved, at as many endpoints in turn
+// as it is moved to. It returns the last choice and its result. A continuation is the same run: it is
+// allowed on any route, and is not an attempt.
+func (r *run) continueMoved(c context.Context, ch balance.Choice, out attemptResult) (balance.Choice, attemptResult) {
+	for out.stopped != nil {
+		ch, out = r.continueStopped(c, ch, out.stopped)
+	}
+	return ch, out
+}
+
+// continueStopped continues a stopped run at its destination, at others to which the source copies
+// the memory again, or at the source. If all of them refuse, the result is that of a lost run.
+func (r *run) continueStopped(c context.Context, from balance.Choice, s *stoppedRun) (balance.Choice, attemptResult) {
+	r.moves++
+	r.trace.Moves = r.moves
+	for range maxTargets {
+		if c.Err() != nil || s.target == nil && !r.copyElsewhere(c, s) {
+			break
+		}
+		t := s.target
+		s.target = nil
+		s.skip[t.choice.Endpoint.Incarnation()] = true
+		out := r.continueAt(c, t.choice, s, t.attempt)
+		if !out.isNotRun() {
+			r.recordMove(s, "moved", t.choice, out)
+			return t.choice, out
+		}
+	}
+	outcome := "cancelled"
+	if c.Err() == nil {
+		outcome = "refused"
+		if out := r.continueAt(c, from, s, nil); !out.isNotRun() {
+			r.recordMove(s, "returned", from, out)
+			return from, out
+		}
+	}
+	s.discard()
+	r.recordMove(s, outcome, from, attemptResult{})
+	return from, attemptResult{interruption: recovery.Gone, err: fmt.Errorf("no endpoint continues the run that %s stopped", s.source.ID)}
+}
+
+// copyElsewhere copies the memory of a stopped run from its source to another destination.
+func (r *run) copyElsewhere(c context.Context, s *stoppedRun) bool {
+	for range maxTargets {
+		t := r.chooseTarget(s.source, s.skip)
+		if t == nil {
+			return false
+		}
+		s.skip[t.choice.Endpoint.Incarnation()] = true
+		a, err := r.f.copyRun(c, r.q.Call.ID, s.source, t.choice.Endpoint, true, s.ends)
+		if a.Handle != "" {
+			s.handle = a.Handle
+		}
+		if err == nil && a.Result == call.Copied {
+			s.target = t
+			return true
+		}
+		t.release()
+		if err != nil || a.Result != call.NoRoom {
+			return false
+		}
+	}
+	return false
+}
+
+// continueAt sends the request to an endpoint that continues the stopped run.
+func (r *run) continueAt(c context.Context, ch balance.Choice, s *stoppedRun, reserved *balance.Attempt) attemptResult {
+	r.tried[ch.Endpoint.Incarnation()] = true
+	r.trace.Choice = ch
+	r.hasPermit = false
+	r.continued, r.reserved = s, reserved
+	defer func() { r.continued, r.reserved = nil, nil }()
+	return r.attempt(c, ch)
+}
+
+// isContinuedAtSource reports whether the attempt returns a stopped run to its source, which drains
+// but may continue what it ran.
+func (r *run) isContinuedAtSource(ch balance.Choice) bool {
+	return r.continued != nil && r.continued.source.Incarnation() == ch.Endpoint.Incarnation()
+}
+
+// isNotRun reports whether the endpoint did not and will not run the attempt.
+func (r attemptResult) isNotRun() bool {
+	if r.done || r.stopped != nil {
+		return false
+	}
+	return r.interruption == recovery.Refused || r.interruption == recovery.Unreachable || r.interruption == recovery.NeverSeen
+}
+
+// recordMove logs and counts the move of a stopped run. The pause is the time from its last event at
+// the source until the first one of the continuation.
+func (r *run) recordMove(s *stoppedRun, outcome string, to balance.Choice, out attemptResult) {
+	metrics.GetOrRegisterCounter("moves."+outcome, r.f.Metrics).Inc(1)
+	s.stream.mu.Lock()
+	events, last := s.stream.passed+s.stream.events, s.stream.last
+	s.stream.mu.Unlock()
+	e := r.f.Log.Info().Str("event", "move").Str("request", r.q.Call.ID).Str("endpoint", s.source.ID).Str("to", to.Endpoint.ID).Str("action", "move").
+		Str("reason", outcome).Int("events", events).Int("created", s.created).Dur("took", boottime.Since(s.since)).Dur("left", boottime.Until(s.ends))
+	if out.eventCount > 0 && !last.IsZero() {
+		e.Dur("pause", out.firstEventAt.Sub(last))
+	}
+	e.Msg("decision")
+}
--- /dev/null
+++ b/forward/engine_test.go
@@ -0,0 +1,332 @@
+package forward_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"birchlink.dev/birchlink/endpoint"
+)
+
+// engines is a set of fake engines that copy the memory of runs to each other. It records where
+// requests run, and whether one ever ran at two places.
+type engines struct {
+	t *testing.T
+
+	mu      sync.Mutex
+	byName  map[string]*fakeEngine
+	running map[string]string // by request ID, the engine that runs it
+	handles map[string]string // by the address of the source and the handle, the destination's address
+	starts  []string          // for each run begun: engine, "new" or "moved", and last event ID
+	overlap bool              // a request ran at two places
+	serial  int
+	freed   chan string // handles that were freed
+}
+
+func newEngines(t *testing.T) *engines {
+	t.Helper()
+	return &engines{t: t, byName: map[string]*fakeEngine{}, running: map[string]string{}, handles: map[string]string{}, freed: make(chan string, 64)}
+}
+
+// fakeEngine streams the events after Last-Event-Id up to total. If drains is set, a run that is not
+// a continuation sends hold events, announces that the engine drains, and waits before each further
+// event.
+type fakeEngine struct {
+	all   *engines
+	name  string
+	total int
+	hold  int
+
+	drains   bool
+	lateHead bool     // the head of a response is sent with the first event
+	moves    []string // what happens on each call of kv-move; the last one repeats
+	refuses  int      // continuations to refuse
+
+	addr     string
+	listener net.Listener
+	drain    func()
+	cancel   context.CancelFunc // cancels the request, as the stop of the box does
+	received func(event int)    // waits until the caller has received an event
+
+	mu       sync.Mutex
+	conns    []net.Conn
+	sent     int
+	stopped  chan struct{} // closed when the run is to stop
+	released chan struct{} // closed when a run that waits may go on
+	streams  []net.Conn
+	ended    chan struct{} // closed when the process has ended
+}
+
+type connKey struct{}
+
+func (s *engines) add(name string, total int) *fakeEngine {
+	s.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(s.t, err)
+	e := &fakeEngine{
+		all: s, name: name, total: total, listener: l, addr: l.Addr().String(), moves: []string{"ok"},
+		stopped: make(chan struct{}), released: make(chan struct{}), ended: make(chan struct{}),
+	}
+	s.mu.Lock()
+	s.byName[name] = e
+	s.mu.Unlock()
+	m := http.NewServeMux()
+	m.HandleFunc("POST /birchlink/kv-move", e.move)
+	m.HandleFunc("DELETE /birchlink/kv-handle/{id}", func(w http.ResponseWriter, q *http.Request) {
+		s.freed <- q.PathValue("id")
+		w.WriteHeader(http.StatusOK)
+	})
+	m.HandleFunc("POST /x", e.serve)
+	h := &http.Server{Handler: m, ReadHeaderTimeout: time.Minute, ConnContext: func(c context.Context, n net.Conn) context.Context {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.conns = append(e.conns, n)
+		return context.WithValue(c, connKey{}, n)
+	}}
+	go func() { _ = h.Serve(l) }()
+	s.t.Cleanup(e.crash)
+	return e
+}
+
+// crash ends the process of the engine.
+func (e *fakeEngine) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	select {
+	case <-e.ended:
+		return
+	default:
+	}
+	close(e.ended)
+	e.all.endRuns(e.name)
+	_ = e.listener.Close()
+	for _, c := range e.conns {
+		_ = c.Close()
+	}
+}
+
+// cutStreams closes the connections of streams while their runs go on.
+func (e *fakeEngine) cutStreams() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, c := range e.streams {
+		_ = c.Close()
+	}
+}
+
+func (s *engines) endRuns(engine string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, n := range s.running {
+		if n == engine {
+			delete(s.running, id)
+		}
+	}
+}
+
+// begin records the start of a run, and reports whether the engine may begin it.
+func (s *engines) begin(e *fakeEngine, q *http.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id, from, kind := q.Header.Get("X-Request-Id"), q.Header.Get("Kv-From"), "new"
+	if from != "" {
+		kind = "moved"
+		to, ok := s.handles[from]
+		if e.refuses > 0 || !ok || to != e.addr && !strings.HasPrefix(from, e.addr+"/") {
+			e.refuses--
+			delete(s.handles, from)
+			return false
+		}
+		delete(s.handles, from)
+	}
+	if at, ok := s.running[id]; ok {
+		s.t.Logf("%s runs at %s and begins at %s", id, at, e.name)
+		s.overlap = true
+	}
+	s.running[id] = e.name
+	s.starts = append(s.starts, strings.TrimSpace(e.name+" "+kind+" "+q.Header.Get("Last-Event-Id")))
+	return true
+}
+
+func (e *fakeEngine) serve(w http.ResponseWriter, q *http.Request) {
+	if !e.all.begin(e, q) {
+		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set("X-Request-Id", q.Header.Get("X-Request-Id"))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	e.mu.Lock()
+	n, _ := q.Context().Value(connKey{}).(net.Conn)
+	e.streams = append(e.streams, n)
+	e.mu.Unlock()
+	w.Header().Set("X-Request-Id", q.Header.Get("X-Request-Id"))
+	w.Header().Set("X-Response-Stamp", e.name)
+	w.Header().Set("Content-Type", "text/event-stream")
+	rc := http.NewResponseController(w)
+	if !e.lateHead {
+		_ = rc.Flush()
+	}
+	last, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
+	for i := last + 1; i <= e.total; i++ {
+		if e.drains && i > e.hold && q.Header.Get("Kv-From") == "" {
+			if i == e.hold+1 && e.hold > 0 {
+				e.received(e.hold)
+			}
+			e.drain()
+			e.await(q.Context())
+		}
+		fmt.Fprintf(w, "id: %d\ndata: %d\n\n", i, i)
+		_ = rc.Flush()
+		e.mu.Lock()
+		e.sent = i
+		e.mu.Unlock()
+	}
+	e.all.endRuns(e.name)
+}
+
+// await blocks the run until it may go on. If it is stopped, its stream is closed without its end.
+func (e *fakeEngine) await(c context.Context) {
+	select {
+	case <-c.Done(): // the box has closed the connection
+		panic(http.ErrAbortHandler)
+	case <-e.stopped:
+		panic(http.ErrAbortHandler)
+	case <-e.ended:
+		panic(http.ErrAbortHandler)
+	case <-e.released:
+	}
+}
+
+// move answers a call of kv-move with the next of the engine's behaviours.
+func (e *fakeEngine) move(w http.ResponseWriter, q *http.Request) {
+	var in struct {
+		ID            string `json:"id"`
+		TargetVersion string `json:"target_version"`
+		Last          bool   `json:"last"`
+	}
+	if err := json.NewDecoder(q.Body).Decode(&in); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	b := e.moves[0]
+	if len(e.moves) > 1 {
+		e.moves = e.moves[1:]
+	}
+	e.mu.Unlock()
+	handle := ""
+	copyRun := func() {
+		e.all.mu.Lock()
+		defer e.all.mu.Unlock()
+		e.all.serial++
+		handle = "h" + strconv.Itoa(e.all.serial)
+		e.all.handles[e.addr+"/"+handle] = in.TargetVersion
+	}
+	stop := func() {
+		if !in.Last {
+			return
+		}
+		e.all.endRuns(e.name)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		select {
+		case <-e.stopped:
+		default:
+			close(e.stopped)
+		}
+	}
+	status := http.StatusOK
+	switch b {
+	case "ok":
+		stop()
+		copyRun()
+	case "ok_left_open": // the stream of the stopped run is not closed
+		e.all.endRuns(e.name)
+		copyRun()
+	case "ok_then_target_ends":
+		stop()
+		copyRun()
+		e.all.engineAt(in.TargetVersion).crash()
+	case "target_ends", "full": // a run that is told to stop does, and its memory stays here
+		if b == "target_ends" {
+			e.all.engineAt(in.TargetVersion).crash()
+		}
+		status = http.StatusServiceUnavailable
+		if stop(); in.Last {
+			copyRun()
+			e.all.mu.Lock()
+			e.all.handles[e.addr+"/"+handle] = ""
+			e.all.mu.Unlock()
+		}
+	case "no_run_yet": // and the run begins after this answer
+		e.released <- struct{}{}
+		status = http.StatusNotFound
+	case "ends":
+		e.crash()
+		panic(http.ErrAbortHandler)
+	case "answer_lost":
+		stop()
+		panic(http.ErrAbortHandler)
+	case "link_cut": // the call doesn't arrive, and the stream is cut although the run goes on
+		e.cutStreams()
+		panic(http.ErrAbortHandler)
+	case "no_answer": // the call doesn't arrive, and nothing else does
+		<-q.Context().Done()
+		return
+	case "vanishes": // the engine's box ends without a sign
+		e.all.endRuns(e.name)
+		<-q.Context().Done()
+		return
+	case "box_stops":
+		stop()
+		e.cancel()
+		<-q.Context().Done()
+		return
+	case "run_ends": // the run ends before it is told to stop
+		close(e.released)
+		status = http.StatusNotFound
+	case "event_first": // the copy takes until the stream has sent another event, and its caller has got it
+		e.released <- struct{}{}
+		e.received(e.hold + 1)
+		copyRun()
+	}
+	w.WriteHeader(status)
+	if handle != "" {
+		_ = json.NewEncoder(w).Encode(map[string]any{"handle": handle, "created": e.sentEvents()})
+	}
+}
+
+func (e *fakeEngine) sentEvents() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.sent
+}
+
+func (s *engines) engineAt(addr string) *fakeEngine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.byName {
+		if e.addr == addr {
+			return e
+		}
+	}
+	s.t.Errorf("no engine has the address %s", addr)
+	return nil
+}
+
+// register lists the engine as an endpoint of a data centre. Later, drain marks it as one that ends after period.
+func (e *fakeEngine) register(r *endpoint.Roster, dc string, reclaimable bool, period time.Duration) {
+	v := endpoint.Endpoint{ID: e.name, Service: "s", Slots: 4, Address: e.addr, DataCentre: dc, Reclaimable: reclaimable}
+	r.Put(v)
+	v.Draining, v.DrainPeriod = true, period
+	e.drain = func() { r.Put(v) }
+}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -77,7 +77,7 @@
 // LimitFunc is called when an endpoint sets, lowers or removes the limit on its request rate.
 type LimitFunc func(s endpointlimit.Statement)
 
-// Forwarder forwards requests. All exported fields must be set.
+// Forwarder forwards requests. All exported fields but Moves must be set.
 type Forwarder struct {
 	DataCentre    string
 	Roster        *endpoint.Roster
@@ -88,6 +88,7 @@
 	Quarantine    *quarantine.Quarantine
 	Rollouts      *rollout.Gate
 	Codec         Codec
+	Moves         MoveCodec // nil if running requests are not moved
 	RequestPermit PermitFunc
 	OnStart       StartFunc
 	OnSend        SendFunc
@@ -98,6 +99,7 @@
 	Log           zerolog.Logger
 
 	attempts attemptSet
+	streams  streamSet
 }
 
 // Check returns an error if a request must not be sent to any endpoint: its content is quarantined
--- /dev/null
+++ b/forward/migrate_test.go
@@ -0,0 +1,266 @@
+package forward_test
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"birchlink.dev/birchlink/boottime"
+	"birchlink.dev/birchlink/budget"
+	"birchlink.dev/birchlink/call"
+	"birchlink.dev/birchlink/catalog"
+	"birchlink.dev/birchlink/endpoint"
+	"birchlink.dev/birchlink/errkind"
+	"birchlink.dev/birchlink/forward"
+	"birchlink.dev/birchlink/platform"
+	"birchlink.dev/birchlink/requesthash"
+)
+
+// streamSink records a stream, and passes the IDs of its events to received.
+type streamSink struct {
+	recorder
+	stamp    string
+	received chan int
+}
+
+func (s *streamSink) Head(status int, h http.Header) error {
+	s.stamp = h.Get("X-Response-Stamp")
+	return s.recorder.Head(status, h)
+}
+
+func (s *streamSink) Event(raw []byte) error {
+	id, _, _ := strings.Cut(strings.TrimPrefix(string(raw), "id: "), "\n")
+	n, _ := strconv.Atoi(id)
+	s.received <- n
+	return s.recorder.Event(raw)
+}
+
+// moveTest is a request to engine a, which drains after three of six events. Engine b can take the
+// run, and so can c if it is set.
+type moveTest struct {
+	resumable bool
+	moves     string // behaviours of a on each call of kv-move
+	refuses   int    // continuations that b refuses
+	c         bool
+	period    time.Duration // that a has left; zero if it does not say
+	timeout   time.Duration // of the request
+	off       bool          // moves are off
+	handleTTL time.Duration
+	noBudget  bool
+	waiting   bool // a drains before the first event
+	lateHead  bool // a sends the head with the first event
+	cancelled bool // the attempt at a is cancelled, and may end a moment after the next has begun
+
+	reclaim       bool   // all engines are reclaimable
+	dataCentreOfC string // that of a and b if empty
+
+	wantEvents   string
+	wantErr      string // kind of error
+	wantStarts   string // where the run began: engine, "new" or "moved", and last event ID
+	wantMoves    string // metric that counts the move
+	wantFreed    int    // handles that are freed at least
+	wantCanceled bool
+	wantStamp    string // of the engine whose head the caller gets; a if empty
+}
+
+func TestMoves(t *testing.T) {
+	const all = "1 2 3 4 5 6"
+	for name, v := range map[string]moveTest{
+		// A run that must not run twice continues with every event once.
+		"moved": {wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "moved"},
+		// A box that moves nothing loses the run with its endpoint.
+		"off": {off: true, timeout: 300 * time.Millisecond, wantEvents: "1 2 3", wantErr: "outcome_unknown", wantStarts: "a new"},
+		// Moves that the engine's notice leaves no time for are tried all the same.
+		"no time left": {period: time.Millisecond, wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "moved"},
+		// The destination ends during the copy: the run goes on at the source meanwhile.
+		"destination ends during the copy": {moves: "target_ends ok", c: true, wantEvents: all, wantStarts: "a new, c moved 3", wantMoves: "moved"},
+		// The destination ends during the copy with which the run stops.
+		"destination ends during the last copy": {moves: "ok target_ends ok", c: true, wantEvents: all, wantStarts: "a new, c moved 3", wantMoves: "moved"},
+		// The destination ends after the run was stopped: the source still has its memory.
+		"destination ends after the copy": {moves: "ok ok_then_target_ends ok", c: true, wantEvents: all, wantStarts: "a new, c moved 3", wantMoves: "moved"},
+		// No other destination is left: the run goes on where it was.
+		"destination ends and no other is left": {moves: "ok ok_then_target_ends", wantEvents: all, wantStarts: "a new, a moved 3", wantMoves: "returned"},
+		// The source ends during the first copy: the run is lost, and nothing else may start.
+		"source ends during the copy": {moves: "ends", wantEvents: "1 2 3", wantErr: "outcome_unknown", wantStarts: "a new"},
+		// The same where the route allows to compute the stream again.
+		"source ends, resumable": {moves: "ends", resumable: true, wantEvents: all, wantStarts: "a new, b new 3"},
+		// The source ends after the first copy: the run continues from that copy.
+		"source ends after the copy": {moves: "ok ends", wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "moved"},
+		// The answer to the stop is lost: the call is repeated, since only its handle allows to go on.
+		"answer lost": {moves: "ok answer_lost ok", wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "moved"},
+		// The answer remains unknown: a run that must not run twice starts nowhere else.
+		"answer never known": {
+			moves: "ok answer_lost", handleTTL: 300 * time.Millisecond, wantEvents: "1 2 3", wantErr: "outcome_unknown", wantStarts: "a new", wantMoves: "no_answer",
+			wantFreed: 1,
+		},
+		// A resumable stream starts elsewhere once the source has closed it.
+		"answer never known, resumable": {
+			moves: "ok answer_lost", resumable: true, wantEvents: all, wantStarts: "a new, b new 3", wantMoves: "no_answer", wantFreed: 1,
+		},
+		// The endpoints of a data centre are reclaimed together, so a destination in another is better.
+		"data centre is reclaimed": {reclaim: true, c: true, dataCentreOfC: "e", wantEvents: all, wantStarts: "a new, c moved 3", wantMoves: "moved"},
+		// It is not a must.
+		"only reclaimable left": {reclaim: true, wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "moved"},
+		// The link is cut while the run goes on, and works again: the repeated call stops the run.
+		"link cut for a moment": {moves: "ok link_cut ok", wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "moved"},
+		// The link is cut without a sign: even a resumable stream, which the watchdog would start
+		// elsewhere after 1.2 s, must not start while the source may still run it.
+		"link cut for long": {
+			moves: "ok no_answer", resumable: true, timeout: 4500 * time.Millisecond, period: 9 * time.Second, wantEvents: "1 2 3",
+			wantErr: "deadline_passed", wantStarts: "a new",
+		},
+		// The same, but the source's announced end has passed.
+		"link cut beyond the end": {
+			moves: "ok vanishes", resumable: true, wantEvents: all, wantStarts: "a new, b new 3", wantMoves: "no_answer",
+		},
+		// The destination has no room: another is tried, and the run goes on meanwhile.
+		"destination full": {moves: "full ok", c: true, wantEvents: all, wantStarts: "a new, c moved 3", wantMoves: "moved"},
+		// All destinations have no room for the last copy: the run goes on where it was.
+		"all destinations full": {moves: "ok full", c: true, wantEvents: all, wantStarts: "a new, a moved 3", wantMoves: "returned"},
+		// The source does not close the stream of the stopped run, for example because the link was cut.
+		"stream left open": {moves: "ok ok_left_open", wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "moved"},
+		// The destination refuses the continuation, for which its handle is used up.
+		"destination refuses": {refuses: 1, c: true, wantEvents: all, wantStarts: "a new, c moved 3", wantMoves: "moved"},
+		// The run ends before it is told to stop: its stream is complete, and the copy is freed.
+		"run ends first": {moves: "ok run_ends", wantEvents: all, wantStarts: "a new", wantFreed: 1},
+		// A copy without last must not hold back events.
+		"events during the copy": {moves: "event_first ok", wantEvents: all, wantStarts: "a new, b moved 4", wantMoves: "moved"},
+		// The box stops meanwhile: nothing starts elsewhere, and the copy is freed.
+		"box stops": {moves: "ok box_stops", wantEvents: "1 2 3", wantStarts: "a new", wantFreed: 1, wantCanceled: true},
+		// A run that has not begun can't be moved yet. It is moved when it has begun.
+		"not begun": {
+			waiting: true, period: 100 * time.Millisecond, moves: "no_run_yet ok", wantEvents: all, wantStarts: "a new, b moved 1", wantMoves: "moved",
+		},
+		// If the route allows it, a run that will not begin in time is sent elsewhere at once.
+		"not begun, resumable": {waiting: true, resumable: true, cancelled: true, wantEvents: all, wantStarts: "a new, b new", wantStamp: "b", wantMoves: "resumed"},
+		// A run that has begun but sent nothing moves too. The caller gets the head of its destination.
+		"no head yet": {
+			waiting: true, lateHead: true, period: 100 * time.Millisecond, wantEvents: all, wantStarts: "a new, b moved", wantMoves: "moved", wantStamp: "b",
+		},
+		// Without retry budget a move is still made: it is no attempt.
+		"no retry budget": {resumable: true, noBudget: true, wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "moved"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			v.run(t)
+		})
+	}
+}
+
+func (v moveTest) run(t *testing.T) {
+	es := newEngines(t)
+	s := newScript(t)
+	if v.noBudget {
+		s.f.Budget = budget.New(budget.Limits{Window: time.Minute})
+	}
+	a, b := es.add("a", 6), es.add("b", 6)
+	a.hold, a.drains, a.lateHead = 3, true, v.lateHead
+	if v.waiting {
+		a.hold = 0
+	}
+	if v.period == 0 {
+		v.period = 400 * time.Millisecond
+	}
+	if v.moves != "" {
+		a.moves = strings.Fields(v.moves)
+	}
+	b.refuses = v.refuses
+	var log bytes.Buffer
+	sink, err := v.send(t, es, s, &log)
+	es.check(t, v)
+	require.Equal(t, v.wantEvents, sink.events())
+	require.Equal(t, cmp.Or(v.wantStamp, "a"), sink.stamp, "the head of the first endpoint is kept")
+	require.Equal(t, 1, sink.heads)
+	if v.wantMoves != "" {
+		require.EqualValues(t, 1, metrics.GetOrRegisterCounter("moves."+v.wantMoves, s.f.Metrics).Count())
+		require.Contains(t, log.String(), `"event":"move","request":"r1","endpoint":"a"`)
+		if v.wantMoves != "resumed" { // its reason is that of the decision
+			require.Contains(t, log.String(), `"reason":"`+v.wantMoves+`"`)
+		}
+	}
+	for range v.wantFreed {
+		<-es.freed
+	}
+	if v.wantErr == "" && !v.wantCanceled {
+		require.NoError(t, err)
+		return
+	}
+	var e *errkind.Error
+	require.True(t, errors.As(err, &e), "%v", err)
+	if v.wantCanceled {
+		require.Equal(t, errkind.CallerGone, e.Kind)
+		return
+	}
+	require.Equal(t, v.wantErr, e.Kind.String())
+}
+
+// check requires that the request ran only where it should, and nowhere at the same time.
+func (s *engines) check(t *testing.T, v moveTest) {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	require.False(t, s.overlap && !v.cancelled, "the request ran at two places")
+	require.Equal(t, v.wantStarts, strings.Join(s.starts, ", "))
+}
+
+// send sends a request to engine a, and lists the others when a drains.
+func (v moveTest) send(t *testing.T, es *engines, s *script, log *bytes.Buffer) (*streamSink, error) {
+	t.Helper()
+	a := es.byName["a"]
+	c, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	a.cancel = cancel
+	sink := &streamSink{received: make(chan int, 64)}
+	a.received = func(n int) {
+		for <-sink.received != n {
+		}
+	}
+	s.f.Codec, s.f.Log = platform.HeaderCodec{}, zerolog.New(log)
+	if !v.off {
+		s.f.Moves = platform.MoveCodec{}
+	}
+	s.f.Roster.OnUnavailable(func(e endpoint.Endpoint) {
+		if e.Draining {
+			s.f.MoveAway(e)
+		}
+	})
+	a.register(s.f.Roster, "d", v.reclaim, v.period)
+	drain := a.drain
+	a.drain = func() {
+		es.byName["b"].register(s.f.Roster, "d", v.reclaim, 0)
+		if v.c {
+			es.add("c", 6).register(s.f.Roster, cmp.Or(v.dataCentreOfC, "d"), v.reclaim, 0)
+			v.c = false
+		}
+		drain()
+	}
+	timeout, ttl := v.timeout, v.handleTTL
+	if timeout == 0 {
+		timeout = 20 * time.Second
+	}
+	if ttl == 0 {
+		ttl = 5 * time.Second
+	}
+	q := forward.Request{
+		Call: &call.Call{
+			ID: "r1", Method: http.MethodPost, Host: "h", Target: "/x", Path: "/x", Body: []byte("body"), Arrived: boottime.Now(),
+			Header: http.Header{"X-Request-Id": {"r1"}},
+		},
+		Route:   &catalog.Route{Kind: catalog.Stream, Resumable: v.resumable, MaxAttempts: 2, LatencyObjective: time.Second},
+		Service: &catalog.Service{Name: "s", Engine: &catalog.Engine{Slots: 4, KVTransfer: true, BackupTTL: ttl, TokensPerEvent: 4}},
+		Account: &catalog.Account{Name: "a"}, Expires: boottime.Now().Add(timeout),
+	}
+	q.Content = requesthash.HashOf("a", q.Call)
+	_, err := s.f.Do(c, q, sink)
+	return sink, err
+}
--- /dev/null
+++ b/forward/move.go
@@ -0,0 +1,407 @@
+package forward
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"syscall"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"birchlink.dev/birchlink/balance"
+	"birchlink.dev/birchlink/boottime"
+	"birchlink.dev/birchlink/call"
+	"birchlink.dev/birchlink/endpoint"
+	"birchlink.dev/birchlink/wait"
+)
+
+var (
+	errStopped     = errors.New("the run was stopped to be moved")
+	errSourceEnded = errors.New("the endpoint's announced end has passed")
+)
+
+const (
+	// maxTargets bounds the destinations that one move tries.
+	maxTargets = 3
+
+	// The timeout of a copy is the time that the source has left, within these bounds. A copy takes
+	// about 10 ms, but may wait for those of all other streams at the source, which take some 0.4 s.
+	minCopyTimeout = 100 * time.Millisecond
+	maxCopyTimeout = time.Second
+
+	// streamEndTimeout is the time without an event after which the stream of a stopped run is no
+	// longer read, for example because the link was cut. The source closes it after the last event.
+	streamEndTimeout = 250 * time.Millisecond
+
+	// stopRetryInterval is the interval between repeated calls with last, and maxStopRetries bounds
+	// those after the stream broke, if the request can be computed again elsewhere. Each may take as
+	// long as it takes to find out that the source's box has ended.
+	stopRetryInterval = 50 * time.Millisecond
+	maxStopRetries    = 1
+
+	// endGrace is the time after the announced end of the source from which it is taken to be gone.
+	// It counts only for repeatable requests.
+	endGrace = time.Second
+
+	// defaultHandleTTL is how long a source keeps the memory of a stopped run if its configuration
+	// does not say. No answer is of use after that.
+	defaultHandleTTL = 5 * time.Second
+
+	freeTimeout       = 500 * time.Millisecond
+	maxCopyAnswerSize = 64 << 10
+)
+
+// moveTarget is the destination of a move. Until the request continues there, the attempt holds its
+// place in the balancer's counts, so that concurrent moves spread.
+type moveTarget struct {
+	choice  balance.Choice
+	attempt *balance.Attempt
+}
+
+func (t *moveTarget) release() {
+	if t != nil && t.attempt != nil {
+		t.attempt.End(false, boottime.Now())
+	}
+}
+
+// stoppedRun is a run that no longer runs and whose memory is held by the handle.
+type stoppedRun struct {
+	source  endpoint.Endpoint
+	handle  string
+	created int
+	target  *moveTarget     // where a copy of the memory is; nil if it is only at the source
+	skip    map[string]bool // incarnations that are no destination
+	since   time.Time       // when the move began
+	ends    time.Time       // when the source ends
+	stream  *runningStream
+}
+
+// discard frees the memory of a run that is not continued.
+func (s *stoppedRun) discard() {
+	s.target.release()
+	s.stream.r.f.free(s.stream.c, s.source, s.handle)
+}
+
+// move is one move of a stream. Its goroutine copies the memory while the stream goes on.
+type move struct {
+	s      *runningStream
+	c      context.Context
+	stop   context.CancelFunc
+	ends   time.Time
+	since  time.Time
+	skip   map[string]bool
+	broken chan struct{} // closed when the stream has ended without its end
+	done   chan struct{} // closed when the fields below are final
+
+	lastSent bool        // the call that stops the run was sent; guarded by s.mu
+	noRun    bool        // the source answered the call with last that nothing runs
+	result   *stoppedRun // the run from which the request continues
+}
+
+// startMove begins a move. It returns false if the stream has ended.
+func (s *runningStream) startMove(ends time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.settled || s.moving {
+		return false
+	}
+	c, stop := context.WithCancel(s.c)
+	s.moving = true
+	s.move = &move{
+		s: s, c: c, stop: stop, ends: ends, since: boottime.Now(), skip: map[string]bool{s.choice.Endpoint.Incarnation(): true},
+		broken: make(chan struct{}), done: make(chan struct{}),
+	}
+	go s.move.run()
+	return true
+}
+
+// settle is called when the stream has ended, and reports whether it ended with its end. Otherwise it
+// waits for the move in progress and returns the stopped run from which the request continues, if
+// there is one.
+func (s *runningStream) settle(complete bool) *stoppedRun {
+	if s == nil {
+		return nil
+	}
+	s.mu.Lock()
+	m := s.move
+	if s.settled || m == nil {
+		s.settled = true
+		s.mu.Unlock()
+		return nil
+	}
+	s.settled = true
+	if !complete {
+		close(m.broken)
+	}
+	if complete || !m.lastSent {
+		m.stop()
+	}
+	s.mu.Unlock()
+	<-m.done
+	if complete && m.result != nil {
+		m.result.discard()
+		return nil
+	}
+	return m.result
+}
+
+// endedUnframed reports whether a stream that ended with its connection and has no framing is
+// complete: unless the run was told to stop, it is.
+func (s *runningStream) endedUnframed() (complete bool, stopped *stoppedRun) {
+	if s == nil {
+		return true, nil
+	}
+	s.mu.Lock()
+	m := s.move
+	told := m != nil && m.lastSent
+	s.mu.Unlock()
+	if !told {
+		return true, nil
+	}
+	stopped = s.settle(false)
+	return m.noRun, stopped
+}
+
+// run makes the move up to the stop of the run and the end of its stream.
+func (m *move) run() {
+	s := m.s
+	outcome, to := m.copyAndStop()
+	m.stop()
+	if m.result == nil {
+		s.watchdog.hold(false)
+		s.logMove("fail", outcome, to, m.since, m.ends)
+		metrics.GetOrRegisterCounter("moves."+outcome, s.r.f.Metrics).Inc(1)
+	}
+	close(m.done)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.moving = m.result != nil // a stopped run is not moved from here again
+	s.retryAt = boottime.Now().Add(moveRetryInterval)
+}
+
+// copyAndStop copies the memory while the run goes on, and then stops the run. It returns the outcome
+// for the log if the run was not stopped.
+func (m *move) copyAndStop() (string, endpoint.Endpoint) {
+	for range maxTargets {
+		t := m.s.r.chooseTarget(m.s.choice.Endpoint, m.skip)
+		if t == nil {
+			return "no_destination", endpoint.Endpoint{}
+		}
+		e := t.choice.Endpoint
+		m.skip[e.Incarnation()] = true
+		a, err := m.copy(e, false)
+		switch {
+		case err == nil && a.Result == call.Copied:
+			return m.stopRun(t, a), e
+		case err == nil && a.Result == call.NoRoom:
+			t.release()
+		case err != nil && m.c.Err() != nil:
+			t.release()
+			return "stream_ended", e
+		case err != nil:
+			t.release()
+			return "no_answer", e
+		default:
+			t.release()
+			return a.Result.String(), e
+		}
+	}
+	return "no_room", endpoint.Endpoint{}
+}
+
+// stopRun stops the run and waits for the end of its stream. As long as the answer is not known, it
+// repeats the call: the request may continue only with a handle, or after its source has ended.
+func (m *move) stopRun(t *moveTarget, copied call.Copy) string {
+	s := m.s
+	if !m.markLastSent() {
+		return m.giveUp(t, copied, "stream_ended")
+	}
+	s.watchdog.hold(true)
+	for retries := 0; ; {
+		a, err := m.copy(t.choice.Endpoint, true)
+		switch {
+		case err == nil && a.Handle != "" && (a.Result == call.Copied || a.Result == call.NoRoom):
+			m.result = m.stopped(a, t)
+			if a.Result == call.NoRoom {
+				t.release()
+				m.result.target = nil
+			}
+			m.awaitStreamEnd()
+			return ""
+		case err == nil && a.Result == call.NoSuchRun:
+			m.noRun = true
+			return m.giveUp(t, copied, a.Result.String())
+		case err == nil && a.Result == call.OtherIncarnation:
+			s.cancel(errReplaced)
+			m.result = m.stopped(copied, t)
+			return ""
+		case m.isSourceGone(err):
+			m.result = m.stopped(copied, t)
+			return ""
+		case m.c.Err() != nil:
+			return m.giveUp(t, copied, "stream_ended")
+		}
+		if m.isBroken() {
+			retries++
+		}
+		repeatable := s.r.q.Route.Repeatable()
+		switch {
+		case m.isBroken() && (repeatable && retries > maxStopRetries || boottime.Since(m.since) > cmp.Or(s.r.q.Service.Engine.BackupTTL, defaultHandleTTL)):
+			return m.giveUp(t, copied, "no_answer")
+		case repeatable && boottime.Now().After(m.ends.Add(endGrace)):
+			s.cancel(errSourceEnded)
+			return m.giveUp(t, copied, "no_answer")
+		}
+		wait.For(m.c, stopRetryInterval)
+	}
+}
+
+// giveUp ends a move that did not stop the run. If the source has ended, the request can continue from
+// the copy made before.
+func (m *move) giveUp(t *moveTarget, copied call.Copy, outcome string) string {
+	s := m.s
+	if m.isBroken() && !m.noRun && s.c.Err() == nil && s.r.f.Pool.RefusesConnections(s.c, s.choice.Endpoint.Address) {
+		m.result = m.stopped(copied, t)
+		return ""
+	}
+	t.release()
+	s.r.f.free(s.c, s.choice.Endpoint, copied.Handle)
+	return outcome
+}
+
+func (m *move) stopped(a call.Copy, t *moveTarget) *stoppedRun {
+	return &stoppedRun{
+		source: m.s.choice.Endpoint, handle: a.Handle, created: a.Created, target: t, skip: m.skip, since: m.since, ends: m.ends, stream: m.s,
+	}
+}
+
+// markLastSent records that the run will be told to stop. It returns false if the stream has ended.
+func (m *move) markLastSent() bool {
+	m.s.mu.Lock()
+	defer m.s.mu.Unlock()
+	m.lastSent = !m.s.settled
+	return m.lastSent
+}
+
+// isSourceGone reports whether the process of the source has ended: another started under its ID, or
+// its stream broke and it refuses connections. A refusal alone does not show that, since an endpoint
+// may close its listener while its streams go on.
+func (m *move) isSourceGone(err error) bool {
+	return errors.Is(context.Cause(m.s.x), errReplaced) || m.isBroken() && errors.Is(err, syscall.ECONNREFUSED)
+}
+
+func (m *move) isBroken() bool {
+	select {
+	case <-m.broken:
+		return true
+	default:
+		return false
+	}
+}
+
+// awaitStreamEnd waits until the stream of the stopped run has been read to its close.
+func (m *move) awaitStreamEnd() {
+	s := m.s
+	for began := boottime.Now(); ; {
+		s.mu.Lock()
+		since := began
+		if s.last.After(began) {
+			since = s.last
+		}
+		s.mu.Unlock()
+		left := streamEndTimeout - boottime.Since(since)
+		if left <= 0 {
+			s.cancel(errStopped)
+			return
+		}
+		t := time.NewTimer(left)
+		select {
+		case <-m.broken:
+			t.Stop()
+			return
+		case <-m.c.Done():
+			t.Stop()
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// copy asks the source to copy the memory of the run.
+func (m *move) copy(to endpoint.Endpoint, last bool) (call.Copy, error) {
+	return m.s.r.f.copyRun(m.c, m.s.r.q.Call.ID, m.s.choice.Endpoint, to, last, m.ends)
+}
+
+func (f *Forwarder) copyRun(c context.Context, id string, source, to endpoint.Endpoint, last bool, ends time.Time) (call.Copy, error) {
+	q, err := f.Moves.Copy(id, source, to, last)
+	if err != nil {
+		return call.Copy{}, fmt.Errorf("copy to %s: %w", to.ID, err)
+	}
+	x, cancel := context.WithTimeout(c, min(max(boottime.Until(ends), minCopyTimeout), maxCopyTimeout))
+	defer cancel()
+	resp, err := f.Pool.Do(x, q)
+	if err != nil {
+		return call.Copy{}, fmt.Errorf("copy to %s: %w", to.ID, err)
+	}
+	defer resp.Close()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxCopyAnswerSize))
+	if err != nil {
+		return call.Copy{}, fmt.Errorf("read the answer of %s: %w", source.ID, err)
+	}
+	return f.Moves.DecodeCopy(resp.Status, b), nil
+}
+
+// free frees the memory of a handle at both ends. A failure costs nothing but the time until the
+// handle expires. The call outlives the request, for which the box may be stopping.
+func (f *Forwarder) free(c context.Context, source endpoint.Endpoint, handle string) {
+	if handle == "" {
+		return
+	}
+	go func() {
+		x, cancel := context.WithTimeout(context.WithoutCancel(c), freeTimeout)
+		defer cancel()
+		resp, err := f.Pool.Do(x, f.Moves.Free(source, handle))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxCopyAnswerSize))
+		resp.Close()
+	}()
+}
+
+// chooseTarget chooses the destination of a move among the serving endpoints of the source's version,
+// or returns nil. The reclaimable endpoints of a data centre are often reclaimed together, so the others
+// come first if the source is one.
+func (r *run) chooseTarget(source endpoint.Endpoint, skip map[string]bool) *moveTarget {
+	// The copy is read from the source, so its data centre counts and not this box's. The request
+	// is let in first and has nothing to prefill.
+	q := balance.Query{
+		DataCentre: source.DataCentre, Skip: skip, UnlimitedOnly: true,
+		Eligible: func(e *endpoint.Endpoint) bool {
+			return e.Version == source.Version && (!source.Reclaimable || !e.Reclaimable || e.DataCentre != source.DataCentre)
+		},
+	}
+	ch, _, ok := r.f.find(r.q.Service.Name, q)
+	if !ok && source.Reclaimable {
+		q.Eligible = func(e *endpoint.Endpoint) bool { return e.Version == source.Version }
+		ch, _, ok = r.f.find(r.q.Service.Name, q)
+	}
+	if !ok {
+		return nil
+	}
+	ch.TypicalFirstEvent = 0 // a continuation says nothing about the version's speed
+	ch.Parts = r.newQuery().Parts
+	return &moveTarget{choice: ch, attempt: r.f.Balancer.Begin(ch.Endpoint, ch, boottime.Now())}
+}
+
+// logMove logs a move or its outcome.
+func (s *runningStream) logMove(action, outcome string, to endpoint.Endpoint, since, ends time.Time) {
+	s.mu.Lock()
+	events := s.passed + s.events
+	s.mu.Unlock()
+	s.r.f.Log.Info().Str("event", "move").Str("request", s.r.q.Call.ID).Str("endpoint", s.choice.Endpoint.ID).Str("to", to.ID).Str("action", action).
+		Str("reason", outcome).Int("events", events).Dur("took", boottime.Since(since)).Dur("left", boottime.Until(ends)).Msg("decision")
+}
--- a/forward/response.go
+++ b/forward/response.go
@@ -137,23 +137,15 @@
 	out := attemptResult{interruption: recovery.Gone}
 	for {
 		e, err := rd.Next()
-		if errors.Is(err, io.EOF) {
-			if !r.headSent {
-				out.err = errors.New("the stream ended before its first event")
-				return out
-			}
-			r.recordSurvival(resp)
-			out.done = true
-			return out
-		}
 		if err != nil {
-			out.err = fmt.Errorf("the stream broke: %w", err)
+			r.endEvents(resp, err, &out)
 			return out
 		}
 		w.recordEvent()
 		n.RecordProgress(boottime.Now())
 		out.recordEvent(boottime.Now())
-		if !out.advanced {
+		r.stream.recordEvent(boottime.Now())
+		if !out.advanced && r.continued == nil {
 			n.RecordAnswer()
 		}
 		r.recordStart(boottime.Now())
@@ -169,8 +161,31 @@
 			return out
 		}
 		out.advanced = true
+		r.passed++
 		if e.ID != "" {
 			r.lastEventID = e.ID
 		}
 	}
 }
+
+// endEvents completes the result of a stream of which no more events can be read.
+func (r *run) endEvents(resp *httpconn.Response, err error, out *attemptResult) {
+	if !errors.Is(err, io.EOF) {
+		out.err = fmt.Errorf("the stream broke: %w", err)
+		out.stopped = r.stream.settle(false)
+		return
+	}
+	if !resp.Framed() {
+		complete, stopped := r.stream.endedUnframed()
+		if out.stopped = stopped; stopped != nil || !complete {
+			out.err = errStopped
+			return
+		}
+	}
+	if !r.headSent {
+		out.err = errors.New("the stream ended before its first event")
+		return
+	}
+	r.recordSurvival(resp)
+	out.done = true
+}
--- a/forward/run.go
+++ b/forward/run.go
@@ -49,6 +49,14 @@
 	startRecorded bool              // recordStart was called
 	headSent      bool              // the sink has received a head
 	lastEventID   string            // last event passed to the sink
+	passed        int               // events passed to the sink
+	moves         int               // moves of the request's run between endpoints
+
+	// continued is the stopped run that the current attempt continues, and reserved the place at its
+	// destination. Both are nil in other attempts.
+	continued *stoppedRun
+	reserved  *balance.Attempt
+	stream    *runningStream // of the current attempt; nil if it can't be moved
 
 	// hasPermit reports whether the current attempt has a permit for its endpoint's rate.
 	hasPermit bool
@@ -77,9 +85,10 @@
 type attemptResult struct {
 	interruption recovery.Interruption
 	err          error
-	done         bool // the sink has received the complete response
-	advanced     bool // the attempt added events to the caller's stream
-	answered     bool // the endpoint sent a complete response that can't be used
+	done         bool        // the sink has received the complete response
+	advanced     bool        // the attempt added events to the caller's stream
+	answered     bool        // the endpoint sent a complete response that can't be used
+	stopped      *stoppedRun // the run was stopped and continues elsewhere; nil otherwise
 
 	// The times of the first and the last event and their number. A response that is not a stream
 	// counts as one event.
@@ -125,18 +134,19 @@
 	}
 	e := ch.Endpoint
 	r.tried[e.Incarnation()] = true
-	r.trace = Trace{Content: r.trace.Content, Attempts: r.trace.Attempts + 1, Choice: ch}
+	r.trace = Trace{Content: r.trace.Content, Attempts: r.trace.Attempts + 1, Moves: r.moves, Choice: ch}
 	if len(r.reached) > 0 && !r.f.Budget.Spend(r.q.Service.Name, boottime.Now()) {
 		return r.fail(errkind.Overloaded, "the service's retries are used up")
 	}
 	r.f.Quarantine.RecordSend(r.q.Content, boottime.Now())
-	out := r.attempt(c, ch)
+	ch, out := r.continueMoved(c, ch, r.attempt(c, ch))
 	if out.done {
 		return true, nil
 	}
 	if errors.Is(out.err, errCallerWrite) || errors.Is(c.Err(), context.Canceled) {
 		return false, errkind.New(errkind.CallerGone, "the caller left: %w", out.err)
 	}
+	e = ch.Endpoint
 	r.recordFailure(out, e)
 	r.checkCrash(c, out, e)
 	metrics.GetOrRegisterCounter("attempts.broke."+out.interruptionName(), r.f.Metrics).Inc(1)
--- a/forward/trace.go
+++ b/forward/trace.go
@@ -14,6 +14,7 @@
 type Trace struct {
 	Content  requesthash.Hash // identifies requests with the same content
 	Attempts int              // number of endpoints chosen
+	Moves    int              // moves of the running request between endpoints
 	Choice   balance.Choice   // the last choice of an endpoint, with the data it was based on
 
 	// Outcome is what the last response reported.
@@ -35,6 +36,9 @@
 	c := t.Choice
 	e.Str("endpoint", c.Endpoint.ID).Int("attempts", t.Attempts).Int("running", c.Running).Int("to_read", c.Tokens).
 		Dur("expected", c.Expected).Dur("first", t.ResponseTime).Dur("load_age", c.LoadAge)
+	if t.Moves > 0 {
+		e.Int("moves", t.Moves)
+	}
 	t.marshalReported(e)
 }
 
--- a/forward/watchdog.go
+++ b/forward/watchdog.go
@@ -37,6 +37,7 @@
 	allowedSilence time.Duration // the time allowed until the next event
 	timer          *time.Timer
 	stopped        bool
+	held           bool // the attempt must not be cancelled
 }
 
 // startWatchdog starts the watchdog of an attempt at the chosen endpoint.
@@ -61,7 +62,7 @@
 		if w.stopped {
 			return
 		}
-		if time.Since(w.lastEventAt) > w.allowedSilence && r.f.Balancer.UnresponsiveFor(e.ID, boottime.Now()) > w.allowedSilence {
+		if !w.held && time.Since(w.lastEventAt) > w.allowedSilence && r.f.Balancer.UnresponsiveFor(e.ID, boottime.Now()) > w.allowedSilence {
 			r.f.Balancer.Avoid(e, boottime.Now())
 			cancel(errUnresponsive)
 			return
@@ -78,6 +79,14 @@
 	w.lastEventAt, w.allowedSilence = time.Now(), maxSilence
 }
 
+// hold sets whether the attempt must not be cancelled: its endpoint may have been told to stop the run,
+// and the request must not be sent elsewhere until that is known.
+func (w *watchdog) hold(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.held, w.lastEventAt = on, time.Now()
+}
+
 func (w *watchdog) stop() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
