Switch on the moves of running requests by [reclaim] move_requests

The daemon passes endpoints that start to drain to the forwarder, whether their record, an answer or another box said so; a record that disappears still counts as a crash only.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -118,6 +118,7 @@
 	hints    *hint.Service
 	reporter *reporter.Reporter // nil unless usage is reported
 	rollouts *rollout.Controller
+	moveAway func(e endpoint.Endpoint) // called for each endpoint that starts to drain
 
 	reachableBoxes atomic.Int64 // reachable boxes, including this one
 
@@ -144,6 +145,7 @@
 		budget: budget.New(budget.Limits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}),
 		tally:  &usage.Tally{Window: s.ReportWindow}, clock: fleetclock.New(time.Now),
 		gossip: gossip.New(log), incarnation: uuid.NewString()[:8],
+		moveAway: func(endpoint.Endpoint) {},
 	}
 	p.state = fleetstate.New(fleetstate.Source{
 		ConfigKey: platform.ConfigKey, OperatorPrefix: platform.OperatorPrefix, EndpointsPrefix: platform.ServersPrefix,
@@ -161,9 +163,11 @@
 	p.gossip.OnCrash = p.recordCrash
 	p.gossip.Rates = &p.balancer.Availability.Rates
 	p.state.Roster.OnUnavailable(func(e endpoint.Endpoint) {
-		if !e.Draining {
-			q.RecordCrash(e.Incarnation(), "its record was deleted", boottime.Now())
+		if e.Draining {
+			p.moveAway(e)
+			return
 		}
+		q.RecordCrash(e.Incarnation(), "its record was deleted", boottime.Now())
 	})
 	p.connectGossip()
 	return p
@@ -182,6 +186,9 @@
 		OnDraining:    func(e endpoint.Endpoint) { p.gossip.BroadcastDraining(e.Incarnation()) },
 		OnLimitChange: p.gossip.BroadcastRate, RequestPermit: limits.Permit,
 	}
+	if s.MoveRequests {
+		f.Moves, p.moveAway = platform.MoveCodec{}, f.MoveAway
+	}
 	p.state.Roster.OnReplaced(f.CancelReplaced)
 	p.state.OnInvalidRecord = func(r endpoint.Reason) {
 		metrics.GetOrRegisterCounter("endpoints.foreign."+string(r), m).Inc(1)
--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -98,7 +98,8 @@
 	return l.Addr().String()
 }
 
-func (p *platform) startBox(name, dc string) *entryBox {
+// startBox starts a box. The sections in more are appended to its settings.
+func (p *platform) startBox(name, dc string, more ...string) *entryBox {
 	p.t.Helper()
 	b := &entryBox{callersAddress: freeAddress(p.t), metricsAddress: freeAddress(p.t), readyAddress: freeAddress(p.t)}
 	s, err := settings.ParsePlatform(fmt.Appendf(nil, `[box]
@@ -115,7 +116,7 @@
 slack = 100
 [log]
 level = error
-`, name, dc, b.callersAddress, b.readyAddress, freeAddress(p.t), b.metricsAddress, p.storeAddress))
+%s`, name, dc, b.callersAddress, b.readyAddress, freeAddress(p.t), b.metricsAddress, p.storeAddress, strings.Join(more, "\n")))
 	require.NoError(p.t, err)
 	b.PlatformDaemon, err = daemon.NewPlatformDaemon(s, io.Discard)
 	require.NoError(p.t, err)
