Keep idle connections and the watchdog during failed moves

A call on a new connection closed all idle ones to its address, so that each continuation made the calls after it dial anew. A move that failed restarted the watchdog's time each 0.1 s, which then never found a silent endpoint. A source that was replaced while its run was stopped lost the run although a copy was known. Moves at an endpoint that stays beyond its announced end are retried once a second.

go test -race ./httpconn ./forward: ok. go test -race ./forward -run TestMoves -count 4: ok (19 s).

--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -54,6 +54,7 @@
 	addr     string
 	listener net.Listener
 	drain    func()
+	replace  func()             // lists another process under the engine's ID
 	cancel   context.CancelFunc // cancels the request, as the stop of the box does
 	received func(event int)    // waits until the caller has received an event
 
@@ -273,6 +274,10 @@
 	case "ends":
 		e.crash()
 		panic(http.ErrAbortHandler)
+	case "replaced": // another process of the same ID knows of no run
+		e.all.endRuns(e.name)
+		e.replace()
+		status = http.StatusNotFound
 	case "answer_lost":
 		stop()
 		panic(http.ErrAbortHandler)
@@ -329,4 +334,7 @@
 	r.Put(v)
 	v.Draining, v.DrainPeriod = true, period
 	e.drain = func() { r.Put(v) }
+	e.replace = func() {
+		r.Put(endpoint.Endpoint{ID: e.name, StartMillis: 2, Service: "s", Slots: 4, Address: e.addr, DataCentre: dc})
+	}
 }
--- a/forward/migrate.go
+++ b/forward/migrate.go
@@ -40,8 +40,10 @@
 	// endpoint's link, so with more of them the first would not end sooner.
 	maxConcurrentMoves = 2
 
-	// moveRetryInterval is the time until a failed move is tried again.
+	// moveRetryInterval is the time until a failed move is tried again. It is longer by
+	// lateRetryInterval once the endpoint has stayed beyond its announced end, and so may stay long.
 	moveRetryInterval = 100 * time.Millisecond
+	lateRetryInterval = 900 * time.Millisecond
 )
 
 // streamSet holds the streams in progress that can be moved. The zero value is ready to use.
--- a/forward/migrate_test.go
+++ b/forward/migrate_test.go
@@ -96,6 +96,9 @@
 		"source ends, resumable": {moves: "ends", resumable: true, wantEvents: all, wantStarts: "a new, b new 3"},
 		// The source ends after the first copy: the run continues from that copy.
 		"source ends after the copy": {moves: "ok ends", wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "moved"},
+		// Another process started under the ID of the source: its answer that nothing runs is no end of
+		// the stream.
+		"source is replaced after the copy": {moves: "ok replaced", wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "moved"},
 		// The answer to the stop is lost: the call is repeated, since only its handle allows to go on.
 		"answer lost": {moves: "ok answer_lost ok", wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "moved"},
 		// The answer remains unknown: a run that must not run twice starts nowhere else.
--- a/forward/move.go
+++ b/forward/move.go
@@ -180,6 +180,9 @@
 	defer s.mu.Unlock()
 	s.moving = m.result != nil // a stopped run is not moved from here again
 	s.retryAt = boottime.Now().Add(moveRetryInterval)
+	if s.retryAt.After(m.ends) {
+		s.retryAt = s.retryAt.Add(lateRetryInterval)
+	}
 }
 
 // copyAndStop copies the memory while the run goes on, and then stops the run. It returns the outcome
@@ -231,16 +234,16 @@
 			}
 			m.awaitStreamEnd()
 			return ""
-		case err == nil && a.Result == call.NoSuchRun:
-			m.noRun = true
-			return m.giveUp(t, copied, a.Result.String())
 		case err == nil && a.Result == call.OtherIncarnation:
 			s.cancel(errReplaced)
 			m.result = m.stopped(copied, t)
 			return ""
-		case m.isSourceGone(err):
+		case m.isSourceGone(err): // also if another process of the same ID answered
 			m.result = m.stopped(copied, t)
 			return ""
+		case err == nil && a.Result == call.NoSuchRun:
+			m.noRun = true
+			return m.giveUp(t, copied, a.Result.String())
 		case m.c.Err() != nil:
 			return m.giveUp(t, copied, "stream_ended")
 		}
--- a/forward/watchdog.go
+++ b/forward/watchdog.go
@@ -84,7 +84,10 @@
 func (w *watchdog) hold(on bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.held, w.lastEventAt = on, time.Now()
+	if w.held && !on {
+		w.lastEventAt = time.Now()
+	}
+	w.held = on
 }
 
 func (w *watchdog) stop() {
--- a/httpconn/exchange_test.go
+++ b/httpconn/exchange_test.go
@@ -101,6 +101,28 @@
 	a.Close()
 }
 
+// Tests that a call on a connection of its own leaves the idle connections for other calls.
+func TestNewConnectionKeepsIdleOnes(t *testing.T) {
+	l := listen(t, func(n net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(n)); err == nil {
+			_, _ = io.WriteString(n, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			_, _ = io.Copy(io.Discard, n)
+		}
+	})
+	p := &httpconn.Pool{DialTimeout: time.Minute}
+	a, err := p.Do(t.Context(), request(l))
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, a.Body)
+	require.NoError(t, err)
+	a.Close()
+	require.Equal(t, 1, p.CountIdle())
+	q := request(l)
+	q.ShouldSend = func() bool { return false }
+	_, err = p.Do(t.Context(), q)
+	require.ErrorIs(t, err, httpconn.ErrNotSent)
+	require.Equal(t, 2, p.CountIdle())
+}
+
 // Tests that RefusesConnections reports an address without a listener, and that a connection
 // which is accepted returns to the pool.
 func TestRefusesConnections(t *testing.T) {
--- a/httpconn/pool.go
+++ b/httpconn/pool.go
@@ -37,6 +37,9 @@
 // get returns a connection to an address that has been idle for at most maxIdle, or nil. It closes
 // the connections that it finds unusable.
 func (p *Pool) get(address string, maxIdle time.Duration) *Conn {
+	if maxIdle <= 0 {
+		return nil // the idle connections stay for calls that can use them
+	}
 	now := boottime.Now()
 	for {
 		p.mu.Lock()
