--- a/migration/planner.go
+++ b/migration/planner.go
@@ -36,6 +36,10 @@
 	// notices arrive late. Any stream that is left to end may need it, if it slows down.
 	moveOverhead = 300 * time.Millisecond
 
+	// moveInterval is the time by which each further move of a box delays the last one, besides its
+	// copy: few moves are made at the same time.
+	moveInterval = 40 * time.Millisecond
+
 	// copyFactor is the time of a copy relative to that over an idle link within the data centre.
 	// A copy to another data centre takes twice as long.
 	copyFactor = 2
@@ -96,7 +100,7 @@
 func (p Planner) Plan(ss []Stream) []Decision {
 	var total time.Duration
 	for i := range ss {
-		total += p.copyTime(&ss[i], len(ss))
+		total += moveInterval + p.copyTime(&ss[i], len(ss))
 	}
 	var out, moves []Decision
 	for i := range ss {
@@ -113,7 +117,8 @@
 }
 
 // decide returns the decision for one stream regardless of the link's capacity. The reserve is the
-// time that moving all streams takes.
+// time that moving all streams takes. A stream stays until no more than that is left: many end
+// before their callers' token counts say so, and each move pauses a stream and loads the link.
 func (p Planner) decide(s *Stream, reserve time.Duration) Decision {
 	rest, known := s.rest()
 	late := p.Left <= reserve
@@ -124,9 +129,11 @@
 		return Decision{Action: End, Reason: "it has not begun and may begin in time to be moved"}
 	case known && rest+reserve <= p.Left:
 		return Decision{Action: End, Reason: "its rest fits the time left"}
+	case !late:
+		return Decision{Action: End, Reason: "it may end before it has to be moved"}
 	case s.Moves < MaxMoves:
 		return Decision{Action: Move, Reason: "its rest does not fit the time left"}
-	case s.CanResume && late:
+	case s.CanResume:
 		return Decision{Action: Resume, Reason: "its moves are used up"}
 	default:
 		return Decision{Action: End, Reason: "its moves are used up"}
