--- a/settings/platform.go
+++ b/settings/platform.go
@@ -62,6 +62,8 @@
 
 	// EndpointSpeeds makes choices of endpoints take their measured speeds into account.
 	EndpointSpeeds bool
+	// MoveRequests moves running requests away from endpoints that announce their end.
+	MoveRequests bool
 
 	LogLevel string
 }
@@ -115,6 +117,7 @@
 		ReportWindow: r.Duration("duties", "report_window", 5*time.Second, time.Second, time.Hour),
 		ReportDue:    r.Duration("duties", "report_due", 10*time.Second, time.Second, time.Hour),
 		RolloutShare: r.Float("rollout", "share", 0.1, 0, 1),
+		MoveRequests: r.Choice("reclaim", "move_requests", no, no, yes) == yes,
 		LogLevel:     r.Choice("log", "level", "info", "debug", "info", "warn", "error"),
 	}
 	s.EndpointSpeeds = r.Choice("balance", "endpoint_speeds", no, no, yes) == yes
