--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -32,6 +32,10 @@
 	speedFactor  float64             // as of the choice
 	prediction   estimate.Prediction // as of the choice
 	steady       time.Duration       // sum of the pauses, each bounded
+	longest      time.Duration       // longest pause
+	gapTarget    time.Duration
+	service      string
+	speedClass   int8 // as of the choice
 }
 
 // Begin records that a call is sent.
@@ -53,6 +57,7 @@
 		balancer: b, state: st, model: b.model(e.Service), incarnation: e.Incarnation(), dataCentre: e.DataCentre, tokens: c.Tokens, load: c.Load,
 		expected: c.Expected, objective: c.Objective, start: now, trial: trial,
 		key: speed.KeyOf(&e), speedFactor: cmp.Or(c.SpeedFactor, 1), prediction: c.prediction, meanExpected: c.meanExpected,
+		gapTarget: c.GapTarget, service: e.Service, speedClass: c.speedClass,
 	}
 }
 
@@ -114,6 +119,7 @@
 	defer a.balancer.mu.Unlock()
 	if a.events > 1 {
 		a.observePause()
+		a.observeStall(now)
 		a.model.ObservePause(a.load.Running, a.normalized(a.lastEvent.Sub(a.firstEvent)/time.Duration(a.events-1)), a.lastEvent)
 	}
 	if a.firstEvent.IsZero() {
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -11,6 +11,7 @@
 	"birchlink.dev/birchlink/availability"
 	"birchlink.dev/birchlink/estimate"
 	"birchlink.dev/birchlink/speed"
+	"birchlink.dev/birchlink/stall"
 )
 
 // Balancer tracks the state of each endpoint and chooses among endpoints. Its zero value is ready
@@ -27,6 +28,8 @@
 	// fast, except for those that this box itself has found to be much slower than expected.
 	Speeds *speed.Estimator
 
+	stalls stall.Tracker
+
 	mu          sync.Mutex
 	boxes       int       // sending to the same endpoints, including this one
 	nearPeers   int       // other boxes that send hints of long prompts
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -67,6 +67,8 @@
 	Engine       bool            // the endpoints prefill prompts and cache them
 	EndpointLost bool            // an earlier attempt of this request lost its endpoint
 	Objective    time.Duration   // for the time to the first event
+	GapTarget    time.Duration   // for the longest pause between events; zero if there is none
+	Events       float64         // that the answer is expected to have
 	Skip         map[string]bool // incarnations that the request was already sent to
 
 	// UnlimitedOnly restricts the choice to endpoints without a rate limit.
@@ -105,6 +107,10 @@
 	Running         int
 	LoadAge         time.Duration
 
+	// GapTarget is that of the query, and speedClass the class of the endpoint's speed.
+	GapTarget  time.Duration
+	speedClass int8
+
 	// SpeedFactor is the ratio of the endpoint's times to the service's mean. Expected includes it.
 	SpeedFactor float64
 
@@ -210,7 +216,7 @@
 		Avoided: now.Before(st.avoidedUntil) || now.Before(b.dataCentre(e.DataCentre).avoidedUntil) || !st.probationFrom.IsZero() && st.trials > 0,
 	}
 	c.Load.Running = c.Running
-	c.SpeedFactor = b.speedFactor(e)
+	c.SpeedFactor, c.speedClass, c.GapTarget = b.speedFactor(e), b.speedClass(e), q.GapTarget
 	if q.Engine {
 		cached := st.cached.cachedTokens(q.Parts, now)
 		if preferred {
@@ -239,7 +245,9 @@
 	return c
 }
 
-// penalty returns the cost of a choice besides its expected time.
+// penalty returns the cost of a choice besides its expected time. A stream that is late by a long
+// pause is as late as one whose first event takes the whole objective longer, so the probability of
+// such a pause counts for that part of the objective.
 func (b *Balancer) penalty(c *Choice, q Query, v *estimate.Prediction, now time.Time) time.Duration {
 	e := &c.Endpoint
 	st := b.lookup(e.ID)
@@ -248,6 +256,9 @@
 	if c.RecomputeTokens > 0 {
 		d += time.Duration(recomputeWeight * c.SpeedFactor * float64(v.PrefillTime(c.RecomputeTokens)))
 	}
+	if b.Speeds != nil && q.GapTarget > 0 {
+		d += time.Duration(b.stalls.Risk(e.Service, c.speedClass, q.Events, now) * float64(q.Objective))
+	}
 	switch {
 	case e.DataCentre == q.DataCentre:
 	case q.EndpointLost:
--- a/balance/speed.go
+++ b/balance/speed.go
@@ -67,6 +67,7 @@
 // recordPause records the time since the last event. The balancer's lock must be held.
 func (a *Attempt) recordPause(now time.Time) {
 	gap, limit := now.Sub(a.lastEvent), a.maxPause()
+	a.longest = max(a.longest, gap)
 	if limit > 0 && gap > limit {
 		a.state.stalledAt = now
 		gap = limit
@@ -74,6 +75,15 @@
 	a.steady += gap
 }
 
+// observeStall records whether the stream paused for longer than its route allows. The balancer's
+// lock must be held.
+func (a *Attempt) observeStall(now time.Time) {
+	if a.balancer.Speeds == nil || a.gapTarget <= 0 {
+		return
+	}
+	a.balancer.stalls.Observe(a.service, a.speedClass, a.events, a.longest > a.gapTarget, now)
+}
+
 // maxPause returns the time to which a pause is bounded.
 func (a *Attempt) maxPause() time.Duration {
 	return time.Duration(stallFactor * a.speedFactor * float64(a.prediction.Pause(a.load.Running)))
--- a/forward/run.go
+++ b/forward/run.go
@@ -285,8 +285,8 @@
 func (r *run) newQuery() balance.Query {
 	q := balance.Query{
 		DataCentre: r.f.DataCentre, Engine: r.q.Service.Engine != nil, Skip: r.tried, EndpointLost: r.mayHaveRun || r.failedDials > 0,
-		Objective: r.q.Route.LatencyObjective,
-		Parts:     r.q.Call.Parts, Prompt: r.q.Call.PromptTokens,
+		Objective: r.q.Route.LatencyObjective, GapTarget: r.q.Route.GapTarget, Events: r.expectedEvents(),
+		Parts: r.q.Call.Parts, Prompt: r.q.Call.PromptTokens,
 	}
 	// The last part is specific to the request or its session, so it is not shared.
 	q.SharedParts = max(len(q.Parts)-1, 0)
@@ -304,3 +304,17 @@
 	}
 	return err.Error()
 }
+
+// expectedEvents returns how many events the answer is expected to have: as many as the caller
+// expects or, without its estimate, half of what it allows.
+func (r *run) expectedEvents() float64 {
+	e := r.q.Service.Engine
+	if e == nil {
+		return 0
+	}
+	tokens := float64(r.q.Call.ExpectedTokens)
+	if tokens == 0 {
+		tokens = float64(r.q.Call.AnswerTokens) / 2
+	}
+	return tokens / float64(max(e.TokensPerEvent, 1))
+}
