Refuse requests that no endpoint can begin before their deadline

Cause: a request that cannot begin before its deadline was sent all the same. It held a place in an endpoint's queue, ended unserved at its deadline, and a deadline that passed before a run gave 504, after which a caller does not return.

Change: admission.Decide compares the expected time to the first event at the fastest endpoint, times the lower quartile of the ratios of observed to expected times, with the time left. Package accuracy keeps these ratios by service and route. A decision on fewer than 20 answers or on load reports older than 1 s refuses nothing. forward asks before each attempt of a request that has not run. A refusal is 503 wait_too_long with Retry-After, and counts as demand. Off unless [admission] deadline_check = yes.

Result: go test -race ./accuracy ./admission ./forward ./settings ./daemon passes.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -70,6 +70,9 @@
 	// UnlimitedOnly restricts the choice to endpoints without a rate limit.
 	UnlimitedOnly bool
 
+	// Fastest makes the choice consider all endpoints and rank them by their expected time alone.
+	Fastest bool
+
 	// Eligible, if not nil, reports whether the request may go to an endpoint.
 	Eligible func(*endpoint.Endpoint) bool
 
@@ -128,6 +131,9 @@
 		s.consider(&q.Preferred, true)
 	}
 	fraction := b.scanFraction(len(es))
+	if q.Fastest {
+		fraction = 1
+	}
 	first := b.scanStart(len(es))
 	for i := range es {
 		e := &es[(first+i)%len(es)]
@@ -173,7 +179,10 @@
 		return
 	}
 	c := s.balancer.evaluate(e, *s.query, preferred, &s.prediction, s.now)
-	d := c.Expected + s.balancer.penalty(&c, *s.query, &s.prediction, s.now)
+	d := c.Expected
+	if !s.query.Fastest {
+		d += s.balancer.penalty(&c, *s.query, &s.prediction, s.now)
+	}
 	switch {
 	case !s.found, s.best.Avoided && !c.Avoided, s.best.Avoided == c.Avoided && d < s.cost:
 		s.best, s.cost, s.found = c, d, true
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
 
+	"birchlink.dev/birchlink/admission"
 	"birchlink.dev/birchlink/autoscaler"
 	"birchlink.dev/birchlink/balance"
 	"birchlink.dev/birchlink/boottime"
@@ -178,7 +179,8 @@
 		DataCentre: s.DataCentre, Roster: &p.state.Roster, Balancer: p.balancer, Budget: p.budget, Meter: p.meter,
 		Quarantine: p.gossip.Quarantine, Rollouts: p.gossip.Rollouts,
 		Pool: &httpconn.Pool{DialTimeout: endpointDialTimeout}, Codec: platform.HeaderCodec{}, OnStart: p.countRequest, Metrics: m, Log: log,
-		OnSend: p.sendHint, OnCrash: func(e endpoint.Endpoint) { p.gossip.BroadcastCrash(e.Incarnation()) },
+		Admission: admission.Options{DeadlineCheck: s.DeadlineCheck},
+		OnSend:    p.sendHint, OnCrash: func(e endpoint.Endpoint) { p.gossip.BroadcastCrash(e.Incarnation()) },
 		OnDraining:    func(e endpoint.Endpoint) { p.gossip.BroadcastDraining(e.Incarnation()) },
 		OnLimitChange: p.gossip.BroadcastRate, RequestPermit: limits.Permit,
 	}
--- a/errkind/kind.go
+++ b/errkind/kind.go
@@ -22,6 +22,7 @@
 	LimitReached
 	Overloaded
 	NoEndpoint
+	WaitTooLong
 	Quarantined
 	NotReady
 	Stopping
@@ -75,6 +76,7 @@
 	LimitReached:     {"limit_reached", http.StatusTooManyRequests, NotRun, true},
 	Overloaded:       {"overloaded", http.StatusTooManyRequests, NotRun, true},
 	NoEndpoint:       {"no_endpoint", http.StatusServiceUnavailable, NotRun, true},
+	WaitTooLong:      {"wait_too_long", http.StatusServiceUnavailable, NotRun, true},
 	Quarantined:      {"quarantined", http.StatusServiceUnavailable, NotRun, true},
 	NotReady:         {"not_ready", http.StatusServiceUnavailable, NotRun, true},
 	Stopping:         {"stopping", http.StatusServiceUnavailable, NotRun, true},
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -12,6 +12,8 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"birchlink.dev/birchlink/accuracy"
+	"birchlink.dev/birchlink/admission"
 	"birchlink.dev/birchlink/balance"
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/budget"
@@ -77,7 +79,7 @@
 // LimitFunc is called when an endpoint sets, lowers or removes the limit on its request rate.
 type LimitFunc func(s endpointlimit.Statement)
 
-// Forwarder forwards requests. All exported fields must be set.
+// Forwarder forwards requests. All exported fields must be set, except Admission and Accuracy.
 type Forwarder struct {
 	DataCentre    string
 	Roster        *endpoint.Roster
@@ -94,9 +96,13 @@
 	OnCrash       CrashFunc
 	OnDraining    DrainFunc
 	OnLimitChange LimitFunc
+	Admission     admission.Options // zero: all decisions are off
 	Metrics       metrics.Registry
 	Log           zerolog.Logger
 
+	// Accuracy holds the errors of the expected times to the first event.
+	Accuracy accuracy.Tracker
+
 	attempts attemptSet
 }
 
--- a/forward/response.go
+++ b/forward/response.go
@@ -48,7 +48,7 @@
 	read := boottime.Now()
 	r.recordStart(sent)
 	if resp.Status < http.StatusMultipleChoices {
-		n.RecordAnswer()
+		r.recordAnswer(n)
 	}
 	r.recordSurvival(resp)
 	if resp.Status >= http.StatusInternalServerError {
@@ -154,7 +154,7 @@
 		n.RecordProgress(boottime.Now())
 		out.recordEvent(boottime.Now())
 		if !out.advanced {
-			n.RecordAnswer()
+			r.recordAnswer(n)
 		}
 		r.recordStart(boottime.Now())
 		if !r.headSent {
--- a/forward/run.go
+++ b/forward/run.go
@@ -10,11 +10,13 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"birchlink.dev/birchlink/admission"
 	"birchlink.dev/birchlink/balance"
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/errkind"
 	"birchlink.dev/birchlink/recovery"
+	"birchlink.dev/birchlink/rollout"
 	"birchlink.dev/birchlink/wait"
 )
 
@@ -50,6 +52,9 @@
 	headSent      bool              // the sink has received a head
 	lastEventID   string            // last event passed to the sink
 
+	attemptSent time.Time             // when the current attempt was sent
+	versions    rollout.VersionFilter // versions that the current attempt may use
+
 	// hasPermit reports whether the current attempt has a permit for its endpoint's rate.
 	hasPermit bool
 	// permitRetryAfter is the shortest time until an endpoint with an exhausted rate accepts a
@@ -123,6 +128,10 @@
 	if !ok {
 		return r.fail(errkind.NoEndpoint, "no endpoint of "+r.q.Service.Name+" is left")
 	}
+	ch, err := r.admit(c, ch)
+	if err != nil {
+		return false, err
+	}
 	e := ch.Endpoint
 	r.tried[e.Incarnation()] = true
 	r.trace = Trace{Content: r.trace.Content, Attempts: r.trace.Attempts + 1, Choice: ch}
@@ -130,7 +139,9 @@
 		return r.fail(errkind.Overloaded, "the service's retries are used up")
 	}
 	r.f.Quarantine.RecordSend(r.q.Content, boottime.Now())
+	r.attemptSent = boottime.Now()
 	out := r.attempt(c, ch)
+	r.recordExpiry(c, out)
 	if out.done {
 		return true, nil
 	}
@@ -227,6 +238,10 @@
 			k = errkind.OutcomeUnknown
 		}
 	}
+	if k == errkind.DeadlineTooShort && r.f.Admission.DeadlineCheck {
+		// The request did not run, so the caller may return.
+		return false, r.refuse(r.trace.Choice, admission.Input{}, admission.Decide(admission.Input{}))
+	}
 	err := errkind.New(k, "%s", reason)
 	if k == errkind.NoEndpoint {
 		err = err.WithRetryAfter(cmp.Or(r.f.retryAfter(r.q.Service.Name), r.permitRetryAfter))
@@ -239,10 +254,10 @@
 func (r *run) choose(c context.Context) (balance.Choice, bool) {
 	q := r.newQuery()
 	p := permitState{started: boottime.Now()}
-	versions := r.f.Rollouts.PickVersion(r.q.Service.Name, len(r.reached)+r.failedDials+r.refusedDials > 0, boottime.Now())
+	r.versions = r.f.Rollouts.PickVersion(r.q.Service.Name, len(r.reached)+r.failedDials+r.refusedDials > 0, boottime.Now())
 	deadline := boottime.Now().Add(endpointTimeout)
 	for {
-		ch, known, ok := r.f.findVersion(r.q.Service.Name, q, versions)
+		ch, known, ok := r.f.findVersion(r.q.Service.Name, q, r.versions)
 		if ok && r.acquirePermit(c, &p, ch.Endpoint) {
 			return ch, true
 		}
--- a/settings/platform.go
+++ b/settings/platform.go
@@ -60,6 +60,9 @@
 	// receive before it is judged good.
 	RolloutShare float64
 
+	// DeadlineCheck refuses requests that no endpoint can begin before their deadline.
+	DeadlineCheck bool
+
 	LogLevel string
 }
 
@@ -114,6 +117,7 @@
 		RolloutShare: r.Float("rollout", "share", 0.1, 0, 1),
 		LogLevel:     r.Choice("log", "level", "info", "debug", "info", "warn", "error"),
 	}
+	s.DeadlineCheck = r.Choice("admission", "deadline_check", no, no, yes) == yes
 	if len(duties) > 0 {
 		s.Cloud = r.Address("cloud", "address")
 	} else {
--- a/settings/platform_test.go
+++ b/settings/platform_test.go
@@ -92,3 +92,14 @@
 	_, err := settings.LoadPlatform("testdata/no-such-file.ini")
 	require.ErrorContains(t, err, "no-such-file.ini")
 }
+
+// The decisions under shortage are off unless the settings switch them on, as the template does.
+func TestAdmissionSettings(t *testing.T) {
+	text := fillTemplate(t)
+	s, err := settings.ParsePlatform([]byte(text))
+	require.NoError(t, err)
+	require.True(t, s.DeadlineCheck)
+	s, err = settings.ParsePlatform([]byte(regexp.MustCompile(`(?m)^deadline_check = .*$`).ReplaceAllString(text, "")))
+	require.NoError(t, err)
+	require.False(t, s.DeadlineCheck)
+}
