Order requests at endpoints by urgency and slack

Cause: the rank adds the doublings of the prompt's length to the route's priority.

Change: admission.Urgency.Rank divides the ten ranks among the combinations of accounts' and routes' priorities that requests to the service can have (catalog.Table.Urgency), and within one by the slack: objective less time spent less expected prefill. Off unless [admission] order_by_slack = yes. The rank is in the answer's log line and counted by admission.rank.RANK.

Result: go test -race ./catalog ./admission ./forward ./ingress ./settings ./daemon passes.

--- a/forward/admission_test.go
+++ b/forward/admission_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"birchlink.dev/birchlink/accuracy"
+	"birchlink.dev/birchlink/admission"
 	"birchlink.dev/birchlink/balance"
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/call"
@@ -110,6 +111,45 @@
 	s.step([]string{"expect", "error", "outcome_unknown"}, "")
 }
 
+// rankCodec records the ranks of attempts.
+type rankCodec struct {
+	codec
+	ranks []int
+}
+
+func (k *rankCodec) Head(c *call.Call, a call.Attempt) http.Header {
+	k.ranks = append(k.ranks, a.Priority)
+	return k.codec.Head(c, a)
+}
+
+// With the order by slack, the rank follows the urgency, and the objective less the time spent and the
+// prefill. Without it, the rank is as before.
+func TestRankOfAttempts(t *testing.T) {
+	s := newScript(t)
+	k := &rankCodec{}
+	s.f.Codec = k
+	s.step([]string{"route", "idempotent", "1"}, "")
+	s.step([]string{"endpoint", "a", "ok"}, "")
+	send := func(objective, spent time.Duration, tokens int) {
+		s.route.LatencyObjective = objective
+		q := forward.Request{
+			Call:  &call.Call{ID: "1", Method: http.MethodPost, Host: "h", Target: "/x", Arrived: boottime.Now().Add(-spent), PromptTokens: tokens},
+			Route: &s.route, Service: &catalog.Service{Name: "s", Engine: &catalog.Engine{}}, Expires: boottime.Now().Add(5 * time.Second),
+			Content: requesthash.Hash(1), Urgency: admission.Urgency{Class: 1, Classes: 3},
+		}
+		_, err := s.f.Do(context.Background(), q, &recorder{})
+		require.NoError(t, err)
+	}
+	send(time.Minute, 0, 1000)
+	s.f.Admission.OrderBySlack = true
+	send(time.Minute, 0, 1000)
+	send(time.Minute, time.Minute, 1000)
+	send(time.Minute, 0, 10_000_000)
+	send(0, 0, 0)
+	require.Equal(t, []int{2, 5, 3, 3, 5}, k.ranks)
+	require.EqualValues(t, 2, metrics.GetOrRegisterCounter("admission.rank.5", s.f.Metrics).Count())
+}
+
 // The errors of predictions are recorded from answers, and from waits that ended at the deadline.
 func TestPredictionErrorsAreRecorded(t *testing.T) {
 	s := newScript(t)
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -5,8 +5,11 @@
 	"errors"
 	"math/bits"
 	"net/http"
+	"strconv"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"birchlink.dev/birchlink/balance"
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/call"
@@ -33,6 +36,7 @@
 	}
 	e := ch.Endpoint
 	a := call.Attempt{Endpoint: e.ID, Account: r.q.AccountName(), Timeout: boottime.Until(r.q.Expires), LastEventID: r.lastEventID, Priority: r.priority(ch)}
+	r.trace.Rank = a.Priority
 	cl := r.q.Call
 	defer r.f.Meter.Begin(r.q.Service.Name, r.addedTokens(ch), boottime.Now())()
 	n := r.f.Balancer.Begin(e, ch, boottime.Now())
@@ -81,7 +85,13 @@
 // The account's priority counts most, then the route's, then the length of the prompt: shortest
 // first keeps short prompts from waiting for the prefill of long ones. For prompts of 1,000 to
 // 2,000 tokens it lowers the 97th percentile of the wait from 232 ms to 176 ms.
+// If the order by slack is in use, it is the rank by urgency and slack instead.
 func (r *run) priority(ch balance.Choice) int {
+	if r.f.Admission.OrderBySlack {
+		rank := r.q.Urgency.Rank(r.slack(ch))
+		metrics.GetOrRegisterCounter("admission.rank."+strconv.Itoa(rank), r.f.Metrics).Inc(1)
+		return rank
+	}
 	p := r.q.Route.Priority + bits.Len(uint(ch.Tokens/shortPromptTokens))
 	if r.q.Account != nil {
 		p += 3 * r.q.Account.Priority
