Drop prediction errors when no new ones arrive

Cause: errors of an outage stayed in use for minutes at a high request rate (half-life of 20 s). If they made every request be refused, no answer arrived that showed the recovery.

Change: the samples of a service and route are dropped 10 s after the last one.

--- a/accuracy/tracker.go
+++ b/accuracy/tracker.go
@@ -12,6 +12,10 @@
 // that the errors are those of the fit in use.
 const halfLife = 20 * time.Second
 
+// maxSilence is the time without a new sample after which the samples of a key are dropped. If they make
+// every request be refused, no new ones arrive, although queues have emptied and endpoints recovered.
+const maxSilence = 10 * time.Second
+
 // Ratios are counted in bins of equal width on a logarithmic scale. With four bins for each doubling
 // a quantile is off by at most a fifth. The first and the last bin hold all ratios beyond minRatio
 // and its 2^(numBins/binsPerDoubling) multiple.
@@ -42,6 +46,7 @@
 type histogram struct {
 	bins    [numBins]float64
 	updated time.Time
+	newest  time.Time // when the last sample was added
 }
 
 // Observe records a prediction and the time observed. Predictions that are not positive are ignored.
@@ -59,11 +64,12 @@
 		if t.histograms == nil {
 			t.histograms = map[Key]*histogram{}
 		}
-		h = &histogram{updated: now}
+		h = &histogram{updated: now, newest: now}
 		t.histograms[k] = h
 	}
 	h.decay(now)
 	h.bins[binOf(float64(observed)/float64(predicted))]++
+	h.newest = now
 }
 
 // Quantile returns the ratio of observed to predicted times that the fraction p of the samples does
@@ -90,6 +96,9 @@
 }
 
 func (h *histogram) decay(now time.Time) {
+	if now.Sub(h.newest) > maxSilence {
+		h.bins = [numBins]float64{}
+	}
 	f := math.Exp2(-float64(now.Sub(h.updated)) / float64(halfLife))
 	for i := range h.bins {
 		h.bins[i] *= f
