Record only prediction errors that the next decision can use

Cause: an attempt that could not connect or was refused counted as a long wait if the deadline passed meanwhile. Errors of predictions made without recent load reports counted too; they are too high once reports arrive again, and requests would be refused. A caller that left was counted and logged as a refusal for the deadline.

Change: the expiry is recorded in recordFailure for attempts that may have run, the time of sending in attempt, and both only with load reports of up to a second. step has one hook left, admit. The refusal in fail needs a deadline that has passed.

--- a/admission/deadline.go
+++ b/admission/deadline.go
@@ -14,12 +14,12 @@
 // then nearly no lost request is found.
 const OptimisticQuantile = 0.25
 
-// A prediction refuses nothing if it rests on fewer than minSamples answers, or on load reports of
-// other boxes older than maxLoadAge, which is two rounds of reports.
-const (
-	minSamples = 20
-	maxLoadAge = time.Second
-)
+// minSamples is the number of answers below which a prediction refuses nothing.
+const minSamples = 20
+
+// MaxLoadAge is the age of other boxes' load reports above which a prediction refuses nothing: two
+// rounds of reports.
+const MaxLoadAge = time.Second
 
 // The bounds of the retry time of a request that is refused for its deadline. No service has a longer
 // queue than maxDeadlineRetry, because requests leave it at their deadlines.
@@ -75,7 +75,7 @@
 	}
 	// Since the load was reported, an endpoint has worked off at most the time that has passed.
 	d := Decision{Earliest: max(time.Duration(in.Ratio*float64(in.Expected))-in.LoadAge, 0)}
-	if in.Samples < minSamples || in.LoadAge > maxLoadAge || d.Earliest < in.Left {
+	if in.Samples < minSamples || in.LoadAge > MaxLoadAge || d.Earliest < in.Left {
 		return d
 	}
 	d.Reason = WaitTooLong
--- a/forward/admission.go
+++ b/forward/admission.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -93,10 +92,10 @@
 	r.recordWait()
 }
 
-// recordExpiry records the wait of an attempt that had no event at its deadline. The time to its
+// recordExpiry records the wait of an attempt that may have run and had no event at its deadline. The time to its
 // first event would have been longer.
-func (r *run) recordExpiry(c context.Context, out attemptResult) {
-	if out.eventCount == 0 && errors.Is(c.Err(), context.DeadlineExceeded) {
+func (r *run) recordExpiry(out attemptResult) {
+	if out.eventCount == 0 && boottime.Until(r.q.Expires) <= 0 {
 		r.recordWait()
 	}
 }
@@ -107,9 +106,11 @@
 	return metrics.NewHistogram(metrics.NewExpDecaySample(size, alpha))
 }
 
-// recordWait records the time since the attempt was sent against the time expected.
+// recordWait records the time since the attempt was sent against the time expected. Without recent load
+// reports the expected time lacks the load of other boxes. Its error would be wrong once reports
+// arrive again, so it is not recorded.
 func (r *run) recordWait() {
-	if !r.f.Admission.DeadlineCheck {
+	if !r.f.Admission.DeadlineCheck || r.trace.Choice.LoadAge > admission.MaxLoadAge {
 		return
 	}
 	now := boottime.Now()
--- a/forward/admission_test.go
+++ b/forward/admission_test.go
@@ -61,8 +61,11 @@
 func TestLostRequestIsSentWithoutKnowledge(t *testing.T) {
 	s := newShortage(t, "ok")
 	s.f.Balancer.SetRemoteLoad(map[string]balance.Load{"a": {Running: 1}}, 1, boottime.Now().Add(-2*time.Second))
+	_, before := s.f.Accuracy.Quantile(accuracy.Key{Service: "s"}, 0.5, boottime.Now())
 	s.call()
 	s.step([]string{"expect", "status", "200"}, "")
+	_, after := s.f.Accuracy.Quantile(accuracy.Key{Service: "s"}, 0.5, boottime.Now())
+	require.LessOrEqual(t, after, before, "the error of a prediction without recent load reports")
 	s = newShortage(t, "ok")
 	s.f.Admission.DeadlineCheck = false
 	s.call()
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -46,6 +46,7 @@
 	defer r.f.attempts.add(e.Incarnation(), cancel)()
 	defer r.f.Rollouts.Begin(r.q.Service.Name, e.Version)()
 	sent := boottime.Now()
+	r.attemptSent = sent
 	resp, err := r.f.Pool.Do(x, httpconn.Request{
 		Address: e.Address, Method: cl.Method, Target: cl.Target, Host: cl.Host, Header: r.f.Codec.Head(cl, a), Body: cl.Body, MaxIdle: maxIdle,
 		ShouldSend: func() bool { return r.maySend(e) },
--- a/forward/run.go
+++ b/forward/run.go
@@ -139,9 +139,7 @@
 		return r.fail(errkind.Overloaded, "the service's retries are used up")
 	}
 	r.f.Quarantine.RecordSend(r.q.Content, boottime.Now())
-	r.attemptSent = boottime.Now()
 	out := r.attempt(c, ch)
-	r.recordExpiry(c, out)
 	if out.done {
 		return true, nil
 	}
@@ -181,6 +179,7 @@
 	default:
 		r.reached = append(r.reached, reachedEndpoint{e, out.answered})
 		r.mayHaveRun = true
+		r.recordExpiry(out)
 		if out.advanced {
 			// The stream has advanced and may resume at another endpoint, so an earlier
 			// error response no longer applies.
@@ -238,7 +237,7 @@
 			k = errkind.OutcomeUnknown
 		}
 	}
-	if k == errkind.DeadlineTooShort && r.f.Admission.DeadlineCheck {
+	if k == errkind.DeadlineTooShort && r.f.Admission.DeadlineCheck && boottime.Until(r.q.Expires) <= 0 {
 		// The request did not run, so the caller may return.
 		return false, r.refuse(r.trace.Choice, admission.Input{}, admission.Decide(admission.Input{}))
 	}
