Shorten the replays' event queue, and check what the deadline check is for

Cause: the replay asserted that no request found lost is sent while its own stand-in for the forwarder refuses these, so the assertion could not fail. forward's TestLostRequestIsRefused guards the rule itself. The event queue had a heap of its own.

Change: the replay now requires that the check raises the part of requests that expire by half a percent at most. The queue is a sorted slice.

--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -1,8 +1,7 @@
 package admission_test
 
 import (
-	"container/heap"
-	"math/rand/v2"
+	"cmp"
 	"slices"
 	"time"
 
@@ -13,26 +12,10 @@
 	"birchlink.dev/birchlink/endpoint"
 )
 
-// event is a function to call at a time. Events at the same time are called in the order of their
-// numbers.
+// event is a function to call at a time.
 type event struct {
-	at     time.Duration
-	number int
-	do     func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].number < h[j].number
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	e := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return e
+	at time.Duration
+	do func()
 }
 
 // job is a request, or one attempt of it at an engine.
@@ -257,12 +240,12 @@
 func (p *replay) after(d time.Duration, do func()) { p.at(p.now+d, do) }
 
 func (p *replay) at(t time.Duration, do func()) {
-	p.number++
-	heap.Push(&p.events, event{t, p.number, do})
+	i, _ := slices.BinarySearchFunc(p.events, t, func(e event, t time.Duration) int {
+		return cmp.Or(cmp.Compare(e.at, t), -1) // after those at the same time
+	})
+	p.events = slices.Insert(p.events, i, event{t, do})
 }
 
 func key(j *job) accuracy.Key {
 	return accuracy.Key{Service: "s", Route: j.kind.name}
 }
-
-func newRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 0)) }
--- a/admission/replay_test.go
+++ b/admission/replay_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"container/heap"
 	"fmt"
 	"maps"
 	"math/bits"
@@ -53,8 +52,7 @@
 	until       time.Duration
 
 	now     time.Duration
-	number  int
-	events  eventHeap
+	events  []event // by time
 	boxes   []*box
 	engines map[string]*engine
 	serving []endpoint.Endpoint
@@ -66,7 +64,7 @@
 	f, err := os.Open(path)
 	require.NoError(t, err)
 	defer f.Close()
-	p := &replay{policy: y, rand: newRand(seed), engines: map[string]*engine{}}
+	p := &replay{policy: y, rand: rand.New(rand.NewPCG(seed, 0)), engines: map[string]*engine{}}
 	for range 4 {
 		p.boxes = append(p.boxes, &box{balancer: balance.Balancer{Rand: p.rand.Float64}})
 	}
@@ -144,7 +142,7 @@
 		}
 		const prefixes = 4
 		j := &job{kind: k, arrived: p.now, deadline: p.now + k.deadline, parts: []call.Part{
-			{ID: fmt.Sprint(k.name, p.rand.IntN(prefixes)), Tokens: k.shared}, {ID: fmt.Sprint("own", p.number), Tokens: k.own},
+			{ID: fmt.Sprint(k.name, p.rand.IntN(prefixes)), Tokens: k.shared}, {ID: fmt.Sprint("own", p.now), Tokens: k.own},
 		}}
 		k.count(j, &k.requested, true)
 		p.send(j)
@@ -156,8 +154,8 @@
 func (p *replay) run() {
 	p.after(0, p.exchangeLoad)
 	for p.now < p.until+20*time.Second {
-		e := heap.Pop(&p.events).(event)
-		p.now = e.at
+		e := p.events[0]
+		p.events, p.now = p.events[1:], e.at
 		e.do()
 	}
 }
@@ -225,8 +223,8 @@
 	return float64(n)
 }
 
-// A check that refuses what could be served, or that acts where there is no shortage, does harm. A
-// request that it finds lost must not be sent: it would end unserved and delay others.
+// A check that refuses what could be served, or that acts where there is no shortage, does harm. Fewer
+// requests must end unserved at their deadlines, up to half a percent for the callers that return.
 func TestReplayOfDeadlineCheck(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
 	require.NoError(t, err)
@@ -245,7 +243,8 @@
 	t.Logf("after: %v", after)
 	requested := before.sum(func(k *kind) int { return k.requested })
 	require.LessOrEqual(t, before.sum(func(k *kind) int { return k.lostServed }), 0.02*requested, "refused that could have been served")
-	require.Zero(t, after.sum(func(k *kind) int { return k.lostExpired + k.lostServed }))
+	expired := func(k *kind) int { return k.expired }
+	require.LessOrEqual(t, after.sum(expired)/after.sum(func(k *kind) int { return k.requested }), before.sum(expired)/requested+0.005)
 	served := func(k *kind) int { return k.served }
 	require.GreaterOrEqual(t, after.sum(served)/after.sum(func(k *kind) int { return k.requested }), before.sum(served)/requested-0.01)
 	if strings.HasSuffix(f, "-room.txt") {
