Measure the age of load reports from the last message of another box

Cause: each gossip round set the age of the others' load to zero, also when no report had come. So the age stayed under a round's 0.5 s on a box that was cut off, whose predictions lack the others' load, and the deadline check's bound of 1 s never took effect.

Change: the age is the time since Gossip.LastContact.

--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -138,7 +138,8 @@
 	return out
 }
 
-// SetRemoteLoad replaces the total load of the other boxes by endpoint, and their number.
+// SetRemoteLoad replaces the total load of the other boxes by endpoint, and their number, as reported
+// at now.
 func (b *Balancer) SetRemoteLoad(sum map[string]Load, others int, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -65,15 +65,20 @@
 			p.reporter.Merge(u)
 		}
 	}
+	// A round without a message of another box brings no new load reports.
+	reported := p.gossip.LastContact()
+	if reported.IsZero() {
+		reported = now
+	}
 	if p.gossip.IsIsolated() {
-		p.balancer.SetRemoteLoad(nil, others.Boxes, now)
+		p.balancer.SetRemoteLoad(nil, others.Boxes, reported)
 		p.balancer.SetRemoteFailures(nil, now)
 		return
 	}
 	p.mu.Lock()
 	p.remoteDemand, p.remoteEvidence = others.Demand, others.Evidence
 	p.mu.Unlock()
-	p.balancer.SetRemoteLoad(others.Load, others.Boxes, now)
+	p.balancer.SetRemoteLoad(others.Load, others.Boxes, reported)
 	p.balancer.SetRemoteFailures(others.Failing, now)
 	p.balancer.SetRemoteStats(others.Speeds)
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -236,6 +236,13 @@
 	return !g.lastContact.IsZero() && boottime.Since(g.lastContact) > unreachableAfter
 }
 
+// LastContact returns the time of the last message of another box. It is zero if there was none.
+func (g *Gossip) LastContact() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.lastContact
+}
+
 // Members returns the latest statuses of the boxes that report to this one.
 func (g *Gossip) Members() []Status {
 	g.mu.Lock()
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -265,6 +265,19 @@
 	})
 }
 
+// The age of the others' reports is the time since LastContact. If rounds without an answer renewed it,
+// a box that is cut off would take old reports for new.
+func TestLastContactEndsWithOtherBoxes(t *testing.T) {
+	m := &memstore.Store{}
+	a, b := startBox(t, m, "a", "dc"), startBox(t, m, "b", "dc")
+	waitUntil(t, func() bool { return a.othersTotal().Boxes == 1 })
+	b.stop()
+	last, n := a.LastContact(), a.roundCount()
+	require.False(t, last.IsZero())
+	waitUntil(t, func() bool { return a.roundCount() >= n+2 })
+	require.Equal(t, last, a.LastContact())
+}
+
 // When a relay stops, a member claims its slot, and changes still reach all boxes.
 func TestMemberReplacesStoppedRelay(t *testing.T) {
 	m := &memstore.Store{}
