Share the setup of the replays' tests and of single requests

Cause: two tests ran over the load files with the same loop, and three built a request by hand. No check changes.

--- a/admission/replay_test.go
+++ b/admission/replay_test.go
@@ -223,21 +223,24 @@
 	return float64(n)
 }
 
-// A check that refuses what could be served, or that acts where there is no shortage, does harm. Fewer
-// requests must end unserved at their deadlines, up to half a percent for the callers that return.
-func TestReplayOfDeadlineCheck(t *testing.T) {
+// forEachLoad runs a test for each file of a load.
+func forEachLoad(t *testing.T, test func(t *testing.T, file string)) {
 	files, err := filepath.Glob("testdata/*.txt")
 	require.NoError(t, err)
 	require.NotEmpty(t, files)
 	for _, f := range files {
 		t.Run(strings.TrimSuffix(filepath.Base(f), ".txt"), func(t *testing.T) {
 			t.Parallel()
-			checkDeadlineReplay(t, f)
+			test(t, f)
 		})
 	}
 }
 
-func checkDeadlineReplay(t *testing.T, f string) {
+// A check that refuses what could be served, or that acts where there is no shortage, does harm. Fewer
+// requests must end unserved at their deadlines, up to half a percent for the callers that return.
+func TestReplayOfDeadlineCheck(t *testing.T) { forEachLoad(t, replayDeadlineCheck) }
+
+func replayDeadlineCheck(t *testing.T, f string) {
 	before, after := replayAll(t, f, policy{rank: ranks["before"]}), replayAll(t, f, policy{rank: ranks["before"], check: true})
 	t.Logf("before:%v", before)
 	t.Logf("after: %v", after)
@@ -255,26 +258,21 @@
 // A more urgent kind must not be served in time less often than a less urgent one, which the rank so
 // far does not achieve if the more urgent kind has the longer prompts. No kind may starve. The margin
 // of 0.02 is two standard errors of a fraction of 0.1 of 1,000 requests.
-func TestReplayOfRanks(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txt")
-	require.NoError(t, err)
-	for _, f := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(f), ".txt"), func(t *testing.T) {
-			t.Parallel()
-			if testing.Verbose() {
-				for _, n := range slices.Sorted(maps.Keys(ranks)) {
-					t.Logf("%-18s%v", n, replayAll(t, f, policy{rank: ranks[n]}))
-				}
-			}
-			before, after := replayAll(t, f, policy{rank: ranks["before"]}), replayAll(t, f, policy{rank: ranks["by slack"], check: true})
-			inTime := func(r result, i int) float64 { return float64(r[i].inTime) / float64(r[i].requested) }
-			for i := range 2 {
-				require.GreaterOrEqual(t, inTime(after, i)+0.02, inTime(after, i+1), after)
-			}
-			require.GreaterOrEqual(t, inTime(after, 0), inTime(before, 0)-0.02, "most urgent kind")
-			for _, k := range after {
-				require.Greater(t, float64(k.served), 0.2*float64(k.requested), k.name)
-			}
-		})
+func TestReplayOfRanks(t *testing.T) { forEachLoad(t, replayRanks) }
+
+func replayRanks(t *testing.T, f string) {
+	if testing.Verbose() {
+		for _, n := range slices.Sorted(maps.Keys(ranks)) {
+			t.Logf("%-18s%v", n, replayAll(t, f, policy{rank: ranks[n]}))
+		}
+	}
+	before, after := replayAll(t, f, policy{rank: ranks["before"]}), replayAll(t, f, policy{rank: ranks["by slack"], check: true})
+	inTime := func(r result, i int) float64 { return float64(r[i].inTime) / float64(r[i].requested) }
+	for i := range 2 {
+		require.GreaterOrEqual(t, inTime(after, i)+0.02, inTime(after, i+1), after)
+	}
+	require.GreaterOrEqual(t, inTime(after, 0), inTime(before, 0)-0.02, "most urgent kind")
+	for _, k := range after {
+		require.Greater(t, float64(k.served), 0.2*float64(k.requested), k.name)
 	}
 }
--- a/forward/admission_test.go
+++ b/forward/admission_test.go
@@ -23,6 +23,17 @@
 	"birchlink.dev/birchlink/requesthash"
 )
 
+// send sends a request of the script's route with the time that is left until its deadline.
+func (s *script) send(left time.Duration, change func(*forward.Request)) error {
+	q := forward.Request{
+		Call:  &call.Call{ID: "1", Method: http.MethodPost, Host: "h", Target: "/x", Arrived: boottime.Now()},
+		Route: &s.route, Service: &catalog.Service{Name: "s"}, Expires: boottime.Now().Add(left), Content: requesthash.Hash(1),
+	}
+	change(&q)
+	_, err := s.f.Do(context.Background(), q, &recorder{})
+	return err
+}
+
 // newShortage returns a script with one endpoint whose service takes a thousand times as long as
 // expected, so that no request can begin before its deadline.
 func newShortage(t *testing.T, behaviours ...string) *script {
@@ -100,14 +111,9 @@
 	s := newScript(t)
 	s.step([]string{"route", "mutating", "3"}, "")
 	s.step([]string{"endpoint", "a", "suspend:6"}, "")
-	q := forward.Request{
-		Call: &call.Call{ID: "1", Arrived: boottime.Now()}, Route: &s.route, Service: &catalog.Service{Name: "s"}, Expires: boottime.Now(),
-		Content: requesthash.Hash(1),
-	}
 	for check, want := range map[bool]errkind.Kind{false: errkind.DeadlineTooShort, true: errkind.WaitTooLong} {
 		s.f.Admission.DeadlineCheck = check
-		_, err := s.f.Do(context.Background(), q, &recorder{})
-		require.Equal(t, want, errkind.Of(err).Kind)
+		require.Equal(t, want, errkind.Of(s.send(0, func(*forward.Request) {})).Kind)
 	}
 	s.f.Admission.DeadlineCheck = true
 	s.call()
@@ -135,13 +141,10 @@
 	s.step([]string{"endpoint", "a", "ok"}, "")
 	send := func(objective, spent time.Duration, tokens int) {
 		s.route.LatencyObjective = objective
-		q := forward.Request{
-			Call:  &call.Call{ID: "1", Method: http.MethodPost, Host: "h", Target: "/x", Arrived: boottime.Now().Add(-spent), PromptTokens: tokens},
-			Route: &s.route, Service: &catalog.Service{Name: "s", Engine: &catalog.Engine{}}, Expires: boottime.Now().Add(5 * time.Second),
-			Content: requesthash.Hash(1), Urgency: admission.Urgency{Class: 1, Classes: 3},
-		}
-		_, err := s.f.Do(context.Background(), q, &recorder{})
-		require.NoError(t, err)
+		require.NoError(t, s.send(5*time.Second, func(q *forward.Request) {
+			q.Call.Arrived, q.Call.PromptTokens = q.Call.Arrived.Add(-spent), tokens
+			q.Service.Engine, q.Urgency = &catalog.Engine{}, admission.Urgency{Class: 1, Classes: 3}
+		}))
 	}
 	send(time.Minute, 0, 1000)
 	s.f.Admission.OrderBySlack = true
@@ -163,12 +166,7 @@
 	_, samples := s.f.Accuracy.Quantile(accuracy.Key{Service: "s"}, 0.5, boottime.Now())
 	require.InDelta(t, 1, samples, 0.01)
 	s.step([]string{"endpoint", "a", "mute"}, "")
-	q := forward.Request{
-		Call: &call.Call{ID: "2", Method: http.MethodPost, Host: "h", Target: "/x", Arrived: boottime.Now()}, Route: &s.route, Service: &catalog.Service{Name: "s"},
-		Expires: boottime.Now().Add(20 * time.Millisecond), Content: requesthash.Hash(1),
-	}
-	_, err := s.f.Do(context.Background(), q, &recorder{})
-	require.Error(t, err)
+	require.Error(t, s.send(20*time.Millisecond, func(*forward.Request) {}))
 	_, samples = s.f.Accuracy.Quantile(accuracy.Key{Service: "s"}, 0.5, boottime.Now())
 	require.InDelta(t, 2, samples, 0.02)
 	h := s.f.Metrics.Get("admission.observed_percent.s").(metrics.Histogram)
