Set the rank of an attempt where its time is set

Cause: the line was beside one that moving running requests changes too.

Change: both fields are set in one line. The rank of a request is as before.

Result: go test -race ./forward passes.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -36,7 +36,6 @@
 	}
 	e := ch.Endpoint
 	a := call.Attempt{Endpoint: e.ID, Account: r.q.AccountName(), Timeout: boottime.Until(r.q.Expires), LastEventID: r.lastEventID, Priority: r.priority(ch)}
-	r.trace.Rank = a.Priority
 	cl := r.q.Call
 	defer r.f.Meter.Begin(r.q.Service.Name, r.addedTokens(ch), boottime.Now())()
 	n := r.f.Balancer.Begin(e, ch, boottime.Now())
@@ -46,7 +45,7 @@
 	defer r.f.attempts.add(e.Incarnation(), cancel)()
 	defer r.f.Rollouts.Begin(r.q.Service.Name, e.Version)()
 	sent := boottime.Now()
-	r.attemptSent = sent
+	r.attemptSent, r.trace.Rank = sent, a.Priority
 	resp, err := r.f.Pool.Do(x, httpconn.Request{
 		Address: e.Address, Method: cl.Method, Target: cl.Target, Host: cl.Host, Header: r.f.Codec.Head(cl, a), Body: cl.Body, MaxIdle: maxIdle,
 		ShouldSend: func() bool { return r.maySend(e) },
