--- a/admission/deadline.go
+++ b/admission/deadline.go
@@ -5,7 +5,6 @@
 // Options selects the decisions on requests under shortage that are in use.
 type Options struct {
 	DeadlineCheck bool // requests that no endpoint can begin before their deadline are refused
-	OrderBySlack  bool // the rank at an endpoint is Urgency.Rank
 }
 
 // OptimisticQuantile is the quantile of the ratios of observed to expected times to the first event
--- a/catalog/table.go
+++ b/catalog/table.go
@@ -15,15 +15,13 @@
 	services map[string]*Service
 	keys     map[string]*Account
 	accounts map[string]*Account
-
-	priorities priorities
 }
 
 // NewTable returns an index of a document, which must not be modified afterwards.
 func NewTable(d *Document) *Table {
 	t := &Table{
 		Document: d, hosts: map[string][]*Route{}, services: map[string]*Service{},
-		keys: map[string]*Account{}, accounts: map[string]*Account{}, priorities: newPriorities(d),
+		keys: map[string]*Account{}, accounts: map[string]*Account{},
 	}
 	for i := range d.Routes {
 		r := &d.Routes[i]
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -179,7 +179,7 @@
 		DataCentre: s.DataCentre, Roster: &p.state.Roster, Balancer: p.balancer, Budget: p.budget, Meter: p.meter,
 		Quarantine: p.gossip.Quarantine, Rollouts: p.gossip.Rollouts,
 		Pool: &httpconn.Pool{DialTimeout: endpointDialTimeout}, Codec: platform.HeaderCodec{}, OnStart: p.countRequest, Metrics: m, Log: log,
-		Admission: admission.Options{DeadlineCheck: s.DeadlineCheck, OrderBySlack: s.OrderBySlack},
+		Admission: admission.Options{DeadlineCheck: s.DeadlineCheck},
 		OnSend:    p.sendHint, OnCrash: func(e endpoint.Endpoint) { p.gossip.BroadcastCrash(e.Incarnation()) },
 		OnDraining:    func(e endpoint.Endpoint) { p.gossip.BroadcastDraining(e.Incarnation()) },
 		OnLimitChange: p.gossip.BroadcastRate, RequestPermit: limits.Permit,
--- a/forward/admission.go
+++ b/forward/admission.go
@@ -67,21 +67,6 @@
 	return err.WithRetryAfter(max(d.RetryAfter, r.f.retryAfter(r.q.Service.Name)))
 }
 
-// slack returns how long the request can wait at the chosen endpoint and still meet its objective, or
-// its deadline if it has no objective.
-func (r *run) slack(ch balance.Choice) time.Duration {
-	now := boottime.Now()
-	left := r.q.Expires.Sub(now)
-	if o := r.q.Route.LatencyObjective; o > 0 {
-		left = o - now.Sub(r.q.Call.Arrived)
-	}
-	if r.q.Service.Engine == nil {
-		return left
-	}
-	p := r.f.Balancer.Model(r.q.Service.Name).Predict(now)
-	return left - p.PrefillTime(ch.Tokens)
-}
-
 func (r *run) accuracyKey() accuracy.Key {
 	return accuracy.Key{Service: r.q.Service.Name, Route: r.q.Route.Name}
 }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -5,11 +5,8 @@
 	"errors"
 	"math/bits"
 	"net/http"
-	"strconv"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-
 	"birchlink.dev/birchlink/balance"
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/call"
@@ -45,7 +42,7 @@
 	defer r.f.attempts.add(e.Incarnation(), cancel)()
 	defer r.f.Rollouts.Begin(r.q.Service.Name, e.Version)()
 	sent := boottime.Now()
-	r.attemptSent, r.trace.Rank = sent, a.Priority
+	r.attemptSent = sent
 	resp, err := r.f.Pool.Do(x, httpconn.Request{
 		Address: e.Address, Method: cl.Method, Target: cl.Target, Host: cl.Host, Header: r.f.Codec.Head(cl, a), Body: cl.Body, MaxIdle: maxIdle,
 		ShouldSend: func() bool { return r.maySend(e) },
@@ -85,13 +82,7 @@
 // The account's priority counts most, then the route's, then the length of the prompt: shortest
 // first keeps short prompts from waiting for the prefill of long ones. For prompts of 1,000 to
 // 2,000 tokens it lowers the 97th percentile of the wait from 232 ms to 176 ms.
-// If the order by slack is in use, it is the rank by urgency and slack instead.
 func (r *run) priority(ch balance.Choice) int {
-	if r.f.Admission.OrderBySlack {
-		rank := r.q.Urgency.Rank(r.slack(ch))
-		metrics.GetOrRegisterCounter("admission.rank."+strconv.Itoa(rank), r.f.Metrics).Inc(1)
-		return rank
-	}
 	p := r.q.Route.Priority + bits.Len(uint(ch.Tokens/shortPromptTokens))
 	if r.q.Account != nil {
 		p += 3 * r.q.Account.Priority
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -54,9 +54,6 @@
 	Account *catalog.Account // nil if the route needs no key
 	Content requesthash.Hash // identifies requests with the same content
 	Expires time.Time        // deadline, on the clock of package boottime
-
-	// Urgency is compared with that of the service's other requests. The zero value is the same for all.
-	Urgency admission.Urgency
 }
 
 // AccountName returns the name of the account, or "" if the route needs no key.
--- a/forward/trace.go
+++ b/forward/trace.go
@@ -16,9 +16,6 @@
 	Attempts int              // number of endpoints chosen
 	Choice   balance.Choice   // the last choice of an endpoint, with the data it was based on
 
-	// Rank is the rank of the last attempt at its endpoint.
-	Rank int
-
 	// Outcome is what the last response reported.
 	Outcome call.Outcome
 
@@ -37,7 +34,7 @@
 	}
 	c := t.Choice
 	e.Str("endpoint", c.Endpoint.ID).Int("attempts", t.Attempts).Int("running", c.Running).Int("to_read", c.Tokens).
-		Dur("expected", c.Expected).Dur("first", t.ResponseTime).Dur("load_age", c.LoadAge).Int("rank", t.Rank)
+		Dur("expected", c.Expected).Dur("first", t.ResponseTime).Dur("load_age", c.LoadAge)
 	t.marshalReported(e)
 }
 
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -107,7 +107,6 @@
 	if q.Service = t.Service(n); q.Service == nil {
 		q.Service = &catalog.Service{Name: n}
 	}
-	q.Urgency.Class, q.Urgency.Classes = t.Urgency(n, q.Route, q.Account)
 	limit := q.Route.Timeout
 	if limit <= 0 {
 		limit = defaultTimeout
--- a/settings/platform.go
+++ b/settings/platform.go
@@ -63,9 +63,6 @@
 	// DeadlineCheck refuses requests that no endpoint can begin before their deadline.
 	DeadlineCheck bool
 
-	// OrderBySlack orders requests at an endpoint by their urgency and the time that they can wait.
-	OrderBySlack bool
-
 	LogLevel string
 }
 
@@ -121,7 +118,6 @@
 		LogLevel:     r.Choice("log", "level", "info", "debug", "info", "warn", "error"),
 	}
 	s.DeadlineCheck = r.Choice("admission", "deadline_check", no, no, yes) == yes
-	s.OrderBySlack = r.Choice("admission", "order_by_slack", no, no, yes) == yes
 	if len(duties) > 0 {
 		s.Cloud = r.Address("cloud", "address")
 	} else {
