--- a/forward/run.go
+++ b/forward/run.go
@@ -10,11 +10,13 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"birchlink.dev/birchlink/admission"
 	"birchlink.dev/birchlink/balance"
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/errkind"
 	"birchlink.dev/birchlink/recovery"
+	"birchlink.dev/birchlink/rollout"
 	"birchlink.dev/birchlink/wait"
 )
 
@@ -58,6 +60,9 @@
 	reserved  *balance.Attempt
 	stream    *runningStream // of the current attempt; nil if it can't be moved
 
+	attemptSent time.Time             // when the current attempt was sent
+	versions    rollout.VersionFilter // versions that the current attempt may use
+
 	// hasPermit reports whether the current attempt has a permit for its endpoint's rate.
 	hasPermit bool
 	// permitRetryAfter is the shortest time until an endpoint with an exhausted rate accepts a
@@ -132,6 +137,10 @@
 	if !ok {
 		return r.fail(errkind.NoEndpoint, "no endpoint of "+r.q.Service.Name+" is left")
 	}
+	ch, err := r.admit(c, ch)
+	if err != nil {
+		return false, err
+	}
 	e := ch.Endpoint
 	r.tried[e.Incarnation()] = true
 	r.trace = Trace{Content: r.trace.Content, Attempts: r.trace.Attempts + 1, Moves: r.moves, Choice: ch}
@@ -180,6 +189,7 @@
 	default:
 		r.reached = append(r.reached, reachedEndpoint{e, out.answered})
 		r.mayHaveRun = true
+		r.recordExpiry(out)
 		if out.advanced {
 			// The stream has advanced and may resume at another endpoint, so an earlier
 			// error response no longer applies.
@@ -237,6 +247,10 @@
 			k = errkind.OutcomeUnknown
 		}
 	}
+	if k == errkind.DeadlineTooShort && r.f.Admission.DeadlineCheck && boottime.Until(r.q.Expires) <= 0 {
+		// The request did not run, so the caller may return.
+		return false, r.refuse(r.trace.Choice, admission.Input{}, admission.Decide(admission.Input{}))
+	}
 	err := errkind.New(k, "%s", reason)
 	if k == errkind.NoEndpoint {
 		err = err.WithRetryAfter(cmp.Or(r.f.retryAfter(r.q.Service.Name), r.permitRetryAfter))
@@ -249,10 +263,10 @@
 func (r *run) choose(c context.Context) (balance.Choice, bool) {
 	q := r.newQuery()
 	p := permitState{started: boottime.Now()}
-	versions := r.f.Rollouts.PickVersion(r.q.Service.Name, len(r.reached)+r.failedDials+r.refusedDials > 0, boottime.Now())
+	r.versions = r.f.Rollouts.PickVersion(r.q.Service.Name, len(r.reached)+r.failedDials+r.refusedDials > 0, boottime.Now())
 	deadline := boottime.Now().Add(endpointTimeout)
 	for {
-		ch, known, ok := r.f.findVersion(r.q.Service.Name, q, versions)
+		ch, known, ok := r.f.findVersion(r.q.Service.Name, q, r.versions)
 		if ok && r.acquirePermit(c, &p, ch.Endpoint) {
 			return ch, true
 		}
--- a/settings/platform.go
+++ b/settings/platform.go
@@ -64,6 +64,8 @@
 	EndpointSpeeds bool
 	// MoveRequests moves running requests away from endpoints that announce their end.
 	MoveRequests bool
+	// DeadlineCheck refuses requests that no endpoint can begin before their deadline.
+	DeadlineCheck bool
 
 	LogLevel string
 }
@@ -121,6 +123,7 @@
 		LogLevel:     r.Choice("log", "level", "info", "debug", "info", "warn", "error"),
 	}
 	s.EndpointSpeeds = r.Choice("balance", "endpoint_speeds", no, no, yes) == yes
+	s.DeadlineCheck = r.Choice("admission", "deadline_check", no, no, yes) == yes
 	if len(duties) > 0 {
 		s.Cloud = r.Address("cloud", "address")
 	} else {
