Keep a reserve for small requests and places for callers that return

Cause: an account over its limit has its requests served by chance.

Change: a bucket has a reserve below a level of zero that only requests of routes that are small for their account may spend, as a last resort and by at most a quarter of the rate. The class is that of the route's decayed mean cost. A refused request gets a place (package returntime) that is due when the bucket will have room, if that is within its caller's time and 0.2 s; others are told the time and remembered. A return that is early keeps its place and gets no other, one that is due is admitted. Both are off unless Quota.Reserve and Quota.ReturnTimes are set; then nothing else in the decisions changes.

--- a/quota/ask.go
+++ b/quota/ask.go
@@ -2,12 +2,16 @@
 
 import (
 	"time"
+
+	"birchlink.dev/birchlink/returntime"
 )
 
 // Take asks arbiters in order until one admits the request, and returns its answer. The
 // order is: this box, if no relay represents it; the home relay of this data centre; the
-// account's arbiters. If none admits the request, Take returns the refusal with the
-// shortest retry delay. ask reports false if the arbiter did not answer.
+// account's arbiters. If none admits the request from its free room, Take asks once more the
+// one that has a reserve for it, or else the one with the shortest retry delay, which keeps
+// the return time. A request that returns early gets the answer of the arbiter that expects
+// it, and no other return time. ask reports false if the arbiter did not answer.
 func (q *Quota) Take(x Question, now time.Time, ask func(Arbiter, Question) (Answer, bool)) (Answer, Arbiter) {
 	soonest, from := Answer{After: unreachableRetryAfter}, Arbiter{}
 	answered := false
@@ -17,13 +21,33 @@
 		if ok && v.OK {
 			return v, a
 		}
-		if ok && v.Part > 0 && (!answered || v.After < soonest.After) {
+		if ok && x.Class == ClassUnknown {
+			x.Class = v.Class
+		}
+		if ok && v.Part > 0 && (!answered || v.preferredTo(soonest)) {
 			soonest, from, answered = v, a, true
 		}
 	}
+	if soonest.HasReserve || soonest.Keeps {
+		x.Last = true
+		if v, ok := ask(from, x); ok {
+			return v, from
+		}
+	}
 	return soonest, from
 }
 
+// preferredTo reports whether a refusal is to be preferred over another.
+func (v Answer) preferredTo(o Answer) bool {
+	if v.HasReserve != o.HasReserve {
+		return v.HasReserve
+	}
+	if early := v.Return == ReturnedEarly; early != (o.Return == ReturnedEarly) {
+		return early
+	}
+	return v.After < o.After
+}
+
 // unreachableRetryAfter is the retry delay given to a caller if no arbiter could be
 // reached. Leases have moved to other boxes by then.
 const unreachableRetryAfter = leaseDuration / 2
@@ -43,12 +67,23 @@
 }
 
 // Question asks whether a request may be admitted. Size is in units of the account's
-// rate. Urgent requests may spend the reserve that other requests must leave.
+// rate. Urgent requests may spend the reserve that other requests must leave. Boxes of
+// older versions leave out the fields from Route on.
 type Question struct {
 	Account    string
 	Size       float64
 	DataCentre string // of the asking box
 	Urgent     bool
+
+	Route   string
+	Content uint64        // hash of the request's content
+	Wait    time.Duration // the longest for which the caller waits before it returns
+	Class   Class         // as found by the arbiter asked before; ClassUnknown for the first
+	Last    bool          // all others refused: spend the reserve, or keep a return time
+}
+
+func (x *Question) key() returntime.Key {
+	return returntime.Key{Route: x.Route, Size: x.Size, Content: x.Content}
 }
 
 // Answer reports whether a request was admitted and, if not, the delay after which its
@@ -59,8 +94,25 @@
 	After time.Duration
 	Level float64
 	Part  float64
+
+	Class       Class
+	FromReserve bool   // admitted from the reserve of small requests
+	HasReserve  bool   // refused, but the reserve covers the request
+	Keeps       bool   // the arbiter keeps the return time if asked to
+	Placed      bool   // the request has a place, which is due after After
+	Return      Return // whether the request returned to its place
 }
 
+// Return says whether a request was recognised as one that returns.
+type Return string
+
+// The ways of returning.
+const (
+	NotReturned   Return = ""
+	ReturnedEarly Return = "early"
+	ReturnedDue   Return = "due"
+)
+
 // maxRetryAfter bounds the retry delay of a refused caller. A window is empty after at
 // most this time.
 const maxRetryAfter = defaultWindow
@@ -70,6 +122,10 @@
 // becomes negative. Many boxes with a small share each would together admit too much
 // that way, so below smallShare the level must cover a random fraction of the size, which
 // admits a request with a probability of the level divided by the size.
+//
+// What the places of refused requests hold is not admitted to others. A place is honoured when
+// due, also if the share has shrunk since: all places together hold what accrues within
+// returntime.MaxWait.
 func (q *Quota) Ask(x Question, now time.Time) Answer {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -81,23 +137,59 @@
 	if share <= 0 && b.level <= 0 {
 		return Answer{After: unreachableRetryAfter, Level: b.level}
 	}
-	if x.DataCentre == q.Self.DataCentre {
+	v := Answer{Part: share, Class: q.classify(b, x, now)}
+	returned, place, due, ahead := b.findReturn(x.key(), now)
+	v.Return = returned
+	if x.DataCentre == q.Self.DataCentre && v.Return != ReturnedEarly && !x.Last {
 		b.demand.add(x.Size, now)
 	}
-	need := 0.0
+	need, least := 0.0, 0.0
 	if !x.Urgent {
 		need = urgentReserve * share * b.burst
 	}
 	if share < smallShare {
-		need = max(need, x.Size*q.Rand())
+		least = x.Size * q.Rand()
+		need = max(need, least)
+	}
+	free := b.level - ahead
+	switch {
+	case free > 0 && free >= need, v.Return == ReturnedDue:
+	case !b.reserveCovers(v.Class, share, least):
+		return q.refuse(b, x, v, place, due, need-free, now)
+	case !x.Last:
+		v.HasReserve = true
+		return q.refuse(b, x, v, place, due, need-free, now)
+	default:
+		b.reserve -= x.Size
+		v.FromReserve = true
+	}
+	if place >= 0 {
+		b.line.Remove(place)
+	}
+	b.level -= x.Size
+	v.OK, v.Level = true, b.level
+	return v
+}
+
+// refuse completes the answer to a question that is not admitted. lacking is what the level
+// lacks.
+func (q *Quota) refuse(b *bucket, x Question, v Answer, place int, due time.Time, lacking float64, now time.Time) Answer {
+	v.Level = b.level
+	if v.HasReserve {
+		return v
+	}
+	if v.Return == ReturnedEarly {
+		v.Placed, v.After = place >= 0, due.Sub(now)
+		return v
 	}
-	if b.level > 0 && b.level >= need {
-		b.level -= x.Size
-		return Answer{OK: true, Level: b.level, Part: share}
+	wait := lacking / max(b.rate*v.Part, 1)
+	if q.keepsReturnTimes(x, v.Part) {
+		return q.keepReturnTime(b, x, v, wait, now)
 	}
 	b.backlog = min(b.backlog+x.Size, b.rate*maxRetryAfter.Seconds())
-	wait := b.backlog/max(b.rate, 1) + (need-b.level)/max(b.rate*share, 1)
-	return Answer{After: min(time.Duration(wait*float64(time.Second)), maxRetryAfter), Level: b.level, Part: share}
+	wait += b.backlog / max(b.rate, 1)
+	v.After = min(time.Duration(wait*float64(time.Second)), maxRetryAfter)
+	return v
 }
 
 const (
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"birchlink.dev/birchlink/catalog"
+	"birchlink.dev/birchlink/returntime"
 )
 
 // maxDebtShare is the largest debt of a bucket, as a share of what the account's rate
@@ -21,6 +22,9 @@
 	burst    float64
 	level    float64
 	backlog  float64 // units of refused requests that are expected to be retried
+	reserve  float64 // units that small requests may overdraw
+	classes  classes
+	line     returntime.Line // places of refused requests
 	demand   demand
 	filledAt time.Time
 }
@@ -70,7 +74,13 @@
 		b.level = min(b.level, share*b.burst)
 	}
 	b.level = max(b.level, -maxDebtShare*b.rate*q.window().Seconds())
-	b.backlog = max(b.backlog-elapsed*b.rate, 0)
+	if q.ReturnTimes && share >= smallShare {
+		b.backlog = max(b.backlog-granted*b.rate, 0) // told by this box alone
+	} else {
+		b.backlog = max(b.backlog-elapsed*b.rate, 0)
+	}
+	b.fillReserve(granted*b.rate, share)
+	b.line.Expire(now)
 	return share
 }
 
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -84,8 +84,10 @@
 	admitted    int
 	calls       int
 
-	equalShares bool // each box has an equal share of each endpoint's rate and asks no arbiter
-	endpoints   []*limitedEndpoint
+	reserve, returnTimes bool // set at each process that starts
+	returning            []returning
+	equalShares          bool // each box has an equal share of each endpoint's rate and asks no arbiter
+	endpoints            []*limitedEndpoint
 }
 
 type admission struct {
@@ -97,6 +99,7 @@
 	f := &fleet{
 		now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(seed, 1)), dataCentres: dataCentres,
 		accounts: []catalog.Account{*account}, delayed: map[int][]quota.Lease{},
+		reserve: allSettingsOn, returnTimes: allSettingsOn,
 	}
 	for i := range n {
 		f.nodes = append(f.nodes, &node{})
@@ -112,7 +115,7 @@
 	*n = node{starts: n.starts + 1, partition: n.partition, relay: -1, members: map[int]time.Time{}, relays: map[int]relayReport{}}
 	n.Quota = &quota.Quota{
 		Tolerance: tolerance, Started: f.now, Incarnation: fmt.Sprint(n.starts),
-		Self: f.arbiter(i), Rand: f.rng.Float64,
+		Self: f.arbiter(i), Rand: f.rng.Float64, Reserve: f.reserve, ReturnTimes: f.returnTimes,
 	}
 	n.available, n.throttle = &availability.Availability{}, &throttle.Throttle{Leases: f.leases(i)}
 	n.retries = budget.New(retryBudget)
@@ -338,23 +341,18 @@
 	}
 }
 
-// requestMix is a typical mix of request sizes in tokens: many short ones, some of medium
-// length, and a few that are large compared with the smallest account's rate.
-var requestMix = []float64{2000, 9000, 2000, 2000, 700, 9000, 2000, 700, 30000, 2000, 700, 2000}
-
-// requestSize returns the size of the n-th request of a box: size, or one of requestMix if
-// size is zero.
-func requestSize(size float64, box, n int) float64 {
-	if size > 0 {
-		return size
+// take sends one request to a box and returns the answer of the quota.
+func (f *fleet) take(i int, size float64) quota.Answer {
+	x := quota.Question{Account: account.Name, Size: size, Urgent: true}
+	if f.reserve || f.returnTimes {
+		return f.takeWithReturn(i, x)
 	}
-	return requestMix[(5*box+n)%len(requestMix)]
+	return f.ask(i, x)
 }
 
-// take sends one request to a box and returns the answer of the quota.
-func (f *fleet) take(i int, size float64) quota.Answer {
+// ask sends a request with the given question to a box and returns the answer of the quota.
+func (f *fleet) ask(i int, x quota.Question) quota.Answer {
 	n := f.nodes[i]
-	x := quota.Question{Account: account.Name, Size: size, Urgent: true}
 	v, _ := n.Take(x, f.now, func(a quota.Arbiter, x quota.Question) (quota.Answer, bool) {
 		j := boxIndex(a)
 		f.calls++
@@ -365,7 +363,7 @@
 	})
 	f.attempted++
 	if v.OK {
-		f.admissions = append(f.admissions, admission{f.now, size})
+		f.admissions = append(f.admissions, admission{f.now, x.Size})
 		f.admitted++
 	}
 	return v
@@ -374,6 +372,7 @@
 // step advances the clock by one tick. Each box runs one exchange a round.
 func (f *fleet) step() {
 	f.now = f.now.Add(tick)
+	f.returnCallers()
 	f.writeStore()
 	at := int(f.now.UnixNano()/int64(tick)) % int(round/tick)
 	for i, n := range f.nodes {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -87,6 +87,12 @@
 // ready to use. It is safe for concurrent use.
 type Quota struct {
 	Tolerance
+
+	// Reserve admits requests of routes that are small for their account from a reserve, and
+	// ReturnTimes keeps places for refused requests that can return in time.
+	Reserve     bool
+	ReturnTimes bool
+
 	Self        Arbiter
 	Incarnation string
 
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -356,7 +356,10 @@
 
 // simulateFaults runs eight rounds of faults of some kinds, each of one to five seconds.
 func simulateFaults(n int, seed uint64, kinds int) *fleet {
-	f := newSettledFleet(n, seed)
+	return newSettledFleet(n, seed).simulateFaults(kinds)
+}
+
+func (f *fleet) simulateFaults(kinds int) *fleet {
 	size := []float64{0, 2000, 9000}[f.rng.IntN(3)]
 	f.send(3*time.Second, 0.5*account.Rate, size)
 	for range 8 {
