Switch the reserve and the return times on in settings, and log refusals

Cause: package quota has a reserve and return times that nothing fills.

Change: settings [quota] reserve and return_times, on in deploy/box.ini. ingress.admit tells the limiter the route, the content and a third of the time that is left. Refusals log limit_why, limit_due, limit_wait and limit_returned. Metrics limit.from_reserve, limit.placed, limit.returned_due and limit.returned_early.

Measured: go test -race ./ingress ./settings ./ratelimit ./returntime ./fairshare passes.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -139,7 +139,7 @@
 		settings: s, store: st, balancer: &balance.Balancer{Rand: rand.Float64}, quota: &quota.Quota{
 			Tolerance: quota.Tolerance{Window: s.QuotaWindow, Overage: s.QuotaOverage, Slack: s.QuotaSlack},
 			Self:      quota.Arbiter{Box: s.Box, DataCentre: s.DataCentre, Address: s.Peers}, Started: boottime.Now(),
-			Rand: rand.Float64,
+			Reserve: s.QuotaReserve, ReturnTimes: s.QuotaReturnTimes, Rand: rand.Float64,
 		}, meter: &demand.Meter{},
 		budget: budget.New(budget.Limits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}),
 		tally:  &usage.Tally{Window: s.ReportWindow}, clock: fleetclock.New(time.Now),
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -267,6 +267,31 @@
 	})
 }
 
+// recordingLimiter records the questions that it is asked, and refuses all requests.
+type recordingLimiter struct{ questions chan quota.Question }
+
+func (l recordingLimiter) Take(_ context.Context, x quota.Question) (quota.Answer, quota.Arbiter) {
+	l.questions <- x
+	return quota.Answer{After: 350 * time.Millisecond, Placed: true}, quota.Arbiter{Box: "x"}
+}
+
+// The limiter is told by what a request is recognised when it returns, and for how long its caller
+// waits. Guards against return times that no caller can keep.
+func TestQuestionOfRequest(t *testing.T) {
+	b := startBox(t, true)
+	l := recordingLimiter{make(chan quota.Question, 2)}
+	b.Limiter = l
+	b.await(b.isReady)
+	resp := b.post("/a/x", "s", "one")
+	require.Equal(t, "0.35", resp.header.Get("Retry-After"))
+	b.post("/a/x", "s", "two")
+	one, two := <-l.questions, <-l.questions
+	require.Equal(t, "r", one.Route)
+	require.NotEqual(t, one.Content, two.Content)
+	require.LessOrEqual(t, one.Wait, 20*time.Second)
+	require.Greater(t, one.Wait, 10*time.Second)
+}
+
 // Stop makes the box not ready and waits for the requests in progress.
 func TestStopCompletesRequests(t *testing.T) {
 	b := startBox(t, true)
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -18,7 +18,6 @@
 	"birchlink.dev/birchlink/forward"
 	"birchlink.dev/birchlink/jsonhttp"
 	"birchlink.dev/birchlink/openai"
-	"birchlink.dev/birchlink/quota"
 	"birchlink.dev/birchlink/requesthash"
 )
 
@@ -172,37 +171,6 @@
 	return nil
 }
 
-// admit applies the rate limit of the request's account.
-func (i *Ingress) admit(c context.Context, q forward.Request) error {
-	a := q.Account
-	if a == nil || a.Rate <= 0 {
-		return nil
-	}
-	question := quota.Question{Account: a.Name, Size: rateCost(q), Urgent: q.Route.Priority <= 0}
-	answer, arbiter := i.Limiter.Take(c, question)
-	if answer.OK {
-		return nil
-	}
-	if arbiter.Box == "" {
-		return errkind.New(errkind.LimitReached, "no box that could be reached knows what account %s has left", a.Name).WithRetryAfter(answer.After)
-	}
-	return errkind.New(errkind.LimitReached,
-		"account %s is over its rate of %.0f with a burst of %.0f: %s, with %.3f of the rate, has %.0f left for a request of %.0f",
-		a.Name, a.Rate, a.Burst, arbiter.Box, answer.Part, answer.Level, question.Size).WithRetryAfter(answer.After)
-}
-
-// rateCost returns what a request costs in units of its account's rate, which are tokens or requests.
-func rateCost(q forward.Request) float64 {
-	switch {
-	case !q.Account.InTokens:
-		return 1
-	case q.Call.HasTokenCounts:
-		return float64(q.Call.PromptTokens + q.Call.AnswerTokens)
-	default:
-		return float64(q.Account.DefaultTokens)
-	}
-}
-
 // logAnswered logs and counts a request whose response was sent.
 func (i *Ingress) logAnswered(q forward.Request, status int, t forward.Trace) {
 	d := boottime.Since(q.Call.Arrived)
--- a/ingress/sink.go
+++ b/ingress/sink.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -67,6 +68,10 @@
 	e := errkind.Of(err)
 	resp := e.Kind.Response()
 	l := i.log.Info().Str("event", "answer").Str("kind", resp.Name).Str("run", string(resp.Run)).Str("reason", e.Message).Dur("retry_after", e.RetryAfter)
+	var limit *limitError
+	if errors.As(err, &limit) {
+		l = l.EmbedObject(limit)
+	}
 	if q.Call != nil {
 		l = l.Str("request", q.Call.ID).Dur("took", boottime.Since(q.Call.Arrived))
 	}
--- a/ratelimit/service.go
+++ b/ratelimit/service.go
@@ -103,9 +103,23 @@
 		})
 	}
 	metrics.GetOrRegisterTimer("limit.asked", s.metrics).UpdateSince(began)
+	s.count(v)
 	return v, by
 }
 
+// count counts how a request was admitted or refused beyond its account's free room.
+func (s *Service) count(v quota.Answer) {
+	inc := func(name string, counted bool) {
+		if counted {
+			metrics.GetOrRegisterCounter(name, s.metrics).Inc(1)
+		}
+	}
+	inc("limit.from_reserve", v.FromReserve)
+	inc("limit.placed", v.Placed && v.Return == quota.NotReturned)
+	inc("limit.returned_due", v.OK && v.Return == quota.ReturnedDue)
+	inc("limit.returned_early", v.Return == quota.ReturnedEarly)
+}
+
 // ask asks one arbiter, which may be this box. It reports false if there is no answer.
 func (s *Service) ask(c context.Context, a quota.Arbiter, x quota.Question, timeout time.Duration) (quota.Answer, bool) {
 	if a.Box == s.Quota.Self.Box {
--- a/settings/platform.go
+++ b/settings/platform.go
@@ -50,6 +50,11 @@
 	QuotaOverage float64
 	QuotaSlack   float64
 
+	// QuotaReserve admits requests of routes that are small for their account from a reserve, and
+	// QuotaReturnTimes keeps places for refused requests that can return in time.
+	QuotaReserve     bool
+	QuotaReturnTimes bool
+
 	// Lease is the period within which two leaders must not act alternately. The usage of each
 	// ReportWindow is reported at the latest ReportDue after the end of the window.
 	Lease        time.Duration
@@ -108,6 +113,10 @@
 		QuotaWindow:  r.Duration("quota", "window", 8*time.Second, time.Second, time.Hour),
 		QuotaOverage: r.Float("quota", "overage", 0, 0, 10),
 		QuotaSlack:   r.Float("quota", "slack", 0, 0, maxQuotaSlack),
+
+		QuotaReserve:     r.Choice("quota", "reserve", no, no, yes) == yes,
+		QuotaReturnTimes: r.Choice("quota", "return_times", no, no, yes) == yes,
+
 		Lease:        r.Duration("duties", "lease", 3*time.Second, time.Second, time.Hour),
 		ReportWindow: r.Duration("duties", "report_window", 5*time.Second, time.Second, time.Hour),
 		ReportDue:    r.Duration("duties", "report_due", 10*time.Second, time.Second, time.Hour),
--- a/settings/platform_test.go
+++ b/settings/platform_test.go
@@ -72,6 +72,20 @@
 	require.False(t, s.Autoscale || s.ReportUsage || s.FirstStart)
 }
 
+// The reserve and the return times are off unless the file switches them on, as the template does.
+// Guards against decisions that change without a setting.
+func TestQuotaSwitches(t *testing.T) {
+	s, err := settings.ParsePlatform([]byte(fillTemplate(t)))
+	require.NoError(t, err)
+	require.True(t, s.QuotaReserve && s.QuotaReturnTimes)
+	text := regexp.MustCompile(`(?m)^(reserve|return_times) = yes$`).ReplaceAllString(fillTemplate(t), "")
+	s, err = settings.ParsePlatform([]byte(text))
+	require.NoError(t, err)
+	require.False(t, s.QuotaReserve || s.QuotaReturnTimes)
+	_, err = settings.ParsePlatform([]byte("[quota]\nreserve = 1\n"))
+	require.ErrorContains(t, err, `reserve = "1"`)
+}
+
 // All mistakes are reported together, each with its section and key.
 func TestPlatformMistakes(t *testing.T) {
 	_, err := settings.ParsePlatform([]byte("[box]\nname = x\n[listen]\ncallers = here\n[duties]\nlease = soon\n[quota]\nslack = -1\n[nowhere]\nx = 1\n"))
