--- a/ratelimit/service_test.go
+++ b/ratelimit/service_test.go
@@ -104,6 +104,28 @@
 	require.Empty(t, by.Box)
 }
 
+// Early returns and the use of the reserve are counted at the box that asks. Guards against a reserve and
+// return times that act unseen.
+func TestCountsReturns(t *testing.T) {
+	m, r := start(t, "member"), start(t, "relay")
+	r.Quota.Reserve, r.Quota.ReturnTimes = true, true
+	r.setView(3, r.Quota.Self)
+	m.setView(0, r.Quota.Self)
+	x := quota.Question{Account: "a", Size: 6000, Urgent: true, Route: "large", Wait: 10 * time.Second}
+	require.Eventually(t, func() bool { // the first one leaves a debt of six seconds
+		v, _ := m.Take(t.Context(), x)
+		return v.OK
+	}, 30*time.Second, time.Millisecond)
+	for x.Content = range uint64(12) {
+		m.Take(t.Context(), x)
+	}
+	m.Take(t.Context(), x)
+	m.Take(t.Context(), quota.Question{Account: "a", Size: 0.1, Urgent: true, Route: "small"})
+	for _, name := range []string{"limit.returned_early", "limit.from_reserve"} {
+		require.Positive(t, metrics.GetOrRegisterCounter(name, m.metrics).Count(), name)
+	}
+}
+
 // A call that the caller cancels does not mark the arbiter as unresponsive.
 func TestCancelledCallerNotCounted(t *testing.T) {
 	m, r := start(t, "member"), start(t, "relay")
