Look return times up without sorting out old ones at each question

Cause: an arbiter that remembers 128 places and 256 return times compared whole keys and dropped old entries at each question: 9.0 us a question.

Change: hashes of contents are compared first, and return times are dropped only when there is no room for another.

--- a/quota/room.go
+++ b/quota/room.go
@@ -88,7 +88,7 @@
 	case place >= 0:
 		return ReturnedEarly, place, due, ahead
 	}
-	if due, ok := b.line.Told(k); ok {
+	if due, ok := b.line.Told(k, now); ok {
 		return ReturnedEarly, place, due, ahead
 	}
 	return NotReturned, place, due, ahead
@@ -111,7 +111,7 @@
 	v.After = min(q.returnAfter(lacking+(b.backlog+x.Size)/max(b.rate*v.Part, 1)), maxRetryAfter)
 	if x.Last {
 		b.backlog = min(b.backlog+x.Size, b.rate*v.Part*maxRetryAfter.Seconds())
-		b.line.Tell(x.key(), now.Add(min(v.After, x.Wait)))
+		b.line.Tell(x.key(), now.Add(min(v.After, x.Wait)), now)
 	}
 	return v
 }
--- a/quota/room_test.go
+++ b/quota/room_test.go
@@ -296,3 +296,17 @@
 	send(answer{true, time.Second, 3, 0.5}, &w)
 	require.Equal(t, quota.Answer{OK: true, After: time.Second, Level: 3, Part: 0.5}, w)
 }
+
+// BenchmarkAskWithPlaces measures a question at an arbiter that keeps as many return times as it can.
+func BenchmarkAskWithPlaces(b *testing.B) {
+	x := newSoleBox()
+	x.warmUp()
+	x.drain()
+	for i := range uint64(600) {
+		x.ask("large", 1, 1000+i, 2*time.Second)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		x.Ask(quota.Question{Account: account.Name, Size: 500, DataCentre: "dc", Urgent: true, Route: "large", Wait: time.Second}, x.now)
+	}
+}
--- a/returntime/line.go
+++ b/returntime/line.go
@@ -54,18 +54,17 @@
 	due time.Time
 }
 
-// Expire gives back the places that were not claimed in time, and forgets the requests without a place
-// that may return now.
+// Expire gives back the places that were not claimed in time.
 func (l *Line) Expire(now time.Time) {
 	l.places = slices.DeleteFunc(l.places, func(p place) bool { return now.Sub(p.due) > ClaimWithin })
-	l.told = slices.DeleteFunc(l.told, func(p place) bool { return p.due.Sub(now) <= RoundingError })
 }
 
 // Find returns the first place of a key, when it is due, and the units that the places before it
 // hold. Without a place it returns -1 and the units that all places hold.
 func (l *Line) Find(k Key) (place int, due time.Time, ahead float64) {
-	for i, p := range l.places {
-		if p.Key == k {
+	for i := range l.places {
+		p := &l.places[i]
+		if p.Content == k.Content && p.Key == k {
 			return i, p.due, ahead
 		}
 		ahead += p.Size
@@ -83,9 +82,10 @@
 func (l *Line) Add(k Key, due time.Time) { l.places = append(l.places, place{k, due}) }
 
 // Told returns the time at which a request without a place was told to return, if that is to come.
-func (l *Line) Told(k Key) (due time.Time, ok bool) {
-	for _, p := range l.told {
-		if p.Key == k {
+func (l *Line) Told(k Key, now time.Time) (due time.Time, ok bool) {
+	for i := range l.told {
+		p := &l.told[i]
+		if p.Content == k.Content && p.Key == k && p.isToCome(now) {
 			return p.due, true
 		}
 	}
@@ -94,8 +94,13 @@
 
 // Tell remembers that a request without a place was told to return at a time. If too many are
 // remembered, it does nothing.
-func (l *Line) Tell(k Key, due time.Time) {
+func (l *Line) Tell(k Key, due, now time.Time) {
+	if len(l.told) >= maxTold {
+		l.told = slices.DeleteFunc(l.told, func(p place) bool { return !p.isToCome(now) })
+	}
 	if len(l.told) < maxTold {
 		l.told = append(l.told, place{k, due})
 	}
 }
+
+func (p *place) isToCome(now time.Time) bool { return p.due.Sub(now) > RoundingError }
--- a/returntime/line_test.go
+++ b/returntime/line_test.go
@@ -57,12 +57,11 @@
 // caller that follows its return time and is taken for one that returns early.
 func TestTold(t *testing.T) {
 	l := &returntime.Line{}
-	l.Tell(key(1), now.Add(time.Second))
-	due, ok := l.Told(key(1))
+	l.Tell(key(1), now.Add(time.Second), now)
+	due, ok := l.Told(key(1), now)
 	require.True(t, ok)
 	require.Equal(t, now.Add(time.Second), due)
-	l.Expire(now.Add(time.Second - returntime.RoundingError))
-	_, ok = l.Told(key(1))
+	_, ok = l.Told(key(1), now.Add(time.Second-returntime.RoundingError))
 	require.False(t, ok)
 }
 
@@ -75,8 +74,12 @@
 	}
 	require.EqualValues(t, 128, n)
 	for i := range uint64(1000) {
-		l.Tell(key(i), now)
+		l.Tell(key(i), now.Add(time.Second), now)
 	}
-	_, ok := l.Told(key(999))
+	_, ok := l.Told(key(999), now)
 	require.False(t, ok)
+	later := now.Add(2 * time.Second)
+	l.Tell(key(999), later.Add(time.Second), later)
+	_, ok = l.Told(key(999), later)
+	require.True(t, ok, "those that may return have made room")
 }
