Bound the reserve by the tolerated overage, and name a delay beside it

Cause: small requests could overdraw a bucket by a tenth of its capacity on top of the debt of a large request, also where no overage is tolerated (the defaults of [quota] overage and slack). Also, a refusal with a reserve had no retry delay: if the arbiter did not answer the second question, the caller was told to return at once.

Change: the reserve of all buckets of an account is at most a quarter of the tolerated overage, which leaves it as it was for an overage of 5% and more with a burst of a second. Refusals with a reserve name when the level will be positive.

--- a/quota/ask.go
+++ b/quota/ask.go
@@ -39,8 +39,8 @@
 
 // preferredTo reports whether a refusal is to be preferred over another.
 func (v Answer) preferredTo(o Answer) bool {
-	if v.HasReserve != o.HasReserve {
-		return v.HasReserve
+	if v.HasReserve || o.HasReserve {
+		return !o.HasReserve // the first that has a reserve
 	}
 	if early := v.Return == ReturnedEarly; early != (o.Return == ReturnedEarly) {
 		return early
@@ -175,14 +175,15 @@
 // lacks.
 func (q *Quota) refuse(b *bucket, x Question, v Answer, place int, due time.Time, lacking float64, now time.Time) Answer {
 	v.Level = b.level
+	wait := lacking / max(b.rate*v.Part, 1)
 	if v.HasReserve {
+		v.After = min(q.returnAfter(wait), maxRetryAfter) // counts only if the reserve is not granted
 		return v
 	}
 	if v.Return == ReturnedEarly {
 		v.Placed, v.After = place >= 0, due.Sub(now)
 		return v
 	}
-	wait := lacking / max(b.rate*v.Part, 1)
 	if q.keepsReturnTimes(x, v.Part) {
 		return q.keepReturnTime(b, x, v, wait, now)
 	}
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -23,6 +23,9 @@
 	level    float64
 	backlog  float64 // units of refused requests that are expected to be retried
 	reserve  float64 // units that small requests may overdraw
+
+	maxReserve float64 // of all buckets of the account together
+
 	classes  classes
 	line     returntime.Line // places of refused requests
 	demand   demand
@@ -45,6 +48,7 @@
 		q.fill(b, now)
 		b.rate, b.burst = rate, burst
 	}
+	b.maxReserve = q.maxReserve(a, burst)
 	return b
 }
 
--- a/quota/room.go
+++ b/quota/room.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"birchlink.dev/birchlink/catalog"
 	"birchlink.dev/birchlink/rendezvous"
 	"birchlink.dev/birchlink/returntime"
 )
@@ -12,6 +13,10 @@
 	// the debt that a large request leaves. It is that of urgentReserve.
 	overdraftShare = 0.1
 
+	// toleratedReserveShare is the share of the tolerated overage that bounds the reserve, which is
+	// spent on top of a full bucket. Without any tolerance there is no reserve.
+	toleratedReserveShare = 0.25
+
 	// reserveRate is the share of the rate that fills the reserve. Small requests cannot take more
 	// than that from large ones while the bucket is overdrawn.
 	reserveRate = 0.25
@@ -28,8 +33,14 @@
 	staggerOver = 10 * time.Millisecond
 )
 
+// maxReserve returns the units by which small requests may overdraw all buckets of an account together,
+// given their capacity.
+func (t Tolerance) maxReserve(a *catalog.Account, burst float64) float64 {
+	return min(overdraftShare*burst, toleratedReserveShare*t.toleratedOverage(a))
+}
+
 // overdraft returns the units by which small requests may overdraw a bucket.
-func (b *bucket) overdraft(share float64) float64 { return overdraftShare * share * b.burst }
+func (b *bucket) overdraft(share float64) float64 { return share * b.maxReserve }
 
 // fillReserve adds what a number of granted units adds to the reserve. The reserve lies below a level
 // of zero, so that it takes nothing from an account within its limit.
