--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -16,13 +16,13 @@
 // bucket is the token bucket of one account at one box. The leases that the box holds
 // fill it.
 type bucket struct {
-	account  string
-	shard    int
-	rate     float64 // of the whole account, units a second
-	burst    float64
-	level    float64
-	backlog  float64 // units of refused requests that are expected to be retried
-	reserve  float64 // units that small requests may overdraw
+	account string
+	shard   int
+	rate    float64 // of the whole account, units a second
+	burst   float64
+	level   float64
+	backlog float64 // units of refused requests that are expected to be retried
+	reserve float64 // units that small requests may overdraw
 
 	maxReserve float64 // of all buckets of the account together
 
