Ask an arbiter again only while a refusal is in time

Cause: the second question to an arbiter came after up to four others of 25 ms each, with up to 25 ms of its own. A refusal is due within some 60 ms. A request that was served from the reserve although it returned early was counted as refused in limit.returned_early.

Change: an arbiter is asked again only within 35 ms. Later the refusal names the delay of the first answer, without a place. limit.returned_early counts refusals only.

TestNoSecondQuestionWhenLate fails without the bound.

--- a/ratelimit/service.go
+++ b/ratelimit/service.go
@@ -36,6 +36,12 @@
 const (
 	askTimeout      = 25 * time.Millisecond
 	finalAskTimeout = 100 * time.Millisecond
+
+	// The arbiter that refuses last is asked again, for its reserve or a return time, only within
+	// askAgainWithin. With askTimeout, the second question then ends within 60 ms, in which a
+	// refusal is due.
+	askAgainWithin = 35 * time.Millisecond
+
 	defaultCooldown = time.Second
 )
 
@@ -92,7 +98,7 @@
 func (s *Service) Take(c context.Context, x quota.Question) (quota.Answer, quota.Arbiter) {
 	began := boottime.Now()
 	v, by := s.Quota.Take(x, began, func(a quota.Arbiter, x quota.Question) (quota.Answer, bool) {
-		if s.coolingDown(a.Box) {
+		if s.coolingDown(a.Box) || x.Last && boottime.Since(began) > askAgainWithin {
 			return quota.Answer{}, false
 		}
 		return s.ask(c, a, x, askTimeout)
@@ -117,7 +123,7 @@
 	inc("limit.from_reserve", v.FromReserve)
 	inc("limit.placed", v.Placed && v.Return == quota.NotReturned)
 	inc("limit.returned_due", v.OK && v.Return == quota.ReturnedDue)
-	inc("limit.returned_early", v.Return == quota.ReturnedEarly)
+	inc("limit.returned_early", !v.OK && v.Return == quota.ReturnedEarly)
 }
 
 // ask asks one arbiter, which may be this box. It reports false if there is no answer.
--- a/ratelimit/service_test.go
+++ b/ratelimit/service_test.go
@@ -126,6 +126,40 @@
 	}
 }
 
+// An arbiter is not asked again after two others took their time-outs: the refusal names a delay without
+// a place. Guards against refusals that come later than 60 ms for the sake of a return time.
+func TestNoSecondQuestionWhenLate(t *testing.T) {
+	m, r := start(t, "member"), start(t, "relay")
+	r.Quota.ReturnTimes = true
+	r.setView(3, r.Quota.Self)
+	m.setView(0, r.Quota.Self)
+	x := quota.Question{Account: "a", Size: 6000, Urgent: true, Route: "large", Wait: 10 * time.Second}
+	require.Eventually(t, func() bool {
+		v, _ := m.Take(t.Context(), x)
+		return v.OK
+	}, 30*time.Second, time.Millisecond)
+	silent := func(name string) quota.Arbiter {
+		a := freeAddress(t)
+		n := peer.NewNode(a, a, "secret", metrics.NewRegistry())
+		peer.Handle(n.Server, "limit.ask", func(c context.Context, _ quota.Question) (quota.Answer, error) {
+			<-c.Done()
+			return quota.Answer{}, c.Err()
+		})
+		require.NoError(t, n.Start(t.Context(), &kernel.Kernel{}))
+		t.Cleanup(func() { _ = n.Stop(context.Background()) })
+		return quota.Arbiter{Box: name, DataCentre: "dc", Address: a}
+	}
+	m.setView(0, silent("s"), silent("t"), r.Quota.Self)
+	v, by := m.Take(t.Context(), x)
+	require.EqualValues(t, 2, m.unanswered())
+	require.Equal(t, r.Quota.Self, by)
+	require.False(t, v.OK)
+	require.True(t, v.Keeps)
+	require.Positive(t, v.After)
+	v, _ = m.Take(t.Context(), x)
+	require.Equal(t, quota.NotReturned, v.Return, "the first refusal left no return time")
+}
+
 // A call that the caller cancels does not mark the arbiter as unresponsive.
 func TestCancelledCallerNotCounted(t *testing.T) {
 	m, r := start(t, "member"), start(t, "relay")
