--- a/quota/ask.go
+++ b/quota/ask.go
@@ -39,13 +39,13 @@
 
 // preferredTo reports whether a refusal is to be preferred over another.
 func (v Answer) preferredTo(o Answer) bool {
-	if v.HasReserve || o.HasReserve {
-		return !o.HasReserve // the first that has a reserve
+	if v.HasReserve != o.HasReserve {
+		return v.HasReserve
 	}
 	if early := v.Return == ReturnedEarly; early != (o.Return == ReturnedEarly) {
 		return early
 	}
-	return v.After < o.After
+	return !v.HasReserve && v.After < o.After // of those with a reserve, the first
 }
 
 // unreachableRetryAfter is the retry delay given to a caller if no arbiter could be
