Test that a relay that is left decides after one ended

Cause: TestPlacesEndWithRelay killed all relays, so that nobody answered and the test passed whatever became of places.

Change: only the relay that kept the place ends, and the test requires an answer of another one to a caller that it takes for new.

--- a/quota/room_test.go
+++ b/quota/room_test.go
@@ -256,25 +256,29 @@
 	require.Greater(t, placed, 10)
 }
 
-// The places of a relay that ends are lost: its callers are treated as new. Guards against answers
-// that rest on a relay that is gone.
+// The places of a relay that ends are lost: its callers are treated as new by those that are left.
+// Guards against answers that rest on a relay that is gone.
 func TestPlacesEndWithRelay(t *testing.T) {
 	f := newSettledFleetWith(30, 1)
 	f.spendAll()
 	x := quota.Question{Account: account.Name, Size: 3000, Urgent: true, Route: "r", Wait: 2 * time.Second}
-	var v quota.Answer
-	for ; !v.Placed; x.Content++ {
-		f.idle(tick)
-		v = f.ask(7, x)
+	ask := func() (quota.Answer, quota.Arbiter) {
+		return f.nodes[12].Take(x, f.now, func(a quota.Arbiter, x quota.Question) (quota.Answer, bool) {
+			j := boxIndex(a)
+			return f.nodes[j].Ask(x, f.now), f.reaches(12, j)
+		})
 	}
-	x.Content--
-	for dc := range f.dataCentres {
-		for _, i := range f.relays(dc) {
-			f.kill(i)
-		}
+	v, by := ask()
+	for ; !v.Placed; v, by = ask() {
+		f.idle(tick)
+		x.Content++
 	}
+	f.kill(boxIndex(by))
 	f.idle(v.After)
-	require.Equal(t, quota.NotReturned, f.ask(12, x).Return)
+	v, other := ask()
+	require.NotEqual(t, by, other)
+	require.Positive(t, v.Part, "an arbiter that is left has decided")
+	require.Equal(t, quota.NotReturned, v.Return)
 }
 
 // Boxes of the version before and of this one understand each other. Guards against refusals during an
