Compute the oldest place that may be claimed once a question

Cause: a question at an arbiter with 128 places took 4.2 to 5.3 us, half of it in subtracting the time of each place. An admission decision should take under 2 us.

Change: places are compared with one point of time. What expires is the same.

--- a/returntime/line.go
+++ b/returntime/line.go
@@ -56,7 +56,8 @@
 
 // Expire gives back the places that were not claimed in time.
 func (l *Line) Expire(now time.Time) {
-	l.places = slices.DeleteFunc(l.places, func(p place) bool { return now.Sub(p.due) > ClaimWithin })
+	first := now.Add(-ClaimWithin) // computed once: Sub for each place took half of the time of a question
+	l.places = slices.DeleteFunc(l.places, func(p place) bool { return p.due.Before(first) })
 }
 
 // Find returns the first place of a key, when it is due, and the units that the places before it
