Decay unsent samples and bound those of one message

A box that was cut off kept its unsent samples at full weight, and those of each process that it had seen, without bound. Update now limits them to the weight of the totals, which include them and decay. An entry of a report counts as at most the 64 samples that a sender keeps; a faulty one could count as 100,000.

go test -race ./speed: ok (1.4 s). Without the changes, TestUnsentSamplesDecay and TestFaultyEntries fail.

--- a/speed/estimator.go
+++ b/speed/estimator.go
@@ -150,7 +150,8 @@
 	return t
 }
 
-// Update recomputes the ratings of the endpoints, given by service, and forgets old samples.
+// Update recomputes the ratings of the endpoints, given by service, and forgets old samples. It must be
+// called regularly, also while no receiver is reachable.
 func (e *Estimator) Update(services [][]endpoint.Endpoint, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -159,6 +160,7 @@
 			delete(e.totals, k)
 		}
 	}
+	e.limitUnsent()
 	ratings := map[string]Rating{}
 	if len(e.totals) > 0 {
 		for _, es := range services {
--- a/speed/estimator_test.go
+++ b/speed/estimator_test.go
@@ -240,7 +240,23 @@
 	require.Empty(t, e.Take("c"))
 }
 
-// A faulty message must not give an endpoint an absurd factor.
+// A box that is cut off must not send old samples at full weight later, nor keep those of each process
+// that has ended meanwhile.
+func TestUnsentSamplesDecay(t *testing.T) {
+	es := endpoints(10)
+	var e speed.Estimator
+	e.SetReceivers("")
+	observe(&e, es, 60, epoch, oneSlow(1.6))
+	factors(&e, es, epoch.Add(time.Minute))
+	unsent := e.Take("")
+	require.Len(t, unsent, 10)
+	require.Equal(t, 30*16, unsent[0].Count)
+	e.Return("", unsent)
+	factors(&e, es, epoch.Add(15*time.Minute))
+	require.Empty(t, e.Take(""))
+}
+
+// A faulty message must not give an endpoint an absurd factor, nor outweigh what the others observe.
 func TestFaultyEntries(t *testing.T) {
 	es := endpoints(10)
 	var e speed.Estimator
@@ -256,6 +272,9 @@
 		require.Greater(t, f, 0.2)
 		require.Less(t, f, 5.0)
 	}
+	for _, n := range e.ReplyTo("m", 0, nil, epoch).Entries {
+		require.LessOrEqual(t, n.Count, 16*64*speed.MaxEntries/2)
+	}
 }
 
 // Members must be told of endpoints that they do not use only by class, so that the cost of a box
--- a/speed/exchange.go
+++ b/speed/exchange.go
@@ -105,6 +105,21 @@
 	e.unsent = unsent
 }
 
+// limitUnsent bounds the weights of samples that wait for a receiver by those of the totals, which
+// include them and decay. Otherwise a box that is cut off would later send old samples at full weight,
+// and keep those of each process that has ended since.
+func (e *Estimator) limitUnsent() {
+	for _, unsent := range e.unsent {
+		for k, s := range unsent {
+			if t := e.totals[k]; t != nil {
+				unsent[k] = s.limited(t.count)
+			} else {
+				delete(unsent, k)
+			}
+		}
+	}
+}
+
 // Take removes and returns up to MaxEntries endpoints' samples for a receiver, those with the most
 // first.
 func (e *Estimator) Take(receiver string) []Entry {
@@ -142,7 +157,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, n := range entries[:min(len(entries), MaxEntries)] {
-		e.add(Key(n.Key), n.sums(), now)
+		e.add(Key(n.Key), n.sums().limited(maxUnsent), now)
 	}
 }
 
@@ -151,7 +166,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, n := range entries[:min(len(entries), MaxEntries)] {
-		e.addTotal(Key(n.Key), n.sums(), now)
+		e.addTotal(Key(n.Key), n.sums().limited(maxUnsent), now)
 	}
 }
 
