Return a run to its source with a handle of its own

A handle serves once. If the only destination refused the continuation, the handle was used up, so the source refused it as well and the run was lost, although the source still held its memory.

The source is now asked for another handle before it is to continue the run.

go test -race -count=1 -run TestMoves ./forward: ok. Without the change, the new case fails: the run starts at no endpoint after a.

--- a/forward/continue.go
+++ b/forward/continue.go
@@ -9,6 +9,7 @@
 	"birchlink.dev/birchlink/balance"
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/call"
+	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/recovery"
 )
 
@@ -27,6 +28,8 @@
 func (r *run) continueStopped(c context.Context, from balance.Choice, s *stoppedRun) (balance.Choice, attemptResult) {
 	r.moves++
 	r.trace.Moves = r.moves
+	var refused endpoint.Endpoint // the destination that used up the handle, if one did
+	used := ""
 	for range maxTargets {
 		if c.Err() != nil || s.target == nil && !r.copyElsewhere(c, s) {
 			break
@@ -39,10 +42,18 @@
 			r.recordMove(s, "moved", t.choice, out)
 			return t.choice, out
 		}
+		if out.interruption == recovery.Refused {
+			refused, used = t.choice.Endpoint, s.handle
+		}
 	}
 	outcome := "cancelled"
 	if c.Err() == nil {
 		outcome = "refused"
+		if used == s.handle { // a handle serves once, so the source needs another
+			if a, err := r.f.copyRun(c, r.q.Call.ID, s.source, refused, true, s.ends); err == nil && a.Handle != "" {
+				s.handle = a.Handle
+			}
+		}
 		if out := r.continueAt(c, from, s, nil); !out.isNotRun() {
 			r.recordMove(s, "returned", from, out)
 			return from, out
--- a/forward/migrate_test.go
+++ b/forward/migrate_test.go
@@ -148,6 +148,8 @@
 		"stream left open": {moves: "ok ok_left_open", wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "moved"},
 		// The destination refuses the continuation, for which its handle is used up.
 		"destination refuses": {refuses: 1, c: true, wantEvents: all, wantStarts: "a new, c moved 3", wantMoves: "moved"},
+		// No other destination is left: the source continues with another handle, since one serves once.
+		"only destination refuses": {refuses: 1, wantEvents: all, wantStarts: "a new, a moved 3", wantMoves: "returned"},
 		// The run ends before it is told to stop: its stream is complete, and the copy is freed.
 		"run ends first": {moves: "ok run_ends", wantEvents: all, wantStarts: "a new", wantFreed: 1},
 		// A copy without last must not hold back events.
