Move no stream whose events have no IDs

A continuation sends the events after Last-Event-Id. Without IDs, the caller would get its first events again. Such streams now stay where they are.

A continuation at the source also counts as one that prefills nothing, as at other destinations: it added the prompt to the service's demand again.

go test -race -count=1 ./forward: ok. Without the check, the new case of TestMoves fails: the run continues at b.

--- a/forward/continue.go
+++ b/forward/continue.go
@@ -54,6 +54,7 @@
 				s.handle = a.Handle
 			}
 		}
+		from.Tokens, from.TypicalFirstEvent = 0, 0 // as for other destinations: nothing is prefilled again
 		if out := r.continueAt(c, from, s, nil); !out.isNotRun() {
 			r.recordMove(s, "returned", from, out)
 			return from, out
--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -47,6 +47,7 @@
 	hold  int
 
 	drains   bool
+	noIDs    bool     // events have no IDs
 	lateHead bool     // the head of a response is sent with the first event
 	moves    []string // what happens on each call of kv-move; the last one repeats
 	refuses  int      // continuations to refuse
@@ -185,7 +186,10 @@
 			e.drain()
 			e.await(q.Context())
 		}
-		fmt.Fprintf(w, "id: %d\ndata: %d\n\n", i, i)
+		if !e.noIDs {
+			fmt.Fprintf(w, "id: %d\n", i)
+		}
+		fmt.Fprintf(w, "data: %d\n\n", i)
 		_ = rc.Flush()
 		e.mu.Lock()
 		e.sent = i
--- a/forward/migrate.go
+++ b/forward/migrate.go
@@ -115,6 +115,7 @@
 	mu          sync.Mutex
 	events      int
 	first, last time.Time // of the first and the last event
+	hasIDs      bool      // an event had an ID
 	settled     bool      // the stream has ended
 	move        *move     // the move in progress or the last one
 	moving      bool
@@ -141,8 +142,8 @@
 	s.r.f.streams.remove(s.choice.Endpoint.Incarnation(), s)
 }
 
-// recordEvent records an event of the stream.
-func (s *runningStream) recordEvent(now time.Time) {
+// recordEvent records an event of the stream. Its ID may be empty.
+func (s *runningStream) recordEvent(id string, now time.Time) {
 	if s == nil {
 		return
 	}
@@ -153,14 +154,15 @@
 	}
 	s.last = now
 	s.events++
+	s.hasIDs = s.hasIDs || id != ""
 }
 
-// describe returns the input of a decision, and false if the stream is being moved or has ended, or
-// its last move failed a moment ago.
+// describe returns the input of a decision. It returns false if the stream is being moved or has ended,
+// its last move failed a moment ago, or its events have no IDs: a continuation would then repeat them.
 func (s *runningStream) describe(now time.Time) (migration.Stream, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.moving || s.settled || now.Before(s.retryAt) || s.x.Err() != nil {
+	if s.moving || s.settled || now.Before(s.retryAt) || s.x.Err() != nil || s.events > 0 && !s.hasIDs {
 		return migration.Stream{}, false
 	}
 	q, e := &s.r.q, s.r.q.Service.Engine
--- a/forward/migrate_test.go
+++ b/forward/migrate_test.go
@@ -26,7 +26,7 @@
 	"birchlink.dev/birchlink/requesthash"
 )
 
-// streamSink records a stream, and passes the IDs of its events to received.
+// streamSink records a stream, and passes the numbers of its events to received.
 type streamSink struct {
 	recorder
 	stamp    string
@@ -39,8 +39,8 @@
 }
 
 func (s *streamSink) Event(raw []byte) error {
-	id, _, _ := strings.Cut(strings.TrimPrefix(string(raw), "id: "), "\n")
-	n, _ := strconv.Atoi(id)
+	_, data, _ := strings.Cut(string(raw), "data: ")
+	n, _ := strconv.Atoi(strings.TrimSpace(data))
 	s.received <- n
 	return s.recorder.Event(raw)
 }
@@ -58,6 +58,7 @@
 	handleTTL time.Duration
 	noBudget  bool
 	waiting   bool // a drains before the first event
+	noIDs     bool // events have no IDs
 	lateHead  bool // a sends the head with the first event
 	slowLink  bool // moves begin at the notice, since copies take long
 	cancelled bool // the attempt at a is cancelled, and may end a moment after the next has begun
@@ -150,6 +151,8 @@
 		"destination refuses": {refuses: 1, c: true, wantEvents: all, wantStarts: "a new, c moved 3", wantMoves: "moved"},
 		// No other destination is left: the source continues with another handle, since one serves once.
 		"only destination refuses": {refuses: 1, wantEvents: all, wantStarts: "a new, a moved 3", wantMoves: "returned"},
+		// A continuation would repeat events that have no IDs, so there is none.
+		"no event IDs": {noIDs: true, timeout: time.Second, wantErr: "outcome_unknown", wantStarts: "a new"},
 		// The run ends before it is told to stop: its stream is complete, and the copy is freed.
 		"run ends first": {moves: "ok run_ends", wantEvents: all, wantStarts: "a new", wantFreed: 1},
 		// A copy without last must not hold back events.
@@ -183,7 +186,7 @@
 		s.f.Budget = budget.New(budget.Limits{Window: time.Minute})
 	}
 	a, b := es.add("a", 6), es.add("b", 6)
-	a.hold, a.drains, a.lateHead = 3, true, v.lateHead
+	a.hold, a.drains, a.lateHead, a.noIDs = 3, true, v.lateHead, v.noIDs
 	if v.waiting {
 		a.hold = 0
 	}
--- a/forward/response.go
+++ b/forward/response.go
@@ -144,7 +144,7 @@
 		w.recordEvent()
 		n.RecordProgress(boottime.Now())
 		out.recordEvent(boottime.Now())
-		r.stream.recordEvent(boottime.Now())
+		r.stream.recordEvent(e.ID, boottime.Now())
 		if !out.advanced && r.continued == nil {
 			n.RecordAnswer()
 		}
