Complete no unframed stream after the handle has expired

If the answer to the call that stops a run is lost until the source has freed the memory, the repeated call is answered with 404. That counted as proof that the run had ended by itself, so that a truncated stream without framing was completed.

A 404 now counts as that proof only while the source would still hold the memory of a stopped run. After any other one the run is not moved again, since it may be stopped. The tests cover streams without framing, which none did.

Without the check, the last new case of TestMoves fails: the truncated stream ends without an error.

--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -47,6 +48,7 @@
 	hold  int
 
 	drains   bool
+	unframed bool     // responses end with their connection
 	noIDs    bool     // events have no IDs
 	lateHead bool     // the head of a response is sent with the first event
 	moves    []string // what happens on each call of kv-move; the last one repeats
@@ -174,8 +176,20 @@
 	w.Header().Set("X-Response-Stamp", e.name)
 	w.Header().Set("Content-Type", "text/event-stream")
 	rc := http.NewResponseController(w)
+	out, flush := io.Writer(w), func() { _ = rc.Flush() }
+	if e.unframed {
+		c, _, err := rc.Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer c.Close()
+		out, flush = c, func() {}
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n")
+		_ = w.Header().Write(c)
+		fmt.Fprint(c, "\r\n")
+	}
 	if !e.lateHead {
-		_ = rc.Flush()
+		flush()
 	}
 	last, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	for i := last + 1; i <= e.total; i++ {
@@ -187,10 +201,10 @@
 			e.await(q.Context())
 		}
 		if !e.noIDs {
-			fmt.Fprintf(w, "id: %d\n", i)
+			fmt.Fprintf(out, "id: %d\n", i)
 		}
-		fmt.Fprintf(w, "data: %d\n\n", i)
-		_ = rc.Flush()
+		fmt.Fprintf(out, "data: %d\n\n", i)
+		flush()
 		e.mu.Lock()
 		e.sent = i
 		e.mu.Unlock()
@@ -275,6 +289,12 @@
 	case "no_run_yet": // and the run begins after this answer
 		e.released <- struct{}{}
 		status = http.StatusNotFound
+	case "lost": // the run stops, but its stream stays open and the answer is lost
+		e.all.endRuns(e.name)
+		panic(http.ErrAbortHandler)
+	case "no_run_closed": // the stream is closed, and nothing is left of the run
+		stop()
+		status = http.StatusNotFound
 	case "no_run":
 		status = http.StatusNotFound
 	case "ends":
--- a/forward/migrate_test.go
+++ b/forward/migrate_test.go
@@ -58,6 +58,7 @@
 	handleTTL time.Duration
 	noBudget  bool
 	waiting   bool // a drains before the first event
+	unframed  bool // the stream of a has no framing, so its end is not known from it
 	noIDs     bool // events have no IDs
 	lateHead  bool // a sends the head with the first event
 	slowLink  bool // moves begin at the notice, since copies take long
@@ -151,6 +152,15 @@
 		"destination refuses": {refuses: 1, c: true, wantEvents: all, wantStarts: "a new, c moved 3", wantMoves: "moved"},
 		// No other destination is left: the source continues with another handle, since one serves once.
 		"only destination refuses": {refuses: 1, wantEvents: all, wantStarts: "a new, a moved 3", wantMoves: "returned"},
+		// A stream without framing ends with its connection, also when its run is stopped. It must not
+		// count as complete then.
+		"unframed": {unframed: true, wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "moved"},
+		// It does if the source answers that the run has ended.
+		"run ends first, unframed": {unframed: true, moves: "ok run_ends", wantEvents: all, wantStarts: "a new", wantFreed: 1},
+		// When the handle may have expired, that answer does not tell whether the lost call stopped the run.
+		"no run after the handle, unframed": {
+			unframed: true, moves: "ok lost no_run_closed", handleTTL: time.Millisecond, wantEvents: "1 2 3", wantErr: "outcome_unknown", wantStarts: "a new",
+		},
 		// A continuation would repeat events that have no IDs, so there is none.
 		"no event IDs": {noIDs: true, timeout: time.Second, wantErr: "outcome_unknown", wantStarts: "a new"},
 		// The run ends before it is told to stop: its stream is complete, and the copy is freed.
@@ -186,7 +196,7 @@
 		s.f.Budget = budget.New(budget.Limits{Window: time.Minute})
 	}
 	a, b := es.add("a", 6), es.add("b", 6)
-	a.hold, a.drains, a.lateHead, a.noIDs = 3, true, v.lateHead, v.noIDs
+	a.hold, a.drains, a.lateHead, a.noIDs, a.unframed = 3, true, v.lateHead, v.noIDs, v.unframed
 	if v.waiting {
 		a.hold = 0
 	}
--- a/forward/move.go
+++ b/forward/move.go
@@ -97,7 +97,7 @@
 	done   chan struct{} // closed when the fields below are final
 
 	lastSent bool        // the call that stops the run was sent; guarded by s.mu
-	noRun    bool        // the source answered the call with last that nothing runs
+	noRun    bool        // the source answered the call with last that nothing runs, and the move didn't stop it
 	result   *stoppedRun // the run from which the request continues
 }
 
@@ -178,7 +178,7 @@
 	close(m.done)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.moving = m.result != nil // a stopped run is not moved from here again
+	s.moving = m.result != nil || m.lastSent && !m.noRun // a run that may be stopped is not moved from here again
 	if outcome == call.NoRoom.String() || outcome == call.NoSuchRun.String() && s.events > 0 {
 		s.fruitless++
 	}
@@ -228,6 +228,7 @@
 		return m.giveUp(t, copied, "stream_ended")
 	}
 	s.watchdog.hold(true)
+	began, ttl := boottime.Now(), cmp.Or(s.r.q.Service.Engine.BackupTTL, defaultHandleTTL)
 	for retries := 0; ; {
 		a, err := m.copy(t.choice.Endpoint, true)
 		switch {
@@ -247,7 +248,8 @@
 			m.result = m.stopped(copied, t)
 			return ""
 		case err == nil && a.Result == call.NoSuchRun:
-			m.noRun = true
+			// Later, an earlier call may have stopped the run, and its memory has been freed since.
+			m.noRun = boottime.Since(began) < ttl
 			return m.giveUp(t, copied, a.Result.String())
 		case m.c.Err() != nil:
 			return m.giveUp(t, copied, "stream_ended")
@@ -257,7 +259,7 @@
 		}
 		repeatable := s.r.q.Route.Repeatable()
 		switch {
-		case m.isBroken() && (repeatable && retries > maxStopRetries || boottime.Since(m.since) > cmp.Or(s.r.q.Service.Engine.BackupTTL, defaultHandleTTL)):
+		case m.isBroken() && (repeatable && retries > maxStopRetries || boottime.Since(m.since) > ttl):
 			return m.giveUp(t, copied, "no_answer")
 		case repeatable && boottime.Now().After(m.ends.Add(endGrace)):
 			s.cancel(errSourceEnded)
