--- a/forward/migrate.go
+++ b/forward/migrate.go
@@ -44,6 +44,12 @@
 	// lateRetryInterval once the endpoint has stayed beyond its announced end, and so may stay long.
 	moveRetryInterval = 100 * time.Millisecond
 	lateRetryInterval = 900 * time.Millisecond
+
+	// maxFruitlessMoves bounds the moves of a stream that find no room at a destination, or no run at
+	// the source although the stream has begun. The interval doubles with each, so that full endpoints
+	// and the source get few calls: with one each 100 ms, a simulated day had 147 moves without room
+	// and 185 without a run among 1,120.
+	maxFruitlessMoves = 4
 )
 
 // streamSet holds the streams in progress that can be moved. The zero value is ready to use.
@@ -109,10 +115,12 @@
 	mu          sync.Mutex
 	events      int
 	first, last time.Time // of the first and the last event
+	hasIDs      bool      // an event had an ID
 	settled     bool      // the stream has ended
 	move        *move     // the move in progress or the last one
 	moving      bool
 	retryAt     time.Time
+	fruitless   int // moves that count against maxFruitlessMoves
 }
 
 // trackStream registers an attempt whose stream can be moved. It returns nil for any other.
@@ -134,8 +142,8 @@
 	s.r.f.streams.remove(s.choice.Endpoint.Incarnation(), s)
 }
 
-// recordEvent records an event of the stream.
-func (s *runningStream) recordEvent(now time.Time) {
+// recordEvent records an event of the stream. Its ID may be empty.
+func (s *runningStream) recordEvent(id string, now time.Time) {
 	if s == nil {
 		return
 	}
@@ -146,14 +154,15 @@
 	}
 	s.last = now
 	s.events++
+	s.hasIDs = s.hasIDs || id != ""
 }
 
-// describe returns the input of a decision, and false if the stream is being moved or has ended, or
-// its last move failed a moment ago.
+// describe returns the input of a decision. It returns false if the stream is being moved or has ended,
+// its last move failed a moment ago, or its events have no IDs: a continuation would then repeat them.
 func (s *runningStream) describe(now time.Time) (migration.Stream, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.moving || s.settled || now.Before(s.retryAt) || s.x.Err() != nil {
+	if s.moving || s.settled || now.Before(s.retryAt) || s.x.Err() != nil || s.events > 0 && !s.hasIDs {
 		return migration.Stream{}, false
 	}
 	q, e := &s.r.q, s.r.q.Service.Engine
@@ -168,6 +177,9 @@
 	if s.events >= minEventsForPause {
 		d.Pause = s.last.Sub(s.first) / time.Duration(s.events-1)
 	}
+	if s.fruitless >= maxFruitlessMoves {
+		d.Moves = migration.MaxMoves
+	}
 	return d, true
 }
 
--- a/forward/migrate_test.go
+++ b/forward/migrate_test.go
@@ -26,7 +26,7 @@
 	"birchlink.dev/birchlink/requesthash"
 )
 
-// streamSink records a stream, and passes the IDs of its events to received.
+// streamSink records a stream, and passes the numbers of its events to received.
 type streamSink struct {
 	recorder
 	stamp    string
@@ -39,8 +39,8 @@
 }
 
 func (s *streamSink) Event(raw []byte) error {
-	id, _, _ := strings.Cut(strings.TrimPrefix(string(raw), "id: "), "\n")
-	n, _ := strconv.Atoi(id)
+	_, data, _ := strings.Cut(string(raw), "data: ")
+	n, _ := strconv.Atoi(strings.TrimSpace(data))
 	s.received <- n
 	return s.recorder.Event(raw)
 }
@@ -58,7 +58,10 @@
 	handleTTL time.Duration
 	noBudget  bool
 	waiting   bool // a drains before the first event
+	unframed  bool // the stream of a has no framing, so its end is not known from it
+	noIDs     bool // events have no IDs
 	lateHead  bool // a sends the head with the first event
+	slowLink  bool // moves begin at the notice, since copies take long
 	cancelled bool // the attempt at a is cancelled, and may end a moment after the next has begun
 
 	reclaim       bool   // all engines are reclaimable
@@ -130,12 +133,36 @@
 		},
 		// The destination has no room: another is tried, and the run goes on meanwhile.
 		"destination full": {moves: "full ok", c: true, wantEvents: all, wantStarts: "a new, c moved 3", wantMoves: "moved"},
+		// The destination stays full: it is not asked for ever, so the fifth call, which would move the
+		// run, is not made.
+		"destination stays full": {
+			moves: "full full full full ok", slowLink: true, period: 4 * time.Second, timeout: 2500 * time.Millisecond, wantEvents: "1 2 3",
+			wantErr: "outcome_unknown", wantStarts: "a new",
+		},
+		// The same if the source knows of no run, for example because it has ended.
+		"no run": {
+			moves: "no_run no_run no_run no_run ok", slowLink: true, period: 4 * time.Second, timeout: 2500 * time.Millisecond, wantEvents: "1 2 3",
+			wantErr: "outcome_unknown", wantStarts: "a new",
+		},
 		// All destinations have no room for the last copy: the run goes on where it was.
 		"all destinations full": {moves: "ok full", c: true, wantEvents: all, wantStarts: "a new, a moved 3", wantMoves: "returned"},
 		// The source does not close the stream of the stopped run, for example because the link was cut.
 		"stream left open": {moves: "ok ok_left_open", wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "moved"},
 		// The destination refuses the continuation, for which its handle is used up.
 		"destination refuses": {refuses: 1, c: true, wantEvents: all, wantStarts: "a new, c moved 3", wantMoves: "moved"},
+		// No other destination is left: the source continues with another handle, since one serves once.
+		"only destination refuses": {refuses: 1, wantEvents: all, wantStarts: "a new, a moved 3", wantMoves: "returned"},
+		// A stream without framing ends with its connection, also when its run is stopped. It must not
+		// count as complete then.
+		"unframed": {unframed: true, wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "moved"},
+		// It does if the source answers that the run has ended.
+		"run ends first, unframed": {unframed: true, moves: "ok run_ends", wantEvents: all, wantStarts: "a new", wantFreed: 1},
+		// When the handle may have expired, that answer does not tell whether the lost call stopped the run.
+		"no run after the handle, unframed": {
+			unframed: true, moves: "ok lost no_run_closed", handleTTL: time.Millisecond, wantEvents: "1 2 3", wantErr: "outcome_unknown", wantStarts: "a new",
+		},
+		// A continuation would repeat events that have no IDs, so there is none.
+		"no event IDs": {noIDs: true, timeout: time.Second, wantErr: "outcome_unknown", wantStarts: "a new"},
 		// The run ends before it is told to stop: its stream is complete, and the copy is freed.
 		"run ends first": {moves: "ok run_ends", wantEvents: all, wantStarts: "a new", wantFreed: 1},
 		// A copy without last must not hold back events.
@@ -169,7 +196,7 @@
 		s.f.Budget = budget.New(budget.Limits{Window: time.Minute})
 	}
 	a, b := es.add("a", 6), es.add("b", 6)
-	a.hold, a.drains, a.lateHead = 3, true, v.lateHead
+	a.hold, a.drains, a.lateHead, a.noIDs, a.unframed = 3, true, v.lateHead, v.noIDs, v.unframed
 	if v.waiting {
 		a.hold = 0
 	}
@@ -266,6 +293,9 @@
 		Account: &catalog.Account{Name: "a"}, Expires: boottime.Now().Add(timeout),
 	}
 	q.Content = requesthash.HashOf("a", q.Call)
+	if v.slowLink {
+		q.Service.Engine.KVBytesPerToken, q.Service.Engine.LinkBytesPerSecond = 1, 1
+	}
 	_, err := s.f.Do(c, q, sink)
 	return sink, err
 }
