--- a/balance/choose.go
+++ b/balance/choose.go
@@ -189,6 +189,30 @@
 	best  Choice
 	cost  time.Duration
 	found bool
+
+	// stallCosts are the costs of long pauses by speed class, computed once for each class.
+	stallCosts [2*rendezvous.MaxClass + 1]stallCost
+}
+
+// stallCost is a cost, and whether it has been computed.
+type stallCost struct {
+	known bool
+	cost  time.Duration
+}
+
+// stallCost returns the cost of long pauses at endpoints of a speed class. A stream that is late by a
+// long pause is as late as one whose first event takes the whole objective longer, so the probability
+// of such a pause counts for that part of the objective.
+func (s *search) stallCost(service string, class int8) time.Duration {
+	if s.balancer.Speeds == nil || s.query.GapTarget <= 0 {
+		return 0
+	}
+	c := &s.stallCosts[int(class)+rendezvous.MaxClass]
+	if !c.known {
+		risk := s.balancer.stalls.Risk(service, class, s.query.Events, s.now)
+		c.known, c.cost = true, time.Duration(risk*float64(s.query.Objective))
+	}
+	return c.cost
 }
 
 // consider evaluates an endpoint and keeps it if it is better than the best so far.
@@ -199,7 +223,7 @@
 	c := s.balancer.evaluate(e, *s.query, preferred, &s.prediction, s.now)
 	d := c.Expected
 	if !s.query.Fastest {
-		d += s.balancer.penalty(&c, *s.query, &s.prediction, s.now)
+		d += s.balancer.penalty(&c, *s.query, &s.prediction, s.now) + s.stallCost(e.Service, c.speedClass)
 	}
 	switch {
 	case !s.found, s.best.Avoided && !c.Avoided, s.best.Avoided == c.Avoided && d < s.cost:
@@ -254,9 +278,7 @@
 	return c
 }
 
-// penalty returns the cost of a choice besides its expected time. A stream that is late by a long
-// pause is as late as one whose first event takes the whole objective longer, so the probability of
-// such a pause counts for that part of the objective.
+// penalty returns the cost of a choice besides its expected time and long pauses.
 func (b *Balancer) penalty(c *Choice, q Query, v *estimate.Prediction, now time.Time) time.Duration {
 	e := &c.Endpoint
 	st := b.lookup(e.ID)
@@ -265,9 +287,6 @@
 	if c.RecomputeTokens > 0 {
 		d += time.Duration(recomputeWeight * c.SpeedFactor * float64(v.PrefillTime(c.RecomputeTokens)))
 	}
-	if b.Speeds != nil && q.GapTarget > 0 {
-		d += time.Duration(b.stalls.Risk(e.Service, c.speedClass, q.Events, now) * float64(q.Objective))
-	}
 	switch {
 	case e.DataCentre == q.DataCentre:
 	case q.EndpointLost:
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -68,6 +68,7 @@
 	defer resp.Close()
 	r.trace.ResponseTime = boottime.Since(sent)
 	out := r.readResponse(resp, n, w, sent)
+	r.trace.LongestPause = out.longestPause
 	r.recordForRollout(ch, out, sent)
 	out.err = cancelCause(x, out.err)
 	n.End(!out.done && out.stopped == nil && c.Err() == nil, boottime.Now())
--- a/forward/run.go
+++ b/forward/run.go
@@ -99,6 +99,7 @@
 	// counts as one event.
 	firstEventAt, lastEventAt time.Time
 	eventCount                int
+	longestPause              time.Duration // between two events
 }
 
 // recordEvent records an event.
@@ -106,6 +107,9 @@
 	if r.eventCount == 0 {
 		r.firstEventAt = now
 	}
+	if r.eventCount > 0 {
+		r.longestPause = max(r.longestPause, now.Sub(r.lastEventAt))
+	}
 	r.lastEventAt = now
 	r.eventCount++
 }
--- a/forward/trace.go
+++ b/forward/trace.go
@@ -23,6 +23,9 @@
 	// ResponseTime is the time from sending the last attempt to the head of its response; zero if
 	// none arrived.
 	ResponseTime time.Duration
+
+	// LongestPause is the longest time between two events of the last attempt.
+	LongestPause time.Duration
 }
 
 // MarshalZerologObject adds the trace to a log entry about its request.
@@ -35,7 +38,7 @@
 	}
 	c := t.Choice
 	e.Str("endpoint", c.Endpoint.ID).Int("attempts", t.Attempts).Int("running", c.Running).Int("to_read", c.Tokens).
-		Dur("expected", c.Expected).Float64("speed_factor", c.SpeedFactor).Dur("first", t.ResponseTime).Dur("load_age", c.LoadAge)
+		Dur("expected", c.Expected).Float64("speed_factor", c.SpeedFactor).Dur("first", t.ResponseTime).Dur("load_age", c.LoadAge).Dur("longest_pause", t.LongestPause)
 	if t.Moves > 0 {
 		e.Int("moves", t.Moves)
 	}
