Repeat an order that an older one has undone

Cause: an order that got no answer is executed seconds later, after newer ones.

Change: while such an order may still be executed, an accepted order is repeated when endpoints that served are gone. TestOrderExecutedLate fails without it (1 endpoint where 9 served).

--- a/autoscaler/autoscaler.go
+++ b/autoscaler/autoscaler.go
@@ -40,6 +40,11 @@
 	// appear. An order can be lost together with its answer.
 	reorderDelay = 8 * time.Second
 
+	// An order that got no answer may be executed within lateExecutionWindow, after newer ones. It is
+	// undone by repeating the newest order, at most once per lateReorderDelay.
+	lateExecutionWindow = 30 * time.Second
+	lateReorderDelay    = time.Second
+
 	// observationPeriod is the time for which there must have been demand before it determines
 	// the counts.
 	observationPeriod = 3 * time.Second
@@ -125,6 +130,15 @@
 	// Reclaiming is set while they are being reclaimed.
 	maxServing int
 	reclaiming bool
+
+	// unansweredAt is when the last order for the pool got no answer; zero if there was none.
+	unansweredAt time.Time
+}
+
+// undoneLate reports whether an earlier order without an answer seems to have been executed after
+// this one: endpoints that served are gone.
+func (o *lastOrder) undoneLate(have int, now time.Time) bool {
+	return have < o.maxServing && now.Sub(o.unansweredAt) < lateExecutionWindow && now.Sub(o.at) >= lateReorderDelay
 }
 
 // scaleDown is a smaller count that has been wanted since a point in time.
@@ -246,6 +260,10 @@
 	if p.reclaimable {
 		have = site.Have.Reclaimable
 	}
+	if ordered && !p.reclaimable {
+		last.maxServing = min(max(last.maxServing, have), last.count)
+		a.lastOrders[p] = last
+	}
 	lower := n < max(last.count, have)
 	if !lower {
 		delete(a.scaleDowns, p)
@@ -253,7 +271,7 @@
 	switch {
 	case ordered && last.outOfSupply && now.Sub(last.at) < supplyRetryDelay:
 		return
-	case ordered && last.accepted && last.count == n && (have >= n || now.Sub(last.at) < reorderDelay):
+	case ordered && last.accepted && last.count == n && !last.undoneLate(have, now) && (have >= n || now.Sub(last.at) < reorderDelay):
 		return
 	}
 	// An order for endpoints that are not available now is lowered at once, since it would
@@ -303,7 +321,13 @@
 		Service: p.service, DataCentre: p.dataCentre, Reclaimable: p.reclaimable, Count: n,
 	})
 	previous := a.lastOrders[p]
-	last := lastOrder{count: n, at: boottime.Now(), accepted: err == nil, maxServing: min(previous.maxServing, n), reclaiming: previous.reclaiming}
+	last := lastOrder{
+		count: n, at: boottime.Now(), accepted: err == nil, maxServing: min(previous.maxServing, n),
+		reclaiming: previous.reclaiming, unansweredAt: previous.unansweredAt,
+	}
+	if err != nil && !errors.Is(err, cloudapi.ErrFenced) {
+		last.unansweredAt = last.at
+	}
 	if errors.Is(err, cloudapi.ErrFenced) {
 		last.outOfSupply = p.reclaimable
 		if !p.reclaimable {
--- a/autoscaler/autoscaler_test.go
+++ b/autoscaler/autoscaler_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -48,14 +49,31 @@
 	have        map[kind][]string
 	starting    map[kind]int
 	outOfSupply bool // no reclaimable endpoints are available
+
+	// loseOnDemand is the time after which the next on-demand order that grows the fleet is executed as
+	// an order for one endpoint, without an answer; zero if orders are answered.
+	loseOnDemand time.Duration
 }
 
+var errNoAnswer = errors.New("no answer")
+
 func (c *cloud) Report(context.Context, cloudapi.Lease, int64, map[string]int) error { return nil }
 
 func (c *cloud) Order(_ context.Context, _ cloudapi.Lease, o cloudapi.Order) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := kind{o.DataCentre, o.Reclaimable}
+	if d := c.loseOnDemand; d > 0 && !o.Reclaimable && o.Count > len(c.have[k]) {
+		c.loseOnDemand = 0
+		time.AfterFunc(d, func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			for len(c.have[k]) > 1 {
+				c.drain(k)
+			}
+		})
+		return errNoAnswer
+	}
 	for len(c.have[k]) > o.Count {
 		c.drain(k)
 	}
@@ -384,3 +402,24 @@
 		require.GreaterOrEqual(t, f.count(true), 3*68)
 	})
 }
+
+// An order without an answer that is executed after newer ones must be undone at once, and not when
+// an accepted order whose endpoints don't appear is repeated.
+func TestOrderExecutedLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(t, 4, 4)
+		f.setDemand(60_000)
+		f.advance(30 * time.Second)
+		f.cloud.mu.Lock()
+		f.loseOnDemand = 5 * time.Second
+		f.cloud.mu.Unlock()
+		for _, dc := range dataCentres {
+			f.reclaim(dc)
+		}
+		f.advance(4500 * time.Millisecond)
+		before := f.count(false)
+		require.GreaterOrEqual(t, before, 9)
+		f.advance(2500 * time.Millisecond)
+		require.Equal(t, before, f.count(false), "lost endpoints are ordered again")
+	})
+}
