Keep samples that a relay did not take

A relay that does not represent the box under its name, or that has the exchange of speeds switched off, drops the samples of a report, and its reply carries none. The box now keeps them for its next relay. No test covers this case.

--- a/gossip/member.go
+++ b/gossip/member.go
@@ -65,6 +65,9 @@
 		g.log.Debug().Str("event", "relay").Str("other", g.relay.box).Bool("relay", w.Relay).Err(err).Msg("relay not usable")
 		return false, false
 	}
+	if w.SpeedSamples == nil { // it doesn't represent this box or has no exchange of samples
+		g.returnSamples(ownRelay, status.SpeedSamples)
+	}
 	g.applyReply(w)
 	g.session.MergeReport(w.Silent)
 	g.slotVacant = g.slotVacant || w.Vacant && g.relay.dataCentre == g.DataCentre
