Let the stream of the daemon's move test move in time

Since streams move no sooner than they have to, the one of this test, with 5 s left at a silent server, was resumed by the watchdog after 1.2 s and never moved. The test failed and then blocked until its timeout, as its server waited for a stop.

The server now names 600 ms, and its handler ends with its connection.

go test -race -run TestStreamMoves ./daemon: failed before at; ok in 3 of 3 runs now. 300 ms is too little: the stream is resumed, as a move needs 300 ms.

--- a/daemon/moves_test.go
+++ b/daemon/moves_test.go
@@ -58,7 +58,10 @@
 	}
 	_ = http.NewResponseController(w).Flush()
 	e.drain()
-	<-e.stop
+	select {
+	case <-e.stop:
+	case <-q.Context().Done(): // the box gave the stream up
+	}
 	panic(http.ErrAbortHandler)
 }
 
@@ -77,11 +80,13 @@
 	source.stop = make(chan struct{})
 	b := p.startBox("a", "north", "[reclaim]", "move_requests = yes", "")
 	defer stopAll(t, []*entryBox{b})
+	// The server is silent after its notice. With more time left, the stream would stay for now, and the
+	// watchdog would resume it after 1.2 s.
 	source.drain = func() {
 		p.store.Set(target.Record(target.address, "north", "ready"))
 		require.Eventually(t, func() bool { return b.hasMetric(t, "endpoints.known", 2) }, 20*time.Second, 5*time.Millisecond)
 		k, v := source.Record(source.address, "north", "draining")
-		p.store.Set(k, strings.Replace(v, "{", `{"leaves_ms":5000,`, 1))
+		p.store.Set(k, strings.Replace(v, "{", `{"leaves_ms":600,`, 1))
 	}
 	p.store.Set(source.Record(source.address, "north", "ready"))
 	require.Eventually(t, func() bool { return b.isReady(t) && b.hasMetric(t, "endpoints.known", 1) }, 20*time.Second, 5*time.Millisecond)
