Log and count the crashes of endpoints that a box reports

A box whose connections are refused reports to all boxes that the endpoint has crashed. Only the quarantine logged that, and only for requests under suspicion, so the logs of a cut box could not tell whether endpoints were shunned by the other boxes because of its reports.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -5,6 +5,8 @@
 	"errors"
 	"syscall"
 
+	"github.com/rcrowley/go-metrics"
+
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/recovery"
@@ -39,6 +41,9 @@
 // reportCrash records that an endpoint has crashed, since it refuses connections.
 func (r *run) reportCrash(e endpoint.Endpoint) {
 	now := boottime.Now()
+	metrics.GetOrRegisterCounter("endpoints.reported_ended", r.f.Metrics).Inc(1)
+	r.f.Log.Info().Str("event", "endpoint").Str("endpoint", e.ID).Int64("born", e.StartMillis).Str("request", r.q.Call.ID).
+		Str("seen", "it refuses connections").Msg("reported as ended to all boxes")
 	r.f.Balancer.RecordCrash(e.ID, now)
 	r.f.Quarantine.RecordCrash(e.Incarnation(), "it refuses connections", now)
 	r.f.OnCrash(e)
