--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -82,8 +83,9 @@
 }
 
 // NewPlatformDaemon returns a daemon that writes its log to w. The daemon is started and stopped
-// through its App.
-func NewPlatformDaemon(s settings.PlatformSettings, w io.Writer) (*PlatformDaemon, error) {
+// through its App. The options are applied last; tests replace what is provided, such as the
+// httpconn.DialFunc that reaches endpoints.
+func NewPlatformDaemon(s settings.PlatformSettings, w io.Writer, options ...fx.Option) (*PlatformDaemon, error) {
 	l, err := zerolog.ParseLevel(s.LogLevel)
 	if err != nil {
 		return nil, fmt.Errorf("log level: %w", err)
@@ -94,10 +96,11 @@
 	d.App = fx.New(
 		fx.NopLogger,
 		fx.Supply(s, log),
-		fx.Provide(metrics.NewRegistry, func() *kernel.Kernel { return &kernel.Kernel{} }, newPlatformServices),
+		fx.Provide(metrics.NewRegistry, func() *kernel.Kernel { return &kernel.Kernel{} }, newEndpointDialer, newPlatformServices),
 		fx.Invoke(kernel.Run, logLifecycle),
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(s.StopLimit+stopTimeoutMargin),
+		fx.Options(options...),
 	)
 	if err := d.App.Err(); err != nil {
 		return nil, fmt.Errorf("assemble services: %w", err)
@@ -179,15 +182,18 @@
 	return p
 }
 
+// newEndpointDialer returns the function that connects to endpoints.
+func newEndpointDialer() httpconn.DialFunc { return (&net.Dialer{KeepAlive: -1}).DialContext }
+
 // newPlatformServices returns the services in the order in which they start. They stop in the
 // reverse order, so that callers are drained first.
-func newPlatformServices(s settings.PlatformSettings, m metrics.Registry, log zerolog.Logger) []kernel.Service {
+func newPlatformServices(s settings.PlatformSettings, dial httpconn.DialFunc, m metrics.Registry, log zerolog.Logger) []kernel.Service {
 	p := newPlatformComponents(s, log)
 	limits := ratelimit.New(p.quota, &p.balancer.Availability.Rates, m, log)
 	f := &forward.Forwarder{
 		DataCentre: s.DataCentre, Roster: &p.state.Roster, Balancer: p.balancer, Budget: p.budget, Meter: p.meter,
 		Quarantine: p.gossip.Quarantine, Rollouts: p.gossip.Rollouts,
-		Pool: &httpconn.Pool{DialTimeout: endpointDialTimeout}, Codec: platform.HeaderCodec{}, OnStart: p.countRequest, Metrics: m, Log: log,
+		Pool: &httpconn.Pool{DialTimeout: endpointDialTimeout, DialFunc: dial}, Codec: platform.HeaderCodec{}, OnStart: p.countRequest, Metrics: m, Log: log,
 		Admission: admission.Options{DeadlineCheck: s.DeadlineCheck},
 		OnSend:    p.sendHint, OnCrash: func(e endpoint.Endpoint) { p.gossip.BroadcastCrash(e.Incarnation()) },
 		OnDraining:    func(e endpoint.Endpoint) { p.gossip.BroadcastDraining(e.Incarnation()) },
--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/fx"
 	"golang.org/x/sync/errgroup"
 
 	"birchlink.dev/birchlink/daemon"
@@ -86,6 +87,8 @@
 // entryBox is a daemon with its listen addresses.
 type entryBox struct {
 	*daemon.PlatformDaemon
+	name string
+
 	callersAddress, metricsAddress, readyAddress string
 }
 
@@ -101,7 +104,13 @@
 // startBox starts a box. The sections in more are appended to its settings.
 func (p *platform) startBox(name, dc string, more ...string) *entryBox {
 	p.t.Helper()
-	b := &entryBox{callersAddress: freeAddress(p.t), metricsAddress: freeAddress(p.t), readyAddress: freeAddress(p.t)}
+	return p.startBoxWith(name, dc, nil, more...)
+}
+
+// startBoxWith starts a box with options of its daemon.
+func (p *platform) startBoxWith(name, dc string, options []fx.Option, more ...string) *entryBox {
+	p.t.Helper()
+	b := &entryBox{name: name, callersAddress: freeAddress(p.t), metricsAddress: freeAddress(p.t), readyAddress: freeAddress(p.t)}
 	s, err := settings.ParsePlatform(fmt.Appendf(nil, `[box]
 name = %s
 data_centre = %s
@@ -118,7 +127,7 @@
 level = error
 %s`, name, dc, b.callersAddress, b.readyAddress, freeAddress(p.t), b.metricsAddress, p.storeAddress, strings.Join(more, "\n")))
 	require.NoError(p.t, err)
-	b.PlatformDaemon, err = daemon.NewPlatformDaemon(s, io.Discard)
+	b.PlatformDaemon, err = daemon.NewPlatformDaemon(s, io.Discard, options...)
 	require.NoError(p.t, err)
 	require.NoError(p.t, b.App.Start(p.t.Context()))
 	return b
@@ -133,12 +142,21 @@
 	require.NoError(t, g.Wait())
 }
 
+// newBodyRequest returns a request that the HTTP client does not repeat by itself.
+func newBodyRequest(address, path, id string, deadline time.Duration) (*http.Request, error) {
+	q, err := standin.NewRequest(address, path, id, deadline)
+	if err == nil {
+		q.GetBody = nil
+	}
+	return q, err
+}
+
 // call sends a request to a box and returns the status and the body of the answer.
 func (e *entryBox) call(t *testing.T, id, body string) (int, string) {
 	t.Helper()
-	q, err := standin.NewRequest(e.callersAddress, "/again/x", id, 10*time.Second)
+	q, err := newBodyRequest(e.callersAddress, "/again/x", id, 10*time.Second)
 	require.NoError(t, err)
-	q.Body, q.ContentLength, q.GetBody = io.NopCloser(strings.NewReader(body)), int64(len(body)), nil
+	q.Body, q.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
 	a, err := http.DefaultClient.Do(q)
 	require.NoError(t, err)
 	defer a.Body.Close()
@@ -149,6 +167,20 @@
 
 // hasMetric reports whether a metric of the box has the given value.
 func (e *entryBox) hasMetric(t *testing.T, name string, value int) bool {
+	t.Helper()
+	v, ok := e.metric(t, name)
+	return ok && v == fmt.Sprint(value)
+}
+
+// hasAnyMetric reports whether the box has a metric of this name.
+func (e *entryBox) hasAnyMetric(t *testing.T, name string) bool {
+	t.Helper()
+	_, ok := e.metric(t, name)
+	return ok
+}
+
+// metric returns the value of a metric of the box.
+func (e *entryBox) metric(t *testing.T, name string) (string, bool) {
 	t.Helper()
 	a, err := http.Get("http://" + e.metricsAddress + "/metrics")
 	require.NoError(t, err)
@@ -157,11 +189,11 @@
 	require.NoError(t, err)
 	f := strings.Fields(string(text))
 	for i := range f {
-		if f[i] == name && i+2 < len(f) && f[i+2] == fmt.Sprint(value) {
-			return true
+		if f[i] == name && i+2 < len(f) {
+			return f[i+2], true
 		}
 	}
-	return false
+	return "", false
 }
 
 // All boxes refuse a request after three servers have crashed under it, also after a restart of all
--- a/httpconn/conn.go
+++ b/httpconn/conn.go
@@ -28,7 +28,7 @@
 // After a plain close the kernel keeps retransmitting: a request sent during a network partition
 // would reach its endpoint when the partition ends, long after the call was given up.
 func (c *Conn) reset() {
-	if t, ok := c.net.(*net.TCPConn); ok {
+	if t, ok := c.net.(interface{ SetLinger(seconds int) error }); ok {
 		_ = t.SetLinger(0) // fails only on a closed connection
 	}
 	_ = c.net.Close()
@@ -40,7 +40,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	t, ok := c.net.(*net.TCPConn)
+	t, ok := c.net.(syscall.Conn)
 	if !ok {
 		return false
 	}
--- a/httpconn/pool.go
+++ b/httpconn/pool.go
@@ -14,12 +14,18 @@
 	"birchlink.dev/birchlink/boottime"
 )
 
+// DialFunc establishes a connection to an address until c is done.
+type DialFunc func(c context.Context, network, address string) (net.Conn, error)
+
 // Pool dials endpoints and keeps idle connections. The zero value is ready to use and dials without
 // a time limit.
 type Pool struct {
 	// DialTimeout is the maximum time to establish a connection.
 	DialTimeout time.Duration
 
+	// DialFunc establishes connections. If it is nil, a net.Dialer does.
+	DialFunc DialFunc
+
 	refusalChecks singleflight.Group // calls of RefusesConnections, by address
 
 	mu   sync.Mutex
@@ -131,8 +137,16 @@
 }
 
 func (p *Pool) dial(c context.Context, address string) (*Conn, error) {
-	d := net.Dialer{Timeout: p.DialTimeout, KeepAlive: -1}
-	n, err := d.DialContext(c, "tcp", address)
+	dial := p.DialFunc
+	if dial == nil {
+		dial = (&net.Dialer{KeepAlive: -1}).DialContext
+	}
+	if p.DialTimeout > 0 {
+		x, cancel := context.WithTimeout(c, p.DialTimeout)
+		defer cancel()
+		c = x
+	}
+	n, err := dial(c, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("reach %s: %w", address, err)
 	}
