Connect to endpoints through another box where a box's own links have failed

Each request took three endpoints in turn, each for 250 ms, or was refused at once where connections were refused.

The cause is a box that knows one path to an endpoint, its own, and takes what fails on it for a failure of the endpoint: it avoided endpoints for up to 3 s, counted failures against them, suspected requests, and told all boxes that endpoints had crashed whose connections were refused to it alone.

A box now asks another box for a tunnel if its own connection fails or takes 40 ms, and at once while the link is known to be lost. The other box passes bytes on and decides nothing, so that permits, limits, retries, moves, streams, deadlines and usage stay with the first box; a tunnel leads directly to the endpoint, so that there are no loops. Boxes are picked at random among those that have not failed of late, each bounds its tunnels, and names some others. A stopping box has its tunnels closed before it ends. Lost links are probed every 300 ms, and all of them at once when one works again.

An endpoint counts as crashed only if another box, which reaches other endpoints at that moment, is refused too. Calls through a tunnel and calls that break with a lost link count for the endpoint's load, not for its speed and failures. An idle connection that was last used before its link fell silent is not used again, and repeatable calls on it are sent anew at once; calls that must not run twice wait for their answer.

TestCutBoxesServe failed before (silent_a: no box answered within 30 s) and passes in all eight cases, with and without the race detector. Its case reset_a_b_d_e_f found that traffic of the last second does not show that a box reaches endpoints: a box that had just been cut confirmed a crash.

--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -22,6 +22,7 @@
 	expected    time.Duration
 	objective   time.Duration
 	start       time.Time
+	unjudged    bool      // tells nothing about the endpoint's speed and failures
 	trial       bool      // began after a back-off period, to find out whether the endpoint runs calls
 	firstEvent  time.Time // when the endpoint first sent something; zero before
 	lastEvent   time.Time // when the endpoint last sent something
@@ -61,6 +62,14 @@
 	}
 }
 
+// Unjudge makes the attempt count for the endpoint's load only. It is called if a part of its time or its failure is due
+// to the links of this box.
+func (a *Attempt) Unjudge() {
+	a.balancer.mu.Lock()
+	defer a.balancer.mu.Unlock()
+	a.unjudged = true
+}
+
 // RecordProgress records that the endpoint, which runs the call, sent something for it.
 func (a *Attempt) RecordProgress(now time.Time) {
 	a.balancer.mu.Lock()
@@ -101,6 +110,9 @@
 func (a *Attempt) RecordAnswer() {
 	a.balancer.mu.Lock()
 	defer a.balancer.mu.Unlock()
+	if a.unjudged {
+		return
+	}
 	took := a.firstEvent.Sub(a.start)
 	a.observeFirstEvent(took)
 	a.model.Observe(a.load, a.normalized(took), a.objective, a.lastEvent)
@@ -117,7 +129,7 @@
 func (a *Attempt) End(failed bool, now time.Time) {
 	a.balancer.mu.Lock()
 	defer a.balancer.mu.Unlock()
-	if a.events > 1 {
+	if a.events > 1 && !a.unjudged {
 		a.observePause()
 		a.observeStall(now)
 		a.model.ObservePause(a.load.Running, a.normalized(a.lastEvent.Sub(a.firstEvent)/time.Duration(a.events-1)), a.lastEvent)
@@ -129,6 +141,9 @@
 	if a.trial {
 		a.state.trials--
 	}
+	if a.unjudged {
+		return
+	}
 	if !failed && a.events > 0 {
 		a.model.ObserveSlotTime(a.normalized(now.Sub(a.start)), now)
 	}
--- a/balance/avoid.go
+++ b/balance/avoid.go
@@ -36,6 +36,15 @@
 	dc.lastEndpoint, dc.lastFailure = e.ID, now
 }
 
+// RecordReachable records that connections to an endpoint are possible again.
+func (b *Balancer) RecordReachable(e endpoint.Endpoint, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	st := b.state(e.ID)
+	st.consecutiveFailures, st.avoidedUntil = 0, time.Time{}
+	b.dataCentre(e.DataCentre).avoidedUntil = now
+}
+
 // crashAvoid is how long an endpoint reported as crashed is avoided: its registration expires after
 // three heartbeats. It is avoided rather than excluded, because a box that is partitioned from the
 // endpoint and gets its connections refused reports the same.
--- a/daemon/cut_test.go
+++ b/daemon/cut_test.go
@@ -43,7 +43,7 @@
 	for c := range l.conns {
 		if how == "reset" {
 			_ = c.SetLinger(0)
-			_ = c.TCPConn.Close()
+			_ = c.Close()
 		}
 	}
 }
@@ -138,7 +138,7 @@
 	p := newPlatform(t, 4)
 	names := []string{"a", "b", "c", "d", "e", "f"}
 	boxes, ls := map[string]*entryBox{}, map[string]*links{}
-	var bs []*entryBox
+	bs := make([]*entryBox, 0, len(names))
 	for i, n := range names {
 		l := &links{}
 		ls[n] = l
--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -55,7 +55,13 @@
 	p.reachableBoxes.Store(int64(others.Boxes + 1))
 	p.budget.SetBoxes(p.quota.MaxBoxes())
 	p.updateHintPeers()
-	p.balancer.Forget(func(id string) bool { _, ok := p.state.Roster.Get(id); return ok })
+	known := func(id string) bool { _, ok := p.state.Roster.Get(id); return ok }
+	p.balancer.Forget(known)
+	p.links.Links.Forget(known)
+	p.pool.Sweep()
+	if p.tunnels.Leaving() {
+		p.tunnels.Leave()
+	}
 	p.balancer.Availability.Rates.Forget(func(incarnation string) bool {
 		e, ok := p.state.Roster.Get(endpoint.IDOf(incarnation))
 		return ok && e.Incarnation() == incarnation
@@ -115,6 +121,13 @@
 	return faster, slower
 }
 
+// recordReachable records that this box can connect to an endpoint again.
+func (p *platformComponents) recordReachable(id string) {
+	if e, ok := p.state.Roster.Get(id); ok {
+		p.balancer.RecordReachable(e, boottime.Now())
+	}
+}
+
 // recordCrash records a crash of an endpoint that another box reported. It ignores the report if
 // another process has started under the endpoint's ID since.
 func (p *platformComponents) recordCrash(incarnation string) {
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -22,6 +22,7 @@
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/budget"
 	"birchlink.dev/birchlink/demand"
+	"birchlink.dev/birchlink/dialer"
 	"birchlink.dev/birchlink/election"
 	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/fleetclock"
@@ -44,13 +45,10 @@
 	"birchlink.dev/birchlink/speed"
 	"birchlink.dev/birchlink/store"
 	"birchlink.dev/birchlink/storesession"
+	"birchlink.dev/birchlink/tunnel"
 	"birchlink.dev/birchlink/usage"
 )
 
-// endpointDialTimeout bounds the time to connect to an endpoint. Connections normally take
-// milliseconds, also to another data centre.
-const endpointDialTimeout = 250 * time.Millisecond
-
 // broadcastWindows is the number of past usage windows whose counts a box reports to the others.
 const broadcastWindows = 2
 
@@ -123,6 +121,9 @@
 	hints    *hint.Service
 	reporter *reporter.Reporter // nil unless usage is reported
 	rollouts *rollout.Controller
+	links    *dialer.Dialer
+	pool     *httpconn.Pool
+	tunnels  *tunnel.Service
 	moveAway func(e endpoint.Endpoint) // called for each endpoint that starts to drain
 
 	reachableBoxes atomic.Int64 // reachable boxes, including this one
@@ -189,16 +190,21 @@
 // reverse order, so that callers are drained first.
 func newPlatformServices(s settings.PlatformSettings, dial httpconn.DialFunc, m metrics.Registry, log zerolog.Logger) []kernel.Service {
 	p := newPlatformComponents(s, log)
+	p.tunnels = tunnel.New(m, log)
+	d := dialer.New(dial, &p.state.Roster, p.tunnels, m, log)
+	p.tunnels.Dial, p.tunnels.Boxes, p.tunnels.StopLimit = d.Serve, p.gossip.OtherBoxes, s.StopLimit-drainReserve
 	limits := ratelimit.New(p.quota, &p.balancer.Availability.Rates, m, log)
 	f := &forward.Forwarder{
 		DataCentre: s.DataCentre, Roster: &p.state.Roster, Balancer: p.balancer, Budget: p.budget, Meter: p.meter,
 		Quarantine: p.gossip.Quarantine, Rollouts: p.gossip.Rollouts,
-		Pool: &httpconn.Pool{DialTimeout: endpointDialTimeout, DialFunc: dial}, Codec: platform.HeaderCodec{}, OnStart: p.countRequest, Metrics: m, Log: log,
+		Pool: &httpconn.Pool{Connector: d}, Codec: platform.HeaderCodec{}, OnStart: p.countRequest, Metrics: m, Log: log,
 		Admission: admission.Options{DeadlineCheck: s.DeadlineCheck},
 		OnSend:    p.sendHint, OnCrash: func(e endpoint.Endpoint) { p.gossip.BroadcastCrash(e.Incarnation()) },
 		OnDraining:    func(e endpoint.Endpoint) { p.gossip.BroadcastDraining(e.Incarnation()) },
 		OnLimitChange: p.gossip.BroadcastRate, RequestPermit: limits.Permit,
 	}
+	d.OnLost, d.OnRecovered = f.Pool.AbandonSilent, p.recordReachable
+	p.links, p.pool = d, f.Pool
 	if s.MoveRequests {
 		f.Moves, p.moveAway = platform.MoveCodec{}, f.MoveAway
 	}
@@ -219,10 +225,12 @@
 		p.gossip,
 		p.hints,
 		limits,
+		d,
+		p.tunnels,
 	}
 	ss = append(ss, p.newLeaderServices(log)...)
 	in := ingress.New(o, platform.HeaderCodec{}, f, limits, m, log)
-	p.gossip.Leaving = in.Stopping
+	p.gossip.Leaving, p.tunnels.Leaving = in.Stopping, in.Stopping
 	return append(ss, p.newMetricsServer(in, f, m, log), in)
 }
 
@@ -234,6 +242,8 @@
 	s.RegisterGauge("endpoints.known", func() int64 { return int64(p.state.Roster.Len()) })
 	s.RegisterGauge("endpoints.leaving", func() int64 { return int64(p.state.Roster.CountDraining()) })
 	s.RegisterGauge("endpoints.resting", func() int64 { return int64(p.balancer.Availability.CountBackingOff(boottime.Now())) })
+	s.RegisterGauge("endpoints.links_down", func() int64 { return int64(p.links.Links.CountLost()) })
+	s.RegisterGauge("tunnels.open", p.tunnels.CountOpen)
 	s.RegisterGauge("endpoints.limited", func() int64 { return int64(p.balancer.Availability.Rates.Len()) })
 	s.RegisterGauge("endpoints.faster", func() int64 { n, _ := p.countBySpeed(); return n })
 	s.RegisterGauge("endpoints.slower", func() int64 { _, n := p.countBySpeed(); return n })
--- a/endpoint/roster.go
+++ b/endpoint/roster.go
@@ -107,6 +107,22 @@
 	return e, ok
 }
 
+// Others returns up to n endpoints other than the one with an ID, at random. None of them drains.
+func (r *Roster) Others(id string, n int) []Endpoint {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Endpoint
+	for k, e := range r.all {
+		if len(out) == n {
+			break
+		}
+		if k != id && !e.Draining {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 // updatePools applies a change of an endpoint to the pools of its services. The caller holds r.mu.
 func (r *Roster) updatePools(old, e Endpoint) {
 	if old.ID != "" && (old.Service != e.Service || old.DataCentre != e.DataCentre || e.Draining) {
--- a/forward/admission.go
+++ b/forward/admission.go
@@ -95,7 +95,7 @@
 // reports the expected time lacks the load of other boxes. Its error would be wrong once reports
 // arrive again, so it is not recorded.
 func (r *run) recordWait() {
-	if !r.f.Admission.DeadlineCheck || r.trace.Choice.LoadAge > admission.MaxLoadAge {
+	if !r.f.Admission.DeadlineCheck || r.trace.Choice.LoadAge > admission.MaxLoadAge || r.trace.Via != "" || r.f.Pool.IsLost(r.trace.Choice.Endpoint.ID) {
 		return
 	}
 	now := boottime.Now()
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -11,6 +11,7 @@
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/call"
 	"birchlink.dev/birchlink/catalog"
+	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/httpconn"
 	"birchlink.dev/birchlink/recovery"
 )
@@ -45,36 +46,72 @@
 	sent := boottime.Now()
 	r.attemptSent = sent
 	resp, err := r.f.Pool.Do(x, httpconn.Request{
-		Address: e.Address, Method: cl.Method, Target: cl.Target, Host: cl.Host, Header: r.f.Codec.Head(cl, a), Body: cl.Body, MaxIdle: maxIdle,
+		Endpoint: e.ID, Address: e.Address, Method: cl.Method, Target: cl.Target, Host: cl.Host, Header: r.f.Codec.Head(cl, a), Body: cl.Body, MaxIdle: maxIdle,
 		ShouldSend: func() bool { return r.isContinuedAtSource(ch) || r.maySend(e) },
+		Overdue:    minOverdue + time.Duration(expectedFactor*float64(ch.Expected)),
+		Abandon:    r.abandonFunc(cancel),
 		Matches:    func(h http.Header) bool { return r.f.Codec.Outcome(0, h).ID == cl.ID },
 	})
 	if err != nil {
-		unreachable := errors.Is(err, httpconn.ErrUnreachable)
-		notSent := errors.Is(err, httpconn.ErrNotSent)
-		out := attemptResult{interruption: recovery.Gone, err: cancelCause(x, err)}
-		if !unreachable && !notSent {
-			out.stopped = r.stream.settle(false)
-		}
-		n.End(c.Err() == nil && !notSent && out.stopped == nil, boottime.Now())
-		switch {
-		case unreachable:
-			return attemptResult{interruption: recovery.Unreachable, err: err}
-		case notSent:
-			return attemptResult{interruption: recovery.NeverSeen, err: err}
-		}
-		return out
+		return r.failAttempt(c, x, n, e, err)
 	}
 	defer resp.Close()
-	r.trace.ResponseTime = boottime.Since(sent)
+	r.trace.ResponseTime, r.trace.Via = boottime.Since(sent), resp.Via
+	if resp.Via != "" {
+		n.Unjudge()
+	}
 	out := r.readResponse(resp, n, w, sent)
 	r.trace.LongestPause = out.longestPause
 	r.recordForRollout(ch, out, sent)
 	out.err = cancelCause(x, out.err)
-	n.End(!out.done && out.stopped == nil && c.Err() == nil, boottime.Now())
+	r.endAttempt(n, !out.done && out.stopped == nil && c.Err() == nil, e)
+	return out
+}
+
+// failAttempt ends an attempt that got no response, and returns its result. X is the context of the
+// attempt.
+func (r *run) failAttempt(c, x context.Context, n *balance.Attempt, e endpoint.Endpoint, err error) attemptResult {
+	unreachable := errors.Is(err, httpconn.ErrUnreachable)
+	notSent := errors.Is(err, httpconn.ErrNotSent)
+	out := attemptResult{interruption: recovery.Gone, err: cancelCause(x, err)}
+	if !unreachable && !notSent {
+		out.stopped = r.stream.settle(false)
+	}
+	r.endAttempt(n, c.Err() == nil && !notSent && out.stopped == nil, e)
+	switch {
+	case unreachable:
+		return attemptResult{interruption: recovery.Unreachable, err: err}
+	case notSent:
+		return attemptResult{interruption: recovery.NeverSeen, err: err}
+	}
 	return out
 }
 
+// minOverdue is the time after which the link to an endpoint is checked that was expected to answer at
+// once.
+const minOverdue = 100 * time.Millisecond
+
+// errLinkLost reports that an attempt was cancelled because this box has lost its link to the endpoint.
+var errLinkLost = errors.New("the link to the endpoint is lost")
+
+// abandonFunc returns the function that ends the attempt when the link to its endpoint falls silent. It
+// is nil for requests that must not run twice: the endpoint may be running them, and may answer
+// once the link has recovered.
+func (r *run) abandonFunc(cancel context.CancelCauseFunc) func() {
+	if !r.q.Route.Repeatable() {
+		return nil
+	}
+	return func() { cancel(errLinkLost) }
+}
+
+// endAttempt ends an attempt, and records whether it failed unless the cause may be the link.
+func (r *run) endAttempt(n *balance.Attempt, failed bool, e endpoint.Endpoint) {
+	if failed && r.f.Pool.IsLost(e.ID) {
+		n.Unjudge()
+	}
+	n.End(failed, boottime.Now())
+}
+
 // newAttempt returns the attempt at the chosen endpoint, and the idle time up to which it may use a
 // connection.
 func (r *run) newAttempt(ch balance.Choice) (call.Attempt, time.Duration) {
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -20,7 +20,7 @@
 	case errors.Is(out.err, syscall.ECONNREFUSED):
 		r.reportCrash(e)
 		return
-	case out.interruption != recovery.Gone || out.answered || c.Err() != nil:
+	case out.interruption != recovery.Gone || out.answered || c.Err() != nil || r.f.Pool.IsLost(e.ID):
 		return
 	}
 	if errors.Is(out.err, errReplaced) {
@@ -32,7 +32,7 @@
 		return
 	}
 	r.f.Quarantine.RecordFailure(r.trace.Content, e.Incarnation(), boottime.Now())
-	if errors.Is(out.err, errUnresponsive) || !r.f.Pool.RefusesConnections(c, e.Address) {
+	if errors.Is(out.err, errUnresponsive) || !r.f.Pool.RefusesConnections(c, e.ID, e.Address) {
 		return
 	}
 	r.reportCrash(e)
--- a/forward/move.go
+++ b/forward/move.go
@@ -273,7 +273,7 @@
 // the copy made before.
 func (m *move) giveUp(t *moveTarget, copied call.Copy, outcome string) string {
 	s := m.s
-	if m.isBroken() && !m.noRun && s.c.Err() == nil && s.r.f.Pool.RefusesConnections(s.c, s.choice.Endpoint.Address) {
+	if m.isBroken() && !m.noRun && s.c.Err() == nil && s.r.f.Pool.RefusesConnections(s.c, s.choice.Endpoint.ID, s.choice.Endpoint.Address) {
 		m.result = m.stopped(copied, t)
 		return ""
 	}
--- a/forward/rollout.go
+++ b/forward/rollout.go
@@ -54,13 +54,13 @@
 	if !out.done && !out.answered {
 		return
 	}
-	r.f.Rollouts.RecordAnswer(r.q.Service.Name, r.q.Route.Name, ch.Endpoint.Version, out.answered, isSlow(ch, out, sent))
+	r.f.Rollouts.RecordAnswer(r.q.Service.Name, r.q.Route.Name, ch.Endpoint.Version, out.answered, isSlow(ch, out, sent, r.trace.Via))
 }
 
 // isSlow reports whether a response took more than slowFactor the expected time, to its first
-// event or between events.
-func isSlow(ch balance.Choice, out attemptResult, sent time.Time) bool {
-	if out.eventCount == 0 {
+// event or between events. A response that came via another box tells nothing about that.
+func isSlow(ch balance.Choice, out attemptResult, sent time.Time, via string) bool {
+	if out.eventCount == 0 || via != "" {
 		return false
 	}
 	if ch.TypicalFirstEvent > 0 && out.firstEventAt.Sub(sent) > slowFactor*ch.TypicalFirstEvent {
--- a/forward/run.go
+++ b/forward/run.go
@@ -186,7 +186,9 @@
 		r.refusedDials++
 	case out.interruption == recovery.Unreachable:
 		r.failedDials++
-		r.f.Balancer.Avoid(e, boottime.Now())
+		if !r.f.Pool.IsLost(e.ID) {
+			r.f.Balancer.Avoid(e, boottime.Now())
+		}
 	case out.interruption == recovery.NeverSeen:
 	case out.interruption == recovery.Refused:
 		r.reached = append(r.reached, reachedEndpoint{endpoint: e})
--- a/forward/trace.go
+++ b/forward/trace.go
@@ -17,6 +17,9 @@
 	Moves    int              // moves of the running request between endpoints
 	Choice   balance.Choice   // the last choice of an endpoint, with the data it was based on
 
+	// Via is the address of the box through which the last response came; empty if it came directly.
+	Via string
+
 	// Outcome is what the last response reported.
 	Outcome call.Outcome
 
@@ -39,6 +42,9 @@
 	c := t.Choice
 	e.Str("endpoint", c.Endpoint.ID).Int("attempts", t.Attempts).Int("running", c.Running).Int("to_read", c.Tokens).
 		Dur("expected", c.Expected).Float64("speed_factor", c.SpeedFactor).Dur("first", t.ResponseTime).Dur("load_age", c.LoadAge).Dur("longest_pause", t.LongestPause)
+	if t.Via != "" {
+		e.Str("via", t.Via)
+	}
 	if t.Moves > 0 {
 		e.Int("moves", t.Moves)
 	}
--- a/forward/watchdog.go
+++ b/forward/watchdog.go
@@ -23,6 +23,9 @@
 	maxSilence     = 1200 * time.Millisecond
 	expectedFactor = 2.0
 	watchInterval  = 200 * time.Millisecond
+
+	// checkFraction is the part of the allowed silence, a third, after which the link is checked.
+	checkFraction = 3
 )
 
 // objectiveFactor is the time that a repeatable call of a plain service may take at one endpoint
@@ -62,11 +65,17 @@
 		if w.stopped {
 			return
 		}
-		if !w.held && time.Since(w.lastEventAt) > w.allowedSilence && r.f.Balancer.UnresponsiveFor(e.ID, boottime.Now()) > w.allowedSilence {
-			r.f.Balancer.Avoid(e, boottime.Now())
+		silence := time.Since(w.lastEventAt)
+		if !w.held && silence > w.allowedSilence && r.f.Balancer.UnresponsiveFor(e.ID, boottime.Now()) > w.allowedSilence {
+			if !r.f.Pool.IsLost(e.ID) {
+				r.f.Balancer.Avoid(e, boottime.Now())
+			}
 			cancel(errUnresponsive)
 			return
 		}
+		if silence > w.allowedSilence/checkFraction {
+			r.f.Pool.CheckLink(e.ID, e.Address, boottime.Now().Add(-silence))
+		}
 		w.timer.Reset(watchInterval)
 	})
 	return w
--- a/frame/conn.go
+++ b/frame/conn.go
@@ -58,6 +58,12 @@
 // Close closes the connection.
 func (c *Conn) Close() error { return c.c.Close() }
 
+// NetConn returns the network connection. Only its deadlines and options may be used.
+func (c *Conn) NetConn() net.Conn { return c.c }
+
+// Buffered returns the number of bytes that were received and not read yet.
+func (c *Conn) Buffered() int { return c.r.Buffered() }
+
 // Write sends one message. It fails if the write takes longer than timeout.
 func (c *Conn) Write(m Message, timeout time.Duration) error {
 	b, err := Encode(m)
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -35,6 +35,22 @@
 	return p
 }
 
+// OtherBoxes returns the addresses of other boxes that this box may call: those with which it exchanges
+// all hints, and others, which in a large fleet are the relays. A box that knows none yet gets the
+// seeds.
+func (g *Gossip) OtherBoxes() (near, far []string) {
+	p := g.Peers()
+	far = p.Far
+	for _, a := range g.arbiters() {
+		far = append(far, a.Address)
+	}
+	if len(p.Near)+len(far) == 0 {
+		far = append(far, g.Seeds...)
+	}
+	isKnown := func(a string) bool { return a == g.Address || slices.Contains(p.Near, a) }
+	return p.Near, slices.DeleteFunc(distinct(far), isKnown)
+}
+
 // allPeers returns the boxes that exchange hints, this one included, as a relay sees them or as its
 // relay has reported them.
 func (g *Gossip) allPeers() Peers {
--- a/httpconn/conn.go
+++ b/httpconn/conn.go
@@ -13,6 +13,8 @@
 // Conn is a connection to an endpoint, used by one call at a time.
 type Conn struct {
 	net       net.Conn
+	id        string // of the endpoint
+	via       string // address of the box through which it leads; empty if it is direct
 	reader    *bufio.Reader
 	idleSince time.Time     // when the last call ended
 	keepAlive time.Duration // keep-alive timeout announced by the endpoint; zero if none
@@ -22,7 +24,13 @@
 // readBufferSize is the size of the read buffer in bytes. Response heads and events are short.
 const readBufferSize = 4 << 10
 
-func newConn(c net.Conn) *Conn { return &Conn{net: c, reader: bufio.NewReaderSize(c, readBufferSize)} }
+func newConn(c net.Conn) *Conn {
+	n := &Conn{net: c, reader: bufio.NewReaderSize(c, readBufferSize)}
+	if v, ok := c.(interface{ Via() string }); ok {
+		n.via = v.Via()
+	}
+	return n
+}
 
 // reset closes the connection with a TCP reset, which discards data that is not delivered yet.
 // After a plain close the kernel keeps retransmitting: a request sent during a network partition
--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"birchlink.dev/birchlink/boottime"
 )
 
 // ErrUnreachable reports that no connection could be established, so nothing was sent.
@@ -35,12 +37,13 @@
 
 // Request is a request to an endpoint.
 type Request struct {
-	Address string
-	Method  string
-	Target  string
-	Host    string
-	Header  http.Header
-	Body    []byte
+	Endpoint string // ID, by which the link to the endpoint is known
+	Address  string
+	Method   string
+	Target   string
+	Host     string
+	Header   http.Header
+	Body     []byte
 
 	// MaxIdle is the idle time up to which a connection of the pool may be used. If MaxIdle is
 	// zero, a new connection is dialed.
@@ -51,6 +54,13 @@
 	// changed.
 	ShouldSend func() bool
 
+	// Overdue is the time after which the link is checked if nothing has arrived on it; zero for never.
+	Overdue time.Duration
+
+	// Abandon, if not nil, is called if the link falls silent and other boxes reach the endpoint: no
+	// response will arrive before the link has recovered.
+	Abandon func()
+
 	// Matches reports whether a response with the given header belongs to this request.
 	Matches func(http.Header) bool
 }
@@ -62,6 +72,9 @@
 	Header http.Header
 	Body   io.Reader
 
+	// Via is the address of the box through which the endpoint was reached; empty if it was directly.
+	Via string
+
 	// EventStream reports whether the body is a stream of server-sent events.
 	EventStream bool
 
@@ -79,18 +92,22 @@
 // ErrUnreachable nor ErrNotSent, the endpoint may have received the request. The context bounds
 // the call until Close.
 func (p *Pool) Do(c context.Context, q Request) (*Response, error) {
-	n := p.get(q.Address, q.MaxIdle)
+	n := p.get(q.Endpoint, q.Address, q.MaxIdle)
 	if n == nil {
 		var err error
-		if n, err = p.dial(c, q.Address); err != nil {
+		if n, err = p.dial(c, q.Endpoint, q.Address); err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 		}
 	}
+	n.id = q.Endpoint
 	if q.ShouldSend != nil && !q.ShouldSend() {
 		p.put(q.Address, n)
 		return nil, ErrNotSent
 	}
 	n.calls++
+	if n.via == "" {
+		defer p.watch(n, q)()
+	}
 	// A deadline in the past interrupts pending reads and writes when the context is done.
 	stop := context.AfterFunc(c, func() { _ = n.net.SetDeadline(time.Unix(1, 0)) })
 	wrote := make(chan error, 1)
@@ -98,18 +115,41 @@
 	head, err := readHead(n, q) //nolint:bodyclose // Answer.Close ends the connection or keeps it
 	if err != nil {
 		stop()
+		p.setActive(n, nil)
 		n.reset()
 		if c.Err() != nil {
 			err = c.Err()
 		}
 		return nil, err
 	}
-	resp := &Response{Status: head.StatusCode, Header: head.Header, conn: n, pool: p, address: q.Address, raw: head, writeResult: wrote, detach: stop}
+	p.recordTraffic(n)
+	resp := &Response{Status: head.StatusCode, Header: head.Header, conn: n, pool: p, address: q.Address, raw: head, writeResult: wrote, detach: stop, Via: n.via}
 	resp.Body = &body{resp}
 	resp.EventStream = strings.HasPrefix(head.Header.Get("Content-Type"), "text/event-stream")
 	return resp, nil
 }
 
+// watch has the link of a direct connection checked if the response is overdue, and the call abandoned if
+// the link falls silent. The function that it returns ends the check.
+func (p *Pool) watch(n *Conn, q Request) (end func()) {
+	if q.Abandon != nil {
+		p.setActive(n, q.Abandon)
+	}
+	if q.Overdue <= 0 {
+		return func() {}
+	}
+	sent := boottime.Now()
+	t := time.AfterFunc(q.Overdue, func() { p.CheckLink(q.Endpoint, q.Address, sent) })
+	return func() { t.Stop() }
+}
+
+// recordTraffic records that something arrived on a connection.
+func (p *Pool) recordTraffic(n *Conn) {
+	if n.via == "" {
+		p.connector().RecordTraffic(n.id)
+	}
+}
+
 // writeRequest sends the whole request in one write.
 func writeRequest(n *Conn, q Request) error {
 	var b bytes.Buffer
@@ -158,6 +198,9 @@
 // Read reads from the body of the response.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.response.raw.Body.Read(p)
+	if n > 0 {
+		b.response.pool.recordTraffic(b.response.conn)
+	}
 	if errors.Is(err, io.EOF) {
 		b.response.complete = true
 	}
@@ -175,6 +218,7 @@
 		return
 	}
 	r.closed = true
+	r.pool.setActive(r.conn, nil)
 	cancelled := !r.detach()
 	if r.complete && !cancelled && !r.raw.Close && r.Framed() && r.requestSent() && r.conn.reader.Buffered() == 0 {
 		r.conn.keepAlive = keepAliveTimeout(r.Header)
--- a/httpconn/exchange_test.go
+++ b/httpconn/exchange_test.go
@@ -130,10 +130,10 @@
 	defer close(hold)
 	l := listen(t, func(net.Conn) { <-hold })
 	p := &httpconn.Pool{DialTimeout: time.Minute}
-	require.False(t, p.RefusesConnections(t.Context(), l.Addr().String()))
+	require.False(t, p.RefusesConnections(t.Context(), "e", l.Addr().String()))
 	require.Equal(t, 1, p.CountIdle())
 	gone, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	require.NoError(t, gone.Close())
-	require.True(t, p.RefusesConnections(t.Context(), gone.Addr().String()))
+	require.True(t, p.RefusesConnections(t.Context(), "e", gone.Addr().String()))
 }
--- a/httpconn/pool.go
+++ b/httpconn/pool.go
@@ -17,19 +17,43 @@
 // DialFunc establishes a connection to an address until c is done.
 type DialFunc func(c context.Context, network, address string) (net.Conn, error)
 
+// Connector connects to endpoints, which are named by their IDs, and tracks the links to them.
+type Connector interface {
+	// Connect connects to an endpoint. If the connection leads through another box, it has a method
+	// Via that returns the box's address.
+	Connect(c context.Context, id, address string) (net.Conn, error)
+	// Refuses reports whether an endpoint refuses connections because its process has ended. It may
+	// return a connection if that is not so.
+	Refuses(c context.Context, id, address string, timeout time.Duration) (net.Conn, bool)
+	// Check begins to check the link to an endpoint if nothing has arrived on it since a time.
+	Check(id, address string, since time.Time)
+	// RecordTraffic records that something arrived on a connection that leads through no other box.
+	RecordTraffic(id string)
+	// ReusableSince returns the time from which such a connection must have been in use to be reused.
+	ReusableSince(id string) time.Time
+	// IsLost reports whether other boxes reach an endpoint and this one does not.
+	IsLost(id string) bool
+}
+
 // Pool dials endpoints and keeps idle connections. The zero value is ready to use and dials without
 // a time limit.
 type Pool struct {
-	// DialTimeout is the maximum time to establish a connection.
+	// Connector connects to endpoints. If it is nil, the pool dials them, for DialTimeout at most.
+	Connector   Connector
 	DialTimeout time.Duration
 
-	// DialFunc establishes connections. If it is nil, a net.Dialer does.
-	DialFunc DialFunc
-
 	refusalChecks singleflight.Group // calls of RefusesConnections, by address
 
-	mu   sync.Mutex
-	idle map[string][]*Conn
+	mu     sync.Mutex
+	idle   map[string][]*Conn
+	active map[*Conn]func() // Request.Abandon of the calls in progress that have it
+}
+
+func (p *Pool) connector() Connector {
+	if p.Connector != nil {
+		return p.Connector
+	}
+	return plainDialer{p.DialTimeout}
 }
 
 // Idle connections are kept for keepAliveShare of the keep-alive timeout that the endpoint
@@ -38,15 +62,20 @@
 const (
 	keepAliveShare = 0.6
 	defaultMaxIdle = 3 * time.Second
+
+	// tunnelMaxIdle is the time for which a connection through another box is kept. It takes two
+	// descriptors there.
+	tunnelMaxIdle = time.Second
 )
 
-// get returns a connection to an address that has been idle for at most maxIdle, or nil. It closes
+// get returns a connection to an endpoint that has been idle for at most maxIdle, or nil. It closes
 // the connections that it finds unusable.
-func (p *Pool) get(address string, maxIdle time.Duration) *Conn {
+func (p *Pool) get(id, address string, maxIdle time.Duration) *Conn {
 	if maxIdle <= 0 {
 		return nil // the idle connections stay for calls that can use them
 	}
 	now := boottime.Now()
+	since, lost := p.connector().ReusableSince(id), p.connector().IsLost(id)
 	for {
 		p.mu.Lock()
 		cs := p.idle[address]
@@ -57,7 +86,9 @@
 		c := cs[len(cs)-1]
 		p.idle[address] = cs[:len(cs)-1]
 		p.mu.Unlock()
-		if age := now.Sub(c.idleSince); age <= maxIdle && age < c.maxIdle() && c.isReusable() {
+		// A connection through another box is given up once the link works again.
+		linked := c.via == "" && !c.idleSince.Before(since) || c.via != "" && lost
+		if age := now.Sub(c.idleSince); linked && age <= maxIdle && age < c.maxIdle() && c.isReusable() {
 			return c
 		}
 		_ = c.net.Close()
@@ -66,6 +97,9 @@
 
 // maxIdle returns the time for which the connection may be idle.
 func (c *Conn) maxIdle() time.Duration {
+	if c.via != "" {
+		return tunnelMaxIdle
+	}
 	if c.keepAlive <= 0 {
 		return defaultMaxIdle
 	}
@@ -83,16 +117,16 @@
 	p.idle[address] = append(p.idle[address], c)
 }
 
-// Sweep closes connections that have been idle for too long, and all connections to addresses that
-// are not in known.
-func (p *Pool) Sweep(known map[string]bool) {
+// Sweep closes the idle connections that can't be used again. Without it, an idle connection through
+// another box would keep that box from stopping.
+func (p *Pool) Sweep() {
 	now := boottime.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for a, cs := range p.idle {
 		kept := cs[:0]
 		for _, c := range cs {
-			if known[a] && now.Sub(c.idleSince) < c.maxIdle() {
+			if now.Sub(c.idleSince) < c.maxIdle() && (c.via == "" || c.isReusable()) {
 				kept = append(kept, c)
 				continue
 			}
@@ -119,36 +153,91 @@
 // process has ended refuses, within a round trip of a few milliseconds.
 const refusalTimeout = 25 * time.Millisecond
 
-// RefusesConnections reports whether connections to an address are refused, that is, whether no
-// process listens there. A connection that is established returns to the pool. Concurrent calls
-// for the same address share one attempt.
-func (p *Pool) RefusesConnections(c context.Context, address string) bool {
+// RefusesConnections reports whether connections to an endpoint are refused, that is, whether its process
+// has ended. A connection that is established returns to the pool. Concurrent calls for the same
+// address share one attempt.
+func (p *Pool) RefusesConnections(c context.Context, id, address string) bool {
 	v, _, _ := p.refusalChecks.Do(address, func() (any, error) {
-		x, cancel := context.WithTimeout(c, refusalTimeout)
-		defer cancel()
-		n, err := p.dial(x, address)
-		if err == nil {
-			p.put(address, n)
+		n, refuses := p.connector().Refuses(c, id, address, refusalTimeout)
+		if n != nil {
+			p.put(address, newConn(n))
 		}
-		return errors.Is(err, syscall.ECONNREFUSED), nil
+		return refuses, nil
 	})
 	refused, ok := v.(bool)
 	return ok && refused
 }
 
-func (p *Pool) dial(c context.Context, address string) (*Conn, error) {
-	dial := p.DialFunc
-	if dial == nil {
-		dial = (&net.Dialer{KeepAlive: -1}).DialContext
+// IsLost reports whether other boxes reach an endpoint and this one does not.
+func (p *Pool) IsLost(id string) bool { return p.connector().IsLost(id) }
+
+// CheckLink begins to check the link to an endpoint if nothing has arrived on it since a time.
+func (p *Pool) CheckLink(id, address string, since time.Time) {
+	p.connector().Check(id, address, since)
+}
+
+// AbandonSilent calls Request.Abandon of the calls that wait on direct connections to an endpoint whose
+// link has fallen silent.
+func (p *Pool) AbandonSilent(id string) {
+	since := p.connector().ReusableSince(id)
+	if since.IsZero() {
+		return
+	}
+	p.mu.Lock()
+	var abandon []func()
+	for c, f := range p.active {
+		if c.id == id && c.via == "" {
+			abandon = append(abandon, f)
+		}
 	}
-	if p.DialTimeout > 0 {
-		x, cancel := context.WithTimeout(c, p.DialTimeout)
-		defer cancel()
-		c = x
+	p.mu.Unlock()
+	for _, f := range abandon {
+		f()
 	}
-	n, err := dial(c, "tcp", address)
+}
+
+// setActive records that a call with a function Abandon uses a connection, or no longer does.
+func (p *Pool) setActive(c *Conn, abandon func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if abandon == nil {
+		delete(p.active, c)
+		return
+	}
+	if p.active == nil {
+		p.active = map[*Conn]func(){}
+	}
+	p.active[c] = abandon
+}
+
+func (p *Pool) dial(c context.Context, id, address string) (*Conn, error) {
+	n, err := p.connector().Connect(c, id, address)
 	if err != nil {
-		return nil, fmt.Errorf("reach %s: %w", address, err)
+		return nil, err
 	}
 	return newConn(n), nil
 }
+
+// plainDialer dials endpoints directly and tracks no links.
+type plainDialer struct{ timeout time.Duration }
+
+func (d plainDialer) Connect(c context.Context, _, address string) (net.Conn, error) {
+	n, err := (&net.Dialer{Timeout: d.timeout, KeepAlive: -1}).DialContext(c, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("reach %s: %w", address, err)
+	}
+	return n, nil
+}
+
+func (plainDialer) Refuses(c context.Context, id, address string, timeout time.Duration) (net.Conn, bool) {
+	n, err := plainDialer{timeout}.Connect(c, id, address)
+	return n, errors.Is(err, syscall.ECONNREFUSED)
+}
+
+func (plainDialer) Check(string, string, time.Time) {}
+
+func (plainDialer) RecordTraffic(string) {}
+
+func (plainDialer) ReusableSince(string) time.Time { return time.Time{} }
+
+func (plainDialer) IsLost(string) bool { return false }
--- a/peer/client.go
+++ b/peer/client.go
@@ -95,6 +95,45 @@
 	}
 }
 
+// Takeover opens a connection of its own to a peer, makes a call on it, and decodes the first frame of
+// the answer into out. From then on the connection belongs to the caller. Errors are those of Stream.
+func (c *Client) Takeover(x context.Context, address, method string, in, out any) (*frame.Conn, error) {
+	f, err := c.dialFrames(x, address)
+	if err == nil {
+		stop := context.AfterFunc(x, func() { f.Close() })
+		err = c.takeOver(f, method, in, out)
+		if !stop() {
+			err = x.Err()
+		}
+		if err != nil {
+			f.Close()
+		}
+	}
+	if err != nil {
+		return nil, &errkind.Error{Kind: errkind.Unavailable, Message: "peer " + address, Err: err}
+	}
+	return f, nil
+}
+
+func (c *Client) takeOver(f *frame.Conn, method string, in, out any) error {
+	if err := c.handshake(f); err != nil {
+		return err
+	}
+	b, err := msgpack.Marshal(in)
+	if err != nil {
+		return fmt.Errorf("encode call: %w", err)
+	}
+	if err := f.Write(frame.Message{Type: frame.Call, Method: method, Body: b}, writeTimeout); err != nil {
+		return err
+	}
+	m, err := f.Read()
+	if err != nil {
+		return err
+	}
+	_, err = handleFrame(m, out, nil)
+	return err
+}
+
 // handleFrame handles one frame of a call and reports whether it is the last.
 func handleFrame(m frame.Message, out any, onItem func([]byte) error) (bool, error) {
 	switch m.Type {
@@ -165,6 +204,17 @@
 }
 
 func (c *Client) dial(x context.Context, address string) (*link, error) {
+	f, err := c.dialFrames(x, address)
+	if err == nil {
+		err = c.handshake(f)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &link{conn: f, calls: map[uint64]*inbox{}, done: make(chan struct{})}, nil
+}
+
+func (c *Client) dialFrames(x context.Context, address string) (*frame.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout}
 	if c.local != nil {
 		d.LocalAddr = c.local
@@ -173,14 +223,17 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial: %w", err)
 	}
-	f := frame.New(n)
-	_ = n.SetReadDeadline(time.Now().Add(handshakeTimeout))
+	return frame.New(n), nil
+}
+
+// handshake authenticates both sides. It closes the connection if that fails.
+func (c *Client) handshake(f *frame.Conn) error {
+	_ = f.NetConn().SetReadDeadline(time.Now().Add(handshakeTimeout))
 	if err := clientHandshake(f, c.secret); err != nil {
 		f.Close()
-		return nil, err
+		return err
 	}
-	_ = n.SetReadDeadline(time.Time{})
-	return &link{conn: f, calls: map[uint64]*inbox{}, done: make(chan struct{})}, nil
+	return f.NetConn().SetReadDeadline(time.Time{})
 }
 
 // readLoop delivers each frame to its call until the connection ends.
--- a/peer/server.go
+++ b/peer/server.go
@@ -25,6 +25,10 @@
 // connection ends.
 type Handler func(c context.Context, body []byte, send func(any) error) (any, error)
 
+// TakeoverFunc serves a connection on which a peer made a call of its method. Body is the encoded
+// argument. The connection is closed when it returns, or when c is done.
+type TakeoverFunc func(c context.Context, f *frame.Conn, body []byte)
+
 // failure is the wire form of an errkind.Error.
 type failure struct {
 	Kind       errkind.Kind  `msgpack:"k"`
@@ -37,6 +41,7 @@
 	secret     string
 	mu         sync.RWMutex
 	handlers   map[string]Handler
+	takeovers  map[string]TakeoverFunc  // by method
 	semaphores map[string]chan struct{} // limits on concurrent calls, by method
 	conns      map[*frame.Conn]bool
 	group      sync.WaitGroup
@@ -46,7 +51,9 @@
 
 // NewServer returns a server without handlers.
 func NewServer(secret string) *Server {
-	return &Server{secret: secret, handlers: map[string]Handler{}, semaphores: map[string]chan struct{}{}, conns: map[*frame.Conn]bool{}}
+	return &Server{
+		secret: secret, handlers: map[string]Handler{}, takeovers: map[string]TakeoverFunc{}, semaphores: map[string]chan struct{}{}, conns: map[*frame.Conn]bool{},
+	}
 }
 
 // Handle registers the handler of a method.
@@ -56,6 +63,20 @@
 	s.handlers[method] = h
 }
 
+// HandleTakeover registers the function that takes over connections by a method, made with
+// Client.Takeover.
+func (s *Server) HandleTakeover(method string, f TakeoverFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.takeovers[method] = f
+}
+
+func (s *Server) takeover(method string) TakeoverFunc {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.takeovers[method]
+}
+
 // LimitConcurrency limits the number of calls of a method that are answered at the same time. A
 // call counts from the start of its handler until its answer has been written; further calls wait.
 // Without a limit, large answers that are sent concurrently share the bandwidth, and all of them
@@ -167,6 +188,12 @@
 		if err != nil {
 			return
 		}
+		if m.Type == frame.Call {
+			if serve := s.takeover(m.Method); serve != nil {
+				serve(c, f, m.Body)
+				return
+			}
+		}
 		mu.Lock()
 		switch m.Type {
 		case frame.Cancel:
--- /dev/null
+++ b/tunnel/service.go
@@ -0,0 +1,378 @@
+// Package tunnel connects a box to endpoints through other boxes. The other box passes bytes on and
+// decides nothing: the request, its retries and its limits stay with the box that received it. A
+// tunnel always leads directly from the other box to the endpoint, so that there are no loops.
+package tunnel
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"birchlink.dev/birchlink/boottime"
+	"birchlink.dev/birchlink/frame"
+	"birchlink.dev/birchlink/kernel"
+	"birchlink.dev/birchlink/peer"
+)
+
+// Name is the name under which the service is registered in the kernel.
+const Name = "tunnel"
+
+// methodOpen is the call that opens a tunnel.
+const methodOpen = "tunnel.open"
+
+const (
+	// maxTunnels bounds the tunnels through one box. With a connection at each end they take an eighth
+	// of the descriptors of a small box.
+	maxTunnels = 256
+
+	// maxIdle is how long a tunnel may pass nothing before it is closed. It exceeds the time that
+	// callers wait.
+	maxIdle = 30 * time.Second
+
+	// lingerTimeout is how long the far end waits for the near end to close the tunnel after the
+	// endpoint has closed it. A connection that is closed with unread bytes is reset, and the
+	// last bytes of the response may be lost.
+	lingerTimeout = 2 * time.Second
+
+	// bufferSize is the size of the reads from an endpoint, in bytes.
+	bufferSize = 16 << 10
+)
+
+// Outcome is the result of an attempt to connect to an endpoint through another box.
+type Outcome int
+
+// The outcomes. Refused and TimedOut are reported only by a box that reaches other endpoints. Cut is
+// reported by one whose own link to the endpoint has failed, Busy by one that has no room for more
+// tunnels or stops.
+const (
+	Connected Outcome = iota
+	Refused
+	TimedOut
+	Cut
+	Busy
+	Unknown  // the box doesn't know the endpoint
+	NoAnswer // the box did not answer
+	numOutcomes
+)
+
+// String returns the name of the outcome in logs and metrics.
+func (o Outcome) String() string {
+	return [...]string{"connected", "refused", "timed_out", "cut", "busy", "unknown", "no_answer"}[o]
+}
+
+// Reached reports whether the outcome tells about the endpoint, and not about the box that was asked.
+func (o Outcome) Reached() bool { return o == Connected || o == Refused || o == TimedOut }
+
+// Request asks for a tunnel to an endpoint.
+type Request struct {
+	Endpoint string
+	Address  string
+}
+
+// reply answers a request. Others are addresses of further boxes that may have tunnels.
+type reply struct {
+	Outcome Outcome
+	Others  []string
+}
+
+// DialFunc connects to an endpoint directly. It returns Connected if the error is nil.
+type DialFunc func(c context.Context, q Request) (net.Conn, Outcome)
+
+// Service opens tunnels through other boxes, and serves the other boxes' tunnels. All exported fields
+// must be set before it starts.
+type Service struct {
+	// Dial connects this box to an endpoint over its own links.
+	Dial DialFunc
+
+	// Boxes returns the addresses of the other boxes: the nearby ones, and others.
+	Boxes func() (near, far []string)
+
+	// Leaving reports whether this box stops, and StopLimit is how long it may take.
+	Leaving   func() bool
+	StopLimit time.Duration
+
+	Metrics metrics.Registry
+	Log     zerolog.Logger
+
+	node  *peer.Node
+	boxes directory
+
+	open    atomic.Int64
+	mu      sync.Mutex
+	tunnels map[*frame.Conn]bool // served for other boxes
+	idle    chan struct{}        // receives an item when a tunnel has ended
+	leftAt  time.Time            // when Leave was first called; zero before
+}
+
+// New returns a service.
+func New(m metrics.Registry, log zerolog.Logger) *Service {
+	return &Service{
+		Leaving: func() bool { return false }, Metrics: m, Log: log,
+		tunnels: map[*frame.Conn]bool{}, idle: make(chan struct{}, 1),
+	}
+}
+
+// Name returns the service's name.
+func (s *Service) Name() string { return Name }
+
+// Start begins to serve tunnels.
+func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
+	if err := kernel.Bind(k, peer.Name, &s.node); err != nil {
+		return err
+	}
+	s.boxes.self = s.node.Advertise
+	s.node.Server.HandleTakeover(methodOpen, s.serve)
+	return nil
+}
+
+// Stop waits until the other boxes have closed their tunnels through this one, for StopLimit at most since
+// Leave was called first. No more are opened once Leaving returns true.
+func (s *Service) Stop(c context.Context) error {
+	s.Leave()
+	s.mu.Lock()
+	x, cancel := context.WithTimeout(c, s.StopLimit-boottime.Since(s.leftAt))
+	s.mu.Unlock()
+	defer cancel()
+	for s.open.Load() > 0 {
+		select {
+		case <-s.idle:
+		case <-x.Done():
+			s.Log.Info().Str("event", "stop").Int64("tunnels", s.open.Load()).Msg("tunnels of other boxes are cut off")
+			return nil
+		}
+	}
+	return nil
+}
+
+// Leave tells the other boxes to send no further request through their tunnels. It is called as long as this
+// box stops, since tunnels may have been opened just before.
+func (s *Service) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leftAt.IsZero() {
+		s.leftAt = boottime.Now()
+	}
+	for f := range s.tunnels {
+		_ = f.Write(frame.Message{Type: frame.Cancel}, leaveTimeout)
+	}
+}
+
+// leaveTimeout bounds the write of the message that this box leaves.
+const leaveTimeout = 50 * time.Millisecond
+
+// CountOpen returns the number of tunnels that this box serves for others.
+func (s *Service) CountOpen() int64 { return s.open.Load() }
+
+// serve opens the far end of a tunnel and passes bytes on until either end closes.
+func (s *Service) serve(c context.Context, f *frame.Conn, body []byte) {
+	var q Request
+	if err := msgpack.Unmarshal(body, &q); err != nil {
+		return
+	}
+	defer s.end()
+	n, o := net.Conn(nil), Busy
+	if s.open.Add(1) <= maxTunnels && !s.Leaving() {
+		n, o = s.Dial(c, q)
+	}
+	metrics.GetOrRegisterCounter("tunnels.served."+o.String(), s.Metrics).Inc(1)
+	b, err := msgpack.Marshal(reply{Outcome: o, Others: s.sampleBoxes()})
+	if err == nil {
+		err = f.Write(frame.Message{Type: frame.End, Body: b}, writeTimeout)
+	}
+	if n == nil {
+		return
+	}
+	if err != nil {
+		reset(n)
+		return
+	}
+	s.track(f, true)
+	defer s.track(f, false)
+	pass(c, f, n)
+}
+
+// sampleSize is the number of other boxes that an answer names.
+const sampleSize = 4
+
+// sampleBoxes returns some of the nearby boxes at random.
+func (s *Service) sampleBoxes() []string {
+	near, _ := s.Boxes()
+	return pick(near, sampleSize)
+}
+
+// pick returns up to n of the addresses at random.
+func pick(as []string, n int) []string {
+	out := make([]string, 0, n)
+	for _, i := range rand.Perm(len(as))[:min(n, len(as))] {
+		out = append(out, as[i])
+	}
+	return out
+}
+
+// end counts a tunnel, or a request for one, as ended.
+func (s *Service) end() {
+	s.open.Add(-1)
+	select {
+	case s.idle <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Service) track(f *frame.Conn, open bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if open {
+		s.tunnels[f] = true
+		return
+	}
+	delete(s.tunnels, f)
+}
+
+// pass passes bytes between the two ends of a tunnel. If the near end closes or is lost, the connection to
+// the endpoint is reset, so that nothing that was given up still arrives there.
+func pass(c context.Context, f *frame.Conn, n net.Conn) {
+	stop := context.AfterFunc(c, func() { f.Close() })
+	defer stop()
+	timer := time.AfterFunc(maxIdle, func() { f.Close() })
+	defer timer.Stop()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		passBack(f, n, timer)
+		_ = f.NetConn().SetReadDeadline(time.Now().Add(lingerTimeout))
+	}()
+	for {
+		m, err := f.Read()
+		if err != nil {
+			break
+		}
+		timer.Reset(maxIdle)
+		var b []byte
+		if m.Type != frame.Item || msgpack.Unmarshal(m.Body, &b) != nil {
+			break
+		}
+		_ = n.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if _, err := n.Write(b); err != nil {
+			continue // the response may still be read
+		}
+	}
+	reset(n)
+	<-done
+}
+
+// passBack passes what the endpoint sends to the near end, and how the connection ended.
+func passBack(f *frame.Conn, n net.Conn, timer *time.Timer) {
+	b := make([]byte, bufferSize)
+	for {
+		k, err := n.Read(b)
+		if k > 0 {
+			timer.Reset(maxIdle)
+			if writeData(f, b[:k]) != nil {
+				reset(n)
+				return
+			}
+		}
+		switch {
+		case err == nil:
+			continue
+		case errors.Is(err, io.EOF):
+			_ = f.Write(frame.Message{Type: frame.End}, writeTimeout)
+		default:
+			_ = f.Write(frame.Message{Type: frame.Fail}, writeTimeout)
+		}
+		return
+	}
+}
+
+// reset closes a connection and discards what was not delivered.
+func reset(n net.Conn) {
+	if t, ok := n.(interface{ SetLinger(seconds int) error }); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = n.Close()
+}
+
+// OutcomeOf returns the outcome of an attempt to connect that failed with err.
+func OutcomeOf(err error) Outcome {
+	var timeout net.Error
+	switch {
+	case err == nil:
+		return Connected
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, context.DeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout(),
+		errors.Is(err, syscall.EHOSTUNREACH), errors.Is(err, syscall.ENETUNREACH):
+		return TimedOut
+	default:
+		return Refused
+	}
+}
+
+const (
+	// maxAsked bounds the boxes that are asked for one tunnel, askTimeout the time for each and
+	// connectTimeout that for all.
+	maxAsked       = 4
+	askTimeout     = 120 * time.Millisecond
+	connectTimeout = 300 * time.Millisecond
+)
+
+// Connect connects to an endpoint through another box, which it picks at random among those that
+// have not failed of late. If no box is connected, it returns nil and the outcome that tells most about the
+// endpoint: Refused or TimedOut if a box reported that. The outcome is NoAnswer if no other box is known.
+func (s *Service) Connect(c context.Context, q Request) (net.Conn, Outcome) {
+	x, cancel := context.WithTimeout(c, connectTimeout)
+	defer cancel()
+	near, far := s.Boxes()
+	best := NoAnswer
+	for _, box := range s.boxes.choose(near, far, maxAsked, boottime.Now()) {
+		n, o := s.ask(x, box, q)
+		if n != nil {
+			return n, Connected
+		}
+		if x.Err() != nil && o == NoAnswer {
+			break
+		}
+		if o < best {
+			best = o
+		}
+	}
+	return nil, best
+}
+
+// HasOthers reports whether any other box is known.
+func (s *Service) HasOthers() bool {
+	near, far := s.Boxes()
+	return len(near)+len(far) > 0
+}
+
+// ask asks one box for a tunnel.
+func (s *Service) ask(c context.Context, box string, q Request) (net.Conn, Outcome) {
+	x, cancel := context.WithTimeout(c, askTimeout)
+	defer cancel()
+	var r reply
+	f, err := s.node.Client.Takeover(x, box, methodOpen, q, &r)
+	if err != nil || r.Outcome < 0 || r.Outcome >= numOutcomes {
+		r.Outcome = NoAnswer
+	}
+	if c.Err() == nil || err == nil {
+		s.boxes.record(box, r.Outcome, r.Others, boottime.Now())
+		metrics.GetOrRegisterCounter("tunnels.asked."+r.Outcome.String(), s.Metrics).Inc(1)
+	}
+	switch {
+	case err != nil:
+		return nil, NoAnswer
+	case r.Outcome != Connected:
+		f.Close()
+		return nil, r.Outcome
+	}
+	return &conn{Conn: f.NetConn(), frames: f, via: box}, Connected
+}
