Bound the requests at endpoints that fail when they refuse too many

An endpoint may state in its answers how many requests a second it may refuse for lack of room, of all boxes together, before it fails. Nothing read that: six boxes under load had each of three endpoints refuse up to 419 requests within a second where 5 were borne.

Each request to such a service now takes a place from one of the boxes to which shares of the endpoint are leased, as permits of rates are, and returns it at its end (package occupancy). A box that reaches no arbiter sends one request at a time.

--- a/availability/availability.go
+++ b/availability/availability.go
@@ -19,6 +19,10 @@
 	// Rates holds the rate limits of endpoints, which apply to all boxes together.
 	Rates endpointlimit.Rates
 
+	// Refusals holds the rates of refusals at which the endpoints of a service fail, by service: an
+	// endpoint that has not answered this box yet states what the others do.
+	Refusals endpointlimit.Rates
+
 	backOffs backoff.BackOffs
 
 	mu      sync.Mutex
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -201,7 +201,7 @@
 		Admission: admission.Options{DeadlineCheck: s.DeadlineCheck},
 		OnSend:    p.sendHint, OnCrash: func(e endpoint.Endpoint) { p.gossip.BroadcastCrash(e.Incarnation()) },
 		OnDraining:    func(e endpoint.Endpoint) { p.gossip.BroadcastDraining(e.Incarnation()) },
-		OnLimitChange: p.gossip.BroadcastRate, RequestPermit: limits.Permit,
+		OnLimitChange: p.gossip.BroadcastRate, RequestPermit: limits.Permit, RequestPlace: limits.Place,
 	}
 	d.OnLost, d.OnRecovered = f.Pool.AbandonSilent, p.recordReachable
 	p.links, p.pool = d, f.Pool
--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -37,10 +37,12 @@
 	lastID  int
 	crashed int
 	servers []*standin.Server
+
+	addresses map[string]string // of the servers, by ID
 }
 
 func newPlatform(t *testing.T, servers int) *platform {
-	p := &platform{t: t, store: &memstore.Store{}}
+	p := &platform{t: t, store: &memstore.Store{}, addresses: map[string]string{}}
 	p.storeAddress = serve(t, standin.StoreHandler(p.store))
 	p.store.Set(standin.ConfigKey, standin.Config(1, "api"))
 	for range servers {
@@ -67,6 +69,7 @@
 		p.startServer()
 	}))
 	p.t.Cleanup(h.Close)
+	p.addresses[s.ID] = h.Listener.Addr().String()
 	p.store.Set(s.Record(h.Listener.Addr().String(), "north", "ready"))
 }
 
--- a/endpoint/statement.go
+++ b/endpoint/statement.go
@@ -20,6 +20,10 @@
 	// Limit is in force for as long as responses state it.
 	Limit Limit
 
+	// Refusals is the rate of refusals for lack of room, of requests from all boxes together, at which
+	// the endpoint fails. It is in force for as long as responses state it.
+	Refusals Limit
+
 	// InvalidLimit is a stated limit that is not a number, quoted. It neither sets nor
 	// removes a limit.
 	InvalidLimit string
--- a/forward/admission.go
+++ b/forward/admission.go
@@ -35,7 +35,8 @@
 		return ch, r.refuse(best, in, d)
 	}
 	hadPermit := r.hasPermit
-	if r.acquirePermit(c, &permitState{started: boottime.Now()}, best.Endpoint) {
+	p := permitState{started: boottime.Now()}
+	if best.Endpoint.ID == ch.Endpoint.ID || r.acquirePermit(c, &p, best.Endpoint) && r.acquirePlace(c, &p, best.Endpoint) {
 		return best, nil
 	}
 	r.hasPermit = hadPermit
--- a/forward/endpoint_test.go
+++ b/forward/endpoint_test.go
@@ -75,7 +75,7 @@
 		f.behaviours = f.behaviours[1:]
 	}
 	f.requests++
-	if kind, _, _ := strings.Cut(b, ":"); !slices.Contains([]string{"shed", "shed_limit", "rest", "shed_says_leaving", "elsewhere"}, kind) {
+	if kind, _, _ := strings.Cut(b, ":"); !slices.Contains([]string{"shed", "shed_limit", "shed_brittle", "rest", "shed_says_leaving", "elsewhere"}, kind) {
 		f.runs++
 	}
 	f.lastEvents = append(f.lastEvents, last)
@@ -135,6 +135,10 @@
 		whole(id)
 	case "limit": // reports a rate limit
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nLimit: %s\r\nContent-Length: %d\r\n\r\n%s", id, arg, len(body), body)
+	case "brittle": // reports the rate of refusals at which it fails
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nBrittle: %s\r\nContent-Length: %d\r\n\r\n%s", id, arg, len(body), body)
+	case "shed_brittle":
+		fmt.Fprintf(c, "HTTP/1.1 503 Full\r\nId: %s\r\nNot-Run: 1\r\nBrittle: %s\r\nContent-Length: 0\r\n\r\n", id, arg)
 	case "shed_limit":
 		fmt.Fprintf(c, "HTTP/1.1 503 Full\r\nId: %s\r\nNot-Run: 1\r\nLimit: %s\r\nContent-Length: 0\r\n\r\n", id, arg)
 	case "stream_limit":
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -29,6 +29,7 @@
 	"birchlink.dev/birchlink/errkind"
 	"birchlink.dev/birchlink/forward"
 	"birchlink.dev/birchlink/httpconn"
+	"birchlink.dev/birchlink/occupancy"
 	"birchlink.dev/birchlink/quarantine"
 	"birchlink.dev/birchlink/requesthash"
 	"birchlink.dev/birchlink/rollout"
@@ -59,6 +60,9 @@
 			o.InvalidLimit = v
 		}
 	}
+	if f, err := strconv.ParseFloat(h.Get("Brittle"), 64); err == nil {
+		o.Refusals = endpoint.Limit{Limited: true, PerSecond: f}
+	}
 	o.Draining, o.BackOff = h.Get("Leaving") != "", time.Duration(ms)*time.Millisecond
 	return o
 }
@@ -149,6 +153,12 @@
 	}
 	s.f.Roster.OnReplaced(s.f.CancelReplaced)
 	th := &throttle.Throttle{Leases: soleLeases(boottime.Now())}
+	places := &occupancy.Limiter{Leases: soleLeases(boottime.Now())}
+	s.f.RequestPlace = func(_ context.Context, q occupancy.Question) (occupancy.Answer, func(bool)) {
+		return places.Ask(q, boottime.Now()), func(refused bool) {
+			places.Return(occupancy.Return{Endpoint: q.Endpoint, Holder: q.Holder, Refused: refused}, boottime.Now())
+		}
+	}
 	s.f.RequestPermit = func(_ context.Context, q throttle.Question) throttle.Answer { return th.Ask(q, boottime.Now()) }
 	return s
 }
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -92,6 +92,7 @@
 	Codec         Codec
 	Moves         MoveCodec // nil if running requests are not moved
 	RequestPermit PermitFunc
+	RequestPlace  PlaceFunc
 	OnStart       StartFunc
 	OnSend        SendFunc
 	OnCrash       CrashFunc
--- a/forward/permit.go
+++ b/forward/permit.go
@@ -24,6 +24,9 @@
 	started    time.Time
 	refused    bool          // at least one permit was refused
 	retryAfter time.Duration // shortest retry time of the refusals
+
+	full       map[string]bool // incarnations that have no place now
+	placeAfter time.Duration   // shortest time until one of them may have one
 }
 
 // isTimedOut reports whether no more permits should be requested.
--- a/forward/response.go
+++ b/forward/response.go
@@ -80,6 +80,7 @@
 	}
 	if !o.WrongIncarnation {
 		r.handleRateLimit(o.Statement, e)
+		r.handleRefusalLimit(o.Refusals, e)
 	}
 	if !o.Draining {
 		return
@@ -111,6 +112,14 @@
 	r.f.OnLimitChange(report)
 }
 
+// handleRefusalLimit processes the rate of refusals at which a response states that its endpoint fails.
+func (r *run) handleRefusalLimit(l endpoint.Limit, e endpoint.Endpoint) {
+	if _, changed := r.f.Balancer.Availability.Refusals.Observe(e.Service, l, boottime.Now()); changed {
+		r.f.Log.Info().Str("event", "endpoint").Str("endpoint", e.ID).Int64("born", e.StartMillis).Str("request", r.q.Call.ID).Str("service", e.Service).
+			Bool("limited", l.Limited).Float64("refusals_per_second", l.PerSecond).Msg("fails if it refuses more")
+	}
+}
+
 // recordSurvival reports to the quarantine that the endpoint ran the request without crashing. An
 // error response does not show that, since the endpoint may not have begun to run the request,
 // nor does a response that ends with its connection, since the endpoint may have crashed.
--- a/forward/run.go
+++ b/forward/run.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"net/http"
 	"syscall"
 	"time"
@@ -65,6 +66,11 @@
 
 	// hasPermit reports whether the current attempt has a permit for its endpoint's rate.
 	hasPermit bool
+	// releasePlace returns the place of the current attempt; nil if it needs none. places counts the
+	// questions for one.
+	releasePlace func(refused bool)
+	places       int
+
 	// permitRetryAfter is the shortest time until an endpoint with an exhausted rate accepts a
 	// request.
 	permitRetryAfter time.Duration
@@ -137,6 +143,7 @@
 		// the box is suspended.
 		return r.failExpired()
 	}
+	defer func() { r.returnPlace(false) }()
 	ch, ok := r.choose(c)
 	if !ok {
 		return r.fail(errkind.NoEndpoint, "no endpoint of "+r.q.Service.Name+" is left")
@@ -153,6 +160,7 @@
 	}
 	r.f.Quarantine.RecordSend(r.q.Content, boottime.Now())
 	ch, out := r.continueMoved(c, ch, r.attempt(c, ch))
+	r.returnPlace(out.interruption == recovery.Refused && !out.done)
 	if out.done {
 		return true, nil
 	}
@@ -273,11 +281,14 @@
 	deadline := boottime.Now().Add(endpointTimeout)
 	for {
 		ch, known, ok := r.f.findVersion(r.q.Service.Name, q, r.versions)
-		if ok && r.acquirePermit(c, &p, ch.Endpoint) {
+		if ok && r.acquirePlace(c, &p, ch.Endpoint) && r.acquirePermit(c, &p, ch.Endpoint) {
 			return ch, true
 		}
-		r.permitRetryAfter, q.UnlimitedOnly = p.retryAfter, p.isTimedOut()
-		if ok {
+		r.permitRetryAfter, q.UnlimitedOnly = max(p.retryAfter, p.placeRetryAfter()), p.isTimedOut()
+		if !ok && p.full != nil && r.awaitPlace(c, &p) {
+			ok = true
+		}
+		if q.Skip = r.skipped(&p); ok {
 			continue
 		}
 		if known || len(r.reached)+r.failedDials+r.refusedDials > 0 || boottime.Now().After(deadline) || c.Err() != nil {
@@ -287,6 +298,16 @@
 	}
 }
 
+// skipped returns the endpoints that were tried or have no place for the request now.
+func (r *run) skipped(p *permitState) map[string]bool {
+	if len(p.full) == 0 {
+		return r.tried
+	}
+	out := maps.Clone(r.tried)
+	maps.Copy(out, p.full)
+	return out
+}
+
 // find chooses among the endpoints assigned to this box or, if none of them accepts the request,
 // among all endpoints of the service. It reports in known whether there are any endpoints.
 func (f *Forwarder) find(service string, q balance.Query) (ch balance.Choice, known, ok bool) {
--- a/ratelimit/service.go
+++ b/ratelimit/service.go
@@ -15,6 +15,7 @@
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/endpointlimit"
 	"birchlink.dev/birchlink/kernel"
+	"birchlink.dev/birchlink/occupancy"
 	"birchlink.dev/birchlink/peer"
 	"birchlink.dev/birchlink/quota"
 	"birchlink.dev/birchlink/throttle"
@@ -27,6 +28,8 @@
 const (
 	methodAsk    = "limit.ask"
 	methodPermit = "limit.permit"
+	methodPlace  = "limit.place"
+	methodReturn = "limit.return"
 )
 
 // A call usually takes a few milliseconds, and the shortest latency objectives are 100 ms. A
@@ -54,6 +57,11 @@
 	Throttle *throttle.Throttle
 	Rates    *endpointlimit.Rates
 
+	// Occupancy gives places at endpoints from the shares of them that are leased to this box. Lone does
+	// so while no box that has shares answers.
+	Occupancy *occupancy.Limiter
+	Lone      *occupancy.Limiter
+
 	// Cooldown is how long a box that did not answer is skipped.
 	Cooldown time.Duration
 
@@ -68,8 +76,10 @@
 // New returns a service that uses q for accounts and r for the rates of endpoints.
 func New(q *quota.Quota, r *endpointlimit.Rates, m metrics.Registry, log zerolog.Logger) *Service {
 	return &Service{
-		Quota: q, Throttle: &throttle.Throttle{Leases: q}, Rates: r, Cooldown: defaultCooldown,
-		metrics: m, log: log, unresponsive: map[string]time.Time{},
+		Quota: q, Throttle: &throttle.Throttle{Leases: q}, Rates: r,
+		Occupancy: &occupancy.Limiter{Leases: q}, Lone: &occupancy.Limiter{Leases: wholeLease{}},
+		Cooldown: defaultCooldown,
+		metrics:  m, log: log, unresponsive: map[string]time.Time{},
 	}
 }
 
@@ -87,6 +97,13 @@
 	peer.Handle(s.node.Server, methodPermit, func(_ context.Context, x throttle.Question) (throttle.Answer, error) {
 		return s.answerPermit(x), nil
 	})
+	peer.Handle(s.node.Server, methodPlace, func(_ context.Context, x occupancy.Question) (occupancy.Answer, error) {
+		return s.Occupancy.Ask(x, boottime.Now()), nil
+	})
+	peer.Handle(s.node.Server, methodReturn, func(_ context.Context, x occupancy.Return) (struct{}, error) {
+		s.Occupancy.Return(x, boottime.Now())
+		return struct{}{}, nil
+	})
 	return nil
 }
 
--- a/tunnel/service_test.go
+++ b/tunnel/service_test.go
@@ -219,7 +219,7 @@
 	address, conns := listen(t)
 	for range 100 {
 		_, far := open(t, a, address, conns)
-		defer far.Close()
+		t.Cleanup(func() { _ = far.Close() })
 	}
 	for _, o := range others {
 		require.Greater(t, o.CountOpen(), int64(5))
