--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -151,12 +151,7 @@
 	q := tunnel.Request{Endpoint: id, Address: address}
 	switch d.Links.Path(id) {
 	case linkstate.Detour:
-		n, o := d.Tunnels.Connect(c, q)
-		if n != nil {
-			return n, nil
-		}
-		d.recordOutcome(q, o)
-		return d.direct(c, q, dialTimeout)
+		return d.detour(c, q)
 	case linkstate.Both:
 		return d.race(c, q, 0)
 	default:
@@ -164,6 +159,20 @@
 	}
 }
 
+// detour connects through another box, or directly if no other box reaches the endpoint.
+func (d *Dialer) detour(c context.Context, q tunnel.Request) (net.Conn, error) {
+	n, o := d.Tunnels.Connect(c, q)
+	if n != nil {
+		return n, nil
+	}
+	d.recordOutcome(q, o)
+	n, err := d.direct(c, q, dialTimeout)
+	if err != nil {
+		return nil, judge(err, o)
+	}
+	return n, nil
+}
+
 // race connects directly, and through another box if that fails or takes longer than delay. The first
 // connection is returned.
 func (d *Dialer) race(c context.Context, q tunnel.Request, delay time.Duration) (net.Conn, error) {
@@ -263,8 +272,8 @@
 	}
 }
 
-// judge returns the error of an endpoint that was reached neither directly nor through another box. A
-// refusal of its connections shows that its process has ended only if another box was refused too.
+// judge returns the error of an endpoint that was reached neither directly nor through another box, given the error of
+// the direct connection. A refusal shows that the process has ended only if another box was refused too.
 func judge(own error, o tunnel.Outcome) error {
 	if o == tunnel.Refused {
 		return fmt.Errorf("%w: %w", errUnreached, syscall.ECONNREFUSED)
--- a/tunnel/directory.go
+++ b/tunnel/directory.go
@@ -29,16 +29,22 @@
 
 // choose returns up to n boxes in the order in which to ask them: those that have not failed of late
 // first, among these the nearby ones, each group in random order. So all boxes that reach endpoints get an equal
-// part of the tunnels. Boxes that were named by others stand in for those far away that are known
-// from the start, which are few in a large fleet.
+// part of the tunnels. Boxes that were named by others replace those far away that are known from the
+// start once they are more: these are then a few relays of a large fleet.
 func (d *directory) choose(near, far []string, n int, now time.Time) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	maps.DeleteFunc(d.bad, func(_ string, until time.Time) bool { return !now.Before(until) })
 	maps.DeleteFunc(d.sampled, func(_ string, at time.Time) bool { return now.Sub(at) > sampleTTL })
 	near = slices.Clone(near)
-	rest := slices.Concat(far, slices.Collect(maps.Keys(d.sampled)))
-	rest = slices.DeleteFunc(rest, func(a string) bool { return slices.Contains(near, a) })
+	rest := slices.DeleteFunc(slices.Clone(far), func(a string) bool { return slices.Contains(near, a) })
+	named := slices.DeleteFunc(slices.Collect(maps.Keys(d.sampled)), func(a string) bool {
+		return slices.Contains(near, a) || slices.Contains(rest, a)
+	})
+	if len(named) > len(rest) {
+		rest = nil
+	}
+	rest = append(rest, named...)
 	goodNear, badNear := d.shuffle(near)
 	goodRest, badRest := d.shuffle(rest)
 	if len(goodNear) >= n && len(goodRest) > 0 {
@@ -63,7 +69,8 @@
 	return good, bad
 }
 
-// record records how a box answered, and the boxes that it named.
+// record records how a box answered and, if it reached the endpoint, the boxes that it named. Those named by a
+// box that is cut off itself may be cut off too.
 func (d *directory) record(box string, o Outcome, others []string, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -75,6 +82,9 @@
 	} else {
 		d.bad[box] = now.Add(badFor)
 	}
+	if o != Connected {
+		return
+	}
 	for _, a := range others {
 		if a != d.self && len(d.sampled) < maxSampled {
 			d.sampled[a] = now
