Report endpoints as ended only for refused connections, and let the soak report what endpoints bear

An endpoint with too many connections resets them; a box that passed bytes on called that a refusal, so that its asker would have taken the endpoint for ended.

--- a/daemon/cut_test.go
+++ b/daemon/cut_test.go
@@ -167,7 +167,7 @@
 		ls[n].set("")
 	}
 	for _, n := range cut {
-		require.Eventually(t, func() bool { return boxes[n].hasMetric(t, "endpoints.links_down", 0) }, 30*time.Second, time.Millisecond)
+		require.Eventually(t, func() bool { return boxes[n].hasMetric(t, "endpoints.links_lost", 0) }, 30*time.Second, time.Millisecond)
 		served(boxes[n], "healed")
 	}
 }
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -242,7 +242,7 @@
 	s.RegisterGauge("endpoints.known", func() int64 { return int64(p.state.Roster.Len()) })
 	s.RegisterGauge("endpoints.leaving", func() int64 { return int64(p.state.Roster.CountDraining()) })
 	s.RegisterGauge("endpoints.resting", func() int64 { return int64(p.balancer.Availability.CountBackingOff(boottime.Now())) })
-	s.RegisterGauge("endpoints.links_down", func() int64 { return int64(p.links.Links.CountLost()) })
+	s.RegisterGauge("endpoints.links_lost", func() int64 { return int64(p.links.Links.CountLost()) })
 	s.RegisterGauge("tunnels.open", p.tunnels.CountOpen)
 	s.RegisterGauge("endpoints.limited", func() int64 { return int64(p.balancer.Availability.Rates.Len()) })
 	s.RegisterGauge("endpoints.faster", func() int64 { n, _ := p.countBySpeed(); return n })
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -132,12 +132,18 @@
 		}
 		return n, nil
 	case c.Err() == nil:
-		d.Links.RecordFailure(q.Endpoint, tunnel.OutcomeOf(err) == tunnel.TimedOut, now)
+		d.Links.RecordFailure(q.Endpoint, isTimeout(err), now)
 		d.startProbes()
 	}
 	return nil, fmt.Errorf("reach %s: %w", q.Address, err)
 }
 
+// isTimeout reports whether a connection failed because nothing came back.
+func isTimeout(err error) bool {
+	var n net.Error
+	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &n) && n.Timeout()
+}
+
 // result is the result of one way to connect.
 type result struct {
 	conn    net.Conn
@@ -296,7 +302,7 @@
 			d.OnLost(q.Endpoint)
 			d.startProbes()
 		}
-	case tunnel.Refused, tunnel.TimedOut:
+	case tunnel.Refused, tunnel.Failed:
 		d.Links.RecordGone(q.Endpoint, now)
 	default:
 	}
@@ -307,7 +313,7 @@
 func (d *Dialer) Refuses(c context.Context, id, address string, timeout time.Duration) (net.Conn, bool) {
 	q := tunnel.Request{Endpoint: id, Address: address}
 	n, err := d.direct(c, q, timeout)
-	if err == nil || c.Err() != nil || !errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, syscall.ECONNRESET) {
+	if err == nil || c.Err() != nil || !errors.Is(err, syscall.ECONNREFUSED) {
 		return n, false
 	}
 	if d.Links.IsGone(id, boottime.Now()) || !d.Tunnels.HasOthers() {
--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -129,7 +129,7 @@
 }
 
 // outcomes maps the names in scripts to outcomes.
-var outcomes = map[string]tunnel.Outcome{"connected": tunnel.Connected, "refused": tunnel.Refused, "timed_out": tunnel.TimedOut, "cut": tunnel.Cut}
+var outcomes = map[string]tunnel.Outcome{"connected": tunnel.Connected, "refused": tunnel.Refused, "failed": tunnel.Failed, "cut": tunnel.Cut}
 
 func (s *script) step(w []string) {
 	t, arg := s.t, w[len(w)-1]
--- a/soak/run.go
+++ b/soak/run.go
@@ -143,6 +143,11 @@
 		s.ReportLimit(reportedLimit)
 		time.Sleep(f.Duration)
 		s.ReportLimit("")
+	case ReportBrittle:
+		s := r.fleet.Servers[f.Target]
+		s.ReportBrittle(reportedRefusals)
+		time.Sleep(f.Duration)
+		s.ReportBrittle("")
 	case Config:
 		r.putNextConfig()
 	default:
@@ -154,6 +159,9 @@
 // reportedLimit is the rate limit that an endpoint reports, in calls per second.
 const reportedLimit = "1.5"
 
+// reportedRefusals is the rate of refusals that an endpoint reports to bear, in calls per second.
+const reportedRefusals = "2"
+
 // injectStore injects a fault of the store or of a box's link to it.
 func (r *run) injectStore(f Fault) {
 	s := r.fleet.Store
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -30,6 +30,7 @@
 	DrainByAnswer    Kind = "leave"     // an endpoint reports only in its answers that it is draining; another replaces it
 	RefuseCalls      Kind = "turn away" // an endpoint refuses every call and asks callers to back off
 	ReportLimit      Kind = "limit"     // an endpoint reports the rate limit that it has for all boxes together
+	ReportBrittle    Kind = "brittle"   // an endpoint reports the rate of refusals that it bears from all boxes together
 )
 
 // Fault is one entry of a schedule. Target is the index of a box or server, depending on Kind; Mode is
@@ -62,15 +63,16 @@
 // Schedule draws the faults of a run and the reports of endpoints about themselves, ordered by time.
 // The same arguments give the same schedule.
 func Schedule(seed uint64, span time.Duration, boxes, servers int) []Fault {
-	out := append(drawFaults(seed, span, boxes, servers), drawEndpointReports(seed, span, servers)...)
+	out := append(drawFaults(seed, span, boxes, servers), drawReports(seed, 2, span, servers, DrainByAnswer, RefuseCalls, ReportLimit)...)
+	out = append(out, drawReports(seed, 3, span, servers, ReportBrittle)...)
 	slices.SortStableFunc(out, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return out
 }
 
-// drawEndpointReports draws the reports of endpoints: draining, refusal and rate limit.
-func drawEndpointReports(seed uint64, span time.Duration, servers int) []Fault {
-	r := rand.New(rand.NewPCG(seed, 2))
-	kinds := []Kind{DrainByAnswer, RefuseCalls, ReportLimit}
+// drawReports draws reports of endpoints about themselves. Each stream of random numbers is drawn for itself, so that
+// a further kind leaves the schedules of known seeds as they are.
+func drawReports(seed, stream uint64, span time.Duration, servers int, kinds ...Kind) []Fault {
+	r := rand.New(rand.NewPCG(seed, stream))
 	var out []Fault
 	for at := faultFreeStart; at < span; at += time.Duration(r.Int64N(int64(2 * meanReportGap))) {
 		out = append(out, Fault{
--- a/tunnel/service.go
+++ b/tunnel/service.go
@@ -9,7 +9,6 @@
 	"io"
 	"math/rand/v2"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -52,13 +51,13 @@
 // Outcome is the result of an attempt to connect to an endpoint through another box.
 type Outcome int
 
-// The outcomes. Refused and TimedOut are reported only by a box that reaches other endpoints. Cut is
+// The outcomes. Refused and Failed are reported only by a box that reaches other endpoints. Cut is
 // reported by one whose own link to the endpoint has failed, Busy by one that has no room for more
 // tunnels or stops.
 const (
 	Connected Outcome = iota
 	Refused
-	TimedOut
+	Failed
 	Cut
 	Busy
 	Unknown  // the box doesn't know the endpoint
@@ -68,11 +67,11 @@
 
 // String returns the name of the outcome in logs and metrics.
 func (o Outcome) String() string {
-	return [...]string{"connected", "refused", "timed_out", "cut", "busy", "unknown", "no_answer"}[o]
+	return [...]string{"connected", "refused", "failed", "cut", "busy", "unknown", "no_answer"}[o]
 }
 
 // Reached reports whether the outcome tells about the endpoint, and not about the box that was asked.
-func (o Outcome) Reached() bool { return o == Connected || o == Refused || o == TimedOut }
+func (o Outcome) Reached() bool { return o == Connected || o == Refused || o == Failed }
 
 // Request asks for a tunnel to an endpoint.
 type Request struct {
@@ -303,17 +302,16 @@
 	_ = n.Close()
 }
 
-// OutcomeOf returns the outcome of an attempt to connect that failed with err.
+// OutcomeOf returns the outcome of an attempt to connect that ended with err. Only a refusal shows that no
+// process listens: an endpoint with too many connections resets them.
 func OutcomeOf(err error) Outcome {
-	var timeout net.Error
 	switch {
 	case err == nil:
 		return Connected
-	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, context.DeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout(),
-		errors.Is(err, syscall.EHOSTUNREACH), errors.Is(err, syscall.ENETUNREACH):
-		return TimedOut
-	default:
+	case errors.Is(err, syscall.ECONNREFUSED):
 		return Refused
+	default:
+		return Failed
 	}
 }
 
@@ -327,7 +325,7 @@
 
 // Connect connects to an endpoint through another box, which it picks at random among those that
 // have not failed of late. If no box is connected, it returns nil and the outcome that tells most about the
-// endpoint: Refused or TimedOut if a box reported that. The outcome is NoAnswer if no other box is known.
+// endpoint: Refused or Failed if a box reported that. The outcome is NoAnswer if no other box is known.
 func (s *Service) Connect(c context.Context, q Request) (net.Conn, Outcome) {
 	x, cancel := context.WithTimeout(c, connectTimeout)
 	defer cancel()
