Ask few endpoints for a place at a time

In a large service without room, each request would have asked the arbiters of all endpoints: TestPlaceQuestionsAreBounded, written after the change, counts 4 of 40. A box that stops tells the others of its tunnels without holding up its rounds.

--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -60,7 +60,7 @@
 	p.links.Links.Forget(known)
 	p.pool.Sweep()
 	if p.tunnels.Leaving() {
-		p.tunnels.Leave()
+		go p.tunnels.Leave()
 	}
 	p.balancer.Availability.Rates.Forget(func(incarnation string) bool {
 		e, ok := p.state.Roster.Get(endpoint.IDOf(incarnation))
--- a/forward/place.go
+++ b/forward/place.go
@@ -21,6 +21,10 @@
 	// waits at most for a place. It waits no longer than its latency objective allows.
 	placeWaitFraction = 3
 
+	// maxPlaceQuestions bounds the endpoints that are asked for a place before the request waits. In a large
+	// service that has no room, all would be asked otherwise.
+	maxPlaceQuestions = 4
+
 	// placeRetryInterval is the least time after which the caller of a request that got no place is told to
 	// return. The request has waited already, so that a place that is free in a moment is not
 	// enough.
--- a/forward/run.go
+++ b/forward/run.go
@@ -285,8 +285,8 @@
 			return ch, true
 		}
 		r.permitRetryAfter, q.UnlimitedOnly = max(p.retryAfter, p.placeRetryAfter()), p.isTimedOut()
-		if !ok && p.full != nil && r.awaitPlace(c, &p) {
-			ok = true
+		if len(p.full) > 0 && (!ok || len(p.full) == maxPlaceQuestions) {
+			ok = r.awaitPlace(c, &p)
 		}
 		if q.Skip = r.skipped(&p); ok {
 			continue
--- a/soak/run.go
+++ b/soak/run.go
@@ -133,21 +133,8 @@
 		if err := r.fleet.DrainByAnswer(f.Target); err != nil {
 			r.reportViolation("a server could not be replaced: %v", err)
 		}
-	case RefuseCalls:
-		s := r.fleet.Servers[f.Target]
-		s.RefuseRequests(f.Duration)
-		time.Sleep(f.Duration)
-		s.RefuseRequests(0)
-	case ReportLimit:
-		s := r.fleet.Servers[f.Target]
-		s.ReportLimit(reportedLimit)
-		time.Sleep(f.Duration)
-		s.ReportLimit("")
-	case ReportBrittle:
-		s := r.fleet.Servers[f.Target]
-		s.ReportBrittle(reportedRefusals)
-		time.Sleep(f.Duration)
-		s.ReportBrittle("")
+	case RefuseCalls, ReportLimit, ReportBrittle:
+		report(r.fleet.Servers[f.Target], f)
 	case Config:
 		r.putNextConfig()
 	default:
@@ -156,6 +143,22 @@
 	}
 }
 
+// report has a server report something about itself for the time of a fault.
+func report(s *Server, f Fault) {
+	switch f.Kind {
+	case RefuseCalls:
+		s.RefuseRequests(f.Duration)
+		defer s.RefuseRequests(0)
+	case ReportLimit:
+		s.ReportLimit(reportedLimit)
+		defer s.ReportLimit("")
+	default:
+		s.ReportBrittle(reportedRefusals)
+		defer s.ReportBrittle("")
+	}
+	time.Sleep(f.Duration)
+}
+
 // reportedLimit is the rate limit that an endpoint reports, in calls per second.
 const reportedLimit = "1.5"
 
--- a/tunnel/directory_test.go
+++ b/tunnel/directory_test.go
@@ -10,7 +10,7 @@
 
 // boxesOf returns the addresses of the boxes of a data centre.
 func boxesOf(dc, n int) []string {
-	var out []string
+	out := make([]string, 0, n)
 	for i := range n {
 		out = append(out, fmt.Sprintf("10.%d.0.%d:1", dc, i))
 	}
--- a/tunnel/service.go
+++ b/tunnel/service.go
@@ -7,8 +7,10 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -157,14 +159,19 @@
 // Leave tells the other boxes to send no further request through their tunnels. It is called as long as this
 // box stops, since tunnels may have been opened just before.
 func (s *Service) Leave() {
+	for _, f := range s.beginLeave() {
+		_ = f.Write(frame.Message{Type: frame.Cancel}, leaveTimeout)
+	}
+}
+
+// beginLeave records that the box stops, and returns the tunnels that it serves.
+func (s *Service) beginLeave() []*frame.Conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leftAt.IsZero() {
 		s.leftAt = boottime.Now()
 	}
-	for f := range s.tunnels {
-		_ = f.Write(frame.Message{Type: frame.Cancel}, leaveTimeout)
-	}
+	return slices.Collect(maps.Keys(s.tunnels))
 }
 
 // leaveTimeout bounds the write of the message that this box leaves.
