Return places that were given too late, and give test boxes addresses of their own

Beside load, with the race detector, TestAllBoxesSpareBrittleServers failed in two ways (four runs): more than 5 refusals in a second, as each box that got no answer within 25 ms sent a request by itself; and, without that, 368 to 497 of 1,440 requests served, as places whose answers came too late were held until the requests' deadlines.

Boxes connect to each other from the address on which they listen for each other, so that a connection took the port of a box that was about to start. Each test box has an IP address of its own for that now.

--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -95,15 +96,27 @@
 	callersAddress, metricsAddress, readyAddress string
 }
 
-// freeAddress returns an unused address. Its IP address differs from the source address of outgoing
+// freeAddress returns an unused address. Its IP address differs from the source addresses of outgoing
 // connections, which might otherwise take the port before the box listens on it.
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.2:0")
+func freeAddress(t *testing.T) string { return freeAddressAt(t, "127.0.0.2") }
+
+func freeAddressAt(t *testing.T, ip string) string {
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	require.NoError(t, err)
 	defer l.Close()
 	return l.Addr().String()
 }
 
+// peerIPs counts the boxes started.
+var peerIPs atomic.Uint32
+
+// freePeerAddress returns an unused address on an IP address of its own: a box connects to others from
+// the IP address on which it listens for them.
+func freePeerAddress(t *testing.T) string {
+	n := peerIPs.Add(1)
+	return freeAddressAt(t, fmt.Sprintf("127.1.%d.%d", n/250, 1+n%250))
+}
+
 // startBox starts a box. The sections in more are appended to its settings.
 func (p *platform) startBox(name, dc string, more ...string) *entryBox {
 	p.t.Helper()
@@ -128,7 +141,7 @@
 slack = 100
 [log]
 level = error
-%s`, name, dc, b.callersAddress, b.readyAddress, freeAddress(p.t), b.metricsAddress, p.storeAddress, strings.Join(more, "\n")))
+%s`, name, dc, b.callersAddress, b.readyAddress, freePeerAddress(p.t), b.metricsAddress, p.storeAddress, strings.Join(more, "\n")))
 	require.NoError(p.t, err)
 	b.PlatformDaemon, err = daemon.NewPlatformDaemon(s, io.Discard, options...)
 	require.NoError(p.t, err)
--- a/ratelimit/place.go
+++ b/ratelimit/place.go
@@ -9,42 +9,49 @@
 	"birchlink.dev/birchlink/quota"
 )
 
-// wholeLease leases everything to this box.
-type wholeLease struct{}
-
-// Accrued returns the whole share.
-func (wholeLease) Accrued(string, time.Time) (seconds, share float64) { return 0, 1 }
-
 // Place asks the arbiters of an endpoint in turn for a place there. If it gets one, it returns a
-// function that returns the place and must be called once. If no arbiter answers, one request of
-// this box at a time may be sent.
+// function that returns the place and must be called once. If no arbiter answers, all are asked once
+// more with finalAskTimeout. If none does then, there is no place: a box that is cut off from all
+// others gets a share of its own after a while.
 func (s *Service) Place(c context.Context, x occupancy.Question) (occupancy.Answer, func(refused bool)) {
-	var soonest occupancy.Answer
-	for _, a := range s.Quota.Arbiters(x.Endpoint, boottime.Now()) {
+	arbiters := s.Quota.Arbiters(x.Endpoint, boottime.Now())
+	a, by := s.askForPlace(c, arbiters, x, askTimeout)
+	if a.Part == 0 {
+		x.Holder += "/again" // the places of the first questions are being returned
+		a, by = s.askForPlace(c, arbiters, x, finalAskTimeout)
+	}
+	if !a.OK {
+		return a, nil
+	}
+	return a, func(refused bool) {
+		s.returnPlace(by, occupancy.Return{Endpoint: x.Endpoint, Holder: x.Holder, Refused: refused})
+	}
+}
+
+// askForPlace asks arbiters in turn until one gives a place. With askTimeout it skips those that did not
+// answer a moment ago. It returns the refusal with the shortest After among those that hold a share.
+func (s *Service) askForPlace(c context.Context, arbiters []quota.Arbiter, x occupancy.Question, timeout time.Duration) (occupancy.Answer, quota.Arbiter) {
+	soonest := occupancy.Answer{After: askTimeout}
+	for _, a := range arbiters {
 		var v occupancy.Answer
 		switch {
 		case a.Box == s.Quota.Self.Box:
 			v = s.Occupancy.Ask(x, boottime.Now())
-		case s.coolingDown(a.Box) || !s.call(c, a, methodPlace, x, &v, askTimeout):
+		case timeout == askTimeout && s.coolingDown(a.Box):
+			continue
+		case !s.call(c, a, methodPlace, x, &v, timeout):
+			// The arbiter may have given a place and answered too late.
+			s.returnPlace(a, occupancy.Return{Endpoint: x.Endpoint, Holder: x.Holder})
 			continue
 		}
 		if v.OK {
-			return v, func(refused bool) {
-				s.returnPlace(a, occupancy.Return{Endpoint: x.Endpoint, Holder: x.Holder, Refused: refused})
-			}
+			return v, a
 		}
 		if v.Part > 0 && (soonest.Part == 0 || v.After < soonest.After) {
 			soonest = v
 		}
 	}
-	if soonest.Part > 0 || c.Err() != nil {
-		return soonest, nil
-	}
-	x.Room = 1
-	v := s.Lone.Ask(x, boottime.Now())
-	return v, func(refused bool) {
-		s.Lone.Return(occupancy.Return{Endpoint: x.Endpoint, Holder: x.Holder, Refused: refused}, boottime.Now())
-	}
+	return soonest, quota.Arbiter{}
 }
 
 // returnPlace returns a place to the arbiter that gave it. One that does not get it back keeps it until
--- a/ratelimit/service.go
+++ b/ratelimit/service.go
@@ -57,10 +57,8 @@
 	Throttle *throttle.Throttle
 	Rates    *endpointlimit.Rates
 
-	// Occupancy gives places at endpoints from the shares of them that are leased to this box. Lone does
-	// so while no box that has shares answers.
+	// Occupancy gives places at endpoints from the shares of them that are leased to this box.
 	Occupancy *occupancy.Limiter
-	Lone      *occupancy.Limiter
 
 	// Cooldown is how long a box that did not answer is skipped.
 	Cooldown time.Duration
@@ -77,9 +75,9 @@
 func New(q *quota.Quota, r *endpointlimit.Rates, m metrics.Registry, log zerolog.Logger) *Service {
 	return &Service{
 		Quota: q, Throttle: &throttle.Throttle{Leases: q}, Rates: r,
-		Occupancy: &occupancy.Limiter{Leases: q}, Lone: &occupancy.Limiter{Leases: wholeLease{}},
-		Cooldown: defaultCooldown,
-		metrics:  m, log: log, unresponsive: map[string]time.Time{},
+		Occupancy: &occupancy.Limiter{Leases: q},
+		Cooldown:  defaultCooldown,
+		metrics:   m, log: log, unresponsive: map[string]time.Time{},
 	}
 }
 
--- a/tunnel/service_test.go
+++ b/tunnel/service_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -27,9 +29,14 @@
 	stops bool
 }
 
+// boxIPs counts the boxes started.
+var boxIPs atomic.Uint32
+
+// freeAddress returns an unused address on an IP address of its own: a box connects to others from the IP
+// address on which it listens for them, and may otherwise take the port of the next.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.2:0")
+	l, err := net.Listen("tcp", fmt.Sprintf("127.2.0.%d:0", boxIPs.Add(1)))
 	require.NoError(t, err)
 	defer l.Close()
 	return l.Addr().String()
