Check links only when a box hears nothing, and remember what an endpoint was found to be

A link was checked, by a connection, whenever an answer was overdue and its endpoint had sent this box nothing meanwhile, which in a large fleet under load is most answers; and each box that was asked for a tunnel to an endpoint that had ended connected to two others to show that it was sound, for each of its askers.

A refusal and other failures of others are kept apart there, so that a time-out of theirs does not turn an own refusal into a crash.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -194,10 +194,15 @@
 	case c.Err() != nil:
 		d.spawn(func() { closeLate(directly, known) })
 		return nil, c.Err()
-	case d.Links.IsGone(q.Endpoint, boottime.Now()), !d.Tunnels.HasOthers():
+	}
+	o, isKnown := d.knownOutcome(q.Endpoint)
+	if isKnown || !d.Tunnels.HasOthers() {
 		if !known {
 			own = <-directly
 		}
+		if isKnown {
+			own.err = judge(own.err, o)
+		}
 		return own.conn, own.err
 	}
 	x, cancel := context.WithCancel(c)
@@ -281,6 +286,9 @@
 // judge returns the error of an endpoint that was reached neither directly nor through another box, given the error of
 // the direct connection. A refusal shows that the process has ended only if another box was refused too.
 func judge(own error, o tunnel.Outcome) error {
+	if own == nil {
+		return nil
+	}
 	if o == tunnel.Refused {
 		return fmt.Errorf("%w: %w", errUnreached, syscall.ECONNREFUSED)
 	}
@@ -290,6 +298,18 @@
 	return own
 }
 
+// knownOutcome returns what other boxes find of an endpoint, if that is known and they need not be asked.
+func (d *Dialer) knownOutcome(id string) (tunnel.Outcome, bool) {
+	switch gone, refused := d.Links.IsGone(id, boottime.Now()); {
+	case gone && refused:
+		return tunnel.Refused, true
+	case gone:
+		return tunnel.Failed, true
+	default:
+		return tunnel.NoAnswer, false
+	}
+}
+
 // recordOutcome records what another box found of an endpoint that this box doesn't reach.
 func (d *Dialer) recordOutcome(q tunnel.Request, o tunnel.Outcome) {
 	now := boottime.Now()
@@ -303,7 +323,7 @@
 			d.startProbes()
 		}
 	case tunnel.Refused, tunnel.Failed:
-		d.Links.RecordGone(q.Endpoint, now)
+		d.Links.RecordGone(q.Endpoint, o == tunnel.Refused, now)
 	default:
 	}
 }
@@ -316,7 +336,10 @@
 	if err == nil || c.Err() != nil || !errors.Is(err, syscall.ECONNREFUSED) {
 		return n, false
 	}
-	if d.Links.IsGone(id, boottime.Now()) || !d.Tunnels.HasOthers() {
+	if o, isKnown := d.knownOutcome(id); isKnown {
+		return nil, o == tunnel.Refused
+	}
+	if !d.Tunnels.HasOthers() {
 		return nil, true
 	}
 	n, o := d.Tunnels.Connect(c, q)
@@ -334,12 +357,19 @@
 	case d.Links.IsLost(q.Endpoint):
 		return nil, tunnel.Cut
 	}
+	if o, isKnown := d.knownOutcome(q.Endpoint); isKnown {
+		return nil, o
+	}
 	n, err := d.direct(c, q, servedDialTimeout)
 	o := tunnel.OutcomeOf(err)
-	if o != tunnel.Connected && !d.reachesOther(c, q.Endpoint) {
+	if o == tunnel.Connected {
+		return n, o
+	}
+	if !d.reachesOther(c, q.Endpoint) {
 		return nil, tunnel.Cut
 	}
-	return n, o
+	d.recordOutcome(q, o)
+	return nil, o
 }
 
 // reachesOther reports whether this box can connect to any of a few endpoints other than id. Past traffic doesn't
@@ -380,7 +410,7 @@
 		_ = n.Close()
 		return
 	}
-	if d.Links.IsLost(q.Endpoint) || d.Links.IsGone(q.Endpoint, boottime.Now()) || !d.Tunnels.HasOthers() {
+	if _, isKnown := d.knownOutcome(q.Endpoint); isKnown || d.Links.IsLost(q.Endpoint) || !d.Tunnels.HasOthers() {
 		return
 	}
 	n, o := d.Tunnels.Connect(d.ctx, q)
--- a/linkstate/tracker.go
+++ b/linkstate/tracker.go
@@ -48,7 +48,8 @@
 	refused    time.Time     // when a connection was last refused or reset
 	silent     time.Time     // when a connection last timed out
 	lost       time.Time     // when another box was found to reach the endpoint; zero while the link works
-	gone       time.Time     // when no other box was found to reach the endpoint
+	gone       time.Time     // when the endpoint was last found unreachable by boxes that reach others
+	ended      bool          // it refused connections then
 	checked    time.Time     // when a check last began
 	probeAt    time.Time     // when the next probe is due; zero if none is
 	probeAfter time.Duration // interval of the probes
@@ -64,6 +65,7 @@
 	links     map[string]*link
 	lost      int       // links that are lost
 	lostSince time.Time // of the first of them
+	heard     time.Time // when anything last arrived on any link
 }
 
 // link returns the entry of an endpoint. The lock must be held.
@@ -129,7 +131,7 @@
 func (t *Tracker) RecordTraffic(id string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.link(id).heard = now
+	t.link(id).heard, t.heard = now, now
 }
 
 // RecordConnected records that a connection to an endpoint was established. It reports whether the last one
@@ -138,6 +140,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := t.link(id)
+	t.heard = now
 	recovered = l.failed()
 	if !l.lost.IsZero() {
 		t.lost--
@@ -204,9 +207,9 @@
 	}
 }
 
-// RecordGone records that no other box reaches an endpoint either, although their links to others
-// work.
-func (t *Tracker) RecordGone(id string, now time.Time) {
+// RecordGone records that an endpoint is unreachable to boxes whose links to others work, and whether it
+// refused their connections.
+func (t *Tracker) RecordGone(id string, refused bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := t.link(id)
@@ -214,16 +217,19 @@
 		l.lost = time.Time{}
 		t.lost--
 	}
-	l.gone = now
+	l.gone, l.ended = now, refused
 }
 
-// IsGone reports whether other boxes have just found an endpoint unreachable, so that asking them
-// again is of no use.
-func (t *Tracker) IsGone(id string, now time.Time) bool {
+// IsGone reports whether an endpoint has just been found unreachable, so that neither asking other boxes
+// nor trying for them is of use, and whether it refused connections.
+func (t *Tracker) IsGone(id string, now time.Time) (gone, refused bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := t.links[id]
-	return l != nil && !l.gone.IsZero() && now.Sub(l.gone) < goneMemory
+	if l == nil || l.gone.IsZero() || now.Sub(l.gone) >= goneMemory {
+		return false, false
+	}
+	return true, l.ended
 }
 
 // IsLost reports whether the link to an endpoint is lost.
@@ -235,12 +241,13 @@
 }
 
 // BeginCheck reports whether the link to an endpoint is to be checked because nothing has arrived on it
-// since a time. It returns true once per probe interval.
+// since a time. It returns true once per probe interval, and only if nothing has arrived on any other link
+// either: endpoints under load are silent for longer than expected, and a check costs them a connection.
 func (t *Tracker) BeginCheck(id string, since, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := t.link(id)
-	if !l.lost.IsZero() || l.heard.After(since) || now.Sub(l.checked) < probeInterval {
+	if !l.lost.IsZero() || t.heard.After(since) || now.Sub(l.checked) < probeInterval {
 		return false
 	}
 	l.checked = now
--- a/linkstate/tracker_test.go
+++ b/linkstate/tracker_test.go
@@ -72,8 +72,8 @@
 		s.tracker.RecordFailure(arg, w[0] == "silent", s.now)
 	case "reachable":
 		s.tracker.RecordReachable(arg, s.now)
-	case "gone":
-		s.tracker.RecordGone(arg, s.now)
+	case "gone", "ended":
+		s.tracker.RecordGone(arg, w[0] == "ended", s.now)
 	case "forget":
 		s.tracker.Forget(func(id string) bool { return id != arg })
 	case "expect":
@@ -101,7 +101,11 @@
 		require.NoError(s.t, err)
 		require.Equal(s.t, w[3], fmt.Sprint(!epoch.Add(d).Before(s.tracker.ReusableSince(w[1]))), "%v", w)
 	case "asks":
-		require.Equal(s.t, w[2], fmt.Sprint(!s.tracker.IsGone(w[1], s.now)))
+		gone, _ := s.tracker.IsGone(w[1], s.now)
+		require.Equal(s.t, w[2], fmt.Sprint(!gone))
+	case "ended":
+		_, refused := s.tracker.IsGone(w[1], s.now)
+		require.Equal(s.t, w[2], fmt.Sprint(refused))
 	case "check": // since a time
 		d, err := time.ParseDuration(w[2])
 		require.NoError(s.t, err)
