--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"net"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -22,7 +21,6 @@
 	"birchlink.dev/birchlink/kernel"
 	"birchlink.dev/birchlink/linkstate"
 	"birchlink.dev/birchlink/tunnel"
-	"birchlink.dev/birchlink/wait"
 )
 
 // Name is the name under which the service is registered in the kernel.
@@ -328,138 +326,6 @@
 	}
 }
 
-// Refuses reports whether an endpoint refuses connections, that is, its process has ended. A refusal on this
-// box's own link must be confirmed by another box, unless there is none.
-func (d *Dialer) Refuses(c context.Context, id, address string, timeout time.Duration) (net.Conn, bool) {
-	q := tunnel.Request{Endpoint: id, Address: address}
-	n, err := d.direct(c, q, timeout)
-	if err == nil || c.Err() != nil || !errors.Is(err, syscall.ECONNREFUSED) {
-		return n, false
-	}
-	if o, isKnown := d.knownOutcome(id); isKnown {
-		return nil, o == tunnel.Refused
-	}
-	if !d.Tunnels.HasOthers() {
-		return nil, true
-	}
-	n, o := d.Tunnels.Connect(c, q)
-	d.recordOutcome(q, o)
-	return n, o == tunnel.Refused
-}
-
-// Serve connects to an endpoint for another box's tunnel. It reports the endpoint as refusing or silent only
-// if this box reaches other endpoints.
-func (d *Dialer) Serve(c context.Context, q tunnel.Request) (net.Conn, tunnel.Outcome) {
-	e, ok := d.Roster.Get(q.Endpoint)
-	switch {
-	case !ok || e.Address != q.Address:
-		return nil, tunnel.Unknown
-	case d.Links.IsLost(q.Endpoint):
-		return nil, tunnel.Cut
-	}
-	if o, isKnown := d.knownOutcome(q.Endpoint); isKnown {
-		return nil, o
-	}
-	n, err := d.direct(c, q, servedDialTimeout)
-	o := tunnel.OutcomeOf(err)
-	if o == tunnel.Connected {
-		return n, o
-	}
-	if !d.reachesOther(c, q.Endpoint) {
-		return nil, tunnel.Cut
-	}
-	d.recordOutcome(q, o)
-	return nil, o
-}
-
-// reachesOther reports whether this box can connect to any of a few endpoints other than id. Past traffic doesn't
-// show that: the links may have failed since.
-func (d *Dialer) reachesOther(c context.Context, id string) bool {
-	es := d.Roster.Others(id, witnesses)
-	if len(es) == 0 {
-		return true
-	}
-	var reached atomic.Bool
-	var g sync.WaitGroup
-	for _, e := range es {
-		g.Go(func() {
-			n, err := d.direct(c, tunnel.Request{Endpoint: e.ID, Address: e.Address}, witnessTimeout)
-			if err == nil {
-				_ = n.Close()
-				reached.Store(true)
-			}
-		})
-	}
-	g.Wait()
-	return reached.Load()
-}
-
-// Check checks the link to an endpoint whose answer is overdue since a time. It does nothing if anything
-// has arrived on the link since.
-func (d *Dialer) Check(id, address string, since time.Time) {
-	if !d.Links.BeginCheck(id, since, boottime.Now()) {
-		return
-	}
-	d.spawn(func() { d.probe(tunnel.Request{Endpoint: id, Address: address}, checkTimeout) })
-}
-
-// probe connects to an endpoint directly. If that fails, it asks whether another box reaches it.
-func (d *Dialer) probe(q tunnel.Request, timeout time.Duration) {
-	n, err := d.direct(d.ctx, q, timeout)
-	if err == nil {
-		_ = n.Close()
-		return
-	}
-	if _, isKnown := d.knownOutcome(q.Endpoint); isKnown || d.Links.IsLost(q.Endpoint) || !d.Tunnels.HasOthers() {
-		return
-	}
-	n, o := d.Tunnels.Connect(d.ctx, q)
-	if n != nil {
-		_ = n.Close()
-	}
-	d.recordOutcome(q, o)
-}
-
-// startProbes starts the goroutine that probes failed links, unless it runs.
-func (d *Dialer) startProbes() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.probing || d.stopped {
-		return
-	}
-	d.probing = true
-	d.group.Go(d.probeFailed)
-}
-
-// probeFailed probes failed links until none is left.
-func (d *Dialer) probeFailed() {
-	for d.ctx.Err() == nil {
-		due, more := d.dueProbes()
-		if !more {
-			return
-		}
-		for _, id := range due {
-			e, ok := d.Roster.Get(id)
-			if !ok {
-				d.Links.Forget(func(known string) bool { return known != id })
-				continue
-			}
-			d.spawn(func() { d.probe(tunnel.Request{Endpoint: id, Address: e.Address}, dialTimeout) })
-		}
-		wait.For(d.ctx, probePeriod)
-	}
-}
-
-// dueProbes returns the endpoints to probe now. If no link has failed, it returns false, and the
-// next failure starts the probes anew.
-func (d *Dialer) dueProbes() (due []string, more bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	due, more = d.Links.DueProbes(boottime.Now())
-	d.probing = more
-	return due, more
-}
-
 // RecordTraffic records that something arrived on a direct connection to an endpoint.
 func (d *Dialer) RecordTraffic(id string) { d.Links.RecordTraffic(id, boottime.Now()) }
 
