Name versions in the decision lines, and which stream a request takes up again

The logs could not tell the hypotheses of the incident of versions apart. The lines of answers, of attempts that broke and of moves now have the endpoint's version; the first two have the ID in Resumes and the event after which the caller takes its stream up.

--- a/call/call.go
+++ b/call/call.go
@@ -36,6 +36,10 @@
 	// LastEventID is the ID of the last event of a stream that the caller has received.
 	LastEventID string
 
+	// Resumes is the ID of the caller's request whose answer had the first event of the stream that this one takes
+	// up again, or empty if it begins one.
+	Resumes string
+
 	// Parts are the parts of the prompt in order. PromptTokens is the number of their tokens as
 	// counted by the caller, AnswerTokens the most that may be generated. HasTokenCounts is false if
 	// the caller gave no counts.
--- a/forward/move.go
+++ b/forward/move.go
@@ -412,6 +412,7 @@
 	s.mu.Lock()
 	events := s.passed + s.events
 	s.mu.Unlock()
-	s.r.f.Log.Info().Str("event", "move").Str("request", s.r.q.Call.ID).Str("endpoint", s.choice.Endpoint.ID).Str("to", to.ID).Str("action", action).
+	s.r.f.Log.Info().Str("event", "move").Str("request", s.r.q.Call.ID).Str("endpoint", s.choice.Endpoint.ID).Str("version", s.choice.Endpoint.Version).
+		Str("to", to.ID).Str("to_version", to.Version).Str("action", action).
 		Str("reason", outcome).Int("events", events).Dur("took", boottime.Since(since)).Dur("left", boottime.Until(ends)).Msg("decision")
 }
--- a/forward/response.go
+++ b/forward/response.go
@@ -157,6 +157,9 @@
 		if !out.advanced && r.continued == nil {
 			r.recordAnswer(n)
 		}
+		if !out.advanced {
+			r.recordVersion(r.trace.Choice.Endpoint)
+		}
 		r.recordStart(boottime.Now())
 		if !r.headSent {
 			r.headSent = true
--- a/forward/run.go
+++ b/forward/run.go
@@ -44,17 +44,18 @@
 	q    Request
 	sink Sink
 
-	tried         map[string]bool   // incarnations of the endpoints tried
-	reached       []reachedEndpoint // the endpoints that the request reached
-	failedDials   int               // endpoints that could not be reached
-	refusedDials  int               // endpoints that refused the connection
-	mayHaveRun    bool              // an attempt may have run
-	startRecorded bool              // recordStart was called
-	headSent      bool              // the sink has received a head
-	lastEventID   string            // last event passed to the sink
-	passed        int               // events passed to the sink
-	moves         int               // moves of the request's run between endpoints
-	credit        *credit           // pays for the next arrival; nil if there is none
+	tried         map[string]bool    // incarnations of the endpoints tried
+	reached       []reachedEndpoint  // the endpoints that the request reached
+	failedDials   int                // endpoints that could not be reached
+	refusedDials  int                // endpoints that refused the connection
+	mayHaveRun    bool               // an attempt may have run
+	startRecorded bool               // recordStart was called
+	headSent      bool               // the sink has received a head
+	lastEventID   string             // last event passed to the sink
+	began         *endpoint.Endpoint // where the stream began; nil before its first event
+	passed        int                // events passed to the sink
+	moves         int                // moves of the request's run between endpoints
+	credit        *credit            // pays for the next arrival; nil if there is none
 
 	// continued is the stopped run that the current attempt continues, and reserved the place at its
 	// destination. Both are nil in other attempts.
@@ -172,7 +173,7 @@
 	r.checkCrash(c, out, e)
 	metrics.GetOrRegisterCounter("attempts.broke."+out.interruptionName(), r.f.Metrics).Inc(1)
 	d := r.decide(c, out, e)
-	r.f.Log.Info().Str("event", "attempt broke").Str("request", r.q.Call.ID).Stringer("content", r.trace.Content).Str("endpoint", e.ID).
+	r.f.Log.Info().Str("event", "attempt broke").Str("request", r.q.Call.ID).Stringer("content", r.trace.Content).Str("endpoint", e.ID).Str("version", e.Version).
 		Int("attempt", len(r.reached)).Str("break", out.interruptionName()).Str("last_event", r.lastEventID).Bool("ran", r.mayHaveRun).Err(out.err).
 		Str("reason", d.Reason).Func(r.trace.marshalReported).Msg("decision")
 	if d.Step == recovery.Failover {
--- a/forward/trace.go
+++ b/forward/trace.go
@@ -40,7 +40,7 @@
 		return
 	}
 	c := t.Choice
-	e.Str("endpoint", c.Endpoint.ID).Int("attempts", t.Attempts).Int("running", c.Running).Int("to_read", c.Tokens).
+	e.Str("endpoint", c.Endpoint.ID).Str("version", c.Endpoint.Version).Int("attempts", t.Attempts).Int("running", c.Running).Int("to_read", c.Tokens).
 		Dur("expected", c.Expected).Float64("speed_factor", c.SpeedFactor).Dur("first", t.ResponseTime).Dur("load_age", c.LoadAge).Dur("longest_pause", t.LongestPause)
 	if t.Via != "" {
 		e.Str("via", t.Via)
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -176,7 +176,7 @@
 	d := boottime.Since(q.Call.Arrived)
 	metrics.GetOrRegisterTimer("requests."+q.Route.Kind.String(), i.metrics).Update(d)
 	l := i.log.Info().Str("event", "answer").Str("request", q.Call.ID).Str("route", q.Route.Name).Int("status", status).Dur("took", d)
-	withAccount(l, q).EmbedObject(t).Msg("answered")
+	withAccount(withResumes(l, q.Call), q).EmbedObject(t).Msg("answered")
 }
 
 // writeError sends the error response for err, and counts and logs it. The trace is empty for a
--- a/ingress/sink.go
+++ b/ingress/sink.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"birchlink.dev/birchlink/boottime"
+	"birchlink.dev/birchlink/call"
 	"birchlink.dev/birchlink/errkind"
 	"birchlink.dev/birchlink/forward"
 )
@@ -73,7 +74,7 @@
 		l = l.EmbedObject(limit)
 	}
 	if q.Call != nil {
-		l = l.Str("request", q.Call.ID).Dur("took", boottime.Since(q.Call.Arrived))
+		l = withResumes(l.Str("request", q.Call.ID).Dur("took", boottime.Since(q.Call.Arrived)), q.Call)
 	}
 	if q.Route != nil {
 		l = l.Str("route", q.Route.Name)
@@ -84,6 +85,14 @@
 	return withAccount(l, q)
 }
 
+// withResumes adds to a log event which stream a call takes up again, and after which event.
+func withResumes(l *zerolog.Event, c *call.Call) *zerolog.Event {
+	if c.Resumes == "" && c.LastEventID == "" {
+		return l
+	}
+	return l.Str("resumes", c.Resumes).Str("after", c.LastEventID)
+}
+
 // withAccount adds the request's account and what the request costs of the account's rate to a log
 // event.
 func withAccount(l *zerolog.Event, q forward.Request) *zerolog.Event {
