Test that streams go on at the software version that began them

The platform's stand-in gets servers of several versions that name theirs in each event, and streams that break off; its callers take streams up again as the platform's do, and tell at which versions their events were made.

--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -34,6 +34,9 @@
 	store        *memstore.Store
 	storeAddress string
 
+	version    string // of the servers that start from now on
+	breakAfter int    // events after which their streams break off; zero for never
+
 	mu      sync.Mutex
 	lastID  int
 	crashed int
@@ -43,7 +46,7 @@
 }
 
 func newPlatform(t *testing.T, servers int) *platform {
-	p := &platform{t: t, store: &memstore.Store{}, addresses: map[string]string{}}
+	p := &platform{t: t, store: &memstore.Store{}, version: "v1", addresses: map[string]string{}}
 	p.storeAddress = serve(t, standin.StoreHandler(p.store))
 	p.store.Set(standin.ConfigKey, standin.Config(1, "api"))
 	for range servers {
@@ -57,7 +60,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastID++
-	s := &standin.Server{ID: fmt.Sprintf("i-%d", p.lastID), Service: "api", Slots: 64, Events: 3, Audit: &standin.Audit{}}
+	s := &standin.Server{ID: fmt.Sprintf("i-%d", p.lastID), Service: "api", Version: p.version, Slots: 64, Events: 3, BreakAfter: p.breakAfter, Audit: &standin.Audit{}}
 	p.servers = append(p.servers, s)
 	var h *httptest.Server
 	h = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -202,7 +202,7 @@
 		s.endpoints[words[1]] = newFakeEndpoint(s.t, words[1], words[2:])
 	case "version": // the software version of an endpoint
 		e, _ := s.f.Roster.Get(words[1])
-		e.Version = words[2]
+		e.Version = strings.Trim(words[2], "-") // "-" for unknown
 		s.f.Roster.Put(e)
 	case "remote": // put an endpoint into another data centre
 		e, _ := s.f.Roster.Get(words[1])
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -115,7 +115,7 @@
 	if path == "/stream/x" {
 		want = ""
 		for i := 1; i <= r.fleet.Servers[0].Events; i++ {
-			want += fmt.Sprintf("id: %d\ndata: %s %d\n\n", i, id, i)
+			want += fmt.Sprintf("id: %d\ndata: %s %s\n\n", i, id, r.fleet.Servers[0].Version)
 		}
 	}
 	if text != want || !stamped {
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -113,7 +113,7 @@
 func (f *Fleet) newServer(dc string) (*Server, error) {
 	f.lastServerID++
 	s := &Server{dataCentre: dc, Server: &standin.Server{
-		ID: fmt.Sprintf("i-%d", f.lastServerID), Service: serviceName, Slots: 64, Work: 5 * time.Millisecond, Events: 12, Audit: f.Audit,
+		ID: fmt.Sprintf("i-%d", f.lastServerID), Service: serviceName, Version: "v1", Slots: 64, Work: 5 * time.Millisecond, Events: 12, Audit: f.Audit,
 	}}
 	h, a, err := serve(s.Server)
 	if err != nil {
