Continue a stream in its answer only at the software version that began it

Once a stream had begun, only moves compared versions, and took two unknown ones for equal; a retry went to any endpoint that the roll-out allowed. Now a request holds the endpoint at which its stream began and chooses among those of its version, also for the deadline check and when a leaving endpoint's stream is resumed or moved. Where none is left, the answer ends at once, without taking a credit; a request that has not run is refused as version_unavailable.

--- a/errkind/kind.go
+++ b/errkind/kind.go
@@ -22,6 +22,8 @@
 	LimitReached
 	Overloaded
 	NoEndpoint
+	VersionUnavailable
+	VersionUnknown
 	WaitTooLong
 	Quarantined
 	NotReady
@@ -63,36 +65,38 @@
 }
 
 var table = [kindCount]Response{
-	Internal:         {"internal", http.StatusInternalServerError, Unknown, false},
-	BadRequest:       {"bad_request", http.StatusBadRequest, NotRun, false},
-	HeaderOutOfRange: {"header_out_of_range", http.StatusBadRequest, NotRun, false},
-	UnknownAccount:   {"unknown_account", http.StatusUnauthorized, NotRun, false},
-	Forbidden:        {"forbidden", http.StatusForbidden, NotRun, false},
-	UnknownModel:     {"unknown_model", http.StatusNotFound, NotRun, false},
-	UnknownService:   {"unknown_service", http.StatusNotFound, NotRun, false},
-	UnknownRequest:   {"unknown_request", http.StatusNotFound, Unknown, false},
-	TooLarge:         {"too_large", http.StatusRequestEntityTooLarge, NotRun, false},
-	KeyReused:        {"key_reused", http.StatusUnprocessableEntity, NotRun, false},
-	LimitReached:     {"limit_reached", http.StatusTooManyRequests, NotRun, true},
-	Overloaded:       {"overloaded", http.StatusTooManyRequests, NotRun, true},
-	NoEndpoint:       {"no_endpoint", http.StatusServiceUnavailable, NotRun, true},
-	WaitTooLong:      {"wait_too_long", http.StatusServiceUnavailable, NotRun, true},
-	Quarantined:      {"quarantined", http.StatusServiceUnavailable, NotRun, true},
-	NotReady:         {"not_ready", http.StatusServiceUnavailable, NotRun, true},
-	Stopping:         {"stopping", http.StatusServiceUnavailable, NotRun, true},
-	DeadlineTooShort: {"deadline_too_short", http.StatusGatewayTimeout, NotRun, false},
-	DeadlinePassed:   {"deadline_passed", http.StatusGatewayTimeout, Unknown, false},
-	ClaimUnavailable: {"claim_unavailable", http.StatusServiceUnavailable, NotRun, true},
-	StillRunning:     {"still_running", http.StatusConflict, Ran, true},
-	OutcomeUnknown:   {"outcome_unknown", http.StatusBadGateway, Unknown, false},
-	EngineFailed:     {"engine_failed", http.StatusBadGateway, Ran, false},
-	AnswerCut:        {"answer_cut", http.StatusBadGateway, Ran, false},
-	AnswerTooLarge:   {"answer_too_large", http.StatusBadGateway, Ran, false},
-	CallerGone:       {"caller_gone", statusCallerGone, Unknown, false},
-	ConfigConflict:   {"config_conflict", http.StatusConflict, NotRun, false},
-	ConfigInvalid:    {"config_invalid", http.StatusUnprocessableEntity, NotRun, false},
-	Unavailable:      {"unavailable", http.StatusServiceUnavailable, Unknown, true},
-	Moved:            {"moved", http.StatusServiceUnavailable, Ran, true},
+	Internal:           {"internal", http.StatusInternalServerError, Unknown, false},
+	BadRequest:         {"bad_request", http.StatusBadRequest, NotRun, false},
+	HeaderOutOfRange:   {"header_out_of_range", http.StatusBadRequest, NotRun, false},
+	UnknownAccount:     {"unknown_account", http.StatusUnauthorized, NotRun, false},
+	Forbidden:          {"forbidden", http.StatusForbidden, NotRun, false},
+	UnknownModel:       {"unknown_model", http.StatusNotFound, NotRun, false},
+	UnknownService:     {"unknown_service", http.StatusNotFound, NotRun, false},
+	UnknownRequest:     {"unknown_request", http.StatusNotFound, Unknown, false},
+	TooLarge:           {"too_large", http.StatusRequestEntityTooLarge, NotRun, false},
+	KeyReused:          {"key_reused", http.StatusUnprocessableEntity, NotRun, false},
+	LimitReached:       {"limit_reached", http.StatusTooManyRequests, NotRun, true},
+	Overloaded:         {"overloaded", http.StatusTooManyRequests, NotRun, true},
+	NoEndpoint:         {"no_endpoint", http.StatusServiceUnavailable, NotRun, true},
+	VersionUnavailable: {"version_unavailable", http.StatusServiceUnavailable, NotRun, true},
+	VersionUnknown:     {"version_unknown", http.StatusServiceUnavailable, NotRun, true},
+	WaitTooLong:        {"wait_too_long", http.StatusServiceUnavailable, NotRun, true},
+	Quarantined:        {"quarantined", http.StatusServiceUnavailable, NotRun, true},
+	NotReady:           {"not_ready", http.StatusServiceUnavailable, NotRun, true},
+	Stopping:           {"stopping", http.StatusServiceUnavailable, NotRun, true},
+	DeadlineTooShort:   {"deadline_too_short", http.StatusGatewayTimeout, NotRun, false},
+	DeadlinePassed:     {"deadline_passed", http.StatusGatewayTimeout, Unknown, false},
+	ClaimUnavailable:   {"claim_unavailable", http.StatusServiceUnavailable, NotRun, true},
+	StillRunning:       {"still_running", http.StatusConflict, Ran, true},
+	OutcomeUnknown:     {"outcome_unknown", http.StatusBadGateway, Unknown, false},
+	EngineFailed:       {"engine_failed", http.StatusBadGateway, Ran, false},
+	AnswerCut:          {"answer_cut", http.StatusBadGateway, Ran, false},
+	AnswerTooLarge:     {"answer_too_large", http.StatusBadGateway, Ran, false},
+	CallerGone:         {"caller_gone", statusCallerGone, Unknown, false},
+	ConfigConflict:     {"config_conflict", http.StatusConflict, NotRun, false},
+	ConfigInvalid:      {"config_invalid", http.StatusUnprocessableEntity, NotRun, false},
+	Unavailable:        {"unavailable", http.StatusServiceUnavailable, Unknown, true},
+	Moved:              {"moved", http.StatusServiceUnavailable, Ran, true},
 }
 
 // statusCallerGone is never sent, because the caller has disconnected. 499 is the status that nginx
--- a/forward/admission.go
+++ b/forward/admission.go
@@ -26,7 +26,7 @@
 	}
 	q := r.newQuery()
 	q.Fastest = true
-	best, _, ok := r.f.findVersion(r.q.Service.Name, q, r.versions)
+	best, _, ok := r.find(q)
 	if !ok {
 		best = ch
 	}
--- a/forward/migrate.go
+++ b/forward/migrate.go
@@ -179,7 +179,7 @@
 		Begun: s.events > 0, FirstEvent: max(s.choice.Expected-now.Sub(s.started), 0), Pause: s.choice.Pause,
 		EventsLeft: migration.EventsLeft(q.Call.ExpectedTokens, q.Call.AnswerTokens, stride, got),
 		CacheBytes: int64(s.r.promptTokens()+got*stride) * int64(e.KVBytesPerToken),
-		CanResume:  now.Sub(s.deniedAt) >= resumeRetryInterval && s.r.canResume(), Moves: s.moves,
+		CanResume:  now.Sub(s.deniedAt) >= resumeRetryInterval && s.r.canResume(s.choice.Endpoint, got > 0), Moves: s.moves,
 	}
 	if s.events >= minEventsForPause {
 		d.Pause = s.last.Sub(s.first) / time.Duration(s.events-1)
@@ -190,9 +190,16 @@
 	return d, true
 }
 
-// canResume reports whether another endpoint may compute the stream again, if there is a credit for it.
-func (r *run) canResume() bool {
-	return r.q.Route.Repeatable() && r.countAttempts() < r.maxAttempts() && len(r.f.Roster.Serving(r.q.Service.Name)) > 0
+// canResume reports whether another endpoint may compute the stream again, if there is a credit for it. A stream that has
+// begun needs one of the version of e, at which it is.
+func (r *run) canResume(e endpoint.Endpoint, begun bool) bool {
+	if !r.q.Route.Repeatable() || r.countAttempts() >= r.maxAttempts() {
+		return false
+	}
+	if !begun {
+		return len(r.f.Roster.Serving(r.q.Service.Name)) > 0
+	}
+	return r.f.hasServingVersion(r.q.Service.Name, e, map[string]bool{e.Incarnation(): true})
 }
 
 // resume cancels the attempt, so that another endpoint computes the stream again, once it has a credit for that. It
--- a/forward/migrate_test.go
+++ b/forward/migrate_test.go
@@ -57,12 +57,13 @@
 	off       bool          // moves are off
 	handleTTL time.Duration
 	noBudget  bool
-	waiting   bool // a drains before the first event
-	unframed  bool // the stream of a has no framing, so its end is not known from it
-	noIDs     bool // events have no IDs
-	lateHead  bool // a sends the head with the first event
-	slowLink  bool // moves begin at the notice, since copies take long
-	cancelled bool // the attempt at a is cancelled, and may end a moment after the next has begun
+	waiting   bool   // a drains before the first event
+	unframed  bool   // the stream of a has no framing, so its end is not known from it
+	noIDs     bool   // events have no IDs
+	versionB  string // software version of b; that of a if empty
+	lateHead  bool   // a sends the head with the first event
+	slowLink  bool   // moves begin at the notice, since copies take long
+	cancelled bool   // the attempt at a is cancelled, and may end a moment after the next has begun
 
 	reclaim       bool   // all engines are reclaimable
 	dataCentreOfC string // that of a and b if empty
@@ -117,6 +118,14 @@
 		"data centre is reclaimed": {reclaim: true, c: true, dataCentreOfC: "e", wantEvents: all, wantStarts: "a new, c moved 3", wantMoves: "moved"},
 		// It is not a must.
 		"only reclaimable left": {reclaim: true, wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "moved"},
+		// Engines of another version can't continue what a computed: the stream stays where it is.
+		"other version": {versionB: "v2", resumable: true, timeout: 300 * time.Millisecond, wantEvents: "1 2 3", wantErr: "deadline_passed", wantStarts: "a new"},
+		// The same where the version is not known.
+		"unknown version": {versionB: "-", resumable: true, timeout: 300 * time.Millisecond, wantEvents: "1 2 3", wantErr: "deadline_passed", wantStarts: "a new"},
+		// What has not begun may begin at another version.
+		"other version before the first event": {
+			versionB: "v2", resumable: true, waiting: true, cancelled: true, wantEvents: all, wantStarts: "a new, b new", wantStamp: "b", wantMoves: "resumed",
+		},
 		// The link is cut while the run goes on, and works again: the repeated call stops the run.
 		"link cut for a moment": {moves: "ok link_cut ok", wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "moved"},
 		// The link is cut without a sign: even a resumable stream, which the watchdog would start
@@ -207,6 +216,7 @@
 		a.moves = strings.Fields(v.moves)
 	}
 	b.refuses = v.refuses
+	b.version = strings.Trim(cmp.Or(v.versionB, b.version), "-") // "-" for unknown
 	var log bytes.Buffer
 	sink, err := v.send(t, es, s, &log)
 	es.check(t, v)
--- a/forward/move.go
+++ b/forward/move.go
@@ -391,12 +391,12 @@
 	q := balance.Query{
 		DataCentre: source.DataCentre, Skip: skip, UnlimitedOnly: true,
 		Eligible: func(e *endpoint.Endpoint) bool {
-			return e.Version == source.Version && (!source.Reclaimable || !e.Reclaimable || e.DataCentre != source.DataCentre)
+			return isSameVersion(e, &source) && (!source.Reclaimable || !e.Reclaimable || e.DataCentre != source.DataCentre)
 		},
 	}
 	ch, _, ok := r.f.find(r.q.Service.Name, q)
 	if !ok && source.Reclaimable {
-		q.Eligible = func(e *endpoint.Endpoint) bool { return e.Version == source.Version }
+		q.Eligible = func(e *endpoint.Endpoint) bool { return isSameVersion(e, &source) }
 		ch, _, ok = r.f.find(r.q.Service.Name, q)
 	}
 	if !ok {
--- a/forward/rollout.go
+++ b/forward/rollout.go
@@ -30,15 +30,15 @@
 		return ch, known, ok
 	}
 	version, stage := f.Rollouts.Stage(service, boottime.Now())
-	if p.Except != "" && (stage == rollout.Reverted || f.hasServingVersion(service, rollout.VersionFilter{Except: version})) {
+	if p.Except != "" && (stage == rollout.Reverted || f.hasServing(service, rollout.VersionFilter{Except: version})) {
 		return ch, known, false
 	}
 	q.Eligible = nil
 	return f.find(service, q)
 }
 
-// hasServingVersion reports whether a service has a serving endpoint of a version that p allows.
-func (f *Forwarder) hasServingVersion(service string, p rollout.VersionFilter) bool {
+// hasServing reports whether a service has a serving endpoint of a version that p allows.
+func (f *Forwarder) hasServing(service string, p rollout.VersionFilter) bool {
 	for _, e := range f.Roster.Serving(service) {
 		if p.Allows(e.Version) {
 			return true
--- a/forward/run.go
+++ b/forward/run.go
@@ -44,18 +44,17 @@
 	q    Request
 	sink Sink
 
-	tried         map[string]bool    // incarnations of the endpoints tried
-	reached       []reachedEndpoint  // the endpoints that the request reached
-	failedDials   int                // endpoints that could not be reached
-	refusedDials  int                // endpoints that refused the connection
-	mayHaveRun    bool               // an attempt may have run
-	startRecorded bool               // recordStart was called
-	headSent      bool               // the sink has received a head
-	lastEventID   string             // last event passed to the sink
-	began         *endpoint.Endpoint // where the stream began; nil before its first event
-	passed        int                // events passed to the sink
-	moves         int                // moves of the request's run between endpoints
-	credit        *credit            // pays for the next arrival; nil if there is none
+	tried         map[string]bool   // incarnations of the endpoints tried
+	reached       []reachedEndpoint // the endpoints that the request reached
+	failedDials   int               // endpoints that could not be reached
+	refusedDials  int               // endpoints that refused the connection
+	mayHaveRun    bool              // an attempt may have run
+	startRecorded bool              // recordStart was called
+	headSent      bool              // the sink has received a head
+	lastEventID   string            // last event passed to the sink
+	passed        int               // events passed to the sink
+	moves         int               // moves of the request's run between endpoints
+	credit        *credit           // pays for the next arrival; nil if there is none
 
 	// continued is the stopped run that the current attempt continues, and reserved the place at its
 	// destination. Both are nil in other attempts.
@@ -64,7 +63,11 @@
 	stream    *runningStream // of the current attempt; nil if it can't be moved
 
 	attemptSent time.Time             // when the current attempt was sent
-	versions    rollout.VersionFilter // versions that the current attempt may use
+	versions    rollout.VersionFilter // versions that the current attempt may use, while begun is nil
+
+	// begun is the endpoint at which the stream began, of which only the version is known if the caller takes the
+	// stream up again. It is nil before the first event. No other version may continue the stream.
+	begun *endpoint.Endpoint
 
 	// hasPermit reports whether the current attempt has a permit for its endpoint's rate.
 	hasPermit bool
@@ -150,7 +153,7 @@
 	defer func() { r.returnPlace(false) }()
 	ch, ok := r.choose(c)
 	if !ok {
-		return r.fail(errkind.NoEndpoint, "no endpoint of "+r.q.Service.Name+" is left")
+		return r.failNoEndpoint()
 	}
 	ch, err := r.admit(c, ch)
 	if err != nil {
@@ -192,6 +195,9 @@
 		HasBudget: true, ChargesRefusals: true,
 	}
 	d := recovery.Decide(s)
+	if d.Step == recovery.Failover && r.begun != nil && !r.f.hasServingVersion(r.q.Service.Name, *r.begun, r.tried) {
+		return recovery.Decision{Step: recovery.Fail, Kind: errkind.VersionUnavailable, Reason: r.noVersionReason()}
+	}
 	if d.Step == recovery.Failover && len(r.reached) > 0 && !r.takeCredit(c, out.interruptionName(), e) {
 		s.HasBudget = false
 		d = recovery.Decide(s)
@@ -291,8 +297,11 @@
 		return false, r.refuse(r.trace.Choice, admission.Input{}, admission.Decide(admission.Input{}))
 	}
 	err := errkind.New(k, "%s", reason)
-	if k == errkind.NoEndpoint {
+	switch k {
+	case errkind.NoEndpoint:
 		err = err.WithRetryAfter(cmp.Or(r.f.retryAfter(r.q.Service.Name), r.permitRetryAfter))
+	case errkind.VersionUnavailable:
+		err = err.WithRetryAfter(r.versionRetryAfter())
 	}
 	return false, err
 }
@@ -305,7 +314,7 @@
 	r.versions = r.f.Rollouts.PickVersion(r.q.Service.Name, len(r.reached)+r.failedDials+r.refusedDials > 0, boottime.Now())
 	deadline := boottime.Now().Add(endpointTimeout)
 	for {
-		ch, known, ok := r.f.findVersion(r.q.Service.Name, q, r.versions)
+		ch, known, ok := r.find(q)
 		if ok && r.acquirePlace(c, &p, ch.Endpoint) && r.acquirePermit(c, &p, ch.Endpoint) {
 			return ch, true
 		}
@@ -316,7 +325,7 @@
 		if q.Skip = r.skipped(&p); ok {
 			continue
 		}
-		if known || len(r.reached)+r.failedDials+r.refusedDials > 0 || boottime.Now().After(deadline) || c.Err() != nil {
+		if known || r.begun != nil || len(r.reached)+r.failedDials+r.refusedDials > 0 || boottime.Now().After(deadline) || c.Err() != nil {
 			return balance.Choice{}, false
 		}
 		wait.For(c, endpointPollInterval)
--- a/forward/version.go
+++ b/forward/version.go
@@ -1,9 +1,15 @@
 package forward
 
 import (
+	"cmp"
+	"time"
+
 	"github.com/rcrowley/go-metrics"
 
+	"birchlink.dev/birchlink/balance"
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/endpoint"
+	"birchlink.dev/birchlink/errkind"
 )
 
 // Relations of the software version at which a stream goes on to the one at which it began, as values in logs and parts
@@ -14,20 +20,74 @@
 	unknownVersion = "unknown" // one of them is not known
 )
 
+// recordReturnTime is the time after which a caller may find an endpoint of its stream's version again if none is
+// known: records that lapsed with the store are back about this long after it.
+const recordReturnTime = 2 * time.Second
+
+// isSameVersion reports whether what one endpoint computed can continue at the other. Endpoints of unknown version may
+// differ.
+func isSameVersion(a, b *endpoint.Endpoint) bool { return a.Version != "" && a.Version == b.Version }
+
+// find chooses among the endpoints that may run the request: those of the version at which its stream began or, if it
+// has not begun, of the versions that the roll-out allows.
+func (r *run) find(q balance.Query) (ch balance.Choice, known, ok bool) {
+	if r.begun == nil {
+		return r.f.findVersion(r.q.Service.Name, q, r.versions)
+	}
+	q.Eligible = func(e *endpoint.Endpoint) bool { return isSameVersion(e, r.begun) }
+	return r.f.find(r.q.Service.Name, q)
+}
+
+// failNoEndpoint ends a request for which no endpoint is left.
+func (r *run) failNoEndpoint() (bool, error) {
+	if r.begun != nil {
+		return r.fail(errkind.VersionUnavailable, r.noVersionReason())
+	}
+	return r.fail(errkind.NoEndpoint, "no endpoint of "+r.q.Service.Name+" is left")
+}
+
+// hasServingVersion reports whether a service has a serving endpoint of the version of e that is not to be skipped.
+func (f *Forwarder) hasServingVersion(service string, e endpoint.Endpoint, skip map[string]bool) bool {
+	for _, o := range f.Roster.Serving(service) {
+		if isSameVersion(&o, &e) && !skip[o.Incarnation()] {
+			return true
+		}
+	}
+	return false
+}
+
+// versionRetryAfter returns when an endpoint of the stream's version may accept the request.
+func (r *run) versionRetryAfter() time.Duration {
+	var es []endpoint.Endpoint
+	for _, e := range r.f.Roster.Serving(r.q.Service.Name) {
+		if isSameVersion(&e, r.begun) {
+			es = append(es, e)
+		}
+	}
+	if len(es) == 0 {
+		return recordReturnTime
+	}
+	return cmp.Or(r.f.Balancer.RetryAfter(es, boottime.Now()), r.permitRetryAfter)
+}
+
+func (r *run) noVersionReason() string {
+	return "no endpoint of " + r.q.Service.Name + " is left that has the version " + r.begun.Version + ", which began the stream"
+}
+
 // recordVersion records the endpoint at which the stream begins or, with its first event from another endpoint, goes on.
 func (r *run) recordVersion(e endpoint.Endpoint) {
-	if r.began == nil {
-		r.began = &e
+	if r.begun == nil {
+		r.begun = &e
 		return
 	}
 	relation := otherVersion
 	switch {
-	case r.began.Version == "" || e.Version == "":
-		relation = unknownVersion
-	case r.began.Version == e.Version:
+	case isSameVersion(r.begun, &e):
 		relation = sameVersion
+	case r.begun.Version == "" || e.Version == "":
+		relation = unknownVersion
 	}
 	metrics.GetOrRegisterCounter("streams.continued."+relation, r.f.Metrics).Inc(1)
 	r.f.Log.Info().Str("event", "continue").Str("request", r.q.Call.ID).Str("resumes", r.q.Call.Resumes).Str("last_event", r.lastEventID).
-		Str("endpoint", r.began.ID).Str("version", r.began.Version).Str("to", e.ID).Str("to_version", e.Version).Str("relation", relation).Msg("decision")
+		Str("endpoint", r.begun.ID).Str("version", r.begun.Version).Str("to", e.ID).Str("to_version", e.Version).Str("relation", relation).Msg("decision")
 }
