Take streams up again only at the software version that began them

The class: state that callers rely on was kept by one process, and nobody asked who else has to know it.

Now the box at which a resumable stream begins sends a record of its version and account to one to three other boxes, chosen by the hash of the stream's ID (package origins), before the caller gets the first event. The box at which it is taken up asks those, and relays of other data centres if they don't know. While several versions have endpoints, or had within two minutes, relays write the records of their boxes to the store each second (two in large fleets), off the path of requests, and a box that becomes a relay reads them: so they outlive all boxes. What remains unknown is refused at once as version_unknown, a stream of another account as forbidden, a missing or malformed Resumes as bad_request.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -35,6 +36,8 @@
 	"birchlink.dev/birchlink/ingress"
 	"birchlink.dev/birchlink/kernel"
 	"birchlink.dev/birchlink/metricshttp"
+	"birchlink.dev/birchlink/origin"
+	"birchlink.dev/birchlink/origins"
 	"birchlink.dev/birchlink/peer"
 	"birchlink.dev/birchlink/platform"
 	"birchlink.dev/birchlink/quota"
@@ -68,6 +71,8 @@
 	leaderKey    = platform.OwnPrefix + "duty"
 	snapshotKey  = platform.OwnPrefix + "before"
 	rolloutKey   = platform.OwnPrefix + "rollouts"
+
+	originsPrefix = platform.OwnPrefix + "streams/"
 )
 
 // peerSecret is the same in every deployment and thus not secret. On the users' platform only boxes
@@ -125,6 +130,7 @@
 	links    *dialer.Dialer
 	pool     *httpconn.Pool
 	tunnels  *tunnel.Service
+	streams  *origins.Directory
 	moveAway func(e endpoint.Endpoint) // called for each endpoint that starts to drain
 
 	reachableBoxes atomic.Int64 // reachable boxes, including this one
@@ -196,10 +202,11 @@
 	p.tunnels.Dial, p.tunnels.Boxes, p.tunnels.StopLimit = d.Serve, p.gossip.OtherBoxes, s.StopLimit-drainReserve
 	limits := ratelimit.New(p.quota, &p.balancer.Availability.Rates, m, log)
 	credits := creditpool.New(p.budget, p.gossip.OtherBoxes, m, log)
+	p.streams = p.newOrigins(m, log)
 	f := &forward.Forwarder{
 		DataCentre: s.DataCentre, Roster: &p.state.Roster, Balancer: p.balancer, Budget: p.budget, SpendCredit: credits.Spend, Meter: p.meter,
 		Quarantine: p.gossip.Quarantine, Rollouts: p.gossip.Rollouts,
-		Pool: &httpconn.Pool{Connector: d}, Codec: platform.HeaderCodec{}, OnStart: p.countRequest, Metrics: m, Log: log,
+		Pool: &httpconn.Pool{Connector: d}, Codec: platform.HeaderCodec{}, OnStart: p.countRequest, OnBegin: recordBegin(p.streams), Metrics: m, Log: log,
 		Admission: admission.Options{DeadlineCheck: s.DeadlineCheck},
 		OnSend:    p.sendHint, OnCrash: func(e endpoint.Endpoint) { p.gossip.BroadcastCrash(e.Incarnation()) },
 		OnDraining:    func(e endpoint.Endpoint) { p.gossip.BroadcastDraining(e.Incarnation()) },
@@ -228,15 +235,43 @@
 		p.hints,
 		limits,
 		credits,
+		p.streams,
 		d,
 		p.tunnels,
 	}
 	ss = append(ss, p.newLeaderServices(log)...)
-	in := ingress.New(o, platform.HeaderCodec{}, f, limits, m, log)
+	in := ingress.New(o, platform.HeaderCodec{}, f, limits, p.streams, m, log)
 	p.gossip.Leaving, p.tunnels.Leaving = in.Stopping, in.Stopping
 	return append(ss, p.newMetricsServer(in, f, m, log), in)
 }
 
+// newOrigins returns the service that knows at which software versions streams began.
+func (p *platformComponents) newOrigins(m metrics.Registry, log zerolog.Logger) *origins.Directory {
+	d := origins.New(m, log)
+	d.Box, d.Versions, d.Relay, d.IsRelay = p.settings.Box, &p.state.Roster.Versions, p.gossip.RelayAddress, p.gossip.IsRelay
+	g := p.gossip
+	d.Boxes = func() origins.Boxes {
+		p := g.Peers()
+		return origins.Boxes{Near: p.Near, Far: p.Far, Relays: g.RemoteRelays()}
+	}
+	d.Store, d.Prefix, d.Clock = p.store, originsPrefix, p.clock
+	return d
+}
+
+// recordBegin returns a function that records where a stream begins.
+func recordBegin(d *origins.Directory) forward.BeginFunc {
+	return func(q *forward.Request, e endpoint.Endpoint) {
+		if e.Version == "" {
+			return
+		}
+		stream, until := cmp.Or(q.Call.Resumes, q.Call.ID), q.Expires
+		if t := q.Call.Timeout; t > 0 {
+			until = q.Call.Arrived.Add(t) // the caller may wait for longer than one request may take
+		}
+		d.Record(stream, q.AccountName(), origin.Origin{Service: e.Service, Version: e.Version}, until)
+	}
+}
+
 // newMetricsServer returns the service that serves the box's metrics, with gauges of its current
 // state registered.
 func (p *platformComponents) newMetricsServer(in *ingress.Ingress, f *forward.Forwarder, m metrics.Registry, log zerolog.Logger) *metricshttp.Server {
@@ -246,6 +281,7 @@
 	s.RegisterGauge("endpoints.leaving", func() int64 { return int64(p.state.Roster.CountDraining()) })
 	s.RegisterGauge("endpoints.resting", func() int64 { return int64(p.balancer.Availability.CountBackingOff(boottime.Now())) })
 	s.RegisterGauge("endpoints.links_lost", func() int64 { return int64(p.links.Links.CountLost()) })
+	s.RegisterGauge("origins.known", func() int64 { return int64(p.streams.Len()) })
 	s.RegisterGauge("tunnels.open", p.tunnels.CountOpen)
 	s.RegisterGauge("endpoints.limited", func() int64 { return int64(p.balancer.Availability.Rates.Len()) })
 	s.RegisterGauge("endpoints.faster", func() int64 { n, _ := p.countBySpeed(); return n })
--- a/endpoint/roster.go
+++ b/endpoint/roster.go
@@ -8,7 +8,9 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/rendezvous"
+	"birchlink.dev/birchlink/versionhistory"
 )
 
 // Roster is the set of endpoints known to one box. The zero value is an empty roster ready to use.
@@ -23,6 +25,9 @@
 	Box        string
 	DataCentre string
 
+	// Versions is told which software versions have endpoints.
+	Versions versionhistory.History
+
 	mu            sync.Mutex
 	all           map[string]Endpoint
 	pools         map[string]*pool                 // by service, without draining endpoints
@@ -59,6 +64,7 @@
 		r.all = map[string]Endpoint{}
 	}
 	if e != old {
+		r.recordVersion(old, e)
 		r.all[e.ID] = e
 		r.updatePools(old, e)
 	}
@@ -77,6 +83,7 @@
 	r.mu.Lock()
 	e, exists := r.all[id]
 	delete(r.all, id)
+	r.recordVersion(e, Endpoint{})
 	r.pool(e.Service).remove(id)
 	f := r.onUnavailable
 	r.mu.Unlock()
@@ -85,6 +92,20 @@
 	}
 }
 
+// recordVersion records that an endpoint was replaced by another. Either of them may be the zero Endpoint.
+func (r *Roster) recordVersion(old, e Endpoint) {
+	if old.Service == e.Service && old.Version == e.Version {
+		return
+	}
+	now := boottime.Now()
+	if e.ID != "" {
+		r.Versions.Add(e.Service, e.Version, now)
+	}
+	if old.ID != "" {
+		r.Versions.Remove(old.Service, old.Version, now)
+	}
+}
+
 // Len returns the number of endpoints, including draining ones.
 func (r *Roster) Len() int {
 	r.mu.Lock()
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -54,6 +54,9 @@
 	Account *catalog.Account // nil if the route needs no key
 	Content requesthash.Hash // identifies requests with the same content
 	Expires time.Time        // deadline, on the clock of package boottime
+
+	// Version is the software version at which the stream began that the request takes up again; empty if it begins one.
+	Version string
 }
 
 // AccountName returns the name of the account, or "" if the route needs no key.
@@ -67,6 +70,10 @@
 // StartFunc is called once for each request of an account that an endpoint begins to run.
 type StartFunc func(account string, at time.Time)
 
+// BeginFunc is called when the first event of a resumable stream has arrived from an endpoint, before it is passed to the
+// caller, and with the first event of a request that takes one up again. It must not block.
+type BeginFunc func(q *Request, e endpoint.Endpoint)
+
 // SendFunc is called for each attempt, with the prompt tokens sent to the endpoint.
 type SendFunc func(e endpoint.Endpoint, tokens int)
 
@@ -79,7 +86,7 @@
 // LimitFunc is called when an endpoint sets, lowers or removes the limit on its request rate.
 type LimitFunc func(s endpointlimit.Statement)
 
-// Forwarder forwards requests. All exported fields must be set, except SpendCredit, Moves, Admission and
+// Forwarder forwards requests. All exported fields must be set, except SpendCredit, Moves, OnBegin, Admission and
 // Accuracy.
 type Forwarder struct {
 	DataCentre    string
@@ -96,6 +103,7 @@
 	RequestPermit PermitFunc
 	RequestPlace  PlaceFunc
 	OnStart       StartFunc
+	OnBegin       BeginFunc
 	OnSend        SendFunc
 	OnCrash       CrashFunc
 	OnDraining    DrainFunc
@@ -140,6 +148,9 @@
 func (f *Forwarder) Do(c context.Context, q Request, s Sink) (Trace, error) {
 	r := &run{f: f, q: q, sink: s, tried: map[string]bool{}, lastEventID: q.Call.LastEventID}
 	r.trace.Content = q.Content
+	if q.Version != "" {
+		r.begun = &endpoint.Endpoint{Service: q.Service.Name, Version: q.Version}
+	}
 	f.Budget.CountRequest(q.Service.Name, boottime.Now())
 	c, cancel := context.WithTimeout(c, boottime.Until(q.Expires))
 	defer cancel()
--- a/forward/version.go
+++ b/forward/version.go
@@ -76,6 +76,9 @@
 
 // recordVersion records the endpoint at which the stream begins or, with its first event from another endpoint, goes on.
 func (r *run) recordVersion(e endpoint.Endpoint) {
+	if !r.headSent && r.q.Route.Repeatable() && r.f.OnBegin != nil {
+		r.f.OnBegin(&r.q, e)
+	}
 	if r.begun == nil {
 		r.begun = &e
 		return
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -51,6 +51,24 @@
 	return p.Near, slices.DeleteFunc(distinct(far), isKnown)
 }
 
+// RemoteRelays returns the addresses of the relays of other data centres.
+func (g *Gossip) RemoteRelays() []string {
+	var out []string
+	for _, a := range g.arbiters() {
+		if a.DataCentre != g.DataCentre {
+			out = append(out, a.Address)
+		}
+	}
+	return out
+}
+
+// RelayAddress returns the address of the relay that represents this box; empty if none does.
+func (g *Gossip) RelayAddress() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.relayAddress
+}
+
 // allPeers returns the boxes that exchange hints, this one included, as a relay sees them or as its
 // relay has reported them.
 func (g *Gossip) allPeers() Peers {
--- a/gossip/snapshot.go
+++ b/gossip/snapshot.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"slices"
 	"time"
 
 	"birchlink.dev/birchlink/boottime"
@@ -18,7 +19,7 @@
 // many boxes there are. It writes nothing before snapshotWriteDelay, when it has received the
 // reports of the others.
 //
-// The snapshot is written immediately when the set of refused contents changes, or when the number
+// The snapshot is written immediately when the set of refused contents or of versions changes, or when the number
 // of boxes has differed from the stored one by more than the ratio minBoxCountChange for
 // boxCountChangeDelay; rolling restarts therefore cause no writes. While an account is short, or
 // was, it is written at most once per snapshotWriteInterval. Endpoint statistics are written once
@@ -33,11 +34,13 @@
 )
 
 // snapshot is the stored value: the state of the quotas, the statistics of the endpoints of each
-// service, and the contents that are refused because endpoints crash under them.
+// service, the contents that are refused because endpoints crash under them, and the versions of each service that had
+// endpoints lately.
 type snapshot struct {
 	quota.Before
 	Speeds   map[string]estimate.Stats
 	Contents []quarantine.Suspect
+	Versions map[string][]string
 }
 
 // snapshotState is what this box knows of the snapshot in the store.
@@ -47,8 +50,9 @@
 	stored            quota.Before
 	revision          uint64 // of stored; zero for none
 	writtenAt         time.Time
-	countDiffersSince time.Time // zero while the number of boxes agrees with stored
-	refusedSum        uint64    // checksum of the refused contents in stored
+	countDiffersSince time.Time           // zero while the number of boxes agrees with stored
+	refusedSum        uint64              // checksum of the refused contents in stored
+	versions          map[string][]string // in stored
 }
 
 // readSnapshot restores the snapshot after a process start.
@@ -61,6 +65,7 @@
 	if g.FirstStart && !late {
 		s.read = true
 		g.RestoreQuota(quota.Before{})
+		g.restoreVersions(map[string][]string{}) // nothing was before
 		return
 	}
 	if s.read || late && (g.session.StoreLost() || g.Quota.Division().Version > 0 && !g.holdsFirstSlot()) {
@@ -81,7 +86,8 @@
 		return
 	}
 	p.Division.Version = i.Revision
-	s.stored, s.refusedSum = p.Before, quarantine.Sum(p.Contents)
+	s.stored, s.refusedSum, s.versions = p.Before, quarantine.Sum(p.Contents), p.Versions
+	g.restoreVersions(p.Versions)
 	g.logSnapshot(p.Before, "read from the store")
 	g.Quarantine.Merge(p.Contents, boottime.Now())
 	if late {
@@ -105,7 +111,9 @@
 	p := g.Snapshot(others + 1)
 	refused := g.Quarantine.Refused(now)
 	sum := quarantine.Sum(refused)
-	if sum == s.refusedSum && !s.boxCountChanged(p, g.session.StoreUnresponsiveFor() > maxStoreSilence, now) {
+	versions := g.state.Roster.Versions.Snapshot(now)
+	isSame := sum == s.refusedSum && maps.EqualFunc(versions, s.versions, slices.Equal)
+	if isSame && !s.boxCountChanged(p, g.session.StoreUnresponsiveFor() > maxStoreSilence, now) {
 		same := maps.Equal(p.Short, s.stored.Short) && now.Sub(s.writtenAt) < statsWriteInterval
 		if same || now.Sub(s.writtenAt) < snapshotWriteInterval {
 			return
@@ -114,7 +122,7 @@
 	}
 	s.writtenAt = now
 	var at uint64
-	b, err := json.Marshal(snapshot{p, g.EndpointStats(), refused})
+	b, err := json.Marshal(snapshot{p, g.EndpointStats(), refused, versions})
 	if err == nil {
 		at, err = g.Store.Commit(c, store.Change{
 			If:  []store.Condition{{Key: g.SnapshotKey, Revision: s.revision}},
@@ -129,7 +137,14 @@
 	p.Division.Version, s.revision = at, at
 	g.Quota.Adopt(p.Division, now)
 	g.logSnapshot(p, "written")
-	s.stored, s.refusedSum, s.countDiffersSince = p, sum, time.Time{}
+	s.stored, s.refusedSum, s.versions, s.countDiffersSince = p, sum, versions, time.Time{}
+}
+
+// restoreVersions adds the versions that were known before this process started. A snapshot of earlier software has none.
+func (g *Gossip) restoreVersions(v map[string][]string) {
+	if v != nil {
+		g.state.Roster.Versions.Restore(v, boottime.Now())
+	}
 }
 
 // logSnapshot logs the state of the quotas in the snapshot.
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -22,6 +22,7 @@
 	"birchlink.dev/birchlink/fleetstate"
 	"birchlink.dev/birchlink/forward"
 	"birchlink.dev/birchlink/kernel"
+	"birchlink.dev/birchlink/origin"
 	"birchlink.dev/birchlink/quota"
 	"birchlink.dev/birchlink/storesession"
 	"birchlink.dev/birchlink/wait"
@@ -59,6 +60,13 @@
 	Take(c context.Context, x quota.Question) (quota.Answer, quota.Arbiter)
 }
 
+// Origins finds out at which software version a stream began that a caller takes up again. The stream is named by the ID of
+// the request that brought its first event, or empty if the caller did not name it. Known is false if
+// that is not known, and foreign is true if another account began it.
+type Origins interface {
+	Find(c context.Context, request, stream, service, account string) (o origin.Origin, known, foreign bool)
+}
+
 // Options configures an Ingress. A box that stops keeps accepting connections for ShutdownDelay, so
 // that the load balancer can notice that the box is not ready. ShutdownTimeout bounds the entire
 // shutdown, including the delay.
@@ -75,6 +83,7 @@
 	Options
 	Codec   Codec
 	Limiter RateLimiter
+	Origins Origins
 
 	forwarder *forward.Forwarder
 	state     *fleetstate.Service
@@ -93,8 +102,8 @@
 }
 
 // New returns an Ingress.
-func New(o Options, codec Codec, f *forward.Forwarder, l RateLimiter, m metrics.Registry, log zerolog.Logger) *Ingress {
-	i := &Ingress{Options: o, Codec: codec, Limiter: l, forwarder: f, metrics: m, log: log}
+func New(o Options, codec Codec, f *forward.Forwarder, l RateLimiter, s Origins, m metrics.Registry, log zerolog.Logger) *Ingress {
+	i := &Ingress{Options: o, Codec: codec, Limiter: l, Origins: s, forwarder: f, metrics: m, log: log}
 	i.closing, i.cancelRequests = context.WithCancelCause(context.Background())
 	return i
 }
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -30,6 +30,7 @@
 	"birchlink.dev/birchlink/httpconn"
 	"birchlink.dev/birchlink/ingress"
 	"birchlink.dev/birchlink/kernel"
+	"birchlink.dev/birchlink/origin"
 	"birchlink.dev/birchlink/quarantine"
 	"birchlink.dev/birchlink/quota"
 	"birchlink.dev/birchlink/rollout"
@@ -57,13 +58,21 @@
 	return b
 }
 
+// originsByID says that account acc began the stream v1 at version v1, another account the stream foreign, and that nothing is
+// known of others.
+type originsByID struct{}
+
+func (originsByID) Find(_ context.Context, _, stream, service, account string) (o origin.Origin, known, foreign bool) {
+	return origin.Origin{Service: service, Version: stream}, stream == "v1" && account == "acc", stream == "foreign"
+}
+
 // codec is a minimal codec for callers and endpoints.
 type codec struct{}
 
 func (codec) Decode(r *http.Request, arrived time.Time) (*call.Call, error) {
 	c := &call.Call{
 		ID: r.Header.Get("Id"), Method: r.Method, Host: r.Host, Target: r.RequestURI, Path: r.URL.Path,
-		Key: r.Header.Get("Key"), Arrived: arrived, Header: http.Header{"Id": r.Header["Id"]},
+		Key: r.Header.Get("Key"), Resumes: r.Header.Get("Resumes"), LastEventID: r.Header.Get("Last"), Arrived: arrived, Header: http.Header{"Id": r.Header["Id"]},
 	}
 	if c.ID == "" {
 		return c, fmt.Errorf("no id")
@@ -87,6 +96,10 @@
 	Routes: []catalog.Route{
 		{Name: "r", Host: "h", Prefix: "/a/", Shares: []catalog.Share{{Service: "s", Weight: 1}}, Timeout: time.Minute, MaxAttempts: 1},
 		{Name: "open", Host: "h", Prefix: "/open/", Public: true, Shares: []catalog.Share{{Service: "s", Weight: 1}}, Timeout: time.Minute, MaxAttempts: 1},
+		{
+			Name: "stream", Host: "h", Prefix: "/stream/", Kind: catalog.Stream, Resumable: true,
+			Shares: []catalog.Share{{Service: "s", Weight: 1}}, Timeout: time.Minute, MaxAttempts: 1,
+		},
 	},
 	Services: []catalog.Service{{Name: "s"}},
 	Accounts: []catalog.Account{{Name: "acc", Keys: []string{"k"}}, {Name: "small", Keys: []string{"s"}, Rate: 1, Burst: 1}},
@@ -126,7 +139,7 @@
 			return &d, json.Unmarshal(v, &d)
 		},
 		DecodeEndpoint: func(k string, v []byte) (endpoint.Endpoint, error) {
-			return endpoint.Endpoint{ID: k, Service: "s", Slots: 4, Address: string(v)}, nil
+			return endpoint.Endpoint{ID: k, Service: "s", Slots: 4, Version: "v1", Address: string(v)}, nil
 		},
 	}, b.store, zerolog.Nop())
 	f := &forward.Forwarder{
@@ -141,7 +154,7 @@
 		Address: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", ReadyPath: "/ready",
 		ShutdownDelay: time.Millisecond, ShutdownTimeout: 20 * time.Second,
 	}
-	b.Ingress = ingress.New(o, codec{}, f, newLimiter(), metrics.NewRegistry(), zerolog.Nop())
+	b.Ingress = ingress.New(o, codec{}, f, newLimiter(), originsByID{}, metrics.NewRegistry(), zerolog.Nop())
 	k := &kernel.Kernel{}
 	for _, s := range []kernel.Service{b.session, b.state, b.Ingress} {
 		require.NoError(t, k.Add(s))
@@ -181,12 +194,20 @@
 
 // post sends a request and returns the response.
 func (b *box) post(path, key, body string) response {
+	b.t.Helper()
+	return b.takeUp(path, key, body, "", "")
+}
+
+// takeUp sends a request that takes up a stream after an event, and returns the response.
+func (b *box) takeUp(path, key, body, stream, last string) response {
 	b.t.Helper()
 	q, err := http.NewRequest(http.MethodPost, "http://"+b.address+path, strings.NewReader(body))
 	require.NoError(b.t, err)
 	q.Host = "h"
 	q.Header.Set("Id", "1")
 	q.Header.Set("Key", key)
+	q.Header.Set("Resumes", stream)
+	q.Header.Set("Last", last)
 	resp, err := http.DefaultClient.Do(q)
 	require.NoError(b.t, err)
 	defer resp.Body.Close()
@@ -227,6 +248,32 @@
 	}
 }
 
+// A stream may be taken up by the account that began it and at the version that did. All other requests for one must get an
+// answer that says why, and a time to return if that may help.
+func TestTakeUp(t *testing.T) {
+	b := startBox(t, true)
+	b.await(b.isReady)
+	for _, c := range []struct {
+		path, key, stream, last string
+		status                  int
+		text                    string
+	}{
+		{"/stream/x", "k", "v1", "3", 200, "for acc"},
+		{"/stream/x", "k", "v1", "", 200, "for acc"},
+		{"/stream/x", "s", "v1", "3", 503, "version_unknown"},
+		{"/stream/x", "k", "foreign", "3", 403, "forbidden"},
+		{"/stream/x", "k", "v2", "3", 503, "version_unknown"},
+		{"/stream/x", "k", "", "3", 400, "bad_request"},
+		{"/stream/x", "k", "", "", 200, "for acc"},
+		{"/a/x", "k", "v2", "3", 200, "for acc"}, // not a stream
+	} {
+		resp := b.takeUp(c.path, c.key, "", c.stream, c.last)
+		require.Equal(t, c.status, resp.status, "%+v: %s", c, resp.text)
+		require.Contains(t, resp.text, c.text)
+		require.Equal(t, c.status == http.StatusServiceUnavailable, resp.header.Get("Retry-After") != "")
+	}
+}
+
 // A box without a configuration responds that it is not ready, because it cannot know whether a key
 // or a route exists.
 func TestNotReadyWithoutConfiguration(t *testing.T) {
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -45,6 +46,9 @@
 	if err == nil {
 		err = i.readBody(w, r, cl)
 	}
+	if err == nil {
+		err = i.findOrigin(r.Context(), &q)
+	}
 	if err == nil {
 		q.Content = requesthash.HashOf(q.AccountName(), cl)
 		err = i.forwarder.Check(q)
@@ -102,7 +106,8 @@
 			return q, notFoundError(errkind.UnknownAccount, stale, "the key is not an account's")
 		}
 	}
-	n := pickService(q.Route.Shares, c.ID)
+	// A request that takes a stream up again goes to the service of the first one.
+	n := pickService(q.Route.Shares, cmp.Or(c.Resumes, c.ID))
 	if q.Service = t.Service(n); q.Service == nil {
 		q.Service = &catalog.Service{Name: n}
 	}
--- /dev/null
+++ b/origins/archive.go
@@ -0,0 +1,242 @@
+package origins
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"birchlink.dev/birchlink/boottime"
+	"birchlink.dev/birchlink/origin"
+	"birchlink.dev/birchlink/rendezvous"
+	"birchlink.dev/birchlink/store"
+	"birchlink.dev/birchlink/wait"
+)
+
+const (
+	// archiveInterval is the interval at which a box passes new records on to its relay, and a relay writes those of its
+	// boxes to the store. A relay that has started reads the archive at the next pollInterval.
+	// In a large fleet a relay has many boxes, which pass records on less often.
+	archiveInterval      = time.Second
+	largeArchiveInterval = 2 * time.Second
+	pollInterval         = 200 * time.Millisecond
+
+	// leaseTTL bounds the time for which the store keeps what was written. A new lease is used after half of it.
+	leaseTTL = 2 * time.Minute
+
+	// archiveSlots is the number of keys that a relay writes in turn. What it wrote as many intervals ago is overwritten.
+	archiveSlots = 32
+
+	// maxPending bounds the records of one write. Beyond that the oldest are dropped.
+	maxPending = 2000
+
+	// archiveTimeout bounds a call to the store or to the relay.
+	archiveTimeout = 800 * time.Millisecond
+
+	// clockTolerance is how far the clock of a process that has just started may be ahead.
+	clockTolerance = 30 * time.Second
+)
+
+// archive holds the records that are to be written to the store.
+type archive struct {
+	mu      sync.Mutex
+	pending []origin.Record
+	slot    int
+
+	// The fields below belong to the goroutine that archives, and to Stop after its end.
+	read      bool            // this box has read the archive since it is a relay
+	several   map[string]bool // services that had several versions in the last round
+	passedAt  time.Time
+	lease     store.Lease
+	grantedAt time.Time
+}
+
+func (a *archive) add(rs ...origin.Record) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.pending = append(a.pending, rs...)
+	if n := len(a.pending) - maxPending; n > 0 {
+		a.pending = append([]origin.Record(nil), a.pending[n:]...)
+	}
+}
+
+func (a *archive) take() []origin.Record {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	rs := a.pending
+	a.pending = nil
+	return rs
+}
+
+// nextSlot returns the number of the key that is written next.
+func (a *archive) nextSlot() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.slot = (a.slot + 1) % archiveSlots
+	return a.slot
+}
+
+// runArchive passes records on until c is done.
+func (d *Directory) runArchive(c context.Context) {
+	for c.Err() == nil {
+		d.archiveRound(c)
+		wait.For(c, pollInterval)
+	}
+}
+
+// archiveRound reads the archive if this box has become a relay, and passes new records on.
+func (d *Directory) archiveRound(c context.Context) {
+	isRelay := d.IsRelay()
+	if isRelay && !d.archive.read {
+		d.archive.read = d.readArchive(c)
+	}
+	d.archive.read = d.archive.read && isRelay
+	d.archiveOlder()
+	boxes, interval := d.Boxes(), archiveInterval
+	if !boxes.areAllKnown() {
+		interval = largeArchiveInterval
+	}
+	if boottime.Since(d.archive.passedAt) < interval {
+		return
+	}
+	rs := d.archive.take()
+	if len(rs) == 0 {
+		return
+	}
+	d.archive.passedAt = boottime.Now()
+	var err error
+	switch relay := d.Relay(); {
+	case isRelay:
+		if !boxes.areAllKnown() {
+			d.sendFar(rs, boxes.Relays)
+		}
+		err = d.write(c, rs)
+	case relay != "":
+		x, cancel := context.WithTimeout(c, archiveTimeout)
+		defer cancel()
+		err = d.Call(x, relay, methodArchive, origin.Pack(rs, d.unixSeconds), nil)
+	default:
+		err = errNoRelay
+	}
+	if err != nil {
+		d.archive.add(rs...) // written twice if only the answer was lost
+		metrics.GetOrRegisterCounter("origins.not_archived", d.Metrics).Inc(1)
+	}
+}
+
+// archiveOlder adds the records of streams that began before their service got several versions.
+func (d *Directory) archiveOlder() {
+	now := boottime.Now()
+	several := map[string]bool{}
+	for s, names := range d.Versions.Snapshot(now) {
+		several[s] = len(names) > 1
+		if !several[s] || d.archive.several[s] {
+			continue
+		}
+		d.archive.add(d.table.OfService(s, now)...)
+	}
+	d.archive.several = several
+}
+
+// sendFar sends the records of this relay's boxes to a relay of another data centre.
+func (d *Directory) sendFar(rs []origin.Record, relays []string) {
+	for _, a := range rendezvous.Top(rendezvous.Hash(d.Box), relays, 1) {
+		d.send(a, origin.Pack(rs, d.secondsLeft))
+	}
+}
+
+// errNoRelay reports that no relay represents this box.
+var errNoRelay = errors.New("no relay represents this box")
+
+// acceptForArchive adds records of this relay's boxes, whose expiry is a time of day.
+func (d *Directory) acceptForArchive(gs []origin.Group) {
+	for _, r := range d.unpackArchived(gs, 0) {
+		d.table.Put(r, boottime.Now())
+		d.archive.add(r)
+	}
+}
+
+// flush writes the records that are left when the process stops.
+func (d *Directory) flush(c context.Context) {
+	if rs := d.archive.take(); len(rs) > 0 {
+		_ = d.write(c, rs)
+	}
+}
+
+// write writes records to the store.
+func (d *Directory) write(c context.Context, rs []origin.Record) error {
+	b, err := json.Marshal(origin.Pack(rs, d.unixSeconds))
+	if err != nil {
+		return fmt.Errorf("encode records: %w", err)
+	}
+	x, cancel := context.WithTimeout(c, archiveTimeout)
+	defer cancel()
+	if err := d.renewLease(x); err != nil {
+		return err
+	}
+	key := fmt.Sprintf("%s%s/%d", d.Prefix, d.Box, d.archive.nextSlot())
+	if _, err := d.Store.Commit(x, store.Change{Put: []store.Put{{Key: key, Value: b, Lease: d.archive.lease}}}); err != nil {
+		d.archive.lease = 0 // it may have run out
+		return fmt.Errorf("write %s: %w", key, err)
+	}
+	metrics.GetOrRegisterCounter("origins.archived", d.Metrics).Inc(int64(len(rs)))
+	return nil
+}
+
+// renewLease gets a new lease if there is none or half of its time has passed.
+func (d *Directory) renewLease(c context.Context) error {
+	if d.archive.lease != 0 && boottime.Since(d.archive.grantedAt) < leaseTTL/2 {
+		return nil
+	}
+	l, _, err := d.Store.Grant(c, leaseTTL)
+	if err != nil {
+		return fmt.Errorf("get a lease: %w", err)
+	}
+	d.archive.lease, d.archive.grantedAt = l, boottime.Now()
+	return nil
+}
+
+// readArchive reads the records in the store. It returns false if the store did not answer.
+func (d *Directory) readArchive(c context.Context) bool {
+	x, cancel := context.WithTimeout(c, archiveTimeout)
+	defer cancel()
+	items, _, err := d.Store.Range(x, d.Prefix)
+	if err != nil {
+		return false
+	}
+	n, now := 0, boottime.Now()
+	for _, i := range items {
+		var gs []origin.Group
+		if err := json.Unmarshal(i.Value, &gs); err != nil {
+			d.Log.Warn().Str("event", "origins").Str("key", i.Key).Err(err).Msg("not read")
+			continue
+		}
+		for _, r := range d.unpackArchived(gs, clockTolerance) {
+			d.table.Put(r, now)
+			n++
+		}
+	}
+	d.Log.Info().Str("event", "origins").Int("keys", len(items)).Int("records", n).Msg("read from the store")
+	return true
+}
+
+// unpackArchived returns the records that have not lapsed, which are kept for longer by a tolerance.
+func (d *Directory) unpackArchived(gs []origin.Group, tolerance time.Duration) []origin.Record {
+	now, wall := boottime.Now(), d.Clock.Now()
+	var out []origin.Record
+	for _, g := range gs {
+		for _, r := range g.Unpack(func(s uint32) time.Time { return now.Add(min(time.Unix(int64(s), 0).Sub(wall), maxLife) + tolerance) }) {
+			if r.Expires.After(now) {
+				out = append(out, r)
+			}
+		}
+	}
+	return out
+}
+
+// unixSeconds returns the time of day at which t is, as all boxes know it.
+func (d *Directory) unixSeconds(t time.Time) uint32 { return uint32(d.Clock.At(t).Unix()) }
--- /dev/null
+++ b/origins/find.go
@@ -0,0 +1,145 @@
+package origins
+
+import (
+	"context"
+	"slices"
+
+	"github.com/rcrowley/go-metrics"
+
+	"birchlink.dev/birchlink/boottime"
+	"birchlink.dev/birchlink/origin"
+)
+
+// Question asks where a stream began. Its ID is hashed; it is zero if the caller did not name the stream, which then has
+// no record. Service is that of the request, for the versions in Reply.
+type Question struct {
+	Stream  uint64
+	Service string
+	Forward bool // the box asks others of its data centre if it does not know
+}
+
+// Reply is what a box knows: the record of the stream, if it has one, and the versions of the service that had endpoints
+// recently, which are all if Complete is set.
+type Reply struct {
+	Found    bool
+	Origin   origin.Origin
+	Versions []string
+	Complete bool
+}
+
+// How a version was found, as values in logs and parts of the names of metrics.
+const (
+	foundHere       = "here"
+	foundElsewhere  = "elsewhere"
+	foundOnly       = "only_version" // no box that was asked has a record, and there is only one version
+	foundNowhere    = "unknown"
+	foundForAnother = "other_account"
+)
+
+// Reply returns what this box knows.
+func (d *Directory) Reply(q Question) Reply {
+	now := boottime.Now()
+	var a Reply
+	a.Versions, a.Complete = d.Versions.Recent(q.Service, now)
+	if d.StoreSilence() > maxStoreSilence {
+		a.Complete = false
+	}
+	if q.Stream != 0 {
+		var r origin.Record
+		r, a.Found = d.table.Get(q.Stream, now)
+		a.Origin = r.Origin
+	}
+	return a
+}
+
+// Find returns where the stream of a request began. The stream is empty if the caller did not name it. Known is false if
+// that is not known, and foreign is true if another account began it.
+func (d *Directory) Find(c context.Context, request, stream, service, account string) (o origin.Origin, known, foreign bool) {
+	began := boottime.Now()
+	q := Question{Service: service}
+	if stream != "" {
+		q.Stream = origin.Hash(stream)
+	}
+	outcome, asked, answered := foundHere, 0, 0
+	a := d.Reply(q)
+	if !a.Found && stream != "" {
+		outcome = foundElsewhere
+		a, asked, answered = d.ask(c, q, a)
+	}
+	switch {
+	case a.Found && a.Origin.Account != origin.Hash(account):
+		outcome, foreign = foundForAnother, true
+	case a.Found:
+		o, known = a.Origin, true
+	case a.Complete && len(a.Versions) == 1 && a.Versions[0] != "":
+		outcome, o, known = foundOnly, origin.Origin{Service: service, Version: a.Versions[0], Account: origin.Hash(account)}, true
+	default:
+		outcome = foundNowhere
+	}
+	metrics.GetOrRegisterCounter("origins.asked."+outcome, d.Metrics).Inc(1)
+	d.Log.Info().Str("event", "origin").Str("request", request).Str("resumes", stream).Str("service", service).Str("outcome", outcome).
+		Str("version", o.Version).Strs("versions", a.Versions).Bool("complete", a.Complete).Dur("store_age", d.StoreSilence()).
+		Int("asked", asked).Int("answered", answered).Dur("took", boottime.Since(began)).Msg("decision")
+	return o, known, foreign
+}
+
+// answer answers another box.
+func (d *Directory) answer(c context.Context, q Question) Reply {
+	a := d.Reply(q)
+	if !q.Forward || a.Found {
+		return a
+	}
+	q.Forward = false
+	a, _, _ = d.askAll(c, q, d.Boxes().holders(q.Stream, ""), a)
+	return a
+}
+
+// ask asks the boxes that may have the record of a stream and, if none of them has it, those of other data centres through
+// their relays.
+func (d *Directory) ask(c context.Context, q Question, own Reply) (a Reply, asked, answered int) {
+	relay := d.Relay()
+	if d.IsRelay() {
+		relay = ""
+	}
+	b := d.Boxes()
+	a, asked, answered = d.askAll(c, q, b.holders(q.Stream, relay), own)
+	if a.Found || len(b.Relays) == 0 {
+		return a, asked, answered
+	}
+	q.Forward = true
+	a, more, others := d.askAll(c, q, b.Relays, a)
+	return a, asked + more, answered + others
+}
+
+// askAll asks boxes at once until one has the record. Otherwise it adds the versions that they know to those in own.
+func (d *Directory) askAll(c context.Context, q Question, to []string, own Reply) (a Reply, asked, answered int) {
+	x, cancel := context.WithTimeout(c, askTimeout)
+	defer cancel()
+	type answer struct {
+		Reply
+		ok bool
+	}
+	answers := make(chan answer, len(to))
+	for _, address := range to {
+		go func() {
+			var r Reply
+			err := d.Call(x, address, methodAsk, q, &r)
+			answers <- answer{r, err == nil}
+		}()
+	}
+	for range to {
+		r := <-answers
+		if !r.ok {
+			continue
+		}
+		answered++
+		if r.Found {
+			return r.Reply, len(to), answered
+		}
+		own.Versions = append(slices.Clone(own.Versions), r.Versions...)
+		own.Complete = own.Complete || r.Complete
+	}
+	slices.Sort(own.Versions)
+	own.Versions = slices.Compact(own.Versions)
+	return own, len(to), answered
+}
--- /dev/null
+++ b/origins/fleet_test.go
@@ -0,0 +1,357 @@
+package origins
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"birchlink.dev/birchlink/boottime"
+	"birchlink.dev/birchlink/fleetclock"
+	"birchlink.dev/birchlink/origin"
+	"birchlink.dev/birchlink/stand/memstore"
+	"birchlink.dev/birchlink/versionhistory"
+)
+
+// relaysPerDataCentre, allNear and allKnown are those of package gossip: in fleets of up to so many boxes all are nearby,
+// or known to all.
+const (
+	relaysPerDataCentre = 2
+	allNear             = 12
+	allKnown            = 100
+)
+
+// frameSize is the size of a message between boxes without its body, in bytes.
+const frameSize = 32
+
+// member is a box of a fleet.
+type member struct {
+	process atomic.Pointer[Directory]
+	address string
+	dc      int
+	relay   bool
+	away    atomic.Bool // no other box reaches it, and it gets no callers
+	bytes   int         // sent and received
+}
+
+// begun is a stream whose caller has its first event.
+type begun struct {
+	id, account, version string
+	box                  int
+}
+
+// fleet is a fleet of boxes under a script.
+type fleet struct {
+	t         *testing.T
+	rnd       *rand.Rand
+	dcs       int
+	boxes     []*member
+	endpoints map[string]int // by version
+	known     []string       // versions in the snapshot
+	store     *memstore.Store
+	storeDown atomic.Pointer[time.Time] // nil while it answers
+	streams   []begun
+	span      time.Duration
+
+	mu sync.Mutex // guards the counts of bytes
+}
+
+var errAway = errors.New("the box is not reached")
+
+// start starts the process of a box, which knows nothing but the records of endpoints and, if the store answers, the snapshot.
+func (f *fleet) start(i int) {
+	b := f.boxes[i]
+	if old := b.process.Load(); old != nil {
+		old.cancel()
+	}
+	now := boottime.Now()
+	d := New(metrics.NewRegistry(), zerolog.Nop())
+	d.Versions = &versionhistory.History{}
+	for v, n := range f.endpoints {
+		for range n {
+			d.Versions.Add("s", v, now)
+		}
+	}
+	if f.storeDown.Load() == nil {
+		d.Versions.Restore(map[string][]string{"s": f.known}, now)
+	}
+	d.Box, d.Store, d.Prefix, d.Clock = b.address, f.store, "streams/", fleetclock.New(time.Now)
+	d.Boxes, d.IsRelay = func() Boxes { return f.lists(b) }, func() bool { return b.relay }
+	d.Relay = func() string { return f.relayOf(b) }
+	d.StoreSilence = func() time.Duration {
+		if down := f.storeDown.Load(); down != nil {
+			return time.Since(*down)
+		}
+		return 0
+	}
+	d.Call = func(c context.Context, address, method string, in, out any) error {
+		return f.call(b, address, method, in, out)
+	}
+	b.process.Store(d)
+	go d.runArchive(d.ctx)
+}
+
+// lists returns the boxes that a box knows, as package gossip does.
+func (f *fleet) lists(b *member) Boxes {
+	var out Boxes
+	for _, o := range f.boxes {
+		switch {
+		case o == b || o.away.Load():
+		case o.dc == b.dc || len(f.boxes) <= allNear:
+			out.Near = append(out.Near, o.address)
+		case len(f.boxes) <= allKnown:
+			out.Far = append(out.Far, o.address)
+		}
+		if o.relay && o.dc != b.dc && !o.away.Load() {
+			out.Relays = append(out.Relays, o.address)
+		}
+	}
+	return out
+}
+
+// relayOf returns the relay of a box.
+func (f *fleet) relayOf(b *member) string {
+	i, err := strconv.Atoi(b.address)
+	require.NoError(f.t, err)
+	if r := f.boxes[b.dc+i/f.dcs%relaysPerDataCentre*f.dcs]; !r.away.Load() {
+		return r.address
+	}
+	return ""
+}
+
+// call carries a message between boxes.
+func (f *fleet) call(from *member, address, method string, in, out any) error {
+	body, err := msgpack.Marshal(in)
+	require.NoError(f.t, err)
+	i, err := strconv.Atoi(address)
+	require.NoError(f.t, err)
+	to := f.boxes[i]
+	f.count(from, len(body)+len(method)+frameSize, to)
+	if to.away.Load() || from.away.Load() {
+		return errAway
+	}
+	d := to.process.Load()
+	var q Question
+	var gs []origin.Group
+	if method == methodAsk {
+		require.NoError(f.t, msgpack.Unmarshal(body, &q))
+		a := d.answer(d.ctx, q)
+		*out.(*Reply) = a
+		body, err = msgpack.Marshal(a)
+		require.NoError(f.t, err)
+		f.count(to, len(body)+frameSize, from)
+		return nil
+	}
+	require.NoError(f.t, msgpack.Unmarshal(body, &gs))
+	if method == methodPut {
+		d.accept(gs)
+	} else {
+		d.acceptForArchive(gs)
+	}
+	f.count(to, 1+frameSize, from)
+	return nil
+}
+
+// count counts a message.
+func (f *fleet) count(from *member, n int, to *member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	from.bytes += n
+	to.bytes += n
+}
+
+func TestFleets(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, p := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(p), ".txt"), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { runScript(t, p) })
+		})
+	}
+}
+
+func runScript(t *testing.T, path string) {
+	r, err := os.Open(path)
+	require.NoError(t, err)
+	defer r.Close()
+	f := &fleet{t: t, rnd: rand.New(rand.NewPCG(1, 2)), endpoints: map[string]int{}, store: &memstore.Store{}}
+	defer func() {
+		for _, b := range f.boxes {
+			b.process.Load().cancel()
+		}
+	}()
+	s := bufio.NewScanner(r)
+	for n := 1; s.Scan(); n++ {
+		if w := strings.Fields(s.Text()); len(w) > 0 && w[0] != "#" {
+			f.step(w[0], w[1:], fmt.Sprintf("%s:%d", path, n))
+		}
+	}
+	require.NoError(t, s.Err())
+}
+
+func (f *fleet) step(name string, w []string, at string) {
+	number := func(i int) float64 {
+		n, err := strconv.ParseFloat(w[i], 64)
+		require.NoError(f.t, err, at)
+		return n
+	}
+	switch name {
+	case "fleet": // BOXES DATA_CENTRES
+		f.dcs = int(number(1))
+		for i := range int(number(0)) {
+			f.boxes = append(f.boxes, &member{address: fmt.Sprint(i), dc: i % f.dcs, relay: i < f.dcs*relaysPerDataCentre})
+		}
+	case "endpoints": // VERSION COUNT, from now on
+		f.setEndpoints(w[0], int(number(1)))
+	case "start":
+		for i := range f.boxes {
+			f.start(i)
+		}
+	case "begin": // STREAMS STREAMS_PER_SECOND, at the versions in turn
+		f.begin(int(number(0)), number(1))
+	case "wait": // DURATION
+		d, err := time.ParseDuration(w[0])
+		require.NoError(f.t, err, at)
+		time.Sleep(d)
+	case "restart": // SHARE of the boxes lose their memory at the same time
+		for _, i := range f.rnd.Perm(len(f.boxes))[:int(number(0)*float64(len(f.boxes)))] {
+			f.start(i)
+		}
+	case "away": // DATA_CENTRE is away
+		for _, b := range f.boxes {
+			b.away.Store(b.away.Load() || b.dc == int(number(0)))
+		}
+	case "gone": // SHARE of the boxes are gone for good
+		for _, i := range f.rnd.Perm(len(f.boxes))[:int(number(0)*float64(len(f.boxes)))] {
+			f.boxes[i].away.Store(true)
+		}
+	case "store": // down or up
+		f.store.SetDown(w[0] == "down")
+		f.storeDown.Store(nil)
+		if now := time.Now(); w[0] == "down" {
+			f.storeDown.Store(&now)
+		}
+	case "expect": // SHARE of the streams at least whose version is found at other boxes; nobody is told a wrong one
+		f.expect(number(0), at)
+	case "bytes": // BYTES_PER_SECOND at most that the boxes sent and received in the mean, and BYTES at any one
+		f.expectBytes(number(0), number(1), at)
+	case "records": // COUNT at most at any box
+		n := slices.MaxFunc(f.boxes, func(a, b *member) int { return cmp.Compare(a.process.Load().Len(), b.process.Load().Len()) }).process.Load().Len()
+		f.t.Logf("%s: at most %d records at a box", at, n)
+		require.LessOrEqual(f.t, n, int(number(0)), at)
+	default:
+		f.t.Fatalf("%s: no step %q", at, name)
+	}
+}
+
+// setEndpoints sets the number of endpoints of a version, which all boxes learn and the snapshot has.
+func (f *fleet) setEndpoints(version string, n int) {
+	for old := f.endpoints[version]; old != n; {
+		for _, b := range f.boxes {
+			d := b.process.Load()
+			switch {
+			case d == nil:
+			case old < n:
+				d.Versions.Add("s", version, boottime.Now())
+			default:
+				d.Versions.Remove("s", version, boottime.Now())
+			}
+		}
+		if old < n {
+			old++
+		} else {
+			old--
+		}
+	}
+	f.endpoints[version] = n
+	if !slices.Contains(f.known, version) {
+		f.known = append(f.known, version)
+	}
+}
+
+func (f *fleet) begin(n int, perSecond float64) {
+	var versions []string
+	for v, count := range f.endpoints {
+		if count > 0 {
+			versions = append(versions, v)
+		}
+	}
+	slices.Sort(versions)
+	began := time.Now()
+	f.mu.Lock()
+	for _, b := range f.boxes {
+		b.bytes = 0
+	}
+	f.mu.Unlock()
+	interval := time.Duration(float64(time.Second) / perSecond)
+	for i := range n {
+		s := begun{fmt.Sprint("stream-", len(f.streams)), fmt.Sprint("account-", i%5), versions[i%len(versions)], f.liveBox(-1)}
+		f.boxes[s.box].process.Load().Record(s.id, s.account, origin.Origin{Service: "s", Version: s.version}, boottime.Now().Add(15*time.Second))
+		f.streams = append(f.streams, s)
+		time.Sleep(interval)
+	}
+	synctest.Wait()
+	f.span = time.Since(began)
+}
+
+// liveBox returns a box that gets callers, other than one.
+func (f *fleet) liveBox(other int) int {
+	for {
+		if i := f.rnd.IntN(len(f.boxes)); i != other && !f.boxes[i].away.Load() {
+			return i
+		}
+	}
+}
+
+func (f *fleet) expect(share float64, at string) {
+	found := 0
+	for _, s := range f.streams {
+		b := f.boxes[f.liveBox(s.box)].process.Load()
+		o, known, foreign := b.Find(context.Background(), "r", s.id, "s", s.account)
+		require.False(f.t, foreign, at)
+		if known {
+			require.Equal(f.t, s.version, o.Version, "%s: %s", at, s.id)
+			found++
+		}
+		if _, known, foreign := b.Find(context.Background(), "r", s.id, "s", "somebody"); known {
+			require.False(f.t, foreign)
+			names, _ := b.Versions.Recent("s", boottime.Now())
+			require.Len(f.t, names, 1, "%s: another account took %s up", at, s.id)
+		}
+	}
+	f.t.Logf("%s: %.3f of %d streams found", at, float64(found)/float64(len(f.streams)), len(f.streams))
+	require.GreaterOrEqual(f.t, float64(found)/float64(len(f.streams)), share, at)
+}
+
+func (f *fleet) expectBytes(mean, most float64, at string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	sum, top := 0.0, 0.0
+	for _, b := range f.boxes {
+		n := float64(b.bytes) / f.span.Seconds()
+		sum, top = sum+n, max(top, n)
+	}
+	sum /= float64(len(f.boxes))
+	f.t.Logf("%s: %.0f bytes/s at a box in the mean, %.0f at one", at, sum, top)
+	require.LessOrEqual(f.t, sum, mean, at)
+	require.LessOrEqual(f.t, top, most, at)
+}
