Let the soak release software versions and take streams up again

Now half of the servers are replaced by another of three versions in series, overlapping with the other faults; a tenth of the calls leave their stream midway, and each stream that breaks is taken up at any box. From what callers see, no stream may have events of two versions, and of 12 or more streams that are taken up at boxes and a store without recent faults, while two servers of their version serve, at least half as many must go on as new ones begin.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -31,8 +31,10 @@
 			r.call(h, b, "/once/x", id)
 		case k < 7:
 			r.call(h, b, "/again/x", id)
+		case k < 8:
+			r.stream(h, b, id, rnd, 0)
 		case k < 9:
-			r.call(h, b, "/stream/x", id)
+			r.stream(h, b, id, rnd, 1+rnd.IntN(streamEvents-1))
 		default:
 			r.probeVersion(h, b, id)
 		}
@@ -65,13 +67,13 @@
 	defer a.Body.Close()
 	text, err := io.ReadAll(a.Body)
 	if err != nil {
-		r.checkBrokenAnswer(b, path, id, began, err)
+		r.checkBrokenAnswer(b, id, began, err)
 		return
 	}
 	r.countOutcome(fmt.Sprint(a.StatusCode))
 	switch {
 	case a.StatusCode == http.StatusOK:
-		r.checkAnswer(path, id, string(text), standin.Stamped(a.Header))
+		r.checkAnswer(id, string(text), standin.Stamped(a.Header))
 	case a.StatusCode == http.StatusServiceUnavailable, a.StatusCode == http.StatusTooManyRequests:
 		if path == "/once/x" {
 			r.mu.Lock()
@@ -99,26 +101,18 @@
 	}
 }
 
-// checkBrokenAnswer handles an answer that was truncated. A stream may break when its server fails;
-// any other answer only while its box is faulty.
-func (r *run) checkBrokenAnswer(b *Box, path, id string, began time.Time, err error) {
+// checkBrokenAnswer handles an answer that is no stream and was truncated, which may happen only while its box is faulty.
+func (r *run) checkBrokenAnswer(b *Box, id string, began time.Time, err error) {
 	r.countOutcome("broken")
-	if path != "/stream/x" && !b.FaultySince(began.Add(-hostMargin)) {
+	if !b.FaultySince(began.Add(-hostMargin)) {
 		r.reportViolation("the answer of %s to %s was cut off: %v", b.Name, id, err)
 	}
 }
 
 // checkAnswer checks that a successful answer is complete, belongs to this call and was stamped by a
 // server.
-func (r *run) checkAnswer(path, id, text string, stamped bool) {
-	want := standin.ExpectedBody(id)
-	if path == "/stream/x" {
-		want = ""
-		for i := 1; i <= r.fleet.Servers[0].Events; i++ {
-			want += fmt.Sprintf("id: %d\ndata: %s %s\n\n", i, id, r.fleet.Servers[0].Version)
-		}
-	}
-	if text != want || !stamped {
+func (r *run) checkAnswer(id, text string, stamped bool) {
+	if text != standin.ExpectedBody(id) || !stamped {
 		r.reportViolation("%s got %q", id, strings.ReplaceAll(text, "\n", " "))
 	}
 }
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -21,6 +21,9 @@
 // serviceName is the only service of the configuration.
 const serviceName = "api"
 
+// versions are the software versions of servers, of which releases make one after the other that of new servers.
+var versions = []string{"v1", "v2", "v3"}
+
 // dataCentres are the data centres over which boxes and servers are spread.
 var dataCentres = []string{"north", "south"}
 
@@ -59,6 +62,10 @@
 	Boxes   []*Box
 	Servers []*Server
 
+	serversMu sync.Mutex // guards the replacement of servers
+	releases  int
+	version   string // of the servers that start
+
 	storeAddress  string
 	cloudAddress  string
 	lastServerID  int
@@ -80,7 +87,7 @@
 // Start starts the stand-ins, the servers and the boxes. Settings and logs are written to dir; program
 // is the path of birchlinkd.
 func Start(dir, program string, boxes, servers int) (*Fleet, error) {
-	f := &Fleet{Dir: dir, Program: program, Store: &memstore.Store{}, Audit: &standin.Audit{}, Cloud: &standin.Cloud{}, configVersion: 1}
+	f := &Fleet{Dir: dir, Program: program, Store: &memstore.Store{}, Audit: &standin.Audit{}, Cloud: &standin.Cloud{}, configVersion: 1, version: versions[0]}
 	for _, p := range []struct {
 		h  http.Handler
 		to *string
@@ -113,7 +120,7 @@
 func (f *Fleet) newServer(dc string) (*Server, error) {
 	f.lastServerID++
 	s := &Server{dataCentre: dc, Server: &standin.Server{
-		ID: fmt.Sprintf("i-%d", f.lastServerID), Service: serviceName, Version: "v1", Slots: 64, Work: 5 * time.Millisecond, Events: 12, Audit: f.Audit,
+		ID: fmt.Sprintf("i-%d", f.lastServerID), Service: serviceName, Version: f.version, Slots: 64, Work: 5 * time.Millisecond, Events: streamEvents, Audit: f.Audit,
 	}}
 	h, a, err := serve(s.Server)
 	if err != nil {
@@ -245,6 +252,8 @@
 // replaceServer starts a replacement for a server, calls announce for the old one and stops it after
 // drainTime.
 func (f *Fleet) replaceServer(i int, announce func(*Server)) error {
+	f.serversMu.Lock()
+	defer f.serversMu.Unlock()
 	s := f.Servers[i]
 	n, err := f.newServer(s.dataCentre)
 	if err != nil {
@@ -260,6 +269,42 @@
 	return nil
 }
 
+// Server returns a server by its index, under which its replacement follows it.
+func (f *Fleet) Server(i int) *Server {
+	f.serversMu.Lock()
+	defer f.serversMu.Unlock()
+	return f.Servers[i]
+}
+
+// Serving returns the number of servers of a version that have not announced their end.
+func (f *Fleet) Serving(version string) int {
+	f.serversMu.Lock()
+	defer f.serversMu.Unlock()
+	n := 0
+	for _, s := range f.Servers {
+		if s.Version == version {
+			n++
+		}
+	}
+	return n
+}
+
+// Release makes another version that of new servers, and replaces every other server within a time.
+func (f *Fleet) Release(within time.Duration) error {
+	f.serversMu.Lock()
+	f.releases++
+	f.version = versions[f.releases%len(versions)]
+	first, n := f.releases%2, len(f.Servers)
+	f.serversMu.Unlock()
+	for i := first; i < n; i += 2 {
+		if err := f.Drain(i); err != nil {
+			return err
+		}
+		time.Sleep(within / time.Duration(n))
+	}
+	return nil
+}
+
 // drainTime is how long a draining server continues to serve.
 const drainTime = 4 * time.Second
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -48,8 +48,9 @@
 	violations       []string
 	refused          map[string]string // status codes of refused requests by id; these must not run
 	outcomes         map[string]int    // number of calls by outcome
-	configuredAt     time.Time         // when the current version was stored
-	storeFaultyUntil time.Time         // the store may fail, or be recovering, until this time
+	streams          streamCounts
+	configuredAt     time.Time // when the current version was stored
+	storeFaultyUntil time.Time // the store may fail, or be recovering, until this time
 }
 
 // Run starts a fleet, injects the faults of the seed's schedule and returns the violations found. The
@@ -79,6 +80,7 @@
 	r.checkAudits()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.checkStreams()
 	fmt.Fprintf(o.Out, "seed %d: outcomes %v, %d broken\n", o.Seed, r.outcomes, len(r.violations))
 	return r.violations, nil
 }
@@ -124,7 +126,7 @@
 		time.Sleep(f.Duration)
 		b.Signal(syscall.SIGCONT)
 	case ServerLink:
-		applyLinkFault(r.fleet.Servers[f.Target].proxy, f)
+		applyLinkFault(r.fleet.Server(f.Target).proxy, f)
 	case Drain:
 		if err := r.fleet.Drain(f.Target); err != nil {
 			r.reportViolation("a server could not be replaced: %v", err)
@@ -133,8 +135,12 @@
 		if err := r.fleet.DrainByAnswer(f.Target); err != nil {
 			r.reportViolation("a server could not be replaced: %v", err)
 		}
+	case Release:
+		if err := r.fleet.Release(f.Duration); err != nil {
+			r.reportViolation("a server could not be replaced: %v", err)
+		}
 	case RefuseCalls, ReportLimit, ReportBrittle:
-		report(r.fleet.Servers[f.Target], f)
+		report(r.fleet.Server(f.Target), f)
 	case Config:
 		r.putNextConfig()
 	default:
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -30,6 +30,7 @@
 	DrainByAnswer    Kind = "leave"     // an endpoint reports only in its answers that it is draining; another replaces it
 	RefuseCalls      Kind = "turn away" // an endpoint refuses every call and asks callers to back off
 	ReportLimit      Kind = "limit"     // an endpoint reports the rate limit that it has for all boxes together
+	Release          Kind = "release"   // half of the endpoints are replaced by ones of another software version
 	ReportBrittle    Kind = "brittle"   // an endpoint reports the rate of refusals that it bears from all boxes together
 )
 
@@ -65,6 +66,7 @@
 func Schedule(seed uint64, span time.Duration, boxes, servers int) []Fault {
 	out := append(drawFaults(seed, span, boxes, servers), drawReports(seed, 2, span, servers, DrainByAnswer, RefuseCalls, ReportLimit)...)
 	out = append(out, drawReports(seed, 3, span, servers, ReportBrittle)...)
+	out = append(out, drawReports(seed, 4, span, servers, Release)...)
 	slices.SortStableFunc(out, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return out
 }
--- /dev/null
+++ b/soak/stream.go
@@ -0,0 +1,131 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"birchlink.dev/birchlink/platform/standin"
+)
+
+const (
+	// streamEvents is the number of events of a stream, and streamAttempts bounds the attempts of its caller.
+	streamEvents   = 12
+	streamAttempts = 3
+
+	// minTakenUp is the number of streams taken up from which the share that goes on is checked, and minShare the
+	// least part of the share of new streams that begin.
+	minTakenUp = 12
+	minShare   = 0.5
+
+	// minServers is the number of servers of a version that must serve, since before the attempt, for it to count.
+	minServers = 2
+)
+
+// streamCounts counts attempts at boxes without faults while minServers of the version serve: of new streams
+// and those that began, of streams that were taken up and those that went on.
+type streamCounts struct {
+	asked, begun, takenUp, wentOn int
+}
+
+// stream makes a call whose answer is a stream, and takes it up again at any box if it breaks off. The caller leaves the first
+// answer after some events, or reads all if that is zero.
+func (r *run) stream(h *http.Client, b *Box, id string, rnd *rand.Rand, leaveAfter int) {
+	s := &standin.Stream{}
+	began, end := time.Now(), time.Now().Add(callTimeout)
+	for n := range streamAttempts {
+		left := time.Until(end)
+		if left <= 0 {
+			break
+		}
+		most := streamEvents + 1
+		if n == 0 && leaveAfter > 0 {
+			most = leaveAfter
+		}
+		if r.streamAttempt(h, b, s, fmt.Sprintf("%s-%d", id, n), left, most) {
+			break
+		}
+		b = r.fleet.Boxes[rnd.IntN(len(r.fleet.Boxes))]
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case len(s.Versions) > 1:
+		r.violations = append(r.violations, fmt.Sprintf("%6.2fs %s has events of the versions %v", began.Sub(r.began).Seconds(), id, s.Versions))
+	case s.Events == streamEvents:
+		r.outcomes["stream whole"]++
+	default:
+		r.outcomes["stream not whole"]++
+	}
+}
+
+// streamAttempt makes one attempt and reads up to most events. It reports whether the stream is whole.
+func (r *run) streamAttempt(h *http.Client, b *Box, s *standin.Stream, id string, left time.Duration, most int) bool {
+	q, err := s.NewRequest(b.CallerAddress, "/stream/x", id, left)
+	if err != nil {
+		r.reportViolation("%v", err)
+		return true
+	}
+	q.GetBody = nil
+	before, counts := s.Events, r.countsStreams(b, s)
+	a, err := h.Do(q)
+	status := "no answer"
+	if err == nil {
+		defer a.Body.Close()
+		if status = fmt.Sprint(a.StatusCode); a.StatusCode == http.StatusOK {
+			err = s.Read(id, a.Body, most)
+		}
+	}
+	if err == nil && a.StatusCode == http.StatusOK && s.Events < streamEvents && most > streamEvents {
+		r.reportViolation("%s to %s ended after %d of %d events", id, b.Name, s.Events, streamEvents)
+	}
+	if counts && r.countsStreams(b, s) {
+		r.countAttempt(before == 0, s.Events > before)
+	}
+	if before == 0 {
+		r.countOutcome("stream " + status)
+	} else {
+		r.countOutcome("taken up " + status)
+	}
+	return s.Events >= streamEvents
+}
+
+// countsStreams reports whether an attempt at a box counts: the box and the store have had no fault lately, and the version
+// of the stream, or any if it has not begun, has enough servers.
+func (r *run) countsStreams(b *Box, s *standin.Stream) bool {
+	_, _, reliable := r.currentVersion()
+	if !reliable || b.FaultySince(time.Now().Add(-recoveryTime)) {
+		return false
+	}
+	return len(s.Versions) == 0 || r.fleet.Serving(s.Versions[0]) >= minServers
+}
+
+func (r *run) countAttempt(isNew, advanced bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := &r.streams
+	switch {
+	case isNew && advanced:
+		c.asked, c.begun = c.asked+1, c.begun+1
+	case isNew:
+		c.asked++
+	case advanced:
+		c.takenUp, c.wentOn = c.takenUp+1, c.wentOn+1
+	default:
+		c.takenUp++
+	}
+}
+
+// checkStreams checks that streams which are taken up go on about as often as new ones begin.
+func (r *run) checkStreams() {
+	c := r.streams
+	fmt.Fprintf(r.Out, "seed %d: at boxes without faults %d of %d streams began, %d of %d that were taken up went on\n", r.Seed, c.begun, c.asked, c.wentOn, c.takenUp)
+	if c.takenUp < minTakenUp || c.asked == 0 {
+		return
+	}
+	began, wentOn := float64(c.begun)/float64(c.asked), float64(c.wentOn)/float64(c.takenUp)
+	if wentOn < minShare*began {
+		r.violations = append(r.violations, fmt.Sprintf("of streams taken up %.2f went on, of new ones %.2f began", wentOn, began))
+	}
+}
