Continue streams of the own interface only at the software version of their engine

Operators now name the version in the label software; the box that carries a stream keeps that of the engine of the first token and passes it on with the stream. Engines without the label count as of one version, as before: this interface has no other word on it.

TestStreamStaysAtItsSoftware tests the choice; the callers' view was not run, since the stand-in engines have no versions.

--- a/engine/messages.go
+++ b/engine/messages.go
@@ -28,6 +28,9 @@
 	End       bool   `json:"end,omitempty"`
 	Reason    string `json:"reason,omitempty"`
 	Prefill   int    `json:"prefill,omitempty"`
+
+	// Software is set by boxes that pass on the tokens of an engine that another box chose.
+	Software string `json:"-"`
 }
 
 // Attempt identifies one attempt of a request at an engine. From is the first token to resume at.
--- a/fleet/box.go
+++ b/fleet/box.go
@@ -40,6 +40,10 @@
 	Labels      map[string]string `json:"labels,omitempty"`
 }
 
+// SoftwareLabel is the label with the software version of an engine. Streams continue only at engines with the same value. All
+// engines without the label count as being of one version.
+const SoftwareLabel = "software"
+
 // Label returns the value of a label, or "" if b lacks it. The labels box, data_centre, class and
 // supply come from the box list, and Labels cannot override them.
 func (b Box) Label(name string) string {
--- a/stream/choose.go
+++ b/stream/choose.go
@@ -89,13 +89,13 @@
 	endpoints []*view.EndpointState
 }
 
-// gather fills c with the endpoints of cs that are neither in avoid nor backing off.
-func (c *candidates) gather(cs []candidate, cachedOn string, avoid map[string]bool, backOffs *backoff.BackOffs) {
+// gather fills c with the endpoints of cs that may continue the stream, and are neither in avoid nor backing off.
+func (c *candidates) gather(cs []candidate, st *Stream, cachedOn string, avoid map[string]bool, backOffs *backoff.BackOffs) {
 	c.targets, c.endpoints = c.targets[:0], c.endpoints[:0]
 	now := boottime.Now()
 	noneBackingOff := backOffs.IsEmpty(now)
 	for _, s := range cs {
-		if avoid[s.Name] || !noneBackingOff && backOffs.Remaining(s.ProcessID(), now) > 0 {
+		if avoid[s.Name] || !st.mayContinueAt(s.Box) || !noneBackingOff && backOffs.Remaining(s.ProcessID(), now) > 0 {
 			continue
 		}
 		c.endpoints = append(c.endpoints, s.EndpointState)
@@ -125,7 +125,7 @@
 	prefix := engine.PrefixHash(r.s.Workload, r.s.Prompt)
 	cachedOn, _ := r.k.prefixes.Get(prefix)
 	cs := r.k.currentIndex(d).eligible(r.s.Workload)
-	b.gather(cs, cachedOn, r.avoid, &r.k.view.BackOffs)
+	b.gather(cs, r.s, cachedOn, r.avoid, &r.k.view.BackOffs)
 	q := router.Query{
 		Prefix: prefix, PromptTokens: engine.EstimatePromptTokens(r.s.Prompt), AnswerTokens: r.s.MaxTokens - r.splice.Next,
 		Urgent: r.s.Kind.Urgent(), Deadline: time.Until(r.s.Deadline),
--- a/stream/choose_test.go
+++ b/stream/choose_test.go
@@ -59,15 +59,46 @@
 	var c candidates
 	x := &endpointIndex{snapshot: &view.Snapshot{Endpoints: ss}, document: d, dc: "a"}
 	var backOffs backoff.BackOffs
-	c.gather(x.eligible("m@1"), "", map[string]bool{"box-5": true}, &backOffs)
+	c.gather(x.eligible("m@1"), newStream(Request{}), "", map[string]bool{"box-5": true}, &backOffs)
 	require.Len(t, c.targets, 1)
 	require.Equal(t, "box-0", c.targets[0].Box)
 	backOffs.Extend(ss[0].ProcessID(), time.Minute, boottime.Now())
-	c.gather(x.eligible("m@1"), "", nil, &backOffs)
+	c.gather(x.eligible("m@1"), newStream(Request{}), "", nil, &backOffs)
 	require.Len(t, c.targets, 1)
 	require.Equal(t, "box-5", c.targets[0].Box)
 }
 
+// A stream that has begun must go on only at engines of the software version that began it, also at a box of another data
+// centre or one that takes it over.
+func TestStreamStaysAtItsSoftware(t *testing.T) {
+	d, ms := config.Parse(1, []byte("[model \"m\"]\nversions = 1\n"))
+	require.Empty(t, ms)
+	ss := makeEndpoints(3)
+	for i, v := range []string{"a", "b", ""} {
+		ss[i].Loaded, ss[i].Labels = []string{"m@1"}, map[string]string{fleet.SoftwareLabel: v}
+	}
+	x := &endpointIndex{snapshot: &view.Snapshot{Endpoints: ss}, document: d, dc: "a"}
+	boxes := func(s *Stream) (names []string) {
+		var c candidates
+		c.gather(x.eligible("m@1"), s, "", nil, &backoff.BackOffs{})
+		for _, v := range c.targets {
+			names = append(names, v.Box)
+		}
+		return names
+	}
+	s := newStream(Request{})
+	require.Equal(t, []string{"box-0", "box-1", "box-2"}, boxes(s))
+	s.addToken("t", "b")
+	s.addToken("u", "a") // not the first
+	require.Equal(t, []string{"box-1"}, boxes(s))
+	remote := newStream(s.Request)
+	remote.tokens = []string{"t", "u"}
+	require.Equal(t, []string{"box-1"}, boxes(remote))
+	unlabelled := newStream(Request{})
+	unlabelled.addToken("t", "")
+	require.Equal(t, []string{"box-2"}, boxes(unlabelled))
+}
+
 // BenchmarkRoute measures a routing decision without its log line: gathering the candidates and
 // choosing one.
 func BenchmarkRoute(b *testing.B) {
@@ -77,9 +108,10 @@
 			x := &endpointIndex{snapshot: &view.Snapshot{Endpoints: makeEndpoints(n)}, document: d, dc: "a"}
 			var c candidates
 			p := router.Affinity{LoadBound: 1.25, RecomputeWeight: 0.2}
+			st := newStream(Request{})
 			b.ReportAllocs()
 			for b.Loop() {
-				c.gather(x.eligible("m1@2"), "", nil, &backoff.BackOffs{})
+				c.gather(x.eligible("m1@2"), st, "", nil, &backoff.BackOffs{})
 				p.Pick(c.targets, router.Query{Prefix: 7, PromptTokens: 500, AnswerTokens: 128})
 			}
 		})
--- a/stream/move.go
+++ b/stream/move.go
@@ -99,7 +99,7 @@
 	var ss []*view.EndpointState
 	for _, s := range r.k.view.Endpoints() {
 		ok, _ := d.Allowed(r.s.Workload, s.Box)
-		if !ok || s.DataCentre != r.k.dc || !s.Usable() || !s.Serves(r.s.Workload) || s.Name == r.target.box {
+		if !ok || !r.s.mayContinueAt(s.Box) || s.DataCentre != r.k.dc || !s.Usable() || !s.Serves(r.s.Workload) || s.Name == r.target.box {
 			continue
 		}
 		ss = append(ss, s)
--- a/stream/relay.go
+++ b/stream/relay.go
@@ -59,8 +59,9 @@
 type indexedToken struct {
 	_msgpack struct{} `msgpack:",as_array"`
 
-	Index int
-	Token string
+	Index    int
+	Token    string
+	Software string // of the engine that sent the first token
 }
 
 func (svc *Service) registerHandlers() {
@@ -84,7 +85,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return nil, s.Read(c, q.From, func(i int, t string) error { return send(indexedToken{Index: i, Token: t}) })
+	return nil, s.Read(c, q.From, func(i int, t string) error { return send(indexedToken{Index: i, Token: t, Software: s.software()}) })
 }
 
 // startRelayed returns the stream of a relayed request. Unless q resumes one, the request passes
@@ -292,7 +293,7 @@
 		}
 		first()
 		t := n
-		t.Index, t.Token = i.Index, i.Token
+		t.Index, t.Token, t.Software = i.Index, i.Token, i.Software
 		n.Index = i.Index + 1
 		return l.send(c, t)
 	})
--- a/stream/run.go
+++ b/stream/run.go
@@ -9,6 +9,7 @@
 	"birchlink.dev/birchlink/decisions"
 	"birchlink.dev/birchlink/engine"
 	"birchlink.dev/birchlink/errkind"
+	"birchlink.dev/birchlink/fleet"
 	"birchlink.dev/birchlink/member"
 	"birchlink.dev/birchlink/reclaim"
 	"birchlink.dev/birchlink/recovery"
@@ -259,7 +260,10 @@
 		r.mayHaveRun = true
 		r.reattaches = 0
 		r.recordLine(l)
-		r.s.addToken(l.Token)
+		if r.target.endpoint != nil {
+			l.Software = r.target.endpoint.Label(fleet.SoftwareLabel)
+		}
+		r.s.addToken(l.Token, l.Software)
 	case splice.Complete:
 		return answerComplete, 0, true
 	case splice.Halted:
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -13,6 +13,7 @@
 	"birchlink.dev/birchlink/call"
 	"birchlink.dev/birchlink/engine"
 	"birchlink.dev/birchlink/errkind"
+	"birchlink.dev/birchlink/fleet"
 	"birchlink.dev/birchlink/requesthash"
 )
 
@@ -30,6 +31,9 @@
 	Rate       float64
 	Repeatable bool
 	Deadline   time.Time
+
+	// Software is the software version of the engine that sent the first token. Other boxes that continue the stream need it.
+	Software string
 }
 
 // Admission returns the fields of the request that admission control uses.
@@ -92,7 +96,30 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *Stream) addToken(t string) { s.update(func() { s.tokens = append(s.tokens, t) }) }
+// addToken adds a token of an engine of a software version.
+func (s *Stream) addToken(t, software string) {
+	s.update(func() {
+		if len(s.tokens) == 0 {
+			s.Software = software
+		}
+		s.tokens = append(s.tokens, t)
+	})
+}
+
+// software returns the software version of the engine that sent the first token.
+func (s *Stream) software() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Software
+}
+
+// mayContinueAt reports whether an engine may send the next token: the stream has not begun, or it has at the software
+// version of the engine.
+func (s *Stream) mayContinueAt(b fleet.Box) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.tokens) == 0 || s.Software == b.Label(fleet.SoftwareLabel)
+}
 
 func (s *Stream) finish(err error) {
 	s.update(func() {
