Let the soak kill all boxes at once

Records of streams must outlive all boxes, and the soak killed one at a time. Now all are killed at moments drawn from a stream of random numbers of their own, so that known seeds keep their other faults.

--- a/soak/run.go
+++ b/soak/run.go
@@ -115,6 +115,11 @@
 		b := r.fleet.Boxes[f.Target]
 		b.ExpectFaultsUntil(time.Now().Add(recoveryTime))
 		b.Signal(syscall.SIGKILL)
+	case KillAll:
+		for _, b := range r.fleet.Boxes {
+			b.ExpectFaultsUntil(time.Now().Add(recoveryTime))
+			b.Signal(syscall.SIGKILL)
+		}
 	case Term:
 		r.fleet.Boxes[f.Target].Signal(syscall.SIGTERM)
 	case Hup:
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -17,6 +17,7 @@
 // The kinds of faults. A link fault sets the proxy of the link to the fault's Mode.
 const (
 	Kill             Kind = "kill"        // SIGKILL, then restart
+	KillAll          Kind = "kill all"    // SIGKILL of all boxes at once, then restart
 	Term             Kind = "term"        // SIGTERM, then restart: a graceful shutdown, which callers must not notice
 	Hup              Kind = "hup"         // SIGHUP: a reload of the settings, which callers must not notice
 	Pause            Kind = "pause"       // SIGSTOP, then SIGCONT
@@ -67,6 +68,7 @@
 	out := append(drawFaults(seed, span, boxes, servers), drawReports(seed, 2, span, servers, DrainByAnswer, RefuseCalls, ReportLimit)...)
 	out = append(out, drawReports(seed, 3, span, servers, ReportBrittle)...)
 	out = append(out, drawReports(seed, 4, span, servers, Release)...)
+	out = append(out, drawPowerLosses(seed, span)...)
 	slices.SortStableFunc(out, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return out
 }
@@ -85,6 +87,20 @@
 	return out
 }
 
+// meanPowerGap is the mean time between the moments at which all boxes are killed.
+const meanPowerGap = 8 * time.Second
+
+// drawPowerLosses draws the moments at which all boxes are killed.
+func drawPowerLosses(seed uint64, span time.Duration) []Fault {
+	r := rand.New(rand.NewPCG(seed, 5))
+	gap := func() time.Duration { return time.Duration(r.Int64N(int64(2 * meanPowerGap))) }
+	var out []Fault
+	for at := faultFreeStart + gap(); at < span; at += gap() {
+		out = append(out, Fault{At: at, Kind: KillAll})
+	}
+	return out
+}
+
 // drawFaults draws the faults of boxes, links, store, servers and configuration.
 func drawFaults(seed uint64, span time.Duration, boxes, servers int) []Fault {
 	r := rand.New(rand.NewPCG(seed, 1))
