Keep a second copy of a stream's record while there is one version

With one version and the store away, which is when this box may not know of another version, only one other box had the record of a stream whose box ended. Now two have it. TestFleets passes.

--- a/origins/holders.go
+++ b/origins/holders.go
@@ -16,9 +16,9 @@
 func (b Boxes) areAllKnown() bool { return len(b.Far) > 0 || len(b.Relays) == 0 }
 
 const (
-	// While there is only one version, a record is sent to one box nearby: it matters little if it is lost. Otherwise it is
-	// sent to nearCopies boxes nearby and one farther off, or to maxCopies nearby if there are no others. In a large fleet the
-	// relays exchange records instead.
+	// While there is only one version, a record is sent to nearCopies boxes nearby: it matters little if it is lost. Otherwise
+	// it is sent to one farther off too, or to maxCopies nearby if there are no others. In a large fleet the relays exchange
+	// records instead.
 	nearCopies = 2
 	maxCopies  = 3
 
@@ -30,9 +30,7 @@
 // receivers returns the boxes to which the record of a stream is sent. Several is set while there are several versions.
 func (b Boxes) receivers(stream uint64, several bool) []string {
 	switch {
-	case !several:
-		return rendezvous.Top(stream, b.Near, 1)
-	case !b.areAllKnown():
+	case !several || !b.areAllKnown():
 		return rendezvous.Top(stream, b.Near, nearCopies)
 	case len(b.Far) == 0:
 		return rendezvous.Top(stream, b.Near, maxCopies)
