Bound the requests for which a box asks others where a stream began

A caller that names streams nobody began costs each time some ten messages, and up to ninety in a large fleet, before its account's rate is looked at. Now a box asks for 64 requests at a time, and refuses further ones as unknown. TestQuestionsAreBounded asks for 1,000 at once and failed before. A box without records to pass on no longer lists the other boxes five times a second.

--- a/origins/archive.go
+++ b/origins/archive.go
@@ -64,6 +64,12 @@
 	}
 }
 
+func (a *archive) isEmpty() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.pending) == 0
+}
+
 func (a *archive) take() []origin.Record {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -96,6 +102,9 @@
 	}
 	d.archive.read = d.archive.read && isRelay
 	d.archiveOlder()
+	if d.archive.isEmpty() {
+		return
+	}
 	boxes, interval := d.Boxes(), archiveInterval
 	if !boxes.areAllKnown() {
 		interval = largeArchiveInterval
@@ -104,9 +113,6 @@
 		return
 	}
 	rs := d.archive.take()
-	if len(rs) == 0 {
-		return
-	}
 	d.archive.passedAt = boottime.Now()
 	var err error
 	switch relay := d.Relay(); {
--- a/origins/directory.go
+++ b/origins/directory.go
@@ -49,6 +49,10 @@
 	// maxPutsInFlight bounds the calls that send records. While as many are under way, further ones are dropped.
 	maxPutsInFlight = 256
 
+	// maxAsking bounds the requests for which this box asks others at the same time. Further ones are refused as if no
+	// other box knew anything.
+	maxAsking = 64
+
 	// maxStoreSilence is how long the store may have been silent before this box's view of the versions counts as
 	// out of date.
 	maxStoreSilence = 1500 * time.Millisecond
@@ -86,7 +90,8 @@
 
 	table    *origin.Table
 	archive  archive
-	inFlight atomic.Int64
+	inFlight atomic.Int64 // calls that send records
+	asking   atomic.Int64 // requests for which others are asked
 	ctx      context.Context
 	cancel   context.CancelFunc
 	group    sync.WaitGroup
--- a/origins/find.go
+++ b/origins/find.go
@@ -97,6 +97,11 @@
 // ask asks the boxes that may have the record of a stream and, if none of them has it, those of other data centres through
 // their relays.
 func (d *Directory) ask(c context.Context, q Question, own Reply) (a Reply, asked, answered int) {
+	defer d.asking.Add(-1)
+	if d.asking.Add(1) > maxAsking {
+		own.Complete = false
+		return own, 0, 0
+	}
 	relay := d.Relay()
 	if d.IsRelay() {
 		relay = ""
--- a/origins/fleet_test.go
+++ b/origins/fleet_test.go
@@ -355,3 +355,37 @@
 	require.LessOrEqual(f.t, sum, mean, at)
 	require.LessOrEqual(f.t, top, most, at)
 }
+
+// Callers that name streams which nobody began must not make a box send more questions than it bears, and get no wrong
+// answer beyond that.
+func TestQuestionsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{t: t, rnd: rand.New(rand.NewPCG(1, 2)), endpoints: map[string]int{}, store: &memstore.Store{}}
+		for _, s := range []string{"fleet 8 3", "endpoints v1 2", "start"} {
+			w := strings.Fields(s)
+			f.step(w[0], w[1:], s)
+		}
+		d := f.boxes[0].process.Load()
+		var asked atomic.Int64
+		d.Call = func(c context.Context, _, _ string, _, _ any) error {
+			asked.Add(1)
+			<-c.Done()
+			return c.Err()
+		}
+		var known atomic.Int64
+		for i := range 1000 {
+			go func() {
+				if _, ok, _ := d.Find(t.Context(), "r", fmt.Sprint("nobody's-", i), "s", "a"); ok {
+					known.Add(1)
+				}
+			}()
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		require.LessOrEqual(t, asked.Load(), int64(maxAsking*len(f.boxes)))
+		require.LessOrEqual(t, known.Load(), int64(maxAsking)) // those that asked believe that there is one version
+		for _, b := range f.boxes {
+			b.process.Load().cancel()
+		}
+	})
+}
