Keep archived records for as long as their lease, and send them to other relays once

Found by reading the archive once more. A relay that started again wrote over the keys of its last process, and one whose writes failed sent all that was pending to a relay of another data centre each round. Keys now have the lease in their names and go with it, after one to two minutes, and what failed is kept apart from what is new.

--- a/origins/archive.go
+++ b/origins/archive.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,9 +29,6 @@
 	// leaseTTL bounds the time for which the store keeps what was written. A new lease is used after half of it.
 	leaseTTL = 2 * time.Minute
 
-	// archiveSlots is the number of keys that a relay writes in turn. What it wrote as many intervals ago is overwritten.
-	archiveSlots = 32
-
 	// maxPending bounds the records of one write. Beyond that the oldest are dropped.
 	maxPending = 2000
 
@@ -45,29 +43,21 @@
 type archive struct {
 	mu      sync.Mutex
 	pending []origin.Record
-	slot    int
 
 	// The fields below belong to the goroutine that archives, and to Stop after its end.
+	failed    []origin.Record // records that could not be passed on or written in the last round
 	read      bool            // this box has read the archive since it is a relay
 	several   map[string]bool // services that had several versions in the last round
 	passedAt  time.Time
 	lease     store.Lease
 	grantedAt time.Time
+	writes    int // keys written under the lease
 }
 
 func (a *archive) add(rs ...origin.Record) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.pending = append(a.pending, rs...)
-	if n := len(a.pending) - maxPending; n > 0 {
-		a.pending = append([]origin.Record(nil), a.pending[n:]...)
-	}
-}
-
-func (a *archive) isEmpty() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return len(a.pending) == 0
+	a.pending = newest(append(a.pending, rs...))
 }
 
 func (a *archive) take() []origin.Record {
@@ -78,12 +68,12 @@
 	return rs
 }
 
-// nextSlot returns the number of the key that is written next.
-func (a *archive) nextSlot() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.slot = (a.slot + 1) % archiveSlots
-	return a.slot
+// newest returns the last maxPending records.
+func newest(rs []origin.Record) []origin.Record {
+	if len(rs) <= maxPending {
+		return rs
+	}
+	return slices.Clone(rs[len(rs)-maxPending:])
 }
 
 // runArchive passes records on until c is done.
@@ -102,38 +92,44 @@
 	}
 	d.archive.read = d.archive.read && isRelay
 	d.archiveOlder()
-	if d.archive.isEmpty() {
+	since := boottime.Since(d.archive.passedAt)
+	if since < archiveInterval {
 		return
 	}
-	boxes, interval := d.Boxes(), archiveInterval
-	if !boxes.areAllKnown() {
-		interval = largeArchiveInterval
+	boxes := d.Boxes()
+	isLarge := !boxes.areAllKnown()
+	if isLarge && since < largeArchiveInterval {
+		return
 	}
-	if boottime.Since(d.archive.passedAt) < interval {
+	fresh := d.archive.take()
+	rs := newest(slices.Concat(d.archive.failed, fresh))
+	if len(rs) == 0 {
 		return
 	}
-	rs := d.archive.take()
-	d.archive.passedAt = boottime.Now()
-	var err error
-	switch relay := d.Relay(); {
-	case isRelay:
-		if !boxes.areAllKnown() {
-			d.sendFar(rs, boxes.Relays)
-		}
-		err = d.write(c, rs)
-	case relay != "":
-		x, cancel := context.WithTimeout(c, archiveTimeout)
-		defer cancel()
-		err = d.Call(x, relay, methodArchive, origin.Pack(rs, d.unixSeconds), nil)
-	default:
-		err = errNoRelay
+	d.archive.failed, d.archive.passedAt = nil, boottime.Now()
+	if isLarge && isRelay {
+		d.sendFar(fresh, boxes.Relays)
 	}
-	if err != nil {
-		d.archive.add(rs...) // written twice if only the answer was lost
+	if err := d.passOn(c, rs, isRelay); err != nil {
+		d.archive.failed = rs // written twice if only the answer was lost
 		metrics.GetOrRegisterCounter("origins.not_archived", d.Metrics).Inc(1)
 	}
 }
 
+// passOn writes records to the store, or sends them to this box's relay if it is none itself.
+func (d *Directory) passOn(c context.Context, rs []origin.Record, isRelay bool) error {
+	if isRelay {
+		return d.write(c, rs)
+	}
+	relay := d.Relay()
+	if relay == "" {
+		return errNoRelay
+	}
+	x, cancel := context.WithTimeout(c, archiveTimeout)
+	defer cancel()
+	return d.Call(x, relay, methodArchive, origin.Pack(rs, d.unixSeconds), nil)
+}
+
 // archiveOlder adds the records of streams that began before their service got several versions.
 func (d *Directory) archiveOlder() {
 	now := boottime.Now()
@@ -150,6 +146,9 @@
 
 // sendFar sends the records of this relay's boxes to a relay of another data centre.
 func (d *Directory) sendFar(rs []origin.Record, relays []string) {
+	if len(rs) == 0 {
+		return
+	}
 	for _, a := range rendezvous.Top(rendezvous.Hash(d.Box), relays, 1) {
 		d.send(a, origin.Pack(rs, d.secondsLeft))
 	}
@@ -168,7 +167,7 @@
 
 // flush writes the records that are left when the process stops.
 func (d *Directory) flush(c context.Context) {
-	if rs := d.archive.take(); len(rs) > 0 {
+	if rs := slices.Concat(d.archive.failed, d.archive.take()); len(rs) > 0 {
 		_ = d.write(c, rs)
 	}
 }
@@ -184,7 +183,8 @@
 	if err := d.renewLease(x); err != nil {
 		return err
 	}
-	key := fmt.Sprintf("%s%s/%d", d.Prefix, d.Box, d.archive.nextSlot())
+	d.archive.writes++
+	key := fmt.Sprintf("%s%s/%d/%d", d.Prefix, d.Box, d.archive.lease, d.archive.writes)
 	if _, err := d.Store.Commit(x, store.Change{Put: []store.Put{{Key: key, Value: b, Lease: d.archive.lease}}}); err != nil {
 		d.archive.lease = 0 // it may have run out
 		return fmt.Errorf("write %s: %w", key, err)
@@ -202,7 +202,7 @@
 	if err != nil {
 		return fmt.Errorf("get a lease: %w", err)
 	}
-	d.archive.lease, d.archive.grantedAt = l, boottime.Now()
+	d.archive.lease, d.archive.grantedAt, d.archive.writes = l, boottime.Now(), 0
 	return nil
 }
 
--- a/origins/holders.go
+++ b/origins/holders.go
@@ -17,8 +17,8 @@
 
 const (
 	// While there is only one version, a record is sent to nearCopies boxes nearby: it matters little if it is lost. Otherwise
-	// it is sent to one farther off too, or to maxCopies nearby if there are no others. In a large fleet the relays exchange
-	// records instead.
+	// it is sent to one farther off too, or to maxCopies nearby if there are no others or, in a large fleet, none are known; there
+	// the relays exchange records as well.
 	nearCopies = 2
 	maxCopies  = 3
 
@@ -30,7 +30,7 @@
 // receivers returns the boxes to which the record of a stream is sent. Several is set while there are several versions.
 func (b Boxes) receivers(stream uint64, several bool) []string {
 	switch {
-	case !several || !b.areAllKnown():
+	case !several:
 		return rendezvous.Top(stream, b.Near, nearCopies)
 	case len(b.Far) == 0:
 		return rendezvous.Top(stream, b.Near, maxCopies)
