Give the engines of the test of moves a version

The servers are of one version now, and the test expects what it did. That runs don't move between unknown versions is expected by TestMoves.

--- a/daemon/moves_test.go
+++ b/daemon/moves_test.go
@@ -66,7 +66,7 @@
 }
 
 func newMovingEngine(t *testing.T, id string, last int) *movingEngine {
-	e := &movingEngine{Server: &standin.Server{ID: id, Service: "api", Slots: 4}, last: last}
+	e := &movingEngine{Server: &standin.Server{ID: id, Service: "api", Version: "v1", Slots: 4}, last: last}
 	e.address = serve(t, e)
 	return e
 }
