Leave a stream that was taken up at its endpoint if no other has its version

Found by reading: a request that takes a stream up, and has no event of its own yet, was cancelled at a leaving endpoint to be resumed elsewhere though only endpoints of another version served; the caller lost what the endpoint could still have sent. The decision now counts a stream as begun if an earlier answer began it. The new case of TestMoves failed before: engine_failed at once, where the stream may go on until its endpoint ends.

--- a/forward/migrate.go
+++ b/forward/migrate.go
@@ -179,7 +179,7 @@
 		Begun: s.events > 0, FirstEvent: max(s.choice.Expected-now.Sub(s.started), 0), Pause: s.choice.Pause,
 		EventsLeft: migration.EventsLeft(q.Call.ExpectedTokens, q.Call.AnswerTokens, stride, got),
 		CacheBytes: int64(s.r.promptTokens()+got*stride) * int64(e.KVBytesPerToken),
-		CanResume:  now.Sub(s.deniedAt) >= resumeRetryInterval && s.r.canResume(s.choice.Endpoint, got > 0), Moves: s.moves,
+		CanResume:  now.Sub(s.deniedAt) >= resumeRetryInterval && s.r.canResume(s.choice.Endpoint, got > 0 || q.Version != ""), Moves: s.moves,
 	}
 	if s.events >= minEventsForPause {
 		d.Pause = s.last.Sub(s.first) / time.Duration(s.events-1)
@@ -191,7 +191,7 @@
 }
 
 // canResume reports whether another endpoint may compute the stream again, if there is a credit for it. A stream that has
-// begun needs one of the version of e, at which it is.
+// begun, in this answer or before it, needs one of the version of e, at which it is.
 func (r *run) canResume(e endpoint.Endpoint, begun bool) bool {
 	if !r.q.Route.Repeatable() || r.countAttempts() >= r.maxAttempts() {
 		return false
--- a/forward/migrate_test.go
+++ b/forward/migrate_test.go
@@ -61,6 +61,8 @@
 	unframed  bool   // the stream of a has no framing, so its end is not known from it
 	noIDs     bool   // events have no IDs
 	versionB  string // software version of b; that of a if empty
+	takenUp   bool   // the request takes up a stream that began at the version of a
+	noHead    bool   // the caller gets no head
 	lateHead  bool   // a sends the head with the first event
 	slowLink  bool   // moves begin at the notice, since copies take long
 	cancelled bool   // the attempt at a is cancelled, and may end a moment after the next has begun
@@ -122,6 +124,11 @@
 		"other version": {versionB: "v2", resumable: true, timeout: 300 * time.Millisecond, wantEvents: "1 2 3", wantErr: "deadline_passed", wantStarts: "a new"},
 		// The same where the version is not known.
 		"unknown version": {versionB: "-", resumable: true, timeout: 300 * time.Millisecond, wantEvents: "1 2 3", wantErr: "deadline_passed", wantStarts: "a new"},
+		// A stream that began in an earlier answer stays too, though this answer has no event yet.
+		"other version, taken up": {
+			versionB: "v2", takenUp: true, resumable: true, waiting: true, cancelled: true, timeout: 300 * time.Millisecond, wantErr: "deadline_passed",
+			wantStarts: "a new", noHead: true,
+		},
 		// What has not begun may begin at another version.
 		"other version before the first event": {
 			versionB: "v2", resumable: true, waiting: true, cancelled: true, wantEvents: all, wantStarts: "a new, b new", wantStamp: "b", wantMoves: "resumed",
@@ -221,8 +228,12 @@
 	sink, err := v.send(t, es, s, &log)
 	es.check(t, v)
 	require.Equal(t, v.wantEvents, sink.events())
-	require.Equal(t, cmp.Or(v.wantStamp, "a"), sink.stamp, "the head of the first endpoint is kept")
-	require.Equal(t, 1, sink.heads)
+	if v.noHead {
+		require.Zero(t, sink.heads)
+	} else {
+		require.Equal(t, cmp.Or(v.wantStamp, "a"), sink.stamp, "the head of the first endpoint is kept")
+		require.Equal(t, 1, sink.heads)
+	}
 	if v.wantMoves != "" {
 		require.EqualValues(t, 1, metrics.GetOrRegisterCounter("moves."+v.wantMoves, s.f.Metrics).Count())
 		require.Contains(t, log.String(), `"event":"move","request":"r1","endpoint":"a"`)
@@ -303,6 +314,9 @@
 		Account: &catalog.Account{Name: "a"}, Expires: boottime.Now().Add(timeout),
 	}
 	q.Content = requesthash.HashOf("a", q.Call)
+	if v.takenUp {
+		q.Version = a.version
+	}
 	if v.slowLink {
 		q.Service.Engine.KVBytesPerToken, q.Service.Engine.LinkBytesPerSecond = 1, 1
 	}
