Tell a caller that a stream must be named only where that is the reason

A request with Last-Event-Id and without Resumes was told that its service has several versions, also where the box just had no word of the store and could not believe that there is only one; bad_request told the caller not to come back. Such a request is now refused as version_unknown, with a time to return. The new line of TestTakeUp failed before, when the answer did not depend on it. Find returns one value instead of three.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -61,10 +61,9 @@
 }
 
 // Origins finds out at which software version a stream began that a caller takes up again. The stream is named by the ID of
-// the request that brought its first event, or empty if the caller did not name it. Known is false if
-// that is not known, and foreign is true if another account began it.
+// the request that brought its first event, or empty if the caller did not name it.
 type Origins interface {
-	Find(c context.Context, request, stream, service, account string) (o origin.Origin, known, foreign bool)
+	Find(c context.Context, request, stream, service, account string) origin.Finding
 }
 
 // Options configures an Ingress. A box that stops keeps accepting connections for ShutdownDelay, so
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -59,11 +59,13 @@
 }
 
 // originsByID says that account acc began the stream v1 at version v1, another account the stream foreign, and that nothing is
-// known of others.
+// known of others. All services but the one of that name have several versions.
 type originsByID struct{}
 
-func (originsByID) Find(_ context.Context, _, stream, service, account string) (o origin.Origin, known, foreign bool) {
-	return origin.Origin{Service: service, Version: stream}, stream == "v1" && account == "acc", stream == "foreign"
+func (originsByID) Find(_ context.Context, _, stream, service, account string) origin.Finding {
+	return origin.Finding{
+		Origin: origin.Origin{Service: service, Version: stream}, Known: stream == "v1" && account == "acc", Foreign: stream == "foreign", Several: service != "one",
+	}
 }
 
 // codec is a minimal codec for callers and endpoints.
@@ -96,12 +98,16 @@
 	Routes: []catalog.Route{
 		{Name: "r", Host: "h", Prefix: "/a/", Shares: []catalog.Share{{Service: "s", Weight: 1}}, Timeout: time.Minute, MaxAttempts: 1},
 		{Name: "open", Host: "h", Prefix: "/open/", Public: true, Shares: []catalog.Share{{Service: "s", Weight: 1}}, Timeout: time.Minute, MaxAttempts: 1},
+		{
+			Name: "one", Host: "h", Prefix: "/one/", Kind: catalog.Stream, Resumable: true,
+			Shares: []catalog.Share{{Service: "one", Weight: 1}}, Timeout: time.Minute, MaxAttempts: 1,
+		},
 		{
 			Name: "stream", Host: "h", Prefix: "/stream/", Kind: catalog.Stream, Resumable: true,
 			Shares: []catalog.Share{{Service: "s", Weight: 1}}, Timeout: time.Minute, MaxAttempts: 1,
 		},
 	},
-	Services: []catalog.Service{{Name: "s"}},
+	Services: []catalog.Service{{Name: "s"}, {Name: "one"}},
 	Accounts: []catalog.Account{{Name: "acc", Keys: []string{"k"}}, {Name: "small", Keys: []string{"s"}, Rate: 1, Burst: 1}},
 	Limits:   catalog.Limits{BodyBytes: 100},
 }
@@ -264,6 +270,7 @@
 		{"/stream/x", "k", "foreign", "3", 403, "forbidden"},
 		{"/stream/x", "k", "v2", "3", 503, "version_unknown"},
 		{"/stream/x", "k", "", "3", 400, "bad_request"},
+		{"/one/x", "k", "", "3", 503, "version_unknown"},
 		{"/stream/x", "k", "", "", 200, "for acc"},
 		{"/a/x", "k", "v2", "3", 200, "for acc"}, // not a stream
 	} {
--- a/ingress/resume.go
+++ b/ingress/resume.go
@@ -20,15 +20,15 @@
 	if q.Route.Kind != catalog.Stream || cl.Resumes == "" && cl.LastEventID == "" {
 		return nil
 	}
-	o, known, foreign := i.Origins.Find(c, cl.ID, cl.Resumes, q.Service.Name, q.AccountName())
+	o := i.Origins.Find(c, cl.ID, cl.Resumes, q.Service.Name, q.AccountName())
 	switch {
-	case foreign:
+	case o.Foreign:
 		return errkind.New(errkind.Forbidden, "the stream %s was begun by another account", cl.Resumes)
-	case !known && cl.Resumes == "":
+	case !o.Known && o.Several && cl.Resumes == "":
 		return errkind.New(errkind.BadRequest, "the request names the last event of a stream, and not the request that brought its first one, which is needed"+
 			" while endpoints of %s are of several versions", q.Service.Name)
-	case !known:
-		return errkind.New(errkind.VersionUnknown, "it is not known at which version of %s the stream %s began", q.Service.Name, cl.Resumes).
+	case !o.Known:
+		return errkind.New(errkind.VersionUnknown, "it is not known at which version of %s the stream %q began", q.Service.Name, cl.Resumes).
 			WithRetryAfter(originRetryAfter)
 	}
 	if o.Service != q.Service.Name {
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -22,6 +22,16 @@
 	Account uint64
 }
 
+// Finding is what is known of where a stream began. Known is false if the origin is not. Foreign is set if another account
+// began the stream, and Several if the service is known to have had several versions lately.
+type Finding struct {
+	Origin
+
+	Known   bool
+	Foreign bool
+	Several bool
+}
+
 // Hash returns the hash of a stream's ID or of an account's name.
 func Hash(s string) uint64 { return xxhash.Sum64String(s) }
 
--- a/origins/find.go
+++ b/origins/find.go
@@ -52,9 +52,8 @@
 	return a
 }
 
-// Find returns where the stream of a request began. The stream is empty if the caller did not name it. Known is false if
-// that is not known, and foreign is true if another account began it.
-func (d *Directory) Find(c context.Context, request, stream, service, account string) (o origin.Origin, known, foreign bool) {
+// Find returns where the stream of a request began. The stream is empty if the caller did not name it.
+func (d *Directory) Find(c context.Context, request, stream, service, account string) origin.Finding {
 	began := boottime.Now()
 	q := Question{Service: service}
 	if stream != "" {
@@ -66,21 +65,23 @@
 		outcome = foundElsewhere
 		a, asked, answered = d.ask(c, q, a)
 	}
+	f := origin.Finding{Several: len(a.Versions) > 1}
 	switch {
 	case a.Found && a.Origin.Account != origin.Hash(account):
-		outcome, foreign = foundForAnother, true
+		outcome, f.Foreign = foundForAnother, true
 	case a.Found:
-		o, known = a.Origin, true
+		f.Origin, f.Known = a.Origin, true
 	case a.Complete && len(a.Versions) == 1 && a.Versions[0] != "":
-		outcome, o, known = foundOnly, origin.Origin{Service: service, Version: a.Versions[0], Account: origin.Hash(account)}, true
+		outcome, f.Known = foundOnly, true
+		f.Origin = origin.Origin{Service: service, Version: a.Versions[0], Account: origin.Hash(account)}
 	default:
 		outcome = foundNowhere
 	}
 	metrics.GetOrRegisterCounter("origins.asked."+outcome, d.Metrics).Inc(1)
 	d.Log.Info().Str("event", "origin").Str("request", request).Str("resumes", stream).Str("service", service).Str("outcome", outcome).
-		Str("version", o.Version).Strs("versions", a.Versions).Bool("complete", a.Complete).Dur("store_age", d.StoreSilence()).
+		Str("version", f.Version).Strs("versions", a.Versions).Bool("complete", a.Complete).Dur("store_age", d.StoreSilence()).
 		Int("asked", asked).Int("answered", answered).Dur("took", boottime.Since(began)).Msg("decision")
-	return o, known, foreign
+	return f
 }
 
 // answer answers another box.
--- a/origins/fleet_test.go
+++ b/origins/fleet_test.go
@@ -326,14 +326,14 @@
 	found := 0
 	for _, s := range f.streams {
 		b := f.boxes[f.liveBox(s.box)].process.Load()
-		o, known, foreign := b.Find(context.Background(), "r", s.id, "s", s.account)
-		require.False(f.t, foreign, at)
-		if known {
+		o := b.Find(context.Background(), "r", s.id, "s", s.account)
+		require.False(f.t, o.Foreign, at)
+		if o.Known {
 			require.Equal(f.t, s.version, o.Version, "%s: %s", at, s.id)
 			found++
 		}
-		if _, known, foreign := b.Find(context.Background(), "r", s.id, "s", "somebody"); known {
-			require.False(f.t, foreign)
+		if o := b.Find(context.Background(), "r", s.id, "s", "somebody"); o.Known {
+			require.False(f.t, o.Foreign)
 			names, _ := b.Versions.Recent("s", boottime.Now())
 			require.Len(f.t, names, 1, "%s: another account took %s up", at, s.id)
 		}
@@ -375,7 +375,7 @@
 		var known atomic.Int64
 		for i := range 1000 {
 			go func() {
-				if _, ok, _ := d.Find(t.Context(), "r", fmt.Sprint("nobody's-", i), "s", "a"); ok {
+				if d.Find(t.Context(), "r", fmt.Sprint("nobody's-", i), "s", "a").Known {
 					known.Add(1)
 				}
 			}()
