Keep the record of a stream when another account uses its ID

A request of another account with the same ID replaced the record, so that the account which began the stream was refused as another one. Its record now stays until it lapses. TestOtherAccountKeepsRecord failed before.

--- a/origin/origin.go
+++ b/origin/origin.go
@@ -102,11 +102,13 @@
 	return &Table{records: l}
 }
 
-// Put adds a record, or replaces the one of the same stream unless that lapses later.
+// Put adds a record, or replaces the one of the same stream unless that lapses later or is of another account, which may
+// not take a stream away by using its ID.
 func (t *Table) Put(r Record, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if old, ok := t.records.Peek(r.Stream); ok && old.Origin == r.Origin && old.Expires.After(r.Expires) {
+	old, ok := t.records.Peek(r.Stream)
+	if ok && now.Before(old.Expires) && (old.Account != r.Account || old.Origin == r.Origin && old.Expires.After(r.Expires)) {
 		return
 	}
 	t.records.Add(r.Stream, r)
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -50,6 +50,22 @@
 	require.ElementsMatch(t, rs, back)
 }
 
+// Another account must not take a stream over by beginning one of the same ID.
+func TestOtherAccountKeepsRecord(t *testing.T) {
+	now := time.Now()
+	tab := origin.NewTable()
+	mine := origin.Record{Stream: 1, Expires: now.Add(time.Minute), Origin: origin.Origin{Service: "s", Version: "v1", Account: 1}}
+	theirs := origin.Record{Stream: 1, Expires: now.Add(time.Hour), Origin: origin.Origin{Service: "s", Version: "v2", Account: 2}}
+	tab.Put(mine, now)
+	tab.Put(theirs, now)
+	r, ok := tab.Get(1, now)
+	require.True(t, ok)
+	require.Equal(t, mine, r)
+	tab.Put(theirs, now.Add(2*time.Minute))
+	r, _ = tab.Get(1, now.Add(2*time.Minute))
+	require.Equal(t, theirs, r)
+}
+
 // A table must not grow beyond its bound, and drops lapsed records first.
 func TestTableIsBounded(t *testing.T) {
 	now := time.Now()
