--- a/soak/stream.go
+++ b/soak/stream.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -68,17 +69,15 @@
 		return true
 	}
 	q.GetBody = nil
-	before, counts := s.Events, r.countsStreams(b, s)
+	began, before, counts := time.Now(), s.Events, r.countsStreams(b, s)
 	a, err := h.Do(q)
-	status := "no answer"
-	if err == nil {
+	status := "not answered"
+	if err != nil {
+		r.checkNoAnswer(b, "/stream/x", id, began, err)
+	} else {
 		defer a.Body.Close()
-		if status = fmt.Sprint(a.StatusCode); a.StatusCode == http.StatusOK {
-			err = s.Read(id, a.Body, most)
-		}
-	}
-	if err == nil && a.StatusCode == http.StatusOK && s.Events < streamEvents && most > streamEvents {
-		r.reportViolation("%s to %s ended after %d of %d events", id, b.Name, s.Events, streamEvents)
+		status = fmt.Sprint(a.StatusCode)
+		r.checkStream(b, s, id, a, most)
 	}
 	if counts && r.countsStreams(b, s) {
 		r.countAttempt(before == 0, s.Events > before)
@@ -91,6 +90,28 @@
 	return s.Events >= streamEvents
 }
 
+// checkStream reads up to most events of an answer, and checks that they are those of this stream, that a server has stamped the
+// answer, and that it does not end before the last event or after it. A refusal must be one that allows to come back.
+func (r *run) checkStream(b *Box, s *standin.Stream, id string, a *http.Response, most int) {
+	refused := a.StatusCode == http.StatusServiceUnavailable || a.StatusCode == http.StatusTooManyRequests
+	if a.StatusCode != http.StatusOK {
+		if a.StatusCode < http.StatusInternalServerError && !refused {
+			r.reportViolation("%s to %s: %d", id, b.Name, a.StatusCode)
+		}
+		return
+	}
+	if !standin.Stamped(a.Header) {
+		r.reportViolation("%s to %s has no stamp", id, b.Name)
+	}
+	err := s.Read(id, a.Body, most)
+	switch {
+	case errors.Is(err, standin.ErrInvalidEvent):
+		r.reportViolation("%s to %s: %v", id, b.Name, err)
+	case err == nil && s.Events != streamEvents && most > streamEvents:
+		r.reportViolation("%s to %s ended after %d of %d events", id, b.Name, s.Events, streamEvents)
+	}
+}
+
 // countsStreams reports whether an attempt at a box counts: the box and the store have had no fault lately, and the version
 // of the stream, or any if it has not begun, has enough servers.
 func (r *run) countsStreams(b *Box, s *standin.Stream) bool {
