--- a/forward/watchdog.go
+++ b/forward/watchdog.go
@@ -6,8 +6,11 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"birchlink.dev/birchlink/balance"
 	"birchlink.dev/birchlink/boottime"
+	"birchlink.dev/birchlink/endpoint"
 )
 
 // errUnresponsive reports that an attempt was cancelled because its endpoint was unresponsive.
@@ -66,7 +69,9 @@
 			return
 		}
 		silence := time.Since(w.lastEventAt)
-		if !w.held && silence > w.allowedSilence && r.f.Balancer.UnresponsiveFor(e.ID, boottime.Now()) > w.allowedSilence {
+		unresponsive := r.f.Balancer.UnresponsiveFor(e.ID, boottime.Now())
+		if !w.held && silence > w.allowedSilence && unresponsive > w.allowedSilence {
+			r.logSilence(w.allowedSilence, silence, unresponsive, e)
 			if !r.f.Pool.IsLost(e.ID) {
 				r.f.Balancer.Avoid(e, boottime.Now())
 			}
@@ -107,3 +112,13 @@
 		w.timer.Stop()
 	}
 }
+
+// logSilence logs and counts that an endpoint has sent nothing for longer than allowed. Silence is the time since the
+// last event of the attempt, and unresponsive that since anything came from the endpoint.
+func (r *run) logSilence(allowed, silence, unresponsive time.Duration, e endpoint.Endpoint) {
+	metrics.GetOrRegisterCounter("attempts.silent", r.f.Metrics).Inc(1)
+	r.f.Log.Info().Str("event", "silence").Str("request", r.q.Call.ID).Str("endpoint", e.ID).Str("version", e.Version).Str("last_event", r.lastEventID).
+		Dur("silence", silence).Dur("allowed", allowed).Dur("endpoint_silence", unresponsive).
+		Int("attempts", len(r.reached)+1).Int("max_attempts", r.maxAttempts()).
+		Int("serving", len(r.f.Roster.Serving(r.q.Service.Name))).Bool("link_lost", r.f.Pool.IsLost(e.ID)).Msg("the endpoint has sent nothing for longer than expected")
+}
