--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -1,6 +1,7 @@
 package daemon_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -37,6 +38,13 @@
 	version    string // of the servers that start from now on
 	breakAfter int    // events after which their streams break off; zero for never
 
+	// The slots of the servers, zero for 64, the number of events of their streams, zero for three, and the time before each
+	// event.
+	slots  int
+	events int
+	work   time.Duration
+	audit  *standin.Audit
+
 	mu      sync.Mutex
 	lastID  int
 	crashed int
@@ -46,7 +54,7 @@
 }
 
 func newPlatform(t *testing.T, servers int) *platform {
-	p := &platform{t: t, store: &memstore.Store{}, version: "v1", addresses: map[string]string{}}
+	p := &platform{t: t, store: &memstore.Store{}, version: "v1", audit: &standin.Audit{}, addresses: map[string]string{}}
 	p.storeAddress = serve(t, standin.StoreHandler(p.store))
 	p.store.Set(standin.ConfigKey, standin.Config(1, "api"))
 	for range servers {
@@ -60,7 +68,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastID++
-	s := &standin.Server{ID: fmt.Sprintf("i-%d", p.lastID), Service: "api", Version: p.version, Slots: 64, Events: 3, BreakAfter: p.breakAfter, Audit: &standin.Audit{}}
+	s := &standin.Server{
+		ID: fmt.Sprintf("i-%d", p.lastID), Service: "api", Version: p.version, Slots: cmp.Or(p.slots, 64), Events: cmp.Or(p.events, 3), Work: p.work,
+		BreakAfter: p.breakAfter, Audit: p.audit,
+	}
 	p.servers = append(p.servers, s)
 	var h *httptest.Server
 	h = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
