End no answer because its endpoint is silent

Callers saw their streams cut while sound endpoints were silent for a second or more (LOST): the watchdog cancelled the run after 1.2 s, before it was known that another endpoint would go on. Where the request's attempts, the service's credits or the endpoints were used up, the answer ended although its endpoint went on with it.

Silence now ends nothing. It starts a successor beside the attempt, at the moment at which the attempt was cancelled before, if the request has an attempt left, another endpoint of the stream's version accepts it and has not fallen silent too, and there is a credit. Whichever receives something first goes on: an event of the attempt cancels the successor, and the successor's first event (or complete response) supersedes the attempt, under one lock, so that the caller gets nothing twice. Without a successor, the request waits for its endpoint until its deadline or the route's timeout. A successor is a run of its own with its own attempts, and what it used up counts for the request. The same holds for plain calls over their latency objective, for links that fall silent, and for a move whose source does not answer until its announced end: these cancelled too. An event that a slow caller takes long to read is no silence of the endpoint.

--- a/balance/backoff.go
+++ b/balance/backoff.go
@@ -30,13 +30,16 @@
 // applies to any endpoint, the function looks up nothing.
 func (b *Balancer) exclusion(q *Query, now time.Time) func(*endpoint.Endpoint) bool {
 	tried, unavailable := len(q.Skip) > 0, !b.Availability.AllAvailable(now)
-	if !tried && !unavailable && !q.UnlimitedOnly && q.Eligible == nil {
+	if !tried && !unavailable && !q.UnlimitedOnly && q.Eligible == nil && q.MaxSilence <= 0 {
 		return func(*endpoint.Endpoint) bool { return false }
 	}
 	return func(e *endpoint.Endpoint) bool {
 		if q.Eligible != nil && !q.Eligible(e) {
 			return true
 		}
+		if q.MaxSilence > 0 && b.lookup(e.ID).silence(now) > q.MaxSilence {
+			return true
+		}
 		incarnation := e.Incarnation()
 		return tried && q.Skip[incarnation] || unavailable && b.Availability.UnavailableFor(incarnation, now) > 0 ||
 			q.UnlimitedOnly && b.Availability.IsRateLimited(incarnation, now)
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -167,7 +167,11 @@
 func (b *Balancer) UnresponsiveFor(id string, now time.Time) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	st := b.state(id)
+	return b.lookup(id).silence(now)
+}
+
+// silence returns for how long the endpoint has sent nothing while it had calls under way.
+func (st *endpointState) silence(now time.Time) time.Duration {
 	if st.running == 0 {
 		return 0
 	}
--- a/daemon/silence_test.go
+++ b/daemon/silence_test.go
@@ -75,11 +75,12 @@
 				return err
 			}
 			defer a.Body.Close()
-			err = v.Read(id, a.Body, 1)
+			body := bufio.NewReader(a.Body) // keeps what it has read beyond the first event
+			err = v.Read(id, body, 1)
 			began <- struct{}{}
 			<-silenced
 			if err == nil {
-				err = v.Read(id, a.Body, silenceEvents)
+				err = v.Read(id, body, silenceEvents)
 			}
 			if err != nil || a.StatusCode != http.StatusOK || v.Events != silenceEvents {
 				s.t.Log(id, a.StatusCode, v.Events, err)
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -25,7 +25,7 @@
 )
 
 // attempt sends the request to one endpoint and passes its response to the sink.
-func (r *run) attempt(c context.Context, ch balance.Choice) attemptResult {
+func (r *run) attempt(c context.Context, ch balance.Choice) (out attemptResult) {
 	x, cancel := context.WithCancelCause(c)
 	defer cancel(nil)
 	e := ch.Endpoint
@@ -37,8 +37,8 @@
 		n = r.f.Balancer.Begin(e, ch, boottime.Now())
 	}
 	r.f.OnSend(e, ch.Tokens)
-	w := r.startWatchdog(cancel, ch)
-	defer w.stop()
+	w := r.startWatchdog(c, cancel, ch)
+	defer func() { r.endWatchdog(c, w, &out) }()
 	defer r.f.attempts.add(e.Incarnation(), cancel)()
 	r.stream = r.trackStream(c, x, cancel, ch, w)
 	defer r.stream.end()
@@ -55,7 +55,7 @@
 			return true
 		},
 		Overdue: minOverdue + time.Duration(expectedFactor*float64(ch.Expected)),
-		Abandon: r.abandonFunc(cancel),
+		Abandon: r.abandonFunc(w),
 		Matches: func(h http.Header) bool { return r.f.Codec.Outcome(0, h).ID == cl.ID },
 	})
 	if err != nil {
@@ -66,7 +66,7 @@
 	if resp.Via != "" {
 		n.Unjudge()
 	}
-	out := r.readResponse(resp, n, w, sent)
+	out = r.readResponse(resp, n, w, sent)
 	r.trace.LongestPause = out.longestPause
 	r.recordForRollout(ch, out, sent)
 	out.err = cancelCause(x, out.err)
@@ -97,17 +97,28 @@
 // once.
 const minOverdue = 100 * time.Millisecond
 
-// errLinkLost reports that an attempt was cancelled because this box has lost its link to the endpoint.
-var errLinkLost = errors.New("the link to the endpoint is lost")
-
-// abandonFunc returns the function that ends the attempt when the link to its endpoint falls silent. It
+// abandonFunc returns the function that starts a successor of the attempt when the link to its endpoint falls silent. It
 // is nil for requests that must not run twice: the endpoint may be running them, and may answer
 // once the link has recovered.
-func (r *run) abandonFunc(cancel context.CancelCauseFunc) func() {
+func (r *run) abandonFunc(w *watchdog) func() {
 	if !r.q.Route.Repeatable() {
 		return nil
 	}
-	return func() { cancel(errLinkLost) }
+	return w.expire
+}
+
+// endWatchdog ends the watchdog of an attempt with its result. If a successor has superseded the attempt, a run that was stopped
+// to be moved is not continued.
+func (r *run) endWatchdog(c context.Context, w *watchdog, out *attemptResult) {
+	r.successors = append(r.successors, w.stop()...)
+	if !w.isSuperseded() {
+		return
+	}
+	if out.stopped != nil {
+		out.stopped.discard()
+		out.stopped = nil
+	}
+	r.recordSuperseded(c, *out, w.choice.Endpoint)
 }
 
 // endAttempt ends an attempt, and records whether it failed unless the cause may be the link.
--- a/forward/move.go
+++ b/forward/move.go
@@ -18,10 +18,7 @@
 	"birchlink.dev/birchlink/wait"
 )
 
-var (
-	errStopped     = errors.New("the run was stopped to be moved")
-	errSourceEnded = errors.New("the endpoint's announced end has passed")
-)
+var errStopped = errors.New("the run was stopped to be moved")
 
 const (
 	// maxTargets bounds the destinations that one move tries.
@@ -99,6 +96,9 @@
 	lastSent bool        // the call that stops the run was sent; guarded by s.mu
 	noRun    bool        // the source answered the call with last that nothing runs, and the move didn't stop it
 	result   *stoppedRun // the run from which the request continues
+
+	// sourceEnded reports that the source did not answer before its announced end, so that it may not send any more.
+	sourceEnded bool
 }
 
 // startMove begins a move. It returns false if the stream has ended.
@@ -172,6 +172,9 @@
 	m.stop()
 	if m.result == nil {
 		s.watchdog.hold(false)
+		if m.sourceEnded {
+			s.watchdog.expire()
+		}
 		s.logMove("fail", outcome, to, m.since, m.ends)
 		metrics.GetOrRegisterCounter("moves."+outcome, s.r.f.Metrics).Inc(1)
 	}
@@ -262,7 +265,7 @@
 		case m.isBroken() && (repeatable && retries > maxStopRetries || boottime.Since(m.since) > ttl):
 			return m.giveUp(t, copied, "no_answer")
 		case repeatable && boottime.Now().After(m.ends.Add(endGrace)):
-			s.cancel(errSourceEnded)
+			m.sourceEnded = true
 			return m.giveUp(t, copied, "no_answer")
 		}
 		wait.For(m.c, stopRetryInterval)
--- a/forward/repeat.go
+++ b/forward/repeat.go
@@ -28,6 +28,7 @@
 // Causes of repeats besides the names of interruptions.
 const (
 	causeContinuation = "continuation" // the arrival was to continue a moved run and was not accepted
+	causeSilent       = "silent"       // the endpoint was silent, and the attempt there may go on
 	causeDraining     = "draining"     // the stream was resumed before its endpoint ended
 )
 
--- a/forward/response.go
+++ b/forward/response.go
@@ -46,6 +46,9 @@
 	}
 	n.RecordProgress(boottime.Now())
 	read := boottime.Now()
+	if resp.Status < http.StatusInternalServerError && !r.headSent && !r.lead(w) {
+		return attemptResult{interruption: recovery.Gone, err: errSuperseded}
+	}
 	r.recordStart(sent)
 	if resp.Status < http.StatusMultipleChoices {
 		r.recordAnswer(n)
@@ -147,10 +150,13 @@
 	for {
 		e, err := rd.Next()
 		if err != nil {
-			r.endEvents(resp, err, &out)
+			r.endEvents(resp, w, err, &out)
+			return out
+		}
+		if !r.lead(w) {
+			out.err = errSuperseded
 			return out
 		}
-		w.recordEvent()
 		n.RecordProgress(boottime.Now())
 		out.recordEvent(boottime.Now())
 		r.stream.recordEvent(e.ID, boottime.Now())
@@ -177,11 +183,12 @@
 		if e.ID != "" {
 			r.lastEventID = e.ID
 		}
+		w.endEvent()
 	}
 }
 
 // endEvents completes the result of a stream of which no more events can be read.
-func (r *run) endEvents(resp *httpconn.Response, err error, out *attemptResult) {
+func (r *run) endEvents(resp *httpconn.Response, w *watchdog, err error, out *attemptResult) {
 	if !errors.Is(err, io.EOF) {
 		out.err = fmt.Errorf("the stream broke: %w", err)
 		out.stopped = r.stream.settle(false)
@@ -198,6 +205,10 @@
 		out.err = errors.New("the stream ended before its first event")
 		return
 	}
+	if !r.lead(w) {
+		out.err = errSuperseded
+		return
+	}
 	r.recordSurvival(resp)
 	out.done = true
 }
--- a/forward/run.go
+++ b/forward/run.go
@@ -82,6 +82,9 @@
 
 	trace         Trace
 	errorResponse *response // error response of an endpoint, returned if no other attempt succeeds
+
+	successor  *successor   // set if the run is one
+	successors []*successor // of the attempts that ended since the last step
 }
 
 // reachedEndpoint is an endpoint that the request reached. If it answered, it has run the request.
@@ -168,6 +171,10 @@
 	if out.done {
 		return true, nil
 	}
+	if s := r.join(); s != nil {
+		r.trace = s.r.trace
+		return s.served, s.err
+	}
 	if errors.Is(out.err, errCallerWrite) || errors.Is(c.Err(), context.Canceled) {
 		return false, errkind.New(errkind.CallerGone, "the caller left: %w", out.err)
 	}
@@ -190,7 +197,7 @@
 func (r *run) decide(c context.Context, out attemptResult, e endpoint.Endpoint) recovery.Decision {
 	s := recovery.State{
 		Interruption: out.interruption, Repeatable: r.q.Route.Repeatable(), Reattaches: recovery.MaxReattaches,
-		Attempts:   r.countAttempts() + (max(r.failedDials-maxFailedDials+1, 0)+max(r.refusedDials-maxRefusedDials+1, 0))*recovery.MaxAttempts,
+		Attempts:   r.attemptsUsed(),
 		MayHaveRun: r.mayHaveRun, Expired: r.isExpired(c), MaxAttempts: r.maxAttempts(),
 		HasBudget: true, ChargesRefusals: true,
 	}
@@ -245,6 +252,12 @@
 	return n
 }
 
+// attemptsUsed returns the number of attempts that count against the limit of the request, including those that reached
+// no endpoint.
+func (r *run) attemptsUsed() int {
+	return r.countAttempts() + (max(r.failedDials-maxFailedDials+1, 0)+max(r.refusedDials-maxRefusedDials+1, 0))*recovery.MaxAttempts
+}
+
 // isCounted reports whether an attempt counts against the limit of the request. Endpoints that announced their end
 // or were replaced, and did not answer, do not count: their work is lost in any case. That a record is missing
 // is no end: it may have lapsed while the store was unavailable, and its endpoint may still run the request.
@@ -278,7 +291,7 @@
 // fail ends a request for which no attempt succeeded. If an endpoint sent an error response, the
 // sink gets that response instead of an error of this box.
 func (r *run) fail(k errkind.Kind, reason string) (bool, error) {
-	if r.errorResponse != nil && !r.headSent {
+	if r.errorResponse != nil && !r.headSent && r.mayAnswer() {
 		r.f.Log.Info().Str("event", "answer").Str("request", r.q.Call.ID).Int("status", r.errorResponse.status).Str("reason", reason).
 			Msg("returning the endpoint's error response")
 		if err := r.sink.Response(r.errorResponse.status, r.errorResponse.header, r.errorResponse.body); err != nil {
@@ -370,6 +383,9 @@
 		n += p.Tokens
 	}
 	q.Prompt = max(q.Prompt, n)
+	if !r.mayAnswer() {
+		q.MaxSilence = maxSuccessorSilence
+	}
 	return q
 }
 
--- a/forward/watchdog.go
+++ b/forward/watchdog.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"time"
 
@@ -13,15 +14,14 @@
 	"birchlink.dev/birchlink/endpoint"
 )
 
-// errUnresponsive reports that an attempt was cancelled because its endpoint was unresponsive.
+// errUnresponsive reports that an attempt was cancelled because its endpoint was unresponsive and another one answers.
 var errUnresponsive = errors.New("the endpoint is silent")
 
-// An attempt is cancelled if neither it nor any other call of its endpoint has received anything
-// for the time maxSilence. Otherwise a stream at an unreachable endpoint would hang until its
-// caller gives up; without unreachable endpoints the watchdog gains nothing. Before the first event
-// of a call the time is longer by expectedFactor times the expected time to the first event: on a
-// simulated day without failures, all 8 endpoints that seemed unresponsive were prefilling long
-// prompts, which took up to three times the expected time.
+// A successor of an attempt is started if neither it nor any other call of its endpoint has received anything for the
+// time maxSilence. Otherwise a stream at an unreachable endpoint would hang until its caller gives up. Before the first
+// event of a call the time is longer by expectedFactor times the expected time to the first event: on a simulated day without
+// failures, all 8 endpoints that seemed unresponsive were prefilling long prompts, which took up to three times the
+// expected time.
 const (
 	maxSilence     = 1200 * time.Millisecond
 	expectedFactor = 2.0
@@ -29,96 +29,210 @@
 
 	// checkFraction is the part of the allowed silence, a third, after which the link is checked.
 	checkFraction = 3
+
+	// successorInterval is the time until another successor may be started after one could not be, or has failed.
+	successorInterval = 600 * time.Millisecond
 )
 
 // objectiveFactor is the time that a repeatable call of a plain service may take at one endpoint
-// before another is tried, as a multiple of the route's latency objective.
+// before a successor is started, as a multiple of the route's latency objective.
 const objectiveFactor = 1.0
 
-// watchdog cancels an attempt whose endpoint is unresponsive. Requests that must not run twice
-// are not cancelled, since the endpoint may still be running them.
+// watchdog starts a successor of an attempt whose endpoint is unresponsive, and decides which of the two goes on: the
+// one that first receives something. Silence alone never ends an attempt, since its endpoint may still be running the
+// request. Requests that must not run twice have no successors.
 type watchdog struct {
+	r      *run
+	c      context.Context // of the request
+	cancel context.CancelCauseFunc
+	choice balance.Choice
+
 	mu             sync.Mutex
 	lastEventAt    time.Time     // of the last event; on the monotonic clock, which stops while the box is suspended
 	allowedSilence time.Duration // the time allowed until the next event
+	retryAt        time.Time     // when the next successor may be started
 	timer          *time.Timer
 	stopped        bool
-	held           bool // the attempt must not be cancelled
+	held           bool // the request must not be sent elsewhere
+	passing        bool // an event is being passed to the caller, who may be slow
+	expired        bool // the endpoint's silence is known to last, for example because the link is lost
+	superseded     bool // the successor goes on instead of the attempt
+	successor      *successor
+	successors     []*successor // all that were started
 }
 
 // startWatchdog starts the watchdog of an attempt at the chosen endpoint.
-func (r *run) startWatchdog(cancel context.CancelCauseFunc, ch balance.Choice) *watchdog {
-	e := ch.Endpoint
-	w := &watchdog{lastEventAt: time.Now(), allowedSilence: maxSilence + time.Duration(expectedFactor*float64(ch.Expected))}
+func (r *run) startWatchdog(c context.Context, cancel context.CancelCauseFunc, ch balance.Choice) *watchdog {
+	w := &watchdog{
+		r: r, c: c, cancel: cancel, choice: ch,
+		lastEventAt: time.Now(), allowedSilence: maxSilence + time.Duration(expectedFactor*float64(ch.Expected)),
+	}
 	if !r.q.Route.Repeatable() {
 		return w
 	}
+	interval := watchInterval
 	if !r.isStream() {
-		if r.countAttempts()+1 < r.maxAttempts() && r.q.Route.LatencyObjective > 0 {
-			d := time.Duration(objectiveFactor * float64(r.q.Route.LatencyObjective))
-			w.timer = time.AfterFunc(d, func() { cancel(errUnresponsive) })
+		w.allowedSilence = time.Duration(objectiveFactor * float64(r.q.Route.LatencyObjective))
+		interval = w.allowedSilence
+		if interval <= 0 {
+			w.allowedSilence, interval = math.MaxInt64, watchInterval
 		}
-		return w
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(watchInterval, func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		if w.stopped {
-			return
-		}
-		silence := time.Since(w.lastEventAt)
-		unresponsive := r.f.Balancer.UnresponsiveFor(e.ID, boottime.Now())
-		if !w.held && silence > w.allowedSilence && unresponsive > w.allowedSilence {
-			r.logSilence(w.allowedSilence, silence, unresponsive, e)
-			if !r.f.Pool.IsLost(e.ID) {
-				r.f.Balancer.Avoid(e, boottime.Now())
-			}
-			cancel(errUnresponsive)
-			return
-		}
-		if silence > w.allowedSilence/checkFraction {
-			r.f.Pool.CheckLink(e.ID, e.Address, boottime.Now().Add(-silence))
-		}
-		w.timer.Reset(watchInterval)
-	})
+	w.timer = time.AfterFunc(interval, w.check)
 	return w
 }
 
-// recordEvent records an event.
-func (w *watchdog) recordEvent() {
+// check starts a successor if the endpoint has been unresponsive for too long.
+func (w *watchdog) check() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.lastEventAt, w.allowedSilence = time.Now(), maxSilence
+	if w.stopped {
+		return
+	}
+	w.timer.Reset(watchInterval)
+	if w.passing {
+		return
+	}
+	e := w.choice.Endpoint
+	silence, unresponsive := time.Since(w.lastEventAt), w.r.f.Balancer.UnresponsiveFor(e.ID, boottime.Now())
+	if w.r.isStream() && silence > w.allowedSilence/checkFraction {
+		w.r.f.Pool.CheckLink(e.ID, e.Address, boottime.Now().Add(-silence))
+	}
+	if w.held || w.successor != nil {
+		return
+	}
+	isSilent := silence >= w.allowedSilence && (unresponsive > w.allowedSilence || !w.r.isStream())
+	if (isSilent || w.expired) && !time.Now().Before(w.retryAt) {
+		w.startSuccessor(silence, unresponsive)
+	}
 }
 
-// hold sets whether the attempt must not be cancelled: its endpoint may have been told to stop the run,
-// and the request must not be sent elsewhere until that is known.
+// startSuccessor starts a successor unless no other endpoint may get the request. The lock must be held.
+func (w *watchdog) startSuccessor(silence, unresponsive time.Duration) {
+	w.retryAt = time.Now().Add(successorInterval)
+	if w.r.isStream() && !w.r.f.Pool.IsLost(w.choice.Endpoint.ID) {
+		w.r.f.Balancer.Avoid(w.choice.Endpoint, boottime.Now())
+	}
+	s, obstacle := w.newSuccessor()
+	w.r.logSilence(w.allowedSilence, silence, unresponsive, w.choice.Endpoint, obstacle)
+	if obstacle != "" {
+		return
+	}
+	w.successor = s
+	w.successors = append(w.successors, s)
+	go s.run(w)
+}
+
+// beginEvent records that something arrived, which ends a successor that has received nothing. It returns false if the
+// successor goes on instead of the attempt. Otherwise no successor is started before endEvent is called.
+func (w *watchdog) beginEvent() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.superseded {
+		return false
+	}
+	w.endSuccessor()
+	w.passing, w.expired = true, false
+	return true
+}
+
+// endEvent records that an event was passed to the caller.
+func (w *watchdog) endEvent() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.passing, w.lastEventAt, w.allowedSilence = false, time.Now(), maxSilence
+}
+
+// endSuccessor cancels the successor. The lock must be held.
+func (w *watchdog) endSuccessor() {
+	if w.successor != nil {
+		w.successor.cancel()
+		w.successor = nil
+	}
+}
+
+// supersede makes a successor that has received something go on instead of the attempt. It returns false if the attempt
+// has received something meanwhile.
+func (w *watchdog) supersede(s *successor) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.successor != s {
+		return false
+	}
+	if !w.superseded {
+		w.superseded = true
+		w.cancel(errUnresponsive)
+	}
+	return true
+}
+
+// detach removes a successor that has ended without superseding the attempt.
+func (w *watchdog) detach(s *successor) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.successor == s && !w.superseded {
+		w.successor = nil
+	}
+}
+
+// isSupersededBy reports whether a successor goes on instead of the attempt.
+func (w *watchdog) isSupersededBy(s *successor) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.superseded && w.successor == s
+}
+
+// isSuperseded reports whether any successor goes on instead of the attempt.
+func (w *watchdog) isSuperseded() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.superseded
+}
+
+// expire makes the watchdog start a successor without waiting any longer.
+func (w *watchdog) expire() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer == nil || w.stopped {
+		return
+	}
+	w.expired = true
+	w.timer.Reset(0)
+}
+
+// hold sets whether the request must not be sent elsewhere: its endpoint may have been told to stop the run, and
+// whether it did is not known yet.
 func (w *watchdog) hold(on bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.held && !on {
 		w.lastEventAt = time.Now()
 	}
-	w.held = on
+	if w.held = on; on && !w.superseded {
+		w.endSuccessor()
+	}
 }
 
-func (w *watchdog) stop() {
+// stop ends the watchdog, and returns the successors that were started. The last of them may still be under way.
+func (w *watchdog) stop() []*successor {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stopped = true
 	if w.timer != nil {
 		w.timer.Stop()
 	}
+	return w.successors
 }
 
 // logSilence logs and counts that an endpoint has sent nothing for longer than allowed. Silence is the time since the
-// last event of the attempt, and unresponsive that since anything came from the endpoint.
-func (r *run) logSilence(allowed, silence, unresponsive time.Duration, e endpoint.Endpoint) {
+// last event of the attempt, and unresponsive that since anything came from the endpoint. The obstacle is why no successor
+// is started, if none is.
+func (r *run) logSilence(allowed, silence, unresponsive time.Duration, e endpoint.Endpoint, obstacle string) {
 	metrics.GetOrRegisterCounter("attempts.silent", r.f.Metrics).Inc(1)
 	r.f.Log.Info().Str("event", "silence").Str("request", r.q.Call.ID).Str("endpoint", e.ID).Str("version", e.Version).Str("last_event", r.lastEventID).
 		Dur("silence", silence).Dur("allowed", allowed).Dur("endpoint_silence", unresponsive).
-		Int("attempts", len(r.reached)+1).Int("max_attempts", r.maxAttempts()).
-		Int("serving", len(r.f.Roster.Serving(r.q.Service.Name))).Bool("link_lost", r.f.Pool.IsLost(e.ID)).Msg("the endpoint has sent nothing for longer than expected")
+		Int("attempts", len(r.reached)+1).Int("max_attempts", r.maxAttempts()).Str("obstacle", obstacle).
+		Bool("link_lost", r.f.Pool.IsLost(e.ID)).Msg("the endpoint has sent nothing for longer than expected")
 }
