--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -264,7 +264,7 @@
 	case "after": // the last events of the requests at an endpoint
 		require.Equal(s.t, words[2:], e.after, at)
 	case "left": // when the box left the endpoint; nothing for never
-		var left []string
+		left := make([]string, 0, len(e.left))
 		for _, d := range e.left {
 			left = append(left, d.String())
 		}
@@ -274,8 +274,8 @@
 		require.Equal(s.t, words[1], strconv.Itoa(n), at)
 	case "error":
 		require.Error(s.t, s.err, at)
-		s.script.last = &s.caller.recorder
-		s.script.expect(words, at)
+		s.last = &s.caller.recorder
+		s.expect(words, at)
 	default:
 		s.t.Fatalf("%s: nothing to expect is called %q", at, words[0])
 	}
