Test that a pause of a whole service stays within the credits of all boxes

Successors of silent attempts are paid like retries. The model lets every stream ask; in service a box asks for none whose other endpoints are silent too.

--- a/creditpool/fleet_test.go
+++ b/creditpool/fleet_test.go
@@ -59,11 +59,33 @@
 	tries     int           // repeats that a failed request asks for
 	compare   bool          // whether the repeats are compared with those of the baseline
 	events    []event
+	pauses    []pause
 	end       time.Duration
 }
 
+// pause is a silence of all endpoints, while each box has a number of streams in progress.
+type pause struct {
+	from, to time.Duration
+	streams  int
+	attempts int // of a stream at most
+}
+
+// A stream asks for another attempt silentAfter the endpoint fell silent, and again after successorInterval if there is no credit. The
+// attempt is silent too.
+const (
+	silentAfter       = 1400 * time.Millisecond
+	successorInterval = 600 * time.Millisecond
+)
+
+// silentStream is a stream whose endpoint is silent.
+type silentStream struct {
+	box      int
+	asksAt   time.Duration
+	attempts int // left
+}
+
 // readCourse reads a course. The lines are: course BOXES REQUESTS_PER_SECOND, fail FROM TO SHARE, restart AT SHARE, rate AT FACTOR,
-// join AT COUNT, only AT SHARE low|high (the boxes that get requests from then on), end AT, and compare, for courses whose
+// join AT COUNT, pause FROM TO STREAMS_OF_A_BOX ATTEMPTS, only AT SHARE low|high (the boxes that get requests from then on), end AT, and compare, for courses whose
 // failed requests ask for one repeat, as many of which must be made as by the baseline.
 func readCourse(t *testing.T, path string) course {
 	t.Helper()
@@ -91,6 +113,8 @@
 			c.from, c.to, c.share = moment(1), moment(2), number(3)
 		case "restart", "join", "rate":
 			c.events = append(c.events, event{at: moment(1), kind: w[0], number: number(2)})
+		case "pause":
+			c.pauses = append(c.pauses, pause{moment(1), moment(2), int(number(3)), int(number(4))})
 		case "only":
 			c.events = append(c.events, event{at: moment(1), kind: w[0], number: number(2), half: w[3]})
 		case "compare":
@@ -108,6 +132,27 @@
 type outcome struct {
 	requests, repeats []time.Duration
 	failures          int // requests whose first attempt failed
+	silent, copies    int // streams that were silent, and further attempts of them
+}
+
+// askAll lets the silent streams ask for further attempts, and returns those that may ask again.
+func (o *outcome) askAll(ss []silentStream, boxes []box, at time.Duration) []silentStream {
+	var left []silentStream
+	for _, s := range ss {
+		if at >= s.asksAt {
+			s.asksAt = at + successorInterval
+			if boxes[s.box].repeat(at) {
+				o.repeats = append(o.repeats, at)
+				o.copies++
+				s.attempts--
+				s.asksAt = at + silentAfter
+			}
+		}
+		if s.attempts > 0 {
+			left = append(left, s)
+		}
+	}
+	return left
 }
 
 // play plays a course.
@@ -137,11 +182,24 @@
 			}
 		}
 	}
-	events := c.events
+	events, pauses := c.events, c.pauses
+	var silent []silentStream
 	for at := time.Duration(0); at < c.end; at += tick {
 		for ; len(events) > 0 && events[0].at <= at; events = events[1:] {
 			apply(events[0])
 		}
+		if len(pauses) > 0 && at >= pauses[0].to {
+			silent, pauses = nil, pauses[1:]
+		}
+		if len(pauses) > 0 && silent == nil && at >= pauses[0].from && at < pauses[0].from+tick {
+			for i := range boxes {
+				for range pauses[0].streams {
+					silent = append(silent, silentStream{i, at + silentAfter, pauses[0].attempts - 1})
+				}
+			}
+			o.silent += len(silent)
+		}
+		silent = o.askAll(silent, boxes, at)
 		if recount >= 0 && at >= recount {
 			count, recount = len(boxes), -1
 			for _, b := range boxes {
@@ -291,8 +349,10 @@
 		for _, lend := range []bool{false, true} {
 			synctest.Test(t, func(t *testing.T) {
 				rnd := rand.New(rand.NewPCG(seed, 1))
-				part, at := c.play(rnd, newCreditFleet(rnd, lend), time.Sleep).worst()
-				t.Logf("seed %d, lending %t: %.2f of what is allowed in the window from %v", seed, lend, part, at)
+				o := c.play(rnd, newCreditFleet(rnd, lend), time.Sleep)
+				part, at := o.worst()
+				t.Logf("seed %d, lending %t: %.2f of what is allowed in the window from %v, %d further attempts of %d silent streams",
+					seed, lend, part, at, o.copies, o.silent)
 				require.LessOrEqual(t, part, 1.0, "seed %d, lending %t, window from %v", seed, lend, at)
 			})
 		}
