Give each test process of boxes addresses of its own

TestCutBoxesServe/reset_a_d failed once beside the tests of other worktrees: a port that it had found free was in use when a box listened on it. Boxes now listen on IP addresses that depend on the test's process.

--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -111,8 +112,11 @@
 }
 
 // freeAddress returns an unused address. Its IP address differs from the source addresses of outgoing
-// connections, which might otherwise take the port before the box listens on it.
-func freeAddress(t *testing.T) string { return freeAddressAt(t, "127.0.0.2") }
+// connections, and from those of other test processes, which might otherwise take the port before the box listens on it.
+func freeAddress(t *testing.T) string {
+	n := os.Getpid()
+	return freeAddressAt(t, fmt.Sprintf("127.2.%d.%d", n/250%250, 1+n%250))
+}
 
 func freeAddressAt(t *testing.T, ip string) string {
 	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
@@ -121,14 +125,17 @@
 	return l.Addr().String()
 }
 
+// maxPeerIPs is the number of boxes for which a test process has addresses of its own.
+const maxPeerIPs = 1000
+
 // peerIPs counts the boxes started.
 var peerIPs atomic.Uint32
 
 // freePeerAddress returns an unused address on an IP address of its own: a box connects to others from
 // the IP address on which it listens for them.
 func freePeerAddress(t *testing.T) string {
-	n := peerIPs.Add(1)
-	return freeAddressAt(t, fmt.Sprintf("127.1.%d.%d", n/250, 1+n%250))
+	n := int(peerIPs.Add(1)) + os.Getpid()*maxPeerIPs
+	return freeAddressAt(t, fmt.Sprintf("127.%d.%d.%d", 3+n/62500%250, n/250%250, 1+n%250))
 }
 
 // startBox starts a box. The sections in more are appended to its settings.
