Wait for a silent engine whose stream no other engine may continue

Callers of the own interface saw streams end with engine_failed, "the service's retries are used up", although their engines were only silent for 2.5 s and went on. A silent attempt counted as one that had ended: without a retry left, or after six attempts, the stream failed, and the attempt that its engine still worked on was cancelled.

TestSilenceEndsNoRequest fails on the decision before it, after 30 draws.

A decision that leaves nothing but to fail now waits for a silent attempt that can be read on: until its engine is heard, is shown to have ended, or the deadline. The stream asks again for a retry each time the engine has been silent for as long as before, so that one that hangs is left as soon as a retry is there. A stream that a peer may have taken over waits likewise, and does not fail as unknown because its engine is silent. Requests that keep no attempt, those of package forward and of plain services, decide as before.

--- a/recovery/decide.go
+++ b/recovery/decide.go
@@ -31,6 +31,7 @@
 	Reattach Step = iota // continue to read the same attempt
 	Stop                 // ask the endpoint to stop the attempt and decide again
 	Failover             // start an attempt at another endpoint, from the next token
+	Wait                 // read the same attempt on: its endpoint is silent, and nothing else can go on
 	Fail                 // end the request with an error
 )
 
@@ -47,6 +48,9 @@
 	// MaxAttempts bounds the attempts; zero stands for the constant MaxAttempts.
 	MaxAttempts int
 
+	// CanWait reports that an attempt can be read on once its silent endpoint is heard again.
+	CanWait bool
+
 	// ChargesRefusals requires budget for another attempt even if the last is confirmed not to run.
 	ChargesRefusals bool
 }
@@ -68,7 +72,8 @@
 
 // Decide returns the next step. Two attempts of a request that is not repeatable never run at the
 // same time: another attempt follows only when the last one is confirmed not to have run or to have
-// stopped.
+// stopped. Silence does not show that an endpoint has ended: an attempt that can be waited for is left only
+// for another one.
 func Decide(s State) Decision {
 	notRun := s.Interruption == Refused || s.Interruption == Unreachable || s.Interruption == NeverSeen
 	confirmed := notRun || s.Interruption == Halted
@@ -81,6 +86,8 @@
 		return Decision{Fail, errkind.DeadlinePassed, "deadline passed"}
 	case s.Interruption == Disconnected && s.Reattaches < MaxReattaches:
 		return Decision{Reattach, 0, "the connection broke"}
+	case s.Interruption == Stalled && s.CanWait && (s.Attempts >= s.maxAttempts() || !s.HasBudget):
+		return Decision{Wait, 0, "the endpoint is silent, and no other may go on"}
 	case !confirmed && !s.Repeatable:
 		return decideUnconfirmed(s)
 	case s.Attempts >= s.maxAttempts():
--- a/recovery/decide_test.go
+++ b/recovery/decide_test.go
@@ -26,6 +26,7 @@
 		MayHaveRun:   rapid.Bool().Draw(t, "ran"),
 		Expired:      rapid.Bool().Draw(t, "expired"),
 		HasBudget:    rapid.Bool().Draw(t, "budget"),
+		CanWait:      rapid.Bool().Draw(t, "can wait"),
 	}
 	if s.Interruption != recovery.Refused && s.Interruption != recovery.Unreachable && s.Interruption != recovery.NeverSeen {
 		s.MayHaveRun = true
@@ -54,6 +55,24 @@
 	})
 }
 
+// Guards against silence that is taken for the end of an endpoint: a request that can wait for a silent attempt fails only
+// at its deadline, and waits only for a silent one.
+func TestSilenceEndsNoRequest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawState(t)
+		d := recovery.Decide(s)
+		if s.Interruption == recovery.Stalled && s.CanWait && !s.Expired {
+			require.NotEqual(t, recovery.Fail, d.Step, "%+v", s)
+		}
+		if d.Step == recovery.Wait {
+			require.True(t, s.Interruption == recovery.Stalled && s.CanWait && !s.Expired, "%+v", s)
+		}
+		if s.Attempts >= recovery.MaxAttempts {
+			require.NotEqual(t, recovery.Failover, d.Step, "%+v", s)
+		}
+	})
+}
+
 // A repeatable request that is interrupted again and again fails after a bounded number of steps.
 func TestRecoveryIsBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/stream/run.go
+++ b/stream/run.go
@@ -112,6 +112,8 @@
 			r.reattaches++
 			wait.For(c, reattachBackOff<<r.reattaches)
 			e, b = r.reattach(c)
+		case recovery.Wait:
+			e, b = r.reattach(c)
 		case recovery.Stop:
 			e, b = r.stopAttempt(c)
 		case recovery.Failover:
@@ -134,14 +136,14 @@
 	}
 	st := recovery.State{
 		Interruption: b, Repeatable: r.s.Repeatable, Reattaches: r.reattaches, Attempts: r.attempt, MayHaveRun: r.mayHaveRun,
-		Expired: c.Err() != nil, HasBudget: true,
+		Expired: c.Err() != nil, HasBudget: !r.maybeAdopted, CanWait: true,
 	}
 	d := recovery.Decide(st)
 	if d.Step == recovery.Failover && b != recovery.Halted {
 		st.HasBudget = r.k.allowRetry(r.s.Account)
 		d = recovery.Decide(st)
 	}
-	if r.maybeAdopted && d.Step != recovery.Reattach {
+	if r.maybeAdopted && d.Step != recovery.Reattach && d.Step != recovery.Wait {
 		d = recovery.Decision{Step: recovery.Fail, Kind: errkind.OutcomeUnknown, Reason: "a peer may have taken the stream over"}
 	}
 	r.logDecision("recover", d.Reason)
