Keep the calls on a connection to a peer that is paused

Streams that one box relays from another ended with "peer left" although both boxes lived. When a call to a paused box timed out, as the probes of members do within 0.4 s, the client closed the connection after 0.9 s without a frame, and with it all other calls and streams on it.

TestPausedPeerKeepsCalls (a call in progress, three pauses) failed with "peer left" and passes.

A silent connection is now only retired: new calls take another one, those in progress stay. It is closed with its last call, or when it leaves a ping unanswered for two rounds of 0.9 s while a newer connection to the same peer answers after each: then it is dead, and its calls end (TestDeadConnectionEndsCalls). A paused peer answers on neither.

--- a/peer/client.go
+++ b/peer/client.go
@@ -17,11 +17,20 @@
 const dialTimeout = time.Second
 
 // maxSilence is how long a connection with pending calls may deliver no frame. After that,
-// it is closed when one of the calls is cancelled or times out. A connection can die without
-// a reset, which TCP detects only after minutes. The limit is longer than a busy box takes
-// to answer; a dead connection makes two rounds of half a second fail.
+// it is retired when one of the calls is cancelled or times out: it gets no further calls. A
+// connection can die without a reset, which TCP detects only after minutes. The limit is
+// longer than a busy box takes to answer; a dead connection makes two rounds of half a second
+// fail.
 const maxSilence = 900 * time.Millisecond
 
+// minSilentRounds is how many rounds of maxSilence a retired connection must not answer a ping,
+// while another one to the same peer answers after each, to be closed with its calls. Without
+// the other one's answers the peer may be paused.
+const minSilentRounds = 2
+
+// methodPing is a call that every peer answers at once.
+const methodPing = "peer.ping"
+
 // Client calls peers by address. It keeps one connection to each peer and multiplexes
 // the calls on it. It is safe for concurrent use.
 type Client struct {
@@ -29,6 +38,7 @@
 	local  *net.TCPAddr
 	mu     sync.Mutex
 	links  map[string]*link
+	old    map[*link]string // retired connections with pending calls, and their addresses
 	group  sync.WaitGroup
 }
 
@@ -40,13 +50,18 @@
 	calls  map[uint64]*inbox
 	done   chan struct{}
 
+	// retired is whether the connection gets no further calls. It is closed after the last one.
+	retired bool
+
 	// waitingSince is when the first call since the last received frame was made; zero
 	// if there was none.
 	waitingSince time.Time
 }
 
 // NewClient returns a client without connections.
-func NewClient(secret string) *Client { return &Client{secret: secret, links: map[string]*link{}} }
+func NewClient(secret string) *Client {
+	return &Client{secret: secret, links: map[string]*link{}, old: map[*link]string{}}
+}
 
 // Call makes a call and decodes its result into out, unless out is nil. Errors are
 // those of Stream.
@@ -83,7 +98,7 @@
 		select {
 		case <-answers.ready:
 		case <-x.Done():
-			l.closeIfSilent()
+			c.retireIfSilent(address, l)
 			_ = l.conn.Write(frame.Message{ID: id, Type: frame.Cancel}, writeTimeout)
 			return x.Err()
 		case <-l.done:
@@ -167,6 +182,9 @@
 	for _, l := range c.links {
 		n += l.conn.Bytes.Load()
 	}
+	for l := range c.old {
+		n += l.conn.Bytes.Load()
+	}
 	return n
 }
 
@@ -176,6 +194,9 @@
 	for _, l := range c.links {
 		l.conn.Close()
 	}
+	for l := range c.old {
+		l.conn.Close()
+	}
 	c.mu.Unlock()
 	c.group.Wait()
 }
@@ -200,9 +221,47 @@
 	}
 	c.links[address] = l
 	c.group.Go(func() { c.readLoop(address, l) })
+	for o, a := range c.old {
+		if a == address {
+			c.group.Go(func() { closeIfDead(o, l) })
+		}
+	}
 	return l, nil
 }
 
+// retireIfSilent retires a connection that has been silent for maxSilence.
+func (c *Client) retireIfSilent(address string, l *link) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.links[address] != l || !l.retireIfSilent() {
+		return
+	}
+	delete(c.links, address)
+	c.old[l] = address
+}
+
+// closeIfDead closes a retired connection if it answers nothing while a newer one to the same peer does.
+func closeIfDead(old, newer *link) {
+	pong, end := old.ping()
+	defer end()
+	for range minSilentRounds {
+		t := time.NewTimer(maxSilence)
+		select {
+		case <-pong:
+			t.Stop()
+			return
+		case <-old.done:
+			t.Stop()
+			return
+		case <-t.C:
+		}
+		if !newer.answersPing() {
+			return
+		}
+	}
+	old.conn.Close()
+}
+
 func (c *Client) dial(x context.Context, address string) (*link, error) {
 	f, err := c.dialFrames(x, address)
 	if err == nil {
@@ -240,7 +299,10 @@
 func (c *Client) readLoop(address string, l *link) {
 	defer func() {
 		c.mu.Lock()
-		delete(c.links, address)
+		if c.links[address] == l {
+			delete(c.links, address)
+		}
+		delete(c.old, l)
 		c.mu.Unlock()
 		l.conn.Close()
 		close(l.done)
@@ -299,21 +361,46 @@
 	return l.lastID, b
 }
 
+// closeCall ends a call. The last one closes a retired connection.
 func (l *link) closeCall(id uint64) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	delete(l.calls, id)
+	unused := l.retired && len(l.calls) == 0
+	l.mu.Unlock()
+	if unused {
+		l.conn.Close()
+	}
 }
 
-// closeIfSilent closes the connection if calls have been pending for maxSilence without
-// a frame from the remote side.
-func (l *link) closeIfSilent() {
+// retireIfSilent makes the connection a retired one if calls have been pending for maxSilence
+// without a frame from the remote side, and reports whether it did.
+func (l *link) retireIfSilent() bool {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	silent := !l.waitingSince.IsZero() && time.Since(l.waitingSince) >= maxSilence
-	l.mu.Unlock()
-	if silent {
+	l.retired = l.retired || silent
+	return silent
+}
+
+// ping makes a call of methodPing. The channel receives an item when it is answered; end ends the call.
+func (l *link) ping() (pong <-chan struct{}, end func()) {
+	id, b := l.openCall()
+	if err := l.conn.Write(frame.Message{ID: id, Type: frame.Call, Method: methodPing}, writeTimeout); err != nil {
 		l.conn.Close()
 	}
+	return b.ready, func() { l.closeCall(id) }
+}
+
+// answersPing waits for the answer to a ping. It returns false if the connection ends before.
+func (l *link) answersPing() bool {
+	pong, end := l.ping()
+	defer end()
+	select {
+	case <-pong:
+		return true
+	case <-l.done:
+		return false
+	}
 }
 
 // deliver passes a frame to its call, or drops it if the call has ended.
--- a/peer/client_test.go
+++ b/peer/client_test.go
@@ -4,29 +4,33 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"birchlink.dev/birchlink/errkind"
 	"birchlink.dev/birchlink/peer"
 )
 
 // proxy forwards connections to a server. After silence, the open connections deliver nothing
-// and are not reset; later connections work.
+// and are not reset; later connections work. Between pause and its result, nothing is delivered.
 type proxy struct {
 	net.Listener
 	target       string
 	silencedUpTo atomic.Int64 // connections numbered up to this one deliver nothing
 	opened       atomic.Int64
+	release      chan struct{} // ends the calls that wait
+	paused       sync.RWMutex  // held while nothing is delivered
 }
 
 func newProxy(t *testing.T, target string) *proxy {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	p := &proxy{Listener: l, target: target}
+	p := &proxy{Listener: l, target: target, release: make(chan struct{})}
 	t.Cleanup(func() { _ = l.Close() })
 	go p.accept()
 	return p
@@ -61,7 +65,10 @@
 		if n <= p.silencedUpTo.Load() {
 			continue
 		}
-		if _, err := to.Write(b[:got]); err != nil {
+		p.paused.RLock()
+		_, err = to.Write(b[:got])
+		p.paused.RUnlock()
+		if err != nil {
 			return
 		}
 	}
@@ -69,6 +76,11 @@
 
 func (p *proxy) silence() { p.silencedUpTo.Store(p.opened.Load()) }
 
+func (p *proxy) pause() (resume func()) {
+	p.paused.Lock()
+	return p.paused.Unlock
+}
+
 // callEcho reports whether an echo call succeeds within 200 ms.
 func callEcho(t *testing.T, c *peer.Client, address string) bool {
 	t.Helper()
@@ -81,15 +93,26 @@
 // connect returns a client that has called a server through the returned proxy.
 func connect(t *testing.T) (*proxy, *peer.Client) {
 	t.Helper()
-	s := peer.NewServer("secret")
+	s, p := peer.NewServer("secret"), (*proxy)(nil)
 	peer.Handle(s, "echo", func(_ context.Context, in string) (string, error) { return in, nil })
+	s.Handle("wait", func(c context.Context, _ []byte, send func(any) error) (any, error) {
+		if err := send("begun"); err != nil {
+			return nil, err
+		}
+		select {
+		case <-p.release:
+			return "ended", nil
+		case <-c.Done():
+			return nil, c.Err()
+		}
+	})
 	peer.Handle(s, "hang", func(c context.Context, _ string) (string, error) {
 		<-c.Done()
 		return "", io.EOF
 	})
 	require.NoError(t, s.Listen("127.0.0.1:0"))
 	t.Cleanup(s.Close)
-	p := newProxy(t, s.Address())
+	p = newProxy(t, s.Address())
 	c := peer.NewClient("secret")
 	t.Cleanup(c.Close)
 	require.Eventually(t, func() bool { return callEcho(t, c, p.Addr().String()) }, 30*time.Second, time.Millisecond)
@@ -118,3 +141,48 @@
 	}
 	require.Equal(t, opened, p.opened.Load())
 }
+
+// beginCall begins a call that waits until the proxy's release, and returns the channel for its result.
+func beginCall(t *testing.T, p *proxy, c *peer.Client) <-chan error {
+	t.Helper()
+	begun, ended := make(chan struct{}), make(chan error, 1)
+	go func() {
+		var out string
+		err := c.Stream(t.Context(), p.Addr().String(), "wait", "", &out, func([]byte) error {
+			close(begun)
+			return nil
+		})
+		if err == nil && out != "ended" {
+			err = io.ErrUnexpectedEOF
+		}
+		ended <- err
+	}()
+	<-begun
+	return ended
+}
+
+// Guards against a peer that is paused for longer than maxSilence being taken for dead: calls that time out in the pause must
+// not end the others on the connection.
+func TestPausedPeerKeepsCalls(t *testing.T) {
+	p, c := connect(t)
+	address, opened := p.Addr().String(), p.opened.Load()
+	ended := beginCall(t, p, c)
+	for range 3 {
+		resume := p.pause()
+		require.Eventually(t, func() bool { callEcho(t, c, address); return p.opened.Load() > opened }, 30*time.Second, time.Millisecond)
+		resume()
+		require.Eventually(t, func() bool { return callEcho(t, c, address) }, 30*time.Second, time.Millisecond)
+		opened = p.opened.Load()
+	}
+	close(p.release)
+	require.NoError(t, <-ended)
+}
+
+// The calls of a connection that has died without a reset end once another one to the same peer works.
+func TestDeadConnectionEndsCalls(t *testing.T) {
+	p, c := connect(t)
+	ended := beginCall(t, p, c)
+	p.silence()
+	require.Eventually(t, func() bool { return callEcho(t, c, p.Addr().String()) }, 30*time.Second, time.Millisecond)
+	require.True(t, errkind.Is(<-ended, errkind.Unavailable))
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -49,10 +49,11 @@
 	cancel     context.CancelFunc
 }
 
-// NewServer returns a server without handlers.
+// NewServer returns a server that answers only pings.
 func NewServer(secret string) *Server {
+	ping := func(context.Context, []byte, func(any) error) (any, error) { return struct{}{}, nil }
 	return &Server{
-		secret: secret, handlers: map[string]Handler{}, takeovers: map[string]TakeoverFunc{}, semaphores: map[string]chan struct{}{}, conns: map[*frame.Conn]bool{},
+		secret: secret, handlers: map[string]Handler{methodPing: ping}, takeovers: map[string]TakeoverFunc{}, semaphores: map[string]chan struct{}{}, conns: map[*frame.Conn]bool{},
 	}
 }
 
