End a call's handshake with the call

A call to a paused peer without a connection lasted for the 2 s of the handshake's own timeout, however short its context was. TestHandshakeEndsWithCall failed with that timeout in place of the context's error, and passes: the connection is closed when the context ends, as for connections that are taken over.

--- a/peer/client.go
+++ b/peer/client.go
@@ -115,14 +115,7 @@
 func (c *Client) Takeover(x context.Context, address, method string, in, out any) (*frame.Conn, error) {
 	f, err := c.dialFrames(x, address)
 	if err == nil {
-		stop := context.AfterFunc(x, func() { f.Close() })
-		err = c.takeOver(f, method, in, out)
-		if !stop() {
-			err = x.Err()
-		}
-		if err != nil {
-			f.Close()
-		}
+		err = closeOnError(x, f, func() error { return c.takeOver(f, method, in, out) })
 	}
 	if err != nil {
 		return nil, &errkind.Error{Kind: errkind.Unavailable, Message: "peer " + address, Err: err}
@@ -130,6 +123,20 @@
 	return f, nil
 }
 
+// closeOnError calls a function that uses a connection, and closes the connection if the function fails or the
+// context ends before it returns.
+func closeOnError(x context.Context, f *frame.Conn, use func() error) error {
+	stop := context.AfterFunc(x, func() { f.Close() })
+	err := use()
+	if !stop() {
+		err = x.Err()
+	}
+	if err != nil {
+		f.Close()
+	}
+	return err
+}
+
 func (c *Client) takeOver(f *frame.Conn, method string, in, out any) error {
 	if err := c.handshake(f); err != nil {
 		return err
@@ -265,7 +272,7 @@
 func (c *Client) dial(x context.Context, address string) (*link, error) {
 	f, err := c.dialFrames(x, address)
 	if err == nil {
-		err = c.handshake(f)
+		err = closeOnError(x, f, func() error { return c.handshake(f) })
 	}
 	if err != nil {
 		return nil, err
@@ -285,11 +292,10 @@
 	return frame.New(n), nil
 }
 
-// handshake authenticates both sides. It closes the connection if that fails.
+// handshake authenticates both sides.
 func (c *Client) handshake(f *frame.Conn) error {
 	_ = f.NetConn().SetReadDeadline(time.Now().Add(handshakeTimeout))
 	if err := clientHandshake(f, c.secret); err != nil {
-		f.Close()
 		return err
 	}
 	return f.NetConn().SetReadDeadline(time.Time{})
--- a/peer/client_test.go
+++ b/peer/client_test.go
@@ -186,3 +186,24 @@
 	require.Eventually(t, func() bool { return callEcho(t, c, p.Addr().String()) }, 30*time.Second, time.Millisecond)
 	require.True(t, errkind.Is(<-ended, errkind.Unavailable))
 }
+
+// Guards against calls that last for the whole timeout of a handshake with a paused peer although they end earlier.
+func TestHandshakeEndsWithCall(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	x, cancel := context.WithCancel(t.Context())
+	go func() {
+		n, err := l.Accept()
+		if err != nil {
+			return
+		}
+		// The hello has arrived, so the client waits for the answer.
+		_, _ = n.Read(make([]byte, 1))
+		cancel()
+	}()
+	c := peer.NewClient("secret")
+	t.Cleanup(c.Close)
+	err = c.Call(x, l.Addr().String(), "echo", "a", nil)
+	require.ErrorIs(t, err, context.Canceled)
+}
