Keep a tunnel whose endpoint is silent for longer than 30 s

A box in the middle reset a tunnel that had passed nothing for 30 s, which ends the answer of a request whose route or caller allows more while its endpoint works on it. The limit was there for near ends that vanish, and assumed that callers wait less.

TestSilentEndpointKeepsTunnel fails at silences of 31 s and 10 min before, and passes (fake clock).

The near end ends each request at its deadline and closes idle tunnels after a second, so that the far end needs no clock of its own. A near end that vanishes without a reset is found by keep-alive probes after 30 s, which the system of a paused process answers.

--- a/tunnel/service.go
+++ b/tunnel/service.go
@@ -37,10 +37,6 @@
 	// of the descriptors of a small box.
 	maxTunnels = 256
 
-	// maxIdle is how long a tunnel may pass nothing before it is closed. It exceeds the time that
-	// callers wait.
-	maxIdle = 30 * time.Second
-
 	// lingerTimeout is how long the far end waits for the near end to close the tunnel after the
 	// endpoint has closed it. A connection that is closed with unread bytes is reset, and the
 	// last bytes of the response may be lost.
@@ -50,6 +46,10 @@
 	bufferSize = 16 << 10
 )
 
+// keepAlive closes a tunnel whose near end has vanished without a reset, after 30 s. A tunnel that passes
+// nothing may wait for its endpoint, for as long as the caller does.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 10 * time.Second, Interval: 5 * time.Second, Count: 4}
+
 // Outcome is the result of an attempt to connect to an endpoint through another box.
 type Outcome int
 
@@ -203,6 +203,9 @@
 		reset(n)
 		return
 	}
+	if t, ok := f.NetConn().(*net.TCPConn); ok {
+		_ = t.SetKeepAliveConfig(keepAlive)
+	}
 	s.track(f, true)
 	defer s.track(f, false)
 	pass(c, f, n)
@@ -250,12 +253,10 @@
 func pass(c context.Context, f *frame.Conn, n net.Conn) {
 	stop := context.AfterFunc(c, func() { f.Close() })
 	defer stop()
-	timer := time.AfterFunc(maxIdle, func() { f.Close() })
-	defer timer.Stop()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		passBack(f, n, timer)
+		passBack(f, n)
 		_ = f.NetConn().SetReadDeadline(time.Now().Add(lingerTimeout))
 	}()
 	for {
@@ -263,7 +264,6 @@
 		if err != nil {
 			break
 		}
-		timer.Reset(maxIdle)
 		var b []byte
 		if m.Type != frame.Item || msgpack.Unmarshal(m.Body, &b) != nil {
 			break
@@ -278,12 +278,11 @@
 }
 
 // passBack passes what the endpoint sends to the near end, and how the connection ended.
-func passBack(f *frame.Conn, n net.Conn, timer *time.Timer) {
+func passBack(f *frame.Conn, n net.Conn) {
 	b := make([]byte, bufferSize)
 	for {
 		k, err := n.Read(b)
 		if k > 0 {
-			timer.Reset(maxIdle)
 			if writeData(f, b[:k]) != nil {
 				reset(n)
 				return
