Do not let a hangup end a box of the own interface

The script stop_hangup failed at its second signal ("os: process already finished") and passes. The signal is ignored: these settings can't change while the box runs.

--- a/cmd/birchlinkd/main.go
+++ b/cmd/birchlinkd/main.go
@@ -52,6 +52,8 @@
 		fmt.Println("settings are in order")
 		return nil
 	}
+	// A hangup would end the process and its requests. The settings can't change while it runs.
+	signal.Ignore(syscall.SIGHUP)
 	d, err := daemon.New(s, os.Stderr)
 	if err != nil {
 		return err
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -38,9 +38,9 @@
 	testscript.Run(t, testscript.Params{Dir: "testdata/quick", Setup: setup, Cmds: commands})
 }
 
-// signal BOX KILL|STOP|CONT|TERM
+// signal BOX KILL|STOP|CONT|TERM|HUP
 func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
-	s := map[string]syscall.Signal{"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM}[args[1]]
+	s := map[string]syscall.Signal{"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM, "HUP": syscall.SIGHUP}[args[1]]
 	w := environmentOf(ts)
 	if s == syscall.SIGKILL {
 		if err := w.SaveAudit(w.c, args[0]); err != nil {
