Take memory for frames as their bytes arrive, and read only small ones in the handshake

Any process that reached the port of peers could take 10 MB of a box with four bytes: the length of a frame was allocated before its bytes arrived, also in the handshake, where no secret is known yet. 28 connections took all of a box of 284 MB for the two seconds of the handshake.

Frames are read in steps that double, so that memory follows what was sent, and the handshake reads frames of up to 512 bytes: a proof has a nonce of 16 bytes and a MAC of 32.

--- a/frame/conn.go
+++ b/frame/conn.go
@@ -18,6 +18,10 @@
 // MaxSize is the maximum size of an encoded message, in bytes, without the length prefix.
 const MaxSize = 10 << 20
 
+// stepBytes is the memory that is taken for a frame before any of its bytes arrive. It is doubled whenever it
+// is full.
+const stepBytes = 64 << 10
+
 // headerBytes is the size of the length prefix of a frame.
 const headerBytes = 4
 
@@ -84,8 +88,11 @@
 }
 
 // Read reads the next message.
-func (c *Conn) Read() (Message, error) {
-	m, n, err := Decode(c.r)
+func (c *Conn) Read() (Message, error) { return c.ReadUpTo(MaxSize) }
+
+// ReadUpTo reads the next message. It fails if the encoded message is larger than limit, in bytes.
+func (c *Conn) ReadUpTo(limit int) (Message, error) {
+	m, n, err := decode(c.r, limit)
 	c.Bytes.Add(int64(n))
 	return m, err
 }
@@ -104,17 +111,19 @@
 
 // Decode reads one frame. It returns the message and the size of its frame in bytes, which is 0
 // on an error. A frame with a length over MaxSize is an error.
-func Decode(r io.Reader) (Message, int, error) {
+func Decode(r io.Reader) (Message, int, error) { return decode(r, MaxSize) }
+
+func decode(r io.Reader, limit int) (Message, int, error) {
 	var h [headerBytes]byte
 	if _, err := io.ReadFull(r, h[:]); err != nil {
 		return Message{}, 0, fmt.Errorf("read frame: %w", err)
 	}
 	n := binary.BigEndian.Uint32(h[:])
-	if n > MaxSize {
-		return Message{}, 0, fmt.Errorf("frame of %d bytes is over %d", n, MaxSize)
+	if int64(n) > int64(limit) {
+		return Message{}, 0, fmt.Errorf("frame of %d bytes is over %d", n, limit)
 	}
-	b := make([]byte, n)
-	if _, err := io.ReadFull(r, b); err != nil {
+	b, err := readN(r, int(n))
+	if err != nil {
 		return Message{}, 0, fmt.Errorf("read frame: %w", err)
 	}
 	var m Message
@@ -123,3 +132,16 @@
 	}
 	return m, headerBytes + int(n), nil
 }
+
+// readN reads n bytes. The memory that it takes is in proportion to the bytes that arrive.
+func readN(r io.Reader, n int) ([]byte, error) {
+	b := make([]byte, 0, min(n, stepBytes))
+	for {
+		k, err := io.ReadFull(r, b[len(b):cap(b)])
+		b = b[:len(b)+k]
+		if err != nil || len(b) == n {
+			return b, err
+		}
+		b = append(make([]byte, 0, min(n, 2*cap(b))), b...)
+	}
+}
--- a/peer/auth.go
+++ b/peer/auth.go
@@ -16,6 +16,7 @@
 const (
 	nonceBytes       = 16
 	handshakeTimeout = 2 * time.Second
+	maxHelloBytes    = 512 // more than twice an encoded proof
 	serverRole       = "server"
 	clientRole       = "client"
 )
@@ -57,7 +58,7 @@
 
 func readProof(c *frame.Conn) (proof, error) {
 	var p proof
-	m, err := c.Read()
+	m, err := c.ReadUpTo(maxHelloBytes)
 	if err != nil {
 		return p, err
 	}
