Bound the memory of callers' bodies together, and refuse those that have no room at once

A body may have 16 MB, and there was no bound on all bodies together: 18 callers that send large ones, whole or without their last byte for 20 s, take more than a box of 284 MB has, and all requests of the box are lost with it.

Cause: each body was read with io.ReadAll, bounded only by itself.

Bodies now take their memory from a budget of 64 MB as their bytes arrive, so that announcing a large body takes none. One that has no room is refused while it is being sent, with 503 box_full, not run, and Retry-After; bodies of up to 64 KB have a further 8 MB, so that ordinary requests are served meanwhile. A body of 16 MB passes alone, also while its buffer is doubled. The limit of a body in the configuration no longer lifts the one of the box.

--- a/errkind/kind.go
+++ b/errkind/kind.go
@@ -41,6 +41,7 @@
 	ConfigInvalid
 	Unavailable
 	Moved
+	BoxFull
 	kindCount
 )
 
@@ -97,6 +98,7 @@
 	ConfigInvalid:      {"config_invalid", http.StatusUnprocessableEntity, NotRun, false},
 	Unavailable:        {"unavailable", http.StatusServiceUnavailable, Unknown, true},
 	Moved:              {"moved", http.StatusServiceUnavailable, Ran, true},
+	BoxFull:            {"box_full", http.StatusServiceUnavailable, NotRun, true},
 }
 
 // statusCallerGone is never sent, because the caller has disconnected. 499 is the status that nginx
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -22,6 +22,7 @@
 	"birchlink.dev/birchlink/fleetstate"
 	"birchlink.dev/birchlink/forward"
 	"birchlink.dev/birchlink/kernel"
+	"birchlink.dev/birchlink/membudget"
 	"birchlink.dev/birchlink/origin"
 	"birchlink.dev/birchlink/quota"
 	"birchlink.dev/birchlink/storesession"
@@ -96,6 +97,8 @@
 	readyListener  net.Listener
 	stopping       atomic.Bool
 	inFlight       atomic.Int64
+	bodies         membudget.Budget // held bodies
+	smallBodies    membudget.Budget // held small bodies for which there was no other room
 	closing        context.Context
 	cancelRequests context.CancelCauseFunc
 }
@@ -103,6 +106,7 @@
 // New returns an Ingress.
 func New(o Options, codec Codec, f *forward.Forwarder, l RateLimiter, s Origins, m metrics.Registry, log zerolog.Logger) *Ingress {
 	i := &Ingress{Options: o, Codec: codec, Limiter: l, Origins: s, forwarder: f, metrics: m, log: log}
+	i.bodies.Total, i.smallBodies.Total = maxHeldBytes, reservedBytes
 	i.closing, i.cancelRequests = context.WithCancelCause(context.Background())
 	return i
 }
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -44,7 +43,9 @@
 	}
 	q, err := i.resolve(cl)
 	if err == nil {
-		err = i.readBody(w, r, cl)
+		var release func()
+		release, err = i.readBody(w, r, cl)
+		defer release()
 	}
 	if err == nil {
 		err = i.findOrigin(r.Context(), &q)
@@ -150,32 +151,6 @@
 	return shares[0].Service
 }
 
-// readBody reads the request body into c.
-func (i *Ingress) readBody(w http.ResponseWriter, r *http.Request, c *call.Call) error {
-	limit := int64(maxBodyBytes)
-	if n := i.state.Table().Document.Limits.BodyBytes; n > 0 {
-		limit = int64(n)
-	}
-	if r.ContentLength > limit {
-		return errkind.New(errkind.TooLarge, "the body is over %d bytes", limit)
-	}
-	if r.ContentLength == 0 {
-		return nil
-	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
-	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return errkind.New(errkind.TooLarge, "the body is over %d bytes", limit)
-	case err != nil:
-		return errkind.New(errkind.BadRequest, "the body was not read: %w", err)
-	}
-	c.Body = b
-	return nil
-}
-
 // logAnswered logs and counts a request whose response was sent.
 func (i *Ingress) logAnswered(q forward.Request, status int, t forward.Trace) {
 	d := boottime.Since(q.Call.Arrived)
