End callers' and readiness connections whose bodies never come or whose answers are not read

A caller whose request was refused before its body was read (unknown key or route, no configuration) and whose body never came got no answer, and held its connection and a request in progress for ever: a shutdown waited for it until its timeout. The same held for refusals that are not read, and for readiness connections that are idle, send no body or do not read.

Cause: net/http reads the rest of a body before it answers, and the read deadline was set only when the body was read; error responses had no write deadline, and the readiness server only a bound on the time for heads, which may have 1 MB there.

The deadlines are now set before anything else is done, and the readiness server has bounds on all of its times and on heads.

--- a/ingress/body.go
+++ b/ingress/body.go
@@ -69,7 +69,7 @@
 	}
 }
 
-// readBody reads the request body into c. The caller must call the returned function when the request has ended.
+// readBody reads the request body into c, until the read deadline that serve has set, and removes that. The caller must call the returned function when the request has ended.
 func (i *Ingress) readBody(w http.ResponseWriter, r *http.Request, c *call.Call) (release func(), err error) {
 	limit := int64(maxBodyBytes)
 	if n := i.state.Table().Document.Limits.BodyBytes; n > 0 {
@@ -85,7 +85,6 @@
 	if r.ContentLength > 0 {
 		size = r.ContentLength
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
 	var b body
 	err = b.read(i, http.MaxBytesReader(w, r.Body, limit), int(size))
 	if err == nil {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -41,6 +41,8 @@
 	bodyTimeout    = 20 * time.Second
 	writeTimeout   = 5 * time.Second
 	maxBodyBytes   = 16 << 20
+
+	maxReadyHeaderBytes = 4 << 10
 )
 
 // Codec translates between the platform's HTTP headers and calls.
@@ -120,18 +122,25 @@
 	if err != nil {
 		return err
 	}
+	i.setServers()
+	if i.listener, err = i.listen(i.server, i.Address); err != nil {
+		return err
+	}
+	i.readyListener, err = i.listen(i.readyServer, i.ReadyAddress)
+	return err
+}
+
+// setServers sets the servers of callers and of readiness checks.
+func (i *Ingress) setServers() {
 	i.server = &http.Server{
 		Handler: http.HandlerFunc(i.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: nil,
 	}
 	r := mux.NewRouter()
 	r.HandleFunc(i.ReadyPath, i.serveReady)
-	i.readyServer = &http.Server{Handler: r, ReadHeaderTimeout: headerTimeout}
-	if i.listener, err = i.listen(i.server, i.Address); err != nil {
-		return err
+	i.readyServer = &http.Server{
+		Handler: r, ReadTimeout: headerTimeout, WriteTimeout: writeTimeout + headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxReadyHeaderBytes,
 	}
-	i.readyListener, err = i.listen(i.readyServer, i.ReadyAddress)
-	return err
 }
 
 func (i *Ingress) listen(s *http.Server, address string) (net.Listener, error) {
