Bound the answers of peers that wait to be read

A peer that sends items without end, or faster than a slow caller of this box reads them, filled the box's memory: the queue of a call's frames had no limit, and relied on the handlers of the other box.

The frames that a client has queued for all of its calls now have a budget of 24 MB, two of the largest answers and some. A call whose frame has no room fails as unavailable and is cancelled; the other calls of the connection go on, as before, and nothing of an answer is passed on with a gap.

--- a/peer/client.go
+++ b/peer/client.go
@@ -11,6 +11,7 @@
 
 	"birchlink.dev/birchlink/errkind"
 	"birchlink.dev/birchlink/frame"
+	"birchlink.dev/birchlink/membudget"
 )
 
 // dialTimeout bounds the TCP connection setup.
@@ -22,6 +23,10 @@
 // to answer; a dead connection makes two rounds of half a second fail.
 const maxSilence = 900 * time.Millisecond
 
+// maxQueuedBytes bounds the frames that a client has received for its calls and that these have not read. It has
+// room for two of the largest answers.
+const maxQueuedBytes = 2*frame.MaxSize + 4<<20
+
 // Client calls peers by address. It keeps one connection to each peer and multiplexes
 // the calls on it. It is safe for concurrent use.
 type Client struct {
@@ -29,12 +34,14 @@
 	local  *net.TCPAddr
 	mu     sync.Mutex
 	links  map[string]*link
+	queued membudget.Budget // queued frames of all links
 	group  sync.WaitGroup
 }
 
 // link is a connection with its pending calls.
 type link struct {
 	conn   *frame.Conn
+	queued *membudget.Budget
 	mu     sync.Mutex
 	lastID uint64
 	calls  map[uint64]*inbox
@@ -46,7 +53,9 @@
 }
 
 // NewClient returns a client without connections.
-func NewClient(secret string) *Client { return &Client{secret: secret, links: map[string]*link{}} }
+func NewClient(secret string) *Client {
+	return &Client{secret: secret, links: map[string]*link{}, queued: membudget.Budget{Total: maxQueuedBytes}}
+}
 
 // Call makes a call and decodes its result into out, unless out is nil. Errors are
 // those of Stream.
@@ -56,8 +65,8 @@
 
 // Stream makes a call, passes each item to onItem, unless that is nil, and decodes the
 // result into out, unless that is nil. An error of onItem ends the call. A connection
-// failure is returned as an error of kind errkind.Unavailable; the call may or may not
-// have taken effect. Errors of the remote handler keep their kind, message and
+// failure is returned as an error of kind errkind.Unavailable, and so is an answer that is sent
+// faster than it is read and for which there is no memory; the call may or may not have taken effect. Errors of the remote handler keep their kind, message and
 // RetryAfter.
 func (c *Client) Stream(x context.Context, address, method string, in, out any, onItem func([]byte) error) error {
 	l, err := c.connect(x, address)
@@ -75,16 +84,21 @@
 		return &errkind.Error{Kind: errkind.Unavailable, Message: "peer " + address, Err: err}
 	}
 	for {
-		for _, m := range answers.drain() {
+		for m, ok := answers.first(); ok; m, ok = answers.first() {
 			if last, err := handleFrame(m, out, onItem); last || err != nil {
 				return err
 			}
+			answers.removeFirst()
+		}
+		if answers.isCut() {
+			l.cancelCall(id)
+			return errkind.New(errkind.Unavailable, "peer %s sends answers faster than they are read", address)
 		}
 		select {
 		case <-answers.ready:
 		case <-x.Done():
 			l.closeIfSilent()
-			_ = l.conn.Write(frame.Message{ID: id, Type: frame.Cancel}, writeTimeout)
+			l.cancelCall(id)
 			return x.Err()
 		case <-l.done:
 			// Handle the frames that arrived before the connection ended.
@@ -211,7 +225,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &link{conn: f, calls: map[uint64]*inbox{}, done: make(chan struct{})}, nil
+	return &link{conn: f, queued: &c.queued, calls: map[uint64]*inbox{}, done: make(chan struct{})}, nil
 }
 
 func (c *Client) dialFrames(x context.Context, address string) (*frame.Conn, error) {
@@ -254,18 +268,33 @@
 	}
 }
 
-// inbox queues the frames of one call, so that a slow reader doesn't block the other
-// calls of the connection. It has no limit of its own; the handler bounds the size of
-// an answer.
+// inbox queues the frames of one call, so that a slow reader doesn't block the other calls of the
+// connection. If the client has no room for a frame, the frame and those after it are dropped, and the
+// call fails.
 type inbox struct {
+	budget *membudget.Budget
+	ready  chan struct{}
+
 	mu     sync.Mutex
 	frames []frame.Message
-	ready  chan struct{}
+	cut    bool // no frames are added any more
+}
+
+// cost returns the memory that a queued frame takes, in bytes.
+func cost(m frame.Message) int64 {
+	const overhead = 256 // the message, its place in the queue and its allocations
+	return int64(len(m.Method)+len(m.Body)) + overhead
 }
 
 func (i *inbox) put(m frame.Message) {
 	i.mu.Lock()
-	i.frames = append(i.frames, m)
+	if !i.cut {
+		if i.budget.Acquire(cost(m)) {
+			i.frames = append(i.frames, m)
+		} else {
+			i.cut = true
+		}
+	}
 	i.mu.Unlock()
 	select {
 	case i.ready <- struct{}{}:
@@ -273,12 +302,40 @@
 	}
 }
 
-func (i *inbox) drain() []frame.Message {
+// first returns the first queued frame, if any. It stays in the queue while it is handled.
+func (i *inbox) first() (frame.Message, bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if len(i.frames) == 0 {
+		return frame.Message{}, false
+	}
+	return i.frames[0], true
+}
+
+func (i *inbox) removeFirst() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.budget.Release(cost(i.frames[0]))
+	i.frames[0] = frame.Message{}
+	i.frames = i.frames[1:]
+}
+
+// isCut reports whether frames were dropped and all before them have been handled.
+func (i *inbox) isCut() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.cut && len(i.frames) == 0
+}
+
+// close drops the queued frames and those that come later.
+func (i *inbox) close() {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	ms := i.frames
+	i.cut = true
+	for _, m := range i.frames {
+		i.budget.Release(cost(m))
+	}
 	i.frames = nil
-	return ms
 }
 
 func (i *inbox) isEmpty() bool {
@@ -294,15 +351,22 @@
 	if l.waitingSince.IsZero() {
 		l.waitingSince = time.Now()
 	}
-	b := &inbox{ready: make(chan struct{}, 1)}
+	b := &inbox{budget: l.queued, ready: make(chan struct{}, 1)}
 	l.calls[l.lastID] = b
 	return l.lastID, b
 }
 
 func (l *link) closeCall(id uint64) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	b := l.calls[id]
 	delete(l.calls, id)
+	l.mu.Unlock()
+	b.close()
+}
+
+// cancelCall tells the remote side to cancel a call.
+func (l *link) cancelCall(id uint64) {
+	_ = l.conn.Write(frame.Message{ID: id, Type: frame.Cancel}, writeTimeout)
 }
 
 // closeIfSilent closes the connection if calls have been pending for maxSilence without
