Bound the calls of peers that a box answers at the same time

A peer that calls without end, or whose calls take long, filled the box's memory: each call in progress kept its argument, of up to 10 MB, and there was no limit on the calls of all connections but of two methods, whose further calls wait and keep theirs too.

The calls in progress now have a budget of 24 MB with 4 KB for each beside its argument. Further ones are refused at once as box_full, not run, to return in a second, and calls are taken again when others have ended.

--- a/peer/server.go
+++ b/peer/server.go
@@ -14,12 +14,22 @@
 
 	"birchlink.dev/birchlink/errkind"
 	"birchlink.dev/birchlink/frame"
+	"birchlink.dev/birchlink/membudget"
 )
 
 // writeTimeout bounds the write of one frame. A connection whose remote side has stopped reading
 // is closed after it.
 const writeTimeout = 5 * time.Second
 
+const (
+	// maxCallBytes bounds the calls that a server answers at the same time: their arguments, and callOverhead for each.
+	maxCallBytes = 2*frame.MaxSize + 4<<20
+	callOverhead = 4 << 10
+
+	// fullRetryAfter is when a call returns for which there was no memory.
+	fullRetryAfter = time.Second
+)
+
 // Handler answers one call. Body is the encoded argument. The handler may send items
 // before it returns the result. C is cancelled when the caller gives up or the
 // connection ends.
@@ -44,6 +54,7 @@
 	takeovers  map[string]TakeoverFunc  // by method
 	semaphores map[string]chan struct{} // limits on concurrent calls, by method
 	conns      map[*frame.Conn]bool
+	calls      membudget.Budget // calls in progress
 	group      sync.WaitGroup
 	listener   net.Listener
 	cancel     context.CancelFunc
@@ -53,6 +64,7 @@
 func NewServer(secret string) *Server {
 	return &Server{
 		secret: secret, handlers: map[string]Handler{}, takeovers: map[string]TakeoverFunc{}, semaphores: map[string]chan struct{}{}, conns: map[*frame.Conn]bool{},
+		calls: membudget.Budget{Total: maxCallBytes},
 	}
 }
 
@@ -194,6 +206,14 @@
 				return
 			}
 		}
+		cost := int64(len(m.Method)+len(m.Body)) + callOverhead
+		if m.Type == frame.Call && !s.calls.Acquire(cost) {
+			refusal := failure{errkind.BoxFull, "this box answers too many calls", fullRetryAfter}
+			if writeBody(f, m.ID, frame.Fail, refusal) != nil {
+				return
+			}
+			continue
+		}
 		mu.Lock()
 		switch m.Type {
 		case frame.Cancel:
@@ -204,6 +224,7 @@
 			x, stop := context.WithCancel(c)
 			cancels[m.ID] = stop
 			g.Go(func() {
+				defer s.calls.Release(cost)
 				s.handleCall(x, f, m)
 				stop()
 				mu.Lock()
