Send requests through tunnels in frames of 32 KB

A request of more than 10 MB failed whenever its box had to reach the endpoint through another one, though a body may have 16 MB: the near end sent each write as one frame, and the whole request is one write. Smaller ones were held whole, three times over, by the box in between, so that its 256 tunnels could take gigabytes. The test failed before: "frame of bytes is over".

The near end now divides what it writes into frames of 32 KB, so that the far end holds 24 MB for all tunnels and a slow endpoint holds up the near end. Far ends take both sizes, so that boxes of both versions work together.

--- a/tunnel/conn.go
+++ b/tunnel/conn.go
@@ -71,12 +71,17 @@
 	}
 }
 
-// Write sends bytes to the endpoint.
+// Write sends bytes to the endpoint, in as many frames as needed.
 func (c *conn) Write(p []byte) (int, error) {
-	if err := writeData(c.frames, p); err != nil {
-		return 0, err
+	n := 0
+	for len(p) > 0 {
+		k := min(len(p), maxDataBytes)
+		if err := writeData(c.frames, p[:k]); err != nil {
+			return n, err
+		}
+		n, p = n+k, p[k:]
 	}
-	return len(p), nil
+	return n, nil
 }
 
 // SetLinger sets what Close does with bytes that were not sent. If it is zero, the far end of the tunnel
@@ -98,6 +103,9 @@
 	return t.SyscallConn()
 }
 
+// maxDataBytes bounds the bytes that are sent in one frame. The other box holds them until the endpoint has taken them.
+const maxDataBytes = 32 << 10
+
 // writeTimeout bounds the write of one frame.
 const writeTimeout = 5 * time.Second
 
--- a/tunnel/service_test.go
+++ b/tunnel/service_test.go
@@ -1,6 +1,7 @@
 package tunnel_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -253,3 +254,20 @@
 	}
 	require.Equal(t, 256, opened)
 }
+
+// Guards against large requests that fail only where they take a tunnel: 16 MB, the largest body of a call, with its head.
+func TestLargestRequest(t *testing.T) {
+	a, conns := listen(t)
+	near, far := open(t, start(t, start(t)), a, conns)
+	b := bytes.Repeat([]byte("0123456789abcde\n"), 1<<20+100)
+	got := make(chan []byte, 1)
+	go func() {
+		p := make([]byte, len(b))
+		_, _ = io.ReadFull(far, p)
+		got <- p
+	}()
+	n, err := near.Write(b)
+	require.NoError(t, err)
+	require.Equal(t, len(b), n)
+	require.True(t, bytes.Equal(b, <-got))
+}
