Refuse messages of peers that take far more memory or stack to decode than they have bytes

A message of a few bytes could end a box: the decoder of msgpack takes the memory of an array by its announced length (its own limit has no effect on arrays of structs, by a comparison of a flag with 1), and skips nested values by recursion. Five bytes that announce 2 million records took 268 MB, ones that announce 4 thousand million cannot be allocated, and 9 MB of nested arrays ended the process with "stack exceeds-byte limit".

--- a/frame/conn.go
+++ b/frame/conn.go
@@ -152,6 +152,9 @@
 	if err != nil {
 		return Message{}, 0, fmt.Errorf("read frame: %w", err)
 	}
+	if err := Check(b); err != nil {
+		return Message{}, 0, fmt.Errorf("decode frame: %w", err)
+	}
 	var m Message
 	if err := msgpack.Unmarshal(b, &m); err != nil {
 		return Message{}, 0, fmt.Errorf("decode frame: %w", err)
