Refuse packed data of other boxes that is over its limit or announces more than it has

Packed data that unpacks to over 8 MB was cut silently and used as if it were whole, and 30 bytes of packed records could take any amount of memory by an announced length, as frames could.

--- a/gossip/gzip.go
+++ b/gossip/gzip.go
@@ -57,9 +57,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("unpack: %w", err)
 	}
-	text, err := io.ReadAll(io.LimitReader(r, maxUnpackedBytes))
+	text, err := io.ReadAll(io.LimitReader(r, maxUnpackedBytes+1))
 	if err != nil {
 		return nil, fmt.Errorf("unpack: %w", err)
 	}
+	if len(text) > maxUnpackedBytes {
+		return nil, fmt.Errorf("unpack: over %d bytes", maxUnpackedBytes)
+	}
 	return text, nil
 }
--- a/gossip/gzip_test.go
+++ b/gossip/gzip_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -44,3 +45,21 @@
 		}
 	}
 }
+
+// Guards against packed data that unpacks to far more than it has bytes: it must be refused, not cut and used, and so must
+// records whose lengths take memory without bytes.
+func TestBombs(t *testing.T) {
+	const target = 64 << 20
+	large, err := pack(make([]byte, 32<<20))
+	require.NoError(t, err)
+	lengths, err := pack([]byte{0x81, 0xa5, 'I', 't', 'e', 'm', 's', 0xdd, 0, 0x10, 0, 0})
+	require.NoError(t, err)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err = unpack(large)
+	require.Error(t, err)
+	_, err = unpackRecords(lengths)
+	require.Error(t, err)
+	runtime.ReadMemStats(&after)
+	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(target))
+}
--- a/gossip/records.go
+++ b/gossip/records.go
@@ -8,6 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"birchlink.dev/birchlink/fleetstate"
+	"birchlink.dev/birchlink/frame"
 )
 
 // maxPlainRecords is the number of records up to which compression isn't worthwhile.
@@ -77,6 +78,9 @@
 	if err != nil {
 		return r, err
 	}
+	if err := frame.Check(b); err != nil {
+		return r, fmt.Errorf("decode records: %w", err)
+	}
 	if err := msgpack.Unmarshal(b, &r); err != nil {
 		return r, fmt.Errorf("decode records: %w", err)
 	}
