Bound the memory of the heads of callers' requests together

A head may have 64 KB, and takes three to four times that once it is decoded; there was no bound on all heads together. Callers that send large heads without their end, for the 10 s that a head may take, took all of a box: 600 held 120 MB, and a box has descriptors for thousands.

What a head has over 4 KB now takes four times its bytes from a budget of 16 MB until the request has ended. A caller whose head has no room is answered at once, while it is sent, with 503 box_full, not run, and Retry-After. Ordinary heads are shorter than 4 KB and are served whatever others send.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -99,6 +99,7 @@
 	readyListener  net.Listener
 	stopping       atomic.Bool
 	inFlight       atomic.Int64
+	heads          membudget.Budget // held heads of requests
 	bodies         membudget.Budget // held bodies
 	smallBodies    membudget.Budget // held small bodies for which there was no other room
 	closing        context.Context
@@ -108,7 +109,7 @@
 // New returns an Ingress.
 func New(o Options, codec Codec, f *forward.Forwarder, l RateLimiter, s Origins, m metrics.Registry, log zerolog.Logger) *Ingress {
 	i := &Ingress{Options: o, Codec: codec, Limiter: l, Origins: s, forwarder: f, metrics: m, log: log}
-	i.bodies.Total, i.smallBodies.Total = maxHeldBytes, reservedBytes
+	i.heads.Total, i.bodies.Total, i.smallBodies.Total = maxHeldHeadBytes, maxHeldBytes, reservedBytes
 	i.closing, i.cancelRequests = context.WithCancelCause(context.Background())
 	return i
 }
@@ -135,6 +136,11 @@
 	i.server = &http.Server{
 		Handler: http.HandlerFunc(i.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: nil,
+		ConnState: func(c net.Conn, s http.ConnState) {
+			if h, ok := c.(*headConn); ok {
+				h.setState(s)
+			}
+		},
 	}
 	r := mux.NewRouter()
 	r.HandleFunc(i.ReadyPath, i.serveReady)
@@ -148,6 +154,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
+	if s == i.server {
+		l = headListener{l.(*net.TCPListener), &i.heads, i.refuseHead}
+	}
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			i.log.Error().Str("event", "listen").Str("address", address).Err(err).Msg("HTTP server failed")
--- a/ingress/memory_test.go
+++ b/ingress/memory_test.go
@@ -81,3 +81,57 @@
 	b.await(func() bool { return b.InFlight() == 0 })
 	require.Equal(t, http.StatusOK, b.post("/a/x", "k", strings.Repeat("x", bodyBytes)).status)
 }
+
+// Guards against heads that take all memory when many callers send large ones without their end: further ones are refused at
+// once, and requests with ordinary heads are served meanwhile and after.
+func TestLargeHeadsTogether(t *testing.T) {
+	const callers, target, least = 600, 48 << 20, 400
+	b := startBox(t, true)
+	b.await(b.isReady)
+	var line strings.Builder
+	for n := 0; line.Len() < 60<<10; n++ {
+		fmt.Fprintf(&line, "X-Header-%d: some value of a header\r\n", n)
+	}
+	head := []byte("POST /a/x HTTP/1.1\r\nHost: h\r\nId: 1\r\nKey: k\r\n" + line.String())
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var answered sync.WaitGroup
+	answers := make(chan *http.Response, callers)
+	conns := make([]net.Conn, 0, callers)
+	for range callers {
+		n, err := net.Dial("tcp", b.address)
+		require.NoError(t, err)
+		defer n.Close()
+		conns = append(conns, n)
+		_, _ = n.Write(head)
+		answered.Go(func() {
+			if resp, err := http.ReadResponse(bufio.NewReaderSize(n, 16), nil); err == nil {
+				resp.Body.Close()
+				answers <- resp
+			}
+		})
+	}
+	require.Equal(t, http.StatusOK, b.post("/a/x", "k", "").status)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	require.Less(t, int64(after.HeapAlloc)-int64(before.HeapAlloc), int64(target))
+	for range least {
+		resp := <-answers
+		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+		require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	}
+	for _, n := range conns {
+		n.Close()
+	}
+	answered.Wait()
+	n, err := net.Dial("tcp", b.address)
+	require.NoError(t, err)
+	defer n.Close()
+	_, err = n.Write(append(head, "Content-Length: 0\r\n\r\n"...))
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(n), nil)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+}
