--- a/jsonhttp/client.go
+++ b/jsonhttp/client.go
@@ -12,8 +12,11 @@
 	"time"
 )
 
-// MaxBody is the number of bytes after which a request or response body is truncated.
-const MaxBody = 4 << 20
+// MaxBody is the maximum size of a request or response body, in bytes, and MaxHeader that of a response's head.
+const (
+	MaxBody   = 4 << 20
+	MaxHeader = 64 << 10
+)
 
 // CallerHeader is the header that names the caller. Platform services count requests by it.
 const CallerHeader = "Birchlink-Caller"
@@ -28,7 +31,14 @@
 
 // New returns a client for the address host:port that applies timeout to each request.
 func New(address, caller string, timeout time.Duration) *Client {
-	return &Client{Base: "http://" + address, Caller: caller, HTTP: &http.Client{Timeout: timeout}}
+	return &Client{Base: "http://" + address, Caller: caller, HTTP: NewHTTPClient(timeout)}
+}
+
+// NewHTTPClient returns a client that applies timeout to each request and takes heads of responses of up to MaxHeader.
+func NewHTTPClient(timeout time.Duration) *http.Client {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.MaxResponseHeaderBytes = MaxHeader
+	return &http.Client{Timeout: timeout, Transport: t}
 }
 
 // StatusError is the error for a response whose status is not 2xx.
@@ -66,10 +76,13 @@
 }
 
 func decodeResponse(resp *http.Response, out any) error {
-	d, err := io.ReadAll(io.LimitReader(resp.Body, MaxBody))
+	d, err := io.ReadAll(io.LimitReader(resp.Body, MaxBody+1))
 	if err != nil {
 		return fmt.Errorf("read answer: %w", err)
 	}
+	if len(d) > MaxBody {
+		return fmt.Errorf("the answer is over %d bytes", MaxBody)
+	}
 	if resp.StatusCode/100 != 2 {
 		return &StatusError{Status: resp.StatusCode, Body: string(d)}
 	}
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -115,7 +115,7 @@
 	); err != nil {
 		return err
 	}
-	o.http = &jsonhttp.Client{HTTP: &http.Client{Timeout: readTimeout}, Caller: o.members.Self().Box}
+	o.http = &jsonhttp.Client{HTTP: jsonhttp.NewHTTPClient(readTimeout), Caller: o.members.Self().Box}
 	peer.Handle(o.peers.Server, "view.push", o.handlePush)
 	peer.Handle(o.peers.Server, "view.all", o.handleFetch)
 	o.fetchFromAnyPeer(c)
