Bound the heads of engines' and plain services' answers

An engine or plain service that sends a head without end took 10 MB for each attempt, the default of net/http.

--- /dev/null
+++ b/serviceproxy/head_test.go
@@ -0,0 +1,43 @@
+package serviceproxy
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against heads without end, which take 10 MB each by default.
+func TestHeadWithoutEnd(t *testing.T) {
+	const target = 2 << 20
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer c.Close()
+		_, err = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+		line := "X: " + strings.Repeat("y", 1<<10) + "\r\n"
+		for err == nil {
+			_, err = io.WriteString(c, line)
+		}
+	}))
+	defer s.Close()
+	p := New()
+	for _, c := range []*http.Client{p.pooled, p.unpooled} {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		resp, err := c.Get(s.URL)
+		if err == nil {
+			resp.Body.Close()
+		}
+		require.Error(t, err)
+		runtime.ReadMemStats(&after)
+		require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(target))
+	}
+}
--- a/serviceproxy/proxy.go
+++ b/serviceproxy/proxy.go
@@ -24,6 +24,7 @@
 	"birchlink.dev/birchlink/decisions"
 	"birchlink.dev/birchlink/errkind"
 	"birchlink.dev/birchlink/fleet"
+	"birchlink.dev/birchlink/jsonhttp"
 	"birchlink.dev/birchlink/kernel"
 	"birchlink.dev/birchlink/member"
 	"birchlink.dev/birchlink/observer"
@@ -95,10 +96,10 @@
 	// repeatable therefore get a new connection.
 	return &Proxy{
 		pooled: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
-			DialContext: d.DialContext, MaxIdleConnsPerHost: 32, DisableCompression: true,
+			DialContext: d.DialContext, MaxIdleConnsPerHost: 32, DisableCompression: true, MaxResponseHeaderBytes: jsonhttp.MaxHeader,
 		}},
 		unpooled: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
-			DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true,
+			DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: jsonhttp.MaxHeader,
 		}},
 	}
 }
