End connections to the own interface whose bodies never come or whose answers are not read

A caller of the own interface whose request was refused before its body was read, or whose path is not known, got no answer while the body did not come, and held its connection, and for most refusals one of the box's requests in progress, for ever; so did one that does not read an error, a list or a whole answer.

The time for a body now begins with the request, whoever reads it, and all answers have the write deadline that events had. A body of a request to resume a stream is read first, so that the deadline does not end the stream.

--- a/front/chat.go
+++ b/front/chat.go
@@ -110,13 +110,18 @@
 		}
 		from = n
 	}
+	_, release, err := f.readBody(s) // ignored, but its deadline must not end the stream
+	if err != nil {
+		return err
+	}
+	release()
 	id := mux.Vars(s.r)["id"]
 	s.w.Header().Set(RequestIDHeader, id)
 	o := newWriter(s, openai.ChatRequest{Stream: true}, id)
 	o.nextIndex = from
 	c, cancel := f.requestContext(s)
 	defer cancel()
-	err := f.streams.ReadAnywhere(c, id, s.account.Name, from, o.writeToken)
+	err = f.streams.ReadAnywhere(c, id, s.account.Name, from, o.writeToken)
 	return o.finish(closingError(c, err))
 }
 
@@ -126,6 +131,7 @@
 	for _, w := range s.document.Workloads() {
 		m.Data = append(m.Data, openai.Model{ID: w, Object: "model", OwnedBy: "birchlink"})
 	}
+	setWriteDeadline(s.w)
 	jsonhttp.Write(s.w, http.StatusOK, m)
 	return nil
 }
@@ -221,6 +227,7 @@
 		m := &openai.Delta{Role: "assistant", Content: w.text.String()}
 		completion := w.newCompletion("chat.completion", openai.Choice{Message: m, FinishReason: &finishReason})
 		completion.Usage = w.tokenUsage()
+		setWriteDeadline(w.s.w)
 		jsonhttp.Write(w.s.w, http.StatusOK, completion)
 		return nil
 	}
--- a/front/front.go
+++ b/front/front.go
@@ -100,9 +100,7 @@
 	if f.listener, err = net.Listen("tcp", f.Address); err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
-	f.server = &http.Server{
-		Handler: f.routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
+	f.server = f.newServer()
 	go func() {
 		if err := f.server.Serve(f.listener); !errors.Is(err, http.ErrServerClosed) {
 			f.Log.Error().Err(err).Msg("API server failed")
@@ -111,6 +109,20 @@
 	return nil
 }
 
+func (f *Front) newServer() *http.Server {
+	r := f.routes()
+	return &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			if q.ContentLength != 0 {
+				// It also bounds the time for the body of a request that is refused, which net/http reads before it answers.
+				_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
+			}
+			r.ServeHTTP(w, q)
+		}),
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
 // Stop shuts the server down. It first fails the readiness check and keeps accepting requests for
 // ShutdownDelay, then waits for the requests in progress. When ShutdownTimeout expires, it hands the
 // remaining streams over to other boxes and cancels the remaining requests.
@@ -185,6 +197,7 @@
 }
 
 func (f *Front) serveReady(w http.ResponseWriter, _ *http.Request) {
+	setWriteDeadline(w)
 	if err := f.Ready(); err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
@@ -192,6 +205,11 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// setWriteDeadline bounds the time until the caller has read what is written next.
+func setWriteDeadline(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+}
+
 // session is a request of an authenticated account.
 type session struct {
 	id       string
--- a/front/service.go
+++ b/front/service.go
@@ -23,7 +23,7 @@
 // maxTickets is the maximum number of tickets that one request may issue.
 const maxTickets = 100
 
-// readBody reads the request body within the limits of size and time. The caller must call the
+// readBody reads the request body within the limits of size and time, and removes the read deadline. The caller must call the
 // returned function when it has finished with the body.
 func (f *Front) readBody(s *session) ([]byte, func(), error) {
 	if s.r.ContentLength > int64(f.MaxBody) {
@@ -37,7 +37,6 @@
 		return nil, nil, errkind.New(errkind.Overloaded, "too many bodies are held at this box").WithRetryAfter(time.Second)
 	}
 	release := func() { f.bodies.Release(size) }
-	_ = http.NewResponseController(s.w).SetReadDeadline(time.Now().Add(bodyTimeout))
 	b, err := io.ReadAll(http.MaxBytesReader(s.w, s.r.Body, int64(f.MaxBody)))
 	_ = http.NewResponseController(s.w).SetReadDeadline(time.Time{})
 	if err == nil {
@@ -86,7 +85,7 @@
 		w.Header()[k] = vs
 	}
 	w.Header().Set(RunHeader, string(errkind.Ran))
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	setWriteDeadline(w)
 	w.WriteHeader(resp.Status)
 	if _, err := w.Write(resp.Body); err != nil {
 		return errkind.New(errkind.CallerGone, "the caller left: %w", err)
@@ -116,6 +115,7 @@
 	if err != nil {
 		return err
 	}
+	setWriteDeadline(s.w)
 	jsonhttp.Write(s.w, http.StatusOK, map[string][]string{"tickets": ts})
 	return nil
 }
@@ -137,6 +137,7 @@
 	if e.Kind == errkind.Moved {
 		resume = "/v1/requests/" + id + "?from=0"
 	}
+	setWriteDeadline(w)
 	jsonhttp.Write(w, resp.Status, errorBody(id, e, resume))
 }
 
