--- a/peer/server.go
+++ b/peer/server.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -14,12 +15,26 @@
 
 	"birchlink.dev/birchlink/errkind"
 	"birchlink.dev/birchlink/frame"
+	"birchlink.dev/birchlink/membudget"
 )
 
 // writeTimeout bounds the write of one frame. A connection whose remote side has stopped reading
 // is closed after it.
 const writeTimeout = 5 * time.Second
 
+const (
+	// maxCallBytes bounds the calls that a server answers at the same time: their arguments, and callOverhead for each.
+	maxCallBytes = 2*frame.MaxSize + 4<<20
+	callOverhead = 4 << 10
+
+	// fullRetryAfter is when a call returns for which there was no memory.
+	fullRetryAfter = time.Second
+)
+
+// frameTimeout bounds the time in which a frame arrives once its first byte has. The largest takes 9 s at 10 Mbit/s, and some
+// are sent at the same time.
+const frameTimeout = 30 * time.Second
+
 // Handler answers one call. Body is the encoded argument. The handler may send items
 // before it returns the result. C is cancelled when the caller gives up or the
 // connection ends.
@@ -44,6 +59,7 @@
 	takeovers  map[string]TakeoverFunc  // by method
 	semaphores map[string]chan struct{} // limits on concurrent calls, by method
 	conns      map[*frame.Conn]bool
+	calls      membudget.Budget // calls in progress
 	group      sync.WaitGroup
 	listener   net.Listener
 	cancel     context.CancelFunc
@@ -54,6 +70,7 @@
 	ping := func(context.Context, []byte, func(any) error) (any, error) { return struct{}{}, nil }
 	return &Server{
 		secret: secret, handlers: map[string]Handler{methodPing: ping}, takeovers: map[string]TakeoverFunc{}, semaphores: map[string]chan struct{}{}, conns: map[*frame.Conn]bool{},
+		calls: membudget.Budget{Total: maxCallBytes},
 	}
 }
 
@@ -185,7 +202,7 @@
 	var mu sync.Mutex
 	cancels := map[uint64]context.CancelFunc{}
 	for {
-		m, err := f.Read()
+		m, err := f.ReadWithin(frameTimeout)
 		if err != nil {
 			return
 		}
@@ -195,6 +212,14 @@
 				return
 			}
 		}
+		cost := int64(len(m.Method)+len(m.Body)) + callOverhead
+		if m.Type == frame.Call && !s.calls.Acquire(cost) {
+			refusal := failure{errkind.BoxFull, "this box answers too many calls", fullRetryAfter}
+			if writeBody(f, m.ID, frame.Fail, refusal) != nil {
+				return
+			}
+			continue
+		}
 		mu.Lock()
 		switch m.Type {
 		case frame.Cancel:
@@ -205,6 +230,7 @@
 			x, stop := context.WithCancel(c)
 			cancels[m.ID] = stop
 			g.Go(func() {
+				defer s.calls.Release(cost)
 				s.handleCall(x, f, m)
 				stop()
 				mu.Lock()
@@ -250,5 +276,10 @@
 	if err != nil {
 		return fmt.Errorf("encode body: %w", err)
 	}
-	return f.Write(frame.Message{ID: id, Type: t, Body: b}, writeTimeout)
+	err = f.Write(frame.Message{ID: id, Type: t, Body: b}, writeTimeout)
+	var n net.Error
+	if errors.As(err, &n) {
+		f.Close() // so that handlers that send on do not wait for each frame
+	}
+	return err
 }
