Count what successors use, and continue no run beside one

Callers could get events twice (a continuation beside a successor, or a move whose source had ended), a request ran on more endpoints than its route allows (one endpoint five or nine times), callers were told that nothing had run although a successor had, accounts were counted twice, credits were spent for arrivals that did not happen, and an endpoint that hangs was not left while the only other one computed another stream's first event.

A successor now starts from what those before it used, an attempt that was cancelled counts, no run is continued before the successor is cancelled, the count of a request's start and its questions for places are shared by its runs, a credit that was not used passes on, and only success supersedes an attempt. An endpoint counts as silent only after it has sent something for its calls. A stream that has not begun at a draining endpoint gets a successor where it was cancelled, and it is resumed only if an endpoint is left that its successors have not used.

--- a/balance/backoff.go
+++ b/balance/backoff.go
@@ -37,7 +37,7 @@
 		if q.Eligible != nil && !q.Eligible(e) {
 			return true
 		}
-		if q.MaxSilence > 0 && b.lookup(e.ID).silence(now) > q.MaxSilence {
+		if q.MaxSilence > 0 && b.lookup(e.ID).isSilent(q.MaxSilence, now) {
 			return true
 		}
 		incarnation := e.Incarnation()
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -170,6 +170,12 @@
 	return b.lookup(id).silence(now)
 }
 
+// isSilent reports whether the endpoint has sent something for the calls under way, and nothing for longer than d since. An endpoint that
+// has sent nothing for them may be reading their prompts.
+func (st *endpointState) isSilent(d time.Duration, now time.Time) bool {
+	return st.lastProgress.After(st.busySince) && st.silence(now) > d
+}
+
 // silence returns for how long the endpoint has sent nothing while it had calls under way.
 func (st *endpointState) silence(now time.Time) time.Duration {
 	if st.running == 0 {
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -74,7 +74,8 @@
 	// UnlimitedOnly restricts the choice to endpoints without a rate limit.
 	UnlimitedOnly bool
 
-	// MaxSilence, if positive, excludes endpoints with calls under way that have sent nothing for longer.
+	// MaxSilence, if positive, excludes endpoints that have sent something for their calls under way, and nothing for
+	// longer since.
 	MaxSilence time.Duration
 
 	// Fastest makes the choice consider all endpoints and rank them by their expected time alone.
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -104,13 +104,16 @@
 	if !r.q.Route.Repeatable() {
 		return nil
 	}
-	return w.expire
+	return func() { w.expire(nil) }
 }
 
-// endWatchdog ends the watchdog of an attempt with its result. If a successor has superseded the attempt, a run that was stopped
-// to be moved is not continued.
+// endWatchdog ends the watchdog of an attempt with its result. A run that was stopped to be moved is not continued beside a
+// successor: if one has superseded the attempt, the run is discarded, and otherwise the successor is cancelled.
 func (r *run) endWatchdog(c context.Context, w *watchdog, out *attemptResult) {
 	r.successors = append(r.successors, w.stop()...)
+	if out.stopped != nil || r.continued != nil && out.isNotRun() {
+		w.hold(true)
+	}
 	if !w.isSuperseded() {
 		return
 	}
@@ -118,6 +121,10 @@
 		out.stopped.discard()
 		out.stopped = nil
 	}
+	if r.continued != nil && out.isNotRun() {
+		out.interruption = recovery.Gone // the run is not continued elsewhere
+	}
+	out.superseded = true
 	r.recordSuperseded(c, *out, w.choice.Endpoint)
 }
 
@@ -174,10 +181,9 @@
 // recordStart calls Forwarder.OnStart when an endpoint first begins to run the request, if the
 // request has an account.
 func (r *run) recordStart(at time.Time) {
-	if r.startRecorded {
+	if r.shared.startRecorded.Swap(true) {
 		return
 	}
-	r.startRecorded = true
 	if n := r.q.AccountName(); n != "" {
 		r.f.OnStart(n, at)
 	}
--- a/forward/migrate.go
+++ b/forward/migrate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -126,6 +127,7 @@
 	retryAt     time.Time
 	fruitless   int       // moves that count against maxFruitlessMoves
 	resuming    bool      // it gets a credit to be resumed elsewhere, or has one
+	succeeding  bool      // it is resumed by a successor of the attempt
 	deniedAt    time.Time // when there was no credit to resume it; zero before
 	credit      *credit   // to resume it; nil if there is none
 }
@@ -161,6 +163,9 @@
 	}
 	s.last = now
 	s.events++
+	if s.succeeding { // the event has ended the successor
+		s.resuming, s.succeeding = false, false
+	}
 	s.hasIDs = s.hasIDs || id != ""
 }
 
@@ -179,7 +184,7 @@
 		Begun: s.events > 0, FirstEvent: max(s.choice.Expected-now.Sub(s.started), 0), Pause: s.choice.Pause,
 		EventsLeft: migration.EventsLeft(q.Call.ExpectedTokens, q.Call.AnswerTokens, stride, got),
 		CacheBytes: int64(s.r.promptTokens()+got*stride) * int64(e.KVBytesPerToken),
-		CanResume:  now.Sub(s.deniedAt) >= resumeRetryInterval && s.r.canResume(s.choice.Endpoint, got > 0 || q.Version != ""), Moves: s.moves,
+		CanResume:  now.Sub(s.deniedAt) >= resumeRetryInterval && s.canResume(got > 0 || q.Version != ""), Moves: s.moves,
 	}
 	if s.events >= minEventsForPause {
 		d.Pause = s.last.Sub(s.first) / time.Duration(s.events-1)
@@ -191,19 +196,26 @@
 }
 
 // canResume reports whether another endpoint may compute the stream again, if there is a credit for it. A stream that has
-// begun, in this answer or before it, needs one of the version of e, at which it is.
-func (r *run) canResume(e endpoint.Endpoint, begun bool) bool {
+// begun, in this answer or before it, needs one of the version of the endpoint at which it is.
+func (s *runningStream) canResume(begun bool) bool {
+	r := &run{f: s.r.f, q: s.r.q, tried: maps.Clone(s.r.tried), reached: slices.Clone(s.r.reached)}
+	for _, o := range s.watchdog.started() {
+		if !o.hasEnded() {
+			return false
+		}
+		r.mergeUse(o)
+	}
 	if !r.q.Route.Repeatable() || r.countAttempts() >= r.maxAttempts() {
 		return false
 	}
 	if !begun {
 		return len(r.f.Roster.Serving(r.q.Service.Name)) > 0
 	}
-	return r.f.hasServingVersion(r.q.Service.Name, e, map[string]bool{e.Incarnation(): true})
+	return r.f.hasServingVersion(r.q.Service.Name, s.choice.Endpoint, r.tried)
 }
 
-// resume cancels the attempt, so that another endpoint computes the stream again, once it has a credit for that. It
-// doesn't block.
+// resume lets another endpoint compute the stream again once there is a credit for that. If the stream has begun, the
+// attempt is cancelled, and otherwise it gets a successor. It doesn't block.
 func (s *runningStream) resume(reason string, ends time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -217,11 +229,16 @@
 // resumeWithCredit carries out resume. Once there is a credit, the stream is not moved any more.
 func (s *runningStream) resumeWithCredit(reason string, ends time.Time) {
 	lender, ok := s.r.f.spendCredit(s.x, s.r.q.Service.Name)
+	k := &credit{causeDraining, s.choice.Endpoint, lender}
 	s.mu.Lock()
-	if ok {
-		s.credit = &credit{causeDraining, s.choice.Endpoint, lender}
-	} else {
+	hasBegun := s.events > 0
+	switch {
+	case !ok:
 		s.resuming, s.deniedAt = false, boottime.Now()
+	case hasBegun:
+		s.credit = k
+	default:
+		s.succeeding = true
 	}
 	s.mu.Unlock()
 	if !ok {
@@ -231,6 +248,11 @@
 	}
 	s.logMove("resume", reason, endpoint.Endpoint{}, boottime.Now(), ends)
 	metrics.GetOrRegisterCounter("moves.resumed", s.r.f.Metrics).Inc(1)
+	if !hasBegun {
+		// The endpoint may still begin and end the stream in time.
+		s.watchdog.expire(k)
+		return
+	}
 	s.cancel(errDraining)
 }
 
--- a/forward/migrate_test.go
+++ b/forward/migrate_test.go
@@ -278,7 +278,7 @@
 		for <-sink.received != n {
 		}
 	}
-	s.f.Codec, s.f.Log = platform.HeaderCodec{}, zerolog.New(log)
+	s.f.Codec, s.f.Log = platform.HeaderCodec{}, zerolog.New(zerolog.SyncWriter(log))
 	if !v.off {
 		s.f.Moves = platform.MoveCodec{}
 	}
--- a/forward/move.go
+++ b/forward/move.go
@@ -173,7 +173,7 @@
 	if m.result == nil {
 		s.watchdog.hold(false)
 		if m.sourceEnded {
-			s.watchdog.expire()
+			s.watchdog.expire(nil)
 		}
 		s.logMove("fail", outcome, to, m.since, m.ends)
 		metrics.GetOrRegisterCounter("moves."+outcome, s.r.f.Metrics).Inc(1)
--- a/forward/place.go
+++ b/forward/place.go
@@ -42,10 +42,9 @@
 		return true
 	}
 	a, release := r.f.RequestPlace(c, occupancy.Question{
-		Endpoint: e.Incarnation(), Holder: r.q.Call.ID + "/" + strconv.Itoa(r.places), Room: e.Slots, RefusalsPerSecond: limit.PerSecond,
+		Endpoint: e.Incarnation(), Holder: r.q.Call.ID + "/" + strconv.Itoa(int(r.shared.places.Add(1))), Room: e.Slots, RefusalsPerSecond: limit.PerSecond,
 		TTL: boottime.Until(r.q.Expires) + placeMargin,
 	})
-	r.places++
 	if a.OK {
 		r.returnPlace(false)
 		r.releasePlace = release
--- a/forward/response.go
+++ b/forward/response.go
@@ -46,6 +46,11 @@
 	}
 	n.RecordProgress(boottime.Now())
 	read := boottime.Now()
+	if resp.Status >= http.StatusBadRequest && !r.mayAnswer() {
+		// The attempt that is silent may still be answered with success.
+		r.keepErrorResponse(resp, b)
+		return attemptResult{interruption: recovery.Gone, answered: true, err: fmt.Errorf("status %d", resp.Status)}
+	}
 	if resp.Status < http.StatusInternalServerError && !r.headSent && !r.lead(w) {
 		return attemptResult{interruption: recovery.Gone, err: errSuperseded}
 	}
--- a/forward/run.go
+++ b/forward/run.go
@@ -6,6 +6,7 @@
 	"errors"
 	"maps"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -44,17 +45,16 @@
 	q    Request
 	sink Sink
 
-	tried         map[string]bool   // incarnations of the endpoints tried
-	reached       []reachedEndpoint // the endpoints that the request reached
-	failedDials   int               // endpoints that could not be reached
-	refusedDials  int               // endpoints that refused the connection
-	mayHaveRun    bool              // an attempt may have run
-	startRecorded bool              // recordStart was called
-	headSent      bool              // the sink has received a head
-	lastEventID   string            // last event passed to the sink
-	passed        int               // events passed to the sink
-	moves         int               // moves of the request's run between endpoints
-	credit        *credit           // pays for the next arrival; nil if there is none
+	tried        map[string]bool   // incarnations of the endpoints tried
+	reached      []reachedEndpoint // the endpoints that the request reached
+	failedDials  int               // endpoints that could not be reached
+	refusedDials int               // endpoints that refused the connection
+	mayHaveRun   bool              // an attempt may have run
+	headSent     bool              // the sink has received a head
+	lastEventID  string            // last event passed to the sink
+	passed       int               // events passed to the sink
+	moves        int               // moves of the request's run between endpoints
+	credit       *credit           // pays for the next arrival; nil if there is none
 
 	// continued is the stopped run that the current attempt continues, and reserved the place at its
 	// destination. Both are nil in other attempts.
@@ -71,10 +71,8 @@
 
 	// hasPermit reports whether the current attempt has a permit for its endpoint's rate.
 	hasPermit bool
-	// releasePlace returns the place of the current attempt; nil if it needs none. places counts the
-	// questions for one.
+	// releasePlace returns the place of the current attempt; nil if it needs none.
 	releasePlace func(refused bool)
-	places       int
 
 	// permitRetryAfter is the shortest time until an endpoint with an exhausted rate accepts a
 	// request.
@@ -83,10 +81,17 @@
 	trace         Trace
 	errorResponse *response // error response of an endpoint, returned if no other attempt succeeds
 
+	shared     *shared      // with the successors
 	successor  *successor   // set if the run is one
 	successors []*successor // of the attempts that ended since the last step
 }
 
+// shared is the state that all runs of one request share.
+type shared struct {
+	startRecorded atomic.Bool  // recordStart was called
+	places        atomic.Int32 // questions for a place
+}
+
 // reachedEndpoint is an endpoint that the request reached. If it answered, it has run the request.
 type reachedEndpoint struct {
 	endpoint endpoint.Endpoint
@@ -110,6 +115,7 @@
 	advanced     bool        // the attempt added events to the caller's stream
 	answered     bool        // the endpoint sent a complete response that can't be used
 	stopped      *stoppedRun // the run was stopped and continues elsewhere; nil otherwise
+	superseded   bool        // a successor goes on, and the attempt was recorded
 
 	// The times of the first and the last event and their number. A response that is not a stream
 	// counts as one event.
@@ -172,10 +178,16 @@
 		return true, nil
 	}
 	if s := r.join(); s != nil {
+		if !out.superseded { // the attempt had ended before
+			r.recordSuperseded(c, out, ch.Endpoint)
+		}
 		r.trace = s.r.trace
 		return s.served, s.err
 	}
 	if errors.Is(out.err, errCallerWrite) || errors.Is(c.Err(), context.Canceled) {
+		if r.successor != nil {
+			r.recordCancelled(out, ch.Endpoint)
+		}
 		return false, errkind.New(errkind.CallerGone, "the caller left: %w", out.err)
 	}
 	e = ch.Endpoint
@@ -383,7 +395,7 @@
 		n += p.Tokens
 	}
 	q.Prompt = max(q.Prompt, n)
-	if !r.mayAnswer() {
+	if !r.mayAnswer() && r.isStream() {
 		q.MaxSilence = maxSuccessorSilence
 	}
 	return q
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -10,6 +10,7 @@
 
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/endpoint"
+	"birchlink.dev/birchlink/recovery"
 )
 
 var (
@@ -26,6 +27,7 @@
 
 // Obstacles to a successor, as values in logs.
 const (
+	earlierUnended = "not_ended" // an earlier successor that was cancelled
 	noAttemptLeft  = "no_attempt"
 	noVersionLeft  = "no_version"
 	noEndpointLeft = "no_endpoint"
@@ -42,6 +44,17 @@
 
 	served bool  // the sink has received the complete response
 	err    error // that ended the run
+
+	cancelledAt string // incarnation of the endpoint at which the attempt cancelled it; empty if it did not
+}
+
+func (s *successor) hasEnded() bool {
+	select {
+	case <-s.done:
+		return true
+	default:
+		return false
+	}
 }
 
 // newSuccessor returns the successor that the watchdog's attempt may get, or what speaks against one. The watchdog's lock must be
@@ -50,10 +63,16 @@
 	p, e := w.r, w.choice.Endpoint
 	r := &run{
 		f: p.f, q: p.q, sink: p.sink, tried: maps.Clone(p.tried), reached: append(slices.Clone(p.reached), reachedEndpoint{endpoint: e}),
-		failedDials: p.failedDials, refusedDials: p.refusedDials, mayHaveRun: true, startRecorded: p.startRecorded, headSent: p.headSent,
+		failedDials: p.failedDials, refusedDials: p.refusedDials, mayHaveRun: true, shared: p.shared, headSent: p.headSent,
 		lastEventID: p.lastEventID, passed: p.passed, moves: p.moves, begun: p.begun,
 	}
 	r.trace = Trace{Content: p.q.Content, Attempts: p.trace.Attempts}
+	for _, o := range w.successors {
+		if !o.hasEnded() {
+			return nil, earlierUnended
+		}
+		r.merge(o)
+	}
 	switch {
 	case r.attemptsUsed() >= r.maxAttempts():
 		return nil, noAttemptLeft
@@ -64,11 +83,16 @@
 	s = &successor{r: r, of: w, c: c, cancel: cancel, done: make(chan struct{})}
 	r.versions = r.f.Rollouts.PickVersion(r.q.Service.Name, true, boottime.Now())
 	q := r.newQuery()
-	q.MaxSilence = maxSuccessorSilence
+	if r.isStream() {
+		q.MaxSilence = maxSuccessorSilence
+	}
 	if _, _, ok := r.find(q); !ok {
 		cancel()
 		return nil, noEndpointLeft
 	}
+	if r.credit == nil {
+		r.credit, w.credit = w.credit, nil
+	}
 	r.successor = s
 	return s, ""
 }
@@ -119,23 +143,46 @@
 	return nil
 }
 
-// merge adds what a successor did that did not go on.
+// merge adds what a successor did that did not go on. An endpoint at which it was cancelled may get the request again, as
+// it neither failed nor refused.
 func (r *run) merge(s *successor) {
+	r.mergeUse(s)
+	if r.errorResponse == nil {
+		r.errorResponse = s.r.errorResponse
+	}
+	if r.credit == nil {
+		r.credit, s.r.credit = s.r.credit, nil
+	}
+}
+
+// mergeUse adds what a successor used up of what the request may use.
+func (r *run) mergeUse(s *successor) {
 	o := s.r
-	maps.Copy(r.tried, o.tried)
+	for i := range o.tried {
+		if i != s.cancelledAt {
+			r.tried[i] = true
+		}
+	}
 	for _, e := range o.reached {
 		isOwn := e.endpoint.Incarnation() == s.of.choice.Endpoint.Incarnation() // recorded when the attempt ends
-		if !isOwn && !slices.ContainsFunc(r.reached, func(k reachedEndpoint) bool { return k.endpoint.Incarnation() == e.endpoint.Incarnation() }) {
+		if isOwn {
+			continue
+		}
+		r.mayHaveRun = r.mayHaveRun || !e.refused
+		if !slices.ContainsFunc(r.reached, func(k reachedEndpoint) bool { return k.endpoint.Incarnation() == e.endpoint.Incarnation() }) {
 			r.reached = append(r.reached, e)
 		}
 	}
 	r.failedDials, r.refusedDials = max(r.failedDials, o.failedDials), max(r.refusedDials, o.refusedDials)
-	if r.errorResponse == nil {
-		r.errorResponse = o.errorResponse
-	}
-	if r.credit == nil {
-		r.credit = o.credit
+}
+
+// recordCancelled records a successor's attempt at e that was cancelled because the attempt before it goes on.
+func (r *run) recordCancelled(out attemptResult, e endpoint.Endpoint) {
+	if out.isNotSent() {
+		return
 	}
+	r.reached = append(r.reached, reachedEndpoint{endpoint: e, refused: out.interruption == recovery.Refused})
+	r.successor.cancelledAt = e.Incarnation()
 }
 
 // recordSuperseded logs and counts an attempt at e that a successor superseded.
--- a/forward/watchdog.go
+++ b/forward/watchdog.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -53,10 +54,11 @@
 	retryAt        time.Time     // when the next successor may be started
 	timer          *time.Timer
 	stopped        bool
-	held           bool // the request must not be sent elsewhere
-	passing        bool // an event is being passed to the caller, who may be slow
-	expired        bool // the endpoint's silence is known to last, for example because the link is lost
-	superseded     bool // the successor goes on instead of the attempt
+	held           bool    // the request must not be sent elsewhere
+	passing        bool    // an event is being passed to the caller, who may be slow
+	expired        bool    // the endpoint's silence is known to last, for example because the link is lost
+	credit         *credit // for a successor; nil if there is none
+	superseded     bool    // the successor goes on instead of the attempt
 	successor      *successor
 	successors     []*successor // all that were started
 }
@@ -134,7 +136,7 @@
 		return false
 	}
 	w.endSuccessor()
-	w.passing, w.expired = true, false
+	w.passing = true
 	return true
 }
 
@@ -142,7 +144,7 @@
 func (w *watchdog) endEvent() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.passing, w.lastEventAt, w.allowedSilence = false, time.Now(), maxSilence
+	w.passing, w.expired, w.lastEventAt, w.allowedSilence = false, false, time.Now(), maxSilence
 }
 
 // endSuccessor cancels the successor. The lock must be held.
@@ -191,17 +193,28 @@
 	return w.superseded
 }
 
-// expire makes the watchdog start a successor without waiting any longer.
-func (w *watchdog) expire() {
+// expire makes the watchdog start a successor without waiting any longer. The credit pays for it, and is nil if there is none
+// yet.
+func (w *watchdog) expire(k *credit) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.timer == nil || w.stopped {
 		return
 	}
 	w.expired = true
+	if k != nil {
+		w.credit = k
+	}
 	w.timer.Reset(0)
 }
 
+// started returns the successors that were started.
+func (w *watchdog) started() []*successor {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.successors)
+}
+
 // hold sets whether the request must not be sent elsewhere: its endpoint may have been told to stop the run, and
 // whether it did is not known yet.
 func (w *watchdog) hold(on bool) {
