Bound the heads of endpoints' answers in bytes

One endpoint that sends a status line, a header line, header lines or an informational head without end took the box's memory: http.ReadResponse reads a head of any size. An error that quotes such a line went to the caller and into the log as a whole. A head may now have 16 KB, which the reader below the buffer counts while a head is read, and a quoted answer 200 bytes.

--- a/httpconn/conn.go
+++ b/httpconn/conn.go
@@ -15,7 +15,8 @@
 	net       net.Conn
 	id        string // of the endpoint
 	via       string // address of the box through which it leads; empty if it is direct
-	reader    *bufio.Reader
+	limiter   *limitedReader
+	reader    *bufio.Reader // of limiter
 	idleSince time.Time     // when the last call ended
 	keepAlive time.Duration // keep-alive timeout announced by the endpoint; zero if none
 	calls     int
@@ -25,7 +26,8 @@
 const readBufferSize = 4 << 10
 
 func newConn(c net.Conn) *Conn {
-	n := &Conn{net: c, reader: bufio.NewReaderSize(c, readBufferSize)}
+	l := &limitedReader{r: c}
+	n := &Conn{net: c, limiter: l, reader: bufio.NewReaderSize(l, readBufferSize)}
 	if v, ok := c.(interface{ Via() string }); ok {
 		n.via = v.Via()
 	}
--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -172,9 +172,11 @@
 // responses to earlier requests on the same connection are skipped.
 func readHead(n *Conn, q Request) (*http.Response, error) {
 	for range maxMismatched + 1 {
+		n.limiter.limit(maxHeadBytes)
 		r, err := http.ReadResponse(n.reader, &http.Request{Method: q.Method})
+		n.limiter.unlimit()
 		if err != nil {
-			return nil, fmt.Errorf("read the answer of %s: %w", q.Address, err)
+			return nil, fmt.Errorf("read the answer of %s: %w", q.Address, shorten(err))
 		}
 		if r.StatusCode < http.StatusOK {
 			continue
