Give a connection up if the late answer on it is over its bound

The rest of a late answer of more than 1 MB was read as the answer to the current request: io.LimitReader ends at the bound without an error. What the late answer holds there could pass for the answer. The connection is now given up. TestRestOfLateAnswerIsNoAnswer failed before: the call got the answer that the late body quotes.

--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -25,7 +25,7 @@
 
 // maxMismatched is the number of late responses to earlier requests that are skipped on a
 // connection before it is given up, and maxMismatchedBytes the size up to which the body of each
-// is read.
+// is read. The connection is given up if a body is larger.
 const (
 	maxMismatched      = 2
 	maxMismatchedBytes = 1 << 20
@@ -187,7 +187,7 @@
 		if r.Close || r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
 			break
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxMismatchedBytes)); err != nil {
+		if !discard(r.Body, maxMismatchedBytes) {
 			break
 		}
 	}
--- a/httpconn/exchange_test.go
+++ b/httpconn/exchange_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -137,3 +139,20 @@
 	require.NoError(t, gone.Close())
 	require.True(t, p.RefusesConnections(t.Context(), "e", gone.Addr().String()))
 }
+
+// Tests that the rest of a late answer is not taken for the answer to a request.
+func TestRestOfLateAnswerIsNoAnswer(t *testing.T) {
+	l := listen(t, func(n net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(n)); err != nil {
+			return
+		}
+		rest := "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n\r\n"
+		late := strings.Repeat("x", 1<<20) + rest
+		_, _ = fmt.Fprintf(n, "HTTP/1.1 200 OK\r\nId: another\r\nContent-Length: %d\r\n\r\n%s", len(late), late)
+	})
+	p := &httpconn.Pool{DialTimeout: time.Minute}
+	q := request(l)
+	q.Matches = func(h http.Header) bool { return h.Get("Id") == "1" }
+	_, err := p.Do(t.Context(), q)
+	require.ErrorContains(t, err, "belongs to another request")
+}
--- a/httpconn/limit.go
+++ b/httpconn/limit.go
@@ -52,3 +52,9 @@
 	}
 	return err
 }
+
+// discard reads a body of at most n bytes and reports whether it was read to its end.
+func discard(body io.Reader, n int64) bool {
+	read, err := io.Copy(io.Discard, io.LimitReader(body, n+1))
+	return err == nil && read <= n
+}
