Send a refused request elsewhere although the refusal does not end

A request waited for the body of a refusal until its deadline, or for 8 MB of it, only to keep the connection. Such a body is now read up to 64 KB and for 100 ms, and the connection is reset if it has not ended by then. The answer to a call that frees a moved run's memory is read the same way. The script mutating_shed_unfinished failed before: the request ended at its deadline, after 5 s, and nothing was sent elsewhere.

--- a/forward/endpoint_test.go
+++ b/forward/endpoint_test.go
@@ -76,7 +76,7 @@
 		f.behaviours = f.behaviours[1:]
 	}
 	f.requests++
-	if kind, _, _ := strings.Cut(b, ":"); !slices.Contains([]string{"shed", "shed_limit", "shed_brittle", "rest", "shed_says_leaving", "elsewhere"}, kind) {
+	if kind, _, _ := strings.Cut(b, ":"); !slices.Contains([]string{"shed", "shed_limit", "shed_brittle", "rest", "shed_says_leaving", "shed_unfinished", "elsewhere"}, kind) {
 		f.runs++
 	}
 	f.lastEvents = append(f.lastEvents, last)
@@ -147,6 +147,10 @@
 		return false
 	case "shed":
 		fmt.Fprintf(c, "HTTP/1.1 503 Full\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
+	case "shed_unfinished": // never sends the body
+		fmt.Fprintf(c, "HTTP/1.1 503 Full\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 9\r\n\r\nnot ", id)
+		_, _ = io.Copy(io.Discard, c)
+		return false
 	case "rest": // requests a back-off, in milliseconds
 		fmt.Fprintf(c, "HTTP/1.1 503 Full\r\nId: %s\r\nNot-Run: 1\r\nRest: %s\r\nContent-Length: 0\r\n\r\n", id, arg)
 	case "says_leaving":
--- a/forward/move.go
+++ b/forward/move.go
@@ -377,7 +377,7 @@
 		if err != nil {
 			return
 		}
-		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxCopyAnswerSize))
+		resp.Discard()
 		resp.Close()
 	}()
 }
--- a/forward/response.go
+++ b/forward/response.go
@@ -31,7 +31,7 @@
 	n.BackOff(o.BackOff, boottime.Now())
 	if o.NotRun {
 		n.RecordRefusal(boottime.Now())
-		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseSize))
+		resp.Discard()
 		return attemptResult{interruption: recovery.Refused, err: fmt.Errorf("status %d: not run", resp.Status)}
 	}
 	if resp.EventStream && resp.Status < http.StatusMultipleChoices && r.isStream() {
--- a/httpconn/limit.go
+++ b/httpconn/limit.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"time"
 )
 
 // maxHeadBytes bounds the head of a response, as common proxies do. A head of many short lines takes some 30 times
@@ -14,6 +15,13 @@
 // the log.
 const maxErrorText = 200
 
+// The body of a response that is not wanted is read only to keep its connection, up to maxDiscardedBytes and for
+// discardTimeout at most. It is short, and arrives with its head.
+const (
+	maxDiscardedBytes = 64 << 10
+	discardTimeout    = 100 * time.Millisecond
+)
+
 // errHeadTooLarge reports a head of more than maxHeadBytes.
 var errHeadTooLarge = fmt.Errorf("the head is over %d bytes", maxHeadBytes)
 
@@ -58,3 +66,11 @@
 	read, err := io.Copy(io.Discard, io.LimitReader(body, n+1))
 	return err == nil && read <= n
 }
+
+// Discard reads a body that is not wanted, so that Close keeps the connection, or gives it up if the body is long or
+// late.
+func (r *Response) Discard() {
+	_ = r.conn.net.SetReadDeadline(time.Now().Add(discardTimeout)) // if it fails, so do the reads
+	discard(r.Body, maxDiscardedBytes)
+	_ = r.conn.net.SetReadDeadline(time.Time{}) // Close resets the connection if the context of Do was done
+}
