Bound the bytes of endpoints' answers that a box holds at once

An answer was bounded alone, to 8 MB, and an event to 1 MB, but not all of them together: one endpoint in trouble that sends bodies without end to 100 calls took more memory than a box has. Error responses are even kept while the request is tried elsewhere. Answers and events of more than 4 KB now count while they are held, in a budget of 64 MB for the box and 32 MB for an endpoint. Over the bound, the largest answer of the endpoint that holds the most is given up and its connection reset; the attempt ends as one whose endpoint is gone, so that the caller is served elsewhere if the route allows. An answer counts until the caller has it, and a buffer that grows counts with its copy. A kept error response counts until the request ends, and is not kept if there is no room.

TestLargeAnswerBesideEndlessOnes has an answer of 8 MB pass while others hold all there is.

--- a/forward/endpoint_test.go
+++ b/forward/endpoint_test.go
@@ -28,6 +28,7 @@
 	drain      func()        // marks this endpoint as draining
 	lapse      func()        // removes this endpoint's record
 	replace    func()        // registers another process under the endpoint's ID
+	ready      chan struct{} // if not nil, requests are answered once it is closed
 	closed     chan struct{} // receives an item for each connection that the endpoint closed
 
 	mu         sync.Mutex
@@ -95,6 +96,9 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, q.Body)
+		if f.ready != nil {
+			<-f.ready
+		}
 		last := q.Header.Get("Last-Event")
 		if !f.answer(c, f.next(last), q.Header.Get("Id"), last) {
 			return
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -154,6 +154,7 @@
 	f.Budget.CountRequest(q.Service.Name, boottime.Now())
 	c, cancel := context.WithTimeout(c, boottime.Until(q.Expires))
 	defer cancel()
+	defer f.Pool.Budget.Release(r)
 	for {
 		done, err := r.step(c)
 		if done || err != nil {
--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -9,9 +9,11 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"birchlink.dev/birchlink/boottime"
+	"birchlink.dev/birchlink/bytebudget"
 )
 
 // ErrUnreachable reports that no connection could be established, so nothing was sent.
@@ -85,6 +87,7 @@
 	writeResult <-chan error // receives the result of writing the request
 	detach      func() bool  // detaches the connection from the context of Do
 	complete    bool         // the body was read to its end
+	dropped     atomic.Bool  // the response is given up to free its bytes
 	closed      bool
 }
 
@@ -205,6 +208,8 @@
 	}
 	if errors.Is(err, io.EOF) {
 		b.response.complete = true
+	} else if err != nil && b.response.dropped.Load() {
+		err = bytebudget.ErrFull
 	}
 	return n, err
 }
@@ -212,16 +217,23 @@
 // Interrupt makes pending reads of Body fail.
 func (r *Response) Interrupt() { _ = r.conn.net.SetDeadline(time.Unix(1, 0)) }
 
-// Close ends the call; further calls do nothing. The connection returns to the pool only if the
-// response was read to its end, the request was sent completely, and neither side closes it.
-// If the response is incomplete, the connection is reset.
+// Close ends the call and gives up what it holds; further calls do nothing.
 func (r *Response) Close() {
+	r.Finish()
+	r.pool.Budget.Release(r)
+}
+
+// Finish ends the call and keeps what ReadAll returned in the budget until Close; further calls do nothing.
+// The connection returns to the pool only if the response was read to its end, the request was sent completely,
+// and neither side closes it. If the response is incomplete, the connection is reset.
+func (r *Response) Finish() {
 	if r.closed {
 		return
 	}
 	r.closed = true
 	r.pool.setActive(r.conn, nil)
-	cancelled := !r.detach()
+	r.pool.Budget.Settle(r)
+	cancelled := !r.detach() || r.dropped.Load()
 	if r.complete && !cancelled && !r.raw.Close && r.Framed() && r.requestSent() && r.conn.reader.Buffered() == 0 {
 		r.conn.keepAlive = keepAliveTimeout(r.Header)
 		r.pool.put(r.address, r.conn)
--- a/httpconn/exchange_test.go
+++ b/httpconn/exchange_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -14,6 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"birchlink.dev/birchlink/bytebudget"
 	"birchlink.dev/birchlink/httpconn"
 )
 
@@ -156,3 +158,81 @@
 	_, err := p.Do(t.Context(), q)
 	require.ErrorContains(t, err, "belongs to another request")
 }
+
+// Tests that an answer of the maximum size passes while answers of other endpoints hold all that answers may hold.
+func TestLargeAnswerBesideEndlessOnes(t *testing.T) {
+	const size = 8 << 20
+	l := listen(t, func(n net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(n)); err == nil {
+			_, _ = fmt.Fprintf(n, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
+		}
+	})
+	p := &httpconn.Pool{DialTimeout: time.Minute}
+	dropped := 0
+	for i := range 64 {
+		require.NoError(t, p.Budget.Hold(i, strconv.Itoa(i%2), 1<<20, func() { dropped++ }))
+	}
+	q := request(l)
+	q.Endpoint = "sound"
+	a, err := p.Do(t.Context(), q)
+	require.NoError(t, err)
+	b, err := a.ReadAll(size)
+	require.NoError(t, err)
+	require.Len(t, b, size)
+	require.NotZero(t, dropped)
+	require.LessOrEqual(t, p.Budget.Total(), 64<<20)
+	a.Close()
+	require.Equal(t, 64-dropped, p.Budget.Total()>>20)
+}
+
+// Tests that reading an answer that was dropped for those of other calls ends, and that its connection is not used again.
+func TestDroppedAnswer(t *testing.T) {
+	end := make(chan error, 1)
+	l := listen(t, func(n net.Conn) {
+		_, err := http.ReadRequest(bufio.NewReader(n))
+		if err == nil {
+			_, err = fmt.Fprintf(n, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", 8<<20, strings.Repeat("x", 1<<20))
+		}
+		if err == nil {
+			_, err = io.Copy(io.Discard, n)
+		}
+		end <- err
+	})
+	p := &httpconn.Pool{DialTimeout: time.Minute}
+	a, err := p.Do(t.Context(), request(l))
+	require.NoError(t, err)
+	require.NoError(t, a.Hold(20<<20))
+	require.NoError(t, p.Budget.Hold("other", "", 10<<20, nil))
+	require.NoError(t, p.Budget.Hold("other", "", 13<<20, nil)) // drops the answer
+	_, err = a.ReadAll(8 << 20)
+	require.ErrorIs(t, err, bytebudget.ErrFull)
+	a.Close()
+	require.ErrorIs(t, <-end, syscall.ECONNRESET)
+	require.Zero(t, p.CountIdle())
+	require.Equal(t, 13, p.Budget.Total()>>20)
+}
+
+// Tests bodies at the bound of ReadAll.
+func TestReadAllBound(t *testing.T) {
+	for _, head := range []string{"", "Content-Length: 10000\r\n"} {
+		for n, ok := range map[int]bool{9999: false, 10000: true} {
+			l := listen(t, func(n net.Conn) {
+				if _, err := http.ReadRequest(bufio.NewReader(n)); err == nil {
+					_, _ = io.WriteString(n, "HTTP/1.1 200 OK\r\n"+head+"\r\n"+strings.Repeat("x", 10000))
+				}
+			})
+			p := &httpconn.Pool{DialTimeout: time.Minute}
+			a, err := p.Do(t.Context(), request(l))
+			require.NoError(t, err)
+			b, err := a.ReadAll(n)
+			if ok {
+				require.NoError(t, err)
+				require.Len(t, b, 10000)
+			} else {
+				require.ErrorContains(t, err, "over")
+			}
+			a.Close()
+			require.Zero(t, p.Budget.Total())
+		}
+	}
+}
--- a/httpconn/pool.go
+++ b/httpconn/pool.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"birchlink.dev/birchlink/boottime"
+	"birchlink.dev/birchlink/bytebudget"
 )
 
 // DialFunc establishes a connection to an address until c is done.
@@ -42,6 +43,9 @@
 	Connector   Connector
 	DialTimeout time.Duration
 
+	// Budget bounds the bytes that the responses hold.
+	Budget bytebudget.Budget
+
 	refusalChecks singleflight.Group // calls of RefusesConnections, by address
 
 	mu     sync.Mutex
--- a/sse/reader.go
+++ b/sse/reader.go
@@ -25,9 +25,17 @@
 
 // Reader reads events from a stream.
 type Reader struct {
-	r *bufio.Reader
+	// Hold, if not nil, is called with the number of bytes that the current event is about to take if they are more
+	// than those of a usual event. Next returns its error. Hold is called with zero when Next is called again.
+	Hold func(n int) error
+
+	r    *bufio.Reader
+	held bool
 }
 
+// usualEventBytes is the size up to which an event does not count.
+const usualEventBytes = 4 << 10
+
 // NewReader returns a Reader that reads from r.
 func NewReader(r io.Reader) *Reader { return &Reader{r: bufio.NewReader(r)} }
 
@@ -35,8 +43,14 @@
 // ErrTruncated if the stream ends inside an event.
 func (r *Reader) Next() (Event, error) {
 	var e Event
+	if err := r.release(); err != nil {
+		return e, err
+	}
 	for {
 		line, err := r.r.ReadSlice('\n')
+		if err := r.grow(&e.Raw, len(line)); err != nil {
+			return Event{}, err
+		}
 		e.Raw = append(e.Raw, line...)
 		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
 			if errors.Is(err, io.EOF) && len(e.Raw) > 0 {
@@ -59,3 +73,26 @@
 		}
 	}
 }
+
+// grow gives b room for n more bytes. While it is copied, b takes both sizes.
+func (r *Reader) grow(b *[]byte, n int) error {
+	size := max(len(*b)+n, min(2*cap(*b), maxEventBytes))
+	if len(*b)+n <= cap(*b) || size <= usualEventBytes || r.Hold == nil {
+		return nil
+	}
+	r.held = true
+	if err := r.Hold(cap(*b) + size); err != nil {
+		return err
+	}
+	*b = append(make([]byte, 0, size), *b...)
+	return r.Hold(size)
+}
+
+// release ends the holding of the event before.
+func (r *Reader) release() error {
+	if !r.held {
+		return nil
+	}
+	r.held = false
+	return r.Hold(0)
+}
--- a/sse/reader_test.go
+++ b/sse/reader_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"testing"
 
@@ -52,3 +53,34 @@
 	_, err := r.Next()
 	require.ErrorContains(t, err, "over")
 }
+
+// Tests that an event counts with its copy while it grows, is given up if it can't be held, and counts no more once the
+// next one is read.
+func TestEventsHoldBytes(t *testing.T) {
+	small, large := "data: x\n\n", "data: "+strings.Repeat("x", 100<<10)+"\n\n"
+	var held []int
+	r := sse.NewReader(strings.NewReader(small + large + small + small))
+	r.Hold = func(n int) error {
+		held = append(held, n)
+		return nil
+	}
+	for range 4 {
+		_, err := r.Next()
+		require.NoError(t, err)
+	}
+	require.GreaterOrEqual(t, slices.Max(held), len(large))
+	require.Less(t, slices.Max(held), 4*len(large))
+	require.Zero(t, held[len(held)-1])
+	require.Equal(t, 1, len(held)-len(slices.DeleteFunc(slices.Clone(held), func(n int) bool { return n == 0 })))
+
+	full := errors.New("full")
+	r = sse.NewReader(strings.NewReader(large))
+	r.Hold = func(n int) error {
+		if n > 64<<10 {
+			return full
+		}
+		return nil
+	}
+	_, err := r.Next()
+	require.ErrorIs(t, err, full)
+}
