Read a long line of an event as one line

A line that is longer than the read buffer of 4 KB was read in parts, and the last part was taken for a line of its own: if it was empty, the caller got the event cut in two, and if it began with id:, the wrong ID, from which the stream would have been resumed. TestLineAtBufferEnd failed before on both. IDs of more than 4 KB are ignored as they were.

--- a/sse/reader.go
+++ b/sse/reader.go
@@ -7,12 +7,14 @@
 	"errors"
 	"fmt"
 	"io"
-	"strings"
 )
 
 // maxEventBytes bounds one event. Events hold a few tokens.
 const maxEventBytes = 1 << 20
 
+// maxIDBytes bounds the ID of an event, which is kept while the stream goes on. A longer one is ignored.
+const maxIDBytes = 4 << 10
+
 // ErrTruncated is returned by Next if the stream ends inside an event.
 var ErrTruncated = errors.New("the stream ended inside an event")
 
@@ -47,29 +49,38 @@
 		return e, err
 	}
 	for {
-		line, err := r.r.ReadSlice('\n')
-		if err := r.grow(&e.Raw, len(line)); err != nil {
-			return Event{}, err
-		}
-		e.Raw = append(e.Raw, line...)
-		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
-			if errors.Is(err, io.EOF) && len(e.Raw) > 0 {
-				return Event{}, ErrTruncated
-			}
-			return Event{}, err
-		}
-		if len(e.Raw) > maxEventBytes {
-			return Event{}, fmt.Errorf("an event is over %d bytes", maxEventBytes)
-		}
+		line, err := r.readLine(&e.Raw)
 		if err != nil {
-			continue
+			return Event{}, err
 		}
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 {
 			return e, nil
 		}
-		if id, ok := strings.CutPrefix(string(line), "id:"); ok {
-			e.ID = strings.TrimPrefix(id, " ")
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok && len(id) <= maxIDBytes {
+			e.ID = string(bytes.TrimPrefix(id, []byte(" ")))
+		}
+	}
+}
+
+// readLine appends a line to the event and returns it.
+func (r *Reader) readLine(event *[]byte) ([]byte, error) {
+	start := len(*event)
+	for {
+		part, err := r.r.ReadSlice('\n')
+		if err := r.grow(event, len(part)); err != nil {
+			return nil, err
+		}
+		*event = append(*event, part...)
+		switch {
+		case errors.Is(err, io.EOF) && len(*event) > 0:
+			return nil, ErrTruncated
+		case err != nil && !errors.Is(err, bufio.ErrBufferFull):
+			return nil, err
+		case len(*event) > maxEventBytes:
+			return nil, fmt.Errorf("an event is over %d bytes", maxEventBytes)
+		case err == nil:
+			return (*event)[start:], nil
 		}
 	}
 }
--- a/sse/reader_test.go
+++ b/sse/reader_test.go
@@ -84,3 +84,14 @@
 	_, err := r.Next()
 	require.ErrorIs(t, err, full)
 }
+
+// Tests that a part of a line that is longer than the buffer is not taken for a line.
+func TestLineAtBufferEnd(t *testing.T) {
+	for _, end := range []string{"", "id: 2"} {
+		event := "id: 1\ndata: " + strings.Repeat("x", 4096-len("data: ")) + end + "\ndata: y\n\n"
+		e, err := sse.NewReader(strings.NewReader(event)).Next()
+		require.NoError(t, err)
+		require.Len(t, e.Raw, len(event))
+		require.Equal(t, "1", e.ID)
+	}
+}
