Break streams that send only empty lines or comments

Empty lines and comments are events that the caller gets, so that an endpoint in trouble could send them without end: the caller got no answer, the stream counted as going on, and was never resumed elsewhere. Between two events that have fields there may now be 64 KB of them, of which each counts as 64 bytes at least, and the stream breaks after that.

--- a/sse/reader.go
+++ b/sse/reader.go
@@ -12,6 +12,14 @@
 // maxEventBytes bounds one event. Events hold a few tokens.
 const maxEventBytes = 1 << 20
 
+// maxCommentBytes bounds the bytes between two events that have fields: empty lines and comments, which endpoints send to
+// keep a silent stream open. Each event counts as minCommentBytes at least, which leaves room for one a second in a quarter
+// of an hour.
+const (
+	maxCommentBytes = 64 << 10
+	minCommentBytes = 64
+)
+
 // maxIDBytes bounds the ID of an event, which is kept while the stream goes on. A longer one is ignored.
 const maxIDBytes = 4 << 10
 
@@ -31,8 +39,9 @@
 	// than those of a usual event. Next returns its error. Hold is called with zero when Next is called again.
 	Hold func(n int) error
 
-	r    *bufio.Reader
-	held bool
+	r        *bufio.Reader
+	held     bool
+	comments int // bytes since the last event that has a field
 }
 
 // usualEventBytes is the size up to which an event does not count.
@@ -48,6 +57,7 @@
 	if err := r.release(); err != nil {
 		return e, err
 	}
+	hasField := false
 	for {
 		line, err := r.readLine(&e.Raw)
 		if err != nil {
@@ -55,14 +65,30 @@
 		}
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 {
+			if err := r.countComments(len(e.Raw), hasField); err != nil {
+				return Event{}, err
+			}
 			return e, nil
 		}
+		hasField = hasField || line[0] != ':'
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok && len(id) <= maxIDBytes {
 			e.ID = string(bytes.TrimPrefix(id, []byte(" ")))
 		}
 	}
 }
 
+// countComments counts an event of n bytes if it has no field. It returns an error if there are too many in a row.
+func (r *Reader) countComments(n int, hasField bool) error {
+	if hasField {
+		r.comments = 0
+		return nil
+	}
+	if r.comments += max(n, minCommentBytes); r.comments > maxCommentBytes {
+		return fmt.Errorf("%d bytes without a field", maxCommentBytes)
+	}
+	return nil
+}
+
 // readLine appends a line to the event and returns it.
 func (r *Reader) readLine(event *[]byte) ([]byte, error) {
 	start := len(*event)
--- a/sse/reader_test.go
+++ b/sse/reader_test.go
@@ -95,3 +95,26 @@
 		require.Equal(t, "1", e.ID)
 	}
 }
+
+// Tests that a stream which has no field in 64 KB of empty lines or comments breaks, and that comments between
+// events do not count together.
+func TestEventsWithoutFields(t *testing.T) {
+	for _, unit := range []string{"\n", "\r\n", ": y\n\n", ":\r\n\r\n"} {
+		r := sse.NewReader(strings.NewReader(strings.Repeat(unit, 128<<10/len(unit))))
+		n := 0
+		var err error
+		for err == nil {
+			var e sse.Event
+			e, err = r.Next()
+			n += len(e.Raw)
+		}
+		require.ErrorContains(t, err, "without")
+		require.LessOrEqual(t, n, 64<<10)
+
+		r = sse.NewReader(strings.NewReader(strings.Repeat(strings.Repeat(unit, 500)+"data: x\n\n", 4)))
+		for err = nil; err == nil; {
+			_, err = r.Next()
+		}
+		require.Equal(t, io.EOF, err)
+	}
+}
