--- a/forward/endpoint_test.go
+++ b/forward/endpoint_test.go
@@ -28,6 +28,7 @@
 	drain      func()        // marks this endpoint as draining
 	lapse      func()        // removes this endpoint's record
 	replace    func()        // registers another process under the endpoint's ID
+	ready      chan struct{} // if not nil, requests are answered once it is closed
 	closed     chan struct{} // receives an item for each connection that the endpoint closed
 
 	mu         sync.Mutex
@@ -76,7 +77,7 @@
 		f.behaviours = f.behaviours[1:]
 	}
 	f.requests++
-	if kind, _, _ := strings.Cut(b, ":"); !slices.Contains([]string{"shed", "shed_limit", "shed_brittle", "rest", "shed_says_leaving", "elsewhere"}, kind) {
+	if kind, _, _ := strings.Cut(b, ":"); !slices.Contains([]string{"shed", "shed_limit", "shed_brittle", "rest", "shed_says_leaving", "shed_unfinished", "elsewhere"}, kind) {
 		f.runs++
 	}
 	f.lastEvents = append(f.lastEvents, last)
@@ -95,6 +96,9 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, q.Body)
+		if f.ready != nil {
+			<-f.ready
+		}
 		last := q.Header.Get("Last-Event")
 		if !f.answer(c, f.next(last), q.Header.Get("Id"), last) {
 			return
@@ -147,6 +151,10 @@
 		return false
 	case "shed":
 		fmt.Fprintf(c, "HTTP/1.1 503 Full\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
+	case "shed_unfinished": // never sends the body
+		fmt.Fprintf(c, "HTTP/1.1 503 Full\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 9\r\n\r\nnot ", id)
+		_, _ = io.Copy(io.Discard, c)
+		return false
 	case "rest": // requests a back-off, in milliseconds
 		fmt.Fprintf(c, "HTTP/1.1 503 Full\r\nId: %s\r\nNot-Run: 1\r\nRest: %s\r\nContent-Length: 0\r\n\r\n", id, arg)
 	case "says_leaving":
--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -9,9 +9,11 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"birchlink.dev/birchlink/boottime"
+	"birchlink.dev/birchlink/bytebudget"
 )
 
 // ErrUnreachable reports that no connection could be established, so nothing was sent.
@@ -25,7 +27,7 @@
 
 // maxMismatched is the number of late responses to earlier requests that are skipped on a
 // connection before it is given up, and maxMismatchedBytes the size up to which the body of each
-// is read.
+// is read. The connection is given up if a body is larger.
 const (
 	maxMismatched      = 2
 	maxMismatchedBytes = 1 << 20
@@ -85,6 +87,7 @@
 	writeResult <-chan error // receives the result of writing the request
 	detach      func() bool  // detaches the connection from the context of Do
 	complete    bool         // the body was read to its end
+	dropped     atomic.Bool  // the response is given up to free its bytes
 	closed      bool
 }
 
@@ -172,9 +175,11 @@
 // responses to earlier requests on the same connection are skipped.
 func readHead(n *Conn, q Request) (*http.Response, error) {
 	for range maxMismatched + 1 {
+		n.limiter.limit(maxHeadBytes)
 		r, err := http.ReadResponse(n.reader, &http.Request{Method: q.Method})
+		n.limiter.unlimit()
 		if err != nil {
-			return nil, fmt.Errorf("read the answer of %s: %w", q.Address, err)
+			return nil, fmt.Errorf("read the answer of %s: %w", q.Address, shorten(err))
 		}
 		if r.StatusCode < http.StatusOK {
 			continue
@@ -185,7 +190,7 @@
 		if r.Close || r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
 			break
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxMismatchedBytes)); err != nil {
+		if !discard(r.Body, maxMismatchedBytes) {
 			break
 		}
 	}
@@ -203,6 +208,8 @@
 	}
 	if errors.Is(err, io.EOF) {
 		b.response.complete = true
+	} else if err != nil && b.response.dropped.Load() {
+		err = bytebudget.ErrFull
 	}
 	return n, err
 }
@@ -210,16 +217,23 @@
 // Interrupt makes pending reads of Body fail.
 func (r *Response) Interrupt() { _ = r.conn.net.SetDeadline(time.Unix(1, 0)) }
 
-// Close ends the call; further calls do nothing. The connection returns to the pool only if the
-// response was read to its end, the request was sent completely, and neither side closes it.
-// If the response is incomplete, the connection is reset.
+// Close ends the call and gives up what it holds; further calls do nothing.
 func (r *Response) Close() {
+	r.Finish()
+	r.pool.Budget.Release(r)
+}
+
+// Finish ends the call and keeps what ReadAll returned in the budget until Close; further calls do nothing.
+// The connection returns to the pool only if the response was read to its end, the request was sent completely,
+// and neither side closes it. If the response is incomplete, the connection is reset.
+func (r *Response) Finish() {
 	if r.closed {
 		return
 	}
 	r.closed = true
 	r.pool.setActive(r.conn, nil)
-	cancelled := !r.detach()
+	r.pool.Budget.Settle(r)
+	cancelled := !r.detach() || r.dropped.Load()
 	if r.complete && !cancelled && !r.raw.Close && r.Framed() && r.requestSent() && r.conn.reader.Buffered() == 0 {
 		r.conn.keepAlive = keepAliveTimeout(r.Header)
 		r.pool.put(r.address, r.conn)
