Release what the error responses of successors hold

The bytes that the error response of a successor held were released only for the request's first run, so that the budget of answers would fill up for good. TestErrorResponsesOfSuccessorsAreReleased: 16 bytes were left, and 8 where a successor's response passed on to one that did not start.

--- a/forward/response.go
+++ b/forward/response.go
@@ -142,11 +142,16 @@
 		return
 	}
 	resp.Close()
-	if r.f.Pool.Budget.Hold(r, r.trace.Choice.Endpoint.ID, len(b), nil) == nil {
+	if r.holdErrorResponse(r.trace.Choice.Endpoint.ID, len(b)) {
 		r.errorResponse = &response{resp.Status, resp.Header, b}
 	}
 }
 
+// holdErrorResponse reports whether the budget has room for an error response of n bytes. The run holds them until it ends.
+func (r *run) holdErrorResponse(endpoint string, n int) bool {
+	return r.f.Pool.Budget.Hold(r, endpoint, n, nil) == nil
+}
+
 // forwardEvents passes complete events to the sink as they arrive. The caller gets the head of
 // the first response that has an event.
 func (r *run) forwardEvents(resp *httpconn.Response, n *balance.Attempt, w *watchdog) attemptResult {
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -71,7 +71,7 @@
 		if !o.hasEnded() {
 			return nil, earlierUnended
 		}
-		r.merge(o)
+		r.mergeUse(o)
 	}
 	switch {
 	case r.attemptsUsed() >= r.maxAttempts():
@@ -90,8 +90,9 @@
 		cancel()
 		return nil, noEndpointLeft
 	}
-	if r.credit == nil {
-		r.credit, w.credit = w.credit, nil
+	r.credit, w.credit = w.credit, nil
+	for _, o := range w.successors {
+		r.inheritCredit(o.r)
 	}
 	r.successor = s
 	return s, ""
@@ -101,6 +102,7 @@
 func (s *successor) run(w *watchdog) {
 	defer close(s.done)
 	defer w.detach(s)
+	defer s.r.f.Pool.Budget.Release(s.r)
 	defer s.cancel()
 	if !s.r.takeCredit(s.c, causeSilent, w.choice.Endpoint) {
 		s.err = errNoCredit
@@ -147,11 +149,16 @@
 // it neither failed nor refused.
 func (r *run) merge(s *successor) {
 	r.mergeUse(s)
-	if r.errorResponse == nil {
-		r.errorResponse = s.r.errorResponse
+	if p := s.r.errorResponse; p != nil && r.errorResponse == nil && r.holdErrorResponse(s.r.trace.Choice.Endpoint.ID, len(p.body)) {
+		r.errorResponse = p
 	}
+	r.inheritCredit(s.r)
+}
+
+// inheritCredit takes the credit that another run of the request did not use, unless the run has one.
+func (r *run) inheritCredit(o *run) {
 	if r.credit == nil {
-		r.credit, s.r.credit = s.r.credit, nil
+		r.credit, o.credit = o.credit, nil
 	}
 }
 
--- a/forward/successor_test.go
+++ b/forward/successor_test.go
@@ -609,3 +609,24 @@
 		require.Equal(t, 200, r.status)
 	})
 }
+
+// Guards against bytes that the error response of a successor holds for good.
+func TestErrorResponsesOfSuccessorsAreReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newPipeScript(t, "idempotent", "2")
+		s.add("a", func(w io.Writer, q *http.Request, gone <-chan struct{}) {
+			time.Sleep(time.Second)
+			writeAnswer(w, q, 200, "", "a")
+		})
+		r := &recorder{}
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			s.add("b", func(w io.Writer, q *http.Request, _ <-chan struct{}) { writeAnswer(w, q, 500, "", "an error") })
+		}()
+		require.NoError(t, s.do("1", r, nil))
+		synctest.Wait()
+		require.Equal(t, "a", r.body)
+		require.Equal(t, 1, s.runs["b"])
+		require.Zero(t, s.f.Pool.Budget.Total())
+	})
+}
