Leave a silent engine only for one that goes on

A stream whose engine was silent for 2 s was cancelled there before another engine had taken it. Where the others refused it or broke it off, the caller saw engine_failed, "the request's attempts are used up", although the first engine was only silent and would have gone on.

The script whole_silent_alone (one engine silent for 6 s, the other breaks every request off) failed with that, and passes, with no token computed twice. whole_hung (an engine that never goes on) and whole_freeze pass before and after.

The new attempt now runs beside the silent one, which is read on: the first to send the next token keeps the stream, and the other is cancelled. If the new one ends or is silent too, the stream returns to the old one. The splicer takes lines of the current attempt only, as before, so that no token is given twice; requests that are not repeatable still stop an attempt before another begins. A box that takes a stream over learns the highest attempt, since the current one may be older.

--- a/stream/choose.go
+++ b/stream/choose.go
@@ -173,9 +173,9 @@
 			ms = append(ms, m)
 		}
 	}
-	if r.s.remoteOnly && (len(ms) == 0 || r.attempt >= maxRemoteAttempts) {
+	if r.s.remoteOnly && (len(ms) == 0 || r.lastAttempt >= maxRemoteAttempts) {
 		return errkind.New(
-			errkind.Overloaded, "no room for kind %s, here or in %d other boxes that were asked", r.s.Kind, r.attempt,
+			errkind.Overloaded, "no room for kind %s, here or in %d other boxes that were asked", r.s.Kind, r.lastAttempt,
 		).WithRetryAfter(remoteRetryAfter)
 	}
 	if len(ms) == 0 || r.s.relayed {
@@ -188,7 +188,7 @@
 }
 
 func (svc *Service) logRoute(r *run, b *candidates, ch router.Choice) {
-	d := decisions.Decision{Subject: r.s.ID, Event: "route", Reason: ch.Reason, Attempt: r.attempt + 1, Workload: r.s.Workload}
+	d := decisions.Decision{Subject: r.s.ID, Event: "route", Reason: ch.Reason, Attempt: r.lastAttempt + 1, Workload: r.s.Workload}
 	for i := range b.targets {
 		if i == ch.Index {
 			d.Choice = b.targets[i].Box
--- a/stream/relay.go
+++ b/stream/relay.go
@@ -40,6 +40,7 @@
 	Request     Request
 	Tokens      []string
 	Attempt     int
+	LastAttempt int // the highest number of an attempt; Attempt if it is less
 	Ran         bool
 	Box         string
 	Incarnation string
@@ -104,7 +105,7 @@
 	svc.launch(s, func(c context.Context) {
 		defer release()
 		r := newRun(svc, s)
-		r.attempt = q.Attempt * attemptsPerRelay
+		r.lastAttempt = q.Attempt * attemptsPerRelay
 		r.start(c)
 	})
 	return s, nil
@@ -193,7 +194,7 @@
 	}
 	ts, _, _, _ := r.s.snapshot(0)
 	h := handoverRequest{
-		Request: r.s.Request, Tokens: ts, Attempt: r.attempt, Ran: r.mayHaveRun,
+		Request: r.s.Request, Tokens: ts, Attempt: r.attempt, LastAttempt: r.lastAttempt, Ran: r.mayHaveRun,
 		Box: r.target.box, Incarnation: r.target.incarnation, Address: r.target.address,
 	}
 	x, cancel := context.WithTimeout(c, settleTimeout)
@@ -224,7 +225,7 @@
 	s.tokens = h.Tokens
 	svc.launch(s, func(c context.Context) {
 		r := newRun(svc, s)
-		r.attempt, r.mayHaveRun = h.Attempt, h.Ran
+		r.attempt, r.lastAttempt, r.mayHaveRun = h.Attempt, max(h.Attempt, h.LastAttempt), h.Ran
 		r.splice.StartAttempt(h.Attempt)
 		r.setTarget(target{box: h.Box, incarnation: h.Incarnation, address: h.Address, endpoint: endpoint})
 		s.update(func() { s.stats.Attempts, s.stats.Box = h.Attempt, h.Box })
--- a/stream/run.go
+++ b/stream/run.go
@@ -48,6 +48,9 @@
 	peer member.Member
 }
 
+// concerns reports whether a run with an endpoint on a box must move.
+func (g moveRequest) concerns(box string) bool { return g.peer.Address != "" || g.box == box }
+
 // run is the execution of one stream, over all its attempts.
 type run struct {
 	k            *Service
@@ -55,7 +58,8 @@
 	splice       splice.Splicer
 	executor     executor
 	target       target
-	attempt      int
+	attempt      int // the current one
+	lastAttempt  int // the highest number of one
 	reattaches   int
 	mayHaveRun   bool
 	maybeAdopted bool   // a peer may have taken the stream over
@@ -135,7 +139,7 @@
 		r.mayHaveRun = true
 	}
 	st := recovery.State{
-		Interruption: b, Repeatable: r.s.Repeatable, Reattaches: r.reattaches, Attempts: r.attempt, MayHaveRun: r.mayHaveRun,
+		Interruption: b, Repeatable: r.s.Repeatable, Reattaches: r.reattaches, Attempts: r.lastAttempt, MayHaveRun: r.mayHaveRun,
 		Expired: c.Err() != nil, HasBudget: !r.maybeAdopted, CanWait: true,
 	}
 	d := recovery.Decide(st)
@@ -158,17 +162,29 @@
 
 // generate starts a new attempt at the target.
 func (r *run) generate(c context.Context) (outcome, recovery.Interruption) {
-	r.attempt++
+	r.startAttempt()
+	return r.readAttempt(c, r.openNew(), false)
+}
+
+// startAttempt makes a new attempt at the target the current one.
+func (r *run) startAttempt() {
+	r.lastAttempt++
+	r.attempt = r.lastAttempt
 	r.reattaches = 0
 	r.splice.StartAttempt(r.attempt)
 	r.s.update(func() { r.s.stats.Attempts, r.s.stats.Box = r.attempt, r.target.box })
+}
+
+// openNew returns the function that opens the current attempt, which has just been started.
+func (r *run) openNew() func(context.Context) (lineStream, error) {
 	p, _ := r.s.Kind.Priority()
 	q := engine.Request{
 		RequestID: r.s.ID, Attempt: r.attempt, Incarnation: r.target.incarnation, Model: r.s.Workload,
 		Prompt: r.s.Prompt, From: r.splice.Next, MaxTokens: r.s.MaxTokens, Priority: p, KV: r.kvHandle,
 	}
 	r.kvHandle = ""
-	return r.readAttempt(c, func(x context.Context) (lineStream, error) { return r.executor.Generate(x, q) }, false)
+	e := r.executor
+	return func(x context.Context) (lineStream, error) { return e.Generate(x, q) }
 }
 
 // reattach continues to read the current attempt.
@@ -193,8 +209,13 @@
 		r.recordBackOff(err)
 		return interrupted, classifyOpenError(err, resumed)
 	}
-	ch := readLines(x, l)
-	t := time.NewTimer(r.firstTokenTimeout(c))
+	return r.readLines(c, linesOf(x, l), r.firstTokenTimeout(c))
+}
+
+// readLines reads the lines of the current attempt until it is complete, is interrupted or must move. The first is due
+// within a time.
+func (r *run) readLines(c context.Context, ch <-chan engine.Line, first time.Duration) (outcome, recovery.Interruption) {
+	t := time.NewTimer(first)
 	defer t.Stop()
 	for {
 		select {
@@ -211,7 +232,7 @@
 		case <-t.C:
 			return interrupted, recovery.Stalled
 		case g := <-r.s.moveRequests:
-			if g.peer.Address != "" || g.box == r.target.box {
+			if g.concerns(r.target.box) {
 				r.pending = g
 				return moveRequested, 0
 			}
@@ -308,7 +329,10 @@
 // failOver continues the stream at another endpoint. It cancels the interrupted attempt unless that
 // is confirmed not to run.
 func (r *run) failOver(c context.Context, b recovery.Interruption) (outcome, recovery.Interruption) {
-	if b == recovery.Disconnected || b == recovery.Stalled {
+	if b == recovery.Stalled {
+		return r.overtake(c)
+	}
+	if b == recovery.Disconnected {
 		r.cancelAttempt()
 	}
 	r.avoid[r.target.box] = true
