Hand streams over whose silent engine has not confirmed a stop

A stream that is not repeatable was lost when its box reached the stop limit while the engine was silent: the next box answered unknown_request. Until the engine confirms that it has stopped the attempt, the stream asked it again and again, for 2 s at a time, and looked for no request to move; the same held while the stream of an attempt was being opened, for up to 10 s.

The script stop_silent failed with that and passes.

Opening, and the wait for a confirmed stop, now look for requests to move. The peer reads the same attempt on and finds out how far it came, stopped or not, so that nothing runs twice.

--- a/stream/executor.go
+++ b/stream/executor.go
@@ -67,16 +67,6 @@
 	}
 }
 
-// linesOf sends the lines of l to the returned channel until the stream or the context ends.
-func linesOf(c context.Context, l lineStream) <-chan engine.Line {
-	ch := make(chan engine.Line, lineBufferSize)
-	go func() {
-		defer close(ch)
-		sendLines(c, l, ch)
-	}()
-	return ch
-}
-
 // sendLines sends the lines of l until the stream or the context ends, and closes l. It reports whether there were any.
 func sendLines(c context.Context, l lineStream, to chan<- engine.Line) (sent bool) {
 	defer func() { _ = l.Close() }()
--- a/stream/move.go
+++ b/stream/move.go
@@ -39,7 +39,7 @@
 	x, cancel := context.WithTimeout(c, settleTimeout)
 	defer cancel()
 	e, b := r.stopAttempt(x)
-	if e == moveRequested {
+	if e == moveRequested && r.pending.peer.Address == "" {
 		return interrupted, recovery.Stalled
 	}
 	return e, b
--- a/stream/overtake.go
+++ b/stream/overtake.go
@@ -66,7 +66,7 @@
 				// Only the new attempt is left.
 				r.cancelPlaced(silent)
 				stopOld()
-				return r.readNew(c, lines, opened)
+				return r.readFollowed(c, lines, opened, false)
 			}
 		case n, ok := <-lines:
 			if r.goesOn(next, n) {
@@ -75,7 +75,7 @@
 				return r.readFrom(c, n, lines)
 			}
 			if r.endsAttempt(next, n, ok) {
-				return r.keep(c, silent, r.classifyEnd(ok, opened))
+				return r.keep(c, silent, r.classifyNext(ok, opened))
 			}
 		case <-t.C:
 			return r.keep(c, silent, recovery.Stalled)
@@ -95,15 +95,6 @@
 	}
 }
 
-// readNew reads the lines of an attempt that has just been started.
-func (r *run) readNew(c context.Context, lines <-chan engine.Line, opened <-chan error) (outcome, recovery.Interruption) {
-	e, b := r.readLines(c, lines, r.firstTokenTimeout(c))
-	if e == interrupted && b != recovery.Stalled && b != recovery.Halted {
-		b = r.classifyEnd(false, opened)
-	}
-	return e, b
-}
-
 // chooseOther chooses the target of an attempt beside the current one. This is the same endpoint, which may serve other
 // attempts, if there is no other and none has failed.
 func (r *run) chooseOther(c context.Context) bool {
@@ -148,16 +139,12 @@
 	return s.Accept(n)
 }
 
-// classifyEnd returns how an attempt ended that sent no token: by a line, or else by the error of opening it.
-func (r *run) classifyEnd(byLine bool, opened <-chan error) recovery.Interruption {
+// classifyNext returns how a new attempt ended that sent no token: by a line, or else as its stream did.
+func (r *run) classifyNext(byLine bool, opened <-chan error) recovery.Interruption {
 	if byLine {
 		return recovery.Disconnected
 	}
-	if err := <-opened; err != nil {
-		r.recordBackOff(err)
-		return classifyOpenError(err, false)
-	}
-	return r.classifyDisconnect()
+	return r.classifyEnd(opened, false)
 }
 
 // readFrom handles a line and then reads the lines that follow.
@@ -168,23 +155,6 @@
 	return r.readLines(c, lines, nextTokenTimeout)
 }
 
-// follow opens the stream of an attempt and sends its lines until the stream or the context ends. The result of opening it is
-// sent to opened.
-func (r *run) follow(c context.Context, open func(context.Context) (lineStream, error)) (lines <-chan engine.Line, opened <-chan error) {
-	out, result := make(chan engine.Line, lineBufferSize), make(chan error, 1)
-	done := r.k.trackInFlight(r.target)
-	go func() {
-		defer close(out)
-		defer done()
-		l, err := open(c)
-		result <- err
-		if err == nil {
-			sendLines(c, l, out)
-		}
-	}()
-	return out, result
-}
-
 // followSilent sends the lines of an attempt from the next token on. It opens the stream again until there is one, the
 // attempt is known to have ended, or the context ends.
 func (r *run) followSilent(c context.Context, p placement) <-chan engine.Line {
--- a/stream/run.go
+++ b/stream/run.go
@@ -197,19 +197,47 @@
 // readAttempt opens a stream of lines and reads it until the attempt is complete, is interrupted or
 // must move.
 func (r *run) readAttempt(c context.Context, open func(context.Context) (lineStream, error), resumed bool) (outcome, recovery.Interruption) {
-	done := r.k.trackInFlight(r.target)
-	defer done()
 	x, cancel := context.WithCancel(c)
 	defer cancel()
-	l, late, err := r.openWithTimeout(x, cancel, open)
-	if late {
-		return interrupted, recovery.Stalled
+	lines, opened := r.follow(x, open)
+	return r.readFollowed(c, lines, opened, resumed)
+}
+
+// readFollowed reads the lines of an attempt that is being opened.
+func (r *run) readFollowed(
+	c context.Context, lines <-chan engine.Line, opened <-chan error, resumed bool,
+) (outcome, recovery.Interruption) {
+	e, b := r.readLines(c, lines, r.firstTokenTimeout(c))
+	if e == interrupted && b != recovery.Stalled && b != recovery.Halted {
+		b = r.classifyEnd(opened, resumed)
 	}
-	if err != nil {
+	return e, b
+}
+
+// follow opens the stream of an attempt and sends its lines until the stream or the context ends. The result of opening it is
+// sent to opened.
+func (r *run) follow(c context.Context, open func(context.Context) (lineStream, error)) (lines <-chan engine.Line, opened <-chan error) {
+	out, result := make(chan engine.Line, lineBufferSize), make(chan error, 1)
+	done := r.k.trackInFlight(r.target)
+	go func() {
+		defer close(out)
+		defer done()
+		l, err := open(c)
+		result <- err
+		if err == nil {
+			sendLines(c, l, out)
+		}
+	}()
+	return out, result
+}
+
+// classifyEnd returns how an attempt ended whose lines have ended, given the result of opening it.
+func (r *run) classifyEnd(opened <-chan error, resumed bool) recovery.Interruption {
+	if err := <-opened; err != nil {
 		r.recordBackOff(err)
-		return interrupted, classifyOpenError(err, resumed)
+		return classifyOpenError(err, resumed)
 	}
-	return r.readLines(c, linesOf(x, l), r.firstTokenTimeout(c))
+	return r.classifyDisconnect()
 }
 
 // readLines reads the lines of the current attempt until it is complete, is interrupted or must move. The first is due
@@ -251,22 +279,6 @@
 	}
 }
 
-// openWithTimeout opens a stream of lines and reports whether that exceeded the timeout for the
-// first token.
-func (r *run) openWithTimeout(
-	x context.Context, cancel context.CancelFunc, open func(context.Context) (lineStream, error),
-) (l lineStream, late bool, err error) {
-	t := time.AfterFunc(r.firstTokenTimeout(x), cancel)
-	l, err = open(x)
-	if t.Stop() {
-		return l, false, err
-	}
-	if l != nil {
-		_ = l.Close()
-	}
-	return nil, true, err
-}
-
 // firstTokenTimeout returns a third of the time until the deadline, within the bounds.
 func (r *run) firstTokenTimeout(c context.Context) time.Duration {
 	d, ok := c.Deadline()
@@ -390,8 +402,10 @@
 	}
 	notListening := 0
 	for c.Err() == nil {
-		st, err := r.executor.Cancel(c, r.s.attempt(r.attempt, r.target.incarnation, 0))
+		st, handedOver, err := r.cancelOrHandOver(c)
 		switch {
+		case handedOver:
+			return moveRequested, 0
 		case err == nil && st.State == engine.NotStarted:
 			return interrupted, recovery.NeverSeen
 		case err == nil:
@@ -405,11 +419,53 @@
 		case r.isGone():
 			return interrupted, recovery.Gone
 		}
-		wait.For(c, retryInterval)
+		x, cancel := context.WithTimeout(c, retryInterval)
+		handedOver = r.awaitHandover(c, x.Done())
+		cancel()
+		if handedOver {
+			return moveRequested, 0
+		}
 	}
 	return interrupted, recovery.Stalled
 }
 
+// cancelOrHandOver asks the endpoint to stop the attempt. It returns true as soon as the stream is to be handed over.
+func (r *run) cancelOrHandOver(c context.Context) (engine.Cancelled, bool, error) {
+	x, stop := context.WithCancel(c)
+	defer stop()
+	var st engine.Cancelled
+	var err error
+	done := make(chan struct{})
+	p, a := r.executor, r.s.attempt(r.attempt, r.target.incarnation, 0)
+	go func() {
+		defer close(done)
+		st, err = p.Cancel(x, a)
+	}()
+	if r.awaitHandover(c, done) {
+		return engine.Cancelled{}, true, nil
+	}
+	<-done
+	return st, false, err
+}
+
+// awaitHandover waits until done is closed. It returns true as soon as the stream is to be handed over to a peer, which
+// then finds out how far the attempt came.
+func (r *run) awaitHandover(c context.Context, done <-chan struct{}) bool {
+	for {
+		select {
+		case g := <-r.s.moveRequests:
+			if g.peer.Address != "" {
+				r.pending = g
+				return true
+			}
+		case <-done:
+			return false
+		case <-c.Done():
+			return false
+		}
+	}
+}
+
 // awaitPeer tries to reattach to a peer that carries the stream until the peer can be reached. The
 // peer continues the stream meanwhile. The outcome is unknown if the peer has terminated.
 func (r *run) awaitPeer(c context.Context) (outcome, recovery.Interruption) {
