Take no room for bodies at the own interface before they arrive

64 callers that announce bodies of 1 MB and send nothing had all other callers with a body refused for 15 s: the room for bodies was taken by the announced length.

The way of reading a body that the ingress has moves into package bodyroom, and the front uses it: memory is taken as bytes arrive, and small bodies have a reserve of 8 MB, within the same 64 MB as before. A body that is refused while it is being sent ends its connection, so that the caller gets the answer at once.

--- a/front/front.go
+++ b/front/front.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/semaphore"
 
+	"birchlink.dev/birchlink/bodyroom"
 	"birchlink.dev/birchlink/config"
 	"birchlink.dev/birchlink/configsync"
 	"birchlink.dev/birchlink/dispatch"
@@ -32,14 +33,15 @@
 const Name = "front"
 
 // The limits that protect the server from slow or disconnected callers. maxHeldBytes limits the
-// request bodies that are held at the same time.
+// request bodies that are held at the same time, and reservedBytes is kept for small ones beside it.
 const (
 	headerTimeout  = 5 * time.Second
 	bodyTimeout    = 15 * time.Second
 	writeTimeout   = 15 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 32 << 10
-	maxHeldBytes   = 64 << 20
+	maxHeldBytes   = 56 << 20
+	reservedBytes  = 8 << 20
 )
 
 // Options configures a Front. MaxBody is the maximum size of a request body in bytes, and MaxRequests
@@ -66,7 +68,7 @@
 	server         *http.Server
 	listener       net.Listener
 	requests       *semaphore.Weighted
-	bodies         *semaphore.Weighted
+	bodies         *bodyroom.Room
 	stopping       atomic.Bool
 	closing        context.Context
 	cancelRequests context.CancelFunc
@@ -77,7 +79,7 @@
 func New(o Options, m metrics.Registry, log zerolog.Logger) *Front {
 	f := &Front{
 		Options: o, Log: log, metrics: m,
-		requests: semaphore.NewWeighted(int64(o.MaxRequests)), bodies: semaphore.NewWeighted(maxHeldBytes),
+		requests: semaphore.NewWeighted(int64(o.MaxRequests)), bodies: bodyroom.New(maxHeldBytes, reservedBytes),
 	}
 	f.closing, f.cancelRequests = context.WithCancel(context.Background())
 	return f
--- a/front/service.go
+++ b/front/service.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -13,6 +12,7 @@
 	"github.com/gorilla/mux"
 	"github.com/rcrowley/go-metrics"
 
+	"birchlink.dev/birchlink/bodyroom"
 	"birchlink.dev/birchlink/dispatch"
 	"birchlink.dev/birchlink/errkind"
 	"birchlink.dev/birchlink/jsonhttp"
@@ -33,16 +33,16 @@
 	if s.r.ContentLength >= 0 {
 		size = s.r.ContentLength
 	}
-	if !f.bodies.TryAcquire(size) {
-		return nil, nil, errkind.New(errkind.Overloaded, "too many bodies are held at this box").WithRetryAfter(time.Second)
-	}
-	release := func() { f.bodies.Release(size) }
-	b, err := io.ReadAll(http.MaxBytesReader(s.w, s.r.Body, int64(f.MaxBody)))
-	_ = http.NewResponseController(s.w).SetReadDeadline(time.Time{})
+	b, release, err := f.bodies.Read(http.MaxBytesReader(s.w, s.r.Body, int64(f.MaxBody)), int(size))
 	if err == nil {
+		_ = http.NewResponseController(s.w).SetReadDeadline(time.Time{})
 		return b, release, nil
 	}
-	release()
+	if errors.Is(err, bodyroom.ErrFull) {
+		// The rest of the body is not waited for.
+		s.w.Header().Set("Connection", "close")
+		return nil, nil, errkind.New(errkind.Overloaded, "%w", err).WithRetryAfter(time.Second)
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, nil, errkind.New(errkind.TooLarge, "the body is over %d bytes", f.MaxBody)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -17,6 +17,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"birchlink.dev/birchlink/bodyroom"
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/call"
 	"birchlink.dev/birchlink/fleetstate"
@@ -100,8 +101,7 @@
 	stopping       atomic.Bool
 	inFlight       atomic.Int64
 	heads          membudget.Budget // held heads of requests
-	bodies         membudget.Budget // held bodies
-	smallBodies    membudget.Budget // held small bodies for which there was no other room
+	bodies         *bodyroom.Room
 	closing        context.Context
 	cancelRequests context.CancelCauseFunc
 }
@@ -109,7 +109,7 @@
 // New returns an Ingress.
 func New(o Options, codec Codec, f *forward.Forwarder, l RateLimiter, s Origins, m metrics.Registry, log zerolog.Logger) *Ingress {
 	i := &Ingress{Options: o, Codec: codec, Limiter: l, Origins: s, forwarder: f, metrics: m, log: log}
-	i.heads.Total, i.bodies.Total, i.smallBodies.Total = maxHeldHeadBytes, maxHeldBytes, reservedBytes
+	i.heads.Total, i.bodies = maxHeldHeadBytes, bodyroom.New(maxHeldBytes, reservedBytes)
 	i.closing, i.cancelRequests = context.WithCancelCause(context.Background())
 	return i
 }
