Bound the large frames of all tunnels through a box together

A box passes frames of up to 10 MB on for other boxes, and near ends of earlier versions send whole requests as one frame. While endpoints did not read, each of 256 tunnels held its frame twice for 5 s.

Frames of over 64 KB that are read, and data of over 32 KB until they are written, now have a budget of 48 MB for all tunnels. A tunnel that has no room ends, which its near end sees as a broken connection; small frames need no room. Near ends of this version send 32 KB at most.

--- a/frame/conn.go
+++ b/frame/conn.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,8 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"birchlink.dev/birchlink/membudget"
 )
 
 // MaxSize is the maximum size of an encoded message, in bytes, without the length prefix.
@@ -22,6 +25,9 @@
 // is full.
 const stepBytes = 64 << 10
 
+// errNoRoom reports that too many large frames are being read.
+var errNoRoom = errors.New("no room for a large frame")
+
 // headerBytes is the size of the length prefix of a frame.
 const headerBytes = 4
 
@@ -47,9 +53,12 @@
 }
 
 // Conn reads and writes frames on a network connection. Write may be called concurrently; Read must
-// be called by one goroutine at a time. Bytes is the number of bytes transferred in both directions.
+// be called by one goroutine at a time. Bytes is the number of bytes transferred in both directions. Large bounds the
+// frames of over 64 KB that are being read on all connections that share it, unless it is nil; a read of a frame for which
+// it has no room fails.
 type Conn struct {
 	Bytes atomic.Int64
+	Large *membudget.Budget
 
 	c  net.Conn
 	r  *bufio.Reader
@@ -96,7 +105,7 @@
 
 // ReadUpTo reads the next message. It fails if the encoded message is larger than limit, in bytes.
 func (c *Conn) ReadUpTo(limit int) (Message, error) {
-	m, n, err := decode(c.r, limit)
+	m, n, err := decode(c.r, limit, c.Large)
 	c.Bytes.Add(int64(n))
 	return m, err
 }
@@ -137,9 +146,9 @@
 
 // Decode reads one frame. It returns the message and the size of its frame in bytes, which is 0
 // on an error. A frame with a length over MaxSize is an error.
-func Decode(r io.Reader) (Message, int, error) { return decode(r, MaxSize) }
+func Decode(r io.Reader) (Message, int, error) { return decode(r, MaxSize, nil) }
 
-func decode(r io.Reader, limit int) (Message, int, error) {
+func decode(r io.Reader, limit int, large *membudget.Budget) (Message, int, error) {
 	var h [headerBytes]byte
 	if _, err := io.ReadFull(r, h[:]); err != nil {
 		return Message{}, 0, fmt.Errorf("read frame: %w", err)
@@ -148,6 +157,12 @@
 	if int64(n) > int64(limit) {
 		return Message{}, 0, fmt.Errorf("frame of %d bytes is over %d", n, limit)
 	}
+	if large != nil && n > stepBytes {
+		if !large.Acquire(int64(n)) {
+			return Message{}, 0, errNoRoom
+		}
+		defer large.Release(int64(n))
+	}
 	b, err := readN(r, int(n))
 	if err != nil {
 		return Message{}, 0, fmt.Errorf("read frame: %w", err)
--- a/tunnel/service.go
+++ b/tunnel/service.go
@@ -23,6 +23,7 @@
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/frame"
 	"birchlink.dev/birchlink/kernel"
+	"birchlink.dev/birchlink/membudget"
 	"birchlink.dev/birchlink/peer"
 )
 
@@ -46,6 +47,10 @@
 	// last bytes of the response may be lost.
 	lingerTimeout = 2 * time.Second
 
+	// maxLargeBytes bounds the frames of over maxDataBytes that are held for all tunnels, which near ends of earlier versions
+	// send for large requests. Tunnels that have no room end.
+	maxLargeBytes = 48 << 20
+
 	// bufferSize is the size of the reads from an endpoint, in bytes.
 	bufferSize = 16 << 10
 )
@@ -109,6 +114,7 @@
 	node  *peer.Node
 	boxes directory
 
+	large   membudget.Budget // large frames of all tunnels that are read or passed on
 	open    atomic.Int64
 	mu      sync.Mutex
 	tunnels map[*frame.Conn]bool // served for other boxes
@@ -120,7 +126,7 @@
 func New(m metrics.Registry, log zerolog.Logger) *Service {
 	return &Service{
 		Leaving: func() bool { return false }, Metrics: m, Log: log,
-		tunnels: map[*frame.Conn]bool{}, idle: make(chan struct{}, 1),
+		tunnels: map[*frame.Conn]bool{}, idle: make(chan struct{}, 1), large: membudget.Budget{Total: maxLargeBytes},
 	}
 }
 
@@ -205,6 +211,7 @@
 	}
 	s.track(f, true)
 	defer s.track(f, false)
+	f.Large = &s.large
 	pass(c, f, n)
 }
 
@@ -268,10 +275,16 @@
 		if m.Type != frame.Item || msgpack.Unmarshal(m.Body, &b) != nil {
 			break
 		}
-		_ = n.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if _, err := n.Write(b); err != nil {
-			continue // the response may still be read
+		held := int64(0)
+		if len(b) > maxDataBytes {
+			held = int64(len(m.Body) + len(b))
 		}
+		if !f.Large.Acquire(held) {
+			break
+		}
+		_ = n.SetWriteDeadline(time.Now().Add(writeTimeout))
+		_, _ = n.Write(b) // after an error, the response may still be read
+		f.Large.Release(held)
 	}
 	reset(n)
 	<-done
--- a/tunnel/service_test.go
+++ b/tunnel/service_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -15,7 +16,9 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
 
+	"birchlink.dev/birchlink/frame"
 	"birchlink.dev/birchlink/kernel"
 	"birchlink.dev/birchlink/peer"
 	"birchlink.dev/birchlink/tunnel"
@@ -271,3 +274,40 @@
 	require.Equal(t, len(b), n)
 	require.True(t, bytes.Equal(b, <-got))
 }
+
+// Guards against large frames that take all memory of the box in between while endpoints do not read: tunnels that have no room
+// end, and others pass bytes on. Near ends of earlier versions send whole requests as one frame.
+func TestLargeFramesTogether(t *testing.T) {
+	const tunnels, size, target = 24, 8 << 20, 96 << 20
+	a, conns := listen(t)
+	between := start(t)
+	near, far := open(t, start(t, between), a, conns)
+	data, err := msgpack.Marshal(make([]byte, size))
+	require.NoError(t, err)
+	frames := make([]*frame.Conn, 0, tunnels)
+	c := peer.NewClient("secret")
+	defer c.Close()
+	for range tunnels {
+		f, err := c.Takeover(t.Context(), between.node.Advertise, "tunnel.open", tunnel.Request{Endpoint: "e", Address: a}, nil)
+		require.NoError(t, err)
+		defer f.Close()
+		end := <-conns
+		defer func() { _ = end.Close() }()
+		frames = append(frames, f)
+	}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for _, f := range frames {
+		_ = f.Write(frame.Message{Type: frame.Item, Body: data}, time.Minute)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	require.Less(t, int64(after.HeapAlloc)-int64(before.HeapAlloc), int64(target))
+	_, err = near.Write([]byte("ordinary"))
+	require.NoError(t, err)
+	got := make([]byte, 8)
+	_, err = io.ReadFull(far, got)
+	require.NoError(t, err)
+	require.Equal(t, "ordinary", string(got))
+}
