End connections of operators that are idle or whose bodies never come

A connection to the operators' interface was held for ever when it was idle after a request or when an announced body never came, and its head could have 1 MB. The server now has bounds on all of its times and on heads.

--- a/operator/operator.go
+++ b/operator/operator.go
@@ -37,6 +37,12 @@
 
 const callTimeout = 10 * time.Second
 
+// The limits of a connection beside the times of a call.
+const (
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 32 << 10
+)
+
 // Edit is a new configuration from an operator. Base is the version on which it is based, and Editor
 // names the operator.
 type Edit struct {
@@ -108,7 +114,7 @@
 	if o.listener, err = net.Listen("tcp", o.Address); err != nil {
 		return fmt.Errorf("listen for operators: %w", err)
 	}
-	o.server = &http.Server{Handler: o.routes(), ReadHeaderTimeout: callTimeout, WriteTimeout: 2 * callTimeout}
+	o.server = o.newServer()
 	go func() {
 		if err := o.server.Serve(o.listener); !errors.Is(err, http.ErrServerClosed) {
 			o.Log.Error().Err(err).Msg("operator server failed")
@@ -117,6 +123,13 @@
 	return nil
 }
 
+func (o *Operator) newServer() *http.Server {
+	return &http.Server{
+		Handler: o.routes(), ReadHeaderTimeout: callTimeout, ReadTimeout: 2 * callTimeout, WriteTimeout: 2 * callTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
 func (o *Operator) bindServices(k *kernel.Kernel) error {
 	return errors.Join(
 		kernel.Bind(k, configsync.Name, &o.follower),
--- /dev/null
+++ b/operator/slow_test.go
@@ -0,0 +1,95 @@
+package operator
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// oneConn is a listener with one connection.
+type oneConn struct {
+	net.Listener
+	conns chan net.Conn
+}
+
+func (l oneConn) Accept() (net.Conn, error) {
+	c, ok := <-l.conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+func (l oneConn) Close() error { return nil }
+
+func (l oneConn) Addr() net.Addr { return &net.TCPAddr{} }
+
+// endingConn calls ended when it is closed.
+type endingConn struct {
+	net.Conn
+	ended func()
+}
+
+func (c endingConn) Close() error {
+	defer c.ended()
+	return c.Conn.Close()
+}
+
+// Guards against connections that are held without end, or take bytes without end, in any state.
+func TestConnectionsEnd(t *testing.T) {
+	const longest, most = 5 * time.Minute, 64 << 10
+	head := "POST /x HTTP/1.1\r\nHost: h\r\n"
+	for _, c := range []struct {
+		name  string
+		bytes string // sent first
+		then  string // sent every second, until the connection ends
+		reads bool
+	}{
+		{"nothing is sent", "", "", true},
+		{"head comes slowly", head, "X: y\r\n", true},
+		{"head has no end", head + strings.Repeat("X: y\r\n", 16<<10), "X: y\r\n", true},
+		{"body never comes", head + "Content-Length: 9\r\n\r\n", "", true},
+		{"answer is not read", head + "\r\n", "", false},
+		{"idle", head + "\r\n", "", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := (&Operator{}).newServer()
+				near, far := net.Pipe()
+				ended, cancel := context.WithCancel(t.Context())
+				l := oneConn{conns: make(chan net.Conn, 1)}
+				l.conns <- endingConn{far, cancel}
+				go func() { _ = s.Serve(l) }()
+				defer func() {
+					near.Close()
+					close(l.conns)
+					_ = s.Close()
+				}()
+				if c.reads {
+					go func() { _, _ = io.Copy(io.Discard, near) }()
+				}
+				began := time.Now()
+				_ = near.SetWriteDeadline(began.Add(longest + time.Second))
+				taken := 0
+				for text := c.bytes; ended.Err() == nil && time.Since(began) <= longest; text = c.then {
+					if text != "" {
+						n, _ := near.Write([]byte(text))
+						taken += n
+					}
+					select {
+					case <-ended.Done():
+					case <-time.After(time.Second):
+					}
+				}
+				require.LessOrEqual(t, time.Since(began), longest)
+				require.LessOrEqual(t, taken, most)
+			})
+		})
+	}
+}
