Collect garbage earlier when a box's memory runs out

Each kind of bytes that peers send has a budget of its own, of which all that are full at once hold about 190 MB (added up, not measured). The collector lets the heap grow to twice what is in use, and a box has 284 MB. It now works harder from 240 MB on.

--- a/cmd/birchlinkd/main.go
+++ b/cmd/birchlinkd/main.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alexflint/go-arg"
@@ -31,7 +32,12 @@
 // maxQueuedLogLines bounds the log lines that are queued for a slow reader.
 const maxQueuedLogLines = 4096
 
+// memoryLimit is the size in bytes above which the garbage collector works harder. A box has 284 MB, and what its peers may
+// make it hold can come near two thirds of that.
+const memoryLimit = 240 << 20
+
 func main() {
+	debug.SetMemoryLimit(memoryLimit)
 	var a arguments
 	arg.MustParse(&a)
 	if err := run(a); err != nil {
