Close connections that have been idle for longer than any call uses them

An endpoint that announces a long keep-alive timeout could send bytes on an idle connection that nobody reads; they stayed in the kernel until the timeout had passed, up to years. Bytes directly after an answer had its connection closed at once already. TestBytesOnIdleConnection failed before in its second case: the connection was kept.

--- a/httpconn/exchange_test.go
+++ b/httpconn/exchange_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/bytebudget"
 	"birchlink.dev/birchlink/httpconn"
 )
@@ -236,3 +237,42 @@
 		}
 	}
 }
+
+// Tests that a connection on which an endpoint sends bytes without end after a whole answer is not kept, nor one that gets
+// bytes while it is idle.
+func TestBytesOnIdleConnection(t *testing.T) {
+	for name, v := range map[string]struct {
+		more      string // directly after the answer
+		idle      string // once it is idle
+		wantConns int
+	}{
+		"after an answer": {"more", "", 0},
+		"while idle":      {"", strings.Repeat("more", 1<<18), 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			read, wrote := make(chan struct{}), make(chan struct{})
+			l := listen(t, func(n net.Conn) {
+				if _, err := http.ReadRequest(bufio.NewReader(n)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(n, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=99999999\r\n\r\nok"+v.more)
+				<-read
+				go func() { _, _ = io.WriteString(n, v.idle) }() // until the connection is closed
+				close(wrote)
+				_, _ = io.Copy(io.Discard, n)
+			})
+			p := &httpconn.Pool{DialTimeout: time.Minute}
+			a, err := p.Do(t.Context(), request(l))
+			require.NoError(t, err)
+			_, err = a.ReadAll(10)
+			require.NoError(t, err)
+			a.Close()
+			require.Equal(t, v.wantConns, p.CountIdle())
+			close(read)
+			<-wrote
+			boottime.SimulateSuspension(11 * time.Second)
+			p.Sweep()
+			require.Zero(t, p.CountIdle())
+		})
+	}
+}
--- a/httpconn/pool.go
+++ b/httpconn/pool.go
@@ -67,6 +67,10 @@
 	keepAliveShare = 0.6
 	defaultMaxIdle = 3 * time.Second
 
+	// longestMaxIdle is the time for which any connection is kept. Calls use none that was idle for longer, and
+	// what an endpoint sends on it stays in the kernel's memory until it is closed.
+	longestMaxIdle = 10 * time.Second
+
 	// tunnelMaxIdle is the time for which a connection through another box is kept. It takes two
 	// descriptors there.
 	tunnelMaxIdle = time.Second
@@ -107,7 +111,7 @@
 	if c.keepAlive <= 0 {
 		return defaultMaxIdle
 	}
-	return time.Duration(keepAliveShare * float64(c.keepAlive))
+	return min(time.Duration(keepAliveShare*float64(c.keepAlive)), longestMaxIdle)
 }
 
 // put adds an idle connection to the pool.
