Have servers of the soak fall silent and send bytes without end

The soak had no sound servers that send nothing for a while, and so did not find that boxes cut their streams. It had no servers that send bytes without end either, and no bound on the memory of boxes.

A stream has 32 events instead of 12, so that some are in progress when a silence begins.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -19,6 +19,9 @@
 	maxCallPause = 60 * time.Millisecond
 )
 
+// oncePath is the path of requests that must not run twice.
+const oncePath = "/once/x"
+
 // runCaller makes calls in sequence over keep-alive connections until c is done.
 func (r *run) runCaller(c context.Context, n int) {
 	rnd := rand.New(rand.NewPCG(r.Seed, uint64(n)+2))
@@ -28,7 +31,7 @@
 		id := fmt.Sprintf("r-%d-%d-%d", r.Seed, n, i)
 		switch k := rnd.IntN(10); {
 		case k < 4:
-			r.call(h, b, "/once/x", id)
+			r.call(h, b, oncePath, id)
 		case k < 7:
 			r.call(h, b, "/again/x", id)
 		case k < 8:
@@ -65,17 +68,21 @@
 		return
 	}
 	defer a.Body.Close()
-	text, err := io.ReadAll(a.Body)
+	text, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes))
+	r.checkNotEndless(b, id, a, string(text))
 	if err != nil {
 		r.checkBrokenAnswer(b, id, began, err)
 		return
 	}
 	r.countOutcome(fmt.Sprint(a.StatusCode))
+	if a.StatusCode != http.StatusOK {
+		r.checkLoss(b, path, id, "", began, callTimeout, fmt.Sprint(a.StatusCode, " ", string(text)))
+	}
 	switch {
 	case a.StatusCode == http.StatusOK:
 		r.checkAnswer(id, string(text), standin.Stamped(a.Header))
 	case a.StatusCode == http.StatusServiceUnavailable, a.StatusCode == http.StatusTooManyRequests:
-		if path == "/once/x" {
+		if path == oncePath {
 			r.mu.Lock()
 			r.refused[id] = fmt.Sprint(a.StatusCode)
 			r.mu.Unlock()
@@ -83,7 +90,7 @@
 	case a.StatusCode < http.StatusInternalServerError:
 		r.reportViolation("%s to %s: %d %s", id, b.Name, a.StatusCode, text)
 	}
-	if path == "/once/x" && r.fleet.Audit.Runs(id) > 1 {
+	if path == oncePath && r.fleet.Audit.Runs(id) > 1 {
 		r.reportViolation("%s ran %d times", id, r.fleet.Audit.Runs(id))
 	}
 }
@@ -93,7 +100,7 @@
 func (r *run) checkNoAnswer(b *Box, path, id string, began time.Time, err error) {
 	r.countOutcome("no answer")
 	ran := r.fleet.Audit.Runs(id)
-	if ran > 1 && path == "/once/x" {
+	if ran > 1 && path == oncePath {
 		r.reportViolation("%s ran %d times", id, ran)
 	}
 	if ran > 0 && !b.FaultySince(began.Add(-hostMargin)) {
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -38,15 +38,41 @@
 	logFile    *os.File
 	storeProxy *Proxy
 
-	mu          sync.Mutex
-	cmd         *exec.Cmd
-	closed      bool
-	faultyUntil time.Time // callers may see failures until this time
+	expectedFaults
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	closed bool
+}
+
+// expectedFaults is the time until which callers may see failures.
+type expectedFaults struct {
+	mu    sync.Mutex
+	until time.Time
+}
+
+// ExpectFaultsUntil allows callers to see failures until a time. An earlier time than the current one has no effect.
+func (e *expectedFaults) ExpectFaultsUntil(until time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if until.After(e.until) {
+		e.until = until
+	}
+}
+
+// FaultySince reports whether callers may have seen failures after a time.
+func (e *expectedFaults) FaultySince(since time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.until.After(since)
 }
 
 // Server is an endpoint behind a fault-injecting proxy.
 type Server struct {
 	*standin.Server
+	lossy      expectedFaults // of its link, and its end
+	endless    expectedFaults // it sends bytes without end
+	busy       expectedFaults // it is silent, refuses requests or says that it may
 	dataCentre string
 	proxy      *Proxy
 	httpServer *http.Server
@@ -63,6 +89,7 @@
 	Servers []*Server
 
 	serversMu sync.Mutex // guards the replacement of servers
+	byID      map[string]*Server
 	releases  int
 	version   string // of the servers that start
 
@@ -87,7 +114,10 @@
 // Start starts the stand-ins, the servers and the boxes. Settings and logs are written to dir; program
 // is the path of birchlinkd.
 func Start(dir, program string, boxes, servers int) (*Fleet, error) {
-	f := &Fleet{Dir: dir, Program: program, Store: &memstore.Store{}, Audit: &standin.Audit{}, Cloud: &standin.Cloud{}, configVersion: 1, version: versions[0]}
+	f := &Fleet{
+		Dir: dir, Program: program, Store: &memstore.Store{}, Audit: &standin.Audit{}, Cloud: &standin.Cloud{}, configVersion: 1, version: versions[0],
+		byID: map[string]*Server{},
+	}
 	for _, p := range []struct {
 		h  http.Handler
 		to *string
@@ -130,6 +160,7 @@
 	if s.proxy, err = NewProxy(a); err != nil {
 		return nil, err
 	}
+	f.byID[s.ID] = s
 	f.Store.Set(s.Record(s.proxy.Address(), dc, "ready"))
 	return s, nil
 }
@@ -212,32 +243,25 @@
 // restartPause is the time between the exit of a box's process and its restart.
 const restartPause = 100 * time.Millisecond
 
-// Signal sends s to the box's process, if it was started.
-func (b *Box) Signal(s syscall.Signal) {
+// pid returns the ID of the box's process, or 0 before it was started.
+func (b *Box) pid() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.cmd != nil && b.cmd.Process != nil {
-		_ = b.cmd.Process.Signal(s)
+	if b.cmd == nil {
+		return 0
 	}
+	return b.cmd.Process.Pid
 }
 
-// ExpectFaultsUntil allows callers of the box to see failures until a time. An earlier time than the
-// current one has no effect.
-func (b *Box) ExpectFaultsUntil(until time.Time) {
+// Signal sends s to the box's process, if it was started.
+func (b *Box) Signal(s syscall.Signal) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if until.After(b.faultyUntil) {
-		b.faultyUntil = until
+	if b.cmd != nil && b.cmd.Process != nil {
+		_ = b.cmd.Process.Signal(s)
 	}
 }
 
-// FaultySince reports whether callers may have seen failures of the box after a time.
-func (b *Box) FaultySince(since time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.faultyUntil.After(since)
-}
-
 // Drain marks a server as draining in its record and starts a replacement.
 func (f *Fleet) Drain(i int) error {
 	return f.replaceServer(i, func(s *Server) { f.Store.Set(s.Record(s.proxy.Address(), s.dataCentre, "draining")) })
@@ -262,6 +286,7 @@
 	f.Servers[i] = n
 	announce(s)
 	time.AfterFunc(drainTime, func() {
+		s.lossy.ExpectFaultsUntil(time.Now().Add(time.Hour)) // it does not return
 		f.Store.Delete("servers/" + s.ID)
 		_ = s.httpServer.Close()
 		s.proxy.Close()
--- /dev/null
+++ b/soak/loss.go
@@ -0,0 +1,78 @@
+package soak
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"birchlink.dev/birchlink/platform/standin"
+)
+
+// maxAnswerBytes bounds what is read of an answer. The answers of servers are shorter.
+const maxAnswerBytes = 1 << 20
+
+// serversOf returns the servers that began a request, and those that have not announced their end.
+func (f *Fleet) serversOf(id string) (began, current []*Server) {
+	f.serversMu.Lock()
+	defer f.serversMu.Unlock()
+	for _, i := range f.Audit.Servers(id) {
+		began = append(began, f.byID[i])
+	}
+	return began, slices.Clone(f.Servers)
+}
+
+// checkLoss checks a request that got no whole answer within wait. While its box is sound, it must get one if no server that began
+// it had another fault than to be silent. If it may be repeated, it must get one elsewhere from servers of its version, or
+// of any if that is empty, if one server sends bytes without end and the others are sound.
+func (r *run) checkLoss(b *Box, path, id, version string, began time.Time, wait time.Duration, outcome string) {
+	since, took := began.Add(-hostMargin), time.Since(began)
+	ran, current := r.fleet.serversOf(id)
+	if len(ran) == 0 || b.FaultySince(since) {
+		return
+	}
+	var ids []string
+	lossy, endless := false, false
+	for _, s := range ran {
+		ids = append(ids, s.ID)
+		lossy, endless = lossy || s.lossy.FaultySince(since), endless || s.endless.FaultySince(since)
+	}
+	switch {
+	case lossy:
+	case !endless && took < wait.Truncate(time.Millisecond): // in which callers state their deadline
+		r.countOutcome("lost at sound servers")
+		r.reportViolation("%s to %s (%s) was passed on to the sound servers %v and lost after %v: %s", id, b.Name, path, ids, took, outcome)
+	case endless && path != oncePath && r.servesElsewhere(current, version, since):
+		r.reportViolation("%s to %s (%s) was lost at %v, of which one is endless, while the others are sound: %s", id, b.Name, path, ids, outcome)
+	}
+}
+
+// servesElsewhere reports whether, since a time, the store and all servers were sound except for one that sent bytes without end,
+// and minServers of the others are of a version, or of any if that is empty.
+func (r *run) servesElsewhere(servers []*Server, version string, since time.Time) bool {
+	if _, _, reliable := r.currentVersion(); !reliable {
+		return false
+	}
+	endless, serving := 0, 0
+	for _, s := range servers {
+		switch {
+		case s.lossy.FaultySince(since), s.busy.FaultySince(since):
+			return false
+		case s.endless.FaultySince(since):
+			endless++
+		case version == "" || s.Version == version:
+			serving++
+		}
+	}
+	return endless <= 1 && serving >= minServers
+}
+
+// checkNotEndless checks that neither the head of an answer nor what was read of its body is what servers send without end.
+func (r *run) checkNotEndless(b *Box, id string, a *http.Response, text string) {
+	for _, vs := range a.Header {
+		text += strings.Join(vs, " ")
+	}
+	if strings.Contains(text, standin.EndlessWord) || strings.Contains(a.Status, standin.EndlessWord) {
+		r.reportViolation("%s to %s: the answer %s has bytes that a server sends without end", id, b.Name, a.Status)
+	}
+}
--- a/soak/run.go
+++ b/soak/run.go
@@ -68,6 +68,7 @@
 	r.began = time.Now()
 	x, stop := context.WithCancel(c)
 	var g sync.WaitGroup
+	g.Go(func() { r.watchMemory(x) })
 	for i := range o.Callers {
 		g.Go(func() { r.runCaller(x, i) })
 	}
@@ -130,22 +131,8 @@
 		b.Signal(syscall.SIGSTOP)
 		time.Sleep(f.Duration)
 		b.Signal(syscall.SIGCONT)
-	case ServerLink:
-		applyLinkFault(r.fleet.Server(f.Target).proxy, f)
-	case Drain:
-		if err := r.fleet.Drain(f.Target); err != nil {
-			r.reportViolation("a server could not be replaced: %v", err)
-		}
-	case DrainByAnswer:
-		if err := r.fleet.DrainByAnswer(f.Target); err != nil {
-			r.reportViolation("a server could not be replaced: %v", err)
-		}
-	case Release:
-		if err := r.fleet.Release(f.Duration); err != nil {
-			r.reportViolation("a server could not be replaced: %v", err)
-		}
-	case RefuseCalls, ReportLimit, ReportBrittle:
-		report(r.fleet.Server(f.Target), f)
+	case ServerLink, Drain, DrainByAnswer, Release, RefuseCalls, ReportLimit, ReportBrittle, SilentServers, EndlessServer:
+		r.injectServer(f, end)
 	case Config:
 		r.putNextConfig()
 	default:
@@ -154,8 +141,50 @@
 	}
 }
 
+// injectServer injects a fault of servers that ends at a time.
+func (r *run) injectServer(f Fault, end time.Time) {
+	s := r.fleet.Server(f.Target)
+	var err error
+	switch f.Kind {
+	case ServerLink:
+		s.lossy.ExpectFaultsUntil(end)
+		applyLinkFault(s.proxy, f)
+	case Drain:
+		err = r.fleet.Drain(f.Target)
+	case DrainByAnswer:
+		err = r.fleet.DrainByAnswer(f.Target)
+	case Release:
+		err = r.fleet.Release(f.Duration)
+	case SilentServers:
+		r.silenceServers(f)
+	case EndlessServer:
+		s.endless.ExpectFaultsUntil(end)
+		c, stop := context.WithDeadline(context.Background(), end)
+		defer stop()
+		s.SendEndless(c, f.Form)
+		<-c.Done()
+	default:
+		report(s, f)
+	}
+	if err != nil {
+		r.reportViolation("a server could not be replaced: %v", err)
+	}
+}
+
+// silenceServers has servers send nothing for the time of a fault.
+func (r *run) silenceServers(f Fault) {
+	for i := range f.Count {
+		s := r.fleet.Server((f.Target + i) % r.Servers)
+		s.busy.ExpectFaultsUntil(time.Now().Add(f.Duration))
+		s.SetSilent(true)
+		defer s.SetSilent(false)
+	}
+	time.Sleep(f.Duration)
+}
+
 // report has a server report something about itself for the time of a fault.
 func report(s *Server, f Fault) {
+	s.busy.ExpectFaultsUntil(time.Now().Add(2 * f.Duration)) // what boxes were told lasts as long again
 	switch f.Kind {
 	case RefuseCalls:
 		s.RefuseRequests(f.Duration)
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -9,6 +9,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"birchlink.dev/birchlink/platform/standin"
 )
 
 // Kind is the kind of a fault.
@@ -33,20 +35,30 @@
 	ReportLimit      Kind = "limit"     // an endpoint reports the rate limit that it has for all boxes together
 	Release          Kind = "release"   // half of the endpoints are replaced by ones of another software version
 	ReportBrittle    Kind = "brittle"   // an endpoint reports the rate of refusals that it bears from all boxes together
+	SilentServers    Kind = "silent"    // sound endpoints send nothing for a while, then what was due
+	EndlessServer    Kind = "endless"   // an endpoint sends bytes without end
 )
 
 // Fault is one entry of a schedule. Target is the index of a box or server, depending on Kind; Mode is
-// used by link faults only.
+// used by link faults only, Count, the number of servers from Target on, by SilentServers, and Form by EndlessServer.
 type Fault struct {
 	At       time.Duration
 	Duration time.Duration
 	Kind     Kind
 	Target   int
 	Mode     Mode
+	Count    int
+	Form     standin.Endless
 }
 
 // String returns a description of the fault on one line.
 func (f Fault) String() string {
+	switch f.Kind {
+	case SilentServers:
+		return fmt.Sprintf("%6.2fs %s %d servers from %d on for %v", f.At.Seconds(), f.Kind, f.Count, f.Target, f.Duration)
+	case EndlessServer:
+		return fmt.Sprintf("%6.2fs %s %d %s for %v", f.At.Seconds(), f.Kind, f.Target, f.Form, f.Duration)
+	}
 	return fmt.Sprintf("%6.2fs %s %d %s for %v", f.At.Seconds(), f.Kind, f.Target, f.Mode, f.Duration)
 }
 
@@ -69,6 +81,8 @@
 	out = append(out, drawReports(seed, 3, span, servers, ReportBrittle)...)
 	out = append(out, drawReports(seed, 4, span, servers, Release)...)
 	out = append(out, drawPowerLosses(seed, span)...)
+	out = append(out, drawSilences(seed, span, servers)...)
+	out = append(out, drawEndless(seed, span, servers)...)
 	slices.SortStableFunc(out, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return out
 }
@@ -101,6 +115,45 @@
 	return out
 }
 
+// Times of silences, one after the other, and of bytes without end.
+const (
+	meanSilenceGap     = 500 * time.Millisecond
+	minSilence         = 800 * time.Millisecond
+	maxSilence         = 3 * time.Second
+	meanEndlessGap     = 1500 * time.Millisecond
+	maxEndlessDuration = time.Second
+)
+
+// drawSilences draws silences of one server up to all of them. A silence begins after the end of the one before it.
+func drawSilences(seed uint64, span time.Duration, servers int) []Fault {
+	r := rand.New(rand.NewPCG(seed, 6))
+	gap := func() time.Duration { return time.Duration(r.Int64N(int64(2 * meanSilenceGap))) }
+	var out []Fault
+	for at := faultFreeStart + gap(); at < span; at += gap() {
+		f := Fault{
+			At: at, Duration: minSilence + time.Duration(r.Int64N(int64(maxSilence-minSilence))), Kind: SilentServers,
+			Target: r.IntN(servers), Count: 1 + r.IntN(servers),
+		}
+		out = append(out, f)
+		at += f.Duration
+	}
+	return out
+}
+
+// drawEndless draws the moments at which a server sends bytes without end.
+func drawEndless(seed uint64, span time.Duration, servers int) []Fault {
+	r := rand.New(rand.NewPCG(seed, 7))
+	gap := func() time.Duration { return time.Duration(r.Int64N(int64(2 * meanEndlessGap))) }
+	var out []Fault
+	for at := faultFreeStart + gap(); at < span; at += gap() {
+		out = append(out, Fault{
+			At: at, Duration: minFaultDuration + time.Duration(r.Int64N(int64(maxEndlessDuration-minFaultDuration))), Kind: EndlessServer,
+			Target: r.IntN(servers), Form: standin.EndlessForms[r.IntN(len(standin.EndlessForms))],
+		})
+	}
+	return out
+}
+
 // drawFaults draws the faults of boxes, links, store, servers and configuration.
 func drawFaults(seed uint64, span time.Duration, boxes, servers int) []Fault {
 	r := rand.New(rand.NewPCG(seed, 1))
--- a/soak/schedule_test.go
+++ b/soak/schedule_test.go
@@ -1,11 +1,15 @@
 package soak_test
 
 import (
+	"fmt"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"birchlink.dev/birchlink/platform/standin"
 	"birchlink.dev/birchlink/soak"
 )
 
@@ -23,3 +27,44 @@
 	}
 	require.True(t, overlap)
 }
+
+// Further kinds of faults leave the faults of known seeds as they are.
+func TestScheduleOfKnownSeed(t *testing.T) {
+	b, err := os.ReadFile("testdata/seed-1.txt")
+	require.NoError(t, err)
+	var got strings.Builder
+	for _, f := range soak.Schedule(1, 6*time.Second, 5, 6) {
+		if f.Kind != soak.SilentServers && f.Kind != soak.EndlessServer {
+			fmt.Fprintln(&got, f)
+		}
+	}
+	require.Equal(t, string(b), got.String())
+}
+
+// One server up to all fall silent, for 0.8 to 3 s and one silence after the other. All forms of endless bytes are drawn.
+func TestSilencesAndEndlessServers(t *testing.T) {
+	const servers = 6
+	counts, forms := map[int]bool{}, map[standin.Endless]bool{}
+	overlaps := map[soak.Kind]bool{}
+	for seed := range uint64(20) {
+		end := time.Duration(0)
+		for _, f := range soak.Schedule(seed, time.Minute, 5, servers) {
+			switch f.Kind {
+			case soak.SilentServers:
+				require.GreaterOrEqual(t, f.At, end)
+				require.GreaterOrEqual(t, f.Duration, 800*time.Millisecond)
+				require.LessOrEqual(t, f.Duration, 3*time.Second)
+				end, counts[f.Count] = f.At+f.Duration, true
+			case soak.EndlessServer:
+				forms[f.Form] = true
+			default:
+				overlaps[f.Kind] = overlaps[f.Kind] || f.At < end
+			}
+		}
+	}
+	require.Len(t, counts, servers)
+	require.Len(t, forms, len(standin.EndlessForms))
+	for _, k := range []soak.Kind{soak.Config, soak.Hup, soak.Term, soak.Kill, soak.Drain, soak.Release} {
+		require.True(t, overlaps[k], k)
+	}
+}
--- a/soak/stream.go
+++ b/soak/stream.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 
 	"birchlink.dev/birchlink/platform/standin"
@@ -12,7 +14,7 @@
 
 const (
 	// streamEvents is the number of events of a stream, and streamAttempts bounds the attempts of its caller.
-	streamEvents   = 12
+	streamEvents   = 32
 	streamAttempts = 3
 
 	// minTakenUp is the number of streams taken up from which the share that goes on is checked, and minShare the
@@ -77,7 +79,9 @@
 	} else {
 		defer a.Body.Close()
 		status = fmt.Sprint(a.StatusCode)
-		r.checkStream(b, s, id, a, most)
+		if err := r.checkStream(b, s, id, a, most); err != nil {
+			r.checkLoss(b, "/stream/x", id, strings.Join(s.Versions, ""), began, left, err.Error())
+		}
 	}
 	if counts && r.countsStreams(b, s) {
 		r.countAttempt(before == 0, s.Events > before)
@@ -92,13 +96,17 @@
 
 // checkStream reads up to most events of an answer, and checks that they are those of this stream, that a server has stamped the
 // answer, and that it does not end before the last event or after it. A refusal must be one that allows to come back.
-func (r *run) checkStream(b *Box, s *standin.Stream, id string, a *http.Response, most int) {
+// The error says why the answer is no whole stream.
+func (r *run) checkStream(b *Box, s *standin.Stream, id string, a *http.Response, most int) error {
+	r.checkNotEndless(b, id, a, "")
 	refused := a.StatusCode == http.StatusServiceUnavailable || a.StatusCode == http.StatusTooManyRequests
 	if a.StatusCode != http.StatusOK {
 		if a.StatusCode < http.StatusInternalServerError && !refused {
 			r.reportViolation("%s to %s: %d", id, b.Name, a.StatusCode)
 		}
-		return
+		text, _ := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes))
+		r.checkNotEndless(b, id, a, string(text))
+		return fmt.Errorf("status %d %s", a.StatusCode, text)
 	}
 	if !standin.Stamped(a.Header) {
 		r.reportViolation("%s to %s has no stamp", id, b.Name)
@@ -109,7 +117,10 @@
 		r.reportViolation("%s to %s: %v", id, b.Name, err)
 	case err == nil && s.Events != streamEvents && most > streamEvents:
 		r.reportViolation("%s to %s ended after %d of %d events", id, b.Name, s.Events, streamEvents)
+	case err != nil:
+		r.countOutcome("stream cut")
 	}
+	return err
 }
 
 // countsStreams reports whether an attempt at a box counts: the box and the store have had no fault lately, and the version
