--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -22,6 +22,7 @@
 	"birchlink.dev/birchlink/fleetstate"
 	"birchlink.dev/birchlink/forward"
 	"birchlink.dev/birchlink/kernel"
+	"birchlink.dev/birchlink/membudget"
 	"birchlink.dev/birchlink/origin"
 	"birchlink.dev/birchlink/quota"
 	"birchlink.dev/birchlink/storesession"
@@ -40,6 +41,8 @@
 	bodyTimeout    = 20 * time.Second
 	writeTimeout   = 5 * time.Second
 	maxBodyBytes   = 16 << 20
+
+	maxReadyHeaderBytes = 4 << 10
 )
 
 // Codec translates between the platform's HTTP headers and calls.
@@ -96,6 +99,9 @@
 	readyListener  net.Listener
 	stopping       atomic.Bool
 	inFlight       atomic.Int64
+	heads          membudget.Budget // held heads of requests
+	bodies         membudget.Budget // held bodies
+	smallBodies    membudget.Budget // held small bodies for which there was no other room
 	closing        context.Context
 	cancelRequests context.CancelCauseFunc
 }
@@ -103,6 +109,7 @@
 // New returns an Ingress.
 func New(o Options, codec Codec, f *forward.Forwarder, l RateLimiter, s Origins, m metrics.Registry, log zerolog.Logger) *Ingress {
 	i := &Ingress{Options: o, Codec: codec, Limiter: l, Origins: s, forwarder: f, metrics: m, log: log}
+	i.heads.Total, i.bodies.Total, i.smallBodies.Total = maxHeldHeadBytes, maxHeldBytes, reservedBytes
 	i.closing, i.cancelRequests = context.WithCancelCause(context.Background())
 	return i
 }
@@ -116,18 +123,30 @@
 	if err != nil {
 		return err
 	}
+	i.setServers()
+	if i.listener, err = i.listen(i.server, i.Address); err != nil {
+		return err
+	}
+	i.readyListener, err = i.listen(i.readyServer, i.ReadyAddress)
+	return err
+}
+
+// setServers sets the servers of callers and of readiness checks.
+func (i *Ingress) setServers() {
 	i.server = &http.Server{
 		Handler: http.HandlerFunc(i.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: nil,
+		ConnState: func(c net.Conn, s http.ConnState) {
+			if h, ok := c.(*headConn); ok {
+				h.setState(s)
+			}
+		},
 	}
 	r := mux.NewRouter()
 	r.HandleFunc(i.ReadyPath, i.serveReady)
-	i.readyServer = &http.Server{Handler: r, ReadHeaderTimeout: headerTimeout}
-	if i.listener, err = i.listen(i.server, i.Address); err != nil {
-		return err
+	i.readyServer = &http.Server{
+		Handler: r, ReadTimeout: headerTimeout, WriteTimeout: writeTimeout + headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxReadyHeaderBytes,
 	}
-	i.readyListener, err = i.listen(i.readyServer, i.ReadyAddress)
-	return err
 }
 
 func (i *Ingress) listen(s *http.Server, address string) (net.Listener, error) {
@@ -135,6 +154,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
+	if s == i.server {
+		l = headListener{l.(*net.TCPListener), &i.heads, i.refuseHead}
+	}
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			i.log.Error().Str("event", "listen").Str("address", address).Err(err).Msg("HTTP server failed")
--- a/peer/client.go
+++ b/peer/client.go
@@ -11,17 +11,31 @@
 
 	"birchlink.dev/birchlink/errkind"
 	"birchlink.dev/birchlink/frame"
+	"birchlink.dev/birchlink/membudget"
 )
 
 // dialTimeout bounds the TCP connection setup.
 const dialTimeout = time.Second
 
 // maxSilence is how long a connection with pending calls may deliver no frame. After that,
-// it is closed when one of the calls is cancelled or times out. A connection can die without
-// a reset, which TCP detects only after minutes. The limit is longer than a busy box takes
-// to answer; a dead connection makes two rounds of half a second fail.
+// it is retired when one of the calls is cancelled or times out: it gets no further calls. A
+// connection can die without a reset, which TCP detects only after minutes. The limit is
+// longer than a busy box takes to answer; a dead connection makes two rounds of half a second
+// fail.
 const maxSilence = 900 * time.Millisecond
 
+// minSilentRounds is how many rounds of maxSilence a retired connection must not answer a ping,
+// while another one to the same peer answers after each, to be closed with its calls. Without
+// the other one's answers the peer may be paused.
+const minSilentRounds = 2
+
+// methodPing is a call that every peer answers at once.
+const methodPing = "peer.ping"
+
+// maxQueuedBytes bounds the frames that a client has received for its calls and that these have not read. It has
+// room for two of the largest answers.
+const maxQueuedBytes = 2*frame.MaxSize + 4<<20
+
 // Client calls peers by address. It keeps one connection to each peer and multiplexes
 // the calls on it. It is safe for concurrent use.
 type Client struct {
@@ -29,24 +43,34 @@
 	local  *net.TCPAddr
 	mu     sync.Mutex
 	links  map[string]*link
+	old    map[*link]string // retired connections with pending calls, and their addresses
+	queued membudget.Budget // queued frames of all links
 	group  sync.WaitGroup
 }
 
 // link is a connection with its pending calls.
 type link struct {
 	conn   *frame.Conn
+	queued *membudget.Budget
 	mu     sync.Mutex
 	lastID uint64
 	calls  map[uint64]*inbox
 	done   chan struct{}
 
+	// retired is whether the connection gets no further calls. It is closed after the last one.
+	retired bool
+
 	// waitingSince is when the first call since the last received frame was made; zero
 	// if there was none.
 	waitingSince time.Time
 }
 
 // NewClient returns a client without connections.
-func NewClient(secret string) *Client { return &Client{secret: secret, links: map[string]*link{}} }
+func NewClient(secret string) *Client {
+	return &Client{
+		secret: secret, links: map[string]*link{}, old: map[*link]string{}, queued: membudget.Budget{Total: maxQueuedBytes},
+	}
+}
 
 // Call makes a call and decodes its result into out, unless out is nil. Errors are
 // those of Stream.
@@ -56,8 +80,8 @@
 
 // Stream makes a call, passes each item to onItem, unless that is nil, and decodes the
 // result into out, unless that is nil. An error of onItem ends the call. A connection
-// failure is returned as an error of kind errkind.Unavailable; the call may or may not
-// have taken effect. Errors of the remote handler keep their kind, message and
+// failure is returned as an error of kind errkind.Unavailable, and so is an answer that is sent
+// faster than it is read and for which there is no memory; the call may or may not have taken effect. Errors of the remote handler keep their kind, message and
 // RetryAfter.
 func (c *Client) Stream(x context.Context, address, method string, in, out any, onItem func([]byte) error) error {
 	l, err := c.connect(x, address)
@@ -75,16 +99,21 @@
 		return &errkind.Error{Kind: errkind.Unavailable, Message: "peer " + address, Err: err}
 	}
 	for {
-		for _, m := range answers.drain() {
+		for m, ok := answers.first(); ok; m, ok = answers.first() {
 			if last, err := handleFrame(m, out, onItem); last || err != nil {
 				return err
 			}
+			answers.removeFirst()
+		}
+		if answers.isCut() {
+			l.cancelCall(id)
+			return errkind.New(errkind.Unavailable, "peer %s sends answers faster than they are read", address)
 		}
 		select {
 		case <-answers.ready:
 		case <-x.Done():
-			l.closeIfSilent()
-			_ = l.conn.Write(frame.Message{ID: id, Type: frame.Cancel}, writeTimeout)
+			c.retireIfSilent(address, l)
+			l.cancelCall(id)
 			return x.Err()
 		case <-l.done:
 			// Handle the frames that arrived before the connection ended.
@@ -100,14 +129,7 @@
 func (c *Client) Takeover(x context.Context, address, method string, in, out any) (*frame.Conn, error) {
 	f, err := c.dialFrames(x, address)
 	if err == nil {
-		stop := context.AfterFunc(x, func() { f.Close() })
-		err = c.takeOver(f, method, in, out)
-		if !stop() {
-			err = x.Err()
-		}
-		if err != nil {
-			f.Close()
-		}
+		err = closeOnError(x, f, func() error { return c.takeOver(f, method, in, out) })
 	}
 	if err != nil {
 		return nil, &errkind.Error{Kind: errkind.Unavailable, Message: "peer " + address, Err: err}
@@ -115,6 +137,20 @@
 	return f, nil
 }
 
+// closeOnError calls a function that uses a connection, and closes the connection if the function fails or the
+// context ends before it returns.
+func closeOnError(x context.Context, f *frame.Conn, use func() error) error {
+	stop := context.AfterFunc(x, func() { f.Close() })
+	err := use()
+	if !stop() {
+		err = x.Err()
+	}
+	if err != nil {
+		f.Close()
+	}
+	return err
+}
+
 func (c *Client) takeOver(f *frame.Conn, method string, in, out any) error {
 	if err := c.handshake(f); err != nil {
 		return err
@@ -167,6 +203,9 @@
 	for _, l := range c.links {
 		n += l.conn.Bytes.Load()
 	}
+	for l := range c.old {
+		n += l.conn.Bytes.Load()
+	}
 	return n
 }
 
@@ -176,6 +215,9 @@
 	for _, l := range c.links {
 		l.conn.Close()
 	}
+	for l := range c.old {
+		l.conn.Close()
+	}
 	c.mu.Unlock()
 	c.group.Wait()
 }
@@ -200,18 +242,56 @@
 	}
 	c.links[address] = l
 	c.group.Go(func() { c.readLoop(address, l) })
+	for o, a := range c.old {
+		if a == address {
+			c.group.Go(func() { closeIfDead(o, l) })
+		}
+	}
 	return l, nil
 }
 
+// retireIfSilent retires a connection that has been silent for maxSilence.
+func (c *Client) retireIfSilent(address string, l *link) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.links[address] != l || !l.retireIfSilent() {
+		return
+	}
+	delete(c.links, address)
+	c.old[l] = address
+}
+
+// closeIfDead closes a retired connection if it answers nothing while a newer one to the same peer does.
+func closeIfDead(old, newer *link) {
+	pong, end := old.ping()
+	defer end()
+	for range minSilentRounds {
+		t := time.NewTimer(maxSilence)
+		select {
+		case <-pong:
+			t.Stop()
+			return
+		case <-old.done:
+			t.Stop()
+			return
+		case <-t.C:
+		}
+		if !newer.answersPing() {
+			return
+		}
+	}
+	old.conn.Close()
+}
+
 func (c *Client) dial(x context.Context, address string) (*link, error) {
 	f, err := c.dialFrames(x, address)
 	if err == nil {
-		err = c.handshake(f)
+		err = closeOnError(x, f, func() error { return c.handshake(f) })
 	}
 	if err != nil {
 		return nil, err
 	}
-	return &link{conn: f, calls: map[uint64]*inbox{}, done: make(chan struct{})}, nil
+	return &link{conn: f, queued: &c.queued, calls: map[uint64]*inbox{}, done: make(chan struct{})}, nil
 }
 
 func (c *Client) dialFrames(x context.Context, address string) (*frame.Conn, error) {
@@ -226,11 +306,10 @@
 	return frame.New(n), nil
 }
 
-// handshake authenticates both sides. It closes the connection if that fails.
+// handshake authenticates both sides.
 func (c *Client) handshake(f *frame.Conn) error {
 	_ = f.NetConn().SetReadDeadline(time.Now().Add(handshakeTimeout))
 	if err := clientHandshake(f, c.secret); err != nil {
-		f.Close()
 		return err
 	}
 	return f.NetConn().SetReadDeadline(time.Time{})
@@ -240,13 +319,16 @@
 func (c *Client) readLoop(address string, l *link) {
 	defer func() {
 		c.mu.Lock()
-		delete(c.links, address)
+		if c.links[address] == l {
+			delete(c.links, address)
+		}
+		delete(c.old, l)
 		c.mu.Unlock()
 		l.conn.Close()
 		close(l.done)
 	}()
 	for {
-		m, err := l.conn.Read()
+		m, err := l.conn.ReadWithin(frameTimeout)
 		if err != nil {
 			return
 		}
@@ -254,18 +336,33 @@
 	}
 }
 
-// inbox queues the frames of one call, so that a slow reader doesn't block the other
-// calls of the connection. It has no limit of its own; the handler bounds the size of
-// an answer.
+// inbox queues the frames of one call, so that a slow reader doesn't block the other calls of the
+// connection. If the client has no room for a frame, the frame and those after it are dropped, and the
+// call fails.
 type inbox struct {
+	budget *membudget.Budget
+	ready  chan struct{}
+
 	mu     sync.Mutex
 	frames []frame.Message
-	ready  chan struct{}
+	cut    bool // no frames are added any more
+}
+
+// cost returns the memory that a queued frame takes, in bytes.
+func cost(m frame.Message) int64 {
+	const overhead = 256 // the message, its place in the queue and its allocations
+	return int64(len(m.Method)+len(m.Body)) + overhead
 }
 
 func (i *inbox) put(m frame.Message) {
 	i.mu.Lock()
-	i.frames = append(i.frames, m)
+	if !i.cut {
+		if i.budget.Acquire(cost(m)) {
+			i.frames = append(i.frames, m)
+		} else {
+			i.cut = true
+		}
+	}
 	i.mu.Unlock()
 	select {
 	case i.ready <- struct{}{}:
@@ -273,12 +370,40 @@
 	}
 }
 
-func (i *inbox) drain() []frame.Message {
+// first returns the first queued frame, if any. It stays in the queue while it is handled.
+func (i *inbox) first() (frame.Message, bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	ms := i.frames
+	if len(i.frames) == 0 {
+		return frame.Message{}, false
+	}
+	return i.frames[0], true
+}
+
+func (i *inbox) removeFirst() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.budget.Release(cost(i.frames[0]))
+	i.frames[0] = frame.Message{}
+	i.frames = i.frames[1:]
+}
+
+// isCut reports whether frames were dropped and all before them have been handled.
+func (i *inbox) isCut() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.cut && len(i.frames) == 0
+}
+
+// close drops the queued frames and those that come later.
+func (i *inbox) close() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.cut = true
+	for _, m := range i.frames {
+		i.budget.Release(cost(m))
+	}
 	i.frames = nil
-	return ms
 }
 
 func (i *inbox) isEmpty() bool {
@@ -294,26 +419,58 @@
 	if l.waitingSince.IsZero() {
 		l.waitingSince = time.Now()
 	}
-	b := &inbox{ready: make(chan struct{}, 1)}
+	b := &inbox{budget: l.queued, ready: make(chan struct{}, 1)}
 	l.calls[l.lastID] = b
 	return l.lastID, b
 }
 
+// closeCall ends a call. The last one closes a retired connection.
 func (l *link) closeCall(id uint64) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	b := l.calls[id]
 	delete(l.calls, id)
+	unused := l.retired && len(l.calls) == 0
+	l.mu.Unlock()
+	b.close()
+	if unused {
+		l.conn.Close()
+	}
+}
+
+// cancelCall tells the remote side to cancel a call.
+func (l *link) cancelCall(id uint64) {
+	_ = l.conn.Write(frame.Message{ID: id, Type: frame.Cancel}, writeTimeout)
 }
 
-// closeIfSilent closes the connection if calls have been pending for maxSilence without
-// a frame from the remote side.
-func (l *link) closeIfSilent() {
+// retireIfSilent makes the connection a retired one if calls have been pending for maxSilence
+// without a frame from the remote side, and reports whether it did.
+func (l *link) retireIfSilent() bool {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	silent := !l.waitingSince.IsZero() && time.Since(l.waitingSince) >= maxSilence
-	l.mu.Unlock()
-	if silent {
+	l.retired = l.retired || silent
+	return silent
+}
+
+// ping makes a call of methodPing. The channel receives an item when it is answered; end ends the call.
+func (l *link) ping() (pong <-chan struct{}, end func()) {
+	id, b := l.openCall()
+	if err := l.conn.Write(frame.Message{ID: id, Type: frame.Call, Method: methodPing}, writeTimeout); err != nil {
 		l.conn.Close()
 	}
+	return b.ready, func() { l.closeCall(id) }
+}
+
+// answersPing waits for the answer to a ping. It returns false if the connection ends before.
+func (l *link) answersPing() bool {
+	pong, end := l.ping()
+	defer end()
+	select {
+	case <-pong:
+		return true
+	case <-l.done:
+		return false
+	}
 }
 
 // deliver passes a frame to its call, or drops it if the call has ended.
