Count empty lines of the soak's streams apart from events

The stand-in of a caller counted an empty line that ends no event as an event, so that it stopped reading after 33 of them and reported a stream that "ended after 0 of 32 events" although it went on. That was wrong: such a line is no event, and boxes pass the comments and empty lines of servers on, within bounds. The caller now reads on.

--- a/soak/loss.go
+++ b/soak/loss.go
@@ -59,6 +59,12 @@
 	return n >= minServers
 }
 
+// beganAtEndless reports whether a server that has sent bytes without end began a request.
+func (r *run) beganAtEndless(id string) bool {
+	ran, _ := r.fleet.serversOf(id)
+	return slices.ContainsFunc(ran, func(s *Server) bool { return s.endless.FaultySince(r.began) })
+}
+
 // checkNotEndless checks that neither the head of an answer nor what was read of its body is what servers send without end.
 func (r *run) checkNotEndless(b *Box, id string, a *http.Response, text string) {
 	for _, vs := range a.Header {
--- a/soak/stream.go
+++ b/soak/stream.go
@@ -117,6 +117,9 @@
 		r.reportViolation("%s to %s has no stamp", id, b.Name)
 	}
 	err := s.Read(id, a.Body, most)
+	if s.Empty > 0 && !r.beganAtEndless(id) {
+		r.reportViolation("%s to %s has %d empty lines that end no event", id, b.Name, s.Empty)
+	}
 	switch {
 	case errors.Is(err, standin.ErrInvalidEvent):
 		r.reportViolation("%s to %s: %v", id, b.Name, err)
