--- a/forward/move.go
+++ b/forward/move.go
@@ -173,7 +173,7 @@
 	if m.result == nil {
 		s.watchdog.hold(false)
 		if m.sourceEnded {
-			s.watchdog.expire()
+			s.watchdog.expire(nil)
 		}
 		s.logMove("fail", outcome, to, m.since, m.ends)
 		metrics.GetOrRegisterCounter("moves."+outcome, s.r.f.Metrics).Inc(1)
@@ -380,7 +380,7 @@
 		if err != nil {
 			return
 		}
-		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxCopyAnswerSize))
+		resp.Discard()
 		resp.Close()
 	}()
 }
--- a/sse/reader_test.go
+++ b/sse/reader_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"testing"
 
@@ -52,3 +53,68 @@
 	_, err := r.Next()
 	require.ErrorContains(t, err, "over")
 }
+
+// Tests that an event counts with its copy while it grows, is given up if it can't be held, and counts no more once the
+// next one is read.
+func TestEventsHoldBytes(t *testing.T) {
+	small, large := "data: x\n\n", "data: "+strings.Repeat("x", 100<<10)+"\n\n"
+	var held []int
+	r := sse.NewReader(strings.NewReader(small + large + small + small))
+	r.Hold = func(n int) error {
+		held = append(held, n)
+		return nil
+	}
+	for range 4 {
+		_, err := r.Next()
+		require.NoError(t, err)
+	}
+	require.GreaterOrEqual(t, slices.Max(held), len(large))
+	require.Less(t, slices.Max(held), 4*len(large))
+	require.Zero(t, held[len(held)-1])
+	require.Equal(t, 1, len(held)-len(slices.DeleteFunc(slices.Clone(held), func(n int) bool { return n == 0 })))
+
+	full := errors.New("full")
+	r = sse.NewReader(strings.NewReader(large))
+	r.Hold = func(n int) error {
+		if n > 64<<10 {
+			return full
+		}
+		return nil
+	}
+	_, err := r.Next()
+	require.ErrorIs(t, err, full)
+}
+
+// Tests that a part of a line that is longer than the buffer is not taken for a line.
+func TestLineAtBufferEnd(t *testing.T) {
+	for _, end := range []string{"", "id: 2"} {
+		event := "id: 1\ndata: " + strings.Repeat("x", 4096-len("data: ")) + end + "\ndata: y\n\n"
+		e, err := sse.NewReader(strings.NewReader(event)).Next()
+		require.NoError(t, err)
+		require.Len(t, e.Raw, len(event))
+		require.Equal(t, "1", e.ID)
+	}
+}
+
+// Tests that a stream which has no field in 64 KB of empty lines or comments breaks, and that comments between
+// events do not count together.
+func TestEventsWithoutFields(t *testing.T) {
+	for _, unit := range []string{"\n", "\r\n", ": y\n\n", ":\r\n\r\n"} {
+		r := sse.NewReader(strings.NewReader(strings.Repeat(unit, 128<<10/len(unit))))
+		n := 0
+		var err error
+		for err == nil {
+			var e sse.Event
+			e, err = r.Next()
+			n += len(e.Raw)
+		}
+		require.ErrorContains(t, err, "without")
+		require.LessOrEqual(t, n, 64<<10)
+
+		r = sse.NewReader(strings.NewReader(strings.Repeat(strings.Repeat(unit, 500)+"data: x\n\n", 4)))
+		for err = nil; err == nil; {
+			_, err = r.Next()
+		}
+		require.Equal(t, io.EOF, err)
+	}
+}
