--- a/soak/stream.go
+++ b/soak/stream.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 
 	"birchlink.dev/birchlink/platform/standin"
@@ -12,7 +14,7 @@
 
 const (
 	// streamEvents is the number of events of a stream, and streamAttempts bounds the attempts of its caller.
-	streamEvents   = 12
+	streamEvents   = 32
 	streamAttempts = 3
 
 	// minTakenUp is the number of streams taken up from which the share that goes on is checked, and minShare the
@@ -24,6 +26,11 @@
 	minServers = 2
 )
 
+// singleStreamPath is the path of streams for which a box makes one attempt, and streamPaths has those of all streams.
+const singleStreamPath = "/stream-once/x"
+
+var streamPaths = []string{"/stream/x", singleStreamPath}
+
 // streamCounts counts attempts at boxes without faults while minServers of the version serve: of new streams
 // and those that began, of streams that were taken up and those that went on.
 type streamCounts struct {
@@ -33,7 +40,7 @@
 // stream makes a call whose answer is a stream, and takes it up again at any box if it breaks off. The caller leaves the first
 // answer after some events, or reads all if that is zero.
 func (r *run) stream(h *http.Client, b *Box, id string, rnd *rand.Rand, leaveAfter int) {
-	s := &standin.Stream{}
+	s, path := &standin.Stream{}, streamPaths[rnd.IntN(len(streamPaths))]
 	began, end := time.Now(), time.Now().Add(callTimeout)
 	for n := range streamAttempts {
 		left := time.Until(end)
@@ -44,7 +51,7 @@
 		if n == 0 && leaveAfter > 0 {
 			most = leaveAfter
 		}
-		if r.streamAttempt(h, b, s, fmt.Sprintf("%s-%d", id, n), left, most) {
+		if r.streamAttempt(h, b, s, path, fmt.Sprintf("%s-%d", id, n), left, most) {
 			break
 		}
 		b = r.fleet.Boxes[rnd.IntN(len(r.fleet.Boxes))]
@@ -62,8 +69,8 @@
 }
 
 // streamAttempt makes one attempt and reads up to most events. It reports whether the stream is whole.
-func (r *run) streamAttempt(h *http.Client, b *Box, s *standin.Stream, id string, left time.Duration, most int) bool {
-	q, err := s.NewRequest(b.CallerAddress, "/stream/x", id, left)
+func (r *run) streamAttempt(h *http.Client, b *Box, s *standin.Stream, path, id string, left time.Duration, most int) bool {
+	q, err := s.NewRequest(b.CallerAddress, path, id, left)
 	if err != nil {
 		r.reportViolation("%v", err)
 		return true
@@ -73,11 +80,13 @@
 	a, err := h.Do(q)
 	status := "not answered"
 	if err != nil {
-		r.checkNoAnswer(b, "/stream/x", id, began, err)
+		r.checkNoAnswer(b, path, id, began, err)
 	} else {
 		defer a.Body.Close()
 		status = fmt.Sprint(a.StatusCode)
-		r.checkStream(b, s, id, a, most)
+		if err := r.checkStream(b, s, id, a, most); err != nil {
+			r.checkLoss(b, path, id, strings.Join(s.Versions, ""), began, left, err.Error())
+		}
 	}
 	if counts && r.countsStreams(b, s) {
 		r.countAttempt(before == 0, s.Events > before)
@@ -92,24 +101,34 @@
 
 // checkStream reads up to most events of an answer, and checks that they are those of this stream, that a server has stamped the
 // answer, and that it does not end before the last event or after it. A refusal must be one that allows to come back.
-func (r *run) checkStream(b *Box, s *standin.Stream, id string, a *http.Response, most int) {
+// The error says why the answer is no whole stream.
+func (r *run) checkStream(b *Box, s *standin.Stream, id string, a *http.Response, most int) error {
+	r.checkNotEndless(b, id, a, "")
 	refused := a.StatusCode == http.StatusServiceUnavailable || a.StatusCode == http.StatusTooManyRequests
 	if a.StatusCode != http.StatusOK {
 		if a.StatusCode < http.StatusInternalServerError && !refused {
 			r.reportViolation("%s to %s: %d", id, b.Name, a.StatusCode)
 		}
-		return
+		text, _ := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes))
+		r.checkNotEndless(b, id, a, string(text))
+		return fmt.Errorf("status %d %s", a.StatusCode, text)
 	}
 	if !standin.Stamped(a.Header) {
 		r.reportViolation("%s to %s has no stamp", id, b.Name)
 	}
 	err := s.Read(id, a.Body, most)
+	if s.Empty > 0 && !r.beganAtEndless(id) {
+		r.reportViolation("%s to %s has %d empty lines that end no event", id, b.Name, s.Empty)
+	}
 	switch {
 	case errors.Is(err, standin.ErrInvalidEvent):
 		r.reportViolation("%s to %s: %v", id, b.Name, err)
 	case err == nil && s.Events != streamEvents && most > streamEvents:
 		r.reportViolation("%s to %s ended after %d of %d events", id, b.Name, s.Events, streamEvents)
+	case err != nil:
+		r.countOutcome("stream cut")
 	}
+	return err
 }
 
 // countsStreams reports whether an attempt at a box counts: the box and the store have had no fault lately, and the version
