Serve plain calls elsewhere whose endpoint sends heads that do not end

A repeatable call on a route without a latency objective had no successor, so that an endpoint that sends a part of a head, or a late answer that does not end, kept it until its deadline. It now gets one after half of its time. TestAnswersThatDoNotEnd failed before: both calls ended at their deadlines. A time bound on heads would do the same, and would end the answer of an endpoint that is paused within a head when no attempt is left, so it is not taken. TestBytesWithoutEnd now sends calls to the bad endpoint first; in some runs none reached it.

--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -112,7 +112,7 @@
 		bad := newEndlessEndpoint(t, prefix, unit, 1)
 		for i := range 5 {
 			s.step([]string{"endpoint", strconv.Itoa(i), sound}, "")
-			s.endpoints[strconv.Itoa(i)].ready = bad.ready
+			s.step([]string{"remote", strconv.Itoa(i)}, "") // so that calls go to the bad endpoint first
 		}
 		s.addEndless(bad)
 		bad.callAtOnce(func(i int) {
@@ -124,6 +124,7 @@
 				assert.Regexp(t, "^from [0-4]$", sink.body.String())
 			}
 		})
+		require.NotZero(t, bad.arrived.Load())
 		t.Logf("%d of %d calls reached the endpoint, the heap had %d MB at most", bad.arrived.Load(), endlessCalls, bad.peak.Load()>>20)
 		require.Less(t, bad.peak.Load(), uint64(maxBoxHeap))
 	})
@@ -145,6 +146,22 @@
 	})
 }
 
+// Tests that a head or a late answer that has begun and does not end is given up before the deadline of the request.
+func TestAnswersThatDoNotEnd(t *testing.T) {
+	for _, b := range []string{"head_unfinished", "late_unfinished"} {
+		t.Run(b, func(t *testing.T) {
+			t.Parallel()
+			s := newEndlessScript(t, "idempotent")
+			s.step([]string{"endpoint", "a", b}, "")
+			s.step([]string{"endpoint", "b", "informational"}, "")
+			s.step([]string{"remote", "b"}, "")
+			s.call("")
+			s.step([]string{"expect", "asked", "a", "1"}, "")
+			s.step([]string{"expect", "body", "from", "b"}, "")
+		})
+	}
+}
+
 // eachForm runs a test for each form in the data file.
 func eachForm(t *testing.T, play func(t *testing.T, kind, prefix, unit string)) {
 	f, err := os.Open("testdata/endless/forms.txt")
--- a/forward/endpoint_test.go
+++ b/forward/endpoint_test.go
@@ -28,7 +28,6 @@
 	drain      func()        // marks this endpoint as draining
 	lapse      func()        // removes this endpoint's record
 	replace    func()        // registers another process under the endpoint's ID
-	ready      chan struct{} // if not nil, requests are answered once it is closed
 	closed     chan struct{} // receives an item for each connection that the endpoint closed
 
 	mu         sync.Mutex
@@ -96,9 +95,6 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, q.Body)
-		if f.ready != nil {
-			<-f.ready
-		}
 		last := q.Header.Get("Last-Event")
 		if !f.answer(c, f.next(last), q.Header.Get("Id"), last) {
 			return
@@ -192,6 +188,17 @@
 	case "nonsense":
 		fmt.Fprint(c, "these bytes are no answer\r\n\r\n")
 		return false
+	case "head_unfinished":
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nX", id)
+		_, _ = io.Copy(io.Discard, c)
+		return false
+	case "late_unfinished": // a late answer to an earlier request
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: another\r\nContent-Length: 9\r\n\r\nlate")
+		_, _ = io.Copy(io.Discard, c)
+		return false
+	case "informational": // announces the answer, then sends it
+		fmt.Fprint(c, "HTTP/1.1 102 Processing\r\n\r\n")
+		whole(id)
 	case "reset":
 		reset(c)
 		return false
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -200,6 +200,8 @@
 		s.f.Budget = settledBudget(budget.Limits{Slack: float64(number(1)), Window: time.Minute})
 	case "deadline":
 		s.deadline = duration(1)
+	case "objective":
+		s.route.LatencyObjective = duration(1)
 	case "reads":
 		s.delay = duration(1)
 	case "endpoint":
--- a/forward/watchdog.go
+++ b/forward/watchdog.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -36,7 +35,8 @@
 )
 
 // objectiveFactor is the time that a repeatable call of a plain service may take at one endpoint
-// before a successor is started, as a multiple of the route's latency objective.
+// before a successor is started, as a multiple of the route's latency objective. Without an objective it is half of the
+// time left.
 const objectiveFactor = 1.0
 
 // watchdog starts a successor of an attempt whose endpoint is unresponsive, and decides which of the two goes on: the
@@ -74,11 +74,11 @@
 	}
 	interval := watchInterval
 	if !r.isStream() {
-		w.allowedSilence = time.Duration(objectiveFactor * float64(r.q.Route.LatencyObjective))
-		interval = w.allowedSilence
+		interval = time.Duration(objectiveFactor * float64(r.q.Route.LatencyObjective))
 		if interval <= 0 {
-			w.allowedSilence, interval = math.MaxInt64, watchInterval
+			interval = boottime.Until(r.q.Expires) / 2
 		}
+		w.allowedSilence = interval
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
