--- a/forward/response.go
+++ b/forward/response.go
@@ -164,6 +164,9 @@
 			r.endEvents(resp, w, err, &out)
 			return out
 		}
+		if !e.HasField && (!r.mayAnswer() || w.hasSuccessor()) {
+			continue // a comment does not decide which of the two goes on
+		}
 		if !r.lead(w) {
 			out.err = errSuperseded
 			return out
@@ -178,14 +181,7 @@
 			r.recordVersion(r.trace.Choice.Endpoint)
 		}
 		r.recordStart(boottime.Now())
-		if !r.headSent {
-			r.headSent = true
-			if err := r.sink.Head(resp.Status, resp.Header); err != nil {
-				out.err = fmt.Errorf("%w: %w", errCallerWrite, err)
-				return out
-			}
-		}
-		if err := r.sink.Event(e.Raw); err != nil {
+		if err := r.passEvent(resp, e); err != nil {
 			out.err = fmt.Errorf("%w: %w", errCallerWrite, err)
 			return out
 		}
@@ -198,6 +194,17 @@
 	}
 }
 
+// passEvent passes an event to the caller, and the head of its response before the first one.
+func (r *run) passEvent(resp *httpconn.Response, e sse.Event) error {
+	if !r.headSent {
+		r.headSent = true
+		if err := r.sink.Head(resp.Status, resp.Header); err != nil {
+			return err
+		}
+	}
+	return r.sink.Event(e.Raw)
+}
+
 // endEvents completes the result of a stream of which no more events can be read.
 func (r *run) endEvents(resp *httpconn.Response, w *watchdog, err error, out *attemptResult) {
 	if !errors.Is(err, io.EOF) {
--- a/forward/successor_test.go
+++ b/forward/successor_test.go
@@ -630,3 +630,29 @@
 		require.Zero(t, s.f.Pool.Budget.Total())
 	})
 }
+
+// Guards against an endpoint that sends comments after a silence, without end: they ended the successor, and the stream broke with
+// its attempts used up.
+func TestCommentsEndNoSuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newPipeScript(t, "stream", "resumable", "2")
+		s.add("a", func(w io.Writer, q *http.Request, gone <-chan struct{}) {
+			writeHead(w, q)
+			time.Sleep(2500 * time.Millisecond)
+			for {
+				if _, err := io.WriteString(w, "3\r\n: \n\r\n1\r\n\n\r\n"); err != nil {
+					return
+				}
+			}
+		})
+		r := &recorder{}
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			s.add("b", streamEvents("b", 300*time.Millisecond, 10*time.Millisecond, 3))
+		}()
+		require.NoError(t, s.do("1", r, nil))
+		synctest.Wait()
+		require.Equal(t, "b b b", eventSources(r))
+		require.Equal(t, map[string]int{"a": 1, "b": 1}, s.runs)
+	})
+}
--- a/forward/watchdog.go
+++ b/forward/watchdog.go
@@ -140,6 +140,13 @@
 	return true
 }
 
+// hasSuccessor reports whether a successor is under way.
+func (w *watchdog) hasSuccessor() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.successor != nil
+}
+
 // endEvent records that an event was passed to the caller.
 func (w *watchdog) endEvent() {
 	w.mu.Lock()
--- a/sse/reader.go
+++ b/sse/reader.go
@@ -27,10 +27,11 @@
 var ErrTruncated = errors.New("the stream ended inside an event")
 
 // Event is one event. Raw holds the event as received, with the empty line that ends it. ID is empty
-// if the event has no ID.
+// if the event has no ID. HasField is false for empty lines and comments, which hold nothing of the answer.
 type Event struct {
-	ID  string
-	Raw []byte
+	ID       string
+	Raw      []byte
+	HasField bool
 }
 
 // Reader reads events from a stream.
@@ -57,7 +58,6 @@
 	if err := r.release(); err != nil {
 		return e, err
 	}
-	hasField := false
 	for {
 		line, err := r.readLine(&e.Raw)
 		if err != nil {
@@ -65,12 +65,12 @@
 		}
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 {
-			if err := r.countComments(len(e.Raw), hasField); err != nil {
+			if err := r.countComments(len(e.Raw), e.HasField); err != nil {
 				return Event{}, err
 			}
 			return e, nil
 		}
-		hasField = hasField || line[0] != ':'
+		e.HasField = e.HasField || line[0] != ':'
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok && len(id) <= maxIDBytes {
 			e.ID = string(bytes.TrimPrefix(id, []byte(" ")))
 		}
