--- a/tunnel/service.go
+++ b/tunnel/service.go
@@ -275,16 +275,15 @@
 		if m.Type != frame.Item || msgpack.Unmarshal(m.Body, &b) != nil {
 			break
 		}
-		held := int64(0)
-		if len(b) > maxDataBytes {
-			held = int64(len(m.Body) + len(b))
-		}
-		if !f.Large.Acquire(held) {
+		isLarge, held := f.Large != nil && len(b) > maxDataBytes, int64(len(m.Body)+len(b))
+		if isLarge && !f.Large.Acquire(held) {
 			break
 		}
 		_ = n.SetWriteDeadline(time.Now().Add(writeTimeout))
 		_, _ = n.Write(b) // after an error, the response may still be read
-		f.Large.Release(held)
+		if isLarge {
+			f.Large.Release(held)
+		}
 	}
 	reset(n)
 	<-done
