Show that requests with a part in common crash server after server

What callers saw: requests that share one part of their prompt, no two alike, crash the servers one after the other, and the sound requests beside them fail. The test sends both kinds in turn through six boxes before twelve servers, which are replaced at once.

--- /dev/null
+++ b/daemon/crashes_test.go
@@ -0,0 +1,33 @@
+package daemon_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// maxCrashes is the number of servers that one part may crash: five, and three by requests sent later.
+const maxCrashes = 5 + 3
+
+// No part of a prompt crashes more than a few servers, although no two requests with it are alike. Requests that share
+// their account and first part with it are served.
+func TestAllBoxesRefusePartThatCrashesServers(t *testing.T) {
+	p := newPlatform(t, 12)
+	p.crashParts = map[string]string{"bad0": ""}
+	bs := p.startFleet("a", "b", "c", "d", "e", "f")
+	defer stopAll(t, bs)
+	for i := range 40 {
+		b := bs[i%len(bs)]
+		b.callWithParts(t, fmt.Sprint("crashing", i), fmt.Sprint("prompt ", i), fmt.Sprintf("f1a0:100,bad0:50,%x:20", 1000+i))
+		status, text := b.callWithParts(t, fmt.Sprint("sound", i), fmt.Sprint("another prompt ", i), fmt.Sprintf("f1a0:100,%x:20", 2000+i))
+		require.Equal(t, http.StatusOK, status, text)
+	}
+	require.LessOrEqual(t, p.crashedServers(), maxCrashes)
+	for i, b := range bs {
+		status, text := b.callWithParts(t, fmt.Sprint("late", i), fmt.Sprint("late prompt ", i), fmt.Sprintf("f1a0:100,bad0:50,%x:20", 3000+i))
+		require.Equal(t, http.StatusServiceUnavailable, status, text)
+		require.Contains(t, text, "not_run")
+	}
+}
--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -52,6 +52,10 @@
 	servers []*standin.Server
 
 	addresses map[string]string // of the servers, by ID
+
+	// crashParts are the parts of prompts that crash each server which begins to answer a request with them, and the
+	// version of the servers that crash; empty for all versions.
+	crashParts map[string]string
 }
 
 func newPlatform(t *testing.T, servers int) *platform {
@@ -77,7 +81,7 @@
 	var h *httptest.Server
 	h = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
-		if err != nil || string(body) != crashBody {
+		if err != nil || string(body) != crashBody && !p.hasCrashPart(s.Version, r.Header.Get(standin.PartsHeader)) {
 			s.ServeHTTP(w, r)
 			return
 		}
@@ -89,6 +93,19 @@
 	p.store.Set(s.Record(h.Listener.Addr().String(), "north", "ready"))
 }
 
+// hasCrashPart reports whether a server of a version crashes under a prompt with these parts.
+func (p *platform) hasCrashPart(version, parts string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for part := range strings.SplitSeq(parts, ",") {
+		id, _, _ := strings.Cut(part, ":")
+		if v, ok := p.crashParts[id]; ok && (v == "" || v == version) {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *platform) crash(h *http.Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -199,9 +216,18 @@
 
 // call sends a request to a box and returns the status and the body of the answer.
 func (e *entryBox) call(t *testing.T, id, body string) (int, string) {
+	t.Helper()
+	return e.callWithParts(t, id, body, "")
+}
+
+// callWithParts is call for a prompt with the given parts.
+func (e *entryBox) callWithParts(t *testing.T, id, body, parts string) (int, string) {
 	t.Helper()
 	q, err := newBodyRequest(e.callersAddress, "/again/x", id, 10*time.Second)
 	require.NoError(t, err)
+	if parts != "" {
+		q.Header.Set(standin.PartsHeader, parts)
+	}
 	q.Body, q.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
 	a, err := http.DefaultClient.Do(q)
 	require.NoError(t, err)
