--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -52,8 +52,9 @@
 	Route   *catalog.Route
 	Service *catalog.Service
 	Account *catalog.Account // nil if the route needs no key
-	Content requesthash.Hash // identifies requests with the same content
-	Expires time.Time        // deadline, on the clock of package boottime
+	Content requesthash.Hash   // identifies requests with the same content
+	Parts   []requesthash.Hash // of the prompt that other requests may share
+	Expires time.Time          // deadline, on the clock of package boottime
 
 	// Version is the software version at which the stream began that the request takes up again; empty if it begins one.
 	Version string
@@ -147,7 +148,7 @@
 // response. The trace is for the log.
 func (f *Forwarder) Do(c context.Context, q Request, s Sink) (Trace, error) {
 	r := &run{f: f, q: q, sink: s, shared: &shared{}, tried: map[string]bool{}, lastEventID: q.Call.LastEventID}
-	r.trace.Content = q.Content
+	r.trace.Content, r.trace.Parts = q.Content, q.Parts
 	if q.Version != "" {
 		r.begun = &endpoint.Endpoint{Service: q.Service.Name, Version: q.Version}
 	}
--- a/forward/run.go
+++ b/forward/run.go
@@ -170,7 +170,7 @@
 	}
 	e := ch.Endpoint
 	r.tried[e.Incarnation()] = true
-	r.trace = Trace{Content: r.trace.Content, Attempts: r.trace.Attempts + 1, Moves: r.moves, Choice: ch}
+	r.trace = Trace{Content: r.q.Content, Parts: r.q.Parts, Attempts: r.trace.Attempts + 1, Moves: r.moves, Choice: ch}
 	r.f.Quarantine.RecordSend(r.q.Content, boottime.Now())
 	ch, out := r.continueMoved(c, ch, r.attempt(c, ch))
 	r.returnPlace(out.interruption == recovery.Refused && !out.done)
@@ -195,7 +195,7 @@
 	r.checkCrash(c, out, e)
 	metrics.GetOrRegisterCounter("attempts.broke."+out.interruptionName(), r.f.Metrics).Inc(1)
 	d := r.decide(c, out, e)
-	r.f.Log.Info().Str("event", "attempt broke").Str("request", r.q.Call.ID).Stringer("content", r.trace.Content).Str("endpoint", e.ID).Str("version", e.Version).
+	r.f.Log.Info().Str("event", "attempt broke").Str("request", r.q.Call.ID).Func(r.trace.marshalContent).Str("endpoint", e.ID).Str("version", e.Version).
 		Int("attempt", len(r.reached)).Str("break", out.interruptionName()).Str("last_event", r.lastEventID).Bool("ran", r.mayHaveRun).Err(out.err).
 		Str("reason", d.Reason).Func(r.trace.marshalReported).Msg("decision")
 	if d.Step == recovery.Failover {
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -66,7 +66,7 @@
 		failedDials: p.failedDials, refusedDials: p.refusedDials, mayHaveRun: true, shared: p.shared, headSent: p.headSent,
 		lastEventID: p.lastEventID, passed: p.passed, moves: p.moves, begun: p.begun,
 	}
-	r.trace = Trace{Content: p.q.Content, Attempts: p.trace.Attempts}
+	r.trace = Trace{Content: p.q.Content, Parts: p.q.Parts, Attempts: p.trace.Attempts}
 	for _, o := range w.successors {
 		if !o.hasEnded() {
 			return nil, earlierUnended
--- a/forward/trace.go
+++ b/forward/trace.go
@@ -12,10 +12,11 @@
 
 // Trace describes for the log how a request was forwarded.
 type Trace struct {
-	Content  requesthash.Hash // identifies requests with the same content
-	Attempts int              // number of endpoints chosen
-	Moves    int              // moves of the running request between endpoints
-	Choice   balance.Choice   // the last choice of an endpoint, with the data it was based on
+	Content  requesthash.Hash   // identifies requests with the same content
+	Parts    []requesthash.Hash // of the prompt that other requests may share
+	Attempts int                // number of endpoints chosen
+	Moves    int                // moves of the running request between endpoints
+	Choice   balance.Choice     // the last choice of an endpoint, with the data it was based on
 
 	// Via is the address of the box through which the last response came; empty if it came directly.
 	Via string
@@ -33,9 +34,7 @@
 
 // MarshalZerologObject adds the trace to a log entry about its request.
 func (t Trace) MarshalZerologObject(e *zerolog.Event) {
-	if t.Content != 0 {
-		e.Stringer("content", t.Content)
-	}
+	t.marshalContent(e)
 	if t.Attempts == 0 {
 		return
 	}
@@ -66,3 +65,21 @@
 		e.Str("says_unreadable_limit", t.Outcome.InvalidLimit)
 	}
 }
+
+// marshalContent adds the hashes of the request's content and of the shared parts of its prompt.
+func (t Trace) marshalContent(e *zerolog.Event) {
+	if t.Content != 0 {
+		e.Stringer("content", t.Content)
+	}
+	if len(t.Parts) > 0 {
+		e.Strs("parts", partNames(t.Parts))
+	}
+}
+
+func partNames(hs []requesthash.Hash) []string {
+	names := make([]string, len(hs))
+	for i, h := range hs {
+		names[i] = h.String()
+	}
+	return names
+}
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -55,7 +55,7 @@
 		err = i.findOrigin(r.Context(), &q)
 	}
 	if err == nil {
-		q.Content = requesthash.HashOf(q.AccountName(), cl)
+		q.Content, q.Parts = requesthash.HashOf(q.AccountName(), cl), requesthash.PartsOf(q.Service.Name, cl)
 		err = i.forwarder.Check(q)
 	}
 	if err != nil {
--- a/requesthash/hash.go
+++ b/requesthash/hash.go
@@ -1,4 +1,4 @@
-// Package requesthash computes hashes that identify requests by their content.
+// Package requesthash computes hashes that identify requests by their content, and the parts of their prompts.
 package requesthash
 
 import (
@@ -26,6 +26,35 @@
 	return Hash(d.Sum64())
 }
 
+// MaxParts is the number of parts of one prompt that have a hash.
+const MaxParts = 32
+
+// PartsOf returns the hashes of the parts of a call's prompt that requests to the service may share: all but the last one,
+// which is the request's own. Of more than MaxParts, it returns the last ones, since later parts are shared by fewer requests.
+func PartsOf(service string, c *call.Call) []Hash {
+	if len(c.Parts) < 2 {
+		return nil
+	}
+	shared := c.Parts[:len(c.Parts)-1]
+	shared = shared[max(len(shared)-MaxParts, 0):]
+	hs := make([]Hash, len(shared))
+	for n, p := range shared {
+		hs[n] = PartOf(service, p.ID)
+	}
+	return hs
+}
+
+// PartOf returns the hash of a part of the prompts of requests to a service. No content has the same hash but by chance.
+func PartOf(service, id string) Hash {
+	var d xxhash.Digest
+	d.Reset()
+	for _, s := range []string{"part", service, id} {
+		writeLength(&d, len(s))
+		_, _ = d.WriteString(s)
+	}
+	return Hash(d.Sum64())
+}
+
 func writeLength(d *xxhash.Digest, n int) {
 	var b [8]byte
 	binary.LittleEndian.PutUint64(b[:], uint64(n))
--- a/requesthash/hash_test.go
+++ b/requesthash/hash_test.go
@@ -1,6 +1,7 @@
 package requesthash_test
 
 import (
+	"strconv"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -34,3 +35,23 @@
 	}
 	require.False(t, seen[requesthash.HashOf("b", &base)])
 }
+
+// The hash of a part depends on the service and its ID alone. The last part has none, and of too many parts the last ones have.
+func TestPartsOf(t *testing.T) {
+	c := &call.Call{Parts: []call.Part{{ID: "a", Tokens: 1}, {ID: "b", Tokens: 2}, {ID: "c", Tokens: 3}}}
+	a, b := requesthash.PartOf("s", "a"), requesthash.PartOf("s", "b")
+	require.Equal(t, []requesthash.Hash{a, b}, requesthash.PartsOf("s", c))
+	require.NotEqual(t, a, b)
+	require.NotEqual(t, a, requesthash.PartOf("t", "a"))
+	require.NotEqual(t, requesthash.PartOf("s", "ta"), requesthash.PartOf("st", "a"))
+	require.Empty(t, requesthash.PartsOf("s", &call.Call{Parts: c.Parts[:1]}))
+	require.Empty(t, requesthash.PartsOf("s", &call.Call{}))
+
+	many := &call.Call{}
+	for i := range requesthash.MaxParts + 3 {
+		many.Parts = append(many.Parts, call.Part{ID: strconv.Itoa(i)})
+	}
+	hs := requesthash.PartsOf("s", many)
+	require.Len(t, hs, requesthash.MaxParts)
+	require.Equal(t, requesthash.PartOf("s", "2"), hs[0])
+}
