--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -51,7 +51,7 @@
 	Call    *call.Call
 	Route   *catalog.Route
 	Service *catalog.Service
-	Account *catalog.Account // nil if the route needs no key
+	Account *catalog.Account   // nil if the route needs no key
 	Content requesthash.Hash   // identifies requests with the same content
 	Parts   []requesthash.Hash // of the prompt that other requests may share
 	Expires time.Time          // deadline, on the clock of package boottime
