--- a/daemon/crashes_test.go
+++ b/daemon/crashes_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -15,15 +16,16 @@
 // their account and first part with it are served.
 func TestAllBoxesRefusePartThatCrashesServers(t *testing.T) {
 	p := newPlatform(t, 12)
-	p.crashParts = map[string]string{"bad0": ""}
+	p.crashParts, p.crashWork = map[string]string{"bad0": ""}, 60*time.Millisecond
 	bs := p.startFleet("a", "b", "c", "d", "e", "f")
 	defer stopAll(t, bs)
 	for i := range 40 {
 		b := bs[i%len(bs)]
 		b.callWithParts(t, fmt.Sprint("crashing", i), fmt.Sprint("prompt ", i), fmt.Sprintf("f1a0:100,bad0:50,%x:20", 1000+i))
 		status, text := b.callWithParts(t, fmt.Sprint("sound", i), fmt.Sprint("another prompt ", i), fmt.Sprintf("f1a0:100,%x:20", 2000+i))
-		require.Equal(t, http.StatusOK, status, text)
+		require.Equal(t, http.StatusOK, status, text, fmt.Sprint(p.crashedServers(), " crashed"))
 	}
+	t.Log(p.crashedServers(), "servers crashed")
 	require.LessOrEqual(t, p.crashedServers(), maxCrashes)
 	for i, b := range bs {
 		status, text := b.callWithParts(t, fmt.Sprint("late", i), fmt.Sprint("late prompt ", i), fmt.Sprintf("f1a0:100,bad0:50,%x:20", 3000+i))
--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -56,6 +56,7 @@
 	// crashParts are the parts of prompts that crash each server which begins to answer a request with them, and the
 	// version of the servers that crash; empty for all versions.
 	crashParts map[string]string
+	crashWork  time.Duration // time until a server begins to answer such a request
 }
 
 func newPlatform(t *testing.T, servers int) *platform {
@@ -85,6 +86,9 @@
 			s.ServeHTTP(w, r)
 			return
 		}
+		if p.crashWork > 0 {
+			<-time.After(p.crashWork)
+		}
 		p.crash(h.Config)
 		p.startServer()
 	}))
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"syscall"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/endpoint"
+	"birchlink.dev/birchlink/httpconn"
+	"birchlink.dev/birchlink/quarantine"
 	"birchlink.dev/birchlink/recovery"
 )
 
@@ -26,7 +30,7 @@
 	last := &r.reached[len(r.reached)-1]
 	if errors.Is(out.err, errReplaced) {
 		last.ended = true
-		r.f.Quarantine.RecordFailure(r.trace.Content, e.Incarnation(), boottime.Now())
+		r.f.Quarantine.RecordFailure(r.quarantineAttempt(e), r.attemptSent, boottime.Now())
 		r.f.Quarantine.RecordCrash(e.Incarnation(), "another started under its ID", boottime.Now())
 		return
 	}
@@ -37,7 +41,7 @@
 	if !r.f.isServing(e) {
 		return
 	}
-	r.f.Quarantine.RecordFailure(r.trace.Content, e.Incarnation(), boottime.Now())
+	r.f.Quarantine.RecordFailure(r.quarantineAttempt(e), r.attemptSent, boottime.Now())
 	if errors.Is(out.err, errUnresponsive) || !r.f.Pool.RefusesConnections(c, e.ID, e.Address) {
 		return
 	}
@@ -45,6 +49,44 @@
 	r.reportCrash(e)
 }
 
+// quarantineAttempt returns the attempt at an endpoint as the quarantine knows it.
+func (r *run) quarantineAttempt(e endpoint.Endpoint) quarantine.Attempt {
+	return quarantine.Attempt{Request: r.q.items(), Endpoint: e.Incarnation(), Version: e.Version}
+}
+
+// recordRunning reports to the quarantine that the endpoint goes on with a stream, once it has for long enough.
+func (r *run) recordRunning(out *attemptResult) {
+	if out.isRunning || out.lastEventAt.Sub(out.firstEventAt) < quarantine.RunningTime {
+		return
+	}
+	out.isRunning = true
+	r.f.Quarantine.RecordRunning(r.q.items(), r.trace.Choice.Endpoint.Version, out.firstEventAt, out.lastEventAt)
+}
+
+// recordSurvival reports to the quarantine that the endpoint ran the request without crashing. Begun is when it began to write
+// the answer, or an earlier time. A server error does not show that, since the endpoint may not have begun to run the
+// request, and another error shows nothing of the parts of the prompt. Nor does a response that ends with its connection,
+// since the endpoint may have crashed: where that matters, the endpoint is checked at once.
+func (r *run) recordSurvival(c context.Context, resp *httpconn.Response, begun time.Time) {
+	if resp.Status >= http.StatusInternalServerError {
+		return
+	}
+	e := r.trace.Choice.Endpoint
+	a := r.quarantineAttempt(e)
+	if resp.Status >= http.StatusMultipleChoices {
+		a.Parts = nil
+	}
+	switch now := boottime.Now(); {
+	case resp.Framed():
+	case !r.f.Quarantine.RecordUnframed(a, r.attemptSent, begun, now) || c.Err() != nil || r.f.Pool.IsLost(e.ID):
+		return
+	case r.f.Pool.RefusesConnections(c, e.ID, e.Address):
+		r.reportCrash(e)
+		return
+	}
+	r.f.Quarantine.RecordAnswer(a.Request, e.Version, begun, boottime.Now())
+}
+
 // reportCrash records that an endpoint has crashed, since it refuses connections.
 func (r *run) reportCrash(e endpoint.Endpoint) {
 	now := boottime.Now()
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -68,6 +68,11 @@
 	return q.Account.Name
 }
 
+// items returns what other requests that crash endpoints may have in common with this one.
+func (q *Request) items() quarantine.Request {
+	return quarantine.Request{Content: q.Content, Parts: q.Parts}
+}
+
 // StartFunc is called once for each request of an account that an endpoint begins to run.
 type StartFunc func(account string, at time.Time)
 
@@ -123,13 +128,20 @@
 // Check returns an error if a request must not be sent to any endpoint: its content is quarantined
 // because endpoints crashed while they ran it, or no endpoint of the service accepts requests now.
 func (f *Forwarder) Check(q Request) error {
-	if left, refused := f.Quarantine.Refuses(q.Content, boottime.Now()); refused {
-		return errkind.New(errkind.Quarantined, "endpoints of %s ended while they ran this request", q.Service.Name).WithRetryAfter(left)
+	_, err := f.judge(q)
+	return err
+}
+
+// judge returns the verdict of the quarantine on a request, or an error if the request must not be sent to any endpoint.
+func (f *Forwarder) judge(q Request) (quarantine.Verdict, error) {
+	v := f.Quarantine.Judge(q.items(), f.versionsFunc(q.Service.Name), boottime.Now())
+	if v.Refused {
+		return v, errkind.New(errkind.Quarantined, "endpoints of %s ended while they ran this request or others with a part of its prompt", q.Service.Name).WithRetryAfter(v.RetryAfter)
 	}
 	if left := f.retryAfter(q.Service.Name); left > 0 {
-		return errkind.New(errkind.NoEndpoint, "no endpoint of %s takes a request now: they rest, or their rates are used up", q.Service.Name).WithRetryAfter(left)
+		return v, errkind.New(errkind.NoEndpoint, "no endpoint of %s takes a request now: they rest, or their rates are used up", q.Service.Name).WithRetryAfter(left)
 	}
-	return nil
+	return v, nil
 }
 
 // retryAfter returns the time until the first endpoint of a service accepts requests. It is zero
--- a/forward/permit.go
+++ b/forward/permit.go
@@ -60,9 +60,13 @@
 }
 
 // maySend reports whether the request may still be sent to the chosen endpoint. The endpoint may
-// have set a limit or requested a back-off while the connection was established.
+// have set a limit or requested a back-off while the connection was established, or others may have crashed under the
+// request's items.
 func (r *run) maySend(e endpoint.Endpoint) bool {
 	now := boottime.Now()
 	a := &r.f.Balancer.Availability
-	return r.f.isServing(e) && !a.IsBackingOff(e.Incarnation(), now) && (r.hasPermit || !a.IsRateLimited(e.Incarnation(), now))
+	if !r.f.isServing(e) || a.IsBackingOff(e.Incarnation(), now) || !r.hasPermit && a.IsRateLimited(e.Incarnation(), now) {
+		return false
+	}
+	return r.f.Quarantine.Admit(r.quarantineAttempt(e), r.f.versionsFunc(e.Service), now)
 }
--- a/forward/response.go
+++ b/forward/response.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -25,7 +26,7 @@
 var errCallerWrite = errors.New("the caller does not read")
 
 // readResponse reads a response and passes it to the sink if it is usable.
-func (r *run) readResponse(resp *httpconn.Response, n *balance.Attempt, w *watchdog, sent time.Time) attemptResult {
+func (r *run) readResponse(c context.Context, resp *httpconn.Response, n *balance.Attempt, w *watchdog, sent time.Time) attemptResult {
 	o := r.f.Codec.Outcome(resp.Status, resp.Header)
 	r.handleOutcome(o)
 	n.BackOff(o.BackOff, boottime.Now())
@@ -35,7 +36,7 @@
 		return attemptResult{interruption: recovery.Refused, err: fmt.Errorf("status %d: not run", resp.Status)}
 	}
 	if resp.EventStream && resp.Status < http.StatusMultipleChoices && r.isStream() {
-		return r.forwardEvents(resp, n, w)
+		return r.forwardEvents(c, resp, n, w)
 	}
 	b, err := resp.ReadAll(maxResponseSize)
 	if err != nil {
@@ -55,7 +56,7 @@
 	if resp.Status < http.StatusMultipleChoices {
 		r.recordAnswer(n)
 	}
-	r.recordSurvival(resp)
+	r.recordSurvival(c, resp, sent)
 	if resp.Status >= http.StatusInternalServerError {
 		r.keepErrorResponse(resp, b)
 		return attemptResult{interruption: recovery.Gone, answered: true, err: fmt.Errorf("status %d", resp.Status)}
@@ -125,15 +126,6 @@
 	}
 }
 
-// recordSurvival reports to the quarantine that the endpoint ran the request without crashing. An
-// error response does not show that, since the endpoint may not have begun to run the request,
-// nor does a response that ends with its connection, since the endpoint may have crashed.
-func (r *run) recordSurvival(resp *httpconn.Response) {
-	if resp.Status < http.StatusInternalServerError && resp.Framed() {
-		r.f.Quarantine.RecordAnswer(r.trace.Content, boottime.Now())
-	}
-}
-
 // keepErrorResponse stores an endpoint's error response, which is returned if no other attempt
 // succeeds. Status 503 tells the caller that the request did not run, which is not known here, so
 // it is not kept. Nor is one for which the budget has no room.
@@ -154,14 +146,14 @@
 
 // forwardEvents passes complete events to the sink as they arrive. The caller gets the head of
 // the first response that has an event.
-func (r *run) forwardEvents(resp *httpconn.Response, n *balance.Attempt, w *watchdog) attemptResult {
+func (r *run) forwardEvents(c context.Context, resp *httpconn.Response, n *balance.Attempt, w *watchdog) attemptResult {
 	rd := sse.NewReader(resp.Body)
 	rd.Hold = resp.Hold
 	out := attemptResult{interruption: recovery.Gone}
 	for {
 		e, err := rd.Next()
 		if err != nil {
-			r.endEvents(resp, w, err, &out)
+			r.endEvents(c, resp, w, err, &out)
 			return out
 		}
 		if !e.HasField && (!r.mayAnswer() || w.hasSuccessor()) {
@@ -173,6 +165,7 @@
 		}
 		n.RecordProgress(boottime.Now())
 		out.recordEvent(boottime.Now())
+		r.recordRunning(&out)
 		r.stream.recordEvent(e.ID, boottime.Now())
 		if !out.advanced && r.continued == nil {
 			r.recordAnswer(n)
@@ -206,7 +199,7 @@
 }
 
 // endEvents completes the result of a stream of which no more events can be read.
-func (r *run) endEvents(resp *httpconn.Response, w *watchdog, err error, out *attemptResult) {
+func (r *run) endEvents(c context.Context, resp *httpconn.Response, w *watchdog, err error, out *attemptResult) {
 	if !errors.Is(err, io.EOF) {
 		out.err = fmt.Errorf("the stream broke: %w", err)
 		out.stopped = r.stream.settle(false)
@@ -227,6 +220,6 @@
 		out.err = errSuperseded
 		return
 	}
-	r.recordSurvival(resp)
+	r.recordSurvival(c, resp, out.firstEventAt)
 	out.done = true
 }
--- a/forward/rollout.go
+++ b/forward/rollout.go
@@ -6,6 +6,7 @@
 	"birchlink.dev/birchlink/balance"
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/endpoint"
+	"birchlink.dev/birchlink/quarantine"
 	"birchlink.dev/birchlink/rollout"
 )
 
@@ -20,12 +21,16 @@
 // findVersion chooses among the endpoints of the versions that the roll-out allows for a request. A
 // request for the new version goes to the others if no endpoint of the new version accepts it. If
 // only the new version has serving endpoints, they get all requests unless the version was
-// reverted.
-func (f *Forwarder) findVersion(service string, q balance.Query, p rollout.VersionFilter) (ch balance.Choice, known, ok bool) {
+// reverted. The verdict restricts the versions in any case.
+func (f *Forwarder) findVersion(service string, q balance.Query, p rollout.VersionFilter, v quarantine.Verdict) (ch balance.Choice, known, ok bool) {
+	if v.Versions != nil {
+		q.Eligible = func(e *endpoint.Endpoint) bool { return v.Allows(e.Version) }
+	}
 	if p.AllowsAny() {
 		return f.find(service, q)
 	}
-	q.Eligible = func(e *endpoint.Endpoint) bool { return p.Allows(e.Version) }
+	isAllowed := q.Eligible
+	q.Eligible = func(e *endpoint.Endpoint) bool { return p.Allows(e.Version) && v.Allows(e.Version) }
 	if ch, known, ok = f.find(service, q); ok {
 		return ch, known, ok
 	}
@@ -33,7 +38,7 @@
 	if p.Except != "" && (stage == rollout.Reverted || f.hasServing(service, rollout.VersionFilter{Except: version})) {
 		return ch, known, false
 	}
-	q.Eligible = nil
+	q.Eligible = isAllowed
 	return f.find(service, q)
 }
 
--- a/forward/run.go
+++ b/forward/run.go
@@ -17,6 +17,7 @@
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/errkind"
+	"birchlink.dev/birchlink/quarantine"
 	"birchlink.dev/birchlink/recovery"
 	"birchlink.dev/birchlink/rollout"
 	"birchlink.dev/birchlink/wait"
@@ -64,6 +65,7 @@
 
 	attemptSent time.Time             // when the current attempt was sent
 	versions    rollout.VersionFilter // versions that the current attempt may use, while begun is nil
+	verdict     quarantine.Verdict    // on the request, for the current attempt
 
 	// begun is the endpoint at which the stream began, of which only the version is known if the caller takes the
 	// stream up again. It is nil before the first event. No other version may continue the stream.
@@ -122,6 +124,7 @@
 	firstEventAt, lastEventAt time.Time
 	eventCount                int
 	longestPause              time.Duration // between two events
+	isRunning                 bool          // the quarantine knows that the stream has gone on for a while
 }
 
 // recordEvent records an event.
@@ -148,7 +151,8 @@
 // step makes one attempt. It reports whether the sink has received the complete response. An error
 // ends the request.
 func (r *run) step(c context.Context) (bool, error) {
-	if err := r.f.Check(r.q); err != nil {
+	var err error
+	if r.verdict, err = r.f.judge(r.q); err != nil {
 		if r.mayHaveRun {
 			return r.fail(errkind.EngineFailed, err.Error())
 		}
@@ -164,14 +168,12 @@
 	if !ok {
 		return r.failNoEndpoint()
 	}
-	ch, err := r.admit(c, ch)
-	if err != nil {
+	if ch, err = r.admit(c, ch); err != nil {
 		return false, err
 	}
 	e := ch.Endpoint
 	r.tried[e.Incarnation()] = true
 	r.trace = Trace{Content: r.q.Content, Parts: r.q.Parts, Attempts: r.trace.Attempts + 1, Moves: r.moves, Choice: ch}
-	r.f.Quarantine.RecordSend(r.q.Content, boottime.Now())
 	ch, out := r.continueMoved(c, ch, r.attempt(c, ch))
 	r.returnPlace(out.interruption == recovery.Refused && !out.done)
 	if out.done {
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -31,6 +31,7 @@
 	noAttemptLeft  = "no_attempt"
 	noVersionLeft  = "no_version"
 	noEndpointLeft = "no_endpoint"
+	notAllowed     = "not_allowed" // the quarantine refuses the request, or its endpoints accept none
 )
 
 // successor is a run of a request beside an attempt of it whose endpoint is silent. The caller gets nothing from it
@@ -79,6 +80,11 @@
 	case r.begun != nil && !r.f.hasServingVersion(r.q.Service.Name, *r.begun, r.tried):
 		return nil, noVersionLeft
 	}
+	verdict, err := r.f.judge(r.q)
+	if err != nil {
+		return nil, notAllowed
+	}
+	r.verdict = verdict
 	c, cancel := context.WithCancel(w.c)
 	s = &successor{r: r, of: w, c: c, cancel: cancel, done: make(chan struct{})}
 	r.versions = r.f.Rollouts.PickVersion(r.q.Service.Name, true, boottime.Now())
--- a/forward/version.go
+++ b/forward/version.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -32,9 +34,9 @@
 // has not begun, of the versions that the roll-out allows.
 func (r *run) find(q balance.Query) (ch balance.Choice, known, ok bool) {
 	if r.begun == nil {
-		return r.f.findVersion(r.q.Service.Name, q, r.versions)
+		return r.f.findVersion(r.q.Service.Name, q, r.versions, r.verdict)
 	}
-	q.Eligible = func(e *endpoint.Endpoint) bool { return isSameVersion(e, r.begun) }
+	q.Eligible = func(e *endpoint.Endpoint) bool { return isSameVersion(e, r.begun) && r.verdict.Allows(e.Version) }
 	return r.f.find(r.q.Service.Name, q)
 }
 
@@ -46,6 +48,17 @@
 	return r.fail(errkind.NoEndpoint, "no endpoint of "+r.q.Service.Name+" is left")
 }
 
+// versionsFunc returns a function that returns the software versions of a service's serving endpoints.
+func (f *Forwarder) versionsFunc(service string) func() []string {
+	return func() []string {
+		seen := map[string]bool{}
+		for _, e := range f.Roster.Serving(service) {
+			seen[e.Version] = true
+		}
+		return slices.Sorted(maps.Keys(seen))
+	}
+}
+
 // hasServingVersion reports whether a service has a serving endpoint of the version of e that is not to be skipped.
 func (f *Forwarder) hasServingVersion(service string, e endpoint.Endpoint, skip map[string]bool) bool {
 	for _, o := range f.Roster.Serving(service) {
--- a/gossip/snapshot.go
+++ b/gossip/snapshot.go
@@ -109,7 +109,7 @@
 		return
 	}
 	p := g.Snapshot(others + 1)
-	refused := g.Quarantine.Refused(now)
+	refused := g.Quarantine.Lasting(now)
 	sum := quarantine.Sum(refused)
 	versions := g.state.Roster.Versions.Snapshot(now)
 	isSame := sum == s.refusedSum && maps.EqualFunc(versions, s.versions, slices.Equal)
--- a/quarantine/decide.go
+++ b/quarantine/decide.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -8,18 +9,23 @@
 	"birchlink.dev/birchlink/requesthash"
 )
 
-// updateRefused drops expired records, recomputes the set of refused contents and logs the
+// updateRefused drops expired records, recomputes the set of refused items and logs the
 // changes.
 func (q *Quarantine) updateRefused(now time.Time) {
 	for h, r := range q.records {
-		if now.Sub(r.lastCrash) > recordTTL && now.Sub(r.lastAnswer) > answerProtection {
+		ttl := recordTTL
+		if r.isPart && q.refused[h] {
+			ttl = refusedPartTTL
+		}
+		if now.Sub(r.lastCrash) > ttl && now.Sub(r.answers.last()) > answerProtection {
 			delete(q.records, h)
 		}
 	}
-	refused := selectRefused(q.records)
+	refused, ambiguous, reviewAt := selectRefused(q.records, now)
 	for h := range refused {
-		if !q.refused[h] {
-			q.Log.Warn().Str("event", "content").Stringer("content", h).Int("ended", len(q.records[h].crashes)).Dur("hold", q.records[h].holdTime()).Msg("refused")
+		if r := q.records[h]; !q.refused[h] {
+			q.Log.Warn().Str("event", "content").Stringer("content", h).Bool("part", r.isPart).Int("ended", len(r.crashes)).
+				Bool("answered_before", r.wasAnswered()).Bool("ambiguous", ambiguous[h]).Dur("hold", r.holdTime(ambiguous[h] || r.wasAnswered())).Msg("refused")
 		}
 	}
 	for h := range q.refused {
@@ -27,63 +33,178 @@
 			q.Log.Warn().Str("event", "content").Stringer("content", h).Msg("no longer refused")
 		}
 	}
-	q.refused = refused
+	q.refused, q.ambiguous, q.reviewAt = refused, ambiguous, reviewAt
 }
 
-// selectRefused returns the contents that explain the crashes. It is a greedy set cover: the content
-// with the most unexplained crashes is selected first, and its crashes no longer count for any other
-// content. Contents with equally many are selected together, until further crashes distinguish them.
-func selectRefused(records map[requesthash.Hash]*record) map[requesthash.Hash]bool {
-	refused := map[requesthash.Hash]bool{}
-	explained := map[uint64]bool{}
-	for {
-		top := mostCrashes(records, refused, explained)
-		if len(top) == 0 {
-			prune(records, refused)
-			return refused
+// cover is a selection of items that explain the crashes. It is a greedy set cover: the item with the most unexplained
+// crashes is selected first, and its crashes no longer count for any other item. Items with equally many are
+// selected together, until further crashes or answers distinguish them.
+type cover struct {
+	refused   map[requesthash.Hash]*record
+	ambiguous map[requesthash.Hash]bool
+	explained map[uint64]bool
+
+	now, reviewAt time.Time
+}
+
+// selectRefused returns the items that explain the crashes, and those of them for which others may be the cause. At reviewAt,
+// unless it is zero, more may be refused. Contents explain only the crashes that no part explains: a content that was in
+// flight at a few of a part's crashes must not seem to explain them.
+func selectRefused(records map[requesthash.Hash]*record, now time.Time) (refused, ambiguous map[requesthash.Hash]bool, reviewAt time.Time) {
+	c := &cover{map[requesthash.Hash]*record{}, map[requesthash.Hash]bool{}, map[uint64]bool{}, now, time.Time{}}
+	c.addItems(records, true)
+	c.addItems(records, false)
+	refused = map[requesthash.Hash]bool{}
+	for h := range c.refused {
+		refused[h] = true
+	}
+	return refused, c.ambiguous, c.reviewAt
+}
+
+// addItems selects parts or contents. Items that were answered before explain only what others leave.
+func (c *cover) addItems(records map[requesthash.Hash]*record, areParts bool) {
+	fresh, answered := map[requesthash.Hash]*record{}, map[requesthash.Hash]*record{}
+	for h, r := range records {
+		switch {
+		case r.isPart != areParts || len(r.crashes) < minCrashes:
+		case r.wasAnswered():
+			answered[h] = r
+		default:
+			fresh[h] = r
 		}
-		for _, h := range top {
-			refused[h] = true
-			for e := range records[h].crashes {
-				explained[e] = true
-			}
+	}
+	c.add(fresh, func(e evidence) bool { return e.crashes >= minCrashes })
+	c.prune()
+	if areParts {
+		c.addAll(answered, func(e evidence) bool {
+			return e.crashes >= minCrashesAnswered && e.notRunning == e.crashes && e.lasted(RunningTime)
+		})
+	}
+	c.add(answered, func(e evidence) bool { return e.notRunning >= minCrashesAnswered && e.lasted(RunningTime) })
+	c.add(answered, func(e evidence) bool {
+		return e.crashes >= minCrashesAnswered && e.notRunning >= minCrashes && c.hasPassed(e.first.Add(runningWait))
+	})
+	c.add(answered, func(e evidence) bool { return e.crashes >= minCrashesAnswered && e.lasted(answeredWait) })
+}
+
+// hasPassed reports whether a time has passed, and notes it for a review otherwise.
+func (c *cover) hasPassed(t time.Time) bool {
+	if !c.now.Before(t) {
+		return true
+	}
+	if c.reviewAt.IsZero() || t.Before(c.reviewAt) {
+		c.reviewAt = t
+	}
+	return false
+}
+
+// evidence is what speaks for an item as the cause of crashes.
+type evidence struct {
+	crashes     int // that count
+	notRunning  int // of them, those since which no endpoint has run the item for RunningTime
+	first, last time.Time
+}
+
+func newEvidence(r *record, cs map[uint64]crash) evidence {
+	isPopular := r.isPart || r.wasAnswered()
+	e := evidence{crashes: countCrashes(isPopular, cs), notRunning: countCrashes(isPopular, withoutRunning(cs, r.running))}
+	for _, c := range cs {
+		if e.first.IsZero() || c.at.Before(e.first) {
+			e.first = c.at
+		}
+		if c.at.After(e.last) {
+			e.last = c.at
 		}
 	}
+	return e
+}
+
+// lasted reports whether the crashes went on for a time.
+func (e evidence) lasted(d time.Duration) bool { return e.last.Sub(e.first) >= d }
+
+// compare returns a positive number if e is stronger than o, and a negative one if it is weaker. An item that no endpoint has
+// run since its first crash is stronger than a more popular one that some have.
+func (e evidence) compare(o evidence) int {
+	return cmp.Or(e.compareRunning(o), cmp.Compare(e.crashes, o.crashes), cmp.Compare(e.notRunning, o.notRunning))
 }
 
-// mostCrashes returns the contents, not yet selected, with the most unexplained crashes. It returns
-// none if that number is below minCrashes.
-func mostCrashes(records map[requesthash.Hash]*record, refused map[requesthash.Hash]bool, explained map[uint64]bool) []requesthash.Hash {
-	most := minCrashes
-	var top []requesthash.Hash
+func (e evidence) compareRunning(o evidence) int {
+	switch a, b := e.notRunning == e.crashes, o.notRunning == o.crashes; {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
+// addAll selects all items whose evidence suffices, whatever the others explain.
+func (c *cover) addAll(records map[requesthash.Hash]*record, suffices func(evidence) bool) {
+	var all []requesthash.Hash
 	for h, r := range records {
-		if refused[h] || len(r.crashes) < most {
-			continue
+		if suffices(newEvidence(r, r.crashes)) {
+			all = append(all, h)
 		}
-		n := r.unexplained(explained)
-		if n > most {
-			most, top = n, top[:0]
+	}
+	c.refuse(records, all)
+}
+
+// add selects items whose evidence from unexplained crashes suffices, the strongest first.
+func (c *cover) add(records map[requesthash.Hash]*record, suffices func(evidence) bool) {
+	for {
+		strongest := evidence{crashes: 1} // weaker than all that suffice
+		var top []requesthash.Hash
+		for h, r := range records {
+			if c.refused[h] != nil {
+				continue
+			}
+			e := newEvidence(r, r.unexplained(c.explained))
+			if !suffices(e) {
+				continue
+			}
+			d := e.compare(strongest)
+			if d > 0 {
+				strongest, top = e, top[:0]
+			}
+			if d >= 0 {
+				top = append(top, h)
+			}
 		}
-		if n == most {
-			top = append(top, h)
+		if len(top) == 0 {
+			return
 		}
+		c.refuse(records, top)
 	}
-	return top
 }
 
-// prune removes the contents whose crashes are all explained by others. A content whose crashes are
-// a subset of h's does not explain any for h, so of two contents with the same crashes both stay.
-func prune(records map[requesthash.Hash]*record, refused map[requesthash.Hash]bool) {
-	for _, h := range slices.Sorted(maps.Keys(refused)) {
+// refuse adds items to the selection. They are ambiguous if there are several.
+func (c *cover) refuse(records map[requesthash.Hash]*record, hs []requesthash.Hash) {
+	for _, h := range hs {
+		c.refused[h] = records[h]
+		if len(hs) > 1 {
+			c.ambiguous[h] = true
+		}
+		for e := range records[h].crashes {
+			c.explained[e] = true
+		}
+	}
+}
+
+// prune removes the items whose crashes are all explained by others. An item whose crashes are
+// a subset of h's does not explain any for h, so of two items with the same crashes both stay.
+func (c *cover) prune() {
+	for _, h := range slices.Sorted(maps.Keys(c.refused)) {
+		r := c.refused[h]
 		others := map[uint64]bool{}
-		for o := range refused {
-			if records[o].unexplained(crashSet(records[h])) == 0 {
-				continue
+		for _, o := range c.refused {
+			if len(o.unexplained(crashSet(r))) > 0 {
+				maps.Copy(others, crashSet(o))
 			}
-			maps.Copy(others, crashSet(records[o]))
 		}
-		if records[h].unexplained(others) == 0 {
-			delete(refused, h)
+		if len(r.unexplained(others)) == 0 {
+			delete(c.refused, h)
+			delete(c.ambiguous, h)
 		}
 	}
 }
@@ -95,3 +216,24 @@
 	}
 	return out
 }
+
+// countCrashes returns the number of crashes. One cause may end many endpoints together, at which an item that many requests
+// have is in flight everywhere. Crashes under it count one by one only if an endpoint to which it was sent after another
+// had crashed has crashed as well, not at the same moment, and this again minCrashes times in all.
+func countCrashes(isPopular bool, cs map[uint64]crash) int {
+	if !isPopular {
+		return len(cs)
+	}
+	rounds := 0
+	var last time.Time
+	for _, c := range slices.SortedFunc(maps.Values(cs), func(a, b crash) int { return a.at.Compare(b.at) }) {
+		if rounds == 0 || c.at.Add(-c.ran).After(last) && c.at.Sub(last) >= sameMoment {
+			rounds++
+			last = c.at
+		}
+	}
+	if rounds < minCrashes {
+		return rounds
+	}
+	return len(cs)
+}
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -64,15 +64,17 @@
 // server is an endpoint with the requests that it runs.
 type server struct {
 	id      string
+	version string
 	up      bool
 	running map[*request]bool
 }
 
 // request is a request at the box that received it, valid while that box runs the same process.
 type request struct {
-	box          *node
-	process      *quarantine.Quarantine
-	content      requesthash.Hash
+	box     *node
+	process *quarantine.Quarantine
+	quarantine.Request
+	sent, begun  time.Duration // when it was sent, and when the endpoint began to answer it
 	attemptsLeft int
 	serial       int
 }
@@ -91,11 +93,24 @@
 	stored      []quarantine.Suspect
 	storedAt    time.Duration
 
-	crashes    map[requesthash.Hash]int           // crashes caused by each crashing content
-	thirdCrash map[requesthash.Hash]time.Duration // time of the third of these
-	lateSends  map[requesthash.Hash]int           // sends by settled boxes more than settleTime after that
-	refused    int                                // refused requests with other contents
-	sent       int                                // attempts of requests with other contents
+	bad         map[requesthash.Hash]badItem       // crashing parts
+	known       int                                // crashes after which a crashing item must not be sent much longer
+	crashes     map[requesthash.Hash]int           // crashes caused by each crashing item
+	knownAt     map[requesthash.Hash]time.Duration // time of the last of the crashes that make it known
+	lateSends   map[requesthash.Hash]int           // sends by settled boxes more than settleTime after that
+	refused     int                                // refused requests without a crashing item
+	sent        int                                // attempts of requests without a crashing item
+	calm        bool                               // no faults are injected
+	serverCount int                                // zero for as many as boxes, and nine at least
+
+	soundItem requesthash.Hash            // a part whose requests without a crashing item are counted as well
+	soundLate struct{ sent, refused int } // of these, first attempts later than twice settleTime after the crashes
+}
+
+// badItem is a part that crashes endpoints of a software version, or of all if it is empty, if the answer begins at a time or later.
+type badItem struct {
+	version string
+	since   time.Duration
 }
 
 var epoch = time.Unix(1_000_000, 0)
@@ -145,8 +160,10 @@
 	n.Quarantine, n.down = q, false
 	if !m.storeDown {
 		for i := range m.stored {
-			for j := range m.stored[i].Ends {
-				m.stored[i].Ends[j].Age += m.now - m.storedAt
+			for _, cs := range [][]quarantine.Crash{m.stored[i].Ends, m.stored[i].Trials} {
+				for j := range cs {
+					cs[j].Age += m.now - m.storedAt
+				}
 			}
 		}
 		m.storedAt = m.now
@@ -221,7 +238,7 @@
 		if r.down || r.frozen || m.storeDown || m.partitioned && r.partition != 0 {
 			continue
 		}
-		if s := r.Refused(m.clock()); quarantine.Sum(s) != quarantine.Sum(m.stored) {
+		if s := r.Lasting(m.clock()); quarantine.Sum(s) != quarantine.Sum(m.stored) {
 			m.stored, m.storedAt = s, m.now
 		}
 		return
@@ -229,49 +246,108 @@
 }
 
 // submit sends a request to a random box. If crashing is true, its content crashes endpoints.
-func (m *model) submit(h requesthash.Hash, crashing bool) {
+func (m *model) submit(h requesthash.Hash, parts ...requesthash.Hash) {
 	n := m.nodes[m.rnd.IntN(len(m.nodes))]
 	if n.down || n.frozen {
 		return
 	}
-	m.send(&request{box: n, process: n.Quarantine, content: h, attemptsLeft: maxAttempts}, crashing)
+	m.send(&request{box: n, process: n.Quarantine, Request: quarantine.Request{Content: h, Parts: parts}, attemptsLeft: maxAttempts})
+}
+
+// crashingItem returns the item of a request that crashes an endpoint of a version; zero if there is none.
+func (m *model) crashingItem(r *request, version string) requesthash.Hash {
+	if r.Content >= firstCrashing {
+		return r.Content
+	}
+	for _, p := range r.Parts {
+		if b, ok := m.bad[p]; ok && r.begun >= b.since && (b.version == "" || b.version == version) {
+			return p
+		}
+	}
+	return 0
+}
+
+// isCrashing reports whether a request crashes endpoints of some version at some time.
+func (m *model) isCrashing(r *request) bool {
+	return r.Content >= firstCrashing || slices.ContainsFunc(r.Parts, func(p requesthash.Hash) bool { _, ok := m.bad[p]; return ok })
 }
 
-func (m *model) send(r *request, crashing bool) {
+func (m *model) versions() []string {
+	seen := map[string]bool{}
+	for _, s := range m.servers {
+		seen[s.version] = true
+	}
+	return slices.Sorted(maps.Keys(seen))
+}
+
+// isLate reports whether settleTime has passed since the crashes that make a crashing item known, or since all of them.
+func (m *model) isLate(factor int) bool {
+	for h := range m.bad {
+		if at, ok := m.knownAt[h]; !ok || m.now <= at+time.Duration(factor)*settleTime {
+			return false
+		}
+	}
+	return len(m.bad) > 0
+}
+
+// countSound counts a request without a crashing item as refused or sent.
+func (m *model) countSound(r *request, refused int) {
+	if m.isCrashing(r) {
+		return
+	}
+	m.refused += refused
+	m.sent += 1 - refused
+	if m.isLate(2) && r.attemptsLeft == maxAttempts && slices.Contains(r.Parts, m.soundItem) && m.now > r.box.lastFault+settleTime {
+		m.soundLate.sent += 1 - refused
+		m.soundLate.refused += refused
+	}
+}
+
+func (m *model) recordRefusal(r *request) { m.countSound(r, 1) }
+
+func (m *model) send(r *request) {
 	if r.attemptsLeft == 0 || r.box.down || r.box.Quarantine != r.process {
 		return
 	}
-	if _, refused := r.box.Refuses(r.content, m.clock()); refused {
-		if !crashing {
-			m.refused++
-		}
+	v := r.box.Judge(r.Request, m.versions, m.clock())
+	if v.Refused {
+		m.recordRefusal(r)
 		return
 	}
 	s := m.servers[m.rnd.IntN(len(m.servers))]
-	if !s.up {
+	if !s.up || !v.Allows(s.version) {
+		return
+	}
+	if !r.box.Admit(quarantine.Attempt{Request: r.Request, Endpoint: s.id, Version: s.version}, m.versions, m.clock()) {
+		m.recordRefusal(r)
 		return
 	}
-	r.attemptsLeft--
-	r.process.RecordSend(r.content, m.clock())
 	m.serial++
 	r.serial = m.serial
 	s.running[r] = true
-	if !crashing {
-		m.sent++
-		m.schedule(m.randomDuration(100*time.Millisecond, 4*time.Second), func() { m.finish(s, r) })
+	m.countSound(r, 0)
+	r.attemptsLeft, r.sent, r.begun = r.attemptsLeft-1, m.now, m.now+m.randomDuration(30*time.Millisecond, 250*time.Millisecond)
+	m.schedule(r.begun-m.now+quarantine.RunningTime, func() {
+		if s.running[r] && r.box.Quarantine == r.process {
+			r.process.RecordRunning(r.Request, s.version, epoch.Add(r.begun), m.clock())
+		}
+	})
+	h := m.crashingItem(r, s.version)
+	if h == 0 {
+		m.schedule(m.randomDuration(250*time.Millisecond, 4*time.Second), func() { m.finish(s, r) })
 		return
 	}
-	at, known := m.thirdCrash[r.content]
+	at, known := m.knownAt[h]
 	if known && m.now > at+settleTime && m.now > r.box.lastFault+settleTime && (!m.partitioned || r.box.partition == 0) {
-		m.lateSends[r.content]++
+		m.lateSends[h]++
 	}
-	m.schedule(m.randomDuration(30*time.Millisecond, 250*time.Millisecond), func() {
+	m.schedule(r.begun-m.now, func() {
 		if !s.running[r] {
 			return
 		}
-		m.crashes[r.content]++
-		if m.crashes[r.content] == 3 {
-			m.thirdCrash[r.content] = m.now
+		m.crashes[h]++
+		if m.crashes[h] == m.known {
+			m.knownAt[h] = m.now
 		}
 		m.crashServer(s)
 	})
@@ -281,7 +357,7 @@
 	if s.running[r] {
 		delete(s.running, r)
 		if r.box.Quarantine == r.process {
-			r.process.RecordAnswer(r.content, m.clock())
+			r.process.RecordAnswer(r.Request, s.version, epoch.Add(r.begun), m.clock())
 		}
 	}
 }
@@ -295,7 +371,7 @@
 	at := m.clock()
 	for _, r := range running {
 		if r.box.Quarantine == r.process && !r.box.down {
-			r.process.RecordFailure(r.content, id, at)
+			r.process.RecordFailure(quarantine.Attempt{Request: r.Request, Endpoint: id, Version: s.version}, epoch.Add(r.sent), at)
 		}
 	}
 	detection := time.Millisecond
@@ -310,7 +386,7 @@
 		}
 	})
 	for _, r := range running {
-		m.schedule(2*time.Millisecond, func() { m.send(r, m.crashesServers(r.content)) })
+		m.schedule(2*time.Millisecond, func() { m.send(r) })
 	}
 	m.schedule(bootDelay, func() {
 		m.serial++
@@ -321,8 +397,6 @@
 // Contents from firstCrashing on crash endpoints.
 const firstCrashing requesthash.Hash = 1 << 60
 
-func (m *model) crashesServers(h requesthash.Hash) bool { return h >= firstCrashing }
-
 // injectFaults injects a random fault and schedules the next.
 func (m *model) injectFaults() {
 	n := m.nodes[m.rnd.IntN(len(m.nodes))]
@@ -376,28 +450,28 @@
 // generateLoad submits a request with a distinct content, sometimes one with a content that many
 // requests share, and schedules the next.
 func (m *model) generateLoad(perSecond int, i requesthash.Hash) {
-	m.submit(i, false)
+	m.submit(i)
 	if m.rnd.IntN(4) == 0 {
-		m.submit(1, false)
+		m.submit(1)
 	}
 	m.schedule(m.randomDuration(0, 2*time.Second/time.Duration(perSecond)), func() { m.generateLoad(perSecond, i+1) })
 }
 
 // submitCrashing submits requests with a crashing content until a time.
 func (m *model) submitCrashing(h requesthash.Hash, until time.Duration) {
-	m.submit(h, true)
+	m.submit(h)
 	if m.rnd.IntN(6) == 0 {
-		m.submit(h, true)
+		m.submit(h)
 	}
 	if m.now < until {
 		m.schedule(m.randomDuration(0, time.Second), func() { m.submitCrashing(h, until) })
 	}
 }
 
-// run simulates one fleet.
-func (m *model) run(seed uint64) {
+// start starts a fleet with its load and its faults.
+func (m *model) start(seed uint64) {
 	m.rnd = rand.New(rand.NewPCG(seed, 1))
-	m.crashes, m.lateSends, m.thirdCrash = map[requesthash.Hash]int{}, map[requesthash.Hash]int{}, map[requesthash.Hash]time.Duration{}
+	m.crashes, m.lateSends, m.knownAt = map[requesthash.Hash]int{}, map[requesthash.Hash]int{}, map[requesthash.Hash]time.Duration{}
 	boxes := []int{3, 6, 8, 30, 100}[m.rnd.IntN(5)]
 	m.relays = min(6, boxes-1)
 	for i := range boxes {
@@ -405,19 +479,36 @@
 		m.nodes = append(m.nodes, n)
 		m.startProcess(n)
 	}
-	for range max(boxes, 9) {
+	servers := max(boxes, 9)
+	if m.serverCount > 0 {
+		servers = m.serverCount
+	}
+	for range servers {
 		m.serial++
 		m.servers = append(m.servers, &server{id: fmt.Sprint("e", m.serial), up: true, running: map[*request]bool{}})
 	}
 	m.schedule(0, m.gossip)
 	m.schedule(0, func() { m.generateLoad(10+boxes, 2) })
-	m.schedule(0, m.injectFaults)
+	if !m.calm {
+		m.schedule(0, m.injectFaults)
+	}
+}
+
+// run simulates one fleet, in which one or two contents crash endpoints.
+func (m *model) run(seed uint64) {
+	m.known = 3
+	m.start(seed)
 	for i := range 1 + m.rnd.IntN(2) {
 		at := m.randomDuration(time.Second, 10*time.Second)
 		m.schedule(at, func() {
 			m.submitCrashing(firstCrashing+requesthash.Hash(i), at+m.randomDuration(5*time.Second, 25*time.Second))
 		})
 	}
+	m.play()
+}
+
+// play runs the events.
+func (m *model) play() {
 	for m.now < runTime {
 		e := heap.Pop(&m.queue).(event)
 		m.now = e.at
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -2,11 +2,12 @@
 // request that is retried crashes every endpoint of its service: 39 crashes in 16 s in a fleet of 12,
 // while 46% of the requests of all callers went unanswered.
 //
-// A request is identified by the hash of its content, since a retry comes with another ID. Many
-// contents are in flight at an endpoint that crashes, but only the one that caused the crash is in
-// flight at the next crashes too. Each box therefore records all of them and shares its records with
-// other boxes. A content is refused once several endpoints crashed under it and no other refused
-// content explains these crashes. A content that an endpoint answered since is cleared.
+// Requests that crash endpoints have an item in common: the hash of their content, since a retry comes
+// with another ID, or a part of their prompts, whatever else they hold. Many items are in flight at an
+// endpoint that crashes, but only the one that caused the crash is in flight at the next crashes too.
+// Each box therefore records all of them and shares its records with other boxes. An item is refused
+// once several endpoints crashed under it, no other refused item explains these crashes, and no endpoint
+// of the same software version has answered it since.
 //
 // The package does no I/O and reads no clock: callers pass the time.
 package quarantine
@@ -24,19 +25,29 @@
 )
 
 const (
-	// minCrashes is the number of endpoints that must crash under a content before it is refused.
+	// minCrashes is the number of endpoints that must crash under an item before it is refused.
 	// When endpoints crashed for other reasons, 172 contents were in flight at one crash, 3 at two
 	// and none at more. Beside two contents that crashed 57 endpoints, 64 others were in flight at
 	// two crashes and 21 at three or more, most of which the two explain.
 	minCrashes = 3
 
-	// trialGap separates the crash of a trial from the crashes before it. A content is refused for
-	// holdTimes[0] after its last crash; then a single box forwards one request as a trial. If that
-	// crashes an endpoint more than trialGap after the previous crash, the next hold time applies,
-	// up to the last one, after which any box may send a trial. A content refused wrongly is thus
-	// allowed again within seconds, and one that crashes endpoints crashes one more then and one a
-	// minute later.
-	trialGap = 4 * time.Second
+	// An item that was answered within answerProtection before it was in flight at a crash may be one that
+	// many requests have, such as a status query or the first part of prompts, so that some are in flight
+	// whenever an endpoint crashes. It is refused only after minCrashesAnswered within more than RunningTime, since which
+	// no endpoint has run it for as long. If endpoints have, crashes before that count as well after runningWait, provided
+	// that there were minCrashes since, and all count if they go on for answeredWait, which most answers do not take.
+	minCrashesAnswered = 4
+	answerProtection   = time.Minute
+	runningWait        = 1500 * time.Millisecond
+	answeredWait       = 5 * time.Second
+
+	// sameMoment is the time within which endpoints that one cause ends together are found to have crashed. Reports
+	// of other boxes are some tens of milliseconds late.
+	sameMoment = 50 * time.Millisecond
+
+	// maxTimeError is how far the times of a crash and of an answer that other boxes report may be off
+	// against each other.
+	maxTimeError = 100 * time.Millisecond
 
 	// trialTimeout is the time after which a trial without a result is followed by another.
 	trialTimeout = 10 * time.Second
@@ -44,39 +55,40 @@
 	// otherBoxRetryAfter is the retry time of a request that only another box may send as a trial.
 	otherBoxRetryAfter = time.Second
 
-	// recordTTL is how long a record is kept after the last crash. A request that is retried every
-	// 15 minutes is still refused.
-	recordTTL = time.Hour
-
-	// answerProtection is how long after an answer a content is not suspected of a crash. Many
-	// requests may have the same content, such as a status query, so that some are in flight
-	// whenever an endpoint crashes.
-	answerProtection = time.Minute
+	// recordTTL is how long a record is kept after the last crash, and refusedPartTTL that of a refused
+	// part. A request that is retried every 15 minutes is still refused.
+	recordTTL      = time.Hour
+	refusedPartTTL = 24 * time.Hour
 
 	// confirmWindow is the time after a failed attempt within which its endpoint must be found to
 	// have crashed. The record of an endpoint that does not deregister expires after three
 	// heartbeats.
 	confirmWindow = 6 * time.Second
 
+	// unframedWindow is the time after an answer without framing within which its endpoint must be found to have
+	// crashed for the answer to count as cut.
+	unframedWindow = time.Second
+
 	// recentWindow is how long a box reports its observations. The window covers the four seconds
 	// within which a box finds another relay.
 	recentWindow = 10 * time.Second
 
-	// Bounds on the number of suspected contents, of crashes per content, of failed attempts that
-	// await confirmation, and of answered contents.
-	maxContents       = 2048
+	// Bounds on the number of items with records, of crashes per item, of failed attempts that
+	// await confirmation, of answered items, and of software versions per item.
+	maxRecords        = 4096
 	maxCrashes        = 32
 	maxFailedAttempts = 1024
-	maxAnswered       = 2048
+	maxAnswered       = 4096
+	maxVersions       = 8
 
-	// maxSuspects bounds the contents in one list, which takes 3.6 KB if each has one crash.
+	// maxSuspects bounds the items in one list, which takes 3.6 KB if each has one crash.
 	maxSuspects = 64
 )
 
-// holdTimes are the hold times after no, one, and two or more failed trials.
-var holdTimes = [...]time.Duration{5 * time.Second, time.Minute, 10 * time.Minute}
+// RunningTime is the time for which an endpoint must have sent an answer for RecordRunning.
+const RunningTime = 300 * time.Millisecond
 
-// Quarantine holds the records of one box about contents that may crash endpoints. The zero value is
+// Quarantine holds the records of one box about items that may crash endpoints. The zero value is
 // ready to use.
 type Quarantine struct {
 	Log zerolog.Logger
@@ -85,36 +97,76 @@
 	// other boxes can be notified at once. It is called without locks held.
 	OnChange func([]Suspect)
 
-	// SendsTrials reports whether this box is the one that sends a refused content as a trial. If
+	// SendsTrials reports whether this box is the one that sends a refused item as a trial. If
 	// it is nil, any box does.
 	SendsTrials func(requesthash.Hash) bool
 
-	mu       sync.Mutex
-	records  map[requesthash.Hash]*record
-	refused  map[requesthash.Hash]bool
-	failed   []failedAttempt
-	answered *simplelru.LRU[requesthash.Hash, time.Time]
+	mu        sync.Mutex
+	records   map[requesthash.Hash]*record
+	refused   map[requesthash.Hash]bool
+	ambiguous map[requesthash.Hash]bool // refused items whose crashes another refused item explains as well
+	reviewAt  time.Time                 // when an item may have to be refused although nothing happens; zero for never
+	failed    []failedAttempt
+	answered  *simplelru.LRU[requesthash.Hash, answers]
 }
 
-// failedAttempt is an attempt whose connection broke while the endpoint ran a content.
+// failedAttempt is an attempt whose connection ended while the endpoint may have run the request.
 type failedAttempt struct {
-	content  requesthash.Hash
-	endpoint string
-	at       time.Time
+	Attempt
+	sent, at time.Time
+
+	// begun is set if the answer seemed complete but had no framing: the endpoint began to write it then, and may have
+	// crashed before its end.
+	begun time.Time
 }
 
-// RecordFailure records that an attempt broke at an endpoint that had not announced its shutdown.
-// The failure counts against the content once the endpoint is found to have crashed.
-func (q *Quarantine) RecordFailure(h requesthash.Hash, endpoint string, now time.Time) {
+// RecordFailure records that an attempt, sent at a time, broke at an endpoint that had not announced its shutdown.
+// The failure counts against the request's items once the endpoint is found to have crashed.
+func (q *Quarantine) RecordFailure(a Attempt, sent, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if _, ok := q.answeredAt(h, now); ok {
-		return
-	}
+	q.addFailed(failedAttempt{Attempt: a, sent: sent, at: now})
+}
+
+func (q *Quarantine) addFailed(f failedAttempt) {
 	if len(q.failed) >= maxFailedAttempts {
 		q.failed = slices.Delete(q.failed, 0, len(q.failed)-maxFailedAttempts+1)
 	}
-	q.failed = append(q.failed, failedAttempt{h, endpoint, now})
+	q.failed = append(q.failed, f)
+}
+
+// RecordUnframed records an answer that seems complete and ended with its connection, as it does if the endpoint crashes.
+// It was sent at a time, and the endpoint began to write it at begun. If the endpoint is found to have crashed at that moment, it counts as a failure,
+// and otherwise as an answer after confirmWindow. RecordUnframed reports whether an item of the request is suspected, so
+// that the caller should find out at once and call RecordAnswer or RecordCrash.
+func (q *Quarantine) RecordUnframed(a Attempt, sent, begun, now time.Time) (isSuspected bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.addFailed(failedAttempt{a, sent, now, begun})
+	for h := range a.items() {
+		if r := q.records[h]; r != nil && len(r.crashes) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// settle returns the unframed answers whose endpoints were not found to have crashed in time, and forgets them and the failed
+// attempts that are as old.
+func (q *Quarantine) settle(now time.Time) []failedAttempt {
+	var out []failedAttempt
+	n := 0
+	for _, f := range q.failed {
+		if now.Sub(f.at) <= confirmWindow {
+			break
+		}
+		n++
+		if !f.begun.IsZero() {
+			out = append(out, f)
+		}
+	}
+	q.failed = slices.Delete(q.failed, 0, n)
+	return out
 }
 
 // RecordCrash records that an endpoint has crashed. how names the means of detection, for the
@@ -123,143 +175,182 @@
 	q.mu.Lock()
 	changed := q.confirm(endpoint, how, now)
 	q.mu.Unlock()
+	q.notify(changed)
+}
+
+// notify passes changed records to OnChange. The lock must not be held.
+func (q *Quarantine) notify(changed []Suspect) {
 	if len(changed) > 0 && q.OnChange != nil {
 		q.OnChange(changed)
 	}
 }
 
-// confirm counts the failed attempts at a crashed endpoint against their contents. It returns the
+// confirm counts the failed attempts at a crashed endpoint against their items. It returns the
 // records that changed.
 func (q *Quarantine) confirm(endpoint, how string, now time.Time) []Suspect {
-	var changed []Suspect
+	changed := map[requesthash.Hash]*record{}
 	var remaining []failedAttempt
 	for _, b := range q.failed {
 		switch {
-		case now.Sub(b.at) > confirmWindow:
-		case b.endpoint != endpoint:
+		case b.Endpoint != endpoint || now.Sub(b.at) > confirmWindow:
 			remaining = append(remaining, b)
+		case !b.begun.IsZero() && now.Sub(b.at) > unframedWindow:
+			remaining = append(remaining, b) // the endpoint may have crashed later
 		default:
-			r := q.record(b.content)
-			r.lastLocal = now
-			if r.addCrash(hashEndpoint(endpoint), now) {
-				changed = append(changed, r.suspect(b.content, now))
+			for h, isPart := range b.items() {
+				r := q.record(h, isPart)
+				r.lastLocal = now
+				if r.addCrash(hashEndpoint(endpoint), crash{b.at, max(b.at.Sub(b.sent), 1), versionHash(b.Version)}) {
+					changed[h] = r
+				}
 			}
 		}
 	}
 	q.failed = remaining
-	if len(changed) > 0 {
-		q.Log.Warn().Str("event", "endpoint ended").Str("endpoint", endpoint).Str("seen", how).Int("contents", len(changed)).
-			Msg("endpoint crashed without announcing that it leaves")
-		q.updateRefused(now)
+	if len(changed) == 0 {
+		return nil
 	}
-	return changed
+	parts := 0
+	var out []Suspect
+	for h, r := range changed {
+		if r.isPart {
+			parts++
+		}
+		out = append(out, r.suspect(h, now))
+	}
+	q.Log.Warn().Str("event", "endpoint ended").Str("endpoint", endpoint).Str("seen", how).Int("contents", len(changed)-parts).Int("parts", parts).
+		Msg("endpoint crashed without announcing that it leaves")
+	q.updateRefused(now)
+	return out
 }
 
-// RecordAnswer records that an endpoint has answered a content completely.
-func (q *Quarantine) RecordAnswer(h requesthash.Hash, now time.Time) {
+// RecordRunning records that an endpoint of a software version has been sending an answer to a request for RunningTime.
+// Begun is when it began.
+func (q *Quarantine) RecordRunning(r Request, version string, begun, now time.Time) {
+	var changed []Suspect
 	q.mu.Lock()
-	if q.answered == nil {
-		q.answered, _ = simplelru.NewLRU[requesthash.Hash, time.Time](maxAnswered, nil) // fails only for a size of zero or less
+	for h := range r.items() {
+		if k := q.records[h]; k != nil && k.addRunning(versionHash(version), begun) {
+			k.lastLocal = now
+			changed = append(changed, k.suspect(h, now))
+		}
 	}
-	q.answered.Add(h, now)
-	changed := q.clear(h, now, now)
-	q.mu.Unlock()
-	if len(changed) > 0 && q.OnChange != nil {
-		q.OnChange(changed)
+	if len(changed) > 0 {
+		q.updateRefused(now)
 	}
+	q.mu.Unlock()
+	q.notify(changed)
 }
 
-// clear records that a suspected content was answered at time at. It returns the changed record, or
-// nil if other boxes need not be notified.
-func (q *Quarantine) clear(h requesthash.Hash, at, now time.Time) []Suspect {
-	r := q.records[h]
-	if r == nil || len(r.crashes) == 0 || !r.addAnswer(at) {
-		return nil // not suspected, or known to be answered
+// RecordAnswer records that an endpoint of a software version has answered a request completely. Begun is when it began to
+// write the answer, or an earlier time.
+func (q *Quarantine) RecordAnswer(r Request, version string, begun, now time.Time) {
+	q.mu.Lock()
+	changed := q.recordAnswer(r, versionHash(version), begun, now)
+	for _, f := range q.settle(now) {
+		changed = append(changed, q.recordAnswer(f.Request, versionHash(f.Version), f.begun, now)...)
 	}
-	r.lastLocal = now
-	q.updateRefused(now)
-	return []Suspect{r.suspect(h, now)}
-}
-
-// answeredAt returns when a content was last answered to this box, and whether that was within
-// answerProtection.
-func (q *Quarantine) answeredAt(h requesthash.Hash, now time.Time) (time.Time, bool) {
-	if q.answered == nil {
-		return time.Time{}, false
+	if len(changed) > 0 {
+		q.updateRefused(now)
 	}
-	at, ok := q.answered.Get(h)
-	return at, ok && now.Sub(at) < answerProtection
+	q.mu.Unlock()
+	q.notify(changed)
 }
 
-// Refuses reports whether a content must not be sent to any endpoint now, and the time after which
-// the caller may retry.
-func (q *Quarantine) Refuses(h requesthash.Hash, now time.Time) (time.Duration, bool) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if !q.refused[h] {
-		return 0, false
+func (q *Quarantine) recordAnswer(r Request, version uint32, begun, now time.Time) []Suspect {
+	if q.answered == nil {
+		q.answered, _ = simplelru.NewLRU[requesthash.Hash, answers](maxAnswered, nil) // fails only for a size of zero or less
 	}
-	r := q.records[h]
-	sinceCrash := now.Sub(r.lastCrash)
-	switch longest := holdTimes[len(holdTimes)-1]; {
-	case sinceCrash < r.holdTime():
-		return r.holdTime() - sinceCrash, true
-	case now.Sub(r.lastTrial) < trialTimeout:
-		return trialTimeout - now.Sub(r.lastTrial), true
-	case sinceCrash < longest && q.SendsTrials != nil && !q.SendsTrials(h):
-		return otherBoxRetryAfter, true
-	default:
-		return 0, false
+	var changed []Suspect
+	for h := range r.items() {
+		a, ok := q.answered.Get(h)
+		if !ok {
+			a = answers{}
+			q.answered.Add(h, a)
+		}
+		a.add(version, begun)
+		changed = append(changed, q.addAnswer(h, version, begun, now)...)
 	}
+	return changed
 }
 
-// RecordSend records that a content is sent to an endpoint. The send of a refused content is a trial.
-func (q *Quarantine) RecordSend(h requesthash.Hash, now time.Time) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.refused[h] {
-		q.records[h].lastTrial = now
-		q.Log.Warn().Str("event", "content").Stringer("content", h).Msg("sent as a trial")
+// addAnswer records an answer to an item that has a record. It returns the changed record, or nil if other boxes need not be
+// notified.
+func (q *Quarantine) addAnswer(h requesthash.Hash, version uint32, begun, now time.Time) []Suspect {
+	r := q.records[h]
+	if r == nil || len(r.crashes) == 0 || !r.addAnswer(version, begun) {
+		return nil // not suspected, or known to be answered
 	}
+	r.lastLocal = now
+	return []Suspect{r.suspect(h, now)}
 }
 
 // Merge merges suspects from another box or from the store. It reports whether anything changed.
-// For a content that this box has seen answered recently, it clears the content and passes the
-// answer to OnChange.
+// Answers of an item that this box has seen and the others lack are passed to OnChange.
 func (q *Quarantine) Merge(suspects []Suspect, now time.Time) bool {
+	if len(suspects) == 0 {
+		return false
+	}
 	q.mu.Lock()
 	changed := false
-	var cleared []Suspect
+	var answered []Suspect
 	for _, s := range suspects {
 		changed = q.merge(s, now) || changed
-		if at, ok := q.answeredAt(s.Content, now); ok {
-			cleared = append(cleared, q.clear(s.Content, at, now)...)
-		}
+		answered = append(answered, q.addKnownAnswers(s, now)...)
 	}
-	if changed {
+	if changed || len(answered) > 0 {
 		q.updateRefused(now)
 	}
 	q.mu.Unlock()
-	if len(cleared) > 0 && q.OnChange != nil {
-		q.OnChange(cleared)
-	}
+	q.notify(answered)
 	return changed
 }
 
 func (q *Quarantine) merge(s Suspect, now time.Time) bool {
-	r := q.record(s.Content)
+	r := q.record(s.Content, s.Part)
 	changed := false
-	if s.Answered > 0 {
-		changed = r.addAnswer(now.Add(-s.Answered))
+	for _, a := range s.Answers {
+		if r.answers.isRepeated(a.Version, now.Add(-a.Begun)) {
+			continue
+		}
+		changed = r.addAnswer(a.Version, now.Add(-a.Begun)) || changed
+	}
+	for _, a := range s.Running {
+		if r.running.isRepeated(a.Version, now.Add(-a.Begun)) {
+			continue
+		}
+		changed = r.addRunning(a.Version, now.Add(-a.Begun)) || changed
 	}
 	for _, e := range s.Ends {
-		if e.Age < recordTTL {
-			changed = r.addCrash(e.Endpoint, now.Add(-e.Age)) || changed
+		if e.Age < refusedPartTTL {
+			changed = r.addCrash(e.Endpoint, crash{now.Add(-e.Age), e.Ran, e.Version}) || changed
+		}
+	}
+	for _, t := range s.Trials {
+		if _, ok := r.trials[t.Endpoint]; !ok && len(r.crashes) > 0 {
+			r.trials[t.Endpoint] = crash{at: now.Add(-t.Age), version: t.Version}
+			changed = true
 		}
 	}
 	return changed
 }
 
+// addKnownAnswers adds the answers that this box has seen recently to a suspected item. It returns the changed record, or nil
+// if other boxes need not be notified.
+func (q *Quarantine) addKnownAnswers(s Suspect, now time.Time) []Suspect {
+	if q.answered == nil {
+		return nil
+	}
+	var changed []Suspect
+	a, _ := q.answered.Peek(s.Content)
+	for v, begun := range a {
+		if now.Sub(begun) < answerProtection+recentWindow {
+			changed = append(changed, q.addAnswer(s.Content, v, begun, now)...)
+		}
+	}
+	return changed[max(len(changed)-1, 0):] // the last one has all of them
+}
+
 // Local returns the records that changed recently by observations of this box.
 func (q *Quarantine) Local(now time.Time) []Suspect {
 	return q.list(now, func(_ requesthash.Hash, r *record) bool { return now.Sub(r.lastLocal) < recentWindow })
@@ -268,53 +359,82 @@
 // Recent returns the records with a recent crash or answer, whichever box observed it.
 func (q *Quarantine) Recent(now time.Time) []Suspect {
 	return q.list(now, func(_ requesthash.Hash, r *record) bool {
-		return now.Sub(r.lastCrash) < recentWindow || now.Sub(r.lastAnswer) < recentWindow
+		return now.Sub(r.lastCrash) < recentWindow || now.Sub(r.answers.last()) < recentWindow
 	})
 }
 
-// Verdicts returns the records that a relay sends to its members: those of the contents that are
-// refused, and of suspected contents that were answered within answerProtection.
+// Verdicts returns the records that a relay sends to its members: those of the items that are
+// refused, and of suspected items that were answered within answerProtection.
 func (q *Quarantine) Verdicts(now time.Time) []Suspect {
 	return q.list(now, func(h requesthash.Hash, r *record) bool {
-		return q.refused[h] || now.Sub(r.lastAnswer) < answerProtection
+		return q.refused[h] || now.Sub(r.answers.last()) < answerProtection
 	})
 }
 
-// Refused returns the records of the contents that are refused.
+// Lasting returns the records of the items that are refused, in the form in which they are stored. They lack the answers: a
+// record that is read some time later seems newer than it is, and an answer would seem to refute crashes that came after it.
+func (q *Quarantine) Lasting(now time.Time) []Suspect {
+	suspects := q.Refused(now)
+	for i := range suspects {
+		suspects[i].Answers, suspects[i].Running = nil, nil
+	}
+	return suspects
+}
+
+// Refused returns the records of the items that are refused.
 func (q *Quarantine) Refused(now time.Time) []Suspect {
 	return q.list(now, func(h requesthash.Hash, _ *record) bool { return q.refused[h] })
 }
 
-// list returns up to maxSuspects records for which include returns true, those with the most crashes
-// first.
+// list returns up to maxSuspects records for which include returns true: refused ones first, then those with the most
+// crashes, and parts before contents.
 func (q *Quarantine) list(now time.Time, include func(requesthash.Hash, *record) bool) []Suspect {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	var suspects []Suspect
+	var hs []requesthash.Hash
 	for h, r := range q.records {
 		if include(h, r) {
-			suspects = append(suspects, r.suspect(h, now))
+			hs = append(hs, h)
 		}
 	}
-	slices.SortFunc(suspects, func(a, b Suspect) int {
-		return cmp.Or(cmp.Compare(len(b.Ends), len(a.Ends)), cmp.Compare(a.Content, b.Content))
-	})
-	return suspects[:min(len(suspects), maxSuspects)]
+	rank := func(h requesthash.Hash) int {
+		n := 2 * len(q.records[h].crashes)
+		if q.records[h].isPart {
+			n++
+		}
+		if q.refused[h] {
+			n += 4 * maxCrashes
+		}
+		return n
+	}
+	slices.SortFunc(hs, func(a, b requesthash.Hash) int { return cmp.Or(cmp.Compare(rank(b), rank(a)), cmp.Compare(a, b)) })
+	hs = hs[:min(len(hs), maxSuspects)]
+	suspects := make([]Suspect, 0, len(hs))
+	for _, h := range hs {
+		suspects = append(suspects, q.records[h].suspect(h, now))
+	}
+	return suspects
 }
 
-// record returns the record of a content. If there is none it adds one, and evicts another if the
-// table is full.
-func (q *Quarantine) record(h requesthash.Hash) *record {
+// record returns the record of an item. If there is none it adds one, with the answers that this box has seen, and evicts
+// another if the table is full.
+func (q *Quarantine) record(h requesthash.Hash, isPart bool) *record {
 	if r := q.records[h]; r != nil {
 		return r
 	}
 	if q.records == nil {
 		q.records = map[requesthash.Hash]*record{}
 	}
-	if len(q.records) >= maxContents {
+	if len(q.records) >= maxRecords {
 		q.evict()
 	}
-	r := &record{crashes: map[uint64]time.Time{}}
+	r := newRecord(isPart)
+	if q.answered != nil {
+		a, _ := q.answered.Peek(h)
+		for v, begun := range a {
+			r.answers.add(v, begun)
+		}
+	}
 	q.records[h] = r
 	return r
 }
--- a/serviceproxy/proxy.go
+++ b/serviceproxy/proxy.go
@@ -28,6 +28,7 @@
 	"birchlink.dev/birchlink/kernel"
 	"birchlink.dev/birchlink/member"
 	"birchlink.dev/birchlink/observer"
+	"birchlink.dev/birchlink/quarantine"
 	"birchlink.dev/birchlink/recovery"
 	"birchlink.dev/birchlink/requesthash"
 	"birchlink.dev/birchlink/router"
@@ -139,23 +140,25 @@
 	c, cancel := context.WithDeadline(c, q.Deadline)
 	defer cancel()
 	avoid := map[string]bool{}
-	h := q.content()
+	items := q.items()
 	st := recovery.State{Repeatable: q.Repeatable, Reattaches: recovery.MaxReattaches}
 	for st.Attempts = 1; ; st.Attempts++ {
 		s, err := p.waitForEndpoint(c, q, avoid, st)
 		if err != nil {
 			return nil, err
 		}
-		if err := p.suspects.Check(h); err != nil {
+		a := quarantine.Attempt{Request: items, Endpoint: s.ProcessID()}
+		if err := p.admit(a); err != nil {
 			return nil, quarantineError(err, st)
 		}
+		sent := boottime.Now()
 		resp, interruption, err := p.attempt(c, q, s, st.Attempts)
 		if err == nil {
-			p.recordResponse(h, resp)
+			p.recordResponse(items, sent, resp)
 			return resp, nil
 		}
 		if interruption == recovery.Disconnected && c.Err() == nil {
-			p.suspects.RecordFailure(c, h, s.ProcessID(), s.Address)
+			p.suspects.RecordFailure(c, a, sent, s.Address)
 		}
 		if errkind.Is(err, errkind.AnswerTooLarge) {
 			return nil, err
@@ -167,16 +170,31 @@
 	}
 }
 
-// content returns a hash of the request that does not depend on its ID.
-func (q Request) content() requesthash.Hash {
-	return requesthash.HashOf(q.Account, &call.Call{Method: q.Method, Host: q.Service, Target: q.Path, Body: q.Body})
+// items returns what the request may have in common with others that crash endpoints: its content without its ID.
+func (q Request) items() quarantine.Request {
+	return quarantine.Request{Content: requesthash.HashOf(q.Account, &call.Call{Method: q.Method, Host: q.Service, Target: q.Path, Body: q.Body})}
 }
 
+// admit returns an error if an attempt must not be sent. The software versions of plain services are not known.
+func (p *Proxy) admit(a quarantine.Attempt) error {
+	versions := []string{""}
+	if _, err := p.suspects.Check(a.Request, versions); err != nil {
+		return err
+	}
+	if !p.suspects.Admit(a, versions) {
+		return errkind.New(errkind.Quarantined, "another request with this content is tried now").WithRetryAfter(admitRetryAfter)
+	}
+	return nil
+}
+
+// admitRetryAfter is the retry time of a request that lost the only trial to another one.
+const admitRetryAfter = time.Second
+
 // recordResponse records a complete response for the quarantine. A response with a 5xx status is
 // ignored, because the service may have failed before it ran the request.
-func (p *Proxy) recordResponse(h requesthash.Hash, resp *Response) {
+func (p *Proxy) recordResponse(r quarantine.Request, sent time.Time, resp *Response) {
 	if resp.Status < http.StatusInternalServerError {
-		p.suspects.RecordAnswer(h)
+		p.suspects.RecordAnswer(r, "", sent)
 	}
 }
 
--- a/stream/choose.go
+++ b/stream/choose.go
@@ -15,6 +15,7 @@
 	"birchlink.dev/birchlink/errkind"
 	"birchlink.dev/birchlink/fleet"
 	"birchlink.dev/birchlink/member"
+	"birchlink.dev/birchlink/quarantine"
 	"birchlink.dev/birchlink/router"
 	"birchlink.dev/birchlink/view"
 )
@@ -89,13 +90,14 @@
 	endpoints []*view.EndpointState
 }
 
-// gather fills c with the endpoints of cs that may continue the stream, and are neither in avoid nor backing off.
-func (c *candidates) gather(cs []candidate, st *Stream, cachedOn string, avoid map[string]bool, backOffs *backoff.BackOffs) {
+// gather fills c with the endpoints of cs that may continue the stream, have a version that the verdict allows, and are neither
+// in avoid nor backing off.
+func (c *candidates) gather(cs []candidate, st *Stream, cachedOn string, avoid map[string]bool, v quarantine.Verdict, backOffs *backoff.BackOffs) {
 	c.targets, c.endpoints = c.targets[:0], c.endpoints[:0]
 	now := boottime.Now()
 	noneBackingOff := backOffs.IsEmpty(now)
 	for _, s := range cs {
-		if avoid[s.Name] || !st.mayContinueAt(s.Box) || !noneBackingOff && backOffs.Remaining(s.ProcessID(), now) > 0 {
+		if avoid[s.Name] || !st.mayContinueAt(s.Box) || !v.Allows(s.Label(fleet.SoftwareLabel)) || !noneBackingOff && backOffs.Remaining(s.ProcessID(), now) > 0 {
 			continue
 		}
 		c.endpoints = append(c.endpoints, s.EndpointState)
@@ -116,16 +118,17 @@
 	if r.s.remoteOnly && !r.mayHaveRun {
 		return r.overflow()
 	}
-	if err := r.k.suspects.Check(r.contentHash); err != nil {
-		return err
-	}
 	r.k.viewObserver.EnsureFresh(c)
 	b := r.k.buffers.Get().(*candidates)
 	defer r.k.buffers.Put(b)
 	prefix := engine.PrefixHash(r.s.Workload, r.s.Prompt)
 	cachedOn, _ := r.k.prefixes.Get(prefix)
 	cs := r.k.currentIndex(d).eligible(r.s.Workload)
-	b.gather(cs, r.s, cachedOn, r.avoid, &r.k.view.BackOffs)
+	v, versions, err := r.judge(cs)
+	if err != nil {
+		return err
+	}
+	b.gather(cs, r.s, cachedOn, r.avoid, v, &r.k.view.BackOffs)
 	q := router.Query{
 		Prefix: prefix, PromptTokens: engine.EstimatePromptTokens(r.s.Prompt), AnswerTokens: r.s.MaxTokens - r.splice.Next,
 		Urgent: r.s.Kind.Urgent(), Deadline: time.Until(r.s.Deadline),
@@ -137,7 +140,7 @@
 	}
 	s := b.endpoints[ch.Index]
 	r.setTarget(target{box: s.Name, incarnation: s.Incarnation, address: s.Address, endpoint: s})
-	return nil
+	return r.admit(versions)
 }
 
 // withRetryAfter adds a Retry-After to a NoEndpoint error: the time until the first endpoint's
--- a/stream/choose_test.go
+++ b/stream/choose_test.go
@@ -13,6 +13,7 @@
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/config"
 	"birchlink.dev/birchlink/fleet"
+	"birchlink.dev/birchlink/quarantine"
 	"birchlink.dev/birchlink/rendezvous"
 	"birchlink.dev/birchlink/router"
 	"birchlink.dev/birchlink/view"
@@ -59,11 +60,11 @@
 	var c candidates
 	x := &endpointIndex{snapshot: &view.Snapshot{Endpoints: ss}, document: d, dc: "a"}
 	var backOffs backoff.BackOffs
-	c.gather(x.eligible("m@1"), newStream(Request{}), "", map[string]bool{"box-5": true}, &backOffs)
+	c.gather(x.eligible("m@1"), newStream(Request{}), "", map[string]bool{"box-5": true}, quarantine.Verdict{}, &backOffs)
 	require.Len(t, c.targets, 1)
 	require.Equal(t, "box-0", c.targets[0].Box)
 	backOffs.Extend(ss[0].ProcessID(), time.Minute, boottime.Now())
-	c.gather(x.eligible("m@1"), newStream(Request{}), "", nil, &backOffs)
+	c.gather(x.eligible("m@1"), newStream(Request{}), "", nil, quarantine.Verdict{}, &backOffs)
 	require.Len(t, c.targets, 1)
 	require.Equal(t, "box-5", c.targets[0].Box)
 }
@@ -80,7 +81,7 @@
 	x := &endpointIndex{snapshot: &view.Snapshot{Endpoints: ss}, document: d, dc: "a"}
 	boxes := func(s *Stream) (names []string) {
 		var c candidates
-		c.gather(x.eligible("m@1"), s, "", nil, &backoff.BackOffs{})
+		c.gather(x.eligible("m@1"), s, "", nil, quarantine.Verdict{}, &backoff.BackOffs{})
 		for _, v := range c.targets {
 			names = append(names, v.Box)
 		}
@@ -111,7 +112,7 @@
 			st := newStream(Request{})
 			b.ReportAllocs()
 			for b.Loop() {
-				c.gather(x.eligible("m1@2"), st, "", nil, &backoff.BackOffs{})
+				c.gather(x.eligible("m1@2"), st, "", nil, quarantine.Verdict{}, &backoff.BackOffs{})
 				p.Pick(c.targets, router.Query{Prefix: 7, PromptTokens: 500, AnswerTokens: 128})
 			}
 		})
--- a/stream/overtake.go
+++ b/stream/overtake.go
@@ -109,8 +109,8 @@
 
 // keep returns to a silent attempt after the one beside it ended.
 func (r *run) keep(c context.Context, silent placement, b recovery.Interruption) (outcome, recovery.Interruption) {
-	if b == recovery.Disconnected && r.target.endpoint != nil && c.Err() == nil {
-		r.k.suspects.RecordFailure(c, r.contentHash, r.target.endpoint.ProcessID(), r.target.address)
+	if b == recovery.Disconnected {
+		r.recordFailure(c)
 	}
 	if b == recovery.Disconnected || b == recovery.Stalled {
 		r.cancelAttempt()
--- a/stream/run.go
+++ b/stream/run.go
@@ -11,9 +11,9 @@
 	"birchlink.dev/birchlink/errkind"
 	"birchlink.dev/birchlink/fleet"
 	"birchlink.dev/birchlink/member"
+	"birchlink.dev/birchlink/quarantine"
 	"birchlink.dev/birchlink/reclaim"
 	"birchlink.dev/birchlink/recovery"
-	"birchlink.dev/birchlink/requesthash"
 	"birchlink.dev/birchlink/splice"
 	"birchlink.dev/birchlink/view"
 	"birchlink.dev/birchlink/wait"
@@ -67,7 +67,10 @@
 	preferredBox string // box of the next attempt by the reclaim plan
 	avoid        map[string]bool
 	pending      moveRequest
-	contentHash  requesthash.Hash
+	items        quarantine.Request
+	sent         time.Time // when the current attempt was sent
+	begun        time.Time // when the current attempt sent its first token; zero before
+	isRunning    bool      // the quarantine knows that it has gone on for a while
 }
 
 // target is the endpoint of an attempt, or a box in another data centre if endpoint is nil.
@@ -80,7 +83,7 @@
 
 func newRun(k *Service, s *Stream) *run {
 	return &run{
-		k: k, s: s, avoid: map[string]bool{}, contentHash: s.contentHash(),
+		k: k, s: s, avoid: map[string]bool{}, items: s.items(),
 		splice: splice.Splicer{RequestID: s.ID, MaxTokens: s.MaxTokens, Next: s.Len()},
 	}
 }
@@ -101,7 +104,7 @@
 	for {
 		switch e {
 		case answerComplete:
-			r.k.suspects.RecordAnswer(r.contentHash)
+			r.recordComplete()
 			r.s.finish(nil)
 			return
 		case runDone:
@@ -132,8 +135,8 @@
 
 // decide returns the next step after an interruption, and logs the reason.
 func (r *run) decide(c context.Context, b recovery.Interruption) recovery.Decision {
-	if b == recovery.Disconnected && r.target.endpoint != nil && c.Err() == nil {
-		r.k.suspects.RecordFailure(c, r.contentHash, r.target.endpoint.ProcessID(), r.target.address)
+	if b == recovery.Disconnected {
+		r.recordFailure(c)
 	}
 	if b != recovery.Refused && b != recovery.Unreachable && b != recovery.NeverSeen {
 		r.mayHaveRun = true
@@ -172,6 +175,7 @@
 	r.attempt = r.lastAttempt
 	r.reattaches = 0
 	r.splice.StartAttempt(r.attempt)
+	r.sent, r.begun, r.isRunning = boottime.Now(), time.Time{}, false
 	r.s.update(func() { r.s.stats.Attempts, r.s.stats.Box = r.attempt, r.target.box })
 }
 
@@ -295,6 +299,7 @@
 		r.mayHaveRun = true
 		r.reattaches = 0
 		r.recordLine(l)
+		r.recordProgress()
 		if r.target.endpoint != nil {
 			l.Software = r.target.endpoint.Label(fleet.SoftwareLabel)
 		}
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -5,12 +5,10 @@
 
 import (
 	"context"
-	"strconv"
 	"sync"
 	"time"
 
 	"birchlink.dev/birchlink/admission"
-	"birchlink.dev/birchlink/call"
 	"birchlink.dev/birchlink/engine"
 	"birchlink.dev/birchlink/errkind"
 	"birchlink.dev/birchlink/fleet"
@@ -23,6 +21,7 @@
 	Account    string
 	Workload   string
 	Prompt     string
+	Parts      []requesthash.Hash // of the prompt that other requests may share
 	MaxTokens  int
 	Kind       admission.Kind
 	Member     string
@@ -41,11 +40,6 @@
 	return admission.Request{Account: q.Account, Member: q.Member, Match: q.Match, Kind: q.Kind, Weight: q.Weight, Rate: q.Rate, Workload: q.Workload}
 }
 
-// contentHash returns the hash of the request's content, which doesn't include its ID.
-func (q Request) contentHash() requesthash.Hash {
-	return requesthash.HashOf(q.Account, &call.Call{Host: q.Workload, Target: strconv.Itoa(q.MaxTokens), Body: []byte(q.Prompt)})
-}
-
 // MovedError is the error of a stream that ended on this box because a peer continues it.
 type MovedError struct {
 	To string
--- a/suspects/suspects.go
+++ b/suspects/suspects.go
@@ -99,24 +99,38 @@
 	}
 }
 
-// Check returns an error of kind errkind.Quarantined if a content must not be sent to any endpoint
-// because several crashed under it. Otherwise it records that the content is sent now.
-func (s *Service) Check(h requesthash.Hash) error {
-	now := boottime.Now()
-	if left, refused := s.quarantine.Refuses(h, now); refused {
-		return errkind.New(errkind.Quarantined, "endpoints ended while they ran this request").WithRetryAfter(left)
+// Check returns an error of kind errkind.Quarantined if a request must not be sent to any endpoint
+// because several crashed under one of its items. Versions are the software versions of the endpoints that could get it, of
+// which the verdict may allow some only.
+func (s *Service) Check(r quarantine.Request, versions []string) (quarantine.Verdict, error) {
+	v := s.quarantine.Judge(r, func() []string { return versions }, boottime.Now())
+	if v.Refused {
+		return v, errkind.New(errkind.Quarantined, "endpoints ended while they ran this request or others with a part of its prompt").WithRetryAfter(v.RetryAfter)
 	}
-	s.quarantine.RecordSend(h, now)
-	return nil
+	return v, nil
+}
+
+// Admit reports whether an attempt may be sent now. It must be called just before, since it counts trials.
+func (s *Service) Admit(a quarantine.Attempt, versions []string) bool {
+	return s.quarantine.Admit(a, func() []string { return versions }, boottime.Now())
 }
 
-// RecordAnswer records that an endpoint has answered a content completely.
-func (s *Service) RecordAnswer(h requesthash.Hash) { s.quarantine.RecordAnswer(h, boottime.Now()) }
+// RecordAnswer records that an endpoint of a software version has answered a request completely, which it began at a time.
+func (s *Service) RecordAnswer(r quarantine.Request, version string, begun time.Time) {
+	s.quarantine.RecordAnswer(r, version, begun, boottime.Now())
+}
+
+// RecordRunning records that an endpoint of a software version has been sending an answer for quarantine.RunningTime, which it
+// began at a time.
+func (s *Service) RecordRunning(r quarantine.Request, version string, begun time.Time) {
+	s.quarantine.RecordRunning(r, version, begun, boottime.Now())
+}
 
-// RecordFailure records that an attempt broke at a process that had not announced its shutdown. It
+// RecordFailure records that an attempt, sent at a time, broke at a process that had not announced its shutdown. It
 // dials the address and records a crash if the connection is refused.
-func (s *Service) RecordFailure(c context.Context, h requesthash.Hash, process, address string) {
-	s.quarantine.RecordFailure(h, process, boottime.Now())
+func (s *Service) RecordFailure(c context.Context, a quarantine.Attempt, sent time.Time, address string) {
+	process := a.Endpoint
+	s.quarantine.RecordFailure(a, sent, boottime.Now())
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	n, err := d.DialContext(c, "tcp", address)
 	switch {
--- a/suspects/suspects_test.go
+++ b/suspects/suspects_test.go
@@ -17,6 +17,7 @@
 	"birchlink.dev/birchlink/kv"
 	"birchlink.dev/birchlink/member"
 	"birchlink.dev/birchlink/peer"
+	"birchlink.dev/birchlink/quarantine"
 	"birchlink.dev/birchlink/requesthash"
 	"birchlink.dev/birchlink/stand/kvstore"
 	"birchlink.dev/birchlink/suspects"
@@ -60,7 +61,14 @@
 	require.Eventually(t, f, 30*time.Second, 5*time.Millisecond)
 }
 
-func (b *box) refuses(h requesthash.Hash) bool { return errkind.Is(b.Check(h), errkind.Quarantined) }
+func (b *box) refuses(h requesthash.Hash) bool {
+	_, err := b.Check(attempt(h, "").Request, nil)
+	return errkind.Is(err, errkind.Quarantined)
+}
+
+func attempt(h requesthash.Hash, endpoint string) quarantine.Attempt {
+	return quarantine.Attempt{Request: quarantine.Request{Content: h}, Endpoint: endpoint}
+}
 
 // A content under which three endpoints crashed at one box is refused by all boxes, in each data
 // centre, and by a box that starts later. An endpoint that still listens has not crashed.
@@ -76,12 +84,12 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = live.Close() })
 	for i := range 5 {
-		a.RecordFailure(t.Context(), 1, fmt.Sprint("e", i), live.Addr().String())
+		a.RecordFailure(t.Context(), attempt(1, fmt.Sprint("e", i)), time.Time{}, live.Addr().String())
 		require.False(t, a.refuses(1))
 	}
 	for i := range 3 {
 		require.False(t, a.refuses(2))
-		a.RecordFailure(t.Context(), 2, fmt.Sprint("e", i), freeAddress(t))
+		a.RecordFailure(t.Context(), attempt(2, fmt.Sprint("e", i)), time.Time{}, freeAddress(t))
 	}
 	for _, x := range bs {
 		await(t, func() bool { return x.refuses(2) })
