Name the parts of prompts of the own interface, so that the quarantine knows them

Each message of a chat request but the last one is a part now, named by the hash of its workload, role and text. A part inside a message has no name; a prompt of one message has no part. No test runs crashing engines behind the own interface end to end.

--- a/front/chat.go
+++ b/front/chat.go
@@ -12,11 +12,13 @@
 
 	"github.com/gorilla/mux"
 
+	"birchlink.dev/birchlink/call"
 	"birchlink.dev/birchlink/dispatch"
 	"birchlink.dev/birchlink/engine"
 	"birchlink.dev/birchlink/errkind"
 	"birchlink.dev/birchlink/jsonhttp"
 	"birchlink.dev/birchlink/openai"
+	"birchlink.dev/birchlink/requesthash"
 	"birchlink.dev/birchlink/stream"
 )
 
@@ -92,13 +94,22 @@
 		return nil, errkind.New(errkind.BadRequest, "max_tokens is from 1 to %d", maxTokens)
 	}
 	return &stream.Request{
-		ID: s.id, Account: s.account.Name, Workload: w, Prompt: q.Prompt(), MaxTokens: n,
+		ID: s.id, Account: s.account.Name, Workload: w, Prompt: q.Prompt(), MaxTokens: n, Parts: partHashes(w, q.PromptParts()),
 		Kind: s.headers.kind, Member: s.headers.member, Match: s.headers.match,
 		Weight: s.account.Weight, Rate: s.account.RequestsPerSecond,
 		Repeatable: s.headers.repeatable, Deadline: s.headers.deadline,
 	}, nil
 }
 
+// partHashes returns the hashes of the parts of a prompt for a workload that other requests may share: all messages but the last.
+func partHashes(workload string, messages []string) []requesthash.Hash {
+	var c call.Call
+	for _, m := range messages {
+		c.Parts = append(c.Parts, call.Part{ID: m})
+	}
+	return requesthash.PartsOf(workload, &c)
+}
+
 // resumeStream handles GET /v1/requests/{id}?from=n, which returns the tokens of a stream from
 // index n on.
 func (f *Front) resumeStream(s *session) error {
--- a/openai/messages.go
+++ b/openai/messages.go
@@ -64,11 +64,16 @@
 
 // Prompt returns the messages as one text, with one line "role: content" for each message.
 func (r ChatRequest) Prompt() string {
-	var b strings.Builder
-	for _, m := range r.Messages {
-		b.WriteString(m.Role + ": " + string(m.Content) + "\n")
+	return strings.Join(r.PromptParts(), "")
+}
+
+// PromptParts returns the parts of the prompt, one for each message.
+func (r ChatRequest) PromptParts() []string {
+	parts := make([]string, len(r.Messages))
+	for i, m := range r.Messages {
+		parts[i] = m.Role + ": " + string(m.Content) + "\n"
 	}
-	return b.String()
+	return parts
 }
 
 // Usage holds the token counts of a request.
--- a/suspects/suspects_test.go
+++ b/suspects/suspects_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/errkind"
 	"birchlink.dev/birchlink/kernel"
 	"birchlink.dev/birchlink/kv"
@@ -98,3 +99,36 @@
 	d := start(t, "d", "south", a.address)
 	await(t, func() bool { return d.refuses(2) })
 }
+
+// A part of prompts under which endpoints of one version crashed at one box is refused by all boxes at that version, and goes on at
+// a version that has answered it since.
+func TestPartsReachAllBoxes(t *testing.T) {
+	a := start(t, "a", "north")
+	b := start(t, "b", "south", a.address)
+	await(t, func() bool { return len(a.members.Up("")) == 2 && len(b.members.Up("")) == 2 })
+	r := quarantine.Request{Content: 1, Parts: []requesthash.Hash{10, 11}}
+	other := quarantine.Request{Content: 2, Parts: []requesthash.Hash{10}}
+	versions := []string{"v1", "v2"}
+	sent := boottime.Now()
+	for i := range 3 {
+		b.RecordAnswer(other, "v2", boottime.Now())
+		boottime.SimulateSuspension(crashInterval)
+		r.Content = requesthash.Hash(100 + i)
+		sent = boottime.Now()
+		a.RecordFailure(t.Context(), quarantine.Attempt{Request: r, Endpoint: fmt.Sprint("e", i), Version: "v2"}, sent, freeAddress(t))
+	}
+	for _, x := range []*box{a, b} {
+		await(t, func() bool { _, err := x.Check(r, versions[1:]); return errkind.Is(err, errkind.Quarantined) })
+	}
+	b.RecordAnswer(quarantine.Request{Content: 3, Parts: r.Parts}, "v1", boottime.Now())
+	for _, x := range []*box{a, b} {
+		await(t, func() bool {
+			v, err := x.Check(r, versions)
+			return err == nil && v.Allows("v1") && !v.Allows("v2")
+		})
+		await(t, func() bool { _, err := x.Check(other, versions); return err == nil })
+	}
+}
+
+// crashInterval is longer than the time within which crashes are at one moment.
+const crashInterval = 60 * time.Millisecond
