Let the box that saw an answer decide which crashes it refutes

An answer from before a part's first crash then seemed to refute crashes after it. Now the box that saw the answer compares the two on its own clock and names the endpoints whose crashes are refuted; others take its word, and correct the time of a crash to the earliest that they are told. In the same way the crashes are named since which an endpoint has run the item.

--- a/quarantine/decide.go
+++ b/quarantine/decide.go
@@ -13,8 +13,12 @@
 // changes.
 func (q *Quarantine) updateRefused(now time.Time) {
 	for h, r := range q.records {
+		r.forgetRefuted(now)
 		ttl := recordTTL
-		if r.isPart && q.refused[h] {
+		switch {
+		case len(r.crashes) == 0:
+			ttl = answerProtection
+		case r.isPart && q.refused[h]:
 			ttl = refusedPartTTL
 		}
 		if now.Sub(r.lastCrash) > ttl && now.Sub(r.answers.last()) > answerProtection {
@@ -107,7 +111,7 @@
 
 func newEvidence(r *record, cs map[uint64]crash) evidence {
 	isPopular := r.isPart || r.wasAnswered()
-	e := evidence{crashes: countCrashes(isPopular, cs), notRunning: countCrashes(isPopular, withoutRunning(cs, r.running))}
+	e := evidence{crashes: countCrashes(isPopular, cs), notRunning: countCrashes(isPopular, withoutRunning(cs))}
 	for _, c := range cs {
 		if e.first.IsZero() || c.at.Before(e.first) {
 			e.first = c.at
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -45,9 +45,10 @@
 	// of other boxes are some tens of milliseconds late.
 	sameMoment = 50 * time.Millisecond
 
-	// maxTimeError is how far the times of a crash and of an answer that other boxes report may be off
-	// against each other.
-	maxTimeError = 100 * time.Millisecond
+	// maxTimeError is how much later than it was a crash that another box reports may seem. An answer that began
+	// so long before refutes it as well. minCorrection is the least correction of such a time that is passed on.
+	maxTimeError  = 100 * time.Millisecond
+	minCorrection = 10 * time.Millisecond
 
 	// trialTimeout is the time after which a trial without a result is followed by another.
 	trialTimeout = 10 * time.Second
@@ -200,7 +201,7 @@
 			for h, isPart := range b.items() {
 				r := q.record(h, isPart)
 				r.lastLocal = now
-				if r.addCrash(hashEndpoint(endpoint), crash{b.at, max(b.at.Sub(b.sent), 1), versionHash(b.Version)}) {
+				if r.addCrash(hashEndpoint(endpoint), crash{at: b.at, ran: max(b.at.Sub(b.sent), 1), version: versionHash(b.Version)}) {
 					changed[h] = r
 				}
 			}
@@ -278,8 +279,12 @@
 // notified.
 func (q *Quarantine) addAnswer(h requesthash.Hash, version uint32, begun, now time.Time) []Suspect {
 	r := q.records[h]
-	if r == nil || len(r.crashes) == 0 || !r.addAnswer(version, begun) {
-		return nil // not suspected, or known to be answered
+	if r == nil || len(r.crashes) == 0 {
+		return nil // not suspected
+	}
+	isNew := r.addAnswer(version, begun)
+	if !r.refute(version, begun, now) && !isNew {
+		return nil
 	}
 	r.lastLocal = now
 	return []Suspect{r.suspect(h, now)}
@@ -310,20 +315,14 @@
 	r := q.record(s.Content, s.Part)
 	changed := false
 	for _, a := range s.Answers {
-		if r.answers.isRepeated(a.Version, now.Add(-a.Begun)) {
-			continue
-		}
 		changed = r.addAnswer(a.Version, now.Add(-a.Begun)) || changed
 	}
-	for _, a := range s.Running {
-		if r.running.isRepeated(a.Version, now.Add(-a.Begun)) {
-			continue
-		}
-		changed = r.addRunning(a.Version, now.Add(-a.Begun)) || changed
+	for _, e := range s.Refuted {
+		changed = r.addRefuted(e, now) || changed
 	}
 	for _, e := range s.Ends {
 		if e.Age < refusedPartTTL {
-			changed = r.addCrash(e.Endpoint, crash{now.Add(-e.Age), e.Ran, e.Version}) || changed
+			changed = r.addCrash(e.Endpoint, crash{now.Add(-e.Age), e.Ran, e.Version, e.HasRun}) || changed
 		}
 	}
 	for _, t := range s.Trials {
@@ -372,11 +371,11 @@
 }
 
 // Lasting returns the records of the items that are refused, in the form in which they are stored. They lack the answers: a
-// record that is read some time later seems newer than it is, and an answer would seem to refute crashes that came after it.
+// record that is read some time later seems newer than it is, and so would the answers.
 func (q *Quarantine) Lasting(now time.Time) []Suspect {
 	suspects := q.Refused(now)
 	for i := range suspects {
-		suspects[i].Answers, suspects[i].Running = nil, nil
+		suspects[i].Answers, suspects[i].Refuted = nil, nil
 	}
 	return suspects
 }
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -17,18 +17,20 @@
 	Content requesthash.Hash // of the item
 	Part    bool             `msgpack:",omitempty" json:",omitempty"` // the item is a part of prompts
 	Ends    []Crash
+	Refuted []uint64 `msgpack:",omitempty" json:",omitempty"` // hashes of the endpoints whose crashes the item did not cause
 	Trials  []Crash  `msgpack:",omitempty" json:",omitempty"` // the endpoints that got the item as a trial
 	Answers []Answer `msgpack:",omitempty" json:",omitempty"`
-	Running []Answer `msgpack:",omitempty" json:",omitempty"` // that had lasted for RunningTime at least
 }
 
 // Crash is the crash of one endpoint, identified by the hash of its ID, or a trial there. Ran is how long before the crash
-// a request with the item was sent there last.
+// a request with the item was sent there last. HasRun reports that an endpoint of its version has run the item since for
+// RunningTime.
 type Crash struct {
 	Endpoint uint64
 	Age      time.Duration
 	Ran      time.Duration `msgpack:",omitempty" json:",omitempty"`
 	Version  uint32        `msgpack:",omitempty" json:",omitempty"` // hash of its software version
+	HasRun   bool          `msgpack:",omitempty" json:",omitempty"`
 }
 
 // Answer is the last complete answer of endpoints of one software version. Begun is the time since they began to write it.
@@ -42,6 +44,7 @@
 	at      time.Time
 	ran     time.Duration
 	version uint32
+	hasRun  bool
 }
 
 // answers has the time at which the last answer began, by software version.
@@ -69,31 +72,38 @@
 }
 
 // record is the state that a box keeps for an item.
+//
+// What refutes a crash is decided by the box that saw the answer, on its own clock, and told to the others by the name of
+// the endpoint. The times that other boxes report only seem later than they are, for example after this box was suspended, so
+// that a crash that was reported can't be refuted wrongly.
 type record struct {
 	isPart    bool
-	crashes   map[uint64]crash // that no answer has refuted, by hash of the endpoint
-	trials    map[uint64]crash // since the last time that all crashes were refuted, by hash of the endpoint
-	answers   answers
-	running   answers   // that had lasted for RunningTime at least, whether or not they ended well
-	lastCrash time.Time // time of the latest crash
-	lastLocal time.Time // when this box itself last saw a crash, or an answer to the item
-	lastTrial time.Time // when this box last sent the item as a trial
+	crashes   map[uint64]crash     // that no answer has refuted, by hash of the endpoint
+	refuted   map[uint64]time.Time // when crashes were found to be refuted, by hash of the endpoint
+	trials    map[uint64]crash     // since the last time that all crashes were refuted, by hash of the endpoint
+	answers   answers              // that any box has seen
+	running   answers              // that this box has seen go on for RunningTime, whether or not they ended well
+	lastCrash time.Time            // time of the latest crash
+	lastLocal time.Time            // when this box itself last saw a crash, or an answer to the item
+	lastTrial time.Time            // when this box last sent the item as a trial
 }
 
 func newRecord(isPart bool) *record {
-	return &record{isPart: isPart, crashes: map[uint64]crash{}, trials: map[uint64]crash{}, answers: answers{}, running: answers{}}
+	return &record{
+		isPart: isPart, crashes: map[uint64]crash{}, refuted: map[uint64]time.Time{}, trials: map[uint64]crash{},
+		answers: answers{}, running: answers{},
+	}
 }
 
-// addCrash records the crash of an endpoint, unless an answer refutes it. It reports whether the record changed.
+// addCrash records the crash of an endpoint, unless it is refuted. It reports whether the record changed.
 func (r *record) addCrash(endpoint uint64, c crash) bool {
-	if known, ok := r.crashes[endpoint]; ok {
-		known.ran = min(known.ran, c.ran)
-		r.crashes[endpoint] = known
+	if _, ok := r.refuted[endpoint]; ok {
 		return false
 	}
-	if r.isRefuted(c) {
-		return false
+	if known, ok := r.crashes[endpoint]; ok {
+		return r.correct(endpoint, known, c)
 	}
+	c.hasRun = c.hasRun || r.running.isSince(c)
 	r.crashes[endpoint] = c
 	if c.at.After(r.lastCrash) {
 		r.lastCrash = c.at
@@ -104,33 +114,94 @@
 	return true
 }
 
-// isRefuted reports whether an answer shows that the item did not cause a crash: endpoints of the same version began to
-// answer it since. An answer that began before the crash shows nothing, as the item may crash endpoints only since then.
-func (r *record) isRefuted(c crash) bool {
-	begun, ok := r.answers[c.version]
+// correct merges another report of a known crash. The earliest time is the most accurate.
+func (r *record) correct(endpoint uint64, known, c crash) bool {
+	k := known
+	k.ran, k.hasRun = min(k.ran, c.ran), k.hasRun || c.hasRun
+	if c.at.Before(k.at) {
+		k.at = c.at
+	}
+	r.crashes[endpoint] = k
+	return k.hasRun != known.hasRun || known.at.Sub(k.at) > minCorrection
+}
+
+// isSince reports whether an answer of the crash's version began after it.
+func (a answers) isSince(c crash) bool {
+	begun, ok := a[c.version]
 	return ok && !c.at.After(begun.Add(maxTimeError))
 }
 
+// refute discards the crashes that an answer refutes which this box has seen: endpoints of a version began to answer the item
+// since. An answer that began before a crash shows nothing, as the item may crash endpoints only since then. It reports
+// whether there are such crashes.
+func (r *record) refute(version uint32, begun, now time.Time) bool {
+	n := len(r.crashes)
+	for e, c := range r.crashes {
+		if (answers{version: begun}).isSince(c) {
+			delete(r.crashes, e)
+			r.refuted[e] = now
+		}
+	}
+	r.forgetTrials()
+	return len(r.crashes) < n
+}
+
+// addRefuted discards a crash that another box has refuted. It reports whether the record changed.
+func (r *record) addRefuted(endpoint uint64, now time.Time) bool {
+	_, known := r.refuted[endpoint]
+	r.refuted[endpoint] = now
+	delete(r.crashes, endpoint)
+	r.forgetTrials()
+	return !known
+}
+
+// forgetTrials forgets the trials of an item that caused no crash.
+func (r *record) forgetTrials() {
+	if len(r.crashes) == 0 {
+		clear(r.trials)
+	}
+}
+
+// forgetRefuted forgets crashes that were refuted so long ago that no box reports them any more.
+func (r *record) forgetRefuted(now time.Time) {
+	maps.DeleteFunc(r.refuted, func(_ uint64, at time.Time) bool { return now.Sub(at) > 2*recentWindow })
+}
+
+// addAnswer records when endpoints of a version last began an answer. It reports whether others should know: an answer
+// that other boxes send back appears a few milliseconds newer than the one recorded here and must not be forwarded again.
+func (r *record) addAnswer(version uint32, begun time.Time) bool {
+	previous, known := r.answers[version]
+	r.answers.add(version, begun)
+	return !known || begun.Sub(previous) >= recentWindow
+}
+
+// addRunning records that an endpoint of a version has run the item for RunningTime. It reports whether none had since one of
+// the crashes.
+func (r *record) addRunning(version uint32, begun time.Time) bool {
+	r.running.add(version, begun)
+	changed := false
+	for e, c := range r.crashes {
+		if !c.hasRun && r.running.isSince(c) {
+			c.hasRun = true
+			r.crashes[e] = c
+			changed = true
+		}
+	}
+	return changed
+}
+
 // withoutRunning returns the crashes since which no endpoint of the same version has run the item for RunningTime. That one
 // has does not refute a crash: the item may crash endpoints later in an answer.
-func withoutRunning(cs map[uint64]crash, running answers) map[uint64]crash {
+func withoutRunning(cs map[uint64]crash) map[uint64]crash {
 	out := map[uint64]crash{}
 	for e, c := range cs {
-		if begun, ok := running[c.version]; !ok || c.at.After(begun.Add(maxTimeError)) {
+		if !c.hasRun {
 			out[e] = c
 		}
 	}
 	return out
 }
 
-// addRunning records that an endpoint of a version has run the item for RunningTime. It reports whether that speaks against
-// further crashes.
-func (r *record) addRunning(version uint32, begun time.Time) bool {
-	n := len(withoutRunning(r.crashes, r.running))
-	r.running.add(version, begun)
-	return len(withoutRunning(r.crashes, r.running)) < n
-}
-
 func (r *record) dropOldestCrash() {
 	var oldest uint64
 	var at time.Time
@@ -142,27 +213,6 @@
 	delete(r.crashes, oldest)
 }
 
-// isRepeated reports whether an answer that another box reports is one that is known: reports arrive some milliseconds after
-// their ages were taken, and would make an answer newer with each box that passes them on.
-func (a answers) isRepeated(version uint32, begun time.Time) bool {
-	known, ok := a[version]
-	return ok && !begun.After(known.Add(maxTimeError))
-}
-
-// addAnswer records that endpoints of a version answered the item without crashing, and discards the crashes that this
-// refutes. It reports whether the record changed enough to notify others: an answer that other boxes send back appears a
-// few milliseconds newer than the one recorded here and must not be forwarded again.
-func (r *record) addAnswer(version uint32, begun time.Time) bool {
-	previous, known := r.answers[version]
-	r.answers.add(version, begun)
-	n := len(r.crashes)
-	maps.DeleteFunc(r.crashes, func(_ uint64, c crash) bool { return r.isRefuted(c) })
-	if len(r.crashes) == 0 {
-		clear(r.trials)
-	}
-	return len(r.crashes) < n || !known || begun.Sub(previous) >= recentWindow
-}
-
 // firstCrash returns the time of the first crash at a version, or at any if there is none at it.
 func (r *record) firstCrash() time.Time {
 	var t time.Time
@@ -174,15 +224,17 @@
 	return t
 }
 
-// wasAnswered reports whether endpoints of a version that crashed under the item had answered it within answerProtection
+// wasAnswered reports whether endpoints of the version that crashed last under the item had answered it within answerProtection
 // before.
 func (r *record) wasAnswered() bool {
+	var last crash
 	for _, c := range r.crashes {
-		if begun, ok := r.answers[c.version]; ok && c.at.Sub(begun) < answerProtection {
-			return true
+		if c.at.After(last.at) {
+			last = c
 		}
 	}
-	return false
+	begun, ok := r.answers[last.version]
+	return ok && last.at.Sub(begun) < answerProtection
 }
 
 // hasCrashed reports whether an endpoint of the version crashed under the item.
@@ -215,7 +267,7 @@
 // suspect returns the record in the form in which it is sent to other boxes.
 func (r *record) suspect(h requesthash.Hash, now time.Time) Suspect {
 	s := Suspect{Content: h, Part: r.isPart, Ends: reports(r.crashes, now), Trials: reports(r.trials, now)}
-	s.Answers, s.Running = r.answers.reports(now), r.running.reports(now)
+	s.Answers, s.Refuted = r.answers.reports(now), slices.Collect(maps.Keys(r.refuted))
 	return s
 }
 
@@ -230,7 +282,7 @@
 func reports(cs map[uint64]crash, now time.Time) []Crash {
 	out := make([]Crash, 0, len(cs))
 	for e, c := range cs {
-		out = append(out, Crash{e, now.Sub(c.at), c.ran, c.version})
+		out = append(out, Crash{e, now.Sub(c.at), c.ran, c.version, c.hasRun})
 	}
 	return out
 }
@@ -250,7 +302,14 @@
 			add(s.Content, 0, uint64(a.Version))
 		}
 		for _, e := range s.Ends {
-			add(s.Content, 1, e.Endpoint)
+			kind := uint64(1)
+			if e.HasRun {
+				kind = 4
+			}
+			add(s.Content, kind, e.Endpoint)
+		}
+		for _, e := range s.Refuted {
+			add(s.Content, 3, e)
 		}
 		for _, t := range s.Trials {
 			add(s.Content, 2, t.Endpoint)
