--- a/quarantine/decide.go
+++ b/quarantine/decide.go
@@ -18,7 +18,7 @@
 		switch {
 		case len(r.crashes) == 0:
 			ttl = answerProtection
-		case r.isPart && q.refused[h]:
+		case r.isPart && len(r.crashes) >= minCrashes:
 			ttl = refusedPartTTL
 		}
 		if now.Sub(r.lastCrash) > ttl && now.Sub(r.answers.last()) > answerProtection {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -56,8 +56,8 @@
 	// otherBoxRetryAfter is the retry time of a request that only another box may send as a trial.
 	otherBoxRetryAfter = time.Second
 
-	// recordTTL is how long a record is kept after the last crash, and refusedPartTTL that of a refused
-	// part. A request that is retried every 15 minutes is still refused.
+	// recordTTL is how long a record is kept after the last crash, and refusedPartTTL that of a part with
+	// minCrashes, which may be refused. A request that is retried every 15 minutes is still refused.
 	recordTTL      = time.Hour
 	refusedPartTTL = 24 * time.Hour
 
--- a/suspects/suspects_test.go
+++ b/suspects/suspects_test.go
@@ -109,12 +109,11 @@
 	r := quarantine.Request{Content: 1, Parts: []requesthash.Hash{10, 11}}
 	other := quarantine.Request{Content: 2, Parts: []requesthash.Hash{10}}
 	versions := []string{"v1", "v2"}
-	sent := boottime.Now()
 	for i := range 3 {
 		b.RecordAnswer(other, "v2", boottime.Now())
 		boottime.SimulateSuspension(crashInterval)
 		r.Content = requesthash.Hash(100 + i)
-		sent = boottime.Now()
+		sent := boottime.Now()
 		a.RecordFailure(t.Context(), quarantine.Attempt{Request: r, Endpoint: fmt.Sprint("e", i), Version: "v2"}, sent, freeAddress(t))
 	}
 	for _, x := range []*box{a, b} {
