--- a/daemon/changes_test.go
+++ b/daemon/changes_test.go
@@ -28,7 +28,7 @@
 	changesEvents  = 10
 )
 
-func newChangesTest(t *testing.T) *changesTest {
+func newChangesTest(t testing.TB) *changesTest {
 	c := &changesTest{platform: newPlatform(t, 0)}
 	c.slots, c.events, c.work = 1000, changesEvents, time.Millisecond
 	c.startServer()
--- a/daemon/cut_test.go
+++ b/daemon/cut_test.go
@@ -93,7 +93,7 @@
 }
 
 // try sends a request without retries and returns its status, or 0 if there was no answer.
-func (e *entryBox) try(t *testing.T, path, id string, deadline time.Duration) int {
+func (e *entryBox) try(t testing.TB, path, id string, deadline time.Duration) int {
 	t.Helper()
 	q, err := newBodyRequest(e.callersAddress, path, id, deadline)
 	require.NoError(t, err)
@@ -107,7 +107,7 @@
 }
 
 // servesAll reports whether a box answers a number of requests of each kind at the first try.
-func (e *entryBox) servesAll(t *testing.T, id string) bool {
+func (e *entryBox) servesAll(t testing.TB, id string) bool {
 	const each = 4
 	for i := range each {
 		for _, p := range []string{"/once/x", "/again/x", "/stream/x"} {
@@ -133,7 +133,7 @@
 	}
 }
 
-func runCut(t *testing.T, words []string) {
+func runCut(t testing.TB, words []string) {
 	how, cut := words[0], words[1:]
 	p := newPlatform(t, 4)
 	names := []string{"a", "b", "c", "d", "e", "f"}
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -55,7 +55,7 @@
 }
 
 // serve serves h until the test ends, and returns the address.
-func serve(t *testing.T, h http.Handler) string {
+func serve(t testing.TB, h http.Handler) string {
 	s := httptest.NewServer(h)
 	t.Cleanup(s.Close)
 	return s.Listener.Addr().String()
@@ -63,7 +63,7 @@
 
 // start starts a box with an engine, a plain service with the given name and further endpoints. It
 // applies an example configuration and waits until the engine has loaded all workloads.
-func start(t *testing.T, example, name string, endpoints ...fleet.Box) *box {
+func start(t testing.TB, example, name string, endpoints ...fleet.Box) *box {
 	text, err := os.ReadFile(filepath.Join("..", "examples", example))
 	require.NoError(t, err)
 	e := standengine.New(standengine.Options{Name: "engine-1", Slots: 8, TokenInterval: time.Millisecond, PrefillRate: 1e6, CacheSize: 8, ChecksFence: true})
@@ -103,14 +103,14 @@
 	return http.DefaultTransport.RoundTrip(r)
 }
 
-func (b *box) callOperator(t *testing.T, method, path string, in, out any) {
+func (b *box) callOperator(t testing.TB, method, path string, in, out any) {
 	h := jsonhttp.New(b.daemon.Operator.Addr(), "test", 10*time.Second)
 	h.HTTP.Transport = operatorTransport{}
 	require.NoError(t, h.Do(t.Context(), method, path, in, out))
 }
 
 // awaitLoaded waits until the placer has loaded every workload.
-func (b *box) awaitLoaded(t *testing.T) {
+func (b *box) awaitLoaded(t testing.TB) {
 	require.Eventually(t, func() bool {
 		var s operator.Status
 		b.callOperator(t, http.MethodGet, "/operator/status", nil, &s)
@@ -193,7 +193,7 @@
 
 // runSession sends a request, given as HTTP text, and returns the recorded decisions and the answer.
 // Values that differ between runs are removed or replaced.
-func (b *box) runSession(t *testing.T, request string) (recorded, response []byte) {
+func (b *box) runSession(t testing.TB, request string) (recorded, response []byte) {
 	head, body, _ := strings.Cut(request, "\n\n")
 	raw := fmt.Sprintf("%s\r\nHost: x\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", strings.ReplaceAll(head, "\n", "\r\n"), len(body), body)
 	c, err := net.Dial("tcp", b.daemon.Front.Addr())
@@ -223,7 +223,7 @@
 	return b.explain(t, id), out.Bytes()
 }
 
-func (b *box) explain(t *testing.T, id string) []byte {
+func (b *box) explain(t testing.TB, id string) []byte {
 	var ds []decisions.Decision
 	b.callOperator(t, http.MethodGet, "/operator/explain/"+id, nil, &ds)
 	var out bytes.Buffer
@@ -236,7 +236,7 @@
 }
 
 // callService calls a plain service by its path x, and returns the status and head of the answer.
-func (b *box) callService(t *testing.T, name string) (int, http.Header) {
+func (b *box) callService(t testing.TB, name string) (int, http.Header) {
 	q, err := http.NewRequest(http.MethodGet, "http://"+b.daemon.Front.Addr()+"/services/"+name+"/x", http.NoBody)
 	require.NoError(t, err)
 	q.Header.Set("Authorization", "Bearer pamoja-key-msasani")
--- a/daemon/moves_test.go
+++ b/daemon/moves_test.go
@@ -65,7 +65,7 @@
 	panic(http.ErrAbortHandler)
 }
 
-func newMovingEngine(t *testing.T, id string, last int) *movingEngine {
+func newMovingEngine(t testing.TB, id string, last int) *movingEngine {
 	e := &movingEngine{Server: &standin.Server{ID: id, Service: "api", Version: "v1", Slots: 4}, last: last}
 	e.address = serve(t, e)
 	return e
--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -32,7 +32,7 @@
 // platform is a stand-in for the users' platform: its store, and servers. A server that crashes is
 // replaced by a new one.
 type platform struct {
-	t            *testing.T
+	t            testing.TB
 	store        *memstore.Store
 	storeAddress string
 
@@ -57,9 +57,12 @@
 	// version of the servers that crash; empty for all versions.
 	crashParts map[string]string
 	crashWork  time.Duration // time until a server begins to answer such a request
+	bootTime   time.Duration // time until a crashed server is replaced
+	arrivals   []time.Time   // of requests with crashParts at servers
+	crashTimes []time.Time
 }
 
-func newPlatform(t *testing.T, servers int) *platform {
+func newPlatform(t testing.TB, servers int) *platform {
 	p := &platform{t: t, store: &memstore.Store{}, version: "v1", audit: &standin.Audit{}, addresses: map[string]string{}}
 	p.storeAddress = serve(t, standin.StoreHandler(p.store))
 	p.store.Set(standin.ConfigKey, standin.Config(1, "api"))
@@ -90,7 +93,14 @@
 			<-time.After(p.crashWork)
 		}
 		p.crash(h.Config)
-		p.startServer()
+		if p.bootTime == 0 {
+			p.startServer()
+			return
+		}
+		time.AfterFunc(p.bootTime, func() {
+			p.store.Delete("servers/" + s.ID)
+			p.startServer()
+		})
 	}))
 	p.t.Cleanup(h.Close)
 	p.addresses[s.ID] = h.Listener.Addr().String()
@@ -104,6 +114,7 @@
 	for part := range strings.SplitSeq(parts, ",") {
 		id, _, _ := strings.Cut(part, ":")
 		if v, ok := p.crashParts[id]; ok && (v == "" || v == version) {
+			p.arrivals = append(p.arrivals, time.Now())
 			return true
 		}
 	}
@@ -115,7 +126,28 @@
 	defer p.mu.Unlock()
 	if h.Close() == nil {
 		p.crashed++
+		p.crashTimes = append(p.crashTimes, time.Now())
+	}
+}
+
+func (p *platform) setCrashParts(parts map[string]string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.crashParts = parts
+}
+
+// lateCrashes returns the number of requests with crashing parts that arrived at servers later than a time after the
+// crash with the given number.
+func (p *platform) lateCrashes(number int, after time.Duration) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, at := range p.arrivals {
+		if len(p.crashTimes) >= number && at.Sub(p.crashTimes[number-1]) > after {
+			n++
+		}
 	}
+	return n
 }
 
 func (p *platform) crashedServers() int {
@@ -138,12 +170,12 @@
 
 // freeAddress returns an unused address. Its IP address differs from the source addresses of outgoing
 // connections, and from those of other test processes, which might otherwise take the port before the box listens on it.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	n := os.Getpid()
 	return freeAddressAt(t, fmt.Sprintf("127.2.%d.%d", n/250%250, 1+n%250))
 }
 
-func freeAddressAt(t *testing.T, ip string) string {
+func freeAddressAt(t testing.TB, ip string) string {
 	for {
 		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 		require.NoError(t, err)
@@ -163,7 +195,7 @@
 
 // freePeerAddress returns an unused address on an IP address of its own: a box connects to others from
 // the IP address on which it listens for them.
-func freePeerAddress(t *testing.T) string {
+func freePeerAddress(t testing.TB) string {
 	n := int(peerIPs.Add(1)) + os.Getpid()*maxPeerIPs
 	return freeAddressAt(t, fmt.Sprintf("127.%d.%d.%d", 3+n/62500%250, n/250%250, 1+n%250))
 }
@@ -201,7 +233,7 @@
 }
 
 // stopAll stops all boxes at the same time.
-func stopAll(t *testing.T, bs []*entryBox) {
+func stopAll(t testing.TB, bs []*entryBox) {
 	var g errgroup.Group
 	for _, b := range bs {
 		g.Go(func() error { return b.App.Stop(context.Background()) })
@@ -219,13 +251,13 @@
 }
 
 // call sends a request to a box and returns the status and the body of the answer.
-func (e *entryBox) call(t *testing.T, id, body string) (int, string) {
+func (e *entryBox) call(t testing.TB, id, body string) (int, string) {
 	t.Helper()
 	return e.callWithParts(t, id, body, "")
 }
 
 // callWithParts is call for a prompt with the given parts.
-func (e *entryBox) callWithParts(t *testing.T, id, body, parts string) (int, string) {
+func (e *entryBox) callWithParts(t testing.TB, id, body, parts string) (int, string) {
 	t.Helper()
 	q, err := newBodyRequest(e.callersAddress, "/again/x", id, 10*time.Second)
 	require.NoError(t, err)
@@ -242,21 +274,21 @@
 }
 
 // hasMetric reports whether a metric of the box has the given value.
-func (e *entryBox) hasMetric(t *testing.T, name string, value int) bool {
+func (e *entryBox) hasMetric(t testing.TB, name string, value int) bool {
 	t.Helper()
 	v, ok := e.metric(t, name)
 	return ok && v == fmt.Sprint(value)
 }
 
 // hasAnyMetric reports whether the box has a metric of this name.
-func (e *entryBox) hasAnyMetric(t *testing.T, name string) bool {
+func (e *entryBox) hasAnyMetric(t testing.TB, name string) bool {
 	t.Helper()
 	_, ok := e.metric(t, name)
 	return ok
 }
 
 // metric returns the value of a metric of the box.
-func (e *entryBox) metric(t *testing.T, name string) (string, bool) {
+func (e *entryBox) metric(t testing.TB, name string) (string, bool) {
 	t.Helper()
 	a, err := http.Get("http://" + e.metricsAddress + "/metrics")
 	require.NoError(t, err)
@@ -305,7 +337,7 @@
 }
 
 // isReady reports whether the readiness check of the box succeeds.
-func (e *entryBox) isReady(t *testing.T) bool {
+func (e *entryBox) isReady(t testing.TB) bool {
 	t.Helper()
 	a, err := http.Get("http://" + e.readyAddress + standin.ReadyPath)
 	require.NoError(t, err)
--- a/daemon/rates_test.go
+++ b/daemon/rates_test.go
@@ -10,7 +10,7 @@
 )
 
 // awaitLimited waits until all boxes know the given number of servers with a rate limit.
-func awaitLimited(t *testing.T, bs []*entryBox, servers int) {
+func awaitLimited(t testing.TB, bs []*entryBox, servers int) {
 	t.Helper()
 	for _, b := range bs {
 		require.Eventually(t, func() bool { return b.hasMetric(t, "endpoints.limited", servers) }, 20*time.Second, 5*time.Millisecond)
@@ -18,7 +18,7 @@
 }
 
 // callUntil calls a box until done returns true.
-func (e *entryBox) callUntil(t *testing.T, idPrefix string, done func() bool) {
+func (e *entryBox) callUntil(t testing.TB, idPrefix string, done func() bool) {
 	t.Helper()
 	for i := 0; !done(); i++ {
 		status, text := e.call(t, fmt.Sprint(idPrefix, i), "body")
--- a/daemon/silence_test.go
+++ b/daemon/silence_test.go
@@ -30,7 +30,7 @@
 	silenceEvents  = 40
 )
 
-func newSilenceTest(t *testing.T) *silenceTest {
+func newSilenceTest(t testing.TB) *silenceTest {
 	s := &silenceTest{platform: newPlatform(t, 0)}
 	s.slots, s.events, s.work = 1000, silenceEvents, 10*time.Millisecond
 	// The route's timeout ends streams too, on a busy machine also those that are not silent.
--- a/daemon/versions_test.go
+++ b/daemon/versions_test.go
@@ -30,7 +30,7 @@
 	serial  int
 }
 
-func newVersionsTest(t *testing.T, breakAfter int) *versionsTest {
+func newVersionsTest(t testing.TB, breakAfter int) *versionsTest {
 	v := &versionsTest{platform: newPlatform(t, 0)}
 	v.breakAfter = breakAfter
 	for _, version := range []string{"v1", "v2", "v1", "v2"} {
