--- a/forward/endpoint_test.go
+++ b/forward/endpoint_test.go
@@ -178,6 +178,10 @@
 	case "unframed":
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\n%s", id, body)
 		return false
+	case "unframed_crash": // the response seems complete
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\n%s", id, body)
+		f.crash()
+		return false
 	case "unframed_reset":
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\n%s", id, body[:3])
 		reset(c)
@@ -234,6 +238,8 @@
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id)
 		f.crash()
 		return false
+	case "unframed_stream", "unframed_torn", "unframed_stream_reset", "unframed_stream_crash":
+		return f.unframedStream(c, kind, id, last, n)
 	case "stream", "stream_cut", "stream_torn", "stream_leave", "stream_says_leaving":
 		return f.stream(c, kind, id, last, n)
 	default:
@@ -267,3 +273,21 @@
 	fmt.Fprint(c, "0\r\n\r\n")
 	return true
 }
+
+// unframedStream sends the events after last up to n as a response that ends with its connection, as kind requires.
+func (f *fakeEndpoint) unframedStream(c net.Conn, kind, id, last string, n int) bool {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\n\r\n", id)
+	from, _ := strconv.Atoi(last)
+	for i := from + 1; i <= n; i++ {
+		fmt.Fprintf(c, "id: %d\ndata: %d\n\n", i, i)
+	}
+	switch kind {
+	case "unframed_torn":
+		fmt.Fprintf(c, "id: %d\nda", n+1)
+	case "unframed_stream_reset":
+		reset(c)
+	case "unframed_stream_crash":
+		f.crash()
+	}
+	return false
+}
--- a/quarantine/decide.go
+++ b/quarantine/decide.go
@@ -79,16 +79,18 @@
 	}
 	c.add(fresh, func(e evidence) bool { return e.crashes >= minCrashes })
 	c.prune()
+	least := minCrashesAnsweredContent
 	if areParts {
+		least = minCrashesAnsweredPart
 		c.addAll(answered, func(e evidence) bool {
-			return e.crashes >= minCrashesAnswered && e.notRunning == e.crashes && e.lasted(RunningTime)
+			return e.crashes >= least && e.notRunning == e.crashes && e.lasted(RunningTime)
 		})
 	}
-	c.add(answered, func(e evidence) bool { return e.notRunning >= minCrashesAnswered && e.lasted(RunningTime) })
+	c.add(answered, func(e evidence) bool { return e.notRunning >= least && e.lasted(RunningTime) })
 	c.add(answered, func(e evidence) bool {
-		return e.crashes >= minCrashesAnswered && e.notRunning >= minCrashes && c.hasPassed(e.first.Add(runningWait))
+		return e.crashes >= least && e.notRunning >= minCrashes && c.hasPassed(e.first.Add(runningWait))
 	})
-	c.add(answered, func(e evidence) bool { return e.crashes >= minCrashesAnswered && e.lasted(answeredWait) })
+	c.add(answered, func(e evidence) bool { return e.crashes >= least && e.lasted(answeredWait) })
 }
 
 // hasPassed reports whether a time has passed, and notes it for a review otherwise.
@@ -222,8 +224,8 @@
 }
 
 // countCrashes returns the number of crashes. One cause may end many endpoints together, at which an item that many requests
-// have is in flight everywhere. Crashes under it count one by one only if an endpoint to which it was sent after another
-// had crashed has crashed as well, not at the same moment, and this again minCrashes times in all.
+// have is in flight everywhere. Crashes under it count one by one only if there are minCrashes of which each follows the one
+// before after roundTime, or at an endpoint to which the item was sent later and not at the same moment.
 func countCrashes(isPopular bool, cs map[uint64]crash) int {
 	if !isPopular {
 		return len(cs)
@@ -231,7 +233,8 @@
 	rounds := 0
 	var last time.Time
 	for _, c := range slices.SortedFunc(maps.Values(cs), func(a, b crash) int { return a.at.Compare(b.at) }) {
-		if rounds == 0 || c.at.Add(-c.ran).After(last) && c.at.Sub(last) >= sameMoment {
+		wasSentLater := c.at.Add(-c.ran).After(last) && c.at.Sub(last) >= sameMoment
+		if rounds == 0 || wasSentLater || c.at.Sub(last) >= roundTime {
 			rounds++
 			last = c.at
 		}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -14,6 +14,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -36,15 +37,19 @@
 	// whenever an endpoint crashes. It is refused only after minCrashesAnswered within more than RunningTime, since which
 	// no endpoint has run it for as long. If endpoints have, crashes before that count as well after runningWait, provided
 	// that there were minCrashes since, and all count if they go on for answeredWait, which most answers do not take.
-	minCrashesAnswered = 4
-	answerProtection   = time.Minute
-	runningWait        = 1500 * time.Millisecond
-	answeredWait       = 5 * time.Second
+	minCrashesAnsweredPart    = 4
+	minCrashesAnsweredContent = 5
+	answerProtection          = time.Minute
+	runningWait               = 1500 * time.Millisecond
+	answeredWait              = 5 * time.Second
 
 	// sameMoment is the time within which endpoints that one cause ends together are found to have crashed. Reports
 	// of other boxes are some tens of milliseconds late.
 	sameMoment = 50 * time.Millisecond
 
+	// roundTime is the time after which a further crash is taken not to be of the same cause.
+	roundTime = 500 * time.Millisecond
+
 	// maxTimeError is how much later than it was a crash that another box reports may seem. An answer that began
 	// so long before refutes it as well. minCorrection is the least correction of such a time that is passed on.
 	maxTimeError  = 100 * time.Millisecond
@@ -66,10 +71,6 @@
 	// heartbeats.
 	confirmWindow = 6 * time.Second
 
-	// unframedWindow is the time after an answer without framing within which its endpoint must be found to have
-	// crashed for the answer to count as cut.
-	unframedWindow = time.Second
-
 	// recentWindow is how long a box reports its observations. The window covers the four seconds
 	// within which a box finds another relay.
 	recentWindow = 10 * time.Second
@@ -82,8 +83,12 @@
 	maxAnswered       = 4096
 	maxVersions       = 8
 
-	// maxSuspects bounds the items in one list, which takes 3.6 KB if each has one crash.
-	maxSuspects = 64
+	// maxSuspects bounds the items in one list, and maxReportedCrashes the crashes of each that is not refused.
+	maxSuspects        = 64
+	maxReportedCrashes = 4
+
+	// evictedShare is the part of the records that are evicted together when the table is full.
+	evictedShare = 8
 )
 
 // RunningTime is the time for which an endpoint must have sent an answer for RecordRunning.
@@ -111,14 +116,10 @@
 	answered  *simplelru.LRU[requesthash.Hash, answers]
 }
 
-// failedAttempt is an attempt whose connection ended while the endpoint may have run the request.
+// failedAttempt is an attempt whose connection broke while the endpoint ran the request.
 type failedAttempt struct {
 	Attempt
 	sent, at time.Time
-
-	// begun is set if the answer seemed complete but had no framing: the endpoint began to write it then, and may have
-	// crashed before its end.
-	begun time.Time
 }
 
 // RecordFailure records that an attempt, sent at a time, broke at an endpoint that had not announced its shutdown.
@@ -126,48 +127,10 @@
 func (q *Quarantine) RecordFailure(a Attempt, sent, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.addFailed(failedAttempt{Attempt: a, sent: sent, at: now})
-}
-
-func (q *Quarantine) addFailed(f failedAttempt) {
 	if len(q.failed) >= maxFailedAttempts {
 		q.failed = slices.Delete(q.failed, 0, len(q.failed)-maxFailedAttempts+1)
 	}
-	q.failed = append(q.failed, f)
-}
-
-// RecordUnframed records an answer that seems complete and ended with its connection, as it does if the endpoint crashes.
-// It was sent at a time, and the endpoint began to write it at begun. If the endpoint is found to have crashed at that moment, it counts as a failure,
-// and otherwise as an answer after confirmWindow. RecordUnframed reports whether an item of the request is suspected, so
-// that the caller should find out at once and call RecordAnswer or RecordCrash.
-func (q *Quarantine) RecordUnframed(a Attempt, sent, begun, now time.Time) (isSuspected bool) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.addFailed(failedAttempt{a, sent, now, begun})
-	for h := range a.items() {
-		if r := q.records[h]; r != nil && len(r.crashes) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
-// settle returns the unframed answers whose endpoints were not found to have crashed in time, and forgets them and the failed
-// attempts that are as old.
-func (q *Quarantine) settle(now time.Time) []failedAttempt {
-	var out []failedAttempt
-	n := 0
-	for _, f := range q.failed {
-		if now.Sub(f.at) <= confirmWindow {
-			break
-		}
-		n++
-		if !f.begun.IsZero() {
-			out = append(out, f)
-		}
-	}
-	q.failed = slices.Delete(q.failed, 0, n)
-	return out
+	q.failed = append(q.failed, failedAttempt{a, sent, now})
 }
 
 // RecordCrash records that an endpoint has crashed. how names the means of detection, for the
@@ -193,10 +156,9 @@
 	var remaining []failedAttempt
 	for _, b := range q.failed {
 		switch {
-		case b.Endpoint != endpoint || now.Sub(b.at) > confirmWindow:
+		case now.Sub(b.at) > confirmWindow:
+		case b.Endpoint != endpoint:
 			remaining = append(remaining, b)
-		case !b.begun.IsZero() && now.Sub(b.at) > unframedWindow:
-			remaining = append(remaining, b) // the endpoint may have crashed later
 		default:
 			for h, isPart := range b.items() {
 				r := q.record(h, isPart)
@@ -212,12 +174,14 @@
 		return nil
 	}
 	parts := 0
-	var out []Suspect
+	out := make([]Suspect, 0, len(changed))
 	for h, r := range changed {
 		if r.isPart {
 			parts++
 		}
-		out = append(out, r.suspect(h, now))
+		s := r.suspect(h, now)
+		s.limitCrashes(1) // other boxes know the others
+		out = append(out, s)
 	}
 	q.Log.Warn().Str("event", "endpoint ended").Str("endpoint", endpoint).Str("seen", how).Int("contents", len(changed)-parts).Int("parts", parts).
 		Msg("endpoint crashed without announcing that it leaves")
@@ -248,9 +212,6 @@
 func (q *Quarantine) RecordAnswer(r Request, version string, begun, now time.Time) {
 	q.mu.Lock()
 	changed := q.recordAnswer(r, versionHash(version), begun, now)
-	for _, f := range q.settle(now) {
-		changed = append(changed, q.recordAnswer(f.Request, versionHash(f.Version), f.begun, now)...)
-	}
 	if len(changed) > 0 {
 		q.updateRefused(now)
 	}
@@ -410,7 +371,11 @@
 	hs = hs[:min(len(hs), maxSuspects)]
 	suspects := make([]Suspect, 0, len(hs))
 	for _, h := range hs {
-		suspects = append(suspects, q.records[h].suspect(h, now))
+		s := q.records[h].suspect(h, now)
+		if !q.refused[h] {
+			s.limitCrashes(maxReportedCrashes)
+		}
+		suspects = append(suspects, s)
 	}
 	return suspects
 }
@@ -438,15 +403,14 @@
 	return r
 }
 
-// evict drops the record with the fewest crashes, and among equals the one whose last crash is oldest.
+// evict drops a part of the records: those with the fewest crashes, and among equals those whose last crash is oldest.
 func (q *Quarantine) evict() {
-	var victim requesthash.Hash
-	var least *record
-	for h, r := range q.records {
-		if least == nil || len(r.crashes) < len(least.crashes) || len(r.crashes) == len(least.crashes) && r.lastCrash.Before(least.lastCrash) {
-			victim, least = h, r
-		}
+	hs := slices.SortedFunc(maps.Keys(q.records), func(a, b requesthash.Hash) int {
+		r, o := q.records[a], q.records[b]
+		return cmp.Or(cmp.Compare(len(r.crashes), len(o.crashes)), r.lastCrash.Compare(o.lastCrash), cmp.Compare(a, b))
+	})
+	for _, h := range hs[:len(hs)/evictedShare] {
+		delete(q.records, h)
+		delete(q.refused, h)
 	}
-	delete(q.records, victim)
-	delete(q.refused, victim)
 }
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"encoding/binary"
 	"maps"
 	"slices"
@@ -14,6 +15,8 @@
 // Suspect reports an item from one box to another: the endpoints that crashed while they ran it, its trials and its
 // answers. Times are ages, so that the clocks of the boxes need not agree.
 type Suspect struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
 	Content requesthash.Hash // of the item
 	Part    bool             `msgpack:",omitempty" json:",omitempty"` // the item is a part of prompts
 	Ends    []Crash
@@ -26,6 +29,8 @@
 // a request with the item was sent there last. HasRun reports that an endpoint of its version has run the item since for
 // RunningTime.
 type Crash struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
 	Endpoint uint64
 	Age      time.Duration
 	Ran      time.Duration `msgpack:",omitempty" json:",omitempty"`
@@ -35,6 +40,8 @@
 
 // Answer is the last complete answer of endpoints of one software version. Begun is the time since they began to write it.
 type Answer struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
 	Version uint32 `msgpack:",omitempty" json:",omitempty"`
 	Begun   time.Duration
 }
@@ -274,19 +281,30 @@
 func (a answers) reports(now time.Time) []Answer {
 	out := make([]Answer, 0, len(a))
 	for v, begun := range a {
-		out = append(out, Answer{v, max(now.Sub(begun), 1)})
+		out = append(out, Answer{Version: v, Begun: max(now.Sub(begun), 1)})
 	}
 	return out
 }
 
+// report returns the crash of an endpoint in the form in which it is sent to other boxes.
+func (c crash) report(endpoint uint64, now time.Time) Crash {
+	return Crash{Endpoint: endpoint, Age: now.Sub(c.at), Ran: c.ran, Version: c.version, HasRun: c.hasRun}
+}
+
 func reports(cs map[uint64]crash, now time.Time) []Crash {
 	out := make([]Crash, 0, len(cs))
 	for e, c := range cs {
-		out = append(out, Crash{e, now.Sub(c.at), c.ran, c.version, c.hasRun})
+		out = append(out, c.report(e, now))
 	}
 	return out
 }
 
+// limitCrashes keeps the newest crashes of a report.
+func (s *Suspect) limitCrashes(n int) {
+	slices.SortFunc(s.Ends, func(a, b Crash) int { return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Endpoint, b.Endpoint)) })
+	s.Ends = s.Ends[:min(len(s.Ends), n)]
+}
+
 // Sum returns a checksum of a list of suspects that does not depend on their ages or order.
 func Sum(suspects []Suspect) uint64 {
 	var sum uint64
