Try an endpoint that fell silent with one call at a time

Now such an endpoint gets a single call at a time until it has sent something. It is not gone: the expected time that the silence raised remains. TestSilentEndpointGetsSingleCalls fails before.

--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -91,7 +91,7 @@
 func (a *Attempt) recordEvent(now time.Time) {
 	a.state.lastProgress = now
 	a.state.consecutiveFailures = 0
-	a.state.avoidedUntil = time.Time{}
+	a.state.avoidedUntil, a.state.unproven = time.Time{}, false
 	a.balancer.dataCentre(a.dataCentre).avoidedUntil = time.Time{}
 	a.events++
 	if a.events > 1 {
--- a/balance/avoid.go
+++ b/balance/avoid.go
@@ -28,7 +28,7 @@
 	st := b.state(e.ID)
 	d := min(minAvoid<<min(st.consecutiveFailures, 8), maxAvoid)
 	st.consecutiveFailures++
-	st.avoidedUntil = now.Add(d)
+	st.avoidedUntil, st.unproven = now.Add(d), true
 	dc := b.dataCentre(e.DataCentre)
 	if dc.lastEndpoint != e.ID && now.Sub(dc.lastFailure) < dataCentreFailureWindow || now.Sub(dc.avoidedUntil) < dataCentreFailureWindow {
 		dc.avoidedUntil = now.Add(dataCentreAvoid)
@@ -41,7 +41,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	st := b.state(e.ID)
-	st.consecutiveFailures, st.avoidedUntil = 0, time.Time{}
+	st.consecutiveFailures, st.avoidedUntil, st.unproven = 0, time.Time{}, false
 	b.dataCentre(e.DataCentre).avoidedUntil = now
 }
 
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -57,6 +57,7 @@
 	remoteCalls         decayingCounts // of the other boxes of the data centre, reported for endpoints with failures
 	consecutiveFailures int            // attempts in a row that got no connection or no answer
 	avoidedUntil        time.Time      // until then used only if there is no other
+	unproven            bool           // it was avoided and has sent nothing since; a single call tries it at a time
 	probationFrom       time.Time      // end of the last back-off period; zero once a call that began later has run
 	trials              int            // calls under way that began at or after probationFrom
 	lastProgress        time.Time      // when it last sent anything
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -250,7 +250,7 @@
 	st := b.lookup(e.ID)
 	c := Choice{
 		Endpoint: *e, Parts: q.Parts, Objective: q.Objective, Running: st.running + st.remote.running,
-		Avoided: now.Before(st.avoidedUntil) || now.Before(b.dataCentre(e.DataCentre).avoidedUntil) || !st.probationFrom.IsZero() && st.trials > 0,
+		Avoided: now.Before(st.avoidedUntil) || st.unproven && st.running > 0 || now.Before(b.dataCentre(e.DataCentre).avoidedUntil) || !st.probationFrom.IsZero() && st.trials > 0,
 	}
 	c.Load.Running = c.Running
 	c.SpeedFactor, c.speedClass, c.GapTarget = b.speedFactor(e), b.speedClass(e), q.GapTarget
