--- a/forward/admission_test.go
+++ b/forward/admission_test.go
@@ -56,7 +56,7 @@
 	var out bytes.Buffer
 	s := newShortage(t, "ok")
 	s.f.Log = zerolog.New(&out)
-	s.call("")
+	s.call("", "body", nil)
 	s.step([]string{"expect", "error", "wait_too_long"}, "")
 	require.Equal(t, errkind.NotRun, errkind.WaitTooLong.Response().Run)
 	require.Positive(t, errkind.Of(s.err).RetryAfter)
@@ -72,13 +72,13 @@
 	s := newShortage(t, "ok")
 	s.f.Balancer.SetRemoteLoad(map[string]balance.Load{"a": {Running: 1}}, 1, boottime.Now().Add(-2*time.Second))
 	_, before := s.f.Accuracy.Quantile(accuracy.Key{Service: "s"}, 0.5, boottime.Now())
-	s.call("")
+	s.call("", "body", nil)
 	s.step([]string{"expect", "status", "200"}, "")
 	_, after := s.f.Accuracy.Quantile(accuracy.Key{Service: "s"}, 0.5, boottime.Now())
 	require.LessOrEqual(t, after, before, "the error of a prediction without recent load reports")
 	s = newShortage(t, "ok")
 	s.f.Admission.DeadlineCheck = false
-	s.call("")
+	s.call("", "body", nil)
 	s.step([]string{"expect", "status", "200"}, "")
 }
 
@@ -95,7 +95,7 @@
 			s.endpoints["b"] = newFakeEndpoint(t, "b", []string{"ok"})
 			s.f.Roster.Put(endpoint.Endpoint{ID: "b", Service: "s", Slots: 4, Address: s.endpoints["b"].listener.Addr().String()})
 		}
-		s.call("")
+		s.call("", "body", nil)
 		if want == "200" {
 			s.step([]string{"expect", "status", want}, "")
 		} else {
@@ -115,7 +115,7 @@
 		require.Equal(t, want, errkind.Of(s.send(0, func(*forward.Request) {})).Kind)
 	}
 	s.f.Admission.DeadlineCheck = true
-	s.call("")
+	s.call("", "body", nil)
 	s.step([]string{"expect", "error", "outcome_unknown"}, "")
 }
 
@@ -125,7 +125,7 @@
 	s.f.Admission.DeadlineCheck = true
 	s.step([]string{"route", "idempotent", "1"}, "")
 	s.step([]string{"endpoint", "a", "ok"}, "")
-	s.call("")
+	s.call("", "body", nil)
 	_, samples := s.f.Accuracy.Quantile(accuracy.Key{Service: "s"}, 0.5, boottime.Now())
 	require.InDelta(t, 1, samples, 0.01)
 	s.step([]string{"endpoint", "a", "mute"}, "")
--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -155,7 +155,7 @@
 			s.step([]string{"endpoint", "a", b}, "")
 			s.step([]string{"endpoint", "b", "informational"}, "")
 			s.step([]string{"remote", "b"}, "")
-			s.call("")
+			s.call("", "body", nil)
 			s.step([]string{"expect", "asked", "a", "1"}, "")
 			s.step([]string{"expect", "body", "from", "b"}, "")
 		})
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -220,9 +220,15 @@
 	case "budget":
 		s.f.Budget = budget.New(budget.Limits{Window: time.Minute})
 	case "call":
-		s.call("")
+		s.call("", "body", nil)
+	case "prompt": // a call whose content comes once and whose prompt has these shared parts
+		var parts []requesthash.Hash
+		for _, p := range words[1:] {
+			parts = append(parts, requesthash.PartOf("s", p))
+		}
+		s.call("", "prompt "+strconv.Itoa(s.serial), parts)
 	case "take_up": // a call that takes up a stream that began at a version
-		s.call(words[1])
+		s.call(words[1], "body", nil)
 	case "skip": // advance the clock
 		d, err := time.ParseDuration(words[1])
 		require.NoError(s.t, err, at)
@@ -248,13 +254,13 @@
 	}
 }
 
-func (s *script) call(version string) {
+func (s *script) call(version, body string, parts []requesthash.Hash) {
 	s.serial++
 	s.last = &recorder{}
-	c := &call.Call{ID: strconv.Itoa(s.serial), Method: http.MethodPost, Host: "h", Target: "/x", Path: "/x", Body: []byte("body"), Arrived: boottime.Now()}
+	c := &call.Call{ID: strconv.Itoa(s.serial), Method: http.MethodPost, Host: "h", Target: "/x", Path: "/x", Body: []byte(body), Arrived: boottime.Now()}
 	q := forward.Request{
 		Call: c, Route: &s.route, Service: &catalog.Service{Name: "s"}, Account: &catalog.Account{Name: "a"}, Expires: boottime.Now().Add(5 * time.Second),
-		Content: requesthash.HashOf("a", c), Version: version,
+		Content: requesthash.HashOf("a", c), Parts: parts, Version: version,
 	}
 	if s.err = s.f.Check(q); s.err == nil {
 		_, s.err = s.f.Do(context.Background(), q, s.last)
@@ -328,7 +334,7 @@
 		s.f.Log = zerolog.New(&out)
 		s.step([]string{"route", "idempotent", "1"}, "")
 		s.step([]string{"endpoint", "a", behaviour}, "")
-		s.call("")
+		s.call("", "body", nil)
 		require.Contains(t, out.String(), `"break":"`+want+`"`)
 		require.EqualValues(t, 1, metrics.GetOrRegisterCounter("attempts.broke."+want, s.f.Metrics).Count())
 	}
@@ -354,7 +360,7 @@
 			s.step([]string{"route", "idempotent", v.attempts}, "")
 			s.step([]string{"endpoint", "a", "error:500"}, "")
 			s.step([]string{"endpoint", "b", "error:500"}, "")
-			s.call("")
+			s.call("", "body", nil)
 			require.Contains(t, out.String(), `"reason":"`+v.wantReason+`"`)
 			if v.wantMetric == "" {
 				require.NotContains(t, out.String(), `"event":"repeat"`)
--- a/forward/place_test.go
+++ b/forward/place_test.go
@@ -28,7 +28,7 @@
 	}
 	s.f.Balancer.Availability.Refusals.Observe("s", endpoint.Limit{Limited: true, PerSecond: 2}, boottime.Now())
 	s.setRoute([]string{"idempotent", "3"})
-	s.call("")
+	s.call("", "body", nil)
 	require.Equal(t, errkind.NoEndpoint, errkind.Of(s.err).Kind)
 	require.Positive(t, errkind.Of(s.err).RetryAfter)
 	require.Equal(t, 4, asked)
