Keep relays from waiting for their own quarantine for ever

Found while reading the callers of the quarantine: a relay's report of its status took the gossip's lock and then the quarantine's, and a verdict on a refused item whose trial is due took them the other way round, to ask whether this box sends it. Both wait for ever then, and with them every request and round of the box. The report reads the suspects before it takes the lock now. TestRelayReportsWhileTrialIsDue hangs on the code before (ended after 20 s) and takes 0.3 s now. The fault is as old as trials.

--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -29,6 +29,7 @@
 	s.Words = rollout.MergeProgress(nil, self.Words, 0)
 	s.Leaving = g.isLeaving()
 	s.Revision, s.Silent = g.state.Revision(), g.session.StoreUnresponsiveFor()
+	s.Suspects = g.relaySuspects(boottime.Now()) // before the lock is taken, as the quarantine calls sendsTrials
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, h := range g.members {
@@ -41,7 +42,6 @@
 	if !g.includesStats() {
 		s.Speeds = nil
 	}
-	s.Suspects = g.relaySuspects(boottime.Now())
 	s.Orders = g.Rollouts.Orders()
 	return s
 }
