Let boxes of earlier software read reports on items

Arrays in place of maps would not be read by boxes that are not yet updated, and their rounds would fail while endpoints crash. The names of new fields are short instead, and the items that are not refused have two crashes in a list.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -34,7 +34,7 @@
 
 	// An item that was answered within answerProtection before it was in flight at a crash may be one that
 	// many requests have, such as a status query or the first part of prompts, so that some are in flight
-	// whenever an endpoint crashes. It is refused only after minCrashesAnswered within more than RunningTime, since which
+	// whenever an endpoint crashes. It is refused only after more crashes within more than RunningTime, since which
 	// no endpoint has run it for as long. If endpoints have, crashes before that count as well after runningWait, provided
 	// that there were minCrashes since, and all count if they go on for answeredWait, which most answers do not take.
 	minCrashesAnsweredPart    = 4
@@ -85,7 +85,7 @@
 
 	// maxSuspects bounds the items in one list, and maxReportedCrashes the crashes of each that is not refused.
 	maxSuspects        = 64
-	maxReportedCrashes = 4
+	maxReportedCrashes = 2
 
 	// evictedShare is the part of the records that are evicted together when the table is full.
 	evictedShare = 8
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -13,37 +13,32 @@
 )
 
 // Suspect reports an item from one box to another: the endpoints that crashed while they ran it, its trials and its
-// answers. Times are ages, so that the clocks of the boxes need not agree.
+// answers. Times are ages, so that the clocks of the boxes need not agree. Boxes of earlier software take parts for contents
+// that never come.
 type Suspect struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Content requesthash.Hash // of the item
-	Part    bool             `msgpack:",omitempty" json:",omitempty"` // the item is a part of prompts
+	Part    bool             `msgpack:"p,omitempty" json:",omitempty"` // the item is a part of prompts
 	Ends    []Crash
-	Refuted []uint64 `msgpack:",omitempty" json:",omitempty"` // hashes of the endpoints whose crashes the item did not cause
-	Trials  []Crash  `msgpack:",omitempty" json:",omitempty"` // the endpoints that got the item as a trial
-	Answers []Answer `msgpack:",omitempty" json:",omitempty"`
+	Refuted []uint64 `msgpack:"f,omitempty" json:",omitempty"` // hashes of the endpoints whose crashes the item did not cause
+	Trials  []Crash  `msgpack:"t,omitempty" json:",omitempty"` // the endpoints that got the item as a trial
+	Answers []Answer `msgpack:"a,omitempty" json:",omitempty"`
 }
 
 // Crash is the crash of one endpoint, identified by the hash of its ID, or a trial there. Ran is how long before the crash
 // a request with the item was sent there last. HasRun reports that an endpoint of its version has run the item since for
 // RunningTime.
 type Crash struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Endpoint uint64
 	Age      time.Duration
-	Ran      time.Duration `msgpack:",omitempty" json:",omitempty"`
-	Version  uint32        `msgpack:",omitempty" json:",omitempty"` // hash of its software version
-	HasRun   bool          `msgpack:",omitempty" json:",omitempty"`
+	Ran      time.Duration `msgpack:"r,omitempty" json:",omitempty"`
+	Version  uint32        `msgpack:"v,omitempty" json:",omitempty"` // hash of its software version
+	HasRun   bool          `msgpack:"h,omitempty" json:",omitempty"`
 }
 
 // Answer is the last complete answer of endpoints of one software version. Begun is the time since they began to write it.
 type Answer struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
-	Version uint32 `msgpack:",omitempty" json:",omitempty"`
-	Begun   time.Duration
+	Version uint32        `msgpack:"v,omitempty" json:",omitempty"`
+	Begun   time.Duration `msgpack:"b"`
 }
 
 // crash is a crash or a trial.
