--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -83,8 +83,10 @@
 	maxAnswered       = 4096
 	maxVersions       = 8
 
-	// maxSuspects bounds the items in one list, and maxReportedCrashes the crashes of each that is not refused.
-	maxSuspects        = 64
+	// maxVerdicts bounds the items in a list of verdicts, maxRecent those in the lists that are sent in each round, and
+	// maxReportedCrashes the crashes of each that is not refused.
+	maxVerdicts        = 64
+	maxRecent          = 32
 	maxReportedCrashes = 2
 
 	// evictedShare is the part of the records that are evicted together when the table is full.
@@ -313,12 +315,12 @@
 
 // Local returns the records that changed recently by observations of this box.
 func (q *Quarantine) Local(now time.Time) []Suspect {
-	return q.list(now, func(_ requesthash.Hash, r *record) bool { return now.Sub(r.lastLocal) < recentWindow })
+	return q.list(now, maxRecent, func(_ requesthash.Hash, r *record) bool { return now.Sub(r.lastLocal) < recentWindow })
 }
 
 // Recent returns the records with a recent crash or answer, whichever box observed it.
 func (q *Quarantine) Recent(now time.Time) []Suspect {
-	return q.list(now, func(_ requesthash.Hash, r *record) bool {
+	return q.list(now, maxRecent, func(_ requesthash.Hash, r *record) bool {
 		return now.Sub(r.lastCrash) < recentWindow || now.Sub(r.answers.last()) < recentWindow
 	})
 }
@@ -326,7 +328,7 @@
 // Verdicts returns the records that a relay sends to its members: those of the items that are
 // refused, and of suspected items that were answered within answerProtection.
 func (q *Quarantine) Verdicts(now time.Time) []Suspect {
-	return q.list(now, func(h requesthash.Hash, r *record) bool {
+	return q.list(now, maxVerdicts, func(h requesthash.Hash, r *record) bool {
 		return q.refused[h] || now.Sub(r.answers.last()) < answerProtection
 	})
 }
@@ -343,12 +345,12 @@
 
 // Refused returns the records of the items that are refused.
 func (q *Quarantine) Refused(now time.Time) []Suspect {
-	return q.list(now, func(h requesthash.Hash, _ *record) bool { return q.refused[h] })
+	return q.list(now, maxVerdicts, func(h requesthash.Hash, _ *record) bool { return q.refused[h] })
 }
 
-// list returns up to maxSuspects records for which include returns true: refused ones first, then those with the most
+// list returns up to most records for which include returns true: refused ones first, then those with the most
 // crashes, and parts before contents.
-func (q *Quarantine) list(now time.Time, include func(requesthash.Hash, *record) bool) []Suspect {
+func (q *Quarantine) list(now time.Time, most int, include func(requesthash.Hash, *record) bool) []Suspect {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	var hs []requesthash.Hash
@@ -368,7 +370,7 @@
 		return n
 	}
 	slices.SortFunc(hs, func(a, b requesthash.Hash) int { return cmp.Or(cmp.Compare(rank(b), rank(a)), cmp.Compare(a, b)) })
-	hs = hs[:min(len(hs), maxSuspects)]
+	hs = hs[:min(len(hs), most)]
 	suspects := make([]Suspect, 0, len(hs))
 	for _, h := range hs {
 		s := q.records[h].suspect(h, now)
