Bound the refuted crashes of an item

Found while reading the change: a report of a refuted crash renewed it at each box that was told again, and a popular part would list every crash of the last 20 s. The first report counts, and 32 are kept, as many as crashes.

--- a/quarantine/request.go
+++ b/quarantine/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"iter"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -36,15 +37,7 @@
 
 // Allows reports whether endpoints of a software version may get the request.
 func (v Verdict) Allows(version string) bool {
-	if v.Refused {
-		return false
-	}
-	for _, a := range v.Versions {
-		if a == version {
-			return true
-		}
-	}
-	return v.Versions == nil
+	return !v.Refused && (v.Versions == nil || slices.Contains(v.Versions, version))
 }
 
 // items returns the items of a request, and whether each is a part.
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -150,11 +150,13 @@
 
 // addRefuted discards a crash that another box has refuted. It reports whether the record changed.
 func (r *record) addRefuted(endpoint uint64, now time.Time) bool {
-	_, known := r.refuted[endpoint]
+	if _, ok := r.refuted[endpoint]; ok {
+		return false
+	}
 	r.refuted[endpoint] = now
 	delete(r.crashes, endpoint)
 	r.forgetTrials()
-	return !known
+	return true
 }
 
 // forgetTrials forgets the trials of an item that caused no crash.
@@ -164,9 +166,18 @@
 	}
 }
 
-// forgetRefuted forgets crashes that were refuted so long ago that no box reports them any more.
+// forgetRefuted forgets crashes that were refuted so long ago that no box reports them any more, and of more than maxCrashes
+// the oldest.
 func (r *record) forgetRefuted(now time.Time) {
 	maps.DeleteFunc(r.refuted, func(_ uint64, at time.Time) bool { return now.Sub(at) > 2*recentWindow })
+	if n := len(r.refuted) - maxCrashes; n > 0 {
+		es := slices.SortedFunc(maps.Keys(r.refuted), func(a, b uint64) int {
+			return cmp.Or(r.refuted[a].Compare(r.refuted[b]), cmp.Compare(a, b))
+		})
+		for _, e := range es[:n] {
+			delete(r.refuted, e)
+		}
+	}
 }
 
 // addAnswer records when endpoints of a version last began an answer. It reports whether others should know: an answer
@@ -215,7 +226,7 @@
 	delete(r.crashes, oldest)
 }
 
-// firstCrash returns the time of the first crash at a version, or at any if there is none at it.
+// firstCrash returns the time of the first crash.
 func (r *record) firstCrash() time.Time {
 	var t time.Time
 	for _, c := range r.crashes {
