--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -222,9 +222,9 @@
 	case "call":
 		s.call("", "body", nil)
 	case "prompt": // a call whose content comes once and whose prompt has these shared parts
-		var parts []requesthash.Hash
-		for _, p := range words[1:] {
-			parts = append(parts, requesthash.PartOf("s", p))
+		parts := make([]requesthash.Hash, len(words)-1)
+		for n, p := range words[1:] {
+			parts[n] = requesthash.PartOf("s", p)
 		}
 		s.call("", "prompt "+strconv.Itoa(s.serial), parts)
 	case "take_up": // a call that takes up a stream that began at a version
