Log which attempts of a request count against its route's limit, and why others don't

The logs of the incident of requests at too many endpoints name the attempts of a request, but not which of them its box counted. What counts is unchanged.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -340,6 +340,20 @@
 	}
 }
 
+// Tests that the log says how many attempts count against the limit of a request.
+func TestCountedAttemptsAreLogged(t *testing.T) {
+	var out bytes.Buffer
+	s := newScript(t)
+	s.f.Log = zerolog.New(&out)
+	s.step([]string{"route", "idempotent", "2"}, "")
+	s.step([]string{"endpoint", "a", "error:500"}, "")
+	s.step([]string{"endpoint", "b", "error:500"}, "")
+	s.call("", "body", nil)
+	require.Contains(t, out.String(), `"attempt":1,"counted":1,"max_attempts":2,`)
+	require.Contains(t, out.String(), `"attempt":2,"counted":2,"max_attempts":2,`)
+	require.NotContains(t, out.String(), "not_counted")
+}
+
 // Tests that the log and the metrics tell a repeat for which the budget has no room from a request whose attempts
 // are used up, and say what each repeat was for.
 func TestRepeatsAreRecorded(t *testing.T) {
--- a/forward/run.go
+++ b/forward/run.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
 
 	"birchlink.dev/birchlink/admission"
 	"birchlink.dev/birchlink/balance"
@@ -198,7 +199,7 @@
 	metrics.GetOrRegisterCounter("attempts.broke."+out.interruptionName(), r.f.Metrics).Inc(1)
 	d := r.decide(c, out, e)
 	r.f.Log.Info().Str("event", "attempt broke").Str("request", r.q.Call.ID).Func(r.trace.marshalContent).Str("endpoint", e.ID).Str("version", e.Version).
-		Int("attempt", len(r.reached)).Str("break", out.interruptionName()).Str("last_event", r.lastEventID).Bool("ran", r.mayHaveRun).Err(out.err).
+		Func(r.marshalAttempts).Str("break", out.interruptionName()).Str("last_event", r.lastEventID).Bool("ran", r.mayHaveRun).Err(out.err).
 		Str("reason", d.Reason).Func(r.trace.marshalReported).Msg("decision")
 	if d.Step == recovery.Failover {
 		return false, nil
@@ -272,18 +273,43 @@
 	return r.countAttempts() + (max(r.failedDials-maxFailedDials+1, 0)+max(r.refusedDials-maxRefusedDials+1, 0))*recovery.MaxAttempts
 }
 
-// isCounted reports whether an attempt counts against the limit of the request. Endpoints that announced their end
-// or were replaced, and did not answer, do not count: their work is lost in any case. That a record is missing
+// isCounted reports whether an attempt counts against the limit of the request.
+func (r *run) isCounted(s reachedEndpoint) bool { return r.exemption(s) == "" }
+
+// exemption returns why an attempt does not count against the limit of the request, or "" if it does. Endpoints that
+// announced their end or were replaced, and did not answer, do not count: their work is lost in any case. That a record is missing
 // is no end: it may have lapsed while the store was unavailable, and its endpoint may still run the request.
-func (r *run) isCounted(s reachedEndpoint) bool {
+func (r *run) exemption(s reachedEndpoint) string {
 	if s.answered {
-		return true
+		return ""
 	}
 	now, ok := r.f.Roster.Get(s.endpoint.ID)
-	if !ok {
-		return !s.refused && !s.ended
+	switch {
+	case !ok && s.refused:
+		return "refused"
+	case !ok && s.ended:
+		return "ended"
+	case ok && now.StartMillis != s.endpoint.StartMillis:
+		return "replaced"
+	case ok && now.Draining:
+		return "draining"
+	}
+	return ""
+}
+
+// marshalAttempts adds to a log entry how many attempts count against the limit, and for which endpoints they don't, each with
+// the reason.
+func (r *run) marshalAttempts(e *zerolog.Event) {
+	e.Int("attempt", len(r.reached)).Int("counted", r.countAttempts()).Int("max_attempts", r.maxAttempts())
+	var exempt []string
+	for _, s := range r.reached {
+		if x := r.exemption(s); x != "" {
+			exempt = append(exempt, s.endpoint.ID+" "+x)
+		}
+	}
+	if len(exempt) > 0 {
+		e.Strs("not_counted", exempt)
 	}
-	return !now.Draining && now.StartMillis == s.endpoint.StartMillis
 }
 
 // isExpired reports whether the request was cancelled or its deadline has passed.
