Keep what is known of endpoints that may end soon

A roster forgot an endpoint with its record, and kept no time of its announcement. It now remembers departures: when a box first learned that an endpoint drains, has no record or one of another start, the earliest end that it announced, and the endpoint as it was. A record that says that it serves revokes the departure. Nothing uses them yet. TestDepartures has each way, also in another order.

--- a/endpoint/draining.go
+++ b/endpoint/draining.go
@@ -50,6 +50,7 @@
 	e.Draining = true
 	r.all[e.ID] = e
 	r.updatePools(old, e)
+	r.recordDeparture(e)
 	f := r.onUnavailable
 	r.mu.Unlock()
 	if f != nil {
--- a/endpoint/roster.go
+++ b/endpoint/roster.go
@@ -32,6 +32,7 @@
 	all           map[string]Endpoint
 	pools         map[string]*pool                 // by service, without draining endpoints
 	drainMarks    *simplelru.LRU[string, struct{}] // incarnations that announced draining before their records did
+	departures    *simplelru.LRU[string, Departure]
 	onUnavailable func(Endpoint)
 	onReplaced    func(Endpoint)
 }
@@ -67,6 +68,7 @@
 		r.recordVersion(old, e)
 		r.all[e.ID] = e
 		r.updatePools(old, e)
+		r.updateDepartures(old, e)
 	}
 	f, onReplaced := r.onUnavailable, r.onReplaced
 	r.mu.Unlock()
@@ -82,6 +84,9 @@
 func (r *Roster) Remove(id string) {
 	r.mu.Lock()
 	e, exists := r.all[id]
+	if exists {
+		r.recordDeparture(e)
+	}
 	delete(r.all, id)
 	r.recordVersion(e, Endpoint{})
 	r.pool(e.Service).remove(id)
