Let a pool say whether it holds connections to an endpoint

A process that has ended holds no connections. Pool.Holds reports those of this box that the endpoint has not closed, in use or idle, and when anything last arrived on them. The state of a connection in use is asked of the kernel: its reader may wait for a slow caller. Nothing uses it yet (TestHolds, TestHoldsClosedConnection).

--- a/httpconn/conn.go
+++ b/httpconn/conn.go
@@ -8,18 +8,24 @@
 	"net"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Conn is a connection to an endpoint, used by one call at a time.
 type Conn struct {
 	net       net.Conn
 	id        string // of the endpoint
+	address   string // of the endpoint
 	via       string // address of the box through which it leads; empty if it is direct
 	limiter   *limitedReader
 	reader    *bufio.Reader // of limiter
 	idleSince time.Time     // when the last call ended
 	keepAlive time.Duration // keep-alive timeout announced by the endpoint; zero if none
 	calls     int
+
+	heard   time.Time // when anything last arrived, or the current call began; guarded by the pool's lock
+	abandon func()    // Request.Abandon of the current call
 }
 
 // readBufferSize is the size of the read buffer in bytes. Response heads and events are short.
@@ -44,6 +50,28 @@
 	_ = c.net.Close()
 }
 
+// tcpEstablished is the state of a TCP connection that neither end has closed.
+const tcpEstablished = 1
+
+// isClosed reports whether the endpoint has closed the connection, which its reader may not have noticed yet. It is false if
+// that can't be found out.
+func (c *Conn) isClosed() bool {
+	t, ok := c.net.(syscall.Conn)
+	if !ok || c.via != "" {
+		return false
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return false
+	}
+	isClosed := false
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		isClosed = err == nil && info.State != tcpEstablished
+	})
+	return err == nil && isClosed
+}
+
 // isReusable reports whether an idle connection can be used again: the endpoint has not closed it
 // and nothing unexpected has arrived on it.
 func (c *Conn) isReusable() bool {
--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -102,15 +102,14 @@
 			return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 		}
 	}
-	n.id = q.Endpoint
+	n.id, n.address = q.Endpoint, q.Address
 	if q.ShouldSend != nil && !q.ShouldSend() {
 		p.put(q.Address, n)
 		return nil, ErrNotSent
 	}
 	n.calls++
-	if n.via == "" {
-		defer p.watch(n, q)()
-	}
+	p.begin(n, q)
+	defer p.watch(n, q)()
 	// A deadline in the past interrupts pending reads and writes when the context is done.
 	stop := context.AfterFunc(c, func() { _ = n.net.SetDeadline(time.Unix(1, 0)) })
 	wrote := make(chan error, 1)
@@ -118,7 +117,7 @@
 	head, err := readHead(n, q) //nolint:bodyclose // Answer.Close ends the connection or keeps it
 	if err != nil {
 		stop()
-		p.setActive(n, nil)
+		p.end(n)
 		n.reset()
 		if c.Err() != nil {
 			err = c.Err()
@@ -132,13 +131,10 @@
 	return resp, nil
 }
 
-// watch has the link of a direct connection checked if the response is overdue, and the call abandoned if
-// the link falls silent. The function that it returns ends the check.
+// watch has the link of a direct connection checked if the response is overdue. The function that it returns ends
+// the check.
 func (p *Pool) watch(n *Conn, q Request) (end func()) {
-	if q.Abandon != nil {
-		p.setActive(n, q.Abandon)
-	}
-	if q.Overdue <= 0 {
+	if q.Overdue <= 0 || n.via != "" {
 		return func() {}
 	}
 	sent := boottime.Now()
@@ -148,6 +144,9 @@
 
 // recordTraffic records that something arrived on a connection.
 func (p *Pool) recordTraffic(n *Conn) {
+	p.mu.Lock()
+	n.heard = boottime.Now()
+	p.mu.Unlock()
 	if n.via == "" {
 		p.connector().RecordTraffic(n.id)
 	}
@@ -231,7 +230,7 @@
 		return
 	}
 	r.closed = true
-	r.pool.setActive(r.conn, nil)
+	r.pool.end(r.conn)
 	r.pool.Budget.Settle(r)
 	cancelled := !r.detach() || r.dropped.Load()
 	if r.complete && !cancelled && !r.raw.Close && r.Framed() && r.requestSent() && r.conn.reader.Buffered() == 0 {
--- a/httpconn/exchange_test.go
+++ b/httpconn/exchange_test.go
@@ -276,3 +276,65 @@
 		})
 	}
 }
+
+// Tests that a pool holds connections to an endpoint while a call uses them and while they are idle, until the endpoint
+// closes them.
+func TestHolds(t *testing.T) {
+	answer, end := make(chan struct{}), make(chan struct{})
+	l := listen(t, func(n net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(n)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(n, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\na")
+		<-answer
+		_, _ = io.WriteString(n, "b")
+		<-end
+	})
+	p := &httpconn.Pool{DialTimeout: time.Minute}
+	holds := func() bool {
+		_, ok := p.Holds("e", l.Addr().String())
+		return ok
+	}
+	require.False(t, holds())
+	q := request(l)
+	q.Endpoint = "e"
+	a, err := p.Do(t.Context(), q)
+	require.NoError(t, err)
+	require.True(t, holds())
+	began, _ := p.Holds("e", l.Addr().String())
+	close(answer)
+	_, err = io.Copy(io.Discard, a.Body)
+	require.NoError(t, err)
+	a.Close()
+	require.True(t, holds())
+	heard, _ := p.Holds("e", l.Addr().String())
+	require.True(t, heard.After(began))
+	_, ok := p.Holds("other", l.Addr().String())
+	require.False(t, ok)
+	require.NoError(t, l.Close()) // which is no end
+	require.True(t, holds())
+	close(end)
+	require.Eventually(t, func() bool { return !holds() }, 30*time.Second, time.Millisecond)
+}
+
+// Tests that a connection that the endpoint has closed is not held, although its call has not read all that it sent.
+func TestHoldsClosedConnection(t *testing.T) {
+	end := make(chan struct{})
+	l := listen(t, func(n net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(n)); err == nil {
+			_, _ = io.WriteString(n, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\na")
+		}
+		<-end
+	})
+	p := &httpconn.Pool{DialTimeout: time.Minute}
+	a, err := p.Do(t.Context(), request(l))
+	require.NoError(t, err)
+	defer a.Close()
+	_, ok := p.Holds("", l.Addr().String())
+	require.True(t, ok)
+	close(end)
+	require.Eventually(t, func() bool {
+		_, ok := p.Holds("", l.Addr().String())
+		return !ok
+	}, 30*time.Second, time.Millisecond)
+}
--- a/httpconn/pool.go
+++ b/httpconn/pool.go
@@ -48,9 +48,9 @@
 
 	refusalChecks singleflight.Group // calls of RefusesConnections, by address
 
-	mu     sync.Mutex
-	idle   map[string][]*Conn
-	active map[*Conn]func() // Request.Abandon of the calls in progress that have it
+	mu    sync.Mutex
+	idle  map[string][]*Conn // by address
+	inUse map[*Conn]bool     // by calls in progress
 }
 
 func (p *Pool) connector() Connector {
@@ -193,9 +193,9 @@
 	}
 	p.mu.Lock()
 	var abandon []func()
-	for c, f := range p.active {
-		if c.id == id && c.via == "" {
-			abandon = append(abandon, f)
+	for c := range p.inUse {
+		if c.id == id && c.via == "" && c.abandon != nil {
+			abandon = append(abandon, c.abandon)
 		}
 	}
 	p.mu.Unlock()
@@ -204,18 +204,48 @@
 	}
 }
 
-// setActive records that a call with a function Abandon uses a connection, or no longer does.
-func (p *Pool) setActive(c *Conn, abandon func()) {
+// begin records that a call uses a connection.
+func (p *Pool) begin(c *Conn, q Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if abandon == nil {
-		delete(p.active, c)
-		return
+	if p.inUse == nil {
+		p.inUse = map[*Conn]bool{}
 	}
-	if p.active == nil {
-		p.active = map[*Conn]func(){}
+	p.inUse[c] = true
+	c.heard, c.abandon = boottime.Now(), q.Abandon
+}
+
+// end records that a call no longer uses a connection.
+func (p *Pool) end(c *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.inUse, c)
+	c.abandon = nil
+}
+
+// Holds reports whether there are connections to an endpoint that it has not closed, idle or in use, and when anything last
+// arrived on them or a call began.
+func (p *Pool) Holds(id, address string) (heard time.Time, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.inUse {
+		if c.id == id && c.address == address && !c.isClosed() {
+			heard, ok = latest(heard, c.heard), true
+		}
+	}
+	for _, c := range p.idle[address] {
+		if c.id == id && c.isReusable() {
+			heard, ok = latest(heard, c.idleSince), true
+		}
+	}
+	return heard, ok
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	p.active[c] = abandon
+	return b
 }
 
 func (p *Pool) dial(c context.Context, id, address string) (*Conn, error) {
