Let boxes ask each other whether they hold connections to an endpoint

A closed listener looks like an end from outside. A probe may ask about an endpoint whose record has gone; tunnels lead to none. An earlier box takes a probe for a request of a tunnel. Nothing uses it yet (scripts probe and serve_probe of the dialer, TestTunnelsHoldConnections).

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -55,6 +55,8 @@
 type Tunnels interface {
 	// Connect returns a connection, or nil and what is known of the endpoint.
 	Connect(c context.Context, q tunnel.Request) (net.Conn, tunnel.Outcome)
+	// Probe returns what other boxes know of an endpoint.
+	Probe(c context.Context, q tunnel.Request) tunnel.Outcome
 	// HasOthers reports whether there are other boxes.
 	HasOthers() bool
 }
@@ -71,6 +73,9 @@
 	OnLost      func(id string)
 	OnRecovered func(id string)
 
+	// IsInUse reports whether this box holds connections to an endpoint that show that its process has not ended.
+	IsInUse func(e endpoint.Endpoint) bool
+
 	Metrics metrics.Registry
 	Log     zerolog.Logger
 
@@ -85,7 +90,8 @@
 
 // New returns a dialer. Its probes end when Stop is called.
 func New(dial httpconn.DialFunc, r *endpoint.Roster, t Tunnels, m metrics.Registry, log zerolog.Logger) *Dialer {
-	d := &Dialer{DialFunc: dial, Roster: r, Tunnels: t, OnLost: func(string) {}, OnRecovered: func(string) {}, Metrics: m, Log: log}
+	d := &Dialer{DialFunc: dial, Roster: r, Tunnels: t, Metrics: m, Log: log}
+	d.OnLost, d.OnRecovered, d.IsInUse = func(string) {}, func(string) {}, func(endpoint.Endpoint) bool { return false }
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	return d
 }
--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -43,10 +43,11 @@
 	witness string // the same for other endpoints
 	others  tunnel.Outcome
 	alone   bool
-	asked   int // tunnels asked for
-	dials   int // direct connections tried to the endpoint
-	lost    int // calls of OnLost
-	back    int // calls of OnRecovered
+	asked   int  // tunnels asked for
+	dials   int  // direct connections tried to the endpoint
+	inUse   bool // this box holds connections to the endpoint
+	lost    int  // calls of OnLost
+	back    int  // calls of OnRecovered
 }
 
 // count increments a counter and returns what the other boxes and the links do.
@@ -91,6 +92,12 @@
 	return nil, o
 }
 
+// Probe is Connect without a connection.
+func (s *script) Probe(c context.Context, q tunnel.Request) tunnel.Outcome {
+	_, o := s.Connect(c, q)
+	return o
+}
+
 func (s *script) HasOthers() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -120,6 +127,7 @@
 	s.d = dialer.New(s.dial, r, s, metrics.NewRegistry(), zerolog.Nop())
 	s.d.OnLost = func(string) { s.count(&s.lost) }
 	s.d.OnRecovered = func(string) { s.count(&s.back) }
+	s.d.IsInUse = func(endpoint.Endpoint) bool { return s.inUse }
 	defer func() { require.NoError(t, s.d.Stop(t.Context())) }()
 	for l := bufio.NewScanner(f); l.Scan(); {
 		if w := strings.Fields(l.Text()); len(w) > 0 && w[0] != "#" {
@@ -129,7 +137,7 @@
 }
 
 // outcomes maps the names in scripts to outcomes.
-var outcomes = map[string]tunnel.Outcome{"connected": tunnel.Connected, "refused": tunnel.Refused, "failed": tunnel.Failed, "cut": tunnel.Cut}
+var outcomes = map[string]tunnel.Outcome{"connected": tunnel.Connected, "refused": tunnel.Refused, "failed": tunnel.Failed, "cut": tunnel.Cut, "in_use": tunnel.InUse}
 
 func (s *script) step(w []string) {
 	t, arg := s.t, w[len(w)-1]
@@ -148,6 +156,17 @@
 	case "serve":
 		_, o := s.d.Serve(t.Context(), tunnel.Request{Endpoint: "e", Address: w[1]})
 		require.Equal(t, arg, o.String(), "%v", w)
+	case "probe": // this box finds out whether the endpoint accepts connections
+		require.Equal(t, arg, s.d.Probe(t.Context(), endpoint.Endpoint{ID: "e", Address: "e"}).String(), "%v", w)
+	case "serve_probe": // another box does
+		n, o := s.d.Serve(t.Context(), tunnel.Request{Endpoint: "e", Address: w[1], Probe: true, Incarnation: "e"})
+		require.Nil(t, n)
+		require.Equal(t, arg, o.String(), "%v", w)
+	case "in_use":
+		s.inUse = arg == "yes"
+	case "record":
+		require.Equal(t, "missing", arg)
+		s.d.Roster.Remove("e")
 	case "check":
 		s.d.Check("e", "e", time.Now().Add(-time.Second))
 	case "expect": // a number of something
--- a/tunnel/service.go
+++ b/tunnel/service.go
@@ -60,7 +60,7 @@
 
 // The outcomes. Refused and Failed are reported only by a box that reaches other endpoints. Cut is
 // reported by one whose own link to the endpoint has failed, Busy by one that has no room for more
-// tunnels or stops.
+// tunnels or stops, and InUse, to probes, by one that holds connections to the endpoint.
 const (
 	Connected Outcome = iota
 	Refused
@@ -69,21 +69,25 @@
 	Busy
 	Unknown  // the box doesn't know the endpoint
 	NoAnswer // the box did not answer
+	InUse
 	numOutcomes
 )
 
 // String returns the name of the outcome in logs and metrics.
 func (o Outcome) String() string {
-	return [...]string{"connected", "refused", "failed", "cut", "busy", "unknown", "no_answer"}[o]
+	return [...]string{"connected", "refused", "failed", "cut", "busy", "unknown", "no_answer", "in_use"}[o]
 }
 
 // Reached reports whether the outcome tells about the endpoint, and not about the box that was asked.
-func (o Outcome) Reached() bool { return o == Connected || o == Refused || o == Failed }
+func (o Outcome) Reached() bool { return o == Connected || o == Refused || o == Failed || o == InUse }
 
-// Request asks for a tunnel to an endpoint.
+// Request asks for a tunnel to an endpoint. A probe only asks what the other box knows of the endpoint: it names the
+// incarnation whose process may have ended.
 type Request struct {
-	Endpoint string
-	Address  string
+	Endpoint    string
+	Address     string
+	Probe       bool   `msgpack:",omitempty"`
+	Incarnation string `msgpack:",omitempty"`
 }
 
 // reply answers a request. Others are addresses of further boxes that may have tunnels.
@@ -118,6 +122,7 @@
 	open    atomic.Int64
 	mu      sync.Mutex
 	tunnels map[*frame.Conn]bool // served for other boxes
+	links   map[*link]bool       // connections to endpoints that other boxes' tunnels lead over
 	idle    chan struct{}        // receives an item when a tunnel has ended
 	leftAt  time.Time            // when Leave was first called; zero before
 }
@@ -126,7 +131,7 @@
 func New(m metrics.Registry, log zerolog.Logger) *Service {
 	return &Service{
 		Leaving: func() bool { return false }, Metrics: m, Log: log,
-		tunnels: map[*frame.Conn]bool{}, idle: make(chan struct{}, 1), large: membudget.Budget{Total: maxLargeBytes},
+		tunnels: map[*frame.Conn]bool{}, links: map[*link]bool{}, idle: make(chan struct{}, 1), large: membudget.Budget{Total: maxLargeBytes},
 	}
 }
 
@@ -215,7 +220,7 @@
 	s.track(f, true)
 	defer s.track(f, false)
 	f.Large = &s.large
-	pass(c, f, n)
+	pass(c, f, s.newLink(n, q))
 }
 
 // sampleSize is the number of other boxes that an answer names.
@@ -341,6 +346,17 @@
 	connectTimeout = 300 * time.Millisecond
 )
 
+// Probe asks other boxes what they know of an endpoint. The outcome is Connected if any of them connects to it, InUse if
+// any holds connections to it, and otherwise that of Connect.
+func (s *Service) Probe(c context.Context, q Request) Outcome {
+	q.Probe = true
+	n, o := s.Connect(c, q)
+	if n != nil {
+		_ = n.Close()
+	}
+	return o
+}
+
 // Connect connects to an endpoint through another box, which it picks at random among those that
 // have not failed of late. If no box is connected, it returns nil and the outcome that tells most about the
 // endpoint: Refused or Failed if a box reported that. The outcome is NoAnswer if no other box is known.
@@ -351,8 +367,8 @@
 	best := NoAnswer
 	for _, box := range s.boxes.choose(near, far, maxAsked, boottime.Now()) {
 		n, o := s.ask(x, box, q)
-		if n != nil {
-			return n, Connected
+		if n != nil || o == InUse {
+			return n, o
 		}
 		if x.Err() != nil && o == NoAnswer {
 			break
--- a/tunnel/service_test.go
+++ b/tunnel/service_test.go
@@ -311,3 +311,25 @@
 	require.NoError(t, err)
 	require.Equal(t, "ordinary", string(got))
 }
+
+// A box through which another one reaches an endpoint holds connections to it until the endpoint closes them, and says so to
+// boxes that ask whether it has ended.
+func TestTunnelsHoldConnections(t *testing.T) {
+	via := start(t)
+	a := start(t, via)
+	address, conns := listen(t)
+	_, far := open(t, a, address, conns)
+	require.Eventually(t, func() bool {
+		_, ok := via.Holds("e", address)
+		return ok
+	}, 30*time.Second, time.Millisecond)
+	_, ok := via.Holds("other", address)
+	require.False(t, ok)
+	via.Dial = func(context.Context, tunnel.Request) (net.Conn, tunnel.Outcome) { return nil, tunnel.InUse }
+	require.Equal(t, tunnel.InUse, a.Probe(t.Context(), tunnel.Request{Endpoint: "e", Address: address}))
+	require.NoError(t, far.Close())
+	require.Eventually(t, func() bool {
+		_, ok := via.Holds("e", address)
+		return !ok
+	}, 30*time.Second, time.Millisecond)
+}
