Count each attempt whose process may run

What operators saw: requests ran at three and more endpoints where two are allowed (BUDGET), and streams were cut at endpoints whose record showed another start. Cause: isCounted asked what an endpoint announced, not whether it had ended, and canResume did not count the attempt that it gives up, so that streams left one endpoint after the other, each of which went on.

An attempt counts now until its process has ended, as package termination finds out. A stream without attempts left stays at an endpoint that leaves, or moves, which is the same run. If its endpoint ends, it goes on elsewhere, however many have ended before. A request whose attempts are used up looks whether a process among them has ended, for a second and a quarter of its time at most. A watchdog that lacks an attempt for a successor does the same. A record of another start cancels attempts only once the process has ended; a copied run whose stream breaks then, and which the new process does not know, still goes on from the copy.

Scripts anew_goes_on, anew_reset, idempotent_leaving, stream_leaving, stream_leaving_series and four cases of TestMoves fail on the code before.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -49,6 +49,7 @@
 	"birchlink.dev/birchlink/speed"
 	"birchlink.dev/birchlink/store"
 	"birchlink.dev/birchlink/storesession"
+	"birchlink.dev/birchlink/termination"
 	"birchlink.dev/birchlink/tunnel"
 	"birchlink.dev/birchlink/usage"
 )
@@ -212,7 +213,10 @@
 		OnDraining:    func(e endpoint.Endpoint) { p.gossip.BroadcastDraining(e.Incarnation()) },
 		OnLimitChange: p.gossip.BroadcastRate, RequestPermit: limits.Permit, RequestPlace: limits.Place,
 	}
-	d.OnLost, d.OnRecovered = f.Pool.AbandonSilent, p.recordReachable
+	f.Terminations = &termination.Detector{
+		Roster: &p.state.Roster, Holds: []termination.HoldsFunc{f.Pool.Holds, p.tunnels.Holds}, Probe: d.Probe, Metrics: m, Log: log,
+	}
+	d.OnLost, d.OnRecovered, d.IsInUse = f.Pool.AbandonSilent, p.recordReachable, f.Terminations.IsInUse
 	p.links, p.pool = d, f.Pool
 	if s.MoveRequests {
 		f.Moves, p.moveAway = platform.MoveCodec{}, f.MoveAway
--- a/forward/attempts.go
+++ b/forward/attempts.go
@@ -4,10 +4,15 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"birchlink.dev/birchlink/endpoint"
+	"birchlink.dev/birchlink/termination"
 )
 
+// replacedCheckInterval is the interval of checks whether a process has ended whose record shows another start.
+const replacedCheckInterval = 200 * time.Millisecond
+
 // errReplaced reports that the endpoint's process has ended, since another started under its ID.
 var errReplaced = errors.New("another process started under the endpoint's id")
 
@@ -51,13 +56,34 @@
 	}
 }
 
-// CancelReplaced cancels the attempts at an endpoint whose process has ended, since another process
-// started under its ID. The old process will not answer, even if its box has not closed the
-// connections. Repeatable requests are retried at once, possibly at the new process; the outcome of
-// others is unknown.
+// has reports whether there are attempts at an incarnation.
+func (s *attemptSet) has(incarnation string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.cancels[incarnation]) > 0
+}
+
+// CancelReplaced cancels the attempts at an endpoint whose record shows another start, once its process is found to have
+// ended: it will not answer, even if its box has not closed the connections. Repeatable requests are then retried,
+// possibly at the new process; the outcome of others is unknown. It doesn't block.
 func (f *Forwarder) CancelReplaced(old endpoint.Endpoint) {
 	f.Balancer.Reset(old.ID)
-	f.attempts.cancel(old.Incarnation(), errReplaced)
+	if f.Terminations != nil && f.attempts.has(old.Incarnation()) {
+		go f.cancelEnded(old)
+	}
+}
+
+// cancelEnded cancels the attempts at an endpoint once its process is found to have ended.
+func (f *Forwarder) cancelEnded(e endpoint.Endpoint) {
+	t := time.NewTicker(replacedCheckInterval)
+	defer t.Stop()
+	for f.attempts.has(e.Incarnation()) {
+		if f.Terminations.Check(context.Background(), e).Verdict == termination.Ended {
+			f.attempts.cancel(e.Incarnation(), errReplaced)
+			return
+		}
+		<-t.C
+	}
 }
 
 // isServing reports whether this incarnation of an endpoint is the current one and is not draining.
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -27,17 +27,11 @@
 	case out.interruption != recovery.Gone || out.answered || c.Err() != nil || r.f.Pool.IsLost(e.ID):
 		return
 	}
-	last := &r.reached[len(r.reached)-1]
 	if errors.Is(out.err, errReplaced) {
-		last.ended = true
 		r.f.Quarantine.RecordFailure(r.quarantineAttempt(e), r.attemptSent, boottime.Now())
 		r.f.Quarantine.RecordCrash(e.Incarnation(), "another started under its ID", boottime.Now())
 		return
 	}
-	if _, known := r.f.Roster.Get(e.ID); !known {
-		last.ended = r.f.Pool.RefusesConnections(c, e.ID, e.Address)
-		return
-	}
 	if !r.f.isServing(e) {
 		return
 	}
@@ -45,7 +39,6 @@
 	if errors.Is(out.err, errUnresponsive) || !r.f.Pool.RefusesConnections(c, e.ID, e.Address) {
 		return
 	}
-	last.ended = true
 	r.reportCrash(e)
 }
 
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -33,7 +34,9 @@
 	"birchlink.dev/birchlink/quarantine"
 	"birchlink.dev/birchlink/requesthash"
 	"birchlink.dev/birchlink/rollout"
+	"birchlink.dev/birchlink/termination"
 	"birchlink.dev/birchlink/throttle"
+	"birchlink.dev/birchlink/tunnel"
 )
 
 // codec translates the headers of the fake endpoints.
@@ -146,6 +149,15 @@
 	return b
 }
 
+// probe connects to an endpoint, as a box without others does to find out whether its process has ended.
+func probe(c context.Context, e endpoint.Endpoint) tunnel.Outcome {
+	n, err := (&net.Dialer{Timeout: time.Second}).DialContext(c, "tcp", e.Address)
+	if err == nil {
+		_ = n.Close()
+	}
+	return tunnel.OutcomeOf(err)
+}
+
 // newScript returns a script whose forwarder has no endpoints.
 func newScript(t *testing.T) *script {
 	t.Helper()
@@ -158,6 +170,7 @@
 		OnLimitChange: func(endpointlimit.Statement) {},
 		Metrics:       metrics.NewRegistry(), Log: zerolog.Nop(),
 	}
+	s.f.Terminations = &termination.Detector{Roster: s.f.Roster, Holds: []termination.HoldsFunc{s.f.Pool.Holds}, Probe: probe}
 	s.f.Roster.OnReplaced(s.f.CancelReplaced)
 	th := &throttle.Throttle{Leases: soleLeases(boottime.Now())}
 	places := &occupancy.Limiter{Leases: soleLeases(boottime.Now())}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -27,6 +27,7 @@
 	"birchlink.dev/birchlink/quarantine"
 	"birchlink.dev/birchlink/requesthash"
 	"birchlink.dev/birchlink/rollout"
+	"birchlink.dev/birchlink/termination"
 )
 
 // Codec translates between calls and the HTTP headers of the endpoints.
@@ -92,8 +93,8 @@
 // LimitFunc is called when an endpoint sets, lowers or removes the limit on its request rate.
 type LimitFunc func(s endpointlimit.Statement)
 
-// Forwarder forwards requests. All exported fields must be set, except SpendCredit, Moves, OnBegin, Admission and
-// Accuracy.
+// Forwarder forwards requests. All exported fields must be set, except SpendCredit, Terminations, Moves, OnBegin, Admission
+// and Accuracy.
 type Forwarder struct {
 	DataCentre    string
 	Roster        *endpoint.Roster
@@ -103,6 +104,7 @@
 	SpendCredit   SpendFunc // nil: credits of this box alone
 	Meter         *demand.Meter
 	Quarantine    *quarantine.Quarantine
+	Terminations  *termination.Detector // nil: no process is found to have ended
 	Rollouts      *rollout.Gate
 	Codec         Codec
 	Moves         MoveCodec // nil if running requests are not moved
--- a/forward/migrate.go
+++ b/forward/migrate.go
@@ -195,17 +195,21 @@
 	return d, true
 }
 
-// canResume reports whether another endpoint may compute the stream again, if there is a credit for it. A stream that has
-// begun, in this answer or before it, needs one of the version of the endpoint at which it is.
+// canResume reports whether another endpoint may compute the stream again, if there is a credit for it. The attempt that it
+// gives up counts, since its endpoint goes on. A stream that has begun, in this answer or before it, needs an endpoint of the
+// version of the one at which it is.
 func (s *runningStream) canResume(begun bool) bool {
-	r := &run{f: s.r.f, q: s.r.q, tried: maps.Clone(s.r.tried), reached: slices.Clone(s.r.reached)}
+	r := &run{
+		f: s.r.f, q: s.r.q, tried: maps.Clone(s.r.tried), reached: append(slices.Clone(s.r.reached), reachedEndpoint{endpoint: s.choice.Endpoint}),
+		failedDials: s.r.failedDials, refusedDials: s.r.refusedDials,
+	}
 	for _, o := range s.watchdog.started() {
 		if !o.hasEnded() {
 			return false
 		}
 		r.mergeUse(o)
 	}
-	if !r.q.Route.Repeatable() || r.countAttempts() >= r.maxAttempts() {
+	if !r.q.Route.Repeatable() || r.attemptsUsed() >= r.maxAttempts() {
 		return false
 	}
 	if !begun {
--- a/forward/move.go
+++ b/forward/move.go
@@ -247,10 +247,10 @@
 			s.cancel(errReplaced)
 			m.result = m.stopped(copied, t)
 			return ""
-		case m.isSourceGone(err): // also if another process of the same ID answered
+		case m.isSourceGone(a, err): // also if another process of the same ID answered
 			m.result = m.stopped(copied, t)
 			return ""
-		case err == nil && a.Result == call.NoSuchRun:
+		case err == nil && a.Result == call.NoSuchRun && !m.isReplaced():
 			// Later, an earlier call may have stopped the run, and its memory has been freed since.
 			m.noRun = boottime.Since(began) < ttl
 			return m.giveUp(t, copied, a.Result.String())
@@ -299,11 +299,21 @@
 	return m.lastSent
 }
 
-// isSourceGone reports whether the process of the source has ended: another started under its ID, or
-// its stream broke and it refuses connections. A refusal alone does not show that, since an endpoint
-// may close its listener while its streams go on.
-func (m *move) isSourceGone(err error) bool {
-	return errors.Is(context.Cause(m.s.x), errReplaced) || m.isBroken() && errors.Is(err, syscall.ECONNREFUSED)
+// isSourceGone reports whether the process of the source has ended: its stream broke, and it refuses connections or another
+// answers that started under its ID. A refusal alone does not show that, since an endpoint may close its listener while its
+// streams go on, nor does a record that shows another start.
+func (m *move) isSourceGone(a call.Copy, err error) bool {
+	if errors.Is(context.Cause(m.s.x), errReplaced) {
+		return true
+	}
+	return m.isBroken() && (errors.Is(err, syscall.ECONNREFUSED) || err == nil && a.Result == call.NoSuchRun && m.isReplaced())
+}
+
+// isReplaced reports whether the record of the source shows another start.
+func (m *move) isReplaced() bool {
+	e := m.s.choice.Endpoint
+	now, ok := m.s.r.f.Roster.Get(e.ID)
+	return ok && now.StartMillis != e.StartMillis
 }
 
 func (m *move) isBroken() bool {
--- a/forward/response.go
+++ b/forward/response.go
@@ -28,6 +28,9 @@
 // readResponse reads a response and passes it to the sink if it is usable.
 func (r *run) readResponse(c context.Context, resp *httpconn.Response, n *balance.Attempt, w *watchdog, sent time.Time) attemptResult {
 	o := r.f.Codec.Outcome(resp.Status, resp.Header)
+	if r.f.Terminations != nil && !o.WrongIncarnation {
+		r.f.Terminations.RecordHeard(r.trace.Choice.Endpoint.Incarnation())
+	}
 	r.handleOutcome(o)
 	n.BackOff(o.BackOff, boottime.Now())
 	if o.NotRun {
--- a/forward/run.go
+++ b/forward/run.go
@@ -100,7 +100,6 @@
 	endpoint endpoint.Endpoint
 	answered bool
 	refused  bool // the endpoint reported that it did not run the request
-	ended    bool // the endpoint was found to have ended
 }
 
 // response is a complete response.
@@ -216,6 +215,9 @@
 		MayHaveRun: r.mayHaveRun, Expired: r.isExpired(c), MaxAttempts: r.maxAttempts(),
 		HasBudget: true, ChargesRefusals: true,
 	}
+	if s.Repeatable && !s.Expired && s.Attempts >= s.MaxAttempts && r.awaitTermination(c) {
+		s.Attempts, s.Expired = r.attemptsUsed(), r.isExpired(c)
+	}
 	d := recovery.Decide(s)
 	if d.Step == recovery.Failover && r.begun != nil && !r.f.hasServingVersion(r.q.Service.Name, *r.begun, r.tried) {
 		return recovery.Decision{Step: recovery.Fail, Kind: errkind.VersionUnavailable, Reason: r.noVersionReason()}
@@ -253,16 +255,19 @@
 }
 
 // countAttempts returns the number of attempts that count against the limit of the request. From
-// recovery.MaxAttempts on, all count.
+// recovery.MaxAttempts on, all count whose processes may run.
 func (r *run) countAttempts() int {
-	if len(r.reached) >= recovery.MaxAttempts {
-		return recovery.MaxAttempts
-	}
-	n := 0
+	n, mayRun := 0, 0
 	for _, s := range r.reached {
 		if r.isCounted(s) {
 			n++
 		}
+		if !r.f.hasEnded(s.endpoint) {
+			mayRun++
+		}
+	}
+	if mayRun >= recovery.MaxAttempts {
+		return recovery.MaxAttempts
 	}
 	return n
 }
@@ -276,25 +281,19 @@
 // isCounted reports whether an attempt counts against the limit of the request.
 func (r *run) isCounted(s reachedEndpoint) bool { return r.exemption(s) == "" }
 
-// exemption returns why an attempt does not count against the limit of the request, or "" if it does. Endpoints that
-// announced their end or were replaced, and did not answer, do not count: their work is lost in any case. That a record is missing
-// is no end: it may have lapsed while the store was unavailable, and its endpoint may still run the request.
+// exemption returns why an attempt does not count against the limit of the request, or "" if it does. An attempt counts as
+// long as its process may run. One that the endpoint refused counts as long as the endpoint serves.
 func (r *run) exemption(s reachedEndpoint) string {
-	if s.answered {
-		return ""
-	}
-	now, ok := r.f.Roster.Get(s.endpoint.ID)
 	switch {
-	case !ok && s.refused:
+	case s.answered:
+		return ""
+	case s.refused && !r.f.isServing(s.endpoint):
 		return "refused"
-	case !ok && s.ended:
+	case r.f.hasEnded(s.endpoint):
 		return "ended"
-	case ok && now.StartMillis != s.endpoint.StartMillis:
-		return "replaced"
-	case ok && now.Draining:
-		return "draining"
+	default:
+		return ""
 	}
-	return ""
 }
 
 // marshalAttempts adds to a log entry how many attempts count against the limit, and for which endpoints they don't, each with
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -76,6 +76,7 @@
 	}
 	switch {
 	case r.attemptsUsed() >= r.maxAttempts():
+		go w.retryOnceEnded(r.reached)
 		return nil, noAttemptLeft
 	case r.begun != nil && !r.f.hasServingVersion(r.q.Service.Name, *r.begun, r.tried):
 		return nil, noVersionLeft
