Count no attempt of the own interface that was moved or whose box is gone

What callers saw: a stream of the own interface whose engines are reclaimed one after the other ends with "the request's attempts are used up", although each end was announced. Cause: each move makes an attempt, and all attempts count against the limit of six, so the seventh move leaves none for a notice that comes too late to move. An attempt that its engine has stopped for a move has ended, and so has one whose connection is gone with a box that the cloud has taken back. Neither counts any more; the count goes along when a stream is handed over to another box.

A stream relayed for another data centre began with a hundred attempts made, by their numbers, so that the peer made one at most. It has a limit of one now, so that its bound is the same and the same ends don't count there either. The command where names the engine that ran a call last, as a call that moved has run at several.

--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -96,17 +96,22 @@
 	}
 }
 
-// where NAME VARIABLE: sets a variable to the name of the engine that runs a call
+// where NAME VARIABLE: sets a variable to the name of the engine that runs a call, or ran it last
 func cmdWhere(ts *testscript.TestScript, _ bool, args []string) {
 	w, id := environmentOf(ts), callOf(ts, args[0]).id
-	for _, p := range w.Processes("engine") {
-		a := load.ReadAudit(w.c, []string{p.Address}, nil)
-		if len(a.Engine[id]) > 0 {
-			ts.Setenv(args[1], p.Name)
-			return
+	name, last := "", -1
+	waitUntil(ts, "run of "+args[0], func() bool {
+		for _, p := range w.Processes("engine") {
+			a := load.ReadAudit(w.c, []string{p.Address}, nil)
+			for _, r := range a.Engine[id] {
+				if r.Attempt > last {
+					name, last = p.Name, r.Attempt
+				}
+			}
 		}
-	}
-	ts.Fatalf("no engine runs %s", args[0])
+		return name != ""
+	})
+	ts.Setenv(args[1], name)
 }
 
 // recomputed N: at most N tokens were recomputed
--- a/stream/move.go
+++ b/stream/move.go
@@ -28,6 +28,7 @@
 	if e != interrupted || b != recovery.Halted && b != recovery.NeverSeen {
 		return e, b
 	}
+	r.counted--
 	r.preferredBox = m.To
 	r.k.replayed.Inc(1)
 	return r.failOver(c, b)
@@ -64,6 +65,7 @@
 	if e != interrupted || b != recovery.Halted && b != recovery.NeverSeen {
 		return e, b, e == answerComplete
 	}
+	r.counted--
 	e, b = r.importAndResume(c, f, to)
 	return e, b, true
 }
--- a/stream/relay.go
+++ b/stream/relay.go
@@ -41,6 +41,8 @@
 	Tokens      []string
 	Attempt     int
 	LastAttempt int // the highest number of an attempt; Attempt if it is less
+	Counted     int // attempts that count against the limit; LastAttempt if it is zero
+	MaxAttempts int // limit; zero for the default
 	Ran         bool
 	Box         string
 	Incarnation string
@@ -105,7 +107,7 @@
 	svc.launch(s, func(c context.Context) {
 		defer release()
 		r := newRun(svc, s)
-		r.lastAttempt = q.Attempt * attemptsPerRelay
+		r.lastAttempt, r.maxAttempts = q.Attempt*attemptsPerRelay, 1 // the box that relays makes the others
 		r.start(c)
 	})
 	return s, nil
@@ -195,6 +197,7 @@
 	ts, _, _, _ := r.s.snapshot(0)
 	h := handoverRequest{
 		Request: r.s.Request, Tokens: ts, Attempt: r.attempt, LastAttempt: r.lastAttempt, Ran: r.mayHaveRun,
+		Counted: r.counted, MaxAttempts: r.maxAttempts,
 		Box: r.target.box, Incarnation: r.target.incarnation, Address: r.target.address,
 	}
 	x, cancel := context.WithTimeout(c, settleTimeout)
@@ -226,6 +229,7 @@
 	svc.launch(s, func(c context.Context) {
 		r := newRun(svc, s)
 		r.attempt, r.lastAttempt, r.mayHaveRun = h.Attempt, max(h.Attempt, h.LastAttempt), h.Ran
+		r.counted, r.maxAttempts = cmp.Or(h.Counted, r.lastAttempt), h.MaxAttempts
 		r.splice.StartAttempt(h.Attempt)
 		r.setTarget(target{box: h.Box, incarnation: h.Incarnation, address: h.Address, endpoint: endpoint})
 		s.update(func() { s.stats.Attempts, s.stats.Box = h.Attempt, h.Box })
--- a/stream/run.go
+++ b/stream/run.go
@@ -60,6 +60,8 @@
 	target       target
 	attempt      int // the current one
 	lastAttempt  int // the highest number of one
+	counted      int // attempts that count against the limit: not those that were stopped for a move, or whose box is gone
+	maxAttempts  int // limit; zero for the default
 	reattaches   int
 	mayHaveRun   bool
 	maybeAdopted bool   // a peer may have taken the stream over
@@ -141,8 +143,11 @@
 	if b != recovery.Refused && b != recovery.Unreachable && b != recovery.NeverSeen {
 		r.mayHaveRun = true
 	}
+	if b == recovery.Gone && r.target.endpoint != nil && r.isGone() {
+		r.counted--
+	}
 	st := recovery.State{
-		Interruption: b, Repeatable: r.s.Repeatable, Reattaches: r.reattaches, Attempts: r.lastAttempt, MayHaveRun: r.mayHaveRun,
+		Interruption: b, Repeatable: r.s.Repeatable, Reattaches: r.reattaches, Attempts: r.counted, MaxAttempts: r.maxAttempts, MayHaveRun: r.mayHaveRun,
 		Expired: c.Err() != nil, HasBudget: !r.maybeAdopted, CanWait: true,
 	}
 	d := recovery.Decide(st)
@@ -172,6 +177,7 @@
 // startAttempt makes a new attempt at the target the current one.
 func (r *run) startAttempt() {
 	r.lastAttempt++
+	r.counted++
 	r.attempt = r.lastAttempt
 	r.reattaches = 0
 	r.splice.StartAttempt(r.attempt)
