Show that vanished servers, tunnels and streams that are taken up keep the attempts too

TestLeavingServersKeepAttempts has seven cases more: servers whose machines vanish without closing a connection, one of four boxes whose links to all servers are cut (refused or silent), so that its requests go through tunnels, and streams that their callers take up again at other boxes.

--- a/daemon/leaving_test.go
+++ b/daemon/leaving_test.go
@@ -15,8 +15,10 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/fx"
 	"golang.org/x/sync/errgroup"
 
+	"birchlink.dev/birchlink/httpconn"
 	"birchlink.dev/birchlink/platform/standin"
 )
 
@@ -46,6 +48,8 @@
 	ended bool
 	deaf  bool                     // it accepts no connection, and ends with its last run
 	runs  map[string]chan struct{} // by request, closed to break the run off
+
+	vanished chan struct{} // closed when the server's machine vanishes: it closes no connection
 }
 
 // leavingTest is a fleet of boxes whose servers leave one after the other, each after as many events of all requests.
@@ -66,8 +70,9 @@
 	excess  map[string][]*leavingServer // of requests that ran at more live servers than allowed
 }
 
-// newLeavingTest starts the boxes and the first servers, of which one leaves each interval.
-func newLeavingTest(t testing.TB, how string, interval time.Duration) *leavingTest {
+// newLeavingTest starts the boxes and the first servers, of which one leaves each interval. If cut is not empty, the first box's links
+// to the servers are cut in this way, so that it reaches them through other boxes.
+func newLeavingTest(t testing.TB, how, cut string, interval time.Duration) *leavingTest {
 	requests := leavingRequests
 	if v, err := strconv.Atoi(os.Getenv("LEAVING_REQUESTS")); err == nil {
 		requests = v
@@ -84,14 +89,21 @@
 	for range leavingServers {
 		s.start()
 	}
+	first := &links{}
 	for i := range leavingBoxes { // with credits for all repeats
-		s.boxes = append(s.boxes, s.startBox(fmt.Sprint("box-", i), "north", "[reclaim]", "move_requests = yes", "[retries]", "ratio = 10", ""))
+		l := &links{}
+		if i == 0 {
+			l = first
+		}
+		o := []fx.Option{fx.Replace(httpconn.DialFunc(l.dial))}
+		s.boxes = append(s.boxes, s.startBoxWith(fmt.Sprint("box-", i), "north", o, "[reclaim]", "move_requests = yes", "[retries]", "ratio = 10", ""))
 	}
 	for _, b := range s.boxes {
 		require.Eventually(t, func() bool {
 			return b.isReady(t) && b.hasMetric(t, "boxes.known", leavingBoxes) && b.hasMetric(t, "endpoints.known", leavingServers)
 		}, 20*time.Second, 5*time.Millisecond)
 	}
+	first.set(cut)
 	return s
 }
 
@@ -102,6 +114,7 @@
 	s.lastID++
 	v := &leavingServer{
 		Server: &standin.Server{ID: fmt.Sprintf("i-%d", s.lastID), Service: "api", Version: "v1", Slots: 1000}, test: s, runs: map[string]chan struct{}{},
+		vanished: make(chan struct{}),
 	}
 	v.listener = httptest.NewServer(v)
 	s.t.Cleanup(func() {
@@ -153,6 +166,9 @@
 			return
 		case <-broken:
 			panic(http.ErrAbortHandler)
+		case <-v.vanished:
+			<-r.Context().Done()
+			return
 		case <-time.After(leavingWork):
 		}
 		if isStream {
@@ -235,6 +251,10 @@
 	v.ended = true
 	v.test.mu.Unlock()
 	_ = v.listener.Listener.Close()
+	if v.test.how == "vanishes" {
+		close(v.vanished)
+		return
+	}
 	v.listener.CloseClientConnections()
 }
 
@@ -248,7 +268,7 @@
 	switch s.how {
 	case "stays": // says that it leaves and stays for as long as its requests run
 		v.record("draining", `"leaves_ms":700,`)
-	case "ends": // a second after it has said so
+	case "ends", "vanishes": // a second after it has said so
 		s.mu.Lock()
 		s.ending[n+s.second] = v
 		s.mu.Unlock()
@@ -270,16 +290,27 @@
 	}
 }
 
-// play sends the requests, and returns how many were answered completely.
-func (s *leavingTest) play(path string) int {
+// play sends the requests, and returns how many were answered completely. Those of the kind "taken-up" are streams that their
+// callers take up again at the next box, up to maxTaken times.
+func (s *leavingTest) play(kind string) int {
+	const maxTaken = 20
 	var whole atomic.Int64
 	var g errgroup.Group
 	g.SetLimit(s.requests / 2)
 	for i := range s.requests {
-		id := fmt.Sprint("request", i)
 		g.Go(func() error {
-			if s.try(s.boxes[i%len(s.boxes)], path, id) {
-				whole.Add(1)
+			v, tries := &standin.Stream{}, 1
+			if kind == "taken-up" {
+				tries += maxTaken
+			}
+			for k := range tries {
+				id := fmt.Sprintf("request%d-%d", i, k)
+				err := s.try(s.boxes[(i+k)%len(s.boxes)], v, kind, id)
+				if err == nil {
+					whole.Add(1)
+					break
+				}
+				s.t.Log(id, err)
 			}
 			return nil
 		})
@@ -288,35 +319,36 @@
 	return int(whole.Load())
 }
 
-// try sends a request, and reports whether it was answered completely.
-func (s *leavingTest) try(b *entryBox, path, id string) bool {
-	v := &standin.Stream{}
+// try sends a request, and returns an error unless it was answered completely.
+func (s *leavingTest) try(b *entryBox, v *standin.Stream, kind, id string) error {
+	path := "/stream/x"
+	if kind == "call" {
+		path = "/again/x"
+	}
 	q, err := v.NewRequest(b.callersAddress, path, id, time.Minute)
 	if err != nil {
-		s.t.Error(err)
-		return false
+		return err
 	}
 	q.GetBody = nil
 	a, err := http.DefaultClient.Do(q)
 	if err != nil {
-		s.t.Log(id, err)
-		return false
+		return err
 	}
 	defer a.Body.Close()
-	if !strings.HasPrefix(path, "/stream/") {
+	if kind == "call" || a.StatusCode != http.StatusOK {
 		body, err := io.ReadAll(a.Body)
-		isWhole := err == nil && a.StatusCode == http.StatusOK && string(body) == standin.ExpectedBody(id)
-		if !isWhole {
-			s.t.Log(id, a.StatusCode, string(body), err)
+		if err != nil || a.StatusCode != http.StatusOK || string(body) != standin.ExpectedBody(id) {
+			return fmt.Errorf("status %d, %q: %w", a.StatusCode, body, err)
 		}
-		return isWhole
+		return nil
+	}
+	if err := v.Read(id, a.Body, leavingEvents); err != nil {
+		return err
 	}
-	err = v.Read(id, a.Body, leavingEvents)
-	isWhole := err == nil && a.StatusCode == http.StatusOK && v.Events == leavingEvents
-	if !isWhole {
-		s.t.Log(id, a.StatusCode, v.Events, err)
+	if v.Events != leavingEvents {
+		return fmt.Errorf("%d events", v.Events)
 	}
-	return isWhole
+	return nil
 }
 
 // Requests must run at no more servers that live on than their routes allow, however servers leave, and each end that is
@@ -338,9 +370,9 @@
 			w := strings.Fields(line)
 			interval, err := time.ParseDuration(w[2])
 			require.NoError(t, err)
-			s := newLeavingTest(t, w[0], interval)
+			s := newLeavingTest(t, w[0], strings.Join(w[4:], ""), interval)
 			defer func() { stopAll(t, s.boxes) }()
-			whole := s.play("/" + w[1] + "/x")
+			whole := s.play(w[1])
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			t.Logf("%d of %d requests were whole, %d ran at more servers that live than allowed", whole, s.requests, len(s.excess))
