Let a silence of endpoints not raise the time that is expected of them

The first events that come after a silence counted as samples of the time to the first event, so that it was up to ten times as long for a while, and the watchdog allows twice that time. Calls that began before an endpoint went on again, after it had sent something to its calls and then nothing for a second, are no samples now, unless it was silent as long before: an endpoint that is always so slow has no such excuse.

--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -87,8 +87,32 @@
 	a.recordEvent(now)
 }
 
+// An endpoint that has sent nothing to its calls for wakeSilence has been silent. That is an exception if it was not silent for
+// wakeFactor times as long before; an endpoint that is always so slow has no exceptions.
+const (
+	wakeSilence = time.Second
+	wakeFactor  = 3
+)
+
+// recordWake records that the endpoint sends something again if it has been silent.
+func (st *endpointState) recordWake(now time.Time) {
+	if !st.isSilent(wakeSilence, now) {
+		return
+	}
+	silence := st.silence(now)
+	if now.Add(-silence).Sub(st.wokeAt) > wakeFactor*silence {
+		st.excusedAt = now
+	}
+	st.wokeAt = now
+}
+
+// isExcused reports whether the endpoint was silent during the call as an exception. How long the call took then says nothing
+// about others.
+func (a *Attempt) isExcused() bool { return !a.start.After(a.state.excusedAt) }
+
 // recordEvent records that the endpoint sent something. The balancer's lock must be held.
 func (a *Attempt) recordEvent(now time.Time) {
+	a.state.recordWake(now)
 	a.state.lastProgress = now
 	a.state.consecutiveFailures = 0
 	a.state.avoidedUntil, a.state.unproven = time.Time{}, false
@@ -110,7 +134,7 @@
 func (a *Attempt) RecordAnswer() {
 	a.balancer.mu.Lock()
 	defer a.balancer.mu.Unlock()
-	if a.unjudged {
+	if a.unjudged || a.isExcused() {
 		return
 	}
 	took := a.firstEvent.Sub(a.start)
@@ -132,7 +156,9 @@
 	if a.events > 1 && !a.unjudged {
 		a.observePause()
 		a.observeStall(now)
-		a.model.ObservePause(a.load.Running, a.normalized(a.lastEvent.Sub(a.firstEvent)/time.Duration(a.events-1)), a.lastEvent)
+		if !a.isExcused() {
+			a.model.ObservePause(a.load.Running, a.normalized(a.lastEvent.Sub(a.firstEvent)/time.Duration(a.events-1)), a.lastEvent)
+		}
 	}
 	if a.firstEvent.IsZero() {
 		a.state.tokens -= a.tokens
@@ -144,7 +170,7 @@
 	if a.unjudged {
 		return
 	}
-	if !failed && a.events > 0 {
+	if !failed && a.events > 0 && !a.isExcused() {
 		a.model.ObserveSlotTime(a.normalized(now.Sub(a.start)), now)
 	}
 	outcome := 0.0
--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -62,6 +62,8 @@
 	trials              int            // calls under way that began at or after probationFrom
 	lastProgress        time.Time      // when it last sent anything
 	busySince           time.Time      // when running last rose from zero
+	wokeAt              time.Time      // when it last went on after a silence
+	excusedAt           time.Time      // the same, for a silence that was an exception
 	stalledAt           time.Time      // when a stream last had a gap much longer than its expected pause
 }
 
