--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -179,6 +179,11 @@
 	return st.lastProgress.After(st.busySince) && st.silence(now) > d
 }
 
+// isUnheard reports whether the endpoint has calls under way and has sent nothing since the first of them began.
+func (st *endpointState) isUnheard() bool {
+	return st.running > 0 && !st.lastProgress.After(st.busySince)
+}
+
 // silence returns for how long the endpoint has sent nothing while it had calls under way.
 func (st *endpointState) silence(now time.Time) time.Duration {
 	if st.running == 0 {
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -75,7 +75,8 @@
 	UnlimitedOnly bool
 
 	// MaxSilence, if positive, excludes endpoints that have sent something for their calls under way, and nothing for
-	// longer since.
+	// longer since. Endpoints that have sent nothing for them yet are chosen last: calls that leave a silent endpoint at the same time
+	// might all go to another.
 	MaxSilence time.Duration
 
 	// Fastest makes the choice consider all endpoints and rank them by their expected time alone.
@@ -250,7 +251,8 @@
 	st := b.lookup(e.ID)
 	c := Choice{
 		Endpoint: *e, Parts: q.Parts, Objective: q.Objective, Running: st.running + st.remote.running,
-		Avoided: now.Before(st.avoidedUntil) || st.unproven && st.running > 0 || now.Before(b.dataCentre(e.DataCentre).avoidedUntil) || !st.probationFrom.IsZero() && st.trials > 0,
+		Avoided: now.Before(st.avoidedUntil) || st.unproven && st.running > 0 || now.Before(b.dataCentre(e.DataCentre).avoidedUntil) ||
+			!st.probationFrom.IsZero() && st.trials > 0 || q.MaxSilence > 0 && st.isUnheard(),
 	}
 	c.Load.Running = c.Running
 	c.SpeedFactor, c.speedClass, c.GapTarget = b.speedFactor(e), b.speedClass(e), q.GapTarget
--- a/balance/silence_test.go
+++ b/balance/silence_test.go
@@ -68,3 +68,37 @@
 	c, _ := b.Choose(es, balance.Query{DataCentre: "dc0"}, now)
 	require.Greater(t, c.Expected, usual/2)
 }
+
+// Calls that leave a silent endpoint at the same time must not all go to the best one of the others if nothing has been heard from it,
+// since it may be silent too.
+func TestCallsThatLeaveSilenceSpread(t *testing.T) {
+	es := endpoints(5)
+	now := time.Unix(1000, 0)
+	b := &balance.Balancer{}
+	for i := range es {
+		es[i].DataCentre, es[i].Slots = "dc0", 1000
+		for range 30 { // the first is the fastest
+			c, ok := b.Choose(es[i:i+1], balance.Query{DataCentre: "dc0"}, now)
+			require.True(t, ok)
+			a := b.Begin(c.Endpoint, c, now)
+			now = now.Add(time.Duration(100+400*i) * time.Millisecond)
+			a.RecordProgress(now)
+			a.RecordAnswer()
+			a.End(false, now)
+		}
+	}
+	now = now.Add(time.Minute)
+	choose := func(q balance.Query) string {
+		c, ok := b.Choose(es, q, now)
+		require.True(t, ok)
+		b.Begin(c.Endpoint, c, now)
+		now = now.Add(time.Millisecond)
+		return c.Endpoint.ID
+	}
+	require.Equal(t, choose(balance.Query{DataCentre: "dc0"}), choose(balance.Query{DataCentre: "dc0"}), "calls prefer the fastest")
+	chosen := map[string]bool{}
+	for range len(es) - 1 {
+		chosen[choose(balance.Query{DataCentre: "dc0", MaxSilence: 600 * time.Millisecond})] = true
+	}
+	require.Len(t, chosen, len(es)-1)
+}
