Show that the log names the attempts that don't count

TestEndedAttemptsAreLogged: an attempt whose process has ended is in not_counted, and a request whose attempts are used up says what it found of the processes at which it has been: one that serves, one that said that it leaves and accepts connections, one that has ended.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -367,6 +367,27 @@
 	require.NotContains(t, out.String(), "not_counted")
 }
 
+// Tests that the log says which attempts don't count because their processes have ended, and what a request found whose attempts
+// were used up.
+func TestEndedAttemptsAreLogged(t *testing.T) {
+	for last, want := range map[string]string{
+		"crash": `"process":"running","seen":"serves"`, "leave_reset": `"process":"running","seen":"connected"`, "leave_crash": `"process":"ended","seen":"refused"`,
+	} {
+		t.Run(last, func(t *testing.T) {
+			var out bytes.Buffer
+			s := newScript(t)
+			s.f.Log = zerolog.New(&out)
+			s.step([]string{"route", "idempotent", "1"}, "")
+			s.step([]string{"endpoint", "a", last}, "")
+			s.step([]string{"endpoint", "b", "ok"}, "")
+			s.call("", "body", nil)
+			require.Contains(t, out.String(), `"event":"attempts used","request":"1","endpoint":"a",`+want)
+			require.Equal(t, last == "leave_crash", strings.Contains(out.String(), `"counted":0,"max_attempts":1,"not_counted":["a ended"]`))
+			require.Equal(t, last == "leave_crash", s.err == nil)
+		})
+	}
+}
+
 // Tests that the log and the metrics tell a repeat for which the budget has no room from a request whose attempts
 // are used up, and say what each repeat was for.
 func TestRepeatsAreRecorded(t *testing.T) {
