--- a/dialer/serve.go
+++ b/dialer/serve.go
@@ -73,8 +73,9 @@
 	return d.Roster.Get(q.Endpoint)
 }
 
-// Probe returns whether an endpoint accepts connections, as far as this box and others find out. Refused and Failed mean that neither this box
-// nor another connects to it, although the other reaches other endpoints, and that no box that was asked holds connections to it.
+// Probe returns whether an endpoint accepts connections, as far as this box and others find out. Refused and Failed mean that
+// neither this box nor another connects to it, although the other reaches other endpoints, and that no box that was asked
+// holds connections to it.
 func (d *Dialer) Probe(c context.Context, e endpoint.Endpoint) tunnel.Outcome {
 	q := tunnel.Request{Endpoint: e.ID, Address: e.Address, Incarnation: e.Incarnation()}
 	n, err := d.direct(c, q, servedDialTimeout)
--- a/forward/terminate.go
+++ b/forward/terminate.go
@@ -19,7 +19,7 @@
 	terminationPollInterval = 50 * time.Millisecond
 )
 
-// hasEnded reports whether the process of an endpoint was found to have ended.
+// hasEnded reports without I/O whether the process of an endpoint was found to have ended.
 func (f *Forwarder) hasEnded(e endpoint.Endpoint) bool {
 	return f.Terminations != nil && f.Terminations.HasEnded(e.Incarnation())
 }
