Show that a storm of large configurations leaves the fleet on an old one

What is seen: 25 changes, 80 ms apart, of a configuration of about 1 MiB (the store takes 1,048,576 bytes), and one change two seconds later. None of six machines takes the last one within the 12 s that the script still runs: requests run at the old service and with a key that was taken away, and the key that was added gets 401 (CONFIG).

Cause: platform/client.go reads no answer of the store over 4 MiB. One watch answer holds several changes of 1.4 MB each, and mirror.Mirror asks again from the same revision.

Ruled out: faults of machines, links or the store, as there are none.

--- /dev/null
+++ b/review/_stand/fleet.go
@@ -0,0 +1,552 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"birchlink.dev/birchlink/platform/standin"
+	"birchlink.dev/birchlink/stand/memstore"
+)
+
+// Bounds of the small site pamoja-live, as its sheet gives them.
+const (
+	contact     = 3000 * time.Millisecond
+	configApply = 2000 * time.Millisecond
+	grace       = 8 * time.Second
+	storeAnswer = 4 * time.Millisecond // an answer of the store
+	leadTime    = 10 * time.Second     // from the start of the machines until traffic
+)
+
+// zones are the zones of the machines and the number of machines in each, as on the sheet.
+var zones = []struct {
+	name  string
+	boxes int
+}{{"kariakoo-hall", 3}, {"msasani-hall", 2}, {"ubungo-hall", 1}}
+
+// program is what the build of the deploy file makes.
+const program = "target/birchlinkd"
+
+// fleet is a small deployment: entry boxes as processes of their own, and stand-ins of the platform and of servers.
+type fleet struct {
+	dir    string
+	record *record
+	store  *memstore.Store
+	faults *faults // of the store
+	cloud  *standin.Cloud
+
+	storeAddress, cloudAddress string
+
+	boxes   []*box
+	servers []*server
+}
+
+// box is an entry box.
+type box struct {
+	name, zone, ip                 string
+	callers, ready, peers, metrics string
+	settings                       string
+	log                            *os.File
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	exited  chan struct{}
+	stopped bool // the test ended the process, or lets it end
+}
+
+// newFleet starts the stand-ins of the platform. The boxes are started by startBoxes.
+func newFleet(r *record) (*fleet, error) {
+	dir, err := os.MkdirTemp("", "review-")
+	if err != nil {
+		return nil, fmt.Errorf("make a folder: %w", err)
+	}
+	f := &fleet{dir: dir, record: r, store: &memstore.Store{}, cloud: &standin.Cloud{}, faults: &faults{}}
+	f.faults.handler = standin.StoreHandler(f.store)
+	if f.storeAddress, err = f.faults.listen("127.0.0.1"); err != nil {
+		return nil, err
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	go func() { _ = http.Serve(l, f.cloud) }()
+	f.cloudAddress = l.Addr().String()
+	return f, nil
+}
+
+// startBoxes starts the first n entry boxes of the sheet.
+func (f *fleet) startBoxes(n int) error {
+	k := 0
+	for _, z := range zones {
+		for i := range z.boxes {
+			if k++; k > n {
+				break
+			}
+			b := &box{name: fmt.Sprintf("front-%s-%d", z.name, i+1), zone: z.name, ip: fmt.Sprintf("127.77.%d.%d", k, 10+i)}
+			for _, a := range []*string{&b.callers, &b.ready, &b.peers, &b.metrics} {
+				l, err := net.Listen("tcp", net.JoinHostPort(b.ip, "0"))
+				if err != nil {
+					return fmt.Errorf("find a port: %w", err)
+				}
+				*a = l.Addr().String()
+				defer l.Close()
+			}
+			f.boxes = append(f.boxes, b)
+		}
+	}
+	return nil
+}
+
+// run starts the processes of all boxes.
+func (f *fleet) run() error {
+	seeds := make([]string, 0, 3)
+	for _, b := range f.boxes[:min(3, len(f.boxes))] {
+		seeds = append(seeds, b.peers)
+	}
+	for _, b := range f.boxes {
+		b.settings = filepath.Join(f.dir, b.name+".ini")
+		if err := os.WriteFile(b.settings, []byte(f.settingsOf(b, seeds)), 0o600); err != nil {
+			return fmt.Errorf("write settings: %w", err)
+		}
+		log, err := os.Create(filepath.Join(f.dir, b.name+".log"))
+		if err != nil {
+			return fmt.Errorf("open log: %w", err)
+		}
+		b.log = log
+		if err := b.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// settingsOf returns the settings of a box, as deploy/box.ini makes them from the settings of the small site.
+func (f *fleet) settingsOf(b *box, seeds []string) string {
+	return fmt.Sprintf(`[box]
+name = %s
+data_centre = %s
+first_start = yes
+link_mbps = 1000.0
+
+[listen]
+callers = %s
+ready = %s
+peers = %s
+metrics = %s
+
+[peers]
+seeds = %s
+
+[store]
+address = %s
+
+[cloud]
+address = %s
+duties = usage,scale
+
+[stop]
+limit = 8s
+
+[retries]
+ratio = 0.2
+window = 10s
+slack = 52
+
+[quota]
+window = 8s
+overage = 0.1
+slack = 72000
+reserve = yes
+return_times = yes
+
+[duties]
+lease = 3000ms
+report_window = 5s
+report_due = 10s
+
+[rollout]
+
+[balance]
+endpoint_speeds = yes
+
+[reclaim]
+move_requests = yes
+
+[admission]
+deadline_check = yes
+
+[log]
+level = info
+`, b.name, b.zone, b.callers, b.ready, b.peers, b.metrics, strings.Join(seeds, ","), f.storeAddress, f.cloudAddress)
+}
+
+// start starts the process of a box.
+func (b *box) start() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := exec.Command(program, "--platform", b.settings)
+	c.Stdout, c.Stderr = b.log, b.log
+	if err := c.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", b.name, err)
+	}
+	exited := make(chan struct{})
+	b.cmd, b.exited = c, exited
+	go func() {
+		_ = c.Wait()
+		close(exited)
+	}()
+	return nil
+}
+
+// signal sends a signal to the process of a box.
+func (b *box) signal(s syscall.Signal) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.cmd != nil {
+		_ = b.cmd.Process.Signal(s)
+	}
+}
+
+// awaitExit waits until the process of a box has ended, and reports whether it has.
+func (b *box) awaitExit(limit time.Duration) bool {
+	b.mu.Lock()
+	exited := b.exited
+	b.mu.Unlock()
+	select {
+	case <-exited:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+// isReady reports whether a box says that it is ready.
+func (b *box) isReady() bool {
+	h := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	a, err := h.Get("http://" + b.ready + standin.ReadyPath)
+	if err != nil {
+		return false
+	}
+	defer a.Body.Close()
+	return a.StatusCode == http.StatusOK
+}
+
+// awaitReady waits until all boxes are ready.
+func (f *fleet) awaitReady(limit time.Duration) error {
+	end := time.Now().Add(limit)
+	for _, b := range f.boxes {
+		for !b.isReady() {
+			if time.Now().After(end) {
+				return fmt.Errorf("%s is not ready", b.name)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// close ends all processes, and removes the folder unless KEEP is set.
+func (f *fleet) close() {
+	for _, b := range f.boxes {
+		if b.cmd == nil {
+			continue
+		}
+		b.signal(syscall.SIGCONT)
+		b.signal(syscall.SIGKILL)
+		b.awaitExit(5 * time.Second)
+		_ = b.log.Close()
+	}
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(f.dir)
+		return
+	}
+	fmt.Fprintln(os.Stderr, "kept", f.dir)
+}
+
+// put writes a configuration as the operator does, and returns when it was acknowledged.
+func (f *fleet) put(config any) (time.Time, error) {
+	b, err := json.Marshal(config)
+	if err != nil {
+		return time.Time{}, fmt.Errorf("encode configuration: %w", err)
+	}
+	f.store.Set(standin.ConfigKey, string(b))
+	return time.Now(), nil
+}
+
+// faults serves the store, and has open connections go silent.
+type faults struct {
+	handler http.Handler
+
+	mu    sync.Mutex
+	conns map[*silentConn]bool
+	delay time.Duration // of each answer, beside storeAnswer
+}
+
+func (s *faults) listen(ip string) (string, error) {
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		return "", fmt.Errorf("listen: %w", err)
+	}
+	s.conns = map[*silentConn]bool{}
+	go func() {
+		_ = http.Serve(faultListener{l, s}, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			s.mu.Lock()
+			d := s.delay
+			s.mu.Unlock()
+			time.Sleep(storeAnswer + d)
+			s.handler.ServeHTTP(w, r)
+		}))
+	}()
+	return l.Addr().String(), nil
+}
+
+// slow adds a delay to each answer.
+func (s *faults) slow(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = d
+}
+
+// silence has all connections that are open now go silent for good, without a reset. It returns their number.
+func (s *faults) silence() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for c := range s.conns {
+		c.mu.Lock()
+		if !c.silent {
+			n++
+		}
+		c.silent = true
+		c.mu.Unlock()
+	}
+	return n
+}
+
+type faultListener struct {
+	net.Listener
+	faults *faults
+}
+
+func (l faultListener) Accept() (net.Conn, error) {
+	n, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &silentConn{Conn: n, faults: l.faults}
+	l.faults.mu.Lock()
+	l.faults.conns[c] = true
+	l.faults.mu.Unlock()
+	return c, nil
+}
+
+// silentConn is a connection that may go silent: what arrives is dropped, and nothing is sent any more, not even its end.
+type silentConn struct {
+	net.Conn
+	faults *faults
+
+	mu     sync.Mutex
+	silent bool
+}
+
+func (c *silentConn) isSilent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.silent
+}
+
+func (c *silentConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if !c.isSilent() {
+			return n, err
+		}
+		if err != nil {
+			return 0, err
+		}
+	}
+}
+
+func (c *silentConn) Write(b []byte) (int, error) {
+	if c.isSilent() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+func (c *silentConn) Close() error {
+	if c.isSilent() {
+		return nil
+	}
+	c.faults.mu.Lock()
+	delete(c.faults.conns, c)
+	c.faults.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// run is one request that a server ran.
+type ran struct {
+	request, server, service, tenant string
+	at                               time.Time
+}
+
+// server is a server of a service.
+type server struct {
+	fleet             *fleet
+	id, service, zone string
+	address, version  string
+	slots             int
+	work              time.Duration // of an answer, and between events
+	events            int
+	handle            http.HandlerFunc // instead of the usual answer
+	mu                sync.Mutex
+	active            int
+	http              *http.Server
+}
+
+// startServer starts a server and writes its record.
+func (f *fleet) startServer(s *server) error {
+	s.fleet = f
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	s.address = l.Addr().String()
+	s.http = &http.Server{Handler: s}
+	go func() {
+		if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			fmt.Fprintln(os.Stderr, err)
+		}
+	}()
+	f.servers = append(f.servers, s)
+	s.write("ready")
+	return nil
+}
+
+// write writes the server's record.
+func (s *server) write(state string) {
+	b, err := json.Marshal(map[string]any{
+		"service": s.service, "address": s.address, "zone": s.zone, "version": s.version, "slots": s.slots, "state": state,
+		"cold_left_ms": 0, "seq": 1,
+	})
+	if err != nil {
+		panic(err) // unreachable: strings and numbers always encode
+	}
+	s.fleet.store.Set("servers/"+s.id, string(b))
+}
+
+// ServeHTTP runs a request as the pages say.
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Request-Id")
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	w.Header().Set("X-Request-Id", id)
+	w.Header().Set("X-Instance-Id", s.id)
+	if r.Header.Get("X-Expect-Instance") != s.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	s.mu.Lock()
+	full := s.active >= s.slots
+	if !full {
+		s.active++
+	}
+	s.mu.Unlock()
+	if full {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.active--
+	}()
+	s.fleet.record.run(ran{id, s.id, s.service, r.Header.Get("X-Tenant"), time.Now()})
+	w.Header().Set("X-Response-Stamp", "stamp."+s.id+"."+id)
+	if s.handle != nil {
+		s.handle(w, r)
+		return
+	}
+	if s.events > 0 {
+		s.stream(w, r)
+		return
+	}
+	time.Sleep(s.work)
+	fmt.Fprintf(w, "%s answers %s, %d bytes", s.id, id, len(body))
+}
+
+// stream answers with a series of events.
+func (s *server) stream(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for i := from + 1; i <= s.events; i++ {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(s.work):
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: piece %d of %d\n\n", i, i, s.events); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+// record collects what happened, for record.txt.
+type record struct {
+	mu    sync.Mutex
+	start time.Time
+	lines bytes.Buffer
+	runs  map[string][]ran
+}
+
+func newRecord() *record { return &record{start: time.Now(), runs: map[string][]ran{}} }
+
+// add adds a line with the time since the start.
+func (r *record) add(format string, arguments ...any) {
+	r.addAt(time.Now(), format, arguments...)
+}
+
+func (r *record) addAt(at time.Time, format string, arguments ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fmt.Fprintf(&r.lines, "%9.3f  %s\n", at.Sub(r.start).Seconds(), fmt.Sprintf(format, arguments...))
+}
+
+func (r *record) run(x ran) {
+	r.mu.Lock()
+	r.runs[x.request] = append(r.runs[x.request], x)
+	r.mu.Unlock()
+	r.addAt(x.at, "ran      %s at %s of %s, tenant %s", x.request, x.server, x.service, x.tenant)
+}
+
+// of returns the runs of a request.
+func (r *record) of(request string) []ran {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]ran{}, r.runs[request]...)
+}
+
+func (r *record) write(path string) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err := os.WriteFile(path, r.lines.Bytes(), 0o644); err != nil {
+		return fmt.Errorf("write the record: %w", err)
+	}
+	return nil
+}
