--- a/review/_stand/config_storm.go
+++ b/review/_stand/config_storm.go
@@ -83,17 +83,9 @@
 		return false, err
 	}
 	f.record.add("operator configuration 1 has %d routes and %d bytes", routes, len(texts[0]))
-	if err := f.startBoxes(6); err != nil {
+	if err := f.runBoxes(); err != nil {
 		return false, err
 	}
-	began := time.Now()
-	if err := f.run(); err != nil {
-		return false, err
-	}
-	if err := f.awaitReady(leadTime); err != nil {
-		return false, err
-	}
-	time.Sleep(time.Until(began.Add(leadTime)))
 	traffic := time.Now()
 	c, stop := context.WithCancel(context.Background())
 	defer stop()
--- a/review/_stand/fleet.go
+++ b/review/_stand/fleet.go
@@ -60,13 +60,12 @@
 	settings                       string
 	log                            *os.File
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	exited  chan struct{}
-	stopped bool // the test ended the process, or lets it end
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
 }
 
-// newFleet starts the stand-ins of the platform. The boxes are started by startBoxes.
+// newFleet starts the stand-ins of the platform. The boxes are started by runBoxes.
 func newFleet(r *record) (*fleet, error) {
 	dir, err := os.MkdirTemp("", "review-")
 	if err != nil {
@@ -86,14 +85,12 @@
 	return f, nil
 }
 
-// startBoxes starts the first n entry boxes of the sheet.
-func (f *fleet) startBoxes(n int) error {
+// placeBoxes chooses the addresses of the entry boxes of the sheet.
+func (f *fleet) placeBoxes() error {
 	k := 0
 	for _, z := range zones {
 		for i := range z.boxes {
-			if k++; k > n {
-				break
-			}
+			k++
 			b := &box{name: fmt.Sprintf("front-%s-%d", z.name, i+1), zone: z.name, ip: fmt.Sprintf("127.77.%d.%d", k, 10+i)}
 			for _, a := range []*string{&b.callers, &b.ready, &b.peers, &b.metrics} {
 				l, err := net.Listen("tcp", net.JoinHostPort(b.ip, "0"))
@@ -109,6 +106,22 @@
 	return nil
 }
 
+// runBoxes starts the entry boxes, and returns when they are ready and traffic is due.
+func (f *fleet) runBoxes() error {
+	if err := f.placeBoxes(); err != nil {
+		return err
+	}
+	began := time.Now()
+	if err := f.run(); err != nil {
+		return err
+	}
+	if err := f.awaitReady(leadTime); err != nil {
+		return err
+	}
+	time.Sleep(time.Until(began.Add(leadTime)))
+	return nil
+}
+
 // run starts the processes of all boxes.
 func (f *fleet) run() error {
 	seeds := make([]string, 0, 3)
@@ -219,6 +232,19 @@
 	}
 }
 
+// restart starts the process of a box again, as the platform does. It is not the first start of the whole system.
+func (b *box) restart() error {
+	t, err := os.ReadFile(b.settings)
+	if err != nil {
+		return fmt.Errorf("read settings: %w", err)
+	}
+	t = bytes.Replace(t, []byte("first_start = yes\n"), nil, 1)
+	if err := os.WriteFile(b.settings, t, 0o600); err != nil {
+		return fmt.Errorf("write settings: %w", err)
+	}
+	return b.start()
+}
+
 // awaitExit waits until the process of a box has ended, and reports whether it has.
 func (b *box) awaitExit(limit time.Duration) bool {
 	b.mu.Lock()
--- a/review/_stand/resume.go
+++ b/review/_stand/resume.go
@@ -55,17 +55,9 @@
 	if _, err := f.put(streamConfig(1, service)); err != nil {
 		return false, err
 	}
-	if err := f.startBoxes(6); err != nil {
+	if err := f.runBoxes(); err != nil {
 		return false, err
 	}
-	began := time.Now()
-	if err := f.run(); err != nil {
-		return false, err
-	}
-	if err := f.awaitReady(leadTime); err != nil {
-		return false, err
-	}
-	time.Sleep(time.Until(began.Add(leadTime)))
 	traffic := time.Now()
 	var g sync.WaitGroup
 	var mu sync.Mutex
@@ -110,7 +102,7 @@
 		f.record.add("trouble  SIGKILL to %s", f.boxes[0].name)
 		f.boxes[0].signal(syscall.SIGKILL)
 		f.boxes[0].awaitExit(time.Second)
-		time.AfterFunc(500*time.Millisecond, func() { _ = f.boxes[0].start() })
+		time.AfterFunc(500*time.Millisecond, func() { _ = f.boxes[0].restart() })
 	}
 	g.Wait()
 	allowed := 5 + requests/500
