--- a/review/_stand/config_storm.go
+++ b/review/_stand/config_storm.go
@@ -61,7 +61,7 @@
 func configStorm(f *fleet, trouble bool) (bool, error) {
 	for i, z := range zones {
 		for _, n := range []string{oldName, newName} {
-			s := &server{id: fmt.Sprintf("i-%s-%d", n, i), service: n, zone: z.name, version: "v1", slots: 6, work: 15 * time.Millisecond}
+			s := &server{id: fmt.Sprintf("i-%s-%d", n, i), service: n, zone: z.name, slots: 6, work: 15 * time.Millisecond}
 			if err := f.startServer(s); err != nil {
 				return false, err
 			}
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -20,7 +20,6 @@
 // cases are the cases by name. Each returns whether the rule was broken, and an error if it could not run.
 var cases = map[string]func(f *fleet, trouble bool) (bool, error){
 	"config-storm": configStorm,
-	"resume":       resumeDuringRelease,
 }
 
 func main() { os.Exit(run()) }
