Let each box know how old its view of the store is, and log it

Boxes judged those that watch the store by their leases. A watch that fails while the lease is renewed left no line at info, and no box could tell that its configuration was not the store's. Package viewage measures the time since a copy was known to be complete; relays that watch pass it on to the others, and these to their members. A series of failed calls is logged at its begin, every 10 s and at its end.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -281,6 +281,8 @@
 func (p *platformComponents) newMetricsServer(in *ingress.Ingress, f *forward.Forwarder, m metrics.Registry, log zerolog.Logger) *metricshttp.Server {
 	s := metricshttp.New(p.settings.Metrics, m, log)
 	s.RegisterGauge("configuration.version", func() int64 { v, _ := p.state.RawConfig(); return int64(v) })
+	s.RegisterGauge("view.age_ms", func() int64 { return p.state.ViewAge().Milliseconds() })
+	s.RegisterGauge("view.lag_ms", func() int64 { return p.gossip.ViewLag().Milliseconds() })
 	s.RegisterGauge("endpoints.known", func() int64 { return int64(p.state.Roster.Len()) })
 	s.RegisterGauge("endpoints.leaving", func() int64 { return int64(p.state.Roster.CountDraining()) })
 	s.RegisterGauge("endpoints.resting", func() int64 { return int64(p.balancer.Availability.CountBackingOff(boottime.Now())) })
--- a/fleetstate/service.go
+++ b/fleetstate/service.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/catalog"
 	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/kernel"
@@ -22,6 +23,7 @@
 	"birchlink.dev/birchlink/rollout"
 	"birchlink.dev/birchlink/store"
 	"birchlink.dev/birchlink/storesession"
+	"birchlink.dev/birchlink/viewage"
 )
 
 // Name is the name of the service.
@@ -74,6 +76,8 @@
 	cancel  context.CancelFunc
 	group   sync.WaitGroup
 
+	configAge, recordsAge *viewage.Age
+
 	table         atomic.Pointer[catalog.Table]
 	endpointsRead atomic.Bool // whether all endpoint records have been read once
 
@@ -93,7 +97,10 @@
 
 // New returns a service that reads src from s.
 func New(src Source, s store.Store, log zerolog.Logger) *Service {
-	return &Service{Source: src, Store: s, log: log, pendingRemovals: map[string]*time.Timer{}, withStartTime: map[string]bool{}}
+	return &Service{
+		Source: src, Store: s, log: log, pendingRemovals: map[string]*time.Timer{}, withStartTime: map[string]bool{},
+		configAge: viewage.New(), recordsAge: viewage.New(),
+	}
 }
 
 // Name returns the service's name.
@@ -105,11 +112,14 @@
 		return err
 	}
 	s.mirrors = []*mirror.Mirror{
-		{Store: s.Store, Prefix: s.operatorPrefix(), Wait: watchTimeout, Apply: s.applyConfig, Log: s.log, StoreUnreachable: s.session.StoreUnreachable},
 		{
-			Store: s.Store, Prefix: s.EndpointsPrefix, Wait: watchTimeout, Apply: s.applyEndpoints, StartRevision: s.Revision,
+			Store: s.Store, Prefix: s.operatorPrefix(), Wait: watchTimeout, Apply: s.applyConfig, OnCurrent: s.configAge.Confirm,
 			Log: s.log, StoreUnreachable: s.session.StoreUnreachable,
 		},
+		{
+			Store: s.Store, Prefix: s.EndpointsPrefix, Wait: watchTimeout, Apply: s.applyEndpoints, StartRevision: s.Revision,
+			OnCurrent: s.recordsAge.Confirm, Log: s.log, StoreUnreachable: s.session.StoreUnreachable,
+		},
 	}
 	for _, m := range s.mirrors {
 		s.session.OnReconnect(m.Restart)
@@ -159,6 +169,20 @@
 // Ready reports whether the configuration and the endpoints are known.
 func (s *Service) Ready() bool { return s.table.Load() != nil && s.endpointsRead.Load() }
 
+// ViewAge returns the time since the configuration and the records were last known to have all changes in the store.
+func (s *Service) ViewAge() time.Duration { return max(s.configAge.Get(), s.recordsAge.Get()) }
+
+// ConfirmView records that another box, which had a configuration and records of a revision, had all changes in the store
+// some time ago. It has no effect unless this box has at least those.
+func (s *Service) ConfirmView(version, revision uint64, age time.Duration) {
+	if v, _ := s.RawConfig(); v < version || s.Revision() < revision {
+		return
+	}
+	at := boottime.Now().Add(-age)
+	s.configAge.Confirm(at)
+	s.recordsAge.Confirm(at)
+}
+
 // OnRawConfig registers a function that is called, on a goroutine of its own, with the
 // encoded form of each configuration installed from now on.
 func (s *Service) OnRawConfig(f func([]byte)) {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -132,6 +132,7 @@
 	packedRecords recordsCache
 	slotWatch     *mirror.Mirror
 	stopSlotWatch context.CancelFunc // set while this box watches the slots
+	viewLog       viewLog
 
 	mu         sync.Mutex
 	slots      map[string]relaySlot
@@ -265,6 +266,7 @@
 		g.updateQuota()
 		g.Clock.Adjust(g.clockOffsets())
 		g.runRound(c)
+		g.logView()
 		g.rounds.Add(1)
 		others := g.othersTotal()
 		g.OnRound(others)
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -70,6 +70,7 @@
 	}
 	g.applyReply(w)
 	g.session.MergeReport(w.Silent)
+	g.state.ConfirmView(w.Others.Version, w.Revision, w.ViewAge)
 	g.slotVacant = g.slotVacant || w.Vacant && g.relay.dataCentre == g.DataCentre
 	g.catchUp(g.relay.address, w.Others.Version, w.Revision)
 	return true, w.Silent <= maxStoreSilence
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -28,6 +28,7 @@
 	s.add(self)
 	s.Words = rollout.MergeProgress(nil, self.Words, 0)
 	s.Leaving = g.isLeaving()
+	s.Watching, s.ViewAge = g.state.IsWatching(), g.state.ViewAge() // before the revision, which may be newer
 	s.Revision, s.Silent = g.state.Revision(), g.session.StoreUnresponsiveFor()
 	s.Suspects = g.relaySuspects(boottime.Now()) // before the lock is taken, as the quarantine calls sendsTrials
 	g.mu.Lock()
@@ -101,7 +102,7 @@
 	}
 	w := MemberReply{
 		Relay: isRelay, Vacant: isRelay && g.countLocalRelays() < relaysPerDataCentre,
-		Revision: g.state.Revision(), Silent: g.session.StoreUnresponsiveFor(), Now: g.Clock.Now(),
+		ViewAge: g.state.ViewAge(), Revision: g.state.Revision(), Silent: g.session.StoreUnresponsiveFor(), Now: g.Clock.Now(),
 	}
 	if isRelay {
 		g.fillReply(&w, in)
@@ -148,6 +149,9 @@
 	g.mergeRates(in.Rates.Words)
 	g.mergeRollouts(in.Orders, in.Words)
 	g.addRelaySamples(in.SpeedSamples)
+	if in.Watching { // views confirmed by relays that confirm each other's would never be old
+		g.state.ConfirmView(in.Version, in.Revision, in.ViewAge)
+	}
 	in.SpeedSamples = nil
 	in.Suspects, in.Leavers.Incarnations, in.Rates.Words = nil, nil, nil
 	g.mu.Lock()
--- a/gossip/status.go
+++ b/gossip/status.go
@@ -31,6 +31,8 @@
 	Version    uint64        // of the current configuration
 	Revision   uint64        // of the endpoint records; set by relays
 	Silent     time.Duration // time since the store last answered a relay
+	ViewAge    time.Duration // of a relay's configuration and records
+	Watching   bool          // the relay watches the store
 	Limits     quota.Lease   // what this relay leases to the receiver
 	Divided    uint64        // version of the division of limits that a member uses
 	Leaving    bool          // the box is stopping
@@ -78,6 +80,7 @@
 	Division quota.Division  // set if it is newer than the member's
 	Revision uint64
 	Silent   time.Duration
+	ViewAge  time.Duration
 	Peers    Peers                // without the lists if the member has them
 	Verdicts []quarantine.Suspect // on contents that crash endpoints; nil if the member has them
 	Judged   uint64               // checksum of Verdicts
--- /dev/null
+++ b/gossip/view.go
@@ -0,0 +1,48 @@
+package gossip
+
+import (
+	"time"
+
+	"birchlink.dev/birchlink/boottime"
+)
+
+const (
+	// maxViewAge is the age from which a box's view of the store is old although the store answers. A watch that hears of
+	// nothing confirms the view every 1.4 s, and each box on the way to a member adds up to a round.
+	maxViewAge = 4 * time.Second
+
+	// viewLogInterval is the interval at which a view that stays old is logged.
+	viewLogInterval = 10 * time.Second
+)
+
+// viewLog is what was logged of the age of this box's view.
+type viewLog struct {
+	oldSince, loggedAt time.Time // zero while the view is not old
+}
+
+// ViewLag returns for how long the store has answered while this box's configuration and records were not known to be up to
+// date.
+func (g *Gossip) ViewLag() time.Duration { return min(g.state.ViewAge(), g.session.StoreResponsiveFor()) }
+
+// logView logs when this box's view becomes old, while it stays so, and when it is up to date again.
+func (g *Gossip) logView() {
+	lag, now := g.ViewLag(), boottime.Now()
+	l := &g.viewLog
+	message := "old although the store answers"
+	switch {
+	case lag > maxViewAge && l.oldSince.IsZero():
+		l.oldSince = now.Add(-lag)
+	case lag > maxViewAge && now.Sub(l.loggedAt) < viewLogInterval, lag <= maxViewAge && l.oldSince.IsZero():
+		return
+	case lag <= maxViewAge:
+		message = "up to date again"
+	}
+	l.loggedAt = now
+	version, _ := g.state.RawConfig()
+	g.log.Info().Str("event", "view").Uint64("version", version).Uint64("revision", g.state.Revision()).Dur("lag", lag).
+		Dur("for", now.Sub(l.oldSince)).Bool("watches", g.state.IsWatching()).Str("relay", g.relay.box).
+		Dur("store_age", g.session.StoreUnresponsiveFor()).Msg(message)
+	if lag <= maxViewAge {
+		*l = viewLog{}
+	}
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -12,6 +12,7 @@
 
 	"github.com/rs/zerolog"
 
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/store"
 	"birchlink.dev/birchlink/wait"
 )
@@ -45,6 +46,9 @@
 	Apply func(items []store.Item, whole bool, revision uint64)
 	Log   zerolog.Logger
 
+	// OnCurrent, if set, is called with times up to which all changes have been applied.
+	OnCurrent func(at time.Time)
+
 	// StartRevision, if set, is called by Run and returns the revision up to which the
 	// keys are already known. If it is nil or returns zero, Run reads all keys first.
 	StartRevision func() uint64
@@ -55,6 +59,7 @@
 
 	mu        sync.Mutex
 	interrupt context.CancelFunc
+	failures  failures
 }
 
 // Restart interrupts the current call or delay and continues from the last revision.
@@ -81,11 +86,12 @@
 		switch {
 		case err == nil:
 			revision = next
+			m.logRecovery(next)
 		case errors.Is(err, store.ErrCompacted):
 			m.Log.Info().Str("event", "watch").Str("prefix", m.Prefix).Uint64("revision", revision).Msg("history compacted; reading all keys")
 			revision = 0
 		default:
-			m.Log.Debug().Str("event", "watch").Str("prefix", m.Prefix).Err(err).Msg("store call failed")
+			m.logFailure(call, revision, err)
 			wait.For(call, m.retryDelay())
 		}
 		cancel()
@@ -103,20 +109,26 @@
 // poll reads all keys if revision is zero, or else waits for changes after it. It returns the new
 // revision.
 func (m *Mirror) poll(c context.Context, revision uint64) (uint64, error) {
+	began := boottime.Now()
 	if revision == 0 {
 		items, at, err := m.Store.Range(c, m.Prefix)
 		if err != nil {
 			return 0, err
 		}
 		m.Apply(items, true, at)
+		m.confirm(began)
 		return at, nil
 	}
 	items, at, err := m.Store.Watch(c, m.Prefix, revision, m.Wait)
 	if err != nil {
 		return 0, err
 	}
+	answered := boottime.Now()
 	if len(items) > 0 {
 		m.Apply(items, false, at)
+	}
+	m.confirm(answered)
+	if len(items) > 0 {
 		wait.For(c, coalesceDelay)
 	}
 	return max(at, revision), nil
--- a/storesession/session.go
+++ b/storesession/session.go
@@ -53,6 +53,7 @@
 	reachable     bool
 	everAnswered  bool
 	reconnectedAt time.Time // when the store last became reachable again
+	answersSince  time.Time // when it last became reachable, the first time included
 	onReconnect   []func()
 }
 
@@ -120,6 +121,16 @@
 	return boottime.Since(s.lastAnswer())
 }
 
+// StoreResponsiveFor returns for how long the store has answered without an outage that this box knows of.
+func (s *Session) StoreResponsiveFor() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.reachable || boottime.Since(s.lastAnswer()) >= 2*RenewInterval {
+		return 0
+	}
+	return boottime.Since(s.answersSince)
+}
+
 // lastAnswer returns when the store last answered. The caller must hold the lock.
 func (s *Session) lastAnswer() time.Time { return later(s.renewedAt, s.reportedAt) }
 
@@ -257,6 +268,7 @@
 	}
 	var callbacks []func()
 	if err == nil && !was {
+		s.answersSince = s.renewedAt
 		callbacks = s.onReconnect
 		// The first answer of all ends no outage: no key is known to have lapsed.
 		if s.everAnswered {
--- /dev/null
+++ b/viewage/age_test.go
@@ -0,0 +1,32 @@
+package viewage_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"birchlink.dev/birchlink/boottime"
+	"birchlink.dev/birchlink/viewage"
+)
+
+func Example() {
+	a := viewage.New()
+	a.Confirm(boottime.Now().Add(-time.Hour)) // older than what is known
+	fmt.Println(a.Get() < time.Minute)
+	// Output: true
+}
+
+func TestAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := viewage.New()
+		time.Sleep(3 * time.Second)
+		require.Equal(t, 3*time.Second, a.Get())
+		a.Confirm(boottime.Now().Add(-time.Second))
+		require.Equal(t, time.Second, a.Get())
+		a.Confirm(boottime.Now().Add(-2 * time.Second))
+		require.Equal(t, time.Second, a.Get())
+	})
+}
