--- a/gossip/view.go
+++ b/gossip/view.go
@@ -22,7 +22,9 @@
 
 // ViewLag returns for how long the store has answered while this box's configuration and records were not known to be up to
 // date.
-func (g *Gossip) ViewLag() time.Duration { return min(g.state.ViewAge(), g.session.StoreResponsiveFor()) }
+func (g *Gossip) ViewLag() time.Duration {
+	return min(g.state.ViewAge(), g.session.StoreResponsiveFor())
+}
 
 // logView logs when this box's view becomes old, while it stays so, and when it is up to date again.
 func (g *Gossip) logView() {
