--- a/fleetstate/service_test.go
+++ b/fleetstate/service_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -105,6 +106,22 @@
 	})
 }
 
+// Guards against a box that installs each version of a configuration that has changed several times since it last read it.
+func TestNewestConfigOfSeveral(t *testing.T) {
+	runWithBox(t, func(t *testing.T, m *memstore.Store, b *box) {
+		var installed atomic.Int64
+		b.OnRawConfig(func([]byte) { installed.Add(1) })
+		m.SetWatchesStalled(true)
+		for v := range 9 {
+			m.Set("config", fmt.Sprintf(`{"Version":%d}`, v+4))
+		}
+		m.SetWatchesStalled(false)
+		wait.For(t.Context(), applyBound)
+		require.EqualValues(t, 12, b.version())
+		require.EqualValues(t, 1, installed.Load())
+	})
+}
+
 // A configuration with a lower version is ignored, from the store and from other boxes.
 func TestVersionNeverDecreases(t *testing.T) {
 	runWithBox(t, func(t *testing.T, m *memstore.Store, b *box) {
