--- a/election/election.go
+++ b/election/election.go
@@ -148,7 +148,7 @@
 		return e.acquire(c)
 	}
 	// However the watch ends, the next step reads the key again.
-	if _, _, err := e.Store.Watch(c, e.Key, at, watchTimeout); err != nil {
+	if _, _, err := e.Store.Watch(c, e.Key, at, watchTimeout, 0); err != nil {
 		return retryInterval
 	}
 	return 0
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -308,7 +308,7 @@
 	return nil, 0, store.ErrUnavailable
 }
 
-func (unavailableStore) Watch(context.Context, string, uint64, time.Duration) ([]store.Item, uint64, error) {
+func (unavailableStore) Watch(context.Context, string, uint64, time.Duration, int) ([]store.Item, uint64, error) {
 	return nil, 0, store.ErrUnavailable
 }
 
--- a/gossip/storm_test.go
+++ b/gossip/storm_test.go
@@ -28,11 +28,11 @@
 	return s.Store.Range(c, prefix)
 }
 
-func (s *stuckStore) Watch(c context.Context, prefix string, since uint64, wait time.Duration) ([]store.Item, uint64, error) {
+func (s *stuckStore) Watch(c context.Context, prefix string, since uint64, wait time.Duration, limit int) ([]store.Item, uint64, error) {
 	if prefix == "config" && s.stuck.Load() {
 		return nil, 0, store.ErrUnavailable
 	}
-	return s.Store.Watch(c, prefix, since, wait)
+	return s.Store.Watch(c, prefix, since, wait, limit)
 }
 
 // Guards against a fleet that stays at an old configuration because those that watch the store for all can't read it, while
--- a/gossip/watchers_test.go
+++ b/gossip/watchers_test.go
@@ -39,11 +39,11 @@
 	return cs.Store.Renew(c, l)
 }
 
-func (cs *closableStore) Watch(c context.Context, prefix string, since uint64, wait time.Duration) ([]store.Item, uint64, error) {
+func (cs *closableStore) Watch(c context.Context, prefix string, since uint64, wait time.Duration, limit int) ([]store.Item, uint64, error) {
 	if cs.closed.Load() {
 		return nil, 0, store.ErrUnavailable
 	}
-	return cs.Store.Watch(c, prefix, since, wait)
+	return cs.Store.Watch(c, prefix, since, wait, limit)
 }
 
 // Two relays of different data centres watch the store. When one stops, or gets no more answers from
@@ -96,9 +96,9 @@
 	watches atomic.Int64
 }
 
-func (c *callCounter) Watch(x context.Context, prefix string, since uint64, wait time.Duration) ([]store.Item, uint64, error) {
+func (c *callCounter) Watch(x context.Context, prefix string, since uint64, wait time.Duration, limit int) ([]store.Item, uint64, error) {
 	c.watches.Add(1)
-	return c.Store.Watch(x, prefix, since, wait)
+	return c.Store.Watch(x, prefix, since, wait, limit)
 }
 
 func (c *callCounter) Range(x context.Context, prefix string) ([]store.Item, uint64, error) {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -1,6 +1,7 @@
 // Package mirror follows the keys under a prefix of the store. It reads all of them
 // once, then watches for changes, and reads all again when the store has compacted
-// the history that it needs.
+// the history that it needs. It also does when the changes take more bytes than the
+// keys: a value that changes faster than it is read is read in its newest state only.
 package mirror
 
 import (
@@ -60,6 +61,8 @@
 	mu        sync.Mutex
 	interrupt context.CancelFunc
 	failures  failures
+	rereads   rereads
+	sizes     sizes
 }
 
 // Restart interrupts the current call or delay and continues from the last revision.
@@ -90,6 +93,9 @@
 		case errors.Is(err, store.ErrCompacted):
 			m.Log.Info().Str("event", "watch").Str("prefix", m.Prefix).Uint64("revision", revision).Msg("history compacted; reading all keys")
 			revision = 0
+		case errors.Is(err, store.ErrTooLarge):
+			m.logReread(revision, err)
+			revision = 0
 		default:
 			m.logFailure(call, revision, err)
 			wait.For(call, m.retryDelay())
@@ -116,16 +122,18 @@
 			return 0, err
 		}
 		m.Apply(items, true, at)
+		m.sizes.set(items, true)
 		m.confirm(began)
 		return at, nil
 	}
-	items, at, err := m.Store.Watch(c, m.Prefix, revision, m.Wait)
+	items, at, err := m.Store.Watch(c, m.Prefix, revision, m.Wait, m.sizes.watchLimit())
 	if err != nil {
 		return 0, err
 	}
 	answered := boottime.Now()
 	if len(items) > 0 {
 		m.Apply(items, false, at)
+		m.sizes.set(items, false)
 	}
 	m.confirm(answered)
 	if len(items) > 0 {
--- a/stand/memstore/store.go
+++ b/stand/memstore/store.go
@@ -183,8 +183,8 @@
 }
 
 // Watch returns the changes under a prefix after a revision. If there are none, it waits up to the
-// given time for one.
-func (s *Store) Watch(c context.Context, prefix string, since uint64, wait time.Duration) ([]store.Item, uint64, error) {
+// given time for one. It fails with store.ErrTooLarge if they are over a limit other than zero, in bytes.
+func (s *Store) Watch(c context.Context, prefix string, since uint64, wait time.Duration, limit int) ([]store.Item, uint64, error) {
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	s.mu.Lock()
@@ -205,6 +205,13 @@
 		}
 		s.mu.Unlock()
 		if len(out) > 0 {
+			size := 0
+			for _, i := range out {
+				size += i.Size()
+			}
+			if limit > 0 && size > limit {
+				return nil, 0, store.ErrTooLarge
+			}
 			return out, revision, nil
 		}
 		select {
--- a/store/store.go
+++ b/store/store.go
@@ -15,6 +15,7 @@
 	ErrUnavailable    = errors.New("the store is unavailable")
 	ErrNoLease        = errors.New("the lease does not exist")
 	ErrCompacted      = errors.New("the history after the requested revision is not available")
+	ErrTooLarge       = errors.New("the changes take more bytes than the caller allows")
 )
 
 // Item is a key with its value. Revision and Created are the revisions of the store at the last change
@@ -28,6 +29,12 @@
 	Deleted  bool
 }
 
+// Size returns the size of the item in memory, in bytes.
+func (i Item) Size() int {
+	const overhead = 128
+	return len(i.Key) + len(i.Value) + overhead
+}
+
 // Lease is the ID of a lease. The store deletes the keys attached to a lease that is not renewed in
 // time. Zero is no lease.
 type Lease uint64
@@ -56,12 +63,13 @@
 //
 // Get returns an Item with Revision 0 if the key does not exist. Range and Watch return items under a
 // prefix and a revision from which to watch next. Watch returns the changes after the revision since
-// as soon as there are any, or nothing after wait. Commit returns the revision of the change. Grant
+// as soon as there are any, or nothing after wait. Changes that take more than limit bytes, by Item.Size, are not returned:
+// Watch fails with ErrTooLarge, and the caller should read the keys instead. A limit of zero means none. Commit returns the revision of the change. Grant
 // returns a new lease and its time to live.
 type Store interface {
 	Get(c context.Context, key string) (Item, error)
 	Range(c context.Context, prefix string) ([]Item, uint64, error)
-	Watch(c context.Context, prefix string, since uint64, wait time.Duration) ([]Item, uint64, error)
+	Watch(c context.Context, prefix string, since uint64, wait time.Duration, limit int) ([]Item, uint64, error)
 	Commit(c context.Context, x Change) (uint64, error)
 	Grant(c context.Context, ttl time.Duration) (Lease, time.Duration, error)
 	Renew(c context.Context, l Lease) error
