Install the newest of several versions only

A box that reads several changes of the configuration at once decoded and installed each, and pushed each to all boxes it informs: time that slow boxes lack to reach the newest. An invalid newest version still leaves the one before it.

TestNewestConfigOfSeveral: 9 installations before, 1 now.

--- a/fleetstate/service.go
+++ b/fleetstate/service.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -238,13 +239,16 @@
 	if s.DecodeOrder != nil && s.OnOrders != nil {
 		s.applyOrders(items, whole, revision)
 	}
-	for _, i := range items {
+	// Those before the newest one that can be decoded are never needed.
+	for _, i := range slices.Backward(items) {
 		if i.Deleted || i.Key != s.ConfigKey {
 			continue
 		}
-		if err := s.Install(i.Value, "store"); err != nil {
-			s.log.Error().Str("event", "configuration").Uint64("revision", i.Revision).Err(err).Msg("not taken; the configuration in force is kept")
+		err := s.Install(i.Value, "store")
+		if err == nil {
+			return
 		}
+		s.log.Error().Str("event", "configuration").Uint64("revision", i.Revision).Err(err).Msg("not taken; the configuration in force is kept")
 	}
 }
 
