Announce configurations and many records, and let boxes fetch the newest

Each version of the configuration was pushed whole to each box, 450 ms a call, behind the ones before on the same connection: a storm of changes queued on a relay's link long after it was over, before the reports between boxes and newer versions.

An update now names the version and where it is; up to 50 records still come along.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -155,6 +155,7 @@
 	reportedCrashes *simplelru.LRU[string, bool]
 	configFetch     fetch
 	recordsFetch    fetch
+	updates         inFlight
 	verdictSum      uint64 // checksum of the verdicts that members were last notified of
 	totals          totalCache
 }
@@ -204,9 +205,10 @@
 	}
 	g.session.OnReconnect(g.slotWatch.Restart)
 	g.state.OnRecords(func(r fleetstate.Records) { g.pushRecords(c, r) })
-	g.state.OnRawConfig(func(raw []byte) {
+	g.state.OnRawConfig(func([]byte) {
 		g.updateQuota() // makes new accounts known before their first request
-		g.pushConfiguration(c, raw)
+		version, _ := g.state.RawConfig()
+		g.pushUpdate(c, update{Version: version})
 	})
 	g.group.Go(func() { g.run(c) })
 	return nil
@@ -384,25 +386,6 @@
 	g.reply, g.repliedAt, g.lastContact, g.replyClockOffset = w, boottime.Now(), boottime.Now(), w.Now.Sub(g.Clock.Now())
 }
 
-func (g *Gossip) pushConfiguration(c context.Context, raw []byte) {
-	zip, err := g.packedConfig.pack(raw)
-	if err != nil {
-		g.log.Error().Str("event", "configuration").Err(err).Msg("not pushed; members fetch it")
-		return
-	}
-	g.pushUpdate(c, update{Configuration: zip, From: g.Box})
-}
-
-func (g *Gossip) installConfiguration(zip []byte, from string) {
-	raw, err := unpack(zip)
-	if err == nil {
-		err = g.state.Install(raw, from)
-	}
-	if err != nil {
-		g.log.Error().Str("event", "configuration").Str("from", from).Err(err).Msg("not taken; the current configuration stays in force")
-	}
-}
-
 func (g *Gossip) call(c context.Context, address, method string, in, out any) error {
 	x, cancel := context.WithTimeout(c, callTimeout)
 	defer cancel()
--- a/gossip/records.go
+++ b/gossip/records.go
@@ -11,20 +11,15 @@
 	"birchlink.dev/birchlink/frame"
 )
 
-// maxPlainRecords is the number of records up to which compression isn't worthwhile.
+// maxPlainRecords is the number of records up to which they are sent with their announcement.
 const maxPlainRecords = 50
 
 func (g *Gossip) pushRecords(c context.Context, r fleetstate.Records) {
+	u := update{Revision: r.To}
 	if len(r.Items) <= maxPlainRecords {
-		g.pushUpdate(c, update{Records: &r, From: g.Box})
-		return
+		u.Records = &r
 	}
-	zip, err := packRecords(r)
-	if err != nil {
-		g.log.Error().Str("event", "endpoint").Err(err).Msg("records not pushed; members fetch them")
-		return
-	}
-	g.pushUpdate(c, update{Packed: zip, From: g.Box})
+	g.pushUpdate(c, u)
 }
 
 // packRecords encodes and compresses records. A relay that has read the records of 3,000 endpoints
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -161,21 +162,12 @@
 	g.lastContact = now
 }
 
-// handleUpdate applies a change of the configuration or of records that a relay pushes.
+// handleUpdate applies the records that a relay sends, and starts to fetch what it announces.
 func (g *Gossip) handleUpdate(_ context.Context, in update) (bool, error) {
-	if len(in.Configuration) > 0 {
-		g.installConfiguration(in.Configuration, in.From)
-	}
-	if len(in.Packed) > 0 {
-		r, err := unpackRecords(in.Packed)
-		if err != nil {
-			return false, err
-		}
-		in.Records = &r
-	}
 	if in.Records != nil {
-		return g.state.Merge(*in.Records), nil
+		g.state.Merge(*in.Records)
 	}
+	g.catchUp(in.Address, in.Version, in.Revision)
 	return true, nil
 }
 
@@ -234,8 +226,8 @@
 	}
 }
 
-// pushUpdate sends a change immediately to the members and, if this relay watches the store, to the
-// other relays.
+// pushUpdate sends an update immediately to the members and, if this relay watches the store, to the
+// other relays. A box to which maxUpdatesInFlight are under way is left out.
 func (g *Gossip) pushUpdate(c context.Context, u update) {
 	if !g.holdsSlot() {
 		return
@@ -244,22 +236,33 @@
 	if g.state.IsWatching() {
 		to = append(to, g.reachableRelays()...)
 	}
-	g.broadcast(c, to, "gossip.update", u)
+	u.Address = g.Address
+	to = slices.DeleteFunc(to, func(a string) bool { return !g.updates.enter(a) })
+	g.broadcastThen(c, to, "gossip.update", u, g.updates.leave)
 }
 
 // broadcast makes the same call to several boxes, encoded once. A box that isn't reached catches up
 // in its next round.
 func (g *Gossip) broadcast(c context.Context, to []string, method string, in any) {
+	g.broadcastThen(c, to, method, in, func(string) {})
+}
+
+// broadcastThen calls done with the address of each box once its call of a broadcast has ended.
+func (g *Gossip) broadcastThen(c context.Context, to []string, method string, in any, done func(address string)) {
 	if len(to) == 0 {
 		return
 	}
 	b, err := msgpack.Marshal(in)
 	if err != nil {
 		g.log.Error().Str("event", "told").Str("method", method).Err(err).Msg("not sent; others fetch it")
+		for _, a := range to {
+			done(a)
+		}
 		return
 	}
 	for _, a := range to {
 		g.spawn(func() {
+			defer done(a)
 			var accepted bool
 			if err := g.call(c, a, method, msgpack.RawMessage(b), &accepted); err != nil {
 				g.log.Debug().Str("event", "told").Str("method", method).Str("to", a).Err(err).Msg("not reached")
--- a/gossip/status.go
+++ b/gossip/status.go
@@ -94,12 +94,13 @@
 	SpeedSamples *speed.Reply `msgpack:",omitempty"`
 }
 
-// update carries a change of the configuration or of endpoint records.
+// update announces that the box at Address has a configuration of Version, or records of Revision. Few changed records are
+// sent along. What is larger is fetched by the receiver, which so gets the newest state only, and at its own pace.
 type update struct {
-	Configuration []byte
-	Records       *fleetstate.Records
-	Packed        []byte // packed records, used instead of Records for many
-	From          string
+	Version  uint64
+	Revision uint64
+	Records  *fleetstate.Records
+	Address  string
 }
 
 // receivedStatus is a status and the time of its receipt. The ages of its Words refer to that time.
