--- a/fleetstate/service.go
+++ b/fleetstate/service.go
@@ -16,7 +16,6 @@
 
 	"github.com/rs/zerolog"
 
-	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/catalog"
 	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/kernel"
@@ -78,6 +77,7 @@
 	group   sync.WaitGroup
 
 	configAge, recordsAge *viewage.Age
+	unconfirmed           confirmation // guarded by mu
 
 	table         atomic.Pointer[catalog.Table]
 	endpointsRead atomic.Bool // whether all endpoint records have been read once
@@ -170,20 +170,6 @@
 // Ready reports whether the configuration and the endpoints are known.
 func (s *Service) Ready() bool { return s.table.Load() != nil && s.endpointsRead.Load() }
 
-// ViewAge returns the time since the configuration and the records were last known to have all changes in the store.
-func (s *Service) ViewAge() time.Duration { return max(s.configAge.Get(), s.recordsAge.Get()) }
-
-// ConfirmView records that another box, which had a configuration and records of a revision, had all changes in the store
-// some time ago. It has no effect unless this box has at least those.
-func (s *Service) ConfirmView(version, revision uint64, age time.Duration) {
-	if v, _ := s.RawConfig(); v < version || s.Revision() < revision {
-		return
-	}
-	at := boottime.Now().Add(-age)
-	s.configAge.Confirm(at)
-	s.recordsAge.Confirm(at)
-}
-
 // OnRawConfig registers a function that is called, on a goroutine of its own, with the
 // encoded form of each configuration installed from now on.
 func (s *Service) OnRawConfig(f func([]byte)) {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -133,6 +133,7 @@
 	slotWatch     *mirror.Mirror
 	stopSlotWatch context.CancelFunc // set while this box watches the slots
 	viewLog       viewLog
+	restsUntil    atomic.Pointer[time.Time] // nil if this box has not rested
 
 	mu         sync.Mutex
 	slots      map[string]relaySlot
@@ -269,6 +270,7 @@
 		g.Clock.Adjust(g.clockOffsets())
 		g.runRound(c)
 		g.logView()
+		g.restIfOld()
 		g.rounds.Add(1)
 		others := g.othersTotal()
 		g.OnRound(others)
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -13,7 +13,7 @@
 const maxAskedBoxes = 2
 
 // runMemberRound reports to the relay that represents this box. If the relay doesn't answer, is no
-// longer a relay, or gets no answer from the store, the box switches to another relay that does. If
+// longer a relay, gets no answer from the store or has an old view of it, the box switches to another relay that does. If
 // there is none and the store answers this box, the box watches the store itself and tries to claim a
 // slot. While the store answers no box, a box stays with its relay.
 func (g *Gossip) runMemberRound(c context.Context) {
@@ -52,7 +52,7 @@
 }
 
 // reportToRelay sends this box's status to its relay. It returns whether the box there answers as a
-// relay, and whether the store answered that relay recently.
+// relay, and whether that relay can keep this box up to date.
 func (g *Gossip) reportToRelay(c context.Context) (answered, fresh bool) {
 	if g.relay.address == "" || g.relay.box == g.Box {
 		return false, false
@@ -73,7 +73,13 @@
 	g.state.ConfirmView(w.Others.Version, w.Revision, w.ViewAge)
 	g.slotVacant = g.slotVacant || w.Vacant && g.relay.dataCentre == g.DataCentre
 	g.catchUp(g.relay.address, w.Others.Version, w.Revision)
-	return true, w.Silent <= maxStoreSilence
+	return true, w.isFresh()
+}
+
+// isFresh reports whether the relay that answered can keep a member up to date: it is in touch with the store, and its view of
+// it is not old.
+func (w *MemberReply) isFresh() bool {
+	return w.Silent <= maxStoreSilence && w.ViewLag <= maxRelayViewLag
 }
 
 // switchRelay looks for another relay that gets answers from the store, and lets it represent this
@@ -84,7 +90,7 @@
 			continue
 		}
 		var w MemberReply
-		if err := g.call(c, s.address, "gossip.member", g.memberStatus(), &w); err != nil || !w.Relay || w.Silent > maxStoreSilence {
+		if err := g.call(c, s.address, "gossip.member", g.memberStatus(), &w); err != nil || !w.Relay || !w.isFresh() {
 			continue
 		}
 		g.joinRelay(s, w)
@@ -126,7 +132,7 @@
 	if !g.includesStats() {
 		s.Speeds = nil
 	}
-	s.Relay = g.relay.box
+	s.Relay, s.Revision = g.relay.box, g.state.Revision()
 	// One round longer than representsItself, so that this box isn't counted twice.
 	s.ForItself = boottime.Since(g.startedAt) < selfRepresentedFor+startupRoundPeriod
 	s.Divided = g.Quota.Division().Version
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -29,6 +29,7 @@
 	s.add(self)
 	s.Words = rollout.MergeProgress(nil, self.Words, 0)
 	s.Leaving = g.isLeaving()
+	s.Resting = g.isResting()
 	s.Watching, s.ViewAge = g.state.IsWatching(), g.state.ViewAge() // before the revision, which may be newer
 	s.Revision, s.Silent = g.state.Revision(), g.session.StoreUnresponsiveFor()
 	s.Suspects = g.relaySuspects(boottime.Now()) // before the lock is taken, as the quarantine calls sendsTrials
@@ -98,12 +99,13 @@
 	}
 	g.lastContact = now
 	g.mu.Unlock()
+	g.catchUp(in.Address, in.Version, in.Revision) // a member that this relay can't keep up to date reads the store itself
 	if represented && !known {
 		g.log.Info().Str("event", "member").Str("other", in.Box).Uint64("version", in.Version).Msg("member joined")
 	}
 	w := MemberReply{
 		Relay: isRelay, Vacant: isRelay && g.countLocalRelays() < relaysPerDataCentre,
-		ViewAge: g.state.ViewAge(), Revision: g.state.Revision(), Silent: g.session.StoreUnresponsiveFor(), Now: g.Clock.Now(),
+		ViewAge: g.state.ViewAge(), ViewLag: g.ViewLag(), Revision: g.state.Revision(), Silent: g.session.StoreUnresponsiveFor(), Now: g.Clock.Now(),
 	}
 	if isRelay {
 		g.fillReply(&w, in)
--- a/gossip/status.go
+++ b/gossip/status.go
@@ -29,10 +29,11 @@
 	Relay      string // the relay that represents this box; any other relay only answers
 	Boxes      int
 	Version    uint64        // of the current configuration
-	Revision   uint64        // of the endpoint records; set by relays
+	Revision   uint64        // of the endpoint records
 	Silent     time.Duration // time since the store last answered a relay
 	ViewAge    time.Duration // of a relay's configuration and records
 	Watching   bool          // the relay watches the store
+	Resting    bool          // the relay leaves watching to others
 	Limits     quota.Lease   // what this relay leases to the receiver
 	Divided    uint64        // version of the division of limits that a member uses
 	Leaving    bool          // the box is stopping
@@ -81,6 +82,7 @@
 	Revision uint64
 	Silent   time.Duration
 	ViewAge  time.Duration
+	ViewLag  time.Duration        // how long the relay's view has been old although the store answers it
 	Peers    Peers                // without the lists if the member has them
 	Verdicts []quarantine.Suspect // on contents that crash endpoints; nil if the member has them
 	Judged   uint64               // checksum of Verdicts
--- a/gossip/view.go
+++ b/gossip/view.go
@@ -11,6 +11,13 @@
 	// nothing confirms the view every 1.4 s, and each box on the way to a member adds up to a round.
 	maxViewAge = 4 * time.Second
 
+	// maxRelayViewLag is how long the view of a member's relay may be old before the member reads the store itself. Other relays
+	// should have taken over from those that watch the store by then.
+	maxRelayViewLag = 2 * maxViewAge
+
+	// watchRest is how long a relay leaves watching to others after its view was old.
+	watchRest = 30 * time.Second
+
 	// viewLogInterval is the interval at which a view that stays old is logged.
 	viewLogInterval = 10 * time.Second
 )
@@ -48,3 +55,19 @@
 		*l = viewLog{}
 	}
 }
+
+// restIfOld makes a relay leave watching the store to others if its view is old though it watches.
+func (g *Gossip) restIfOld() {
+	if !g.holdsSlot() || !g.state.IsWatching() || g.ViewLag() <= maxViewAge || g.isResting() {
+		return
+	}
+	until := boottime.Now().Add(watchRest)
+	g.restsUntil.Store(&until)
+	g.log.Info().Str("event", "view").Dur("lag", g.ViewLag()).Dur("rest", watchRest).Msg("leaves watching to other relays")
+}
+
+// isResting reports whether this box leaves watching to others.
+func (g *Gossip) isResting() bool {
+	until := g.restsUntil.Load()
+	return until != nil && boottime.Now().Before(*until)
+}
