Read the configuration of the own interface from peers one at a time, the newest one

Each offer of a version made a box read the whole configuration from the box that offered it, within 1 s and over the connection of all other calls: a storm of changes made as many reads at once, and a large configuration on a slow link was begun every two seconds and never read. When the service starts, all boxes sent it at the same time.

Offers return at once; one read is under way, over the connections for bulk data and for up to 10 s, and after it the newest version that was offered is read. A peer is asked for its version first. A read from a box that is gone gives way to another after 2 s. Failed watches and reads are logged at info, the first of a series and each 20th.

TestOffersDuringRead: ten reads and none after them before, two at most now. Its first offer is now sent ahead of the others, since a peer always has what it offers; it still fails on the code before.

--- a/configsync/follower.go
+++ b/configsync/follower.go
@@ -15,6 +15,7 @@
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 	"github.com/vmihailenco/msgpack/v5"
+	"golang.org/x/sync/errgroup"
 
 	"birchlink.dev/birchlink/config"
 	"birchlink.dev/birchlink/errkind"
@@ -36,9 +37,12 @@
 const (
 	watchTimeout   = 10 * time.Second       // longest wait of a watch
 	gossipInterval = 2 * time.Second        // between requests to peers
-	callTimeout    = time.Second            // of one read or of one call to a peer
+	callTimeout    = time.Second            // of one read of the key-value service or of one offer
 	confirmTimeout = 3 * time.Second        // for reading back a swap with an unknown outcome
 	retryInterval  = 500 * time.Millisecond // after a failed watch, and between the reads that confirm a swap
+	readTimeout    = 10 * time.Second       // of one read of a configuration from a peer, which may be large and its link slow
+	staleReadAge   = 2 * time.Second        // after which a read is given up for another one if its peer is gone
+	maxReads       = 4                      // reads from peers at the same time when the service starts
 	maxWatchers    = 2                      // boxes per data centre that watch the key-value service, and that are relays
 )
 
@@ -65,17 +69,23 @@
 
 	mu       sync.Mutex
 	revision Revision
+	reads    reads
 	current  atomic.Pointer[config.Document]
 	hooks    []func(*config.Document)
 	store    store
 	members  *member.Service
 	peers    *peer.Node
+	ctx      context.Context
 	cancel   context.CancelFunc
 	group    sync.WaitGroup
 }
 
 // New returns a follower without a configuration.
-func New(log zerolog.Logger) *Follower { return &Follower{Log: log} }
+func New(log zerolog.Logger) *Follower {
+	f := &Follower{Log: log}
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	return f
+}
 
 // Name returns the service's name.
 func (f *Follower) Name() string { return Name }
@@ -95,13 +105,12 @@
 		return err
 	}
 	peer.Handle(f.peers.Server, "config.get", f.handleGet)
+	peer.Handle(f.peers.Server, "config.version", func(context.Context, uint64) (uint64, error) { return f.version(), nil })
 	peer.Handle(f.peers.Server, "config.offer", f.handleOffer)
 	f.readStore(c)
 	f.readPeers(c)
-	x, cancel := context.WithCancel(context.Background())
-	f.cancel = cancel
-	f.group.Go(func() { f.watch(x) })
-	f.group.Go(func() { f.pollPeers(x) })
+	f.group.Go(func() { f.watch(f.ctx) })
+	f.group.Go(func() { f.pollPeers(f.ctx) })
 	return nil
 }
 
@@ -184,24 +193,30 @@
 	}
 }
 
-// readPeers asks all other boxes for their versions and installs the highest.
+// readPeers asks all other boxes for higher versions, maxReads at a time, so that few of them send the same one.
 func (f *Follower) readPeers(c context.Context) {
-	var g sync.WaitGroup
+	var g errgroup.Group
+	g.SetLimit(maxReads)
 	for _, m := range f.members.Up("") {
 		if m.Box != f.members.Self().Box {
-			g.Go(func() { f.fetch(c, m.Address) })
+			g.Go(func() error { return f.fetch(c, m.Address, callTimeout) })
 		}
 	}
-	g.Wait()
+	_ = g.Wait() // what was not read is read later
 }
 
-func (f *Follower) fetch(c context.Context, address string) {
-	c, cancel := context.WithTimeout(c, callTimeout)
+// fetch reads and installs a higher version from a peer, if it has one.
+func (f *Follower) fetch(c context.Context, address string, timeout time.Duration) error {
+	c, cancel := context.WithTimeout(c, timeout)
 	defer cancel()
 	var r Revision
-	if err := f.peers.Client.Call(c, address, "config.get", f.version(), &r); err == nil && r.Version > 0 {
+	if err := f.peers.Bulk.Call(c, address, "config.get", f.version(), &r); err != nil {
+		return err
+	}
+	if r.Version > 0 {
 		f.Install(r)
 	}
+	return nil
 }
 
 // handleGet returns the installed version if it is higher than the caller's, and a zero Revision
@@ -221,16 +236,15 @@
 	Address string
 }
 
-func (f *Follower) handleOffer(c context.Context, o offer) (struct{}, error) {
-	if o.Version > f.version() {
-		f.fetch(c, o.Address)
-	}
+func (f *Follower) handleOffer(_ context.Context, o offer) (struct{}, error) {
+	f.read(o)
 	return struct{}{}, nil
 }
 
 // watch watches the key-value service while this box is one of the watchers of its data centre.
 func (f *Follower) watch(c context.Context) {
 	var after uint64
+	var failures int
 	for c.Err() == nil {
 		if watching, _ := f.members.Owner("config", maxWatchers); !watching {
 			wait.For(c, gossipInterval)
@@ -238,9 +252,11 @@
 		}
 		e, err := f.store.Watch(c, Key, after, watchTimeout)
 		if err != nil {
+			f.logFailure(&failures, Key, 0, err)
 			wait.For(c, retryInterval+rand.N(retryInterval))
 			continue
 		}
+		failures = 0
 		after = e.Rev
 		r, err := decode(e)
 		if err != nil {
@@ -269,6 +285,17 @@
 	g.Wait()
 }
 
+// poll asks a peer for its version, and reads it if it is higher. The connection is the one of the read, so that one that has
+// died silently is given up before.
+func (f *Follower) poll(c context.Context, address string) {
+	c, cancel := context.WithTimeout(c, callTimeout)
+	defer cancel()
+	var version uint64
+	if err := f.peers.Bulk.Call(c, address, "config.version", f.version(), &version); err == nil {
+		f.read(offer{Version: version, Address: address})
+	}
+}
+
 // pollPeers regularly asks a random box of the data centre for a higher version, which compensates
 // for lost offers. Relays also ask one box of every other data centre, so that a data centre catches
 // up soon after a partition. Without any version, it reads the key-value service as well.
@@ -277,7 +304,7 @@
 		wait.For(c, gossipInterval)
 		var g sync.WaitGroup
 		for _, m := range f.pollTargets() {
-			g.Go(func() { f.fetch(c, m.Address) })
+			g.Go(func() { f.poll(c, m.Address) })
 		}
 		g.Wait()
 		if f.version() == 0 {
