Write where streams begin to the store within a third of a second

Streams that were taken up after all boxes had lost power were refused: nobody knew at which version they had begun. Boxes passed records on each second and relays wrote them each second, each two in the smallest fleets, which counted as large since all of their boxes are nearby. Half of the streams that are open at a moment are younger than that.

Boxes now pass records on each 0.1 s (0.3 s in large fleets) and relays write them each 0.2 s, to one key a second, so that a process that starts reads as few keys as before. After a failed write they wait for a second. Fleets whose boxes are all nearby are not large. Relays of large fleets send records to other data centres every 2 s, as before.

--- a/origins/archive.go
+++ b/origins/archive.go
@@ -19,12 +19,21 @@
 )
 
 const (
-	// archiveInterval is the interval at which a box passes new records on to its relay, and a relay writes those of its
-	// boxes to the store. A relay that has started reads the archive at the next pollInterval.
-	// In a large fleet a relay has many boxes, which pass records on less often.
-	archiveInterval      = time.Second
-	largeArchiveInterval = 2 * time.Second
-	pollInterval         = 200 * time.Millisecond
+	// passInterval is the interval at which a box passes new records on to its relay, and writeInterval the one at which a relay
+	// writes those of its boxes to the store. Streams that began later are lost with the power of all boxes, and most of those that
+	// are open at a time have begun within a second or two.
+	// In a large fleet a relay has many boxes, which pass records on less often, and relays send records to other data centres
+	// every farInterval.
+	passInterval      = 100 * time.Millisecond
+	largePassInterval = 300 * time.Millisecond
+	writeInterval     = 200 * time.Millisecond
+	farInterval       = 2 * time.Second
+
+	// segmentInterval is how long a relay writes to the same key, so that a process that starts has few keys to read.
+	segmentInterval = time.Second
+
+	// failureInterval is the time after a failed write before the next one.
+	failureInterval = time.Second
 
 	// leaseTTL bounds the time for which the store keeps what was written. A new lease is used after half of it.
 	leaseTTL = 2 * time.Minute
@@ -32,8 +41,9 @@
 	// maxPending bounds the records of one write. Beyond that the oldest are dropped.
 	maxPending = 2000
 
-	// archiveTimeout bounds a call to the store or to the relay.
+	// archiveTimeout bounds a call to the store or to the relay, and readTimeout the read of the archive.
 	archiveTimeout = 800 * time.Millisecond
+	readTimeout    = 3 * time.Second
 
 	// clockTolerance is how far the clock of a process that has just started may be ahead.
 	clockTolerance = 30 * time.Second
@@ -49,9 +59,14 @@
 	read      bool            // this box has read the archive since it is a relay
 	several   map[string]bool // services that had several versions in the last round
 	passedAt  time.Time
+	far       []origin.Record // not yet sent to another data centre
+	farAt     time.Time
+	failedAt  time.Time
 	lease     store.Lease
 	grantedAt time.Time
-	writes    int // keys written under the lease
+	segments  int             // keys written under the lease
+	segment   []origin.Record // in the last of them
+	segmentAt time.Time       // when it began
 }
 
 func (a *archive) add(rs ...origin.Record) {
@@ -80,7 +95,7 @@
 func (d *Directory) runArchive(c context.Context) {
 	for c.Err() == nil {
 		d.archiveRound(c)
-		wait.For(c, pollInterval)
+		wait.For(c, passInterval)
 	}
 }
 
@@ -93,25 +108,23 @@
 	d.archive.read = d.archive.read && isRelay
 	d.archiveOlder()
 	since := boottime.Since(d.archive.passedAt)
-	if since < archiveInterval {
-		return
-	}
 	boxes := d.Boxes()
 	isLarge := !boxes.areAllKnown()
-	if isLarge && since < largeArchiveInterval {
+	if isRelay && since < writeInterval || !isRelay && isLarge && since < largePassInterval ||
+		boottime.Since(d.archive.failedAt) < failureInterval {
 		return
 	}
 	fresh := d.archive.take()
+	if isLarge && isRelay {
+		d.sendFar(fresh, boxes.Relays)
+	}
 	rs := newest(slices.Concat(d.archive.failed, fresh))
 	if len(rs) == 0 {
 		return
 	}
 	d.archive.failed, d.archive.passedAt = nil, boottime.Now()
-	if isLarge && isRelay {
-		d.sendFar(fresh, boxes.Relays)
-	}
 	if err := d.passOn(c, rs, isRelay); err != nil {
-		d.archive.failed = rs // written twice if only the answer was lost
+		d.archive.failed, d.archive.failedAt = rs, boottime.Now() // written twice if only the answer was lost
 		metrics.GetOrRegisterCounter("origins.not_archived", d.Metrics).Inc(1)
 	}
 }
@@ -144,14 +157,18 @@
 	d.archive.several = several
 }
 
-// sendFar sends the records of this relay's boxes to a relay of another data centre.
-func (d *Directory) sendFar(rs []origin.Record, relays []string) {
-	if len(rs) == 0 {
+// sendFar sends the records of this relay's boxes to a relay of another data centre, together with those that came since it last
+// did.
+func (d *Directory) sendFar(fresh []origin.Record, relays []string) {
+	a := &d.archive
+	a.far = newest(append(a.far, fresh...))
+	if len(a.far) == 0 || boottime.Since(a.farAt) < farInterval {
 		return
 	}
-	for _, a := range rendezvous.Top(rendezvous.Hash(d.Box), relays, 1) {
-		d.send(a, origin.Pack(rs, d.secondsLeft))
+	for _, to := range rendezvous.Top(rendezvous.Hash(d.Box), relays, 1) {
+		d.send(to, origin.Pack(a.far, d.secondsLeft))
 	}
+	a.far, a.farAt = nil, boottime.Now()
 }
 
 // errNoRelay reports that no relay represents this box.
@@ -174,21 +191,27 @@
 
 // write writes records to the store.
 func (d *Directory) write(c context.Context, rs []origin.Record) error {
-	b, err := json.Marshal(origin.Pack(rs, d.unixSeconds))
-	if err != nil {
-		return fmt.Errorf("encode records: %w", err)
-	}
 	x, cancel := context.WithTimeout(c, archiveTimeout)
 	defer cancel()
 	if err := d.renewLease(x); err != nil {
 		return err
 	}
-	d.archive.writes++
-	key := fmt.Sprintf("%s%s/%d/%d", d.Prefix, d.Box, d.archive.lease, d.archive.writes)
-	if _, err := d.Store.Commit(x, store.Change{Put: []store.Put{{Key: key, Value: b, Lease: d.archive.lease}}}); err != nil {
-		d.archive.lease = 0 // it may have run out
+	a := &d.archive
+	if boottime.Since(a.segmentAt) >= segmentInterval {
+		a.segments++
+		a.segment, a.segmentAt = nil, boottime.Now()
+	}
+	segment := slices.Concat(a.segment, rs)
+	b, err := json.Marshal(origin.Pack(segment, d.unixSeconds))
+	if err != nil {
+		return fmt.Errorf("encode records: %w", err)
+	}
+	key := fmt.Sprintf("%s%s/%d/%d", d.Prefix, d.Box, a.lease, a.segments)
+	if _, err := d.Store.Commit(x, store.Change{Put: []store.Put{{Key: key, Value: b, Lease: a.lease}}}); err != nil {
+		a.lease = 0 // it may have run out
 		return fmt.Errorf("write %s: %w", key, err)
 	}
+	a.segment = segment
 	metrics.GetOrRegisterCounter("origins.archived", d.Metrics).Inc(int64(len(rs)))
 	return nil
 }
@@ -202,13 +225,13 @@
 	if err != nil {
 		return fmt.Errorf("get a lease: %w", err)
 	}
-	d.archive.lease, d.archive.grantedAt, d.archive.writes = l, boottime.Now(), 0
+	d.archive.lease, d.archive.grantedAt, d.archive.segments, d.archive.segmentAt = l, boottime.Now(), 0, time.Time{}
 	return nil
 }
 
 // readArchive reads the records in the store. It returns false if the store did not answer.
 func (d *Directory) readArchive(c context.Context) bool {
-	x, cancel := context.WithTimeout(c, archiveTimeout)
+	x, cancel := context.WithTimeout(c, readTimeout)
 	defer cancel()
 	items, _, err := d.Store.Range(x, d.Prefix)
 	if err != nil {
--- a/origins/holders.go
+++ b/origins/holders.go
@@ -13,7 +13,10 @@
 }
 
 // areAllKnown reports whether a record can be sent to boxes of other data centres, or there are none.
-func (b Boxes) areAllKnown() bool { return len(b.Far) > 0 || len(b.Relays) == 0 }
+func (b Boxes) areAllKnown() bool {
+	isUnknown := func(relay string) bool { return !slices.Contains(b.Near, relay) }
+	return len(b.Far) > 0 || !slices.ContainsFunc(b.Relays, isUnknown)
+}
 
 const (
 	// While there is only one version, a record is sent to nearCopies boxes nearby: it matters little if it is lost. Otherwise
