Refuse streams of unknown version with 503, also if only their last event is named

Callers that took a stream up with Last-Event-Id alone got 400 while a service had several versions: the request counted as malformed. It is sound, and its caller never sends it again after a 4xx. It is refused as others whose version is not known, with 503, not run, and a time to return.

Telling such streams apart by the content of their requests was considered: two streams of one content may have begun at two versions, and when the record of one is lost the other would be taken for it. That breaks what the refusal protects.

Finding.Several had no other use.

--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -64,7 +64,7 @@
 
 func (originsByID) Find(_ context.Context, _, stream, service, account string) origin.Finding {
 	return origin.Finding{
-		Origin: origin.Origin{Service: service, Version: stream}, Known: stream == "v1" && account == "acc", Foreign: stream == "foreign", Several: service != "one",
+		Origin: origin.Origin{Service: service, Version: stream}, Known: stream == "v1" && account == "acc", Foreign: stream == "foreign",
 	}
 }
 
--- a/ingress/resume.go
+++ b/ingress/resume.go
@@ -24,9 +24,9 @@
 	switch {
 	case o.Foreign:
 		return errkind.New(errkind.Forbidden, "the stream %s was begun by another account", cl.Resumes)
-	case !o.Known && o.Several && cl.Resumes == "":
-		return errkind.New(errkind.BadRequest, "the request names the last event of a stream, and not the request that brought its first one, which is needed"+
-			" while endpoints of %s are of several versions", q.Service.Name)
+	case !o.Known && cl.Resumes == "":
+		return errkind.New(errkind.VersionUnknown, "the request names the last event of a stream, and not the request that brought its first one; without that,"+
+			" it is not known at which version of %s the stream began", q.Service.Name).WithRetryAfter(originRetryAfter)
 	case !o.Known:
 		return errkind.New(errkind.VersionUnknown, "it is not known at which version of %s the stream %q began", q.Service.Name, cl.Resumes).
 			WithRetryAfter(originRetryAfter)
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -23,13 +23,12 @@
 }
 
 // Finding is what is known of where a stream began. Known is false if the origin is not. Foreign is set if another account
-// began the stream, and Several if the service is known to have had several versions lately.
+// began the stream.
 type Finding struct {
 	Origin
 
 	Known   bool
 	Foreign bool
-	Several bool
 }
 
 // Hash returns the hash of a stream's ID or of an account's name.
--- a/origins/find.go
+++ b/origins/find.go
@@ -65,7 +65,7 @@
 		outcome = foundElsewhere
 		a, asked, answered = d.ask(c, q, a)
 	}
-	f := origin.Finding{Several: len(a.Versions) > 1}
+	var f origin.Finding
 	switch {
 	case a.Found && a.Origin.Account != origin.Hash(account):
 		outcome, f.Foreign = foundForAnother, true
