--- a/gossip/snapshot.go
+++ b/gossip/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -43,6 +44,27 @@
 	Versions map[string][]string
 }
 
+// maxSnapshotBytes bounds the snapshot. A value in the store may have up to a megabyte, and all boxes that start at once read
+// the snapshot.
+const maxSnapshotBytes = 512 << 10
+
+// encode returns the value to be stored. One that is too large leaves out the statistics, which are soon collected again, and
+// then the contents; the state of the quotas and the versions are never left out.
+func (s snapshot) encode() ([]byte, error) {
+	b, err := json.Marshal(s)
+	for _, drop := range []func(){func() { s.Speeds = nil }, func() { s.Contents = nil }} {
+		if err != nil || len(b) <= maxSnapshotBytes {
+			return b, err
+		}
+		drop()
+		b, err = json.Marshal(s)
+	}
+	if err == nil && len(b) > maxSnapshotBytes {
+		err = fmt.Errorf("the snapshot has %d bytes of at most %d", len(b), maxSnapshotBytes)
+	}
+	return b, err
+}
+
 // snapshotState is what this box knows of the snapshot in the store.
 type snapshotState struct {
 	startedAt         time.Time
@@ -122,7 +144,7 @@
 	}
 	s.writtenAt = now
 	var at uint64
-	b, err := json.Marshal(snapshot{p, g.EndpointStats(), refused, versions})
+	b, err := snapshot{p, g.EndpointStats(), refused, versions}.encode()
 	if err == nil {
 		at, err = g.Store.Commit(c, store.Change{
 			If:  []store.Condition{{Key: g.SnapshotKey, Revision: s.revision}},
--- a/gossip/snapshot_test.go
+++ b/gossip/snapshot_test.go
@@ -1,11 +1,15 @@
 package gossip
 
 import (
+	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"birchlink.dev/birchlink/estimate"
+	"birchlink.dev/birchlink/quarantine"
 	"birchlink.dev/birchlink/quota"
 )
 
@@ -26,3 +30,33 @@
 		require.Equal(t, c.want, s.boxCountChanged(two, false, start.Add(boxCountChangeDelay)))
 	}
 }
+
+// Guards against a snapshot that the store refuses for its size, so that processes which start later know of no quota and no
+// version.
+func TestSnapshotIsBounded(t *testing.T) {
+	s := snapshot{Before: quota.Before{Boxes: 7}, Versions: map[string][]string{"s": {"v1", "v2"}}, Speeds: map[string]estimate.Stats{}}
+	for i := range 5000 {
+		s.Speeds[fmt.Sprint("service-", i)] = estimate.Stats{}
+	}
+	s.Contents = []quarantine.Suspect{{Content: 1}}
+	read := func() (p snapshot) {
+		b, err := s.encode()
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(b), maxSnapshotBytes)
+		require.NoError(t, json.Unmarshal(b, &p))
+		require.Equal(t, s.Before, p.Before)
+		require.Equal(t, s.Versions, p.Versions)
+		return p
+	}
+	p := read()
+	require.Empty(t, p.Speeds)
+	require.Len(t, p.Contents, 1)
+	s.Contents = make([]quarantine.Suspect, 40_000)
+	require.Zero(t, len(read().Contents))
+	s.Short = map[string]float64{}
+	for i := range 100_000 {
+		s.Short[fmt.Sprint("account-", i)] = -1
+	}
+	_, err := s.encode()
+	require.ErrorContains(t, err, "bytes of at most")
+}
