Let the soak change a large configuration faster than boxes can take it

Storms of 25 changes in 2 s, of a configuration with 1,400 more routes, overlap with the other changes, signals and restarts; from the first one on each box has 10 Mbit/s from the store. In the end each box must know the newest version.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -128,22 +128,30 @@
 // faults must serve the route within configApplyTime after the version is stored.
 func (r *run) probeVersion(h *http.Client, b *Box, id string) {
 	version, since, reliable := r.currentVersion()
-	q, err := standin.NewRequest(b.CallerAddress, standin.VersionPath(version)+"x", id, callTimeout)
-	if err != nil {
-		r.reportViolation("%v", err)
-		return
-	}
 	began := time.Now()
-	a, err := h.Do(q)
+	status, err := probeStatus(h, b, version, id)
 	if err != nil {
 		r.countOutcome("probe cut")
 		return
 	}
-	defer a.Body.Close()
-	_, _ = io.Copy(io.Discard, a.Body)
-	r.countOutcome(fmt.Sprintf("probe %d", a.StatusCode))
+	r.countOutcome(fmt.Sprintf("probe %d", status))
 	due := began.Sub(since) > configApplyTime+hostMargin
-	if a.StatusCode == http.StatusNotFound && due && reliable && !b.FaultySince(began.Add(-recoveryTime)) {
+	if status == http.StatusNotFound && due && reliable && !b.FaultySince(began.Add(-recoveryTime)) {
 		r.reportViolation("%s does not know version %d after %v", b.Name, version, began.Sub(since))
 	}
 }
+
+// probeStatus returns the status of a call of a box's route that only one configuration version has.
+func probeStatus(h *http.Client, b *Box, version int, id string) (int, error) {
+	q, err := standin.NewRequest(b.CallerAddress, standin.VersionPath(version)+"x", id, callTimeout)
+	if err != nil {
+		return 0, err
+	}
+	a, err := h.Do(q)
+	if err != nil {
+		return 0, fmt.Errorf("probe: %w", err)
+	}
+	defer a.Body.Close()
+	_, _ = io.Copy(io.Discard, a.Body)
+	return a.StatusCode, nil
+}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -97,6 +97,7 @@
 	cloudAddress  string
 	lastServerID  int
 	configVersion int
+	furtherRoutes int // of the next configuration versions
 	httpServers   []*http.Server
 }
 
@@ -336,7 +337,7 @@
 // PutNextConfig stores the next configuration version and returns its number.
 func (f *Fleet) PutNextConfig() int {
 	f.configVersion++
-	f.Store.Set(standin.ConfigKey, standin.Config(f.configVersion, serviceName))
+	f.Store.Set(standin.ConfigKey, standin.LargeConfig(f.configVersion, serviceName, f.furtherRoutes))
 	return f.configVersion
 }
 
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -33,6 +33,8 @@
 	mode     Mode
 	changed  chan struct{}
 	conns    map[net.Conn]bool
+	rate     float64   // bytes from the target per second, of all connections; zero if not limited
+	sentAt   time.Time // when what was sent at that rate has arrived
 }
 
 // NewProxy returns a proxy to an address. It listens on a free loopback port.
@@ -73,6 +75,28 @@
 	}
 }
 
+// Limit bounds the bytes per second from the target, of all connections together.
+func (p *Proxy) Limit(bytesPerSecond float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rate = bytesPerSecond
+}
+
+// delay returns how long n bytes from the target wait for the link.
+func (p *Proxy) delay(n int) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.rate == 0 {
+		return 0
+	}
+	now := time.Now()
+	if p.sentAt.Before(now) {
+		p.sentAt = now
+	}
+	p.sentAt = p.sentAt.Add(time.Duration(float64(n) / p.rate * float64(time.Second)))
+	return p.sentAt.Sub(now)
+}
+
 // state returns the mode and a channel that is closed when the mode changes.
 func (p *Proxy) state() (Mode, chan struct{}) {
 	p.mu.Lock()
@@ -131,6 +155,9 @@
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
+		if !toTarget {
+			time.Sleep(p.delay(n))
+		}
 		if n > 0 && p.waitToForward(c, toTarget) {
 			if _, err := to.Write(buf[:n]); err != nil {
 				return
--- a/soak/run.go
+++ b/soak/run.go
@@ -76,6 +76,7 @@
 	if err := r.awaitReady(c, settleTime); err != nil {
 		r.reportViolation("after the last fault: %v", err)
 	}
+	r.checkNewest(c)
 	stop()
 	g.Wait()
 	r.checkAudits()
@@ -135,6 +136,15 @@
 		r.injectServer(f, end)
 	case Config:
 		r.putNextConfig()
+	case Storm:
+		r.growConfig()
+		for _, b := range r.fleet.Boxes {
+			b.storeProxy.Limit(stormLink)
+		}
+		for time.Now().Before(end) {
+			r.putNextConfig()
+			time.Sleep(stormGap)
+		}
 	default:
 		r.markStoreFaulty(end)
 		r.injectStore(f)
@@ -235,6 +245,21 @@
 	p.Set(Pass)
 }
 
+// stormRoutes is the number of further routes of a configuration that changes in a storm, each stormGap. From the first storm
+// on, the link of each box from the store has stormLink bytes per second.
+const (
+	stormRoutes = 1400
+	stormGap    = 80 * time.Millisecond
+	stormLink   = 10e6 / 8
+)
+
+// growConfig adds routes to the next configuration versions.
+func (r *run) growConfig() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fleet.furtherRoutes = stormRoutes
+}
+
 // putNextConfig stores the next configuration version and notes the time.
 func (r *run) putNextConfig() {
 	r.mu.Lock()
@@ -274,6 +299,26 @@
 	return nil
 }
 
+// checkNewest checks that every box serves the route that only the newest configuration version has, at the latest settleTime after
+// the last fault.
+func (r *run) checkNewest(c context.Context) {
+	end := time.Now().Add(settleTime)
+	version, _, _ := r.currentVersion()
+	for i, b := range r.fleet.Boxes {
+		for n := 0; ; n++ {
+			status, err := probeStatus(readyClient, b, version, fmt.Sprintf("newest-%d-%d-%d", r.Seed, i, n))
+			if err == nil && status != http.StatusNotFound {
+				break
+			}
+			if time.Now().After(end) || c.Err() != nil {
+				r.reportViolation("after the last fault: %s does not know version %d within %v", b.Name, version, settleTime)
+				break
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
 // readyClient has a timeout because a paused box accepts connections without answering.
 var readyClient = &http.Client{Timeout: time.Second}
 
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -30,6 +30,7 @@
 	Compact          Kind = "store history lost"
 	Drain            Kind = "drain" // an endpoint announces in its record that it is draining; another replaces it
 	Config           Kind = "configuration"
+	Storm            Kind = "storm"     // a large configuration changes faster than boxes can take it
 	DrainByAnswer    Kind = "leave"     // an endpoint reports only in its answers that it is draining; another replaces it
 	RefuseCalls      Kind = "turn away" // an endpoint refuses every call and asks callers to back off
 	ReportLimit      Kind = "limit"     // an endpoint reports the rate limit that it has for all boxes together
@@ -83,6 +84,7 @@
 	out = append(out, drawPowerLosses(seed, span)...)
 	out = append(out, drawSilences(seed, span, servers)...)
 	out = append(out, drawEndless(seed, span, servers)...)
+	out = append(out, drawStorms(seed, span)...)
 	slices.SortStableFunc(out, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return out
 }
@@ -154,6 +156,23 @@
 	return out
 }
 
+// Times of storms of changes, one after the other.
+const (
+	meanStormGap  = 3 * time.Second
+	stormDuration = 2 * time.Second
+)
+
+// drawStorms draws the moments at which a large configuration begins to change in quick succession.
+func drawStorms(seed uint64, span time.Duration) []Fault {
+	r := rand.New(rand.NewPCG(seed, 8))
+	gap := func() time.Duration { return time.Duration(r.Int64N(int64(2 * meanStormGap))) }
+	var out []Fault
+	for at := faultFreeStart + gap(); at < span; at += stormDuration + gap() {
+		out = append(out, Fault{At: at, Duration: stormDuration, Kind: Storm})
+	}
+	return out
+}
+
 // drawFaults draws the faults of boxes, links, store, servers and configuration.
 func drawFaults(seed uint64, span time.Duration, boxes, servers int) []Fault {
 	r := rand.New(rand.NewPCG(seed, 1))
--- a/soak/schedule_test.go
+++ b/soak/schedule_test.go
@@ -34,13 +34,31 @@
 	require.NoError(t, err)
 	var got strings.Builder
 	for _, f := range soak.Schedule(1, 6*time.Second, 5, 6) {
-		if f.Kind != soak.SilentServers && f.Kind != soak.EndlessServer {
+		if f.Kind != soak.SilentServers && f.Kind != soak.EndlessServer && f.Kind != soak.Storm {
 			fmt.Fprintln(&got, f)
 		}
 	}
 	require.Equal(t, string(b), got.String())
 }
 
+// Storms come one after the other, and overlap with the other changes, signals and restarts.
+func TestStorms(t *testing.T) {
+	overlaps := map[soak.Kind]bool{}
+	for seed := range uint64(20) {
+		end := time.Duration(0)
+		for _, f := range soak.Schedule(seed, time.Minute, 5, 6) {
+			if f.Kind == soak.Storm {
+				require.GreaterOrEqual(t, f.At, end)
+				end = f.At + f.Duration
+			}
+			overlaps[f.Kind] = overlaps[f.Kind] || f.At < end
+		}
+	}
+	for _, k := range []soak.Kind{soak.Config, soak.Hup, soak.Term, soak.Kill, soak.KillAll, soak.Pause, soak.StoreLink, soak.Compact, soak.Drain} {
+		require.True(t, overlaps[k], k)
+	}
+}
+
 // One server up to all fall silent, for 0.8 to 3 s and one silence after the other. All forms of endless bytes are drawn.
 func TestSilencesAndEndlessServers(t *testing.T) {
 	const servers = 6
