--- a/gossip/fetch_test.go
+++ b/gossip/fetch_test.go
@@ -13,12 +13,13 @@
 	"birchlink.dev/birchlink/stand/memstore"
 )
 
-// slowLink forwards connections to target. After the first freeBytes bytes from there, it holds back the
-// rest on each connection until it is released.
+// slowLink forwards connections to target. After the first freeBytes bytes from there, or to there if toTarget is set, it holds
+// back the rest on each connection until it is released.
 type slowLink struct {
 	t         *testing.T
 	target    string
 	freeBytes int64
+	toTarget  bool
 	released  chan struct{}
 	conns     atomic.Int64
 	mu        sync.Mutex
@@ -26,10 +27,17 @@
 }
 
 func newSlowLink(t *testing.T, target string, freeBytes int64) (link *slowLink, address string) {
+	t.Helper()
+	s := &slowLink{t: t, target: target, freeBytes: freeBytes, released: make(chan struct{})}
+	return s, s.start()
+}
+
+// start starts to forward connections, and returns the address of the link.
+func (s *slowLink) start() string {
+	t := s.t
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.4:0")
 	require.NoError(t, err)
-	s := &slowLink{t: t, target: target, freeBytes: freeBytes, released: make(chan struct{})}
 	t.Cleanup(func() {
 		_ = l.Close()
 		s.mu.Lock()
@@ -48,7 +56,7 @@
 			go s.forward(c)
 		}
 	}()
-	return s, l.Addr().String()
+	return l.Addr().String()
 }
 
 func (s *slowLink) forward(client net.Conn) {
@@ -60,14 +68,18 @@
 	s.mu.Lock()
 	s.open = append(s.open, client, server)
 	s.mu.Unlock()
+	from, to := server, client
+	if s.toTarget {
+		from, to = client, server
+	}
 	go func() {
-		_, _ = io.Copy(server, client)
-		_ = server.Close()
+		_, _ = io.Copy(from, to)
+		_ = from.Close()
 	}()
-	_, _ = io.CopyN(client, server, s.freeBytes)
+	_, _ = io.CopyN(to, from, s.freeBytes)
 	<-s.released
-	_, _ = io.Copy(client, server)
-	_ = client.Close()
+	_, _ = io.Copy(to, from)
+	_ = to.Close()
 }
 
 // A slow fetch of records doesn't block the rounds, and uses its own connection. When all members
--- a/gossip/storm_test.go
+++ b/gossip/storm_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"birchlink.dev/birchlink/gossip"
 	"birchlink.dev/birchlink/stand/memstore"
 	"birchlink.dev/birchlink/store"
 )
@@ -60,14 +61,60 @@
 	waitUntil(t, func() bool { return countBoxes(bs, func(b *box) bool { return b.version() == 3 }) == 9 })
 }
 
+// Guards against changes of endpoints that wait behind a configuration on a slow link, so that a box sends requests to an endpoint
+// which has been draining for seconds.
+func TestRecordsPassConfigurations(t *testing.T) {
+	const size, freeBytes = 400_000, 200_000
+	m := &memstore.Store{}
+	pad := randomText(size)
+	m.Set("config", `{"Version":1}`)
+	address := unusedAddress(t)
+	answers, relayAddress := newSlowLink(t, address, freeBytes)
+	relay := startBoxWith(t, m, "a", "dc0", address, func(b *box) { b.Address = relayAddress })
+	waitUntil(t, relay.IsRelay)
+	readOnlyStore := &faultyStore{Store: m}
+	readOnlyStore.readOnly.Store(true) // it can't claim a relay slot
+	address = unusedAddress(t)
+	calls := &slowLink{t: t, target: address, freeBytes: freeBytes, toTarget: true, released: make(chan struct{})}
+	memberAddress := calls.start()
+	member := startBoxWith(t, readOnlyStore, "b", "dc0", address, func(b *box) {
+		b.Address = memberAddress
+		status := b.LocalStatus
+		b.LocalStatus = func() gossip.Status {
+			s := status()
+			s.Address = memberAddress
+			return s
+		}
+	})
+	waitUntil(t, func() bool { return member.version() == 1 && len(relay.Members()) == 1 })
+	m.Set("config", fmt.Sprintf(`{"Version":2,"Pad":"%s"}`, pad))
+	waitUntil(t, func() bool { return relay.version() == 2 })
+	for i := range 5 {
+		n := member.roundCount()
+		waitUntil(t, func() bool { return member.roundCount() > n })
+		m.Set(fmt.Sprint("e/", i), "ready")
+		waitUntil(t, func() bool { return member.state.Roster.Len() == i+1 })
+	}
+	require.EqualValues(t, 1, member.version(), "the configuration is still under way")
+	close(answers.released)
+	close(calls.released)
+	waitUntil(t, func() bool { return member.version() == 2 })
+}
+
+// randomText returns a text that can hardly be compressed.
+func randomText(size int) []byte {
+	b := make([]byte, size)
+	for i := range b {
+		b[i] = "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ-_"[rand.N(64)]
+	}
+	return b
+}
+
 // Guards against boxes that are sent every version of a configuration that changes faster than they take it.
 func TestStormSendsNewestOnly(t *testing.T) {
 	const size, changes = 200_000, 25
 	m := &memstore.Store{}
-	pad := make([]byte, size)
-	for i := range pad {
-		pad[i] = "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ-_"[rand.N(64)]
-	}
+	pad := randomText(size)
 	set := func(version int) { m.Set("config", fmt.Sprintf(`{"Version":%d,"Pad":"%s"}`, version, pad)) }
 	set(1)
 	bs := startSevenBoxes(t, m)
