Fetch what other boxes announce in one place

Package newest has the fetch of the newest announced version, which gossip used for the configuration and the records and configsync had again for its own: one at a time, then the newest, failures logged at long intervals, a box that is gone given up for another. The fetchers of gossip are set up before its handlers are registered: a member that reported to a box while it started would have met none.

--- a/configsync/follower.go
+++ b/configsync/follower.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,7 @@
 	"birchlink.dev/birchlink/kernel"
 	"birchlink.dev/birchlink/kv"
 	"birchlink.dev/birchlink/member"
+	"birchlink.dev/birchlink/newest"
 	"birchlink.dev/birchlink/peer"
 	"birchlink.dev/birchlink/wait"
 )
@@ -35,15 +37,16 @@
 const Key = "config/current"
 
 const (
-	watchTimeout   = 10 * time.Second       // longest wait of a watch
-	gossipInterval = 2 * time.Second        // between requests to peers
-	callTimeout    = time.Second            // of one read of the key-value service or of one offer
-	confirmTimeout = 3 * time.Second        // for reading back a swap with an unknown outcome
-	retryInterval  = 500 * time.Millisecond // after a failed watch, and between the reads that confirm a swap
-	readTimeout    = 10 * time.Second       // of one read of a configuration from a peer, which may be large and its link slow
-	staleReadAge   = 2 * time.Second        // after which a read is given up for another one if its peer is gone
-	maxReads       = 4                      // reads from peers at the same time when the service starts
-	maxWatchers    = 2                      // boxes per data centre that watch the key-value service, and that are relays
+	watchTimeout       = 10 * time.Second       // longest wait of a watch
+	gossipInterval     = 2 * time.Second        // between requests to peers
+	callTimeout        = time.Second            // of one read of the key-value service or of one offer
+	confirmTimeout     = 3 * time.Second        // for reading back a swap with an unknown outcome
+	retryInterval      = 500 * time.Millisecond // after a failed watch, and between the reads that confirm a swap
+	readTimeout        = 10 * time.Second       // of one read of a configuration from a peer, which may be large and its link slow
+	staleReadAge       = 2 * time.Second        // after which a read is given up for another one if its peer is gone
+	failureLogInterval = 20                     // failed watches in a row between two that are logged
+	maxReads           = 4                      // reads from peers at the same time when the service starts
+	maxWatchers        = 2                      // boxes per data centre that watch the key-value service, and that are relays
 )
 
 // Revision is a stored version of the configuration: the operator's text, its editor, and a random
@@ -69,7 +72,7 @@
 
 	mu       sync.Mutex
 	revision Revision
-	reads    reads
+	reads    *newest.Fetcher
 	current  atomic.Pointer[config.Document]
 	hooks    []func(*config.Document)
 	store    store
@@ -84,9 +87,18 @@
 func New(log zerolog.Logger) *Follower {
 	f := &Follower{Log: log}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
+	f.reads = newest.New(f.ctx)
+	f.reads.Kind, f.reads.Version, f.reads.Log = "configuration", f.version, log
+	f.reads.IsUp, f.reads.StaleAge, f.reads.Timeout = f.isUp, staleReadAge, readTimeout
+	f.reads.Fetch = f.fetch
 	return f
 }
 
+// isUp reports whether the box at an address is up.
+func (f *Follower) isUp(address string) bool {
+	return slices.ContainsFunc(f.members.Up(""), func(m member.Member) bool { return m.Address == address })
+}
+
 // Name returns the service's name.
 func (f *Follower) Name() string { return Name }
 
@@ -118,6 +130,7 @@
 func (f *Follower) Stop(context.Context) error {
 	f.cancel()
 	f.group.Wait()
+	f.reads.Wait()
 	return nil
 }
 
@@ -199,16 +212,18 @@
 	g.SetLimit(maxReads)
 	for _, m := range f.members.Up("") {
 		if m.Box != f.members.Self().Box {
-			g.Go(func() error { return f.fetch(c, m.Address, callTimeout) })
+			g.Go(func() error {
+				x, cancel := context.WithTimeout(c, callTimeout)
+				defer cancel()
+				return f.fetch(x, m.Address)
+			})
 		}
 	}
 	_ = g.Wait() // what was not read is read later
 }
 
 // fetch reads and installs a higher version from a peer, if it has one.
-func (f *Follower) fetch(c context.Context, address string, timeout time.Duration) error {
-	c, cancel := context.WithTimeout(c, timeout)
-	defer cancel()
+func (f *Follower) fetch(c context.Context, address string) error {
 	var r Revision
 	if err := f.peers.Bulk.Call(c, address, "config.get", f.version(), &r); err != nil {
 		return err
@@ -237,7 +252,7 @@
 }
 
 func (f *Follower) handleOffer(_ context.Context, o offer) (struct{}, error) {
-	f.read(o)
+	f.reads.Announce(o.Version, o.Address)
 	return struct{}{}, nil
 }
 
@@ -252,7 +267,10 @@
 		}
 		e, err := f.store.Watch(c, Key, after, watchTimeout)
 		if err != nil {
-			f.logFailure(&failures, Key, 0, err)
+			if failures++; failures%failureLogInterval == 1 {
+				f.Log.Info().Str("event", "watch").Str("key", Key).Uint64("version", f.version()).Int("failures", failures).Err(err).
+					Msg("store call failed; retrying")
+			}
 			wait.For(c, retryInterval+rand.N(retryInterval))
 			continue
 		}
@@ -292,7 +310,7 @@
 	defer cancel()
 	var version uint64
 	if err := f.peers.Bulk.Call(c, address, "config.version", f.version(), &version); err == nil {
-		f.read(offer{Version: version, Address: address})
+		f.reads.Announce(version, address)
 	}
 }
 
--- a/configsync/storm_test.go
+++ b/configsync/storm_test.go
@@ -55,7 +55,7 @@
 	}
 	close(release)
 	g.Wait()
-	f.group.Wait()
+	f.reads.Wait()
 	require.EqualValues(t, offers, f.version())
 	require.LessOrEqual(t, calls.Load(), int64(2))
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -18,6 +18,7 @@
 	"birchlink.dev/birchlink/fleetstate"
 	"birchlink.dev/birchlink/kernel"
 	"birchlink.dev/birchlink/mirror"
+	"birchlink.dev/birchlink/newest"
 	"birchlink.dev/birchlink/peer"
 	"birchlink.dev/birchlink/quarantine"
 	"birchlink.dev/birchlink/quota"
@@ -154,8 +155,8 @@
 	relayAddress    string       // address of relay, guarded by mu
 	pending         notification // the notification to be sent next
 	reportedCrashes *simplelru.LRU[string, bool]
-	configFetch     fetch
-	recordsFetch    fetch
+	configFetcher   *newest.Fetcher
+	recordsFetcher  *newest.Fetcher
 	updates         inFlight
 	verdictSum      uint64 // checksum of the verdicts that members were last notified of
 	totals          totalCache
@@ -182,6 +183,9 @@
 		return err
 	}
 	g.startedAt = boottime.Now()
+	c, cancel := context.WithCancel(context.Background())
+	g.ctx, g.cancel = c, cancel
+	g.newFetchers()
 	g.slotOffset = int(xxhash.Sum64String(g.Box) % relaysPerDataCentre)
 	peer.Handle(g.node.Server, "gossip.member", g.handleMember)
 	peer.Handle(g.node.Server, "gossip.relay", g.handleRelay)
@@ -196,8 +200,6 @@
 	g.node.Server.LimitConcurrency("gossip.configuration", maxConcurrentSends)
 	g.node.Server.LimitConcurrency("gossip.records", maxConcurrentSends)
 	peer.Handle(g.node.Server, "gossip.news", g.handleNotification)
-	c, cancel := context.WithCancel(context.Background())
-	g.ctx, g.cancel = c, cancel
 	g.Quarantine.SendsTrials = g.sendsTrials
 	g.Quarantine.OnChange = func(s []quarantine.Suspect) { g.notify(notification{Suspects: s}) }
 	g.slotWatch = &mirror.Mirror{
@@ -222,6 +224,8 @@
 	g.stopped = true
 	g.mu.Unlock()
 	g.group.Wait()
+	g.configFetcher.Wait()
+	g.recordsFetcher.Wait()
 	return nil
 }
 
