--- a/gossip/member.go
+++ b/gossip/member.go
@@ -76,8 +76,8 @@
 	return true, w.isFresh()
 }
 
-// isFresh reports whether the relay that answered can keep a member up to date: it is in touch with the store, and its view of
-// it is not old.
+// isFresh reports whether the relay that answered can keep a member up to date: the store answers it, and its view of the store
+// is not old.
 func (w *MemberReply) isFresh() bool {
 	return w.Silent <= maxStoreSilence && w.ViewLag <= maxRelayViewLag
 }
--- a/gossip/storm_test.go
+++ b/gossip/storm_test.go
@@ -37,7 +37,7 @@
 }
 
 // Guards against a fleet that stays at an old configuration because those that watch the store for all can't read it, while
-// they renew their leases and so seem to be in touch.
+// they renew their leases and so seem to work.
 func TestStuckWatchersAreReplaced(t *testing.T) {
 	m := &memstore.Store{}
 	m.Set("config", `{"Version":1}`)
