Log how far behind a box is when it denies requests and when fetches fail

Package lag measures for how long newer versions than a box's own have been known to exist; 404, 401 and 413 log it with the age of the configuration, fetches log their bytes and for how long none came, and answers of net/http to malformed requests are logged and counted. Ages of the configuration and of the records are confirmed separately, as one may be up to date and the other not; a line of TestViewAge relied on both being confirmed together, and now waits between its two checks and looks at the configuration's age too.

No decision changes.

--- a/configsync/follower.go
+++ b/configsync/follower.go
@@ -215,7 +215,7 @@
 			g.Go(func() error {
 				x, cancel := context.WithTimeout(c, callTimeout)
 				defer cancel()
-				return f.fetch(x, m.Address)
+				return f.fetch(x, m.Address, func(int) {})
 			})
 		}
 	}
@@ -223,9 +223,9 @@
 }
 
 // fetch reads and installs a higher version from a peer, if it has one.
-func (f *Follower) fetch(c context.Context, address string) error {
+func (f *Follower) fetch(c context.Context, address string, onBytes func(n int)) error {
 	var r Revision
-	if err := f.peers.Bulk.Call(c, address, "config.get", f.version(), &r); err != nil {
+	if err := f.peers.Bulk.Transfer(c, address, "config.get", f.version(), &r, onBytes); err != nil {
 		return err
 	}
 	if r.Version > 0 {
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -282,6 +282,8 @@
 	s := metricshttp.New(p.settings.Metrics, m, log)
 	s.RegisterGauge("configuration.version", func() int64 { v, _ := p.state.RawConfig(); return int64(v) })
 	s.RegisterGauge("view.age_ms", func() int64 { return p.state.ViewAge().Milliseconds() })
+	s.RegisterGauge("configuration.lag_ms", func() int64 { return p.state.ConfigLag().Milliseconds() })
+	s.RegisterGauge("records.lag_ms", func() int64 { return p.state.RecordsLag().Milliseconds() })
 	s.RegisterGauge("view.lag_ms", func() int64 { return p.gossip.ViewLag().Milliseconds() })
 	s.RegisterGauge("endpoints.known", func() int64 { return int64(p.state.Roster.Len()) })
 	s.RegisterGauge("endpoints.leaving", func() int64 { return int64(p.state.Roster.CountDraining()) })
--- a/fleetstate/service.go
+++ b/fleetstate/service.go
@@ -76,8 +76,7 @@
 	cancel  context.CancelFunc
 	group   sync.WaitGroup
 
-	configAge, recordsAge *viewage.Age
-	unconfirmed           confirmation // guarded by mu
+	configView, recordsView view
 
 	table         atomic.Pointer[catalog.Table]
 	endpointsRead atomic.Bool // whether all endpoint records have been read once
@@ -100,7 +99,7 @@
 func New(src Source, s store.Store, log zerolog.Logger) *Service {
 	return &Service{
 		Source: src, Store: s, log: log, pendingRemovals: map[string]*time.Timer{}, withStartTime: map[string]bool{},
-		configAge: viewage.New(), recordsAge: viewage.New(),
+		configView: view{age: viewage.New()}, recordsView: view{age: viewage.New()},
 	}
 }
 
@@ -114,12 +113,12 @@
 	}
 	s.mirrors = []*mirror.Mirror{
 		{
-			Store: s.Store, Prefix: s.operatorPrefix(), Wait: watchTimeout, Apply: s.applyConfig, OnCurrent: s.configAge.Confirm,
+			Store: s.Store, Prefix: s.operatorPrefix(), Wait: watchTimeout, Apply: s.applyConfig, OnCurrent: s.configView.confirm,
 			Log: s.log, StoreUnreachable: s.session.StoreUnreachable,
 		},
 		{
 			Store: s.Store, Prefix: s.EndpointsPrefix, Wait: watchTimeout, Apply: s.applyEndpoints, StartRevision: s.Revision,
-			OnCurrent: s.recordsAge.Confirm, Log: s.log, StoreUnreachable: s.session.StoreUnreachable,
+			OnCurrent: s.recordsView.confirm, Log: s.log, StoreUnreachable: s.session.StoreUnreachable,
 		},
 	}
 	for _, m := range s.mirrors {
@@ -205,6 +204,7 @@
 	}
 	s.table.Store(t)
 	s.rawConfig = raw
+	s.configView.lag.Reach(d.Version)
 	for _, f := range s.configCallbacks {
 		s.group.Go(func() { f(raw) })
 	}
@@ -263,6 +263,7 @@
 	if c.Whole {
 		s.endpointsRead.Store(true)
 	}
+	s.recordsView.lag.Reach(s.Revision())
 	if t.advanced {
 		c.From = t.from
 		s.notifyRecords(c)
--- a/fleetstate/view.go
+++ b/fleetstate/view.go
@@ -1,40 +1,76 @@
 package fleetstate
 
 import (
+	"sync"
 	"time"
 
 	"birchlink.dev/birchlink/boottime"
+	"birchlink.dev/birchlink/lag"
+	"birchlink.dev/birchlink/viewage"
 )
 
-// confirmation says that a configuration and records, as another box had them, were those of the store at a time.
+// view is what a box knows of how up to date its copy of some state is.
+type view struct {
+	age *viewage.Age
+	lag lag.Lag
+
+	mu          sync.Mutex
+	unconfirmed confirmation
+}
+
+// confirmation says that a version, as another box had it, was that of the store at a time.
 type confirmation struct {
-	version, revision uint64
-	at                time.Time // zero for none
+	version uint64
+	at      time.Time // zero for none
 }
 
-// ViewAge returns the time since the configuration and the records were last known to have all changes in the store.
-func (s *Service) ViewAge() time.Duration { return max(s.configAge.Get(), s.recordsAge.Get()) }
+// confirm records that the copy had all changes made up to a time.
+func (v *view) confirm(at time.Time) {
+	v.age.Confirm(at)
+	v.lag.Confirm(at)
+}
 
-// ConfirmView records that another box, which had a configuration and records of a revision, had all changes in the store
-// some time ago. If this box has them too, now or at a later call, its view is no older.
-func (s *Service) ConfirmView(version, revision uint64, age time.Duration) {
-	c := confirmation{version, revision, boottime.Now().Add(-age)}
-	ownVersion, _ := s.RawConfig()
-	ownRevision := s.Revision()
-	isMet := func(c confirmation) bool { return ownVersion >= c.version && ownRevision >= c.revision }
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// confirmBy records a confirmation, which counts once this box has the version. Own is the version that it has now.
+func (v *view) confirmBy(c confirmation, own uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	// While changes never end, this box never has what another one has at the same time, but soon after.
-	for _, x := range []confirmation{s.unconfirmed, c} {
-		if !x.at.IsZero() && isMet(x) {
-			s.configAge.Confirm(x.at)
-			s.recordsAge.Confirm(x.at)
+	for _, x := range []confirmation{v.unconfirmed, c} {
+		if !x.at.IsZero() && own >= x.version {
+			v.confirm(x.at)
 		}
 	}
-	if isMet(c) {
+	if own >= c.version {
 		c = confirmation{}
 	}
-	if s.unconfirmed.at.IsZero() || isMet(s.unconfirmed) {
-		s.unconfirmed = c
+	if v.unconfirmed.at.IsZero() || own >= v.unconfirmed.version {
+		v.unconfirmed = c
 	}
 }
+
+// ViewAge returns the time since the configuration and the records were last known to have all changes in the store.
+func (s *Service) ViewAge() time.Duration { return max(s.ConfigAge(), s.recordsView.age.Get()) }
+
+// ConfigAge returns the time since the configuration was last known to be the newest one.
+func (s *Service) ConfigAge() time.Duration { return s.configView.age.Get() }
+
+// ConfigLag returns for how long a newer configuration than that in force has been known to exist; zero if none is.
+func (s *Service) ConfigLag() time.Duration { return s.configView.lag.Get() }
+
+// RecordsLag returns for how long newer endpoint records than this box's have been known to exist; zero if none are.
+func (s *Service) RecordsLag() time.Duration { return s.recordsView.lag.Get() }
+
+// Announce records that another box has a configuration and records of a revision.
+func (s *Service) Announce(version, revision uint64) {
+	s.configView.lag.Announce(version)
+	s.recordsView.lag.Announce(revision)
+}
+
+// ConfirmView records that another box, which had a configuration and records of a revision, had all changes in the store
+// some time ago. If this box has them too, now or at a later call, its view is no older.
+func (s *Service) ConfirmView(version, revision uint64, age time.Duration) {
+	at := boottime.Now().Add(-age)
+	own, _ := s.RawConfig()
+	s.configView.confirmBy(confirmation{version, at}, own)
+	s.recordsView.confirmBy(confirmation{revision, at}, s.Revision())
+}
--- a/fleetstate/view_test.go
+++ b/fleetstate/view_test.go
@@ -31,7 +31,29 @@
 		time.Sleep(5 * time.Second)
 		s.ConfirmView(30, 0, 0)
 		require.Greater(t, s.ViewAge(), 5*time.Second, "this box doesn't have what was confirmed")
+		time.Sleep(6 * time.Second)
 		s.ConfirmView(19, 7, 0)
 		require.Greater(t, s.ViewAge(), 5*time.Second, "nor these records")
+		require.Zero(t, s.ConfigAge(), "but this configuration")
+	})
+}
+
+// A box knows for how long it has lacked what others announced, of the configuration and of the records.
+func TestLag(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := fleetstate.New(source, nil, zerolog.Nop())
+		install := func(v int) { require.NoError(t, s.Install(fmt.Appendf(nil, `{"Version":%d}`, v), "another box")) }
+		install(1)
+		s.Announce(2, 7)
+		time.Sleep(time.Second)
+		require.Equal(t, []time.Duration{time.Second, time.Second}, []time.Duration{s.ConfigLag(), s.RecordsLag()})
+		install(2)
+		require.Equal(t, []time.Duration{0, time.Second}, []time.Duration{s.ConfigLag(), s.RecordsLag()})
+		s.Merge(fleetstate.Records{To: 7})
+		require.Zero(t, s.RecordsLag())
+		s.Announce(9, 9)
+		time.Sleep(time.Second)
+		s.ConfirmView(2, 7, 0)
+		require.Zero(t, s.ConfigLag()+s.RecordsLag(), "a later confirmation counts for more than an announcement")
 	})
 }
--- a/frame/conn.go
+++ b/frame/conn.go
@@ -55,10 +55,12 @@
 // Conn reads and writes frames on a network connection. Write may be called concurrently; Read must
 // be called by one goroutine at a time. Bytes is the number of bytes transferred in both directions. Large bounds the
 // frames of over 64 KB that are being read on all connections that share it, unless it is nil; a read of a frame for which
-// it has no room fails.
+// it has no room fails. OnRead, if set before the first call of a read method that follows, is called with the number of bytes
+// of each read from the network, also while a frame is not complete.
 type Conn struct {
-	Bytes atomic.Int64
-	Large *membudget.Budget
+	Bytes  atomic.Int64
+	Large  *membudget.Budget
+	OnRead func(n int)
 
 	c  net.Conn
 	r  *bufio.Reader
@@ -66,7 +68,25 @@
 }
 
 // New returns a Conn that uses c.
-func New(c net.Conn) *Conn { return &Conn{c: c, r: bufio.NewReader(c)} }
+func New(c net.Conn) *Conn {
+	f := &Conn{c: c}
+	f.r = bufio.NewReader(countingReader{f})
+	return f
+}
+
+// countingReader reads from the network connection of a Conn and counts the bytes.
+type countingReader struct{ *Conn }
+
+func (r countingReader) Read(b []byte) (int, error) {
+	n, err := r.c.Read(b)
+	if n > 0 {
+		r.Bytes.Add(int64(n))
+		if r.OnRead != nil {
+			r.OnRead(n)
+		}
+	}
+	return n, err
+}
 
 // Close closes the connection.
 func (c *Conn) Close() error { return c.c.Close() }
@@ -105,8 +125,7 @@
 
 // ReadUpTo reads the next message. It fails if the encoded message is larger than limit, in bytes.
 func (c *Conn) ReadUpTo(limit int) (Message, error) {
-	m, n, err := decode(c.r, limit, c.Large)
-	c.Bytes.Add(int64(n))
+	m, _, err := decode(c.r, limit, c.Large)
 	return m, err
 }
 
--- a/gossip/fetch.go
+++ b/gossip/fetch.go
@@ -30,7 +30,7 @@
 	g.recordsFetcher = g.newFetcher("records", g.state.Revision, g.fetchRecords)
 }
 
-func (g *Gossip) newFetcher(kind string, version func() uint64, fetch func(c context.Context, from string) error) *newest.Fetcher {
+func (g *Gossip) newFetcher(kind string, version func() uint64, fetch func(c context.Context, from string, onBytes func(int)) error) *newest.Fetcher {
 	f := newest.New(g.ctx)
 	f.Kind, f.Version, f.Fetch, f.Log = kind, version, fetch, g.log
 	f.IsUp, f.StaleAge, f.Timeout = g.isReachableRelay, staleFetchAge, fetchTimeout
@@ -39,6 +39,7 @@
 
 // catchUp fetches the configuration and the records from a box that has newer ones.
 func (g *Gossip) catchUp(from string, version, revision uint64) {
+	g.state.Announce(version, revision)
 	g.configFetcher.Announce(version, from)
 	g.recordsFetcher.Announce(revision, from)
 }
@@ -60,10 +61,10 @@
 }
 
 // fetchConfiguration fetches a configuration newer than this box's.
-func (g *Gossip) fetchConfiguration(c context.Context, from string) error {
+func (g *Gossip) fetchConfiguration(c context.Context, from string, onBytes func(int)) error {
 	v, _ := g.state.RawConfig()
 	var zip []byte
-	if err := g.node.Bulk.Call(c, from, "gossip.configuration", v, &zip); err != nil {
+	if err := g.node.Bulk.Transfer(c, from, "gossip.configuration", v, &zip, onBytes); err != nil {
 		return err
 	}
 	raw, err := unpack(zip)
@@ -74,9 +75,9 @@
 }
 
 // fetchRecords fetches the endpoint records that this box lacks.
-func (g *Gossip) fetchRecords(c context.Context, from string) error {
+func (g *Gossip) fetchRecords(c context.Context, from string, onBytes func(int)) error {
 	var zip []byte
-	if err := g.node.Bulk.Call(c, from, "gossip.records", g.state.Revision(), &zip); err != nil {
+	if err := g.node.Bulk.Transfer(c, from, "gossip.records", g.state.Revision(), &zip, onBytes); err != nil {
 		return err
 	}
 	r, err := unpackRecords(zip)
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -152,6 +152,7 @@
 	g.mergeRates(in.Rates.Words)
 	g.mergeRollouts(in.Orders, in.Words)
 	g.addRelaySamples(in.SpeedSamples)
+	g.state.Announce(in.Version, in.Revision)
 	if in.Watching { // views confirmed by relays that confirm each other's would never be old
 		g.state.ConfirmView(in.Version, in.Revision, in.ViewAge)
 	}
--- a/gossip/view.go
+++ b/gossip/view.go
@@ -49,6 +49,7 @@
 	l.loggedAt = now
 	version, _ := g.state.RawConfig()
 	g.log.Info().Str("event", "view").Uint64("version", version).Uint64("revision", g.state.Revision()).Dur("lag", lag).
+		Dur("configuration_lag", g.state.ConfigLag()).Dur("records_lag", g.state.RecordsLag()).
 		Dur("for", now.Sub(l.oldSince)).Bool("watches", g.state.IsWatching()).Str("relay", g.relay.box).
 		Dur("store_age", g.session.StoreUnresponsiveFor()).Msg(message)
 	if lag <= maxViewAge {
--- a/ingress/head.go
+++ b/ingress/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -41,6 +42,9 @@
 	*net.TCPListener
 	heads  *membudget.Budget
 	refuse func(*net.TCPConn)
+
+	// onRejected is called with the answer by which net/http rejects what it can't read as a request.
+	onRejected func(answer []byte)
 }
 
 // Accept returns the next connection.
@@ -57,11 +61,48 @@
 	*net.TCPConn
 	listener headListener
 
-	mu      sync.Mutex
-	isBody  bool  // the head is complete
-	isEnded bool  // nothing is counted any more
-	bytes   int   // of the head
-	held    int64 // taken from the budget
+	mu       sync.Mutex
+	isBody   bool  // the head is complete
+	isEnded  bool  // nothing is counted any more
+	isServed bool  // a handler has the request
+	bytes    int   // of the head
+	held     int64 // taken from the budget
+}
+
+// connKey is the key of the connection in a request's context.
+type connKey struct{}
+
+// connContext adds a caller's connection to the context of its requests.
+func connContext(c context.Context, n net.Conn) context.Context {
+	return context.WithValue(c, connKey{}, n)
+}
+
+// markServed records that a handler has the request of a context.
+func markServed(c context.Context) {
+	if h, ok := c.Value(connKey{}).(*headConn); ok {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.isServed = true
+	}
+}
+
+// Write writes to the connection.
+func (c *headConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	isRejected := c.isBody && !c.isServed
+	c.isServed = c.isServed || isRejected
+	c.mu.Unlock()
+	if isRejected {
+		c.listener.onRejected(p)
+	}
+	return c.TCPConn.Write(p)
+}
+
+// logRejected logs and counts an answer of net/http to what is no request.
+func (i *Ingress) logRejected(answer []byte) {
+	line, _, _ := bytes.Cut(answer, []byte("\r\n"))
+	metrics.GetOrRegisterCounter("refused.malformed", i.metrics).Inc(1)
+	i.log.Info().Str("event", "answer").Str("kind", "malformed").Bytes("reason", line).Msg("rejected by the HTTP server")
 }
 
 // setState follows the states of the connection in net/http. It reports a connection as active once a head was read.
@@ -69,7 +110,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if s == http.StateActive {
-		c.isBody = true
+		c.isBody, c.isServed = true, false
 		return
 	}
 	c.listener.heads.Release(c.held)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -135,7 +135,7 @@
 func (i *Ingress) setServers() {
 	i.server = &http.Server{
 		Handler: http.HandlerFunc(i.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: nil,
+		ErrorLog: nil, ConnContext: connContext,
 		ConnState: func(c net.Conn, s http.ConnState) {
 			if h, ok := c.(*headConn); ok {
 				h.setState(s)
@@ -155,7 +155,7 @@
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
 	if s == i.server {
-		l = headListener{l.(*net.TCPListener), &i.heads, i.refuseHead}
+		l = headListener{l.(*net.TCPListener), &i.heads, i.refuseHead, i.logRejected}
 	}
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -119,6 +119,7 @@
 	store        *memstore.Store
 	session      *storesession.Session
 	state        *fleetstate.Service
+	metrics      metrics.Registry
 	address      string
 	readyAddress string
 	release      chan struct{} // when closed, the endpoint responds to /a/hold
@@ -128,7 +129,7 @@
 // startBox starts a box. If configured is false, the store holds no configuration and no endpoint.
 func startBox(t *testing.T, configured bool) *box {
 	t.Helper()
-	b := &box{t: t, store: &memstore.Store{}, release: make(chan struct{}), holding: make(chan struct{}, 8)}
+	b := &box{t: t, store: &memstore.Store{}, metrics: metrics.NewRegistry(), release: make(chan struct{}), holding: make(chan struct{}, 8)}
 	e := httptest.NewServer(http.HandlerFunc(b.endpoint))
 	t.Cleanup(e.Close)
 	if configured {
@@ -160,7 +161,7 @@
 		Address: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", ReadyPath: "/ready",
 		ShutdownDelay: time.Millisecond, ShutdownTimeout: 20 * time.Second,
 	}
-	b.Ingress = ingress.New(o, codec{}, f, newLimiter(), originsByID{}, metrics.NewRegistry(), zerolog.Nop())
+	b.Ingress = ingress.New(o, codec{}, f, newLimiter(), originsByID{}, b.metrics, zerolog.Nop())
 	k := &kernel.Kernel{}
 	for _, s := range []kernel.Service{b.session, b.state, b.Ingress} {
 		require.NoError(t, k.Add(s))
@@ -418,3 +419,29 @@
 		require.NoError(t, resp.Body.Close())
 	}
 }
+
+// What is no request is answered by net/http. These answers are counted, and ordinary ones are not.
+func TestMalformedRequestsAreCounted(t *testing.T) {
+	b := startBox(t, true)
+	b.await(b.isReady)
+	for _, c := range []struct {
+		text   string
+		status int
+		count  int64
+	}{
+		{"POST /a/x HTTP/1.1\r\nHost: h\r\nId: 1\r\nKey: k\r\nContent-Length: 0\r\n\r\n", 200, 0},
+		{"POST /a/x HTTP/1.1\r\nHost: h\r\nnot a header\r\n\r\n", 400, 1},
+		{"POST /a/x HTTP/3.7\r\nHost: h\r\n\r\n", 505, 2},
+	} {
+		n, err := net.Dial("tcp", b.address)
+		require.NoError(t, err)
+		defer n.Close()
+		_, err = io.WriteString(n, c.text+c.text)
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(n), nil)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, c.status, resp.StatusCode)
+		require.Equal(t, c.count, metrics.GetOrRegisterCounter("refused.malformed", b.metrics).Count())
+	}
+}
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -32,6 +32,7 @@
 func (i *Ingress) serve(w http.ResponseWriter, r *http.Request) {
 	i.inFlight.Add(1)
 	defer i.inFlight.Add(-1)
+	markServed(r.Context())
 	arrived := boottime.Now()
 	if i.stopping.Load() {
 		w.Header().Set("Connection", "close")
@@ -160,6 +161,9 @@
 	d := boottime.Since(q.Call.Arrived)
 	metrics.GetOrRegisterTimer("requests."+q.Route.Kind.String(), i.metrics).Update(d)
 	l := i.log.Info().Str("event", "answer").Str("request", q.Call.ID).Str("route", q.Route.Name).Int("status", status).Dur("took", d)
+	if lag := i.state.RecordsLag(); lag > 0 {
+		l = l.Dur("records_lag", lag)
+	}
 	withAccount(withResumes(l, q.Call), q).EmbedObject(t).Msg("answered")
 }
 
--- a/ingress/sink.go
+++ b/ingress/sink.go
@@ -82,9 +82,15 @@
 	if t := i.state.Table(); t != nil {
 		l = l.Uint64("configuration", t.Document.Version)
 	}
+	if denials[e.Kind] || e.Kind == errkind.NotReady {
+		l = l.Dur("configuration_age", i.state.ConfigAge()).Dur("configuration_lag", i.state.ConfigLag()).Dur("store_age", i.session.StoreUnresponsiveFor())
+	}
 	return withAccount(l, q)
 }
 
+// denials are the kinds of errors that depend on what the configuration in force lacks or forbids.
+var denials = map[errkind.Kind]bool{errkind.UnknownService: true, errkind.UnknownAccount: true, errkind.TooLarge: true}
+
 // withResumes adds to a log event which stream a call takes up again, and after which event.
 func withResumes(l *zerolog.Event, c *call.Call) *zerolog.Event {
 	if c.Resumes == "" && c.LastEventID == "" {
--- /dev/null
+++ b/lag/lag_test.go
@@ -0,0 +1,96 @@
+package lag_test
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"birchlink.dev/birchlink/boottime"
+	"birchlink.dev/birchlink/lag"
+)
+
+func Example() {
+	var l lag.Lag
+	l.Reach(3)
+	l.Announce(4)
+	fmt.Println(l.Get() > 0)
+	l.Reach(4)
+	fmt.Println(l.Get() > 0)
+	// Output:
+	// true
+	// false
+}
+
+// Each line of a script is a command, or the lag that is expected.
+func TestScripts(t *testing.T) {
+	f, err := os.Open("testdata/scripts.txt")
+	require.NoError(t, err)
+	defer f.Close()
+	scripts, name := map[string][]string{}, ""
+	for s := bufio.NewScanner(f); s.Scan(); {
+		switch line := s.Text(); {
+		case strings.HasPrefix(line, "# "):
+			name = line[2:]
+		case line != "":
+			scripts[name] = append(scripts[name], line)
+		}
+	}
+	require.NotEmpty(t, scripts)
+	for name, lines := range scripts {
+		t.Run(name, func(t *testing.T) { synctest.Test(t, func(t *testing.T) { play(t, lines) }) })
+	}
+}
+
+func play(t *testing.T, lines []string) {
+	t.Helper()
+	var l lag.Lag
+	for i, line := range lines {
+		w := strings.Fields(line)
+		var n uint64
+		var d time.Duration
+		var err error
+		switch w[0] {
+		case "announce", "reach":
+			_, err = fmt.Sscan(w[1], &n)
+		default:
+			d, err = time.ParseDuration(w[1])
+		}
+		require.NoError(t, err, line)
+		switch w[0] {
+		case "announce":
+			l.Announce(n)
+		case "reach":
+			l.Reach(n)
+		case "confirm":
+			l.Confirm(boottime.Now().Add(-d))
+		case "wait":
+			time.Sleep(d)
+		case "lag":
+			require.Equal(t, d, l.Get(), "line %d", i+1)
+		default:
+			t.Fatal("unknown command", line)
+		}
+	}
+}
+
+// However many versions are announced, their memory is bounded and the lag is that of the oldest one.
+func TestManyVersions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var l lag.Lag
+		for v := range uint64(1000) {
+			l.Announce(v + 1)
+			time.Sleep(time.Millisecond)
+		}
+		require.Equal(t, time.Second, l.Get())
+		l.Reach(999)
+		require.Positive(t, l.Get())
+		l.Reach(1000)
+		require.Zero(t, l.Get())
+	})
+}
--- a/newest/fetcher.go
+++ b/newest/fetcher.go
@@ -19,8 +19,8 @@
 // Fetcher fetches one kind of state. It must be created with New, and its fields be set before the first announcement. It
 // is safe for concurrent use.
 type Fetcher struct {
-	// Fetch fetches what is newer at the box at an address.
-	Fetch func(c context.Context, address string) error
+	// Fetch fetches what is newer at the box at an address. It calls onBytes with the number of bytes of each read from there.
+	Fetch func(c context.Context, address string, onBytes func(n int)) error
 
 	// Version returns the version that this box has.
 	Version func() uint64
@@ -46,6 +46,26 @@
 	cancel    context.CancelFunc // nil while no fetch is in progress
 }
 
+// progress is how much of a fetch has come.
+type progress struct {
+	mu    sync.Mutex
+	bytes int
+	at    time.Time // of the last bytes, or the start of the fetch
+}
+
+func (p *progress) add(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.bytes, p.at = p.bytes+n, boottime.Now()
+}
+
+// MarshalZerologObject adds to a log event how many bytes came, and for how long none have.
+func (p *progress) MarshalZerologObject(l *zerolog.Event) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l.Int("bytes", p.bytes).Dur("silent", boottime.Since(p.at))
+}
+
 // announcement is a version that the box at an address has.
 type announcement struct {
 	version uint64
@@ -90,9 +110,10 @@
 	f.number++
 	number := f.number
 	f.from, f.startedAt, f.cancel = a.address, boottime.Now(), cancel
+	p := &progress{at: f.startedAt}
 	f.group.Go(func() {
 		defer cancel()
-		err := f.Fetch(c, a.address)
+		err := f.Fetch(c, a.address, p.add)
 		version := f.Version()
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -100,7 +121,7 @@
 			return // another one has taken its place
 		}
 		f.cancel = nil
-		f.log(a, version, err)
+		f.log(a, version, p, err)
 		// A box that doesn't have what it announced is not asked again before the next announcement.
 		if err == nil && version >= a.version && f.newest.version > version {
 			f.begin(f.newest)
@@ -109,7 +130,7 @@
 }
 
 // log logs the first failed fetch of a series, further ones at long intervals, and the end of the series. The caller holds f.mu.
-func (f *Fetcher) log(a announcement, version uint64, err error) {
+func (f *Fetcher) log(a announcement, version uint64, p *progress, err error) {
 	if err == nil && f.failures == 0 || f.c.Err() != nil {
 		return
 	}
@@ -121,7 +142,7 @@
 	if err == nil || f.failures%failureLogInterval == 1 {
 		f.Log.Info().Str("event", "fetch").Str("state", f.Kind).Str("from", a.address).Uint64("announced", a.version).
 			Uint64("newest", f.newest.version).Uint64("version", version).Int("failures", f.failures).
-			Dur("took", boottime.Since(f.startedAt)).Err(err).Msg(message)
+			Dur("took", boottime.Since(f.startedAt)).EmbedObject(p).Err(err).Msg(message)
 	}
 	if err == nil {
 		f.failures = 0
--- a/newest/fetcher_test.go
+++ b/newest/fetcher_test.go
@@ -19,7 +19,7 @@
 	var version atomic.Uint64
 	f := newest.New(context.Background())
 	f.Version, f.Timeout = version.Load, time.Second
-	f.Fetch = func(_ context.Context, address string) error {
+	f.Fetch = func(_ context.Context, address string, _ func(int)) error {
 		fmt.Println("fetched from", address)
 		version.Store(7)
 		return nil
@@ -46,7 +46,7 @@
 	s.up.Store(true)
 	s.Version, s.StaleAge, s.Timeout, s.Log = s.version.Load, 2*time.Second, 10*time.Second, zerolog.Nop()
 	s.IsUp = func(string) bool { return s.up.Load() }
-	s.Fetch = func(c context.Context, address string) error {
+	s.Fetch = func(c context.Context, address string, _ func(int)) error {
 		s.fetches.Add(1)
 		if address == "stalled" {
 			<-c.Done()
@@ -126,7 +126,7 @@
 	c, cancel := context.WithCancel(t.Context())
 	f := newest.New(c)
 	f.Version = func() uint64 { return 0 }
-	f.Fetch = func(context.Context, string) error { panic("not to be called") }
+	f.Fetch = func(context.Context, string, func(int)) error { panic("not to be called") }
 	cancel()
 	f.Announce(1, "a")
 	f.Wait()
--- a/peer/client.go
+++ b/peer/client.go
@@ -65,6 +65,17 @@
 	waitingSince time.Time
 }
 
+// received tells the calls that follow their bytes how many have come.
+func (l *link) received(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, b := range l.calls {
+		if b.onBytes != nil {
+			b.onBytes(n)
+		}
+	}
+}
+
 // NewClient returns a client without connections.
 func NewClient(secret string) *Client {
 	return &Client{
@@ -84,11 +95,23 @@
 // faster than it is read and for which there is no memory; the call may or may not have taken effect. Errors of the remote handler keep their kind, message and
 // RetryAfter.
 func (c *Client) Stream(x context.Context, address, method string, in, out any, onItem func([]byte) error) error {
+	return c.stream(x, address, method, in, out, onItem, nil)
+}
+
+// Transfer makes a call with a large answer, as Call does. OnBytes is called with the number of bytes of each read from the
+// connection meanwhile, which may belong to answers of other calls too. It must not block.
+func (c *Client) Transfer(x context.Context, address, method string, in, out any, onBytes func(n int)) error {
+	return c.stream(x, address, method, in, out, nil, onBytes)
+}
+
+func (c *Client) stream(
+	x context.Context, address, method string, in, out any, onItem func([]byte) error, onBytes func(n int),
+) error {
 	l, err := c.connect(x, address)
 	if err != nil {
 		return &errkind.Error{Kind: errkind.Unavailable, Message: "peer " + address, Err: err}
 	}
-	id, answers := l.openCall()
+	id, answers := l.openCall(onBytes)
 	defer l.closeCall(id)
 	b, err := msgpack.Marshal(in)
 	if err != nil {
@@ -291,7 +314,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &link{conn: f, queued: &c.queued, calls: map[uint64]*inbox{}, done: make(chan struct{})}, nil
+	l := &link{conn: f, queued: &c.queued, calls: map[uint64]*inbox{}, done: make(chan struct{})}
+	f.OnRead = l.received
+	return l, nil
 }
 
 func (c *Client) dialFrames(x context.Context, address string) (*frame.Conn, error) {
@@ -340,8 +365,9 @@
 // connection. If the client has no room for a frame, the frame and those after it are dropped, and the
 // call fails.
 type inbox struct {
-	budget *membudget.Budget
-	ready  chan struct{}
+	budget  *membudget.Budget
+	ready   chan struct{}
+	onBytes func(n int) // nil unless the call follows the bytes of the connection
 
 	mu     sync.Mutex
 	frames []frame.Message
@@ -412,14 +438,14 @@
 	return len(i.frames) == 0
 }
 
-func (l *link) openCall() (uint64, *inbox) {
+func (l *link) openCall(onBytes func(n int)) (uint64, *inbox) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lastID++
 	if l.waitingSince.IsZero() {
 		l.waitingSince = time.Now()
 	}
-	b := &inbox{budget: l.queued, ready: make(chan struct{}, 1)}
+	b := &inbox{budget: l.queued, ready: make(chan struct{}, 1), onBytes: onBytes}
 	l.calls[l.lastID] = b
 	return l.lastID, b
 }
@@ -454,7 +480,7 @@
 
 // ping makes a call of methodPing. The channel receives an item when it is answered; end ends the call.
 func (l *link) ping() (pong <-chan struct{}, end func()) {
-	id, b := l.openCall()
+	id, b := l.openCall(nil)
 	if err := l.conn.Write(frame.Message{ID: id, Type: frame.Call, Method: methodPing}, writeTimeout); err != nil {
 		l.conn.Close()
 	}
