--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -117,6 +117,7 @@
 	*ingress.Ingress
 	t            *testing.T
 	store        *memstore.Store
+	stuckStore   // to store
 	session      *storesession.Session
 	state        *fleetstate.Service
 	metrics      metrics.Registry
@@ -128,16 +129,32 @@
 
 // startBox starts a box. If configured is false, the store holds no configuration and no endpoint.
 func startBox(t *testing.T, configured bool) *box {
+	t.Helper()
+	return startBoxWith(t, configured, func(*box) {})
+}
+
+// encode returns the configuration of the tests as another version.
+func encode(t *testing.T, version uint64) []byte {
+	t.Helper()
+	d := document
+	d.Version = version
+	text, err := json.Marshal(d)
+	require.NoError(t, err)
+	return text
+}
+
+// startBoxWith starts a box after set has changed it.
+func startBoxWith(t *testing.T, configured bool, set func(*box)) *box {
 	t.Helper()
 	b := &box{t: t, store: &memstore.Store{}, metrics: metrics.NewRegistry(), release: make(chan struct{}), holding: make(chan struct{}, 8)}
 	e := httptest.NewServer(http.HandlerFunc(b.endpoint))
 	t.Cleanup(e.Close)
 	if configured {
-		text, err := json.Marshal(document)
-		require.NoError(t, err)
-		b.store.Set("config", string(text))
+		b.store.Set("config", string(encode(t, document.Version)))
 		b.store.Set("e/one", strings.TrimPrefix(e.URL, "http://"))
 	}
+	b.Store = b.store
+	set(b)
 	b.session = storesession.New(b.store, zerolog.Nop())
 	b.state = fleetstate.New(fleetstate.Source{
 		ConfigKey: "config", EndpointsPrefix: "e/",
@@ -148,7 +165,7 @@
 		DecodeEndpoint: func(k string, v []byte) (endpoint.Endpoint, error) {
 			return endpoint.Endpoint{ID: k, Service: "s", Slots: 4, Version: "v1", Address: string(v)}, nil
 		},
-	}, b.store, zerolog.Nop())
+	}, &b.stuckStore, zerolog.Nop())
 	f := &forward.Forwarder{
 		Roster: &b.state.Roster, Balancer: &balance.Balancer{}, Pool: &httpconn.Pool{DialTimeout: time.Second},
 		Meter: &demand.Meter{}, Quarantine: &quarantine.Quarantine{},
--- a/ingress/slow_test.go
+++ b/ingress/slow_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -15,15 +16,17 @@
 	"github.com/stretchr/testify/require"
 
 	"birchlink.dev/birchlink/call"
+	"birchlink.dev/birchlink/catalog"
 	"birchlink.dev/birchlink/fleetstate"
 	"birchlink.dev/birchlink/stand/memstore"
+	"birchlink.dev/birchlink/storesession"
 )
 
 // plainCodec is a codec without headers.
 type plainCodec struct{}
 
-func (plainCodec) Decode(_ *http.Request, arrived time.Time) (*call.Call, error) {
-	return &call.Call{Arrived: arrived}, nil
+func (plainCodec) Decode(r *http.Request, arrived time.Time) (*call.Call, error) {
+	return &call.Call{Arrived: arrived, Host: r.Host, Path: r.URL.Path}, nil
 }
 
 func (plainCodec) ResponseHeader(h http.Header) http.Header { return h }
@@ -89,6 +92,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				i := New(Options{ReadyPath: "/ready"}, plainCodec{}, nil, nil, nil, metrics.NewRegistry(), zerolog.Nop())
 				i.state = fleetstate.New(fleetstate.Source{}, &memstore.Store{}, zerolog.Nop())
+				i.session = storesession.New(&memstore.Store{}, zerolog.Nop())
 				i.setServers()
 				s := i.server
 				if c.ready {
@@ -126,3 +130,53 @@
 		})
 	}
 }
+
+// serveConn serves one connection of a box with one route, and returns the caller's end of it.
+func serveConn(t *testing.T) net.Conn {
+	t.Helper()
+	i := New(Options{}, plainCodec{}, nil, nil, nil, metrics.NewRegistry(), zerolog.Nop())
+	i.state = fleetstate.New(fleetstate.Source{DecodeConfig: func([]byte) (*catalog.Document, error) {
+		routes := []catalog.Route{{Host: "h", Prefix: "/a/", Public: true, Shares: []catalog.Share{{Service: "s"}}}}
+		return &catalog.Document{Version: 1, Routes: routes}, nil
+	}}, &memstore.Store{}, zerolog.Nop())
+	i.session = storesession.New(&memstore.Store{}, zerolog.Nop())
+	require.NoError(t, i.state.Install(nil, "test"))
+	i.state.Merge(fleetstate.Records{Whole: true, To: 1})
+	i.setServers()
+	near, far := net.Pipe()
+	l := oneConn{conns: make(chan net.Conn, 1)}
+	l.conns <- far
+	go func() { _ = i.server.Serve(l) }()
+	t.Cleanup(func() {
+		near.Close()
+		close(l.conns)
+		_ = i.server.Close()
+	})
+	return near
+}
+
+// Guards against 4xx for a proper request whose body comes slower than the box waits for it: it has not run, and may be sent again.
+// It also guards against refusals that wait for a body, after which the connection was closed without an answer.
+func TestBodiesThatComeLate(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		status     int
+		after      time.Duration
+	}{
+		{"the body is waited for", "/a/x", http.StatusRequestTimeout, bodyTimeout},
+		{"the request is refused", "/none", http.StatusServiceUnavailable, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n, began := serveConn(t), time.Now()
+				_, err := io.WriteString(n, "POST "+c.path+" HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf")
+				require.NoError(t, err)
+				resp, err := http.ReadResponse(bufio.NewReader(n), nil)
+				require.NoError(t, err)
+				require.NoError(t, resp.Body.Close())
+				require.Equal(t, c.status, resp.StatusCode)
+				require.Equal(t, c.after, time.Since(began))
+			})
+		})
+	}
+}
