Join fetches that make no progress by one from another box over a new connection

Callers got 404 and 401 for routes and keys that all other boxes had, and requests reached endpoints that were leaving: boxes stayed at old configurations and records for 10 s while a connection to their relay had stalled. A fetch was given up for another source only if the rounds with its source failed, and these use another connection; a sign of life that stands for another.

A fetch of which nothing came for 0.4 s is now joined by a second one: from a box that has announced the same, else from another relay, else from the same box, always over a new connection. The first to bring what was announced ends the other. A fetch without progress fails after 2 s, one that goes on after 10 s as before. Progress is counted in bytes on the fetch's own connection. Boxes without a newer configuration answer so instead of sending theirs. configsync has the same fetcher; its test failed before (version 0 after 10 s).

--- a/configsync/follower.go
+++ b/configsync/follower.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,7 +42,8 @@
 	confirmTimeout     = 3 * time.Second        // for reading back a swap with an unknown outcome
 	retryInterval      = 500 * time.Millisecond // after a failed watch, and between the reads that confirm a swap
 	readTimeout        = 10 * time.Second       // of one read of a configuration from a peer, which may be large and its link slow
-	staleReadAge       = 2 * time.Second        // after which a read is given up for another one if its peer is gone
+	stallTime          = 400 * time.Millisecond // after which a read of which nothing comes is joined by one from another peer
+	giveUpTime         = 2 * time.Second        // after which it has failed
 	failureLogInterval = 20                     // failed watches in a row between two that are logged
 	maxReads           = 4                      // reads from peers at the same time when the service starts
 	maxWatchers        = 2                      // boxes per data centre that watch the key-value service, and that are relays
@@ -89,14 +89,31 @@
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	f.reads = newest.New(f.ctx)
 	f.reads.Kind, f.reads.Version, f.reads.Log = "configuration", f.version, log
-	f.reads.IsUp, f.reads.StaleAge, f.reads.Timeout = f.isUp, staleReadAge, readTimeout
+	f.reads.Others, f.reads.StallTime, f.reads.GiveUp, f.reads.Timeout = f.otherBoxes, stallTime, giveUpTime, readTimeout
 	f.reads.Fetch = f.fetch
 	return f
 }
 
-// isUp reports whether the box at an address is up.
-func (f *Follower) isUp(address string) bool {
-	return slices.ContainsFunc(f.members.Up(""), func(m member.Member) bool { return m.Address == address })
+// otherBoxes returns the addresses of the other boxes that are up, those of this data centre first.
+func (f *Follower) otherBoxes() []string {
+	if f.members == nil {
+		return nil
+	}
+	self := f.members.Self()
+	var near, far []string
+	for _, m := range f.members.Up("") {
+		switch {
+		case m.Box == self.Box:
+		case m.DataCentre == self.DataCentre:
+			near = append(near, m.Address)
+		default:
+			far = append(far, m.Address)
+		}
+	}
+	shuffle := func(as []string) { rand.Shuffle(len(as), func(i, j int) { as[i], as[j] = as[j], as[i] }) }
+	shuffle(near)
+	shuffle(far)
+	return append(near, far...)
 }
 
 // Name returns the service's name.
@@ -215,7 +232,7 @@
 			g.Go(func() error {
 				x, cancel := context.WithTimeout(c, callTimeout)
 				defer cancel()
-				return f.fetch(x, m.Address, func(int) {})
+				return f.fetch(x, newest.Source{Address: m.Address}, func(int) {})
 			})
 		}
 	}
@@ -223,9 +240,9 @@
 }
 
 // fetch reads and installs a higher version from a peer, if it has one.
-func (f *Follower) fetch(c context.Context, address string, onBytes func(n int)) error {
+func (f *Follower) fetch(c context.Context, from newest.Source, onBytes func(n int)) error {
 	var r Revision
-	if err := f.peers.Bulk.Transfer(c, address, "config.get", f.version(), &r, onBytes); err != nil {
+	if err := f.peers.Bulk.Transfer(c, from.Address, "config.get", f.version(), &r, from.Renew, onBytes); err != nil {
 		return err
 	}
 	if r.Version > 0 {
--- a/gossip/fetch.go
+++ b/gossip/fetch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"birchlink.dev/birchlink/boottime"
@@ -15,9 +16,12 @@
 // maxConcurrentSends limits how many fetches of a kind a box answers at once; others queue.
 const maxConcurrentSends = 4
 
-// staleFetchAge is the age from which a fetch is cancelled if its source is unreachable. A connection
-// stalled by a partition reports no error, and another box has the same data.
-const staleFetchAge = time.Second
+// A fetch of which nothing comes for stallTime is joined by one from another box, and has failed after giveUpTime. In that time
+// it may also wait in the sender's queue.
+const (
+	stallTime  = 400 * time.Millisecond
+	giveUpTime = 2 * time.Second
+)
 
 // newFetchers sets up the fetches of the configuration and of the records. They don't block the rounds: within the time
 // limit of a round, no member received its records when all asked at once, and their relay sent them repeatedly.
@@ -30,10 +34,10 @@
 	g.recordsFetcher = g.newFetcher("records", g.state.Revision, g.fetchRecords)
 }
 
-func (g *Gossip) newFetcher(kind string, version func() uint64, fetch func(c context.Context, from string, onBytes func(int)) error) *newest.Fetcher {
+func (g *Gossip) newFetcher(kind string, version func() uint64, fetch func(c context.Context, from newest.Source, onBytes func(int)) error) *newest.Fetcher {
 	f := newest.New(g.ctx)
 	f.Kind, f.Version, f.Fetch, f.Log = kind, version, fetch, g.log
-	f.IsUp, f.StaleAge, f.Timeout = g.isReachableRelay, staleFetchAge, fetchTimeout
+	f.Others, f.StallTime, f.GiveUp, f.Timeout = g.otherSources, stallTime, giveUpTime, fetchTimeout
 	return f
 }
 
@@ -44,40 +48,38 @@
 	g.recordsFetcher.Announce(revision, from)
 }
 
-// isReachableRelay reports whether an address is that of this box's relay, or of another relay that
-// has reported recently.
-func (g *Gossip) isReachableRelay(address string) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.relayAddress == address {
-		return true
-	}
-	for _, h := range g.otherRelays {
-		if h.Address == address && boottime.Since(h.receivedAt) < unreachableAfter {
-			return true
-		}
+// otherSources returns the addresses of relays that may have what another box announced, those of this data centre first.
+func (g *Gossip) otherSources() []string {
+	local, remote := g.relayTargets()
+	rand.Shuffle(len(remote), func(i, j int) { remote[i], remote[j] = remote[j], remote[i] })
+	addresses := make([]string, 0, len(local)+len(remote))
+	for _, s := range append(local, remote...) {
+		addresses = append(addresses, s.address)
 	}
-	return false
+	return addresses
 }
 
 // fetchConfiguration fetches a configuration newer than this box's.
-func (g *Gossip) fetchConfiguration(c context.Context, from string, onBytes func(int)) error {
+func (g *Gossip) fetchConfiguration(c context.Context, from newest.Source, onBytes func(int)) error {
 	v, _ := g.state.RawConfig()
 	var zip []byte
-	if err := g.node.Bulk.Transfer(c, from, "gossip.configuration", v, &zip, onBytes); err != nil {
+	if err := g.node.Bulk.Transfer(c, from.Address, "gossip.configuration", v, &zip, from.Renew, onBytes); err != nil {
 		return err
 	}
+	if len(zip) == 0 {
+		return nil // it has none that is newer
+	}
 	raw, err := unpack(zip)
 	if err != nil {
 		return err
 	}
-	return g.state.Install(raw, from)
+	return g.state.Install(raw, from.Address)
 }
 
 // fetchRecords fetches the endpoint records that this box lacks.
-func (g *Gossip) fetchRecords(c context.Context, from string, onBytes func(int)) error {
+func (g *Gossip) fetchRecords(c context.Context, from newest.Source, onBytes func(int)) error {
 	var zip []byte
-	if err := g.node.Bulk.Transfer(c, from, "gossip.records", g.state.Revision(), &zip, onBytes); err != nil {
+	if err := g.node.Bulk.Transfer(c, from.Address, "gossip.records", g.state.Revision(), &zip, from.Renew, onBytes); err != nil {
 		return err
 	}
 	r, err := unpackRecords(zip)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -190,8 +190,11 @@
 	peer.Handle(g.node.Server, "gossip.member", g.handleMember)
 	peer.Handle(g.node.Server, "gossip.relay", g.handleRelay)
 	peer.Handle(g.node.Server, "gossip.update", g.handleUpdate)
-	peer.Handle(g.node.Server, "gossip.configuration", func(context.Context, uint64) ([]byte, error) {
-		_, raw := g.state.RawConfig()
+	peer.Handle(g.node.Server, "gossip.configuration", func(_ context.Context, since uint64) ([]byte, error) {
+		v, raw := g.state.RawConfig()
+		if v <= since {
+			return []byte{}, nil
+		}
 		return g.packedConfig.pack(raw)
 	})
 	peer.Handle(g.node.Server, "gossip.records", func(_ context.Context, since uint64) ([]byte, error) {
--- a/peer/client.go
+++ b/peer/client.go
@@ -60,8 +60,8 @@
 	// retired is whether the connection gets no further calls. It is closed after the last one.
 	retired bool
 
-	// waitingSince is when the first call since the last received frame was made; zero
-	// if there was none.
+	// waitingSince is when the first call since the last received frame was made, or later bytes were received; zero
+	// if there was no call.
 	waitingSince time.Time
 }
 
@@ -69,6 +69,9 @@
 func (l *link) received(n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !l.waitingSince.IsZero() {
+		l.waitingSince = time.Now()
+	}
 	for _, b := range l.calls {
 		if b.onBytes != nil {
 			b.onBytes(n)
@@ -98,9 +101,13 @@
 	return c.stream(x, address, method, in, out, onItem, nil)
 }
 
-// Transfer makes a call with a large answer, as Call does. OnBytes is called with the number of bytes of each read from the
-// connection meanwhile, which may belong to answers of other calls too. It must not block.
-func (c *Client) Transfer(x context.Context, address, method string, in, out any, onBytes func(n int)) error {
+// Transfer makes a call with a large answer, as Call does. If renew is set, it makes a new connection, which later calls use too.
+// OnBytes is called with the number of bytes of each read from the connection meanwhile, which may belong to answers of other calls
+// too. It must not block.
+func (c *Client) Transfer(x context.Context, address, method string, in, out any, renew bool, onBytes func(n int)) error {
+	if renew {
+		c.retire(address)
+	}
 	return c.stream(x, address, method, in, out, nil, onBytes)
 }
 
@@ -284,6 +291,19 @@
 	c.old[l] = address
 }
 
+// retire retires the connection to an address, if there is one.
+func (c *Client) retire(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.links[address]
+	if l == nil {
+		return
+	}
+	delete(c.links, address)
+	c.old[l] = address
+	l.retire()
+}
+
 // closeIfDead closes a retired connection if it answers nothing while a newer one to the same peer does.
 func closeIfDead(old, newer *link) {
 	pong, end := old.ping()
@@ -478,6 +498,16 @@
 	return silent
 }
 
+// retire makes the connection a retired one, and closes it if no calls are pending.
+func (l *link) retire() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.retired = true
+	if len(l.calls) == 0 {
+		l.conn.Close()
+	}
+}
+
 // ping makes a call of methodPing. The channel receives an item when it is answered; end ends the call.
 func (l *link) ping() (pong <-chan struct{}, end func()) {
 	id, b := l.openCall(nil)
