Answer 503 instead of 404, 401 and 413 while the configuration may be old

Callers got 404 and 401 from boxes that had heard of a newer configuration, in which their route or key was, or whose configuration could not be read: the answer depended on whether the store renews leases, which says nothing of what was read. 413 by an older limit of the configuration was the same.

A request that the configuration doesn't allow is now refused with 503 and a time to return while a newer configuration is known to exist, while the one in force was never confirmed as the newest or not for 3 s, or the store is silent as before. What it allows is served.

--- a/fleetstate/view.go
+++ b/fleetstate/view.go
@@ -54,6 +54,10 @@
 // ConfigAge returns the time since the configuration was last known to be the newest one.
 func (s *Service) ConfigAge() time.Duration { return s.configView.age.Get() }
 
+// ConfigConfirmed reports whether the configuration was ever known to be the newest one. A box that has just started may have
+// that of another box, which may be old.
+func (s *Service) ConfigConfirmed() bool { return s.configView.age.IsConfirmed() }
+
 // ConfigLag returns for how long a newer configuration than that in force has been known to exist; zero if none is.
 func (s *Service) ConfigLag() time.Duration { return s.configView.lag.Get() }
 
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -30,7 +30,7 @@
 		limit = min(limit, int64(n))
 	}
 	if r.ContentLength > limit {
-		return func() {}, errkind.New(errkind.TooLarge, "the body is over %d bytes", limit)
+		return func() {}, i.tooLarge(limit)
 	}
 	if r.ContentLength == 0 {
 		return func() {}, nil
@@ -52,9 +52,18 @@
 		w.Header().Set("Connection", "close")
 		err = errkind.New(errkind.BoxFull, "%w", err).WithRetryAfter(fullRetryAfter)
 	case errors.As(err, &tooLarge):
-		err = errkind.New(errkind.TooLarge, "the body is over %d bytes", limit)
+		err = i.tooLarge(limit)
 	default:
 		err = errkind.New(errkind.BadRequest, "the body was not read: %w", err)
 	}
 	return release, err
 }
+
+// tooLarge returns the error for a body over a limit in bytes, which is that of the configuration if it is below maxBodyBytes.
+func (i *Ingress) tooLarge(limit int64) error {
+	const format = "the body is over %d bytes"
+	if limit < maxBodyBytes {
+		return i.denial(errkind.TooLarge, format, limit)
+	}
+	return errkind.New(errkind.TooLarge, format, limit)
+}
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -21,9 +21,13 @@
 	"birchlink.dev/birchlink/requesthash"
 )
 
-// staleAfter is how long the store may be unreachable before the configuration counts as stale. A
-// key or route that a stale configuration lacks may exist.
-const staleAfter = 1500 * time.Millisecond
+// A key or route that the configuration lacks may exist if a newer one may. The store tells the boxes that watch it of changes;
+// it may have been silent for maxStoreSilence, and the configuration may have been known to be the newest maxConfigAge ago. A watch
+// of which nothing new comes takes 1.4 s, and each of the boxes on the way from it, two at most, another half second.
+const (
+	maxStoreSilence = 1500 * time.Millisecond
+	maxConfigAge    = 3 * time.Second
+)
 
 // defaultTimeout is the timeout of a request whose route has none.
 const defaultTimeout = 30 * time.Second
@@ -102,14 +106,13 @@
 	if t == nil || !i.state.Ready() {
 		return q, errkind.New(errkind.NotReady, "no configuration yet").WithRetryAfter(time.Second / 2)
 	}
-	stale := i.session.StoreUnresponsiveFor() > staleAfter
 	q.Route = t.Route(c.Host, c.Path)
 	if q.Route == nil {
-		return q, notFoundError(errkind.UnknownService, stale, "no route for %s%s", c.Host, c.Path)
+		return q, i.denial(errkind.UnknownService, "no route for %s%s", c.Host, c.Path)
 	}
 	if t.NeedsKey(q.Route) {
 		if q.Account = t.AccountByKey(c.Key); q.Account == nil {
-			return q, notFoundError(errkind.UnknownAccount, stale, "the key is not an account's")
+			return q, i.denial(errkind.UnknownAccount, "the key is not an account's")
 		}
 	}
 	// A request that takes a stream up again goes to the service of the first one.
@@ -125,15 +128,21 @@
 	return q, nil
 }
 
-// notFoundError returns an error of kind k for an item that the configuration lacks. If the
-// configuration is stale, the error is of kind NotReady instead, because the item may exist.
-func notFoundError(k errkind.Kind, stale bool, format string, args ...any) error {
-	if stale {
+// denial returns an error of kind k for a request that the configuration does not allow. If the configuration may be old, the error
+// is of kind NotReady instead, because the newest one may allow the request.
+func (i *Ingress) denial(k errkind.Kind, format string, args ...any) error {
+	if i.mayBeOld() {
 		return errkind.New(errkind.NotReady, "the configuration may be old: "+format, args...).WithRetryAfter(time.Second / 2)
 	}
 	return errkind.New(k, format, args...)
 }
 
+// mayBeOld reports whether there may be a newer configuration than the one in force.
+func (i *Ingress) mayBeOld() bool {
+	s := i.state
+	return s.ConfigLag() > 0 || !s.ConfigConfirmed() || s.ConfigAge() > maxConfigAge || i.session.StoreUnresponsiveFor() > maxStoreSilence
+}
+
 // pickService chooses a service by weight from a hash of the request ID, so that a retried request
 // gets the same service.
 func pickService(shares []catalog.Share, id string) string {
--- a/viewage/age.go
+++ b/viewage/age.go
@@ -12,8 +12,9 @@
 // Age is the age of a copy: the time since it was last known to be complete. It is safe for concurrent use and must be
 // created with New.
 type Age struct {
-	mu sync.Mutex
-	at time.Time
+	mu          sync.Mutex
+	at          time.Time
+	isConfirmed bool
 }
 
 // New returns the age of a copy that begins now.
@@ -23,11 +24,19 @@
 func (a *Age) Confirm(at time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.isConfirmed = true
 	if at.After(a.at) {
 		a.at = at
 	}
 }
 
+// IsConfirmed reports whether the copy was ever known to be complete.
+func (a *Age) IsConfirmed() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.isConfirmed
+}
+
 // Get returns the age.
 func (a *Age) Get() time.Duration {
 	a.mu.Lock()
