--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -106,6 +106,7 @@
 	w := MemberReply{
 		Relay: isRelay, Vacant: isRelay && g.countLocalRelays() < relaysPerDataCentre,
 		ViewAge: g.state.ViewAge(), ViewLag: g.ViewLag(), Revision: g.state.Revision(), Silent: g.session.StoreUnresponsiveFor(), Now: g.Clock.Now(),
+		Records: g.missingRecords(in.Revision),
 	}
 	if isRelay {
 		g.fillReply(&w, in)
@@ -125,7 +126,6 @@
 	w.Leavers = g.state.Roster.DrainingSet(in.Leavers.Sum)
 	w.Rates = g.Rates.Report(in.Rates.Sum, now)
 	w.Orders = g.Rollouts.Orders()
-	w.Records = g.missingRecords(in.Revision)
 	w.Others.Version, _ = g.state.RawConfig()
 	w.Others.Usage = nil
 	if !hasStats {
