Let boxes read the store themselves when others don't send what they have

A box whose connections to all relays have stalled stayed at its old configuration although the store answered it: it watched the store only if its relay was gone or its relay's view was old, not if its own was.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -135,6 +135,7 @@
 	stopSlotWatch context.CancelFunc // set while this box watches the slots
 	viewLog       viewLog
 	restsUntil    atomic.Pointer[time.Time] // nil if this box has not rested
+	selfReadUntil time.Time                 // zero if this box has not read the store because others did not tell it
 
 	mu         sync.Mutex
 	slots      map[string]relaySlot
@@ -329,7 +330,7 @@
 	g.takeOverSlot(c)
 	g.setSlotWatch(c, true)
 	g.exchangeWithRelays(c)
-	g.state.SetWatching(g.isWatcher())
+	g.state.SetWatching(g.isWatcher() || g.readsItself())
 	if g.session.Lease() != 0 && g.needsSlotLookup() {
 		g.claimSlot(c)
 	}
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -15,7 +15,7 @@
 // runMemberRound reports to the relay that represents this box. If the relay doesn't answer, is no
 // longer a relay, gets no answer from the store or has an old view of it, the box switches to another relay that does. If
 // there is none and the store answers this box, the box watches the store itself and tries to claim a
-// slot. While the store answers no box, a box stays with its relay.
+// slot. It also watches the store while others don't send what they have. While the store answers no box, a box stays with its relay.
 func (g *Gossip) runMemberRound(c context.Context) {
 	g.setSlotWatch(c, false)
 	local, remote := g.relayTargets()
@@ -26,7 +26,7 @@
 	}
 	switch {
 	case fresh:
-		g.state.SetWatching(false)
+		g.state.SetWatching(g.readsItself())
 		if g.slotVacant {
 			g.claimSlot(c)
 		}
