Give up receivers that stall before they hold up the answers to others

A box answers four fetches of a kind at once. Four members whose connections had stalled kept the others waiting for 5 s, the time limit of a whole frame, while receivers that were only slow lost frames that take longer than that.

The time limit of a write is now that of each 16 KB, and 1.5 s for answers of methods whose concurrency is limited; a whole frame may take 30 s, as at the reader.

--- a/frame/conn.go
+++ b/frame/conn.go
@@ -25,6 +25,13 @@
 // is full.
 const stepBytes = 64 << 10
 
+// Limits of the write of a frame. pieceBytes is the part of it that is written within the caller's time limit. The largest frame
+// takes 9 s at 10 Mbit/s.
+const (
+	pieceBytes   = 16 << 10
+	maxWriteTime = 30 * time.Second
+)
+
 // errNoRoom reports that too many large frames are being read.
 var errNoRoom = errors.New("no room for a large frame")
 
@@ -97,8 +104,8 @@
 // Buffered returns the number of bytes that were received and not read yet.
 func (c *Conn) Buffered() int { return c.r.Buffered() }
 
-// Write sends one message. It fails if the write takes longer than timeout, and closes the connection if only a part of the
-// frame was sent.
+// Write sends one message. It fails if writing pieceBytes of it takes longer than timeout, so that a receiver may be slow but not
+// stall, or all of it longer than maxWriteTime. It closes the connection if only a part of the frame was sent.
 func (c *Conn) Write(m Message, timeout time.Duration) error {
 	b, err := Encode(m)
 	if err != nil {
@@ -106,12 +113,23 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if err := c.c.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
-		return fmt.Errorf("write frame: %w", err)
+	sent, end := 0, time.Now().Add(maxWriteTime)
+	for sent < len(b) {
+		t := time.Now().Add(timeout)
+		if end.Before(t) {
+			t = end
+		}
+		if err = c.c.SetWriteDeadline(t); err != nil {
+			break
+		}
+		var n int
+		n, err = c.c.Write(b[sent:min(sent+pieceBytes, len(b))])
+		c.Bytes.Add(int64(n))
+		if sent += n; err != nil {
+			break
+		}
 	}
-	n, err := c.c.Write(b)
-	c.Bytes.Add(int64(n))
-	if err != nil && n > 0 {
+	if err != nil && sent > 0 {
 		c.c.Close()
 	}
 	if err != nil {
--- a/peer/server.go
+++ b/peer/server.go
@@ -18,9 +18,12 @@
 	"birchlink.dev/birchlink/membudget"
 )
 
-// writeTimeout bounds the write of one frame. A connection whose remote side has stopped reading
-// is closed after it.
-const writeTimeout = 5 * time.Second
+// writeTimeout bounds the write of a piece of a frame. A connection whose remote side has stopped reading
+// is closed after it. Answers of methods with limited concurrency have limitedWriteTimeout, since others wait for them.
+const (
+	writeTimeout        = 5 * time.Second
+	limitedWriteTimeout = 1500 * time.Millisecond
+)
 
 const (
 	// maxCallBytes bounds the calls that a server answers at the same time: their arguments, and callOverhead for each.
@@ -215,7 +218,7 @@
 		cost := int64(len(m.Method)+len(m.Body)) + callOverhead
 		if m.Type == frame.Call && !s.calls.Acquire(cost) {
 			refusal := failure{errkind.BoxFull, "this box answers too many calls", fullRetryAfter}
-			if writeBody(f, m.ID, frame.Fail, refusal) != nil {
+			if writeBody(f, m.ID, frame.Fail, refusal, writeTimeout) != nil {
 				return
 			}
 			continue
@@ -246,7 +249,9 @@
 	s.mu.RLock()
 	h, sem := s.handlers[m.Method], s.semaphores[m.Method]
 	s.mu.RUnlock()
+	timeout := writeTimeout
 	if sem != nil {
+		timeout = limitedWriteTimeout
 		select {
 		case sem <- struct{}{}:
 			defer func() { <-sem }()
@@ -254,29 +259,29 @@
 			return
 		}
 	}
-	send := func(v any) error { return writeBody(f, m.ID, frame.Item, v) }
+	send := func(v any) error { return writeBody(f, m.ID, frame.Item, v, timeout) }
 	if h == nil {
-		_ = writeBody(f, m.ID, frame.Fail, failure{Kind: errkind.Unavailable, Message: "no method " + m.Method})
+		_ = writeBody(f, m.ID, frame.Fail, failure{Kind: errkind.Unavailable, Message: "no method " + m.Method}, timeout)
 		return
 	}
 	v, err := h(c, m.Body, send)
 	if err != nil {
 		e := errkind.Of(err)
-		_ = writeBody(f, m.ID, frame.Fail, failure{e.Kind, e.Message, e.RetryAfter})
+		_ = writeBody(f, m.ID, frame.Fail, failure{e.Kind, e.Message, e.RetryAfter}, timeout)
 		return
 	}
 	// Close the connection on a write error so that the caller notices.
-	if err := writeBody(f, m.ID, frame.End, v); err != nil {
+	if err := writeBody(f, m.ID, frame.End, v, timeout); err != nil {
 		f.Close()
 	}
 }
 
-func writeBody(f *frame.Conn, id uint64, t frame.Type, v any) error {
+func writeBody(f *frame.Conn, id uint64, t frame.Type, v any, timeout time.Duration) error {
 	b, err := msgpack.Marshal(v)
 	if err != nil {
 		return fmt.Errorf("encode body: %w", err)
 	}
-	err = f.Write(frame.Message{ID: id, Type: t, Body: b}, writeTimeout)
+	err = f.Write(frame.Message{ID: id, Type: t, Body: b}, timeout)
 	var n net.Error
 	if errors.As(err, &n) {
 		f.Close() // so that handlers that send on do not wait for each frame
