Answer callers whose bodies come late with 408, and refuse without waiting for the body

A proper request whose body came slower than 20 s got 400, which calls it wrong. One that was refused while its body was still to come got no answer at all: net/http reads the body before it writes the answer, for up to 20 s, and the time limit of the write had passed after 5 s.

The first gets 408, body_too_slow, which has not run and may be sent again. The rest of the body of a refused request is read for half a second, in which one that is on its way comes and the connection can be kept; then the answer is written.

--- a/errkind/kind.go
+++ b/errkind/kind.go
@@ -18,6 +18,7 @@
 	UnknownService
 	UnknownRequest
 	TooLarge
+	BodyTooSlow
 	KeyReused
 	LimitReached
 	Overloaded
@@ -75,6 +76,7 @@
 	UnknownService:     {"unknown_service", http.StatusNotFound, NotRun, false},
 	UnknownRequest:     {"unknown_request", http.StatusNotFound, Unknown, false},
 	TooLarge:           {"too_large", http.StatusRequestEntityTooLarge, NotRun, false},
+	BodyTooSlow:        {"body_too_slow", http.StatusRequestTimeout, NotRun, true},
 	KeyReused:          {"key_reused", http.StatusUnprocessableEntity, NotRun, false},
 	LimitReached:       {"limit_reached", http.StatusTooManyRequests, NotRun, true},
 	Overloaded:         {"overloaded", http.StatusTooManyRequests, NotRun, true},
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"os"
 	"time"
 
 	"birchlink.dev/birchlink/bodyroom"
@@ -30,6 +31,7 @@
 		limit = min(limit, int64(n))
 	}
 	if r.ContentLength > limit {
+		limitDrain(w)
 		return func() {}, i.tooLarge(limit)
 	}
 	if r.ContentLength == 0 {
@@ -50,15 +52,25 @@
 	case errors.Is(err, bodyroom.ErrFull):
 		// The rest of the body is not waited for.
 		w.Header().Set("Connection", "close")
+		limitDrain(w)
 		err = errkind.New(errkind.BoxFull, "%w", err).WithRetryAfter(fullRetryAfter)
 	case errors.As(err, &tooLarge):
+		limitDrain(w)
 		err = i.tooLarge(limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		err = errkind.New(errkind.BodyTooSlow, "the body did not come within %v", bodyTimeout)
 	default:
 		err = errkind.New(errkind.BadRequest, "the body was not read: %w", err)
 	}
 	return release, err
 }
 
+// limitDrain bounds the time in which the rest of the body of a refused request is read, which net/http does before it writes the
+// answer.
+func limitDrain(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(drainTimeout))
+}
+
 // tooLarge returns the error for a body over a limit in bytes, which is that of the configuration if it is below maxBodyBytes.
 func (i *Ingress) tooLarge(limit int64) error {
 	const format = "the body is over %d bytes"
--- a/ingress/head.go
+++ b/ingress/head.go
@@ -28,7 +28,7 @@
 	// headCost is the memory that a byte of a head takes once it is decoded, for headers of a usual length.
 	headCost = 4
 
-	// drainTimeout is how long the rest of a refused head is read. A connection that is closed with unread bytes is reset,
+	// drainTimeout is how long the rest of a refused head or body is read. A connection that is closed with unread bytes is reset,
 	// and the caller may not see why it was refused.
 	drainTimeout = 500 * time.Millisecond
 )
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -42,11 +42,11 @@
 		w.Header().Set("Connection", "close")
 	}
 	if r.ContentLength != 0 {
-		// It also bounds the time for the body of a request that is refused, which net/http reads before it answers.
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
 	}
 	cl, err := i.Codec.Decode(r, arrived)
 	if err != nil {
+		limitDrain(w)
 		i.writeError(w, forward.Request{Call: cl}, errkind.New(errkind.BadRequest, "%w", err), forward.Trace{})
 		return
 	}
@@ -55,6 +55,8 @@
 		var release func()
 		release, err = i.readBody(w, r, cl)
 		defer release()
+	} else {
+		limitDrain(w)
 	}
 	if err == nil {
 		err = i.findOrigin(r.Context(), &q)
@@ -196,7 +198,7 @@
 	if c != nil {
 		id = c.ID
 	}
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(drainTimeout + writeTimeout))
 	jsonhttp.Write(w, resp.Status, openai.Error{Error: openai.ErrorBody{
 		Message: e.Message, Type: resp.Name, Code: resp.Name, Run: string(resp.Run), RequestID: id,
 	}})
--- a/ingress/slow_test.go
+++ b/ingress/slow_test.go
@@ -156,7 +156,8 @@
 }
 
 // Guards against 4xx for a proper request whose body comes slower than the box waits for it: it has not run, and may be sent again.
-// It also guards against refusals that wait for a body, after which the connection was closed without an answer.
+// It also guards against refusals that wait for a body, after which the connection was closed without an answer. They wait as long as
+// a body needs that is on its way, so that the connection can be kept.
 func TestBodiesThatComeLate(t *testing.T) {
 	for _, c := range []struct {
 		name, path string
@@ -164,7 +165,7 @@
 		after      time.Duration
 	}{
 		{"the body is waited for", "/a/x", http.StatusRequestTimeout, bodyTimeout},
-		{"the request is refused", "/none", http.StatusServiceUnavailable, 0},
+		{"the request is refused", "/none", http.StatusServiceUnavailable, drainTimeout},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
