Let the soak silence connections between boxes and to the store

No link between boxes was ever disturbed in the soak, so that it could not show what stalled fetches do. A proxy now stands before the peer address of each box, for which the platform's settings have an address to advertise. Half of the open connections to some boxes, and of theirs to the store, fall silent for good; other faults of links between boxes are those of the store's. Boxes are checked three seconds later.

--- a/Makefile
+++ b/Makefile
@@ -46,5 +46,9 @@
 SEED ?= 1
 FOR ?= 6s
 SEEDS ?= 1
+# Then once more with connections that fall silent, and nothing else that leaves boxes out of contact.
+STALL_SEED ?= 1002
+STALL_FOR ?= 30s
 soak: build
 	./bin/birchsoak --seed $(SEED) --seeds $(SEEDS) --for $(FOR)
+	./bin/birchsoak --seed $(STALL_SEED) --for $(STALL_FOR) --only hush storm configuration drain
--- a/cmd/birchsoak/main.go
+++ b/cmd/birchsoak/main.go
@@ -24,6 +24,7 @@
 	Callers int           `arg:"--callers" default:"24"`
 	Program string        `arg:"--program" default:"bin/birchlinkd" help:"the daemon to run"`
 	Keep    string        `arg:"--keep" help:"a folder for the logs of seeds that broke something"`
+	Only    []soak.Kind   `arg:"--only" help:"kinds of faults to inject, such as hush, storm, configuration and drain; all by default"`
 	Quiet   bool          `arg:"--quiet" help:"do not print the faults as they are injected"`
 }
 
@@ -67,7 +68,7 @@
 		out = io.Discard
 	}
 	faults, err := soak.Run(context.Background(), soak.Options{
-		Seed: seed, Duration: a.For, Boxes: a.Boxes, Servers: a.Servers, Callers: a.Callers, Dir: dir, Program: a.Program, Out: out,
+		Seed: seed, Duration: a.For, Boxes: a.Boxes, Servers: a.Servers, Callers: a.Callers, Dir: dir, Program: a.Program, Out: out, Only: a.Only,
 	})
 	if err != nil {
 		return 0, err
--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -20,7 +20,7 @@
 // statuses of the other boxes.
 func (p *platformComponents) connectGossip() {
 	g, s := p.gossip, p.settings
-	g.Box, g.DataCentre, g.Address, g.Prefix, g.Seeds, g.Store = s.Box, s.DataCentre, s.Peers, relaysPrefix, s.Seeds, p.store
+	g.Box, g.DataCentre, g.Address, g.Prefix, g.Seeds, g.Store = s.Box, s.DataCentre, s.Advertise, relaysPrefix, s.Seeds, p.store
 	g.FirstStart, g.LinkMbps, g.UsedEndpoints = s.FirstStart, s.LinkMbps, p.state.Roster.UsedEndpoints
 	g.LocalStatus = func() gossip.Status {
 		now := boottime.Now()
@@ -30,7 +30,7 @@
 			d[n] = map[string]demand.Stats{s.DataCentre: f}
 		}
 		return gossip.Status{
-			Box: s.Box, DataCentre: s.DataCentre, Address: s.Peers, Version: v,
+			Box: s.Box, DataCentre: s.DataCentre, Address: s.Advertise, Version: v,
 			Words: p.rollouts.CurrentProgress(), Evidence: p.gossip.Rollouts.LocalEvidence(),
 			Load: p.balancer.OwnLoad(), Failing: p.balancer.FailureReport(now), Demand: d, Speeds: p.balancer.OwnStats(now),
 			Usage: []usage.Report{p.tally.Recent(s.Box+"."+p.incarnation, p.tally.WindowAt(p.clock.At(now))-broadcastWindows)},
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -153,7 +153,7 @@
 	p := &platformComponents{
 		settings: s, store: st, balancer: &balance.Balancer{Rand: rand.Float64}, quota: &quota.Quota{
 			Tolerance: quota.Tolerance{Window: s.QuotaWindow, Overage: s.QuotaOverage, Slack: s.QuotaSlack},
-			Self:      quota.Arbiter{Box: s.Box, DataCentre: s.DataCentre, Address: s.Peers}, Started: boottime.Now(),
+			Self:      quota.Arbiter{Box: s.Box, DataCentre: s.DataCentre, Address: s.Advertise}, Started: boottime.Now(),
 			Reserve: s.QuotaReserve, ReturnTimes: s.QuotaReturnTimes, Rand: rand.Float64,
 		}, meter: &demand.Meter{},
 		budget: budget.New(budget.Limits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}),
@@ -233,7 +233,7 @@
 	}
 	ss := []kernel.Service{
 		storesession.New(p.store, log),
-		peer.NewNode(s.Peers, s.Peers, peerSecret, m),
+		peer.NewNode(s.Peers, s.Advertise, peerSecret, m),
 		p.state,
 		p.gossip,
 		p.hints,
--- a/settings/platform.go
+++ b/settings/platform.go
@@ -21,6 +21,8 @@
 	Metrics string   // listen address for metrics; empty disables them
 	Seeds   []string // peer addresses of other boxes
 
+	Advertise string // address at which other boxes reach Peers
+
 	// FirstStart is set at the first start of the deployment.
 	FirstStart bool
 
@@ -131,6 +133,10 @@
 		MoveRequests: r.Choice("reclaim", "move_requests", no, no, yes) == yes,
 		LogLevel:     r.Choice("log", "level", "info", "debug", "info", "warn", "error"),
 	}
+	s.Advertise = s.Peers
+	if r.String("peers", "advertise", "") != "" {
+		s.Advertise = r.Address("peers", "advertise")
+	}
 	s.EndpointSpeeds = r.Choice("balance", "endpoint_speeds", no, no, yes) == yes
 	s.DeadlineCheck = r.Choice("admission", "deadline_check", no, no, yes) == yes
 	if len(duties) > 0 {
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -37,6 +37,7 @@
 	program    string
 	logFile    *os.File
 	storeProxy *Proxy
+	peerProxy  *Proxy
 
 	expectedFaults
 
@@ -190,6 +191,9 @@
 	if b.storeProxy, err = NewProxy(f.storeAddress); err != nil {
 		return nil, err
 	}
+	if b.peerProxy, err = NewProxy(peers); err != nil {
+		return nil, err
+	}
 	text := fmt.Sprintf(`[box]
 name = %s
 data_centre = %s
@@ -197,6 +201,8 @@
 callers = %s
 ready = %s
 peers = %s
+[peers]
+advertise = %s
 [store]
 address = %s
 [cloud]
@@ -209,7 +215,7 @@
 [duties]
 report_window = 2s
 report_due = 6s
-`, b.Name, dataCentres[i%len(dataCentres)], b.CallerAddress, b.ReadyAddress, peers, b.storeProxy.Address(), f.cloudAddress, stopLimit)
+`, b.Name, dataCentres[i%len(dataCentres)], b.CallerAddress, b.ReadyAddress, peers, b.peerProxy.Address(), b.storeProxy.Address(), f.cloudAddress, stopLimit)
 	b.settings = filepath.Join(f.Dir, b.Name+".ini")
 	if err := os.WriteFile(b.settings, []byte(text), 0o600); err != nil {
 		return nil, fmt.Errorf("write settings: %w", err)
@@ -350,6 +356,7 @@
 		b.Signal(syscall.SIGCONT)
 		b.Signal(syscall.SIGKILL)
 		b.storeProxy.Close()
+		b.peerProxy.Close()
 		_ = b.logFile.Close()
 	}
 	for _, s := range f.Servers {
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -33,8 +32,10 @@
 	mode     Mode
 	changed  chan struct{}
 	conns    map[net.Conn]bool
-	rate     float64   // bytes from the target per second, of all connections; zero if not limited
-	sentAt   time.Time // when what was sent at that rate has arrived
+	others   map[net.Conn]net.Conn // to the target, by the accepted connection
+	hushed   map[net.Conn]bool     // connections that carry nothing any more
+	rate     float64               // bytes from the target per second, of all connections; zero if not limited
+	sentAt   time.Time             // when what was sent at that rate has arrived
 }
 
 // NewProxy returns a proxy to an address. It listens on a free loopback port.
@@ -43,7 +44,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("proxy: %w", err)
 	}
-	p := &Proxy{Target: to, listener: l, mode: Pass, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+	p := &Proxy{Target: to, listener: l, mode: Pass, changed: make(chan struct{}), conns: map[net.Conn]bool{}, hushed: map[net.Conn]bool{}, others: map[net.Conn]net.Conn{}}
 	go p.accept()
 	return p, nil
 }
@@ -75,6 +76,24 @@
 	}
 }
 
+// Hush makes the open connections that pick selects carry nothing any more, without an error. New ones work.
+func (p *Proxy) Hush(pick func() bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c, other := range p.others {
+		if pick() {
+			p.hushed[c], p.hushed[other] = true, true
+		}
+	}
+}
+
+// isHushed reports whether a connection carries nothing any more.
+func (p *Proxy) isHushed(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.hushed[c]
+}
+
 // Limit bounds the bytes per second from the target, of all connections together.
 func (p *Proxy) Limit(bytesPerSecond float64) {
 	p.mu.Lock()
@@ -112,6 +131,8 @@
 		return
 	}
 	delete(p.conns, c)
+	delete(p.hushed, c)
+	delete(p.others, c)
 }
 
 func (p *Proxy) accept() {
@@ -138,6 +159,9 @@
 	defer b.Close()
 	p.trackConn(b, true)
 	defer p.trackConn(b, false)
+	p.mu.Lock()
+	p.others[a] = b
+	p.mu.Unlock()
 	c, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
@@ -151,14 +175,14 @@
 
 // copy forwards bytes in one direction as the mode allows. Bytes that are held back are forwarded
 // once the mode allows it.
-func (p *Proxy) copy(c context.Context, to io.Writer, from io.Reader, toTarget bool) {
+func (p *Proxy) copy(c context.Context, to, from net.Conn, toTarget bool) {
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
 		if !toTarget {
 			time.Sleep(p.delay(n))
 		}
-		if n > 0 && p.waitToForward(c, toTarget) {
+		if n > 0 && p.waitToForward(c, toTarget) && !p.isHushed(from) {
 			if _, err := to.Write(buf[:n]); err != nil {
 				return
 			}
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -62,3 +62,36 @@
 	_, err = r.ReadString('\n')
 	require.Error(t, err)
 }
+
+// Connections that were open carry nothing after Hush, and new ones work.
+func TestProxyHush(t *testing.T) {
+	p, err := soak.NewProxy(newEchoServer(t))
+	require.NoError(t, err)
+	defer p.Close()
+	ask := func(c net.Conn) (string, error) {
+		fmt.Fprintln(c, "hello")
+		return bufio.NewReader(c).ReadString('\n')
+	}
+	old, err := net.Dial("tcp", p.Address())
+	require.NoError(t, err)
+	defer old.Close()
+	_, err = ask(old)
+	require.NoError(t, err)
+	p.Hush(func() bool { return true })
+	answered := make(chan error, 1)
+	go func() {
+		_, err := ask(old)
+		answered <- err
+	}()
+	c, err := net.Dial("tcp", p.Address())
+	require.NoError(t, err)
+	defer c.Close()
+	for range 3 {
+		line, err := ask(c)
+		require.NoError(t, err)
+		require.Equal(t, "hello\n", line)
+	}
+	require.Empty(t, answered)
+	require.NoError(t, old.Close())
+	require.Error(t, <-answered)
+}
--- a/soak/run.go
+++ b/soak/run.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -22,6 +24,7 @@
 	Dir      string // directory for settings and logs
 	Program  string // path of birchlinkd
 	Out      io.Writer
+	Only     []Kind // faults to inject; none means all
 }
 
 // Time limits of the checks.
@@ -34,6 +37,9 @@
 	configApplyTime = 2 * time.Second
 	hostMargin      = time.Second
 
+	// contactTime is how long after a fault of links between boxes these may lack newer configurations.
+	contactTime = 3 * time.Second
+
 	// recoveryTime is how long callers may still see the effects of a fault after its end.
 	recoveryTime = 5 * time.Second
 )
@@ -51,6 +57,7 @@
 	streams          streamCounts
 	configuredAt     time.Time // when the current version was stored
 	storeFaultyUntil time.Time // the store may fail, or be recovering, until this time
+	stalledUntil     time.Time // boxes may be out of contact, until this time
 }
 
 // Run starts a fleet, injects the faults of the seed's schedule and returns the violations found. The
@@ -98,6 +105,9 @@
 func (r *run) injectFaults(c context.Context) {
 	var g sync.WaitGroup
 	for _, f := range Schedule(r.Seed, r.Duration, r.Boxes, r.Servers) {
+		if len(r.Only) > 0 && !slices.Contains(r.Only, f.Kind) {
+			continue
+		}
 		select {
 		case <-time.After(time.Until(r.began.Add(f.At))):
 		case <-c.Done():
@@ -134,6 +144,8 @@
 		b.Signal(syscall.SIGCONT)
 	case ServerLink, Drain, DrainByAnswer, Release, RefuseCalls, ReportLimit, ReportBrittle, SilentServers, EndlessServer:
 		r.injectServer(f, end)
+	case Hush, PeerLink:
+		r.injectStall(f, end)
 	case Config:
 		r.putNextConfig()
 	case Storm:
@@ -151,6 +163,26 @@
 	}
 }
 
+// injectStall injects a fault of the links between boxes that ends at a time.
+func (r *run) injectStall(f Fault, end time.Time) {
+	r.mu.Lock()
+	if until := end.Add(contactTime); until.After(r.stalledUntil) {
+		r.stalledUntil = until
+	}
+	r.mu.Unlock()
+	if f.Kind == PeerLink {
+		applyLinkFault(r.fleet.Boxes[f.Target].peerProxy, f)
+		return
+	}
+	// If all fell silent, boxes would miss each other and look elsewhere.
+	pick := func() bool { return rand.IntN(2) == 0 }
+	for i := range f.Count {
+		b := r.fleet.Boxes[(f.Target+i)%len(r.fleet.Boxes)]
+		b.peerProxy.Hush(pick)
+		b.storeProxy.Hush(pick)
+	}
+}
+
 // injectServer injects a fault of servers that ends at a time.
 func (r *run) injectServer(f Fault, end time.Time) {
 	s := r.fleet.Server(f.Target)
@@ -282,7 +314,8 @@
 func (r *run) currentVersion() (version int, since time.Time, reliable bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.fleet.configVersion, r.configuredAt, time.Now().After(r.storeFaultyUntil)
+	now := time.Now()
+	return r.fleet.configVersion, r.configuredAt, now.After(r.storeFaultyUntil) && now.After(r.stalledUntil)
 }
 
 // awaitReady waits until every box reports that it is ready, at most for limit.
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -38,10 +38,12 @@
 	ReportBrittle    Kind = "brittle"   // an endpoint reports the rate of refusals that it bears from all boxes together
 	SilentServers    Kind = "silent"    // sound endpoints send nothing for a while, then what was due
 	EndlessServer    Kind = "endless"   // an endpoint sends bytes without end
+	PeerLink         Kind = "peer link" // the others' links to one box
+	Hush             Kind = "hush"      // half of the open connections to some boxes fall silent for good, and of theirs to the store
 )
 
 // Fault is one entry of a schedule. Target is the index of a box or server, depending on Kind; Mode is
-// used by link faults only, Count, the number of servers from Target on, by SilentServers, and Form by EndlessServer.
+// used by link faults only, Count, the number of servers or boxes from Target on, by SilentServers and Hush, and Form by EndlessServer.
 type Fault struct {
 	At       time.Duration
 	Duration time.Duration
@@ -57,6 +59,8 @@
 	switch f.Kind {
 	case SilentServers:
 		return fmt.Sprintf("%6.2fs %s %d servers from %d on for %v", f.At.Seconds(), f.Kind, f.Count, f.Target, f.Duration)
+	case Hush:
+		return fmt.Sprintf("%6.2fs %s %d boxes from %d on", f.At.Seconds(), f.Kind, f.Count, f.Target)
 	case EndlessServer:
 		return fmt.Sprintf("%6.2fs %s %d %s for %v", f.At.Seconds(), f.Kind, f.Target, f.Form, f.Duration)
 	}
@@ -85,6 +89,7 @@
 	out = append(out, drawSilences(seed, span, servers)...)
 	out = append(out, drawEndless(seed, span, servers)...)
 	out = append(out, drawStorms(seed, span)...)
+	out = append(out, drawStalls(seed, span, boxes)...)
 	slices.SortStableFunc(out, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return out
 }
@@ -173,6 +178,29 @@
 	return out
 }
 
+// meanStallGap is the mean time between two faults of the links between boxes. Boxes are checked contactTime after the end of one.
+const meanStallGap = 4 * time.Second
+
+// drawStalls draws faults of the links between boxes, one after the other.
+func drawStalls(seed uint64, span time.Duration, boxes int) []Fault {
+	r := rand.New(rand.NewPCG(seed, 9))
+	gap := func() time.Duration { return time.Duration(r.Int64N(int64(2 * meanStallGap))) }
+	modes := []Mode{Delay, Reset, Silence, OneWay}
+	var out []Fault
+	for at := faultFreeStart + gap(); at < span; at += gap() {
+		f := Fault{At: at, Kind: Hush, Target: r.IntN(boxes), Count: 1 + r.IntN(boxes)}
+		if r.IntN(3) == 0 {
+			f = Fault{
+				At: at, Duration: minFaultDuration + time.Duration(r.Int64N(int64(maxFaultDuration-minFaultDuration))), Kind: PeerLink,
+				Target: f.Target, Mode: modes[r.IntN(len(modes))],
+			}
+		}
+		out = append(out, f)
+		at += f.Duration
+	}
+	return out
+}
+
 // drawFaults draws the faults of boxes, links, store, servers and configuration.
 func drawFaults(seed uint64, span time.Duration, boxes, servers int) []Fault {
 	r := rand.New(rand.NewPCG(seed, 1))
--- a/soak/schedule_test.go
+++ b/soak/schedule_test.go
@@ -34,7 +34,9 @@
 	require.NoError(t, err)
 	var got strings.Builder
 	for _, f := range soak.Schedule(1, 6*time.Second, 5, 6) {
-		if f.Kind != soak.SilentServers && f.Kind != soak.EndlessServer && f.Kind != soak.Storm {
+		switch f.Kind {
+		case soak.SilentServers, soak.EndlessServer, soak.Storm, soak.Hush, soak.PeerLink:
+		default:
 			fmt.Fprintln(&got, f)
 		}
 	}
@@ -59,6 +61,29 @@
 	}
 }
 
+// One box up to all have their connections fall silent, also during storms, and all modes of links between boxes are drawn.
+func TestStalls(t *testing.T) {
+	const boxes = 5
+	counts, modes, duringStorm := map[int]bool{}, map[soak.Mode]bool{}, false
+	for seed := range uint64(20) {
+		end := time.Duration(0)
+		for _, f := range soak.Schedule(seed, time.Minute, boxes, 6) {
+			switch f.Kind {
+			case soak.Storm:
+				end = f.At + f.Duration
+			case soak.Hush:
+				require.Less(t, f.Target, boxes)
+				counts[f.Count], duringStorm = true, duringStorm || f.At < end
+			case soak.PeerLink:
+				modes[f.Mode] = true
+			}
+		}
+	}
+	require.Len(t, counts, boxes)
+	require.Len(t, modes, 4)
+	require.True(t, duringStorm)
+}
+
 // One server up to all fall silent, for 0.8 to 3 s and one silence after the other. All forms of endless bytes are drawn.
 func TestSilencesAndEndlessServers(t *testing.T) {
 	const servers = 6
