Do not take old records of endpoints for all versions of a service

A stream that is taken up where its beginning is not known goes on at the only version of its service, if that is known to be the only one: it was if the store renews leases, although the records could be old and lack endpoints of another version. Records of which newer ones have been known to exist for half a second now count as incomplete, and the request is refused with 503 unless another box knows.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -258,7 +258,7 @@
 		p := g.Peers()
 		return origins.Boxes{Near: p.Near, Far: p.Far, Relays: g.RemoteRelays()}
 	}
-	d.Store, d.Prefix, d.Clock = p.store, originsPrefix, p.clock
+	d.Store, d.Prefix, d.Clock, d.RecordsLag = p.store, originsPrefix, p.clock, p.state.RecordsLag
 	return d
 }
 
--- a/origins/directory.go
+++ b/origins/directory.go
@@ -53,9 +53,10 @@
 	// other box knew anything.
 	maxAsking = 64
 
-	// maxStoreSilence is how long the store may have been silent before this box's view of the versions counts as
-	// out of date.
+	// maxStoreSilence is how long the store may have been silent, and maxRecordsLag how long this box may have known of newer
+	// records of endpoints than its own, before its view of the versions counts as out of date.
 	maxStoreSilence = 1500 * time.Millisecond
+	maxRecordsLag   = 500 * time.Millisecond
 )
 
 // CallFunc calls a method of the box at an address.
@@ -88,6 +89,9 @@
 	// StoreSilence returns the time since the store last answered. If it is nil, Start sets it.
 	StoreSilence func() time.Duration
 
+	// RecordsLag returns for how long this box has known of newer records of endpoints than its own.
+	RecordsLag func() time.Duration
+
 	table    *origin.Table
 	archive  archive
 	inFlight atomic.Int64 // calls that send records
@@ -99,7 +103,7 @@
 
 // New returns a directory without records.
 func New(m metrics.Registry, log zerolog.Logger) *Directory {
-	d := &Directory{Metrics: m, Log: log, table: origin.NewTable()}
+	d := &Directory{Metrics: m, Log: log, table: origin.NewTable(), RecordsLag: func() time.Duration { return 0 }}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	return d
 }
--- a/origins/find.go
+++ b/origins/find.go
@@ -41,7 +41,7 @@
 	now := boottime.Now()
 	var a Reply
 	a.Versions, a.Complete = d.Versions.Recent(q.Service, now)
-	if d.StoreSilence() > maxStoreSilence {
+	if d.StoreSilence() > maxStoreSilence || d.RecordsLag() > maxRecordsLag {
 		a.Complete = false
 	}
 	if q.Stream != 0 {
