--- a/gossip/snapshot.go
+++ b/gossip/snapshot.go
@@ -65,10 +65,17 @@
 	return b, err
 }
 
+// snapshotRead is the result of a read of the snapshot.
+type snapshotRead struct {
+	item store.Item
+	err  error
+}
+
 // snapshotState is what this box knows of the snapshot in the store.
 type snapshotState struct {
 	startedAt         time.Time
 	read              bool
+	pending           <-chan snapshotRead // of the read in progress; nil if there is none
 	stored            quota.Before
 	revision          uint64 // of stored; zero for none
 	writtenAt         time.Time
@@ -93,8 +100,8 @@
 	if s.read || late && (g.session.StoreLost() || g.Quota.Division().Version > 0 && !g.holdsFirstSlot()) {
 		return
 	}
-	i, err := g.Store.Get(c, g.SnapshotKey)
-	if err != nil {
+	i, ok := g.snapshotItem(c)
+	if !ok {
 		return
 	}
 	s.read, s.revision = true, i.Revision
@@ -123,6 +130,29 @@
 	g.RestoreEndpointStats(p.Speeds)
 }
 
+// snapshotItem returns the stored snapshot, if it is read within the time limit of a call in a round. Otherwise the read goes on,
+// and a later call returns its result, so that a slow link to the store doesn't hold up the rounds.
+func (g *Gossip) snapshotItem(c context.Context) (store.Item, bool) {
+	s := &g.snapshot
+	if s.pending == nil {
+		pending := make(chan snapshotRead, 1)
+		s.pending = pending
+		g.spawn(func() {
+			i, err := g.Store.Get(g.ctx, g.SnapshotKey)
+			pending <- snapshotRead{i, err}
+		})
+	}
+	x, cancel := context.WithTimeout(c, callTimeout)
+	defer cancel()
+	select {
+	case r := <-s.pending:
+		s.pending = nil
+		return r.item, r.err == nil
+	case <-x.Done():
+		return store.Item{}, false
+	}
+}
+
 // writeSnapshot writes the snapshot if it has changed. Only the relay with the first slot writes.
 func (g *Gossip) writeSnapshot(c context.Context, others int) {
 	s := &g.snapshot
