Keep connections that work when a fetch is joined by another one

Each fetch that joins another one made a new connection. Where many members wait in the queues of their relays for over 0.4 s, that would be a dial for each of them and each change. The open connection is now used if something was received over it within a second, or within 0.3 s while calls wait for answers.

--- a/peer/client.go
+++ b/peer/client.go
@@ -29,6 +29,12 @@
 // the other one's answers the peer may be paused.
 const minSilentRounds = 2
 
+// A connection is known to work for maxIdle after bytes were received, or for maxWait while calls wait for answers.
+const (
+	maxIdle = time.Second
+	maxWait = 300 * time.Millisecond
+)
+
 // methodPing is a call that every peer answers at once.
 const methodPing = "peer.ping"
 
@@ -63,14 +69,17 @@
 	// waitingSince is when the first call since the last received frame was made, or later bytes were received; zero
 	// if there was no call.
 	waitingSince time.Time
+
+	receivedAt time.Time // of the last bytes, or when the connection was made
 }
 
 // received tells the calls that follow their bytes how many have come.
 func (l *link) received(n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.receivedAt = time.Now()
 	if !l.waitingSince.IsZero() {
-		l.waitingSince = time.Now()
+		l.waitingSince = l.receivedAt
 	}
 	for _, b := range l.calls {
 		if b.onBytes != nil {
@@ -101,12 +110,12 @@
 	return c.stream(x, address, method, in, out, onItem, nil)
 }
 
-// Transfer makes a call with a large answer, as Call does. If renew is set, it makes a new connection, which later calls use too.
-// OnBytes is called with the number of bytes of each read from the connection meanwhile, which may belong to answers of other calls
+// Transfer makes a call with a large answer, as Call does. If renew is set, it makes a new connection, which later calls use too,
+// unless the one that is open is known to work. OnBytes is called with the number of bytes of each read from the connection meanwhile, which may belong to answers of other calls
 // too. It must not block.
 func (c *Client) Transfer(x context.Context, address, method string, in, out any, renew bool, onBytes func(n int)) error {
 	if renew {
-		c.retire(address)
+		c.retireUnlessLive(address)
 	}
 	return c.stream(x, address, method, in, out, nil, onBytes)
 }
@@ -291,12 +300,12 @@
 	c.old[l] = address
 }
 
-// retire retires the connection to an address, if there is one.
-func (c *Client) retire(address string) {
+// retireUnlessLive retires the connection to an address, if there is one, unless it is known to work.
+func (c *Client) retireUnlessLive(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	l := c.links[address]
-	if l == nil {
+	if l == nil || l.isLive() {
 		return
 	}
 	delete(c.links, address)
@@ -334,7 +343,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &link{conn: f, queued: &c.queued, calls: map[uint64]*inbox{}, done: make(chan struct{})}
+	l := &link{conn: f, queued: &c.queued, calls: map[uint64]*inbox{}, done: make(chan struct{}), receivedAt: time.Now()}
 	f.OnRead = l.received
 	return l, nil
 }
@@ -498,6 +507,17 @@
 	return silent
 }
 
+// isLive reports whether bytes were received a short time ago, which is shorter while calls wait for answers.
+func (l *link) isLive() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	limit := maxIdle
+	if len(l.calls) > 0 {
+		limit = maxWait
+	}
+	return time.Since(l.receivedAt) < limit
+}
+
 // retire makes the connection a retired one, and closes it if no calls are pending.
 func (l *link) retire() {
 	l.mu.Lock()
--- a/peer/client_test.go
+++ b/peer/client_test.go
@@ -207,3 +207,36 @@
 	err = c.Call(x, l.Addr().String(), "echo", "a", nil)
 	require.ErrorIs(t, err, context.Canceled)
 }
+
+// A transfer that is to use a new connection makes one only if nothing was received lately over the open one, and others go on over
+// that one.
+func TestRenewedTransfer(t *testing.T) {
+	s := peer.NewServer("secret")
+	require.NoError(t, s.Listen("127.0.0.1:0"))
+	t.Cleanup(s.Close)
+	release := make(chan struct{})
+	peer.Handle(s, "quick", func(context.Context, int) (int, error) { return 1, nil })
+	peer.Handle(s, "slow", func(context.Context, int) (int, error) {
+		<-release
+		return 2, nil
+	})
+	proxy := newProxy(t, s.Address())
+	c := peer.NewClient("secret")
+	t.Cleanup(c.Close)
+	transfer := func(method string, renew bool) int {
+		var out int
+		require.NoError(t, c.Transfer(t.Context(), proxy.Addr().String(), method, 0, &out, renew, func(int) {}))
+		return out
+	}
+	require.Equal(t, 1, transfer("quick", false))
+	require.Equal(t, 1, transfer("quick", true))
+	require.EqualValues(t, 1, proxy.opened.Load(), "it has just worked")
+	slow := make(chan int)
+	go func() { slow <- transfer("slow", false) }()
+	require.Eventually(t, func() bool {
+		require.Equal(t, 1, transfer("quick", true))
+		return proxy.opened.Load() == 2
+	}, 20*time.Second, 500*time.Millisecond, "an answer is waited for")
+	close(release)
+	require.Equal(t, 2, <-slow)
+}
