Bound how often a box that refuses connections is asked again

A fetch that joins a stalled one and fails at once was followed by another one without pause, until the stalled one failed after 2 s, where no other box was left to ask. The same box is now asked again after 0.4 s at the earliest. Fetches also end once this box has what was announced by another way. Found by reading; the script of a box that refuses further connections shows it.

--- a/newest/attempt.go
+++ b/newest/attempt.go
@@ -26,11 +26,12 @@
 // pursuit is a series of fetches, until this box has what was announced.
 type pursuit struct {
 	*Fetcher
-	attempts []*attempt      // in progress, the oldest first
-	results  chan *attempt   // those that have ended
-	over     chan struct{}   // closed when results are not read any more
-	asked    map[string]bool // boxes that were asked since the last success
-	failed   bool            // the last fetch that ended failed
+	attempts  []*attempt      // in progress, the oldest first
+	results   chan *attempt   // those that have ended
+	over      chan struct{}   // closed when results are not read any more
+	asked     map[string]bool // boxes that were asked since the last success
+	startedAt time.Time       // of the last fetch
+	failed    bool            // the last fetch that ended failed
 }
 
 // step starts the fetches that are due. It returns false if none is in progress.
@@ -39,6 +40,8 @@
 	defer p.mu.Unlock()
 	if p.Version() >= p.newest {
 		p.abandon()
+		p.running = false
+		return false
 	}
 	stalled := 0
 	for _, a := range p.attempts {
@@ -65,15 +68,15 @@
 	if address == "" && (isJoined || p.failed) {
 		address = p.other()
 	}
-	if address == "" && isJoined {
+	if address == "" && isJoined && boottime.Since(p.startedAt) >= p.StallTime {
 		address = p.attempts[0].Address
 	}
 	if address == "" {
 		return
 	}
-	p.asked[address] = true
+	p.asked[address], p.startedAt = true, boottime.Now()
 	c, cancel := context.WithCancelCause(p.c)
-	a := &attempt{Source: Source{address, isJoined}, announced: version, began: boottime.Now(), cancel: cancel}
+	a := &attempt{Source: Source{address, isJoined}, announced: version, began: p.startedAt, cancel: cancel}
 	a.progress.start()
 	p.attempts = append(p.attempts, a)
 	p.group.Go(func() {
--- a/newest/fetcher.go
+++ b/newest/fetcher.go
@@ -2,8 +2,8 @@
 // while another is being fetched are not fetched one by one: after it, the newest one is. So a box that is slower than the
 // changes stays behind by one fetch, and not by more with each change.
 //
-// A fetch that makes no progress is joined by another one, from a different box if there is one, over a new connection. A
-// connection that a partition has stalled reports no error, and what else is heard of its other end doesn't show that it works.
+// A fetch that makes no progress is joined by another one, from a different box if there is one. A connection that a partition has
+// stalled reports no error, and what else is heard of its other end doesn't show that it works.
 package newest
 
 import (
@@ -21,8 +21,8 @@
 	// failureLogInterval is how many failures in a row there are between two that are logged.
 	failureLogInterval = 20
 
-	// maxAttempts is the number of fetches at the same time, and maxAsked that of boxes that are asked without having announced
-	// anything.
+	// maxAttempts is the number of fetches at the same time. Once maxAsked boxes were asked in vain, only those are that announce
+	// something.
 	maxAttempts = 2
 	maxAsked    = 4
 
@@ -65,7 +65,7 @@
 	failures  int               // in a row
 }
 
-// Source is a box from which something is fetched, over a new connection if Renew is set.
+// Source is a box from which something is fetched. If Renew is set, that is over a connection which is new or known to work.
 type Source struct {
 	Address string
 	Renew   bool
--- a/newest/fetcher_test.go
+++ b/newest/fetcher_test.go
@@ -36,7 +36,7 @@
 }
 
 // source is the state of other boxes. What a fetch does depends on the name of the box: from "stalled" nothing comes, from "hushed"
-// only over a new connection, from "slow" all takes 5 s, from "queued" 1.5 s after which all comes at once, and else a second.
+// only over a new connection, "gone" stalls and then refuses connections, from "slow" all takes 5 s, from "queued" 1.5 s after which all comes at once, and else a second.
 type source struct {
 	*newest.Fetcher
 	offered, version atomic.Uint64
@@ -72,7 +72,9 @@
 	s.mu.Unlock()
 	steps := 10
 	switch name {
-	case "stalled", "stalled+", "hushed":
+	case "gone+":
+		return errors.New("connection refused")
+	case "stalled", "stalled+", "hushed", "gone":
 		<-c.Done()
 		return c.Err()
 	case "slow":
@@ -170,7 +172,7 @@
 	synctest.Wait()
 	w := strings.Fields(line)
 	var v uint64
-	if w[0] == "announce" || w[0] == "version" {
+	if w[0] == "announce" || w[0] == "version" || w[0] == "reach" {
 		_, err := fmt.Sscan(w[1], &v)
 		require.NoError(t, err, line)
 	}
@@ -184,6 +186,8 @@
 		s.mu.Unlock()
 	case "announce":
 		s.announce(v, w[2])
+	case "reach":
+		s.version.Store(v)
 	case "wait":
 		d, err := time.ParseDuration(w[1])
 		require.NoError(t, err, line)
