--- a/peer/client.go
+++ b/peer/client.go
@@ -111,8 +111,8 @@
 }
 
 // Transfer makes a call with a large answer, as Call does. If renew is set, it makes a new connection, which later calls use too,
-// unless the one that is open is known to work. OnBytes is called with the number of bytes of each read from the connection meanwhile, which may belong to answers of other calls
-// too. It must not block.
+// unless the one that is open is known to work. OnBytes is called with the number of bytes of each read from the connection
+// meanwhile, which may belong to answers of other calls too. It must not block.
 func (c *Client) Transfer(x context.Context, address, method string, in, out any, renew bool, onBytes func(n int)) error {
 	if renew {
 		c.retireUnlessLive(address)
