Show that a data centre whose relays stall holds its members up no longer

A further script of TestStallsHoldUpNothing: fetches from both relays of a member's data centre stall while those of another one and the store work.

--- a/gossip/stall_test.go
+++ b/gossip/stall_test.go
@@ -135,19 +135,19 @@
 	}
 }
 
-// stallScript plays one script: relays of one data centre and a member of the last of them.
+// stallScript plays one script: relays of one data centre, a member of the last of them, and perhaps relays of another data centre.
 type stallScript struct {
 	t       *testing.T
 	store   *memstore.Store
 	relays  []*box
-	links   []*stallingLink // to the relays
+	links   []*stallingLink // to the relays of the member's data centre
 	member  *box
 	toOwn   *stallingLink // to the member
 	version uint64
 	records int
 }
 
-func newStallScript(t *testing.T, relays int) *stallScript {
+func newStallScript(t *testing.T, relays, remote int) *stallScript {
 	t.Helper()
 	s := &stallScript{t: t, store: &memstore.Store{}, version: 1}
 	s.store.Set("config", `{"Version":1}`)
@@ -156,6 +156,11 @@
 		s.relays, s.links = append(s.relays, b), append(s.links, l)
 		waitUntil(t, func() bool { return b.IsRelay() && b.version() == 1 })
 	}
+	for i := range remote {
+		b := startBox(t, s.store, fmt.Sprint("remote", i), "dc1")
+		s.relays = append(s.relays, b)
+		waitUntil(t, func() bool { return b.IsRelay() && b.version() == 1 })
+	}
 	readOnlyStore := &faultyStore{Store: s.store}
 	readOnlyStore.readOnly.Store(true) // it can't claim a relay slot
 	s.member, s.toOwn = s.startLinked(readOnlyStore, "b")
@@ -266,10 +271,10 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			lines := scripts[name]
-			var relays int
-			_, err := fmt.Sscanf(lines[0], "relays %d", &relays)
+			var relays, remote int
+			_, err := fmt.Sscanf(lines[0], "relays %d remote %d", &relays, &remote)
 			require.NoError(t, err)
-			s := newStallScript(t, relays)
+			s := newStallScript(t, relays, remote)
 			for _, line := range lines[1:] {
 				s.run(line)
 			}
