--- a/gossip/stall_test.go
+++ b/gossip/stall_test.go
@@ -1,11 +1,9 @@
 package gossip_test
 
 import (
-	"bufio"
 	"bytes"
 	"fmt"
 	"net"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -15,6 +13,7 @@
 
 	"birchlink.dev/birchlink/gossip"
 	"birchlink.dev/birchlink/stand/memstore"
+	"birchlink.dev/birchlink/stand/script"
 	"birchlink.dev/birchlink/store"
 )
 
@@ -254,28 +253,14 @@
 // Guards against boxes that stay at old configurations and records while one connection, one relay or all open connections stall
 // without an error: they denied requests for new routes, and sent requests to endpoints that were leaving.
 func TestStallsHoldUpNothing(t *testing.T) {
-	f, err := os.Open("testdata/stalls.txt")
-	require.NoError(t, err)
-	defer f.Close()
-	scripts, names := map[string][]string{}, []string{}
-	for s := bufio.NewScanner(f); s.Scan(); {
-		switch line := s.Text(); {
-		case strings.HasPrefix(line, "# "):
-			names = append(names, strings.ReplaceAll(line[2:], " ", "_"))
-		case line != "":
-			scripts[names[len(names)-1]] = append(scripts[names[len(names)-1]], line)
-		}
-	}
-	require.NotEmpty(t, names)
-	for _, name := range names {
-		t.Run(name, func(t *testing.T) {
+	for _, x := range script.Read(t, "testdata/stalls.txt") {
+		t.Run(x.Name, func(t *testing.T) {
 			t.Parallel()
-			lines := scripts[name]
 			var relays, remote int
-			_, err := fmt.Sscanf(lines[0], "relays %d remote %d", &relays, &remote)
+			_, err := fmt.Sscanf(x.Lines[0], "relays %d remote %d", &relays, &remote)
 			require.NoError(t, err)
 			s := newStallScript(t, relays, remote)
-			for _, line := range lines[1:] {
+			for _, line := range x.Lines[1:] {
 				s.run(line)
 			}
 		})
--- a/lag/lag_test.go
+++ b/lag/lag_test.go
@@ -1,9 +1,7 @@
 package lag_test
 
 import (
-	"bufio"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -13,6 +11,7 @@
 
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/lag"
+	"birchlink.dev/birchlink/stand/script"
 )
 
 func Example() {
@@ -29,21 +28,8 @@
 
 // Each line of a script is a command, or the lag that is expected.
 func TestScripts(t *testing.T) {
-	f, err := os.Open("testdata/scripts.txt")
-	require.NoError(t, err)
-	defer f.Close()
-	scripts, name := map[string][]string{}, ""
-	for s := bufio.NewScanner(f); s.Scan(); {
-		switch line := s.Text(); {
-		case strings.HasPrefix(line, "# "):
-			name = line[2:]
-		case line != "":
-			scripts[name] = append(scripts[name], line)
-		}
-	}
-	require.NotEmpty(t, scripts)
-	for name, lines := range scripts {
-		t.Run(name, func(t *testing.T) { synctest.Test(t, func(t *testing.T) { play(t, lines) }) })
+	for _, x := range script.Read(t, "testdata/scripts.txt") {
+		t.Run(x.Name, func(t *testing.T) { synctest.Test(t, func(t *testing.T) { play(t, x.Lines) }) })
 	}
 }
 
--- a/newest/fetcher_test.go
+++ b/newest/fetcher_test.go
@@ -1,11 +1,9 @@
 package newest_test
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -17,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"birchlink.dev/birchlink/newest"
+	"birchlink.dev/birchlink/stand/script"
 )
 
 func Example() {
@@ -142,24 +141,11 @@
 
 // Each line of a script is a command or an expectation.
 func TestScripts(t *testing.T) {
-	f, err := os.Open("testdata/scripts.txt")
-	require.NoError(t, err)
-	defer f.Close()
-	scripts, name := map[string][]string{}, ""
-	for l := bufio.NewScanner(f); l.Scan(); {
-		switch line := l.Text(); {
-		case strings.HasPrefix(line, "# "):
-			name = line[2:]
-		case line != "":
-			scripts[name] = append(scripts[name], line)
-		}
-	}
-	require.NotEmpty(t, scripts)
-	for name, lines := range scripts {
-		t.Run(name, func(t *testing.T) {
+	for _, x := range script.Read(t, "testdata/scripts.txt") {
+		t.Run(x.Name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := newSource(t)
-				for _, line := range lines {
+				for _, line := range x.Lines {
 					s.play(t, line)
 				}
 			})
