Log events of streams that do not follow, and ends that do not complete an answer

The logs could not tell whether events came wrongly from an endpoint, from two runs, or whether an answer was taken to be whole too early. Package sequence judges each event by its number and content and each end by what the endpoint stated; a line with the endpoint, the attempt, the event asked for and the last one passed is written for each that does not follow, and counted in streams.event.* and streams.end.*. The verdicts decide nothing yet. The number of passed events no longer counts comments.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -140,7 +140,7 @@
 // connection.
 func (r *run) newAttempt(ch balance.Choice) (call.Attempt, time.Duration) {
 	a := call.Attempt{
-		Endpoint: ch.Endpoint.ID, Account: r.q.AccountName(), Timeout: boottime.Until(r.q.Expires), LastEventID: r.lastEventID, Priority: r.priority(ch),
+		Endpoint: ch.Endpoint.ID, Account: r.q.AccountName(), Timeout: boottime.Until(r.q.Expires), LastEventID: r.answer.Last, Priority: r.priority(ch),
 	}
 	switch s := r.continued; {
 	case s != nil:
--- a/forward/migrate.go
+++ b/forward/migrate.go
@@ -137,7 +137,7 @@
 	if e := r.q.Service.Engine; r.f.Moves == nil || e == nil || !e.KVTransfer || !r.isStream() {
 		return nil
 	}
-	s := &runningStream{r: r, c: c, x: x, cancel: cancel, choice: ch, watchdog: w, started: boottime.Now(), passed: r.passed, moves: r.moves}
+	s := &runningStream{r: r, c: c, x: x, cancel: cancel, choice: ch, watchdog: w, started: boottime.Now(), passed: r.answer.Passed(), moves: r.moves}
 	r.f.streams.add(ch.Endpoint.Incarnation(), s)
 	return s
 }
--- a/forward/response.go
+++ b/forward/response.go
@@ -153,15 +153,19 @@
 	rd := sse.NewReader(resp.Body)
 	rd.Hold = resp.Hold
 	out := attemptResult{interruption: recovery.Gone}
+	seq := r.answer.Start()
 	for {
 		e, err := rd.Next()
 		if err != nil {
-			r.endEvents(c, resp, w, err, &out)
+			r.endEvents(c, resp, w, seq, err, &out)
 			return out
 		}
 		if !e.HasField && (!r.mayAnswer() || w.hasSuccessor()) {
 			continue // a comment does not decide which of the two goes on
 		}
+		if e.HasField {
+			r.recordVerdict(seq.Judge(sequenceEvent(e)), e.ID)
+		}
 		if !r.lead(w) {
 			out.err = errSuperseded
 			return out
@@ -182,9 +186,8 @@
 			return out
 		}
 		out.advanced = true
-		r.passed++
-		if e.ID != "" {
-			r.lastEventID = e.ID
+		if e.HasField {
+			seq.Accept(sequenceEvent(e))
 		}
 		w.endEvent()
 	}
@@ -202,7 +205,8 @@
 }
 
 // endEvents completes the result of a stream of which no more events can be read.
-func (r *run) endEvents(c context.Context, resp *httpconn.Response, w *watchdog, err error, out *attemptResult) {
+func (r *run) endEvents(c context.Context, resp *httpconn.Response, w *watchdog, seq *eventRun, err error, out *attemptResult) {
+	r.recordEnd(seq.End(errors.Is(err, io.EOF) && resp.Framed()), resp, err)
 	if !errors.Is(err, io.EOF) {
 		out.err = fmt.Errorf("the stream broke: %w", err)
 		out.stopped = r.stream.settle(false)
--- a/forward/run.go
+++ b/forward/run.go
@@ -18,9 +18,11 @@
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/errkind"
+	"birchlink.dev/birchlink/eventid"
 	"birchlink.dev/birchlink/quarantine"
 	"birchlink.dev/birchlink/recovery"
 	"birchlink.dev/birchlink/rollout"
+	"birchlink.dev/birchlink/sequence"
 	"birchlink.dev/birchlink/wait"
 )
 
@@ -47,16 +49,15 @@
 	q    Request
 	sink Sink
 
-	tried        map[string]bool   // incarnations of the endpoints tried
-	reached      []reachedEndpoint // the endpoints that the request reached
-	failedDials  int               // endpoints that could not be reached
-	refusedDials int               // endpoints that refused the connection
-	mayHaveRun   bool              // an attempt may have run
-	headSent     bool              // the sink has received a head
-	lastEventID  string            // last event passed to the sink
-	passed       int               // events passed to the sink
-	moves        int               // moves of the request's run between endpoints
-	credit       *credit           // pays for the next arrival; nil if there is none
+	tried        map[string]bool                          // incarnations of the endpoints tried
+	reached      []reachedEndpoint                        // the endpoints that the request reached
+	failedDials  int                                      // endpoints that could not be reached
+	refusedDials int                                      // endpoints that refused the connection
+	mayHaveRun   bool                                     // an attempt may have run
+	headSent     bool                                     // the sink has received a head
+	answer       sequence.Answer[string, eventid.Decimal] // what the sink has received of a stream
+	moves        int                                      // moves of the request's run between endpoints
+	credit       *credit                                  // pays for the next arrival; nil if there is none
 
 	// continued is the stopped run that the current attempt continues, and reserved the place at its
 	// destination. Both are nil in other attempts.
@@ -198,7 +199,7 @@
 	metrics.GetOrRegisterCounter("attempts.broke."+out.interruptionName(), r.f.Metrics).Inc(1)
 	d := r.decide(c, out, e)
 	r.f.Log.Info().Str("event", "attempt broke").Str("request", r.q.Call.ID).Func(r.trace.marshalContent).Str("endpoint", e.ID).Str("version", e.Version).
-		Func(r.marshalAttempts).Str("break", out.interruptionName()).Str("last_event", r.lastEventID).Bool("ran", r.mayHaveRun).Err(out.err).
+		Func(r.marshalAttempts).Str("break", out.interruptionName()).Str("last_event", r.answer.Last).Bool("ran", r.mayHaveRun).Err(out.err).
 		Str("reason", d.Reason).Func(r.trace.marshalReported).Msg("decision")
 	if d.Step == recovery.Failover {
 		return false, nil
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -65,7 +65,7 @@
 	r := &run{
 		f: p.f, q: p.q, sink: p.sink, tried: maps.Clone(p.tried), reached: append(slices.Clone(p.reached), reachedEndpoint{endpoint: e}),
 		failedDials: p.failedDials, refusedDials: p.refusedDials, mayHaveRun: true, shared: p.shared, headSent: p.headSent,
-		lastEventID: p.lastEventID, passed: p.passed, moves: p.moves, begun: p.begun,
+		answer: p.answer, moves: p.moves, begun: p.begun,
 	}
 	r.trace = Trace{Content: p.q.Content, Parts: p.q.Parts, Attempts: p.trace.Attempts}
 	for _, o := range w.successors {
@@ -205,5 +205,5 @@
 	r.checkCrash(c, out, e)
 	metrics.GetOrRegisterCounter("attempts.superseded", r.f.Metrics).Inc(1)
 	r.f.Log.Info().Str("event", "attempt superseded").Str("request", r.q.Call.ID).Str("endpoint", e.ID).Str("version", e.Version).
-		Func(r.marshalAttempts).Str("last_event", r.lastEventID).Err(out.err).Msg("decision")
+		Func(r.marshalAttempts).Str("last_event", r.answer.Last).Err(out.err).Msg("decision")
 }
