Show that boxes pass on events out of order and end answers early as complete

Four boxes before six stand-ins whose streams depart from whole ones after six of twenty events, in chunks or ended by their connections, on a route that may be resumed and on one of a single attempt.

--- /dev/null
+++ b/daemon/order_test.go
@@ -0,0 +1,142 @@
+package daemon_test
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"birchlink.dev/birchlink/platform/standin"
+)
+
+// irregularStreams is the number of streams for each line of the script.
+const irregularStreams = 40
+
+// orderTest is a fleet of four boxes before six servers whose streams have 20 events.
+type orderTest struct {
+	*platform
+	boxes []*entryBox
+
+	mu     sync.Mutex
+	serial int
+}
+
+// orderCount is what callers saw of their streams.
+type orderCount struct {
+	whole   int
+	early   int // complete answers that lack events
+	invalid int // answers with an event that does not follow
+	broken  int // answers that broke off
+	refused int
+	example error // of an event that does not follow
+}
+
+func newOrderTest(t testing.TB) *orderTest {
+	v := &orderTest{platform: newPlatform(t, 0)}
+	v.events, v.work = 20, 3*time.Millisecond
+	for range 6 {
+		v.startServer()
+	}
+	v.boxes = v.startFleet("a", "b", "c", "d")
+	return v
+}
+
+func (v *orderTest) nextID() string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.serial++
+	return fmt.Sprint("stream", v.serial)
+}
+
+// read sends one attempt of a stream to a box and adds what came of it.
+func (v *orderTest) read(c *orderCount, id string, box int, path string) error {
+	s := &standin.Stream{}
+	q, err := s.NewRequest(v.boxes[box].callersAddress, path, id, 10*time.Second)
+	if err != nil {
+		return err
+	}
+	q.GetBody = nil
+	a, err := http.DefaultClient.Do(q.WithContext(v.t.Context()))
+	status := 0
+	if err == nil {
+		defer a.Body.Close()
+		status = a.StatusCode
+	}
+	if status == http.StatusOK {
+		err = s.Read(id, a.Body, v.events+1)
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	switch {
+	case errors.Is(err, standin.ErrInvalidEvent):
+		c.invalid++
+		c.example = err
+	case status != http.StatusOK:
+		c.refused++
+	case err != nil:
+		c.broken++
+	case s.Events < v.events:
+		c.early++
+	default:
+		c.whole++
+	}
+	return nil
+}
+
+// count reads streams at all boxes at the same time, and counts those apart whose first runs depart.
+func (v *orderTest) count(path string) (regular, departing orderCount) {
+	var g errgroup.Group
+	for i := range irregularStreams {
+		id, c := v.nextID(), &regular
+		if standin.Departs(id) {
+			c = &departing
+		}
+		g.Go(func() error { return v.read(c, id, i%len(v.boxes), path) })
+	}
+	require.NoError(v.t, g.Wait())
+	return regular, departing
+}
+
+// Tests that callers get no event that repeats, goes back or follows a missing one, and no answer that ends early as a
+// whole one, whatever the servers' streams do.
+func TestStreamsRepeatEventsOrEndEarly(t *testing.T) {
+	b, err := os.ReadFile("testdata/order.txt")
+	require.NoError(t, err)
+	for line := range strings.Lines(string(b)) {
+		f := strings.Fields(line)
+		if len(f) == 0 || f[0] == "#" {
+			continue
+		}
+		t.Run(strings.Join(f[:4], " "), func(t *testing.T) {
+			t.Parallel()
+			v := newOrderTest(t)
+			defer func() { stopAll(t, v.boxes) }()
+			unframed := f[0] == "unframed"
+			for _, s := range v.servers {
+				s.SendIrregular(standin.Irregular{Unframed: unframed, First: standin.Departure(f[2]), Resumed: standin.Departure(f[3])})
+			}
+			regular, departing := v.count(f[1])
+			t.Logf("regular %+v, departing %+v", regular, departing)
+			require.NoError(t, errors.Join(regular.example, departing.example))
+			require.Zero(t, regular.early+departing.early)
+			if !unframed {
+				require.Equal(t, orderCount{whole: regular.whole}, regular)
+			}
+			switch f[4] {
+			case "all":
+				require.Equal(t, orderCount{whole: departing.whole}, departing)
+			case "some":
+				require.Positive(t, departing.whole)
+			default:
+				require.Zero(t, departing.whole)
+			}
+		})
+	}
+}
