Don't pass on events that repeat, go back or follow a missing one

Callers saw events twice, numbers that go back and gaps. Cause: a box passed on whatever event an attempt sent, and the ID that came last was the point of the next resumption, whatever it was. Now each event is judged in one place, package sequence, by its number and its bytes: one that the caller has already, to the byte, is left out; an event with a number that the caller has and other bytes, or one that follows a gap, ends the attempt before it is passed on, and the request goes on elsewhere after the last good event, or breaks off. The first event of a resumption is judged likewise, so that a run that ignores what it was asked for is not joined to the one before. Numbers count the events if the answer began with the first one or if most answers of the service did (package numbering); otherwise they need only rise, and IDs that are no numbers must not come again with other bytes. After an event without an ID no other endpoint goes on, since it would repeat it.

--- a/forward/endpoint_test.go
+++ b/forward/endpoint_test.go
@@ -253,6 +253,8 @@
 		return false
 	case "unframed_stream", "unframed_torn", "unframed_stream_reset", "unframed_stream_crash":
 		return f.unframedStream(c, kind, id, last, n)
+	case "events", "unframed_events":
+		return f.events(c, kind == "events", id, strings.Split(arg, ","))
 	case "stream", "stream_cut", "stream_torn", "stream_leave", "stream_leave_crash", "stream_anew", "stream_says_leaving":
 		return f.stream(c, kind, id, last, n)
 	default:
@@ -294,6 +296,33 @@
 	return true
 }
 
+// events sends a stream, in chunks or ended by its connection: events with these IDs, an event with the ID 2 and other bytes for x2,
+// one without an ID for a dash, a comment for a colon, and the last chunk for "end".
+func (f *fakeEndpoint) events(c net.Conn, isChunked bool, id string, words []string) bool {
+	framing := ""
+	if isChunked {
+		framing = "Transfer-Encoding: chunked\r\n"
+	}
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\n%s\r\n", id, framing)
+	for _, w := range words {
+		event := fmt.Sprintf("id: %s\ndata: %s\n\n", strings.TrimPrefix(w, "x"), w)
+		switch w {
+		case "end":
+			fmt.Fprint(c, "0\r\n\r\n")
+			return true
+		case "-":
+			event = "data: no ID\n\n"
+		case ":":
+			event = ": comment\n\n"
+		}
+		if isChunked {
+			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+		}
+		fmt.Fprint(c, event)
+	}
+	return false
+}
+
 // unframedStream sends the events after last up to n as a response that ends with its connection, as kind requires.
 func (f *fakeEndpoint) unframedStream(c net.Conn, kind, id, last string, n int) bool {
 	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\n\r\n", id)
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -123,6 +123,7 @@
 	last            *recorder // response to the last call
 	err             error     // error of the last call
 	serial          int
+	lastEventID     string // of the next call
 	order           rollout.Order
 	progressUpdates uint64 // progress updates so far
 }
@@ -240,6 +241,8 @@
 			parts[n] = requesthash.PartOf("s", p)
 		}
 		s.call("", "prompt "+strconv.Itoa(s.serial), parts)
+	case "after": // the next call asks for the events after this one
+		s.lastEventID = words[1]
 	case "take_up": // a call that takes up a stream that began at a version
 		s.call(words[1], "body", nil)
 	case "skip": // advance the clock
@@ -270,11 +273,12 @@
 func (s *script) call(version, body string, parts []requesthash.Hash) {
 	s.serial++
 	s.last = &recorder{}
-	c := &call.Call{ID: strconv.Itoa(s.serial), Method: http.MethodPost, Host: "h", Target: "/x", Path: "/x", Body: []byte(body), Arrived: boottime.Now()}
+	c := &call.Call{LastEventID: s.lastEventID, ID: strconv.Itoa(s.serial), Method: http.MethodPost, Host: "h", Target: "/x", Path: "/x", Body: []byte(body), Arrived: boottime.Now()}
 	q := forward.Request{
 		Call: c, Route: &s.route, Service: &catalog.Service{Name: "s"}, Account: &catalog.Account{Name: "a"}, Expires: boottime.Now().Add(5 * time.Second),
 		Content: requesthash.HashOf("a", c), Parts: parts, Version: version,
 	}
+	s.lastEventID = ""
 	if s.err = s.f.Check(q); s.err == nil {
 		_, s.err = s.f.Do(context.Background(), q, s.last)
 	}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -24,6 +24,7 @@
 	"birchlink.dev/birchlink/endpointlimit"
 	"birchlink.dev/birchlink/errkind"
 	"birchlink.dev/birchlink/httpconn"
+	"birchlink.dev/birchlink/numbering"
 	"birchlink.dev/birchlink/quarantine"
 	"birchlink.dev/birchlink/requesthash"
 	"birchlink.dev/birchlink/rollout"
@@ -123,6 +124,9 @@
 	// Accuracy holds the errors of the expected times to the first event.
 	Accuracy accuracy.Tracker
 
+	// Numbering knows which services count the events of their streams.
+	Numbering numbering.Census
+
 	attempts attemptSet
 	streams  streamSet
 }
@@ -161,7 +165,7 @@
 // are of package errkind; if the sink has received a head before, the caller of Do must abort the
 // response. The trace is for the log.
 func (f *Forwarder) Do(c context.Context, q Request, s Sink) (Trace, error) {
-	r := &run{f: f, q: q, sink: s, shared: &shared{}, tried: map[string]bool{}, answer: newAnswer(q.Call.LastEventID)}
+	r := &run{f: f, q: q, sink: s, shared: &shared{}, tried: map[string]bool{}, answer: f.newAnswer(q.Service.Name, q.Call.LastEventID)}
 	r.trace.Content, r.trace.Parts = q.Content, q.Parts
 	if q.Version != "" {
 		r.begun = &endpoint.Endpoint{Service: q.Service.Name, Version: q.Version}
--- a/forward/migrate.go
+++ b/forward/migrate.go
@@ -16,6 +16,7 @@
 	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/httpconn"
 	"birchlink.dev/birchlink/migration"
+	"birchlink.dev/birchlink/sse"
 )
 
 // MoveCodec translates the calls that move a running request to another endpoint.
@@ -120,7 +121,7 @@
 	mu          sync.Mutex
 	events      int
 	first, last time.Time // of the first and the last event
-	hasIDs      bool      // an event had an ID
+	canContinue bool      // the last event had an ID
 	settled     bool      // the stream has ended
 	move        *move     // the move in progress or the last one
 	moving      bool
@@ -151,8 +152,8 @@
 	s.r.f.streams.remove(s.choice.Endpoint.Incarnation(), s)
 }
 
-// recordEvent records an event of the stream. Its ID may be empty.
-func (s *runningStream) recordEvent(id string, now time.Time) {
+// recordEvent records an event of the stream, or a comment.
+func (s *runningStream) recordEvent(e sse.Event, now time.Time) {
 	if s == nil {
 		return
 	}
@@ -166,15 +167,17 @@
 	if s.succeeding { // the event has ended the successor
 		s.resuming, s.succeeding = false, false
 	}
-	s.hasIDs = s.hasIDs || id != ""
+	if e.HasField {
+		s.canContinue = e.ID != ""
+	}
 }
 
 // describe returns the input of a decision. It returns false if the stream is being moved or has ended,
-// its last move failed a moment ago, or its events have no IDs: a continuation would then repeat them.
+// its last move failed a moment ago, or its last event has no ID: a continuation would then repeat it.
 func (s *runningStream) describe(now time.Time) (migration.Stream, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.moving || s.resuming || s.settled || now.Before(s.retryAt) || s.x.Err() != nil || s.events > 0 && !s.hasIDs {
+	if s.moving || s.resuming || s.settled || now.Before(s.retryAt) || s.x.Err() != nil || s.events > 0 && !s.canContinue {
 		return migration.Stream{}, false
 	}
 	q, e := &s.r.q, s.r.q.Service.Engine
--- a/forward/response.go
+++ b/forward/response.go
@@ -163,24 +163,17 @@
 		if !e.HasField && (!r.mayAnswer() || w.hasSuccessor()) {
 			continue // a comment does not decide which of the two goes on
 		}
-		if e.HasField {
-			r.recordVerdict(seq.Judge(sequenceEvent(e)), e.ID)
+		if follows, err := r.checkEvent(seq, e); err != nil {
+			out.err = err
+			return out
+		} else if !follows {
+			continue
 		}
 		if !r.lead(w) {
 			out.err = errSuperseded
 			return out
 		}
-		n.RecordProgress(boottime.Now())
-		out.recordEvent(boottime.Now())
-		r.recordRunning(&out)
-		r.stream.recordEvent(e.ID, boottime.Now())
-		if !out.advanced && r.continued == nil {
-			r.recordAnswer(n)
-		}
-		if !out.advanced {
-			r.recordVersion(r.trace.Choice.Endpoint)
-		}
-		r.recordStart(boottime.Now())
+		r.recordEvent(n, e, &out)
 		if err := r.passEvent(resp, e); err != nil {
 			out.err = fmt.Errorf("%w: %w", errCallerWrite, err)
 			return out
@@ -193,6 +186,21 @@
 	}
 }
 
+// recordEvent records an event, or a comment, that is about to be passed to the caller.
+func (r *run) recordEvent(n *balance.Attempt, e sse.Event, out *attemptResult) {
+	n.RecordProgress(boottime.Now())
+	out.recordEvent(boottime.Now())
+	r.recordRunning(out)
+	r.stream.recordEvent(e, boottime.Now())
+	if !out.advanced && r.continued == nil {
+		r.recordAnswer(n)
+	}
+	if !out.advanced {
+		r.recordVersion(r.trace.Choice.Endpoint)
+	}
+	r.recordStart(boottime.Now())
+}
+
 // passEvent passes an event to the caller, and the head of its response before the first one.
 func (r *run) passEvent(resp *httpconn.Response, e sse.Event) error {
 	if !r.headSent {
@@ -228,5 +236,6 @@
 		return
 	}
 	r.recordSurvival(c, resp, out.firstEventAt)
+	r.recordNumbering()
 	out.done = true
 }
--- a/forward/run.go
+++ b/forward/run.go
@@ -220,6 +220,9 @@
 		s.Attempts, s.Expired = r.attemptsUsed(), r.isExpired(c)
 	}
 	d := recovery.Decide(s)
+	if d.Step == recovery.Failover && !r.answer.CanContinue() {
+		return recovery.Decision{Step: recovery.Fail, Kind: errkind.EngineFailed, Reason: "the last event has no ID after which another endpoint could go on"}
+	}
 	if d.Step == recovery.Failover && r.begun != nil && !r.f.hasServingVersion(r.q.Service.Name, *r.begun, r.tried) {
 		return recovery.Decision{Step: recovery.Fail, Kind: errkind.VersionUnavailable, Reason: r.noVersionReason()}
 	}
--- a/forward/sequence.go
+++ b/forward/sequence.go
@@ -1,6 +1,9 @@
 package forward
 
 import (
+	"errors"
+	"fmt"
+
 	"github.com/cespare/xxhash/v2"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
@@ -14,23 +17,51 @@
 // eventRun is what one attempt sends of an answer whose events have IDs.
 type eventRun = sequence.Run[string, eventid.Decimal]
 
+// errOutOfOrder reports an event that does not follow those that the caller has.
+var errOutOfOrder = errors.New("the stream is out of order")
+
 // newAnswer returns the answer to a request whose caller has the events up to the one with an ID; none if it is empty.
-func newAnswer(lastID string) sequence.Answer[string, eventid.Decimal] {
-	if lastID == "" {
-		return sequence.Answer[string, eventid.Decimal]{}
+func (f *Forwarder) newAnswer(service, lastID string) sequence.Answer[string, eventid.Decimal] {
+	var a sequence.Answer[string, eventid.Decimal]
+	if lastID != "" {
+		a = sequence.StartAfter[string, eventid.Decimal](lastID)
+	}
+	counts, known := f.Numbering.Counts(service)
+	a.Counted, a.Uncounted = known && counts, known && !counts
+	return a
+}
+
+// recordNumbering records whether the events of a whole answer were counted from the first one on. A single event does not show it.
+func (r *run) recordNumbering() {
+	if r.q.Call.LastEventID == "" && r.answer.Passed() > 1 && r.answer.HasLast {
+		r.f.Numbering.Record(r.q.Service.Name, r.answer.Counted)
 	}
-	return sequence.StartAfter[string, eventid.Decimal](lastID)
 }
 
 func sequenceEvent(e sse.Event) sequence.Event[string] {
 	return sequence.Event[string]{Number: e.ID, HasNumber: e.ID != "", Content: xxhash.Sum64(e.Raw)}
 }
 
-// recordVerdict logs and counts an event with an ID that does not follow.
-func (r *run) recordVerdict(v sequence.Verdict, id string) {
+// checkEvent reports whether the event is to be passed to the caller. One that it has already is not. The error reports that the
+// attempt can't go on, since an event is missing, or another one has the number of one that the caller has. Comments are
+// no events.
+func (r *run) checkEvent(seq *eventRun, e sse.Event) (follows bool, err error) {
+	if !e.HasField {
+		return true, nil
+	}
+	v := seq.Judge(sequenceEvent(e))
 	if v == sequence.Accepted {
-		return
+		return true, nil
+	}
+	r.recordVerdict(v, e.ID)
+	if v == sequence.Dropped {
+		return false, nil
 	}
+	return false, fmt.Errorf("%w: %s, %.64q after %.64q", errOutOfOrder, v, e.ID, r.answer.Last)
+}
+
+// recordVerdict logs and counts an event that does not follow.
+func (r *run) recordVerdict(v sequence.Verdict, id string) {
 	metrics.GetOrRegisterCounter("streams.event."+v.String(), r.f.Metrics).Inc(1)
 	r.f.Log.Info().Str("event", "stream event").Func(r.marshalStream).Str("id", id).Str("verdict", v.String()).Msg("the event does not follow")
 }
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -30,6 +30,7 @@
 	earlierUnended = "not_ended" // an earlier successor that was cancelled
 	noAttemptLeft  = "no_attempt"
 	noVersionLeft  = "no_version"
+	noEventID      = "no_event_id" // of the last event
 	noEndpointLeft = "no_endpoint"
 	notAllowed     = "not_allowed" // the quarantine refuses the request, or its endpoints accept none
 )
@@ -78,6 +79,8 @@
 	case r.attemptsUsed() >= r.maxAttempts():
 		go w.retryOnceEnded(r.reached)
 		return nil, noAttemptLeft
+	case !r.answer.CanContinue():
+		return nil, noEventID
 	case r.begun != nil && !r.f.hasServingVersion(r.q.Service.Name, *r.begun, r.tried):
 		return nil, noVersionLeft
 	}
