Don't end an answer as complete after a run without an event

Callers got answers that ended as complete after the sixth of twenty events, or without any. Cause: any clean end was the end of the answer once a head had been sent, also one of a resumption without an event, and a comment sends the head. Now an end completes the answer only if the last event of that run is the last one of the answer. A fresh run without an event is repeated elsewhere or broken off. A moved run that ends without an event is whole if the caller has all events that it had made.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -56,7 +56,7 @@
 		},
 		Overdue: minOverdue + time.Duration(expectedFactor*float64(ch.Expected)),
 		Abandon: r.abandonFunc(w),
-		Matches: func(h http.Header) bool { return r.f.Codec.Outcome(0, h).ID == cl.ID },
+		Matches: r.matches,
 	})
 	if err != nil {
 		return r.failAttempt(c, x, n, e, err)
@@ -70,7 +70,7 @@
 	r.trace.LongestPause = out.longestPause
 	r.recordForRollout(ch, out, sent)
 	out.err = cancelCause(x, out.err)
-	r.endAttempt(n, !out.done && out.stopped == nil && c.Err() == nil, e)
+	r.endAttempt(n, !out.done && out.stopped == nil && out.unproven == nil && c.Err() == nil, e)
 	return out
 }
 
@@ -93,6 +93,9 @@
 	return out
 }
 
+// matches reports whether a response with the given header belongs to the request.
+func (r *run) matches(h http.Header) bool { return r.f.Codec.Outcome(0, h).ID == r.q.Call.ID }
+
 // minOverdue is the time after which the link to an endpoint is checked that was expected to answer at
 // once.
 const minOverdue = 100 * time.Millisecond
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -24,7 +24,7 @@
 	case errors.Is(out.err, syscall.ECONNREFUSED):
 		r.reportCrash(e)
 		return
-	case out.interruption != recovery.Gone || out.answered || errors.Is(out.err, errOutOfOrder) || c.Err() != nil || r.f.Pool.IsLost(e.ID):
+	case out.interruption != recovery.Gone || out.answered || out.unproven != nil || errors.Is(out.err, errOutOfOrder) || c.Err() != nil || r.f.Pool.IsLost(e.ID):
 		return
 	}
 	if errors.Is(out.err, errReplaced) {
--- /dev/null
+++ b/forward/end.go
@@ -0,0 +1,132 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"birchlink.dev/birchlink/balance"
+	"birchlink.dev/birchlink/boottime"
+	"birchlink.dev/birchlink/endpoint"
+	"birchlink.dev/birchlink/httpconn"
+	"birchlink.dev/birchlink/sequence"
+	"birchlink.dev/birchlink/sse"
+)
+
+var (
+	// errUnprovenEnd reports that a stream ended without an event of the answer, and did not prove that there are no more.
+	errUnprovenEnd = errors.New("the stream ended without an event")
+
+	errNoProof = errors.New("the last event did not come again as the last one")
+)
+
+// judgeEnd returns the verdict on the end of an attempt's stream, which the endpoint has stated or not. A moved run that
+// ends without an event has ended the answer if the caller has all events that it had made before it was moved.
+func (r *run) judgeEnd(seq *eventRun, stated bool) sequence.Verdict {
+	v := seq.End(stated)
+	if s := r.continued; v == sequence.Unproven && s != nil && r.answer.Last == strconv.Itoa(s.created) {
+		return sequence.Complete
+	}
+	return v
+}
+
+// proveEnd reports whether the answer is whole, given that the stream of an attempt has ended without an event. That is what an
+// endpoint sends if nothing is left after the last event, and also what one sends that fails. So the same endpoint is asked
+// for what follows the event before the last one: if the answer is whole, it sends the last event and its end. The caller
+// gets nothing of that but, if it has none, the head of the stream.
+func (r *run) proveEnd(c context.Context, ch balance.Choice, head *response) bool {
+	e := ch.Endpoint
+	before, ok := r.answer.Previous()
+	err := errNoProof
+	if ok && r.mayAskAgain(c, e) {
+		err = r.readLastEvent(c, ch, before)
+	}
+	outcome := "unproven"
+	if err == nil && r.supersede() {
+		outcome = "proved"
+	}
+	metrics.GetOrRegisterCounter("streams.end."+outcome, r.f.Metrics).Inc(1)
+	r.f.Log.Info().Str("event", "stream end").Func(r.marshalStream).Str("asked_after", before).Str("outcome", outcome).Err(err).
+		Msg("asked for the last event again")
+	if outcome != "proved" {
+		return false
+	}
+	if r.headSent {
+		return true
+	}
+	r.headSent = true
+	return r.sink.Head(head.status, head.header) == nil
+}
+
+// mayAskAgain reports whether the request may be sent once more to an endpoint that has answered it, and pays for that.
+func (r *run) mayAskAgain(c context.Context, e endpoint.Endpoint) bool {
+	if !r.q.Route.Repeatable() || r.isExpired(c) {
+		return false
+	}
+	p := permitState{started: boottime.Now()}
+	return r.acquirePlace(c, &p, e) && r.acquirePermit(c, &p, e) && r.takeCredit(c, causeUnprovenEnd, e)
+}
+
+// readLastEvent asks an endpoint for the events that follow one. The error is nil if only the answer's last event does.
+func (r *run) readLastEvent(c context.Context, ch balance.Choice, before string) (err error) {
+	e := ch.Endpoint
+	x, cancel := context.WithTimeout(c, maxSilence+time.Duration(expectedFactor*float64(ch.Expected)))
+	defer cancel()
+	a, maxIdle := r.newAttempt(ch)
+	a.LastEventID = before
+	ch.Tokens, ch.TypicalFirstEvent = 0, 0 // the prompt was counted before
+	n := r.f.Balancer.Begin(e, ch, boottime.Now())
+	defer func() { r.endAttempt(n, err != nil && c.Err() == nil, e) }()
+	cl := r.q.Call
+	resp, err := r.f.Pool.Do(x, httpconn.Request{
+		Endpoint: e.ID, Address: e.Address, Method: cl.Method, Target: cl.Target, Host: cl.Host, Header: r.f.Codec.Head(cl, a), Body: cl.Body, MaxIdle: maxIdle,
+		ShouldSend: func() bool {
+			if !r.maySend(e) {
+				return false
+			}
+			r.recordArrival()
+			return true
+		},
+		Matches: r.matches,
+	})
+	if err != nil {
+		return fmt.Errorf("ask %s again: %w", e.ID, err)
+	}
+	defer resp.Close()
+	o := r.f.Codec.Outcome(resp.Status, resp.Header)
+	r.handleOutcome(o)
+	if o.NotRun || resp.Status >= http.StatusMultipleChoices || !resp.EventStream {
+		return fmt.Errorf("%w: status %d", errNoProof, resp.Status)
+	}
+	return r.checkLastEvent(resp, before)
+}
+
+// checkLastEvent reads a stream whose only event must be the answer's last one.
+func (r *run) checkLastEvent(resp *httpconn.Response, before string) error {
+	rd := sse.NewReader(resp.Body)
+	rd.Hold = resp.Hold
+	a := r.f.newAnswer(r.q.Service.Name, before)
+	seq := a.Start()
+	for {
+		e, err := rd.Next()
+		if errors.Is(err, io.EOF) && resp.Framed() && seq.End(true) == sequence.Complete && a.Last == r.answer.Last {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("%w: %w", errNoProof, err)
+		}
+		if !e.HasField {
+			continue
+		}
+		if v := seq.Judge(sequenceEvent(e)); v != sequence.Accepted || e.ID != r.answer.Last {
+			return fmt.Errorf("%w: %s, %.64q", errNoProof, v, e.ID)
+		}
+		seq.Accept(sequenceEvent(e))
+	}
+}
--- a/forward/repeat.go
+++ b/forward/repeat.go
@@ -30,6 +30,7 @@
 	causeContinuation = "continuation" // the arrival was to continue a moved run and was not accepted
 	causeSilent       = "silent"       // the endpoint was silent, and the attempt there may go on
 	causeDraining     = "draining"     // the stream was resumed before its endpoint ended
+	causeUnprovenEnd  = "unproven_end" // the stream ended without an event; the same endpoint is asked again
 )
 
 // credit pays for the next arrival of a request that has arrived at an endpoint before.
--- a/forward/response.go
+++ b/forward/response.go
@@ -16,6 +16,7 @@
 	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/httpconn"
 	"birchlink.dev/birchlink/recovery"
+	"birchlink.dev/birchlink/sequence"
 	"birchlink.dev/birchlink/sse"
 )
 
@@ -214,28 +215,30 @@
 
 // endEvents completes the result of a stream of which no more events can be read.
 func (r *run) endEvents(c context.Context, resp *httpconn.Response, w *watchdog, seq *eventRun, err error, out *attemptResult) {
-	r.recordEnd(seq.End(errors.Is(err, io.EOF) && resp.Framed()), resp, err)
-	if !errors.Is(err, io.EOF) {
-		out.err = fmt.Errorf("the stream broke: %w", err)
-		out.stopped = r.stream.settle(false)
-		return
-	}
-	if !resp.Framed() {
+	isEnd := errors.Is(err, io.EOF)
+	if isEnd && !resp.Framed() {
 		complete, stopped := r.stream.endedUnframed()
 		if out.stopped = stopped; stopped != nil || !complete {
 			out.err = errStopped
 			return
 		}
 	}
-	if !r.headSent {
+	v := r.judgeEnd(seq, isEnd)
+	r.recordEnd(v, resp, err)
+	switch {
+	case v == sequence.Broken:
+		out.err = fmt.Errorf("the stream broke: %w", err)
+		out.stopped = r.stream.settle(false)
+	case v == sequence.Unproven && !r.answer.HasLast:
 		out.err = errors.New("the stream ended before its first event")
-		return
-	}
-	if !r.lead(w) {
+	case v == sequence.Unproven:
+		out.err = errUnprovenEnd
+		out.unproven = &response{status: resp.Status, header: resp.Header}
+	case !r.lead(w):
 		out.err = errSuperseded
-		return
+	default:
+		r.recordSurvival(c, resp, out.firstEventAt)
+		r.recordNumbering()
+		out.done = true
 	}
-	r.recordSurvival(c, resp, out.firstEventAt)
-	r.recordNumbering()
-	out.done = true
 }
--- a/forward/run.go
+++ b/forward/run.go
@@ -119,6 +119,7 @@
 	answered     bool        // the endpoint sent a complete response that can't be used
 	stopped      *stoppedRun // the run was stopped and continues elsewhere; nil otherwise
 	superseded   bool        // a successor goes on, and the attempt was recorded
+	unproven     *response   // head of a stream that ended without an event of the answer; nil otherwise
 
 	// The times of the first and the last event and their number. A response that is not a stream
 	// counts as one event.
@@ -172,8 +173,7 @@
 	if ch, err = r.admit(c, ch); err != nil {
 		return false, err
 	}
-	e := ch.Endpoint
-	r.tried[e.Incarnation()] = true
+	r.tried[ch.Endpoint.Incarnation()] = true
 	r.trace = Trace{Content: r.q.Content, Parts: r.q.Parts, Attempts: r.trace.Attempts + 1, Moves: r.moves, Choice: ch}
 	ch, out := r.continueMoved(c, ch, r.attempt(c, ch))
 	r.returnPlace(out.interruption == recovery.Refused && !out.done)
@@ -193,7 +193,10 @@
 		}
 		return false, errkind.New(errkind.CallerGone, "the caller left: %w", out.err)
 	}
-	e = ch.Endpoint
+	e := ch.Endpoint
+	if out.unproven != nil && r.proveEnd(c, ch, out.unproven) {
+		return true, nil
+	}
 	r.recordFailure(out, e)
 	r.checkCrash(c, out, e)
 	metrics.GetOrRegisterCounter("attempts.broke."+out.interruptionName(), r.f.Metrics).Inc(1)
