Don't take the end of a connection for the end of a stream

Cause: such an end was the end of the answer, because whole answers end so, too; only for runs that were told to stop it was not. The box then wrote a last chunk of its own after an answer of which no endpoint had said that it was whole. Now only the end of a length or of the chunks states that; any other end has broken the stream, which goes on elsewhere or is broken off.

--- a/forward/end.go
+++ b/forward/end.go
@@ -23,6 +23,10 @@
 	// errUnprovenEnd reports that a stream ended without an event of the answer, and did not prove that there are no more.
 	errUnprovenEnd = errors.New("the stream ended without an event")
 
+	// errConnectionEnd reports a response without a length or chunks, of which the end of its connection does not show whether it
+	// is whole.
+	errConnectionEnd = errors.New("the connection ended, and the response has no length or chunks")
+
 	errNoProof = errors.New("the last event did not come again as the last one")
 )
 
--- a/forward/migrate_test.go
+++ b/forward/migrate_test.go
@@ -186,8 +186,8 @@
 		// A stream without framing ends with its connection, also when its run is stopped. It must not
 		// count as complete then.
 		"unframed": {unframed: true, wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "moved"},
-		// It does if the source answers that the run has ended.
-		"run ends first, unframed": {unframed: true, moves: "ok run_ends", wantEvents: all, wantStarts: "a new", wantFreed: 1},
+		// Nor does it if the source answers that nothing runs: a run that has crashed has ended, too.
+		"run ends first, unframed": {unframed: true, moves: "ok run_ends", wantEvents: all, wantErr: "outcome_unknown", wantStarts: "a new", wantFreed: 1},
 		// When the handle may have expired, that answer does not tell whether the lost call stopped the run.
 		"no run after the handle, unframed": {
 			unframed: true, moves: "ok lost no_run_closed", handleTTL: time.Millisecond, wantEvents: "1 2 3", wantErr: "outcome_unknown", wantStarts: "a new",
--- a/forward/move.go
+++ b/forward/move.go
@@ -148,23 +148,6 @@
 	return m.result
 }
 
-// endedUnframed reports whether a stream that ended with its connection and has no framing is
-// complete: unless the run was told to stop, it is.
-func (s *runningStream) endedUnframed() (complete bool, stopped *stoppedRun) {
-	if s == nil {
-		return true, nil
-	}
-	s.mu.Lock()
-	m := s.move
-	told := m != nil && m.lastSent
-	s.mu.Unlock()
-	if !told {
-		return true, nil
-	}
-	stopped = s.settle(false)
-	return m.noRun, stopped
-}
-
 // run makes the move up to the stop of the run and the end of its stream.
 func (m *move) run() {
 	s := m.s
--- a/forward/response.go
+++ b/forward/response.go
@@ -215,15 +215,10 @@
 
 // endEvents completes the result of a stream of which no more events can be read.
 func (r *run) endEvents(c context.Context, resp *httpconn.Response, w *watchdog, seq *eventRun, err error, out *attemptResult) {
-	isEnd := errors.Is(err, io.EOF)
-	if isEnd && !resp.Framed() {
-		complete, stopped := r.stream.endedUnframed()
-		if out.stopped = stopped; stopped != nil || !complete {
-			out.err = errStopped
-			return
-		}
+	if errors.Is(err, io.EOF) && !resp.Framed() {
+		err = errConnectionEnd
 	}
-	v := r.judgeEnd(seq, isEnd)
+	v := r.judgeEnd(seq, errors.Is(err, io.EOF))
 	r.recordEnd(v, resp, err)
 	switch {
 	case v == sequence.Broken:
--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -245,10 +245,10 @@
 	r.conn.reset()
 }
 
-// Framed reports whether the response has a content length or a transfer encoding. The end of any
+// Framed reports whether the response has a content length or a transfer encoding, or can't have a body. The end of any
 // other response is the end of the connection, so a truncated one looks complete.
 func (r *Response) Framed() bool {
-	return r.raw.ContentLength >= 0 || len(r.raw.TransferEncoding) > 0
+	return r.raw.ContentLength >= 0 || len(r.raw.TransferEncoding) > 0 || r.raw.Body == http.NoBody
 }
 
 // requestSent reports whether the request was sent completely. If the endpoint answers before
