Let the splicer decide by package sequence

The order of events was decided in two places: package sequence for the users' platform, and a switch of its own in splice.Splicer for the own interface. The splicer now asks sequence for each line: Next is its whole state, from which it makes the answer to be judged, with a numbering of ints that count from 0. So literals and copies work as before, and a stream holds nothing more. Each line is a run of its own, since an attempt may be read again after a gap without a new one, and the end of a run that has failed is never complete.

Run.EndAt judges an end that names the number of the next event, as end marks do, also in a run that sent none. Where numbers don't tell whether that one follows directly, such an end is unproven.

--- a/sequence/answer.go
+++ b/sequence/answer.go
@@ -127,6 +127,26 @@
 	}
 }
 
+// judgeEnd returns the verdict on an end of the answer before number n: Complete, Unproven, Gap or Dropped.
+func (a *Answer[N, P]) judgeEnd(n N) Verdict {
+	relation := Later
+	if a.HasLast {
+		relation = a.numbering.Relate(a.Last, n)
+	} else if a.numbering.IsFirst(n) {
+		relation = Next
+	}
+	switch {
+	case relation == Next:
+		return Complete
+	case relation == Later && a.Counted:
+		return Gap
+	case relation == Same || relation == Earlier:
+		return Dropped
+	default:
+		return Unproven
+	}
+}
+
 func (a *Answer[N, P]) hasRecent(content uint64) bool {
 	for i := range min(a.passed, recentEvents) {
 		if a.recent[i] == content {
--- a/sequence/answer_test.go
+++ b/sequence/answer_test.go
@@ -69,6 +69,8 @@
 			}
 		case "end":
 			require.Equal(t, last, r.End(w[1] == "stated").String(), at)
+		case "endat":
+			require.Equal(t, last, r.EndAt(w[1], w[2] == "stated").String(), at)
 		default:
 			require.Fail(t, "unknown step", at)
 		}
--- a/sequence/run.go
+++ b/sequence/run.go
@@ -44,3 +44,15 @@
 		return Complete
 	}
 }
+
+// EndAt returns the verdict on the end of a run that names the number its next event would have. That is evidence even if the run
+// has sent no event. The verdict is Gap or Dropped if number n does not follow, Unproven if that can't be known, otherwise Complete
+// or, if the run does not state that the answer ends there, Broken.
+func (r *Run[N, P]) EndAt(n N, stated bool) Verdict {
+	v := r.answer.judgeEnd(n)
+	r.failed = r.failed || v == Gap
+	if (v == Complete || v == Unproven) && (!stated || r.failed) {
+		return Broken
+	}
+	return v
+}
--- a/splice/splicer.go
+++ b/splice/splicer.go
@@ -1,8 +1,11 @@
 // Package splice assembles the response of one streaming request from the lines of its attempts.
-// Each token is accepted once and in order, whatever lines arrive.
+// Each token is accepted once and in order, whatever lines arrive, as package sequence decides.
 package splice
 
-import "birchlink.dev/birchlink/engine"
+import (
+	"birchlink.dev/birchlink/engine"
+	"birchlink.dev/birchlink/sequence"
+)
 
 // Verdict classifies a line.
 type Verdict int
@@ -33,24 +36,38 @@
 // token beyond MaxTokens, is a Gap. An end mark at Next is Complete if the response is complete,
 // otherwise Halted.
 func (s *Splicer) Accept(l engine.Line) Verdict {
-	switch {
-	case l.RequestID != s.RequestID || l.Attempt != s.Attempt:
-		return Dropped
-	case l.Index < s.Next:
+	if l.RequestID != s.RequestID || l.Attempt != s.Attempt {
 		return Dropped
-	case l.Index > s.Next:
-		return Gap
-	case !l.End:
+	}
+	switch s.judge(l) {
+	case sequence.Accepted:
 		if s.Next >= s.MaxTokens {
 			return Gap
 		}
 		s.Next++
 		return Accepted
-	case l.Reason == reasonComplete:
+	case sequence.Gap:
+		return Gap
+	case sequence.Complete:
 		return Complete
-	default:
+	case sequence.Broken:
 		return Halted
+	default:
+		// A token with an earlier index is the same token, whatever its content: the index identifies it.
+		return Dropped
+	}
+}
+
+// judge returns the verdict on a line of the current attempt. It judges each line as a run of its own, since the attempt may be
+// read again after a gap.
+func (s *Splicer) judge(l engine.Line) sequence.Verdict {
+	a := sequence.StartAfter[int, indexes](s.Next - 1)
+	a.Counted = true
+	r := a.Start()
+	if l.End {
+		return r.EndAt(l.Index, l.Reason == reasonComplete)
 	}
+	return r.Judge(sequence.Event[int]{Number: l.Index, HasNumber: true})
 }
 
 // StartAttempt makes attempt the current one. The splicer continues at Next.
