Reset callers of HTTP/1.0 whose streams are not whole

Callers that speak HTTP/1.0 took broken answers for whole ones. Cause: a stream to them has neither length nor chunks, so that the end of the connection is the end of the answer, and a box closed the connection of a stream that had broken off as it does after a whole one. So did the kernel when the box's process was killed. Now such a connection is set to be reset on its close (linger 0) before the head of the stream is sent, and back to an ordinary close only when the stream is whole, so that a close in between is read as an error and not as an end. The tests show it for an endpoint that breaks off and for a killed process. Events on their way may be lost with a reset. Callers of HTTP/1.1 see what they saw: the events that were sent, and no last chunk. Answers with a length are left as they are.

--- a/ingress/head.go
+++ b/ingress/head.go
@@ -77,9 +77,28 @@
 	return context.WithValue(c, connKey{}, n)
 }
 
+// connOf returns the connection of a context.
+func connOf(c context.Context) net.Conn {
+	n, _ := c.Value(connKey{}).(net.Conn)
+	return n
+}
+
+// setResetOnClose sets whether a connection is reset when it is closed.
+func setResetOnClose(c net.Conn, reset bool) {
+	t, ok := c.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return
+	}
+	seconds := -1
+	if reset {
+		seconds = 0
+	}
+	_ = t.SetLinger(seconds) // fails only on a closed connection
+}
+
 // markServed records that a handler has the request of a context.
 func markServed(c context.Context) {
-	if h, ok := c.Value(connKey{}).(*headConn); ok {
+	if h, ok := connOf(c).(*headConn); ok {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.isServed = true
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -206,6 +206,10 @@
 		<-b.release
 	}
 	w.Header().Set("Id", r.Header.Get("Id"))
+	if n, ok := strings.CutPrefix(r.URL.Path, "/stream/events/"); ok {
+		b.sendEvents(w, n)
+		return
+	}
 	fmt.Fprintf(w, "for %s", r.Header.Get("Account"))
 }
 
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -83,19 +83,23 @@
 	stop := context.AfterFunc(i.closing, func() { cancel(errStopped) })
 	defer stop()
 	s := &sink{w: w, ingress: i}
+	if !r.ProtoAtLeast(1, 1) {
+		s.unframed = connOf(r.Context())
+	}
 	trace, err := i.forwarder.Do(c, q, s)
 	if errors.Is(context.Cause(c), errStopped) && err != nil {
 		// The request may have run, so the error must not state that it did not.
 		err = errkind.New(errkind.OutcomeUnknown, "this process stops")
 	}
 	if err == nil {
+		s.end()
 		i.logAnswered(q, s.status, trace)
 		return
 	}
 	if s.headSent {
 		i.failureEvent(q, err).EmbedObject(trace).Msg("broken off")
 		// Close the connection, so that the caller does not take a partial response for a complete
-		// one.
+		// one. It is reset if the response has no other end.
 		panic(http.ErrAbortHandler)
 	}
 	i.writeError(w, q, err, trace)
--- a/ingress/sink.go
+++ b/ingress/sink.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -15,10 +16,12 @@
 )
 
 // sink is a forward.Sink that writes the response to the caller. headSent reports whether the
-// status was written.
+// status was written. unframed is the caller's connection if a stream has no other end than the
+// connection's, as in HTTP/1.0.
 type sink struct {
 	w        http.ResponseWriter
 	ingress  *Ingress
+	unframed net.Conn
 	headSent bool
 	status   int
 }
@@ -28,10 +31,15 @@
 	s.copyHeader(h)
 	s.w.Header().Del("Content-Length")
 	s.headSent, s.status = true, status
+	// Until the stream is whole, its connection must not end as after a whole one, even if this process ends.
+	setResetOnClose(s.unframed, true)
 	s.w.WriteHeader(status)
 	return nil
 }
 
+// end marks the response as whole.
+func (s *sink) end() { setResetOnClose(s.unframed, false) }
+
 // Event writes one event and flushes it.
 func (s *sink) Event(raw []byte) error {
 	c := http.NewResponseController(s.w)
