Count responses of plain services without length and chunks as interrupted

Callers got responses of plain services that were cut, as whole ones with the service's status. Cause: a response with neither a length nor chunks ends with its connection, wherever that is cut, and readResponse took any end without an error as the end. Such a response, of any status, now counts as interrupted, like one whose connection broke: a repeatable request is sent to another endpoint, any other gets the error that its outcome is not known. A service that always answers so can't be served: nothing says that its answers are whole. Chunks in HTTP/1.0, which net/http ignores, count as none. Responses without a body (HEAD, 204, 304) need no length.

--- a/serviceproxy/proxy.go
+++ b/serviceproxy/proxy.go
@@ -351,7 +351,7 @@
 	return readResponse(resp, s.Name)
 }
 
-// readResponse reads a response completely. A truncated response is an error.
+// readResponse reads a response completely. A truncated response is an error, and so is one that may be.
 func readResponse(resp *http.Response, box string) (*Response, recovery.Interruption, error) {
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
@@ -363,9 +363,18 @@
 	if resp.ContentLength >= 0 && int64(len(b)) != resp.ContentLength && resp.Request.Method != http.MethodHead {
 		return nil, recovery.Disconnected, errors.New("the answer of " + box + " is short")
 	}
+	if !framed(resp) {
+		return nil, recovery.Disconnected, errors.New("the answer of " + box + " has neither length nor chunks, so it may have been cut")
+	}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: b, Box: box}, 0, nil
 }
 
+// framed reports whether a response states its end. The end of any other is the end of the connection, so a truncated one looks
+// complete. The transport decompresses nothing, which would hide the length.
+func framed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
+}
+
 // droppedHeaders are not forwarded because they apply to one connection or are meant for Birchlink.
 // Idempotency-Key and X-Idempotency-Key are among them because http.Transport would treat a request
 // that has one as idempotent and retry it.
