State the length of responses of plain services to callers

A caller of HTTP/1.0 that reads slowly took a cut response of a plain service for a whole one. Cause: the box has the whole response, but passed on no length if the service had sent chunks. In HTTP/1.0 such a response ends with its connection, which the box also closes when the caller has not read for writeTimeout. Now each response with a body states its length. Those without one keep the service's: for HEAD it is that of another response.

TestCutResponsesLookWhole (HTTP/1.0, cut) failed on the code before: the caller read a part of 64 KB and an end without an error. It passes with -race, 3 of 3 runs. Streams have their end in band and needed no change: TestBrokenStreamsEndAsWhole, which passed before too, shows that only whole ones get a finish reason and [DONE], and that all others get an error. Other answers of this interface are JSON objects, whose end is in band as well.

--- a/front/service.go
+++ b/front/service.go
@@ -85,6 +85,10 @@
 		w.Header()[k] = vs
 	}
 	w.Header().Set(RunHeader, string(errkind.Ran))
+	if len(resp.Body) > 0 {
+		// A response without a length ends with its connection in HTTP/1.0, so that a truncated one would look complete.
+		w.Header().Set("Content-Length", strconv.Itoa(len(resp.Body)))
+	}
 	setWriteDeadline(w)
 	w.WriteHeader(resp.Status)
 	if _, err := w.Write(resp.Body); err != nil {
