Place events without a number, and take no single number for a count

A review of package sequence showed, with scripts of its own: a service whose numbers don't count but begin with 0 or 1 lost all its streams (offsets 0, 17, 40), one that was known to count and changed its numbers lost them for good; an event without an ID could reach the caller twice when a run was resumed, and a resumed run of only such an event could complete an answer; after one ID that is no number, numbers could go back. Now a count is shown by the first two numbers or by most answers of the service, gaps count against the service's numbering, an event without an ID is accepted only where the run has reached the last event of the answer, IDs that are no numbers place nothing among numbers or if all events have the same one, repeats are bounded in a row, and a run that has failed stays failed. An event without data or ID, which readers do not dispatch, is no event of the answer.

--- a/eventid/decimal.go
+++ b/eventid/decimal.go
@@ -31,6 +31,12 @@
 	}
 }
 
+// IsNumber reports whether an ID is a decimal number.
+func (Decimal) IsNumber(id string) bool {
+	_, err := strconv.ParseUint(id, 10, 64)
+	return err == nil
+}
+
 // IsFirst reports whether an ID is 0 or 1.
 func (Decimal) IsFirst(id string) bool {
 	n, err := strconv.ParseUint(id, 10, 64)
--- a/forward/end.go
+++ b/forward/end.go
@@ -125,7 +125,7 @@
 		if err != nil {
 			return fmt.Errorf("%w: %w", errNoProof, err)
 		}
-		if !e.HasField {
+		if !e.IsContent() {
 			continue
 		}
 		if v := seq.Judge(sequenceEvent(e)); v != sequence.Accepted || e.ID != r.answer.Last {
--- a/forward/endpoint_test.go
+++ b/forward/endpoint_test.go
@@ -314,6 +314,8 @@
 			event = "data: no ID\n\n"
 		case ":":
 			event = ": comment\n\n"
+		case "ping":
+			event = "event: ping\n\n"
 		}
 		if isChunked {
 			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
--- a/forward/migrate.go
+++ b/forward/migrate.go
@@ -167,7 +167,7 @@
 	if s.succeeding { // the event has ended the successor
 		s.resuming, s.succeeding = false, false
 	}
-	if e.HasField {
+	if e.IsContent() {
 		s.canContinue = e.ID != ""
 	}
 }
--- a/forward/response.go
+++ b/forward/response.go
@@ -180,7 +180,7 @@
 			return out
 		}
 		out.advanced = true
-		if e.HasField {
+		if e.IsContent() {
 			seq.Accept(sequenceEvent(e))
 		}
 		w.endEvent()
--- a/forward/sequence.go
+++ b/forward/sequence.go
@@ -43,10 +43,10 @@
 }
 
 // checkEvent reports whether the event is to be passed to the caller. One that it has already is not. The error reports that the
-// attempt can't go on, since an event is missing, or another one has the number of one that the caller has. Comments are
-// no events.
+// attempt can't go on, since an event is missing, or another one has the number of one that the caller has. Comments and other
+// events that are no content always follow.
 func (r *run) checkEvent(seq *eventRun, e sse.Event) (follows bool, err error) {
-	if !e.HasField {
+	if !e.IsContent() {
 		return true, nil
 	}
 	v := seq.Judge(sequenceEvent(e))
@@ -54,8 +54,12 @@
 		return true, nil
 	}
 	r.recordVerdict(v, e.ID)
-	if v == sequence.Dropped {
+	switch v {
+	case sequence.Dropped:
 		return false, nil
+	case sequence.Gap:
+		// If the service numbers its events otherwise, this is how it is noticed.
+		r.f.Numbering.Record(r.q.Service.Name, false)
 	}
 	return false, fmt.Errorf("%w: %s, %.64q after %.64q", errOutOfOrder, v, e.ID, r.answer.Last)
 }
--- a/sequence/answer.go
+++ b/sequence/answer.go
@@ -2,6 +2,8 @@
 // several runs in turn, each of which continues after the last event of the one before. Nothing else decides this.
 package sequence
 
+import "hash/maphash"
+
 // Relation is how the number of an event relates to that of the event before it.
 type Relation int
 
@@ -18,6 +20,8 @@
 type Numbering[N any] interface {
 	// Relate returns how n relates to the number of the event before it.
 	Relate(before, n N) Relation
+	// IsNumber reports whether n can be compared with numbers.
+	IsNumber(n N) bool
 	// IsFirst reports whether n is the number of the first event of an answer, if numbers count the events.
 	IsFirst(n N) bool
 	// Before returns the number before n in a count, which is the zero value before the first one. It returns false if
@@ -30,23 +34,27 @@
 
 // The verdicts.
 const (
-	Accepted Verdict = iota // the next event
-	Dropped                 // the caller has the event already
-	Reversed                // an event that the caller has already has come with other content
-	Gap                     // an event is missing before this one
-	Complete                // the end of the whole answer
-	Unproven                // the run has stated its end, but has not shown that it knows the last event
-	Broken                  // the run has ended without stating its end
+	Accepted Verdict = iota + 1 // the next event
+	Dropped                     // the caller has the event already
+	Reversed                    // the caller has an event with this number, which is not known to be the same
+	Gap                         // an event is missing before this one
+	Unplaced                    // an event without a number, whose run has not reached the last event of the answer
+	Complete                    // the end of the whole answer
+	Unproven                    // the run has stated its end, but has not shown that it knows the last event
+	Broken                      // the run has ended without stating its end
 )
 
 // String returns the name of the verdict in logs and metrics.
 func (v Verdict) String() string {
-	return [...]string{"accepted", "repeated", "reversed", "gap", "complete", "unproven_end", "broken"}[v]
+	return [...]string{"", "accepted", "repeated", "reversed", "gap", "unplaced", "complete", "unproven_end", "broken"}[v]
 }
 
-// recentEvents is the number of events whose content is remembered, so that they are recognised when they come again.
+// recentEvents is the number of events that are remembered, so that they are recognised when they come again.
 const recentEvents = 16
 
+// seed is the seed of the hashes of numbers.
+var seed = maphash.MakeSeed()
+
 // Answer is what a caller has received of one answer. The zero value is an answer without events.
 type Answer[N comparable, P Numbering[N]] struct {
 	Last      N    // number of the last event, or the one after which the caller has asked for events
@@ -57,12 +65,18 @@
 	numbering   P
 	previous    N // number of the event before the last one
 	hasPrevious bool
+	isFromFirst bool // the first event has the first number of a count
 	unnumbered  bool // the last event has no number
 	passed      int  // events
-	recent      [recentEvents]uint64
+
+	recent   [recentEvents]remembered
+	numbered int // events with a number
 }
 
-// Event is one event. Content identifies its bytes.
+// remembered is an event with a number, by hashes.
+type remembered struct{ number, content uint64 }
+
+// Event is one event. Content identifies its bytes, with its number.
 type Event[N any] struct {
 	Number    N
 	HasNumber bool
@@ -94,39 +108,52 @@
 }
 
 // Start returns a further run of the answer.
-func (a *Answer[N, P]) Start() *Run[N, P] { return &Run[N, P]{answer: a} }
+func (a *Answer[N, P]) Start() *Run[N, P] {
+	return &Run[N, P]{answer: a, atLast: !a.HasLast && a.passed == 0}
+}
 
-// judge returns the verdict on an event.
-func (a *Answer[N, P]) judge(e Event[N]) Verdict {
-	switch {
-	case !e.HasNumber:
-		return Accepted
-	case !a.HasLast && a.Counted && !a.numbering.IsFirst(e.Number):
-		return Gap
-	case !a.HasLast:
-		return Accepted
+// hasNumber reports whether the event has a number that places it. After a number that can be compared, one that can't says
+// nothing, and nor does one that all events have.
+func (a *Answer[N, P]) hasNumber(e Event[N]) bool {
+	if !e.HasNumber || !a.HasLast || a.numbering.IsNumber(e.Number) {
+		return e.HasNumber
 	}
-	switch a.numbering.Relate(a.Last, e.Number) {
-	case Next:
-		return Accepted
-	case Later:
-		if a.Counted {
+	isConstant := a.numbered == 1 && !a.hasPrevious && e.Number == a.Last
+	return !a.numbering.IsNumber(a.Last) && !isConstant
+}
+
+// judge returns the verdict on an event with a number.
+func (a *Answer[N, P]) judge(e Event[N]) Verdict {
+	if !a.HasLast {
+		if a.Counted && !a.numbering.IsFirst(e.Number) {
 			return Gap
 		}
 		return Accepted
-	case Unknown:
-		if a.hasRecent(e.Content) {
-			return Dropped
-		}
+	}
+	relation := a.numbering.Relate(a.Last, e.Number)
+	isKnown, isSame := a.find(e)
+	switch {
+	case relation == Later && a.Counted:
+		return Gap
+	case relation == Next || relation == Later || relation == Unknown && !isKnown:
 		return Accepted
+	case isSame:
+		return Dropped
 	default:
-		if a.hasRecent(e.Content) {
-			return Dropped
-		}
 		return Reversed
 	}
 }
 
+// find reports whether a recent event has the number of e, and whether one is the same.
+func (a *Answer[N, P]) find(e Event[N]) (isKnown, isSame bool) {
+	h := maphash.Comparable(seed, e.Number)
+	for _, o := range a.recent[:min(a.numbered, recentEvents)] {
+		isKnown = isKnown || o.number == h
+		isSame = isSame || o.number == h && o.content == e.Content
+	}
+	return isKnown, isSame
+}
+
 // judgeEnd returns the verdict on an end of the answer before number n: Complete, Unproven, Gap or Dropped.
 func (a *Answer[N, P]) judgeEnd(n N) Verdict {
 	relation := Later
@@ -147,28 +174,20 @@
 	}
 }
 
-func (a *Answer[N, P]) hasRecent(content uint64) bool {
-	for i := range min(a.passed, recentEvents) {
-		if a.recent[i] == content {
-			return true
-		}
-	}
-	return false
-}
-
 // accept adds an event to the answer.
 func (a *Answer[N, P]) accept(e Event[N]) {
-	a.recent[a.passed%recentEvents] = e.Content
 	a.passed++
-	a.unnumbered = !e.HasNumber
-	if !e.HasNumber {
+	if a.unnumbered = !a.hasNumber(e); a.unnumbered {
 		return
 	}
+	a.recent[a.numbered%recentEvents] = remembered{maphash.Comparable(seed, e.Number), e.Content}
+	a.numbered++
 	if a.HasLast {
+		isNext := a.numbering.Relate(a.Last, e.Number) == Next
+		a.Counted = isNext && (a.Counted || a.isFromFirst && !a.hasPrevious && !a.Uncounted)
 		a.previous, a.hasPrevious = a.Last, true
-		a.Counted = a.Counted && a.numbering.Relate(a.Last, e.Number) == Next
 	} else {
-		a.Counted = !a.Uncounted && a.numbering.IsFirst(e.Number)
+		a.isFromFirst = a.numbering.IsFirst(e.Number)
 	}
 	a.Last, a.HasLast = e.Number, true
 }
--- a/sequence/run.go
+++ b/sequence/run.go
@@ -1,34 +1,52 @@
 package sequence
 
-// maxDropped bounds the events of a run that are dropped. A run that sends more of them does not go on.
+// maxDropped bounds the events in a row that are dropped. A run that sends more of them does not go on.
 const maxDropped = recentEvents
 
 // Run is one run of an answer.
 type Run[N comparable, P Numbering[N]] struct {
 	answer  *Answer[N, P]
 	dropped int
-	isLast  bool // the last event of the run is the last one of the answer
-	failed  bool // an event of the run did not follow
+	atLast  bool    // the last event of the run is the last one of the answer
+	failed  Verdict // on the event that did not follow; zero if there is none
 }
 
-// Judge returns the verdict on the next event of the run: Accepted, Dropped, Reversed or Gap. After the last two the run must be
-// given up. Judge changes nothing that other runs of the answer read.
+// Judge returns the verdict on the next event of the run: Accepted, Dropped, Reversed, Gap or Unplaced. After the last three the run
+// must be given up. Judge changes nothing that other runs of the answer read.
 func (r *Run[N, P]) Judge(e Event[N]) Verdict {
-	v := r.answer.judge(e)
-	if v == Dropped {
-		r.isLast = r.answer.HasLast && e.Number == r.answer.Last
-		if r.dropped++; r.dropped > maxDropped {
-			v = Reversed
-		}
+	if r.failed != 0 {
+		return r.failed
+	}
+	v := r.judge(e)
+	if v != Accepted && v != Dropped {
+		r.failed = v
 	}
-	r.failed = r.failed || v == Reversed || v == Gap
 	return v
 }
 
+func (r *Run[N, P]) judge(e Event[N]) Verdict {
+	a := r.answer
+	if !a.hasNumber(e) {
+		if r.atLast {
+			return Accepted
+		}
+		return Unplaced
+	}
+	v := a.judge(e)
+	if v != Dropped {
+		return v
+	}
+	r.atLast = !a.unnumbered && a.numbering.Relate(a.Last, e.Number) == Same
+	if r.dropped++; r.dropped > maxDropped {
+		return Reversed
+	}
+	return Dropped
+}
+
 // Accept adds an event on which the verdict is Accepted to the answer.
 func (r *Run[N, P]) Accept(e Event[N]) {
 	r.answer.accept(e)
-	r.isLast = true
+	r.atLast, r.dropped = true, 0
 }
 
 // End returns the verdict on the end of the run: Complete, Unproven or Broken. A run states its end if its sender marks it;
@@ -36,9 +54,9 @@
 // the answer: a run that sends none may know of no more events than it was asked to go on from.
 func (r *Run[N, P]) End(stated bool) Verdict {
 	switch {
-	case !stated || r.failed:
+	case !stated || r.failed != 0:
 		return Broken
-	case !r.isLast:
+	case !r.atLast || r.answer.passed == 0:
 		return Unproven
 	default:
 		return Complete
@@ -50,8 +68,10 @@
 // or, if the run does not state that the answer ends there, Broken.
 func (r *Run[N, P]) EndAt(n N, stated bool) Verdict {
 	v := r.answer.judgeEnd(n)
-	r.failed = r.failed || v == Gap
-	if (v == Complete || v == Unproven) && (!stated || r.failed) {
+	if v == Gap {
+		r.failed = v
+	}
+	if (v == Complete || v == Unproven) && (!stated || r.failed != 0) {
 		return Broken
 	}
 	return v
--- a/splice/indexes.go
+++ b/splice/indexes.go
@@ -19,6 +19,9 @@
 	}
 }
 
+// IsNumber reports whether an index can be compared, which each can.
+func (indexes) IsNumber(int) bool { return true }
+
 // IsFirst reports whether an index is 0.
 func (indexes) IsFirst(n int) bool { return n == 0 }
 
--- a/sse/reader.go
+++ b/sse/reader.go
@@ -27,13 +27,18 @@
 var ErrTruncated = errors.New("the stream ended inside an event")
 
 // Event is one event. Raw holds the event as received, with the empty line that ends it. ID is empty
-// if the event has no ID. HasField is false for empty lines and comments, which hold nothing of the answer.
+// if the event has no ID. HasField is false for empty lines and comments, which hold nothing of the answer. HasData is false for
+// an event without a data field, which readers do not dispatch.
 type Event struct {
 	ID       string
 	Raw      []byte
 	HasField bool
+	HasData  bool
 }
 
+// IsContent reports whether the event is part of the answer: it has data, or an ID by which the stream is resumed.
+func (e Event) IsContent() bool { return e.HasData || e.ID != "" }
+
 // Reader reads events from a stream.
 type Reader struct {
 	// Hold, if not nil, is called with the number of bytes that the current event is about to take if they are more
@@ -71,6 +76,7 @@
 			return e, nil
 		}
 		e.HasField = e.HasField || line[0] != ':'
+		e.HasData = e.HasData || bytes.HasPrefix(line, []byte("data:")) || string(line) == "data"
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok && len(id) <= maxIDBytes {
 			e.ID = string(bytes.TrimPrefix(id, []byte(" ")))
 		}
--- a/sse/reader_test.go
+++ b/sse/reader_test.go
@@ -118,3 +118,15 @@
 		require.Equal(t, io.EOF, err)
 	}
 }
+
+// Tests that an event without data is part of the answer only if it has an ID.
+func TestContent(t *testing.T) {
+	for text, want := range map[string]bool{
+		"data: a\n\n": true, "data\n\n": true, "id: 1\n\n": true, "id: 1\ndata: a\n\n": true, ": comment\ndata:\n\n": true,
+		"\n": false, ": data: a\n\n": false, "retry: 1000\n\n": false, "event: ping\n\n": false, "database: a\n\n": false,
+	} {
+		e, err := sse.NewReader(strings.NewReader(text)).Next()
+		require.NoError(t, err, text)
+		require.Equal(t, want, e.IsContent(), text)
+	}
+}
