Don't take plain answers that end with their connections for whole ones

Callers got a success with a length of ours for a body that the endpoint's connection had cut. Cause: an answer without a length or chunks that ended with a close was whole (forward.readResponse); the box wrote the length itself. Now it counts as cut: repeatable requests go on elsewhere, others end with outcome_unknown, since the endpoint has run them. The counter answers.unframed tells operators of endpoints that always answer so. Answers that can't have a body (HEAD, 204, 304) need no length.

The quarantine no longer asks endpoints for a connection after a success, since such an answer is none.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -58,9 +58,8 @@
 
 // recordSurvival reports to the quarantine that the endpoint ran the request without crashing. Begun is when it began to write
 // the answer, or an earlier time. A server error does not show that, since the endpoint may not have begun to run the
-// request, and another error shows nothing of the parts of the prompt. Nor does a response that ends with its connection,
-// since the endpoint may have crashed: it is asked for another connection, which the next request uses.
-func (r *run) recordSurvival(c context.Context, resp *httpconn.Response, begun time.Time) {
+// request, and another error shows nothing of the parts of the prompt.
+func (r *run) recordSurvival(resp *httpconn.Response, begun time.Time) {
 	if resp.Status >= http.StatusInternalServerError {
 		return
 	}
@@ -69,15 +68,6 @@
 	if resp.Status >= http.StatusMultipleChoices {
 		a.Parts = nil
 	}
-	switch {
-	case resp.Framed():
-	case c.Err() != nil || r.f.Pool.IsLost(e.ID):
-		return
-	case r.f.Pool.RefusesConnections(c, e.ID, e.Address):
-		r.f.Quarantine.RecordFailure(r.quarantineAttempt(e), r.attemptSent, boottime.Now())
-		r.reportCrash(e)
-		return
-	}
 	r.f.Quarantine.RecordAnswer(a.Request, e.Version, begun, boottime.Now())
 }
 
--- a/forward/response.go
+++ b/forward/response.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -27,7 +26,7 @@
 var errCallerWrite = errors.New("the caller does not read")
 
 // readResponse reads a response and passes it to the sink if it is usable.
-func (r *run) readResponse(c context.Context, resp *httpconn.Response, n *balance.Attempt, w *watchdog, sent time.Time) attemptResult {
+func (r *run) readResponse(resp *httpconn.Response, n *balance.Attempt, w *watchdog, sent time.Time) attemptResult {
 	o := r.f.Codec.Outcome(resp.Status, resp.Header)
 	if r.f.Terminations != nil && !o.WrongIncarnation {
 		r.f.Terminations.RecordHeard(r.trace.Choice.Endpoint.Incarnation())
@@ -40,9 +39,13 @@
 		return attemptResult{interruption: recovery.Refused, err: fmt.Errorf("status %d: not run", resp.Status)}
 	}
 	if resp.EventStream && resp.Status < http.StatusMultipleChoices && r.isStream() {
-		return r.forwardEvents(c, resp, n, w)
+		return r.forwardEvents(resp, n, w)
 	}
 	b, err := resp.ReadAll(maxResponseSize)
+	if err == nil && !resp.Framed() {
+		metrics.GetOrRegisterCounter("answers.unframed", r.f.Metrics).Inc(1)
+		err = errConnectionEnd
+	}
 	if err != nil {
 		return attemptResult{interruption: recovery.Gone, err: fmt.Errorf("the answer was cut: %w", err)}
 	}
@@ -60,7 +63,7 @@
 	if resp.Status < http.StatusMultipleChoices {
 		r.recordAnswer(n)
 	}
-	r.recordSurvival(c, resp, sent)
+	r.recordSurvival(resp, sent)
 	if resp.Status >= http.StatusInternalServerError {
 		r.keepErrorResponse(resp, b)
 		return attemptResult{interruption: recovery.Gone, answered: true, err: fmt.Errorf("status %d", resp.Status)}
@@ -150,7 +153,7 @@
 
 // forwardEvents passes complete events to the sink as they arrive. The caller gets the head of
 // the first response that has an event.
-func (r *run) forwardEvents(c context.Context, resp *httpconn.Response, n *balance.Attempt, w *watchdog) attemptResult {
+func (r *run) forwardEvents(resp *httpconn.Response, n *balance.Attempt, w *watchdog) attemptResult {
 	rd := sse.NewReader(resp.Body)
 	rd.Hold = resp.Hold
 	out := attemptResult{interruption: recovery.Gone}
@@ -158,7 +161,7 @@
 	for {
 		e, err := rd.Next()
 		if err != nil {
-			r.endEvents(c, resp, w, seq, err, &out)
+			r.endEvents(resp, w, seq, err, &out)
 			return out
 		}
 		if !e.HasField && (!r.mayAnswer() || w.hasSuccessor()) {
@@ -214,7 +217,7 @@
 }
 
 // endEvents completes the result of a stream of which no more events can be read.
-func (r *run) endEvents(c context.Context, resp *httpconn.Response, w *watchdog, seq *eventRun, err error, out *attemptResult) {
+func (r *run) endEvents(resp *httpconn.Response, w *watchdog, seq *eventRun, err error, out *attemptResult) {
 	if errors.Is(err, io.EOF) && !resp.Framed() {
 		err = errConnectionEnd
 	}
@@ -232,7 +235,7 @@
 	case !r.lead(w):
 		out.err = errSuperseded
 	default:
-		r.recordSurvival(c, resp, out.firstEventAt)
+		r.recordSurvival(resp, out.firstEventAt)
 		r.recordNumbering()
 		out.done = true
 	}
