Don't continue a moved run after an event without an ID

Callers saw the event twice. A move begins only while the last event has an ID, but the run went on during the copy and could send one without; it was stopped all the same and continued after the last ID. The run is now not told to stop after such an event, and is given up if the event came between that call and the stop. A comment no longer counts as an event without an ID.

Both new cases fail on the code before, whose caller reads 1 2 3 4 4 5 6.

--- a/forward/continue.go
+++ b/forward/continue.go
@@ -18,6 +18,9 @@
 // allowed on any route, and is not an attempt.
 func (r *run) continueMoved(c context.Context, ch balance.Choice, out attemptResult) (balance.Choice, attemptResult) {
 	for out.stopped != nil {
+		if !r.answer.CanContinue() { // the run sent an event without an ID before it stopped
+			return r.discardStopped(out.stopped, noEventID, ch)
+		}
 		ch, out = r.continueStopped(c, ch, out.stopped)
 	}
 	return ch, out
@@ -67,6 +70,11 @@
 			return from, out
 		}
 	}
+	return r.discardStopped(s, outcome, from)
+}
+
+// discardStopped gives up a stopped run. The result is that of a lost run.
+func (r *run) discardStopped(s *stoppedRun, outcome string, from balance.Choice) (balance.Choice, attemptResult) {
 	s.discard()
 	r.recordMove(s, outcome, from, attemptResult{})
 	return from, attemptResult{interruption: recovery.Gone, err: fmt.Errorf("no endpoint continues the run that %s stopped", s.source.ID)}
--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -52,6 +52,7 @@
 	drains   bool
 	unframed bool     // responses end with their connection
 	noIDs    bool     // events have no IDs
+	bare     int      // number of an event without an ID; zero for none
 	lateHead bool     // the head of a response is sent with the first event
 	moves    []string // what happens on each call of kv-move; the last one repeats
 	refuses  int      // continuations to refuse
@@ -68,6 +69,7 @@
 	sent     int
 	stopped  chan struct{} // closed when the run is to stop
 	released chan struct{} // closed when a run that waits may go on
+	finished chan struct{} // closed when a run that waits is to end its stream as a whole one
 	streams  []net.Conn
 	ended    chan struct{} // closed when the process has ended
 }
@@ -83,7 +85,7 @@
 	require.NoError(s.t, err)
 	e := &fakeEngine{
 		all: s, name: name, version: "v1", total: totalEvents, listener: l, addr: l.Addr().String(), moves: []string{"ok"},
-		stopped: make(chan struct{}), released: make(chan struct{}), ended: make(chan struct{}),
+		stopped: make(chan struct{}), released: make(chan struct{}), finished: make(chan struct{}), ended: make(chan struct{}),
 	}
 	s.mu.Lock()
 	s.byName[name] = e
@@ -203,9 +205,11 @@
 				e.received(e.hold)
 			}
 			e.drain()
-			e.await(q.Context())
+			if !e.await(q.Context()) {
+				return
+			}
 		}
-		if !e.noIDs {
+		if !e.noIDs && i != e.bare {
 			fmt.Fprintf(out, "id: %d\n", i)
 		}
 		fmt.Fprintf(out, "data: %d\n\n", i)
@@ -217,9 +221,12 @@
 	e.all.endRuns(e.name)
 }
 
-// await blocks the run until it may go on. If it is stopped, its stream is closed without its end.
-func (e *fakeEngine) await(c context.Context) {
+// await blocks the run until it may go on, and returns false if its stream is to end as a whole one. If the run is stopped, its
+// stream is closed without its end.
+func (e *fakeEngine) await(c context.Context) bool {
 	select {
+	case <-e.finished:
+		return false
 	case <-c.Done(): // the box has closed the connection
 		panic(http.ErrAbortHandler)
 	case <-e.stopped:
@@ -228,6 +235,7 @@
 		panic(http.ErrAbortHandler)
 	case <-e.released:
 	}
+	return true
 }
 
 // move answers a call of kv-move with the next of the engine's behaviours.
@@ -273,6 +281,10 @@
 	case "ok":
 		stop()
 		copyRun()
+	case "ok_last_chunk": // the stream of the stopped run ends as a whole one does
+		e.all.endRuns(e.name)
+		copyRun()
+		close(e.finished)
 	case "ok_left_open": // the stream of the stopped run is not closed
 		e.all.endRuns(e.name)
 		copyRun()
@@ -334,6 +346,11 @@
 	case "run_ends": // the run ends before it is told to stop
 		close(e.released)
 		status = http.StatusNotFound
+	case "event_then_ok": // a run that is told to stop sends another event first, and its caller has got it
+		e.released <- struct{}{}
+		e.received(e.hold + 1)
+		stop()
+		copyRun()
 	case "event_first": // the copy takes until the stream has sent another event, and its caller has got it
 		e.released <- struct{}{}
 		e.received(e.hold + 1)
--- a/forward/migrate.go
+++ b/forward/migrate.go
@@ -121,7 +121,7 @@
 	mu          sync.Mutex
 	events      int
 	first, last time.Time // of the first and the last event
-	canContinue bool      // the last event had an ID
+	unnumbered  bool      // the last event had no ID
 	settled     bool      // the stream has ended
 	move        *move     // the move in progress or the last one
 	moving      bool
@@ -168,7 +168,7 @@
 		s.resuming, s.succeeding = false, false
 	}
 	if e.IsContent() {
-		s.canContinue = e.ID != ""
+		s.unnumbered = e.ID == ""
 	}
 }
 
@@ -177,7 +177,7 @@
 func (s *runningStream) describe(now time.Time) (migration.Stream, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.moving || s.resuming || s.settled || now.Before(s.retryAt) || s.x.Err() != nil || s.events > 0 && !s.canContinue {
+	if s.moving || s.resuming || s.settled || now.Before(s.retryAt) || s.x.Err() != nil || s.unnumbered {
 		return migration.Stream{}, false
 	}
 	q, e := &s.r.q, s.r.q.Service.Engine
--- a/forward/migrate_test.go
+++ b/forward/migrate_test.go
@@ -45,6 +45,17 @@
 	return s.recorder.Event(raw)
 }
 
+// data returns the data of the events received.
+func (s *streamSink) data() string {
+	var out []string
+	for l := range strings.SplitSeq(s.body, "\n") {
+		if d, ok := strings.CutPrefix(l, "data: "); ok {
+			out = append(out, d)
+		}
+	}
+	return strings.Join(out, " ")
+}
+
 // moveTest is a request to engine a, which drains after three of six events. Engine b can take the
 // run, and so can c if it is set.
 type moveTest struct {
@@ -60,6 +71,7 @@
 	waiting   bool   // a drains before the first event
 	unframed  bool   // the stream of a has no framing, so its end is not known from it
 	noIDs     bool   // events have no IDs
+	bare      int    // number of an event of a without an ID; zero for none
 	versionB  string // software version of b; that of a if empty
 	takenUp   bool   // the request takes up a stream that began at the version of a
 	noHead    bool   // the caller gets no head
@@ -72,6 +84,7 @@
 	dataCentreOfC string // that of a and b if empty
 
 	wantEvents   string
+	wantData     string // of the events, if some have no IDs
 	wantErr      string // kind of error
 	wantStarts   string // where the run began: engine, "new" or "moved", and last event ID
 	wantMoves    string // metric that counts the move
@@ -194,6 +207,16 @@
 		},
 		// A continuation would repeat events that have no IDs, so there is none.
 		"no event IDs": {noIDs: true, timeout: time.Second, wantErr: "outcome_unknown", wantStarts: "a new"},
+		// An event without an ID follows during the copy: the run is not stopped, since a continuation would repeat the event.
+		"event without ID during the copy": {
+			bare: 4, moves: "event_first ok", timeout: time.Second, wantEvents: "1 2 3", wantData: "1 2 3 4", wantErr: "outcome_unknown", wantStarts: "a new",
+			wantMoves: "no_event_id", wantFreed: 1,
+		},
+		// The same after the run was told to stop: it is lost.
+		"event without ID before the stop": {
+			bare: 4, moves: "ok event_then_ok", wantEvents: "1 2 3", wantData: "1 2 3 4", wantErr: "outcome_unknown", wantStarts: "a new",
+			wantMoves: "no_event_id", wantFreed: 1,
+		},
 		// The run ends before it is told to stop: its stream is complete, and the copy is freed.
 		"run ends first": {moves: "ok run_ends", wantEvents: all, wantStarts: "a new", wantFreed: 1},
 		// A copy without last must not hold back events.
@@ -227,7 +250,7 @@
 		s.f.Budget = budget.New(budget.Limits{Window: time.Minute})
 	}
 	a, b := es.add("a"), es.add("b")
-	a.hold, a.drains, a.lateHead, a.noIDs, a.unframed = 3, true, v.lateHead, v.noIDs, v.unframed
+	a.hold, a.drains, a.lateHead, a.noIDs, a.unframed, a.bare = 3, true, v.lateHead, v.noIDs, v.unframed, v.bare
 	if v.waiting {
 		a.hold = 0
 	}
@@ -243,6 +266,9 @@
 	sink, err := v.send(t, es, s, &log)
 	es.check(t, v)
 	require.Equal(t, v.wantEvents, sink.events())
+	if v.wantData != "" {
+		require.Equal(t, v.wantData, sink.data())
+	}
 	if v.noHead {
 		require.Zero(t, sink.heads)
 	} else {
--- a/forward/move.go
+++ b/forward/move.go
@@ -210,8 +210,8 @@
 // repeats the call: the request may continue only with a handle, or after its source has ended.
 func (m *move) stopRun(t *moveTarget, copied call.Copy) string {
 	s := m.s
-	if !m.markLastSent() {
-		return m.giveUp(t, copied, "stream_ended")
+	if obstacle := m.markLastSent(); obstacle != "" {
+		return m.giveUp(t, copied, obstacle)
 	}
 	s.watchdog.hold(true)
 	began, ttl := boottime.Now(), cmp.Or(s.r.q.Service.Engine.BackupTTL, defaultHandleTTL)
@@ -274,12 +274,19 @@
 	}
 }
 
-// markLastSent records that the run will be told to stop. It returns false if the stream has ended.
-func (m *move) markLastSent() bool {
+// markLastSent records that the run will be told to stop, or returns what speaks against it: the stream has ended, or its last
+// event has no ID.
+func (m *move) markLastSent() (obstacle string) {
 	m.s.mu.Lock()
 	defer m.s.mu.Unlock()
-	m.lastSent = !m.s.settled
-	return m.lastSent
+	switch {
+	case m.s.settled:
+		return "stream_ended"
+	case m.s.unnumbered:
+		return noEventID
+	}
+	m.lastSent = true
+	return ""
 }
 
 // isSourceGone reports whether the process of the source has ended: its stream broke, and it refuses connections or another
