Show that a stopped run whose stream ends with a last chunk completes the answer

The platform closes such a stream without its end, and a handle shows that the run was stopped. forward.endEvents asks for it only of answers without framing.

--- a/forward/migrate_test.go
+++ b/forward/migrate_test.go
@@ -217,6 +217,8 @@
 			bare: 4, moves: "ok event_then_ok", wantEvents: "1 2 3", wantData: "1 2 3 4", wantErr: "outcome_unknown", wantStarts: "a new",
 			wantMoves: "no_event_id", wantFreed: 1,
 		},
+		// The stream of the stopped run ends with a last chunk: the handle shows that the answer is not whole.
+		"stopped run ends its chunks": {moves: "ok ok_last_chunk", wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "moved"},
 		// The run ends before it is told to stop: its stream is complete, and the copy is freed.
 		"run ends first": {moves: "ok run_ends", wantEvents: all, wantStarts: "a new", wantFreed: 1},
 		// A copy without last must not hold back events.
