Write nothing to an endpoint after a write that failed in a tunnel

A box that passes a tunnel's bytes on ignored the error of a write that took longer than 5 s, of which a part had been taken, and wrote what came next behind that part. It now drops the rest of the request and goes on reading the response, as before.

--- a/tunnel/service.go
+++ b/tunnel/service.go
@@ -271,6 +271,7 @@
 		passBack(f, n)
 		_ = f.NetConn().SetReadDeadline(time.Now().Add(lingerTimeout))
 	}()
+	cut := false // a write took only a part of its bytes, so that no others may follow them
 	for {
 		m, err := f.Read()
 		if err != nil {
@@ -284,8 +285,11 @@
 		if isLarge && !f.Large.Acquire(held) {
 			break
 		}
-		_ = n.SetWriteDeadline(time.Now().Add(writeTimeout))
-		_, _ = n.Write(b) // after an error, the response may still be read
+		if !cut {
+			_ = n.SetWriteDeadline(time.Now().Add(writeTimeout))
+			_, err = n.Write(b)
+			cut = err != nil // the response may still be read
+		}
 		if isLarge {
 			f.Large.Release(held)
 		}
