--- a/reporter/reporter_test.go
+++ b/reporter/reporter_test.go
@@ -67,10 +67,16 @@
 }
 
 func newBox(t *testing.T, m *memstore.Store, l *fakeCloud, name string) *box {
+	t.Helper()
+	return newBoxAt(t, m, l, name, nil)
+}
+
+// newBoxAt starts a box with a clock; that of the test if it is nil.
+func newBoxAt(t *testing.T, m *memstore.Store, l *fakeCloud, name string, now func() time.Time) *box {
 	t.Helper()
 	b := &box{name: name, tally: &usage.Tally{Window: window}}
 	b.election = &election.Election{Store: m, Key: "duty", Box: name, Term: term, Log: zerolog.Nop()}
-	o := reporter.Options{Prefix: "usage/", WritersPrefix: "boxes/", Box: name, Incarnation: "1", Due: due}
+	o := reporter.Options{Prefix: "usage/", WritersPrefix: "boxes/", Box: name, Incarnation: "1", Due: due, Now: now}
 	b.reporter = reporter.New(o, b.tally, m, l, b.election, zerolog.Nop())
 	m.Set("boxes/"+name, "")
 	require.NoError(t, b.election.Start(t.Context(), nil))
