Don't let the fence of a lease go back when the store loses its record

A box that took a lost lease began at fence 1 again, though it had seen higher ones, and engines that check fences refused its orders. It now goes on after the highest fence that it has seen. One that has seen none can't know it.

TestFenceRisesAfterLostRecord has fence 1 where 3 is expected on the code before.

--- a/duty/lease.go
+++ b/duty/lease.go
@@ -50,6 +50,7 @@
 	rev         uint64    // of the last record observed or written
 	lastChange  time.Time // when this box first observed rev
 	lastRecord  record    // at rev
+	topFence    uint64    // highest fence observed or written; the store may lose the record
 	held        bool
 	lastRenewal time.Time // by this box
 	heldSince   time.Time // when this box last became the holder
@@ -100,6 +101,7 @@
 	if e.Rev != l.rev || l.lastChange.IsZero() {
 		l.rev, l.lastChange, l.lastRecord = e.Rev, now, r
 	}
+	l.topFence = max(l.topFence, r.Fence)
 	if r.Holder != l.Holder {
 		l.held = false
 	}
@@ -114,7 +116,7 @@
 	case r.Holder == l.Holder:
 		return record{Holder: l.Holder, Fence: r.Fence, Beat: r.Beat + 1}, true
 	case rev == 0, now.Sub(l.lastChange) >= Term:
-		return record{Holder: l.Holder, Fence: r.Fence + 1}, true
+		return record{Holder: l.Holder, Fence: l.topFence + 1}, true
 	default:
 		return r, false
 	}
@@ -126,6 +128,7 @@
 	if !l.held {
 		l.heldSince = time.Now()
 	}
+	l.topFence = max(l.topFence, r.Fence)
 	l.held, l.rev, l.lastRecord, l.lastChange, l.lastRenewal = true, rev, r, began, began
 }
 
--- a/duty/lease_test.go
+++ b/duty/lease_test.go
@@ -124,3 +124,29 @@
 		require.Equal(t, 1, n)
 	})
 }
+
+// Guards against a fence that goes back, which engines that check it refuse: the store has lost the lease, and a box takes it that
+// has seen a higher fence.
+func TestFenceRisesAfterLostRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeStore{}
+		a, b := &duty.Lease{Holder: "a", Store: f}, &duty.Lease{Holder: "b", Store: f}
+		step(t, a)
+		step(t, b)
+		time.Sleep(duty.Term)
+		step(t, b)
+		require.EqualValues(t, 2, heldFence(b))
+		step(t, a)
+		f.entry = kv.Entry{}
+		step(t, a)
+		require.EqualValues(t, 3, heldFence(a))
+		require.False(t, a.MayActUnfenced(time.Now(), 0), "an order of b may still be running")
+		step(t, b)
+		f.entry = kv.Entry{}
+		step(t, b)
+		require.EqualValues(t, 4, heldFence(b))
+		f.entry = kv.Entry{}
+		step(t, b)
+		require.EqualValues(t, 5, heldFence(b), "also of a box that took it before")
+	})
+}
