Don't apply what an earlier watch read over what a later one reads

A box that stops watching the store and begins again, as it does with its relay's state, ran two watches of one prefix for a moment, against the contract of package mirror. A change that the first was still applying came after what the second had read: an order of a rollout went back to an earlier revision and was sent to all boxes so with the next change. Configurations and records were safe, since they compare versions. A watch now begins when the one before has ended.

TestOrdersDoNotGoBackWithAnotherWatch has the order v1 where v2 is expected on the code before, and three data races with -race.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -60,6 +60,7 @@
 
 	mu        sync.Mutex
 	interrupt context.CancelFunc
+	ended     chan struct{} // closed when the last call of Run has ended; nil before the first
 	failures  failures
 	rereads   rereads
 	sizes     sizes
@@ -74,8 +75,17 @@
 	}
 }
 
-// Run follows the prefix until c is done.
+// Run follows the prefix until c is done. It begins when earlier calls of Run have ended, so that what they read is not applied after
+// what it reads.
 func (m *Mirror) Run(c context.Context) {
+	m.mu.Lock()
+	previous, ended := m.ended, make(chan struct{})
+	m.ended = ended
+	m.mu.Unlock()
+	defer close(ended)
+	if previous != nil {
+		<-previous
+	}
 	var revision uint64
 	if m.StartRevision != nil {
 		revision = m.StartRevision()
