--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -53,6 +53,7 @@
 	unframed bool     // responses end with their connection
 	noIDs    bool     // events have no IDs
 	bare     int      // number of an event without an ID; zero for none
+	skew     int      // events by which continuations begin too late, or too early if negative
 	lateHead bool     // the head of a response is sent with the first event
 	moves    []string // what happens on each call of kv-move; the last one repeats
 	refuses  int      // continuations to refuse
@@ -199,6 +200,9 @@
 		flush()
 	}
 	last, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
+	if q.Header.Get("Kv-From") != "" {
+		last += e.skew
+	}
 	for i := last + 1; i <= e.total; i++ {
 		if e.drains && i > e.hold && q.Header.Get("Kv-From") == "" {
 			if i == e.hold+1 && e.hold > 0 {
--- a/forward/migrate_test.go
+++ b/forward/migrate_test.go
@@ -71,6 +71,7 @@
 	waiting   bool   // a drains before the first event
 	unframed  bool   // the stream of a has no framing, so its end is not known from it
 	noIDs     bool   // events have no IDs
+	skew      int    // events by which continuations at b begin too late, or too early if negative
 	bare      int    // number of an event of a without an ID; zero for none
 	versionB  string // software version of b; that of a if empty
 	takenUp   bool   // the request takes up a stream that began at the version of a
@@ -219,6 +220,17 @@
 		},
 		// The stream of the stopped run ends with a last chunk: the handle shows that the answer is not whole.
 		"stopped run ends its chunks": {moves: "ok ok_last_chunk", wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "moved"},
+		// The destination does not begin after the last event: what the caller has is left out, and a gap ends the answer.
+		"destination begins at the first event": {skew: -3, wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "moved"},
+		"destination repeats the last event":    {skew: -1, wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "moved"},
+		"destination leaves an event out": {
+			skew: 1, wantEvents: "1 2 3", wantErr: "outcome_unknown", wantStarts: "a new, b moved 3", wantMoves: "moved",
+		},
+		"destination leaves an event out, resumable": {
+			skew: 1, resumable: true, attempts: 3, c: true, wantEvents: all, wantStarts: "a new, b moved 3, c new 3", wantMoves: "moved",
+		},
+		// The destination ends without an event: nothing shows that the answer is whole.
+		"destination sends no event": {skew: 3, wantEvents: "1 2 3", wantErr: "outcome_unknown", wantStarts: "a new, b moved 3", wantMoves: "moved"},
 		// The run ends before it is told to stop: its stream is complete, and the copy is freed.
 		"run ends first": {moves: "ok run_ends", wantEvents: all, wantStarts: "a new", wantFreed: 1},
 		// A copy without last must not hold back events.
@@ -262,7 +274,7 @@
 	if v.moves != "" {
 		a.moves = strings.Fields(v.moves)
 	}
-	b.refuses = v.refuses
+	b.refuses, b.skew = v.refuses, v.skew
 	b.version = strings.Trim(cmp.Or(v.versionB, b.version), "-") // "-" for unknown
 	var log bytes.Buffer
 	sink, err := v.send(t, es, s, &log)
