Keep the counts of usage windows until their reports are due

Sums were kept for eight windows, whatever their length: with windows of a second and reports due after ten, a new leader found no sum of a window that had been reported, collected what was left of its counts, and reported it again without any. The usual settings, 5 s and 10 s, were not affected.

--- a/reporter/clock_test.go
+++ b/reporter/clock_test.go
@@ -23,7 +23,7 @@
 			wait.For(t.Context(), window)
 		}
 		a.stop(t)
-		b := newBoxAt(t, m, l, "a", func() time.Time { return time.Now().Add(-12 * window) })
+		b := newBoxAt(t, m, l, "a", window, func() time.Time { return time.Now().Add(-12 * window) })
 		wait.For(t.Context(), 6*window)
 		b.stop(t)
 		require.Greater(t, len(l.reports), 20)
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -36,8 +36,14 @@
 	retryInterval = 400 * time.Millisecond
 )
 
-// retainedWindows is the number of windows whose counts are kept in memory and in the store.
-const retainedWindows = 8
+// minRetainedWindows is the least number of windows whose counts are kept in memory and in the store.
+const minRetainedWindows = 8
+
+// retained returns the number of windows whose counts are kept. They must outlast the time until the report is due: a leader
+// that finds no sum of a window collects its counts again.
+func (r *Reporter) retained() int64 {
+	return max(minRetainedWindows, int64(r.Due/r.Tally.Window)+2)
+}
 
 // Options configures a Reporter.
 type Options struct {
@@ -110,7 +116,7 @@
 // Merge keeps the counts that another process reported, in case it crashes or is partitioned before it
 // has written them.
 func (r *Reporter) Merge(p usage.Report) {
-	oldest := r.Tally.WindowAt(r.Now()) - retainedWindows
+	oldest := r.Tally.WindowAt(r.Now()) - r.retained()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.remote == nil {
@@ -141,7 +147,7 @@
 		}
 		if r.IsWriter != nil && !r.IsWriter() {
 			next++
-			r.Tally.Forget(next - retainedWindows)
+			r.Tally.Forget(next - r.retained())
 			continue
 		}
 		if err := r.writeCounts(c, next); err != nil {
@@ -152,7 +158,7 @@
 			r.log.Warn().Str("event", "usage").Int64("window", next).Err(err).Msg("counts not written before the report was due")
 		}
 		next++
-		r.Tally.Forget(next - retainedWindows)
+		r.Tally.Forget(next - r.retained())
 	}
 }
 
@@ -169,7 +175,7 @@
 }
 
 // writeCounts writes the counts of a window, those of this process and those reported to it, and
-// deletes what this process wrote retainedWindows earlier.
+// deletes what this process wrote for the window that is no longer kept.
 func (r *Reporter) writeCounts(c context.Context, window int64) error {
 	all := r.remoteCounts(window)
 	all[r.Source()] = r.Tally.Counts(window)
@@ -179,7 +185,7 @@
 	}
 	_, err = r.Store.Commit(c, store.Change{
 		Put:    []store.Put{{Key: r.countsKey(window), Value: b}},
-		Delete: []string{r.countsKey(window - retainedWindows)},
+		Delete: []string{r.countsKey(window - r.retained())},
 	})
 	return err
 }
@@ -265,7 +271,7 @@
 	_, err = r.Store.Commit(c, store.Change{
 		If:     []store.Condition{{Key: r.sumKey(window)}},
 		Put:    []store.Put{{Key: r.sumKey(window), Value: b}},
-		Delete: []string{r.sumKey(window - retainedWindows)},
+		Delete: []string{r.sumKey(window - r.retained())},
 	})
 	if err != nil {
 		// If another box has stored a sum, the next round reads that one.
--- a/reporter/reporter_test.go
+++ b/reporter/reporter_test.go
@@ -68,11 +68,11 @@
 
 func newBox(t *testing.T, m *memstore.Store, l *fakeCloud, name string) *box {
 	t.Helper()
-	return newBoxAt(t, m, l, name, nil)
+	return newBoxAt(t, m, l, name, window, nil)
 }
 
-// newBoxAt starts a box with a clock; that of the test if it is nil.
-func newBoxAt(t *testing.T, m *memstore.Store, l *fakeCloud, name string, now func() time.Time) *box {
+// newBoxAt starts a box with windows of a length and a clock; that of the test if it is nil.
+func newBoxAt(t *testing.T, m *memstore.Store, l *fakeCloud, name string, window time.Duration, now func() time.Time) *box {
 	t.Helper()
 	b := &box{name: name, tally: &usage.Tally{Window: window}}
 	b.election = &election.Election{Store: m, Key: "duty", Box: name, Term: term, Log: zerolog.Nop()}
