Don't complete an answer while its run is stopped, or after a destination without an event

Callers read 3 of 6 events as complete in two ways. The run had been told to stop to be moved, its stream ended with a last chunk, and the source answered the call with a handle: only streams without framing asked whether the run had been stopped. Now each stated end asks, and the handle decides, since it shows that the run can go on. And a destination that sent its end without an event completed the answer if the caller had all events that the run had made before the move: that does not show that it would make no more, so such an end is unproven, as after any other resumption.

--- a/forward/end.go
+++ b/forward/end.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -30,16 +29,6 @@
 	errNoProof = errors.New("the last event did not come again as the last one")
 )
 
-// judgeEnd returns the verdict on the end of an attempt's stream, which the endpoint has stated or not. A moved run that
-// ends without an event has ended the answer if the caller has all events that it had made before it was moved.
-func (r *run) judgeEnd(seq *eventRun, stated bool) sequence.Verdict {
-	v := seq.End(stated)
-	if s := r.continued; v == sequence.Unproven && s != nil && r.answer.Last == strconv.Itoa(s.created) {
-		return sequence.Complete
-	}
-	return v
-}
-
 // proveEnd reports whether the answer is whole, given that the stream of an attempt has ended without an event. That is what an
 // endpoint sends if nothing is left after the last event, and also what one sends that fails. So the same endpoint is asked
 // for what follows the event before the last one: if the answer is whole, it sends the last event and its end. The caller
--- a/forward/move.go
+++ b/forward/move.go
@@ -97,6 +97,9 @@
 	noRun    bool        // the source answered the call with last that nothing runs, and the move didn't stop it
 	result   *stoppedRun // the run from which the request continues
 
+	// confirmed reports that the source has answered that it stopped the run.
+	confirmed bool
+
 	// sourceEnded reports that the source did not answer before its announced end, so that it may not send any more.
 	sourceEnded bool
 }
@@ -148,6 +151,27 @@
 	return m.result
 }
 
+// settleStopped is called when the stream has ended with a statement of its end. If the run was told to stop meanwhile, and the source
+// says that it has stopped it, the answer is not whole, whatever its stream says: settleStopped returns the stopped run then.
+func (s *runningStream) settleStopped() *stoppedRun {
+	if s == nil {
+		return nil
+	}
+	s.mu.Lock()
+	m := s.move
+	told := m != nil && m.lastSent
+	s.mu.Unlock()
+	if !told {
+		return nil
+	}
+	stopped := s.settle(false)
+	if stopped != nil && !m.confirmed {
+		stopped.discard()
+		return nil
+	}
+	return stopped
+}
+
 // run makes the move up to the stop of the run and the end of its stream.
 func (m *move) run() {
 	s := m.s
@@ -219,7 +243,7 @@
 		a, err := m.copy(t.choice.Endpoint, true)
 		switch {
 		case err == nil && a.Handle != "" && (a.Result == call.Copied || a.Result == call.NoRoom):
-			m.result = m.stopped(a, t)
+			m.result, m.confirmed = m.stopped(a, t), true
 			if a.Result == call.NoRoom {
 				t.release()
 				m.result.target = nil
--- a/forward/response.go
+++ b/forward/response.go
@@ -221,9 +221,14 @@
 	if errors.Is(err, io.EOF) && !resp.Framed() {
 		err = errConnectionEnd
 	}
-	v := r.judgeEnd(seq, errors.Is(err, io.EOF))
+	v := seq.End(errors.Is(err, io.EOF))
 	r.recordEnd(v, resp, err)
+	if v == sequence.Complete || v == sequence.Unproven {
+		out.stopped = r.stream.settleStopped()
+	}
 	switch {
+	case out.stopped != nil:
+		out.err = errStopped
 	case v == sequence.Broken:
 		out.err = fmt.Errorf("the stream broke: %w", err)
 		out.stopped = r.stream.settle(false)
