Take numbers as a count until most answers of a service show otherwise

Cause: a gap counted as one only if the answer, or eight answers of the service before, had shown that numbers count the events, and a process that starts knows nothing. Now each service counts until most of its newest answers left numbers out; only gaps inside a run say so, since a run that continues another one may have begun elsewhere than it was asked to.

--- a/daemon/order_test.go
+++ b/daemon/order_test.go
@@ -19,6 +19,13 @@
 // irregularStreams is the number of streams for each line of the script.
 const irregularStreams = 40
 
+// streamPath is the path of streams that may be resumed. The path takenUp stands for streams whose callers leave and take them
+// up at another box.
+const (
+	streamPath = "/stream/x"
+	takenUp    = "taken-up"
+)
+
 // orderTest is a fleet of four boxes before six servers whose streams have 20 events.
 type orderTest struct {
 	*platform
@@ -55,9 +62,23 @@
 	return fmt.Sprint("stream", v.serial)
 }
 
+// begin reads some events of a new stream from a box, whose caller leaves it then.
+func (v *orderTest) begin(s *standin.Stream, box int) error {
+	id := v.nextID()
+	q, err := s.NewRequest(v.boxes[box].callersAddress, streamPath, id, 10*time.Second)
+	if err != nil {
+		return err
+	}
+	a, err := http.DefaultClient.Do(q.WithContext(v.t.Context()))
+	if err != nil {
+		return err
+	}
+	defer a.Body.Close()
+	return s.Read(id, a.Body, v.events/2)
+}
+
 // read sends one attempt of a stream to a box and adds what came of it.
-func (v *orderTest) read(c *orderCount, id string, box int, path string) error {
-	s := &standin.Stream{}
+func (v *orderTest) read(c *orderCount, s *standin.Stream, id string, box int, path string) error {
 	q, err := s.NewRequest(v.boxes[box].callersAddress, path, id, 10*time.Second)
 	if err != nil {
 		return err
@@ -94,11 +115,21 @@
 func (v *orderTest) count(path string) (regular, departing orderCount) {
 	var g errgroup.Group
 	for i := range irregularStreams {
+		if path == takenUp {
+			g.Go(func() error {
+				s := &standin.Stream{}
+				if err := v.begin(s, i%len(v.boxes)); err != nil {
+					return err
+				}
+				return v.read(&departing, s, v.nextID(), (i+1)%len(v.boxes), streamPath)
+			})
+			continue
+		}
 		id, c := v.nextID(), &regular
 		if standin.Departs(id) {
 			c = &departing
 		}
-		g.Go(func() error { return v.read(c, id, i%len(v.boxes), path) })
+		g.Go(func() error { return v.read(c, &standin.Stream{}, id, i%len(v.boxes), path) })
 	}
 	require.NoError(v.t, g.Wait())
 	return regular, departing
--- a/forward/end.go
+++ b/forward/end.go
@@ -105,6 +105,7 @@
 	rd := sse.NewReader(resp.Body)
 	rd.Hold = resp.Hold
 	a := r.f.newAnswer(r.q.Service.Name, before)
+	a.Counted = false // the ID of the only event is known
 	seq := a.Start()
 	for {
 		e, err := rd.Next()
--- a/forward/endpoint_test.go
+++ b/forward/endpoint_test.go
@@ -316,6 +316,8 @@
 			event = ": comment\n\n"
 		case "ping":
 			event = "event: ping\n\n"
+		case "head":
+			event = "HTTP/1.1 200 OK\nContent-Length: 5\n\n"
 		}
 		if isChunked {
 			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -241,6 +241,10 @@
 			parts[n] = requesthash.PartOf("s", p)
 		}
 		s.call("", "prompt "+strconv.Itoa(s.serial), parts)
+	case "rising": // most answers so far have left numbers out
+		for range 64 {
+			s.f.Numbering.Record("s", false)
+		}
 	case "after": // the next call asks for the events after this one
 		s.lastEventID = words[1]
 	case "take_up": // a call that takes up a stream that began at a version
@@ -291,6 +295,8 @@
 		require.Equal(s.t, words[1], strconv.Itoa(s.last.status), at)
 	case "body":
 		require.Equal(s.t, strings.Join(words[1:], " "), s.last.body, at)
+	case "text": // the body, with single spaces
+		require.Equal(s.t, strings.Join(words[1:], " "), strings.Join(strings.Fields(s.last.body), " "), at)
 	case "events":
 		require.Equal(s.t, strings.Join(words[1:], " "), s.last.events(), at)
 		require.Equal(s.t, 1, s.last.heads, at)
--- a/forward/sequence.go
+++ b/forward/sequence.go
@@ -26,15 +26,14 @@
 	if lastID != "" {
 		a = sequence.StartAfter[string, eventid.Decimal](lastID)
 	}
-	counts, known := f.Numbering.Counts(service)
-	a.Counted, a.Uncounted = known && counts, known && !counts
+	a.Counted = f.Numbering.Counts(service)
 	return a
 }
 
 // recordNumbering records whether the events of a whole answer were counted from the first one on. A single event does not show it.
 func (r *run) recordNumbering() {
-	if r.q.Call.LastEventID == "" && r.answer.Passed() > 1 && r.answer.HasLast {
-		r.f.Numbering.Record(r.q.Service.Name, r.answer.Counted)
+	if r.q.Call.LastEventID == "" && r.answer.Passed() > 1 && (eventid.Decimal{}).IsNumber(r.answer.Last) {
+		r.f.Numbering.Record(r.q.Service.Name, r.answer.IsCount())
 	}
 }
 
@@ -44,10 +43,14 @@
 
 // checkEvent reports whether the event is to be passed to the caller. One that it has already is not. The error reports that the
 // attempt can't go on, since an event is missing, or another one has the number of one that the caller has. Comments and other
-// events that are no content always follow.
+// events that are no content always follow, unless they have unknown fields only, like the head of another answer in a stream that
+// has no framing.
 func (r *run) checkEvent(seq *eventRun, e sse.Event) (follows bool, err error) {
 	if !e.IsContent() {
-		return true, nil
+		if e.HasUnknown {
+			metrics.GetOrRegisterCounter("streams.event.foreign", r.f.Metrics).Inc(1)
+		}
+		return !e.HasUnknown, nil
 	}
 	v := seq.Judge(sequenceEvent(e))
 	if v == sequence.Accepted {
@@ -58,8 +61,9 @@
 	case sequence.Dropped:
 		return false, nil
 	case sequence.Gap:
-		// If the service numbers its events otherwise, this is how it is noticed.
-		r.f.Numbering.Record(r.q.Service.Name, false)
+		if !seq.IsContinuing() { // otherwise the run may have begun elsewhere than it was asked to
+			r.f.Numbering.Record(r.q.Service.Name, false)
+		}
 	}
 	return false, fmt.Errorf("%w: %s, %.64q after %.64q", errOutOfOrder, v, e.ID, r.answer.Last)
 }
--- a/numbering/census.go
+++ b/numbering/census.go
@@ -3,15 +3,13 @@
 
 import "sync"
 
-// A service is known once a Census has seen minAnswers of its answers, and counts its events if at least
-// knownFraction of them did. It has another numbering if at most as many in proportion did not.
+// A service counts as initialAnswers that counted their events. The newest answers count, up to maxAnswers.
 const (
-	minAnswers    = 8
-	knownFraction = 0.75
-	maxAnswers    = 64
+	initialAnswers = 8
+	maxAnswers     = 64
 )
 
-// Census records for each service how many of its newest whole answers counted their events from the first one on. The zero
+// Census records for each service how many of its newest answers counted their events from the first one on. The zero
 // value is ready to use.
 type Census struct {
 	mu       sync.Mutex
@@ -21,7 +19,7 @@
 // tally counts answers.
 type tally struct{ counted, all int }
 
-// Record records a whole answer of a service.
+// Record records an answer of a service, which is whole or leaves out a number.
 func (c *Census) Record(service string, counted bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -30,7 +28,7 @@
 	}
 	t := c.services[service]
 	if t == nil {
-		t = &tally{}
+		t = &tally{initialAnswers, initialAnswers}
 		c.services[service] = t
 	}
 	if t.all++; counted {
@@ -41,20 +39,10 @@
 	}
 }
 
-// Counts reports whether a service counts its events, and whether that is known.
-func (c *Census) Counts(service string) (counts, known bool) {
+// Counts reports whether a service counts its events, as most of its answers do.
+func (c *Census) Counts(service string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.services[service]
-	if t == nil || t.all < minAnswers {
-		return false, false
-	}
-	switch f := float64(t.counted) / float64(t.all); {
-	case f >= knownFraction:
-		return true, true
-	case f <= 1-knownFraction:
-		return false, true
-	default:
-		return false, false
-	}
+	return t == nil || 2*t.counted > t.all
 }
--- a/numbering/census_test.go
+++ b/numbering/census_test.go
@@ -11,30 +11,28 @@
 
 func ExampleCensus_Counts() {
 	var c numbering.Census
-	for range 8 {
-		c.Record("chat", true)
+	for range 20 {
+		c.Record("clock", false)
 	}
+	fmt.Println(c.Counts("clock"))
 	fmt.Println(c.Counts("chat"))
-	fmt.Println(c.Counts("search"))
 	// Output:
-	// true true
-	// false false
+	// false
+	// true
 }
 
-// Tests that a service is known by the majority of its newest answers.
+// Tests that a service counts its events if most of its newest answers do.
 func TestCounts(t *testing.T) {
 	for name, v := range map[string]struct {
-		counted, others int
-		counts, known   bool
+		counted, others int // first those that counted
+		want            bool
 	}{
-		"few":             {counted: 7},
-		"all":             {counted: 8, counts: true, known: true},
-		"a few lack one":  {counted: 30, others: 5, counts: true, known: true},
-		"mixed":           {counted: 8, others: 8},
-		"none":            {others: 8, known: true},
-		"no longer":       {counted: 1000, others: 300, known: true},
-		"again":           {others: 1000, counted: 0, known: true},
-		"others came few": {counted: 1000, others: 3, counts: true, known: true},
+		"none":           {want: true},
+		"a few do not":   {others: 7, want: true},
+		"most do not":    {others: 8},
+		"a few lack one": {counted: 30, others: 12, want: true},
+		"no longer":      {counted: 1000, others: 64},
+		"not for a bit":  {counted: 1000, others: 20, want: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var c numbering.Census
@@ -44,8 +42,11 @@
 			for range v.others {
 				c.Record("s", false)
 			}
-			counts, known := c.Counts("s")
-			require.Equal(t, []bool{v.counts, v.known}, []bool{counts, known})
+			require.Equal(t, v.want, c.Counts("s"))
+			for range 64 {
+				c.Record("s", true)
+			}
+			require.True(t, c.Counts("s"), "again")
 		})
 	}
 }
--- a/sequence/answer.go
+++ b/sequence/answer.go
@@ -57,15 +57,15 @@
 
 // Answer is what a caller has received of one answer. The zero value is an answer without events.
 type Answer[N comparable, P Numbering[N]] struct {
-	Last      N    // number of the last event, or the one after which the caller has asked for events
-	HasLast   bool // whether Last is set
-	Counted   bool // numbers count the events, so that a number that is left out shows a missing event
-	Uncounted bool // numbers are known not to count the events
+	Last    N    // number of the last event, or the one after which the caller has asked for events
+	HasLast bool // whether Last is set
+	Counted bool // numbers count the events, so that a number that is left out shows a missing event
 
 	numbering   P
 	previous    N // number of the event before the last one
 	hasPrevious bool
 	isFromFirst bool // the first event has the first number of a count
+	hasSkipped  bool // a number was left out
 	unnumbered  bool // the last event has no number
 	passed      int  // events
 
@@ -91,6 +91,9 @@
 // Passed returns the number of events that were accepted.
 func (a *Answer[N, P]) Passed() int { return a.passed }
 
+// IsCount reports whether the numbers of the events so far are a count from the first one on.
+func (a *Answer[N, P]) IsCount() bool { return a.isFromFirst && !a.hasSkipped }
+
 // CanContinue reports whether another run can continue after the last event: it has a number, or there is none yet.
 func (a *Answer[N, P]) CanContinue() bool { return !a.unnumbered }
 
@@ -109,7 +112,7 @@
 
 // Start returns a further run of the answer.
 func (a *Answer[N, P]) Start() *Run[N, P] {
-	return &Run[N, P]{answer: a, atLast: !a.HasLast && a.passed == 0}
+	return &Run[N, P]{answer: a, continues: a.HasLast, atLast: !a.HasLast && a.passed == 0}
 }
 
 // hasNumber reports whether the event has a number that places it. After a number that can be compared, one that can't says
@@ -125,7 +128,7 @@
 // judge returns the verdict on an event with a number.
 func (a *Answer[N, P]) judge(e Event[N]) Verdict {
 	if !a.HasLast {
-		if a.Counted && !a.numbering.IsFirst(e.Number) {
+		if a.Counted && a.numbering.IsNumber(e.Number) && !a.numbering.IsFirst(e.Number) {
 			return Gap
 		}
 		return Accepted
@@ -183,8 +186,7 @@
 	a.recent[a.numbered%recentEvents] = remembered{maphash.Comparable(seed, e.Number), e.Content}
 	a.numbered++
 	if a.HasLast {
-		isNext := a.numbering.Relate(a.Last, e.Number) == Next
-		a.Counted = isNext && (a.Counted || a.isFromFirst && !a.hasPrevious && !a.Uncounted)
+		a.hasSkipped = a.hasSkipped || a.numbering.Relate(a.Last, e.Number) != Next
 		a.previous, a.hasPrevious = a.Last, true
 	} else {
 		a.isFromFirst = a.numbering.IsFirst(e.Number)
--- a/sequence/answer_test.go
+++ b/sequence/answer_test.go
@@ -53,11 +53,12 @@
 		last := w[len(w)-1]
 		switch w[0] {
 		case "case":
-			a, name = answer{}, strings.Join(w[1:], " ")
+			a, name = answer{Counted: true}, strings.Join(w[1:], " ")
 		case "after":
 			a = sequence.StartAfter[string, eventid.Decimal](w[1])
+			a.Counted = true
 		case "counts":
-			a.Counted, a.Uncounted = w[1] == "yes", w[1] == "no"
+			a.Counted = w[1] == "yes"
 		case "run":
 			r = a.Start()
 		case "event":
--- a/sequence/run.go
+++ b/sequence/run.go
@@ -5,10 +5,11 @@
 
 // Run is one run of an answer.
 type Run[N comparable, P Numbering[N]] struct {
-	answer  *Answer[N, P]
-	dropped int
-	atLast  bool    // the last event of the run is the last one of the answer
-	failed  Verdict // on the event that did not follow; zero if there is none
+	answer    *Answer[N, P]
+	dropped   int
+	continues bool    // the next event accepted continues the answer of another run
+	atLast    bool    // the last event of the run is the last one of the answer
+	failed    Verdict // on the event that did not follow; zero if there is none
 }
 
 // Judge returns the verdict on the next event of the run: Accepted, Dropped, Reversed, Gap or Unplaced. After the last three the run
@@ -43,10 +44,13 @@
 	return Dropped
 }
 
+// IsContinuing reports whether the next event accepted continues the answer of another run.
+func (r *Run[N, P]) IsContinuing() bool { return r.continues }
+
 // Accept adds an event on which the verdict is Accepted to the answer.
 func (r *Run[N, P]) Accept(e Event[N]) {
 	r.answer.accept(e)
-	r.atLast, r.dropped = true, 0
+	r.atLast, r.continues, r.dropped = true, false, 0
 }
 
 // End returns the verdict on the end of the run: Complete, Unproven or Broken. A run states its end if its sender marks it;
--- a/sse/reader.go
+++ b/sse/reader.go
@@ -28,12 +28,13 @@
 
 // Event is one event. Raw holds the event as received, with the empty line that ends it. ID is empty
 // if the event has no ID. HasField is false for empty lines and comments, which hold nothing of the answer. HasData is false for
-// an event without a data field, which readers do not dispatch.
+// an event without a data field, which readers do not dispatch. HasUnknown reports a field that is not one of the format's.
 type Event struct {
-	ID       string
-	Raw      []byte
-	HasField bool
-	HasData  bool
+	ID         string
+	Raw        []byte
+	HasField   bool
+	HasData    bool
+	HasUnknown bool
 }
 
 // IsContent reports whether the event is part of the answer: it has data, or an ID by which the stream is resumed.
@@ -75,14 +76,28 @@
 			}
 			return e, nil
 		}
-		e.HasField = e.HasField || line[0] != ':'
-		e.HasData = e.HasData || bytes.HasPrefix(line, []byte("data:")) || string(line) == "data"
+		e.addLine(line)
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok && len(id) <= maxIDBytes {
 			e.ID = string(bytes.TrimPrefix(id, []byte(" ")))
 		}
 	}
 }
 
+// addLine records which field a line has, if it is no comment.
+func (e *Event) addLine(line []byte) {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "":
+		return
+	case "data":
+		e.HasData = true
+	case "id", "event", "retry":
+	default:
+		e.HasUnknown = true
+	}
+	e.HasField = true
+}
+
 // countComments counts an event of n bytes if it has no field. It returns an error if there are too many in a row.
 func (r *Reader) countComments(n int, hasField bool) error {
 	if hasField {
--- a/sse/reader_test.go
+++ b/sse/reader_test.go
@@ -130,3 +130,14 @@
 		require.Equal(t, want, e.IsContent(), text)
 	}
 }
+
+func TestUnknownFields(t *testing.T) {
+	for text, want := range map[string]bool{
+		"id: 1\nevent: a\nretry: 1\ndata: a\ndata\n\n": false, ": any: thing\n\n": false, "\n": false,
+		"version: 2\ndata: a\n\n": true, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n": true, "ids: 1\n\n": true,
+	} {
+		e, err := sse.NewReader(strings.NewReader(text)).Next()
+		require.NoError(t, err, text)
+		require.Equal(t, want, e.HasUnknown, text)
+	}
+}
