Send irregular streams in the soak

First runs are not drawn with other events, which callers could not tell from those of another request. The checks of order, of early ends and of mixed streams are as they were. A request is no loss of a sound box if one of its runs departed or had no framing, which the stand-in's audit records for each request; regular runs at an irregular server count as before. The share of streams taken up that go on is counted without such requests, whatever came of them.

--- a/soak/loss.go
+++ b/soak/loss.go
@@ -23,12 +23,12 @@
 }
 
 // checkLoss checks a request that got no whole answer within wait. While its box is sound, it must get one if no server that began
-// it had another fault than to be silent. If it may be repeated, it must get one from a sound server of its version, or of any
+// it had another fault than to be silent, and none sent it an irregular stream. If it may be repeated, it must get one from a sound server of its version, or of any
 // if that is empty, after servers that send bytes without end.
 func (r *run) checkLoss(b *Box, path, id, version string, began time.Time, wait time.Duration, outcome string) {
 	since, took := began.Add(-hostMargin), time.Since(began)
 	ran, current := r.fleet.serversOf(id)
-	if len(ran) == 0 || b.FaultySince(since) {
+	if len(ran) == 0 || b.FaultySince(since) || r.fleet.Audit.Departed(id) {
 		return
 	}
 	var ids []string
--- a/soak/run.go
+++ b/soak/run.go
@@ -142,7 +142,7 @@
 		b.Signal(syscall.SIGSTOP)
 		time.Sleep(f.Duration)
 		b.Signal(syscall.SIGCONT)
-	case ServerLink, Drain, DrainByAnswer, Release, RefuseCalls, ReportLimit, ReportBrittle, SilentServers, EndlessServer:
+	case ServerLink, Drain, DrainByAnswer, Release, RefuseCalls, ReportLimit, ReportBrittle, SilentServers, EndlessServer, IrregularServer:
 		r.injectServer(f, end)
 	case Hush, PeerLink:
 		r.injectStall(f, end)
@@ -205,6 +205,10 @@
 		defer stop()
 		s.SendEndless(c, f.Form)
 		<-c.Done()
+	case IrregularServer:
+		s.SendIrregular(f.Irregular)
+		time.Sleep(f.Duration)
+		s.SendIrregular(standin.Irregular{})
 	default:
 		report(s, f)
 	}
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -39,19 +39,22 @@
 	SilentServers    Kind = "silent"    // sound endpoints send nothing for a while, then what was due
 	EndlessServer    Kind = "endless"   // an endpoint sends bytes without end
 	PeerLink         Kind = "peer link" // the others' links to one box
+	IrregularServer  Kind = "irregular" // an endpoint sends streams that break off, end early, or whose events do not follow each other
 	Hush             Kind = "hush"      // half of the open connections to some boxes fall silent for good, and of theirs to the store
 )
 
 // Fault is one entry of a schedule. Target is the index of a box or server, depending on Kind; Mode is
-// used by link faults only, Count, the number of servers or boxes from Target on, by SilentServers and Hush, and Form by EndlessServer.
+// used by link faults only, Count, the number of servers or boxes from Target on, by SilentServers and Hush, Form by EndlessServer,
+// and Irregular by IrregularServer.
 type Fault struct {
-	At       time.Duration
-	Duration time.Duration
-	Kind     Kind
-	Target   int
-	Mode     Mode
-	Count    int
-	Form     standin.Endless
+	At        time.Duration
+	Duration  time.Duration
+	Kind      Kind
+	Target    int
+	Mode      Mode
+	Count     int
+	Form      standin.Endless
+	Irregular standin.Irregular
 }
 
 // String returns a description of the fault on one line.
@@ -63,6 +66,13 @@
 		return fmt.Sprintf("%6.2fs %s %d boxes from %d on", f.At.Seconds(), f.Kind, f.Count, f.Target)
 	case EndlessServer:
 		return fmt.Sprintf("%6.2fs %s %d %s for %v", f.At.Seconds(), f.Kind, f.Target, f.Form, f.Duration)
+	case IrregularServer:
+		framing := "framed"
+		if f.Irregular.Unframed {
+			framing = "unframed"
+		}
+		v := f.Irregular
+		return fmt.Sprintf("%6.2fs %s %d %s, first %s, resumed %s for %v", f.At.Seconds(), f.Kind, f.Target, framing, v.First, v.Resumed, f.Duration)
 	}
 	return fmt.Sprintf("%6.2fs %s %d %s for %v", f.At.Seconds(), f.Kind, f.Target, f.Mode, f.Duration)
 }
@@ -90,6 +100,7 @@
 	out = append(out, drawEndless(seed, span, servers)...)
 	out = append(out, drawStorms(seed, span)...)
 	out = append(out, drawStalls(seed, span, boxes)...)
+	out = append(out, drawIrregular(seed, span, servers)...)
 	slices.SortStableFunc(out, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return out
 }
@@ -201,6 +212,35 @@
 	return out
 }
 
+// Times of irregular streams, one after the other at each server.
+const (
+	meanIrregularGap     = 300 * time.Millisecond
+	maxIrregularDuration = 2 * time.Second
+)
+
+// drawIrregular draws the moments at which a server sends irregular streams.
+func drawIrregular(seed uint64, span time.Duration, servers int) []Fault {
+	r := rand.New(rand.NewPCG(seed, 10))
+	gap := func() time.Duration { return time.Duration(r.Int64N(int64(2 * meanIrregularGap))) }
+	// Callers could not tell a first run with other events from one of another request.
+	first := slices.DeleteFunc(slices.Clone(standin.Departures), func(d standin.Departure) bool { return d == standin.Anew })
+	ends := make([]time.Duration, servers)
+	var out []Fault
+	for at := faultFreeStart + gap(); at < span; at += gap() {
+		f := Fault{
+			At: at, Duration: minFaultDuration + time.Duration(r.Int64N(int64(maxIrregularDuration-minFaultDuration))), Kind: IrregularServer,
+			Target: r.IntN(servers), Irregular: standin.Irregular{
+				Unframed: r.IntN(4) == 0, First: first[r.IntN(len(first))], Resumed: standin.Departures[r.IntN(len(standin.Departures))],
+			},
+		}
+		if at >= ends[f.Target] {
+			out = append(out, f)
+			ends[f.Target] = at + f.Duration
+		}
+	}
+	return out
+}
+
 // drawFaults draws the faults of boxes, links, store, servers and configuration.
 func drawFaults(seed uint64, span time.Duration, boxes, servers int) []Fault {
 	r := rand.New(rand.NewPCG(seed, 1))
--- a/soak/schedule_test.go
+++ b/soak/schedule_test.go
@@ -111,3 +111,33 @@
 		require.True(t, overlaps[k], k)
 	}
 }
+
+// At each server, irregular streams come one after the other. All departures are drawn, streams without framing in a
+// quarter of the faults, and several servers are irregular at a time.
+func TestIrregularServers(t *testing.T) {
+	const servers = 6
+	first, resumed, targets := map[standin.Departure]bool{}, map[standin.Departure]bool{}, map[int]bool{}
+	n, unframed, overlap := 0, 0, false
+	for seed := range uint64(20) {
+		ends, last := map[int]time.Duration{}, time.Duration(0)
+		for _, f := range soak.Schedule(seed, time.Minute, 5, servers) {
+			if f.Kind != soak.IrregularServer {
+				continue
+			}
+			require.GreaterOrEqual(t, f.At, ends[f.Target])
+			ends[f.Target], overlap = f.At+f.Duration, overlap || f.At < last
+			last = max(last, f.At+f.Duration)
+			first[f.Irregular.First], resumed[f.Irregular.Resumed], targets[f.Target] = true, true, true
+			n++
+			if f.Irregular.Unframed {
+				unframed++
+			}
+		}
+	}
+	require.Len(t, targets, servers)
+	require.Len(t, resumed, len(standin.Departures))
+	require.Len(t, first, len(standin.Departures)-1)
+	require.NotContains(t, first, standin.Anew)
+	require.InDelta(t, 0.25, float64(unframed)/float64(n), 0.05)
+	require.True(t, overlap)
+}
--- a/soak/stream.go
+++ b/soak/stream.go
@@ -31,7 +31,7 @@
 
 var streamPaths = []string{"/stream/x", singleStreamPath}
 
-// streamCounts counts attempts at boxes without faults while minServers of the version serve: of new streams
+// streamCounts counts attempts at boxes without faults while minServers of the version serve, without those that got an irregular stream: of new streams
 // and those that began, of streams that were taken up and those that went on.
 type streamCounts struct {
 	asked, begun, takenUp, wentOn int
@@ -88,7 +88,11 @@
 			r.checkLoss(b, path, id, strings.Join(s.Versions, ""), began, left, err.Error())
 		}
 	}
-	if counts && r.countsStreams(b, s) {
+	departed := r.fleet.Audit.Departed(id)
+	if departed {
+		r.countOutcome("stream irregular")
+	}
+	if counts && !departed && r.countsStreams(b, s) {
 		r.countAttempt(before == 0, s.Events > before)
 	}
 	if before == 0 {
