--- a/forward/end.go
+++ b/forward/end.go
@@ -19,8 +19,9 @@
 )
 
 var (
-	// errUnprovenEnd reports that a stream ended without an event of the answer, and did not prove that there are no more.
-	errUnprovenEnd = errors.New("the stream ended without an event")
+	// errUnprovenEnd reports that a stream ended elsewhere than after the last event of the answer, and did not prove that there are no
+	// more.
+	errUnprovenEnd = errors.New("the stream ended, and not after the last event")
 
 	// errConnectionEnd reports a response without a length or chunks, of which the end of its connection does not show whether it
 	// is whole.
@@ -29,7 +30,7 @@
 	errNoProof = errors.New("the last event did not come again as the last one")
 )
 
-// proveEnd reports whether the answer is whole, given that the stream of an attempt has ended without an event. That is what an
+// proveEnd reports whether the answer is whole, given that the stream of an attempt has ended without its last event. That is what an
 // endpoint sends if nothing is left after the last event, and also what one sends that fails. So the same endpoint is asked
 // for what follows the event before the last one: if the answer is whole, it sends the last event and its end. The caller
 // gets nothing of that but, if it has none, the head of the stream.
@@ -40,12 +41,13 @@
 	if ok && r.mayAskAgain(c, e) {
 		err = r.readLastEvent(c, ch, before)
 	}
+	r.returnPlace(false)
 	outcome := "unproven"
 	if err == nil && r.supersede() {
 		outcome = "proved"
 	}
 	metrics.GetOrRegisterCounter("streams.end."+outcome, r.f.Metrics).Inc(1)
-	r.f.Log.Info().Str("event", "stream end").Func(r.marshalStream).Str("asked_after", before).Str("outcome", outcome).Err(err).
+	r.f.Log.Info().Str("event", "stream end").Func(r.marshalStream).Str("asked_after", shortID(before)).Str("outcome", outcome).Err(err).
 		Msg("asked for the last event again")
 	if outcome != "proved" {
 		return false
@@ -63,19 +65,24 @@
 		return false
 	}
 	p := permitState{started: boottime.Now()}
-	return r.acquirePlace(c, &p, e) && r.acquirePermit(c, &p, e) && r.takeCredit(c, causeUnprovenEnd, e)
+	return r.takeCredit(c, causeUnprovenEnd, e) && r.acquirePlace(c, &p, e) && r.acquirePermit(c, &p, e)
 }
 
 // readLastEvent asks an endpoint for the events that follow one. The error is nil if only the answer's last event does.
 func (r *run) readLastEvent(c context.Context, ch balance.Choice, before string) (err error) {
 	e := ch.Endpoint
-	x, cancel := context.WithTimeout(c, maxSilence+time.Duration(expectedFactor*float64(ch.Expected)))
-	defer cancel()
+	t, stop := context.WithTimeout(c, maxSilence+time.Duration(expectedFactor*float64(ch.Expected)))
+	defer stop()
+	x, cancel := context.WithCancelCause(t)
+	defer cancel(nil)
+	defer r.f.attempts.add(e.Incarnation(), cancel)()
 	a, maxIdle := r.newAttempt(ch)
 	a.LastEventID = before
 	ch.Tokens, ch.TypicalFirstEvent = 0, 0 // the prompt was counted before
 	n := r.f.Balancer.Begin(e, ch, boottime.Now())
-	defer func() { r.endAttempt(n, err != nil && c.Err() == nil, e) }()
+	defer func() {
+		r.endAttempt(n, err != nil && !errors.Is(err, httpconn.ErrNotSent) && c.Err() == nil, e)
+	}()
 	cl := r.q.Call
 	resp, err := r.f.Pool.Do(x, httpconn.Request{
 		Endpoint: e.ID, Address: e.Address, Method: cl.Method, Target: cl.Target, Host: cl.Host, Header: r.f.Codec.Head(cl, a), Body: cl.Body, MaxIdle: maxIdle,
@@ -92,8 +99,16 @@
 		return fmt.Errorf("ask %s again: %w", e.ID, err)
 	}
 	defer resp.Close()
+	if resp.Via != "" {
+		n.Unjudge()
+	}
 	o := r.f.Codec.Outcome(resp.Status, resp.Header)
 	r.handleOutcome(o)
+	n.BackOff(o.BackOff, boottime.Now())
+	if o.NotRun {
+		n.RecordRefusal(boottime.Now())
+		r.returnPlace(true)
+	}
 	if o.NotRun || resp.Status >= http.StatusMultipleChoices || !resp.EventStream {
 		return fmt.Errorf("%w: status %d", errNoProof, resp.Status)
 	}
@@ -119,7 +134,7 @@
 			continue
 		}
 		if v := seq.Judge(sequenceEvent(e)); v != sequence.Accepted || e.ID != r.answer.Last {
-			return fmt.Errorf("%w: %s, %.64q", errNoProof, v, e.ID)
+			return fmt.Errorf("%w: %s, %q", errNoProof, v, shortID(e.ID))
 		}
 		seq.Accept(sequenceEvent(e))
 	}
--- a/forward/migrate.go
+++ b/forward/migrate.go
@@ -16,7 +16,6 @@
 	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/httpconn"
 	"birchlink.dev/birchlink/migration"
-	"birchlink.dev/birchlink/sse"
 )
 
 // MoveCodec translates the calls that move a running request to another endpoint.
@@ -121,7 +120,7 @@
 	mu          sync.Mutex
 	events      int
 	first, last time.Time // of the first and the last event
-	unnumbered  bool      // the last event had no ID
+	unnumbered  bool      // no other endpoint can go on after the last event
 	settled     bool      // the stream has ended
 	move        *move     // the move in progress or the last one
 	moving      bool
@@ -152,8 +151,8 @@
 	s.r.f.streams.remove(s.choice.Endpoint.Incarnation(), s)
 }
 
-// recordEvent records an event of the stream, or a comment.
-func (s *runningStream) recordEvent(e sse.Event, now time.Time) {
+// recordEvent records an event of the stream, or a comment, and whether another endpoint can go on after it.
+func (s *runningStream) recordEvent(canContinue bool, now time.Time) {
 	if s == nil {
 		return
 	}
@@ -167,9 +166,7 @@
 	if s.succeeding { // the event has ended the successor
 		s.resuming, s.succeeding = false, false
 	}
-	if e.IsContent() {
-		s.unnumbered = e.ID == ""
-	}
+	s.unnumbered = !canContinue
 }
 
 // describe returns the input of a decision. It returns false if the stream is being moved or has ended,
--- a/forward/move.go
+++ b/forward/move.go
@@ -164,6 +164,9 @@
 	if !told {
 		return nil
 	}
+	// The stream is at its end, so its caller waits for the answer of the source.
+	t := time.AfterFunc(streamEndTimeout, m.stop)
+	defer t.Stop()
 	stopped := s.settle(false)
 	if stopped != nil && !m.confirmed {
 		stopped.discard()
--- a/forward/response.go
+++ b/forward/response.go
@@ -167,7 +167,7 @@
 		if !e.HasField && (!r.mayAnswer() || w.hasSuccessor()) {
 			continue // a comment does not decide which of the two goes on
 		}
-		if follows, err := r.checkEvent(seq, e); err != nil {
+		if follows, err := r.checkEvent(seq, e, resp.Framed()); err != nil {
 			out.err = err
 			return out
 		} else if !follows {
@@ -177,25 +177,26 @@
 			out.err = errSuperseded
 			return out
 		}
-		r.recordEvent(n, e, &out)
+		if e.IsContent() {
+			seq.Accept(sequenceEvent(e))
+			r.recordNumbering()
+		}
+		r.recordEvent(n, &out)
 		if err := r.passEvent(resp, e); err != nil {
 			out.err = fmt.Errorf("%w: %w", errCallerWrite, err)
 			return out
 		}
 		out.advanced = true
-		if e.IsContent() {
-			seq.Accept(sequenceEvent(e))
-		}
 		w.endEvent()
 	}
 }
 
 // recordEvent records an event, or a comment, that is about to be passed to the caller.
-func (r *run) recordEvent(n *balance.Attempt, e sse.Event, out *attemptResult) {
+func (r *run) recordEvent(n *balance.Attempt, out *attemptResult) {
 	n.RecordProgress(boottime.Now())
 	out.recordEvent(boottime.Now())
 	r.recordRunning(out)
-	r.stream.recordEvent(e, boottime.Now())
+	r.stream.recordEvent(r.answer.CanContinue(), boottime.Now())
 	if !out.advanced && r.continued == nil {
 		r.recordAnswer(n)
 	}
@@ -241,7 +242,6 @@
 		out.err = errSuperseded
 	default:
 		r.recordSurvival(resp, out.firstEventAt)
-		r.recordNumbering()
 		out.done = true
 	}
 }
--- a/forward/run.go
+++ b/forward/run.go
@@ -119,7 +119,7 @@
 	answered     bool        // the endpoint sent a complete response that can't be used
 	stopped      *stoppedRun // the run was stopped and continues elsewhere; nil otherwise
 	superseded   bool        // a successor goes on, and the attempt was recorded
-	unproven     *response   // head of a stream that ended without an event of the answer; nil otherwise
+	unproven     *response   // head of a stream that ended elsewhere than after the last event; nil otherwise
 
 	// The times of the first and the last event and their number. A response that is not a stream
 	// counts as one event.
@@ -187,6 +187,9 @@
 		r.trace = s.r.trace
 		return s.served, s.err
 	}
+	if out.unproven != nil && r.proveEnd(c, ch, out.unproven) {
+		return true, nil
+	}
 	if errors.Is(out.err, errCallerWrite) || errors.Is(c.Err(), context.Canceled) {
 		if r.successor != nil {
 			r.recordCancelled(out, ch.Endpoint)
@@ -194,15 +197,12 @@
 		return false, errkind.New(errkind.CallerGone, "the caller left: %w", out.err)
 	}
 	e := ch.Endpoint
-	if out.unproven != nil && r.proveEnd(c, ch, out.unproven) {
-		return true, nil
-	}
 	r.recordFailure(out, e)
 	r.checkCrash(c, out, e)
 	metrics.GetOrRegisterCounter("attempts.broke."+out.interruptionName(), r.f.Metrics).Inc(1)
 	d := r.decide(c, out, e)
 	r.f.Log.Info().Str("event", "attempt broke").Str("request", r.q.Call.ID).Func(r.trace.marshalContent).Str("endpoint", e.ID).Str("version", e.Version).
-		Func(r.marshalAttempts).Str("break", out.interruptionName()).Str("last_event", r.answer.Last).Bool("ran", r.mayHaveRun).Err(out.err).
+		Func(r.marshalAttempts).Str("break", out.interruptionName()).Str("last_event", r.lastID()).Bool("ran", r.mayHaveRun).Err(out.err).
 		Str("reason", d.Reason).Func(r.trace.marshalReported).Msg("decision")
 	if d.Step == recovery.Failover {
 		return false, nil
--- a/forward/sequence.go
+++ b/forward/sequence.go
@@ -30,9 +30,12 @@
 	return a
 }
 
-// recordNumbering records whether the events of a whole answer were counted from the first one on. A single event does not show it.
+// numberingEvents is the number of events that show whether an answer counts them.
+const numberingEvents = 3
+
+// recordNumbering records whether the first events of an answer are counted.
 func (r *run) recordNumbering() {
-	if r.q.Call.LastEventID == "" && r.answer.Passed() > 1 && (eventid.Decimal{}).IsNumber(r.answer.Last) {
+	if r.q.Call.LastEventID == "" && r.answer.Passed() == numberingEvents && (eventid.Decimal{}).IsNumber(r.answer.Last) {
 		r.f.Numbering.Record(r.q.Service.Name, r.answer.IsCount())
 	}
 }
@@ -43,35 +46,49 @@
 
 // checkEvent reports whether the event is to be passed to the caller. One that it has already is not. The error reports that the
 // attempt can't go on, since an event is missing, or another one has the number of one that the caller has. Comments and other
-// events that are no content always follow, unless they have unknown fields only, like the head of another answer in a stream that
-// has no framing.
-func (r *run) checkEvent(seq *eventRun, e sse.Event) (follows bool, err error) {
-	if !e.IsContent() {
-		if e.HasUnknown {
-			metrics.GetOrRegisterCounter("streams.event.foreign", r.f.Metrics).Inc(1)
+// events that are no content always follow, unless they have fields that the format doesn't know. In a stream without framing
+// these may be the head of another answer, whose body would follow.
+func (r *run) checkEvent(seq *eventRun, e sse.Event, isFramed bool) (follows bool, err error) {
+	if e.HasUnknown && (!isFramed || !e.IsContent()) {
+		metrics.GetOrRegisterCounter("streams.event.foreign", r.f.Metrics).Inc(1)
+		if !isFramed {
+			return false, fmt.Errorf("%w: an unknown field", errOutOfOrder)
 		}
-		return !e.HasUnknown, nil
+		return false, nil
+	}
+	if !e.IsContent() {
+		return true, nil
 	}
 	v := seq.Judge(sequenceEvent(e))
 	if v == sequence.Accepted {
 		return true, nil
 	}
-	r.recordVerdict(v, e.ID)
+	metrics.GetOrRegisterCounter("streams.event."+v.String(), r.f.Metrics).Inc(1)
+	if v != sequence.Dropped || seq.Repeats() == 1 {
+		r.logVerdict(v, e.ID)
+	}
 	switch v {
 	case sequence.Dropped:
 		return false, nil
 	case sequence.Gap:
-		if !seq.IsContinuing() { // otherwise the run may have begun elsewhere than it was asked to
+		if !seq.IsContinuing() && r.answer.Passed() < numberingEvents { // a run that continues may have begun elsewhere than it was asked to
 			r.f.Numbering.Record(r.q.Service.Name, false)
 		}
 	}
-	return false, fmt.Errorf("%w: %s, %.64q after %.64q", errOutOfOrder, v, e.ID, r.answer.Last)
+	return false, fmt.Errorf("%w: %s, %q after %q", errOutOfOrder, v, shortID(e.ID), r.lastID())
 }
 
-// recordVerdict logs and counts an event that does not follow.
-func (r *run) recordVerdict(v sequence.Verdict, id string) {
-	metrics.GetOrRegisterCounter("streams.event."+v.String(), r.f.Metrics).Inc(1)
-	r.f.Log.Info().Str("event", "stream event").Func(r.marshalStream).Str("id", id).Str("verdict", v.String()).Msg("the event does not follow")
+// maxLoggedID bounds the IDs of events in logs, in bytes.
+const maxLoggedID = 64
+
+func shortID(id string) string { return id[:min(len(id), maxLoggedID)] }
+
+// lastID returns the ID of the last event for the log.
+func (r *run) lastID() string { return shortID(r.answer.Last) }
+
+// logVerdict logs an event that does not follow.
+func (r *run) logVerdict(v sequence.Verdict, id string) {
+	r.f.Log.Info().Str("event", "stream event").Func(r.marshalStream).Str("id", shortID(id)).Str("verdict", v.String()).Msg("the event does not follow")
 }
 
 // recordEnd counts the end of an attempt's stream, and logs it unless it completes the answer. Err is what the end was read as.
@@ -89,5 +106,5 @@
 	h := r.trace.Choice.Endpoint
 	e.Str("request", r.q.Call.ID).Str("endpoint", h.ID).Str("version", h.Version).Int64("born", h.StartMillis).Int("attempt", len(r.reached)+1).
 		Int("moves", r.moves).Bool("continued", r.continued != nil).Bool("successor", r.successor != nil).
-		Str("after", r.q.Call.LastEventID).Str("last_event", r.answer.Last).Int("events", r.answer.Passed()).Bool("counted", r.answer.Counted)
+		Str("after", shortID(r.q.Call.LastEventID)).Str("last_event", r.lastID()).Int("events", r.answer.Passed()).Bool("counted", r.answer.Counted)
 }
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -208,5 +208,5 @@
 	r.checkCrash(c, out, e)
 	metrics.GetOrRegisterCounter("attempts.superseded", r.f.Metrics).Inc(1)
 	r.f.Log.Info().Str("event", "attempt superseded").Str("request", r.q.Call.ID).Str("endpoint", e.ID).Str("version", e.Version).
-		Func(r.marshalAttempts).Str("last_event", r.answer.Last).Err(out.err).Msg("decision")
+		Func(r.marshalAttempts).Str("last_event", r.lastID()).Err(out.err).Msg("decision")
 }
--- a/forward/watchdog.go
+++ b/forward/watchdog.go
@@ -251,7 +251,7 @@
 // is started, if none is.
 func (r *run) logSilence(allowed, silence, unresponsive time.Duration, e endpoint.Endpoint, obstacle string) {
 	metrics.GetOrRegisterCounter("attempts.silent", r.f.Metrics).Inc(1)
-	r.f.Log.Info().Str("event", "silence").Str("request", r.q.Call.ID).Str("endpoint", e.ID).Str("version", e.Version).Str("last_event", r.answer.Last).
+	r.f.Log.Info().Str("event", "silence").Str("request", r.q.Call.ID).Str("endpoint", e.ID).Str("version", e.Version).Str("last_event", r.lastID()).
 		Dur("silence", silence).Dur("allowed", allowed).Dur("endpoint_silence", unresponsive).
 		Int("attempts", len(r.reached)+1).Int("max_attempts", r.maxAttempts()).Str("obstacle", obstacle).
 		Bool("link_lost", r.f.Pool.IsLost(e.ID)).Msg("the endpoint has sent nothing for longer than expected")
--- a/sequence/answer.go
+++ b/sequence/answer.go
@@ -52,6 +52,9 @@
 // recentEvents is the number of events that are remembered, so that they are recognised when they come again.
 const recentEvents = 16
 
+// shownCount is the number of events after which an answer that counts them so far is taken to go on so.
+const shownCount = 3
+
 // seed is the seed of the hashes of numbers.
 var seed = maphash.MakeSeed()
 
@@ -59,7 +62,7 @@
 type Answer[N comparable, P Numbering[N]] struct {
 	Last    N    // number of the last event, or the one after which the caller has asked for events
 	HasLast bool // whether Last is set
-	Counted bool // numbers count the events, so that a number that is left out shows a missing event
+	Counted bool // numbers are expected to count the events, so that one that is left out shows a missing event
 
 	numbering   P
 	previous    N // number of the event before the last one
@@ -67,6 +70,7 @@
 	isFromFirst bool // the first event has the first number of a count
 	hasSkipped  bool // a number was left out
 	unnumbered  bool // the last event has no number
+	recurs      bool // IDs that are no numbers have come again, so that none names an event
 	passed      int  // events
 
 	recent   [recentEvents]remembered
@@ -94,13 +98,16 @@
 // IsCount reports whether the numbers of the events so far are a count from the first one on.
 func (a *Answer[N, P]) IsCount() bool { return a.isFromFirst && !a.hasSkipped }
 
+// counts reports whether a number that is left out shows a missing event: it is expected to, or the answer is a count so far.
+func (a *Answer[N, P]) counts() bool { return a.Counted || a.IsCount() && a.numbered >= shownCount }
+
 // CanContinue reports whether another run can continue after the last event: it has a number, or there is none yet.
-func (a *Answer[N, P]) CanContinue() bool { return !a.unnumbered }
+func (a *Answer[N, P]) CanContinue() bool { return !a.unnumbered && !a.recurs }
 
 // Previous returns the number after which a run sends the last event again, and nothing else if the answer is whole. It
 // returns false if that is not known.
 func (a *Answer[N, P]) Previous() (N, bool) {
-	if a.unnumbered || !a.HasLast {
+	if !a.CanContinue() || !a.HasLast {
 		var zero N
 		return zero, false
 	}
@@ -112,23 +119,20 @@
 
 // Start returns a further run of the answer.
 func (a *Answer[N, P]) Start() *Run[N, P] {
-	return &Run[N, P]{answer: a, continues: a.HasLast, atLast: !a.HasLast && a.passed == 0}
+	return &Run[N, P]{answer: a, isResumed: a.HasLast, continues: a.HasLast, atLast: !a.HasLast && a.passed == 0}
 }
 
-// hasNumber reports whether the event has a number that places it. After a number that can be compared, one that can't says
-// nothing, and nor does one that all events have.
+// hasNumber reports whether the event has a number. After a number that can be compared, one that can't says nothing.
 func (a *Answer[N, P]) hasNumber(e Event[N]) bool {
-	if !e.HasNumber || !a.HasLast || a.numbering.IsNumber(e.Number) {
-		return e.HasNumber
-	}
-	isConstant := a.numbered == 1 && !a.hasPrevious && e.Number == a.Last
-	return !a.numbering.IsNumber(a.Last) && !isConstant
+	return e.HasNumber && (!a.HasLast || a.numbering.IsNumber(e.Number) || !a.numbering.IsNumber(a.Last))
 }
 
-// judge returns the verdict on an event with a number.
-func (a *Answer[N, P]) judge(e Event[N]) Verdict {
+// judge returns the verdict on an event with a number. Numbers that can't be compared may recur within a run, but a run that
+// continues another one must not send what that one sent.
+func (a *Answer[N, P]) judge(e Event[N], isResumed bool) Verdict {
+	isNumber := a.numbering.IsNumber(e.Number)
 	if !a.HasLast {
-		if a.Counted && a.numbering.IsNumber(e.Number) && !a.numbering.IsFirst(e.Number) {
+		if a.Counted && isNumber && !a.numbering.IsFirst(e.Number) {
 			return Gap
 		}
 		return Accepted
@@ -136,9 +140,11 @@
 	relation := a.numbering.Relate(a.Last, e.Number)
 	isKnown, isSame := a.find(e)
 	switch {
-	case relation == Later && a.Counted:
+	case relation == Later && a.counts():
 		return Gap
-	case relation == Next || relation == Later || relation == Unknown && !isKnown:
+	case relation == Next || relation == Later || !isNumber && (!isResumed || !isKnown):
+		return Accepted
+	case relation == Unknown && !isKnown:
 		return Accepted
 	case isSame:
 		return Dropped
@@ -168,7 +174,7 @@
 	switch {
 	case relation == Next:
 		return Complete
-	case relation == Later && a.Counted:
+	case relation == Later && a.counts():
 		return Gap
 	case relation == Same || relation == Earlier:
 		return Dropped
@@ -183,6 +189,9 @@
 	if a.unnumbered = !a.hasNumber(e); a.unnumbered {
 		return
 	}
+	if isKnown, _ := a.find(e); isKnown {
+		a.recurs = true
+	}
 	a.recent[a.numbered%recentEvents] = remembered{maphash.Comparable(seed, e.Number), e.Content}
 	a.numbered++
 	if a.HasLast {
--- a/sequence/run.go
+++ b/sequence/run.go
@@ -6,8 +6,10 @@
 // Run is one run of an answer.
 type Run[N comparable, P Numbering[N]] struct {
 	answer    *Answer[N, P]
-	dropped   int
-	continues bool    // the next event accepted continues the answer of another run
+	dropped   int     // events in a row
+	repeats   int     // events dropped in all
+	isResumed bool    // the run continues the answer of another one
+	continues bool    // so does the next event that is accepted
 	atLast    bool    // the last event of the run is the last one of the answer
 	failed    Verdict // on the event that did not follow; zero if there is none
 }
@@ -33,17 +35,21 @@
 		}
 		return Unplaced
 	}
-	v := a.judge(e)
+	v := a.judge(e, r.isResumed)
 	if v != Dropped {
 		return v
 	}
 	r.atLast = !a.unnumbered && a.numbering.Relate(a.Last, e.Number) == Same
+	r.repeats++
 	if r.dropped++; r.dropped > maxDropped {
 		return Reversed
 	}
 	return Dropped
 }
 
+// Repeats returns the number of events that were dropped.
+func (r *Run[N, P]) Repeats() int { return r.repeats }
+
 // IsContinuing reports whether the next event accepted continues the answer of another run.
 func (r *Run[N, P]) IsContinuing() bool { return r.continues }
 
--- a/sse/reader.go
+++ b/sse/reader.go
@@ -47,6 +47,7 @@
 	Hold func(n int) error
 
 	r        *bufio.Reader
+	began    bool
 	held     bool
 	comments int // bytes since the last event that has a field
 }
@@ -57,6 +58,9 @@
 // NewReader returns a Reader that reads from r.
 func NewReader(r io.Reader) *Reader { return &Reader{r: bufio.NewReader(r)} }
 
+// byteOrderMark may come before the first line, of which it is no part.
+var byteOrderMark = []byte("\ufeff")
+
 // Next returns the next complete event. The error is io.EOF at the end of the stream, and
 // ErrTruncated if the stream ends inside an event.
 func (r *Reader) Next() (Event, error) {
@@ -70,6 +74,9 @@
 			return Event{}, err
 		}
 		line = bytes.TrimRight(line, "\r\n")
+		if !r.began {
+			line, r.began = bytes.TrimPrefix(line, byteOrderMark), true
+		}
 		if len(line) == 0 {
 			if err := r.countComments(len(e.Raw), e.HasField); err != nil {
 				return Event{}, err
--- a/sse/reader_test.go
+++ b/sse/reader_test.go
@@ -122,7 +122,7 @@
 // Tests that an event without data is part of the answer only if it has an ID.
 func TestContent(t *testing.T) {
 	for text, want := range map[string]bool{
-		"data: a\n\n": true, "data\n\n": true, "id: 1\n\n": true, "id: 1\ndata: a\n\n": true, ": comment\ndata:\n\n": true,
+		"data: a\n\n": true, "\ufeffdata: a\n\n": true, "data\n\n": true, "id: 1\n\n": true, "id: 1\ndata: a\n\n": true, ": comment\ndata:\n\n": true,
 		"\n": false, ": data: a\n\n": false, "retry: 1000\n\n": false, "event: ping\n\n": false, "database: a\n\n": false,
 	} {
 		e, err := sse.NewReader(strings.NewReader(text)).Next()
