--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -350,6 +350,10 @@
 	case "run_ends": // the run ends before it is told to stop
 		close(e.released)
 		status = http.StatusNotFound
+	case "run_ends_mute": // so does the run, and the call is not answered
+		close(e.released)
+		<-q.Context().Done()
+		return
 	case "event_then_ok": // a run that is told to stop sends another event first, and its caller has got it
 		e.released <- struct{}{}
 		e.received(e.hold + 1)
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -398,6 +398,25 @@
 	}
 }
 
+// Tests that an endpoint that sends each event twice makes one line in the log, which has the beginnings of IDs.
+func TestRepeatedEventsAreLoggedOnce(t *testing.T) {
+	var out bytes.Buffer
+	s := newScript(t)
+	s.f.Log = zerolog.New(&out)
+	long := strings.Repeat("9", 1000)
+	s.step([]string{"rising"}, "")
+	s.step([]string{"route", "stream", "1"}, "")
+	s.step([]string{"endpoint", "a", "events:1,1,2,2,3,3,4,4," + long + ",end"}, "")
+	s.call("", "body", nil)
+	require.NoError(t, s.err)
+	require.Equal(t, 1, strings.Count(out.String(), `"verdict":"repeated"`))
+	require.EqualValues(t, 4, metrics.GetOrRegisterCounter("streams.event.repeated", s.f.Metrics).Count())
+	s.step([]string{"after", long}, "")
+	s.call("", "body", nil)
+	require.Contains(t, out.String(), `"after":"`+long[:50])
+	require.NotContains(t, out.String(), long[:100])
+}
+
 // Tests that the log and the metrics tell a repeat for which the budget has no room from a request whose attempts
 // are used up, and say what each repeat was for.
 func TestRepeatsAreRecorded(t *testing.T) {
