Log when the process stood still, and which versions a box knows since when

The line origin has the age of the endpoint records, which store_age is not: that is the time since the store answered a renewal of a lease, to this box or another. The line of an endpoint that becomes known has its version and the age of the records before.

No decision changes.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -47,6 +47,7 @@
 	"birchlink.dev/birchlink/scaling"
 	"birchlink.dev/birchlink/settings"
 	"birchlink.dev/birchlink/speed"
+	"birchlink.dev/birchlink/standstill"
 	"birchlink.dev/birchlink/store"
 	"birchlink.dev/birchlink/storesession"
 	"birchlink.dev/birchlink/termination"
@@ -232,6 +233,7 @@
 		ShutdownDelay: min(maxUnreadyPeriod, s.StopLimit/3), ShutdownTimeout: s.StopLimit - drainReserve,
 	}
 	ss := []kernel.Service{
+		standstill.New(m, log),
 		storesession.New(p.store, log),
 		peer.NewNode(s.Peers, s.Advertise, peerSecret, m),
 		p.state,
@@ -258,7 +260,7 @@
 		p := g.Peers()
 		return origins.Boxes{Near: p.Near, Far: p.Far, Relays: g.RemoteRelays()}
 	}
-	d.Store, d.Prefix, d.Clock, d.RecordsLag = p.store, originsPrefix, p.clock, p.state.RecordsLag
+	d.Store, d.Prefix, d.Clock, d.RecordsLag, d.ViewAge = p.store, originsPrefix, p.clock, p.state.RecordsLag, p.state.RecordsAge
 	return d
 }
 
--- a/fleetstate/service.go
+++ b/fleetstate/service.go
@@ -355,9 +355,9 @@
 	if had && (old.Draining || !e.Draining) && old.StartMillis == e.StartMillis || bulk && !had && !e.Draining {
 		return
 	}
-	s.log.Info().Str("event", "endpoint").Str("endpoint", e.ID).Int64("born", e.StartMillis).Str("service", e.Service).Str("address", e.Address).
+	s.log.Info().Str("event", "endpoint").Str("endpoint", e.ID).Int64("born", e.StartMillis).Str("service", e.Service).Str("version", e.Version).Str("address", e.Address).
 		Str("data_centre", e.DataCentre).Bool("draining", e.Draining).Bool("reclaimable", e.Reclaimable).
-		Dur("leaves", e.DrainPeriod).Uint64("revision", revision).Msg("known")
+		Dur("leaves", e.DrainPeriod).Uint64("revision", revision).Dur("view_age", s.RecordsAge()).Msg("known")
 }
 
 // removeOrDelay removes an endpoint whose record was deleted. During an outage of the
--- a/fleetstate/view.go
+++ b/fleetstate/view.go
@@ -49,7 +49,10 @@
 }
 
 // ViewAge returns the time since the configuration and the records were last known to have all changes in the store.
-func (s *Service) ViewAge() time.Duration { return max(s.ConfigAge(), s.recordsView.age.Get()) }
+func (s *Service) ViewAge() time.Duration { return max(s.ConfigAge(), s.RecordsAge()) }
+
+// RecordsAge returns the time since the endpoint records were last known to have all changes in the store.
+func (s *Service) RecordsAge() time.Duration { return s.recordsView.age.Get() }
 
 // ConfigAge returns the time since the configuration was last known to be the newest one.
 func (s *Service) ConfigAge() time.Duration { return s.configView.age.Get() }
--- a/origins/directory.go
+++ b/origins/directory.go
@@ -89,6 +89,9 @@
 	// StoreSilence returns the time since the store last answered. If it is nil, Start sets it.
 	StoreSilence func() time.Duration
 
+	// ViewAge returns the time since Versions was last known to hold all versions that have endpoints.
+	ViewAge func() time.Duration
+
 	// RecordsLag returns for how long this box has known of newer records of endpoints than its own.
 	RecordsLag func() time.Duration
 
@@ -103,11 +106,13 @@
 
 // New returns a directory without records.
 func New(m metrics.Registry, log zerolog.Logger) *Directory {
-	d := &Directory{Metrics: m, Log: log, table: origin.NewTable(), RecordsLag: func() time.Duration { return 0 }}
+	d := &Directory{Metrics: m, Log: log, table: origin.NewTable(), RecordsLag: noTime, ViewAge: noTime}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	return d
 }
 
+func noTime() time.Duration { return 0 }
+
 // Name returns the service's name.
 func (d *Directory) Name() string { return Name }
 
--- a/origins/find.go
+++ b/origins/find.go
@@ -79,7 +79,7 @@
 	}
 	metrics.GetOrRegisterCounter("origins.asked."+outcome, d.Metrics).Inc(1)
 	d.Log.Info().Str("event", "origin").Str("request", request).Str("resumes", stream).Str("service", service).Str("outcome", outcome).
-		Str("version", f.Version).Strs("versions", a.Versions).Bool("complete", a.Complete).Dur("store_age", d.StoreSilence()).
+		Str("version", f.Version).Strs("versions", a.Versions).Bool("complete", a.Complete).Dur("store_age", d.StoreSilence()).Dur("view_age", d.ViewAge()).
 		Int("asked", asked).Int("answered", answered).Dur("took", boottime.Since(began)).Msg("decision")
 	return f
 }
