Test that streams are taken up at their version while another one appears

Boxes of the model are now cut off, or paused with their callers first, while a second version appears, comes and goes, or boxes start.

--- a/origins/fleet_test.go
+++ b/origins/fleet_test.go
@@ -48,7 +48,10 @@
 	dc      int
 	relay   bool
 	away    atomic.Bool // no other box reaches it, and it gets no callers
-	bytes   int         // sent and received
+	// cutAt is since when it gets nothing from other boxes and the store, and they nothing from it, while callers reach it.
+	cutAt atomic.Pointer[time.Time]
+	view  map[string]int // number of endpoints by version, as this box knows them
+	bytes int            // sent and received
 }
 
 // begun is a stream whose caller has its first event.
@@ -84,11 +87,8 @@
 	now := boottime.Now()
 	d := New(metrics.NewRegistry(), zerolog.Nop())
 	d.Versions = &versionhistory.History{}
-	for v, n := range f.endpoints {
-		for range n {
-			d.Versions.Add("s", v, now)
-		}
-	}
+	b.view = map[string]int{}
+	f.catchUp(b, d)
 	if f.storeDown.Load() == nil {
 		d.Versions.Restore(map[string][]string{"s": f.known}, now)
 	}
@@ -96,6 +96,9 @@
 	d.Boxes, d.IsRelay = func() Boxes { return f.lists(b) }, func() bool { return b.relay }
 	d.Relay = func() string { return f.relayOf(b) }
 	d.StoreSilence = func() time.Duration {
+		if cut := b.cutAt.Load(); cut != nil {
+			return time.Since(*cut)
+		}
 		if down := f.storeDown.Load(); down != nil {
 			return time.Since(*down)
 		}
@@ -144,7 +147,7 @@
 	require.NoError(f.t, err)
 	to := f.boxes[i]
 	f.count(from, len(body)+len(method)+frameSize, to)
-	if to.away.Load() || from.away.Load() {
+	if to.away.Load() || from.away.Load() || to.cutAt.Load() != nil || from.cutAt.Load() != nil {
 		return errAway
 	}
 	d := to.process.Load()
@@ -240,6 +243,16 @@
 		for _, b := range f.boxes {
 			b.away.Store(b.away.Load() || b.dc == int(number(0)))
 		}
+	case "cut": // SHARE of the boxes are cut off from each other, all others and the store, or paused: their callers come first
+		for _, i := range f.rnd.Perm(len(f.boxes))[:int(number(0)*float64(len(f.boxes)))] {
+			now := time.Now()
+			f.boxes[i].cutAt.Store(&now)
+		}
+	case "join": // the boxes that were cut off read what is newest
+		for _, b := range f.boxes {
+			b.cutAt.Store(nil)
+			f.catchUp(b, b.process.Load())
+		}
 	case "gone": // SHARE of the boxes are gone for good
 		for _, i := range f.rnd.Perm(len(f.boxes))[:int(number(0)*float64(len(f.boxes)))] {
 			f.boxes[i].away.Store(true)
@@ -252,6 +265,8 @@
 		}
 	case "expect": // SHARE of the streams at least whose version is found at other boxes; nobody is told a wrong one
 		f.expect(number(0), at)
+	case "expect_unnamed": // SHARE of the streams at least goes on if callers don't name them; none at a wrong version
+		f.expectUnnamed(number(0), at)
 	case "bytes": // BYTES_PER_SECOND at most that the boxes sent and received in the mean, and BYTES at any one
 		f.expectBytes(number(0), number(1), at)
 	case "records": // COUNT at most at any box
@@ -263,39 +278,44 @@
 	}
 }
 
-// setEndpoints sets the number of endpoints of a version, which all boxes learn and the snapshot has.
+// setEndpoints sets the number of endpoints of a version, which all boxes learn that are not cut off, and the snapshot has.
 func (f *fleet) setEndpoints(version string, n int) {
-	for old := f.endpoints[version]; old != n; {
-		for _, b := range f.boxes {
-			d := b.process.Load()
-			switch {
-			case d == nil:
-			case old < n:
-				d.Versions.Add("s", version, boottime.Now())
-			default:
-				d.Versions.Remove("s", version, boottime.Now())
-			}
-		}
-		if old < n {
-			old++
-		} else {
-			old--
+	f.endpoints[version] = n
+	for _, b := range f.boxes {
+		if d := b.process.Load(); d != nil && b.cutAt.Load() == nil {
+			f.catchUp(b, d)
 		}
 	}
-	f.endpoints[version] = n
 	if !slices.Contains(f.known, version) {
 		f.known = append(f.known, version)
 	}
 }
 
-func (f *fleet) begin(n int, perSecond float64) {
-	var versions []string
-	for v, count := range f.endpoints {
-		if count > 0 {
-			versions = append(versions, v)
+// catchUp tells a box which endpoints there are.
+func (f *fleet) catchUp(b *member, d *Directory) {
+	for v, n := range f.endpoints {
+		for ; b.view[v] < n; b.view[v]++ {
+			d.Versions.Add("s", v, boottime.Now())
+		}
+		for ; b.view[v] > n; b.view[v]-- {
+			d.Versions.Remove("s", v, boottime.Now())
 		}
 	}
-	slices.Sort(versions)
+}
+
+// versions returns the versions at which a box may begin streams.
+func (f *fleet) versions(b *member) []string {
+	var out []string
+	for v, n := range b.view {
+		if n > 0 {
+			out = append(out, v)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (f *fleet) begin(n int, perSecond float64) {
 	began := time.Now()
 	f.mu.Lock()
 	for _, b := range f.boxes {
@@ -304,9 +324,12 @@
 	f.mu.Unlock()
 	interval := time.Duration(float64(time.Second) / perSecond)
 	for i := range n {
-		s := begun{fmt.Sprint("stream-", len(f.streams)), fmt.Sprint("account-", i%5), versions[i%len(versions)], f.liveBox(-1)}
-		f.boxes[s.box].process.Load().Record(s.id, s.account, origin.Origin{Service: "s", Version: s.version}, boottime.Now().Add(15*time.Second))
-		f.streams = append(f.streams, s)
+		box := f.liveBox(-1)
+		if versions := f.versions(f.boxes[box]); len(versions) > 0 {
+			s := begun{fmt.Sprint("stream-", len(f.streams)), fmt.Sprint("account-", i%5), versions[i%len(versions)], box}
+			f.boxes[s.box].process.Load().Record(s.id, s.account, origin.Origin{Service: "s", Version: s.version}, boottime.Now().Add(15*time.Second))
+			f.streams = append(f.streams, s)
+		}
 		time.Sleep(interval)
 	}
 	synctest.Wait()
@@ -342,6 +365,21 @@
 	require.GreaterOrEqual(f.t, float64(found)/float64(len(f.streams)), share, at)
 }
 
+func (f *fleet) expectUnnamed(share float64, at string) {
+	found, wrong := 0, 0
+	for _, s := range f.streams {
+		o := f.boxes[f.liveBox(s.box)].process.Load().Find(context.Background(), "r", "", "s", s.account)
+		if o.Known && o.Version == s.version {
+			found++
+		} else if o.Known {
+			wrong++
+		}
+	}
+	f.t.Logf("%s: %.3f of %d streams found without their names, %d wrong", at, float64(found)/float64(len(f.streams)), len(f.streams), wrong)
+	require.Zero(f.t, wrong, at)
+	require.GreaterOrEqual(f.t, float64(found)/float64(len(f.streams)), share, at)
+}
+
 func (f *fleet) expectBytes(mean, most float64, at string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
