Count the age of a view from the question, not from its answer

A box took its copy of the store for as new as the moment at which it read an answer or a message. A pending watch, besides, misses changes whose history is gone, and answers that there are none.

A call confirms the state as of its beginning. So does a question to a relay, less the age that the answer states. What relays push says nothing of its own age, so that those which don't watch the store ask those which do, each round (gossip.view), and no longer believe their reports. To keep ages as low as they were, a watch waits for 0.7 s in place of 1.4 s: at most two boxes of a fleet watch.

--- a/fleetstate/service.go
+++ b/fleetstate/service.go
@@ -35,9 +35,9 @@
 // because an endpoint that crashed must get no new work 2 s later.
 const reappearWindow = 2 * time.Second
 
-// watchTimeout is how long one watch call waits for changes. It is well below the
-// 2 s within which a new configuration must be in force and a draining endpoint known.
-const watchTimeout = 1400 * time.Millisecond
+// watchTimeout is how long one watch call waits for changes. Each call confirms the state as of
+// its beginning, so a view is up to twice as old.
+const watchTimeout = 700 * time.Millisecond
 
 // Source names the store keys of the configuration, the rollout orders and the
 // endpoint records, and decodes their values.
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -195,6 +195,7 @@
 	g.slotOffset = int(xxhash.Sum64String(g.Box) % relaysPerDataCentre)
 	peer.Handle(g.node.Server, "gossip.member", g.handleMember)
 	peer.Handle(g.node.Server, "gossip.relay", g.handleRelay)
+	peer.Handle(g.node.Server, "gossip.view", func(context.Context, struct{}) (viewReport, error) { return g.view(), nil })
 	peer.Handle(g.node.Server, "gossip.update", g.handleUpdate)
 	peer.Handle(g.node.Server, "gossip.configuration", func(_ context.Context, since uint64) ([]byte, error) {
 		v, raw := g.state.RawConfig()
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -60,6 +60,7 @@
 	var w MemberReply
 	status := g.memberStatus()
 	status.SpeedSamples = g.takeSamples(ownRelay)
+	asked := boottime.Now()
 	if err := g.call(c, g.relay.address, "gossip.member", status, &w); err != nil || !w.Relay {
 		g.returnSamples(ownRelay, status.SpeedSamples)
 		g.log.Debug().Str("event", "relay").Str("other", g.relay.box).Bool("relay", w.Relay).Err(err).Msg("relay not usable")
@@ -71,8 +72,9 @@
 	g.mergeMissing(w.Records)
 	w.Records = nil
 	g.applyReply(w)
-	g.session.MergeReport(w.Silent)
-	g.state.ConfirmView(w.Others.Version, w.Revision, w.ViewAge)
+	took := boottime.Since(asked)
+	g.session.MergeReport(w.Silent + took)
+	g.state.ConfirmView(w.Others.Version, w.Revision, w.ViewAge+took)
 	g.slotVacant = g.slotVacant || w.Vacant && g.relay.dataCentre == g.DataCentre
 	g.catchUp(g.relay.address, w.Others.Version, w.Revision)
 	return true, w.isFresh()
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -157,9 +157,6 @@
 	g.mergeMissing(in.Records)
 	in.Records = nil
 	g.state.Announce(in.Version, in.Revision)
-	if in.Watching { // views confirmed by relays that confirm each other's would never be old
-		g.state.ConfirmView(in.Version, in.Revision, in.ViewAge)
-	}
 	in.SpeedSamples = nil
 	in.Suspects = nil
 	g.mu.Lock()
@@ -179,13 +176,17 @@
 }
 
 // exchangeWithRelays calls the relays whose box names sort after this one's, so that each pair
-// exchanges statuses once per round, and catches up with newer data.
+// exchanges statuses once per round, and catches up with newer data. The others that watch the store
+// are asked for their views: how old these were is known of what was asked for only.
 func (g *Gossip) exchangeWithRelays(c context.Context) {
 	status := g.relayStatus()
 	local, remote := g.relayTargets()
 	var w sync.WaitGroup
 	for _, s := range append(local, remote...) {
 		if s.box < g.Box {
+			if g.lastRelayStatus(s.box).Watching {
+				w.Go(func() { g.askForView(c, s.address) })
+			}
 			continue
 		}
 		w.Go(func() {
@@ -197,11 +198,14 @@
 			out.Rates = g.Rates.Report(last.Rates.Sum, boottime.Now())
 			out.Numbering = g.Numbering.Report(last.Numbering.Sum)
 			out.SpeedSamples = g.takeSamples(s.box)
+			asked := boottime.Now()
 			if err := g.call(c, s.address, "gossip.relay", out, &in); err != nil {
 				g.returnSamples(s.box, out.SpeedSamples)
 				return
 			}
+			took := boottime.Since(asked)
 			g.mergeRelayStatus(in)
+			g.confirmView(viewReport{in.Watching, in.Version, in.Revision, in.ViewAge}, took)
 		})
 	}
 	w.Wait()
--- a/gossip/status.go
+++ b/gossip/status.go
@@ -32,7 +32,7 @@
 	Version    uint64        // of the current configuration
 	Revision   uint64        // of the endpoint records
 	Silent     time.Duration // time since the store last answered a relay
-	ViewAge    time.Duration // of a relay's configuration and records
+	ViewAge    time.Duration // of a relay's configuration and records, when it sent this
 	Watching   bool          // the relay watches the store
 	Resting    bool          // the relay leaves watching to others
 	Limits     quota.Lease   // what this relay leases to the receiver
--- a/gossip/view.go
+++ b/gossip/view.go
@@ -1,14 +1,49 @@
 package gossip
 
 import (
+	"context"
 	"time"
 
 	"birchlink.dev/birchlink/boottime"
 )
 
+// viewReport is what a relay says of its view of the store: the version of its configuration, the revision of its records, and
+// the time since these were known to have all changes.
+type viewReport struct {
+	Watching bool
+	Version  uint64
+	Revision uint64
+	Age      time.Duration
+}
+
+// view returns the state of this relay's view.
+func (g *Gossip) view() viewReport {
+	v := viewReport{Watching: g.state.IsWatching(), Age: g.state.ViewAge()} // before the revision, which may be newer
+	v.Revision = g.state.Revision()
+	v.Version, _ = g.state.RawConfig()
+	return v
+}
+
+// askForView asks another relay for its view, which confirms this relay's.
+func (g *Gossip) askForView(c context.Context, address string) {
+	asked := boottime.Now()
+	var v viewReport
+	if err := g.call(c, address, "gossip.view", struct{}{}, &v); err == nil {
+		g.confirmView(v, boottime.Since(asked))
+	}
+}
+
+// confirmView records the view of another relay, which took some time to answer. Only those that watch the store count: views of
+// relays that confirm each other's would never be old.
+func (g *Gossip) confirmView(v viewReport, took time.Duration) {
+	if v.Watching {
+		g.state.ConfirmView(v.Version, v.Revision, v.Age+took)
+	}
+}
+
 const (
-	// maxViewAge is the age from which a box's view of the store is old although the store answers. A watch that hears of
-	// nothing confirms the view every 1.4 s, and each box on the way to a member adds up to a round.
+	// maxViewAge is the age from which a box's view of the store is old although the store answers. A watch confirms the view
+	// of 0.7 s before, every 0.7 s, and each box on the way to a member adds up to a round.
 	maxViewAge = 4 * time.Second
 
 	// maxRelayViewLag is how long the view of a member's relay may be old before the member reads the store itself. Other relays
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -47,7 +47,8 @@
 	Apply func(items []store.Item, whole bool, revision uint64)
 	Log   zerolog.Logger
 
-	// OnCurrent, if set, is called with times up to which all changes have been applied.
+	// OnCurrent, if set, is called with times up to which all changes have been applied. These are the times of the calls:
+	// their answers may be late, or be read late by this process, and a watch that was pending may have missed changes.
 	OnCurrent func(at time.Time)
 
 	// StartRevision, if set, is called by Run and returns the revision up to which the
@@ -140,12 +141,11 @@
 	if err != nil {
 		return 0, err
 	}
-	answered := boottime.Now()
 	if len(items) > 0 {
 		m.Apply(items, false, at)
 		m.sizes.set(items, false)
 	}
-	m.confirm(answered)
+	m.confirm(began)
 	if len(items) > 0 {
 		wait.For(c, coalesceDelay)
 	}
