Begin streams at a version only once all boxes must know it

Callers saw streams go on at another software version. A box that was paused or cut off while a second version appeared took streams up at the only one that it knew: it held that there was no other as long as the store had answered a renewal of some lease within 1.5 s, which says nothing of the records, and took silence of the boxes that it asked for their word that they knew of none. A version that came and went while a box was away was never there for it.

That nothing else exists can't be seen in a view, which is always somewhat old. So the two sides agree on a time, MaxAge, 2 s (package versionhistory):

- A stream that its caller may take up elsewhere begins at a version only once that is settled: a box has known it for 2 s, up to a time at which its view was confirmed.
With one version only, known to be the only one, there is nothing to wait for.
- A box holds that it knows all versions if its view was complete within those 2 s, and without a gap of over 2 s for as long as versions are remembered, 2 min.
Whoever began a stream at a version had known it for 2 s, so it is in that view.
After a pause, a cut or a new start that leaves a gap, a box asks others, as it does if its view is older.
A watch that goes on from where it was has every change, and leaves no gap; versions that come and go within one answer are noted.

Nobody's word is needed: what a box doesn't hear only makes it refuse, at once, with 503.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -207,7 +207,7 @@
 	p.streams = p.newOrigins(m, log)
 	f := &forward.Forwarder{
 		DataCentre: s.DataCentre, Roster: &p.state.Roster, Balancer: p.balancer, Budget: p.budget, SpendCredit: credits.Spend, Meter: p.meter,
-		Quarantine: p.gossip.Quarantine, Rollouts: p.gossip.Rollouts,
+		Quarantine: p.gossip.Quarantine, Rollouts: p.gossip.Rollouts, Unsettled: p.unsettled,
 		Pool: &httpconn.Pool{Connector: d}, Codec: platform.HeaderCodec{}, OnStart: p.countRequest, OnBegin: recordBegin(p.streams), Metrics: m, Log: log,
 		Admission: admission.Options{DeadlineCheck: s.DeadlineCheck},
 		OnSend:    p.sendHint, OnCrash: func(e endpoint.Endpoint) { p.gossip.BroadcastCrash(e.Incarnation()) },
@@ -251,6 +251,11 @@
 	return append(ss, p.newMetricsServer(in, f, m, log), in)
 }
 
+// unsettled returns the versions of a service at which no streams may begin yet.
+func (p *platformComponents) unsettled(service string) []string {
+	return p.state.Roster.Versions.Unsettled(service, boottime.Now())
+}
+
 // newOrigins returns the service that knows at which software versions streams began.
 func (p *platformComponents) newOrigins(m metrics.Registry, log zerolog.Logger) *origins.Directory {
 	d := origins.New(m, log)
@@ -260,7 +265,7 @@
 		p := g.Peers()
 		return origins.Boxes{Near: p.Near, Far: p.Far, Relays: g.RemoteRelays()}
 	}
-	d.Store, d.Prefix, d.Clock, d.RecordsLag, d.ViewAge = p.store, originsPrefix, p.clock, p.state.RecordsLag, p.state.RecordsAge
+	d.Store, d.Prefix, d.Clock, d.RecordsLag = p.store, originsPrefix, p.clock, p.state.RecordsLag
 	return d
 }
 
--- a/fleetstate/records.go
+++ b/fleetstate/records.go
@@ -9,12 +9,14 @@
 )
 
 // Records is a change of the endpoint records between the store revisions From and
-// To. If Whole is set, Items holds all records as of To and From has no meaning.
+// To. If Whole is set, Items holds all records as of To and From has no meaning. If Events is
+// set, Items holds every change in between, and not only the last one of each record.
 type Records struct {
-	Items []store.Item
-	Whole bool
-	From  uint64
-	To    uint64
+	Items  []store.Item
+	Whole  bool
+	Events bool
+	From   uint64
+	To     uint64
 }
 
 // maxTombstones is the maximum number of deleted keys whose revision of deletion is
@@ -67,6 +69,19 @@
 	return t
 }
 
+// newer returns the items that are newer than the known state of their keys.
+func (r *recordSet) newer(items []store.Item) []store.Item {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []store.Item
+	for _, i := range items {
+		if old, had := r.items[i.Key]; !had || i.Revision > old.Revision {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
 // put stores one item and reports whether it was newer than the known state of its key. The
 // deletion of an unknown key is stored but not reported.
 func (r *recordSet) put(i store.Item) bool {
--- a/fleetstate/service.go
+++ b/fleetstate/service.go
@@ -16,6 +16,7 @@
 
 	"github.com/rs/zerolog"
 
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/catalog"
 	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/kernel"
@@ -90,8 +91,9 @@
 
 	orders map[string]rollout.Order // by service
 
-	rosterMu        sync.Mutex // held while a record is applied to the roster
+	applyMu         sync.Mutex // held while records are applied to the roster, and confirmed
 	records         recordSet
+	isLossy         bool // records were applied without those that came and went since the last confirmation
 	recordCallbacks []func(Records)
 }
 
@@ -118,7 +120,7 @@
 		},
 		{
 			Store: s.Store, Prefix: s.EndpointsPrefix, Wait: watchTimeout, Apply: s.applyEndpoints, StartRevision: s.Revision,
-			OnCurrent: s.recordsView.confirm, Log: s.log, StoreUnreachable: s.session.StoreUnreachable,
+			OnCurrent: s.confirmRecords, Log: s.log, StoreUnreachable: s.session.StoreUnreachable,
 		},
 	}
 	for _, m := range s.mirrors {
@@ -239,35 +241,64 @@
 }
 
 func (s *Service) applyEndpoints(items []store.Item, whole bool, revision uint64) {
-	s.applyRecords(Records{Items: items, Whole: whole, To: revision})
+	s.applyRecords(Records{Items: items, Whole: whole, Events: !whole, To: revision})
 }
 
-// applyRecords applies a change to the records and then to the roster. Changes from the store and
-// from other boxes may arrive concurrently, so an item is applied to the roster only if it is
-// still the latest one for its key.
+// applyRecords applies a change to the records and then to the roster. Of several changes of a
+// record, the roster gets the last one only.
 func (s *Service) applyRecords(c Records) {
+	t := s.applyToRoster(c)
+	if c.Whole {
+		s.endpointsRead.Store(true)
+	}
+	s.recordsView.lag.Reach(s.Revision())
+	if t.advanced {
+		c.From = t.from
+		s.notifyRecords(c)
+	}
+}
+
+func (s *Service) applyToRoster(c Records) applyResult {
+	es := s.decode(s.records.newer(c.Items))
+	s.applyMu.Lock()
+	defer s.applyMu.Unlock()
 	t := s.records.apply(c)
-	es := s.decode(t.items)
+	s.isLossy = s.isLossy || t.advanced && !c.Events
 	bulk := len(t.items) > maxLoggedRecords
 	for _, i := range t.items {
-		s.rosterMu.Lock()
-		if s.records.isCurrent(i) {
-			s.applyRecord(i, es[i.Key], bulk)
+		d := es[recordID{i.Key, i.Revision}]
+		switch {
+		case s.records.isCurrent(i):
+			s.applyRecord(i, d, bulk)
+		case !i.Deleted && d.err == nil:
+			s.Roster.Versions.Note(d.endpoint.Service, d.endpoint.Version, boottime.Now())
 		}
-		s.rosterMu.Unlock()
 	}
 	if bulk {
 		s.log.Info().Str("event", "endpoints").Int("records", len(t.items)).Bool("whole", c.Whole).Uint64("revision", c.To).
 			Int("known", s.Roster.Len()).Msg("applied many records")
 	}
-	if c.Whole {
-		s.endpointsRead.Store(true)
-	}
-	s.recordsView.lag.Reach(s.Revision())
-	if t.advanced {
-		c.From = t.from
-		s.notifyRecords(c)
-	}
+	return t
+}
+
+// confirmRecords records that the records, as applied to the roster, had all changes made up to a time.
+func (s *Service) confirmRecords(at time.Time) {
+	s.applyMu.Lock()
+	defer s.applyMu.Unlock()
+	s.recordsView.confirm(at)
+	s.confirmVersions(at)
+}
+
+// confirmVersions records that the roster has all versions that had endpoints at a time. The caller holds s.applyMu.
+func (s *Service) confirmVersions(at time.Time) {
+	s.Roster.Versions.Confirm(at, !s.isLossy)
+	s.isLossy = false
+}
+
+// recordID identifies a record as it was at a revision.
+type recordID struct {
+	key      string
+	revision uint64
 }
 
 // decoded is the result of decoding a record.
@@ -276,13 +307,13 @@
 	err      error
 }
 
-// decode decodes the records of a change, by key. Deleted items are left out.
-func (s *Service) decode(items []store.Item) map[string]decoded {
-	out := make(map[string]decoded, len(items))
+// decode decodes records. Deleted items are left out.
+func (s *Service) decode(items []store.Item) map[recordID]decoded {
+	out := make(map[recordID]decoded, len(items))
 	for _, i := range items {
 		if !i.Deleted {
 			e, err := s.DecodeEndpoint(i.Key, i.Value)
-			out[i.Key] = decoded{e, err}
+			out[recordID{i.Key, i.Revision}] = decoded{e, err}
 		}
 	}
 	return out
--- a/fleetstate/service_test.go
+++ b/fleetstate/service_test.go
@@ -55,9 +55,15 @@
 }
 
 func startBox(t *testing.T, m *memstore.Store) *box {
+	t.Helper()
+	return startBoxOf(t, m, source)
+}
+
+// startBoxOf starts a box with another source.
+func startBoxOf(t *testing.T, m *memstore.Store, src fleetstate.Source) *box {
 	t.Helper()
 	s := storesession.New(m, zerolog.Nop())
-	k := fleetstate.New(source, m, zerolog.Nop())
+	k := fleetstate.New(src, m, zerolog.Nop())
 	n := &kernel.Kernel{}
 	require.NoError(t, n.Add(s))
 	require.NoError(t, s.Start(t.Context(), n))
--- a/fleetstate/view.go
+++ b/fleetstate/view.go
@@ -30,14 +30,19 @@
 	v.lag.Confirm(at)
 }
 
-// confirmBy records a confirmation, which counts once this box has the version. Own is the version that it has now.
-func (v *view) confirmBy(c confirmation, own uint64) {
+// confirmBy records a confirmation, which counts once this box has the version. Own is the version that it has now. It returns
+// the last time that was confirmed; zero if none was.
+func (v *view) confirmBy(c confirmation, own uint64) time.Time {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	var at time.Time
 	// While changes never end, this box never has what another one has at the same time, but soon after.
 	for _, x := range []confirmation{v.unconfirmed, c} {
 		if !x.at.IsZero() && own >= x.version {
 			v.confirm(x.at)
+			if x.at.After(at) {
+				at = x.at
+			}
 		}
 	}
 	if own >= c.version {
@@ -46,6 +51,7 @@
 	if v.unconfirmed.at.IsZero() || own >= v.unconfirmed.version {
 		v.unconfirmed = c
 	}
+	return at
 }
 
 // ViewAge returns the time since the configuration and the records were last known to have all changes in the store.
@@ -74,10 +80,14 @@
 }
 
 // ConfirmView records that another box, which had a configuration and records of a revision, had all changes in the store
-// some time ago. If this box has them too, now or at a later call, its view is no older.
+// some time ago. The age must include the time for which that box's message may have been under way. If this box has them too, now or at a later call, its view is no older.
 func (s *Service) ConfirmView(version, revision uint64, age time.Duration) {
 	at := boottime.Now().Add(-age)
 	own, _ := s.RawConfig()
 	s.configView.confirmBy(confirmation{version, at}, own)
-	s.recordsView.confirmBy(confirmation{revision, at}, s.Revision())
+	s.applyMu.Lock()
+	defer s.applyMu.Unlock()
+	if at := s.recordsView.confirmBy(confirmation{revision, at}, s.Revision()); !at.IsZero() {
+		s.confirmVersions(at)
+	}
 }
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -219,6 +219,8 @@
 		e, _ := s.f.Roster.Get(words[1])
 		e.Version = strings.Trim(words[2], "-") // "-" for unknown
 		s.f.Roster.Put(e)
+	case "unsettled": // the versions at which no streams may begin that can be taken up elsewhere
+		s.f.Unsettled = func(string) []string { return words[1:] }
 	case "remote": // put an endpoint into another data centre
 		e, _ := s.f.Roster.Get(words[1])
 		e.DataCentre = "remote"
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -107,6 +107,7 @@
 	Quarantine    *quarantine.Quarantine
 	Terminations  *termination.Detector // nil: no process is found to have ended
 	Rollouts      *rollout.Gate
+	Unsettled     UnsettledFunc // nil: streams begin at any version
 	Codec         Codec
 	Moves         MoveCodec // nil if running requests are not moved
 	RequestPermit PermitFunc
--- a/forward/rollout.go
+++ b/forward/rollout.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"time"
 
 	"birchlink.dev/birchlink/balance"
@@ -21,16 +22,19 @@
 // findVersion chooses among the endpoints of the versions that the roll-out allows for a request. A
 // request for the new version goes to the others if no endpoint of the new version accepts it. If
 // only the new version has serving endpoints, they get all requests unless the version was
-// reverted. The verdict restricts the versions in any case.
-func (f *Forwarder) findVersion(service string, q balance.Query, p rollout.VersionFilter, v quarantine.Verdict) (ch balance.Choice, known, ok bool) {
-	if v.Versions != nil {
-		q.Eligible = func(e *endpoint.Endpoint) bool { return v.Allows(e.Version) }
+// reverted. The verdict restricts the versions in any case, and those in unsettled are left out.
+func (f *Forwarder) findVersion(
+	service string, q balance.Query, p rollout.VersionFilter, v quarantine.Verdict, unsettled []string,
+) (ch balance.Choice, known, ok bool) {
+	allows := func(version string) bool { return v.Allows(version) && !slices.Contains(unsettled, version) }
+	if v.Versions != nil || len(unsettled) > 0 {
+		q.Eligible = func(e *endpoint.Endpoint) bool { return allows(e.Version) }
 	}
 	if p.AllowsAny() {
 		return f.find(service, q)
 	}
 	isAllowed := q.Eligible
-	q.Eligible = func(e *endpoint.Endpoint) bool { return p.Allows(e.Version) && v.Allows(e.Version) }
+	q.Eligible = func(e *endpoint.Endpoint) bool { return p.Allows(e.Version) && allows(e.Version) }
 	if ch, known, ok = f.find(service, q); ok {
 		return ch, known, ok
 	}
--- a/forward/version.go
+++ b/forward/version.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -26,6 +27,21 @@
 // known: records that lapsed with the store are back about this long after it.
 const recordReturnTime = 2 * time.Second
 
+// UnsettledFunc returns the software versions of a service at which no stream may begin that its caller may take up at another
+// box: these may not have heard of the version.
+type UnsettledFunc func(service string) []string
+
+// settleRetryAfter is the time after which a caller returns for which all endpoints are of such versions.
+const settleRetryAfter = time.Second
+
+// unsettled returns the versions at which the request may not begin.
+func (r *run) unsettled() []string {
+	if r.f.Unsettled == nil || r.begun != nil || !r.isStream() || !r.q.Route.Repeatable() {
+		return nil
+	}
+	return r.f.Unsettled(r.q.Service.Name)
+}
+
 // isSameVersion reports whether what one endpoint computed can continue at the other. Endpoints of unknown version may
 // differ.
 func isSameVersion(a, b *endpoint.Endpoint) bool { return a.Version != "" && a.Version == b.Version }
@@ -34,7 +50,7 @@
 // has not begun, of the versions that the roll-out allows.
 func (r *run) find(q balance.Query) (ch balance.Choice, known, ok bool) {
 	if r.begun == nil {
-		return r.f.findVersion(r.q.Service.Name, q, r.versions, r.verdict)
+		return r.f.findVersion(r.q.Service.Name, q, r.versions, r.verdict, r.unsettled())
 	}
 	q.Eligible = func(e *endpoint.Endpoint) bool { return isSameVersion(e, r.begun) && r.verdict.Allows(e.Version) }
 	return r.f.find(r.q.Service.Name, q)
@@ -45,6 +61,10 @@
 	if r.begun != nil {
 		return r.fail(errkind.VersionUnavailable, r.noVersionReason())
 	}
+	if u := r.unsettled(); len(u) > 0 {
+		r.permitRetryAfter = cmp.Or(r.permitRetryAfter, settleRetryAfter)
+		return r.fail(errkind.NoEndpoint, fmt.Sprintf("no endpoint of %s is left but of %s, which other boxes may not know yet", r.q.Service.Name, u))
+	}
 	return r.fail(errkind.NoEndpoint, "no endpoint of "+r.q.Service.Name+" is left")
 }
 
--- a/gossip/snapshot.go
+++ b/gossip/snapshot.go
@@ -35,13 +35,14 @@
 )
 
 // snapshot is the stored value: the state of the quotas, the statistics of the endpoints of each
-// service, the contents that are refused because endpoints crash under them, and the versions of each service that had
-// endpoints lately.
+// service, the contents that are refused because endpoints crash under them, the versions of each service that had
+// endpoints lately, and those of them that are settled.
 type snapshot struct {
 	quota.Before
 	Speeds   map[string]estimate.Stats
 	Contents []quarantine.Suspect
 	Versions map[string][]string
+	Settled  map[string][]string
 }
 
 // maxSnapshotBytes bounds the snapshot. A value in the store may have up to a megabyte, and all boxes that start at once read
@@ -81,7 +82,7 @@
 	writtenAt         time.Time
 	countDiffersSince time.Time           // zero while the number of boxes agrees with stored
 	refusedSum        uint64              // checksum of the refused contents in stored
-	versions          map[string][]string // in stored
+	versions, settled map[string][]string // in stored
 }
 
 // readSnapshot restores the snapshot after a process start.
@@ -94,7 +95,7 @@
 	if g.FirstStart && !late {
 		s.read = true
 		g.RestoreQuota(quota.Before{})
-		g.restoreVersions(map[string][]string{}) // nothing was before
+		g.restoreVersions(map[string][]string{}, nil) // nothing was before
 		return
 	}
 	if s.read || late && (g.session.StoreLost() || g.Quota.Division().Version > 0 && !g.holdsFirstSlot()) {
@@ -106,6 +107,7 @@
 	}
 	s.read, s.revision = true, i.Revision
 	if i.Revision == 0 {
+		g.state.Roster.Versions.RestoreNone()
 		g.RestoreQuota(quota.Before{})
 		return
 	}
@@ -115,8 +117,8 @@
 		return
 	}
 	p.Division.Version = i.Revision
-	s.stored, s.refusedSum, s.versions = p.Before, quarantine.Sum(p.Contents), p.Versions
-	g.restoreVersions(p.Versions)
+	s.stored, s.refusedSum, s.versions, s.settled = p.Before, quarantine.Sum(p.Contents), p.Versions, p.Settled
+	g.restoreVersions(p.Versions, p.Settled)
 	g.logSnapshot(p.Before, "read from the store")
 	g.Quarantine.Merge(p.Contents, boottime.Now())
 	if late {
@@ -163,8 +165,8 @@
 	p := g.Snapshot(others + 1)
 	refused := g.Quarantine.Lasting(now)
 	sum := quarantine.Sum(refused)
-	versions := g.state.Roster.Versions.Snapshot(now)
-	isSame := sum == s.refusedSum && maps.EqualFunc(versions, s.versions, slices.Equal)
+	versions, settled := g.state.Roster.Versions.Snapshot(now)
+	isSame := sum == s.refusedSum && maps.EqualFunc(versions, s.versions, slices.Equal) && maps.EqualFunc(settled, s.settled, slices.Equal)
 	if isSame && !s.boxCountChanged(p, g.session.StoreUnresponsiveFor() > maxStoreSilence, now) {
 		same := maps.Equal(p.Short, s.stored.Short) && now.Sub(s.writtenAt) < statsWriteInterval
 		if same || now.Sub(s.writtenAt) < snapshotWriteInterval {
@@ -174,7 +176,7 @@
 	}
 	s.writtenAt = now
 	var at uint64
-	b, err := snapshot{p, g.EndpointStats(), refused, versions}.encode()
+	b, err := snapshot{p, g.EndpointStats(), refused, versions, settled}.encode()
 	if err == nil {
 		at, err = g.Store.Commit(c, store.Change{
 			If:  []store.Condition{{Key: g.SnapshotKey, Revision: s.revision}},
@@ -189,13 +191,13 @@
 	p.Division.Version, s.revision = at, at
 	g.Quota.Adopt(p.Division, now)
 	g.logSnapshot(p, "written")
-	s.stored, s.refusedSum, s.versions, s.countDiffersSince = p, sum, versions, time.Time{}
+	s.stored, s.refusedSum, s.versions, s.settled, s.countDiffersSince = p, sum, versions, settled, time.Time{}
 }
 
 // restoreVersions adds the versions that were known before this process started. A snapshot of earlier software has none.
-func (g *Gossip) restoreVersions(v map[string][]string) {
+func (g *Gossip) restoreVersions(v, settled map[string][]string) {
 	if v != nil {
-		g.state.Roster.Versions.Restore(v, boottime.Now())
+		g.state.Roster.Versions.Restore(v, settled, boottime.Now())
 	}
 }
 
--- a/origins/archive.go
+++ b/origins/archive.go
@@ -147,7 +147,8 @@
 func (d *Directory) archiveOlder() {
 	now := boottime.Now()
 	several := map[string]bool{}
-	for s, names := range d.Versions.Snapshot(now) {
+	recent, _ := d.Versions.Snapshot(now)
+	for s, names := range recent {
 		several[s] = len(names) > 1
 		if !several[s] || d.archive.several[s] {
 			continue
--- a/origins/directory.go
+++ b/origins/directory.go
@@ -53,10 +53,9 @@
 	// other box knew anything.
 	maxAsking = 64
 
-	// maxStoreSilence is how long the store may have been silent, and maxRecordsLag how long this box may have known of newer
-	// records of endpoints than its own, before its view of the versions counts as out of date.
-	maxStoreSilence = 1500 * time.Millisecond
-	maxRecordsLag   = 500 * time.Millisecond
+	// maxRecordsLag is how long this box may have known of newer records of endpoints than its own before its view of the
+	// versions counts as out of date.
+	maxRecordsLag = 500 * time.Millisecond
 )
 
 // CallFunc calls a method of the box at an address.
@@ -89,9 +88,6 @@
 	// StoreSilence returns the time since the store last answered. If it is nil, Start sets it.
 	StoreSilence func() time.Duration
 
-	// ViewAge returns the time since Versions was last known to hold all versions that have endpoints.
-	ViewAge func() time.Duration
-
 	// RecordsLag returns for how long this box has known of newer records of endpoints than its own.
 	RecordsLag func() time.Duration
 
@@ -106,13 +102,11 @@
 
 // New returns a directory without records.
 func New(m metrics.Registry, log zerolog.Logger) *Directory {
-	d := &Directory{Metrics: m, Log: log, table: origin.NewTable(), RecordsLag: noTime, ViewAge: noTime}
+	d := &Directory{Metrics: m, Log: log, table: origin.NewTable(), RecordsLag: func() time.Duration { return 0 }}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	return d
 }
 
-func noTime() time.Duration { return 0 }
-
 // Name returns the service's name.
 func (d *Directory) Name() string { return Name }
 
@@ -137,6 +131,7 @@
 		return true, nil
 	})
 	d.group.Go(func() { d.runArchive(d.ctx) })
+	d.group.Go(func() { d.runSettle(d.ctx) })
 	return nil
 }
 
--- a/origins/find.go
+++ b/origins/find.go
@@ -1,6 +1,7 @@
 package origins
 
 import (
+	"cmp"
 	"context"
 	"slices"
 
@@ -19,12 +20,13 @@
 }
 
 // Reply is what a box knows: the record of the stream, if it has one, and the versions of the service that had endpoints
-// recently, which are all if Complete is set.
+// recently, which are all at which streams have begun if Complete is set. Settled are those that are known to be settled.
 type Reply struct {
 	Found    bool
 	Origin   origin.Origin
 	Versions []string
 	Complete bool
+	Settled  []string `msgpack:",omitempty"`
 }
 
 // How a version was found, as values in logs and parts of the names of metrics.
@@ -36,12 +38,13 @@
 	foundForAnother = "other_account"
 )
 
-// Reply returns what this box knows.
+// Reply returns what this box knows. The stream must have begun before, so that its version is among those of a complete reply.
 func (d *Directory) Reply(q Question) Reply {
 	now := boottime.Now()
 	var a Reply
-	a.Versions, a.Complete = d.Versions.Recent(q.Service, now)
-	if d.StoreSilence() > maxStoreSilence || d.RecordsLag() > maxRecordsLag {
+	a.Versions, a.Complete = d.Versions.All(q.Service, now)
+	a.Settled = d.Versions.Settled(q.Service, now)
+	if d.RecordsLag() > maxRecordsLag {
 		a.Complete = false
 	}
 	if q.Stream != 0 {
@@ -61,9 +64,11 @@
 	}
 	outcome, asked, answered := foundHere, 0, 0
 	a := d.Reply(q)
-	if !a.Found && stream != "" {
+	age, unbroken := d.Versions.Age(began)
+	isComplete := a.Complete
+	if !a.Found && (stream != "" || !a.Complete) {
 		outcome = foundElsewhere
-		a, asked, answered = d.ask(c, q, a)
+		a, asked, answered = d.ask(c, q, cmp.Or(q.Stream, origin.Hash(request)), a)
 	}
 	var f origin.Finding
 	switch {
@@ -79,7 +84,8 @@
 	}
 	metrics.GetOrRegisterCounter("origins.asked."+outcome, d.Metrics).Inc(1)
 	d.Log.Info().Str("event", "origin").Str("request", request).Str("resumes", stream).Str("service", service).Str("outcome", outcome).
-		Str("version", f.Version).Strs("versions", a.Versions).Bool("complete", a.Complete).Dur("store_age", d.StoreSilence()).Dur("view_age", d.ViewAge()).
+		Str("version", f.Version).Strs("versions", a.Versions).Bool("complete", a.Complete).Bool("complete_here", isComplete).Dur("view_age", age).
+		Dur("view_unbroken", unbroken).Dur("store_age", d.StoreSilence()).
 		Int("asked", asked).Int("answered", answered).Dur("took", boottime.Since(began)).Msg("decision")
 	return f
 }
@@ -87,17 +93,17 @@
 // answer answers another box.
 func (d *Directory) answer(c context.Context, q Question) Reply {
 	a := d.Reply(q)
-	if !q.Forward || a.Found {
+	if !q.Forward || a.Found || q.Stream == 0 && a.Complete {
 		return a
 	}
 	q.Forward = false
-	a, _, _ = d.askAll(c, q, d.Boxes().holders(q.Stream, ""), a)
+	a, _, _ = d.askAll(c, q, d.Boxes().holders(cmp.Or(q.Stream, origin.Hash(q.Service)), ""), a)
 	return a
 }
 
-// ask asks the boxes that may have the record of a stream and, if none of them has it, those of other data centres through
-// their relays.
-func (d *Directory) ask(c context.Context, q Question, own Reply) (a Reply, asked, answered int) {
+// ask asks the boxes that may have the record of a stream, by its hash or another key, and, if none of them has it, those of other
+// data centres through their relays. For a stream without a name it is enough that one box knows all versions.
+func (d *Directory) ask(c context.Context, q Question, key uint64, own Reply) (a Reply, asked, answered int) {
 	defer d.asking.Add(-1)
 	if d.asking.Add(1) > maxAsking {
 		own.Complete = false
@@ -108,8 +114,8 @@
 		relay = ""
 	}
 	b := d.Boxes()
-	a, asked, answered = d.askAll(c, q, b.holders(q.Stream, relay), own)
-	if a.Found || len(b.Relays) == 0 {
+	a, asked, answered = d.askAll(c, q, b.holders(key, relay), own)
+	if a.Found || len(b.Relays) == 0 || q.Stream == 0 && a.Complete {
 		return a, asked, answered
 	}
 	q.Forward = true
@@ -143,7 +149,11 @@
 			return r.Reply, len(to), answered
 		}
 		own.Versions = append(slices.Clone(own.Versions), r.Versions...)
+		own.Settled = append(slices.Clone(own.Settled), r.Settled...)
 		own.Complete = own.Complete || r.Complete
+		if q.Stream == 0 && own.Complete {
+			break
+		}
 	}
 	slices.Sort(own.Versions)
 	own.Versions = slices.Compact(own.Versions)
--- a/origins/fleet_test.go
+++ b/origins/fleet_test.go
@@ -28,6 +28,7 @@
 	"birchlink.dev/birchlink/origin"
 	"birchlink.dev/birchlink/stand/memstore"
 	"birchlink.dev/birchlink/versionhistory"
+	"birchlink.dev/birchlink/wait"
 )
 
 // relaysPerDataCentre, allNear and allKnown are those of package gossip: in fleets of up to so many boxes all are nearby,
@@ -49,9 +50,10 @@
 	relay   bool
 	away    atomic.Bool // no other box reaches it, and it gets no callers
 	// cutAt is since when it gets nothing from other boxes and the store, and they nothing from it, while callers reach it.
-	cutAt atomic.Pointer[time.Time]
-	view  map[string]int // number of endpoints by version, as this box knows them
-	bytes int            // sent and received
+	cutAt  atomic.Pointer[time.Time]
+	missed atomic.Bool    // it was cut off, and read the newest records only
+	view   map[string]int // number of endpoints by version, as this box knows them
+	bytes  int            // sent and received
 }
 
 // begun is a stream whose caller has its first event.
@@ -68,6 +70,7 @@
 	boxes     []*member
 	endpoints map[string]int // by version
 	known     []string       // versions in the snapshot
+	settled   []string       // of these, those that are settled
 	store     *memstore.Store
 	storeDown atomic.Pointer[time.Time] // nil while it answers
 	streams   []begun
@@ -90,7 +93,7 @@
 	b.view = map[string]int{}
 	f.catchUp(b, d)
 	if f.storeDown.Load() == nil {
-		d.Versions.Restore(map[string][]string{"s": f.known}, now)
+		d.Versions.Restore(map[string][]string{"s": f.known}, map[string][]string{"s": f.settled}, now)
 	}
 	d.Box, d.Store, d.Prefix, d.Clock = b.address, f.store, "streams/", fleetclock.New(time.Now)
 	d.Boxes, d.IsRelay = func() Boxes { return f.lists(b) }, func() bool { return b.relay }
@@ -108,7 +111,26 @@
 		return f.call(b, address, method, in, out)
 	}
 	b.process.Store(d)
+	f.confirm(b, d)
 	go d.runArchive(d.ctx)
+	go d.runSettle(d.ctx)
+	go func() {
+		for d.ctx.Err() == nil {
+			f.confirm(b, d)
+			wait.For(d.ctx, confirmInterval)
+		}
+	}()
+}
+
+// confirmInterval is the interval at which boxes hear that they know all endpoints.
+const confirmInterval = 300 * time.Millisecond
+
+// confirm tells a box that it knows all endpoints, if it reaches the store or a box that does. Relays see every change, and others
+// the newest state.
+func (f *fleet) confirm(b *member, d *Directory) {
+	if f.storeDown.Load() == nil && b.cutAt.Load() == nil {
+		d.Versions.Confirm(boottime.Now(), b.relay && !b.missed.Swap(false))
+	}
 }
 
 // lists returns the boxes that a box knows, as package gossip does.
@@ -226,6 +248,7 @@
 	case "endpoints": // VERSION COUNT, from now on
 		f.setEndpoints(w[0], int(number(1)))
 	case "start":
+		f.settled = f.known
 		for i := range f.boxes {
 			f.start(i)
 		}
@@ -236,6 +259,7 @@
 		require.NoError(f.t, err, at)
 		time.Sleep(d)
 	case "restart": // SHARE of the boxes lose their memory at the same time
+		f.snapshot()
 		for _, i := range f.rnd.Perm(len(f.boxes))[:int(number(0)*float64(len(f.boxes)))] {
 			f.start(i)
 		}
@@ -250,7 +274,7 @@
 		}
 	case "join": // the boxes that were cut off read what is newest
 		for _, b := range f.boxes {
-			b.cutAt.Store(nil)
+			b.missed.Store(b.cutAt.Swap(nil) != nil)
 			f.catchUp(b, b.process.Load())
 		}
 	case "gone": // SHARE of the boxes are gone for good
@@ -267,6 +291,10 @@
 		f.expect(number(0), at)
 	case "expect_unnamed": // SHARE of the streams at least goes on if callers don't name them; none at a wrong version
 		f.expectUnnamed(number(0), at)
+	case "may_begin": // COUNT of versions at which each box may begin streams
+		for _, b := range f.boxes {
+			require.Len(f.t, f.versions(b), int(number(0)), at)
+		}
 	case "bytes": // BYTES_PER_SECOND at most that the boxes sent and received in the mean, and BYTES at any one
 		f.expectBytes(number(0), number(1), at)
 	case "records": // COUNT at most at any box
@@ -303,11 +331,22 @@
 	}
 }
 
+// snapshot writes what a box that is not cut off knows to be settled.
+func (f *fleet) snapshot() {
+	for _, b := range f.boxes {
+		if b.cutAt.Load() == nil && f.storeDown.Load() == nil {
+			f.settled = b.process.Load().Versions.Settled("s", boottime.Now())
+			return
+		}
+	}
+}
+
 // versions returns the versions at which a box may begin streams.
 func (f *fleet) versions(b *member) []string {
 	var out []string
+	unsettled := b.process.Load().Versions.Unsettled("s", boottime.Now())
 	for v, n := range b.view {
-		if n > 0 {
+		if n > 0 && !slices.Contains(unsettled, v) {
 			out = append(out, v)
 		}
 	}
--- a/versionhistory/history.go
+++ b/versionhistory/history.go
@@ -1,5 +1,9 @@
 // Package versionhistory remembers which software versions of each service had endpoints. If there was only one for as
 // long as a stream may last, the stream began at it.
+//
+// That there was no other version can't be seen in a box's view of the store, which may be old. So streams begin at a version
+// only once it is settled: it has had endpoints for MaxAge. A box whose view is at most MaxAge old then knows each version at
+// which a stream has begun, whatever kept it from hearing of that stream.
 package versionhistory
 
 import (
@@ -9,26 +13,41 @@
 	"time"
 )
 
-// Window is how long a version is remembered after its last endpoint was seen. Streams that go on longer at an endpoint whose
-// record is gone, and that are taken up later, need a record of their own.
-const Window = 2 * time.Minute
+const (
+	// Window is how long a version is remembered after its last endpoint was seen. Streams that go on longer at an endpoint whose
+	// record is gone, and that are taken up later, need a record of their own.
+	Window = 2 * time.Minute
+
+	// MaxAge is the age of a view from which other versions may have been settled that it lacks.
+	MaxAge = 2 * time.Second
+)
 
 // History holds the versions of each service. The zero value is empty and ready to use. It is safe for concurrent use.
 type History struct {
-	mu       sync.Mutex
-	started  time.Time // when the first endpoint was added
-	restored bool      // what was known before this process started was added
-	services map[string]map[string]*version
+	mu        sync.Mutex
+	started   time.Time // when the first endpoint was added
+	restored  bool      // what was known before this process started was added
+	first     bool      // no process was before this one
+	confirmed time.Time // the last time at which the history is known to have held all versions; zero for none
+	since     time.Time // the history lacks no version that was settled between since and confirmed
+	services  map[string]map[string]*version
 }
 
 // version is a version with its known endpoints and, if there is none, the time when there last was one.
 type version struct {
 	endpoints int
 	seen      time.Time
+	added     time.Time // when the first of its endpoints was added
+	settled   bool
+}
+
+// isForgotten reports whether a version has had no endpoint for Window.
+func (v *version) isForgotten(now time.Time) bool {
+	return v.endpoints == 0 && now.Sub(v.seen) >= Window
 }
 
 // get returns the entry of a version. The caller holds h.mu.
-func (h *History) get(service, name string) *version {
+func (h *History) get(service, name string, now time.Time) *version {
 	if h.services == nil {
 		h.services = map[string]map[string]*version{}
 	}
@@ -36,7 +55,7 @@
 		h.services[service] = map[string]*version{}
 	}
 	v := h.services[service][name]
-	if v == nil {
+	if v == nil || v.isForgotten(now) {
 		v = &version{}
 		h.services[service][name] = v
 	}
@@ -50,57 +69,172 @@
 	if h.started.IsZero() {
 		h.started = now
 	}
-	h.get(service, name).endpoints++
+	v := h.get(service, name, now)
+	if v.endpoints == 0 {
+		v.added = now
+	}
+	v.endpoints++
 }
 
 // Remove removes an endpoint of a version.
 func (h *History) Remove(service, name string, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	v := h.get(service, name)
+	v := h.get(service, name, now)
 	v.endpoints = max(v.endpoints-1, 0)
 	v.seen = now
 }
 
-// Restore adds the versions that were known before this process started.
-func (h *History) Restore(versions map[string][]string, now time.Time) {
+// Note adds a version that had an endpoint which is gone already.
+func (h *History) Note(service, name string, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.get(service, name, now).seen = now
+}
+
+// Restore adds the versions that were known before this process started, and those of them that were settled.
+func (h *History) Restore(versions, settled map[string][]string, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.restored = true
 	for s, names := range versions {
 		for _, n := range names {
-			h.get(s, n).seen = now
+			h.get(s, n, now).seen = now
 		}
 	}
+	h.settle(settled, now)
+}
+
+// RestoreNone records that no process has left what it knew. This one may be among the first, and is not sure to be.
+func (h *History) RestoreNone() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.first = true
+}
+
+// Confirm records that the history holds all versions that had endpoints at a time. If isUnbroken is set, it also holds those that
+// had some since the last time. Otherwise versions that came and went in between are missing: if that was over MaxAge, some may have
+// been settled.
+func (h *History) Confirm(at time.Time, isUnbroken bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case h.confirmed.IsZero():
+		h.since = at
+	case !at.After(h.confirmed):
+		return
+	case !isUnbroken && at.Sub(h.confirmed) > MaxAge:
+		h.restored, h.first, h.since = false, false, at
+	}
+	h.confirmed = at
+	for _, versions := range h.services {
+		for _, v := range versions {
+			v.settled = v.settled || v.endpoints > 0 && at.Sub(v.added) >= MaxAge
+		}
+	}
+}
+
+// Age returns the time since the history was last known to hold all versions, and for how long before it lacks none. These are
+// Window and zero if it was never known to.
+func (h *History) Age(now time.Time) (age, unbroken time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.confirmed.IsZero() {
+		return Window, 0
+	}
+	return now.Sub(h.confirmed), h.confirmed.Sub(h.since)
 }
 
 // Recent returns the versions of a service that had endpoints within Window, in ascending order. It reports whether
-// these are all: the process is older than that, or knows what was known before it.
+// these are all as far as this process was told: it is older than that, or knows what was known before it.
 func (h *History) Recent(service string, now time.Time) (names []string, complete bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.recent(service, now), h.restored || !h.started.IsZero() && now.Sub(h.started) >= Window
 }
 
+// All returns what Recent does, and reports whether these are all versions at which streams have begun until now.
+func (h *History) All(service string, now time.Time) (names []string, complete bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.recent(service, now), h.isUnbroken() && now.Sub(h.confirmed) <= MaxAge
+}
+
+// isUnbroken reports whether no version within Window is missing as of h.confirmed. The caller holds h.mu.
+func (h *History) isUnbroken() bool {
+	return !h.confirmed.IsZero() && (h.restored || h.confirmed.Sub(h.since) >= Window)
+}
+
+// Unsettled returns the versions of a service at which no streams may begin that can be taken up at other boxes: these may not
+// have heard of the version. It is settled if there is no other that they could take it for.
+func (h *History) Unsettled(service string, now time.Time) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.recent(service, now)) == 1 && (h.isUnbroken() || h.first && !h.confirmed.IsZero()) {
+		return nil
+	}
+	return h.names(service, func(v *version) bool { return v.endpoints > 0 && !v.settled })
+}
+
+// Settled returns the versions of a service that are settled.
+func (h *History) Settled(service string, now time.Time) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.names(service, func(v *version) bool { return v.settled && !v.isForgotten(now) })
+}
+
+// Settle records that versions are settled, as another box knows.
+func (h *History) Settle(versions map[string][]string, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.settle(versions, now)
+}
+
+// settle records that versions are settled, if they are known here. The caller holds h.mu.
+func (h *History) settle(versions map[string][]string, now time.Time) {
+	for s, names := range versions {
+		for _, n := range names {
+			if v := h.services[s][n]; v != nil && !v.isForgotten(now) {
+				v.settled = true
+			}
+		}
+	}
+}
+
+// names returns the versions of a service that a condition holds for, in ascending order. The caller holds h.mu.
+func (h *History) names(service string, holds func(*version) bool) []string {
+	var out []string
+	for n, v := range h.services[service] {
+		if holds(v) {
+			out = append(out, n)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // recent returns the recent versions and forgets the others. The caller holds h.mu.
 func (h *History) recent(service string, now time.Time) []string {
 	for n, v := range h.services[service] {
-		if v.endpoints == 0 && now.Sub(v.seen) >= Window {
+		if v.isForgotten(now) {
 			delete(h.services[service], n)
 		}
 	}
 	return slices.Sorted(maps.Keys(h.services[service]))
 }
 
-// Snapshot returns the recent versions of all services.
-func (h *History) Snapshot(now time.Time) map[string][]string {
+// Snapshot returns the recent versions of all services, and those that are settled.
+func (h *History) Snapshot(now time.Time) (recent, settled map[string][]string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	out := map[string][]string{}
+	recent, settled = map[string][]string{}, map[string][]string{}
 	for s := range h.services {
 		if names := h.recent(s, now); len(names) > 0 {
-			out[s] = names
+			recent[s] = names
+		}
+		if names := h.names(s, func(v *version) bool { return v.settled }); len(names) > 0 {
+			settled[s] = names
 		}
 	}
-	return out
+	return recent, settled
 }
--- a/versionhistory/history_test.go
+++ b/versionhistory/history_test.go
@@ -13,7 +13,7 @@
 func ExampleHistory() {
 	var h versionhistory.History
 	now := time.Now()
-	h.Restore(nil, now)
+	h.Restore(nil, nil, now)
 	h.Add("s", "v1", now)
 	h.Add("s", "v2", now)
 	h.Remove("s", "v1", now)
@@ -37,9 +37,112 @@
 	_, complete = h.Recent("s", now.Add(versionhistory.Window))
 	require.True(t, complete)
 
-	h.Restore(map[string][]string{"s": {"v1"}, "t": {"v3"}}, now.Add(time.Second))
+	h.Restore(map[string][]string{"s": {"v1"}, "t": {"v3"}}, nil, now.Add(time.Second))
 	names, complete = h.Recent("s", now.Add(2*time.Second))
 	require.Equal(t, []string{"v1", "v2"}, names)
 	require.True(t, complete)
-	require.Equal(t, map[string][]string{"s": {"v1", "v2"}, "t": {"v3"}}, h.Snapshot(now.Add(2*time.Second)))
+	recent, _ := h.Snapshot(now.Add(2 * time.Second))
+	require.Equal(t, map[string][]string{"s": {"v1", "v2"}, "t": {"v3"}}, recent)
+}
+
+// Guards against streams that begin at a version which other boxes don't know, and would take for the only one that they do.
+func TestNewVersionsAreUnsettled(t *testing.T) {
+	now := time.Now()
+	var h versionhistory.History
+	h.Restore(nil, nil, now)
+	h.Add("s", "v1", now)
+	require.Equal(t, []string{"v1"}, h.Unsettled("s", now), "there may be others")
+	h.Confirm(now, false)
+	require.Empty(t, h.Unsettled("s", now), "there is no other for which boxes could take it")
+
+	now = now.Add(time.Second)
+	h.Confirm(now, false)
+	h.Add("s", "v2", now)
+	require.Equal(t, []string{"v1", "v2"}, h.Unsettled("s", now))
+	now = now.Add(versionhistory.MaxAge - time.Millisecond)
+	h.Confirm(now, false)
+	require.Equal(t, []string{"v2"}, h.Unsettled("s", now))
+	require.Equal(t, []string{"v1"}, h.Settled("s", now))
+	require.Equal(t, []string{"v2"}, h.Unsettled("s", now.Add(time.Hour)), "nobody has confirmed that it is still there")
+	now = now.Add(time.Millisecond)
+	h.Confirm(now, false)
+	require.Empty(t, h.Unsettled("s", now))
+
+	// A version that leaves for a while is remembered by all boxes, and forgotten later.
+	h.Remove("s", "v2", now)
+	now = now.Add(versionhistory.Window - time.Millisecond)
+	h.Add("s", "v2", now)
+	require.Empty(t, h.Unsettled("s", now))
+	h.Remove("s", "v2", now)
+	now = now.Add(versionhistory.Window)
+	h.Add("s", "v2", now)
+	require.Equal(t, []string{"v2"}, h.Unsettled("s", now))
+
+	// One that left before it was settled is new again.
+	h.Remove("s", "v2", now)
+	now = now.Add(time.Second)
+	h.Confirm(now, false)
+	h.Add("s", "v2", now)
+	h.Confirm(now.Add(versionhistory.MaxAge-time.Millisecond), false)
+	require.Equal(t, []string{"v2"}, h.Unsettled("s", now))
+}
+
+// What another box knows to be settled is settled, if this box knows the version.
+func TestSettledVersionsOfOtherBoxes(t *testing.T) {
+	now := time.Now()
+	var h versionhistory.History
+	settled := map[string][]string{"s": {"v1", "v3"}}
+	h.Restore(map[string][]string{"s": {"v1", "v2"}}, settled, now)
+	for _, v := range []string{"v1", "v2", "v3"} {
+		h.Add("s", v, now)
+	}
+	require.Equal(t, []string{"v2", "v3"}, h.Unsettled("s", now))
+	h.Settle(map[string][]string{"s": {"v3", "v4"}, "t": {"v1"}}, now)
+	require.Equal(t, []string{"v2"}, h.Unsettled("s", now))
+	recent, settled := h.Snapshot(now)
+	require.Equal(t, map[string][]string{"s": {"v1", "v2", "v3"}}, recent)
+	require.Equal(t, map[string][]string{"s": {"v1", "v3"}}, settled)
+}
+
+// A process that is among the first need not wait for the only version, and doesn't know what others before it may have seen.
+func TestFirstProcess(t *testing.T) {
+	now := time.Now()
+	var h versionhistory.History
+	h.RestoreNone()
+	h.Add("s", "v1", now)
+	h.Confirm(now, false)
+	require.Empty(t, h.Unsettled("s", now))
+	_, complete := h.All("s", now)
+	require.False(t, complete)
+	h.Note("s", "v2", now)
+	require.Equal(t, []string{"v1"}, h.Unsettled("s", now))
+}
+
+// A process that was paused or cut off for longer than a version takes to settle knows as little as one that starts.
+func TestGapsEndCompleteness(t *testing.T) {
+	now := time.Now()
+	var h versionhistory.History
+	h.Restore(nil, nil, now)
+	h.Add("s", "v1", now)
+	confirm := func(after time.Duration, isUnbroken bool) bool {
+		now = now.Add(after)
+		h.Confirm(now, isUnbroken)
+		_, complete := h.All("s", now)
+		return complete
+	}
+	require.True(t, confirm(0, false))
+	require.True(t, confirm(versionhistory.MaxAge, false))
+	require.True(t, confirm(time.Hour, true))
+	_, complete := h.All("s", now.Add(versionhistory.MaxAge+1))
+	require.False(t, complete)
+	require.False(t, confirm(versionhistory.MaxAge+1, false))
+	for range versionhistory.Window/versionhistory.MaxAge - 1 {
+		require.False(t, confirm(versionhistory.MaxAge, false))
+	}
+	require.True(t, confirm(versionhistory.MaxAge, false))
+	age, unbroken := h.Age(now.Add(time.Second))
+	require.Equal(t, []time.Duration{time.Second, versionhistory.Window}, []time.Duration{age, unbroken})
+	h.Confirm(now.Add(-time.Hour), false)
+	_, complete = h.All("s", now)
+	require.True(t, complete, "a confirmation of long ago")
 }
