Count the versions that are not settled, and wait for them in the test of two versions

The gauge versions.unsettled tells operators why streams of a service are refused just after a release. newVersionsTest starts six boxes for the first time beside two versions, at which no stream begins for two seconds now, and began streams at once: it waits for the gauge first. What it requires of streams that begin, are taken up and break off is unchanged; without the wait its lines failed on with 503 for the first streams.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -256,6 +256,15 @@
 	return p.state.Roster.Versions.Unsettled(service, boottime.Now())
 }
 
+// countUnsettled returns the number of versions of all services at which no streams may begin yet.
+func (p *platformComponents) countUnsettled() int64 {
+	n := 0
+	for _, s := range p.state.Roster.Services() {
+		n += len(p.unsettled(s))
+	}
+	return int64(n)
+}
+
 // newOrigins returns the service that knows at which software versions streams began.
 func (p *platformComponents) newOrigins(m metrics.Registry, log zerolog.Logger) *origins.Directory {
 	d := origins.New(m, log)
@@ -297,6 +306,7 @@
 	s.RegisterGauge("endpoints.resting", func() int64 { return int64(p.balancer.Availability.CountBackingOff(boottime.Now())) })
 	s.RegisterGauge("endpoints.links_lost", func() int64 { return int64(p.links.Links.CountLost()) })
 	s.RegisterGauge("origins.known", func() int64 { return int64(p.streams.Len()) })
+	s.RegisterGauge("versions.unsettled", p.countUnsettled)
 	s.RegisterGauge("tunnels.open", p.tunnels.CountOpen)
 	s.RegisterGauge("endpoints.limited", func() int64 { return int64(p.balancer.Availability.Rates.Len()) })
 	s.RegisterGauge("endpoints.faster", func() int64 { n, _ := p.countBySpeed(); return n })
--- a/daemon/versions_test.go
+++ b/daemon/versions_test.go
@@ -38,6 +38,9 @@
 		v.startServer()
 	}
 	v.start()
+	for _, b := range v.boxes {
+		require.Eventually(t, func() bool { return b.hasMetric(t, "versions.unsettled", 0) }, 20*time.Second, 5*time.Millisecond)
+	}
 	return v
 }
 
