Test that boxes cut off while a version appears don't mix versions

Six boxes behind proxies know one version of a service. While endpoints of a second one appear, the boxes get nothing from each other, and every second one nothing from the store, for 1.3 s or for 4 s. Callers leave after one event and take the stream up at the next box at once.

--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -37,6 +37,7 @@
 	storeAddress string
 
 	version    string // of the servers that start from now on
+	peers      string // address on which the next box listens for others; empty for a free one
 	breakAfter int    // events after which their streams break off; zero for never
 
 	// The slots of the servers, zero for 64, the number of events of their streams, zero for three, and the time before each
@@ -229,7 +230,7 @@
 slack = 100
 [log]
 level = %s
-%s`, name, dc, b.callersAddress, b.readyAddress, freePeerAddress(p.t), b.metricsAddress, p.storeAddress, level, strings.Join(more, "\n")))
+%s`, name, dc, b.callersAddress, b.readyAddress, cmp.Or(p.peers, freePeerAddress(p.t)), b.metricsAddress, p.storeAddress, level, strings.Join(more, "\n")))
 	require.NoError(p.t, err)
 	b.PlatformDaemon, err = daemon.NewPlatformDaemon(s, log, options...)
 	require.NoError(p.t, err)
