Test that answers of the store which wait to be read count as old

A box that is paused while a renewal of its lease or a ping is under way reads the answer afterwards, and takes the store to have answered just now.

--- a/storesession/session_test.go
+++ b/storesession/session_test.go
@@ -161,3 +161,49 @@
 		require.NoError(t, s.Stop(context.Background()))
 	})
 }
+
+// lateStore holds back the answers of renewals that the store has made. Each is passed on when the test receives from held.
+type lateStore struct {
+	*memstore.Store
+	late atomic.Bool
+	held chan struct{}
+}
+
+func (l *lateStore) Renew(c context.Context, x store.Lease) error {
+	err := l.Store.Renew(c, x)
+	if l.late.Load() {
+		l.held <- struct{}{}
+	}
+	return err
+}
+
+// Guards against an answer of the store that counts as recent although it waited, while the box was paused, to be read: nothing
+// shows that the store has answered since it was asked.
+func TestAnswerReadAfterPauseIsOld(t *testing.T) {
+	const pause = 10 * time.Second
+	for name, ask := range map[string]func(t *testing.T, s *storesession.Session){
+		"renewal": func(t *testing.T, _ *storesession.Session) { wait.For(t.Context(), storesession.RenewInterval) },
+		"ping":    func(t *testing.T, s *storesession.Session) { go s.PingStore(t.Context()) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := &lateStore{Store: &memstore.Store{}, held: make(chan struct{})}
+				s := storesession.New(m, zerolog.Nop())
+				require.NoError(t, s.Start(t.Context(), nil))
+				defer func() { require.NoError(t, s.Stop(context.Background())) }()
+				wait.For(t.Context(), time.Millisecond)
+				m.late.Store(true)
+				ask(t, s)
+				synctest.Wait()
+				boottime.SimulateSuspension(pause)
+				m.late.Store(false)
+				<-m.held
+				synctest.Wait()
+				require.GreaterOrEqual(t, s.StoreUnresponsiveFor(), pause)
+				require.Zero(t, s.StoreResponsiveFor())
+				wait.For(t.Context(), 2*storesession.RenewInterval)
+				require.LessOrEqual(t, s.StoreUnresponsiveFor(), storesession.RenewInterval)
+			})
+		})
+	}
+}
