Take an answer of the store to be as old as its question

Renewals and pings counted as answered when the answer was read. A box that was paused meanwhile took the store to have answered just now, however long the answer had waited. The time at which the store became reachable again stays that of reading it, which is the later one and so the safer.

--- a/storesession/session.go
+++ b/storesession/session.go
@@ -48,7 +48,7 @@
 
 	mu            sync.Mutex
 	lease         store.Lease
-	renewedAt     time.Time
+	renewedAt     time.Time // when the last call began that the store answered
 	reportedAt    time.Time // when the store last answered a box that reports to this one
 	reachable     bool
 	everAnswered  bool
@@ -113,8 +113,8 @@
 	s.reportedAt = later(s.reportedAt, boottime.Now().Add(-silent))
 }
 
-// StoreUnresponsiveFor returns the time since the store last answered a renewal or the box that
-// reports to this one.
+// StoreUnresponsiveFor returns the time since the store was last asked for a renewal that it answered, or last answered the
+// box that reports to this one.
 func (s *Session) StoreUnresponsiveFor() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -165,11 +165,12 @@
 	if !reached || l == 0 {
 		return reached
 	}
+	asked := boottime.Now()
 	err := s.Store.Renew(c, l)
 	if errors.Is(err, store.ErrNoLease) {
 		err = nil // the store answers; the next renewal takes a new lease
 	}
-	s.recordResult(err)
+	s.recordResult(asked, err)
 	return err == nil
 }
 
@@ -195,11 +196,12 @@
 
 func (s *Session) run(c context.Context) {
 	for c.Err() == nil {
+		asked := boottime.Now()
 		err := s.renewOrGrant(c)
 		if c.Err() != nil {
 			return
 		}
-		s.recordResult(err)
+		s.recordResult(asked, err)
 		if err != nil {
 			wait.For(c, RetryDelay)
 			continue
@@ -258,21 +260,23 @@
 	s.lease = l
 }
 
-// recordResult records whether the store answered, and logs and reports a change.
-func (s *Session) recordResult(err error) {
+// recordResult records whether the store answered a call that began at a time, and logs and reports a change. The answer may
+// have waited to be read while the process was stopped, so it shows that the store answered after asked, and no more.
+func (s *Session) recordResult(asked time.Time, err error) {
 	s.mu.Lock()
 	was := s.reachable
 	s.reachable = err == nil
 	if err == nil {
-		s.renewedAt = boottime.Now()
+		s.renewedAt = later(s.renewedAt, asked)
 	}
 	var callbacks []func()
 	if err == nil && !was {
-		s.answersSince = s.renewedAt
+		now := boottime.Now()
+		s.answersSince = now
 		callbacks = s.onReconnect
 		// The first answer of all ends no outage: no key is known to have lapsed.
 		if s.everAnswered {
-			s.reconnectedAt = s.renewedAt
+			s.reconnectedAt = now
 		}
 		s.everAnswered = true
 	}
