Test that a version is not complete while a box is not heard

A box that is paused or cut off is left out of the sums of evidence after 2 s. Its requests at the other versions then no longer count as under way, so that the version is complete, and the others stop, while they run. In the model of the fleet the last report of a box may now count for a while, which only this test asks for, and a box that is cut off reports nothing new.

--- a/rollout/fleet_test.go
+++ b/rollout/fleet_test.go
@@ -52,6 +52,7 @@
 	dead         bool
 	partitioned  bool // unreachable from all other boxes
 	lastRound    time.Time
+	lastHeard    time.Time                   // when it last reported its evidence
 	lastEvidence map[string]rollout.Evidence // as last reported
 }
 
@@ -72,6 +73,10 @@
 	pending      answerHeap
 	timers       []timer
 
+	// unreachableAfter is the time for which the last report of a box counts after it was heard; zero if only those of boxes that
+	// are connected do.
+	unreachableAfter time.Duration
+
 	sent, sentToNew, sentAfterRevert, interrupted int
 	states                                        map[uint64][]string // successive states in the operator's status, by order
 	revertedAt                                    time.Time           // when the status became "reverted"
@@ -152,11 +157,16 @@
 	return a == b || x.isUp() && y.isUp() && !x.partitioned && !y.partitioned
 }
 
-// remoteEvidence returns the last reported evidence of the other boxes that box i reaches.
+// hears reports whether box i has the report of another box.
+func (f *fleet) hears(i, j int) bool {
+	return f.connected(i, j) || time.Since(f.nodes[j].lastHeard) < f.unreachableAfter
+}
+
+// remoteEvidence returns the last reported evidence of the other boxes that box i hears.
 func (f *fleet) remoteEvidence(i int) map[string]rollout.Evidence {
 	var sum map[string]rollout.Evidence
 	for j, n := range f.nodes {
-		if j != i && f.connected(i, j) {
+		if j != i && f.hears(i, j) {
 			sum = rollout.AddEvidence(sum, n.lastEvidence)
 		}
 	}
@@ -212,7 +222,10 @@
 // progress.
 func (f *fleet) exchangeReports(i int, now time.Time) {
 	n := f.nodes[i]
-	n.lastRound, n.lastEvidence = now, n.LocalEvidence()
+	n.lastRound = now
+	if !n.partitioned {
+		n.lastHeard, n.lastEvidence = now, n.LocalEvidence()
+	}
 	if f.holder < 0 || !f.connected(f.holder, i) || f.rng.IntN(20) == 0 {
 		return
 	}
