Complete a version before the final phase only if all boxes are heard

That no request is under way at the other versions was concluded from the sum of the reports, which leaves out boxes that were not heard for 2 s, and which is as old as the last round of a holder that was itself paused. A box that is not heard may have requests in flight, so completion now waits for it, or for the final phase, as it does for requests that are known.

--- a/daemon/gossip.go
+++ b/daemon/gossip.go
@@ -84,6 +84,7 @@
 	}
 	p.mu.Lock()
 	p.remoteDemand, p.remoteEvidence = others.Demand, others.Evidence
+	p.evidenceBoxes, p.evidenceAt = others.Boxes, now
 	p.mu.Unlock()
 	p.balancer.SetRemoteLoad(others.Load, others.Boxes, reported)
 	p.balancer.SetRemoteFailures(others.Failing, now)
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -141,8 +141,11 @@
 	nearbyPeers  []netip.AddrPort                   // receive hints of all long prompts
 	distantPeers []netip.AddrPort                   // receive hints of very long prompts only
 	remoteDemand map[string]map[string]demand.Stats // of the other boxes, by service and data centre
-	// remoteEvidence is the other boxes' evidence on versions in rollout, by service.
+	// remoteEvidence is the other boxes' evidence on versions in rollout, by service, evidenceBoxes the number of these boxes, and
+	// evidenceAt when it was summed up.
 	remoteEvidence map[string]rollout.Evidence
+	evidenceBoxes  int
+	evidenceAt     time.Time
 
 	// incarnation distinguishes this process from earlier ones on the same box.
 	incarnation string
@@ -342,7 +345,7 @@
 func (p *platformComponents) newRolloutController(e *election.Election, log zerolog.Logger) *rollout.Controller {
 	p.rollouts = &rollout.Controller{
 		Gate: p.gossip.Rollouts, Store: p.store, Key: rolloutKey, Status: platform.EncodeStatus, Fence: e.UseFence, Broadcast: p.gossip.BroadcastProgress,
-		RemoteEvidence: p.loadRemoteEvidence, Now: p.clock.Now, MaxShare: p.settings.RolloutShare, Log: log,
+		RemoteEvidence: p.loadRemoteEvidence, AllHeard: p.hasAllEvidence, Now: p.clock.Now, MaxShare: p.settings.RolloutShare, Log: log,
 	}
 	return p.rollouts
 }
@@ -354,6 +357,17 @@
 	return p.remoteEvidence
 }
 
+// maxEvidenceAge is the age at which remoteEvidence is no longer recent, after two rounds of reports.
+const maxEvidenceAge = 1200 * time.Millisecond
+
+// hasAllEvidence reports whether remoteEvidence is recent and covers all other boxes, as far as their number is known.
+func (p *platformComponents) hasAllEvidence() bool {
+	n := p.quota.MaxBoxes()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return n > 0 && p.evidenceBoxes+1 >= n && boottime.Since(p.evidenceAt) < maxEvidenceAge
+}
+
 // logLifecycle logs the start and the stop of the box.
 func logLifecycle(l fx.Lifecycle, s settings.PlatformSettings, log zerolog.Logger) {
 	l.Append(fx.Hook{
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -43,6 +43,10 @@
 	// RemoteEvidence returns the evidence of the other boxes, by service.
 	RemoteEvidence func() map[string]Evidence
 
+	// AllHeard reports whether RemoteEvidence is recent and covers all other boxes. A box that is not heard may have requests in
+	// flight at the other versions, so the final phase comes before the order is complete.
+	AllHeard func() bool
+
 	// Broadcast sends reports of a new stage to the other boxes immediately.
 	Broadcast func(map[string]Progress)
 
@@ -184,6 +188,9 @@
 	if e.Revision != o.Revision {
 		e = Evidence{}
 	}
+	if !c.AllHeard() {
+		e.Busy++
+	}
 	next := p.Next(o, s.Stage, now.Sub(s.Since), now.Sub(s.Began), e)
 	if next == s.Stage {
 		return s, false
--- a/rollout/fleet_test.go
+++ b/rollout/fleet_test.go
@@ -136,6 +136,14 @@
 		Gate: n.Gate, Store: f.store, Key: "rollouts", MaxShare: 0.1, Now: time.Now, Log: zerolog.Nop(),
 		Status: f.status, Fence: func() (uint64, bool) { return f.fence, f.holder == i && n.isUp() },
 		RemoteEvidence: func() map[string]rollout.Evidence { return f.remoteEvidence(i) },
+		AllHeard: func() bool {
+			for j := range f.nodes {
+				if !f.hears(i, j) {
+					return false
+				}
+			}
+			return true
+		},
 		Broadcast: func(reports map[string]rollout.Progress) {
 			for j := range f.nodes {
 				if f.connected(i, j) && f.rng.IntN(10) > 0 {
