Test that a response which was read late removes no limit of an endpoint

A response without the limit removes it if none has carried it for 2 s, and all boxes are told. The time is that of reading the response. A box that was suspended reads a response that is older than what others were told of the limit meanwhile, and removes it everywhere. It fails on this code.

--- a/forward/endpoint_test.go
+++ b/forward/endpoint_test.go
@@ -134,6 +134,9 @@
 	switch kind {
 	case "ok":
 		whole(id)
+	case "suspend_ok": // suspends the box for some seconds while the response waits to be read
+		boottime.SimulateSuspension(time.Duration(n) * time.Second)
+		whole(id)
 	case "limit": // reports a rate limit
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nLimit: %s\r\nContent-Length: %d\r\n\r\n%s", id, arg, len(body), body)
 	case "brittle": // reports the rate of refusals at which it fails
