Count a response without a limit from when its request was sent

A response may have waited to be read while the box was paused. Read as new, one that is older than a limit removed it at all boxes, since its absence counted as newer than what they were told. A limit that a response does state counts from when it is read, as before.

--- a/endpointlimit/rates.go
+++ b/endpointlimit/rates.go
@@ -64,20 +64,20 @@
 	at time.Time
 }
 
-// Observe records the limit that an answer of an endpoint carries. It returns the statement, and
+// Observe records the limit that an answer of an endpoint states at a time. It returns the statement, whose Age is zero, and
 // whether other boxes must be notified at once: of a new limit, of its removal, and of one that has
 // dropped by more than a tenth.
-func (r *Rates) Observe(incarnation string, l endpoint.Limit, now time.Time) (s Statement, urgent bool) {
+func (r *Rates) Observe(incarnation string, l endpoint.Limit, at time.Time) (s Statement, urgent bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.records[incarnation]
-	if !l.Limited && (!old.Limited || now.Sub(old.at) < limitTTL) {
+	if !l.Limited && (!old.Limited || at.Sub(old.at) < limitTTL) {
 		return Statement{}, false
 	}
 	if r.records == nil {
 		r.records = map[string]record{}
 	}
-	r.records[incarnation] = record{l, now}
+	r.records[incarnation] = record{l, at}
 	urgent = old.Limited != l.Limited || l.PerSecond < (1-urgentDrop)*old.PerSecond
 	return Statement{Incarnation: incarnation, Limited: l.Limited, PerSecond: l.PerSecond}, urgent
 }
--- a/forward/response.go
+++ b/forward/response.go
@@ -116,18 +116,29 @@
 	if s.Limit.Limited {
 		metrics.GetOrRegisterCounter("answers.says_limit", r.f.Metrics).Inc(1)
 	}
-	report, changed := r.f.Balancer.Availability.Rates.Observe(e.Incarnation(), s.Limit, boottime.Now())
+	at := r.statedAt(s.Limit)
+	report, changed := r.f.Balancer.Availability.Rates.Observe(e.Incarnation(), s.Limit, at)
 	if !changed {
 		return
 	}
+	report.Age = boottime.Since(at)
 	r.f.Log.Info().Str("event", "endpoint").Str("endpoint", e.ID).Int64("born", e.StartMillis).Str("request", r.q.Call.ID).Bool("limited", report.Limited).
 		Float64("per_second", report.PerSecond).Str("seen", "it said so in an answer").Msg("takes a rate")
 	r.f.OnLimitChange(report)
 }
 
+// statedAt returns the time from which a response of the current attempt counts as a statement of a limit. The response may have
+// waited to be read while the process was stopped. One without a limit removes limits, so it counts from when its request was sent.
+func (r *run) statedAt(l endpoint.Limit) time.Time {
+	if l.Limited {
+		return boottime.Now()
+	}
+	return r.attemptSent
+}
+
 // handleRefusalLimit processes the rate of refusals at which a response states that its endpoint fails.
 func (r *run) handleRefusalLimit(l endpoint.Limit, e endpoint.Endpoint) {
-	if _, changed := r.f.Balancer.Availability.Refusals.Observe(e.Service, l, boottime.Now()); changed {
+	if _, changed := r.f.Balancer.Availability.Refusals.Observe(e.Service, l, r.statedAt(l)); changed {
 		r.f.Log.Info().Str("event", "endpoint").Str("endpoint", e.ID).Int64("born", e.StartMillis).Str("request", r.q.Call.ID).Str("service", e.Service).
 			Bool("limited", l.Limited).Float64("refusals_per_second", l.PerSecond).Msg("fails if it refuses more")
 	}
