Test that a pause of the box is no time for which fewer endpoints were wanted

A holder of the duty that is paused for less than its lease gives up endpoints on demand after two looks at the demand, one before and one after the pause, in place of 1.5 s of them. It fails on this code.

--- a/autoscaler/autoscaler_test.go
+++ b/autoscaler/autoscaler_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"birchlink.dev/birchlink/autoscaler"
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/catalog"
 	"birchlink.dev/birchlink/cloudapi"
 	"birchlink.dev/birchlink/demand"
@@ -423,3 +424,31 @@
 		require.Equal(t, before, f.count(false), "lost endpoints are ordered again")
 	})
 }
+
+// Guards against endpoints that are given up after a pause of the box: that fewer were wanted for the scale-down delay of 1.5 s
+// must have been seen, and not only before and after the pause.
+func TestPauseIsNoScaleDownDelay(t *testing.T) {
+	const poll = 410 * time.Millisecond // a little more than between two computations of the counts
+	for offset := time.Duration(0); offset < time.Second; offset += 100 * time.Millisecond {
+		for _, pause := range []time.Duration{0, 900 * time.Millisecond, 1600 * time.Millisecond} {
+			t.Run(pause.String()+" "+offset.String(), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := start(t, 3, 3)
+					f.setDemand(60_000)
+					f.advance(40 * time.Second)
+					f.reclaim("a")
+					f.advance(3*time.Second + offset)
+					n := f.count(false)
+					require.Equal(t, 6, n)
+					f.setDemand(5_000)
+					f.advance(poll)
+					boottime.SimulateSuspension(pause)
+					f.advance(2 * poll)
+					require.Equal(t, n, f.count(false))
+					f.advance(10 * time.Second)
+					require.Less(t, f.count(false), n)
+				})
+			})
+		}
+	}
+}
