Restart the scale-down delay after the process was stopped

Fewer endpoints must have been wanted for 1.5 s or 12 s. A pause counted towards that although nothing was seen meanwhile. A poll that ends as late as another one would now starts the delay again.

--- a/autoscaler/autoscaler.go
+++ b/autoscaler/autoscaler.go
@@ -32,6 +32,9 @@
 	// pollInterval is the time between two computations of the counts.
 	pollInterval = 400 * time.Millisecond
 
+	// maxPollInterval is the time after which the process is taken to have been stopped. What was wanted meanwhile is not known.
+	maxPollInterval = 2 * pollInterval
+
 	// supplyRetryDelay is the time before a retry of an order that was refused for lack of
 	// supply.
 	supplyRetryDelay = 2 * time.Second
@@ -181,7 +184,11 @@
 
 func (a *Autoscaler) run(c context.Context) {
 	for c.Err() == nil {
+		began := boottime.Now()
 		wait.For(c, pollInterval)
+		if boottime.Since(began) >= maxPollInterval {
+			a.scaleDowns = map[pool]scaleDown{}
+		}
 		t := a.state.Table()
 		fence, ok := a.Election.UseFence()
 		if !ok || t == nil || !a.state.Ready() {
