Test that a suspended holder of a duty gives no orders that need a valid lease

The lease is on the steady clock, which stands still while the box is suspended, and its caller passes times of that clock. With times of boottime a lease that was just renewed is refused; it fails on this code.

--- a/duty/lease_test.go
+++ b/duty/lease_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/duty"
 	"birchlink.dev/birchlink/kv"
 )
@@ -150,3 +151,24 @@
 		require.EqualValues(t, 5, heldFence(b), "also of a box that took it before")
 	})
 }
+
+// Guards against a holder that resumes from a suspension and gives orders to endpoints that do not check the fence: the monotonic
+// clock stood still, while another box has seen no renewal for the term and is the holder.
+func TestSuspendedHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeStore{}
+		a, b := &duty.Lease{Holder: "a", Store: f}, &duty.Lease{Holder: "b", Store: f}
+		step(t, a)
+		step(t, b)
+		require.True(t, a.MayActUnfenced(boottime.Now(), 0))
+		boottime.SimulateSuspension(duty.Term)
+		require.False(t, a.MayActUnfenced(boottime.Now(), 0))
+		step(t, a)
+		require.True(t, a.MayActUnfenced(boottime.Now(), 0), "it has renewed the lease")
+		step(t, b)
+		boottime.SimulateSuspension(duty.Term)
+		step(t, b)
+		require.EqualValues(t, 2, heldFence(b))
+		require.False(t, b.MayActUnfenced(boottime.Now(), 0), "an order of a may still be running")
+	})
+}
