Count suspensions in the lease of a duty

A holder that woke from a suspension took its lease for valid and gave orders to endpoints that check no fence, while another box may hold the duty. The times that its tests pass are of boottime now, as those of its caller: beside a simulated suspension those of the other clock are in the past.

--- a/duty/lease.go
+++ b/duty/lease.go
@@ -12,6 +12,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/kv"
 )
 
@@ -59,7 +60,7 @@
 // Step renews the lease if this box holds it, or takes it over if its holder has not renewed it for a
 // term. It must be called every RenewInterval. Losing a race for the lease is not an error.
 func (l *Lease) Step(c context.Context) error {
-	began := time.Now()
+	began := boottime.Now()
 	e, err := l.Store.Get(c, l.Key)
 	if err != nil {
 		return fmt.Errorf("lease %s: %w", l.Key, err)
@@ -126,7 +127,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.held {
-		l.heldSince = time.Now()
+		l.heldSince = boottime.Now()
 	}
 	l.topFence = max(l.topFence, r.Fence)
 	l.held, l.rev, l.lastRecord, l.lastChange, l.lastRenewal = true, rev, r, began, began
@@ -149,7 +150,7 @@
 
 // MayActUnfenced reports whether this box may give orders to endpoints that do not check the fence. It
 // may if less than Term/safeTermDivisor has passed since it renewed the lease, and if all orders of the
-// previous holder, which take up to maxDuration each, have ended.
+// previous holder, which take up to maxDuration each, have ended. Now must come from boottime.Now.
 func (l *Lease) MayActUnfenced(now time.Time, maxDuration time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/duty/lease_test.go
+++ b/duty/lease_test.go
@@ -65,20 +65,20 @@
 		step(t, b)
 		require.EqualValues(t, 1, heldFence(a))
 		require.Zero(t, heldFence(b))
-		require.True(t, a.MayActUnfenced(time.Now(), time.Minute), "the first holder has no predecessor to wait for")
+		require.True(t, a.MayActUnfenced(boottime.Now(), time.Minute), "the first holder has no predecessor to wait for")
 		time.Sleep(duty.Term)
 		step(t, b)
 		require.EqualValues(t, 2, heldFence(b))
 		require.EqualValues(t, 1, heldFence(a), "it has not made a step yet")
-		require.False(t, a.MayActUnfenced(time.Now(), time.Minute))
-		require.False(t, b.MayActUnfenced(time.Now(), time.Minute), "an order of a may still be running")
+		require.False(t, a.MayActUnfenced(boottime.Now(), time.Minute))
+		require.False(t, b.MayActUnfenced(boottime.Now(), time.Minute), "an order of a may still be running")
 		step(t, a)
 		require.Zero(t, heldFence(a))
 		for range 25 {
 			time.Sleep(duty.RenewInterval)
 			step(t, b)
 		}
-		require.True(t, b.MayActUnfenced(time.Now(), time.Minute))
+		require.True(t, b.MayActUnfenced(boottime.Now(), time.Minute))
 	})
 }
 
@@ -97,7 +97,7 @@
 			step(t, b)
 		}
 		require.EqualValues(t, 1, heldFence(a))
-		require.False(t, a.MayActUnfenced(time.Now(), 0))
+		require.False(t, a.MayActUnfenced(boottime.Now(), 0))
 		require.Zero(t, heldFence(b))
 		f.unavailable = false
 		step(t, a)
@@ -141,7 +141,7 @@
 		f.entry = kv.Entry{}
 		step(t, a)
 		require.EqualValues(t, 3, heldFence(a))
-		require.False(t, a.MayActUnfenced(time.Now(), 0), "an order of b may still be running")
+		require.False(t, a.MayActUnfenced(boottime.Now(), 0), "an order of b may still be running")
 		step(t, b)
 		f.entry = kv.Entry{}
 		step(t, b)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"birchlink.dev/birchlink/admission"
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/cloud"
 	"birchlink.dev/birchlink/configsync"
 	"birchlink.dev/birchlink/decisions"
@@ -197,7 +198,7 @@
 		}
 		p.order(c, s.Endpoint, a, fence)
 	}
-	if !p.lease.MayActUnfenced(time.Now(), 0) {
+	if !p.lease.MayActUnfenced(boottime.Now(), 0) {
 		return
 	}
 	for _, s := range plan.Start {
@@ -213,7 +214,7 @@
 // fences refuses stale orders itself, so the last holder of the lease can continue while
 // the platform is unreachable.
 func (p *Placer) canOrder(s *view.EndpointState) bool {
-	return s.ChecksFence || p.lease.MayActUnfenced(time.Now(), orderTimeout)
+	return s.ChecksFence || p.lease.MayActUnfenced(boottime.Now(), orderTimeout)
 }
 
 // order sends an assignment to one engine in the background, unless an earlier order to
