--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -75,6 +75,7 @@
 	dataCentres int
 	accounts    []catalog.Account
 	delayed     map[int][]quota.Lease // messages that a frozen box has not read yet
+	reports     map[int][]int         // members whose reports a frozen relay has not read yet
 	lossRate    float64               // fraction of messages that are lost
 	stored      *quota.Before         // last snapshot written by a relay
 	storedAt    time.Time
@@ -98,7 +99,7 @@
 func newFleet(n, dataCentres int, seed uint64) *fleet {
 	f := &fleet{
 		now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(seed, 1)), dataCentres: dataCentres,
-		accounts: []catalog.Account{*account}, delayed: map[int][]quota.Lease{},
+		accounts: []catalog.Account{*account}, delayed: map[int][]quota.Lease{}, reports: map[int][]int{},
 		reserve: allSettingsOn, returnTimes: allSettingsOn,
 	}
 	for i := range n {
@@ -257,6 +258,9 @@
 		if len(rs) == 0 {
 			return
 		}
+		if n.relay >= 0 && f.nodes[n.relay].frozen && f.nodes[n.relay].partition == n.partition && !f.nodes[n.relay].dead {
+			f.reports[n.relay] = append(f.reports[n.relay], i)
+		}
 		if !slices.Contains(rs, n.relay) || !f.reaches(i, n.relay) {
 			n.relay = rs[f.rng.IntN(len(rs))] // represents the box from the next round on
 			return
@@ -303,6 +307,10 @@
 		n.AcceptLease(l, f.now)
 	}
 	delete(f.delayed, i)
+	for _, j := range f.reports[i] {
+		n.members[j] = f.now
+	}
+	delete(f.reports, i)
 }
 
 // kill ends the process of a box at once.
