--- a/election/election_test.go
+++ b/election/election_test.go
@@ -12,6 +12,7 @@
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/election"
 	"birchlink.dev/birchlink/stand/memstore"
+	"birchlink.dev/birchlink/store"
 	"birchlink.dev/birchlink/wait"
 )
 
@@ -123,3 +124,57 @@
 		require.NoError(t, a.Stop(context.Background()))
 	})
 }
+
+// lateStore passes on the answers of the next call of a kind after the test has received from held.
+type lateStore struct {
+	*memstore.Store
+	call string
+	held chan struct{}
+}
+
+func (l *lateStore) hold(call string) {
+	if l.call == call {
+		l.call = ""
+		l.held <- struct{}{}
+	}
+}
+
+func (l *lateStore) Renew(c context.Context, x store.Lease) error {
+	defer l.hold("renew")
+	return l.Store.Renew(c, x)
+}
+
+func (l *lateStore) Grant(c context.Context, ttl time.Duration) (store.Lease, time.Duration, error) {
+	defer l.hold("grant")
+	return l.Store.Grant(c, ttl)
+}
+
+func (l *lateStore) Commit(c context.Context, x store.Change) (uint64, error) {
+	defer l.hold("commit")
+	return l.Store.Commit(c, x)
+}
+
+// Guards against a box that acts on an answer of the store which waited to be read while the box was suspended: the lease has ended
+// meanwhile, and another box may be the holder.
+func TestAnswerReadAfterSuspensionMakesNoHolder(t *testing.T) {
+	for _, call := range []string{"renew", "grant", "commit"} {
+		t.Run(call, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := &lateStore{Store: &memstore.Store{}, held: make(chan struct{})}
+				e := &election.Election{Store: m, Key: "duty", Box: "a", Term: term, Log: zerolog.Nop()}
+				m.call = call
+				require.NoError(t, e.Start(t.Context(), nil))
+				defer func() { require.NoError(t, e.Stop(context.Background())) }()
+				wait.For(t.Context(), term)
+				boottime.SimulateSuspension(2 * term)
+				<-m.held
+				synctest.Wait()
+				n, _ := countHolders(e)
+				require.Zero(t, n)
+				wait.For(t.Context(), 2*term)
+				n, _ = countHolders(e)
+				require.Equal(t, 1, n, "it is the holder once the store has answered anew")
+			})
+		})
+	}
+}
