--- a/ratelimit/service_test.go
+++ b/ratelimit/service_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/catalog"
 	"birchlink.dev/birchlink/endpointlimit"
 	"birchlink.dev/birchlink/kernel"
@@ -42,7 +43,7 @@
 	q := &quota.Quota{
 		Tolerance:   quota.Tolerance{Window: 8 * time.Second},
 		Self:        quota.Arbiter{Box: name, DataCentre: "dc", Address: a},
-		Incarnation: name, Started: time.Now().Add(-time.Minute), Rand: rand.Float64,
+		Incarnation: name, Started: boottime.Now().Add(-time.Minute), Rand: rand.Float64,
 	}
 	b.Service = ratelimit.New(q, &endpointlimit.Rates{}, b.metrics, zerolog.Nop())
 	k := &kernel.Kernel{}
@@ -69,7 +70,7 @@
 func (b *box) setView(represented int, arbiters ...quota.Arbiter) {
 	boxes := map[string]int{"dc": 3}
 	v := quota.View{Arbiters: arbiters, Represented: represented, Boxes: boxes, Division: quota.Division{Version: 1, Boxes: boxes}}
-	b.Quota.Update(v, accounts, time.Now())
+	b.Quota.Update(v, accounts, boottime.Now())
 }
 
 func (b *box) unanswered() int64 {
