Skip no arbiter because of a pause of this box

The timeout of a call that ends a quarter of a second late or more, the least standstill that package standstill reports, says that this process did not run, and nothing of the box that was called.

--- a/ratelimit/service.go
+++ b/ratelimit/service.go
@@ -46,6 +46,9 @@
 	askAgainWithin = 35 * time.Millisecond
 
 	defaultCooldown = time.Second
+
+	// maxTimerDelay is how late the timeout of a call may end before the process is taken to have been stopped.
+	maxTimerDelay = 250 * time.Millisecond
 )
 
 // Service asks and answers for shared rates on behalf of one box.
@@ -152,16 +155,18 @@
 }
 
 // call calls another box. If the box does not answer in time, call marks it unresponsive and
-// reports false. A call cancelled by the caller says nothing about the box and is not counted.
+// reports false. A call cancelled by the caller, or during which this process was stopped, says nothing about the box and is not
+// counted.
 func (s *Service) call(c context.Context, a quota.Arbiter, method string, in, out any, timeout time.Duration) bool {
 	t, cancel := context.WithTimeout(c, timeout)
 	defer cancel()
+	began := boottime.Now()
 	err := s.node.Client.Call(t, a.Address, method, in, out)
 	if err == nil {
 		s.markResponsive(a.Box)
 		return true
 	}
-	if c.Err() != nil {
+	if c.Err() != nil || boottime.Since(began) >= timeout+maxTimerDelay {
 		return false
 	}
 	metrics.GetOrRegisterCounter("limit.unanswered", s.metrics).Inc(1)
