--- a/duty/lease_test.go
+++ b/duty/lease_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/duty"
 	"birchlink.dev/birchlink/kv"
 )
@@ -64,20 +65,20 @@
 		step(t, b)
 		require.EqualValues(t, 1, heldFence(a))
 		require.Zero(t, heldFence(b))
-		require.True(t, a.MayActUnfenced(time.Now(), time.Minute), "the first holder has no predecessor to wait for")
+		require.True(t, a.MayActUnfenced(boottime.Now(), time.Minute), "the first holder has no predecessor to wait for")
 		time.Sleep(duty.Term)
 		step(t, b)
 		require.EqualValues(t, 2, heldFence(b))
 		require.EqualValues(t, 1, heldFence(a), "it has not made a step yet")
-		require.False(t, a.MayActUnfenced(time.Now(), time.Minute))
-		require.False(t, b.MayActUnfenced(time.Now(), time.Minute), "an order of a may still be running")
+		require.False(t, a.MayActUnfenced(boottime.Now(), time.Minute))
+		require.False(t, b.MayActUnfenced(boottime.Now(), time.Minute), "an order of a may still be running")
 		step(t, a)
 		require.Zero(t, heldFence(a))
 		for range 25 {
 			time.Sleep(duty.RenewInterval)
 			step(t, b)
 		}
-		require.True(t, b.MayActUnfenced(time.Now(), time.Minute))
+		require.True(t, b.MayActUnfenced(boottime.Now(), time.Minute))
 	})
 }
 
@@ -96,7 +97,7 @@
 			step(t, b)
 		}
 		require.EqualValues(t, 1, heldFence(a))
-		require.False(t, a.MayActUnfenced(time.Now(), 0))
+		require.False(t, a.MayActUnfenced(boottime.Now(), 0))
 		require.Zero(t, heldFence(b))
 		f.unavailable = false
 		step(t, a)
@@ -140,7 +141,7 @@
 		f.entry = kv.Entry{}
 		step(t, a)
 		require.EqualValues(t, 3, heldFence(a))
-		require.False(t, a.MayActUnfenced(time.Now(), 0), "an order of b may still be running")
+		require.False(t, a.MayActUnfenced(boottime.Now(), 0), "an order of b may still be running")
 		step(t, b)
 		f.entry = kv.Entry{}
 		step(t, b)
@@ -150,3 +151,24 @@
 		require.EqualValues(t, 5, heldFence(b), "also of a box that took it before")
 	})
 }
+
+// Guards against a holder that resumes from a suspension and gives orders to endpoints that do not check the fence: the monotonic
+// clock stood still, while another box has seen no renewal for the term and is the holder.
+func TestSuspendedHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeStore{}
+		a, b := &duty.Lease{Holder: "a", Store: f}, &duty.Lease{Holder: "b", Store: f}
+		step(t, a)
+		step(t, b)
+		require.True(t, a.MayActUnfenced(boottime.Now(), 0))
+		boottime.SimulateSuspension(duty.Term)
+		require.False(t, a.MayActUnfenced(boottime.Now(), 0))
+		step(t, a)
+		require.True(t, a.MayActUnfenced(boottime.Now(), 0), "it has renewed the lease")
+		step(t, b)
+		boottime.SimulateSuspension(duty.Term)
+		step(t, b)
+		require.EqualValues(t, 2, heldFence(b))
+		require.False(t, b.MayActUnfenced(boottime.Now(), 0), "an order of a may still be running")
+	})
+}
