Don't take up a stream without a name on a route of several services

The box asked for the only version of one of the services, which it chose by the ID of the new request, although the stream may have begun at another one. Such requests get 503, version_unknown: it can't be known.

--- a/ingress/resume.go
+++ b/ingress/resume.go
@@ -23,6 +23,10 @@
 	if cl.LastEventID != "" && !q.Route.Repeatable() {
 		return i.denial(errkind.BadRequest, "a stream of the route %s may not be resumed, since another run would follow the events that the caller has", q.Route.Name)
 	}
+	if cl.Resumes == "" && len(q.Route.Shares) > 1 {
+		return errkind.New(errkind.VersionUnknown, "the request names the last event of a stream, and not the request that brought its first one; without that,"+
+			" it is not known at which service of the route %s the stream began", q.Route.Name).WithRetryAfter(originRetryAfter)
+	}
 	o := i.Origins.Find(c, cl.ID, cl.Resumes, q.Service.Name, q.AccountName())
 	switch {
 	case o.Foreign:
