Confirm nobody's view before one's own is known to be complete

A relay that had just started answered with a revision of zero and an age that counted from its start, and each member has that much: a member's view of long ago was young again, and complete. The age for other boxes now counts from what was confirmed, also if that was before the start, and is an hour before.

--- a/fleetstate/view.go
+++ b/fleetstate/view.go
@@ -57,6 +57,19 @@
 // ViewAge returns the time since the configuration and the records were last known to have all changes in the store.
 func (s *Service) ViewAge() time.Duration { return max(s.ConfigAge(), s.RecordsAge()) }
 
+// unknownAge is the age that others are told of a view that was never confirmed.
+const unknownAge = time.Hour
+
+// ReportedAge returns the age of the view for other boxes, which has no meaning before it was confirmed.
+func (s *Service) ReportedAge() time.Duration {
+	config, isConfirmed := s.configView.age.Confirmed()
+	records, areConfirmed := s.recordsView.age.Confirmed()
+	if !isConfirmed || !areConfirmed {
+		return unknownAge
+	}
+	return max(config, records)
+}
+
 // RecordsAge returns the time since the endpoint records were last known to have all changes in the store.
 func (s *Service) RecordsAge() time.Duration { return s.recordsView.age.Get() }
 
@@ -88,6 +101,6 @@
 	s.applyMu.Lock()
 	defer s.applyMu.Unlock()
 	if at := s.recordsView.confirmBy(confirmation{revision, at}, s.Revision()); !at.IsZero() {
-		s.confirmVersions(at)
+		s.Roster.Versions.Confirm(at)
 	}
 }
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -30,7 +30,7 @@
 	s.Words = rollout.MergeProgress(nil, self.Words, 0)
 	s.Leaving = g.isLeaving()
 	s.Resting = g.isResting()
-	s.Watching, s.ViewAge = g.state.IsWatching(), g.state.ViewAge() // before the revision, which may be newer
+	s.Watching, s.AnswersView, s.ViewAge = g.state.IsWatching(), true, g.state.ReportedAge() // before the revision, which may be newer
 	s.Revision, s.Silent = g.state.Revision(), g.session.StoreUnresponsiveFor()
 	s.Suspects = g.relaySuspects(boottime.Now()) // before the lock is taken, as the quarantine calls sendsTrials
 	g.mu.Lock()
@@ -104,7 +104,7 @@
 	}
 	w := MemberReply{
 		Relay: isRelay, Vacant: isRelay && g.countLocalRelays() < relaysPerDataCentre,
-		ViewAge: g.state.ViewAge(), ViewLag: g.ViewLag(), Revision: g.state.Revision(), Silent: g.session.StoreUnresponsiveFor(), Now: g.Clock.Now(),
+		ViewAge: g.state.ReportedAge(), ViewLag: g.ViewLag(), Revision: g.state.Revision(), Silent: g.session.StoreUnresponsiveFor(), Now: g.Clock.Now(),
 		Records: g.missingRecords(in.Revision),
 	}
 	if isRelay {
@@ -157,6 +157,9 @@
 	g.mergeMissing(in.Records)
 	in.Records = nil
 	g.state.Announce(in.Version, in.Revision)
+	if in.Watching && !in.AnswersView { // a box of earlier software, which can't be asked
+		g.state.ConfirmView(in.Version, in.Revision, in.ViewAge)
+	}
 	in.SpeedSamples = nil
 	in.Suspects = nil
 	g.mu.Lock()
--- a/gossip/status.go
+++ b/gossip/status.go
@@ -34,28 +34,30 @@
 	Silent     time.Duration // time since the store last answered a relay
 	ViewAge    time.Duration // of a relay's configuration and records, when it sent this
 	Watching   bool          // the relay watches the store
-	Resting    bool          // the relay leaves watching to others
-	Limits     quota.Lease   // what this relay leases to the receiver
-	Divided    uint64        // version of the division of limits that a member uses
-	Leaving    bool          // the box is stopping
-	ForItself  bool          // the relay doesn't represent this member yet
-	Knows      uint64        // checksum of the peers that a member knows
-	Now        time.Time     // the sender's time of day
-	Load       map[string]balance.Load
-	Works      EndpointSet                        // the endpoints for which a member needs load reports
-	Demand     map[string]map[string]demand.Stats // by service and data centre
-	Usage      []usage.Report
-	Speeds     map[string]estimate.Stats     // endpoint statistics by service; nil means unchanged
-	Members    []string                      // addresses of the boxes that a relay represents
-	Suspects   []quarantine.Suspect          // recent suspicions of contents that may crash endpoints
-	Judged     uint64                        // checksum of the verdicts on contents that a member knows
-	Failing    map[string]balance.CallCounts // calls to endpoints with failures, from boxes of this data centre
-	Leavers    endpoint.DrainingSet          // draining endpoints whose records don't say so yet
-	Rates      endpointlimit.Report          // request rates that endpoints accept from all boxes together
-	Numbering  numbering.Report              // how services number their events
-	Orders     rollout.Orders                // of rollouts; set by relays
-	Words      map[string]rollout.Progress   // progress of rollouts, by service
-	Evidence   map[string]rollout.Evidence
+	// AnswersView is set if the relay answers questions for its view.
+	AnswersView bool        `msgpack:",omitempty"`
+	Resting     bool        // the relay leaves watching to others
+	Limits      quota.Lease // what this relay leases to the receiver
+	Divided     uint64      // version of the division of limits that a member uses
+	Leaving     bool        // the box is stopping
+	ForItself   bool        // the relay doesn't represent this member yet
+	Knows       uint64      // checksum of the peers that a member knows
+	Now         time.Time   // the sender's time of day
+	Load        map[string]balance.Load
+	Works       EndpointSet                        // the endpoints for which a member needs load reports
+	Demand      map[string]map[string]demand.Stats // by service and data centre
+	Usage       []usage.Report
+	Speeds      map[string]estimate.Stats     // endpoint statistics by service; nil means unchanged
+	Members     []string                      // addresses of the boxes that a relay represents
+	Suspects    []quarantine.Suspect          // recent suspicions of contents that may crash endpoints
+	Judged      uint64                        // checksum of the verdicts on contents that a member knows
+	Failing     map[string]balance.CallCounts // calls to endpoints with failures, from boxes of this data centre
+	Leavers     endpoint.DrainingSet          // draining endpoints whose records don't say so yet
+	Rates       endpointlimit.Report          // request rates that endpoints accept from all boxes together
+	Numbering   numbering.Report              // how services number their events
+	Orders      rollout.Orders                // of rollouts; set by relays
+	Words       map[string]rollout.Progress   // progress of rollouts, by service
+	Evidence    map[string]rollout.Evidence
 
 	// Records are the changes that the relay which is answered lacks, if they are few.
 	Records *fleetstate.Records `msgpack:",omitempty"`
--- a/gossip/view.go
+++ b/gossip/view.go
@@ -18,7 +18,7 @@
 
 // view returns the state of this relay's view.
 func (g *Gossip) view() viewReport {
-	v := viewReport{Watching: g.state.IsWatching(), Age: g.state.ViewAge()} // before the revision, which may be newer
+	v := viewReport{Watching: g.state.IsWatching(), Age: g.state.ReportedAge()} // before the revision, which may be newer
 	v.Revision = g.state.Revision()
 	v.Version, _ = g.state.RawConfig()
 	return v
--- a/viewage/age.go
+++ b/viewage/age.go
@@ -14,6 +14,7 @@
 type Age struct {
 	mu          sync.Mutex
 	at          time.Time
+	confirmed   time.Time // the last time that was confirmed, which may be before at
 	isConfirmed bool
 }
 
@@ -24,7 +25,9 @@
 func (a *Age) Confirm(at time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.isConfirmed = true
+	if a.isConfirmed = true; at.After(a.confirmed) {
+		a.confirmed = at
+	}
 	if at.After(a.at) {
 		a.at = at
 	}
@@ -37,6 +40,14 @@
 	return a.isConfirmed
 }
 
+// Confirmed returns the time since the last time that was confirmed, and false if none was. It is the age for those who don't know
+// when this copy began.
+func (a *Age) Confirmed() (time.Duration, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return boottime.Since(a.confirmed), a.isConfirmed
+}
+
 // Get returns the age.
 func (a *Age) Get() time.Duration {
 	a.mu.Lock()
--- a/viewage/age_test.go
+++ b/viewage/age_test.go
@@ -32,3 +32,16 @@
 		require.Equal(t, time.Second, a.Get())
 	})
 }
+
+// A copy is as old as what was confirmed, also if it began later.
+func TestConfirmedAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := viewage.New()
+		_, isConfirmed := a.Confirmed()
+		require.False(t, isConfirmed)
+		a.Confirm(boottime.Now().Add(-time.Hour))
+		age, isConfirmed := a.Confirmed()
+		require.True(t, isConfirmed)
+		require.Equal(t, time.Hour, age)
+	})
+}
