Measure gaps in a view by what was read, not by when it was confirmed

- A version that returned after 2 to 4 min was settled at boxes that remembered it for longer than others.
It is for 116 s after its last confirmed endpoint, and for 10 s after a start.
- Versions that come and go, or whose removal is delayed, settled.

--- a/fleetstate/records.go
+++ b/fleetstate/records.go
@@ -5,16 +5,20 @@
 	"slices"
 	"sync"
 
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/store"
 )
 
 // Records is a change of the endpoint records between the store revisions From and
 // To. If Whole is set, Items holds all records as of To and From has no meaning. If Events is
-// set, Items holds every change in between, and not only the last one of each record.
+// set, Items holds every change in between, and not only the last one of each record. Otherwise Known
+// has the software versions by service that had endpoints within versionhistory.Window, those that came
+// and went included; it is nil if the sender may lack some.
 type Records struct {
 	Items  []store.Item
 	Whole  bool
 	Events bool
+	Known  map[string][]string `msgpack:",omitempty"`
 	From   uint64
 	To     uint64
 }
@@ -151,7 +155,15 @@
 
 // ChangesSince returns the changes after a revision for a box that missed them. It returns all
 // records if revision is zero or too old.
-func (s *Service) ChangesSince(revision uint64) Records { return s.records.changesSince(revision) }
+func (s *Service) ChangesSince(revision uint64) Records {
+	s.applyMu.Lock()
+	defer s.applyMu.Unlock()
+	r := s.records.changesSince(revision)
+	if s.Roster.Versions.IsUnbroken() {
+		r.Known, _ = s.Roster.Versions.Snapshot(boottime.Now())
+	}
+	return r
+}
 
 // Merge applies records that another box has read from the store. It returns false
 // if this box lacks the changes before r.From; the caller must fetch them first.
--- a/fleetstate/service.go
+++ b/fleetstate/service.go
@@ -93,7 +93,6 @@
 
 	applyMu         sync.Mutex // held while records are applied to the roster, and confirmed
 	records         recordSet
-	isLossy         bool // records were applied without those that came and went since the last confirmation
 	recordCallbacks []func(Records)
 }
 
@@ -263,7 +262,14 @@
 	s.applyMu.Lock()
 	defer s.applyMu.Unlock()
 	t := s.records.apply(c)
-	s.isLossy = s.isLossy || t.advanced && !c.Events
+	if t.advanced && !c.Events {
+		s.Roster.Versions.Skip(c.Known != nil, boottime.Now())
+	}
+	for service, names := range c.Known {
+		for _, n := range names {
+			s.Roster.Versions.Note(service, n, boottime.Now())
+		}
+	}
 	bulk := len(t.items) > maxLoggedRecords
 	for _, i := range t.items {
 		d := es[recordID{i.Key, i.Revision}]
@@ -286,13 +292,7 @@
 	s.applyMu.Lock()
 	defer s.applyMu.Unlock()
 	s.recordsView.confirm(at)
-	s.confirmVersions(at)
-}
-
-// confirmVersions records that the roster has all versions that had endpoints at a time. The caller holds s.applyMu.
-func (s *Service) confirmVersions(at time.Time) {
-	s.Roster.Versions.Confirm(at, !s.isLossy)
-	s.isLossy = false
+	s.Roster.Versions.Confirm(at)
 }
 
 // recordID identifies a record as it was at a revision.
@@ -403,6 +403,7 @@
 		return
 	}
 	if delay := s.session.OutageGrace(reappearWindow); delay > 0 && !e.Draining {
+		s.Roster.Versions.Lapse(e.Service, e.Version, boottime.Now())
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if s.pendingRemovals[id] == nil {
--- a/fleetstate/versions_test.go
+++ b/fleetstate/versions_test.go
@@ -39,7 +39,7 @@
 		m.Set("e/one", "v1")
 		b := startBoxOf(t, m, versionSource)
 		defer b.stop()
-		b.Roster.Versions.Restore(map[string][]string{}, nil, boottime.Now())
+		b.Roster.Versions.Restore(map[string][]string{}, nil, true, boottime.Now())
 		wait.For(t.Context(), 10*time.Second)
 		names, complete := all(b.Service)
 		require.Equal(t, []string{"v1"}, names)
@@ -92,7 +92,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				s := fleetstate.New(versionSource, nil, zerolog.Nop())
 				s.Merge(fleetstate.Records{Items: one, Whole: true, To: 6})
-				s.Roster.Versions.Restore(map[string][]string{}, nil, boottime.Now())
+				s.Roster.Versions.Restore(map[string][]string{}, nil, true, boottime.Now())
 				s.ConfirmView(0, 6, 0)
 				_, complete := all(s)
 				require.True(t, complete)
--- a/gossip/snapshot.go
+++ b/gossip/snapshot.go
@@ -36,13 +36,14 @@
 
 // snapshot is the stored value: the state of the quotas, the statistics of the endpoints of each
 // service, the contents that are refused because endpoints crash under them, the versions of each service that had
-// endpoints lately, and those of them that are settled.
+// endpoints lately, and those of them that have some and are settled.
 type snapshot struct {
 	quota.Before
 	Speeds   map[string]estimate.Stats
 	Contents []quarantine.Suspect
 	Versions map[string][]string
 	Settled  map[string][]string
+	Partial  bool // Versions may lack some
 }
 
 // maxSnapshotBytes bounds the snapshot. A value in the store may have up to a megabyte, and all boxes that start at once read
@@ -95,7 +96,7 @@
 	if g.FirstStart && !late {
 		s.read = true
 		g.RestoreQuota(quota.Before{})
-		g.restoreVersions(map[string][]string{}, nil) // nothing was before
+		g.restoreVersions(snapshot{Versions: map[string][]string{}}) // nothing was before
 		return
 	}
 	if s.read || late && (g.session.StoreLost() || g.Quota.Division().Version > 0 && !g.holdsFirstSlot()) {
@@ -118,7 +119,7 @@
 	}
 	p.Division.Version = i.Revision
 	s.stored, s.refusedSum, s.versions, s.settled = p.Before, quarantine.Sum(p.Contents), p.Versions, p.Settled
-	g.restoreVersions(p.Versions, p.Settled)
+	g.restoreVersions(p)
 	g.logSnapshot(p.Before, "read from the store")
 	g.Quarantine.Merge(p.Contents, boottime.Now())
 	if late {
@@ -176,7 +177,7 @@
 	}
 	s.writtenAt = now
 	var at uint64
-	b, err := snapshot{p, g.EndpointStats(), refused, versions, settled}.encode()
+	b, err := snapshot{p, g.EndpointStats(), refused, versions, settled, !g.state.Roster.Versions.IsUnbroken()}.encode()
 	if err == nil {
 		at, err = g.Store.Commit(c, store.Change{
 			If:  []store.Condition{{Key: g.SnapshotKey, Revision: s.revision}},
@@ -195,9 +196,9 @@
 }
 
 // restoreVersions adds the versions that were known before this process started. A snapshot of earlier software has none.
-func (g *Gossip) restoreVersions(v, settled map[string][]string) {
-	if v != nil {
-		g.state.Roster.Versions.Restore(v, settled, boottime.Now())
+func (g *Gossip) restoreVersions(s snapshot) {
+	if s.Versions != nil {
+		g.state.Roster.Versions.Restore(s.Versions, s.Settled, !s.Partial, boottime.Now())
 	}
 }
 
--- a/origins/find.go
+++ b/origins/find.go
@@ -43,7 +43,7 @@
 	now := boottime.Now()
 	var a Reply
 	a.Versions, a.Complete = d.Versions.All(q.Service, now)
-	a.Settled = d.Versions.Settled(q.Service, now)
+	a.Settled = d.Versions.Settled(q.Service)
 	if d.RecordsLag() > maxRecordsLag {
 		a.Complete = false
 	}
--- a/origins/fleet_test.go
+++ b/origins/fleet_test.go
@@ -50,10 +50,9 @@
 	relay   bool
 	away    atomic.Bool // no other box reaches it, and it gets no callers
 	// cutAt is since when it gets nothing from other boxes and the store, and they nothing from it, while callers reach it.
-	cutAt  atomic.Pointer[time.Time]
-	missed atomic.Bool    // it was cut off, and read the newest records only
-	view   map[string]int // number of endpoints by version, as this box knows them
-	bytes  int            // sent and received
+	cutAt atomic.Pointer[time.Time]
+	view  map[string]int // number of endpoints by version, as this box knows them
+	bytes int            // sent and received
 }
 
 // begun is a stream whose caller has its first event.
@@ -93,7 +92,7 @@
 	b.view = map[string]int{}
 	f.catchUp(b, d)
 	if f.storeDown.Load() == nil {
-		d.Versions.Restore(map[string][]string{"s": f.known}, map[string][]string{"s": f.settled}, now)
+		d.Versions.Restore(map[string][]string{"s": f.known}, map[string][]string{"s": f.settled}, true, now)
 	}
 	d.Box, d.Store, d.Prefix, d.Clock = b.address, f.store, "streams/", fleetclock.New(time.Now)
 	d.Boxes, d.IsRelay = func() Boxes { return f.lists(b) }, func() bool { return b.relay }
@@ -125,11 +124,10 @@
 // confirmInterval is the interval at which boxes hear that they know all endpoints.
 const confirmInterval = 300 * time.Millisecond
 
-// confirm tells a box that it knows all endpoints, if it reaches the store or a box that does. Relays see every change, and others
-// the newest state.
+// confirm tells a box that it knows all endpoints, if it reaches the store or a box that does.
 func (f *fleet) confirm(b *member, d *Directory) {
 	if f.storeDown.Load() == nil && b.cutAt.Load() == nil {
-		d.Versions.Confirm(boottime.Now(), b.relay && !b.missed.Swap(false))
+		d.Versions.Confirm(boottime.Now())
 	}
 }
 
@@ -274,8 +272,11 @@
 		}
 	case "join": // the boxes that were cut off read what is newest
 		for _, b := range f.boxes {
-			b.missed.Store(b.cutAt.Swap(nil) != nil)
-			f.catchUp(b, b.process.Load())
+			d := b.process.Load()
+			if b.cutAt.Swap(nil) != nil {
+				d.Versions.Skip(false, boottime.Now())
+			}
+			f.catchUp(b, d)
 		}
 	case "gone": // SHARE of the boxes are gone for good
 		for _, i := range f.rnd.Perm(len(f.boxes))[:int(number(0)*float64(len(f.boxes)))] {
@@ -286,6 +287,12 @@
 		f.storeDown.Store(nil)
 		if now := time.Now(); w[0] == "down" {
 			f.storeDown.Store(&now)
+			return
+		}
+		for _, b := range f.boxes {
+			if d := b.process.Load(); d != nil && !b.relay { // relays watch on from where they were
+				d.Versions.Skip(false, boottime.Now())
+			}
 		}
 	case "expect": // SHARE of the streams at least whose version is found at other boxes; nobody is told a wrong one
 		f.expect(number(0), at)
@@ -335,7 +342,7 @@
 func (f *fleet) snapshot() {
 	for _, b := range f.boxes {
 		if b.cutAt.Load() == nil && f.storeDown.Load() == nil {
-			f.settled = b.process.Load().Versions.Settled("s", boottime.Now())
+			f.settled = b.process.Load().Versions.Settled("s")
 			return
 		}
 	}
--- a/origins/lag_test.go
+++ b/origins/lag_test.go
@@ -19,7 +19,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		d := New(metrics.NewRegistry(), zerolog.Nop())
 		d.Versions = &versionhistory.History{}
-		d.Versions.Restore(map[string][]string{}, nil, boottime.Now())
+		d.Versions.Restore(map[string][]string{}, nil, true, boottime.Now())
 		d.Versions.Add("s", "v1", boottime.Now())
 		d.Boxes, d.IsRelay, d.Relay = func() Boxes { return Boxes{} }, func() bool { return false }, func() string { return "" }
 		var lag time.Duration
@@ -30,7 +30,7 @@
 			return named
 		}
 		require.False(t, find(), "records that were never confirmed, although the store answers")
-		d.Versions.Confirm(boottime.Now(), true)
+		d.Versions.Confirm(boottime.Now())
 		require.True(t, find())
 		lag = 400 * time.Millisecond
 		require.True(t, find(), "records that are on their way")
@@ -41,14 +41,16 @@
 		require.True(t, find())
 		time.Sleep(time.Millisecond)
 		require.False(t, find(), "the store answers, and nobody says that the records are all")
-		d.Versions.Confirm(boottime.Now(), true)
+		d.Versions.Confirm(boottime.Now())
 		require.True(t, find(), "nothing was missed")
 		time.Sleep(2 * versionhistory.MaxAge)
-		d.Versions.Confirm(boottime.Now(), false)
+		d.Versions.Skip(false, boottime.Now())
+		d.Versions.Confirm(boottime.Now())
 		require.False(t, find(), "a version may have come and gone")
 		for range versionhistory.Window / time.Second {
 			time.Sleep(time.Second)
-			d.Versions.Confirm(boottime.Now(), false)
+			d.Versions.Skip(false, boottime.Now())
+			d.Versions.Confirm(boottime.Now())
 		}
 		require.True(t, find(), "it is forgotten by now")
 	})
--- a/versionhistory/history.go
+++ b/versionhistory/history.go
@@ -20,6 +20,11 @@
 
 	// MaxAge is the age of a view from which other versions may have been settled that it lacks.
 	MaxAge = 2 * time.Second
+
+	// returnTime is how long a settled version may have been without endpoints and be settled when it returns: no other box has
+	// forgotten it before its view has it again. restoredTime is the same for one that this process has only read to be settled.
+	returnTime   = Window - 2*MaxAge
+	restoredTime = 10 * time.Second
 )
 
 // History holds the versions of each service. The zero value is empty and ready to use. It is safe for concurrent use.
@@ -28,6 +33,8 @@
 	started   time.Time // when the first endpoint was added
 	restored  bool      // what was known before this process started was added
 	first     bool      // no process was before this one
+	isPartial bool      // a version may have come and gone since this process started
+	readAt    time.Time // when what was before this process was read
 	confirmed time.Time // the last time at which the history is known to have held all versions; zero for none
 	since     time.Time // the history lacks no version that was settled between since and confirmed
 	services  map[string]map[string]*version
@@ -38,9 +45,12 @@
 	endpoints int
 	seen      time.Time
 	added     time.Time // when the first of its endpoints was added
+	present   time.Time // the last confirmed time at which it had endpoints
 	settled   bool
 }
 
+func (v *version) isSettled() bool { return v.endpoints > 0 && v.settled }
+
 // isForgotten reports whether a version has had no endpoint for Window.
 func (v *version) isForgotten(now time.Time) bool {
 	return v.endpoints == 0 && now.Sub(v.seen) >= Window
@@ -72,6 +82,7 @@
 	v := h.get(service, name, now)
 	if v.endpoints == 0 {
 		v.added = now
+		v.settled = v.settled && now.Sub(v.present) < returnTime
 	}
 	v.endpoints++
 }
@@ -85,6 +96,15 @@
 	v.seen = now
 }
 
+// Lapse records that an endpoint of a version may be gone, although it is not removed yet.
+func (h *History) Lapse(service, name string, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if v := h.get(service, name, now); !v.settled {
+		v.added = now
+	}
+}
+
 // Note adds a version that had an endpoint which is gone already.
 func (h *History) Note(service, name string, now time.Time) {
 	h.mu.Lock()
@@ -92,14 +112,22 @@
 	h.get(service, name, now).seen = now
 }
 
-// Restore adds the versions that were known before this process started, and those of them that were settled.
-func (h *History) Restore(versions, settled map[string][]string, now time.Time) {
+// Restore adds the versions that were known before this process started, and those of them that were settled. IsAll is set if these
+// were all.
+func (h *History) Restore(versions, settled map[string][]string, isAll bool, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.restored = true
+	h.restored = h.restored || isAll && !h.isPartial
+	if h.readAt.IsZero() {
+		h.readAt = now
+	}
 	for s, names := range versions {
 		for _, n := range names {
-			h.get(s, n, now).seen = now
+			v := h.get(s, n, now)
+			v.seen = now
+			if v.present.IsZero() {
+				v.present = now.Add(restoredTime - returnTime)
+			}
 		}
 	}
 	h.settle(settled, now)
@@ -112,28 +140,59 @@
 	h.first = true
 }
 
-// Confirm records that the history holds all versions that had endpoints at a time. If isUnbroken is set, it also holds those that
-// had some since the last time. Otherwise versions that came and went in between are missing: if that was over MaxAge, some may have
-// been settled.
-func (h *History) Confirm(at time.Time, isUnbroken bool) {
+// Skip records that the state as of now, or of shortly before, was read without the changes that led to it. Unless hasAll is set, since
+// they were told otherwise, versions that came and went since the last confirmation are missing: if that was over MaxAge ago, some
+// may have been settled. Versions that aren't settled may have left and returned meanwhile.
+func (h *History) Skip(hasAll bool, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	switch {
-	case h.confirmed.IsZero():
+	for _, versions := range h.services {
+		for _, v := range versions {
+			if !v.settled {
+				v.added = now
+			}
+		}
+	}
+	if hasAll {
+		return
+	}
+	last := h.confirmed
+	if h.readAt.After(last) {
+		last = h.readAt
+	}
+	if !last.IsZero() && now.Sub(last) > MaxAge {
+		h.restored, h.first, h.isPartial, h.since = false, false, true, now
+	}
+}
+
+// Confirm records that the history holds all versions that had endpoints at a time.
+func (h *History) Confirm(at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.confirmed.IsZero() && h.since.IsZero() {
 		h.since = at
-	case !at.After(h.confirmed):
+	}
+	if !at.After(h.confirmed) {
 		return
-	case !isUnbroken && at.Sub(h.confirmed) > MaxAge:
-		h.restored, h.first, h.since = false, false, at
 	}
 	h.confirmed = at
 	for _, versions := range h.services {
 		for _, v := range versions {
-			v.settled = v.settled || v.endpoints > 0 && at.Sub(v.added) >= MaxAge
+			if v.endpoints > 0 {
+				v.present = at
+				v.settled = v.settled || at.Sub(v.added) >= MaxAge
+			}
 		}
 	}
 }
 
+// IsUnbroken reports whether no version within Window is missing that was settled when the history was last confirmed.
+func (h *History) IsUnbroken() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.isUnbroken()
+}
+
 // Age returns the time since the history was last known to hold all versions, and for how long before it lacks none. These are
 // Window and zero if it was never known to.
 func (h *History) Age(now time.Time) (age, unbroken time.Duration) {
@@ -176,11 +235,11 @@
 	return h.names(service, func(v *version) bool { return v.endpoints > 0 && !v.settled })
 }
 
-// Settled returns the versions of a service that are settled.
-func (h *History) Settled(service string, now time.Time) []string {
+// Settled returns the versions of a service that have endpoints and are settled.
+func (h *History) Settled(service string) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.names(service, func(v *version) bool { return v.settled && !v.isForgotten(now) })
+	return h.names(service, (*version).isSettled)
 }
 
 // Settle records that versions are settled, as another box knows.
@@ -223,7 +282,7 @@
 	return slices.Sorted(maps.Keys(h.services[service]))
 }
 
-// Snapshot returns the recent versions of all services, and those that are settled.
+// Snapshot returns the recent versions of all services, and those that have endpoints and are settled.
 func (h *History) Snapshot(now time.Time) (recent, settled map[string][]string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -232,7 +291,7 @@
 		if names := h.recent(s, now); len(names) > 0 {
 			recent[s] = names
 		}
-		if names := h.names(s, func(v *version) bool { return v.settled }); len(names) > 0 {
+		if names := h.names(s, (*version).isSettled); len(names) > 0 {
 			settled[s] = names
 		}
 	}
--- a/versionhistory/history_test.go
+++ b/versionhistory/history_test.go
@@ -13,7 +13,7 @@
 func ExampleHistory() {
 	var h versionhistory.History
 	now := time.Now()
-	h.Restore(nil, nil, now)
+	h.Restore(nil, nil, true, now)
 	h.Add("s", "v1", now)
 	h.Add("s", "v2", now)
 	h.Remove("s", "v1", now)
@@ -37,7 +37,7 @@
 	_, complete = h.Recent("s", now.Add(versionhistory.Window))
 	require.True(t, complete)
 
-	h.Restore(map[string][]string{"s": {"v1"}, "t": {"v3"}}, nil, now.Add(time.Second))
+	h.Restore(map[string][]string{"s": {"v1"}, "t": {"v3"}}, nil, true, now.Add(time.Second))
 	names, complete = h.Recent("s", now.Add(2*time.Second))
 	require.Equal(t, []string{"v1", "v2"}, names)
 	require.True(t, complete)
@@ -49,41 +49,42 @@
 func TestNewVersionsAreUnsettled(t *testing.T) {
 	now := time.Now()
 	var h versionhistory.History
-	h.Restore(nil, nil, now)
+	h.Restore(nil, nil, true, now)
 	h.Add("s", "v1", now)
 	require.Equal(t, []string{"v1"}, h.Unsettled("s", now), "there may be others")
-	h.Confirm(now, false)
+	h.Confirm(now)
 	require.Empty(t, h.Unsettled("s", now), "there is no other for which boxes could take it")
 
 	now = now.Add(time.Second)
-	h.Confirm(now, false)
+	h.Confirm(now)
 	h.Add("s", "v2", now)
 	require.Equal(t, []string{"v1", "v2"}, h.Unsettled("s", now))
 	now = now.Add(versionhistory.MaxAge - time.Millisecond)
-	h.Confirm(now, false)
+	h.Confirm(now)
 	require.Equal(t, []string{"v2"}, h.Unsettled("s", now))
-	require.Equal(t, []string{"v1"}, h.Settled("s", now))
+	require.Equal(t, []string{"v1"}, h.Settled("s"))
 	require.Equal(t, []string{"v2"}, h.Unsettled("s", now.Add(time.Hour)), "nobody has confirmed that it is still there")
 	now = now.Add(time.Millisecond)
-	h.Confirm(now, false)
+	h.Confirm(now)
 	require.Empty(t, h.Unsettled("s", now))
 
 	// A version that leaves for a while is remembered by all boxes, and forgotten later.
 	h.Remove("s", "v2", now)
-	now = now.Add(versionhistory.Window - time.Millisecond)
+	now = now.Add(versionhistory.Window - 2*versionhistory.MaxAge - time.Millisecond)
 	h.Add("s", "v2", now)
 	require.Empty(t, h.Unsettled("s", now))
-	h.Remove("s", "v2", now)
-	now = now.Add(versionhistory.Window)
+	h.Confirm(now)
+	h.Remove("s", "v2", now.Add(time.Second))
+	now = now.Add(versionhistory.Window - 2*versionhistory.MaxAge)
 	h.Add("s", "v2", now)
 	require.Equal(t, []string{"v2"}, h.Unsettled("s", now))
 
 	// One that left before it was settled is new again.
 	h.Remove("s", "v2", now)
 	now = now.Add(time.Second)
-	h.Confirm(now, false)
+	h.Confirm(now)
 	h.Add("s", "v2", now)
-	h.Confirm(now.Add(versionhistory.MaxAge-time.Millisecond), false)
+	h.Confirm(now.Add(versionhistory.MaxAge - time.Millisecond))
 	require.Equal(t, []string{"v2"}, h.Unsettled("s", now))
 }
 
@@ -92,7 +93,7 @@
 	now := time.Now()
 	var h versionhistory.History
 	settled := map[string][]string{"s": {"v1", "v3"}}
-	h.Restore(map[string][]string{"s": {"v1", "v2"}}, settled, now)
+	h.Restore(map[string][]string{"s": {"v1", "v2"}}, settled, true, now)
 	for _, v := range []string{"v1", "v2", "v3"} {
 		h.Add("s", v, now)
 	}
@@ -110,7 +111,7 @@
 	var h versionhistory.History
 	h.RestoreNone()
 	h.Add("s", "v1", now)
-	h.Confirm(now, false)
+	h.Confirm(now)
 	require.Empty(t, h.Unsettled("s", now))
 	_, complete := h.All("s", now)
 	require.False(t, complete)
@@ -122,11 +123,13 @@
 func TestGapsEndCompleteness(t *testing.T) {
 	now := time.Now()
 	var h versionhistory.History
-	h.Restore(nil, nil, now)
+	h.Restore(nil, nil, true, now)
 	h.Add("s", "v1", now)
-	confirm := func(after time.Duration, isUnbroken bool) bool {
-		now = now.Add(after)
-		h.Confirm(now, isUnbroken)
+	confirm := func(after time.Duration, hasAll bool) bool {
+		if now = now.Add(after); !hasAll {
+			h.Skip(false, now)
+		}
+		h.Confirm(now)
 		_, complete := h.All("s", now)
 		return complete
 	}
@@ -142,7 +145,17 @@
 	require.True(t, confirm(versionhistory.MaxAge, false))
 	age, unbroken := h.Age(now.Add(time.Second))
 	require.Equal(t, []time.Duration{time.Second, versionhistory.Window}, []time.Duration{age, unbroken})
-	h.Confirm(now.Add(-time.Hour), false)
+	h.Confirm(now.Add(-time.Hour))
 	_, complete = h.All("s", now)
 	require.True(t, complete, "a confirmation of long ago")
+
+	// The gap counts from what was confirmed to what was read, whatever is confirmed of the time in between.
+	h.Skip(false, now.Add(versionhistory.MaxAge+1))
+	h.Confirm(now.Add(versionhistory.MaxAge))
+	h.Confirm(now.Add(versionhistory.MaxAge + 2))
+	_, complete = h.All("s", now.Add(versionhistory.MaxAge+2))
+	require.False(t, complete)
+	h.Restore(nil, nil, true, now)
+	_, complete = h.All("s", now.Add(versionhistory.MaxAge+2))
+	require.False(t, complete, "a snapshot may be as old as the gap")
 }
