Have a second version appear in the soak while boxes are away

Callers leave streams after one event and take them up at the next box at once, with Resumes and without. Meanwhile every second box is paused, cut off from the others and the store, or started again, a data centre is cut off, or all boxes starve, and endpoints of another version appear beside the running ones. The version stays, goes, or returns, or a third one appears; for comparison the version stays the only one.

--- a/cmd/birchsoak/main.go
+++ b/cmd/birchsoak/main.go
@@ -27,6 +27,7 @@
 	Keep     string        `arg:"--keep" help:"a folder for the logs of seeds that broke something"`
 	Only     []soak.Kind   `arg:"--only" help:"kinds of faults to inject, such as hush, storm, configuration and drain; all by default"`
 	Moves    string        `arg:"--moves" default:"odd" help:"seeds whose servers can move runs: odd, all or none"`
+	First    string        `arg:"--first-start" default:"once" help:"which processes of boxes are told that the fleet starts for the first time: never, once or always"`
 	Quiet    bool          `arg:"--quiet" help:"do not print the faults as they are injected"`
 	PassOver bool          `arg:"--pass-over-given-up" help:"count streams that boxes give up at leaving servers and do not report them, see KNOWN-RED.txt"`
 }
@@ -72,7 +73,8 @@
 	}
 	faults, err := soak.Run(context.Background(), soak.Options{
 		Seed: seed, Duration: a.For, Boxes: a.Boxes, Servers: a.Servers, Callers: a.Callers, Dir: dir, Program: a.Program, Out: out, Only: a.Only, PassOverGivenUp: a.PassOver,
-		Moves: a.Moves == "all" || a.Moves == "odd" && seed%2 == 1,
+		FirstStart: soak.FirstStart(a.First),
+		Moves:      a.Moves == "all" || a.Moves == "odd" && seed%2 == 1,
 	})
 	if err != nil {
 		return 0, errors.Join(err, keep(a, seed, dir))
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -25,6 +25,19 @@
 // versions are the software versions of servers, of which releases make one after the other that of new servers.
 var versions = []string{"v1", "v2", "v3"}
 
+// FirstStart says which processes of boxes are told that the whole fleet starts for the first time.
+type FirstStart string
+
+// Which processes are told so.
+const (
+	Never  FirstStart = "never"
+	Once   FirstStart = "once" // the first ones
+	Always FirstStart = "always"
+)
+
+// firstStarts has the setting of the first start of a box and that of later ones.
+var firstStarts = map[FirstStart][2]string{Never: {"no", "no"}, Once: {"yes", "no"}, Always: {"yes", "yes"}}
+
 // dataCentres are the data centres over which boxes and servers are spread.
 var dataCentres = []string{"north", "south"}
 
@@ -35,6 +48,7 @@
 	ReadyAddress  string
 
 	settings   string
+	restart    string // settings of the starts after the first one
 	program    string
 	logFile    *os.File
 	storeProxy *Proxy
@@ -97,6 +111,9 @@
 	releases  int
 	version   string // of the servers that start
 
+	appeared   int // number of further versions that appeared
+	firstStart FirstStart
+
 	engines *standin.Engines // nil if servers can't move runs
 
 	storeAddress  string
@@ -122,7 +139,7 @@
 func Start(o Options) (*Fleet, error) {
 	f := &Fleet{
 		Dir: o.Dir, Program: o.Program, Store: &memstore.Store{}, Audit: &standin.Audit{}, Cloud: &standin.Cloud{}, configVersion: 1, version: versions[0],
-		byID: map[string]*Server{},
+		byID: map[string]*Server{}, firstStart: o.FirstStart,
 	}
 	if o.Moves {
 		f.engines = &standin.Engines{HandleTTL: handleTTL}
@@ -156,10 +173,12 @@
 	return f, nil
 }
 
-func (f *Fleet) newServer(dc string) (*Server, error) {
+func (f *Fleet) newServer(dc string) (*Server, error) { return f.newServerOf(f.version, dc) }
+
+func (f *Fleet) newServerOf(version, dc string) (*Server, error) {
 	f.lastServerID++
 	s := &Server{dataCentre: dc, Server: &standin.Server{
-		ID: fmt.Sprintf("i-%d", f.lastServerID), Service: serviceName, Version: f.version, Slots: slots, Work: 5 * time.Millisecond, Events: streamEvents, Audit: f.Audit, MarkRuns: true,
+		ID: fmt.Sprintf("i-%d", f.lastServerID), Service: serviceName, Version: version, Slots: slots, Work: 5 * time.Millisecond, Events: streamEvents, Audit: f.Audit, MarkRuns: true,
 	}}
 	h, a, err := serve(s.Server)
 	if err != nil {
@@ -213,8 +232,7 @@
 	if b.peerProxy, err = NewProxy(peers); err != nil {
 		return nil, err
 	}
-	text := fmt.Sprintf(`[box]
-name = %s
+	text := fmt.Sprintf(`name = %s
 data_centre = %s
 [listen]
 callers = %s
@@ -236,8 +254,11 @@
 report_due = 6s
 %s`, b.Name, dataCentres[i%len(dataCentres)], b.CallerAddress, b.ReadyAddress, peers, b.peerProxy.Address(), b.storeProxy.Address(), f.cloudAddress, stopLimit, f.moveSettings())
 	b.settings = filepath.Join(f.Dir, b.Name+".ini")
-	if err := os.WriteFile(b.settings, []byte(text), 0o600); err != nil {
-		return nil, fmt.Errorf("write settings: %w", err)
+	b.restart = filepath.Join(f.Dir, b.Name+"-restart.ini")
+	for i, file := range []string{b.settings, b.restart} {
+		if err := os.WriteFile(file, fmt.Appendf(nil, "[box]\nfirst_start = %s\n%s", firstStarts[f.firstStart][i], text), 0o600); err != nil {
+			return nil, fmt.Errorf("write settings: %w", err)
+		}
 	}
 	if b.logFile, err = os.Create(filepath.Join(f.Dir, b.Name+".log")); err != nil {
 		return nil, fmt.Errorf("open log: %w", err)
@@ -256,7 +277,7 @@
 	if err := c.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", b.Name, err)
 	}
-	b.cmd = c
+	b.cmd, b.settings = c, b.restart
 	go func() {
 		_ = c.Wait()
 		time.Sleep(restartPause)
@@ -404,6 +425,28 @@
 	return nil
 }
 
+// Appear starts a further server, of the version that appeared last or of another one.
+func (f *Fleet) Appear(i int, same bool) (*Server, error) {
+	f.serversMu.Lock()
+	defer f.serversMu.Unlock()
+	if !same {
+		f.appeared++
+	}
+	s, err := f.newServerOf(fmt.Sprintf("v%d", len(versions)+f.appeared), dataCentres[i%len(dataCentres)])
+	if err == nil {
+		f.Servers = append(f.Servers, s)
+	}
+	return s, err
+}
+
+// Leave ends a server without a replacement.
+func (f *Fleet) Leave(s *Server) {
+	f.serversMu.Lock()
+	f.Servers = slices.DeleteFunc(f.Servers, func(o *Server) bool { return o == s })
+	f.serversMu.Unlock()
+	f.end(s, Reset, 0)
+}
+
 // drainTime is how long a draining server continues to serve. If runs can be moved, it says that leaveTime is left and serves for
 // leaveSlack longer.
 const (
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -16,6 +17,7 @@
 const (
 	Pass    Mode = "pass"
 	Delay   Mode = "delay"   // each read is forwarded after linkDelay
+	Late    Mode = "late"    // as Delay, after lateLinkDelay
 	Reset   Mode = "reset"   // connections are reset, new ones closed
 	Silence Mode = "silence" // nothing is forwarded until the mode changes
 	OneWay  Mode = "one way" // only bytes to the target are forwarded
@@ -23,8 +25,11 @@
 	Pieces  Mode = "pieces"  // bytes are forwarded in small pieces, some of which are late
 )
 
-// linkDelay is the added delay in mode Delay.
-const linkDelay = 60 * time.Millisecond
+// linkDelay is the added delay in mode Delay, and lateLinkDelay that in mode Late.
+const (
+	linkDelay     = 60 * time.Millisecond
+	lateLinkDelay = 700 * time.Millisecond
+)
 
 // Proxy is a TCP proxy that injects the faults of its mode.
 type Proxy struct {
@@ -37,9 +42,9 @@
 	conns    map[net.Conn]bool
 	others   map[net.Conn]net.Conn // to the target, by the accepted connection
 	hushed   map[net.Conn]bool     // connections that carry nothing any more
-	owner    int                   // process whose connections have a mode of their own; zero for none
+	owners   []int                 // processes whose connections have a mode of their own
 	own      Mode
-	owned    map[net.Conn]bool // accepted connections of that process
+	owned    map[net.Conn]bool // accepted connections of these processes
 	rate     float64           // bytes from the target per second, of all connections; zero if not limited
 	sentAt   time.Time         // when what was sent at that rate has arrived
 }
@@ -86,10 +91,13 @@
 }
 
 // SetFor changes the mode for the connections that one process opens, and has opened. Reset and Closed end the latter.
-func (p *Proxy) SetFor(pid int, opened map[ConnPair]bool, m Mode) {
+func (p *Proxy) SetFor(pid int, opened map[ConnPair]bool, m Mode) { p.SetForAll([]int{pid}, opened, m) }
+
+// SetForAll is SetFor for several processes.
+func (p *Proxy) SetForAll(pids []int, opened map[ConnPair]bool, m Mode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.owner, p.own = pid, m
+	p.owners, p.own = slices.DeleteFunc(slices.Clone(pids), func(pid int) bool { return pid == 0 }), m
 	clear(p.owned)
 	for c := range p.others {
 		if !opened[pairOf(c)] {
@@ -214,17 +222,17 @@
 	p.copy(c, a, a, b, false)
 }
 
-// recogniseOwner notes whether the process whose connections have a mode of their own has opened a connection.
+// recogniseOwner notes whether a process whose connections have a mode of their own has opened a connection.
 func (p *Proxy) recogniseOwner(c net.Conn) {
 	p.mu.Lock()
-	pid := p.owner
+	pids := p.owners
 	p.mu.Unlock()
-	if pid == 0 || !OpenedBy(pid)[pairOf(c)] {
+	if len(pids) == 0 || !OpenedBy(pids...)[pairOf(c)] {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.owned[c] = p.owner == pid
+	p.owned[c] = slices.Equal(p.owners, pids)
 }
 
 // copy forwards bytes of an accepted connection in one direction as the mode allows. Bytes that are held back are forwarded
@@ -280,9 +288,13 @@
 		switch {
 		case m == Pass, m == Pieces, m == OneWay && toTarget:
 			return true
-		case m == Delay:
+		case m == Delay, m == Late:
+			d := linkDelay
+			if m == Late {
+				d = lateLinkDelay
+			}
 			select {
-			case <-time.After(linkDelay):
+			case <-time.After(d):
 				return true
 			case <-c.Done():
 				return false
--- a/soak/run.go
+++ b/soak/run.go
@@ -30,6 +30,9 @@
 	// sound elsewhere, and does not report them.
 	PassOverGivenUp bool
 	Moves           bool // servers can move runs, and boxes make use of it
+
+	// FirstStart says whether boxes are told that the fleet starts for the first time.
+	FirstStart FirstStart
 }
 
 // Time limits of the checks.
@@ -60,9 +63,10 @@
 	refused          map[string]string // status codes of refused requests by id; these must not run
 	outcomes         map[string]int    // number of calls by outcome
 	streams          streamCounts
-	configuredAt     time.Time // when the current version was stored
-	storeFaultyUntil time.Time // the store may fail, or be recovering, until this time
-	stalledUntil     time.Time // boxes may be out of contact, until this time
+	pairs            map[string]pairCounts // by how callers take streams up
+	configuredAt     time.Time             // when the current version was stored
+	storeFaultyUntil time.Time             // the store may fail, or be recovering, until this time
+	stalledUntil     time.Time             // boxes may be out of contact, until this time
 }
 
 // Run starts a fleet, injects the faults of the seed's schedule and returns the violations found. The
@@ -73,7 +77,7 @@
 		return nil, err
 	}
 	defer f.Close()
-	r := &run{Options: o, fleet: f, began: time.Now(), refused: map[string]string{}, outcomes: map[string]int{}, configuredAt: time.Now()}
+	r := &run{Options: o, fleet: f, began: time.Now(), refused: map[string]string{}, outcomes: map[string]int{}, pairs: map[string]pairCounts{}, configuredAt: time.Now()}
 	if err := r.awaitReady(c, settleTime); err != nil {
 		return nil, err
 	}
@@ -95,6 +99,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.checkStreams()
+	for how, p := range r.pairs {
+		fmt.Fprintf(o.Out, "seed %d: %s %+v\n", o.Seed, how, p)
+	}
 	if f.engines != nil {
 		fmt.Fprintf(o.Out, "seed %d: moves %s\n", o.Seed, f.engines.Counts())
 	}
@@ -154,7 +161,7 @@
 		r.starve(r.fleet.Boxes[f.Target], end)
 	case BoxServerLink:
 		r.cutBox(f, end)
-	case ServerLink, Drain, DrainByAnswer, Release, RefuseCalls, ReportLimit, ReportBrittle, SilentServers, EndlessServer, IrregularServer, Crash, Vacate, LossyServer:
+	case Appear, ServerLink, Drain, DrainByAnswer, Release, RefuseCalls, ReportLimit, ReportBrittle, SilentServers, EndlessServer, IrregularServer, Crash, Vacate, LossyServer:
 		r.injectServer(f, end)
 	case Hush, PeerLink, LossyPeers:
 		r.injectStall(f, end)
@@ -243,6 +250,8 @@
 		err = r.fleet.Drain(f.Target)
 	case Vacate:
 		err = r.vacate(f)
+	case Appear:
+		err = r.appear(f)
 	case Crash:
 		r.fleet.Crash(s, f.Mode, f.Duration)
 	case DrainByAnswer:
@@ -265,7 +274,7 @@
 		report(s, f)
 	}
 	if err != nil {
-		r.reportViolation("a server could not be replaced: %v", err)
+		r.reportViolation("a server could not be replaced or added: %v", err)
 	}
 }
 
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -46,12 +46,13 @@
 	LossyPeers       Kind = "lossy peers"
 	BoxServerLink    Kind = "box server link" // one box's link to Count endpoints
 	Starve           Kind = "starve"          // a box gets a third of the processor time
+	Appear           Kind = "second version"  // endpoints of another software version appear, while every second box is faulty
 	Hush             Kind = "hush"            // half of the open connections to some boxes fall silent for good, and of theirs to the store
 )
 
 // Fault is one entry of a schedule. Target is the index of a box or server, depending on Kind; Mode is
-// used by link faults and Crash only, Count, the number of servers or boxes from Target on, by SilentServers Hush and BoxServerLink, Form by EndlessServer,
-// Irregular by IrregularServer, and Move by Vacate.
+// used by link faults, Crash and Appear only, Count, the number of servers or boxes from Target on, by SilentServers Hush and BoxServerLink, Form by EndlessServer,
+// Irregular by IrregularServer, Move by Vacate, and Appears by Appear.
 type Fault struct {
 	At        time.Duration
 	Duration  time.Duration
@@ -62,6 +63,7 @@
 	Form      standin.Endless
 	Irregular standin.Irregular
 	Move      standin.MoveFault
+	Appears   Appearance
 }
 
 // String returns a description of the fault on one line.
@@ -73,6 +75,9 @@
 		return fmt.Sprintf("%6.2fs %s %d servers from %d on for %v", f.At.Seconds(), f.Kind, f.Count, f.Target, f.Duration)
 	case Hush:
 		return fmt.Sprintf("%6.2fs %s %d boxes from %d on", f.At.Seconds(), f.Kind, f.Count, f.Target)
+	case Appear:
+		v := f.Appears
+		return fmt.Sprintf("%6.2fs %s after %v %s (%v, %v), boxes from %d on %s for %v", f.At.Seconds(), f.Kind, v.After, v.Course, v.Life, v.Gap, f.Target, f.Mode, f.Duration)
 	case Vacate:
 		return fmt.Sprintf("%6.2fs %s %d %s", f.At.Seconds(), f.Kind, f.Target, cmp.Or(f.Move, "soundly"))
 	case EndlessServer:
@@ -116,6 +121,7 @@
 	out = append(out, drawMoves(seed, span, servers)...)
 	out = append(out, drawLossyLinks(seed, span, boxes, servers)...)
 	out = append(out, drawBoxLinks(seed, span, boxes, servers)...)
+	out = append(out, drawAppearances(seed, span)...)
 	slices.SortStableFunc(out, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return out
 }
--- a/soak/stream.go
+++ b/soak/stream.go
@@ -61,6 +61,11 @@
 		}
 		b = r.fleet.Boxes[rnd.IntN(len(r.fleet.Boxes))]
 	}
+	r.checkVersions(s, id, began)
+}
+
+// checkVersions checks that the events of a stream, for which its caller first asked at a time, are of one version.
+func (r *run) checkVersions(s *standin.Stream, id string, began time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
@@ -147,10 +152,10 @@
 }
 
 // countsStreams reports whether an attempt at a box counts: the box and the store have had no fault lately, and the version
-// of the stream, or any if it has not begun, has enough servers.
+// of the stream, or any if it has not begun, has enough servers. Streams that are not named may be refused while there are several versions.
 func (r *run) countsStreams(b *Box, s *standin.Stream) bool {
 	_, _, reliable := r.currentVersion()
-	if !reliable || b.FaultySince(time.Now().Add(-recoveryTime)) {
+	if !reliable || s.Unnamed || b.FaultySince(time.Now().Add(-recoveryTime)) {
 		return false
 	}
 	return len(s.Versions) == 0 || r.fleet.Serving(s.Versions[0]) >= minServers
