--- a/soak/appear.go
+++ b/soak/appear.go
@@ -81,7 +81,7 @@
 // Streams begin one after the other each pairGap, and until lastPairs after boxes were faulty. Of a version there are two endpoints, of which
 // the second one appears endpointGap later.
 const (
-	pairGap     = 5 * time.Millisecond
+	pairGap     = 4 * time.Millisecond
 	lastPairs   = 2 * time.Second
 	endpointGap = 300 * time.Millisecond
 )
@@ -191,14 +191,14 @@
 // startPairs starts pairs of attempts at neighbouring boxes, which name the first attempt and do not in turn.
 func (r *run) startPairs(g *sync.WaitGroup, done <-chan struct{}, id string) {
 	h := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: slots, DisableCompression: true}, Timeout: 2 * callTimeout}
-	n := len(r.fleet.Boxes)
+	n, began := len(r.fleet.Boxes), time.Now()
 	for i := 0; ; i++ {
 		s := &standin.Stream{Unnamed: i/n%2 == 0}
 		g.Go(func() { r.pair(h, s, r.fleet.Boxes[i%n], r.fleet.Boxes[(i+1)%n], fmt.Sprint(id, "-", i)) })
 		select {
 		case <-done:
 			return
-		case <-time.After(pairGap):
+		case <-time.After(time.Until(began.Add(time.Duration(i) * pairGap))):
 		}
 	}
 }
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -85,7 +85,7 @@
 	}
 }
 
-// The mode for the connections of one process leaves those of others as they are, and ends with it.
+// The mode for the connections of one process, or of several, leaves those of others as they are, and ends with it.
 func TestProxySetFor(t *testing.T) {
 	p, err := soak.NewProxy(newEchoServer(t))
 	require.NoError(t, err)
@@ -111,6 +111,11 @@
 	require.Error(t, ask(dial()))
 	p.SetFor(0, nil, soak.Pass)
 	require.NoError(t, ask(dial()))
+	both := []int{os.Getppid(), os.Getpid()}
+	p.SetForAll(both, soak.OpenedBy(both...), soak.Reset)
+	require.Error(t, ask(dial()))
+	p.SetForAll(nil, nil, soak.Pass)
+	require.NoError(t, ask(dial()))
 }
 
 // At the end of a proxy, connections are closed or reset, and new ones refused.
--- a/soak/schedule_test.go
+++ b/soak/schedule_test.go
@@ -171,3 +171,31 @@
 		}
 	}
 }
+
+// Another version appears only when boxes have known one for a while. Every second box meets each mode, with each course and alone, and other faults
+// overlap.
+func TestAppearances(t *testing.T) {
+	modes, courses, targets, overlaps := map[soak.Mode]bool{}, map[soak.Course]bool{}, map[int]bool{}, map[soak.Kind]bool{}
+	for seed := range uint64(40) {
+		end := time.Duration(0)
+		for _, f := range soak.Schedule(seed, time.Minute, 5, 6) {
+			overlaps[f.Kind] = overlaps[f.Kind] || f.At < end
+			if f.Kind != soak.Appear {
+				continue
+			}
+			require.GreaterOrEqual(t, f.At, 6*time.Second)
+			if f.Mode == soak.Paused {
+				require.GreaterOrEqual(t, f.Duration, 600*time.Millisecond)
+				require.Less(t, f.Duration, 900*time.Millisecond)
+			}
+			end = f.At + f.Duration
+			modes[f.Mode], courses[f.Appears.Course], targets[f.Target] = true, true, true
+		}
+	}
+	require.Len(t, modes, 7)
+	require.Len(t, courses, 5)
+	require.Len(t, targets, 2)
+	for _, k := range []soak.Kind{soak.Config, soak.Hup, soak.Term, soak.Kill, soak.Drain, soak.Release, soak.Vacate} {
+		require.True(t, overlaps[k], k)
+	}
+}
