Keep boxes of the soak away until streams begin at a second version

Boxes are paused again and again, with and without late answers of the store, and a data centre whose boxes reach each other is cut off. Streams begin for four seconds after that, so that a version is met that begins streams only once it has been there for a while.

--- a/soak/appear.go
+++ b/soak/appear.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -14,15 +15,16 @@
 // Modes of a fault Appear: what every second box meets while another version appears. Calm is none of them.
 const (
 	Calm      Mode = "calm"
-	Paused    Mode = "paused"
+	Paused    Mode = "paused"     // again and again
+	Worn      Mode = "worn"       // as Paused and LateStore
 	CutOff    Mode = "cut off"    // boxes get nothing from each other, and every second one nothing from the store
 	LateStore Mode = "late store" // as CutOff, but the store's answers are late
-	Apart     Mode = "apart"      // a data centre gets nothing from the other one and from the store
+	Apart     Mode = "apart"      // a data centre gets nothing from the other one and from the store, and new connections between boxes carry nothing
 	Restarted Mode = "restarted"
 	Starved   Mode = "starved" // all boxes
 )
 
-var appearModes = []Mode{Calm, Paused, CutOff, LateStore, Apart, Restarted, Starved}
+var appearModes = []Mode{Calm, Paused, Worn, CutOff, LateStore, Apart, Restarted, Starved}
 
 // Course is what follows after another version has appeared.
 type Course string
@@ -50,8 +52,11 @@
 const (
 	appearStart   = 6 * time.Second
 	meanAppearGap = 8 * time.Second
-	maxLife       = 4 * time.Second
+	maxLife       = 6 * time.Second
 	maxAppearLag  = 700 * time.Millisecond
+	minAway       = 600 * time.Millisecond // of boxes
+	maxAway       = 5 * time.Second
+	maxApart      = 9 * time.Second
 )
 
 // drawAppearances draws the moments at which a second version appears.
@@ -61,17 +66,14 @@
 	var out []Fault
 	for at := appearStart; at < span; at += between(meanAppearGap/2, 3*meanAppearGap/2) {
 		f := Fault{
-			At: at, Duration: between(500*time.Millisecond, maxFaultDuration), Kind: Appear, Target: r.IntN(2), Mode: appearModes[r.IntN(len(appearModes))],
+			At: at, Duration: between(minAway, maxAway), Kind: Appear, Target: r.IntN(2), Mode: appearModes[r.IntN(len(appearModes))],
 			Appears: Appearance{
 				Course: courses[r.IntN(len(courses))], After: between(0, maxAppearLag), Life: between(minFaultDuration, maxLife),
 				Gap: between(minFaultDuration, maxFaultDuration),
 			},
 		}
-		switch f.Mode {
-		case Paused:
-			f.Duration = between(600*time.Millisecond, 900*time.Millisecond)
-		case Apart, Starved:
-			f.Duration = between(maxFaultDuration, 3*maxFaultDuration)
+		if f.Mode == Apart || f.Mode == Starved {
+			f.Duration = between(maxFaultDuration, maxApart)
 		}
 		out = append(out, f)
 	}
@@ -81,8 +83,8 @@
 // Streams begin one after the other each pairGap, and until lastPairs after boxes were faulty. Of a version there are two endpoints, of which
 // the second one appears endpointGap later.
 const (
-	pairGap     = 4 * time.Millisecond
-	lastPairs   = 2 * time.Second
+	pairGap     = 5 * time.Millisecond
+	lastPairs   = 4 * time.Second
 	endpointGap = 300 * time.Millisecond
 )
 
@@ -141,47 +143,61 @@
 func (r *run) disturb(f Fault, first int) {
 	var g sync.WaitGroup
 	defer g.Wait()
-	end := time.Now().Add(f.Duration)
-	var pids [2][]int // of the boxes of each data centre
-	var opened [2]map[ConnPair]bool
-	for i, b := range r.fleet.Boxes {
-		pids[i%2] = append(pids[i%2], b.pid())
-	}
+	near := [2]map[ConnPair]bool{{}, {}} // connections of the boxes of each data centre
 	if f.Mode == Apart {
-		opened = [2]map[ConnPair]bool{OpenedBy(pids[0]...), OpenedBy(pids[1]...)}
+		for i, b := range r.fleet.Boxes {
+			maps.Copy(near[i%2], OpenedBy(b.pid()))
+		}
 	}
+	end := time.Now().Add(f.Duration)
 	for i, b := range r.fleet.Boxes {
 		hit := (i+first)%2 == 0
 		if f.Mode == Calm || !hit && (f.Mode == Paused || f.Mode == Restarted) {
 			continue
 		}
 		b.ExpectFaultsUntil(end.Add(recoveryTime))
-		g.Go(func() {
-			switch f.Mode {
-			case Paused:
-				b.Signal(syscall.SIGSTOP)
-				defer b.Signal(syscall.SIGCONT)
-			case Restarted:
-				b.Signal(syscall.SIGKILL)
-			case Starved:
-				r.starve(b, end)
-			case Apart:
-				b.peerProxy.SetForAll(pids[1-i%2], opened[1-i%2], Silence)
-				defer b.peerProxy.SetForAll(nil, nil, Pass)
-			default:
-				b.peerProxy.Set(Silence)
-				defer b.peerProxy.Set(Pass)
-			}
-			if hit && (f.Mode == CutOff || f.Mode == Apart) {
-				b.storeProxy.Set(Silence)
-				defer b.storeProxy.Set(Pass)
-			}
-			if hit && f.Mode == LateStore {
-				b.storeProxy.Set(Late)
-				defer b.storeProxy.Set(Pass)
-			}
-			time.Sleep(time.Until(end))
-		})
+		switch f.Mode {
+		case Starved:
+			g.Go(func() { r.starve(b, end) })
+			continue
+		case Restarted:
+			b.Signal(syscall.SIGKILL)
+			continue
+		case Apart:
+			b.peerProxy.SetExcept(near[i%2], Silence)
+			defer b.peerProxy.SetFor(0, nil, Pass)
+		case Worn, CutOff, LateStore:
+			b.peerProxy.Set(Silence)
+			defer b.peerProxy.Set(Pass)
+		}
+		if m := storeModes[f.Mode]; hit && m != "" {
+			b.storeProxy.Set(m)
+			defer b.storeProxy.Set(Pass)
+		}
+		if hit && (f.Mode == Paused || f.Mode == Worn) {
+			g.Go(func() { pauseOften(b, end) })
+		}
+	}
+	time.Sleep(time.Until(end))
+}
+
+// storeModes has the modes of the links to the store.
+var storeModes = map[Mode]Mode{Worn: Late, CutOff: Silence, LateStore: Late, Apart: Silence}
+
+// Times for which a box that is paused often does not run, and runs.
+const (
+	minPause  = 600 * time.Millisecond
+	pauseStep = 100 * time.Millisecond
+	pauseGap  = 300 * time.Millisecond
+)
+
+// pauseOften pauses a box for 0.6 to 0.9 s again and again.
+func pauseOften(b *Box, end time.Time) {
+	for n := 0; time.Now().Before(end); n++ {
+		b.Signal(syscall.SIGSTOP)
+		time.Sleep(minPause + time.Duration(n%4)*pauseStep)
+		b.Signal(syscall.SIGCONT)
+		time.Sleep(pauseGap)
 	}
 }
 
--- a/soak/owner.go
+++ b/soak/owner.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"net"
 	"os"
 	"path/filepath"
@@ -12,16 +11,8 @@
 // ConnPair is the two addresses of a TCP connection in the form of /proc/net/tcp, that of the process first.
 type ConnPair [2]string
 
-// OpenedBy returns the TCP connections over IPv4 that processes have.
-func OpenedBy(pids ...int) map[ConnPair]bool {
-	out := map[ConnPair]bool{}
-	for _, p := range pids {
-		maps.Copy(out, openedByOne(p))
-	}
-	return out
-}
-
-func openedByOne(pid int) map[ConnPair]bool {
+// OpenedBy returns the TCP connections over IPv4 that a process has.
+func OpenedBy(pid int) map[ConnPair]bool {
 	inodes := map[string]bool{}
 	names, err := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
 	if err != nil {
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"slices"
 	"sync"
 	"time"
 )
@@ -42,9 +41,10 @@
 	conns    map[net.Conn]bool
 	others   map[net.Conn]net.Conn // to the target, by the accepted connection
 	hushed   map[net.Conn]bool     // connections that carry nothing any more
-	owners   []int                 // processes whose connections have a mode of their own
+	owner    int                   // process whose connections have a mode of their own; zero for none
 	own      Mode
-	owned    map[net.Conn]bool // accepted connections of these processes
+	owned    map[net.Conn]bool // accepted connections of that process
+	ownNew   bool              // all connections that are accepted get the mode of that process
 	rate     float64           // bytes from the target per second, of all connections; zero if not limited
 	sentAt   time.Time         // when what was sent at that rate has arrived
 }
@@ -91,16 +91,23 @@
 }
 
 // SetFor changes the mode for the connections that one process opens, and has opened. Reset and Closed end the latter.
-func (p *Proxy) SetFor(pid int, opened map[ConnPair]bool, m Mode) { p.SetForAll([]int{pid}, opened, m) }
+func (p *Proxy) SetFor(pid int, opened map[ConnPair]bool, m Mode) {
+	p.setSome(pid, m, false, func(c net.Conn) bool { return opened[pairOf(c)] })
+}
+
+// SetExcept changes the mode for all connections but those in kept.
+func (p *Proxy) SetExcept(kept map[ConnPair]bool, m Mode) {
+	p.setSome(0, m, true, func(c net.Conn) bool { return !kept[pairOf(c)] })
+}
 
-// SetForAll is SetFor for several processes.
-func (p *Proxy) SetForAll(pids []int, opened map[ConnPair]bool, m Mode) {
+// setSome changes the mode for the connections that pick selects, and for new ones of a process or all.
+func (p *Proxy) setSome(pid int, m Mode, all bool, pick func(net.Conn) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.owners, p.own = slices.DeleteFunc(slices.Clone(pids), func(pid int) bool { return pid == 0 }), m
+	p.owner, p.own, p.ownNew = pid, m, all
 	clear(p.owned)
 	for c := range p.others {
-		if !opened[pairOf(c)] {
+		if !pick(c) {
 			continue
 		}
 		p.owned[c] = true
@@ -222,17 +229,18 @@
 	p.copy(c, a, a, b, false)
 }
 
-// recogniseOwner notes whether a process whose connections have a mode of their own has opened a connection.
+// recogniseOwner notes whether the process whose connections have a mode of their own has opened a connection.
 func (p *Proxy) recogniseOwner(c net.Conn) {
 	p.mu.Lock()
-	pids := p.owners
+	pid := p.owner
+	p.owned[c] = p.ownNew
 	p.mu.Unlock()
-	if len(pids) == 0 || !OpenedBy(pids...)[pairOf(c)] {
+	if pid == 0 || !OpenedBy(pid)[pairOf(c)] {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.owned[c] = slices.Equal(p.owners, pids)
+	p.owned[c] = p.owner == pid
 }
 
 // copy forwards bytes of an accepted connection in one direction as the mode allows. Bytes that are held back are forwarded
