--- a/soak/appear.go
+++ b/soak/appear.go
@@ -201,8 +201,9 @@
 	}
 }
 
-// pairCounts counts pairs of attempts, of which the second one takes a stream up after its first event.
-type pairCounts struct{ asked, takenUp, wentOn, wrong int }
+// pairCounts counts pairs of attempts: those that asked for a stream, those whose stream began and was taken up after its first event, those of
+// which it began at a version that appeared, and those of which it went on, some at another version.
+type pairCounts struct{ asked, takenUp, atOther, wentOn, wrong int }
 
 // startPairs starts pairs of attempts at neighbouring boxes, which name the first attempt and do not in turn.
 func (r *run) startPairs(g *sync.WaitGroup, done <-chan struct{}, id string) {
@@ -235,7 +236,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.pairs[how]
-	for to, ok := range map[*int]bool{&p.asked: true, &p.takenUp: isBegun, &p.wentOn: wentOn, &p.wrong: len(s.Versions) > 1} {
+	isOther := isBegun && s.Versions[0] != versions[0]
+	for to, ok := range map[*int]bool{&p.asked: true, &p.takenUp: isBegun, &p.atOther: isOther, &p.wentOn: wentOn, &p.wrong: len(s.Versions) > 1} {
 		if ok {
 			*to++
 		}
