--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -16,6 +16,7 @@
 const (
 	Pass    Mode = "pass"
 	Delay   Mode = "delay"   // each read is forwarded after linkDelay
+	Late    Mode = "late"    // as Delay, after lateLinkDelay
 	Reset   Mode = "reset"   // connections are reset, new ones closed
 	Silence Mode = "silence" // nothing is forwarded until the mode changes
 	OneWay  Mode = "one way" // only bytes to the target are forwarded
@@ -23,8 +24,11 @@
 	Pieces  Mode = "pieces"  // bytes are forwarded in small pieces, some of which are late
 )
 
-// linkDelay is the added delay in mode Delay.
-const linkDelay = 60 * time.Millisecond
+// linkDelay is the added delay in mode Delay, and lateLinkDelay that in mode Late.
+const (
+	linkDelay     = 60 * time.Millisecond
+	lateLinkDelay = 700 * time.Millisecond
+)
 
 // Proxy is a TCP proxy that injects the faults of its mode.
 type Proxy struct {
@@ -40,6 +44,7 @@
 	owner    int                   // process whose connections have a mode of their own; zero for none
 	own      Mode
 	owned    map[net.Conn]bool // accepted connections of that process
+	ownNew   bool              // all connections that are accepted get the mode of that process
 	rate     float64           // bytes from the target per second, of all connections; zero if not limited
 	sentAt   time.Time         // when what was sent at that rate has arrived
 }
@@ -87,12 +92,22 @@
 
 // SetFor changes the mode for the connections that one process opens, and has opened. Reset and Closed end the latter.
 func (p *Proxy) SetFor(pid int, opened map[ConnPair]bool, m Mode) {
+	p.setSome(pid, m, false, func(c net.Conn) bool { return opened[pairOf(c)] })
+}
+
+// SetExcept changes the mode for all connections but those in kept.
+func (p *Proxy) SetExcept(kept map[ConnPair]bool, m Mode) {
+	p.setSome(0, m, true, func(c net.Conn) bool { return !kept[pairOf(c)] })
+}
+
+// setSome changes the mode for the connections that pick selects, and for new ones of a process or all.
+func (p *Proxy) setSome(pid int, m Mode, all bool, pick func(net.Conn) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.owner, p.own = pid, m
+	p.owner, p.own, p.ownNew = pid, m, all
 	clear(p.owned)
 	for c := range p.others {
-		if !opened[pairOf(c)] {
+		if !pick(c) {
 			continue
 		}
 		p.owned[c] = true
@@ -218,6 +233,7 @@
 func (p *Proxy) recogniseOwner(c net.Conn) {
 	p.mu.Lock()
 	pid := p.owner
+	p.owned[c] = p.ownNew
 	p.mu.Unlock()
 	if pid == 0 || !OpenedBy(pid)[pairOf(c)] {
 		return
@@ -280,9 +296,13 @@
 		switch {
 		case m == Pass, m == Pieces, m == OneWay && toTarget:
 			return true
-		case m == Delay:
+		case m == Delay, m == Late:
+			d := linkDelay
+			if m == Late {
+				d = lateLinkDelay
+			}
 			select {
-			case <-time.After(linkDelay):
+			case <-time.After(d):
 				return true
 			case <-c.Done():
 				return false
