Settle versions a second sooner

While a version waits to settle, the two boxes that watch wait for 0.2 s a call, and the others ask, once they have known it for 2 s.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -261,11 +261,7 @@
 
 // countUnsettled returns the number of versions of all services at which no streams may begin yet.
 func (p *platformComponents) countUnsettled() int64 {
-	n := 0
-	for _, s := range p.state.Roster.Services() {
-		n += len(p.unsettled(s))
-	}
-	return int64(n)
+	return int64(p.state.Roster.Versions.CountUnsettled(boottime.Now()))
 }
 
 // newOrigins returns the service that knows at which software versions streams began.
--- a/fleetstate/service.go
+++ b/fleetstate/service.go
@@ -119,7 +119,7 @@
 		},
 		{
 			Store: s.Store, Prefix: s.EndpointsPrefix, Wait: watchTimeout, Apply: s.applyEndpoints, StartRevision: s.Revision,
-			OnCurrent: s.confirmRecords, Log: s.log, StoreUnreachable: s.session.StoreUnreachable,
+			OnCurrent: s.confirmRecords, IsUrgent: s.hasUnsettled, Log: s.log, StoreUnreachable: s.session.StoreUnreachable,
 		},
 	}
 	for _, m := range s.mirrors {
@@ -287,6 +287,9 @@
 	return t
 }
 
+// hasUnsettled reports whether a software version waits for confirmations to be settled.
+func (s *Service) hasUnsettled() bool { return s.Roster.Versions.CountUnsettled(boottime.Now()) > 0 }
+
 // confirmRecords records that the records, as applied to the roster, had all changes made up to a time.
 func (s *Service) confirmRecords(at time.Time) {
 	s.applyMu.Lock()
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -22,6 +22,9 @@
 // changes in quick succession cost one call.
 const coalesceDelay = 100 * time.Millisecond
 
+// urgentWait is how long one watch call waits while IsUrgent holds.
+const urgentWait = 200 * time.Millisecond
+
 // The delay after a failed call is random between minRetryDelay and maxRetryDelay.
 // While the store is known to be unreachable it is unreachableRetryDelay, because
 // failed calls are billed too: without the longer delay, 70 boxes made 1,550 calls
@@ -44,6 +47,9 @@
 	// history doesn't end pending calls, so a change may be missed for that long.
 	Wait time.Duration
 
+	// IsUrgent, if set, reports whether OnCurrent is needed soon: calls wait for urgentWait at most then.
+	IsUrgent func() bool
+
 	Apply func(items []store.Item, whole bool, revision uint64)
 	Log   zerolog.Logger
 
@@ -137,7 +143,11 @@
 		m.confirm(began)
 		return at, nil
 	}
-	items, at, err := m.Store.Watch(c, m.Prefix, revision, m.Wait, m.sizes.watchLimit())
+	limit := m.Wait
+	if m.IsUrgent != nil && m.IsUrgent() {
+		limit = min(limit, urgentWait)
+	}
+	items, at, err := m.Store.Watch(c, m.Prefix, revision, limit, m.sizes.watchLimit())
 	if err != nil {
 		return 0, err
 	}
--- a/origins/settle.go
+++ b/origins/settle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -17,28 +18,31 @@
 	settleInterval     = 200 * time.Millisecond
 	maxSettleQuestions = 2
 
-	// youngFor is how long after its start a process asks which versions others know to be settled. Later it knows as much as they
-	// do, unless its view is old.
+	// youngFor is how long after its start a process asks at once which versions others know to be settled. Later, unless its view
+	// is old, it asks when they may be.
 	youngFor = 10 * time.Second
 )
 
 // runSettle learns from other boxes which versions are settled until c is done. Without it a process that starts while the store is
-// away, or beside several versions, could begin no streams until it knows that itself.
+// away, or beside several versions, could begin no streams until it knows that itself, and boxes that don't watch the store would
+// know it a round or two later than those that do.
 func (d *Directory) runSettle(c context.Context) {
 	started := boottime.Now()
 	for c.Err() == nil {
 		now := boottime.Now()
 		if age, _ := d.Versions.Age(now); now.Sub(started) < youngFor || age > versionhistory.MaxAge {
-			d.settle(c)
+			recent, _ := d.Versions.Snapshot(now)
+			d.settle(c, slices.Collect(maps.Keys(recent)))
+		} else {
+			d.settle(c, d.Versions.Due(now))
 		}
 		wait.For(c, settleInterval)
 	}
 }
 
-// settle asks other boxes about the services with versions that aren't known to be settled.
-func (d *Directory) settle(c context.Context) {
-	recent, _ := d.Versions.Snapshot(boottime.Now())
-	for s := range recent {
+// settle asks other boxes about those of the services with versions that aren't known to be settled.
+func (d *Directory) settle(c context.Context, services []string) {
+	for _, s := range services {
 		if len(d.Versions.Unsettled(s, boottime.Now())) == 0 {
 			continue
 		}
--- a/versionhistory/history.go
+++ b/versionhistory/history.go
@@ -236,6 +236,32 @@
 	return h.names(service, func(v *version) bool { return v.endpoints > 0 && !v.settled })
 }
 
+// CountUnsettled returns the number of versions of all services that Unsettled returns.
+func (h *History) CountUnsettled(now time.Time) int {
+	h.mu.Lock()
+	services := slices.Collect(maps.Keys(h.services))
+	h.mu.Unlock()
+	n := 0
+	for _, s := range services {
+		n += len(h.Unsettled(s, now))
+	}
+	return n
+}
+
+// Due returns the services with versions that other boxes may know to be settled: this box has known them for MaxAge.
+func (h *History) Due(now time.Time) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []string
+	for s := range h.services {
+		isDue := func(v *version) bool { return v.endpoints > 0 && !v.settled && now.Sub(v.added) >= MaxAge }
+		if len(h.names(s, isDue)) > 0 {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // Settled returns the versions of a service that have endpoints and are settled.
 func (h *History) Settled(service string) []string {
 	h.mu.Lock()
--- a/versionhistory/history_test.go
+++ b/versionhistory/history_test.go
@@ -64,9 +64,14 @@
 	require.Equal(t, []string{"v2"}, h.Unsettled("s", now))
 	require.Equal(t, []string{"v1"}, h.Settled("s"))
 	require.Equal(t, []string{"v2"}, h.Unsettled("s", now.Add(time.Hour)), "nobody has confirmed that it is still there")
+	require.Equal(t, 1, h.CountUnsettled(now))
+	require.Empty(t, h.Due(now), "no other box can know more")
+	require.Equal(t, []string{"s"}, h.Due(now.Add(time.Millisecond)))
 	now = now.Add(time.Millisecond)
 	h.Confirm(now)
 	require.Empty(t, h.Unsettled("s", now))
+	require.Empty(t, h.Due(now))
+	require.Zero(t, h.CountUnsettled(now))
 
 	// A version that leaves for a while is remembered by all boxes, and forgotten later.
 	h.Remove("s", "v2", now)
