Let streams wait until a version is settled

A stream that finds only versions which are not settled now waits for up to 3 s, and for half of its caller's time, before it is refused. Releases whose old version leaves at once cost their callers a wait in place of refusals.

--- a/forward/run.go
+++ b/forward/run.go
@@ -369,12 +369,13 @@
 }
 
 // choose picks an endpoint that was not tried and for which it gets a permit. If no endpoint is
-// known, it waits up to endpointTimeout for one.
+// known, it waits up to endpointTimeout for one, and up to settleTimeout if those that are may be used then.
 func (r *run) choose(c context.Context) (balance.Choice, bool) {
 	q := r.newQuery()
 	p := permitState{started: boottime.Now()}
 	r.versions = r.f.Rollouts.PickVersion(r.q.Service.Name, len(r.reached)+r.failedDials+r.refusedDials > 0, boottime.Now())
 	deadline := boottime.Now().Add(endpointTimeout)
+	settled := boottime.Now().Add(min(settleTimeout, boottime.Until(r.q.Expires)/2))
 	for {
 		ch, known, ok := r.find(q)
 		if ok && r.acquirePlace(c, &p, ch.Endpoint) && r.acquirePermit(c, &p, ch.Endpoint) {
@@ -387,6 +388,10 @@
 		if q.Skip = r.skipped(&p); ok {
 			continue
 		}
+		if c.Err() == nil && len(r.unsettled()) > 0 && boottime.Now().Before(settled) {
+			wait.For(c, settlePollInterval)
+			continue
+		}
 		if known || r.begun != nil || len(r.reached)+r.failedDials+r.refusedDials > 0 || boottime.Now().After(deadline) || c.Err() != nil {
 			return balance.Choice{}, false
 		}
--- a/forward/version.go
+++ b/forward/version.go
@@ -31,8 +31,15 @@
 // box: these may not have heard of the version.
 type UnsettledFunc func(service string) []string
 
-// settleRetryAfter is the time after which a caller returns for which all endpoints are of such versions.
-const settleRetryAfter = time.Second
+const (
+	// settleTimeout bounds the time for which a stream waits until it may begin at such a version, checked each
+	// settlePollInterval. It is more than a version takes to settle. A stream waits for no more than half of the time that its caller does.
+	settleTimeout      = 3 * time.Second
+	settlePollInterval = 50 * time.Millisecond
+
+	// settleRetryAfter is the time after which a caller returns that has waited in vain.
+	settleRetryAfter = time.Second
+)
 
 // unsettled returns the versions at which the request may not begin.
 func (r *run) unsettled() []string {
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -65,11 +66,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := &slowStore{Store: &memstore.Store{}, delay: 900 * time.Millisecond}
 		s.Set("k", "1")
-		var confirmed time.Time
-		seen := ""
+		var confirmed atomic.Pointer[time.Time]
+		var seen atomic.Pointer[string]
 		m := &mirror.Mirror{
-			Store: s, Prefix: "k", Wait: time.Second, Log: zerolog.Nop(), OnCurrent: func(at time.Time) { confirmed = at },
-			Apply: func(items []store.Item, _ bool, _ uint64) { seen = string(items[len(items)-1].Value) },
+			Store: s, Prefix: "k", Wait: time.Second, Log: zerolog.Nop(), OnCurrent: func(at time.Time) { confirmed.Store(&at) },
+			Apply: func(items []store.Item, _ bool, _ uint64) { seen.Store(new(string(items[len(items)-1].Value))) },
 		}
 		c, cancel := context.WithCancel(t.Context())
 		defer synctest.Wait()
@@ -77,11 +78,13 @@
 		go m.Run(c)
 		for n := range 20 {
 			wait.For(c, 1700*time.Millisecond)
+			synctest.Wait()
 			value, changed := fmt.Sprint("value ", n), boottime.Now()
 			s.SetWatchesStalled(n%2 == 0) // the change is lost for a watch that is pending
 			s.Set("k", value)
-			for seen != value {
-				require.False(t, confirmed.After(changed), value)
+			synctest.Wait()
+			for *seen.Load() != value {
+				require.False(t, confirmed.Load().After(changed), value)
 				wait.For(c, 50*time.Millisecond)
 				synctest.Wait()
 				if s.SetWatchesStalled(false); boottime.Since(changed) > 10*time.Second {
