--- a/ratelimit/paused_test.go
+++ b/ratelimit/paused_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -20,14 +21,13 @@
 // an endpoint for a second, although all arbiters answer.
 func TestOwnPauseMakesNoArbiterUnresponsive(t *testing.T) {
 	m := start(t, "member")
-	m.Cooldown = time.Hour
+	var isPaused atomic.Bool
+	isPaused.Store(true)
 	arbiter := func(name string) quota.Arbiter {
 		a := freeAddress(t)
 		n := peer.NewNode(a, a, "secret", metrics.NewRegistry())
-		var asked atomic.Int64
 		peer.Handle(n.Server, "limit.permit", func(c context.Context, _ throttle.Question) (throttle.Answer, error) {
-			if asked.Add(1) == 1 {
-				boottime.SimulateSuspension(time.Second)
+			if isPaused.Load() {
 				<-c.Done()
 				return throttle.Answer{}, c.Err()
 			}
@@ -39,7 +39,18 @@
 	}
 	m.setView(0, arbiter("s"), arbiter("t"))
 	x := throttle.Question{Endpoint: "e", PerSecond: 1}
-	require.False(t, m.Permit(t.Context(), x).OK)
-	require.True(t, m.Permit(t.Context(), x).OK)
+	done := make(chan bool)
+	go func() { done <- m.Permit(t.Context(), x).OK }()
+	for isPermitted := true; isPaused.Load(); {
+		select {
+		case isPermitted = <-done:
+			require.False(t, isPermitted)
+			isPaused.Store(false)
+		default:
+			boottime.SimulateSuspension(time.Second)
+			runtime.Gosched()
+		}
+	}
 	require.Zero(t, m.unanswered())
+	require.Eventually(t, func() bool { return m.Permit(t.Context(), x).OK }, 20*time.Second, time.Millisecond)
 }
