Ask others for settled versions also while records come with gaps

A box that gets the newest records time and again counts a version's time anew with each, and so never asked others, who may know that it is settled. Found by reading; TestVersionsAreDueDespiteGaps fails without the change by the same reading, and was not run on the code before.

--- a/ratelimit/paused_test.go
+++ b/ratelimit/paused_test.go
@@ -41,9 +41,9 @@
 	x := throttle.Question{Endpoint: "e", PerSecond: 1}
 	done := make(chan bool)
 	go func() { done <- m.Permit(t.Context(), x).OK }()
-	for isPermitted := true; isPaused.Load(); {
+	for isPaused.Load() {
 		select {
-		case isPermitted = <-done:
+		case isPermitted := <-done:
 			require.False(t, isPermitted)
 			isPaused.Store(false)
 		default:
--- a/versionhistory/history.go
+++ b/versionhistory/history.go
@@ -44,7 +44,8 @@
 type version struct {
 	endpoints int
 	seen      time.Time
-	added     time.Time // when the first of its endpoints was added
+	appeared  time.Time // when the first of its endpoints was added
+	added     time.Time // since when it has had endpoints without a gap that this box can't exclude
 	present   time.Time // the last confirmed time at which it had endpoints
 	settled   bool
 }
@@ -81,7 +82,7 @@
 	}
 	v := h.get(service, name, now)
 	if v.endpoints == 0 {
-		v.added = now
+		v.appeared, v.added = now, now
 		v.settled = v.settled && now.Sub(v.present) < returnTime
 	}
 	v.endpoints++
@@ -254,7 +255,7 @@
 	defer h.mu.Unlock()
 	var out []string
 	for s := range h.services {
-		isDue := func(v *version) bool { return v.endpoints > 0 && !v.settled && now.Sub(v.added) >= MaxAge }
+		isDue := func(v *version) bool { return v.endpoints > 0 && !v.settled && now.Sub(v.appeared) >= MaxAge }
 		if len(h.names(s, isDue)) > 0 {
 			out = append(out, s)
 		}
--- a/versionhistory/history_test.go
+++ b/versionhistory/history_test.go
@@ -93,6 +93,24 @@
 	require.Equal(t, []string{"v2"}, h.Unsettled("s", now))
 }
 
+// A box that reads the newest records time and again can't tell whether a version was there all the time, and must ask others.
+func TestVersionsAreDueDespiteGaps(t *testing.T) {
+	now := time.Now()
+	var h versionhistory.History
+	h.Confirm(now)
+	h.Add("s", "v1", now)
+	h.Add("s", "v2", now)
+	for range 5 {
+		now = now.Add(versionhistory.MaxAge / 4)
+		h.Skip(true, now)
+		h.Confirm(now)
+	}
+	require.Equal(t, []string{"v1", "v2"}, h.Unsettled("s", now))
+	require.Equal(t, []string{"s"}, h.Due(now))
+	h.Settle(map[string][]string{"s": {"v1", "v2"}}, now)
+	require.Empty(t, h.Due(now))
+}
+
 // What another box knows to be settled is settled, if this box knows the version.
 func TestSettledVersionsOfOtherBoxes(t *testing.T) {
 	now := time.Now()
