--- a/call/call.go
+++ b/call/call.go
@@ -33,6 +33,9 @@
 	Arrived time.Time
 	Timeout time.Duration
 
+	// Read is when the body was read to its end, or zero before that and for a request without one.
+	Read time.Time
+
 	// LastEventID is the ID of the last event of a stream that the caller has received.
 	LastEventID string
 
--- a/forward/attempts.go
+++ b/forward/attempts.go
@@ -56,6 +56,20 @@
 	}
 }
 
+// count returns the number of attempts in progress.
+func (s *attemptSet) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, cs := range s.cancels {
+		n += len(cs)
+	}
+	return n
+}
+
+// CountAttempts returns the number of attempts in progress at all endpoints.
+func (f *Forwarder) CountAttempts() int { return f.attempts.count() }
+
 // has reports whether there are attempts at an incarnation.
 func (s *attemptSet) has(incarnation string) bool {
 	s.mu.Lock()
--- a/forward/run.go
+++ b/forward/run.go
@@ -84,6 +84,7 @@
 	// request.
 	permitRetryAfter time.Duration
 
+	firstSent     time.Time // when an attempt was first sent to an endpoint; zero before
 	trace         Trace
 	errorResponse *response // error response of an endpoint, returned if no other attempt succeeds
 
@@ -177,7 +178,9 @@
 		return false, err
 	}
 	r.tried[ch.Endpoint.Incarnation()] = true
-	r.trace = Trace{Content: r.q.Content, Parts: r.q.Parts, Attempts: r.trace.Attempts + 1, Moves: r.moves, Runs: r.answer.Runs(), Choice: ch}
+	r.trace = Trace{
+		Content: r.q.Content, Parts: r.q.Parts, Attempts: r.trace.Attempts + 1, Moves: r.moves, Runs: r.answer.Runs(), Choice: ch, FirstSent: r.firstSent,
+	}
 	ch, out := r.continueMoved(c, ch, r.attempt(c, ch))
 	r.returnPlace(out.interruption == recovery.Refused && !out.done)
 	if out.done {
--- a/forward/trace.go
+++ b/forward/trace.go
@@ -25,6 +25,9 @@
 	// Outcome is what the last response reported.
 	Outcome call.Outcome
 
+	// FirstSent is when the request was first sent to an endpoint; zero if it was not.
+	FirstSent time.Time
+
 	// ResponseTime is the time from sending the last attempt to the head of its response; zero if
 	// none arrived.
 	ResponseTime time.Duration
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"birchlink.dev/birchlink/bodyroom"
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/call"
 	"birchlink.dev/birchlink/errkind"
 )
@@ -41,10 +42,12 @@
 	if r.ContentLength > 0 {
 		size = r.ContentLength
 	}
+	i.reading.Add(1)
+	defer i.reading.Add(-1)
 	b, release, err := i.bodies.Read(http.MaxBytesReader(w, r.Body, limit), int(size))
 	if err == nil {
 		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-		c.Body = b
+		c.Body, c.Read = b, boottime.Now()
 		return release, nil
 	}
 	var tooLarge *http.MaxBytesError
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -99,7 +99,9 @@
 	listener       net.Listener
 	readyListener  net.Listener
 	stopping       atomic.Bool
+	stopBegan      atomic.Pointer[time.Time] // nil until the box stops
 	inFlight       atomic.Int64
+	reading        atomic.Int64     // requests whose bodies are being read
 	heads          membudget.Budget // held heads of requests
 	bodies         *bodyroom.Room
 	closing        context.Context
@@ -188,13 +190,15 @@
 func (i *Ingress) Stop(c context.Context) error {
 	i.stopping.Store(true)
 	began := boottime.Now()
-	i.log.Info().Str("event", "stop").Int64("requests", i.inFlight.Load()).Msg("shutting down: not ready, still accepting requests")
+	i.stopBegan.Store(&began)
+	i.logStop("shutting down: not ready, still accepting requests")
 	wait.For(c, i.ShutdownDelay)
+	i.logStop("accepting no more connections")
 	x, cancel := context.WithTimeout(c, i.ShutdownTimeout-boottime.Since(began))
 	defer cancel()
 	err := i.server.Shutdown(x)
 	if err != nil {
-		i.log.Warn().Str("event", "stop").Int64("requests", i.inFlight.Load()).Msg("shutdown timeout expired")
+		i.logStop("shutdown timeout expired")
 		i.cancelRequests(errStopped)
 		y, stop := context.WithTimeout(context.WithoutCancel(c), writeTimeout/10)
 		defer stop()
@@ -203,6 +207,12 @@
 	return errors.Join(err, i.readyServer.Close())
 }
 
+// logStop logs a step of the shutdown, and the requests in progress by what they wait for.
+func (i *Ingress) logStop(step string) {
+	i.log.Info().Str("event", "stop").Int64("requests", i.inFlight.Load()).Int64("reading_body", i.reading.Load()).
+		Int("at_endpoints", i.forwarder.CountAttempts()).Msg(step)
+}
+
 // Stopping reports whether Stop has been called.
 func (i *Ingress) Stopping() bool { return i.stopping.Load() }
 
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -97,7 +97,7 @@
 		return
 	}
 	if s.headSent {
-		i.failureEvent(q, err).EmbedObject(trace).Msg("broken off")
+		i.failureEvent(q, err, trace).Msg("broken off")
 		// Close the connection, so that the caller does not take a partial response for a complete
 		// one. It is reset if the response has no other end.
 		panic(http.ErrAbortHandler)
@@ -175,7 +175,8 @@
 func (i *Ingress) logAnswered(q forward.Request, status int, t forward.Trace) {
 	d := boottime.Since(q.Call.Arrived)
 	metrics.GetOrRegisterTimer("requests."+q.Route.Kind.String(), i.metrics).Update(d)
-	l := i.log.Info().Str("event", "answer").Str("request", q.Call.ID).Str("route", q.Route.Name).Int("status", status).Dur("took", d)
+	l := i.log.Info().Str("event", "answer").Str("request", q.Call.ID).Str("route", q.Route.Name).Int("status", status)
+	l = i.withTimes(l, q.Call, t)
 	if lag := i.state.RecordsLag(); lag > 0 {
 		l = l.Dur("records_lag", lag)
 	}
@@ -189,7 +190,7 @@
 	e := errkind.Of(err)
 	resp := e.Kind.Response()
 	metrics.GetOrRegisterCounter("refused."+resp.Name, i.metrics).Inc(1)
-	i.failureEvent(q, err).EmbedObject(t).Msg("refused or failed")
+	i.failureEvent(q, err, t).Msg("refused or failed")
 	if e.Kind == errkind.CallerGone {
 		panic(http.ErrAbortHandler)
 	}
--- a/ingress/sink.go
+++ b/ingress/sink.go
@@ -76,27 +76,47 @@
 }
 
 // failureEvent returns a log event for a request that failed with err.
-func (i *Ingress) failureEvent(q forward.Request, err error) *zerolog.Event {
+func (i *Ingress) failureEvent(q forward.Request, err error, t forward.Trace) *zerolog.Event {
 	e := errkind.Of(err)
 	resp := e.Kind.Response()
-	l := i.log.Info().Str("event", "answer").Str("kind", resp.Name).Str("run", string(resp.Run)).Str("reason", e.Message).Dur("retry_after", e.RetryAfter)
+	l := i.log.Info().Str("event", "answer")
+	if q.Call != nil {
+		l = l.Str("request", q.Call.ID)
+	}
+	l = l.Str("kind", resp.Name).Str("run", string(resp.Run)).Str("reason", e.Message).Dur("retry_after", e.RetryAfter)
 	var limit *limitError
 	if errors.As(err, &limit) {
 		l = l.EmbedObject(limit)
 	}
 	if q.Call != nil {
-		l = withResumes(l.Str("request", q.Call.ID).Dur("took", boottime.Since(q.Call.Arrived)), q.Call)
+		l = i.withTimes(withResumes(l, q.Call), q.Call, t)
 	}
 	if q.Route != nil {
 		l = l.Str("route", q.Route.Name)
 	}
-	if t := i.state.Table(); t != nil {
-		l = l.Uint64("configuration", t.Document.Version)
+	if d := i.state.Table(); d != nil {
+		l = l.Uint64("configuration", d.Document.Version)
 	}
 	if denials[e.Kind] || e.Kind == errkind.NotReady {
 		l = l.Dur("configuration_age", i.state.ConfigAge()).Dur("configuration_lag", i.state.ConfigLag()).Dur("store_age", i.session.StoreUnresponsiveFor())
 	}
-	return withAccount(l, q)
+	return withAccount(l, q).EmbedObject(t)
+}
+
+// withTimes adds to a log event when, from the arrival of a request on, its body was read and it was first sent to an endpoint, and
+// for how long the box has been shutting down.
+func (i *Ingress) withTimes(l *zerolog.Event, c *call.Call, t forward.Trace) *zerolog.Event {
+	l = l.Dur("took", boottime.Since(c.Arrived))
+	if !c.Read.IsZero() {
+		l = l.Dur("body_read", c.Read.Sub(c.Arrived))
+	}
+	if !t.FirstSent.IsZero() {
+		l = l.Dur("sent", t.FirstSent.Sub(c.Arrived))
+	}
+	if began := i.stopBegan.Load(); began != nil {
+		l = l.Dur("stopping", boottime.Since(*began))
+	}
+	return l
 }
 
 // denials are the kinds of errors that depend on what the configuration in force lacks or forbids.
