--- a/catalog/document.go
+++ b/catalog/document.go
@@ -69,6 +69,7 @@
 // Service is a set of interchangeable endpoints.
 type Service struct {
 	Name           string
+	HealthPath     string  // of the health check of its endpoints; empty if they have none
 	MaxConnections int     // that an endpoint accepts from all callers together
 	Engine         *Engine // nil for a plain service
 	Scaling        *Scaling
--- a/forward/endpoint_test.go
+++ b/forward/endpoint_test.go
@@ -31,6 +31,7 @@
 	closed     chan struct{} // receives an item for each connection that the endpoint closed
 
 	mu         sync.Mutex
+	checks     int // health checks received
 	requests   int // requests received, run or not
 	runs       int // requests run
 	conns      int
@@ -96,12 +97,44 @@
 		}
 		_, _ = io.Copy(io.Discard, q.Body)
 		last := q.Header.Get("Last-Event")
+		if q.URL.Path == healthPath {
+			if !f.check(c, q.Header.Get("Id")) {
+				return
+			}
+			continue
+		}
 		if !f.answer(c, f.next(last), q.Header.Get("Id"), last) {
 			return
 		}
 	}
 }
 
+// healthPath is the path of the health check.
+const healthPath = "/health"
+
+// check answers a health check as the last behaviour requires, and reports whether to keep the connection.
+func (f *fakeEndpoint) check(c net.Conn, id string) bool {
+	f.mu.Lock()
+	f.checks++
+	b := f.behaviours[0]
+	f.mu.Unlock()
+	switch _, how, _ := strings.Cut(b, "/"); how {
+	case "mute":
+		_, _ = io.Copy(io.Discard, c)
+		return false
+	case "elsewhere": // another process has the address
+		fmt.Fprintf(c, "HTTP/1.1 421 Elsewhere\r\nId: %s\r\nContent-Length: 0\r\n\r\n", id)
+	case "full":
+		fmt.Fprintf(c, "HTTP/1.1 503 Full\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
+	case "late": // the answer to another request comes in its place
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: another\r\nContent-Length: 0\r\n\r\n")
+		return false
+	default:
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 0\r\n\r\n", id)
+	}
+	return true
+}
+
 func reset(c net.Conn) {
 	_ = c.(*net.TCPConn).SetLinger(0)
 	_ = c.Close()
@@ -120,6 +153,7 @@
 
 // answer performs a behaviour and reports whether to keep the connection.
 func (f *fakeEndpoint) answer(c net.Conn, behaviour, id, last string) bool {
+	behaviour, _, _ = strings.Cut(behaviour, "/") // the rest is that of the health check
 	kind, arg, _ := strings.Cut(behaviour, ":")
 	n, _ := strconv.Atoi(arg)
 	body := "from " + f.name
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -120,6 +120,7 @@
 	f               *forward.Forwarder
 	endpoints       map[string]*fakeEndpoint
 	route           catalog.Route
+	service         catalog.Service
 	started         int       // requests that an endpoint began to run
 	last            *recorder // response to the last call
 	err             error     // error of the last call
@@ -163,7 +164,7 @@
 // newScript returns a script whose forwarder has no endpoints.
 func newScript(t *testing.T) *script {
 	t.Helper()
-	s := &script{t: t, endpoints: map[string]*fakeEndpoint{}}
+	s := &script{t: t, endpoints: map[string]*fakeEndpoint{}, service: catalog.Service{Name: "s"}}
 	s.f = &forward.Forwarder{
 		Roster: &endpoint.Roster{}, Rollouts: &rollout.Gate{}, Balancer: &balance.Balancer{}, Pool: &httpconn.Pool{DialTimeout: time.Second},
 		Budget: settledBudget(budget.Limits{Ratio: 1, Slack: 1000, Window: time.Minute}), Meter: &demand.Meter{}, Quarantine: &quarantine.Quarantine{},
@@ -213,6 +214,8 @@
 		s.endpoints[words[1]].replace = func() {
 			s.f.Roster.Put(endpoint.Endpoint{ID: words[1], StartMillis: 2, Service: "s", Slots: 4, Version: "v1", Address: s.endpoints["anew"].listener.Addr().String()})
 		}
+	case "health": // endpoints have a health check
+		s.service.HealthPath = healthPath
 	case "process": // a process that is not registered as an endpoint
 		s.endpoints[words[1]] = newFakeEndpoint(s.t, words[1], words[2:])
 	case "version": // the software version of an endpoint
@@ -282,7 +285,7 @@
 	s.last = &recorder{}
 	c := &call.Call{LastEventID: s.lastEventID, ID: strconv.Itoa(s.serial), Method: http.MethodPost, Host: "h", Target: "/x", Path: "/x", Body: []byte(body), Arrived: boottime.Now()}
 	q := forward.Request{
-		Call: c, Route: &s.route, Service: &catalog.Service{Name: "s"}, Account: &catalog.Account{Name: "a"}, Expires: boottime.Now().Add(5 * time.Second),
+		Call: c, Route: &s.route, Service: &s.service, Account: &catalog.Account{Name: "a"}, Expires: boottime.Now().Add(5 * time.Second),
 		Content: requesthash.HashOf("a", c), Parts: parts, Version: version,
 	}
 	s.lastEventID = ""
@@ -314,6 +317,11 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		require.Equal(s.t, words[2], strconv.Itoa(f.runs), at)
+	case "checked": // the number of health checks
+		f := s.endpoints[words[1]]
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		require.Equal(s.t, words[2], strconv.Itoa(f.checks), at)
 	case "asked":
 		f := s.endpoints[words[1]]
 		f.mu.Lock()
