--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -211,7 +211,7 @@
 	f := &forward.Forwarder{
 		DataCentre: s.DataCentre, Roster: &p.state.Roster, Balancer: p.balancer, Budget: p.budget, SpendCredit: credits.Spend, Meter: p.meter,
 		Quarantine: p.gossip.Quarantine, Rollouts: p.gossip.Rollouts, Unsettled: p.unsettled,
-		Pool: &httpconn.Pool{Connector: d}, Codec: platform.HeaderCodec{}, OnStart: p.countRequest, OnBegin: recordBegin(p.streams), Metrics: m, Log: log,
+		Pool: &httpconn.Pool{Connector: d}, Codec: platform.HeaderCodec{}, Health: platform.HeaderCodec{}, OnStart: p.countRequest, OnBegin: recordBegin(p.streams), Metrics: m, Log: log,
 		Admission: admission.Options{DeadlineCheck: s.DeadlineCheck},
 		OnSend:    p.sendHint, OnCrash: func(e endpoint.Endpoint) { p.gossip.BroadcastCrash(e.Incarnation()) },
 		OnDraining:    func(e endpoint.Endpoint) { p.gossip.BroadcastDraining(e.Incarnation()) },
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -67,7 +67,7 @@
 	if resp.Via != "" {
 		n.Unjudge()
 	}
-	out = r.readResponse(resp, n, w, sent)
+	out = r.readResponse(x, resp, n, w, sent)
 	r.trace.LongestPause = out.longestPause
 	r.recordForRollout(ch, out, sent)
 	out.err = cancelCause(x, out.err)
--- a/forward/end.go
+++ b/forward/end.go
@@ -23,10 +23,6 @@
 	// more.
 	errUnprovenEnd = errors.New("the stream ended, and not after the last event")
 
-	// errConnectionEnd reports a response without a length or chunks, of which the end of its connection does not show whether it
-	// is whole.
-	errConnectionEnd = errors.New("the connection ended, and the response has no length or chunks")
-
 	errNoProof = errors.New("the last event did not come again as the last one")
 )
 
@@ -112,11 +108,11 @@
 	if o.NotRun || resp.Status >= http.StatusMultipleChoices || !resp.EventStream {
 		return fmt.Errorf("%w: status %d", errNoProof, resp.Status)
 	}
-	return r.checkLastEvent(resp, before)
+	return r.checkLastEvent(x, resp, before)
 }
 
 // checkLastEvent reads a stream whose only event must be the answer's last one.
-func (r *run) checkLastEvent(resp *httpconn.Response, before string) error {
+func (r *run) checkLastEvent(c context.Context, resp *httpconn.Response, before string) error {
 	rd := sse.NewReader(resp.Body)
 	rd.Hold = resp.Hold
 	a := r.f.newAnswer(&r.q, before)
@@ -124,8 +120,11 @@
 	seq := a.Start(0)
 	for {
 		e, err := rd.Next()
-		if errors.Is(err, io.EOF) && resp.Framed() && seq.End(true) == sequence.Complete && a.Last == r.answer.Last {
-			return nil
+		if errors.Is(err, io.EOF) && seq.End(true) == sequence.Complete && a.Last == r.answer.Last {
+			if resp.Framed() {
+				return nil
+			}
+			return r.confirmEnd(c, answerStream)
 		}
 		if err != nil {
 			return fmt.Errorf("%w: %w", errNoProof, err)
--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -101,6 +101,7 @@
 		w.WriteHeader(http.StatusOK)
 	})
 	m.HandleFunc("POST /x", e.serve)
+	m.HandleFunc("GET "+healthPath, func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Instance-Id", e.name) })
 	h := &http.Server{Handler: m, ReadHeaderTimeout: time.Minute, ConnContext: func(c context.Context, n net.Conn) context.Context {
 		e.mu.Lock()
 		defer e.mu.Unlock()
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -24,6 +24,7 @@
 	"birchlink.dev/birchlink/endpointlimit"
 	"birchlink.dev/birchlink/errkind"
 	"birchlink.dev/birchlink/httpconn"
+	"birchlink.dev/birchlink/liveness"
 	"birchlink.dev/birchlink/numbering"
 	"birchlink.dev/birchlink/quarantine"
 	"birchlink.dev/birchlink/requesthash"
@@ -94,8 +95,8 @@
 // LimitFunc is called when an endpoint sets, lowers or removes the limit on its request rate.
 type LimitFunc func(s endpointlimit.Statement)
 
-// Forwarder forwards requests. All exported fields must be set, except SpendCredit, Terminations, Moves, OnBegin, Admission
-// and Accuracy.
+// Forwarder forwards requests. All exported fields must be set, except SpendCredit, Terminations, Moves, Health, OnBegin, Admission,
+// Accuracy, Liveness and Numbering.
 type Forwarder struct {
 	DataCentre    string
 	Roster        *endpoint.Roster
@@ -109,7 +110,8 @@
 	Rollouts      *rollout.Gate
 	Unsettled     UnsettledFunc // nil: streams begin at any version
 	Codec         Codec
-	Moves         MoveCodec // nil if running requests are not moved
+	Moves         MoveCodec   // nil if running requests are not moved
+	Health        HealthCodec // nil if endpoints have no health checks
 	RequestPermit PermitFunc
 	RequestPlace  PlaceFunc
 	OnStart       StartFunc
@@ -125,6 +127,9 @@
 	// Accuracy holds the errors of the expected times to the first event.
 	Accuracy accuracy.Tracker
 
+	// Liveness knows which processes of endpoints have outlived the ends of their connections.
+	Liveness liveness.Prober
+
 	// Numbering knows which services count the events of their streams.
 	Numbering numbering.Census
 
--- /dev/null
+++ b/forward/liveness.go
@@ -0,0 +1,72 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/rcrowley/go-metrics"
+
+	"birchlink.dev/birchlink/boottime"
+	"birchlink.dev/birchlink/endpoint"
+	"birchlink.dev/birchlink/httpconn"
+	"birchlink.dev/birchlink/liveness"
+)
+
+// HealthCodec translates the health check of endpoints.
+type HealthCodec interface {
+	// Check returns the health check of an endpoint at a path, over a new connection. Its answer matches only if it was sent after the
+	// check.
+	Check(e endpoint.Endpoint, path string) httpconn.Request
+}
+
+// Kinds of answers, as values in logs.
+const (
+	answerPlain  = "plain"
+	answerStream = "stream"
+)
+
+// errConnectionEnd reports a response without a length or chunks whose connection has ended, and of whose endpoint's process
+// it is not known whether it lives on: the connection may have ended with the process.
+var errConnectionEnd = errors.New("the connection ended, and the response has no length or chunks")
+
+// errOtherProcess reports that another process answers at the address of an endpoint.
+var errOtherProcess = errors.New("another process answers at the endpoint's address")
+
+// confirmEnd returns nil if a response that has ended in order with its connection, and has neither length nor chunks, is whole: the
+// endpoint has closed the connection itself, since its process has outlived that.
+func (r *run) confirmEnd(c context.Context, kind string) error {
+	e, ended := r.trace.Choice.Endpoint, boottime.Now()
+	var ask liveness.AskFunc
+	if path := r.q.Service.HealthPath; path != "" && r.f.Health != nil {
+		ask = func(c context.Context) error { return r.f.checkHealth(c, e, path) }
+	}
+	f := r.f.Liveness.Outlives(c, e.Incarnation(), ended, ask)
+	outcome := "unproven"
+	if f.Outlived {
+		outcome = "whole"
+	}
+	metrics.GetOrRegisterCounter("answers.unframed."+outcome, r.f.Metrics).Inc(1)
+	r.f.Log.Info().Str("event", "connection end").Str("request", r.q.Call.ID).Str("endpoint", e.ID).Int64("born", e.StartMillis).Str("answer", kind).
+		Str("outcome", outcome).Str("process", string(f.Reason)).Dur("took", boottime.Since(ended)).Err(f.Err).
+		Msg("the answer has neither length nor chunks, and its connection ended in order")
+	if f.Outlived {
+		return nil
+	}
+	return fmt.Errorf("%w: %w", errConnectionEnd, f.Err)
+}
+
+// checkHealth sends a health check to an endpoint. The error is nil if its process has answered, whatever the answer says. The
+// check goes over a new connection: a process that is about to end may answer on one that it has not closed yet.
+func (f *Forwarder) checkHealth(c context.Context, e endpoint.Endpoint, path string) error {
+	resp, err := f.Pool.Do(c, f.Health.Check(e, path))
+	if err != nil {
+		return fmt.Errorf("check the health of %s: %w", e.ID, err)
+	}
+	defer resp.Close()
+	if f.Codec.Outcome(resp.Status, resp.Header).WrongIncarnation {
+		return errOtherProcess
+	}
+	resp.Discard()
+	return nil
+}
--- a/forward/migrate_test.go
+++ b/forward/migrate_test.go
@@ -70,6 +70,7 @@
 	noBudget  bool
 	waiting   bool   // a drains before the first event
 	unframed  bool   // the stream of a has no framing, so its end is not known from it
+	health    bool   // engines have a health check, which shows that they live on
 	noIDs     bool   // events have no IDs
 	skew      int    // events by which continuations at b begin too late, or too early if negative
 	bare      int    // number of an event of a without an ID; zero for none
@@ -202,6 +203,19 @@
 		"unframed": {unframed: true, wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "moved"},
 		// Nor does it if the source answers that nothing runs: a run that has crashed has ended, too.
 		"run ends first, unframed": {unframed: true, moves: "ok run_ends", wantEvents: all, wantErr: "outcome_unknown", wantStarts: "a new", wantFreed: 1},
+		// It is whole if the source lives on.
+		"run ends first, unframed, lives on": {unframed: true, health: true, moves: "ok run_ends", wantEvents: all, wantStarts: "a new", wantFreed: 1},
+		// That the source lives on shows nothing of a run that was told to stop.
+		"unframed, lives on": {unframed: true, health: true, wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "moved"},
+		"unframed, lives on, never known": {
+			unframed: true, health: true, moves: "ok last_chunk_mute", handleTTL: time.Millisecond, wantEvents: "1 2 3", wantErr: "outcome_unknown", wantStarts: "a new",
+		},
+		"unframed, lives on, never known, resumable": {
+			unframed: true, health: true, resumable: true, cancelled: true, moves: "ok last_chunk_mute", wantEvents: all, wantStarts: "a new, b new 3",
+		},
+		"no run after the handle, unframed, lives on": {
+			unframed: true, health: true, moves: "ok lost no_run_closed", handleTTL: time.Millisecond, wantEvents: "1 2 3", wantErr: "outcome_unknown", wantStarts: "a new",
+		},
 		// When the handle may have expired, that answer does not tell whether the lost call stopped the run.
 		"no run after the handle, unframed": {
 			unframed: true, moves: "ok lost no_run_closed", handleTTL: time.Millisecond, wantEvents: "1 2 3", wantErr: "outcome_unknown", wantStarts: "a new",
@@ -389,6 +403,9 @@
 		Account: &catalog.Account{Name: "a"}, Expires: boottime.Now().Add(timeout),
 	}
 	q.Content = requesthash.HashOf("a", q.Call)
+	if v.health {
+		s.f.Health, q.Service.HealthPath = platform.HeaderCodec{}, healthPath
+	}
 	if v.takenUp {
 		q.Version = a.version
 	}
--- a/forward/move.go
+++ b/forward/move.go
@@ -155,6 +155,24 @@
 	return m.result
 }
 
+// isToldToStop reports whether the run was told to stop.
+func (s *runningStream) isToldToStop() bool {
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.move != nil && s.move.lastSent
+}
+
+// hasNoRun reports whether the source has said that nothing runs, and no call of this box has stopped the run. It must be called after
+// settle.
+func (s *runningStream) hasNoRun() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.move.noRun
+}
+
 // settleStopped is called when the stream has ended with a statement of its end. If the run was told to stop meanwhile, and the source
 // says that it has stopped it, the answer is not whole, whatever its stream says: settleStopped returns the stopped run then. It
 // returns false if the source has not said whether it has.
@@ -162,13 +180,12 @@
 	if s == nil {
 		return nil, true
 	}
+	if !s.isToldToStop() {
+		return nil, true
+	}
 	s.mu.Lock()
 	m := s.move
-	told := m != nil && m.lastSent
 	s.mu.Unlock()
-	if !told {
-		return nil, true
-	}
 	// The stream is at its end, so its caller waits for the answer of the source, which comes after the copy.
 	t := time.AfterFunc(stopAnswerTimeout, m.stop)
 	defer t.Stop()
--- a/forward/response.go
+++ b/forward/response.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -26,11 +27,14 @@
 var errCallerWrite = errors.New("the caller does not read")
 
 // readResponse reads a response and passes it to the sink if it is usable.
-func (r *run) readResponse(resp *httpconn.Response, n *balance.Attempt, w *watchdog, sent time.Time) attemptResult {
+func (r *run) readResponse(c context.Context, resp *httpconn.Response, n *balance.Attempt, w *watchdog, sent time.Time) attemptResult {
 	o := r.f.Codec.Outcome(resp.Status, resp.Header)
 	if r.f.Terminations != nil && !o.WrongIncarnation {
 		r.f.Terminations.RecordHeard(r.trace.Choice.Endpoint.Incarnation())
 	}
+	if !o.WrongIncarnation {
+		r.f.Liveness.RecordAnswer(r.trace.Choice.Endpoint.Incarnation(), sent)
+	}
 	r.handleOutcome(o)
 	n.BackOff(o.BackOff, boottime.Now())
 	if o.NotRun {
@@ -39,12 +43,11 @@
 		return attemptResult{interruption: recovery.Refused, err: fmt.Errorf("status %d: not run", resp.Status)}
 	}
 	if resp.EventStream && resp.Status < http.StatusMultipleChoices && r.isStream() {
-		return r.forwardEvents(resp, n, w)
+		return r.forwardEvents(c, resp, n, w)
 	}
 	b, err := resp.ReadAll(maxResponseSize)
 	if err == nil && !resp.Framed() {
-		metrics.GetOrRegisterCounter("answers.unframed", r.f.Metrics).Inc(1)
-		err = errConnectionEnd
+		err = r.confirmEnd(c, answerPlain)
 	}
 	if err != nil {
 		return attemptResult{interruption: recovery.Gone, err: fmt.Errorf("the answer was cut: %w", err)}
@@ -176,7 +179,7 @@
 // forwardEvents passes complete events to the sink as they arrive. The caller gets the head of
 // the first response that has an event which is part of the answer. What comes before that event is passed with it or, if no
 // other endpoint may begin the stream, with the head as it arrives.
-func (r *run) forwardEvents(resp *httpconn.Response, n *balance.Attempt, w *watchdog) attemptResult {
+func (r *run) forwardEvents(c context.Context, resp *httpconn.Response, n *balance.Attempt, w *watchdog) attemptResult {
 	s := &attemptStream{
 		resp: resp, n: n, w: w, seq: r.answer.Start(r.current), before: preamble{hold: resp.Hold}, out: attemptResult{interruption: recovery.Gone},
 	}
@@ -185,7 +188,8 @@
 	for {
 		e, err := rd.Next()
 		if err != nil {
-			r.endEvents(resp, w, s.seq, err, &s.out)
+			r.endEvents(c, s, err)
+
 			return s.out
 		}
 		v, err := r.checkEvent(s.seq, e, resp.Framed())
@@ -299,11 +303,15 @@
 }
 
 // endEvents completes the result of a stream of which no more events can be read.
-func (r *run) endEvents(resp *httpconn.Response, w *watchdog, seq *eventRun, err error, out *attemptResult) {
-	if errors.Is(err, io.EOF) && !resp.Framed() {
-		err = errConnectionEnd
+func (r *run) endEvents(c context.Context, s *attemptStream, err error) {
+	resp, out := s.resp, &s.out
+	isStated := errors.Is(err, io.EOF)
+	if isStated && !resp.Framed() {
+		if err = r.confirmStreamEnd(c, out); err != nil {
+			isStated = false
+		}
 	}
-	v := seq.End(errors.Is(err, io.EOF))
+	v := s.seq.End(isStated)
 	r.recordEnd(v, resp, err)
 	if v == sequence.Complete || v == sequence.Unproven {
 		var isKnown bool
@@ -322,10 +330,21 @@
 	case v == sequence.Unproven:
 		out.err = errUnprovenEnd
 		out.unproven = &response{status: resp.Status, header: resp.Header}
-	case !r.lead(w):
+	case !r.lead(s.w):
 		out.err = errSuperseded
 	default:
 		r.recordSurvival(resp, out.firstEventAt)
 		out.done = true
 	}
 }
+
+// confirmStreamEnd is confirmEnd for a stream. If its run was told to stop, the end of the connection is that of the stopped
+// run, unless the source says that nothing runs.
+func (r *run) confirmStreamEnd(c context.Context, out *attemptResult) error {
+	if r.stream.isToldToStop() {
+		if out.stopped = r.stream.settle(false); out.stopped != nil || !r.stream.hasNoRun() {
+			return errConnectionEnd
+		}
+	}
+	return r.confirmEnd(c, answerStream)
+}
