--- a/daemon/ends_test.go
+++ b/daemon/ends_test.go
@@ -52,6 +52,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if q.URL.Path == standin.HealthPath {
+		w.Header().Set("X-Instance-Id", s.id)
+		return
+	}
 	if _, err := io.Copy(io.Discard, q.Body); err != nil {
 		return
 	}
