--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -183,6 +183,9 @@
 	for {
 		done, err := r.step(c)
 		if done || err != nil {
+			if sent := r.shared.firstSent.Load(); sent != nil {
+				r.trace.FirstSent = *sent
+			}
 			return r.trace, err
 		}
 	}
--- a/forward/run.go
+++ b/forward/run.go
@@ -84,7 +84,6 @@
 	// request.
 	permitRetryAfter time.Duration
 
-	firstSent     time.Time // when an attempt was first sent to an endpoint; zero before
 	trace         Trace
 	errorResponse *response // error response of an endpoint, returned if no other attempt succeeds
 
@@ -98,6 +97,8 @@
 	startRecorded atomic.Bool  // recordStart was called
 	places        atomic.Int32 // questions for a place
 	runs          atomic.Int32 // runs that attempts began
+
+	firstSent atomic.Pointer[time.Time] // when an attempt was first sent to an endpoint; nil before
 }
 
 // reachedEndpoint is an endpoint that the request reached. If it answered, it has run the request.
@@ -178,9 +179,7 @@
 		return false, err
 	}
 	r.tried[ch.Endpoint.Incarnation()] = true
-	r.trace = Trace{
-		Content: r.q.Content, Parts: r.q.Parts, Attempts: r.trace.Attempts + 1, Moves: r.moves, Runs: r.answer.Runs(), Choice: ch, FirstSent: r.firstSent,
-	}
+	r.trace = Trace{Content: r.q.Content, Parts: r.q.Parts, Attempts: r.trace.Attempts + 1, Moves: r.moves, Runs: r.answer.Runs(), Choice: ch}
 	ch, out := r.continueMoved(c, ch, r.attempt(c, ch))
 	r.returnPlace(out.interruption == recovery.Refused && !out.done)
 	if out.done {
