--- /dev/null
+++ b/endmark/census_test.go
@@ -0,0 +1,54 @@
+package endmark_test
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"birchlink.dev/birchlink/endmark"
+)
+
+func ExampleCensus() {
+	var c endmark.Census
+	done := endmark.HashOf([]byte("data: [DONE]\n\n"))
+	for i := range 16 {
+		c.Record("chat", strconv.Itoa(i%2), done)
+	}
+	fmt.Println(c.Lacks("chat", endmark.HashOf([]byte("data: He\n\n"))), c.Lacks("chat", done))
+	// Output: true false
+}
+
+func record(c *endmark.Census, answers, endpoints int, last string) {
+	for i := range answers {
+		c.Record("s", strconv.Itoa(i%endpoints), endmark.HashOf([]byte(last)))
+	}
+}
+
+// The IDs of marks differ, as all events of a stream have one.
+func TestIDsHideMarks(t *testing.T) {
+	require.Equal(t, endmark.HashOf([]byte("id: 7\ndata: end\n\n")), endmark.HashOf([]byte("id: 9\ndata: end\n\n")))
+	require.NotEqual(t, endmark.HashOf([]byte("data: end\n\n")), endmark.HashOf([]byte("data: ends\n\n")))
+}
+
+// Whole answers are refused if a mark is presumed that the service doesn't have, or no longer has.
+func TestMarksArePresumed(t *testing.T) {
+	other := endmark.HashOf([]byte("data: other\n\n"))
+	var few, one, mixed, changed endmark.Census
+	record(&few, 15, 2, "data: end\n\n")
+	require.False(t, few.Lacks("s", other))
+	record(&one, 100, 1, "data: end\n\n") // one endpoint may cut all of its answers at the same event
+	require.False(t, one.Lacks("s", other))
+	record(&mixed, 100, 2, "data: end\n\n")
+	require.True(t, mixed.Lacks("s", other))
+	require.False(t, mixed.Lacks("another service", other))
+	record(&mixed, 1, 1, "data: other\n\n")
+	require.False(t, mixed.Lacks("s", endmark.HashOf([]byte("data: third\n\n"))))
+	record(&changed, 16, 2, "data: end\n\n")
+	for range 8 {
+		require.True(t, changed.Lacks("s", other))
+	}
+	require.False(t, changed.Lacks("s", other))
+	require.False(t, changed.Lacks("s", other))
+}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -25,6 +25,7 @@
 	"birchlink.dev/birchlink/call"
 	"birchlink.dev/birchlink/catalog"
 	"birchlink.dev/birchlink/demand"
+	"birchlink.dev/birchlink/endmark"
 	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/endpointlimit"
 	"birchlink.dev/birchlink/errkind"
@@ -254,6 +255,10 @@
 			parts[n] = requesthash.PartOf("s", p)
 		}
 		s.call("", "prompt "+strconv.Itoa(s.serial), parts)
+	case "marked": // the streams of the service have ended with an event without an ID so far
+		for i := range 16 {
+			s.f.EndMarks.Record("s", strconv.Itoa(i%2), endmark.HashOf([]byte("data: no ID\n\n")))
+		}
 	case "rising": // most answers so far have left numbers out
 		for i := range 64 {
 			s.f.Numbering.Record("s", strconv.Itoa(i%2), false)
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -20,6 +20,7 @@
 	"birchlink.dev/birchlink/call"
 	"birchlink.dev/birchlink/catalog"
 	"birchlink.dev/birchlink/demand"
+	"birchlink.dev/birchlink/endmark"
 	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/endpointlimit"
 	"birchlink.dev/birchlink/errkind"
@@ -96,7 +97,7 @@
 type LimitFunc func(s endpointlimit.Statement)
 
 // Forwarder forwards requests. All exported fields must be set, except SpendCredit, Terminations, Moves, Health, OnBegin, Admission,
-// Accuracy, Liveness and Numbering.
+// Accuracy, Liveness, EndMarks and Numbering.
 type Forwarder struct {
 	DataCentre    string
 	Roster        *endpoint.Roster
@@ -130,6 +131,9 @@
 	// Liveness knows which processes of endpoints have outlived the ends of their connections.
 	Liveness liveness.Prober
 
+	// EndMarks knows which services end their streams with the same event.
+	EndMarks endmark.Census
+
 	// Numbering knows which services count the events of their streams.
 	Numbering numbering.Census
 
--- a/forward/liveness.go
+++ b/forward/liveness.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"mime"
+	"net/http"
+	"strings"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -30,9 +34,26 @@
 // it is not known whether it lives on: the connection may have ended with the process.
 var errConnectionEnd = errors.New("the connection ended, and the response has no length or chunks")
 
+// errNoEndMark reports a stream without a length or chunks that lacks the event with which the streams of its service end, and
+// errPartOfJSON a response that is part of a JSON text.
+var (
+	errNoEndMark  = fmt.Errorf("%w, and the stream lacks the last event of other streams", errConnectionEnd)
+	errPartOfJSON = fmt.Errorf("%w, and the body is part of a JSON text", errConnectionEnd)
+)
+
 // errOtherProcess reports that another process answers at the address of an endpoint.
 var errOtherProcess = errors.New("another process answers at the endpoint's address")
 
+// confirmPlainEnd is confirmEnd for a response that is not a stream.
+func (r *run) confirmPlainEnd(c context.Context, h http.Header, body []byte) error {
+	kind, _, _ := mime.ParseMediaType(h.Get("Content-Type")) // an invalid one is none of JSON
+	if (kind == "application/json" || strings.HasSuffix(kind, "+json")) && !json.Valid(body) {
+		metrics.GetOrRegisterCounter("answers.unframed.part_of_json", r.f.Metrics).Inc(1)
+		return errPartOfJSON
+	}
+	return r.confirmEnd(c, answerPlain)
+}
+
 // confirmEnd returns nil if a response that has ended in order with its connection, and has neither length nor chunks, is whole: the
 // endpoint has closed the connection itself, since its process has outlived that.
 func (r *run) confirmEnd(c context.Context, kind string) error {
--- a/forward/response.go
+++ b/forward/response.go
@@ -13,6 +13,7 @@
 	"birchlink.dev/birchlink/balance"
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/call"
+	"birchlink.dev/birchlink/endmark"
 	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/httpconn"
 	"birchlink.dev/birchlink/recovery"
@@ -47,7 +48,7 @@
 	}
 	b, err := resp.ReadAll(maxResponseSize)
 	if err == nil && !resp.Framed() {
-		err = r.confirmEnd(c, answerPlain)
+		err = r.confirmPlainEnd(c, resp.Header, b)
 	}
 	if err != nil {
 		return attemptResult{interruption: recovery.Gone, err: fmt.Errorf("the answer was cut: %w", err)}
@@ -173,6 +174,7 @@
 	seq    *eventRun
 	before preamble
 	held   []sse.Event // events that may follow a missing one
+	last   uint64      // hash of the last event of the answer, as of package endmark
 	out    attemptResult
 }
 
@@ -243,6 +245,7 @@
 	}
 	if e.IsContent() {
 		s.seq.Accept(sequenceEvent(e))
+		s.last = endmark.HashOf(e.Raw)
 		r.recordNumbering()
 	}
 	r.recordEvent(s.n, &s.out)
@@ -307,7 +310,7 @@
 	resp, out := s.resp, &s.out
 	isStated := errors.Is(err, io.EOF)
 	if isStated && !resp.Framed() {
-		if err = r.confirmStreamEnd(c, out); err != nil {
+		if err = r.confirmStreamEnd(c, s); err != nil {
 			isStated = false
 		}
 	}
@@ -334,13 +337,19 @@
 		out.err = errSuperseded
 	default:
 		r.recordSurvival(resp, out.firstEventAt)
+		r.f.EndMarks.Record(r.q.Service.Name, r.trace.Choice.Endpoint.ID, s.last)
 		out.done = true
 	}
 }
 
 // confirmStreamEnd is confirmEnd for a stream. If its run was told to stop, the end of the connection is that of the stopped
-// run, unless the source says that nothing runs.
-func (r *run) confirmStreamEnd(c context.Context, out *attemptResult) error {
+// run, unless the source says that nothing runs. A stream of a service whose streams end with a mark ends with it.
+func (r *run) confirmStreamEnd(c context.Context, s *attemptStream) error {
+	out := &s.out
+	if out.advanced && r.f.EndMarks.Lacks(r.q.Service.Name, s.last) {
+		metrics.GetOrRegisterCounter("answers.unframed.unmarked", r.f.Metrics).Inc(1)
+		return errNoEndMark
+	}
 	if r.stream.isToldToStop() {
 		if out.stopped = r.stream.settle(false); out.stopped != nil || !r.stream.hasNoRun() {
 			return errConnectionEnd
