--- a/liveness/prober.go
+++ b/liveness/prober.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// askTimeout bounds the time for one question. An endpoint may answer it like a request, when it has room for one.
-	askTimeout = time.Second
+	// askTimeout bounds the time for one question, beside the deadlines of those that wait for it. An endpoint may answer it like a
+	// request, when it has room for one.
+	askTimeout = 5 * time.Second
 
 	// closePeriod is the time within which a process that is about to end closes its connections one after another. Until
 	// then it may answer on those that are still open.
