--- /dev/null
+++ b/answertimes/tracker_test.go
@@ -0,0 +1,94 @@
+package answertimes_test
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"birchlink.dev/birchlink/accuracy"
+	"birchlink.dev/birchlink/answertimes"
+	"birchlink.dev/birchlink/stand/script"
+)
+
+func ExampleTracker() {
+	var t answertimes.Tracker
+	k, now := accuracy.Key{Service: "s", Route: "r"}, time.Now()
+	fmt.Println(t.Long(k, now).Long)
+	t.Record(k, 2*time.Second, now)
+	fmt.Println(t.Long(k, now).Long)
+	// Output:
+	// 0s
+	// 6s
+}
+
+// TestScripts plays the commands "record COUNT TIME", "other COUNT TIME" for another key, "wait TIME" and "long TIME SAMPLES AGE".
+func TestScripts(t *testing.T) {
+	for _, s := range script.Read(t, "testdata/scripts.txt") {
+		t.Run(s.Name, func(t *testing.T) {
+			var k answertimes.Tracker
+			key, now := accuracy.Key{Service: "s", Route: "r"}, time.Now()
+			for _, l := range s.Lines {
+				f := strings.Fields(l)
+				switch f[0] {
+				case "record", "other":
+					at := key
+					if f[0] == "other" {
+						at.Route = "other"
+					}
+					n, err := strconv.Atoi(f[1])
+					require.NoError(t, err, l)
+					for range n {
+						k.Record(at, duration(t, f[2]), now)
+					}
+				case "wait":
+					now = now.Add(duration(t, f[1]))
+				case "long":
+					n, err := strconv.Atoi(f[2])
+					require.NoError(t, err, l)
+					require.Equal(t, answertimes.Estimate{Long: duration(t, f[1]), Samples: n, Age: duration(t, f[3])}, k.Long(key, now), l)
+				default:
+					t.Fatalf("unknown command %q", l)
+				}
+			}
+		})
+	}
+}
+
+func duration(t *testing.T, s string) time.Duration {
+	t.Helper()
+	d, err := time.ParseDuration(s)
+	require.NoError(t, err)
+	return d
+}
+
+func TestBoundedKeys(t *testing.T) {
+	var k answertimes.Tracker
+	now, known := time.Now(), 0
+	for i := range 1000 {
+		key := accuracy.Key{Service: "s", Route: strconv.Itoa(i)}
+		k.Record(key, time.Second, now)
+		known += k.Long(key, now).Samples
+	}
+	require.Equal(t, 256, known)
+}
+
+func TestConcurrentUse(t *testing.T) {
+	var k answertimes.Tracker
+	key, now := accuracy.Key{Service: "s", Route: "r"}, time.Now()
+	var g sync.WaitGroup
+	for range 8 {
+		g.Go(func() {
+			for range 100 {
+				k.Record(key, time.Second, now)
+				k.Long(key, now)
+			}
+		})
+	}
+	g.Wait()
+	require.Equal(t, answertimes.Estimate{Long: 2 * time.Second, Samples: 64}, k.Long(key, now))
+}
--- /dev/null
+++ b/shutdown/refusal.go
@@ -0,0 +1,41 @@
+package shutdown
+
+import (
+	"github.com/rs/zerolog"
+
+	"birchlink.dev/birchlink/errkind"
+)
+
+// Refusal is the error for a request that may no longer be sent. It wraps one of kind errkind.Stopping.
+type Refusal struct{ Decision Decision }
+
+// Err returns a *Refusal if the request may not be sent.
+func (d Decision) Err() error {
+	if d.Allowed {
+		return nil
+	}
+	return &Refusal{d}
+}
+
+// Error returns the message of the error that it wraps.
+func (r *Refusal) Error() string { return r.Unwrap().Error() }
+
+// Unwrap returns the error for the caller. The caller may return at once, since other boxes serve.
+func (r *Refusal) Unwrap() error {
+	why := map[Reason]string{
+		Closed:      "it accepts no more requests",
+		TooLong:     "the answer may take longer than it has left",
+		NotMeasured: "it is not known how long the answer takes",
+	}
+	return errkind.New(errkind.Stopping, "this box stops: %s", why[r.Decision.Reason])
+}
+
+// MarshalZerologObject adds to a log event why the request was refused, and the times on which that rests: how long after the
+// beginning of the shutdown the request could have been sent at the latest, when the shutdown ends, the time of a long answer, and the
+// number of answers from which it is known and the age of the newest.
+func (r *Refusal) MarshalZerologObject(e *zerolog.Event) {
+	d := r.Decision
+	a := d.Request.Answer
+	e.Str("stop_why", string(d.Reason)).Dur("stop_latest", d.Latest.Sub(d.Began)).Dur("stop_ends", d.Ends.Sub(d.Began)).
+		Dur("stop_deadline", d.Request.Expires.Sub(d.Began)).Dur("answers_long", a.Long).Int("answers_samples", a.Samples).Dur("answers_age", a.Age)
+}
