--- a/shutdown/refusal.go
+++ b/shutdown/error.go
@@ -6,22 +6,22 @@
 	"birchlink.dev/birchlink/errkind"
 )
 
-// Refusal is the error for a request that may no longer be sent. It wraps one of kind errkind.Stopping.
-type Refusal struct{ Decision Decision }
+// RefusalError is the error for a request that may no longer be sent. It wraps one of kind errkind.Stopping.
+type RefusalError struct{ Decision Decision }
 
-// Err returns a *Refusal if the request may not be sent.
+// Err returns a *RefusalError if the request may not be sent.
 func (d Decision) Err() error {
 	if d.Allowed {
 		return nil
 	}
-	return &Refusal{d}
+	return &RefusalError{d}
 }
 
 // Error returns the message of the error that it wraps.
-func (r *Refusal) Error() string { return r.Unwrap().Error() }
+func (r *RefusalError) Error() string { return r.Unwrap().Error() }
 
 // Unwrap returns the error for the caller. The caller may return at once, since other boxes serve.
-func (r *Refusal) Unwrap() error {
+func (r *RefusalError) Unwrap() error {
 	why := map[Reason]string{
 		Closed:      "it accepts no more requests",
 		TooLong:     "the answer may take longer than it has left",
@@ -33,7 +33,7 @@
 // MarshalZerologObject adds to a log event why the request was refused, and the times on which that rests: how long after the
 // beginning of the shutdown the request could have been sent at the latest, when the shutdown ends, the time of a long answer, and the
 // number of answers from which it is known and the age of the newest.
-func (r *Refusal) MarshalZerologObject(e *zerolog.Event) {
+func (r *RefusalError) MarshalZerologObject(e *zerolog.Event) {
 	d := r.Decision
 	a := d.Request.Answer
 	e.Str("stop_why", string(d.Reason)).Dur("stop_latest", d.Latest.Sub(d.Began)).Dur("stop_ends", d.Ends.Sub(d.Began)).
--- a/shutdown/window_test.go
+++ b/shutdown/window_test.go
@@ -142,7 +142,7 @@
 		w.Begin(boottime.Now(), 2*time.Second, 6*time.Second)
 		<-c.Done()
 		require.Equal(t, time.Second, time.Since(began))
-		var r *shutdown.Refusal
+		var r *shutdown.RefusalError
 		require.ErrorAs(t, context.Cause(c), &r)
 		require.Equal(t, shutdown.TooLong, r.Decision.Reason)
 		require.Equal(t, errkind.Stopping, errkind.Of(context.Cause(c)).Kind)
