--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -46,6 +46,7 @@
 	"birchlink.dev/birchlink/rollout"
 	"birchlink.dev/birchlink/scaling"
 	"birchlink.dev/birchlink/settings"
+	"birchlink.dev/birchlink/shutdown"
 	"birchlink.dev/birchlink/speed"
 	"birchlink.dev/birchlink/standstill"
 	"birchlink.dev/birchlink/store"
@@ -215,7 +216,7 @@
 		Admission: admission.Options{DeadlineCheck: s.DeadlineCheck},
 		OnSend:    p.sendHint, OnCrash: func(e endpoint.Endpoint) { p.gossip.BroadcastCrash(e.Incarnation()) },
 		OnDraining:    func(e endpoint.Endpoint) { p.gossip.BroadcastDraining(e.Incarnation()) },
-		OnLimitChange: p.gossip.BroadcastRate, RequestPermit: limits.Permit, RequestPlace: limits.Place,
+		OnLimitChange: p.gossip.BroadcastRate, RequestPermit: limits.Permit, RequestPlace: limits.Place, Shutdown: &shutdown.Window{},
 	}
 	f.Terminations = &termination.Detector{
 		Roster: &p.state.Roster, Holds: []termination.HoldsFunc{f.Pool.Holds, p.tunnels.Holds}, Probe: d.Probe, Metrics: m, Log: log,
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -28,6 +28,7 @@
 	"birchlink.dev/birchlink/quarantine"
 	"birchlink.dev/birchlink/requesthash"
 	"birchlink.dev/birchlink/rollout"
+	"birchlink.dev/birchlink/shutdown"
 	"birchlink.dev/birchlink/termination"
 )
 
@@ -94,7 +95,7 @@
 // LimitFunc is called when an endpoint sets, lowers or removes the limit on its request rate.
 type LimitFunc func(s endpointlimit.Statement)
 
-// Forwarder forwards requests. All exported fields must be set, except SpendCredit, Terminations, Moves, OnBegin, Admission
+// Forwarder forwards requests. All exported fields must be set, except SpendCredit, Terminations, Moves, OnBegin, Admission, Shutdown
 // and Accuracy.
 type Forwarder struct {
 	DataCentre    string
@@ -119,6 +120,7 @@
 	OnDraining    DrainFunc
 	OnLimitChange LimitFunc
 	Admission     admission.Options // zero: all decisions are off
+	Shutdown      *shutdown.Window  // nil: the box never shuts down
 	Metrics       metrics.Registry
 	Log           zerolog.Logger
 
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -191,6 +191,7 @@
 	i.stopping.Store(true)
 	began := boottime.Now()
 	i.stopBegan.Store(&began)
+	i.forwarder.Shutdown.Begin(began, i.ShutdownDelay, i.ShutdownTimeout)
 	i.logStop("shutting down: not ready, still accepting requests")
 	wait.For(c, i.ShutdownDelay)
 	i.logStop("accepting no more connections")
--- a/shutdown/error.go
+++ b/shutdown/error.go
@@ -23,6 +23,7 @@
 // Unwrap returns the error for the caller. The caller may return at once, since other boxes serve.
 func (r *RefusalError) Unwrap() error {
 	why := map[Reason]string{
+		Expired:     "the deadline has passed",
 		Closed:      "it accepts no more requests",
 		TooLong:     "the answer may take longer than it has left",
 		NotMeasured: "it is not known how long the answer takes",
--- a/shutdown/window.go
+++ b/shutdown/window.go
@@ -18,6 +18,7 @@
 const (
 	Running      Reason = "running"       // the box is not shutting down
 	DeadlineEnds Reason = "deadline_ends" // the deadline of the request is not after the end of the shutdown
+	Expired      Reason = "expired"       // that deadline has passed
 	InTime       Reason = "in_time"       // nearly all answers would end in time
 	Closed       Reason = "closed"        // the box no longer accepts requests
 	TooLong      Reason = "too_long"      // the answer may not end in time
@@ -35,7 +36,7 @@
 	Allowed bool
 	Reason  Reason
 	Began   time.Time // when the shutdown began
-	Latest  time.Time // when the request may no longer be sent; zero if its deadline ends it first
+	Latest  time.Time // when the request may no longer be sent
 	Ends    time.Time // when the requests in progress are cancelled
 	Request Request
 }
@@ -53,6 +54,9 @@
 // Begin records that the shutdown begins: the box still accepts requests for the time accept, and requests in progress are cancelled
 // after limit. Further calls have no effect.
 func (w *Window) Begin(now time.Time, accept, limit time.Duration) {
+	if w == nil {
+		return
+	}
 	for _, v := range w.begin(now, accept, limit) {
 		go v.check()
 	}
@@ -86,18 +90,18 @@
 		return d
 	}
 	d.Began, d.Ends = w.began, w.ends
-	if !q.Expires.After(w.ends) {
-		d.Reason = DeadlineEnds
-		return d
-	}
+	allowed := InTime
 	d.Latest, d.Reason = w.accepts, Closed
-	if q.Answer.Long <= 0 {
+	switch t := w.ends.Add(-q.Answer.Long); {
+	case !q.Expires.After(w.ends):
+		d.Latest, d.Reason, allowed = q.Expires, Expired, DeadlineEnds
+	case q.Answer.Long <= 0:
 		d.Latest, d.Reason = w.began, NotMeasured
-	} else if t := w.ends.Add(-q.Answer.Long); t.Before(d.Latest) {
+	case t.Before(d.Latest):
 		d.Latest, d.Reason = t, TooLong
 	}
 	if d.Allowed = now.Before(d.Latest); d.Allowed {
-		d.Reason = InTime
+		d.Reason = allowed
 	}
 	return d
 }
@@ -183,10 +187,10 @@
 	case !d.Allowed:
 		v.done, v.returned = true, make(chan struct{})
 		return d, true
-	case !d.Latest.IsZero():
+	default:
 		v.timer = time.AfterFunc(d.Latest.Sub(now), v.check)
+		return d, false
 	}
-	return d, false
 }
 
 // stop ends the wait.
--- a/shutdown/window_test.go
+++ b/shutdown/window_test.go
@@ -36,6 +36,7 @@
 
 func TestNilWindow(t *testing.T) {
 	var w *shutdown.Window
+	w.Begin(time.Now(), time.Second, time.Second)
 	require.True(t, w.Decide(shutdown.Request{}, time.Now()).Allowed)
 	w.AfterFunc(nil, func(shutdown.Decision) { t.Error("called") })()
 	c, cancel := w.Context(t.Context(), nil)
@@ -83,10 +84,10 @@
 		require.Equal(t, f[2:4], []string{map[bool]string{true: "yes", false: "no"}[d.Allowed], string(d.Reason)}, f)
 		require.Equal(t, d.Allowed, d.Err() == nil)
 		require.Equal(t, !d.Allowed, errkind.Is(d.Err(), errkind.Stopping))
-		if len(f) > 4 {
-			require.Equal(t, f[4], d.Latest.Sub(w.began).String(), f)
-		} else {
+		if d.Reason == shutdown.Running {
 			require.Zero(t, d.Latest, f)
+		} else {
+			require.Equal(t, f[4], d.Latest.Sub(w.began).String(), f)
 		}
 	case "after":
 		expires := duration(t, f[2])
