--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -34,6 +34,7 @@
 	"birchlink.dev/birchlink/quarantine"
 	"birchlink.dev/birchlink/quota"
 	"birchlink.dev/birchlink/rollout"
+	"birchlink.dev/birchlink/shutdown"
 	"birchlink.dev/birchlink/stand/memstore"
 	"birchlink.dev/birchlink/storesession"
 )
@@ -176,7 +177,7 @@
 		Rollouts: &rollout.Gate{},
 		Budget:   budget.New(budget.Limits{Window: time.Minute}), Codec: codec{}, OnStart: func(string, time.Time) {},
 		OnSend: func(endpoint.Endpoint, int) {}, OnCrash: func(endpoint.Endpoint) {}, OnDraining: func(endpoint.Endpoint) {},
-		Metrics: metrics.NewRegistry(), Log: zerolog.Nop(),
+		Shutdown: &shutdown.Window{}, Metrics: metrics.NewRegistry(), Log: zerolog.Nop(),
 	}
 	o := ingress.Options{
 		Address: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", ReadyPath: "/ready",
