--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -180,6 +180,7 @@
 	for {
 		done, err := r.step(c)
 		if done || err != nil {
+			r.trace.FirstSent = r.shared.sentAt()
 			return r.trace, err
 		}
 	}
--- a/forward/repeat.go
+++ b/forward/repeat.go
@@ -77,9 +77,9 @@
 // recordArrival records that the request is about to arrive at an endpoint. A continuation needs no credit: if it is
 // accepted, it is the same run.
 func (r *run) recordArrival() {
-	if r.firstSent.IsZero() {
-		r.firstSent = boottime.Now()
-		r.trace.FirstSent = r.firstSent
+	if r.shared.firstSent.Load() == nil {
+		now := boottime.Now()
+		r.shared.firstSent.CompareAndSwap(nil, &now)
 	}
 	if k := r.credit; k != nil && r.continued == nil {
 		r.credit = nil
--- a/forward/run.go
+++ b/forward/run.go
@@ -84,7 +84,6 @@
 	// request.
 	permitRetryAfter time.Duration
 
-	firstSent     time.Time // when an attempt was first sent to an endpoint; zero before
 	trace         Trace
 	errorResponse *response // error response of an endpoint, returned if no other attempt succeeds
 
@@ -95,9 +94,18 @@
 
 // shared is the state that all runs of one request share.
 type shared struct {
-	startRecorded atomic.Bool  // recordStart was called
-	places        atomic.Int32 // questions for a place
-	runs          atomic.Int32 // runs that attempts began
+	startRecorded atomic.Bool               // recordStart was called
+	places        atomic.Int32              // questions for a place
+	runs          atomic.Int32              // runs that attempts began
+	firstSent     atomic.Pointer[time.Time] // when the request was first sent to an endpoint; nil before
+}
+
+// sentAt returns when the request was first sent to an endpoint; zero if it was not.
+func (s *shared) sentAt() time.Time {
+	if t := s.firstSent.Load(); t != nil {
+		return *t
+	}
+	return time.Time{}
 }
 
 // reachedEndpoint is an endpoint that the request reached. If it answered, it has run the request.
@@ -179,7 +187,7 @@
 	}
 	r.tried[ch.Endpoint.Incarnation()] = true
 	r.trace = Trace{
-		Content: r.q.Content, Parts: r.q.Parts, Attempts: r.trace.Attempts + 1, Moves: r.moves, Runs: r.answer.Runs(), Choice: ch, FirstSent: r.firstSent,
+		Content: r.q.Content, Parts: r.q.Parts, Attempts: r.trace.Attempts + 1, Moves: r.moves, Runs: r.answer.Runs(), Choice: ch,
 	}
 	ch, out := r.continueMoved(c, ch, r.attempt(c, ch))
 	r.returnPlace(out.interruption == recovery.Refused && !out.done)
