--- a/forward/admission.go
+++ b/forward/admission.go
@@ -76,6 +76,7 @@
 func (r *run) recordAnswer(n *balance.Attempt) {
 	n.RecordAnswer()
 	r.recordWait()
+	r.shared.succeeded.Store(true)
 }
 
 // recordExpiry records the wait of an attempt that may have run and had no event at its deadline. The time to its
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -14,6 +14,7 @@
 
 	"birchlink.dev/birchlink/accuracy"
 	"birchlink.dev/birchlink/admission"
+	"birchlink.dev/birchlink/answertimes"
 	"birchlink.dev/birchlink/balance"
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/budget"
@@ -95,8 +96,8 @@
 // LimitFunc is called when an endpoint sets, lowers or removes the limit on its request rate.
 type LimitFunc func(s endpointlimit.Statement)
 
-// Forwarder forwards requests. All exported fields must be set, except SpendCredit, Terminations, Moves, OnBegin, Admission, Shutdown
-// and Accuracy.
+// Forwarder forwards requests. All exported fields must be set, except SpendCredit, Terminations, Moves, OnBegin, Admission, Shutdown,
+// Accuracy and AnswerTimes.
 type Forwarder struct {
 	DataCentre    string
 	Roster        *endpoint.Roster
@@ -127,6 +128,9 @@
 	// Accuracy holds the errors of the expected times to the first event.
 	Accuracy accuracy.Tracker
 
+	// AnswerTimes holds how long answers take, of which Shutdown is told.
+	AnswerTimes answertimes.Tracker
+
 	// Numbering knows which services count the events of their streams.
 	Numbering numbering.Census
 
@@ -181,6 +185,7 @@
 		done, err := r.step(c)
 		if done || err != nil {
 			r.trace.FirstSent = r.shared.sentAt()
+			r.recordAnswerTime(c, err)
 			return r.trace, err
 		}
 	}
--- a/forward/run.go
+++ b/forward/run.go
@@ -95,6 +95,7 @@
 // shared is the state that all runs of one request share.
 type shared struct {
 	startRecorded atomic.Bool               // recordStart was called
+	succeeded     atomic.Bool               // an endpoint began an answer with success
 	places        atomic.Int32              // questions for a place
 	runs          atomic.Int32              // runs that attempts began
 	firstSent     atomic.Pointer[time.Time] // when the request was first sent to an endpoint; nil before
--- a/ingress/stopping_test.go
+++ b/ingress/stopping_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -19,6 +20,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"birchlink.dev/birchlink/accuracy"
 	"birchlink.dev/birchlink/balance"
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/budget"
@@ -53,14 +55,15 @@
 const bodyInterval = 100 * time.Millisecond
 
 // stoppingCodec is the codec of callers and of endpoints. The header Deadline has the time that a caller waits, and Answer the time
-// that an endpoint takes.
+// that an endpoint takes to answer with Status.
 type stoppingCodec struct{ plainCodec }
 
 func (stoppingCodec) Decode(r *http.Request, arrived time.Time) (*call.Call, error) {
 	timeout, _ := time.ParseDuration(r.Header.Get("Deadline"))
 	return &call.Call{
 		ID: r.Header.Get("Id"), Method: r.Method, Host: r.Host, Target: r.RequestURI, Path: r.URL.Path, Key: r.Header.Get("Key"),
-		Resumes: r.Header.Get("Resumes"), Arrived: arrived, Timeout: timeout, Header: http.Header{"Id": r.Header["Id"], "Answer": r.Header["Answer"]},
+		Resumes: r.Header.Get("Resumes"), Arrived: arrived, Timeout: timeout,
+		Header: http.Header{"Id": r.Header["Id"], "Answer": r.Header["Answer"], "Status": r.Header["Status"]},
 	}, nil
 }
 
@@ -156,7 +159,7 @@
 		fmt.Fprint(c, "0\r\n\r\n")
 	default:
 		time.Sleep(took)
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", id)
+		fmt.Fprintf(c, "HTTP/1.1 %s X\r\nId: %s\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", cmp.Or(q.Header.Get("Status"), "200"), id)
 	}
 }
 
@@ -309,7 +312,7 @@
 		route = "plain"
 	}
 	head := fmt.Sprintf("POST /%s/x HTTP/1.1\r\nHost: h\r\nId: %s\r\nAnswer: %s\r\nDeadline: %s\r\n", route, name, o["answer"], o["deadline"])
-	for _, h := range []string{"resumes", "key"} {
+	for _, h := range []string{"resumes", "key", "status"} {
 		if v := o[h]; v != "" {
 			head += strings.ToUpper(h[:1]) + h[1:] + ": " + v + "\r\n"
 		}
@@ -339,6 +342,9 @@
 			_, _ = io.WriteString(near, "0\r\n\r\n")
 		}
 	})
+	if v := o["leaves"]; v != "" {
+		time.AfterFunc(duration(s.t, v), func() { _ = near.Close() })
+	}
 	s.wg.Go(func() {
 		a := s.readAnswer(near)
 		a.at = time.Since(s.began)
@@ -401,6 +407,7 @@
 //	stop TIME                     stops the box
 //	expect NAME OUTCOME TIME [SENT...]
 //	expect NAME refused TIME KIND [SENT...]
+//	long ROUTE TIME SAMPLES       the time of long answers
 func (s *stopping) do(f []string) {
 	t := s.t
 	switch f[0] {
@@ -422,6 +429,10 @@
 	case "expect":
 		s.wg.Wait()
 		s.expect(f[1], f[2], duration(t, f[3]), f[4:])
+	case "long":
+		s.wg.Wait()
+		e := s.box.forwarder.AnswerTimes.Long(accuracy.Key{Service: "s", Route: f[1]}, boottime.Now())
+		require.Equal(t, f[2:], []string{e.Long.String(), strconv.Itoa(e.Samples)}, f)
 	default:
 		t.Fatalf("unknown command %q", f)
 	}
@@ -487,8 +498,17 @@
 
 // Guards against requests that a stopping box passes on too late to finish, whatever they waited for, and whose answers it cuts.
 func TestStoppingBoxPassesOnLateRequests(t *testing.T) {
+	playStopping(t, "testdata/stopping.txt")
+}
+
+// Guards against times of answers that leave out the slowest ones, or count what is not an answer.
+func TestAnswersAreMeasured(t *testing.T) { playStopping(t, "testdata/measured.txt") }
+
+// playStopping plays the scripts in a file.
+func playStopping(t *testing.T, path string) {
+	t.Helper()
 	metrics.NewMeter().Stop() // starts the goroutine of all meters, which must not be part of a bubble
-	for _, x := range script.Read(t, "testdata/stopping.txt") {
+	for _, x := range script.Read(t, path) {
 		t.Run(x.Name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := newStopping(t)
