--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -139,8 +139,12 @@
 }
 
 // Check returns an error if a request must not be sent to any endpoint: its content is quarantined
-// because endpoints crashed while they ran it, or no endpoint of the service accepts requests now.
+// because endpoints crashed while they ran it, no endpoint of the service accepts requests now, or the box shuts down before its
+// answer ends.
 func (f *Forwarder) Check(q Request) error {
+	if err := f.checkShutdown(&q, boottime.Now()); err != nil {
+		return err
+	}
 	_, err := f.judge(q)
 	return err
 }
--- a/forward/run.go
+++ b/forward/run.go
@@ -178,6 +178,9 @@
 		// the box is suspended.
 		return r.failExpired()
 	}
+	if err := r.checkShutdown(boottime.Now()); err != nil {
+		return false, err
+	}
 	defer func() { r.returnPlace(false) }()
 	ch, ok := r.choose(c)
 	if !ok {
--- a/forward/shutdown.go
+++ b/forward/shutdown.go
@@ -3,10 +3,39 @@
 import (
 	"context"
 	"errors"
+	"time"
 
+	"birchlink.dev/birchlink/accuracy"
 	"birchlink.dev/birchlink/boottime"
+	"birchlink.dev/birchlink/shutdown"
 )
 
+// ShutdownRequest returns what a shutdown needs to know of a request that was not sent to any endpoint. It may be used concurrently
+// with changes of the request.
+func (f *Forwarder) ShutdownRequest(q *Request) shutdown.RequestFunc {
+	expires, k := q.Expires, accuracy.Key{Service: q.Service.Name, Route: q.Route.Name}
+	return func(now time.Time) shutdown.Request {
+		return shutdown.Request{Expires: expires, Answer: f.AnswerTimes.Long(k, now)}
+	}
+}
+
+// checkShutdown returns an error if the box shuts down and the request, which was not sent to any endpoint, can't be sent at a time.
+func (f *Forwarder) checkShutdown(q *Request, at time.Time) error {
+	if !f.Shutdown.HasBegun() {
+		return nil
+	}
+	return f.Shutdown.Decide(f.ShutdownRequest(q)(boottime.Now()), at).Err()
+}
+
+// checkShutdown returns an error if no endpoint may have run the request, the box shuts down, and the request can't be sent at a time.
+// Otherwise it goes on until the end of the shutdown.
+func (r *run) checkShutdown(at time.Time) error {
+	if r.mayHaveRun || r.continued != nil {
+		return nil
+	}
+	return r.f.checkShutdown(&r.q, at)
+}
+
 // recordAnswerTime records how long the answer to a request took that ended with err. The time of one that was ended by its deadline
 // counts too, since the answer would have taken longer.
 func (r *run) recordAnswerTime(c context.Context, err error) {
--- a/ingress/stopping_test.go
+++ b/ingress/stopping_test.go
@@ -109,6 +109,7 @@
 
 	serving sync.WaitGroup
 	mu      sync.Mutex
+	conns   []net.Conn
 	sent    map[string][]time.Duration // when each request arrived, by its ID
 }
 
@@ -118,6 +119,7 @@
 		return nil, err
 	}
 	near, far := net.Pipe()
+	p.add(far)
 	p.serving.Go(func() { p.serve(far) })
 	return near, nil
 }
@@ -163,6 +165,22 @@
 	}
 }
 
+func (p *pipeConnector) add(far net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns = append(p.conns, far)
+}
+
+// close ends the endpoints.
+func (p *pipeConnector) close() {
+	p.mu.Lock()
+	for _, c := range p.conns {
+		_ = c.Close()
+	}
+	p.mu.Unlock()
+	p.serving.Wait()
+}
+
 func (p *pipeConnector) record(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -493,7 +511,7 @@
 func (s *stopping) close() {
 	s.wg.Wait()
 	require.NoError(s.t, s.box.server.Close())
-	s.endpoints.serving.Wait()
+	s.endpoints.close()
 }
 
 // Guards against requests that a stopping box passes on too late to finish, whatever they waited for, and whose answers it cuts.
--- a/shutdown/window.go
+++ b/shutdown/window.go
@@ -78,6 +78,16 @@
 	return vs
 }
 
+// HasBegun reports whether the shutdown has begun.
+func (w *Window) HasBegun() bool {
+	if w == nil {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.began.IsZero()
+}
+
 // Decide decides whether a request that no endpoint has begun to run may be sent to one.
 func (w *Window) Decide(q Request, now time.Time) Decision {
 	d := Decision{Allowed: true, Reason: Running, Request: q}
