--- a/forward/place.go
+++ b/forward/place.go
@@ -10,6 +10,7 @@
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/occupancy"
+	"birchlink.dev/birchlink/shutdown"
 )
 
 // PlaceFunc asks for a place at an endpoint that fails if it refuses too many requests of all boxes
@@ -87,9 +88,12 @@
 	if boottime.Since(p.started)+p.placeAfter > limit {
 		return false
 	}
+	x, cancel := r.waitContext(c, boottime.Now().Add(p.placeAfter))
+	defer cancel()
 	select {
 	case <-time.After(p.placeAfter):
-	case <-c.Done():
+	case <-x.Done():
+		r.late = shutdown.RefusalOf(x)
 		return false
 	}
 	p.full, p.placeAfter = nil, 0
--- a/forward/run.go
+++ b/forward/run.go
@@ -54,6 +54,7 @@
 	failedDials  int                                      // endpoints that could not be reached
 	refusedDials int                                      // endpoints that refused the connection
 	mayHaveRun   bool                                     // an attempt may have run
+	late         error                                    // why the request can't be sent before the box has shut down; nil if it can
 	headSent     bool                                     // the sink has received a head
 	answer       sequence.Answer[string, eventid.Decimal] // what the sink has received of a stream
 	moves        int                                      // moves of the request's run between endpoints
@@ -182,12 +183,12 @@
 		return false, err
 	}
 	defer func() { r.returnPlace(false) }()
-	ch, ok := r.choose(c)
-	if !ok {
-		return r.failNoEndpoint()
-	}
-	if ch, err = r.admit(c, ch); err != nil {
+	ch, ok, err := r.chooseInTime(c)
+	switch {
+	case err != nil:
 		return false, err
+	case !ok:
+		return r.failNoEndpoint()
 	}
 	r.tried[ch.Endpoint.Incarnation()] = true
 	r.trace = Trace{
@@ -218,10 +219,13 @@
 	r.recordFailure(out, e)
 	r.checkCrash(c, out, e)
 	metrics.GetOrRegisterCounter("attempts.broke."+out.interruptionName(), r.f.Metrics).Inc(1)
-	d := r.decide(c, out, e)
+	d, late := r.decideInTime(c, out, e)
 	r.f.Log.Info().Str("event", "attempt broke").Str("request", r.q.Call.ID).Func(r.trace.marshalContent).Str("endpoint", e.ID).Str("version", e.Version).
 		Func(r.marshalAttempts).Str("break", out.interruptionName()).Str("last_event", r.lastID()).Bool("ran", r.mayHaveRun).Err(out.err).
 		Str("reason", d.Reason).Func(r.trace.marshalReported).Msg("decision")
+	if late != nil {
+		return false, late
+	}
 	if d.Step == recovery.Failover {
 		return false, nil
 	}
--- a/shutdown/error.go
+++ b/shutdown/error.go
@@ -1,6 +1,9 @@
 package shutdown
 
 import (
+	"context"
+	"errors"
+
 	"github.com/rs/zerolog"
 
 	"birchlink.dev/birchlink/errkind"
@@ -17,6 +20,14 @@
 	return &RefusalError{d}
 }
 
+// RefusalOf returns the *RefusalError with which a context of Window.Context ended, or nil.
+func RefusalOf(c context.Context) error {
+	if r, ok := errors.AsType[*RefusalError](context.Cause(c)); ok {
+		return r
+	}
+	return nil
+}
+
 // Error returns the message of the error that it wraps.
 func (r *RefusalError) Error() string { return r.Unwrap().Error() }
 
--- a/shutdown/window.go
+++ b/shutdown/window.go
@@ -28,6 +28,7 @@
 // Request is what a decision depends on besides the time.
 type Request struct {
 	Expires time.Time // deadline
+	Ready   time.Time // when the request can be sent, if it waits until then; zero otherwise
 	Answer  answertimes.Estimate
 }
 
@@ -110,7 +111,7 @@
 	case t.Before(d.Latest):
 		d.Latest, d.Reason = t, TooLong
 	}
-	if d.Allowed = now.Before(d.Latest); d.Allowed {
+	if d.Allowed = now.Before(d.Latest) && q.Ready.Before(d.Latest); d.Allowed {
 		d.Reason = allowed
 	}
 	return d
