--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -196,6 +196,9 @@
 	}
 	h := w.Header()
 	i.Codec.SetErrorHeader(h, c)
+	if i.stopping.Load() {
+		h.Set("Connection", "close")
+	}
 	if resp.Retry && resp.Run == errkind.NotRun {
 		h.Set("Retry-After", strconv.FormatFloat(max(e.RetryAfter, minRetryAfter).Seconds(), 'f', 2, 64))
 	}
