--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -19,6 +19,7 @@
 	"birchlink.dev/birchlink/jsonhttp"
 	"birchlink.dev/birchlink/openai"
 	"birchlink.dev/birchlink/requesthash"
+	"birchlink.dev/birchlink/shutdown"
 )
 
 // A key or route that the configuration lacks may exist if a newer one may. The store tells the boxes that watch it of changes;
@@ -59,23 +60,31 @@
 		limitDrain(w)
 	}
 	if err == nil {
-		err = i.findOrigin(r.Context(), &q)
-	}
-	if err == nil {
-		q.Content, q.Parts = requesthash.HashOf(q.AccountName(), cl), requesthash.PartsOf(q.Service.Name, cl)
-		err = i.forwarder.Check(q)
+		err = i.prepare(r.Context(), &q)
 	}
 	if err != nil {
 		i.writeError(w, q, err, forward.Trace{})
 		return
 	}
-	if err := i.admit(r.Context(), q); err != nil {
-		i.writeError(w, q, err, forward.Trace{})
-		return
-	}
 	i.forwardRequest(w, r, q)
 }
 
+// prepare completes a request and decides whether it is forwarded. If the box shuts down, it asks other boxes only for as long as the
+// request can be sent to an endpoint.
+func (i *Ingress) prepare(c context.Context, q *forward.Request) error {
+	x, cancel := i.forwarder.Shutdown.Context(c, i.forwarder.ShutdownRequest(q))
+	defer cancel()
+	err := i.findOrigin(x, q)
+	if err == nil {
+		q.Content, q.Parts = requesthash.HashOf(q.AccountName(), q.Call), requesthash.PartsOf(q.Service.Name, q.Call)
+		err = i.forwarder.Check(*q)
+	}
+	if err == nil {
+		err = i.admit(x, *q)
+	}
+	return cmp.Or(shutdown.RefusalOf(x), err)
+}
+
 // forwardRequest forwards an admitted request and writes its response.
 func (i *Ingress) forwardRequest(w http.ResponseWriter, r *http.Request, q forward.Request) {
 	c, cancel := context.WithCancelCause(r.Context())
