--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -142,7 +142,7 @@
 // because endpoints crashed while they ran it, no endpoint of the service accepts requests now, or the box shuts down before its
 // answer ends.
 func (f *Forwarder) Check(q Request) error {
-	if err := f.checkShutdown(&q, boottime.Now()); err != nil {
+	if err := f.CheckShutdown(&q); err != nil {
 		return err
 	}
 	_, err := f.judge(q)
--- a/forward/run.go
+++ b/forward/run.go
@@ -179,7 +179,7 @@
 		// the box is suspended.
 		return r.failExpired()
 	}
-	if err := r.checkShutdown(boottime.Now()); err != nil {
+	if err := r.checkShutdown(); err != nil {
 		return false, err
 	}
 	defer func() { r.returnPlace(false) }()
--- a/forward/shutdown.go
+++ b/forward/shutdown.go
@@ -23,21 +23,22 @@
 	}
 }
 
-// checkShutdown returns an error if the box shuts down and the request, which was not sent to any endpoint, can't be sent at a time.
-func (f *Forwarder) checkShutdown(q *Request, at time.Time) error {
+// CheckShutdown returns an error if the box shuts down and the request, which was not sent to any endpoint, can no longer be sent.
+func (f *Forwarder) CheckShutdown(q *Request) error {
 	if !f.Shutdown.HasBegun() {
 		return nil
 	}
-	return f.Shutdown.Decide(f.ShutdownRequest(q)(boottime.Now()), at).Err()
+	now := boottime.Now()
+	return f.Shutdown.Decide(f.ShutdownRequest(q)(now), now).Err()
 }
 
-// checkShutdown returns an error if no endpoint may have run the request, the box shuts down, and the request can't be sent at a time.
+// checkShutdown returns an error if no endpoint may have run the request, the box shuts down, and the request can no longer be sent.
 // Otherwise it goes on until the end of the shutdown.
-func (r *run) checkShutdown(at time.Time) error {
+func (r *run) checkShutdown() error {
 	if r.mayHaveRun || r.continued != nil {
 		return nil
 	}
-	return r.f.checkShutdown(&r.q, at)
+	return r.f.CheckShutdown(&r.q)
 }
 
 // waitContext returns a context for what the request waits for before it is sent. If the box shuts down, it ends when a request that no
@@ -73,7 +74,7 @@
 	x, cancel := r.waitContext(c, time.Time{})
 	defer cancel()
 	d := r.decide(x, out, e)
-	return d, shutdown.RefusalOf(x)
+	return d, cmp.Or(shutdown.RefusalOf(x), r.checkShutdown())
 }
 
 // recordAnswerTime records how long the answer to a request took that ended with err. The time of one that was ended by its deadline
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -8,8 +8,9 @@
 
 	"birchlink.dev/birchlink/bodyroom"
 	"birchlink.dev/birchlink/boottime"
-	"birchlink.dev/birchlink/call"
 	"birchlink.dev/birchlink/errkind"
+	"birchlink.dev/birchlink/forward"
+	"birchlink.dev/birchlink/shutdown"
 )
 
 const (
@@ -25,8 +26,9 @@
 	fullRetryAfter = time.Second
 )
 
-// readBody reads the request body into c, until the read deadline that serve has set, and removes that. The caller must call the returned function when the request has ended.
-func (i *Ingress) readBody(w http.ResponseWriter, r *http.Request, c *call.Call) (release func(), err error) {
+// readBody reads the request body, until the read deadline that serve has set, and removes that. If the box shuts down, it ends when the
+// request can no longer be sent. The caller must call the returned function when the request has ended.
+func (i *Ingress) readBody(w http.ResponseWriter, r *http.Request, q *forward.Request) (release func(), err error) {
 	limit := int64(maxBodyBytes)
 	if n := i.state.Table().Document.Limits.BodyBytes; n > 0 {
 		limit = min(limit, int64(n))
@@ -44,10 +46,22 @@
 	}
 	i.reading.Add(1)
 	defer i.reading.Add(-1)
+	var late error
+	stop := i.forwarder.Shutdown.AfterFunc(i.forwarder.ShutdownRequest(q), func(d shutdown.Decision) {
+		late = d.Err()
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now()) // ends the read in progress
+	})
 	b, release, err := i.bodies.Read(http.MaxBytesReader(w, r.Body, limit), int(size))
+	stop()
+	if late != nil {
+		release()
+		drainOnClose(r.Context())
+		limitDrain(w)
+		return func() {}, late
+	}
 	if err == nil {
 		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-		c.Body, c.Read = b, boottime.Now()
+		q.Call.Body, q.Call.Read = b, boottime.Now()
 		return release, nil
 	}
 	var tooLarge *http.MaxBytesError
--- a/ingress/head.go
+++ b/ingress/head.go
@@ -67,6 +67,8 @@
 	isServed bool  // a handler has the request
 	bytes    int   // of the head
 	held     int64 // taken from the budget
+
+	drainUntil time.Time // when what the caller sends is read until the connection is closed; zero if it is not
 }
 
 // connKey is the key of the connection in a request's context.
@@ -105,6 +107,33 @@
 	}
 }
 
+// drainOnClose makes the connection of a context read what the caller still sends before it is closed, once the read of a body was
+// given up: net/http reads no more of a body after an error.
+func drainOnClose(c context.Context) {
+	if h, ok := connOf(c).(*headConn); ok {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.drainUntil = time.Now().Add(drainTimeout)
+	}
+}
+
+// Close closes the connection.
+func (c *headConn) Close() error {
+	if t := c.takeDrain(); !t.IsZero() && c.CloseWrite() == nil && c.SetReadDeadline(t) == nil {
+		_, _ = io.Copy(io.Discard, c.TCPConn)
+	}
+	return c.TCPConn.Close() //nolint:wrapcheck // the error is that of the connection
+}
+
+// takeDrain returns the time until which the connection is read before it is closed, the first time it is called.
+func (c *headConn) takeDrain() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.drainUntil
+	c.drainUntil = time.Time{}
+	return t
+}
+
 // Write writes to the connection.
 func (c *headConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -52,9 +52,12 @@
 		return
 	}
 	q, err := i.resolve(cl)
+	if err == nil {
+		err = i.forwarder.CheckShutdown(&q)
+	}
 	if err == nil {
 		var release func()
-		release, err = i.readBody(w, r, cl)
+		release, err = i.readBody(w, r, &q)
 		defer release()
 	} else {
 		limitDrain(w)
