--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -99,9 +99,8 @@
 		s.unframed = connOf(r.Context())
 	}
 	trace, err := i.forwarder.Do(c, q, s)
-	if errors.Is(context.Cause(c), errStopped) && err != nil {
-		// The request may have run, so the error must not state that it did not.
-		err = errkind.New(errkind.OutcomeUnknown, "this process stops")
+	if errors.Is(context.Cause(c), errStopped) && err != nil && !errkind.Is(err, errkind.Stopping) {
+		err = stoppedError(trace)
 	}
 	if err == nil {
 		s.end()
@@ -117,6 +116,15 @@
 	i.writeError(w, q, err, trace)
 }
 
+// stoppedError returns the error for a request that ends because the shutdown does. One that was sent may have run, so the error must not
+// state that it did not.
+func stoppedError(t forward.Trace) error {
+	if t.FirstSent.IsZero() {
+		return errkind.New(errkind.Stopping, "this process stops")
+	}
+	return errkind.New(errkind.OutcomeUnknown, "this process stops")
+}
+
 // resolve looks up the route, the account and the service of a call.
 func (i *Ingress) resolve(c *call.Call) (forward.Request, error) {
 	q := forward.Request{Call: c}
--- a/ingress/stopping_test.go
+++ b/ingress/stopping_test.go
@@ -429,9 +429,10 @@
 //	refuse TIME                   endpoints don't run what they get, and say so after a time
 //	unclear                       the first endpoint that does so leaves, and it is not clear whether its process has ended
 //	request NAME key=value...     sends a request; see stopping.request
-//	stop TIME                     stops the box
+//	stop TIME [END]               stops the box, which ends its requests at END if that is given
 //	expect NAME OUTCOME TIME [SENT...]
 //	expect NAME refused TIME KIND [SENT...]
+//	logged NAME TEXT              part of the log entry on the answer to a request
 //	long ROUTE TIME SAMPLES       the time of long answers
 func (s *stopping) do(f []string) {
 	t := s.t
@@ -452,13 +453,20 @@
 		synctest.Wait()
 	case "stop":
 		at := duration(t, f[1])
+		c, cancel := context.WithCancel(context.Background())
+		if len(f) > 2 {
+			time.AfterFunc(duration(t, f[2]), cancel)
+		}
 		s.wg.Go(func() {
+			defer cancel()
 			s.sleepUntil(at)
-			_ = s.box.Stop(context.Background())
+			_ = s.box.Stop(c)
 		})
 	case "expect":
 		s.wg.Wait()
 		s.expect(f[1], f[2], duration(t, f[3]), f[4:])
+	case "logged":
+		require.Contains(t, s.logged(f[1]), strings.Join(f[2:], " "))
 	case "long":
 		s.wg.Wait()
 		e := s.box.forwarder.AnswerTimes.Long(accuracy.Key{Service: "s", Route: f[1]}, boottime.Now())
@@ -520,6 +528,16 @@
 	require.Equal(s.t, strings.Join(rest, " "), strings.Join(sent, " "), name)
 }
 
+// logged returns the log entry on the answer to a request.
+func (s *stopping) logged(name string) string {
+	for l := range strings.Lines(s.logs.String()) {
+		if strings.Contains(l, `"event":"answer","request":"`+name+`"`) {
+			return l
+		}
+	}
+	return ""
+}
+
 func (s *stopping) close() {
 	s.wg.Wait()
 	require.NoError(s.t, s.box.server.Close())
