--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -210,6 +210,9 @@
 	e := errkind.Of(err)
 	resp := e.Kind.Response()
 	metrics.GetOrRegisterCounter("refused."+resp.Name, i.metrics).Inc(1)
+	if late, ok := errors.AsType[*shutdown.RefusalError](err); ok {
+		metrics.GetOrRegisterCounter("shutdown.refused."+string(late.Decision.Reason), i.metrics).Inc(1)
+	}
 	i.failureEvent(q, err, t).Msg("refused or failed")
 	if e.Kind == errkind.CallerGone {
 		panic(http.ErrAbortHandler)
--- a/ingress/sink.go
+++ b/ingress/sink.go
@@ -13,6 +13,7 @@
 	"birchlink.dev/birchlink/call"
 	"birchlink.dev/birchlink/errkind"
 	"birchlink.dev/birchlink/forward"
+	"birchlink.dev/birchlink/shutdown"
 )
 
 // sink is a forward.Sink that writes the response to the caller. headSent reports whether the
@@ -88,6 +89,9 @@
 	if errors.As(err, &limit) {
 		l = l.EmbedObject(limit)
 	}
+	if late, ok := errors.AsType[*shutdown.RefusalError](err); ok {
+		l = l.EmbedObject(late)
+	}
 	if q.Call != nil {
 		l = i.withTimes(withResumes(l, q.Call), q.Call, t)
 	}
