--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -14,6 +14,7 @@
 
 	"birchlink.dev/birchlink/accuracy"
 	"birchlink.dev/birchlink/admission"
+	"birchlink.dev/birchlink/answertimes"
 	"birchlink.dev/birchlink/balance"
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/budget"
@@ -30,6 +31,7 @@
 	"birchlink.dev/birchlink/quarantine"
 	"birchlink.dev/birchlink/requesthash"
 	"birchlink.dev/birchlink/rollout"
+	"birchlink.dev/birchlink/shutdown"
 	"birchlink.dev/birchlink/termination"
 )
 
@@ -96,8 +98,8 @@
 // LimitFunc is called when an endpoint sets, lowers or removes the limit on its request rate.
 type LimitFunc func(s endpointlimit.Statement)
 
-// Forwarder forwards requests. All exported fields must be set, except SpendCredit, Terminations, Moves, Health, OnBegin, Admission,
-// Accuracy, Liveness, EndMarks and Numbering.
+// Forwarder forwards requests. All exported fields must be set, except SpendCredit, Terminations, Moves, Health, OnBegin, Admission, Shutdown,
+// Accuracy, Liveness, EndMarks, AnswerTimes and Numbering.
 type Forwarder struct {
 	DataCentre    string
 	Roster        *endpoint.Roster
@@ -122,6 +124,7 @@
 	OnDraining    DrainFunc
 	OnLimitChange LimitFunc
 	Admission     admission.Options // zero: all decisions are off
+	Shutdown      *shutdown.Window  // nil: the box never shuts down
 	Metrics       metrics.Registry
 	Log           zerolog.Logger
 
@@ -134,6 +137,9 @@
 	// EndMarks knows which services end their streams with the same event.
 	EndMarks endmark.Census
 
+	// AnswerTimes holds how long answers take, of which Shutdown is told.
+	AnswerTimes answertimes.Tracker
+
 	// Numbering knows which services count the events of their streams.
 	Numbering numbering.Census
 
@@ -142,8 +148,12 @@
 }
 
 // Check returns an error if a request must not be sent to any endpoint: its content is quarantined
-// because endpoints crashed while they ran it, or no endpoint of the service accepts requests now.
+// because endpoints crashed while they ran it, no endpoint of the service accepts requests now, or the box shuts down before its
+// answer ends.
 func (f *Forwarder) Check(q Request) error {
+	if err := f.CheckShutdown(&q); err != nil {
+		return err
+	}
 	_, err := f.judge(q)
 	return err
 }
@@ -187,9 +197,8 @@
 	for {
 		done, err := r.step(c)
 		if done || err != nil {
-			if sent := r.shared.firstSent.Load(); sent != nil {
-				r.trace.FirstSent = *sent
-			}
+			r.trace.FirstSent = r.shared.sentAt()
+			r.recordAnswerTime(c, err)
 			return r.trace, err
 		}
 	}
