--- /dev/null
+++ b/daemon/stops_test.go
@@ -0,0 +1,706 @@
+package daemon_test
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/fx"
+	"golang.org/x/sync/errgroup"
+
+	"birchlink.dev/birchlink/httpconn"
+	"birchlink.dev/birchlink/platform/standin"
+	"birchlink.dev/birchlink/wait"
+)
+
+// The fleet and the load of a stopsTest.
+const (
+	stopsBoxes   = 4
+	stopsServers = 6
+	stopsEvents  = 20 // of a stream
+	stopsPieces  = 9  // in which a body is sent
+	stopsCallers = 24 // of each box that stops, half of which begin before it does
+
+	// lateShare is the part of the stop limit in which the others begin. A box that stops accepts requests for a third of it, 2.5 s at most.
+	lateShare = 10
+
+	// stopsPatience is how long a caller waits for an answer.
+	stopsPatience = 30 * time.Second
+
+	// maxScriptedLimit is the longest stop limit of the lines that are played without the environment variable STOPS=all.
+	maxScriptedLimit = 3 * time.Second
+
+	// maxStopsTests bounds the fleets that serve at the same time.
+	maxStopsTests = 3
+
+	// slowName ends the paths of the requests of a line, and quickName those of others, which servers answer at once.
+	slowName, quickName = "slow", "quick"
+)
+
+// stopsPaths are the paths whose routes a line plays in turn, by its first word.
+var stopsPaths = map[string][]string{
+	"stream": {"/stream/"}, "fixed": {"/stream-fixed/"}, "again": {"/again/"}, "once": {"/once/"},
+	"all": {"/stream/", "/stream-fixed/", "/again/", "/once/"},
+}
+
+// stopsCase is a line of the script.
+type stopsCase struct {
+	paths   []string
+	chunked bool          // the body
+	body    time.Duration // in which it is sent
+	bytes   int           // its length; zero for a short one
+	answer  time.Duration
+	framing string // of the answers
+	boxes   int    // that stop
+	limit   time.Duration
+	beside  string // what happens beside the stop
+	whole   string
+}
+
+func parseStopsCase(t testing.TB, f []string) stopsCase {
+	c := stopsCase{paths: stopsPaths[f[0]], framing: f[3], beside: f[6], whole: f[7]}
+	require.NotEmpty(t, c.paths)
+	duration := func(s string) time.Duration {
+		d, err := time.ParseDuration(s)
+		require.NoError(t, err)
+		return d
+	}
+	b := strings.Split(f[1], ",")
+	require.Contains(t, []string{"chunks", "length"}, b[0])
+	c.chunked, c.body, c.answer, c.limit = b[0] == "chunks", duration(b[1]), duration(f[2]), duration(f[5])
+	var err error
+	if len(b) > 2 {
+		c.bytes, err = strconv.Atoi(b[2])
+		require.NoError(t, err)
+	}
+	c.boxes, err = strconv.Atoi(f[4])
+	require.NoError(t, err)
+	return c
+}
+
+// stopsCount is what became of the requests.
+type stopsCount struct {
+	Whole   int // answered completely by a server
+	Refused int // answered that they did not run, with a time to return
+
+	Lost    int // passed on, and the connection ended without a complete answer
+	Failed  int // passed on, and answered with a failure
+	Dropped int // not passed on, and not answered completely
+	Denied  int // not passed on, and answered otherwise than refused
+	Early   int // answers that look complete and are not
+	Ran     int // refused and run all the same
+	Twice   int // run more than once, and must not
+	Open    int // refused, on a connection that stays
+	Crossed int // sent to a box that stopped, which had not read them as it closed the idle connection
+
+	Elsewhere  int // refused, and served by a box that does not stop
+	NotServed  int // refused, and not served by such a box
+	LateWhole  int // of the whole ones, those whose bodies ended after the stop had begun
+	LateBroken int // of those lost or failed
+}
+
+// requireKept requires what must hold of every request.
+func (c *stopsCount) requireKept(t testing.TB) {
+	t.Helper()
+	kept := *c
+	kept.Lost, kept.Failed, kept.Dropped, kept.Denied, kept.Early, kept.Ran, kept.Twice, kept.Open, kept.LateBroken = 0, 0, 0, 0, 0, 0, 0, 0, 0
+	require.Equal(t, kept, *c)
+}
+
+// stopsTest is a fleet of four boxes before six servers, of which some boxes are stopped while callers send requests.
+type stopsTest struct {
+	*platform
+	stopsCase
+	engines *standin.Engines
+	boxes   []*entryBox
+	links   []*links
+	targets []int // boxes that callers ask
+	serving []*runsServer
+
+	mu        sync.Mutex
+	serial    int
+	count     stopsCount
+	stoppedAt time.Time // zero before it
+	refused   []string
+	failed    []string
+	outcomes  map[string]int // of requests without a whole answer
+}
+
+func newStopsTest(t testing.TB, c stopsCase) *stopsTest {
+	v := &stopsTest{platform: newPlatform(t, 0), stopsCase: c, engines: &standin.Engines{HandleTTL: 5 * time.Second}, outcomes: map[string]int{}}
+	v.log = &boxLog{}
+	v.setConfig(1)
+	v.slots = 64
+	if c.beside == "places" {
+		v.slots = 1
+	}
+	for range stopsServers {
+		v.start()
+	}
+	more := []string{"[stop]", "limit = " + c.limit.String(), "[retries]", "ratio = 10", ""}
+	if c.beside == "moves" {
+		more = append(more, "[reclaim]", "move_requests = yes", "")
+	}
+	for i := range stopsBoxes {
+		l := &links{}
+		v.links = append(v.links, l)
+		v.boxes = append(v.boxes, v.startBoxWith(fmt.Sprint("box-", i), "north", []fx.Option{fx.Replace(httpconn.DialFunc(l.dial))}, more...))
+	}
+	for _, b := range v.boxes {
+		require.Eventually(t, func() bool {
+			return b.isReady(t) && b.hasMetric(t, "boxes.known", stopsBoxes) && b.hasMetric(t, "endpoints.known", stopsServers)
+		}, 20*time.Second, 5*time.Millisecond)
+	}
+	for i := range max(c.boxes, 1) {
+		v.targets = append(v.targets, i)
+	}
+	return v
+}
+
+// setConfig sets a version of the configuration in which no route has a short timeout.
+func (v *stopsTest) setConfig(version int) {
+	var e *standin.EngineConfig
+	if v.beside == "moves" {
+		e = &standin.EngineConfig{Slots: 64, Moves: true, HandleS: 5, Stride: 4}
+	}
+	v.store.Set(standin.ConfigKey, strings.ReplaceAll(standin.LargeConfig(version, "api", 0, e), `"timeout_ms":4000`, `"timeout_ms":60000`))
+}
+
+// start starts a server. Requests whose paths end with quickName it answers at once.
+func (v *stopsTest) start() {
+	v.lastID++
+	n := fmt.Sprintf("i-%d", v.lastID)
+	s := &runsServer{Server: &standin.Server{
+		ID: n, Service: "api", Version: v.version, Slots: v.slots, Events: stopsEvents, Work: v.answer / stopsEvents, PlainWork: v.answer, Audit: v.audit, MarkRuns: true,
+	}}
+	if v.beside == "breaks" && v.lastID%2 == 0 {
+		s.BreakAfter = stopsEvents / 4
+	}
+	quick := &standin.Server{ID: n, Service: "api", Version: v.version, Slots: 64, Events: stopsEvents, Audit: v.audit, MarkRuns: true}
+	slow := http.Handler(s)
+	if v.framing != "framed" {
+		slow = standin.Unframed(s, v.framing)
+	}
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/"+quickName) {
+			quick.ServeHTTP(w, r)
+			return
+		}
+		slow.ServeHTTP(w, r)
+	})
+	h := httptest.NewUnstartedServer(handler)
+	s.listener = &openListener{Listener: h.Listener, closed: make(chan struct{})}
+	h.Listener = s.listener
+	h.Start()
+	v.t.Cleanup(func() {
+		_ = s.listener.Close()
+		h.Close()
+	})
+	s.address = s.listener.Addr().String()
+	v.engines.Add(s.Server, s.address)
+	v.serving = append(v.serving, s)
+	v.store.Set(s.Record(s.address, "north", "ready"))
+}
+
+// prepare does what comes before the callers.
+func (v *stopsTest) prepare() {
+	how, isCut := strings.CutPrefix(v.beside, "cut-")
+	first, isFirst := strings.CutPrefix(how, "first-")
+	other, isOther := strings.CutPrefix(how, "other-")
+	switch {
+	case isFirst: // one of those that stop
+		v.targets = v.targets[:1]
+		v.cut(first)
+	case isOther: // one that goes on
+		v.targets = []int{stopsBoxes - 1}
+		v.cut(other)
+	case isCut:
+		v.cut(how)
+	case v.beside == "places":
+		for _, s := range v.serving {
+			s.ReportBrittle("5")
+		}
+		v.ask(v.serving)
+	case v.beside == "permits":
+		for _, s := range v.serving {
+			s.ReportLimit("2")
+		}
+		v.ask(v.serving)
+	case v.beside == "refusals":
+		for _, s := range v.serving[:stopsServers/2] {
+			s.RefuseRequests(50 * time.Millisecond)
+		}
+	}
+}
+
+// replaceVersion lets servers of another version take the place of all, and returns while no streams may begin at it.
+func (v *stopsTest) replaceVersion() {
+	old := slices.Clone(v.serving)
+	v.version = "v2"
+	for _, s := range old {
+		v.start()
+		v.store.Set(s.Record(s.address, "north", "draining"))
+	}
+	for _, b := range v.boxes {
+		require.Eventually(v.t, func() bool { return b.hasMetric(v.t, "endpoints.leaving", len(old)) }, 20*time.Second, time.Millisecond)
+	}
+}
+
+// ask sends requests until all boxes have answers of servers.
+func (v *stopsTest) ask(servers []*runsServer) {
+	for _, b := range v.boxes {
+		require.Eventually(v.t, func() bool {
+			_ = b.try(v.t, "/once/x", v.nextID(), time.Minute)
+			return !slices.ContainsFunc(servers, func(s *runsServer) bool { return s.RequestCount() == 0 })
+		}, 20*time.Second, time.Millisecond)
+	}
+}
+
+// cut cuts the links of the boxes that callers ask, and waits until these serve.
+func (v *stopsTest) cut(how string) {
+	for _, i := range v.targets {
+		v.links[i].set(how)
+	}
+	for _, i := range v.targets {
+		require.Eventually(v.t, func() bool {
+			return v.boxes[i].try(v.t, "/again/"+quickName, v.nextID(), 2*time.Second) == http.StatusOK
+		}, 20*time.Second, time.Millisecond)
+	}
+}
+
+// disturb does what happens beside the stop.
+func (v *stopsTest) disturb() {
+	switch v.beside {
+	case "stands-still":
+		for _, s := range v.serving {
+			s.SetSilent(true)
+			time.AfterFunc(900*time.Millisecond, func() { s.SetSilent(false) })
+		}
+	case "leaves", "moves":
+		leaving := slices.Clone(v.serving[:2])
+		for _, s := range leaving {
+			v.start()
+			s.ReportDraining()
+			time.AfterFunc(v.limit/4, s.listener.refuse)
+			if v.beside == "moves" {
+				v.store.Set(s.LeavingRecord(s.address, "north", drainTime))
+			} else {
+				v.store.Set(s.Record(s.address, "north", "draining"))
+			}
+		}
+	case "configuration":
+		v.setConfig(2)
+	case "reload":
+		for _, i := range v.targets {
+			v.boxes[i].Reload(v.settingsFile())
+		}
+	}
+}
+
+// settingsFile returns the path of a file with valid settings.
+func (v *stopsTest) settingsFile() string {
+	f := filepath.Join(v.t.TempDir(), "settings.ini")
+	text := fmt.Sprintf("[box]\nname = x\ndata_centre = north\n[listen]\ncallers = 127.0.0.1:1\nready = 127.0.0.1:2\npeers = 127.0.0.1:3\n[store]\naddress = %s\n", v.storeAddress)
+	require.NoError(v.t, os.WriteFile(f, []byte(text), 0o600))
+	return f
+}
+
+func (v *stopsTest) nextID() string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.serial++
+	return fmt.Sprint("stops", v.serial)
+}
+
+// stopsCaller keeps a connection to a box. One that is patient reads no answer before it has sent its whole request.
+type stopsCaller struct {
+	id, path  string
+	conn      *net.TCPConn
+	reader    *bufio.Reader
+	isPatient bool
+	isLate    bool // it begins once the boxes stop
+}
+
+// unbuffered is a connection over which an http.Request is written in the pieces in which its body comes.
+type unbuffered struct{ net.Conn }
+
+func (u unbuffered) WriteByte(b byte) error {
+	_, err := u.Write([]byte{b})
+	return err
+}
+
+// slowBody is a body that comes in pieces until a context ends.
+type slowBody struct {
+	context context.Context
+	pieces  []string
+	each    time.Duration
+}
+
+func (s *slowBody) Read(b []byte) (int, error) {
+	if len(s.pieces) == 0 {
+		return 0, io.EOF
+	}
+	wait.For(s.context, s.each)
+	if s.context.Err() != nil {
+		return 0, s.context.Err()
+	}
+	n := copy(b, s.pieces[0])
+	if s.pieces[0] = s.pieces[0][n:]; s.pieces[0] == "" {
+		s.pieces = s.pieces[1:]
+	}
+	return n, nil
+}
+
+// slow gives a request a body as the line has it.
+func (v *stopsTest) slow(c context.Context, q *http.Request, id string) {
+	text := strings.Repeat(id+" ", 1+v.bytes/(len(id)+1))
+	size := len(text)/stopsPieces + 1
+	b := &slowBody{context: c, each: v.body / stopsPieces}
+	for p := range slices.Chunk([]byte(text), size) {
+		b.pieces = append(b.pieces, string(p))
+	}
+	q.Body, q.GetBody, q.ContentLength = io.NopCloser(b), nil, int64(len(text))
+	if v.chunked {
+		q.ContentLength = -1
+	}
+}
+
+// stopsAnswer is an answer as its caller saw it.
+type stopsAnswer struct {
+	status    int
+	header    http.Header
+	text      string
+	closes    bool
+	err       error // that ended it before its end
+	isWhole   bool
+	sentWhole time.Time // when the whole request was sent; zero if it was not
+}
+
+// isRefusal reports whether the answer promises that the request did not run.
+func (a *stopsAnswer) isRefusal() bool {
+	return a.err == nil && a.status == http.StatusServiceUnavailable && strings.Contains(a.text, "not_run") && a.header.Get("Retry-After") != ""
+}
+
+// dial connects a caller to a box, and has one answer on the connection.
+func (v *stopsTest) dial(box int, path string) (*stopsCaller, error) {
+	n, err := net.Dial("tcp", v.boxes[box].callersAddress)
+	if err != nil {
+		return nil, err
+	}
+	k := &stopsCaller{id: v.nextID(), path: path, conn: n.(*net.TCPConn), reader: bufio.NewReader(n)}
+	first := &stopsCaller{id: v.nextID(), path: "/again/" + quickName, conn: k.conn, reader: k.reader}
+	a := v.send(first, false)
+	if !a.isWhole {
+		return nil, fmt.Errorf("first answer: %d %s: %w", a.status, a.text, a.err)
+	}
+	return k, nil
+}
+
+// send sends a caller's request and reads the answer.
+func (v *stopsTest) send(k *stopsCaller, isSlow bool) stopsAnswer {
+	c, cancel := context.WithCancel(v.t.Context())
+	defer cancel()
+	s := &standin.Stream{Fixed: strings.HasPrefix(k.path, "/stream-fixed/")}
+	q, err := s.NewRequest(k.conn.RemoteAddr().String(), k.path, k.id, stopsPatience)
+	if err != nil {
+		return stopsAnswer{err: err}
+	}
+	if isSlow {
+		v.slow(c, q, k.id)
+	}
+	_ = k.conn.SetDeadline(time.Now().Add(stopsPatience))
+	sent := make(chan time.Time, 1)
+	go func() {
+		if err := q.Write(unbuffered{k.conn}); err != nil {
+			sent <- time.Time{}
+			return
+		}
+		sent <- time.Now()
+	}()
+	var whole time.Time
+	if k.isPatient {
+		whole = <-sent
+	}
+	a := k.read(q, s)
+	cancel()
+	if !k.isPatient {
+		whole = <-sent
+	}
+	a.sentWhole = whole
+	return a
+}
+
+// read reads an answer.
+func (k *stopsCaller) read(q *http.Request, s *standin.Stream) stopsAnswer {
+	r, err := http.ReadResponse(k.reader, q)
+	if err != nil {
+		return stopsAnswer{err: err}
+	}
+	defer r.Body.Close()
+	a := stopsAnswer{status: r.StatusCode, header: r.Header, closes: r.Close}
+	if r.StatusCode == http.StatusOK && strings.HasPrefix(k.path, "/stream") {
+		a.err = s.Read(k.id, r.Body, stopsEvents+1)
+		a.isWhole, a.text = a.err == nil && s.Events == stopsEvents, fmt.Sprint(s.Events, " events")
+		return a
+	}
+	b, err := io.ReadAll(r.Body)
+	a.text, a.err = string(b), err
+	a.isWhole = err == nil && r.StatusCode == http.StatusOK && a.text == standin.ExpectedBody(k.id)
+	return a
+}
+
+// call sends a caller's request, counts what became of it, and takes it to another box if it was refused.
+func (v *stopsTest) call(k *stopsCaller) {
+	a := v.send(k, true)
+	_ = k.conn.Close()
+	runs := v.audit.Runs(k.id)
+	v.mu.Lock()
+	isBodyLate := !v.stoppedAt.IsZero() && a.sentWhole.After(v.stoppedAt)
+	isStopping := !v.stoppedAt.IsZero() && v.boxesStop()
+	c := &v.count
+	broken := c.Lost + c.Failed
+	switch {
+	case a.isWhole:
+		c.Whole++
+		if isBodyLate {
+			c.LateWhole++
+		}
+	case a.isRefusal():
+		c.Refused++
+		v.refused = append(v.refused, k.id)
+		if isStopping && !a.closes {
+			c.Open++
+		}
+	case a.status == http.StatusOK && a.err == nil:
+		c.Early++
+	case runs > 0 && a.err != nil:
+		c.Lost++
+	case runs > 0:
+		c.Failed++
+	case a.err != nil && a.status == 0 && k.isLate && isClosed(a.err):
+		c.Crossed++
+	case a.err != nil:
+		c.Dropped++
+	default:
+		c.Denied++
+	}
+	if isBodyLate && c.Lost+c.Failed > broken {
+		c.LateBroken++
+	}
+	if runs > 1 && (strings.HasPrefix(k.path, "/once/") || strings.HasPrefix(k.path, "/stream-fixed/")) {
+		c.Twice++
+	}
+	isRefused := a.isRefusal()
+	if !a.isWhole {
+		v.failed = append(v.failed, k.id)
+		kind := fmt.Sprintf("%s status %d, runs %d, error %v", k.path, a.status, runs, cmp.Or(errors.Unwrap(a.err), a.err))
+		if v.outcomes[kind]++; v.outcomes[kind] == 1 {
+			v.t.Logf("%s, such as %s: patient %t, late %t, %s", kind, k.id, k.isPatient, k.isLate, a.text)
+		}
+	}
+	v.mu.Unlock()
+	if isRefused {
+		v.retry(k.path)
+	}
+}
+
+// boxesStop reports whether the boxes that callers ask are those that stop.
+func (v *stopsTest) boxesStop() bool { return v.targets[0] < v.stopsCase.boxes }
+
+// isClosed reports whether a connection was closed or reset.
+func isClosed(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// retry sends a refused request to a box that does not stop.
+func (v *stopsTest) retry(path string) {
+	isServed := false
+	if k, err := v.dial(stopsBoxes-1, strings.TrimSuffix(path, slowName)+quickName); err == nil {
+		isServed = v.send(k, false).isWhole
+		_ = k.conn.Close()
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if isServed {
+		v.count.Elsewhere++
+		return
+	}
+	v.count.NotServed++
+}
+
+// dialAll returns half of the callers of a line.
+func (v *stopsTest) dialAll(isLate bool) []*stopsCaller {
+	ks := make([]*stopsCaller, 0, len(v.targets)*stopsCallers/2)
+	for _, box := range v.targets {
+		for i := range stopsCallers / 2 {
+			k, err := v.dial(box, v.paths[i%len(v.paths)]+slowName)
+			require.NoError(v.t, err)
+			k.isPatient, k.isLate = i/len(v.paths)%2 == 1, isLate
+			ks = append(ks, k)
+		}
+	}
+	return ks
+}
+
+// awaitBegun waits until the boxes have the requests of callers, and servers those that come at once and wait for nothing.
+func (v *stopsTest) awaitBegun(ks []*stopsCaller) {
+	isRun := v.body == 0 && !slices.Contains([]string{"places", "permits", "settles", "refusals"}, v.beside)
+	for _, i := range v.targets {
+		require.Eventually(v.t, func() bool {
+			s, ok := v.boxes[i].metric(v.t, "requests.live")
+			n, err := strconv.Atoi(cmp.Or(s, "0"))
+			return isRun || ok && err == nil && n >= len(ks)/len(v.targets)/2
+		}, 20*time.Second, time.Millisecond)
+	}
+	for _, k := range ks {
+		require.Eventually(v.t, func() bool { return !isRun || v.audit.Runs(k.id) > 0 }, 20*time.Second, time.Millisecond)
+	}
+}
+
+// play sends the requests and stops boxes.
+func (v *stopsTest) play() {
+	before, later := v.dialAll(false), v.dialAll(true)
+	if v.beside == "settles" {
+		v.replaceVersion()
+	}
+	var g errgroup.Group
+	begin := func(k *stopsCaller) {
+		g.Go(func() error {
+			v.call(k)
+			return nil
+		})
+	}
+	for _, k := range before {
+		begin(k)
+	}
+	v.awaitBegun(before)
+	v.mu.Lock()
+	v.stoppedAt = time.Now()
+	v.mu.Unlock()
+	for _, b := range v.boxes[:v.stopsCase.boxes] {
+		g.Go(func() error { return ignoreTimeout(b.App.Stop(context.Background())) })
+	}
+	for _, b := range v.boxes[:v.stopsCase.boxes] {
+		require.Eventually(v.t, func() bool { return !b.isReady(v.t) }, 20*time.Second, time.Millisecond)
+	}
+	v.disturb()
+	for i, k := range later {
+		if i%len(v.targets) == 0 {
+			wait.For(v.t.Context(), v.limit/lateShare/(stopsCallers/2))
+		}
+		begin(k)
+	}
+	require.NoError(v.t, g.Wait())
+	v.stopRest()
+	v.countRefusedRuns()
+}
+
+// ignoreTimeout returns nil for the error of a stop that cancelled requests.
+func ignoreTimeout(err error) error {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return nil
+	}
+	return err
+}
+
+// stopRest stops the other boxes.
+func (v *stopsTest) stopRest() {
+	for _, l := range v.links {
+		l.set("")
+	}
+	var g errgroup.Group
+	for _, b := range v.boxes[v.stopsCase.boxes:] {
+		g.Go(func() error { return ignoreTimeout(b.App.Stop(context.Background())) })
+	}
+	require.NoError(v.t, g.Wait())
+}
+
+// countRefusedRuns counts the refused requests that ran, once no box can send them any more.
+func (v *stopsTest) countRefusedRuns() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, id := range v.refused {
+		if v.audit.Runs(id) > 0 {
+			v.count.Ran++
+		}
+	}
+}
+
+// require requires what the line says.
+func (v *stopsTest) require() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	t := v.t
+	defer func() {
+		if t.Failed() {
+			t.Log(v.log.requests(v.failed[:min(len(v.failed), 3)]...))
+		}
+	}()
+	t.Logf("%d requests: %+v", len(v.targets)*stopsCallers, v.count)
+	for _, k := range slices.Sorted(maps.Keys(v.outcomes)) {
+		t.Logf("%d: %s", v.outcomes[k], k)
+	}
+	v.count.requireKept(t)
+	require.Empty(t, v.engines.Overlaps())
+	switch v.whole {
+	case "all":
+		require.Equal(t, len(v.targets)*stopsCallers, v.count.Whole)
+	case "served":
+		require.Zero(t, v.count.NotServed)
+		require.True(t, v.count.Crossed == 0 || v.limit <= maxScriptedLimit)
+	default:
+		require.Equal(t, "kept", v.whole)
+	}
+}
+
+// runStops plays the lines of the script with some kinds of framing.
+func runStops(t *testing.T, framings ...string) {
+	b, err := os.ReadFile("testdata/stops.txt")
+	require.NoError(t, err)
+	slots := make(chan struct{}, maxStopsTests)
+	for line := range strings.Lines(string(b)) {
+		f := strings.Fields(line)
+		if len(f) == 0 || f[0] == "#" {
+			continue
+		}
+		require.Len(t, f, 8, line)
+		c := parseStopsCase(t, f)
+		if !slices.Contains(framings, c.framing) || c.limit > maxScriptedLimit && os.Getenv("STOPS") != "all" {
+			continue
+		}
+		t.Run(strings.ReplaceAll(strings.Join(f, "_"), "/", "-"), func(t *testing.T) {
+			t.Parallel()
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			v := newStopsTest(t, c)
+			v.prepare()
+			v.play()
+			v.require()
+		})
+	}
+}
+
+// A box that stops must pass on no request that it can't finish, and answer the others: bodies that end late, and waits for
+// endpoints, passed requests on shortly before the box cancelled them.
+func TestStoppingBoxPassesOnLateRequests(t *testing.T) { runStops(t, "framed") }
+
+// Answers that have neither a length nor chunks and end with their connections must be whole to callers, beside a stop and
+// without one: boxes took none of them for whole.
+func TestSoundAnswersThatEndWithTheirConnections(t *testing.T) { runStops(t, "HTTP/1.1", "HTTP/1.0") }
