--- a/daemon/stops_test.go
+++ b/daemon/stops_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -39,10 +40,11 @@
 	stopsCallers = 24 // of each box that stops, half of which begin before it does
 
 	// lateShare is the part of the stop limit in which the others begin. A box that stops accepts requests for a third of it, 2.5 s at most.
-	lateShare = 10
+	lateShare = 5
 
-	// stopsPatience is how long a caller waits for an answer.
+	// stopsPatience is how long a caller waits for an answer, and stopsTries how often one asks that was refused.
 	stopsPatience = 30 * time.Second
+	stopsTries    = 4
 
 	// maxScriptedLimit is the longest stop limit of the lines that are played without the environment variable STOPS=all.
 	maxScriptedLimit = 3 * time.Second
@@ -63,7 +65,7 @@
 // stopsCase is a line of the script.
 type stopsCase struct {
 	paths   []string
-	chunked bool          // the body
+	request string        // how the body is framed: by its length or in chunks; old: a request of HTTP/1.0 with a length
 	body    time.Duration // in which it is sent
 	bytes   int           // its length; zero for a short one
 	answer  time.Duration
@@ -83,8 +85,8 @@
 		return d
 	}
 	b := strings.Split(f[1], ",")
-	require.Contains(t, []string{"chunks", "length"}, b[0])
-	c.chunked, c.body, c.answer, c.limit = b[0] == "chunks", duration(b[1]), duration(f[2]), duration(f[5])
+	require.Contains(t, []string{"chunks", "length", "old"}, b[0])
+	c.request, c.body, c.answer, c.limit = b[0], duration(b[1]), duration(f[2]), duration(f[5])
 	var err error
 	if len(b) > 2 {
 		c.bytes, err = strconv.Atoi(b[2])
@@ -103,7 +105,7 @@
 	Lost    int // passed on, and the connection ended without a complete answer
 	Failed  int // passed on, and answered with a failure
 	Dropped int // not passed on, and not answered completely
-	Denied  int // not passed on, and answered otherwise than refused
+	Unsure  int // not passed on, and answered without the promise that they did not run
 	Early   int // answers that look complete and are not
 	Ran     int // refused and run all the same
 	Twice   int // run more than once, and must not
@@ -114,13 +116,14 @@
 	NotServed  int // refused, and not served by such a box
 	LateWhole  int // of the whole ones, those whose bodies ended after the stop had begun
 	LateBroken int // of those lost or failed
+	Reset      int // of patient callers, whose connections ended before they had sent their requests
 }
 
 // requireKept requires what must hold of every request.
 func (c *stopsCount) requireKept(t testing.TB) {
 	t.Helper()
 	kept := *c
-	kept.Lost, kept.Failed, kept.Dropped, kept.Denied, kept.Early, kept.Ran, kept.Twice, kept.Open, kept.LateBroken = 0, 0, 0, 0, 0, 0, 0, 0, 0
+	kept.Lost, kept.Failed, kept.Dropped, kept.Unsure, kept.Early, kept.Ran, kept.Twice, kept.Open, kept.LateBroken = 0, 0, 0, 0, 0, 0, 0, 0, 0
 	require.Equal(t, kept, *c)
 }
 
@@ -131,11 +134,13 @@
 	engines *standin.Engines
 	boxes   []*entryBox
 	links   []*links
+	service string
 	targets []int // boxes that callers ask
 	serving []*runsServer
 
 	mu        sync.Mutex
 	serial    int
+	ended     int // requests that have ended
 	count     stopsCount
 	stoppedAt time.Time // zero before it
 	refused   []string
@@ -145,7 +150,7 @@
 
 func newStopsTest(t testing.TB, c stopsCase) *stopsTest {
 	v := &stopsTest{platform: newPlatform(t, 0), stopsCase: c, engines: &standin.Engines{HandleTTL: 5 * time.Second}, outcomes: map[string]int{}}
-	v.log = &boxLog{}
+	v.log, v.service = &boxLog{}, "api"
 	v.setConfig(1)
 	v.slots = 64
 	if c.beside == "places" {
@@ -155,7 +160,7 @@
 		v.start()
 	}
 	more := []string{"[stop]", "limit = " + c.limit.String(), "[retries]", "ratio = 10", ""}
-	if c.beside == "moves" {
+	if v.isMoving() {
 		more = append(more, "[reclaim]", "move_requests = yes", "")
 	}
 	for i := range stopsBoxes {
@@ -174,13 +179,18 @@
 	return v
 }
 
-// setConfig sets a version of the configuration in which no route has a short timeout.
+// setConfig sets a version of the configuration in which no route has a short timeout. If there are too few places, the objective
+// lets requests wait for one.
 func (v *stopsTest) setConfig(version int) {
 	var e *standin.EngineConfig
-	if v.beside == "moves" {
+	if v.isMoving() {
 		e = &standin.EngineConfig{Slots: 64, Moves: true, HandleS: 5, Stride: 4}
 	}
-	v.store.Set(standin.ConfigKey, strings.ReplaceAll(standin.LargeConfig(version, "api", 0, e), `"timeout_ms":4000`, `"timeout_ms":60000`))
+	c := strings.ReplaceAll(standin.LargeConfig(version, v.service, 0, e), `"timeout_ms":4000`, `"timeout_ms":60000`)
+	if v.beside == "places" {
+		c = strings.ReplaceAll(c, `"slo_ms":500`, `"slo_ms":20000`)
+	}
+	v.store.Set(standin.ConfigKey, c)
 }
 
 // start starts a server. Requests whose paths end with quickName it answers at once.
@@ -188,12 +198,12 @@
 	v.lastID++
 	n := fmt.Sprintf("i-%d", v.lastID)
 	s := &runsServer{Server: &standin.Server{
-		ID: n, Service: "api", Version: v.version, Slots: v.slots, Events: stopsEvents, Work: v.answer / stopsEvents, PlainWork: v.answer, Audit: v.audit, MarkRuns: true,
+		ID: n, Service: v.service, Version: v.version, Slots: v.slots, Events: stopsEvents, Work: v.answer / stopsEvents, PlainWork: v.answer, Audit: v.audit, MarkRuns: true,
 	}}
 	if v.beside == "breaks" && v.lastID%2 == 0 {
 		s.BreakAfter = stopsEvents / 4
 	}
-	quick := &standin.Server{ID: n, Service: "api", Version: v.version, Slots: 64, Events: stopsEvents, Audit: v.audit, MarkRuns: true}
+	quick := &standin.Server{ID: n, Service: v.service, Version: v.version, Slots: 64, Events: stopsEvents, Audit: v.audit, MarkRuns: true}
 	slow := http.Handler(s)
 	if v.framing != "framed" {
 		slow = standin.Unframed(s, v.framing)
@@ -237,12 +247,12 @@
 		for _, s := range v.serving {
 			s.ReportBrittle("5")
 		}
-		v.ask(v.serving)
+		v.learn(v.serving)
 	case v.beside == "permits":
 		for _, s := range v.serving {
 			s.ReportLimit("2")
 		}
-		v.ask(v.serving)
+		v.learn(v.serving)
 	case v.beside == "refusals":
 		for _, s := range v.serving[:stopsServers/2] {
 			s.RefuseRequests(50 * time.Millisecond)
@@ -263,8 +273,8 @@
 	}
 }
 
-// ask sends requests until all boxes have answers of servers.
-func (v *stopsTest) ask(servers []*runsServer) {
+// learn sends requests until all boxes have answers of servers.
+func (v *stopsTest) learn(servers []*runsServer) {
 	for _, b := range v.boxes {
 		require.Eventually(v.t, func() bool {
 			_ = b.try(v.t, "/once/x", v.nextID(), time.Minute)
@@ -289,23 +299,19 @@
 func (v *stopsTest) disturb() {
 	switch v.beside {
 	case "stands-still":
-		for _, s := range v.serving {
-			s.SetSilent(true)
-			time.AfterFunc(900*time.Millisecond, func() { s.SetSilent(false) })
-		}
+		v.standStill()
+		time.AfterFunc(v.limit/3, v.standStill)
 	case "leaves", "moves":
-		leaving := slices.Clone(v.serving[:2])
-		for _, s := range leaving {
+		v.leave()
+	case "leaves-late", "moves-late":
+		time.AfterFunc(v.limit/2, v.leave)
+	case "configuration":
+		v.setConfig(2)
+	case "service": // another one takes the place of the first
+		v.service = "other"
+		for range stopsServers {
 			v.start()
-			s.ReportDraining()
-			time.AfterFunc(v.limit/4, s.listener.refuse)
-			if v.beside == "moves" {
-				v.store.Set(s.LeavingRecord(s.address, "north", drainTime))
-			} else {
-				v.store.Set(s.Record(s.address, "north", "draining"))
-			}
 		}
-	case "configuration":
 		v.setConfig(2)
 	case "reload":
 		for _, i := range v.targets {
@@ -314,6 +320,31 @@
 	}
 }
 
+// leave lets two servers leave, whose runs move if they can.
+func (v *stopsTest) leave() {
+	for _, s := range slices.Clone(v.serving[:2]) {
+		v.start()
+		s.ReportDraining()
+		time.AfterFunc(v.limit/4, s.listener.refuse)
+		if v.isMoving() {
+			v.store.Set(s.LeavingRecord(s.address, "north", drainTime))
+		} else {
+			v.store.Set(s.Record(s.address, "north", "draining"))
+		}
+	}
+}
+
+// isMoving reports whether runs of servers that leave can move.
+func (v *stopsTest) isMoving() bool { return strings.HasPrefix(v.beside, "moves") }
+
+// standStill lets the servers send nothing for some time.
+func (v *stopsTest) standStill() {
+	for _, s := range v.serving {
+		s.SetSilent(true)
+		time.AfterFunc(900*time.Millisecond, func() { s.SetSilent(false) })
+	}
+}
+
 // settingsFile returns the path of a file with valid settings.
 func (v *stopsTest) settingsFile() string {
 	f := filepath.Join(v.t.TempDir(), "settings.ini")
@@ -332,14 +363,25 @@
 // stopsCaller keeps a connection to a box. One that is patient reads no answer before it has sent its whole request.
 type stopsCaller struct {
 	id, path  string
-	conn      *net.TCPConn
+	conn      net.Conn
 	reader    *bufio.Reader
 	isPatient bool
 	isLate    bool // it begins once the boxes stop
 }
 
-// unbuffered is a connection over which an http.Request is written in the pieces in which its body comes.
-type unbuffered struct{ net.Conn }
+// unbuffered is a connection over which an http.Request is written in the pieces in which its body comes, as one of HTTP/1.0 if isOld.
+type unbuffered struct {
+	net.Conn
+	isOld bool
+}
+
+func (u unbuffered) Write(b []byte) (int, error) {
+	if u.isOld && bytes.HasSuffix(b, []byte(" HTTP/1.1\r\n")) {
+		_, err := u.Conn.Write(bytes.Replace(b, []byte("HTTP/1.1"), []byte("HTTP/1.0"), 1))
+		return len(b), err
+	}
+	return u.Conn.Write(b)
+}
 
 func (u unbuffered) WriteByte(b byte) error {
 	_, err := u.Write([]byte{b})
@@ -377,7 +419,7 @@
 		b.pieces = append(b.pieces, string(p))
 	}
 	q.Body, q.GetBody, q.ContentLength = io.NopCloser(b), nil, int64(len(text))
-	if v.chunked {
+	if v.request == "chunks" {
 		q.ContentLength = -1
 	}
 }
@@ -398,18 +440,21 @@
 	return a.err == nil && a.status == http.StatusServiceUnavailable && strings.Contains(a.text, "not_run") && a.header.Get("Retry-After") != ""
 }
 
+func newStopsCaller(id, path string, n net.Conn) *stopsCaller {
+	return &stopsCaller{id: id, path: path, conn: n, reader: bufio.NewReader(n)}
+}
+
 // dial connects a caller to a box, and has one answer on the connection.
 func (v *stopsTest) dial(box int, path string) (*stopsCaller, error) {
 	n, err := net.Dial("tcp", v.boxes[box].callersAddress)
 	if err != nil {
 		return nil, err
 	}
-	k := &stopsCaller{id: v.nextID(), path: path, conn: n.(*net.TCPConn), reader: bufio.NewReader(n)}
-	first := &stopsCaller{id: v.nextID(), path: "/again/" + quickName, conn: k.conn, reader: k.reader}
-	a := v.send(first, false)
-	if !a.isWhole {
+	k := newStopsCaller(v.nextID(), "/again/"+quickName, n)
+	if a := v.send(k, false); !a.isWhole {
 		return nil, fmt.Errorf("first answer: %d %s: %w", a.status, a.text, a.err)
 	}
+	k.id, k.path = v.nextID(), path
 	return k, nil
 }
 
@@ -428,7 +473,7 @@
 	_ = k.conn.SetDeadline(time.Now().Add(stopsPatience))
 	sent := make(chan time.Time, 1)
 	go func() {
-		if err := q.Write(unbuffered{k.conn}); err != nil {
+		if err := q.Write(unbuffered{k.conn, isSlow && v.request == "old"}); err != nil {
 			sent <- time.Time{}
 			return
 		}
@@ -474,6 +519,7 @@
 	v.mu.Lock()
 	isBodyLate := !v.stoppedAt.IsZero() && a.sentWhole.After(v.stoppedAt)
 	isStopping := !v.stoppedAt.IsZero() && v.boxesStop()
+	v.ended++
 	c := &v.count
 	broken := c.Lost + c.Failed
 	switch {
@@ -499,7 +545,7 @@
 	case a.err != nil:
 		c.Dropped++
 	default:
-		c.Denied++
+		c.Unsure++
 	}
 	if isBodyLate && c.Lost+c.Failed > broken {
 		c.LateBroken++
@@ -507,6 +553,9 @@
 	if runs > 1 && (strings.HasPrefix(k.path, "/once/") || strings.HasPrefix(k.path, "/stream-fixed/")) {
 		c.Twice++
 	}
+	if k.isPatient && a.sentWhole.IsZero() {
+		c.Reset++
+	}
 	isRefused := a.isRefusal()
 	if !a.isWhole {
 		v.failed = append(v.failed, k.id)
@@ -529,13 +578,9 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-// retry sends a refused request to a box that does not stop.
+// retry sends a refused request to a box that does not stop, a few times if that refuses it as well.
 func (v *stopsTest) retry(path string) {
-	isServed := false
-	if k, err := v.dial(stopsBoxes-1, strings.TrimSuffix(path, slowName)+quickName); err == nil {
-		isServed = v.send(k, false).isWhole
-		_ = k.conn.Close()
-	}
+	isServed := v.ask(strings.TrimSuffix(path, slowName) + quickName)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if isServed {
@@ -545,6 +590,24 @@
 	v.count.NotServed++
 }
 
+// ask sends a request to a box that does not stop, and reports whether it is served within stopsTries.
+func (v *stopsTest) ask(path string) bool {
+	for range stopsTries {
+		n, err := net.Dial("tcp", v.boxes[stopsBoxes-1].callersAddress)
+		if err != nil {
+			return false
+		}
+		a := v.send(newStopsCaller(v.nextID(), path, n), false)
+		_ = n.Close()
+		if a.isWhole || !a.isRefusal() {
+			return a.isWhole
+		}
+		s, _ := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+		wait.For(v.t.Context(), time.Duration(s*float64(time.Second)))
+	}
+	return false
+}
+
 // dialAll returns half of the callers of a line.
 func (v *stopsTest) dialAll(isLate bool) []*stopsCaller {
 	ks := make([]*stopsCaller, 0, len(v.targets)*stopsCallers/2)
@@ -561,17 +624,26 @@
 
 // awaitBegun waits until the boxes have the requests of callers, and servers those that come at once and wait for nothing.
 func (v *stopsTest) awaitBegun(ks []*stopsCaller) {
-	isRun := v.body == 0 && !slices.Contains([]string{"places", "permits", "settles", "refusals"}, v.beside)
-	for _, i := range v.targets {
-		require.Eventually(v.t, func() bool {
-			s, ok := v.boxes[i].metric(v.t, "requests.live")
-			n, err := strconv.Atoi(cmp.Or(s, "0"))
-			return isRun || ok && err == nil && n >= len(ks)/len(v.targets)/2
-		}, 20*time.Second, time.Millisecond)
+	require.Eventually(v.t, func() bool { return v.begun() >= len(ks) }, 20*time.Second, time.Millisecond)
+	if v.body > 0 || slices.Contains([]string{"places", "permits", "settles", "refusals"}, v.beside) {
+		return
 	}
 	for _, k := range ks {
-		require.Eventually(v.t, func() bool { return !isRun || v.audit.Runs(k.id) > 0 }, 20*time.Second, time.Millisecond)
+		require.Eventually(v.t, func() bool { return v.audit.Runs(k.id) > 0 }, 20*time.Second, time.Millisecond)
+	}
+}
+
+// begun returns the number of requests that the boxes have, or that have ended.
+func (v *stopsTest) begun() int {
+	v.mu.Lock()
+	n := v.ended
+	v.mu.Unlock()
+	for _, i := range v.targets {
+		s, _ := v.boxes[i].metric(v.t, "requests.live")
+		live, _ := strconv.Atoi(s) // none before the first one
+		n += live
 	}
+	return n
 }
 
 // play sends the requests and stops boxes.
