--- a/daemon/stops_test.go
+++ b/daemon/stops_test.go
@@ -252,16 +252,16 @@
 		v.cut(other)
 	case isCut:
 		v.cut(how)
+	case v.beside == "elsewhere": // callers ask boxes that go on
+		v.targets = []int{stopsBoxes - 2, stopsBoxes - 1}
 	case v.beside == "places":
 		for _, s := range v.serving {
 			s.ReportBrittle("5")
 		}
-		v.learn(v.serving)
 	case v.beside == "permits":
 		for _, s := range v.serving {
 			s.ReportLimit("2")
 		}
-		v.learn(v.serving)
 	case v.beside == "refusals":
 		for _, s := range v.serving[:stopsServers/2] {
 			s.RefuseRequests(50 * time.Millisecond)
@@ -282,14 +282,15 @@
 	}
 }
 
-// learn sends requests until all boxes have answers of servers.
-func (v *stopsTest) learn(servers []*runsServer) {
+// learn lets all boxes have answers of servers. Those to requests with quickName don't say what the servers bear.
+func (v *stopsTest) learn() {
+	var g sync.WaitGroup
 	for _, b := range v.boxes {
-		require.Eventually(v.t, func() bool {
-			_ = b.try(v.t, "/once/x", v.nextID(), time.Minute)
-			return !slices.ContainsFunc(servers, func(s *runsServer) bool { return s.RequestCount() == 0 })
-		}, 20*time.Second, time.Millisecond)
+		for range stopsServers {
+			g.Go(func() { _ = b.try(v.t, "/once/"+slowName, v.nextID(), time.Minute) })
+		}
 	}
+	g.Wait()
 }
 
 // cut cuts the links of the boxes that callers ask, and waits until these serve.
@@ -661,8 +662,11 @@
 // play sends the requests and stops boxes.
 func (v *stopsTest) play() {
 	before, later := v.dialAll(false), v.dialAll(true)
-	if v.beside == "settles" {
+	switch v.beside {
+	case "settles":
 		v.replaceVersion()
+	case "places", "permits":
+		v.learn()
 	}
 	var g errgroup.Group
 	begin := func(k *stopsCaller) {
