--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -25,6 +25,7 @@
 	"birchlink.dev/birchlink/call"
 	"birchlink.dev/birchlink/catalog"
 	"birchlink.dev/birchlink/demand"
+	"birchlink.dev/birchlink/endmark"
 	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/endpointlimit"
 	"birchlink.dev/birchlink/errkind"
@@ -70,6 +71,13 @@
 	return o
 }
 
+func (codec) Check(e endpoint.Endpoint, path string) httpconn.Request {
+	return httpconn.Request{
+		Endpoint: e.ID, Address: e.Address, Method: http.MethodGet, Target: path, Host: "h", Header: http.Header{"Id": {"check"}},
+		Matches: func(h http.Header) bool { return h.Get("Id") == "check" },
+	}
+}
+
 // soleLeases holds the leases of a single box, granted at the given time.
 type soleLeases time.Time
 
@@ -120,6 +128,7 @@
 	f               *forward.Forwarder
 	endpoints       map[string]*fakeEndpoint
 	route           catalog.Route
+	service         catalog.Service
 	started         int       // requests that an endpoint began to run
 	last            *recorder // response to the last call
 	err             error     // error of the last call
@@ -163,11 +172,11 @@
 // newScript returns a script whose forwarder has no endpoints.
 func newScript(t *testing.T) *script {
 	t.Helper()
-	s := &script{t: t, endpoints: map[string]*fakeEndpoint{}}
+	s := &script{t: t, endpoints: map[string]*fakeEndpoint{}, service: catalog.Service{Name: "s"}}
 	s.f = &forward.Forwarder{
 		Roster: &endpoint.Roster{}, Rollouts: &rollout.Gate{}, Balancer: &balance.Balancer{}, Pool: &httpconn.Pool{DialTimeout: time.Second},
 		Budget: settledBudget(budget.Limits{Ratio: 1, Slack: 1000, Window: time.Minute}), Meter: &demand.Meter{}, Quarantine: &quarantine.Quarantine{},
-		Codec: codec{}, OnStart: func(string, time.Time) { s.started++ }, OnSend: func(endpoint.Endpoint, int) {},
+		Codec: codec{}, Health: codec{}, OnStart: func(string, time.Time) { s.started++ }, OnSend: func(endpoint.Endpoint, int) {},
 		OnCrash: func(endpoint.Endpoint) {}, OnDraining: func(endpoint.Endpoint) {},
 		OnLimitChange: func(endpointlimit.Statement) {},
 		Metrics:       metrics.NewRegistry(), Log: zerolog.Nop(),
@@ -213,6 +222,8 @@
 		s.endpoints[words[1]].replace = func() {
 			s.f.Roster.Put(endpoint.Endpoint{ID: words[1], StartMillis: 2, Service: "s", Slots: 4, Version: "v1", Address: s.endpoints["anew"].listener.Addr().String()})
 		}
+	case "health": // endpoints have a health check
+		s.service.HealthPath = healthPath
 	case "process": // a process that is not registered as an endpoint
 		s.endpoints[words[1]] = newFakeEndpoint(s.t, words[1], words[2:])
 	case "version": // the software version of an endpoint
@@ -244,6 +255,10 @@
 			parts[n] = requesthash.PartOf("s", p)
 		}
 		s.call("", "prompt "+strconv.Itoa(s.serial), parts)
+	case "marked": // the streams of the service have ended with an event without an ID so far
+		for i := range 16 {
+			s.f.EndMarks.Record("s", strconv.Itoa(i%2), endmark.HashOf([]byte("data: no ID\n\n")))
+		}
 	case "rising": // most answers so far have left numbers out
 		for i := range 64 {
 			s.f.Numbering.Record("s", strconv.Itoa(i%2), false)
@@ -282,7 +297,7 @@
 	s.last = &recorder{}
 	c := &call.Call{LastEventID: s.lastEventID, ID: strconv.Itoa(s.serial), Method: http.MethodPost, Host: "h", Target: "/x", Path: "/x", Body: []byte(body), Arrived: boottime.Now()}
 	q := forward.Request{
-		Call: c, Route: &s.route, Service: &catalog.Service{Name: "s"}, Account: &catalog.Account{Name: "a"}, Expires: boottime.Now().Add(5 * time.Second),
+		Call: c, Route: &s.route, Service: &s.service, Account: &catalog.Account{Name: "a"}, Expires: boottime.Now().Add(5 * time.Second),
 		Content: requesthash.HashOf("a", c), Parts: parts, Version: version,
 	}
 	s.lastEventID = ""
@@ -314,6 +329,11 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		require.Equal(s.t, words[2], strconv.Itoa(f.runs), at)
+	case "checked": // the number of health checks
+		f := s.endpoints[words[1]]
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		require.Equal(s.t, words[2], strconv.Itoa(f.checks), at)
 	case "asked":
 		f := s.endpoints[words[1]]
 		f.mu.Lock()
--- a/forward/run.go
+++ b/forward/run.go
@@ -97,6 +97,8 @@
 	startRecorded atomic.Bool  // recordStart was called
 	places        atomic.Int32 // questions for a place
 	runs          atomic.Int32 // runs that attempts began
+
+	firstSent atomic.Pointer[time.Time] // when an attempt was first sent to an endpoint; nil before
 }
 
 // reachedEndpoint is an endpoint that the request reached. If it answered, it has run the request.
