--- a/answertimes/tracker.go
+++ b/answertimes/tracker.go
@@ -24,7 +24,7 @@
 	minSamples = 20
 
 	// quantileFactor times the duration that the fraction quantile of the answers does not exceed is a long answer. With few samples
-	// it is longestFactor times the longest one.
+	// it is longestFactor times the longest one, and with none longestFactor times the longest one of the service's other routes.
 	quantile       = 0.95
 	quantileFactor = 2
 	longestFactor  = 3
@@ -69,23 +69,26 @@
 
 // Long returns the estimate for a key.
 func (t *Tracker) Long(k accuracy.Key, now time.Time) Estimate {
-	ds, newest := t.recent(k, now)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ds, newest := t.recent(t.samples[k], now)
+	isOwn := len(ds) > 0
+	if !isOwn {
+		ds, newest = t.recentOfService(k.Service, now)
+	}
 	if len(ds) == 0 {
 		return Estimate{}
 	}
 	slices.Sort(ds)
 	e := Estimate{Long: longestFactor * ds[len(ds)-1], Samples: len(ds), Age: now.Sub(newest)}
-	if len(ds) >= minSamples {
+	if isOwn && len(ds) >= minSamples {
 		e.Long = quantileFactor * ds[int(math.Ceil(quantile*float64(len(ds))))-1]
 	}
 	return e
 }
 
-// recent returns the durations of a key that count, and when the newest one ended.
-func (t *Tracker) recent(k accuracy.Key, now time.Time) (ds []time.Duration, newest time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	r := t.samples[k]
+// recent returns the durations of a ring that count, and when the newest one ended. The lock must be held.
+func (t *Tracker) recent(r *ring.Ring[sample], now time.Time) (ds []time.Duration, newest time.Time) {
 	if r == nil {
 		return nil, newest
 	}
@@ -99,3 +102,17 @@
 	}
 	return ds, newest
 }
+
+// recentOfService is recent for all routes of a service.
+func (t *Tracker) recentOfService(service string, now time.Time) (ds []time.Duration, newest time.Time) {
+	for k, r := range t.samples {
+		if k.Service != service {
+			continue
+		}
+		more, at := t.recent(r, now)
+		if ds = append(ds, more...); at.After(newest) {
+			newest = at
+		}
+	}
+	return ds, newest
+}
