--- a/forward/migrate_test.go
+++ b/forward/migrate_test.go
@@ -24,6 +24,7 @@
 	"birchlink.dev/birchlink/forward"
 	"birchlink.dev/birchlink/platform"
 	"birchlink.dev/birchlink/requesthash"
+	"birchlink.dev/birchlink/shutdown"
 )
 
 // streamSink records a stream, and passes the numbers of its events to received.
@@ -80,6 +81,7 @@
 	slowLink  bool   // moves begin at the notice, since copies take long
 	cancelled bool   // an attempt is cancelled, and may end a moment after the next has begun
 	attempts  int    // that the route allows; 2 if it is zero
+	stops     bool   // the box shuts down when a drains
 
 	reclaim       bool   // all engines are reclaimable
 	dataCentreOfC string // that of a and b if empty
@@ -267,6 +269,13 @@
 		"no head yet": {
 			waiting: true, lateHead: true, period: 100 * time.Millisecond, wantEvents: all, wantStarts: "a new, b moved", wantMoves: "moved", wantStamp: "b",
 		},
+		// The box shuts down, and its requests go on until the end of that, although nothing new is sent.
+		"shutdown, moved":    {stops: true, wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "moved"},
+		"shutdown, returned": {stops: true, moves: "ok ok_then_target_ends", wantEvents: all, wantStarts: "a new, a moved 3", wantMoves: "returned"},
+		"shutdown, resumed":  {stops: true, moves: "ends", resumable: true, wantEvents: all, wantStarts: "a new, b new 3"},
+		"shutdown, not begun": {
+			stops: true, waiting: true, resumable: true, cancelled: true, wantEvents: all, wantStarts: "a new, b new", wantStamp: "b", wantMoves: "resumed",
+		},
 		// Without retry budget a move is still made: it is no attempt.
 		"no retry budget": {resumable: true, noBudget: true, wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "moved"},
 	} {
@@ -363,8 +372,12 @@
 		}
 	})
 	a.register(s.f.Roster, "d", v.reclaim, v.period)
+	if v.stops {
+		s.f.Shutdown = &shutdown.Window{}
+	}
 	drain := a.drain
 	a.drain = func() {
+		s.f.Shutdown.Begin(boottime.Now(), 0, time.Minute)
 		es.byName["b"].register(s.f.Roster, "d", v.reclaim, 0)
 		if v.c {
 			es.add("c").register(s.f.Roster, cmp.Or(v.dataCentreOfC, "d"), v.reclaim, 0)
--- a/forward/run.go
+++ b/forward/run.go
@@ -167,28 +167,10 @@
 // step makes one attempt. It reports whether the sink has received the complete response. An error
 // ends the request.
 func (r *run) step(c context.Context) (bool, error) {
-	var err error
-	if r.verdict, err = r.f.judge(r.q); err != nil {
-		if r.mayHaveRun {
-			return r.fail(errkind.EngineFailed, err.Error())
-		}
-		return false, err
-	}
-	if r.isExpired(c) {
-		// The deadline may have passed without cancelling the context: its timer stops while
-		// the box is suspended.
-		return r.failExpired()
-	}
-	if err := r.checkShutdown(); err != nil {
-		return false, err
-	}
 	defer func() { r.returnPlace(false) }()
-	ch, ok, err := r.chooseInTime(c)
-	switch {
-	case err != nil:
-		return false, err
-	case !ok:
-		return r.failNoEndpoint()
+	ch, ok, done, err := r.prepare(c)
+	if !ok {
+		return done, err
 	}
 	r.tried[ch.Endpoint.Incarnation()] = true
 	r.trace = Trace{
@@ -232,6 +214,29 @@
 	return r.fail(d.Kind, d.Reason+": "+errText(out.err))
 }
 
+// prepare chooses the endpoint of an attempt. If there is to be none, ok is false, and the others are the results of step.
+func (r *run) prepare(c context.Context) (ch balance.Choice, ok, done bool, err error) {
+	if r.verdict, err = r.f.judge(r.q); err != nil {
+		if r.mayHaveRun {
+			done, err = r.fail(errkind.EngineFailed, err.Error())
+		}
+		return ch, false, done, err
+	}
+	if r.isExpired(c) {
+		// The deadline may have passed without cancelling the context: its timer stops while
+		// the box is suspended.
+		done, err = r.failExpired()
+		return ch, false, done, err
+	}
+	if err = r.checkShutdown(); err != nil {
+		return ch, false, false, err
+	}
+	if ch, ok, err = r.chooseInTime(c); err == nil && !ok {
+		done, err = r.failNoEndpoint()
+	}
+	return ch, ok && err == nil, done, err
+}
+
 // decide decides how the request goes on after an attempt at e that failed. If it goes on and has arrived at an endpoint,
 // it gets a credit for the next arrival.
 func (r *run) decide(c context.Context, out attemptResult, e endpoint.Endpoint) recovery.Decision {
--- a/ingress/stopping_test.go
+++ b/ingress/stopping_test.go
@@ -57,7 +57,7 @@
 const bodyInterval = 100 * time.Millisecond
 
 // stoppingCodec is the codec of callers and of endpoints. The header Deadline has the time that a caller waits, and Answer the time
-// that an endpoint takes to answer with Status.
+// that an endpoint takes to answer with Status. The first answer ends after the time Breaks, if that is given.
 type stoppingCodec struct{ plainCodec }
 
 func (stoppingCodec) Decode(r *http.Request, arrived time.Time) (*call.Call, error) {
@@ -65,7 +65,7 @@
 	return &call.Call{
 		ID: r.Header.Get("Id"), Method: r.Method, Host: r.Host, Target: r.RequestURI, Path: r.URL.Path, Key: r.Header.Get("Key"),
 		Resumes: r.Header.Get("Resumes"), Arrived: arrived, Timeout: timeout,
-		Header: http.Header{"Id": r.Header["Id"], "Answer": r.Header["Answer"], "Status": r.Header["Status"]},
+		Header: http.Header{"Id": r.Header["Id"], "Answer": r.Header["Answer"], "Status": r.Header["Status"], "Breaks": r.Header["Breaks"]},
 	}, nil
 }
 
@@ -148,10 +148,13 @@
 		return
 	}
 	id := q.Header.Get("Id")
-	p.record(id)
+	sends := p.record(id)
 	_, _ = io.Copy(io.Discard, q.Body)
 	took, _ := time.ParseDuration(q.Header.Get("Answer"))
+	breaks, _ := time.ParseDuration(q.Header.Get("Breaks"))
 	switch {
+	case breaks > 0 && sends == 1:
+		time.Sleep(breaks)
 	case p.refusesAfter > 0:
 		time.Sleep(p.refusesAfter)
 		p.left.Do(func() { p.leave(name) })
@@ -186,10 +189,23 @@
 	p.serving.Wait()
 }
 
-func (p *pipeConnector) record(id string) {
+// record records a request and returns how often it came.
+func (p *pipeConnector) record(id string) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sent[id] = append(p.sent[id], time.Since(p.began))
+	return len(p.sent[id])
+}
+
+// times returns when a request was sent.
+func (p *pipeConnector) times(id string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]string, 0, len(p.sent[id]))
+	for _, d := range p.sent[id] {
+		out = append(out, d.String())
+	}
+	return strings.Join(out, " ")
 }
 
 // stoppingRoutes are the routes of the tests. Their names are the beginnings of their paths.
@@ -237,6 +253,8 @@
 	at      time.Duration
 	err     openai.Error // of a refusal
 	close   bool         // the connection is closed
+
+	bodyAsked bool // the box asked for the body of a request that waits for that
 }
 
 // stopping plays a script against a box that is stopped.
@@ -336,7 +354,7 @@
 		route = "plain"
 	}
 	head := fmt.Sprintf("POST /%s/x HTTP/1.1\r\nHost: h\r\nId: %s\r\nAnswer: %s\r\nDeadline: %s\r\n", route, name, o["answer"], o["deadline"])
-	for _, h := range []string{"resumes", "key", "status"} {
+	for _, h := range []string{"resumes", "key", "status", "breaks", "expect"} {
 		if v := o[h]; v != "" {
 			head += strings.ToUpper(h[:1]) + h[1:] + ": " + v + "\r\n"
 		}
@@ -381,16 +399,21 @@
 
 // readAnswer reads the answer to a request.
 func (s *stopping) readAnswer(n net.Conn) answer {
-	resp, err := http.ReadResponse(bufio.NewReader(n), nil)
+	rd := bufio.NewReader(n)
+	resp, err := http.ReadResponse(rd, nil)
+	a := answer{outcome: "cut"}
+	if err == nil && resp.StatusCode == http.StatusContinue {
+		a.bodyAsked = true
+		resp, err = http.ReadResponse(rd, nil) //nolint:bodyclose // it is closed below
+	}
 	if err != nil {
-		return answer{outcome: "cut"}
+		return a
 	}
 	defer resp.Body.Close()
 	b, err := io.ReadAll(resp.Body)
-	a := answer{close: resp.Close}
+	a.close = resp.Close
 	switch {
 	case err != nil:
-		a.outcome = "cut"
 	case resp.StatusCode == http.StatusOK:
 		a.outcome = "served"
 	default:
@@ -432,6 +455,7 @@
 //	stop TIME [END]               stops the box, which ends its requests at END if that is given
 //	expect NAME OUTCOME TIME [SENT...]
 //	expect NAME refused TIME KIND [SENT...]
+//	asked NAME yes|no             whether the caller was asked for the body
 //	logged NAME TEXT              part of the log entry on the answer to a request
 //	long ROUTE TIME SAMPLES       the time of long answers
 func (s *stopping) do(f []string) {
@@ -465,6 +489,8 @@
 	case "expect":
 		s.wg.Wait()
 		s.expect(f[1], f[2], duration(t, f[3]), f[4:])
+	case "asked":
+		require.Equal(t, f[2], map[bool]string{true: "yes", false: "no"}[s.answers[f[1]].bodyAsked], f)
 	case "logged":
 		require.Contains(t, s.logged(f[1]), strings.Join(f[2:], " "))
 	case "long":
@@ -486,6 +512,7 @@
 		synctest.Wait()
 	}
 	s.wg.Wait()
+	s.endpoints.serving.Wait()
 	for i := range n {
 		require.Equal(s.t, "served", s.answers["before"+strconv.Itoa(i)].outcome)
 	}
@@ -521,11 +548,7 @@
 		require.True(s.t, a.close, name)
 		rest = rest[1:]
 	}
-	var sent []string
-	for _, d := range s.endpoints.sent[name] {
-		sent = append(sent, d.String())
-	}
-	require.Equal(s.t, strings.Join(rest, " "), strings.Join(sent, " "), name)
+	require.Equal(s.t, strings.Join(rest, " "), s.endpoints.times(name), name)
 }
 
 // logged returns the log entry on the answer to a request.
