--- a/ingress/stopping_test.go
+++ b/ingress/stopping_test.go
@@ -319,6 +319,10 @@
 		left := s.left("place")
 		return occupancy.Answer{OK: left <= 0, After: left}, func(bool) {}
 	}
+	f.SpendCredit = func(c context.Context, _ string) (string, bool) {
+		s.wait(c, "credit")
+		return "", c.Err() == nil
+	}
 	f.RequestPermit = func(c context.Context, _ throttle.Question) throttle.Answer {
 		s.wait(c, "permit")
 		return throttle.Answer{OK: c.Err() == nil, After: time.Second}
@@ -448,7 +452,7 @@
 // do carries out a command:
 //
 //	measured COUNT key=value...   the box has served that many requests before the script
-//	hold WHAT TIME                what requests wait for until a time: a place, permit, quota, origin, version, dial or endpoint
+//	hold WHAT TIME                what requests wait for until a time: a place, permit, quota, origin, version, credit, dial or endpoint
 //	refuse TIME                   endpoints don't run what they get, and say so after a time
 //	unclear                       the first endpoint that does so leaves, and it is not clear whether its process has ended
 //	request NAME key=value...     sends a request; see stopping.request
