--- a/scenario/call_test.go
+++ b/scenario/call_test.go
@@ -29,6 +29,7 @@
 	fields     map[string]string
 	want       string
 	done       chan struct{}
+	held       chan struct{} // closed by release; nil for a body that is sent at once
 	id         string
 	status     int
 	retryAfter string
@@ -44,6 +45,8 @@
 // send NAME box=B chat=MODEL tokens=N prompt=P | box=B service=S method=M path=P
 //
 // and key=K ticket=T repeatable=no|yes deadline=D kind=K account=KEY retries=yes
+//
+// With hold=yes the last byte of the body is sent after release, and with hold=chunks the body has no length as well.
 func cmdSend(ts *testscript.TestScript, _ bool, args []string) {
 	w, m := environmentOf(ts), parseFields(ts, args[1:])
 	k := &call{name: args[0], fields: m, done: make(chan struct{})}
@@ -67,9 +70,46 @@
 	r, err := http.NewRequestWithContext(w.c, method, url, strings.NewReader(body))
 	ts.Check(err)
 	c.setHeaders(w, r)
+	if c.fields["hold"] != "" {
+		c.held = make(chan struct{})
+		r.Body = io.NopCloser(&heldBody{first: body[:len(body)-1], last: body[len(body)-1:], released: c.held, ended: w.c.Done()})
+		r.GetBody = nil
+		if c.fields["hold"] == "chunks" {
+			r.ContentLength = -1
+		}
+	}
 	return r
 }
 
+// heldBody is a body whose last byte is sent after it was released.
+type heldBody struct {
+	first, last     string
+	released, ended <-chan struct{}
+}
+
+// Read returns what may be sent.
+func (b *heldBody) Read(p []byte) (int, error) {
+	if b.first != "" {
+		n := copy(p, b.first)
+		b.first = b.first[n:]
+		return n, nil
+	}
+	if b.last == "" {
+		return 0, io.EOF
+	}
+	select {
+	case <-b.released:
+	case <-b.ended:
+		return 0, io.ErrUnexpectedEOF
+	}
+	n := copy(p, b.last)
+	b.last = b.last[n:]
+	return n, nil
+}
+
+// release NAME: sends the rest of the body of a call with hold
+func cmdRelease(ts *testscript.TestScript, _ bool, args []string) { close(callOf(ts, args[0]).held) }
+
 func (c *call) chatBody(ts *testscript.TestScript, w *environment) string {
 	n := parseInt(ts, valueOr(c.fields, "tokens", "16"))
 	q := openai.ChatRequest{Model: c.fields["chat"], MaxTokens: n, Stream: true, Messages: []openai.Message{
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -31,7 +31,7 @@
 	"send": cmdSend, "tokens": cmdTokens, "end": cmdEnd, "resume": cmdResume, "ticket": cmdTicket,
 	"signal": cmdSignal, "restart": cmdRestart, "fault": cmdFault, "cut": cmdCut, "join": cmdJoin,
 	"runs": cmdRuns, "recomputed": cmdRecomputed, "where": cmdWhere, "mark": cmdMark, "unchanged": cmdUnchanged,
-	"put": cmdPut, "calls": cmdCalls, "logged": cmdLogged, "order": cmdOrder, "pause": cmdPause,
+	"put": cmdPut, "calls": cmdCalls, "logged": cmdLogged, "order": cmdOrder, "pause": cmdPause, "release": cmdRelease,
 }
 
 func TestQuick(t *testing.T) {
