--- a/stream/relay.go
+++ b/stream/relay.go
@@ -98,6 +98,10 @@
 	if q.Resume {
 		return svc.Find(id)
 	}
+	if svc.draining.Load() {
+		// No other box continues it after the stop, since the box that relays knows this one only.
+		return nil, errStopping
+	}
 	release, err := svc.admission.Enter(q.Request.Admission())
 	if err != nil {
 		return nil, err
@@ -167,27 +171,57 @@
 }
 
 // HandOver asks every live stream to continue at a peer of this data centre, and returns the number
-// of streams. It returns 0 if there is no peer.
+// of streams. It returns 0 if there is no peer. No stream begins afterwards.
 func (svc *Service) HandOver() int {
+	svc.mu.Lock()
+	svc.endHandover(errStopping)
+	svc.mu.Unlock()
+	ms := svc.successors()
+	if len(ms) == 0 {
+		return 0
+	}
+	ss := svc.live()
+	for i, s := range ss {
+		s.handOverTo(ms[i%len(ms)])
+	}
+	return len(ss)
+}
+
+// HandedOver returns a context that ends when the streams are handed over, with an error of kind Stopping as its cause.
+func (svc *Service) HandedOver() context.Context { return svc.handedOver }
+
+// CanHandOver reports whether there is a peer that may take streams over.
+func (svc *Service) CanHandOver() bool { return len(svc.successors()) > 0 }
+
+// successors returns the peers of this data centre that may take streams over.
+func (svc *Service) successors() []member.Member {
 	var ms []member.Member
 	for _, m := range svc.members.Up(svc.dc) {
 		if m.Box != svc.members.Self().Box && m.State == member.Alive {
 			ms = append(ms, m)
 		}
 	}
-	if len(ms) == 0 {
-		return 0
-	}
-	ss := svc.live()
-	for i, s := range ss {
+	return ms
+}
+
+// handOverTo asks the stream to continue at a peer, in place of a move that is pending.
+func (s *Stream) handOverTo(m member.Member) {
+	for {
+		select {
+		case s.moveRequests <- moveRequest{peer: m}:
+			return
+		default:
+		}
 		select {
-		case s.moveRequests <- moveRequest{peer: ms[i%len(ms)]}:
+		case <-s.moveRequests:
 		default:
 		}
 	}
-	return len(ss)
 }
 
+// errStopping refuses streams that this box can't run to their end.
+var errStopping = errkind.New(errkind.Stopping, "this box stops")
+
 // handOver hands the stream over to a peer. If the peer may have adopted the stream without
 // confirming it, this box only continues to read and starts no other attempt.
 func (r *run) handOver(c context.Context, to member.Member) (outcome, recovery.Interruption) {
--- a/stream/run.go
+++ b/stream/run.go
@@ -383,7 +383,12 @@
 func (r *run) awaitEndpoint(c context.Context, err error) (outcome, recovery.Interruption) {
 	clear(r.avoid)
 	for c.Err() == nil {
-		wait.For(c, retryInterval)
+		x, cancel := context.WithTimeout(c, retryInterval)
+		handedOver := r.awaitHandover(c, x.Done())
+		cancel()
+		if handedOver {
+			return moveRequested, 0
+		}
 		if r.choose(c) == nil {
 			return r.generate(c)
 		}
--- a/stream/service.go
+++ b/stream/service.go
@@ -74,6 +74,10 @@
 	cancel   context.CancelFunc
 	base     context.Context
 	group    sync.WaitGroup
+
+	// handedOver ends when the streams are handed over. From then on none begins. It ends with mu held.
+	handedOver  context.Context
+	endHandover context.CancelCauseFunc
 }
 
 // policyHolder lets an atomic.Value store policies of different types.
@@ -93,6 +97,7 @@
 		transferred: metrics.GetOrRegisterCounter("stream.transferred", m),
 	}
 	k.buffers.New = func() any { return new(candidates) }
+	k.handedOver, k.endHandover = context.WithCancelCause(context.Background())
 	return k
 }
 
@@ -144,7 +149,8 @@
 
 func (svc *Service) allowRetry(account string) bool { return svc.admission.Retry(account) }
 
-// Run starts the stream of an accepted request.
+// Run starts the stream of an accepted request. Once the streams were handed over, the stream is refused, with an error of kind
+// Stopping.
 func (svc *Service) Run(q Request) *Stream {
 	s := newStream(q)
 	svc.launch(s, func(c context.Context) { newRun(svc, s).start(c) })
@@ -165,13 +171,22 @@
 	return slices.ContainsFunc(svc.members.Up(""), func(m member.Member) bool { return m.DataCentre != svc.dc })
 }
 
-// launch registers a stream and calls f with a context that ends at the stream's deadline.
+// launch registers a stream and calls f with a context that ends at the stream's deadline. Once the streams were handed over, it
+// refuses the stream.
 func (svc *Service) launch(s *Stream, f func(context.Context)) {
 	c, cancel := context.WithDeadline(svc.base, s.Deadline)
 	s.cancel = cancel
 	svc.mu.Lock()
-	svc.streams[s.ID] = s
+	refused := context.Cause(svc.handedOver)
+	if refused == nil {
+		svc.streams[s.ID] = s
+	}
 	svc.mu.Unlock()
+	if refused != nil {
+		cancel()
+		s.finish(refused)
+		return
+	}
 	svc.group.Go(func() {
 		defer cancel()
 		f(c)
