--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -14,6 +14,7 @@
 
 	"birchlink.dev/birchlink/accuracy"
 	"birchlink.dev/birchlink/admission"
+	"birchlink.dev/birchlink/answertimes"
 	"birchlink.dev/birchlink/balance"
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/budget"
@@ -28,6 +29,7 @@
 	"birchlink.dev/birchlink/quarantine"
 	"birchlink.dev/birchlink/requesthash"
 	"birchlink.dev/birchlink/rollout"
+	"birchlink.dev/birchlink/shutdown"
 	"birchlink.dev/birchlink/termination"
 )
 
@@ -94,8 +96,8 @@
 // LimitFunc is called when an endpoint sets, lowers or removes the limit on its request rate.
 type LimitFunc func(s endpointlimit.Statement)
 
-// Forwarder forwards requests. All exported fields must be set, except SpendCredit, Terminations, Moves, OnBegin, Admission
-// and Accuracy.
+// Forwarder forwards requests. All exported fields must be set, except SpendCredit, Terminations, Moves, OnBegin, Admission, Shutdown,
+// Accuracy and AnswerTimes.
 type Forwarder struct {
 	DataCentre    string
 	Roster        *endpoint.Roster
@@ -119,12 +121,16 @@
 	OnDraining    DrainFunc
 	OnLimitChange LimitFunc
 	Admission     admission.Options // zero: all decisions are off
+	Shutdown      *shutdown.Window  // nil: the box never shuts down
 	Metrics       metrics.Registry
 	Log           zerolog.Logger
 
 	// Accuracy holds the errors of the expected times to the first event.
 	Accuracy accuracy.Tracker
 
+	// AnswerTimes holds how long answers take, of which Shutdown is told.
+	AnswerTimes answertimes.Tracker
+
 	// Numbering knows which services count the events of their streams.
 	Numbering numbering.Census
 
@@ -133,8 +139,12 @@
 }
 
 // Check returns an error if a request must not be sent to any endpoint: its content is quarantined
-// because endpoints crashed while they ran it, or no endpoint of the service accepts requests now.
+// because endpoints crashed while they ran it, no endpoint of the service accepts requests now, or the box shuts down before its
+// answer ends.
 func (f *Forwarder) Check(q Request) error {
+	if err := f.checkShutdown(&q, boottime.Now()); err != nil {
+		return err
+	}
 	_, err := f.judge(q)
 	return err
 }
@@ -178,6 +188,8 @@
 	for {
 		done, err := r.step(c)
 		if done || err != nil {
+			r.trace.FirstSent = r.shared.sentAt()
+			r.recordAnswerTime(c, err)
 			return r.trace, err
 		}
 	}
