--- a/shutdown/window.go
+++ b/shutdown/window.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -71,12 +73,28 @@
 		return nil
 	}
 	w.began, w.accepts, w.ends = now, now.Add(accept), now.Add(limit)
-	var vs []*waiter
-	for v := range w.waiting {
-		vs = append(vs, v)
+	return slices.Collect(maps.Keys(w.waiting))
+}
+
+// Shorten moves the end of a shutdown that has begun to an earlier time.
+func (w *Window) Shorten(ends time.Time) {
+	for _, v := range w.shorten(ends) {
+		go v.check()
 	}
-	w.waiting = nil
-	return vs
+}
+
+// shorten returns those that wait.
+func (w *Window) shorten(ends time.Time) []*waiter {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.began.IsZero() || !ends.Before(w.ends) {
+		return nil
+	}
+	w.ends = ends
+	if w.accepts.After(ends) {
+		w.accepts = ends
+	}
+	return slices.Collect(maps.Keys(w.waiting))
 }
 
 // HasBegun reports whether the shutdown has begun.
@@ -133,18 +151,15 @@
 	return v.stop
 }
 
-// add reports whether a waiter was added, which it is before the shutdown begins.
+// add adds a waiter. It reports whether the shutdown has not begun.
 func (w *Window) add(v *waiter) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.began.IsZero() {
-		return false
-	}
 	if w.waiting == nil {
 		w.waiting = map[*waiter]bool{}
 	}
 	w.waiting[v] = true
-	return true
+	return w.began.IsZero()
 }
 
 func (w *Window) remove(v *waiter) {
@@ -199,6 +214,9 @@
 		v.done, v.returned = true, make(chan struct{})
 		return d, true
 	default:
+		if v.timer != nil {
+			v.timer.Stop()
+		}
 		v.timer = time.AfterFunc(d.Latest.Sub(now), v.check)
 		return d, false
 	}
