--- a/front/cut_test.go
+++ b/front/cut_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"testing/synctest"
 
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"birchlink.dev/birchlink/errkind"
@@ -101,3 +103,9 @@
 		require.Equal(t, h["Content-Length"], w.Header()["Content-Length"])
 	}
 }
+
+// Guards against requests whose callers wait and that are answered as whole and empty, since their context was cancelled.
+func TestCancelledRequestLooksWhole(t *testing.T) {
+	f := New(Options{}, metrics.NewRegistry(), zerolog.Nop())
+	require.PanicsWithValue(t, http.ErrAbortHandler, func() { f.writeError(httptest.NewRecorder(), "id", context.Canceled) })
+}
--- a/front/service.go
+++ b/front/service.go
@@ -131,7 +131,8 @@
 	metrics.GetOrRegisterCounter("front.errors."+resp.Name, f.metrics).Inc(1)
 	f.Log.Info().Str("event", "answer").Str("subject", id).Str("kind", resp.Name).Str("run", string(resp.Run)).Str("reason", e.Message).Msg("refused or failed")
 	if e.Kind == errkind.CallerGone {
-		return
+		// Without an answer net/http would send an empty one that looks whole, if the caller is still there.
+		panic(http.ErrAbortHandler)
 	}
 	if resp.Retry {
 		w.Header().Set("Retry-After", strconv.Itoa(retryAfterSeconds(e.RetryAfter)))
