--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -78,6 +78,8 @@
 		Address: s.Callers, MaxBody: s.MaxBody, MaxRequests: s.MaxRequests, ShutdownDelay: s.StopNotice, ShutdownTimeout: s.StopLimit,
 	}, m, log)
 	d.Operator = operator.New(s.Admin, s.OperatorKey, m, log)
+	p, c := serviceproxy.New(), dispatch.New(s.ClaimTTL)
+	p.Window, c.Window = d.Front.Window, d.Front.Window
 	return []kernel.Service{
 		peer.NewNode(s.Peers, s.Advertise, s.Secret, m),
 		&kv.Service{Client: kv.New(s.KV, s.Box, s.WriteRate, s.ReadRate, m)},
@@ -89,9 +91,9 @@
 		observer.New(cl, log),
 		suspects.New(log),
 		stream.New(s.Policy, s.MaxHeldAnswers, m, log),
-		serviceproxy.New(),
+		p,
 		claims.New(s.ClaimSlots, s.ClaimTTL),
-		dispatch.New(s.ClaimTTL),
+		c,
 		placer.New(cl, log),
 		d.Operator,
 		d.Front,
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -18,6 +18,7 @@
 	"birchlink.dev/birchlink/member"
 	"birchlink.dev/birchlink/peer"
 	"birchlink.dev/birchlink/serviceproxy"
+	"birchlink.dev/birchlink/shutdown"
 	"birchlink.dev/birchlink/stream"
 	"birchlink.dev/birchlink/ticket"
 )
@@ -42,9 +43,11 @@
 	Inherited *partialStream
 }
 
-// Dispatcher is the dispatch service of one box.
+// Dispatcher is the dispatch service of one box. Window tells until when a call may first be sent to an endpoint; nil stands for a box
+// that does not shut down.
 type Dispatcher struct {
-	TTL time.Duration
+	TTL    time.Duration
+	Window *shutdown.Window
 
 	records   *dedup.Table[Result]
 	members   *member.Service
@@ -148,13 +151,16 @@
 
 // admit asks admission control for a call. A chat call that is refused for lack of capacity in
 // this data centre may run in another one, which is reported by remote. The caller calls release
-// when the call has ended.
+// when the call has ended. The error is of kind Stopping if the box shuts down and the call can't end in time.
 func (d *Dispatcher) admit(q Call) (release func(), remote bool, err error) {
+	if err := d.mayBegin(q); err != nil {
+		return nil, false, err
+	}
 	release, err = d.admission.Enter(q.admission())
 	n := decisions.Decision{Subject: q.id(), Event: "admit", Choice: "accepted"}
 	if errkind.Is(err, errkind.Overloaded) && q.Chat != nil && d.streams.HasRemote() {
 		n.Choice, n.Reason = "abroad", err.Error()
-		release, remote, err = func() {}, true, nil
+		release, remote, err = func() {}, true, d.mayBeginRemote(q)
 	}
 	if err != nil {
 		n.Choice, n.Reason = "refused", err.Error()
@@ -208,7 +214,12 @@
 		return err
 	}
 	self := d.members.Self().Incarnation
-	claim, err := d.claims.Claim(c, ledger.Claim{Key: k[:], Holder: self, Nonce: r.Nonce, At: time.Now().Unix()})
+	x, stop := d.WaitContext(c, q)
+	claim, err := d.claims.Claim(x, ledger.Claim{Key: k[:], Holder: self, Nonce: r.Nonce, At: time.Now().Unix()})
+	if e := context.Cause(x); err != nil && errkind.Is(e, errkind.Stopping) {
+		err = errkind.New(errkind.Stopping, "the claim took too long: %s", errkind.Of(e).Message)
+	}
+	stop()
 	switch {
 	case err != nil:
 		return err
@@ -231,6 +242,10 @@
 	if !up || m.Incarnation == d.members.Self().Incarnation {
 		return errkind.New(errkind.OutcomeUnknown, "the process that may run it has ended; it ran there or not at all")
 	}
+	if d.mayForward(q) != nil {
+		// The call may have run there before, so that it can't be refused as one that did not.
+		return errPeerTooLate
+	}
 	d.decisions.Record(decisions.Decision{Subject: q.id(), Event: "forward", Choice: m.Box, Reason: "it holds the key or issued the ticket"})
 	err := d.peers.Client.Stream(c, m.Address, "once.do", forwarded{Call: q, To: m.Incarnation}, nil, func(b []byte) error {
 		var i Item
@@ -239,12 +254,18 @@
 		}
 		return sink(i)
 	})
-	if errkind.Is(err, errkind.Unavailable) {
+	switch {
+	case errkind.Is(err, errkind.Unavailable):
 		return errkind.Of(err).WithRetryAfter(peerRetryAfter)
+	case err != nil && errkind.Is(context.Cause(c), errkind.Stopping):
+		return errPeerTooLate
 	}
 	return err
 }
 
+// errPeerTooLate is the error of a call that another process holds and whose outcome this one can't wait for, since it shuts down.
+var errPeerTooLate = errkind.New(errkind.Unavailable, "this box stops; another one can ask the process that holds the call").WithRetryAfter(time.Second)
+
 // forwarded is a call sent to a peer. Only the process with incarnation To may run it, not a later
 // one at the same address.
 type forwarded struct {
--- a/front/body_test.go
+++ b/front/body_test.go
@@ -22,7 +22,7 @@
 		read := func(r io.Reader, n int64) error {
 			q := httptest.NewRequest(http.MethodPost, "/", r)
 			q.ContentLength = n
-			_, release, err := f.readBody(&session{w: httptest.NewRecorder(), r: q})
+			_, release, err := f.readBody(t.Context(), &session{w: httptest.NewRecorder(), r: q})
 			if err == nil {
 				release()
 			}
--- a/front/chat.go
+++ b/front/chat.go
@@ -31,7 +31,7 @@
 // completeChat handles POST /v1/chat/completions.
 func (f *Front) completeChat(s *session) error {
 	var q openai.ChatRequest
-	b, release, err := f.readBody(s)
+	b, release, err := f.readCallBody(s, dispatch.Call{Chat: &stream.Request{Deadline: s.headers.deadline}})
 	if err != nil {
 		return err
 	}
@@ -48,31 +48,35 @@
 	call := dispatch.Call{Chat: p, Key: s.headers.key, Ticket: s.headers.ticket}
 	o := newWriter(s, q, p.ID)
 	err = f.dispatcher.Do(c, call, func(i dispatch.Item) error { return o.writeToken(i.Index, i.Token) })
-	return o.finish(closingError(c, err))
+	return o.finish(f.closingError(c, err))
 }
 
 // requestContext returns the context of a request. It is cancelled when the caller disconnects, and
-// with errClosing one second after Stop gives up waiting for requests.
+// with errClosing cancelDelay after Stop gives up waiting for requests.
 func (f *Front) requestContext(s *session) (context.Context, context.CancelFunc) {
 	c, cancel := context.WithCancelCause(s.r.Context())
-	stop := context.AfterFunc(f.closing, func() { time.AfterFunc(time.Second, func() { cancel(errClosing) }) })
+	stop := context.AfterFunc(f.closing, func() { time.AfterFunc(cancelDelay, func() { cancel(errClosing) }) })
 	return c, func() {
 		stop()
 		cancel(nil)
 	}
 }
 
-// closingError returns errClosing in place of err if c was cancelled with errClosing.
-func closingError(c context.Context, err error) error {
-	if err != nil && errors.Is(context.Cause(c), errClosing) {
-		return errClosing
+// closingError returns errClosing in place of err if c was cancelled with errClosing and the stream may have begun, or the error for a
+// stream that no other box continues.
+func (f *Front) closingError(c context.Context, err error) error {
+	switch {
+	case err == nil || !errors.Is(context.Cause(c), errClosing) || errkind.Of(err).Kind.Response().Run == errkind.NotRun:
+		return err
+	case f.isAlone.Load():
+		return errkind.New(errkind.OutcomeUnknown, "the box stopped, and no other could go on: %s", err)
 	}
-	return err
+	return errClosing
 }
 
 // errClosing cancels the requests that are in progress when the shutdown timeout expires. Another box
 // continues their streams.
-var errClosing = errors.New("the box is shutting down")
+var errClosing = errkind.New(errkind.Stopping, "the box is shutting down")
 
 // newStreamRequest checks a chat request against the configuration and its limits.
 func newStreamRequest(s *session, q openai.ChatRequest) (*stream.Request, error) {
@@ -121,7 +125,7 @@
 		}
 		from = n
 	}
-	_, release, err := f.readBody(s) // ignored, but its deadline must not end the stream
+	_, release, err := f.readBody(s.r.Context(), s) // ignored, but its deadline must not end the stream
 	if err != nil {
 		return err
 	}
@@ -133,7 +137,7 @@
 	c, cancel := f.requestContext(s)
 	defer cancel()
 	err = f.streams.ReadAnywhere(c, id, s.account.Name, from, o.writeToken)
-	return o.finish(closingError(c, err))
+	return o.finish(f.closingError(c, err))
 }
 
 // listModels handles GET /v1/models.
--- a/front/front.go
+++ b/front/front.go
@@ -19,12 +19,14 @@
 	"golang.org/x/sync/semaphore"
 
 	"birchlink.dev/birchlink/bodyroom"
+	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/config"
 	"birchlink.dev/birchlink/configsync"
 	"birchlink.dev/birchlink/dispatch"
 	"birchlink.dev/birchlink/errkind"
 	"birchlink.dev/birchlink/kernel"
 	"birchlink.dev/birchlink/serviceproxy"
+	"birchlink.dev/birchlink/shutdown"
 	"birchlink.dev/birchlink/stream"
 	"birchlink.dev/birchlink/wait"
 )
@@ -39,6 +41,7 @@
 	bodyTimeout    = 15 * time.Second
 	writeTimeout   = 15 * time.Second
 	idleTimeout    = 2 * time.Minute
+	cancelDelay    = time.Second // between the handover of the streams and the end of the requests that are left
 	maxHeaderBytes = 32 << 10
 	maxHeldBytes   = 56 << 20
 	reservedBytes  = 8 << 20
@@ -59,7 +62,8 @@
 // Front is the API server of one box.
 type Front struct {
 	Options
-	Log zerolog.Logger
+	Log    zerolog.Logger
+	Window *shutdown.Window // begins with Stop
 
 	dispatcher     *dispatch.Dispatcher
 	streams        *stream.Service
@@ -72,13 +76,14 @@
 	stopping       atomic.Bool
 	closing        context.Context
 	cancelRequests context.CancelFunc
+	isAlone        atomic.Bool // no other box could take the streams over
 	metrics        metrics.Registry
 }
 
 // New returns a Front.
 func New(o Options, m metrics.Registry, log zerolog.Logger) *Front {
 	f := &Front{
-		Options: o, Log: log, metrics: m,
+		Options: o, Log: log, Window: &shutdown.Window{}, metrics: m,
 		requests: semaphore.NewWeighted(int64(o.MaxRequests)), bodies: bodyroom.New(maxHeldBytes, reservedBytes),
 	}
 	f.closing, f.cancelRequests = context.WithCancel(context.Background())
@@ -130,6 +135,7 @@
 // remaining streams over to other boxes and cancels the remaining requests.
 func (f *Front) Stop(c context.Context) error {
 	f.SetNotReady()
+	f.Window.Begin(boottime.Now(), f.ShutdownDelay, f.ShutdownDelay+f.ShutdownTimeout)
 	f.streams.Drain()
 	wait.For(c, f.ShutdownDelay)
 	f.server.SetKeepAlivesEnabled(false)
@@ -142,6 +148,7 @@
 		return err
 	case <-c.Done():
 	}
+	f.isAlone.Store(!f.streams.CanHandOver())
 	n := f.streams.HandOver()
 	f.Log.Info().Str("event", "hand over").Int("streams", n).Msg("shutdown timeout expired")
 	f.cancelRequests()
--- a/front/service.go
+++ b/front/service.go
@@ -1,10 +1,12 @@
 package front
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -23,9 +25,27 @@
 // maxTickets is the maximum number of tickets that one request may issue.
 const maxTickets = 100
 
-// readBody reads the request body within the limits of size and time, and removes the read deadline. The caller must call the
-// returned function when it has finished with the body.
-func (f *Front) readBody(s *session) ([]byte, func(), error) {
+// readCallBody reads the body of a call of which only the head is known, as long as the call may still be sent to an endpoint.
+func (f *Front) readCallBody(s *session, q dispatch.Call) ([]byte, func(), error) {
+	c, cancel := f.dispatcher.WaitContext(s.r.Context(), q)
+	defer cancel()
+	return f.readBodyBefore(c, s)
+}
+
+// readBodyBefore reads the body until the deadline of the request at most.
+func (f *Front) readBodyBefore(c context.Context, s *session) ([]byte, func(), error) {
+	c, cancel := context.WithDeadlineCause(c, s.headers.deadline, errBodyLate)
+	defer cancel()
+	return f.readBody(c, s)
+}
+
+// errBodyLate refuses a request whose body had not come when its deadline passed.
+var errBodyLate = errkind.New(errkind.DeadlineTooShort, "the deadline passed before the body came")
+
+// readBody reads the request body within the limits of size and time, and removes the read deadline. It stops when the context ends,
+// with the cause of that if it has a kind.
+// The caller must call the returned function when it has finished with the body.
+func (f *Front) readBody(c context.Context, s *session) ([]byte, func(), error) {
 	if s.r.ContentLength > int64(f.MaxBody) {
 		return nil, nil, errkind.New(errkind.TooLarge, "the body is over %d bytes", f.MaxBody)
 	}
@@ -33,21 +53,49 @@
 	if s.r.ContentLength >= 0 {
 		size = s.r.ContentLength
 	}
+	ended := endReadsAfter(c, s.w)
 	b, release, err := f.bodies.Read(http.MaxBytesReader(s.w, s.r.Body, int64(f.MaxBody)), int(size))
+	ended()
 	if err == nil {
 		_ = http.NewResponseController(s.w).SetReadDeadline(time.Time{})
 		return b, release, nil
 	}
-	if errors.Is(err, bodyroom.ErrFull) {
-		// The rest of the body is not waited for.
-		s.w.Header().Set("Connection", "close")
-		return nil, nil, errkind.New(errkind.Overloaded, "%w", err).WithRetryAfter(time.Second)
+	return nil, nil, f.bodyError(c, s, err)
+}
+
+// endReadsAfter ends reads of the body when the context ends, unless the returned function was called before.
+func endReadsAfter(c context.Context, w http.ResponseWriter) (stop func()) {
+	done := make(chan struct{})
+	isFirst := context.AfterFunc(c, func() {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+		close(done)
+	})
+	return func() {
+		if !isFirst() {
+			<-done
+		}
 	}
+}
+
+// bodyError returns the error of a request whose body was not read because of err.
+func (f *Front) bodyError(c context.Context, s *session, err error) error {
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, nil, errkind.New(errkind.TooLarge, "the body is over %d bytes", f.MaxBody)
-	}
-	return nil, nil, errkind.New(errkind.BadRequest, "the body was not read: %w", err)
+	var ended *errkind.Error
+	switch {
+	case errors.Is(err, bodyroom.ErrFull):
+		err = errkind.New(errkind.Overloaded, "%w", err).WithRetryAfter(time.Second)
+	case errors.As(err, &tooLarge):
+		return errkind.New(errkind.TooLarge, "the body is over %d bytes", f.MaxBody)
+	case errors.As(context.Cause(c), &ended):
+		err = ended
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		err = errkind.New(errkind.BodyTooSlow, "the body did not come within %v", bodyTimeout)
+	default:
+		return errkind.New(errkind.BadRequest, "the body was not read: %w", err)
+	}
+	// The rest of the body is not waited for.
+	s.w.Header().Set("Connection", "close")
+	return err
 }
 
 // callService handles a request to a plain service.
@@ -56,7 +104,8 @@
 	if !s.document.HasService(n) {
 		return errkind.New(errkind.UnknownService, "no service %q", n)
 	}
-	b, release, err := f.readBody(s)
+	head := &serviceproxy.Request{Service: n, Method: s.r.Method, Kind: s.headers.kind, Deadline: s.headers.deadline}
+	b, release, err := f.readCallBody(s, dispatch.Call{Plain: head})
 	if err != nil {
 		return err
 	}
@@ -99,7 +148,7 @@
 
 // issueTickets handles POST /v1/tickets.
 func (f *Front) issueTickets(s *session) error {
-	b, release, err := f.readBody(s)
+	b, release, err := f.readBody(s.r.Context(), s)
 	if err != nil {
 		return err
 	}
--- a/serviceproxy/proxy.go
+++ b/serviceproxy/proxy.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"birchlink.dev/birchlink/admission"
+	"birchlink.dev/birchlink/answertimes"
 	"birchlink.dev/birchlink/backoff"
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/call"
@@ -32,6 +33,7 @@
 	"birchlink.dev/birchlink/recovery"
 	"birchlink.dev/birchlink/requesthash"
 	"birchlink.dev/birchlink/router"
+	"birchlink.dev/birchlink/shutdown"
 	"birchlink.dev/birchlink/suspects"
 	"birchlink.dev/birchlink/view"
 )
@@ -76,20 +78,29 @@
 	Box    string
 }
 
-// Proxy forwards requests to plain services on behalf of one box.
+// Proxy forwards requests to plain services on behalf of one box. Window tells until when a request may first be sent; nil stands for
+// a box that does not shut down.
 type Proxy struct {
+	Window *shutdown.Window
+
+	answers        answertimes.Tracker
 	view           *view.View
 	members        *member.Service
 	follower       *configsync.Follower
 	decisions      *decisions.Log
 	admission      *admission.Admission
-	noticeObserver *observer.Observer
+	noticeObserver refresher
 	suspects       *suspects.Service
 	pooled         *http.Client
 	unpooled       *http.Client
 	inFlight       atomic.Int64
 }
 
+// refresher brings a box's knowledge of reclaim notices up to date.
+type refresher interface {
+	EnsureFresh(c context.Context) bool
+}
+
 // New returns a Proxy.
 func New() *Proxy {
 	d := net.Dialer{Timeout: dialTimeout}
@@ -133,7 +144,8 @@
 func (p *Proxy) InFlight() int { return int(p.inFlight.Load()) }
 
 // Do forwards a request and returns its complete response. It retries the request at other endpoints
-// until the request's deadline, where recovery.Decide allows that.
+// until the request's deadline, where recovery.Decide allows that. The error is of kind Stopping if the box shuts down and the request
+// has not run and can't end in time.
 func (p *Proxy) Do(c context.Context, q Request) (*Response, error) {
 	p.inFlight.Add(1)
 	defer p.inFlight.Add(-1)
@@ -153,6 +165,7 @@
 		}
 		sent := boottime.Now()
 		resp, interruption, err := p.attempt(c, q, s, st.Attempts)
+		p.recordAnswerTime(c, q, sent, err)
 		if err == nil {
 			p.recordResponse(items, sent, resp)
 			return resp, nil
@@ -164,7 +177,7 @@
 			return nil, err
 		}
 		if err := p.checkRetry(c, q, &st, interruption, s.Name, err); err != nil {
-			return nil, err
+			return nil, stoppingError(c, st, err)
 		}
 		avoid[s.Name] = true
 	}
@@ -232,8 +245,16 @@
 // waitForEndpoint chooses an endpoint. If none is available, it polls until one is or the deadline
 // passes, and fails at once if all endpoints back off beyond the deadline.
 func (p *Proxy) waitForEndpoint(c context.Context, q Request, avoid map[string]bool, st recovery.State) (*view.EndpointState, error) {
+	if !st.MayHaveRun {
+		var cancel context.CancelFunc
+		c, cancel = p.WaitContext(c, q)
+		defer cancel()
+	}
 	for {
 		p.noticeObserver.EnsureFresh(c)
+		if err := p.MaySend(q); err != nil && !st.MayHaveRun {
+			return nil, err
+		}
 		if s := p.choose(q, avoid, st.Attempts); s != nil {
 			return s, nil
 		}
@@ -246,7 +267,7 @@
 		case <-t.C:
 		case <-c.Done():
 			t.Stop()
-			return nil, noEndpointError(q, st)
+			return nil, stoppingError(c, st, noEndpointError(q, st))
 		}
 	}
 }
--- a/shutdown/error.go
+++ b/shutdown/error.go
@@ -20,6 +20,14 @@
 	return &RefusalError{d}
 }
 
+// LateErr returns a *RefusalError if the request may not be sent because of the shutdown, and nil if its deadline has passed.
+func (d Decision) LateErr() error {
+	if d.Reason == Expired {
+		return nil
+	}
+	return d.Err()
+}
+
 // RefusalOf returns the *RefusalError with which a context of Window.Context ended, or nil.
 func RefusalOf(c context.Context) error {
 	if r, ok := errors.AsType[*RefusalError](context.Cause(c)); ok {
