--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -58,11 +58,15 @@
 	admission *admission.Admission
 	decisions *decisions.Log
 	runs      sync.WaitGroup
+	givenUp   context.Context // Stop no longer waits for runs
+	giveUp    context.CancelFunc
 }
 
 // New returns a dispatcher that keeps the records of keys and tickets for ttl.
 func New(ttl time.Duration) *Dispatcher {
-	return &Dispatcher{TTL: ttl, records: dedup.NewTable[Result](maxRecords, ttl)}
+	d := &Dispatcher{TTL: ttl, records: dedup.NewTable[Result](maxRecords, ttl)}
+	d.givenUp, d.giveUp = context.WithCancel(context.Background())
+	return d
 }
 
 // Name returns the name of the service.
@@ -86,14 +90,32 @@
 	return nil
 }
 
-// Stop waits for the runs that are under way, also those whose callers have disconnected, and hands
-// the records of this process over to a peer.
+// Stop waits for the runs that are under way, also those whose callers have disconnected, as long as there is time left to hand the
+// records of this process over to a peer. The outcome of runs that have not ended by then is unknown.
 func (d *Dispatcher) Stop(c context.Context) error {
-	d.runs.Wait()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		d.runs.Wait()
+	}()
+	x, cancel := context.WithCancel(c)
+	defer cancel()
+	if t, ok := c.Deadline(); ok {
+		x, cancel = context.WithDeadline(x, t.Add(-2*handoverTimeout))
+		defer cancel()
+	}
+	select {
+	case <-done:
+	case <-x.Done():
+	case <-d.givenUp.Done():
+	}
 	d.handOver(c)
 	return nil
 }
 
+// SetStopDeadline makes Stop wait for runs until a time at most.
+func (d *Dispatcher) SetStopDeadline(t time.Time) { time.AfterFunc(time.Until(t), d.giveUp) }
+
 // IssueTickets issues n tickets. Calls with these tickets run only in this process, or in the one
 // that takes over its records.
 func (d *Dispatcher) IssueTickets(n int) ([]string, error) {
--- a/front/front.go
+++ b/front/front.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,7 +29,6 @@
 	"birchlink.dev/birchlink/serviceproxy"
 	"birchlink.dev/birchlink/shutdown"
 	"birchlink.dev/birchlink/stream"
-	"birchlink.dev/birchlink/wait"
 )
 
 // Name is the name under which the service is registered in the kernel.
@@ -78,6 +78,11 @@
 	cancelRequests context.CancelFunc
 	isAlone        atomic.Bool // no other box could take the streams over
 	metrics        metrics.Registry
+
+	mu       sync.Mutex
+	stopBy   time.Time   // when the remaining streams are handed over; zero before Stop
+	accepted *time.Timer // ends ShutdownDelay
+	timeout  *time.Timer // fires at stopBy
 }
 
 // New returns a Front.
@@ -135,17 +140,19 @@
 // remaining streams over to other boxes and cancels the remaining requests.
 func (f *Front) Stop(c context.Context) error {
 	f.SetNotReady()
-	f.Window.Begin(boottime.Now(), f.ShutdownDelay, f.ShutdownDelay+f.ShutdownTimeout)
+	f.beginStop()
 	f.streams.Drain()
-	wait.For(c, f.ShutdownDelay)
+	select {
+	case <-f.accepted.C:
+	case <-c.Done():
+	}
 	f.server.SetKeepAlivesEnabled(false)
-	c, cancel := context.WithTimeout(c, f.ShutdownTimeout)
-	defer cancel()
 	done := make(chan error, 1)
 	go func() { done <- f.server.Shutdown(context.WithoutCancel(c)) }()
 	select {
 	case err := <-done:
 		return err
+	case <-f.timeout.C:
 	case <-c.Done():
 	}
 	f.isAlone.Store(!f.streams.CanHandOver())
@@ -162,12 +169,32 @@
 	}
 }
 
-// SetStopDeadline shortens ShutdownDelay and ShutdownTimeout so that a Stop that begins now hands
-// over the remaining streams by time t. It must be called before Stop.
+// beginStop begins the times of Stop.
+func (f *Front) beginStop() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	limit := f.ShutdownDelay + f.ShutdownTimeout
+	f.Window.Begin(boottime.Now(), f.ShutdownDelay, limit)
+	f.stopBy = time.Now().Add(limit)
+	f.accepted, f.timeout = time.NewTimer(f.ShutdownDelay), time.NewTimer(limit)
+}
+
+// SetStopDeadline shortens ShutdownDelay and ShutdownTimeout so that a Stop that has begun or begins now hands
+// over the remaining streams by time t.
 func (f *Front) SetStopDeadline(t time.Time) {
+	f.dispatcher.SetStopDeadline(t.Add(cancelDelay))
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	remaining := max(time.Until(t), 0)
-	f.ShutdownDelay = min(f.ShutdownDelay, remaining/4)
-	f.ShutdownTimeout = min(f.ShutdownTimeout, remaining-f.ShutdownDelay)
+	switch {
+	case f.stopBy.IsZero():
+		f.ShutdownDelay = min(f.ShutdownDelay, remaining/4)
+		f.ShutdownTimeout = min(f.ShutdownTimeout, remaining-f.ShutdownDelay)
+	case t.Before(f.stopBy):
+		f.stopBy = t
+		f.Window.Shorten(boottime.Now().Add(remaining))
+		f.timeout.Reset(remaining)
+	}
 }
 
 // SetNotReady makes the readiness check fail. Requests are still accepted, because the load balancer
