--- a/serviceproxy/outlived_test.go
+++ b/serviceproxy/outlived_test.go
@@ -38,7 +38,7 @@
 }
 
 func (s *unframedServer) handle(c *net.TCPConn) {
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	q, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
 		return
--- a/serviceproxy/proxy.go
+++ b/serviceproxy/proxy.go
@@ -27,6 +27,7 @@
 	"birchlink.dev/birchlink/fleet"
 	"birchlink.dev/birchlink/jsonhttp"
 	"birchlink.dev/birchlink/kernel"
+	"birchlink.dev/birchlink/liveness"
 	"birchlink.dev/birchlink/member"
 	"birchlink.dev/birchlink/observer"
 	"birchlink.dev/birchlink/quarantine"
@@ -84,6 +85,8 @@
 	Window *shutdown.Window
 
 	answers        answertimes.Tracker
+	prober         liveness.Prober
+	questions      *http.Client // opens a connection for each request
 	view           *view.View
 	members        *member.Service
 	follower       *configsync.Follower
@@ -107,6 +110,9 @@
 	// http.Transport retries some requests when a reused connection breaks. Requests that are not
 	// repeatable therefore get a new connection.
 	return &Proxy{
+		questions: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
+			DialContext: d.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: jsonhttp.MaxHeader,
+		}},
 		pooled: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
 			DialContext: d.DialContext, MaxIdleConnsPerHost: 32, DisableCompression: true, MaxResponseHeaderBytes: jsonhttp.MaxHeader,
 		}},
@@ -369,11 +375,12 @@
 		// be chosen for every request.
 		p.view.BackOffs.Extend(s.ProcessID(), backoff.ParseRetryAfter(resp.Header), boottime.Now())
 	}
-	return readResponse(resp, s.Name)
+	return p.readResponse(c, resp, s)
 }
 
 // readResponse reads a response completely. A truncated response is an error, and so is one that may be.
-func readResponse(resp *http.Response, box string) (*Response, recovery.Interruption, error) {
+func (p *Proxy) readResponse(c context.Context, resp *http.Response, s *view.EndpointState) (*Response, recovery.Interruption, error) {
+	box := s.Name
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return nil, recovery.Disconnected, fmt.Errorf("the answer of %s was cut: %w", box, err)
@@ -385,7 +392,9 @@
 		return nil, recovery.Disconnected, errors.New("the answer of " + box + " is short")
 	}
 	if !framed(resp) {
-		return nil, recovery.Disconnected, errors.New("the answer of " + box + " has neither length nor chunks, so it may have been cut")
+		if err := p.confirmEnd(c, resp.Header, b, s); err != nil {
+			return nil, recovery.Disconnected, fmt.Errorf("the answer of %s has neither length nor chunks, so it may have been cut: %w", box, err)
+		}
 	}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: b, Box: box}, 0, nil
 }
--- a/stand/service/server.go
+++ b/stand/service/server.go
@@ -31,7 +31,8 @@
 // Server answers any call with a body that is a function of the request, as answer.Service computes.
 // AuditFile is the file that the audit is written to when the "die" fault terminates the process.
 // Faults: "slow" (calls are delayed), "short" (the body is truncated), "drop" (the connection breaks
-// after the call ran), "drop_before" (it breaks before the call runs) and "die" (the process exits).
+// after the call ran), "drop_before" (it breaks before the call runs), "unframed" (the answer has neither length nor chunks, and ends
+// with its connection) and "die" (the process exits).
 type Server struct {
 	Name      string
 	AuditFile string
@@ -117,9 +118,23 @@
 		panic(http.ErrAbortHandler)
 	}
 	a := answer.Service(s.Name, r.Method, r.URL.Path, string(b))
+	if _, ok := s.Faults.Consume("unframed"); ok {
+		writeUnframed(w, a)
+		return
+	}
 	w.Header().Set("Content-Length", fmt.Sprint(len(a)))
 	if _, ok := s.Faults.Consume("short"); ok {
 		a = a[:len(a)/2]
 	}
 	_, _ = io.WriteString(w, a)
 }
+
+// writeUnframed writes an answer that ends with its connection.
+func writeUnframed(w http.ResponseWriter, body string) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+body)
+}
