--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -21,6 +21,7 @@
 	"birchlink.dev/birchlink/call"
 	"birchlink.dev/birchlink/catalog"
 	"birchlink.dev/birchlink/demand"
+	"birchlink.dev/birchlink/endmark"
 	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/endpointlimit"
 	"birchlink.dev/birchlink/errkind"
@@ -97,8 +98,8 @@
 // LimitFunc is called when an endpoint sets, lowers or removes the limit on its request rate.
 type LimitFunc func(s endpointlimit.Statement)
 
-// Forwarder forwards requests. All exported fields must be set, except SpendCredit, Terminations, Moves, Health, OnBegin, Admission,
-// Shutdown, Accuracy, AnswerTimes, Liveness and Numbering.
+// Forwarder forwards requests. All exported fields must be set, except SpendCredit, Terminations, Moves, Health, OnBegin, Admission, Shutdown,
+// Accuracy, Liveness, EndMarks, AnswerTimes and Numbering.
 type Forwarder struct {
 	DataCentre    string
 	Roster        *endpoint.Roster
@@ -130,12 +131,15 @@
 	// Accuracy holds the errors of the expected times to the first event.
 	Accuracy accuracy.Tracker
 
-	// AnswerTimes holds how long answers take, of which Shutdown is told.
-	AnswerTimes answertimes.Tracker
-
 	// Liveness knows which processes of endpoints have outlived the ends of their connections.
 	Liveness liveness.Prober
 
+	// EndMarks knows which services end their streams with the same event.
+	EndMarks endmark.Census
+
+	// AnswerTimes holds how long answers take, of which Shutdown is told.
+	AnswerTimes answertimes.Tracker
+
 	// Numbering knows which services count the events of their streams.
 	Numbering numbering.Census
 
@@ -147,7 +151,7 @@
 // because endpoints crashed while they ran it, no endpoint of the service accepts requests now, or the box shuts down before its
 // answer ends.
 func (f *Forwarder) Check(q Request) error {
-	if err := f.checkShutdown(&q, boottime.Now()); err != nil {
+	if err := f.CheckShutdown(&q); err != nil {
 		return err
 	}
 	_, err := f.judge(q)
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -52,9 +52,12 @@
 		return
 	}
 	q, err := i.resolve(cl)
+	if err == nil {
+		err = i.forwarder.CheckShutdown(&q)
+	}
 	if err == nil {
 		var release func()
-		release, err = i.readBody(w, r, cl)
+		release, err = i.readBody(w, r, &q)
 		defer release()
 	} else {
 		limitDrain(w)
@@ -96,9 +99,8 @@
 		s.unframed = connOf(r.Context())
 	}
 	trace, err := i.forwarder.Do(c, q, s)
-	if errors.Is(context.Cause(c), errStopped) && err != nil {
-		// The request may have run, so the error must not state that it did not.
-		err = errkind.New(errkind.OutcomeUnknown, "this process stops")
+	if errors.Is(context.Cause(c), errStopped) && err != nil && !errkind.Is(err, errkind.Stopping) {
+		err = stoppedError(trace)
 	}
 	if err == nil {
 		s.end()
@@ -114,6 +116,15 @@
 	i.writeError(w, q, err, trace)
 }
 
+// stoppedError returns the error for a request that ends because the shutdown does. One that was sent may have run, so the error must not
+// state that it did not.
+func stoppedError(t forward.Trace) error {
+	if t.FirstSent.IsZero() {
+		return errkind.New(errkind.Stopping, "this process stops")
+	}
+	return errkind.New(errkind.OutcomeUnknown, "this process stops")
+}
+
 // resolve looks up the route, the account and the service of a call.
 func (i *Ingress) resolve(c *call.Call) (forward.Request, error) {
 	q := forward.Request{Call: c}
@@ -199,6 +210,9 @@
 	e := errkind.Of(err)
 	resp := e.Kind.Response()
 	metrics.GetOrRegisterCounter("refused."+resp.Name, i.metrics).Inc(1)
+	if late, ok := errors.AsType[*shutdown.RefusalError](err); ok {
+		metrics.GetOrRegisterCounter("shutdown.refused."+string(late.Decision.Reason), i.metrics).Inc(1)
+	}
 	i.failureEvent(q, err, t).Msg("refused or failed")
 	if e.Kind == errkind.CallerGone {
 		panic(http.ErrAbortHandler)
