--- a/serviceproxy/proxy.go
+++ b/serviceproxy/proxy.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"birchlink.dev/birchlink/admission"
+	"birchlink.dev/birchlink/answertimes"
 	"birchlink.dev/birchlink/backoff"
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/call"
@@ -26,12 +27,14 @@
 	"birchlink.dev/birchlink/fleet"
 	"birchlink.dev/birchlink/jsonhttp"
 	"birchlink.dev/birchlink/kernel"
+	"birchlink.dev/birchlink/liveness"
 	"birchlink.dev/birchlink/member"
 	"birchlink.dev/birchlink/observer"
 	"birchlink.dev/birchlink/quarantine"
 	"birchlink.dev/birchlink/recovery"
 	"birchlink.dev/birchlink/requesthash"
 	"birchlink.dev/birchlink/router"
+	"birchlink.dev/birchlink/shutdown"
 	"birchlink.dev/birchlink/suspects"
 	"birchlink.dev/birchlink/view"
 )
@@ -76,26 +79,40 @@
 	Box    string
 }
 
-// Proxy forwards requests to plain services on behalf of one box.
+// Proxy forwards requests to plain services on behalf of one box. Window tells until when a request may first be sent; nil stands for
+// a box that does not shut down.
 type Proxy struct {
+	Window *shutdown.Window
+
+	answers        answertimes.Tracker
+	prober         liveness.Prober
+	questions      *http.Client // opens a connection for each request
 	view           *view.View
 	members        *member.Service
 	follower       *configsync.Follower
 	decisions      *decisions.Log
 	admission      *admission.Admission
-	noticeObserver *observer.Observer
+	noticeObserver refresher
 	suspects       *suspects.Service
 	pooled         *http.Client
 	unpooled       *http.Client
 	inFlight       atomic.Int64
 }
 
+// refresher brings a box's knowledge of reclaim notices up to date.
+type refresher interface {
+	EnsureFresh(c context.Context) bool
+}
+
 // New returns a Proxy.
 func New() *Proxy {
 	d := net.Dialer{Timeout: dialTimeout}
 	// http.Transport retries some requests when a reused connection breaks. Requests that are not
 	// repeatable therefore get a new connection.
 	return &Proxy{
+		questions: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
+			DialContext: d.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: jsonhttp.MaxHeader,
+		}},
 		pooled: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
 			DialContext: d.DialContext, MaxIdleConnsPerHost: 32, DisableCompression: true, MaxResponseHeaderBytes: jsonhttp.MaxHeader,
 		}},
@@ -133,7 +150,8 @@
 func (p *Proxy) InFlight() int { return int(p.inFlight.Load()) }
 
 // Do forwards a request and returns its complete response. It retries the request at other endpoints
-// until the request's deadline, where recovery.Decide allows that.
+// until the request's deadline, where recovery.Decide allows that. The error is of kind Stopping if the box shuts down and the request
+// has not run and can't end in time.
 func (p *Proxy) Do(c context.Context, q Request) (*Response, error) {
 	p.inFlight.Add(1)
 	defer p.inFlight.Add(-1)
@@ -153,6 +171,7 @@
 		}
 		sent := boottime.Now()
 		resp, interruption, err := p.attempt(c, q, s, st.Attempts)
+		p.recordAnswerTime(c, q, sent, err)
 		if err == nil {
 			p.recordResponse(items, sent, resp)
 			return resp, nil
@@ -164,7 +183,7 @@
 			return nil, err
 		}
 		if err := p.checkRetry(c, q, &st, interruption, s.Name, err); err != nil {
-			return nil, err
+			return nil, stoppingError(c, st, err)
 		}
 		avoid[s.Name] = true
 	}
@@ -232,8 +251,16 @@
 // waitForEndpoint chooses an endpoint. If none is available, it polls until one is or the deadline
 // passes, and fails at once if all endpoints back off beyond the deadline.
 func (p *Proxy) waitForEndpoint(c context.Context, q Request, avoid map[string]bool, st recovery.State) (*view.EndpointState, error) {
+	if !st.MayHaveRun {
+		var cancel context.CancelFunc
+		c, cancel = p.WaitContext(c, q)
+		defer cancel()
+	}
 	for {
 		p.noticeObserver.EnsureFresh(c)
+		if err := p.MaySend(q); err != nil && !st.MayHaveRun {
+			return nil, err
+		}
 		if s := p.choose(q, avoid, st.Attempts); s != nil {
 			return s, nil
 		}
@@ -246,7 +273,7 @@
 		case <-t.C:
 		case <-c.Done():
 			t.Stop()
-			return nil, noEndpointError(q, st)
+			return nil, stoppingError(c, st, noEndpointError(q, st))
 		}
 	}
 }
@@ -348,11 +375,12 @@
 		// be chosen for every request.
 		p.view.BackOffs.Extend(s.ProcessID(), backoff.ParseRetryAfter(resp.Header), boottime.Now())
 	}
-	return readResponse(resp, s.Name)
+	return p.readResponse(c, resp, s)
 }
 
 // readResponse reads a response completely. A truncated response is an error, and so is one that may be.
-func readResponse(resp *http.Response, box string) (*Response, recovery.Interruption, error) {
+func (p *Proxy) readResponse(c context.Context, resp *http.Response, s *view.EndpointState) (*Response, recovery.Interruption, error) {
+	box := s.Name
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return nil, recovery.Disconnected, fmt.Errorf("the answer of %s was cut: %w", box, err)
@@ -364,7 +392,9 @@
 		return nil, recovery.Disconnected, errors.New("the answer of " + box + " is short")
 	}
 	if !framed(resp) {
-		return nil, recovery.Disconnected, errors.New("the answer of " + box + " has neither length nor chunks, so it may have been cut")
+		if err := p.confirmEnd(c, resp.Header, b, s); err != nil {
+			return nil, recovery.Disconnected, fmt.Errorf("the answer of %s has neither length nor chunks, so it may have been cut: %w", box, err)
+		}
 	}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: b, Box: box}, 0, nil
 }
