Forward resets through the soak's proxy

Cause: a connection that a server reset was closed in order towards the box, since the proxy closed both sides after any error.

Change: the proxy resets the other side after ECONNRESET.

--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -243,8 +245,8 @@
 	p.owned[c] = p.owner == pid
 }
 
-// copy forwards bytes of an accepted connection in one direction as the mode allows. Bytes that are held back are forwarded
-// once the mode allows it.
+// copy forwards bytes of an accepted connection in one direction as the mode allows, and their end: a reset as a reset. Bytes that are held
+// back are forwarded once the mode allows it.
 func (p *Proxy) copy(c context.Context, accepted, to, from net.Conn, toTarget bool) {
 	buf := make([]byte, 16<<10)
 	for {
@@ -257,6 +259,9 @@
 				return
 			}
 		}
+		if errors.Is(err, syscall.ECONNRESET) {
+			end(to, Reset)
+		}
 		if err != nil {
 			return
 		}
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -146,6 +146,31 @@
 	}
 }
 
+// A connection that its target closes is closed, and one that it resets is reset.
+func TestProxyForwardsEnds(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	p, err := soak.NewProxy(l.Addr().String())
+	require.NoError(t, err)
+	defer p.Close()
+	for linger, want := range map[int]error{-1: nil, 0: syscall.ECONNRESET} {
+		c, err := net.Dial("tcp", p.Address())
+		require.NoError(t, err)
+		defer c.Close()
+		s, err := l.Accept()
+		require.NoError(t, err)
+		r := bufio.NewReader(c)
+		fmt.Fprintln(s, "hello")
+		_, err = r.ReadString('\n')
+		require.NoError(t, err)
+		require.NoError(t, s.(*net.TCPConn).SetLinger(linger))
+		require.NoError(t, s.Close())
+		_, err = io.Copy(io.Discard, r)
+		require.ErrorIs(t, err, want)
+	}
+}
+
 // Connections that were open carry nothing after Hush, and new ones work.
 func TestProxyHush(t *testing.T) {
 	p, err := soak.NewProxy(newEchoServer(t))
