Play planned stops among slow requests, and unframed answers, in the soak

Its callers sent whole requests at once, the check took the time at which a request began for that at which it was sent, and answers without length or chunks counted as departures, so that nothing was checked of them.

Change: - "stop": 16 connections that have served a request each begin one whose head and body come in pieces (0 to 5 s, with a length or in chunks), up to 1 s before or after SIGTERM, and are used until the box closes them. What a server began must be whole or is checked as a loss, a refusal must not have run, and a connection may end without an answer only within 200 ms of the last byte. Servers compare the bodies of these requests with what was sent. - A stopping box may cut requests in the last sixth of its limit only if their last byte was sent up to 3 s after the first SIGTERM to that process; a second one no longer counts (TestMayCut). - "unframed": all answers of a server have neither length nor chunks, as HTTP/1.1 or HTTP/1.0. It lives on, resets some halfway, or its process ends, closed or reset. An unframed answer that ends in order is no departure any more (TestDeparted said so; it is checked now). A stream that a living server closes in order halfway counts neither as lost nor as ended early.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -23,7 +23,9 @@
 const oncePath = "/once/x"
 
 // runsOnce reports whether requests with a path must not run twice.
-func runsOnce(path string) bool { return path == oncePath || path == fixedStreamPath }
+func runsOnce(path string) bool {
+	return path == oncePath || path == fixedStreamPath || path == slowOncePath || path == slowFixedPath
+}
 
 // runCaller makes calls in sequence over keep-alive connections until c is done.
 func (r *run) runCaller(c context.Context, n int) {
@@ -55,6 +57,14 @@
 	r.outcomes[outcome]++
 }
 
+// framingOf returns a prefix for the outcome of a call with an answer that was sent without a length or chunks.
+func (r *run) framingOf(id string) string {
+	if r.fleet.Audit.Unframed(id) {
+		return "unframed "
+	}
+	return ""
+}
+
 // call makes one call and checks its answer.
 func (r *run) call(h *http.Client, b *Box, path, id string) {
 	q, err := standin.NewRequest(b.CallerAddress, path, id, callTimeout)
@@ -77,9 +87,9 @@
 		r.checkBrokenAnswer(b, id, began, err)
 		return
 	}
-	r.countOutcome(fmt.Sprint(a.StatusCode))
+	r.countOutcome(r.framingOf(id) + fmt.Sprint(a.StatusCode))
 	if a.StatusCode != http.StatusOK {
-		r.checkLoss(b, path, id, "", began, callTimeout, fmt.Sprint(a.StatusCode, " ", string(text)))
+		r.checkLoss(b, path, id, "", began, began, callTimeout, fmt.Sprint(a.StatusCode, " ", string(text)))
 	}
 	switch {
 	case a.StatusCode == http.StatusOK:
--- a/soak/export_test.go
+++ b/soak/export_test.go
@@ -1,10 +1,26 @@
 package soak
 
-import "net"
+import (
+	"net"
+	"net/http"
+	"time"
+)
 
 // FreeAddresses is freeAddresses.
 var FreeAddresses = freeAddresses
 
+// Termed returns when processes of the box were first sent SIGTERM.
+func (b *Box) Termed() []time.Time { return b.termed }
+
+// SlowPieces returns the pieces of a request that is sent slowly, and how long they take.
+func SlowPieces(q *http.Request, chunked bool, head, body time.Duration) (pieces []string, took time.Duration, err error) {
+	ps, err := slowRequest{chunked: chunked, head: head, body: body}.pieces(q)
+	for _, p := range ps {
+		pieces, took = append(pieces, p.text), took+p.after
+	}
+	return pieces, took, err
+}
+
 // PairOf returns the addresses of a connection that this process has opened.
 func PairOf(c net.Conn) ConnPair {
 	return ConnPair{hexAddress(c.LocalAddr()), hexAddress(c.RemoteAddr())}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -56,10 +56,11 @@
 
 	expectedFaults
 
-	mu     sync.Mutex
-	cmd    *exec.Cmd
-	closed bool
-	termed []time.Time // when the box was sent SIGTERM
+	mu       sync.Mutex
+	cmd      *exec.Cmd
+	closed   bool
+	stopping bool        // the process has ended or was sent SIGTERM
+	termed   []time.Time // when processes of the box were first sent SIGTERM
 }
 
 // expectedFaults is the time until which callers may see failures.
@@ -277,9 +278,12 @@
 	if err := c.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", b.Name, err)
 	}
-	b.cmd, b.settings = c, b.restart
+	b.cmd, b.settings, b.stopping = c, b.restart, false
 	go func() {
 		_ = c.Wait()
+		b.mu.Lock()
+		b.stopping = true
+		b.mu.Unlock()
 		time.Sleep(restartPause)
 		// A box that fails to restart fails the readiness check and its callers' checks.
 		_ = b.start()
@@ -304,7 +308,8 @@
 func (b *Box) Signal(s syscall.Signal) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if s == syscall.SIGTERM {
+	if s == syscall.SIGTERM && !b.stopping {
+		b.stopping = true
 		b.termed = append(b.termed, time.Now())
 	}
 	if b.cmd != nil && b.cmd.Process != nil {
@@ -312,6 +317,16 @@
 	}
 }
 
+// sinceStop describes a time by the last SIGTERM to the box.
+func (b *Box) sinceStop(at time.Time) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.termed) == 0 {
+		return "before a SIGTERM"
+	}
+	return fmt.Sprintf("%.2fs after the SIGTERM", at.Sub(b.termed[len(b.termed)-1]).Seconds())
+}
+
 // lateShare is the last part of the graceful shutdown in which a box may cut requests at which servers work, and lateAfter the time after its
 // start from which requests may not be cut.
 const (
@@ -319,7 +334,8 @@
 	lateAfter = 3 * time.Second
 )
 
-// MayCut reports whether the box may cut a request, sent and cut at these times, at which a server works since the box has been told to stop.
+// MayCut reports whether the box may cut a request, wholly sent and cut at these times, at which a server works since the box has been told to
+// stop.
 func (b *Box) MayCut(sent, cut time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -21,7 +21,8 @@
 	}
 }
 
-// A box that has been told to stop may cut requests in the last sixth of its limit of 5 s, unless they were sent later than 3 s after the signal.
+// A box that has been told to stop may cut requests in the last sixth of its limit of 5 s, unless their last byte was sent later than 3 s after
+// the first signal.
 func TestMayCut(t *testing.T) {
 	b := &soak.Box{}
 	now := time.Now()
@@ -30,6 +31,8 @@
 	at := func(sent, cut time.Duration) bool { return b.MayCut(now.Add(sent), now.Add(cut)) }
 	require.True(t, at(-time.Second, 4500*time.Millisecond))
 	require.True(t, at(2900*time.Millisecond, 4500*time.Millisecond))
+	b.Signal(syscall.SIGTERM)
+	require.Len(t, b.Termed(), 1)
 	require.False(t, at(3500*time.Millisecond, 4500*time.Millisecond))
 	require.False(t, at(-time.Second, 4*time.Second))
 	require.False(t, at(-time.Second, 8*time.Second))
--- a/soak/loss.go
+++ b/soak/loss.go
@@ -22,10 +22,10 @@
 	return began, slices.Clone(f.Servers)
 }
 
-// checkLoss checks a request that got no whole answer within wait. While its box is sound, it must get one if no server that began
+// checkLoss checks a request that got no whole answer within wait, of which the last byte was sent at a time. While its box is sound, it must get one if no server that began
 // it had another fault than to be silent, and none sent it an irregular stream. If it may be repeated, it must get one from a sound server of its version, or of any
 // if that is empty, after servers that send bytes without end.
-func (r *run) checkLoss(b *Box, path, id, version string, began time.Time, wait time.Duration, outcome string) {
+func (r *run) checkLoss(b *Box, path, id, version string, began, sent time.Time, wait time.Duration, outcome string) {
 	since, took := began.Add(-hostMargin), time.Since(began)
 	ran, current := r.fleet.serversOf(id)
 	if len(ran) == 0 || b.FaultySince(since) || r.fleet.Audit.Departed(id) {
@@ -39,12 +39,12 @@
 		lossy, endless = lossy || s.lossy.FaultySince(since), endless || s.endless.FaultySince(since)
 	}
 	switch {
-	case lossy, b.MayCut(began, time.Now()):
+	case lossy, b.MayCut(sent, time.Now()):
 	case r.PassOverGivenUp && leaving && !runsOnce(path) && !servesElsewhere(current, version, since): // KNOWN-RED.txt, seed 101
 		r.countOutcome("passed over: given up at a leaving server")
 	case !endless && took < wait.Truncate(time.Millisecond): // in which callers state their deadline
 		r.countOutcome("lost at sound servers")
-		r.reportViolation("%s to %s (%s) was passed on to the sound servers %v and lost after %v: %s", id, b.Name, path, ids, took, outcome)
+		r.reportViolation("%s to %s (%s) was passed on to the sound servers %v and lost after %v: %s%s", id, b.Name, path, ids, took, r.framingOf(id), outcome)
 	case endless && !runsOnce(path) && path != singleStreamPath && servesElsewhere(current, version, since):
 		r.reportViolation("%s to %s (%s) was lost at %v, of which one is endless, while others are sound: %s", id, b.Name, path, ids, outcome)
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -149,19 +149,18 @@
 		}
 	case Term:
 		r.fleet.Boxes[f.Target].Signal(syscall.SIGTERM)
+	case Stop:
+		r.stopAmidSlow(f)
 	case Hup:
 		r.fleet.Boxes[f.Target].Signal(syscall.SIGHUP)
 	case Pause:
-		b := r.fleet.Boxes[f.Target]
-		b.ExpectFaultsUntil(end.Add(recoveryTime))
-		b.Signal(syscall.SIGSTOP)
-		time.Sleep(f.Duration)
-		b.Signal(syscall.SIGCONT)
+		pause(r.fleet.Boxes[f.Target], end)
 	case Starve:
 		r.starve(r.fleet.Boxes[f.Target], end)
 	case BoxServerLink:
 		r.cutBox(f, end)
-	case Appear, ServerLink, Drain, DrainByAnswer, Release, RefuseCalls, ReportLimit, ReportBrittle, SilentServers, EndlessServer, IrregularServer, Crash, Vacate, LossyServer:
+	case Appear, ServerLink, Drain, DrainByAnswer, Release, RefuseCalls, ReportLimit, ReportBrittle, SilentServers, EndlessServer, IrregularServer,
+		UnframedServer, Crash, Vacate, LossyServer:
 		r.injectServer(f, end)
 	case Hush, PeerLink, LossyPeers:
 		r.injectStall(f, end)
@@ -182,6 +181,14 @@
 	}
 }
 
+// pause stops a box until a time.
+func pause(b *Box, end time.Time) {
+	b.ExpectFaultsUntil(end.Add(recoveryTime))
+	b.Signal(syscall.SIGSTOP)
+	time.Sleep(time.Until(end))
+	b.Signal(syscall.SIGCONT)
+}
+
 // Times for which a box that starves runs and does not run, in turn.
 const (
 	starvedRun   = 10 * time.Millisecond
@@ -270,6 +277,13 @@
 		s.SendIrregular(f.Irregular)
 		time.Sleep(f.Duration)
 		s.SendIrregular(standin.Irregular{})
+	case UnframedServer:
+		s.SendIrregular(f.Irregular)
+		time.Sleep(f.Duration)
+		if f.Mode != "" {
+			r.fleet.Crash(s, f.Mode, crashLapse)
+		}
+		s.SendIrregular(standin.Irregular{})
 	default:
 		report(s, f)
 	}
@@ -454,6 +468,9 @@
 			r.violations = append(r.violations, fmt.Sprintf("%s was answered %s and ran %d times", id, status, n))
 		}
 	}
+	for id, body := range r.fleet.Audit.Altered() {
+		r.violations = append(r.violations, fmt.Sprintf("%s reached a server with the body %.80q", id, body))
+	}
 	r.violations = append(r.violations, r.fleet.Cloud.Violations()...)
 	if r.fleet.engines == nil {
 		return
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -47,12 +47,14 @@
 	BoxServerLink    Kind = "box server link" // one box's link to Count endpoints
 	Starve           Kind = "starve"          // a box gets a third of the processor time
 	Appear           Kind = "second version"  // endpoints of another software version appear, while every second box is faulty
+	Stop             Kind = "stop"            // as Term, among requests that callers send slowly
+	UnframedServer   Kind = "unframed"        // answers of an endpoint end with their connections; it resets some, or its process ends
 	Hush             Kind = "hush"            // half of the open connections to some boxes fall silent for good, and of theirs to the store
 )
 
 // Fault is one entry of a schedule. Target is the index of a box or server, depending on Kind; Mode is
-// used by link faults, Crash and Appear only, Count, the number of servers or boxes from Target on, by SilentServers Hush and BoxServerLink, Form by EndlessServer,
-// Irregular by IrregularServer, Move by Vacate, and Appears by Appear.
+// used by link faults, Crash, Appear and UnframedServer only, Count, the number of servers or boxes from Target on, by SilentServers Hush and
+// BoxServerLink, Form by EndlessServer, Irregular by IrregularServer and UnframedServer, Move by Vacate, and Appears by Appear.
 type Fault struct {
 	At        time.Duration
 	Duration  time.Duration
@@ -80,6 +82,14 @@
 		return fmt.Sprintf("%6.2fs %s after %v %s (%v, %v), boxes from %d on %s for %v", f.At.Seconds(), f.Kind, v.After, v.Course, v.Life, v.Gap, f.Target, f.Mode, f.Duration)
 	case Vacate:
 		return fmt.Sprintf("%6.2fs %s %d %s", f.At.Seconds(), f.Kind, f.Target, cmp.Or(f.Move, "soundly"))
+	case Stop:
+		return fmt.Sprintf("%6.2fs %s %d", f.At.Seconds(), f.Kind, f.Target)
+	case UnframedServer:
+		protocol := "HTTP/1.1"
+		if f.Irregular.HTTP10 {
+			protocol = "HTTP/1.0"
+		}
+		return fmt.Sprintf("%6.2fs %s %d as %s, some %s, then %s after %v", f.At.Seconds(), f.Kind, f.Target, protocol, f.Irregular.First, cmp.Or(f.Mode, Pass), f.Duration)
 	case EndlessServer:
 		return fmt.Sprintf("%6.2fs %s %d %s for %v", f.At.Seconds(), f.Kind, f.Target, f.Form, f.Duration)
 	case IrregularServer:
@@ -122,6 +132,8 @@
 	out = append(out, drawLossyLinks(seed, span, boxes, servers)...)
 	out = append(out, drawBoxLinks(seed, span, boxes, servers)...)
 	out = append(out, drawAppearances(seed, span)...)
+	out = append(out, drawStops(seed, span, boxes)...)
+	out = append(out, drawUnframed(seed, span, servers)...)
 	slices.SortStableFunc(out, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return out
 }
@@ -333,6 +345,47 @@
 	return out
 }
 
+// Mean times between stops among slow requests, and between faults of servers whose answers end with their connections.
+const (
+	meanStopGap     = 1500 * time.Millisecond
+	meanUnframedGap = 700 * time.Millisecond
+)
+
+// drawStops draws the moments from which slow requests come to a box that is told to stop.
+func drawStops(seed uint64, span time.Duration, boxes int) []Fault {
+	r := rand.New(rand.NewPCG(seed, 16))
+	gap := func() time.Duration { return time.Duration(r.Int64N(int64(2 * meanStopGap))) }
+	var out []Fault
+	for at := faultFreeStart + gap(); at < span; at += gap() {
+		out = append(out, Fault{At: at, Kind: Stop, Target: r.IntN(boxes)})
+	}
+	return out
+}
+
+// drawUnframed draws the moments from which the answers of a server end with their connections. In a third of the faults its process ends
+// after that, in a third it resets some.
+func drawUnframed(seed uint64, span time.Duration, servers int) []Fault {
+	r := rand.New(rand.NewPCG(seed, 17))
+	gap := func() time.Duration { return time.Duration(r.Int64N(int64(2 * meanUnframedGap))) }
+	var out []Fault
+	for at := faultFreeStart + gap(); at < span; at += gap() {
+		f := Fault{
+			At: at, Duration: minFaultDuration + time.Duration(r.Int64N(int64(maxFaultDuration-minFaultDuration))), Kind: UnframedServer,
+			Target: r.IntN(servers), Irregular: standin.Irregular{Unframed: true, HTTP10: r.IntN(2) == 0, Answers: true, First: standin.Regular, Resumed: standin.Regular},
+		}
+		switch r.IntN(6) {
+		case 0, 1:
+			f.Irregular.First = standin.Reset
+		case 2:
+			f.Mode = Closed
+		case 3:
+			f.Mode = Reset
+		}
+		out = append(out, f)
+	}
+	return out
+}
+
 // drawFaults draws the faults of boxes, links, store, servers and configuration.
 func drawFaults(seed uint64, span time.Duration, boxes, servers int) []Fault {
 	r := rand.New(rand.NewPCG(seed, 1))
--- a/soak/schedule_test.go
+++ b/soak/schedule_test.go
@@ -172,6 +172,31 @@
 	}
 }
 
+// Boxes are told to stop among slow requests, also while others stop or start. Servers send unframed answers in both protocol versions, and
+// then live on, or end with their connections closed or reset.
+func TestStopsAndUnframedServers(t *testing.T) {
+	stops, ends, overlaps := map[int]bool{}, map[string]bool{}, map[soak.Kind]bool{}
+	for seed := range uint64(20) {
+		end := time.Duration(0)
+		for _, f := range soak.Schedule(seed, time.Minute, 5, 6) {
+			overlaps[f.Kind] = overlaps[f.Kind] || f.At < end
+			switch f.Kind {
+			case soak.Stop:
+				stops[f.Target], end = true, f.At+5*time.Second
+			case soak.UnframedServer:
+				v := f.Irregular
+				require.True(t, v.Unframed && v.Answers && v.Resumed == standin.Regular)
+				ends[fmt.Sprint(v.HTTP10, v.First, f.Mode)] = true
+			}
+		}
+	}
+	require.Len(t, stops, 5)
+	require.Len(t, ends, 8)
+	for _, k := range []soak.Kind{soak.Stop, soak.Term, soak.Kill, soak.Hup, soak.Config, soak.UnframedServer, soak.SilentServers, soak.Drain, soak.Vacate, soak.BoxServerLink} {
+		require.True(t, overlaps[k], k)
+	}
+}
+
 // Another version appears only when boxes have known one for a while. Every second box meets each mode, with each course and alone, and other faults
 // overlap.
 func TestAppearances(t *testing.T) {
--- a/soak/stream.go
+++ b/soak/stream.go
@@ -98,7 +98,7 @@
 			r.recordRefusal(path, id, a.StatusCode)
 		}
 		if err := r.checkStream(b, s, id, a, most); err != nil {
-			r.checkLoss(b, path, id, strings.Join(s.Versions, ""), began, left, err.Error())
+			r.checkLoss(b, path, id, strings.Join(s.Versions, ""), began, began, left, err.Error())
 		}
 	}
 	if err == nil {
@@ -111,10 +111,14 @@
 	if counts && !departed && r.countsStreams(b, s) {
 		r.countAttempt(before == 0, s.Events > before)
 	}
+	framing := r.framingOf(id)
 	if before == 0 {
-		r.countOutcome("stream " + status)
+		r.countOutcome(framing + "stream " + status)
 	} else {
-		r.countOutcome("taken up " + status)
+		r.countOutcome(framing + "taken up " + status)
+	}
+	if framing != "" && s.Events >= streamEvents {
+		r.countOutcome("unframed stream whole")
 	}
 	return s.Events >= streamEvents
 }
@@ -140,15 +144,20 @@
 	if s.Empty > 0 && !r.beganAtEndless(id) {
 		r.reportViolation("%s to %s has %d empty lines that end no event", id, b.Name, s.Empty)
 	}
+	r.checkStreamEnd(b, id, a.Request.URL.Path, s, err, most)
+	return err
+}
+
+// checkStreamEnd checks how an answer ended of which up to most events were read.
+func (r *run) checkStreamEnd(b *Box, id, path string, s *standin.Stream, err error, most int) {
 	switch {
 	case errors.Is(err, standin.ErrInvalidEvent), errors.Is(err, standin.ErrJoined):
-		r.reportViolation("%s to %s (%s): %v", id, b.Name, a.Request.URL.Path, err)
-	case err == nil && s.Events != streamEvents && most > streamEvents:
-		r.reportViolation("%s to %s (%s) ended after %d of %d events", id, b.Name, a.Request.URL.Path, s.Events, streamEvents)
+		r.reportViolation("%s to %s (%s): %v", id, b.Name, path, err)
+	case err == nil && s.Events != streamEvents && most > streamEvents && !r.fleet.Audit.EndedShort(id):
+		r.reportViolation("%s to %s (%s) ended after %d of %d events", id, b.Name, path, s.Events, streamEvents)
 	case err != nil:
 		r.countOutcome("stream cut")
 	}
-	return err
 }
 
 // countsStreams reports whether an attempt at a box counts: the box and the store have had no fault lately, and the version
