Don't count unframed answers that a link closed in order before their end

Cause: "box server link closed" closes one box's connections in order while their servers live on.

Change: such an answer counts neither as whole nor as early, if it was unframed and one of its servers had that fault since the request began; it is counted in the outcomes. Framed answers, resets and servers whose processes end are checked as before.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -93,7 +93,7 @@
 	}
 	switch {
 	case a.StatusCode == http.StatusOK:
-		r.checkAnswer(id, string(text), standin.Stamped(a.Header))
+		r.checkAnswer(id, string(text), standin.Stamped(a.Header), began)
 	case a.StatusCode == http.StatusServiceUnavailable, a.StatusCode == http.StatusTooManyRequests:
 		r.recordRefusal(path, id, a.StatusCode)
 	case a.StatusCode < http.StatusInternalServerError:
@@ -140,8 +140,13 @@
 
 // checkAnswer checks that a successful answer is complete, belongs to this call and was stamped by a
 // server.
-func (r *run) checkAnswer(id, text string, stamped bool) {
-	if text != standin.ExpectedBody(id) || !stamped {
+func (r *run) checkAnswer(id, text string, stamped bool, began time.Time) {
+	want := standin.ExpectedBody(id)
+	switch {
+	case text == want && stamped:
+	case strings.HasPrefix(want, text) && stamped && r.wasClosedShort(id, began):
+		r.countOutcome("answer closed in order before its end")
+	default:
 		r.reportViolation("%s got %q", id, strings.ReplaceAll(text, "\n", " "))
 	}
 }
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -89,6 +89,7 @@
 type Server struct {
 	*standin.Server
 	lossy      expectedFaults // of its link, and its end
+	closedLink expectedFaults // a link to it has closed connections in order
 	endless    expectedFaults // it sends bytes without end
 	busy       expectedFaults // it is silent, refuses requests or says that it may
 	leaving    expectedFaults // it has said when it ends, so that its runs are moved or resumed
--- a/soak/loss.go
+++ b/soak/loss.go
@@ -12,6 +12,13 @@
 // maxAnswerBytes bounds what is read of an answer. The answers of servers are shorter.
 const maxAnswerBytes = 1 << 20
 
+// wasClosedShort reports whether an answer without a length or chunks to a request that began at a time may have been closed in order before
+// its end, although the process of its server lives on: by that, or by a link. To a box that is a whole answer.
+func (r *run) wasClosedShort(id string, began time.Time) bool {
+	ran, _ := r.fleet.serversOf(id)
+	return r.fleet.Audit.EndedShort(id) || r.fleet.Audit.Unframed(id) && slices.ContainsFunc(ran, func(s *Server) bool { return s.closedLink.FaultySince(began) })
+}
+
 // serversOf returns the servers that began a request or to which it moved, and those that have not announced their end.
 func (f *Fleet) serversOf(id string) (began, current []*Server) {
 	f.serversMu.Lock()
--- a/soak/run.go
+++ b/soak/run.go
@@ -216,6 +216,9 @@
 	for i := range f.Count {
 		s := r.fleet.Server(i)
 		s.lossy.ExpectFaultsUntil(end.Add(hostMargin))
+		if f.Mode == Closed {
+			s.closedLink.ExpectFaultsUntil(end)
+		}
 		s.proxy.SetFor(pid, opened, f.Mode)
 		defer func() {
 			s.proxy.SetFor(0, nil, Pass)
--- a/soak/slow.go
+++ b/soak/slow.go
@@ -242,7 +242,7 @@
 	case x.err != nil:
 		r.checkBrokenAnswer(b, q.id, x.began, x.err)
 	case status == http.StatusOK:
-		r.checkAnswer(q.id, x.text, standin.Stamped(x.answer.Header))
+		r.checkAnswer(q.id, x.text, standin.Stamped(x.answer.Header), x.began)
 	case status == http.StatusServiceUnavailable, status == http.StatusTooManyRequests, status == http.StatusRequestTimeout:
 		r.recordRefusal(q.path, q.id, status)
 		r.checkSlowLoss(b, q, x)
@@ -271,7 +271,7 @@
 	if !standin.Stamped(x.answer.Header) {
 		r.reportViolation("%s to %s has no stamp", q.id, b.Name)
 	}
-	r.checkStreamEnd(b, q.id, q.path, &x.stream, x.err, streamEvents+1)
+	r.checkStreamEnd(b, q.id, q.path, &x.stream, x.began, x.err, streamEvents+1)
 	r.checkVersions(&x.stream, q.id, x.began)
 	if x.err != nil {
 		r.checkSlowLoss(b, q, x)
--- a/soak/stream.go
+++ b/soak/stream.go
@@ -97,7 +97,7 @@
 		if a.StatusCode == http.StatusServiceUnavailable || a.StatusCode == http.StatusTooManyRequests {
 			r.recordRefusal(path, id, a.StatusCode)
 		}
-		if err := r.checkStream(b, s, id, a, most); err != nil {
+		if err := r.checkStream(b, s, id, began, a, most); err != nil {
 			r.checkLoss(b, path, id, strings.Join(s.Versions, ""), began, began, left, err.Error())
 		}
 	}
@@ -126,7 +126,7 @@
 // checkStream reads up to most events of an answer, and checks that they are those of this stream, that a server has stamped the
 // answer, and that it does not end before the last event or after it. A refusal must be one that allows to come back.
 // The error says why the answer is no whole stream.
-func (r *run) checkStream(b *Box, s *standin.Stream, id string, a *http.Response, most int) error {
+func (r *run) checkStream(b *Box, s *standin.Stream, id string, began time.Time, a *http.Response, most int) error {
 	r.checkNotEndless(b, id, a, "")
 	refused := a.StatusCode == http.StatusServiceUnavailable || a.StatusCode == http.StatusTooManyRequests
 	if a.StatusCode != http.StatusOK {
@@ -144,16 +144,18 @@
 	if s.Empty > 0 && !r.beganAtEndless(id) {
 		r.reportViolation("%s to %s has %d empty lines that end no event", id, b.Name, s.Empty)
 	}
-	r.checkStreamEnd(b, id, a.Request.URL.Path, s, err, most)
+	r.checkStreamEnd(b, id, a.Request.URL.Path, s, began, err, most)
 	return err
 }
 
 // checkStreamEnd checks how an answer ended of which up to most events were read.
-func (r *run) checkStreamEnd(b *Box, id, path string, s *standin.Stream, err error, most int) {
+func (r *run) checkStreamEnd(b *Box, id, path string, s *standin.Stream, began time.Time, err error, most int) {
 	switch {
 	case errors.Is(err, standin.ErrInvalidEvent), errors.Is(err, standin.ErrJoined):
 		r.reportViolation("%s to %s (%s): %v", id, b.Name, path, err)
-	case err == nil && s.Events != streamEvents && most > streamEvents && !r.fleet.Audit.EndedShort(id):
+	case err == nil && s.Events < streamEvents && most > streamEvents && r.wasClosedShort(id, began):
+		r.countOutcome("stream closed in order before its end")
+	case err == nil && s.Events != streamEvents && most > streamEvents:
 		r.reportViolation("%s to %s (%s) ended after %d of %d events", id, b.Name, path, s.Events, streamEvents)
 	case err != nil:
 		r.countOutcome("stream cut")
