Let a release in the soak pass over servers that have left

Cause: a release walks over the servers that were there when it began.

Change: replacing a server that is not there any more does nothing.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -363,10 +363,13 @@
 }
 
 // replaceServer starts a replacement for a server, calls announce for the old one and stops it after
-// a time.
+// a time. It does nothing if there are no longer that many servers.
 func (f *Fleet) replaceServer(i int, after time.Duration, announce func(*Server)) error {
 	f.serversMu.Lock()
 	defer f.serversMu.Unlock()
+	if i >= len(f.Servers) {
+		return nil
+	}
 	s := f.Servers[i]
 	n, err := f.newServer(s.dataCentre)
 	if err != nil {
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -37,3 +37,9 @@
 	require.False(t, at(-time.Second, 4*time.Second))
 	require.False(t, at(-time.Second, 8*time.Second))
 }
+
+// A release goes on to servers that have left meanwhile.
+func TestReplaceServerThatHasLeft(t *testing.T) {
+	require.NoError(t, (&soak.Fleet{}).Drain(0))
+	require.NoError(t, (&soak.Fleet{}).DrainByAnswer(7))
+}
