--- a/forward/run.go
+++ b/forward/run.go
@@ -54,6 +54,7 @@
 	failedDials  int                                      // endpoints that could not be reached
 	refusedDials int                                      // endpoints that refused the connection
 	mayHaveRun   bool                                     // an attempt may have run
+	late         error                                    // why the request can't be sent before the box has shut down; nil if it can
 	headSent     bool                                     // the sink has received a head
 	answer       sequence.Answer[string, eventid.Decimal] // what the sink has received of a stream
 	moves        int                                      // moves of the request's run between endpoints
@@ -94,11 +95,19 @@
 
 // shared is the state that all runs of one request share.
 type shared struct {
-	startRecorded atomic.Bool  // recordStart was called
-	places        atomic.Int32 // questions for a place
-	runs          atomic.Int32 // runs that attempts began
+	startRecorded atomic.Bool               // recordStart was called
+	succeeded     atomic.Bool               // an endpoint began an answer with success
+	places        atomic.Int32              // questions for a place
+	runs          atomic.Int32              // runs that attempts began
+	firstSent     atomic.Pointer[time.Time] // when the request was first sent to an endpoint; nil before
+}
 
-	firstSent atomic.Pointer[time.Time] // when an attempt was first sent to an endpoint; nil before
+// sentAt returns when the request was first sent to an endpoint; zero if it was not.
+func (s *shared) sentAt() time.Time {
+	if t := s.firstSent.Load(); t != nil {
+		return *t
+	}
+	return time.Time{}
 }
 
 // reachedEndpoint is an endpoint that the request reached. If it answered, it has run the request.
@@ -170,16 +179,21 @@
 		// the box is suspended.
 		return r.failExpired()
 	}
-	defer func() { r.returnPlace(false) }()
-	ch, ok := r.choose(c)
-	if !ok {
-		return r.failNoEndpoint()
+	if err := r.checkShutdown(); err != nil {
+		return false, err
 	}
-	if ch, err = r.admit(c, ch); err != nil {
+	defer func() { r.returnPlace(false) }()
+	ch, ok, err := r.chooseInTime(c)
+	switch {
+	case err != nil:
 		return false, err
+	case !ok:
+		return r.failNoEndpoint()
 	}
 	r.tried[ch.Endpoint.Incarnation()] = true
-	r.trace = Trace{Content: r.q.Content, Parts: r.q.Parts, Attempts: r.trace.Attempts + 1, Moves: r.moves, Runs: r.answer.Runs(), Choice: ch}
+	r.trace = Trace{
+		Content: r.q.Content, Parts: r.q.Parts, Attempts: r.trace.Attempts + 1, Moves: r.moves, Runs: r.answer.Runs(), Choice: ch,
+	}
 	ch, out := r.continueMoved(c, ch, r.attempt(c, ch))
 	r.returnPlace(out.interruption == recovery.Refused && !out.done)
 	if out.done {
@@ -205,10 +219,13 @@
 	r.recordFailure(out, e)
 	r.checkCrash(c, out, e)
 	metrics.GetOrRegisterCounter("attempts.broke."+out.interruptionName(), r.f.Metrics).Inc(1)
-	d := r.decide(c, out, e)
+	d, late := r.decideInTime(c, out, e)
 	r.f.Log.Info().Str("event", "attempt broke").Str("request", r.q.Call.ID).Func(r.trace.marshalContent).Str("endpoint", e.ID).Str("version", e.Version).
 		Func(r.marshalAttempts).Str("break", out.interruptionName()).Str("last_event", r.lastID()).Bool("ran", r.mayHaveRun).Err(out.err).
 		Str("reason", d.Reason).Func(r.trace.marshalReported).Msg("decision")
+	if late != nil {
+		return false, late
+	}
 	if d.Step == recovery.Failover {
 		return false, nil
 	}
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -19,6 +19,7 @@
 	"birchlink.dev/birchlink/jsonhttp"
 	"birchlink.dev/birchlink/openai"
 	"birchlink.dev/birchlink/requesthash"
+	"birchlink.dev/birchlink/shutdown"
 )
 
 // A key or route that the configuration lacks may exist if a newer one may. The store tells the boxes that watch it of changes;
@@ -51,31 +52,42 @@
 		return
 	}
 	q, err := i.resolve(cl)
+	if err == nil {
+		err = i.forwarder.CheckShutdown(&q)
+	}
 	if err == nil {
 		var release func()
-		release, err = i.readBody(w, r, cl)
+		release, err = i.readBody(w, r, &q)
 		defer release()
 	} else {
 		limitDrain(w)
 	}
 	if err == nil {
-		err = i.findOrigin(r.Context(), &q)
-	}
-	if err == nil {
-		q.Content, q.Parts = requesthash.HashOf(q.AccountName(), cl), requesthash.PartsOf(q.Service.Name, cl)
-		err = i.forwarder.Check(q)
+		err = i.prepare(r.Context(), &q)
 	}
 	if err != nil {
 		i.writeError(w, q, err, forward.Trace{})
 		return
 	}
-	if err := i.admit(r.Context(), q); err != nil {
-		i.writeError(w, q, err, forward.Trace{})
-		return
-	}
 	i.forwardRequest(w, r, q)
 }
 
+// prepare completes a request and decides whether it is forwarded. If the box shuts down, it asks other boxes only for as long as the
+// request can be sent to an endpoint.
+func (i *Ingress) prepare(c context.Context, q *forward.Request) error {
+	x, cancel := i.forwarder.Shutdown.Context(c, i.forwarder.ShutdownRequest(q))
+	defer cancel()
+	err := i.findOrigin(x, q)
+	if err == nil {
+		q.Content, q.Parts = requesthash.HashOf(q.AccountName(), q.Call), requesthash.PartsOf(q.Service.Name, q.Call)
+		err = i.forwarder.Check(*q)
+	}
+	if err == nil {
+		err = i.admit(x, *q)
+	}
+	return cmp.Or(shutdown.RefusalOf(x), err)
+}
+
 // forwardRequest forwards an admitted request and writes its response.
 func (i *Ingress) forwardRequest(w http.ResponseWriter, r *http.Request, q forward.Request) {
 	c, cancel := context.WithCancelCause(r.Context())
@@ -87,9 +99,8 @@
 		s.unframed = connOf(r.Context())
 	}
 	trace, err := i.forwarder.Do(c, q, s)
-	if errors.Is(context.Cause(c), errStopped) && err != nil {
-		// The request may have run, so the error must not state that it did not.
-		err = errkind.New(errkind.OutcomeUnknown, "this process stops")
+	if errors.Is(context.Cause(c), errStopped) && err != nil && !errkind.Is(err, errkind.Stopping) {
+		err = stoppedError(trace)
 	}
 	if err == nil {
 		s.end()
@@ -105,6 +116,15 @@
 	i.writeError(w, q, err, trace)
 }
 
+// stoppedError returns the error for a request that ends because the shutdown does. One that was sent may have run, so the error must not
+// state that it did not.
+func stoppedError(t forward.Trace) error {
+	if t.FirstSent.IsZero() {
+		return errkind.New(errkind.Stopping, "this process stops")
+	}
+	return errkind.New(errkind.OutcomeUnknown, "this process stops")
+}
+
 // resolve looks up the route, the account and the service of a call.
 func (i *Ingress) resolve(c *call.Call) (forward.Request, error) {
 	q := forward.Request{Call: c}
@@ -190,12 +210,18 @@
 	e := errkind.Of(err)
 	resp := e.Kind.Response()
 	metrics.GetOrRegisterCounter("refused."+resp.Name, i.metrics).Inc(1)
+	if late, ok := errors.AsType[*shutdown.RefusalError](err); ok {
+		metrics.GetOrRegisterCounter("shutdown.refused."+string(late.Decision.Reason), i.metrics).Inc(1)
+	}
 	i.failureEvent(q, err, t).Msg("refused or failed")
 	if e.Kind == errkind.CallerGone {
 		panic(http.ErrAbortHandler)
 	}
 	h := w.Header()
 	i.Codec.SetErrorHeader(h, c)
+	if i.stopping.Load() {
+		h.Set("Connection", "close")
+	}
 	if resp.Retry && resp.Run == errkind.NotRun {
 		h.Set("Retry-After", strconv.FormatFloat(max(e.RetryAfter, minRetryAfter).Seconds(), 'f', 2, 64))
 	}
