--- a/answertimes/tracker.go
+++ b/answertimes/tracker.go
@@ -20,17 +20,14 @@
 	// maxAge is the age from which a sample no longer counts.
 	maxAge = 5 * time.Minute
 
-	// minSamples is the number of samples from which they show what share of the answers takes how long.
-	minSamples = 20
+	// fewSamples over the number of samples is what is added to an estimate, as a part of it, since few of them miss longer answers.
+	fewSamples = 2
 
-	// quantileFactor times the duration that the fraction quantile of the answers does not exceed is a long answer. With few samples
-	// it is longestFactor times the longest one, and with none longestFactor times the longest one of the service's other routes.
-	quantile       = 0.95
-	quantileFactor = 2
-	longestFactor  = 3
+	// otherRoutesFactor times the longest answer of a service's other routes is the estimate for one without samples.
+	otherRoutesFactor = 3
 )
 
-// Estimate is the time within which nearly all answers end, from the first send of their requests on.
+// Estimate is the time within which a part of the answers end, from the first send of their requests on.
 type Estimate struct {
 	Long    time.Duration // zero if there are no samples
 	Samples int
@@ -67,8 +64,8 @@
 	r.Add(sample{took, now})
 }
 
-// Long returns the estimate for a key.
-func (t *Tracker) Long(k accuracy.Key, now time.Time) Estimate {
+// Long returns the time that the fraction p of the answers of a key does not exceed.
+func (t *Tracker) Long(k accuracy.Key, p float64, now time.Time) Estimate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	ds, newest := t.recent(t.samples[k], now)
@@ -76,13 +73,15 @@
 	if !isOwn {
 		ds, newest = t.recentOfService(k.Service, now)
 	}
-	if len(ds) == 0 {
+	n := len(ds)
+	if n == 0 {
 		return Estimate{}
 	}
 	slices.Sort(ds)
-	e := Estimate{Long: longestFactor * ds[len(ds)-1], Samples: len(ds), Age: now.Sub(newest)}
-	if isOwn && len(ds) >= minSamples {
-		e.Long = quantileFactor * ds[int(math.Ceil(quantile*float64(len(ds))))-1]
+	e := Estimate{Long: otherRoutesFactor * ds[n-1], Samples: n, Age: now.Sub(newest)}
+	if isOwn {
+		d := ds[int(math.Ceil(p*float64(n)))-1]
+		e.Long = d + fewSamples*d/time.Duration(n)
 	}
 	return e
 }
--- a/forward/shutdown.go
+++ b/forward/shutdown.go
@@ -17,9 +17,9 @@
 // ShutdownRequest returns what a shutdown needs to know of a request that was not sent to any endpoint. It may be used concurrently
 // with changes of the request.
 func (f *Forwarder) ShutdownRequest(q *Request) shutdown.RequestFunc {
-	expires, k := q.Expires, accuracy.Key{Service: q.Service.Name, Route: q.Route.Name}
+	expires, k, share := q.Expires, accuracy.Key{Service: q.Service.Name, Route: q.Route.Name}, shutdown.AnswerShare(q.Route.Repeatable())
 	return func(now time.Time) shutdown.Request {
-		return shutdown.Request{Expires: expires, Answer: f.AnswerTimes.Long(k, now)}
+		return shutdown.Request{Expires: expires, Answer: f.AnswerTimes.Long(k, share, now)}
 	}
 }
 
--- a/serviceproxy/shutdown.go
+++ b/serviceproxy/shutdown.go
@@ -41,7 +41,7 @@
 
 // departure returns what decides whether the request may be sent while the box shuts down.
 func (p *Proxy) departure(q Request, now time.Time) shutdown.Request {
-	return shutdown.Request{Expires: now.Add(time.Until(q.Deadline)), Answer: p.answers.Long(q.answerKey(), now)}
+	return shutdown.Request{Expires: now.Add(time.Until(q.Deadline)), Answer: p.answers.Long(q.answerKey(), shutdown.AnswerShare(q.Repeatable), now)}
 }
 
 // recordAnswerTime records how long an answer took that ended with err. The time of one that was ended by its deadline counts too,
--- a/shutdown/window.go
+++ b/shutdown/window.go
@@ -27,6 +27,18 @@
 	NotMeasured  Reason = "not_measured"  // it is not known how long answers take
 )
 
+// repeatableShare is the part of the answers to repeatable requests that must be known to end in time. Their callers go on elsewhere
+// if one is cut, at about the cost of a refusal.
+const repeatableShare = 0.95
+
+// AnswerShare returns the part of the answers to requests of a kind that must be known to end in time.
+func AnswerShare(isRepeatable bool) float64 {
+	if isRepeatable {
+		return repeatableShare
+	}
+	return 1
+}
+
 // Request is what a decision depends on besides the time.
 type Request struct {
 	Expires time.Time // deadline
