--- a/forward/crash.go
+++ b/forward/crash.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -21,7 +20,7 @@
 // within a second, and without the check every other request would detect the crash on its own.
 func (r *run) checkCrash(c context.Context, out attemptResult, e endpoint.Endpoint) {
 	switch {
-	case errors.Is(out.err, syscall.ECONNREFUSED):
+	case out.isRefusedConnection():
 		r.reportCrash(e)
 		return
 	case out.interruption != recovery.Gone || out.answered || out.unproven != nil || errors.Is(out.err, errOutOfOrder) || c.Err() != nil || r.f.Pool.IsLost(e.ID):
--- a/forward/endpoint_test.go
+++ b/forward/endpoint_test.go
@@ -215,6 +215,10 @@
 	case "unframed":
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\n%s", id, body)
 		return false
+	case "unframed_deaf": // accepts no more connections
+		_ = f.listener.Close()
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\n%s", id, body)
+		return false
 	case "unframed_json": // as long as given
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: application/json; charset=utf-8\r\n\r\n%s", id, `{"a": [1, 2]}`[:n])
 		return false
--- a/forward/liveness.go
+++ b/forward/liveness.go
@@ -74,7 +74,8 @@
 	if f.Outlived {
 		return nil
 	}
-	return fmt.Errorf("%w: %w", errConnectionEnd, f.Err)
+	// The error of the check is none of the attempt's: a refused connection would show that the request did not arrive.
+	return fmt.Errorf("%w: %s", errConnectionEnd, f.Err.Error())
 }
 
 // checkHealth sends a health check to an endpoint. The error is nil if its process has answered, whatever the answer says. The
--- a/forward/run.go
+++ b/forward/run.go
@@ -263,10 +263,15 @@
 	return d
 }
 
+// isRefusedConnection reports whether the endpoint refused the attempt's connection.
+func (r attemptResult) isRefusedConnection() bool {
+	return r.interruption == recovery.Unreachable && errors.Is(r.err, syscall.ECONNREFUSED)
+}
+
 // recordFailure records a failed attempt by the way it ended.
 func (r *run) recordFailure(out attemptResult, e endpoint.Endpoint) {
 	switch {
-	case errors.Is(out.err, syscall.ECONNREFUSED):
+	case out.isRefusedConnection():
 		r.refusedDials++
 	case out.interruption == recovery.Unreachable:
 		r.failedDials++
