--- a/forward/endpoint_test.go
+++ b/forward/endpoint_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"compress/gzip"
 	"fmt"
 	"io"
 	"net"
@@ -218,6 +220,13 @@
 	case "unframed_json": // as long as given
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: application/json; charset=utf-8\r\n\r\n%s", id, `{"a": [1, 2]}`[:n])
 		return false
+	case "unframed_json_gzip":
+		var b bytes.Buffer
+		z := gzip.NewWriter(&b)
+		_, _ = io.WriteString(z, `{"a": [1, 2]}`)
+		_ = z.Close()
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: application/json\r\nContent-Encoding: gzip\r\n\r\n%s", id, b.Bytes())
+		return false
 	case "unframed_crash": // the response seems complete
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\n%s", id, body)
 		f.crash()
