--- a/forward/endpoint_test.go
+++ b/forward/endpoint_test.go
@@ -128,6 +128,15 @@
 		fmt.Fprintf(c, "HTTP/1.1 421 Elsewhere\r\nId: %s\r\nContent-Length: 0\r\n\r\n", id)
 	case "full":
 		fmt.Fprintf(c, "HTTP/1.1 503 Full\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
+	case "reset_first": // its connections are used up at first
+		f.mu.Lock()
+		isFirst := f.checks == 1
+		f.mu.Unlock()
+		if isFirst {
+			reset(c)
+			return false
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 0\r\n\r\n", id)
 	case "late": // the answer to another request comes in its place
 		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nId: another\r\nContent-Length: 0\r\n\r\n")
 		return false
