--- a/answertimes/tracker_test.go
+++ b/answertimes/tracker_test.go
@@ -81,6 +81,19 @@
 	require.Equal(t, 256, known)
 }
 
+// Routes that are no longer used keep new ones from being measured.
+func TestUnusedRoutesBlockNewOnes(t *testing.T) {
+	var k answertimes.Tracker
+	now := time.Now()
+	for i := range 1000 {
+		k.Record(accuracy.Key{Service: strconv.Itoa(i), Route: "r"}, time.Second, now)
+	}
+	now = now.Add(time.Hour)
+	key := accuracy.Key{Service: "new", Route: "r"}
+	k.Record(key, time.Second, now)
+	require.Equal(t, answertimes.Estimate{Long: 3 * time.Second, Samples: 1}, k.Long(key, now))
+}
+
 func TestConcurrentUse(t *testing.T) {
 	var k answertimes.Tracker
 	key, now := accuracy.Key{Service: "s", Route: "r"}, time.Now()
