--- a/serviceproxy/stop_test.go
+++ b/serviceproxy/stop_test.go
@@ -1,9 +1,13 @@
 package serviceproxy
 
 import (
+	"bufio"
 	"context"
+	"net"
+	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +19,7 @@
 	"birchlink.dev/birchlink/configsync"
 	"birchlink.dev/birchlink/decisions"
 	"birchlink.dev/birchlink/errkind"
+	"birchlink.dev/birchlink/fleet"
 	"birchlink.dev/birchlink/recovery"
 	"birchlink.dev/birchlink/shutdown"
 	"birchlink.dev/birchlink/view"
@@ -72,3 +77,32 @@
 	require.Equal(t, errkind.Stopping, errkind.Of(stoppingError(c, recovery.State{}, cut)).Kind)
 	require.Equal(t, errkind.OutcomeUnknown, errkind.Of(stoppingError(c, recovery.State{MayHaveRun: true}, cut)).Kind)
 }
+
+// Guards against requests that are sent although the shutdown began while the connection to their endpoint was made.
+func TestShutdownDuringConnect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := New()
+		p.Window, p.view = &shutdown.Window{}, &view.View{}
+		near, far := net.Pipe()
+		defer near.Close()
+		p.unpooled = &http.Client{Transport: &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) {
+			time.Sleep(dialTimeout / 2)
+			return near, nil
+		}}}
+		sent := make(chan bool, 1)
+		go func() {
+			_, err := http.ReadRequest(bufio.NewReader(far))
+			sent <- err == nil
+			far.Close()
+		}()
+		stop := time.AfterFunc(dialTimeout/4, func() { p.Window.Begin(boottime.Now(), time.Second, 2*time.Second) })
+		defer stop.Stop()
+		q := Request{ID: "r", Service: "s", Method: http.MethodPost, Path: "/x", Deadline: time.Now().Add(time.Minute)}
+		e := &view.EndpointState{InFlight: &atomic.Int64{}, Endpoint: fleet.Endpoint{Box: fleet.Box{Name: "e", Address: "e:1"}}}
+		_, interruption, err := p.attempt(t.Context(), q, e, 1)
+		require.Error(t, err)
+		far.Close()
+		require.False(t, <-sent)
+		require.Equal(t, recovery.Unreachable, interruption)
+	})
+}
