--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -182,7 +182,7 @@
 	n := decisions.Decision{Subject: q.id(), Event: "admit", Choice: "accepted"}
 	if errkind.Is(err, errkind.Overloaded) && q.Chat != nil && d.streams.HasRemote() {
 		n.Choice, n.Reason = "abroad", err.Error()
-		release, remote, err = func() {}, true, d.mayBeginRemote(q)
+		release, remote, err = func() {}, true, nil
 	}
 	if err != nil {
 		n.Choice, n.Reason = "refused", err.Error()
--- a/dispatch/shutdown.go
+++ b/dispatch/shutdown.go
@@ -49,16 +49,6 @@
 	return d.Window.Decide(d.departure(q, now), now).LateErr()
 }
 
-// mayBeginRemote returns an error of kind Stopping if the box shuts down before the deadline of a chat that a box of another data
-// centre would run for it, which can't be handed over.
-func (d *Dispatcher) mayBeginRemote(q Call) error {
-	if !d.Window.HasBegun() {
-		return nil
-	}
-	now := boottime.Now()
-	return d.Window.Decide(shutdown.Request{Expires: now.Add(time.Until(q.deadline()))}, now).LateErr()
-}
-
 // mayForward returns an error of kind Stopping if this process can't wait for the outcome of a call that another one holds. The stream
 // of a chat can be read from there by any box.
 func (d *Dispatcher) mayForward(q Call) error {
--- a/stream/relay.go
+++ b/stream/relay.go
@@ -47,6 +47,7 @@
 	Box         string
 	Incarnation string
 	Address     string
+	Remote      bool // an entry box of another data centre runs the attempt, not an endpoint
 }
 
 // readRequest asks for the tokens of a stream from an index on.
@@ -225,14 +226,11 @@
 // handOver hands the stream over to a peer. If the peer may have adopted the stream without
 // confirming it, this box only continues to read and starts no other attempt.
 func (r *run) handOver(c context.Context, to member.Member) (outcome, recovery.Interruption) {
-	if r.target.endpoint == nil {
-		return r.reattach(c)
-	}
 	ts, _, _, _ := r.s.snapshot(0)
 	h := handoverRequest{
 		Request: r.s.Request, Tokens: ts, Attempt: r.attempt, LastAttempt: r.lastAttempt, Ran: r.mayHaveRun,
 		Counted: r.counted, MaxAttempts: r.maxAttempts,
-		Box: r.target.box, Incarnation: r.target.incarnation, Address: r.target.address,
+		Box: r.target.box, Incarnation: r.target.incarnation, Address: r.target.address, Remote: r.target.endpoint == nil,
 	}
 	x, cancel := context.WithTimeout(c, settleTimeout)
 	defer cancel()
@@ -254,8 +252,11 @@
 	if svc.base.Err() != nil || svc.draining.Load() {
 		return struct{}{}, errkind.New(errkind.Stopping, "this box stops too")
 	}
-	endpoint := svc.view.Endpoint(h.Box)
-	if endpoint == nil {
+	t := target{box: h.Box, incarnation: h.Incarnation, address: h.Address}
+	if !h.Remote {
+		t.endpoint = svc.view.Endpoint(h.Box)
+	}
+	if t.endpoint == nil && !h.Remote {
 		return struct{}{}, errkind.New(errkind.NoEndpoint, "box %s is not known here", h.Box)
 	}
 	s := newStream(h.Request)
@@ -265,7 +266,7 @@
 		r.attempt, r.lastAttempt, r.mayHaveRun = h.Attempt, max(h.Attempt, h.LastAttempt), h.Ran
 		r.counted, r.maxAttempts = cmp.Or(h.Counted, r.lastAttempt), h.MaxAttempts
 		r.splice.StartAttempt(h.Attempt)
-		r.setTarget(target{box: h.Box, incarnation: h.Incarnation, address: h.Address, endpoint: endpoint})
+		r.setTarget(t)
 		s.update(func() { s.stats.Attempts, s.stats.Box = h.Attempt, h.Box })
 		e, b := r.reattach(c)
 		r.drive(c, e, b)
--- a/stream/run.go
+++ b/stream/run.go
@@ -383,10 +383,7 @@
 func (r *run) awaitEndpoint(c context.Context, err error) (outcome, recovery.Interruption) {
 	clear(r.avoid)
 	for c.Err() == nil {
-		x, cancel := context.WithTimeout(c, retryInterval)
-		handedOver := r.awaitHandover(c, x.Done())
-		cancel()
-		if handedOver {
+		if r.awaitHandoverFor(c, retryInterval) {
 			return moveRequested, 0
 		}
 		if r.choose(c) == nil {
@@ -435,10 +432,7 @@
 		case r.isGone():
 			return interrupted, recovery.Gone
 		}
-		x, cancel := context.WithTimeout(c, retryInterval)
-		handedOver = r.awaitHandover(c, x.Done())
-		cancel()
-		if handedOver {
+		if r.awaitHandoverFor(c, retryInterval) {
 			return moveRequested, 0
 		}
 	}
@@ -482,6 +476,13 @@
 	}
 }
 
+// awaitHandoverFor is awaitHandover for a duration.
+func (r *run) awaitHandoverFor(c context.Context, d time.Duration) bool {
+	x, cancel := context.WithTimeout(c, d)
+	defer cancel()
+	return r.awaitHandover(c, x.Done())
+}
+
 // awaitPeer tries to reattach to a peer that carries the stream until the peer can be reached. The
 // peer continues the stream meanwhile. The outcome is unknown if the peer has terminated.
 func (r *run) awaitPeer(c context.Context) (outcome, recovery.Interruption) {
@@ -493,7 +494,9 @@
 		if e != interrupted || b != recovery.Disconnected && b != recovery.Stalled {
 			return e, b
 		}
-		wait.For(c, retryInterval)
+		if r.awaitHandoverFor(c, retryInterval) {
+			return moveRequested, 0
+		}
 	}
 	return interrupted, recovery.Stalled
 }
