--- a/front/front.go
+++ b/front/front.go
@@ -37,14 +37,15 @@
 // The limits that protect the server from slow or disconnected callers. maxHeldBytes limits the
 // request bodies that are held at the same time, and reservedBytes is kept for small ones beside it.
 const (
-	headerTimeout  = 5 * time.Second
-	bodyTimeout    = 15 * time.Second
-	writeTimeout   = 15 * time.Second
-	idleTimeout    = 2 * time.Minute
-	cancelDelay    = time.Second // between the handover of the streams and the end of the requests that are left
-	maxHeaderBytes = 32 << 10
-	maxHeldBytes   = 56 << 20
-	reservedBytes  = 8 << 20
+	headerTimeout   = 5 * time.Second
+	bodyTimeout     = 15 * time.Second
+	writeTimeout    = 15 * time.Second
+	idleTimeout     = 2 * time.Minute
+	handoverTimeout = 3 * time.Second
+	cancelDelay     = time.Second // between the handover of the streams and the end of the requests that are left
+	maxHeaderBytes  = 32 << 10
+	maxHeldBytes    = 56 << 20
+	reservedBytes   = 8 << 20
 )
 
 // Options configures a Front. MaxBody is the maximum size of a request body in bytes, and MaxRequests
@@ -136,7 +137,7 @@
 }
 
 // Stop shuts the server down. It first fails the readiness check and keeps accepting requests for
-// ShutdownDelay, then waits for the requests in progress. When ShutdownTimeout expires, it hands the
+// ShutdownDelay, then waits for the requests and streams in progress. When ShutdownTimeout expires, it hands the
 // remaining streams over to other boxes and cancels the remaining requests.
 func (f *Front) Stop(c context.Context) error {
 	f.SetNotReady()
@@ -151,24 +152,55 @@
 	go func() { done <- f.server.Shutdown(context.WithoutCancel(c)) }()
 	select {
 	case err := <-done:
+		f.leaveStreams(c)
 		return err
 	case <-f.timeout.C:
 	case <-c.Done():
 	}
-	f.isAlone.Store(!f.streams.CanHandOver())
-	n := f.streams.HandOver()
-	f.Log.Info().Str("event", "hand over").Int("streams", n).Msg("shutdown timeout expired")
+	f.handOver("shutdown timeout expired")
 	f.cancelRequests()
 	x, stop := context.WithTimeout(context.WithoutCancel(c), writeTimeout)
 	defer stop()
 	select {
 	case err := <-done:
+		f.awaitHandover(c)
 		return err
 	case <-x.Done():
 		return f.server.Close()
 	}
 }
 
+// handOver hands the remaining streams over to other boxes.
+func (f *Front) handOver(reason string) {
+	f.isAlone.Store(!f.streams.CanHandOver())
+	n := f.streams.HandOver()
+	f.Log.Info().Str("event", "hand over").Int("streams", n).Msg(reason)
+}
+
+// leaveStreams waits for streams that no request reads any more: those that other boxes read, and those whose callers may come back.
+// When ShutdownTimeout expires, it hands them over.
+func (f *Front) leaveStreams(c context.Context) {
+	x, cancel := context.WithCancel(c)
+	defer cancel()
+	drained := make(chan bool, 1)
+	go func() { drained <- f.streams.WaitDrained(x) }()
+	select {
+	case <-f.timeout.C:
+	case <-drained:
+	}
+	f.handOver("no request is left")
+	f.awaitHandover(c)
+}
+
+// awaitHandover waits until the streams are handed over.
+func (f *Front) awaitHandover(c context.Context) {
+	x, cancel := context.WithTimeout(context.WithoutCancel(c), handoverTimeout)
+	defer cancel()
+	if f.streams.CanHandOver() {
+		f.streams.WaitDrained(x)
+	}
+}
+
 // beginStop begins the times of Stop.
 func (f *Front) beginStop() {
 	f.mu.Lock()
--- a/stream/relay.go
+++ b/stream/relay.go
@@ -89,7 +89,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return nil, s.Read(c, q.From, func(i int, t string) error { return send(indexedToken{Index: i, Token: t, Software: s.software()}) })
+	err = s.Read(c, q.From, func(i int, t string) error { return send(indexedToken{Index: i, Token: t, Software: s.software()}) })
+	if moved, ok := errors.AsType[*MovedError](err); ok {
+		return nil, errkind.New(errkind.Unavailable, "%w", moved)
+	}
+	return nil, err
 }
 
 // startRelayed returns the stream of a relayed request. Unless q resumes one, the request passes
@@ -118,6 +122,24 @@
 	return s, nil
 }
 
+// followRelay reports whether a box of another data centre has taken the current attempt over from the one that ran it, and makes it
+// the target.
+func (r *run) followRelay(c context.Context) bool {
+	c, cancel := context.WithTimeout(c, settleTimeout)
+	defer cancel()
+	id := relayID(r.s.ID, r.attempt)
+	for _, m := range r.k.members.Up("") {
+		var has bool
+		if m.DataCentre == r.k.dc || m.Box == r.target.box || r.k.peers.Client.Call(c, m.Address, "stream.has", id, &has) != nil || !has {
+			continue
+		}
+		r.setTarget(target{box: m.Box, incarnation: m.Incarnation, address: m.Address})
+		r.logDecision("recover", "another box goes on with the attempt")
+		return true
+	}
+	return false
+}
+
 // relayID is the ID of a request at the peer that runs it for another data centre.
 func relayID(id string, attempt int) string { return fmt.Sprintf("%s.%d", id, attempt) }
 
--- a/stream/run.go
+++ b/stream/run.go
@@ -197,8 +197,11 @@
 	return func(x context.Context) (lineStream, error) { return e.Generate(x, q) }
 }
 
-// reattach continues to read the current attempt.
+// reattach continues to read the current attempt, after it was tried before also from the box that has taken it over.
 func (r *run) reattach(c context.Context) (outcome, recovery.Interruption) {
+	if r.target.endpoint == nil && r.reattaches > 0 {
+		r.followRelay(c)
+	}
 	return r.readAttempt(c, func(x context.Context) (lineStream, error) {
 		return r.executor.Resume(x, r.s.attempt(r.attempt, r.target.incarnation, r.splice.Next))
 	}, true)
@@ -487,7 +490,7 @@
 // peer continues the stream meanwhile. The outcome is unknown if the peer has terminated.
 func (r *run) awaitPeer(c context.Context) (outcome, recovery.Interruption) {
 	for c.Err() == nil {
-		if r.isGone() {
+		if r.isGone() && !r.followRelay(c) {
 			return interrupted, recovery.Gone
 		}
 		e, b := r.reattach(c)
