--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -56,10 +56,11 @@
 
 	expectedFaults
 
-	mu     sync.Mutex
-	cmd    *exec.Cmd
-	closed bool
-	termed []time.Time // when the box was sent SIGTERM
+	mu       sync.Mutex
+	cmd      *exec.Cmd
+	closed   bool
+	stopping bool        // the process has ended or was sent SIGTERM
+	termed   []time.Time // when processes of the box were first sent SIGTERM
 }
 
 // expectedFaults is the time until which callers may see failures.
@@ -88,6 +89,7 @@
 type Server struct {
 	*standin.Server
 	lossy      expectedFaults // of its link, and its end
+	closedLink expectedFaults // a link to it has closed connections in order
 	endless    expectedFaults // it sends bytes without end
 	busy       expectedFaults // it is silent, refuses requests or says that it may
 	leaving    expectedFaults // it has said when it ends, so that its runs are moved or resumed
@@ -277,9 +279,12 @@
 	if err := c.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", b.Name, err)
 	}
-	b.cmd, b.settings = c, b.restart
+	b.cmd, b.settings, b.stopping = c, b.restart, false
 	go func() {
 		_ = c.Wait()
+		b.mu.Lock()
+		b.stopping = true
+		b.mu.Unlock()
 		time.Sleep(restartPause)
 		// A box that fails to restart fails the readiness check and its callers' checks.
 		_ = b.start()
@@ -304,7 +309,8 @@
 func (b *Box) Signal(s syscall.Signal) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if s == syscall.SIGTERM {
+	if s == syscall.SIGTERM && !b.stopping {
+		b.stopping = true
 		b.termed = append(b.termed, time.Now())
 	}
 	if b.cmd != nil && b.cmd.Process != nil {
@@ -312,6 +318,16 @@
 	}
 }
 
+// sinceStop describes a time by the last SIGTERM to the box.
+func (b *Box) sinceStop(at time.Time) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.termed) == 0 {
+		return "before a SIGTERM"
+	}
+	return fmt.Sprintf("%.2fs after the SIGTERM", at.Sub(b.termed[len(b.termed)-1]).Seconds())
+}
+
 // lateShare is the last part of the graceful shutdown in which a box may cut requests at which servers work, and lateAfter the time after its
 // start from which requests may not be cut.
 const (
@@ -319,7 +335,8 @@
 	lateAfter = 3 * time.Second
 )
 
-// MayCut reports whether the box may cut a request, sent and cut at these times, at which a server works since the box has been told to stop.
+// MayCut reports whether the box may cut a request, wholly sent and cut at these times, at which a server works since the box has been told to
+// stop.
 func (b *Box) MayCut(sent, cut time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -346,10 +363,13 @@
 }
 
 // replaceServer starts a replacement for a server, calls announce for the old one and stops it after
-// a time.
+// a time. It does nothing if there are no longer that many servers.
 func (f *Fleet) replaceServer(i int, after time.Duration, announce func(*Server)) error {
 	f.serversMu.Lock()
 	defer f.serversMu.Unlock()
+	if i >= len(f.Servers) {
+		return nil
+	}
 	s := f.Servers[i]
 	n, err := f.newServer(s.dataCentre)
 	if err != nil {
