--- a/daemon/numbers_test.go
+++ b/daemon/numbers_test.go
@@ -25,7 +25,7 @@
 		}
 		t.Run(strings.Join(f[:4], " "), func(t *testing.T) {
 			t.Parallel()
-			v := newOrderTest(t)
+			v := newOrderTest(t, 0)
 			defer func() { stopAll(t, v.boxes) }()
 			step, err := strconv.Atoi(f[0])
 			require.NoError(t, err)
--- a/daemon/order_test.go
+++ b/daemon/order_test.go
@@ -49,9 +49,10 @@
 	example error // of an event that does not follow
 }
 
-func newOrderTest(t testing.TB) *orderTest {
+// newOrderTest returns a test whose boxes have a slack of retries, zero for 100.
+func newOrderTest(t testing.TB, slack int) *orderTest {
 	v := &orderTest{platform: newPlatform(t, 0), streams: irregularStreams, atOnce: irregularStreams}
-	v.events, v.work, v.log = 20, 3*time.Millisecond, &boxLog{}
+	v.events, v.work, v.log, v.slack = 20, 3*time.Millisecond, &boxLog{}, slack
 	for range 6 {
 		v.startServer()
 	}
@@ -171,6 +172,18 @@
 	return regular, departing
 }
 
+// requireDenied checks that each attempt that brought no whole answer was denied a credit for a repeat.
+func (v *orderTest) requireDenied() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, id := range v.failed {
+		require.Contains(v.t, v.log.requests(id), `"payment":"denied"`)
+	}
+}
+
+// amplePay is a slack of retries with which boxes that have just started have a credit for each repeat that a line of the script needs.
+const amplePay = 4000
+
 // Tests that callers get no event that repeats, goes back or follows a missing one, and no answer that ends early as a
 // whole one, whatever the servers' streams do.
 func TestStreamsRepeatEventsOrEndEarly(t *testing.T) {
@@ -181,32 +194,39 @@
 		if len(f) == 0 || f[0] == "#" {
 			continue
 		}
-		t.Run(strings.Join(f[:4], " "), func(t *testing.T) {
-			t.Parallel()
-			v := newOrderTest(t)
-			defer func() { stopAll(t, v.boxes) }()
-			defer v.logFailed()
-			unframed := f[0] == "unframed"
-			for _, s := range v.servers {
-				s.SendIrregular(standin.Irregular{Unframed: unframed, First: standin.Departure(f[2]), Resumed: standin.Departure(f[3])})
-			}
-			regular, departing := v.count(f[1])
-			t.Logf("regular %+v, departing %+v", regular, departing)
-			require.NoError(t, errors.Join(regular.example, departing.example))
-			require.Equal(t, orderCount{whole: regular.whole}, regular)
-			if f[4] == "early" {
-				require.Equal(t, orderCount{early: departing.early}, departing)
-				return
-			}
-			require.Zero(t, departing.early)
-			switch f[4] {
-			case "all":
-				require.Equal(t, orderCount{whole: departing.whole}, departing)
-			case "some":
-				require.Positive(t, departing.whole)
-			default:
-				require.Zero(t, departing.whole)
-			}
-		})
+		name := strings.Join(f[:4], " ")
+		t.Run(name, func(t *testing.T) { testOrder(t, f, 0) })
+		if f[4] == "paid" {
+			t.Run(name+" with credits", func(t *testing.T) { testOrder(t, f, amplePay) })
+		}
+	}
+}
+
+// testOrder reads the streams of a line of the script at boxes with a slack of retries.
+func testOrder(t *testing.T, f []string, slack int) {
+	t.Parallel()
+	v := newOrderTest(t, slack)
+	defer func() { stopAll(t, v.boxes) }()
+	defer v.logFailed()
+	unframed := f[0] == "unframed"
+	for _, s := range v.servers {
+		s.SendIrregular(standin.Irregular{Unframed: unframed, First: standin.Departure(f[2]), Resumed: standin.Departure(f[3])})
+	}
+	regular, departing := v.count(f[1])
+	t.Logf("regular %+v, departing %+v", regular, departing)
+	require.NoError(t, errors.Join(regular.example, departing.example))
+	require.Equal(t, orderCount{whole: regular.whole}, regular)
+	if f[4] == "early" {
+		require.Equal(t, orderCount{early: departing.early}, departing)
+		return
+	}
+	require.Zero(t, departing.early)
+	switch {
+	case f[4] == "all" || f[4] == "paid" && slack == amplePay:
+		require.Equal(t, orderCount{whole: departing.whole}, departing)
+	case f[4] == "paid":
+		v.requireDenied()
+	default:
+		require.Zero(t, departing.whole)
 	}
 }
--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -39,6 +39,7 @@
 	version    string // of the servers that start from now on
 	peers      string // address on which the next box listens for others; empty for a free one
 	breakAfter int    // events after which their streams break off; zero for never
+	slack      int    // of the retries of the boxes that start from now on; zero for 100
 
 	// The slots of the servers, zero for 64, the number of events of their streams, zero for three, and the time before each
 	// event.
@@ -227,10 +228,10 @@
 [store]
 address = %s
 [retries]
-slack = 100
+slack = %d
 [log]
 level = %s
-%s`, name, dc, b.callersAddress, b.readyAddress, cmp.Or(p.peers, freePeerAddress(p.t)), b.metricsAddress, p.storeAddress, level, strings.Join(more, "\n")))
+%s`, name, dc, b.callersAddress, b.readyAddress, cmp.Or(p.peers, freePeerAddress(p.t)), b.metricsAddress, p.storeAddress, cmp.Or(p.slack, 100), level, strings.Join(more, "\n")))
 	require.NoError(p.t, err)
 	b.PlatformDaemon, err = daemon.NewPlatformDaemon(s, log, options...)
 	require.NoError(p.t, err)
