--- a/answertimes/tracker_test.go
+++ b/answertimes/tracker_test.go
@@ -94,7 +94,7 @@
 	now = now.Add(time.Hour)
 	key := accuracy.Key{Service: "new", Route: "r"}
 	k.Record(key, time.Second, now)
-	require.Equal(t, answertimes.Estimate{Long: 3 * time.Second, Samples: 1}, k.Long(key, now))
+	require.Equal(t, answertimes.Estimate{Long: 3 * time.Second, Samples: 1}, k.Long(key, 1, now))
 }
 
 func TestConcurrentUse(t *testing.T) {
