--- a/dispatch/shutdown.go
+++ b/dispatch/shutdown.go
@@ -9,7 +9,7 @@
 )
 
 // WaitContext returns a context that ends when the call may no longer be sent to an endpoint because this box shuts down. Its cause is
-// then of kind Stopping. Of a chat only the deadline must be set, and of a plain call also the service, the method and the kind.
+// then of kind Stopping. Of a chat only the deadline must be set, and of a plain call also the service, the method, the kind and whether it may be repeated.
 func (d *Dispatcher) WaitContext(c context.Context, q Call) (context.Context, context.CancelFunc) {
 	x, cancel := context.WithCancelCause(c)
 	h := d.streams.HandedOver()
--- a/front/service.go
+++ b/front/service.go
@@ -104,7 +104,9 @@
 	if !s.document.HasService(n) {
 		return errkind.New(errkind.UnknownService, "no service %q", n)
 	}
-	head := &serviceproxy.Request{Service: n, Method: s.r.Method, Kind: s.headers.kind, Deadline: s.headers.deadline}
+	head := &serviceproxy.Request{
+		Service: n, Method: s.r.Method, Kind: s.headers.kind, Repeatable: isRepeatable(s.r, s.headers), Deadline: s.headers.deadline,
+	}
 	b, release, err := f.readCallBody(s, dispatch.Call{Plain: head})
 	if err != nil {
 		return err
--- a/serviceproxy/shutdown.go
+++ b/serviceproxy/shutdown.go
@@ -22,7 +22,7 @@
 }
 
 // WaitContext returns a context that ends when the request may no longer be sent to an endpoint because the box shuts down. Its cause
-// is then of kind Stopping. Of the request only the service, the method, the kind and the deadline count.
+// is then of kind Stopping. Of the request only the service, the method, the kind, the deadline and whether it may be repeated count.
 func (p *Proxy) WaitContext(c context.Context, q Request) (context.Context, context.CancelFunc) {
 	x, cancel := context.WithCancelCause(c)
 	stop := p.Window.AfterFunc(
