--- a/answertimes/tracker.go
+++ b/answertimes/tracker.go
@@ -8,12 +8,14 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"birchlink.dev/birchlink/accuracy"
 	"birchlink.dev/birchlink/ring"
 )
 
 const (
-	// maxSamples bounds the samples of a key, of which the newest count, and maxKeys the keys. Samples of further keys are ignored.
+	// maxSamples bounds the samples of a key, of which the newest count, and maxKeys the keys, of which those used last are kept.
 	maxSamples = 64
 	maxKeys    = 256
 
@@ -37,7 +39,7 @@
 // Tracker keeps the newest durations of answers by key. Its zero value is ready to use, and its methods may be called concurrently.
 type Tracker struct {
 	mu      sync.Mutex
-	samples map[accuracy.Key]*ring.Ring[sample]
+	samples *simplelru.LRU[accuracy.Key, *ring.Ring[sample]] // nil before the first one
 }
 
 // sample is one answer.
@@ -50,16 +52,13 @@
 func (t *Tracker) Record(k accuracy.Key, took time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.samples[k]
-	if r == nil {
-		if len(t.samples) >= maxKeys {
-			return
-		}
-		if t.samples == nil {
-			t.samples = map[accuracy.Key]*ring.Ring[sample]{}
-		}
+	if t.samples == nil {
+		t.samples, _ = simplelru.NewLRU[accuracy.Key, *ring.Ring[sample]](maxKeys, nil) // the size is above zero
+	}
+	r, ok := t.samples.Get(k)
+	if !ok {
 		r = ring.New[sample](maxSamples)
-		t.samples[k] = r
+		t.samples.Add(k, r)
 	}
 	r.Add(sample{took, now})
 }
@@ -68,7 +67,11 @@
 func (t *Tracker) Long(k accuracy.Key, p float64, now time.Time) Estimate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	ds, newest := t.recent(t.samples[k], now)
+	if t.samples == nil {
+		return Estimate{}
+	}
+	r, _ := t.samples.Peek(k)
+	ds, newest := recent(r, now)
 	isOwn := len(ds) > 0
 	if !isOwn {
 		ds, newest = t.recentOfService(k.Service, now)
@@ -87,7 +90,7 @@
 }
 
 // recent returns the durations of a ring that count, and when the newest one ended. The lock must be held.
-func (t *Tracker) recent(r *ring.Ring[sample], now time.Time) (ds []time.Duration, newest time.Time) {
+func recent(r *ring.Ring[sample], now time.Time) (ds []time.Duration, newest time.Time) {
 	if r == nil {
 		return nil, newest
 	}
@@ -104,11 +107,12 @@
 
 // recentOfService is recent for all routes of a service.
 func (t *Tracker) recentOfService(service string, now time.Time) (ds []time.Duration, newest time.Time) {
-	for k, r := range t.samples {
+	for _, k := range t.samples.Keys() {
 		if k.Service != service {
 			continue
 		}
-		more, at := t.recent(r, now)
+		r, _ := t.samples.Peek(k)
+		more, at := recent(r, now)
 		if ds = append(ds, more...); at.After(newest) {
 			newest = at
 		}
