--- a/forward/liveness.go
+++ b/forward/liveness.go
@@ -8,6 +8,7 @@
 	"mime"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -15,6 +16,7 @@
 	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/httpconn"
 	"birchlink.dev/birchlink/liveness"
+	"birchlink.dev/birchlink/wait"
 )
 
 // HealthCodec translates the health check of endpoints.
@@ -60,7 +62,7 @@
 	e, ended := r.trace.Choice.Endpoint, boottime.Now()
 	var ask liveness.AskFunc
 	if path := r.q.Service.HealthPath; path != "" && r.f.Health != nil {
-		ask = func(c context.Context) error { return r.f.checkHealth(c, e, path) }
+		ask = func(c context.Context) error { return r.f.askHealth(c, e, path) }
 	}
 	f := r.f.Liveness.Outlives(c, e.Incarnation(), ended, ask)
 	outcome := "unproven"
@@ -78,6 +80,24 @@
 	return fmt.Errorf("%w: %s", errConnectionEnd, f.Err.Error())
 }
 
+// A health check whose connection ends without an answer is sent again: an endpoint resets connections that are too many. The pause doubles
+// from minCheckInterval on.
+const (
+	minCheckInterval = 20 * time.Millisecond
+	maxChecks        = 6
+)
+
+// askHealth sends health checks to an endpoint until its process answers, it is found not to, or c is done.
+func (f *Forwarder) askHealth(c context.Context, e endpoint.Endpoint, path string) error {
+	for i := 0; ; i++ {
+		err := f.checkHealth(c, e, path)
+		if err == nil || errors.Is(err, errOtherProcess) || errors.Is(err, httpconn.ErrUnreachable) || c.Err() != nil || i == maxChecks-1 {
+			return err
+		}
+		wait.For(c, minCheckInterval<<i)
+	}
+}
+
 // checkHealth sends a health check to an endpoint. The error is nil if its process has answered, whatever the answer says. The
 // check goes over a new connection: a process that is about to end may answer on one that it has not closed yet.
 func (f *Forwarder) checkHealth(c context.Context, e endpoint.Endpoint, path string) error {
