--- a/forward/liveness.go
+++ b/forward/liveness.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"mime"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -15,6 +12,7 @@
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/httpconn"
+	"birchlink.dev/birchlink/jsonhttp"
 	"birchlink.dev/birchlink/liveness"
 	"birchlink.dev/birchlink/wait"
 )
@@ -48,8 +46,7 @@
 
 // confirmPlainEnd is confirmEnd for a response that is not a stream.
 func (r *run) confirmPlainEnd(c context.Context, h http.Header, body []byte) error {
-	kind, _, _ := mime.ParseMediaType(h.Get("Content-Type")) // an invalid one is none of JSON
-	if (kind == "application/json" || strings.HasSuffix(kind, "+json")) && !json.Valid(body) {
+	if jsonhttp.IsPart(h, body) {
 		metrics.GetOrRegisterCounter("answers.unframed.part_of_json", r.f.Metrics).Inc(1)
 		return errPartOfJSON
 	}
--- a/serviceproxy/outlived.go
+++ b/serviceproxy/outlived.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"mime"
 	"net/http"
-	"strings"
 
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/fleet"
@@ -25,8 +22,7 @@
 // endpoint has closed the connection itself, since its process has outlived that.
 func (p *Proxy) confirmEnd(c context.Context, h http.Header, body []byte, s *view.EndpointState) error {
 	ended := boottime.Now()
-	kind, _, _ := mime.ParseMediaType(h.Get("Content-Type")) // an invalid one is none of JSON
-	if (kind == "application/json" || strings.HasSuffix(kind, "+json")) && !json.Valid(body) {
+	if jsonhttp.IsPart(h, body) {
 		return errPartOfJSON
 	}
 	var ask liveness.AskFunc
