--- a/forward/response.go
+++ b/forward/response.go
@@ -174,7 +174,6 @@
 	seq    *eventRun
 	before preamble
 	held   []sse.Event // events that may follow a missing one
-	last   uint64      // hash of the last event of the answer, as of package endmark
 	out    attemptResult
 }
 
@@ -245,7 +244,7 @@
 	}
 	if e.IsContent() {
 		s.seq.Accept(sequenceEvent(e))
-		s.last = endmark.HashOf(e.Raw)
+		r.lastEvent = endmark.HashOf(e.Raw)
 		r.recordNumbering()
 	}
 	r.recordEvent(s.n, &s.out)
@@ -337,7 +336,9 @@
 		out.err = errSuperseded
 	default:
 		r.recordSurvival(resp, out.firstEventAt)
-		r.f.EndMarks.Record(r.q.Service.Name, r.trace.Choice.Endpoint.ID, s.last)
+		if out.advanced {
+			r.f.EndMarks.Record(r.q.Service.Name, r.trace.Choice.Endpoint.ID, r.lastEvent)
+		}
 		out.done = true
 	}
 }
@@ -345,15 +346,14 @@
 // confirmStreamEnd is confirmEnd for a stream. If its run was told to stop, the end of the connection is that of the stopped
 // run, unless the source says that nothing runs. A stream of a service whose streams end with a mark ends with it.
 func (r *run) confirmStreamEnd(c context.Context, s *attemptStream) error {
-	out := &s.out
-	if out.advanced && r.f.EndMarks.Lacks(r.q.Service.Name, s.last) {
-		metrics.GetOrRegisterCounter("answers.unframed.unmarked", r.f.Metrics).Inc(1)
-		return errNoEndMark
-	}
 	if r.stream.isToldToStop() {
-		if out.stopped = r.stream.settle(false); out.stopped != nil || !r.stream.hasNoRun() {
+		if s.out.stopped = r.stream.settle(false); s.out.stopped != nil || !r.stream.hasNoRun() {
 			return errConnectionEnd
 		}
 	}
+	if r.answer.Passed() > 0 && r.f.EndMarks.Lacks(r.q.Service.Name, r.lastEvent) {
+		metrics.GetOrRegisterCounter("answers.unframed.unmarked", r.f.Metrics).Inc(1)
+		return errNoEndMark
+	}
 	return r.confirmEnd(c, answerStream)
 }
