--- a/front/front.go
+++ b/front/front.go
@@ -81,6 +81,7 @@
 	metrics        metrics.Registry
 
 	mu       sync.Mutex
+	acceptBy time.Time   // when the box accepts no more requests; zero before Stop
 	stopBy   time.Time   // when the remaining streams are handed over; zero before Stop
 	accepted *time.Timer // ends ShutdownDelay
 	timeout  *time.Timer // fires at stopBy
@@ -207,7 +208,7 @@
 	defer f.mu.Unlock()
 	limit := f.ShutdownDelay + f.ShutdownTimeout
 	f.Window.Begin(boottime.Now(), f.ShutdownDelay, limit)
-	f.stopBy = time.Now().Add(limit)
+	f.acceptBy, f.stopBy = time.Now().Add(f.ShutdownDelay), time.Now().Add(limit)
 	f.accepted, f.timeout = time.NewTimer(f.ShutdownDelay), time.NewTimer(limit)
 }
 
@@ -226,6 +227,7 @@
 		f.stopBy = t
 		f.Window.Shorten(boottime.Now().Add(remaining))
 		f.timeout.Reset(remaining)
+		f.accepted.Reset(min(time.Until(f.acceptBy), remaining/4))
 	}
 }
 
