--- a/serviceproxy/proxy.go
+++ b/serviceproxy/proxy.go
@@ -64,6 +64,8 @@
 	Weight     float64
 	Rate       float64
 	Deadline   time.Time
+
+	mayHaveRun bool // an earlier attempt may have run
 }
 
 // Admission returns the request in the form that admission control needs.
@@ -170,6 +172,7 @@
 			return nil, quarantineError(err, st)
 		}
 		sent := boottime.Now()
+		q.mayHaveRun = st.MayHaveRun
 		resp, interruption, err := p.attempt(c, q, s, st.Attempts)
 		p.recordAnswerTime(c, q, sent, err)
 		if err == nil {
@@ -350,8 +353,15 @@
 	s.InFlight.Add(1)
 	defer s.InFlight.Add(-1)
 	var connected atomic.Bool
+	var late error // why the request was not sent once there was a connection
 	x := httptrace.WithClientTrace(c, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(i httptrace.GotConnInfo) {
+			if late = p.MaySend(q); late != nil && !q.mayHaveRun {
+				_ = i.Conn.Close()
+				return
+			}
+			connected.Store(true)
+		},
 	})
 	r, err := http.NewRequestWithContext(x, q.Method, "http://"+s.Address+q.Path, bytes.NewReader(q.Body))
 	if err != nil {
@@ -367,6 +377,9 @@
 		if connected.Load() {
 			return nil, recovery.Disconnected, fmt.Errorf("call %s: %w", s.Name, err)
 		}
+		if late != nil {
+			return nil, recovery.Unreachable, late
+		}
 		return nil, recovery.Unreachable, fmt.Errorf("reach %s: %w", s.Name, err)
 	}
 	defer resp.Body.Close()
