--- a/forward/liveness.go
+++ b/forward/liveness.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"time"
 
@@ -77,8 +78,8 @@
 	return fmt.Errorf("%w: %s", errConnectionEnd, f.Err.Error())
 }
 
-// A health check whose connection ends without an answer is sent again: an endpoint resets connections that are too many. The pause doubles
-// from minCheckInterval on.
+// A health check whose connection ends without an answer, or is not accepted in time, is sent again: an endpoint resets connections
+// that are too many. The pause doubles from minCheckInterval on.
 const (
 	minCheckInterval = 20 * time.Millisecond
 	maxChecks        = 6
@@ -88,13 +89,20 @@
 func (f *Forwarder) askHealth(c context.Context, e endpoint.Endpoint, path string) error {
 	for i := 0; ; i++ {
 		err := f.checkHealth(c, e, path)
-		if err == nil || errors.Is(err, errOtherProcess) || errors.Is(err, httpconn.ErrUnreachable) || c.Err() != nil || i == maxChecks-1 {
+		isFinal := errors.Is(err, errOtherProcess) || errors.Is(err, httpconn.ErrUnreachable) && !isTimeout(err)
+		if err == nil || isFinal || c.Err() != nil || i == maxChecks-1 {
 			return err
 		}
 		wait.For(c, minCheckInterval<<i)
 	}
 }
 
+// isTimeout reports whether a connection failed because nothing came back.
+func isTimeout(err error) bool {
+	var n net.Error
+	return errors.As(err, &n) && n.Timeout()
+}
+
 // checkHealth sends a health check to an endpoint. The error is nil if its process has answered, whatever the answer says. The
 // check goes over a new connection: a process that is about to end may answer on one that it has not closed yet.
 func (f *Forwarder) checkHealth(c context.Context, e endpoint.Endpoint, path string) error {
