--- a/forward/migrate_test.go
+++ b/forward/migrate_test.go
@@ -391,7 +391,7 @@
 	}
 	drain := a.drain
 	a.drain = func() {
-		s.f.Shutdown.Begin(boottime.Now(), 0, time.Minute)
+		s.f.Shutdown.Begin(boottime.Now(), 0, time.Millisecond) // before the deadline of the request, which would allow everything
 		es.byName["b"].register(s.f.Roster, "d", v.reclaim, 0)
 		if v.c {
 			es.add("c").register(s.f.Roster, cmp.Or(v.dataCentreOfC, "d"), v.reclaim, 0)
