--- a/liveness/prober_test.go
+++ b/liveness/prober_test.go
@@ -104,3 +104,27 @@
 		time.Sleep(5 * time.Second) // the first question of i-1 ends
 	})
 }
+
+// The one who asks may leave while others wait for the same answer.
+func TestSharedQuestionEndsWithItsFirstCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var p liveness.Prober
+		ask := func(c context.Context) error {
+			select {
+			case <-time.After(10 * time.Millisecond):
+				return nil
+			case <-c.Done():
+				return c.Err()
+			}
+		}
+		moment := boottime.Now()
+		first, leave := context.WithTimeout(t.Context(), time.Millisecond)
+		defer leave()
+		findings := make(chan liveness.Finding, 2)
+		go func() { findings <- p.Outlives(first, "i-1", moment, ask) }()
+		synctest.Wait()
+		go func() { findings <- p.Outlives(t.Context(), "i-1", moment, ask) }()
+		require.Equal(t, liveness.Cancelled, (<-findings).Reason)
+		require.Equal(t, liveness.Finding{Outlived: true, Reason: liveness.Asked}, <-findings)
+	})
+}
