--- a/endmark/census_test.go
+++ b/endmark/census_test.go
@@ -52,3 +52,17 @@
 	require.False(t, changed.Lacks("s", other))
 	require.False(t, changed.Lacks("s", other))
 }
+
+// Sound streams that end with one of two events are refused for good if those with the other one are more frequent.
+func TestSecondMarkIsNeverLearnt(t *testing.T) {
+	var c endmark.Census
+	record(&c, 16, 2, "data: [DONE]\n\n")
+	lacking := 0
+	for range 100 {
+		if c.Lacks("s", endmark.HashOf([]byte("event: limit\ndata: {}\n\n"))) {
+			lacking++
+		}
+		record(&c, 9, 2, "data: [DONE]\n\n")
+	}
+	require.Less(t, lacking, 100)
+}
