--- a/answertimes/tracker.go
+++ b/answertimes/tracker.go
@@ -3,6 +3,7 @@
 package answertimes
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sync"
@@ -29,9 +30,11 @@
 	otherRoutesFactor = 3
 )
 
-// Estimate is the time within which a part of the answers end, from the first send of their requests on.
+// Estimate is the time within which a part of the answers end, from the first send of their requests on. If IsBound is set, it is only
+// known that they take longer: their requests ended at their deadlines.
 type Estimate struct {
 	Long    time.Duration // zero if there are no samples
+	IsBound bool
 	Samples int
 	Age     time.Duration // of the newest sample
 }
@@ -42,14 +45,35 @@
 	samples *simplelru.LRU[accuracy.Key, *ring.Ring[sample]] // nil before the first one
 }
 
-// sample is one answer.
+// sample is one answer, which would have taken longer if isBound is set.
 type sample struct {
-	took time.Duration
-	at   time.Time // when it ended
+	took    time.Duration
+	isBound bool
+	at      time.Time // when it ended
 }
 
-// Record records an answer that ended whole or at the deadline of its request. Answers whose callers left tell nothing.
+// compare orders samples by the time that they took, as far as it is known.
+func compare(a, b sample) int {
+	if a.isBound != b.isBound {
+		if a.isBound {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Compare(a.took, b.took)
+}
+
+// Record records an answer that ended whole. Answers whose callers left tell nothing.
 func (t *Tracker) Record(k accuracy.Key, took time.Duration, now time.Time) {
+	t.record(k, sample{took: took, at: now})
+}
+
+// RecordBound records an answer that was not whole when its request ended at its deadline.
+func (t *Tracker) RecordBound(k accuracy.Key, took time.Duration, now time.Time) {
+	t.record(k, sample{took: took, isBound: true, at: now})
+}
+
+func (t *Tracker) record(k accuracy.Key, s sample) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.samples == nil {
@@ -60,7 +84,7 @@
 		r = ring.New[sample](maxSamples)
 		t.samples.Add(k, r)
 	}
-	r.Add(sample{took, now})
+	r.Add(s)
 }
 
 // Long returns the time that the fraction p of the answers of a key does not exceed.
@@ -71,51 +95,49 @@
 		return Estimate{}
 	}
 	r, _ := t.samples.Peek(k)
-	ds, newest := recent(r, now)
-	isOwn := len(ds) > 0
+	ss := recent(r, now)
+	isOwn := len(ss) > 0
 	if !isOwn {
-		ds, newest = t.recentOfService(k.Service, now)
+		ss = t.recentOfService(k.Service, now)
 	}
-	n := len(ds)
+	n := len(ss)
 	if n == 0 {
 		return Estimate{}
 	}
-	slices.Sort(ds)
-	e := Estimate{Long: otherRoutesFactor * ds[n-1], Samples: n, Age: now.Sub(newest)}
+	newest := slices.MaxFunc(ss, func(a, b sample) int { return a.at.Compare(b.at) })
+	slices.SortFunc(ss, compare)
+	at := ss[n-1]
+	if isOwn {
+		at = ss[int(math.Ceil(p*float64(n)))-1]
+	}
+	e := Estimate{Long: otherRoutesFactor * at.took, IsBound: at.isBound, Samples: n, Age: now.Sub(newest.at)}
 	if isOwn {
-		d := ds[int(math.Ceil(p*float64(n)))-1]
-		e.Long = d + fewSamples*d/time.Duration(n)
+		e.Long = at.took + fewSamples*at.took/time.Duration(n)
 	}
 	return e
 }
 
-// recent returns the durations of a ring that count, and when the newest one ended. The lock must be held.
-func recent(r *ring.Ring[sample], now time.Time) (ds []time.Duration, newest time.Time) {
+// recent returns the samples of a ring that count. The lock must be held.
+func recent(r *ring.Ring[sample], now time.Time) (ss []sample) {
 	if r == nil {
-		return nil, newest
+		return nil
 	}
 	for s := range r.Newest() {
 		if now.Sub(s.at) > maxAge {
 			break
 		}
-		if ds = append(ds, s.took); s.at.After(newest) {
-			newest = s.at
-		}
+		ss = append(ss, s)
 	}
-	return ds, newest
+	return ss
 }
 
 // recentOfService is recent for all routes of a service.
-func (t *Tracker) recentOfService(service string, now time.Time) (ds []time.Duration, newest time.Time) {
+func (t *Tracker) recentOfService(service string, now time.Time) (ss []sample) {
 	for _, k := range t.samples.Keys() {
-		if k.Service != service {
-			continue
-		}
-		r, _ := t.samples.Peek(k)
-		more, at := recent(r, now)
-		if ds = append(ds, more...); at.After(newest) {
-			newest = at
+		if k.Service == service {
+			r, _ := t.samples.Peek(k)
+			ss = append(ss, recent(r, now)...)
 		}
 	}
-	return ds, newest
+	return ss
 }
--- a/answertimes/tracker_test.go
+++ b/answertimes/tracker_test.go
@@ -30,7 +30,7 @@
 var shares = map[string]float64{"long": 0.95, "longest": 1}
 
 // TestScripts plays the commands "record COUNT TIME", "other COUNT TIME" for another route, "foreign COUNT TIME" for one of another
-// service, "wait TIME" "long TIME SAMPLES AGE" and "longest TIME SAMPLES AGE".
+// service, "wait TIME" "bound COUNT TIME", "long TIME SAMPLES AGE" and "longest TIME SAMPLES AGE", both with the word longer for a bound.
 func TestScripts(t *testing.T) {
 	for _, s := range script.Read(t, "testdata/scripts.txt") {
 		t.Run(s.Name, func(t *testing.T) {
@@ -39,9 +39,9 @@
 			for _, l := range s.Lines {
 				f := strings.Fields(l)
 				switch f[0] {
-				case "record", "other", "foreign":
+				case "record", "bound", "other", "foreign":
 					at := key
-					if f[0] != "record" {
+					if f[0] == "other" || f[0] == "foreign" {
 						at.Route = f[0]
 					}
 					if f[0] == "foreign" {
@@ -50,6 +50,10 @@
 					n, err := strconv.Atoi(f[1])
 					require.NoError(t, err, l)
 					for range n {
+						if f[0] == "bound" {
+							k.RecordBound(at, duration(t, f[2]), now)
+							continue
+						}
 						k.Record(at, duration(t, f[2]), now)
 					}
 				case "wait":
@@ -57,7 +61,7 @@
 				case "long", "longest":
 					n, err := strconv.Atoi(f[2])
 					require.NoError(t, err, l)
-					require.Equal(t, answertimes.Estimate{Long: duration(t, f[1]), Samples: n, Age: duration(t, f[3])}, k.Long(key, shares[f[0]], now), l)
+					require.Equal(t, answertimes.Estimate{Long: duration(t, f[1]), IsBound: len(f) > 4, Samples: n, Age: duration(t, f[3])}, k.Long(key, shares[f[0]], now), l)
 				default:
 					t.Fatalf("unknown command %q", l)
 				}
--- a/forward/shutdown.go
+++ b/forward/shutdown.go
@@ -86,6 +86,6 @@
 	case err == nil && r.shared.succeeded.Load():
 		r.f.AnswerTimes.Record(r.accuracyKey(), now.Sub(sent), now)
 	case err != nil && r.mayHaveRun && !now.Before(r.q.Expires) && !errors.Is(c.Err(), context.Canceled):
-		r.f.AnswerTimes.Record(r.accuracyKey(), r.q.Expires.Sub(sent), now)
+		r.f.AnswerTimes.RecordBound(r.accuracyKey(), r.q.Expires.Sub(sent), now)
 	}
 }
--- a/serviceproxy/shutdown.go
+++ b/serviceproxy/shutdown.go
@@ -47,9 +47,12 @@
 // recordAnswerTime records how long an answer took that ended with err. The time of one that was ended by its deadline counts too,
 // since the answer would have taken longer.
 func (p *Proxy) recordAnswerTime(c context.Context, q Request, sent time.Time, err error) {
-	if err == nil || errors.Is(c.Err(), context.DeadlineExceeded) {
-		now := boottime.Now()
+	now := boottime.Now()
+	switch {
+	case err == nil:
 		p.answers.Record(q.answerKey(), now.Sub(sent), now)
+	case errors.Is(c.Err(), context.DeadlineExceeded):
+		p.answers.RecordBound(q.answerKey(), now.Sub(sent), now)
 	}
 }
 
--- a/shutdown/error.go
+++ b/shutdown/error.go
@@ -57,5 +57,5 @@
 	d := r.Decision
 	a := d.Request.Answer
 	e.Str("stop_why", string(d.Reason)).Dur("stop_latest", d.Latest.Sub(d.Began)).Dur("stop_ends", d.Ends.Sub(d.Began)).
-		Dur("stop_deadline", d.Request.Expires.Sub(d.Began)).Dur("answers_long", a.Long).Int("answers_samples", a.Samples).Dur("answers_age", a.Age)
+		Dur("stop_deadline", d.Request.Expires.Sub(d.Began)).Dur("answers_long", a.Long).Bool("answers_longer", a.IsBound).Int("answers_samples", a.Samples).Dur("answers_age", a.Age)
 }
--- a/shutdown/window.go
+++ b/shutdown/window.go
@@ -136,7 +136,7 @@
 	switch t := w.ends.Add(-q.Answer.Long); {
 	case !q.Expires.After(w.ends):
 		d.Latest, d.Reason, allowed = q.Expires, Expired, DeadlineEnds
-	case q.Answer.Long <= 0:
+	case q.Answer.Long <= 0 || q.Answer.IsBound:
 		d.Latest, d.Reason = w.began, NotMeasured
 	case t.Before(d.Latest):
 		d.Latest, d.Reason = t, TooLong
