--- a/endmark/census.go
+++ b/endmark/census.go
@@ -5,17 +5,24 @@
 
 import (
 	"bytes"
+	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
+
+	"birchlink.dev/birchlink/ring"
 )
 
 const (
-	// minAnswers is the number of whole answers in a row, of two endpoints at least, that must end with the same event.
-	minAnswers = 16
+	// numAnswers is the number of a service's newest whole answers, of two endpoints at least, of which all must end with one of
+	// maxMarks events.
+	numAnswers = 16
+	maxMarks   = 2
 
-	// maxLacking is the number of answers in a row without the mark after which the service is taken to have changed.
-	maxLacking = 8
+	// numLacking is the number of the newest last events that are remembered of answers that lacked a mark. An event among them that
+	// comes again is a mark, too: cut answers end with events of their own. After as many in a row the service is taken to have
+	// changed.
+	numLacking = 8
 )
 
 // Census records the last events of each service's newest whole answers. Its zero value is ready to use, and its methods may be
@@ -27,15 +34,41 @@
 
 // tally is what is known of the answers of one service.
 type tally struct {
-	last      uint64 // the event with which they end
-	answers   int    // in a row
-	endpoint  string // of the first of them
-	isGeneral bool   // another endpoint ends its answers so, too
-	lacking   int    // answers since that lacked the event
+	ends    *ring.Ring[end]  // of whole answers
+	lacking *ring.Ring[lack] // answers that lacked a mark
+	row     int              // how many did in a row
+}
+
+// end is the last event of an answer, and the endpoint that sent it.
+type end struct {
+	event    uint64
+	endpoint string
 }
 
-// hasMark reports whether the answers are known to end with the same event.
-func (t *tally) hasMark() bool { return t.answers >= minAnswers && t.isGeneral }
+// lack is an answer that ended with an event that is no mark.
+type lack struct {
+	answer string
+	event  uint64
+}
+
+// marks returns the events with which the answers end, or none if that is not known.
+func (t *tally) marks() []uint64 {
+	var marks []uint64
+	answers, first, isGeneral := 0, "", false
+	for e := range t.ends.Newest() {
+		if answers++; answers == 1 {
+			first = e.endpoint
+		}
+		isGeneral = isGeneral || e.endpoint != first
+		if !slices.Contains(marks, e.event) {
+			marks = append(marks, e.event)
+		}
+	}
+	if answers < numAnswers || !isGeneral || len(marks) > maxMarks {
+		return nil
+	}
+	return marks
+}
 
 // HashOf returns a hash of an event by which it is known in other streams, whatever its ID.
 func HashOf(raw []byte) uint64 {
@@ -54,28 +87,38 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.services[service]
-	if t == nil || t.last != last {
+	if t == nil {
 		if c.services == nil {
 			c.services = map[string]*tally{}
 		}
-		t = &tally{last: last, endpoint: endpoint}
+		t = &tally{ends: ring.New[end](numAnswers), lacking: ring.New[lack](numLacking)}
 		c.services[service] = t
 	}
-	t.answers, t.lacking = t.answers+1, 0
-	t.isGeneral = t.isGeneral || t.endpoint != endpoint
+	t.ends.Add(end{last, endpoint})
+	t.row = 0
 }
 
-// Lacks reports whether the answers of a service are known to end with another event than this, with which one has ended.
-func (c *Census) Lacks(service string, last uint64) bool {
+// Lacks reports whether the answers of a service are known to end with other events than this, with which one has ended. The answer is
+// the ID of its request.
+func (c *Census) Lacks(service, answer string, last uint64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.services[service]
-	if t == nil || !t.hasMark() || t.last == last {
+	if t == nil {
 		return false
 	}
-	if t.lacking++; t.lacking > maxLacking {
+	if marks := t.marks(); marks == nil || slices.Contains(marks, last) {
+		return false
+	}
+	for l := range t.lacking.Newest() {
+		if l.event == last {
+			return l.answer == answer
+		}
+	}
+	if t.row++; t.row > numLacking {
 		delete(c.services, service)
 		return false
 	}
+	t.lacking.Add(lack{answer, last})
 	return true
 }
--- a/forward/response.go
+++ b/forward/response.go
@@ -351,7 +351,7 @@
 			return errConnectionEnd
 		}
 	}
-	if r.answer.Passed() > 0 && r.f.EndMarks.Lacks(r.q.Service.Name, r.lastEvent) {
+	if r.answer.Passed() > 0 && r.f.EndMarks.Lacks(r.q.Service.Name, r.q.Call.ID, r.lastEvent) {
 		metrics.GetOrRegisterCounter("answers.unframed.unmarked", r.f.Metrics).Inc(1)
 		return errNoEndMark
 	}
