--- a/answertimes/tracker.go
+++ b/answertimes/tracker.go
@@ -3,36 +3,38 @@
 package answertimes
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"birchlink.dev/birchlink/accuracy"
 	"birchlink.dev/birchlink/ring"
 )
 
 const (
-	// maxSamples bounds the samples of a key, of which the newest count, and maxKeys the keys. Samples of further keys are ignored.
+	// maxSamples bounds the samples of a key, of which the newest count, and maxKeys the keys, of which those used last are kept.
 	maxSamples = 64
 	maxKeys    = 256
 
 	// maxAge is the age from which a sample no longer counts.
 	maxAge = 5 * time.Minute
 
-	// minSamples is the number of samples from which they show what share of the answers takes how long.
-	minSamples = 20
+	// fewSamples over the number of samples is what is added to an estimate, as a part of it, since few of them miss longer answers.
+	fewSamples = 2
 
-	// quantileFactor times the duration that the fraction quantile of the answers does not exceed is a long answer. With few samples
-	// it is longestFactor times the longest one, and with none longestFactor times the longest one of the service's other routes.
-	quantile       = 0.95
-	quantileFactor = 2
-	longestFactor  = 3
+	// otherRoutesFactor times the longest answer of a service's other routes is the estimate for one without samples.
+	otherRoutesFactor = 3
 )
 
-// Estimate is the time within which nearly all answers end, from the first send of their requests on.
+// Estimate is the time within which a part of the answers end, from the first send of their requests on. If IsBound is set, it is only
+// known that they take longer: their requests ended at their deadlines.
 type Estimate struct {
 	Long    time.Duration // zero if there are no samples
+	IsBound bool
 	Samples int
 	Age     time.Duration // of the newest sample
 }
@@ -40,79 +42,102 @@
 // Tracker keeps the newest durations of answers by key. Its zero value is ready to use, and its methods may be called concurrently.
 type Tracker struct {
 	mu      sync.Mutex
-	samples map[accuracy.Key]*ring.Ring[sample]
+	samples *simplelru.LRU[accuracy.Key, *ring.Ring[sample]] // nil before the first one
 }
 
-// sample is one answer.
+// sample is one answer, which would have taken longer if isBound is set.
 type sample struct {
-	took time.Duration
-	at   time.Time // when it ended
+	took    time.Duration
+	isBound bool
+	at      time.Time // when it ended
+}
+
+// compare orders samples by the time that they took, as far as it is known.
+func compare(a, b sample) int {
+	if a.isBound != b.isBound {
+		if a.isBound {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Compare(a.took, b.took)
 }
 
-// Record records an answer that ended whole or at the deadline of its request. Answers whose callers left tell nothing.
+// Record records an answer that ended whole. Answers whose callers left tell nothing.
 func (t *Tracker) Record(k accuracy.Key, took time.Duration, now time.Time) {
+	t.record(k, sample{took: took, at: now})
+}
+
+// RecordBound records an answer that was not whole when its request ended at its deadline.
+func (t *Tracker) RecordBound(k accuracy.Key, took time.Duration, now time.Time) {
+	t.record(k, sample{took: took, isBound: true, at: now})
+}
+
+func (t *Tracker) record(k accuracy.Key, s sample) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.samples[k]
-	if r == nil {
-		if len(t.samples) >= maxKeys {
-			return
-		}
-		if t.samples == nil {
-			t.samples = map[accuracy.Key]*ring.Ring[sample]{}
-		}
+	if t.samples == nil {
+		t.samples, _ = simplelru.NewLRU[accuracy.Key, *ring.Ring[sample]](maxKeys, nil) // the size is above zero
+	}
+	r, ok := t.samples.Get(k)
+	if !ok {
 		r = ring.New[sample](maxSamples)
-		t.samples[k] = r
+		t.samples.Add(k, r)
 	}
-	r.Add(sample{took, now})
+	r.Add(s)
 }
 
-// Long returns the estimate for a key.
-func (t *Tracker) Long(k accuracy.Key, now time.Time) Estimate {
+// Long returns the time that the fraction p of the answers of a key does not exceed.
+func (t *Tracker) Long(k accuracy.Key, p float64, now time.Time) Estimate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	ds, newest := t.recent(t.samples[k], now)
-	isOwn := len(ds) > 0
+	if t.samples == nil {
+		return Estimate{}
+	}
+	r, _ := t.samples.Peek(k)
+	ss := recent(r, now)
+	isOwn := len(ss) > 0
 	if !isOwn {
-		ds, newest = t.recentOfService(k.Service, now)
+		ss = t.recentOfService(k.Service, now)
 	}
-	if len(ds) == 0 {
+	n := len(ss)
+	if n == 0 {
 		return Estimate{}
 	}
-	slices.Sort(ds)
-	e := Estimate{Long: longestFactor * ds[len(ds)-1], Samples: len(ds), Age: now.Sub(newest)}
-	if isOwn && len(ds) >= minSamples {
-		e.Long = quantileFactor * ds[int(math.Ceil(quantile*float64(len(ds))))-1]
+	newest := slices.MaxFunc(ss, func(a, b sample) int { return a.at.Compare(b.at) })
+	slices.SortFunc(ss, compare)
+	at := ss[n-1]
+	if isOwn {
+		at = ss[int(math.Ceil(p*float64(n)))-1]
+	}
+	e := Estimate{Long: otherRoutesFactor * at.took, IsBound: at.isBound, Samples: n, Age: now.Sub(newest.at)}
+	if isOwn {
+		e.Long = at.took + fewSamples*at.took/time.Duration(n)
 	}
 	return e
 }
 
-// recent returns the durations of a ring that count, and when the newest one ended. The lock must be held.
-func (t *Tracker) recent(r *ring.Ring[sample], now time.Time) (ds []time.Duration, newest time.Time) {
+// recent returns the samples of a ring that count. The lock must be held.
+func recent(r *ring.Ring[sample], now time.Time) (ss []sample) {
 	if r == nil {
-		return nil, newest
+		return nil
 	}
 	for s := range r.Newest() {
 		if now.Sub(s.at) > maxAge {
 			break
 		}
-		if ds = append(ds, s.took); s.at.After(newest) {
-			newest = s.at
-		}
+		ss = append(ss, s)
 	}
-	return ds, newest
+	return ss
 }
 
 // recentOfService is recent for all routes of a service.
-func (t *Tracker) recentOfService(service string, now time.Time) (ds []time.Duration, newest time.Time) {
-	for k, r := range t.samples {
-		if k.Service != service {
-			continue
-		}
-		more, at := t.recent(r, now)
-		if ds = append(ds, more...); at.After(newest) {
-			newest = at
+func (t *Tracker) recentOfService(service string, now time.Time) (ss []sample) {
+	for _, k := range t.samples.Keys() {
+		if k.Service == service {
+			r, _ := t.samples.Peek(k)
+			ss = append(ss, recent(r, now)...)
 		}
 	}
-	return ds, newest
+	return ss
 }
--- a/dispatch/shutdown.go
+++ b/dispatch/shutdown.go
@@ -9,7 +9,7 @@
 )
 
 // WaitContext returns a context that ends when the call may no longer be sent to an endpoint because this box shuts down. Its cause is
-// then of kind Stopping. Of a chat only the deadline must be set, and of a plain call also the service, the method and the kind.
+// then of kind Stopping. Of a chat only the deadline must be set, and of a plain call also the service, the method, the kind and whether it may be repeated.
 func (d *Dispatcher) WaitContext(c context.Context, q Call) (context.Context, context.CancelFunc) {
 	x, cancel := context.WithCancelCause(c)
 	h := d.streams.HandedOver()
@@ -49,16 +49,6 @@
 	return d.Window.Decide(d.departure(q, now), now).LateErr()
 }
 
-// mayBeginRemote returns an error of kind Stopping if the box shuts down before the deadline of a chat that a box of another data
-// centre would run for it, which can't be handed over.
-func (d *Dispatcher) mayBeginRemote(q Call) error {
-	if !d.Window.HasBegun() {
-		return nil
-	}
-	now := boottime.Now()
-	return d.Window.Decide(shutdown.Request{Expires: now.Add(time.Until(q.deadline()))}, now).LateErr()
-}
-
 // mayForward returns an error of kind Stopping if this process can't wait for the outcome of a call that another one holds. The stream
 // of a chat can be read from there by any box.
 func (d *Dispatcher) mayForward(q Call) error {
--- a/forward/liveness.go
+++ b/forward/liveness.go
@@ -2,19 +2,20 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"mime"
+	"net"
 	"net/http"
-	"strings"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/httpconn"
+	"birchlink.dev/birchlink/jsonhttp"
 	"birchlink.dev/birchlink/liveness"
+	"birchlink.dev/birchlink/wait"
 )
 
 // HealthCodec translates the health check of endpoints.
@@ -46,8 +47,7 @@
 
 // confirmPlainEnd is confirmEnd for a response that is not a stream.
 func (r *run) confirmPlainEnd(c context.Context, h http.Header, body []byte) error {
-	kind, _, _ := mime.ParseMediaType(h.Get("Content-Type")) // an invalid one is none of JSON
-	if (kind == "application/json" || strings.HasSuffix(kind, "+json")) && !json.Valid(body) {
+	if jsonhttp.IsPart(h, body) {
 		metrics.GetOrRegisterCounter("answers.unframed.part_of_json", r.f.Metrics).Inc(1)
 		return errPartOfJSON
 	}
@@ -60,7 +60,7 @@
 	e, ended := r.trace.Choice.Endpoint, boottime.Now()
 	var ask liveness.AskFunc
 	if path := r.q.Service.HealthPath; path != "" && r.f.Health != nil {
-		ask = func(c context.Context) error { return r.f.checkHealth(c, e, path) }
+		ask = func(c context.Context) error { return r.f.askHealth(c, e, path) }
 	}
 	f := r.f.Liveness.Outlives(c, e.Incarnation(), ended, ask)
 	outcome := "unproven"
@@ -74,7 +74,33 @@
 	if f.Outlived {
 		return nil
 	}
-	return fmt.Errorf("%w: %w", errConnectionEnd, f.Err)
+	// The error of the check is none of the attempt's: a refused connection would show that the request did not arrive.
+	return fmt.Errorf("%w: %s", errConnectionEnd, f.Err.Error())
+}
+
+// A health check whose connection ends without an answer, or is not accepted in time, is sent again: an endpoint resets connections
+// that are too many. The pause doubles from minCheckInterval on.
+const (
+	minCheckInterval = 20 * time.Millisecond
+	maxChecks        = 6
+)
+
+// askHealth sends health checks to an endpoint until its process answers, it is found not to, or c is done.
+func (f *Forwarder) askHealth(c context.Context, e endpoint.Endpoint, path string) error {
+	for i := 0; ; i++ {
+		err := f.checkHealth(c, e, path)
+		isFinal := errors.Is(err, errOtherProcess) || errors.Is(err, httpconn.ErrUnreachable) && !isTimeout(err)
+		if err == nil || isFinal || c.Err() != nil || i == maxChecks-1 {
+			return err
+		}
+		wait.For(c, minCheckInterval<<i)
+	}
+}
+
+// isTimeout reports whether a connection failed because nothing came back.
+func isTimeout(err error) bool {
+	var n net.Error
+	return errors.As(err, &n) && n.Timeout()
 }
 
 // checkHealth sends a health check to an endpoint. The error is nil if its process has answered, whatever the answer says. The
--- a/forward/run.go
+++ b/forward/run.go
@@ -57,6 +57,7 @@
 	late         error                                    // why the request can't be sent before the box has shut down; nil if it can
 	headSent     bool                                     // the sink has received a head
 	answer       sequence.Answer[string, eventid.Decimal] // what the sink has received of a stream
+	lastEvent    uint64                                   // hash of the last event that the sink has received, as of package endmark
 	moves        int                                      // moves of the request's run between endpoints
 	credit       *credit                                  // pays for the next arrival; nil if there is none
 
@@ -263,10 +264,15 @@
 	return d
 }
 
+// isRefusedConnection reports whether the endpoint refused the attempt's connection.
+func (r attemptResult) isRefusedConnection() bool {
+	return r.interruption == recovery.Unreachable && errors.Is(r.err, syscall.ECONNREFUSED)
+}
+
 // recordFailure records a failed attempt by the way it ended.
 func (r *run) recordFailure(out attemptResult, e endpoint.Endpoint) {
 	switch {
-	case errors.Is(out.err, syscall.ECONNREFUSED):
+	case out.isRefusedConnection():
 		r.refusedDials++
 	case out.interruption == recovery.Unreachable:
 		r.failedDials++
--- a/serviceproxy/shutdown.go
+++ b/serviceproxy/shutdown.go
@@ -22,7 +22,7 @@
 }
 
 // WaitContext returns a context that ends when the request may no longer be sent to an endpoint because the box shuts down. Its cause
-// is then of kind Stopping. Of the request only the service, the method, the kind and the deadline count.
+// is then of kind Stopping. Of the request only the service, the method, the kind, the deadline and whether it may be repeated count.
 func (p *Proxy) WaitContext(c context.Context, q Request) (context.Context, context.CancelFunc) {
 	x, cancel := context.WithCancelCause(c)
 	stop := p.Window.AfterFunc(
@@ -41,15 +41,18 @@
 
 // departure returns what decides whether the request may be sent while the box shuts down.
 func (p *Proxy) departure(q Request, now time.Time) shutdown.Request {
-	return shutdown.Request{Expires: now.Add(time.Until(q.Deadline)), Answer: p.answers.Long(q.answerKey(), now)}
+	return shutdown.Request{Expires: now.Add(time.Until(q.Deadline)), Answer: p.answers.Long(q.answerKey(), shutdown.AnswerShare(q.Repeatable), now)}
 }
 
 // recordAnswerTime records how long an answer took that ended with err. The time of one that was ended by its deadline counts too,
 // since the answer would have taken longer.
 func (p *Proxy) recordAnswerTime(c context.Context, q Request, sent time.Time, err error) {
-	if err == nil || errors.Is(c.Err(), context.DeadlineExceeded) {
-		now := boottime.Now()
+	now := boottime.Now()
+	switch {
+	case err == nil:
 		p.answers.Record(q.answerKey(), now.Sub(sent), now)
+	case errors.Is(c.Err(), context.DeadlineExceeded):
+		p.answers.RecordBound(q.answerKey(), now.Sub(sent), now)
 	}
 }
 
--- a/shutdown/window.go
+++ b/shutdown/window.go
@@ -27,6 +27,18 @@
 	NotMeasured  Reason = "not_measured"  // it is not known how long answers take
 )
 
+// repeatableShare is the part of the answers to repeatable requests that must be known to end in time. Their callers go on elsewhere
+// if one is cut, at about the cost of a refusal.
+const repeatableShare = 0.95
+
+// AnswerShare returns the part of the answers to requests of a kind that must be known to end in time.
+func AnswerShare(isRepeatable bool) float64 {
+	if isRepeatable {
+		return repeatableShare
+	}
+	return 1
+}
+
 // Request is what a decision depends on besides the time.
 type Request struct {
 	Expires time.Time // deadline
@@ -124,7 +136,7 @@
 	switch t := w.ends.Add(-q.Answer.Long); {
 	case !q.Expires.After(w.ends):
 		d.Latest, d.Reason, allowed = q.Expires, Expired, DeadlineEnds
-	case q.Answer.Long <= 0:
+	case q.Answer.Long <= 0 || q.Answer.IsBound:
 		d.Latest, d.Reason = w.began, NotMeasured
 	case t.Before(d.Latest):
 		d.Latest, d.Reason = t, TooLong
