--- a/answertimes/tracker.go
+++ b/answertimes/tracker.go
@@ -100,6 +100,7 @@
 	if !isOwn {
 		ss = t.recentOfService(k.Service, now)
 	}
+	ss = dropLowBounds(ss)
 	n := len(ss)
 	if n == 0 {
 		return Estimate{}
@@ -117,6 +118,17 @@
 	return e
 }
 
+// dropLowBounds removes the bounds below the longest answer that was whole, which say nothing of how many answers take longer than that.
+func dropLowBounds(ss []sample) []sample {
+	var longest time.Duration
+	for _, s := range ss {
+		if !s.isBound {
+			longest = max(longest, s.took)
+		}
+	}
+	return slices.DeleteFunc(ss, func(s sample) bool { return s.isBound && s.took < longest })
+}
+
 // recent returns the samples of a ring that count. The lock must be held.
 func recent(r *ring.Ring[sample], now time.Time) (ss []sample) {
 	if r == nil {
