--- a/forward/continue.go
+++ b/forward/continue.go
@@ -58,7 +58,7 @@
 	if c.Err() == nil {
 		outcome = "refused"
 		if used == s.handle { // a handle serves once, so the source needs another
-			if a, err := r.f.copyRun(c, r.q.Call.ID, s.source, refused, true, s.ends); err == nil && a.Handle != "" {
+			if a, err := r.stopAndCopy(c, s.source, refused, s.ends); err == nil && a.Handle != "" {
 				s.handle = a.Handle
 			}
 		}
@@ -88,7 +88,7 @@
 			return false
 		}
 		s.skip[t.choice.Endpoint.Incarnation()] = true
-		a, err := r.f.copyRun(c, r.q.Call.ID, s.source, t.choice.Endpoint, true, s.ends)
+		a, err := r.stopAndCopy(c, s.source, t.choice.Endpoint, s.ends)
 		if a.Handle != "" {
 			s.handle = a.Handle
 		}
@@ -141,5 +141,5 @@
 	if out.eventCount > 0 && !last.IsZero() {
 		e.Dur("pause", out.firstEventAt.Sub(last))
 	}
-	e.Msg("decision")
+	e.Func(r.marshalStopOrders(s.source)).Msg("decision")
 }
--- a/forward/liveness.go
+++ b/forward/liveness.go
@@ -69,7 +69,7 @@
 	}
 	metrics.GetOrRegisterCounter("answers.unframed."+outcome, r.f.Metrics).Inc(1)
 	r.f.Log.Info().Str("event", "connection end").Str("request", r.q.Call.ID).Str("endpoint", e.ID).Int64("born", e.StartMillis).Str("answer", kind).
-		Str("outcome", outcome).Str("process", string(f.Reason)).Dur("took", boottime.Since(ended)).Err(f.Err).
+		Str("outcome", outcome).Str("process", string(f.Reason)).Dur("took", boottime.Since(ended)).Func(r.marshalStopOrders(e)).Err(f.Err).
 		Msg("the answer has neither length nor chunks, and its connection ended in order")
 	if f.Outlived {
 		return nil
--- a/forward/move.go
+++ b/forward/move.go
@@ -10,11 +10,13 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
 
 	"birchlink.dev/birchlink/balance"
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/call"
 	"birchlink.dev/birchlink/endpoint"
+	"birchlink.dev/birchlink/stoporder"
 	"birchlink.dev/birchlink/wait"
 )
 
@@ -234,7 +236,7 @@
 		}
 		e := t.choice.Endpoint
 		m.skip[e.Incarnation()] = true
-		a, err := m.copy(e, false)
+		a, err := m.copy(e)
 		switch {
 		case err == nil && a.Result == call.Copied:
 			return m.stopRun(t, a), e
@@ -265,7 +267,7 @@
 	s.watchdog.hold(true)
 	began, ttl := boottime.Now(), cmp.Or(s.r.q.Service.Engine.BackupTTL, defaultHandleTTL)
 	for retries := 0; ; {
-		a, err := m.copy(t.choice.Endpoint, true)
+		a, err := s.r.stopAndCopy(m.c, s.choice.Endpoint, t.choice.Endpoint, m.ends)
 		switch {
 		case err == nil && a.Handle != "" && (a.Result == call.Copied || a.Result == call.NoRoom):
 			m.result, m.confirmed = m.stopped(a, t), true
@@ -392,16 +394,39 @@
 	}
 }
 
-// copy asks the source to copy the memory of the run.
-func (m *move) copy(to endpoint.Endpoint, last bool) (call.Copy, error) {
-	return m.s.r.f.copyRun(m.c, m.s.r.q.Call.ID, m.s.choice.Endpoint, to, last, m.ends)
+// copy asks the source to copy the memory of the run, which goes on.
+func (m *move) copy(to endpoint.Endpoint) (call.Copy, error) {
+	return m.s.r.f.copyRun(m.c, m.s.r.q.Call.ID, m.s.choice.Endpoint, to, m.ends, nil)
 }
 
-func (f *Forwarder) copyRun(c context.Context, id string, source, to endpoint.Endpoint, last bool, ends time.Time) (call.Copy, error) {
-	q, err := f.Moves.Copy(id, source, to, last)
+// stopAndCopy orders the source to stop the run of the request, and to copy its memory.
+func (r *run) stopAndCopy(c context.Context, source, to endpoint.Endpoint, ends time.Time) (call.Copy, error) {
+	l, number := &r.shared.stopOrders, 0
+	a, err := r.f.copyRun(c, r.q.Call.ID, source, to, ends, func() { number = l.Send(source.Incarnation()) })
+	answer := a.Result.String()
+	if err != nil {
+		answer = stoporder.Unanswered
+	}
+	if number > 0 {
+		l.Answer(source.Incarnation(), number, answer)
+		metrics.GetOrRegisterCounter("moves.orders."+answer, r.f.Metrics).Inc(1)
+	}
+	return a, err
+}
+
+// copyRun asks the source to copy the memory of a run. If onStop is not nil, the source is to stop the run first, and onStop is called
+// directly before it is told so.
+func (f *Forwarder) copyRun(c context.Context, id string, source, to endpoint.Endpoint, ends time.Time, onStop func()) (call.Copy, error) {
+	q, err := f.Moves.Copy(id, source, to, onStop != nil)
 	if err != nil {
 		return call.Copy{}, fmt.Errorf("copy to %s: %w", to.ID, err)
 	}
+	if onStop != nil {
+		q.ShouldSend = func() bool {
+			onStop()
+			return true
+		}
+	}
 	x, cancel := context.WithTimeout(c, min(max(boottime.Until(ends), minCopyTimeout), maxCopyTimeout))
 	defer cancel()
 	resp, err := f.Pool.Do(x, q)
@@ -466,5 +491,16 @@
 	s.mu.Unlock()
 	s.r.f.Log.Info().Str("event", "move").Str("request", s.r.q.Call.ID).Str("endpoint", s.choice.Endpoint.ID).Str("version", s.choice.Endpoint.Version).
 		Str("to", to.ID).Str("to_version", to.Version).Str("action", action).
-		Str("reason", outcome).Int("events", events).Dur("took", boottime.Since(since)).Dur("left", boottime.Until(ends)).Msg("decision")
+		Str("reason", outcome).Int("events", events).Dur("took", boottime.Since(since)).Dur("left", boottime.Until(ends)).
+		Func(s.r.marshalStopOrders(s.choice.Endpoint)).Msg("decision")
+}
+
+// marshalStopOrders returns a function that adds to a log entry how many orders to stop the request's run an endpoint was sent, and
+// what it answered.
+func (r *run) marshalStopOrders(e endpoint.Endpoint) func(*zerolog.Event) {
+	return func(l *zerolog.Event) {
+		if answers, sent := r.shared.stopOrders.Answers(e.Incarnation()); sent > 0 {
+			l.Int("stop_orders", sent).Strs("stop_answers", answers)
+		}
+	}
 }
--- a/forward/run.go
+++ b/forward/run.go
@@ -23,6 +23,7 @@
 	"birchlink.dev/birchlink/recovery"
 	"birchlink.dev/birchlink/rollout"
 	"birchlink.dev/birchlink/sequence"
+	"birchlink.dev/birchlink/stoporder"
 	"birchlink.dev/birchlink/wait"
 )
 
@@ -101,6 +102,7 @@
 	places        atomic.Int32              // questions for a place
 	runs          atomic.Int32              // runs that attempts began
 	firstSent     atomic.Pointer[time.Time] // when the request was first sent to an endpoint; nil before
+	stopOrders    stoporder.Log             // that endpoints were sent
 }
 
 // sentAt returns when the request was first sent to an endpoint; zero if it was not.
--- a/forward/sequence.go
+++ b/forward/sequence.go
@@ -111,14 +111,15 @@
 	r.f.Log.Info().Str("event", "stream event").Func(r.marshalStream).Str("id", shortID(id)).Str("verdict", v.String()).Msg("the event does not follow")
 }
 
-// recordEnd counts the end of an attempt's stream, and logs it unless it completes the answer. Err is what the end was read as.
+// recordEnd counts the end of an attempt's stream, and logs it unless it completes the answer of a run that was not told to stop. Err is
+// what the end was read as.
 func (r *run) recordEnd(v sequence.Verdict, resp *httpconn.Response, err error) {
 	metrics.GetOrRegisterCounter("streams.end."+v.String(), r.f.Metrics).Inc(1)
-	if v == sequence.Complete {
+	if v == sequence.Complete && !r.stream.isToldToStop() {
 		return
 	}
 	r.f.Log.Info().Str("event", "stream end").Func(r.marshalStream).Str("verdict", v.String()).Bool("framed", resp.Framed()).AnErr("read", err).
-		Msg("the end of the stream does not complete the answer")
+		Msg("the stream has ended")
 }
 
 // marshalStream adds to a log entry which attempt's stream it is about, and how far the answer is.
@@ -126,5 +127,6 @@
 	h := r.trace.Choice.Endpoint
 	e.Str("request", r.q.Call.ID).Str("endpoint", h.ID).Str("version", h.Version).Int64("born", h.StartMillis).Int("attempt", len(r.reached)+1).
 		Int("run", r.current).Int("moves", r.moves).Bool("continued", r.continued != nil).Bool("successor", r.successor != nil).
-		Str("after", shortID(r.q.Call.LastEventID)).Str("last_event", r.lastID()).Int("events", r.answer.Passed()).Bool("counted", r.answer.Counted)
+		Str("after", shortID(r.q.Call.LastEventID)).Str("last_event", r.lastID()).Int("events", r.answer.Passed()).Bool("counted", r.answer.Counted).
+		Func(r.marshalStopOrders(h))
 }
