--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -284,6 +284,17 @@
 			close(e.stopped)
 		}
 	}
+	if how, ok := strings.CutPrefix(b, "finished_"); ok { // the run stops, and its stream ends as a whole one does
+		e.all.endRuns(e.name)
+		e.finish()
+		answerStopped(w, how)
+		return
+	}
+	if how, ok := strings.CutPrefix(b, "stopped_"); ok {
+		stop()
+		answerStopped(w, how)
+		return
+	}
 	status := http.StatusOK
 	switch b {
 	case "ok":
@@ -394,6 +405,27 @@
 	}
 }
 
+// lateAnswer is longer than a box waits for the answer to an order.
+const lateAnswer = 1100 * time.Millisecond
+
+// answerStopped answers an order that has stopped a run without a handle: with a status, late, with a part of its body, or not at all.
+func answerStopped(w http.ResponseWriter, how string) {
+	switch how {
+	case "lost":
+		panic(http.ErrAbortHandler)
+	case "late":
+		<-time.After(lateAnswer)
+	case "cut":
+		w.Header().Set("Content-Length", "64")
+		fmt.Fprint(w, `{"handle":"h`)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	default:
+		status, _ := strconv.Atoi(how)
+		w.WriteHeader(status)
+	}
+}
+
 // finish ends the stream of a run that waits as a whole one.
 func (e *fakeEngine) finish() {
 	e.mu.Lock()
--- a/forward/migrate_test.go
+++ b/forward/migrate_test.go
@@ -321,6 +321,7 @@
 	b.version = strings.Trim(cmp.Or(v.versionB, b.version), "-") // "-" for unknown
 	var log bytes.Buffer
 	sink, err := v.send(t, es, s, &log)
+	require.False(t, err == nil && sink.events() != v.wantEvents, "the part %s ends as complete", sink.events())
 	es.check(t, v)
 	require.Equal(t, v.wantEvents, sink.events())
 	if v.wantData != "" {
