--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -82,7 +82,7 @@
 	notSent := errors.Is(err, httpconn.ErrNotSent)
 	out := attemptResult{interruption: recovery.Gone, err: cancelCause(x, err)}
 	if !unreachable && !notSent {
-		out.stopped = r.stream.settle(false)
+		out.stopped = r.stream.settle(streamCut)
 	}
 	r.endAttempt(n, c.Err() == nil && !notSent && out.stopped == nil, e)
 	switch {
@@ -149,6 +149,10 @@
 	switch s := r.continued; {
 	case s != nil:
 		a.HandleAddress, a.Handle = s.source.Address, s.handle
+		// If the last event comes again, an end without others shows that the answer is whole.
+		if before, ok := r.answer.Previous(); ok && before != "" && s.mayBeWhole {
+			a.LastEventID = before
+		}
 		return a, 0 // a handle serves once, so it must not be lost with an idle connection
 	case r.q.Route.Repeatable():
 		return a, maxIdleRepeatable
--- a/forward/continue.go
+++ b/forward/continue.go
@@ -18,18 +18,20 @@
 // allowed on any route, and is not an attempt.
 func (r *run) continueMoved(c context.Context, ch balance.Choice, out attemptResult) (balance.Choice, attemptResult) {
 	for out.stopped != nil {
+		from, s := ch, out.stopped
+		out.stopped = nil
 		if !r.answer.CanContinue() { // the run sent an event without an ID before it stopped
-			return r.discardStopped(out.stopped, noEventID, ch)
+			return r.discardStopped(s, noEventID, ch, out)
 		}
-		ch, out = r.continueStopped(c, ch, out.stopped)
+		ch, out = r.continueStopped(c, from, s, out)
 	}
 	return ch, out
 }
 
 // continueStopped continues a stopped run at its destination, at others to which the source copies
-// the memory again while there are credits for those that refused, or at the source. If all of them refuse, the
-// result is that of a lost run.
-func (r *run) continueStopped(c context.Context, from balance.Choice, s *stoppedRun) (balance.Choice, attemptResult) {
+// the memory again while there are credits for those that refused, or at the source if that is known to have stopped it. If all of
+// them refuse, the result is that of a lost run. Before is the result of the attempt at the source.
+func (r *run) continueStopped(c context.Context, from balance.Choice, s *stoppedRun, before attemptResult) (balance.Choice, attemptResult) {
 	r.moves++
 	r.trace.Moves = r.moves
 	var refused endpoint.Endpoint // the destination that used up the handle, if one did
@@ -55,10 +57,12 @@
 		}
 	}
 	outcome := "cancelled"
-	if c.Err() == nil {
+	if c.Err() == nil && !s.confirmed {
+		outcome = "refused"
+	} else if c.Err() == nil {
 		outcome = "refused"
 		if used == s.handle { // a handle serves once, so the source needs another
-			if a, err := r.stopAndCopy(c, s.source, refused, s.ends); err == nil && a.Handle != "" {
+			if a, err := r.stopAndCopy(c, s.source, refused, s.ends, isStopped); err == nil && a.Handle != "" {
 				s.handle = a.Handle
 			}
 		}
@@ -70,16 +74,23 @@
 			return from, out
 		}
 	}
-	return r.discardStopped(s, outcome, from)
+	return r.discardStopped(s, outcome, from, before)
 }
 
-// discardStopped gives up a stopped run. The result is that of a lost run.
-func (r *run) discardStopped(s *stoppedRun, outcome string, from balance.Choice) (balance.Choice, attemptResult) {
+// discardStopped gives up a stopped run. The result is that of a lost run or, if it is not known to have been stopped, of the attempt
+// at the source.
+func (r *run) discardStopped(s *stoppedRun, outcome string, from balance.Choice, before attemptResult) (balance.Choice, attemptResult) {
 	s.discard()
 	r.recordMove(s, outcome, from, attemptResult{})
+	if !s.confirmed {
+		return from, before
+	}
 	return from, attemptResult{interruption: recovery.Gone, err: fmt.Errorf("no endpoint continues the run that %s stopped", s.source.ID)}
 }
 
+// isStopped is the condition for further orders to stop a run whose stream has ended.
+func isStopped() bool { return true }
+
 // copyElsewhere copies the memory of a stopped run from its source to another destination.
 func (r *run) copyElsewhere(c context.Context, s *stoppedRun) bool {
 	for range maxTargets {
@@ -88,9 +99,9 @@
 			return false
 		}
 		s.skip[t.choice.Endpoint.Incarnation()] = true
-		a, err := r.stopAndCopy(c, s.source, t.choice.Endpoint, s.ends)
+		a, err := r.stopAndCopy(c, s.source, t.choice.Endpoint, s.ends, isStopped)
 		if a.Handle != "" {
-			s.handle = a.Handle
+			s.handle, s.confirmed = a.Handle, true
 		}
 		if err == nil && a.Result == call.Copied {
 			s.target = t
--- a/forward/migrate.go
+++ b/forward/migrate.go
@@ -118,11 +118,14 @@
 	passed   int // events of the request before this attempt
 	moves    int // of the request before this attempt
 
+	ordersBefore int // orders to stop a run of the request that the endpoint was sent before this attempt
+
 	mu          sync.Mutex
 	events      int
 	first, last time.Time // of the first and the last event
 	unnumbered  bool      // no other endpoint can go on after the last event
-	settled     bool      // the stream has ended
+	hasEnded    bool      // the stream has stated its end
+	settled     bool      // the stream has ended, and what becomes of it is known
 	move        *move     // the move in progress or the last one
 	moving      bool
 	retryAt     time.Time
@@ -138,7 +141,10 @@
 	if e := r.q.Service.Engine; r.f.Moves == nil || e == nil || !e.KVTransfer || !r.isStream() {
 		return nil
 	}
-	s := &runningStream{r: r, c: c, x: x, cancel: cancel, choice: ch, run: r.current, watchdog: w, started: boottime.Now(), passed: r.answer.Passed(), moves: r.moves}
+	s := &runningStream{
+		r: r, c: c, x: x, cancel: cancel, choice: ch, run: r.current, watchdog: w, started: boottime.Now(), passed: r.answer.Passed(), moves: r.moves,
+		ordersBefore: r.shared.stopOrders.Count(ch.Endpoint.Incarnation()),
+	}
 	r.f.streams.add(ch.Endpoint.Incarnation(), s)
 	return s
 }
@@ -148,7 +154,7 @@
 	if s == nil {
 		return
 	}
-	s.settle(true)
+	s.settle(streamWhole)
 	s.r.f.streams.remove(s.choice.Endpoint.Incarnation(), s)
 }
 
--- a/forward/move.go
+++ b/forward/move.go
@@ -16,6 +16,7 @@
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/call"
 	"birchlink.dev/birchlink/endpoint"
+	"birchlink.dev/birchlink/httpconn"
 	"birchlink.dev/birchlink/stoporder"
 	"birchlink.dev/birchlink/wait"
 )
@@ -80,10 +81,17 @@
 	since   time.Time       // when the move began
 	ends    time.Time       // when the source ends
 	stream  *runningStream
+
+	// confirmed reports that the source has answered that it stopped the run. Otherwise the handle is that of a copy that was made
+	// while the run went on, and mayBeWhole reports that its stream has ended as one that is whole.
+	confirmed, mayBeWhole bool
 }
 
-// discard frees the memory of a run that is not continued.
+// discard frees the memory of a run that is not continued, if there is one.
 func (s *stoppedRun) discard() {
+	if s == nil {
+		return
+	}
 	s.target.release()
 	s.stream.r.f.free(s.stream.c, s.source, s.handle)
 }
@@ -97,14 +105,11 @@
 	since  time.Time
 	skip   map[string]bool
 	broken chan struct{} // closed when the stream has ended without its end
+	closed bool          // its connection has ended in order; set before broken is closed
 	done   chan struct{} // closed when the fields below are final
 
-	lastSent bool        // the call that stops the run was sent; guarded by s.mu
-	noRun    bool        // the source answered the call with last that nothing runs, and the move didn't stop it
-	result   *stoppedRun // the run from which the request continues
-
-	// confirmed reports that the source has answered that it stopped the run.
-	confirmed bool
+	isStopping bool        // the run is told to stop until that is answered; guarded by s.mu
+	result     *stoppedRun // the run from which the request continues
 
 	// sourceEnded reports that the source did not answer before its announced end, so that it may not send any more.
 	sourceEnded bool
@@ -127,10 +132,18 @@
 	return true
 }
 
-// settle is called when the stream has ended, and reports whether it ended with its end. Otherwise it
-// waits for the move in progress and returns the stopped run from which the request continues, if
-// there is one.
-func (s *runningStream) settle(complete bool) *stoppedRun {
+// streamEnd is how a stream has ended.
+type streamEnd int
+
+const (
+	streamWhole  streamEnd = iota // with its end
+	streamClosed                  // without its end, or with one that an order to stop the run may have caused
+	streamCut                     // by an error
+)
+
+// settle is called when the stream has ended. Unless it is whole, settle waits for the move in progress and returns the stopped run from
+// which the request continues, if there is one.
+func (s *runningStream) settle(end streamEnd) *stoppedRun {
 	if s == nil {
 		return nil
 	}
@@ -142,61 +155,60 @@
 		return nil
 	}
 	s.settled = true
-	if !complete {
+	if end != streamWhole {
+		m.closed = end == streamClosed
 		close(m.broken)
 	}
-	if complete || !m.lastSent {
+	if end == streamWhole || !m.isStopping {
 		m.stop()
 	}
 	s.mu.Unlock()
 	<-m.done
-	if complete && m.result != nil {
+	if end == streamWhole {
 		m.result.discard()
 		return nil
 	}
 	return m.result
 }
 
-// isToldToStop reports whether the run was told to stop.
-func (s *runningStream) isToldToStop() bool {
+// settleDoubted is settle for a stream that states its end, which an order to stop the run may have caused.
+func (s *runningStream) settleDoubted(isFramed bool) *stoppedRun {
 	if s == nil {
-		return false
+		return nil
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.move != nil && s.move.lastSent
+	m := s.move
+	s.mu.Unlock()
+	if m != nil && isFramed {
+		// The caller waits for the answer of the source, which comes after the copy.
+		t := time.AfterFunc(stopAnswerTimeout, m.stop)
+		defer t.Stop()
+	}
+	return s.settle(streamClosed)
 }
 
-// hasNoRun reports whether the source has said that nothing runs, and no call of this box has stopped the run. It must be called after
-// settle.
-func (s *runningStream) hasNoRun() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.move.noRun
+// isToldToStop reports whether an order to stop the run was sent.
+func (s *runningStream) isToldToStop() bool {
+	return s != nil && s.r.shared.stopOrders.Count(s.choice.Endpoint.Incarnation()) > s.ordersBefore
 }
 
-// settleStopped is called when the stream has ended with a statement of its end. If the run was told to stop meanwhile, and the source
-// says that it has stopped it, the answer is not whole, whatever its stream says: settleStopped returns the stopped run then. It
-// returns false if the source has not said whether it has.
-func (s *runningStream) settleStopped() (stopped *stoppedRun, isKnown bool) {
+// closeToOrders is called when the stream has stated its end. No order is sent afterwards, unless one was before: closeToOrders reports
+// that then.
+func (s *runningStream) closeToOrders() bool {
 	if s == nil {
-		return nil, true
-	}
-	if !s.isToldToStop() {
-		return nil, true
+		return false
 	}
 	s.mu.Lock()
-	m := s.move
-	s.mu.Unlock()
-	// The stream is at its end, so its caller waits for the answer of the source, which comes after the copy.
-	t := time.AfterFunc(stopAnswerTimeout, m.stop)
-	defer t.Stop()
-	stopped = s.settle(false)
-	if stopped != nil && !m.confirmed {
-		stopped.discard()
-		return nil, false
-	}
-	return stopped, stopped != nil || m.noRun
+	defer s.mu.Unlock()
+	s.hasEnded = true
+	return s.isToldToStop()
+}
+
+// mayOrder reports whether an order to stop the run may be sent: the stream has not ended, or one was sent before.
+func (s *runningStream) mayOrder() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.hasEnded || s.isToldToStop()
 }
 
 // run makes the move up to the stop of the run and the end of its stream.
@@ -215,7 +227,8 @@
 	close(m.done)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.moving = m.result != nil || m.lastSent && !m.noRun // a run that may be stopped is not moved from here again
+	isNoRun := s.r.shared.stopOrders.IsNoRun(s.choice.Endpoint.Incarnation(), s.ordersBefore)
+	s.moving = m.result != nil || s.isToldToStop() && !isNoRun // a run that may be stopped is not moved from here again
 	if outcome == call.NoRoom.String() || outcome == call.NoSuchRun.String() && s.events > 0 {
 		s.fruitless++
 	}
@@ -258,19 +271,22 @@
 }
 
 // stopRun stops the run and waits for the end of its stream. As long as the answer is not known, it
-// repeats the call: the request may continue only with a handle, or after its source has ended.
+// repeats the call: the request may continue only with a handle, or after its source has ended or has closed the stream.
 func (m *move) stopRun(t *moveTarget, copied call.Copy) string {
 	s := m.s
-	if obstacle := m.markLastSent(); obstacle != "" {
+	if obstacle := m.beginStop(); obstacle != "" {
 		return m.giveUp(t, copied, obstacle)
 	}
 	s.watchdog.hold(true)
-	began, ttl := boottime.Now(), cmp.Or(s.r.q.Service.Engine.BackupTTL, defaultHandleTTL)
+	ttl := cmp.Or(s.r.q.Service.Engine.BackupTTL, defaultHandleTTL)
 	for retries := 0; ; {
-		a, err := s.r.stopAndCopy(m.c, s.choice.Endpoint, t.choice.Endpoint, m.ends)
+		a, err := s.r.stopAndCopy(m.c, s.choice.Endpoint, t.choice.Endpoint, m.ends, s.mayOrder)
 		switch {
+		case errors.Is(err, httpconn.ErrNotSent):
+			return m.giveUp(t, copied, "stream_ended")
 		case err == nil && a.Handle != "" && (a.Result == call.Copied || a.Result == call.NoRoom):
-			m.result, m.confirmed = m.stopped(a, t), true
+			m.result = m.stopped(a, t)
+			m.result.confirmed = true
 			if a.Result == call.NoRoom {
 				t.release()
 				m.result.target = nil
@@ -285,8 +301,7 @@
 			m.result = m.stopped(copied, t)
 			return ""
 		case err == nil && a.Result == call.NoSuchRun && !m.isReplaced():
-			// Later, an earlier call may have stopped the run, and its memory has been freed since.
-			m.noRun = boottime.Since(began) < ttl
+			m.awaitBreak()
 			return m.giveUp(t, copied, a.Result.String())
 		case m.c.Err() != nil:
 			return m.giveUp(t, copied, "stream_ended")
@@ -295,8 +310,9 @@
 			retries++
 		}
 		repeatable := s.r.q.Route.Repeatable()
+		mayGoOn := repeatable || m.mayContinueCopy()
 		switch {
-		case m.isBroken() && (repeatable && retries > maxStopRetries || boottime.Since(m.since) > ttl):
+		case m.isBroken() && (mayGoOn && retries > maxStopRetries || boottime.Since(m.since) > ttl):
 			return m.giveUp(t, copied, "no_answer")
 		case repeatable && boottime.Now().After(m.ends.Add(endGrace)):
 			m.sourceEnded = true
@@ -306,11 +322,14 @@
 	}
 }
 
-// giveUp ends a move that did not stop the run. If the source has ended, the request can continue from
-// the copy made before.
+// giveUp ends a move that is not known to have stopped the run. If the source has closed the stream after it was told to stop the run,
+// or has ended, the request can continue from the copy made before.
 func (m *move) giveUp(t *moveTarget, copied call.Copy, outcome string) string {
 	s := m.s
-	if m.isBroken() && !m.noRun && s.c.Err() == nil && s.r.f.Pool.RefusesConnections(s.c, s.choice.Endpoint.ID, s.choice.Endpoint.Address) {
+	hasEnded := func() bool {
+		return m.isBroken() && s.r.f.Pool.RefusesConnections(s.c, s.choice.Endpoint.ID, s.choice.Endpoint.Address)
+	}
+	if s.c.Err() == nil && (m.mayContinueCopy() || hasEnded()) {
 		m.result = m.stopped(copied, t)
 		return ""
 	}
@@ -325,9 +344,12 @@
 	}
 }
 
-// markLastSent records that the run will be told to stop, or returns what speaks against it: the stream has ended, or its last
+// mayContinueCopy reports whether the source has closed the stream after it was told to stop the run.
+func (m *move) mayContinueCopy() bool { return m.isBroken() && m.closed && m.s.isToldToStop() }
+
+// beginStop records that the run is to be told to stop, or returns what speaks against it: the stream has ended, or its last
 // event has no ID.
-func (m *move) markLastSent() (obstacle string) {
+func (m *move) beginStop() (obstacle string) {
 	m.s.mu.Lock()
 	defer m.s.mu.Unlock()
 	switch {
@@ -336,7 +358,7 @@
 	case m.s.unnumbered:
 		return noEventID
 	}
-	m.lastSent = true
+	m.isStopping = true
 	return ""
 }
 
@@ -366,8 +388,15 @@
 	}
 }
 
-// awaitStreamEnd waits until the stream of the stopped run has been read to its close.
+// awaitStreamEnd waits until the stream of the stopped run has been read to its close, and cancels the attempt if it stays open.
 func (m *move) awaitStreamEnd() {
+	if !m.awaitBreak() {
+		m.s.cancel(errStopped)
+	}
+}
+
+// awaitBreak waits until the stream has ended. It returns false if nothing comes for streamEndTimeout.
+func (m *move) awaitBreak() bool {
 	s := m.s
 	for began := boottime.Now(); ; {
 		s.mu.Lock()
@@ -378,17 +407,16 @@
 		s.mu.Unlock()
 		left := streamEndTimeout - boottime.Since(since)
 		if left <= 0 {
-			s.cancel(errStopped)
-			return
+			return false
 		}
 		t := time.NewTimer(left)
 		select {
 		case <-m.broken:
 			t.Stop()
-			return
+			return true
 		case <-m.c.Done():
 			t.Stop()
-			return
+			return true
 		case <-t.C:
 		}
 	}
@@ -399,10 +427,15 @@
 	return m.s.r.f.copyRun(m.c, m.s.r.q.Call.ID, m.s.choice.Endpoint, to, m.ends, nil)
 }
 
-// stopAndCopy orders the source to stop the run of the request, and to copy its memory.
-func (r *run) stopAndCopy(c context.Context, source, to endpoint.Endpoint, ends time.Time) (call.Copy, error) {
+// stopAndCopy orders the source to stop the run of the request, and to copy its memory. The order is sent only if mayOrder returns true.
+func (r *run) stopAndCopy(c context.Context, source, to endpoint.Endpoint, ends time.Time, mayOrder func() bool) (call.Copy, error) {
 	l, number := &r.shared.stopOrders, 0
-	a, err := r.f.copyRun(c, r.q.Call.ID, source, to, ends, func() { number = l.Send(source.Incarnation()) })
+	a, err := r.f.copyRun(c, r.q.Call.ID, source, to, ends, func() bool {
+		if mayOrder() {
+			number = l.Send(source.Incarnation())
+		}
+		return number > 0
+	})
 	answer := a.Result.String()
 	if err != nil {
 		answer = stoporder.Unanswered
@@ -414,19 +447,14 @@
 	return a, err
 }
 
-// copyRun asks the source to copy the memory of a run. If onStop is not nil, the source is to stop the run first, and onStop is called
-// directly before it is told so.
-func (f *Forwarder) copyRun(c context.Context, id string, source, to endpoint.Endpoint, ends time.Time, onStop func()) (call.Copy, error) {
-	q, err := f.Moves.Copy(id, source, to, onStop != nil)
+// copyRun asks the source to copy the memory of a run. If shouldStop is not nil, the source is to stop the run first, and shouldStop is
+// called directly before it is told so. If that returns false, nothing is sent.
+func (f *Forwarder) copyRun(c context.Context, id string, source, to endpoint.Endpoint, ends time.Time, shouldStop func() bool) (call.Copy, error) {
+	q, err := f.Moves.Copy(id, source, to, shouldStop != nil)
 	if err != nil {
 		return call.Copy{}, fmt.Errorf("copy to %s: %w", to.ID, err)
 	}
-	if onStop != nil {
-		q.ShouldSend = func() bool {
-			onStop()
-			return true
-		}
-	}
+	q.ShouldSend = shouldStop
 	x, cancel := context.WithTimeout(c, min(max(boottime.Until(ends), minCopyTimeout), maxCopyTimeout))
 	defer cancel()
 	resp, err := f.Pool.Do(x, q)
--- a/forward/response.go
+++ b/forward/response.go
@@ -244,7 +244,7 @@
 	}
 	if e.IsContent() {
 		s.seq.Accept(sequenceEvent(e))
-		r.lastEvent = endmark.HashOf(e.Raw)
+		r.newest.add(endmark.HashOf(e.Raw))
 		r.recordNumbering()
 	}
 	r.recordEvent(s.n, &s.out)
@@ -308,25 +308,25 @@
 func (r *run) endEvents(c context.Context, s *attemptStream, err error) {
 	resp, out := s.resp, &s.out
 	isStated := errors.Is(err, io.EOF)
-	if isStated && !resp.Framed() {
+	isDoubted := isStated && r.isEndDoubted(s)
+	if isStated && !isDoubted && !resp.Framed() {
 		if err = r.confirmStreamEnd(c, s); err != nil {
 			isStated = false
 		}
 	}
 	v := s.seq.End(isStated)
-	r.recordEnd(v, resp, err)
-	if v == sequence.Complete || v == sequence.Unproven {
-		var isKnown bool
-		if out.stopped, isKnown = r.stream.settleStopped(); !isKnown && r.q.Route.Repeatable() {
-			v = sequence.Unproven // the run may have been stopped
-		}
+	if isDoubted && v == sequence.Complete {
+		v = sequence.Unproven
 	}
+	r.recordEnd(v, resp, err)
 	switch {
-	case out.stopped != nil:
+	case isDoubted && out.stopped != nil && out.stopped.confirmed:
 		out.err = errStopped
 	case v == sequence.Broken:
 		out.err = fmt.Errorf("the stream broke: %w", err)
-		out.stopped = r.stream.settle(false)
+		if out.stopped == nil {
+			out.stopped = r.stream.settle(streamEndOf(err))
+		}
 	case v == sequence.Unproven && !r.answer.HasLast:
 		out.err = errors.New("the stream ended before its first event")
 	case v == sequence.Unproven:
@@ -337,21 +337,57 @@
 	default:
 		r.recordSurvival(resp, out.firstEventAt)
 		if out.advanced {
-			r.f.EndMarks.Record(r.q.Service.Name, r.trace.Choice.Endpoint.ID, r.lastEvent)
+			r.f.EndMarks.Record(r.q.Service.Name, r.trace.Choice.Endpoint.ID, r.newest.last())
 		}
 		out.done = true
 	}
 }
 
-// confirmStreamEnd is confirmEnd for a stream. If its run was told to stop, the end of the connection is that of the stopped
-// run, unless the source says that nothing runs. A stream of a service whose streams end with a mark ends with it.
-func (r *run) confirmStreamEnd(c context.Context, s *attemptStream) error {
-	if r.stream.isToldToStop() {
-		if s.out.stopped = r.stream.settle(false); s.out.stopped != nil || !r.stream.hasNoRun() {
-			return errConnectionEnd
-		}
+// streamEndOf returns how a stream has ended that is not whole, by the error with which its last event was read.
+func streamEndOf(err error) streamEnd {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, sse.ErrTruncated) || errors.Is(err, errConnectionEnd) {
+		return streamClosed
 	}
-	if r.answer.Passed() > 0 && r.f.EndMarks.Lacks(r.q.Service.Name, r.q.Call.ID, r.lastEvent) {
+	return streamCut
+}
+
+// isEndDoubted reports whether the end that a stream states may be the effect of an order to stop its run. If the run goes on elsewhere,
+// the result of the attempt has the stopped run. The end of a connection may also be the effect of an earlier order without an answer.
+func (r *run) isEndDoubted(s *attemptStream) bool {
+	orders, source, isFramed := &r.shared.stopOrders, r.trace.Choice.Endpoint.Incarnation(), s.resp.Framed()
+	if !r.stream.closeToOrders() {
+		return false
+	}
+	stopped := r.stream.settleDoubted(isFramed)
+	if stopped != nil && stopped.confirmed {
+		s.out.stopped = stopped
+		return true
+	}
+	// The end of a stopped run has no framing, and its source does not answer that nothing runs. Nor is its last event one with which only
+	// whole streams end.
+	if isFramed && orders.IsNoRun(source, r.stream.ordersBefore) || r.newest.isLastNew() && r.f.EndMarks.Ends(r.q.Service.Name, r.newest.last()) {
+		r.discardWhole(stopped)
+		return false
+	}
+	if s.out.stopped = stopped; stopped != nil {
+		stopped.mayBeWhole = true
+	}
+	return true
+}
+
+// discardWhole frees the copy of a run that has ended by itself before it was stopped; nil if there is none.
+func (r *run) discardWhole(s *stoppedRun) {
+	if s == nil {
+		return
+	}
+	s.discard()
+	r.stream.logMove("fail", call.NoSuchRun.String(), endpoint.Endpoint{}, s.since, s.ends)
+	metrics.GetOrRegisterCounter("moves."+call.NoSuchRun.String(), r.f.Metrics).Inc(1)
+}
+
+// confirmStreamEnd is confirmEnd for a stream. A stream of a service whose streams end with a mark ends with it.
+func (r *run) confirmStreamEnd(c context.Context, s *attemptStream) error {
+	if r.answer.Passed() > 0 && r.f.EndMarks.Lacks(r.q.Service.Name, r.q.Call.ID, r.newest.last()) {
 		metrics.GetOrRegisterCounter("answers.unframed.unmarked", r.f.Metrics).Inc(1)
 		return errNoEndMark
 	}
--- a/stoporder/log.go
+++ b/stoporder/log.go
@@ -1,9 +1,13 @@
-// Package stoporder records the orders by which endpoints were told to stop a run of a request, and what they answered.
+// Package stoporder records the orders by which endpoints were told to stop a run of a request, and what they answered. It tells whether
+// the end of a run may be the effect of an order. Once one is sent, no answer without a handle to the stopped run shows that it is not:
+// the endpoint may have stopped the run for this order, or for an earlier one whose answer was lost.
 package stoporder
 
 import (
 	"slices"
 	"sync"
+
+	"birchlink.dev/birchlink/call"
 )
 
 // Unanswered is what stands for the answer to an order until there is one.
@@ -20,8 +24,19 @@
 
 // orders are those that were sent to one endpoint.
 type orders struct {
-	sent    int
-	answers []string
+	sent     int
+	answered int
+	answers  []string
+}
+
+// Count returns the number of orders that were sent to an endpoint.
+func (l *Log) Count(incarnation string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if o := l.endpoints[incarnation]; o != nil {
+		return o.sent
+	}
+	return 0
 }
 
 // Send records that an order is about to be sent to an endpoint, and returns its number there, from 1 on.
@@ -42,15 +57,27 @@
 	return o.sent
 }
 
-// Answer records the answer to an order.
+// Answer records the answer to an order, or that there will be none.
 func (l *Log) Answer(incarnation string, number int, answer string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if o := l.endpoints[incarnation]; o != nil && number <= len(o.answers) {
+	o := l.endpoints[incarnation]
+	if o == nil || answer == Unanswered {
+		return
+	}
+	if o.answered++; number <= len(o.answers) {
 		o.answers[number-1] = answer
 	}
 }
 
+// IsNoRun reports whether a single order was sent to an endpoint after the first n, and its answer says that nothing runs.
+func (l *Log) IsNoRun(incarnation string, n int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o := l.endpoints[incarnation]
+	return o != nil && o.sent == n+1 && n < len(o.answers) && o.answers[n] == call.NoSuchRun.String()
+}
+
 // Answers returns the answers to the orders that were sent to an endpoint, in the order in which these were sent: all that are kept,
 // and the number of orders.
 func (l *Log) Answers(incarnation string) (answers []string, sent int) {
--- a/stoporder/log_test.go
+++ b/stoporder/log_test.go
@@ -31,3 +31,16 @@
 	require.Len(t, answers, 16)
 	require.Equal(t, 100, sent)
 }
+
+func TestIsNoRun(t *testing.T) {
+	var l stoporder.Log
+	require.False(t, l.IsNoRun("a", 0), "no order was sent")
+	n := l.Send("a")
+	require.False(t, l.IsNoRun("a", 0), "it has no answer")
+	l.Answer("a", n, "no_run")
+	require.True(t, l.IsNoRun("a", 0))
+	require.False(t, l.IsNoRun("b", 0))
+	l.Answer("a", l.Send("a"), "no_run")
+	require.False(t, l.IsNoRun("a", 0), "the first one may have stopped the run")
+	require.True(t, l.IsNoRun("a", 1))
+}
