--- a/forward/end.go
+++ b/forward/end.go
@@ -55,9 +55,10 @@
 	return r.sink.Head(head.status, head.header) == nil
 }
 
-// mayAskAgain reports whether the request may be sent once more to an endpoint that has answered it, and pays for that.
+// mayAskAgain reports whether the request may be sent once more to an endpoint that has answered it, and pays for that. An endpoint that
+// may still be about to stop the request's run is not asked, since the end of the next one would show nothing.
 func (r *run) mayAskAgain(c context.Context, e endpoint.Endpoint) bool {
-	if !r.q.Route.Repeatable() || r.isExpired(c) {
+	if !r.q.Route.Repeatable() || r.isExpired(c) || r.shared.stopOrders.MayStop(e.Incarnation()) {
 		return false
 	}
 	p := permitState{started: boottime.Now()}
--- a/forward/response.go
+++ b/forward/response.go
@@ -355,8 +355,9 @@
 // the result of the attempt has the stopped run. The end of a connection may also be the effect of an earlier order without an answer.
 func (r *run) isEndDoubted(s *attemptStream) bool {
 	orders, source, isFramed := &r.shared.stopOrders, r.trace.Choice.Endpoint.Incarnation(), s.resp.Framed()
+	hasMark := r.newest.isLastNew() && r.f.EndMarks.Ends(r.q.Service.Name, r.newest.last())
 	if !r.stream.closeToOrders() {
-		return false
+		return !isFramed && !hasMark && orders.MayStop(source)
 	}
 	stopped := r.stream.settleDoubted(isFramed)
 	if stopped != nil && stopped.confirmed {
@@ -365,7 +366,7 @@
 	}
 	// The end of a stopped run has no framing, and its source does not answer that nothing runs. Nor is its last event one with which only
 	// whole streams end.
-	if isFramed && orders.IsNoRun(source, r.stream.ordersBefore) || r.newest.isLastNew() && r.f.EndMarks.Ends(r.q.Service.Name, r.newest.last()) {
+	if isFramed && orders.IsNoRun(source, r.stream.ordersBefore) || hasMark {
 		r.discardWhole(stopped)
 		return false
 	}
--- a/forward/stoporder_test.go
+++ b/forward/stoporder_test.go
@@ -101,3 +101,50 @@
 	require.Equal(t, "1 2 3 4 5 6", r.events())
 	require.Equal(t, "outcome_unknown", kindOf(err), "the run had more events")
 }
+
+// Guards against an order without an answer that is carried out late: it stopped the run by which the endpoint was to prove that the
+// answer is whole.
+func TestLateStopOfProof(t *testing.T) {
+	r, err := &lockedSink{}, error(nil)
+	synctest.Test(t, func(t *testing.T) {
+		s := newPipeScript(t, "stream", "resumable", "3")
+		copies := 0
+		s.f.Moves = fakeMoves{n: &copies, decode: func(int, string) call.Copy { return call.Copy{Result: call.Copied, Handle: "h1"} }}
+		stop := make(chan struct{})
+		s.add("a", func(w io.Writer, q *http.Request, gone <-chan struct{}) {
+			last := 0
+			_, _ = fmt.Sscan(q.Header.Get("Last-Event"), &last)
+			switch {
+			case q.URL.Path == healthPath:
+				writeAnswer(w, q, 200, "", "")
+			case q.URL.Path == "/copy" && strings.Contains(q.URL.RawQuery, "last=true"): // is not answered
+				select {
+				case <-stop:
+				default:
+					close(stop)
+				}
+			case q.URL.Path != "/x":
+				writeAnswer(w, q, 200, "", "copied")
+			default:
+				fmt.Fprintf(w, "HTTP/1.1 200 X\r\nId: %s\r\nContent-Type: text/event-stream\r\n\r\n", q.Header.Get("Id"))
+				for i := last + 1; i <= 3; i++ {
+					fmt.Fprintf(w, "id: %d\ndata: a\n\n", i)
+				}
+				<-stop
+			}
+		})
+		go func() {
+			time.Sleep(25 * time.Millisecond)
+			s.add("b", func(w io.Writer, q *http.Request, _ <-chan struct{}) { writeAnswer(w, q, 503, "Not-Run: 1\r\n", "") })
+			// The box was told in an answer that a drains, and a's record does not say so.
+			s.f.MoveAway(endpoint.Endpoint{ID: "a", Service: "s", Slots: 4, Version: "v1", Address: "a", DrainPeriod: 400 * time.Millisecond})
+			time.Sleep(time.Second)
+			s.add("c", streamEvents("c", 10*time.Millisecond, 10*time.Millisecond, 6))
+		}()
+		s.service.HealthPath = healthPath
+		err = s.do("1", r, &catalog.Engine{KVTransfer: true, TokensPerEvent: 1, KVBytesPerToken: 1, LinkBytesPerSecond: 1e9, Slots: 4, KVCapacity: 100000})
+		time.Sleep(3 * time.Second) // until nothing looks after the draining endpoint any more
+		synctest.Wait()
+	})
+	require.False(t, err == nil && r.events() != "1 2 3 4 5 6", "the part %s ends as complete", r.events())
+}
--- a/stoporder/log.go
+++ b/stoporder/log.go
@@ -70,6 +70,14 @@
 	}
 }
 
+// MayStop reports whether an order has no answer, so that the endpoint may carry it out at any time.
+func (l *Log) MayStop(incarnation string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o := l.endpoints[incarnation]
+	return o != nil && o.answered < o.sent
+}
+
 // IsNoRun reports whether a single order was sent to an endpoint after the first n, and its answer says that nothing runs.
 func (l *Log) IsNoRun(incarnation string, n int) bool {
 	l.mu.Lock()
--- a/stoporder/log_test.go
+++ b/stoporder/log_test.go
@@ -44,3 +44,16 @@
 	require.False(t, l.IsNoRun("a", 0), "the first one may have stopped the run")
 	require.True(t, l.IsNoRun("a", 1))
 }
+
+func TestMayStop(t *testing.T) {
+	var l stoporder.Log
+	require.False(t, l.MayStop("a"))
+	first, second := l.Send("a"), l.Send("a")
+	l.Answer("a", second, "copied")
+	require.True(t, l.MayStop("a"), "the first order may be carried out late")
+	require.False(t, l.MayStop("b"))
+	l.Answer("a", first, stoporder.Unanswered)
+	require.True(t, l.MayStop("a"))
+	l.Answer("a", first, "failed")
+	require.False(t, l.MayStop("a"))
+}
