--- a/forward/continue.go
+++ b/forward/continue.go
@@ -148,7 +148,7 @@
 	s.stream.mu.Unlock()
 	e := r.f.Log.Info().Str("event", "move").Str("request", r.q.Call.ID).Str("endpoint", s.source.ID).Str("version", s.source.Version).
 		Str("to", to.Endpoint.ID).Str("to_version", to.Endpoint.Version).Str("action", "move").
-		Str("reason", outcome).Int("events", events).Int("created", s.created).Dur("took", boottime.Since(s.since)).Dur("left", boottime.Until(s.ends))
+		Str("reason", outcome).Bool("confirmed", s.confirmed).Int("events", events).Int("created", s.created).Dur("took", boottime.Since(s.since)).Dur("left", boottime.Until(s.ends))
 	if out.eventCount > 0 && !last.IsZero() {
 		e.Dur("pause", out.firstEventAt.Sub(last))
 	}
--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -31,6 +31,7 @@
 	overlap bool              // a request ran at two places
 	serial  int
 	freed   chan string // handles that were freed
+	named   bool        // events name the engine that sends them
 }
 
 func newEngines(t *testing.T) *engines {
@@ -222,6 +223,9 @@
 		if !e.noIDs && i != e.bare {
 			fmt.Fprintf(out, "id: %d\n", i)
 		}
+		if e.all.named {
+			fmt.Fprintf(out, "event: %s\n", e.name)
+		}
 		fmt.Fprintf(out, "data: %d\n\n", i)
 		flush()
 		e.mu.Lock()
@@ -410,7 +414,7 @@
 // lateAnswer is longer than a box waits for the answer to an order.
 const lateAnswer = 1100 * time.Millisecond
 
-// answerStopped answers an order that has stopped a run without a handle: with a status, late, with a part of its body, or not at all.
+// answerStopped answers an order to stop a run without a handle: with a status, late, with a part of its body, or not at all.
 func answerStopped(w http.ResponseWriter, how string) {
 	switch how {
 	case "lost":
--- a/forward/migrate_test.go
+++ b/forward/migrate_test.go
@@ -84,6 +84,7 @@
 	cancelled bool   // an attempt is cancelled, and may end a moment after the next has begun
 	attempts  int    // that the route allows; 2 if it is zero
 	stops     bool   // the box shuts down when a drains
+	named     bool   // events name the engine that sends them
 	marked    bool   // the last event is known to end the streams of the service
 
 	reclaim       bool   // all engines are reclaimable
@@ -312,6 +313,7 @@
 
 func (v moveTest) run(t *testing.T) {
 	es := newEngines(t)
+	es.named = v.named
 	s := newScript(t)
 	if v.noBudget {
 		s.f.Budget = budget.New(budget.Limits{Window: time.Minute})
@@ -435,7 +437,8 @@
 	}
 	for i := range 16 {
 		if v.marked {
-			s.f.EndMarks.Record("s", []string{"a", "b"}[i%2], endmark.HashOf([]byte("data: 6\n\n")))
+			e := []string{"a", "b"}[i%2]
+			s.f.EndMarks.Record("s", e, endmark.HashOf([]byte("event: "+e+"\ndata: 6\n\n")))
 		}
 	}
 	if v.slowLink {
--- a/forward/response.go
+++ b/forward/response.go
@@ -184,6 +184,9 @@
 	s := &attemptStream{
 		resp: resp, n: n, w: w, seq: r.answer.Start(r.current), before: preamble{hold: resp.Hold}, out: attemptResult{interruption: recovery.Gone},
 	}
+	if r.continued != nil && r.after != r.answer.Last {
+		s.seq = r.answer.StartAtLast(r.current)
+	}
 	rd := sse.NewReader(resp.Body)
 	rd.Hold = s.before.holdEvent
 	for {
--- a/forward/stoporder_test.go
+++ b/forward/stoporder_test.go
@@ -33,7 +33,7 @@
 		}
 		words := strings.Fields(fields[0])
 		v := moveTest{
-			unframed: words[0] == "unframed", resumable: words[1] == "resumable", health: true, moves: "ok " + strings.Join(words[2:], " "),
+			unframed: words[0] == "unframed", resumable: words[1] == "resumable", health: true, named: true, moves: "ok " + strings.Join(words[2:], " "),
 			wantEvents: fields[1], wantStarts: fields[2], wantErr: fields[3],
 		}
 		if len(fields) > 4 && strings.Contains(fields[4], "refuses") {
--- a/sequence/answer.go
+++ b/sequence/answer.go
@@ -142,6 +142,14 @@
 	return &Run[N, P]{answer: a, id: run, isResumed: a.HasLast, continues: a.HasLast, atLast: !a.HasLast && a.passed == 0}
 }
 
+// StartAtLast is Start for a part of a run that was asked for the last event again, if there is one, and for what follows. That event is
+// dropped whatever its bytes, which may name what sent it.
+func (a *Answer[N, P]) StartAtLast(run int) *Run[N, P] {
+	r := a.Start(run)
+	r.repeatsLast = a.HasLast && a.CanContinue()
+	return r
+}
+
 // mayContinue reports whether the answer may have events of a run.
 func (a *Answer[N, P]) mayContinue(run int) bool {
 	return !a.Sole || !a.HasLast && a.passed == 0 || a.passed > 0 && a.run == run
--- a/sequence/answer_test.go
+++ b/sequence/answer_test.go
@@ -70,6 +70,8 @@
 			r, held = a.Start(runs), nil
 		case "again":
 			r = a.Start(runs)
+		case "again_at_last":
+			r = a.StartAtLast(runs)
 		case "event":
 			e := newEvent(strings.Trim(w[1], "-"), strings.Join(w[2:len(w)-1], " "))
 			v := r.Judge(e)
--- a/sequence/run.go
+++ b/sequence/run.go
@@ -12,6 +12,8 @@
 	isResumed bool    // the run continues the answer of another one
 	continues bool    // so does the next event that is accepted
 	atLast    bool    // the last event of the run is the last one of the answer
+
+	repeatsLast bool // the next event may be the last one of the answer again, with other bytes
 	failed    Verdict // on the event that did not follow; zero if there is none
 	held      int     // events after a gap
 	lastHeld  N       // number of the last of them
@@ -44,6 +46,13 @@
 	if !a.mayContinue(r.id) {
 		return Joined
 	}
+	if r.repeatsLast {
+		if r.repeatsLast = false; a.hasNumber(e) && a.numbering.Relate(a.Last, e.Number) == Same {
+			r.atLast = true
+			r.repeats++
+			return Dropped
+		}
+	}
 	if !a.hasNumber(e) {
 		if r.atLast {
 			return Accepted
