--- a/forward/continue.go
+++ b/forward/continue.go
@@ -21,7 +21,7 @@
 		from, s := ch, out.stopped
 		out.stopped = nil
 		if !r.answer.CanContinue() { // the run sent an event without an ID before it stopped
-			return r.discardStopped(s, noEventID, ch, out)
+			return r.discardStopped(c, s, noEventID, ch, out)
 		}
 		ch, out = r.continueStopped(c, from, s, out)
 	}
@@ -74,15 +74,20 @@
 			return from, out
 		}
 	}
-	return r.discardStopped(s, outcome, from, before)
+	return r.discardStopped(c, s, outcome, from, before)
 }
 
 // discardStopped gives up a stopped run. The result is that of a lost run or, if it is not known to have been stopped, of the attempt
 // at the source.
-func (r *run) discardStopped(s *stoppedRun, outcome string, from balance.Choice, before attemptResult) (balance.Choice, attemptResult) {
+func (r *run) discardStopped(
+	c context.Context, s *stoppedRun, outcome string, from balance.Choice, before attemptResult,
+) (balance.Choice, attemptResult) {
 	s.discard()
 	r.recordMove(s, outcome, from, attemptResult{})
 	if !s.confirmed {
+		if s.isWhole && c.Err() == nil {
+			before.done, before.unproven, before.err = true, nil, nil
+		}
 		return from, before
 	}
 	return from, attemptResult{interruption: recovery.Gone, err: fmt.Errorf("no endpoint continues the run that %s stopped", s.source.ID)}
--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -301,6 +301,10 @@
 		answerStopped(w, how)
 		return
 	}
+	if how, ok := strings.CutPrefix(b, "running_"); ok { // the run goes on
+		answerStopped(w, how)
+		return
+	}
 	status := http.StatusOK
 	switch b {
 	case "ok":
--- a/forward/move.go
+++ b/forward/move.go
@@ -83,8 +83,9 @@
 	stream  *runningStream
 
 	// confirmed reports that the source has answered that it stopped the run. Otherwise the handle is that of a copy that was made
-	// while the run went on, and mayBeWhole reports that its stream has ended as one that is whole.
-	confirmed, mayBeWhole bool
+	// while the run went on, mayBeWhole reports that its stream has ended as one that is whole, and isWhole that it counts as whole if
+	// the copy can't show that.
+	confirmed, mayBeWhole, isWhole bool
 }
 
 // discard frees the memory of a run that is not continued, if there is one.
--- a/forward/response.go
+++ b/forward/response.go
@@ -320,6 +320,10 @@
 	v := s.seq.End(isStated)
 	if isDoubted && v == sequence.Complete {
 		v = sequence.Unproven
+		if out.stopped != nil {
+			// A stopped run ends without framing. One that ends with it, and whose source has answered, has likely ended by itself.
+			out.stopped.isWhole = resp.Framed() && !r.shared.stopOrders.MayStop(r.trace.Choice.Endpoint.Incarnation())
+		}
 	}
 	r.recordEnd(v, resp, err)
 	switch {
