--- a/forward/stoporder_test.go
+++ b/forward/stoporder_test.go
@@ -148,3 +148,46 @@
 	})
 	require.False(t, err == nil && r.events() != "1 2 3 4 5 6", "the part %s ends as complete", r.events())
 }
+
+// Guards against a part of an answer that is no stream, on a route of streams, which counted as whole after its run was told to stop.
+func TestStoppedPlainAnswerEndsAsComplete(t *testing.T) {
+	r, err := &lockedSink{}, error(nil)
+	synctest.Test(t, func(t *testing.T) {
+		s := newPipeScript(t, "stream", "2")
+		copies := 0
+		s.f.Moves = fakeMoves{n: &copies, decode: func(_ int, answer string) call.Copy {
+			if answer == "no run" {
+				return call.Copy{Result: call.NoSuchRun}
+			}
+			return call.Copy{Result: call.Copied, Handle: "h1"}
+		}}
+		stop := make(chan struct{})
+		s.add("a", func(w io.Writer, q *http.Request, gone <-chan struct{}) {
+			switch {
+			case q.URL.Path == "/copy" && strings.Contains(q.URL.RawQuery, "last=true"):
+				close(stop)
+				writeAnswer(w, q, 200, "", "no run")
+			case q.URL.Path != "/x":
+				writeAnswer(w, q, 200, "", "")
+			default:
+				fmt.Fprintf(w, "HTTP/1.1 200 X\r\nId: %s\r\n\r\na part", q.Header.Get("Id"))
+				select {
+				case <-stop:
+				case <-gone:
+				}
+			}
+		})
+		go func() {
+			time.Sleep(25 * time.Millisecond)
+			s.add("b", func(w io.Writer, q *http.Request, _ <-chan struct{}) { writeAnswer(w, q, 503, "Not-Run: 1\r\n", "") })
+			e := endpoint.Endpoint{ID: "a", Service: "s", Slots: 4, Version: "v1", Address: "a", Draining: true, DrainPeriod: 400 * time.Millisecond}
+			s.f.Roster.Put(e)
+			s.f.MoveAway(e)
+		}()
+		s.service.HealthPath = healthPath
+		err = s.do("1", r, &catalog.Engine{KVTransfer: true, TokensPerEvent: 1, KVBytesPerToken: 1, LinkBytesPerSecond: 1e9, Slots: 4, KVCapacity: 100000})
+		time.Sleep(3 * time.Second) // until nothing looks after the draining endpoint any more
+		synctest.Wait()
+	})
+	require.Equal(t, "outcome_unknown", kindOf(err), "%d %s", r.status, r.body)
+}
