Don't read the body of a response with an invalid status as the next one

What callers saw: an answer whose status was 000. RFC 9110, section 15, has statuses of 100 to 599; 101 is final and follows an upgrade, for which no client here asks; others are to be handled as server errors.

Cause: readHead took every status below 200 for informational and read the body as the next head, so that a body that looks like a response became the answer. 101 was skipped as well. 600 to 999 were passed on as they came. Informational responses counted as late ones, so that a third one ended the request.

Change: package httpstatus has the rule. 100 and 102 to 199 are skipped, up to 100 of them, and don't count as late responses. After any other status that is not 200 to 599 the call fails before the header is looked at, and the connection is reset.

"0200", "20", "2e2" and "-01" are refused by net/http before and after, "+20", "+99" and "-00" are not, and now are.

--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -14,6 +14,7 @@
 
 	"birchlink.dev/birchlink/boottime"
 	"birchlink.dev/birchlink/bytebudget"
+	"birchlink.dev/birchlink/httpstatus"
 )
 
 // ErrUnreachable reports that no connection could be established, so nothing was sent.
@@ -25,6 +26,9 @@
 // errMismatched reports a response that belongs to another request.
 var errMismatched = errors.New("an answer that belongs to another request")
 
+// errManyInformational reports a response that more than maxInformational others precede.
+var errManyInformational = errors.New("too many informational answers")
+
 // maxMismatched is the number of late responses to earlier requests that are skipped on a
 // connection before it is given up, and maxMismatchedBytes the size up to which the body of each
 // is read. The connection is given up if a body is larger.
@@ -33,6 +37,9 @@
 	maxMismatchedBytes = 1 << 20
 )
 
+// maxInformational is the number of informational responses that are skipped.
+const maxInformational = 100
+
 // writeGrace is the time that Close waits for the goroutine that writes the request. By the time
 // the response has been read it is ready to run, unless it is still sending the body.
 const writeGrace = 2 * time.Millisecond
@@ -171,21 +178,29 @@
 }
 
 // readHead reads the head of the response to the request. Informational responses and late
-// responses to earlier requests on the same connection are skipped.
+// responses to earlier requests on the same connection are skipped. After a response with an invalid status nothing is read: its
+// body may look like another response.
 func readHead(n *Conn, q Request) (*http.Response, error) {
-	for range maxMismatched + 1 {
+	for informational, mismatched := 0, 0; mismatched <= maxMismatched; {
 		n.limiter.limit(maxHeadBytes)
 		r, err := http.ReadResponse(n.reader, &http.Request{Method: q.Method})
 		n.limiter.unlimit()
 		if err != nil {
 			return nil, fmt.Errorf("read the answer of %s: %w", q.Address, shorten(err))
 		}
-		if r.StatusCode < http.StatusOK {
+		if httpstatus.IsInformational(r.StatusCode) {
+			if informational++; informational > maxInformational {
+				return nil, fmt.Errorf("%s: %w", q.Address, errManyInformational)
+			}
 			continue
 		}
+		if err := httpstatus.Check(r.StatusCode); err != nil {
+			return nil, fmt.Errorf("read the answer of %s: %w", q.Address, err)
+		}
 		if q.Matches(r.Header) {
 			return r, nil
 		}
+		mismatched++
 		if r.Close || r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
 			break
 		}
