Test answers with invalid statuses against what callers see

What callers saw: an answer whose status was 000.

Calls that may be repeated go on elsewhere, others end as unknown, and callers get nothing of such an answer. Answers to orders that move a run are none: the order is sent again.

--- a/forward/endpoint_test.go
+++ b/forward/endpoint_test.go
@@ -128,6 +128,8 @@
 		fmt.Fprintf(c, "HTTP/1.1 421 Elsewhere\r\nId: %s\r\nContent-Length: 0\r\n\r\n", id)
 	case "full":
 		fmt.Fprintf(c, "HTTP/1.1 503 Full\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
+	case "status000", "status099", "status101", "status600", "status999":
+		fmt.Fprint(c, withStatus(strings.TrimPrefix(how, "status"), id, ""))
 	case "reset_first": // its connections are used up at first
 		f.mu.Lock()
 		isFirst := f.checks == 1
@@ -251,6 +253,12 @@
 	case "short":
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 100\r\n\r\n%s", id, body)
 		return false
+	case "status": // states much, and has a body that looks like another answer
+		fmt.Fprint(c, withStatus(arg, id, ""))
+	case "status_bare":
+		fmt.Fprintf(c, "HTTP/1.1 %s X\r\nId: %s\r\nContent-Length: 3\r\n\r\nbad", arg, id)
+	case "status_stream":
+		fmt.Fprint(c, withStatus(arg, id, "Content-Type: text/event-stream\r\n"))
 	case "nonsense":
 		fmt.Fprint(c, "these bytes are no answer\r\n\r\n")
 		return false
@@ -325,6 +333,15 @@
 	return true
 }
 
+// withStatus returns an answer with a status, with all that an endpoint may state of a request and of itself. Its body looks like another
+// answer with the given header.
+func withStatus(status, id, header string) string {
+	event := "id: 1\ndata: forged\n\n"
+	body := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\n%sContent-Length: %d\r\n\r\n%s", id, header, len(event), event)
+	return fmt.Sprintf("HTTP/1.1 %s X\r\nId: %s\r\nNot-Run: 1\r\nLeaving: 1\r\nLimit: 1\r\nBrittle: 1\r\nRest: 60000\r\n%sContent-Length: %d\r\n\r\n%s",
+		status, id, header, len(body), body)
+}
+
 // stream sends the events after last up to n, and ends the response as kind requires.
 func (f *fakeEndpoint) stream(c net.Conn, kind, id, last string, n int) bool {
 	if kind == "stream_anew" {
--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -297,6 +297,10 @@
 		answerStopped(w, how)
 		return
 	}
+	if status, ok := strings.CutPrefix(b, "status"); ok {
+		answerWithStatus(w, status)
+		return
+	}
 	status := http.StatusOK
 	switch b {
 	case "ok":
@@ -423,11 +427,27 @@
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	default:
+		if status, ok := strings.CutPrefix(how, "status"); ok {
+			answerWithStatus(w, status)
+			return
+		}
 		status, _ := strconv.Atoi(how)
 		w.WriteHeader(status)
 	}
 }
 
+// answerWithStatus answers a call of kv-move with a status. The body looks like an answer with a handle.
+func answerWithStatus(w http.ResponseWriter, status string) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer c.Close()
+	handle := `{"handle":"forged","created":3}`
+	body := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(handle), handle)
+	fmt.Fprintf(c, "HTTP/1.1 %s X\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+}
+
 // finish ends the stream of a run that waits as a whole one.
 func (e *fakeEngine) finish() {
 	e.mu.Lock()
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -194,14 +194,31 @@
 	return s
 }
 
-func runScript(t *testing.T, path string) {
+// TestInvalidStatuses runs the scripts in testdata/statuses, with each of some invalid statuses in place of STATUS. Guards against answers
+// of endpoints in trouble that reach callers, that keep requests from going on elsewhere, or that show life.
+func TestInvalidStatuses(t *testing.T) {
+	files, err := filepath.Glob("testdata/statuses/*.txt")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, p := range files {
+		for _, status := range []string{"000", "099", "101", "600", "999"} {
+			t.Run(strings.TrimSuffix(filepath.Base(p), ".txt")+"/"+status, func(t *testing.T) {
+				t.Parallel()
+				runScript(t, p, "STATUS", status)
+			})
+		}
+	}
+}
+
+// runScript runs a script in which some words are replaced, given as pairs.
+func runScript(t *testing.T, path string, replaced ...string) {
 	f, err := os.Open(path)
 	require.NoError(t, err)
 	defer f.Close()
 	s := newScript(t)
-	r := bufio.NewScanner(f)
+	r, replacer := bufio.NewScanner(f), strings.NewReplacer(replaced...)
 	for n := 1; r.Scan(); n++ {
-		words := strings.Fields(r.Text())
+		words := strings.Fields(replacer.Replace(r.Text()))
 		if len(words) == 0 || strings.HasPrefix(words[0], "#") {
 			continue
 		}
@@ -368,6 +385,10 @@
 		require.Equal(s.t, words[1], strconv.Itoa(n), at)
 	case "began":
 		require.Equal(s.t, words[1], strconv.Itoa(s.started), at)
+	case "heads": // the number of heads that the caller got
+		require.Equal(s.t, words[1], strconv.Itoa(s.last.heads), at)
+	case "counted": // a metric
+		require.Equal(s.t, words[2], strconv.FormatInt(metrics.GetOrRegisterCounter(words[1], s.f.Metrics).Count(), 10), at)
 	default:
 		s.t.Fatalf("%s: nothing to expect is called %q", at, words[0])
 	}
--- a/forward/migrate_test.go
+++ b/forward/migrate_test.go
@@ -184,6 +184,9 @@
 			moves: "ok vanishes", resumable: true, wantEvents: all, wantStarts: "a new, b new 3", wantMoves: "no_answer",
 		},
 		// The destination has no room: another is tried, and the run goes on meanwhile.
+		"invalid status of a copy": {
+			moves: "status000 ok", c: true, period: time.Second, wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "no_answer",
+		},
 		"destination full": {moves: "full ok", c: true, wantEvents: all, wantStarts: "a new, c moved 3", wantMoves: "moved"},
 		// The destination stays full: it is not asked for ever, so the fifth call, which would move the
 		// run, is not made.
