Refuse invalid statuses in all clients on net/http

net/http returns responses with the statuses 0 to 99, 101 and 600 to 999 as final ones. On with the new tests, for 000, 099, 101, 600, 999 and +20 in all cases unless stated: the platform's store took the answer to Renew and Revoke as done (000, 099, 101, +20), that to Commit and Grant as "the store is unavailable" (Grant not with 101, whose connection holds no body), and the cloud as "refused", both of which say that nothing was done; so did package kv with a swap (seen with 000, where the test ended). The proxy of plain services passed the answer on to its caller (seen with 000). The engine client reported an error that doesn't say that the request was not run, as it should. Connections were used again after 600 and 999.

Change: httpstatus.Transport returns an error in place of such a response and closes its connection, which net/http holds as idle already if the response has no body.

--- a/cmd/birchctl/main.go
+++ b/cmd/birchctl/main.go
@@ -17,6 +17,7 @@
 
 	"birchlink.dev/birchlink/configsync"
 	"birchlink.dev/birchlink/decisions"
+	"birchlink.dev/birchlink/httpstatus"
 	"birchlink.dev/birchlink/iniread"
 	"birchlink.dev/birchlink/jsonhttp"
 	"birchlink.dev/birchlink/operator"
@@ -72,7 +73,7 @@
 
 func run(a arguments) error {
 	const limit = 15 * time.Second
-	h := &jsonhttp.Client{Base: "http://" + a.Address, Caller: "birchctl", HTTP: &http.Client{Timeout: limit, Transport: bearerTransport(a.Key)}}
+	h := &jsonhttp.Client{Base: "http://" + a.Address, Caller: "birchctl", HTTP: &http.Client{Timeout: limit, Transport: httpstatus.Transport{Base: bearerTransport(a.Key)}}}
 	c, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	switch {
--- a/engine/client.go
+++ b/engine/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"birchlink.dev/birchlink/backoff"
+	"birchlink.dev/birchlink/httpstatus"
 	"birchlink.dev/birchlink/jsonhttp"
 )
 
@@ -54,9 +55,9 @@
 // NewClient returns a client that identifies itself as caller.
 func NewClient(caller string) *Client {
 	d := net.Dialer{Timeout: time.Second}
-	t := &http.Transport{
+	t := httpstatus.Transport{Base: &http.Transport{
 		DialContext: d.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: jsonhttp.MaxHeader,
-	}
+	}}
 	return &Client{Caller: caller, streams: &http.Client{Transport: t}, calls: &http.Client{Transport: t, Timeout: callTimeout}}
 }
 
--- a/jsonhttp/client.go
+++ b/jsonhttp/client.go
@@ -10,6 +10,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"birchlink.dev/birchlink/httpstatus"
 )
 
 // MaxBody is the maximum size of a request or response body, in bytes, and MaxHeader that of a response's head.
@@ -34,11 +36,12 @@
 	return &Client{Base: "http://" + address, Caller: caller, HTTP: NewHTTPClient(timeout)}
 }
 
-// NewHTTPClient returns a client that applies timeout to each request and takes heads of responses of up to MaxHeader.
+// NewHTTPClient returns a client that applies timeout to each request, takes heads of responses of up to MaxHeader, and fails if
+// the status of a response is not valid.
 func NewHTTPClient(timeout time.Duration) *http.Client {
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.MaxResponseHeaderBytes = MaxHeader
-	return &http.Client{Timeout: timeout, Transport: t}
+	return &http.Client{Timeout: timeout, Transport: httpstatus.Transport{Base: t}}
 }
 
 // StatusError is the error for a response whose status is not 2xx.
--- a/load/run.go
+++ b/load/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"birchlink.dev/birchlink/config"
+	"birchlink.dev/birchlink/httpstatus"
 	"birchlink.dev/birchlink/wait"
 )
 
@@ -49,5 +50,5 @@
 // NewHTTP returns the HTTP client of callers. It uses a new connection for each request, so that
 // net/http does not retry a request on its own.
 func NewHTTP() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableKeepAlives: true}}
+	return &http.Client{Transport: httpstatus.Transport{Base: &http.Transport{MaxIdleConnsPerHost: 64, DisableKeepAlives: true}}}
 }
--- a/serviceproxy/proxy.go
+++ b/serviceproxy/proxy.go
@@ -25,6 +25,7 @@
 	"birchlink.dev/birchlink/decisions"
 	"birchlink.dev/birchlink/errkind"
 	"birchlink.dev/birchlink/fleet"
+	"birchlink.dev/birchlink/httpstatus"
 	"birchlink.dev/birchlink/jsonhttp"
 	"birchlink.dev/birchlink/kernel"
 	"birchlink.dev/birchlink/liveness"
@@ -112,18 +113,18 @@
 	// http.Transport retries some requests when a reused connection breaks. Requests that are not
 	// repeatable therefore get a new connection.
 	return &Proxy{
-		questions: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
-			DialContext: d.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: jsonhttp.MaxHeader,
-		}},
-		pooled: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
-			DialContext: d.DialContext, MaxIdleConnsPerHost: 32, DisableCompression: true, MaxResponseHeaderBytes: jsonhttp.MaxHeader,
-		}},
-		unpooled: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
-			DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: jsonhttp.MaxHeader,
-		}},
+		questions: newClient(&http.Transport{DialContext: d.DialContext, DisableKeepAlives: true}),
+		pooled:    newClient(&http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 32, DisableCompression: true}),
+		unpooled:  newClient(&http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true}),
 	}
 }
 
+// newClient returns a client that follows no redirects, bounds the heads of responses, and fails if the status of one is not valid.
+func newClient(t *http.Transport) *http.Client {
+	t.MaxResponseHeaderBytes = jsonhttp.MaxHeader
+	return &http.Client{CheckRedirect: noRedirect, Transport: httpstatus.Transport{Base: t}}
+}
+
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 // Name returns the service's name.
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"birchlink.dev/birchlink/httpstatus"
 	"birchlink.dev/birchlink/platform/standin"
 )
 
@@ -96,7 +97,7 @@
 		r.checkAnswer(id, string(text), standin.Stamped(a.Header), began)
 	case a.StatusCode == http.StatusServiceUnavailable, a.StatusCode == http.StatusTooManyRequests:
 		r.recordRefusal(path, id, a.StatusCode)
-	case a.StatusCode < http.StatusInternalServerError:
+	case a.StatusCode < http.StatusInternalServerError, httpstatus.Check(a.StatusCode) != nil:
 		r.reportViolation("%s to %s: %d %s", id, b.Name, a.StatusCode, text)
 	}
 	r.checkRuns(path, id)
--- a/soak/stream.go
+++ b/soak/stream.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"birchlink.dev/birchlink/httpstatus"
 	"birchlink.dev/birchlink/platform/standin"
 )
 
@@ -130,7 +131,7 @@
 	r.checkNotEndless(b, id, a, "")
 	refused := a.StatusCode == http.StatusServiceUnavailable || a.StatusCode == http.StatusTooManyRequests
 	if a.StatusCode != http.StatusOK {
-		if a.StatusCode < http.StatusInternalServerError && !refused {
+		if !refused && (a.StatusCode < http.StatusInternalServerError || httpstatus.Check(a.StatusCode) != nil) {
 			r.reportViolation("%s to %s: %d", id, b.Name, a.StatusCode)
 		}
 		text, _ := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes))
