Test that callers get no answer with an invalid status, and state the rule

What a box sends comes from an endpoint's answer (ingress, front), from errkind or from constants; net/http refuses to write statuses below 100 and over 999.

No metric or line of the log is new.

--- a/errkind/kind_test.go
+++ b/errkind/kind_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"birchlink.dev/birchlink/errkind"
+	"birchlink.dev/birchlink/httpstatus"
 )
 
 func ExampleOf() {
@@ -41,6 +42,14 @@
 	}
 }
 
+// The status of each kind, and of one that is not defined, is that of an error.
+func TestStatuses(t *testing.T) {
+	for _, k := range append(errkind.All(), -1, errkind.Kind(len(errkind.All()))) {
+		require.GreaterOrEqual(t, k.Response().Status, http.StatusBadRequest, k)
+		require.NoError(t, httpstatus.Check(k.Response().Status), k)
+	}
+}
+
 // Of never maps an error without a kind to a kind that states that the request did not run, because
 // it may have run.
 func TestOf(t *testing.T) {
--- a/httpstatus/transport_test.go
+++ b/httpstatus/transport_test.go
@@ -63,6 +63,9 @@
 	}
 	many += "HTTP/1.1 200"
 	s.Status.Store(&many)
-	_, err = h.Get("http://" + s.Address)
+	resp, err = h.Get("http://" + s.Address)
+	if err == nil {
+		resp.Body.Close()
+	}
 	require.ErrorContains(t, err, "server response headers exceeded")
 }
