Play the statuses of answers over pipes and on a fake clock

TestInvalidStatusIsNoAnswer/200_length_after_- failed once in 20 runs with -race beside the tests of seven other packages, load about 9: the connection of a sound answer was not kept.

Change: each case runs on a fake clock, over a pipe, with the same cases and expectations; that the connection is reset is read from the call that asks the kernel for it (TestCancelledRequestResetsConnection has the kernel's side).

--- a/httpconn/status_test.go
+++ b/httpconn/status_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"cmp"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -74,39 +76,67 @@
 		for _, status := range strings.Fields(f[0]) {
 			for _, framing := range strings.Fields(f[1]) {
 				for _, front := range strings.Fields(f[2]) {
-					t.Run(status+" "+framing+" after "+front, func(t *testing.T) { playStatus(t, status, framing, front, want, isKept) })
+					t.Run(status+" "+framing+" after "+front, func(t *testing.T) {
+						synctest.Test(t, func(t *testing.T) { playStatus(t, status, framing, front, want, isKept) })
+					})
 				}
 			}
 		}
 	}
 }
 
+// pipeConn is an end of a pipe that records whether it was closed with a reset.
+type pipeConn struct {
+	net.Conn
+
+	isReset bool
+}
+
+func (c *pipeConn) SetLinger(int) error {
+	c.isReset = true
+	return nil
+}
+
+// pipe connects to the other end of a pipe.
+type pipe struct{ near *pipeConn }
+
+func (p pipe) Connect(context.Context, string, string) (net.Conn, error) { return p.near, nil }
+
+func (pipe) Refuses(context.Context, string, string, time.Duration) (net.Conn, bool) {
+	return nil, false
+}
+func (pipe) Check(string, string, time.Time) {}
+func (pipe) RecordTraffic(string)            {}
+func (pipe) ReusableSince(string) time.Time  { return time.Time{} }
+func (pipe) IsLost(string) bool              { return false }
+
 func playStatus(t *testing.T, status, framing, front, want string, isKept bool) {
-	text, end := inFront(t, front)+frame(status, "1", framing, forged), make(chan error, 1)
-	l := listen(t, func(n net.Conn) {
-		_, err := http.ReadRequest(bufio.NewReader(n))
-		if err == nil {
-			_, err = io.WriteString(n, text)
-		}
-		if err == nil {
-			err = n.(*net.TCPConn).CloseWrite()
-		}
-		if err == nil {
-			_, err = io.Copy(io.Discard, n)
+	text := inFront(t, front) + frame(status, "1", framing, forged)
+	near, far := net.Pipe()
+	c := &pipeConn{Conn: near}
+	defer near.Close()
+	go func() {
+		defer far.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(far)); err != nil {
+			t.Error(err)
+			return
 		}
-		end <- err
+		_, _ = io.WriteString(far, text) // until the connection is closed
+	}()
+	p := &httpconn.Pool{Connector: pipe{c}}
+	resp, err := p.Do(t.Context(), httpconn.Request{
+		Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: []byte("body"),
+		Matches: func(h http.Header) bool { return h.Get("Id") == "1" },
 	})
-	p := &httpconn.Pool{DialTimeout: time.Minute}
-	q := request(l)
-	q.Matches = func(h http.Header) bool { return h.Get("Id") == "1" }
-	resp, err := p.Do(t.Context(), q)
 	if want != "as sent" {
 		if err == nil {
 			resp.Close()
 		}
 		require.ErrorContains(t, err, want)
 		require.Zero(t, p.CountIdle())
-		require.Error(t, <-end, "the connection is reset")
+		require.True(t, c.isReset)
+		_, err = near.Read(make([]byte, 1))
+		require.ErrorIs(t, err, io.ErrClosedPipe)
 		return
 	}
 	require.NoError(t, err)
@@ -120,4 +150,5 @@
 	}
 	resp.Close()
 	require.Equal(t, isKept, p.CountIdle() == 1)
+	require.False(t, c.isReset)
 }
