--- a/forward/migrate_test.go
+++ b/forward/migrate_test.go
@@ -184,6 +184,10 @@
 		"link cut beyond the end": {
 			moves: "ok vanishes", resumable: true, wantEvents: all, wantStarts: "a new, b new 3", wantMoves: "no_answer",
 		},
+		// A copy that is answered with an invalid status is no answer, although its body looks like one with a handle.
+		"invalid status of a copy": {
+			moves: "status000 ok", c: true, period: time.Second, wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "no_answer",
+		},
 		// The destination has no room: another is tried, and the run goes on meanwhile.
 		"destination full": {moves: "full ok", c: true, wantEvents: all, wantStarts: "a new, c moved 3", wantMoves: "moved"},
 		// The destination stays full: it is not asked for ever, so the fifth call, which would move the
