--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -26,6 +26,9 @@
 // errMismatched reports a response that belongs to another request.
 var errMismatched = errors.New("an answer that belongs to another request")
 
+// errBody reports an informational response that announces a body, which would be read as the next response.
+var errBody = errors.New("an informational answer announces a body")
+
 // errManyInformational reports a response that more than maxInformational others precede.
 var errManyInformational = errors.New("too many informational answers")
 
@@ -192,6 +195,9 @@
 			if informational++; informational > maxInformational {
 				return nil, fmt.Errorf("%s: %w", q.Address, errManyInformational)
 			}
+			if announcesBody(r) {
+				return nil, fmt.Errorf("%s: %w", q.Address, errBody)
+			}
 			continue
 		}
 		if err := httpstatus.Check(r.StatusCode); err != nil {
@@ -201,7 +207,7 @@
 			return r, nil
 		}
 		mismatched++
-		if r.Close || r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
+		if r.Close || r.ContentLength < 0 && len(r.TransferEncoding) == 0 || r.Body == http.NoBody && announcesBody(r) {
 			break
 		}
 		if !discard(r.Body, maxMismatchedBytes) {
@@ -211,6 +217,12 @@
 	return nil, fmt.Errorf("%s: %w", q.Address, errMismatched)
 }
 
+// announcesBody reports whether the head of a response says that a body follows, even if its status allows none.
+func announcesBody(r *http.Response) bool {
+	n := r.Header.Get("Content-Length")
+	return n != "" && n != "0" || r.Header.Get("Transfer-Encoding") != "" || len(r.TransferEncoding) > 0
+}
+
 // body records in its Response when the end of the body has been read.
 type body struct{ response *Response }
 
--- a/httpconn/status_test.go
+++ b/httpconn/status_test.go
@@ -56,6 +56,8 @@
 		one := "HTTP/1.1 " + w + " X\r\nId: 1\r\n\r\n"
 		if kind, status, _ := strings.Cut(w, ":"); kind == "late" {
 			one = frame(cmp.Or(status, "200"), "another", "length", "late")
+		} else if kind == "forged" {
+			one = frame(status, "another", "length", forged)
 		}
 		b.WriteString(strings.Repeat(one, n))
 	}
