Don't take an answer for whole whose connection ended in the upload

What callers saw: a part of an answer without length or chunks as the whole one, streams and plain calls. The server answered a long upload at once, sent a part and reset the connection while the upload was still being written.

Cause: the kernel reports a reset to one system call of a socket. If the goroutine that writes the request gets it, the one that reads the answer finds the same end as after an orderly close, and nothing asked the first one.

Change: package connend has a connection whose reads return io.EOF only if no write has failed and none is in progress; the end interrupts a write, so that its result is known at once. httpconn reads and writes through it. An answer with a length or chunks doesn't need the end of its connection and stays as it was. An answer without them that ends in order while the request is still being written counts as cut as well.

--- a/httpconn/conn.go
+++ b/httpconn/conn.go
@@ -10,14 +10,17 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"birchlink.dev/birchlink/connend"
 )
 
 // Conn is a connection to an endpoint, used by one call at a time.
 type Conn struct {
 	net       net.Conn
-	id        string // of the endpoint
-	address   string // of the endpoint
-	via       string // address of the box through which it leads; empty if it is direct
+	data      *connend.Conn // reads from net and writes to it
+	id        string        // of the endpoint
+	address   string        // of the endpoint
+	via       string        // address of the box through which it leads; empty if it is direct
 	limiter   *limitedReader
 	reader    *bufio.Reader // of limiter
 	idleSince time.Time     // when the last call ended
@@ -32,8 +35,9 @@
 const readBufferSize = 4 << 10
 
 func newConn(c net.Conn) *Conn {
-	l := &limitedReader{r: c}
-	n := &Conn{net: c, limiter: l, reader: bufio.NewReaderSize(l, readBufferSize)}
+	d := connend.New(c)
+	l := &limitedReader{r: d}
+	n := &Conn{net: c, data: d, limiter: l, reader: bufio.NewReaderSize(l, readBufferSize)}
 	if v, ok := c.(interface{ Via() string }); ok {
 		n.via = v.Via()
 	}
--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -164,7 +164,7 @@
 	}
 	b.WriteString("\r\n")
 	b.Write(q.Body)
-	if _, err := n.net.Write(b.Bytes()); err != nil {
+	if _, err := n.data.Write(b.Bytes()); err != nil {
 		return fmt.Errorf("send to %s: %w", q.Address, err)
 	}
 	return nil
