Tell the near end of a tunnel that its request was not written

Cause: the far end writes to the endpoint in one goroutine and reads in another. If the first one got the reset, the second one told the near end of an orderly end. The near end has no error either: the tunnel takes what it sends, whether the far end can write it or not.

Change: the far end uses a connection of package connend, and says Fail, which boxes of earlier versions take for a break. With an orderly end it sends the number of bytes that it has written, and a near end that has sent more takes the connection for broken. It sends nothing after the end. An end without that number, of a box of an earlier version, counts as before.

--- a/tunnel/conn.go
+++ b/tunnel/conn.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -25,16 +26,19 @@
 type conn struct {
 	net.Conn
 	frames  *frame.Conn
-	via     string // address of the box
-	rest    []byte // received and not read yet
-	closing bool   // the box stops, so that the tunnel serves no further request
-	err     error  // after the last byte
+	via     string       // address of the box
+	rest    []byte       // received and not read yet
+	closing bool         // the box stops, so that the tunnel serves no further request
+	err     error        // after the last byte
+	sent    atomic.Int64 // bytes to the other box, also those that are being sent
+	ended   atomic.Bool  // the endpoint has closed the connection, so that nothing more is sent
 }
 
 // Via returns the address of the box to which the tunnel leads.
 func (c *conn) Via() string { return c.via }
 
-// Read reads what the endpoint sent. It returns io.EOF only if the endpoint closed the connection.
+// Read reads what the endpoint sent. It returns io.EOF only if the endpoint closed the connection and all that was sent had been written
+// to it before.
 func (c *conn) Read(p []byte) (int, error) {
 	for len(c.rest) == 0 {
 		if c.err != nil {
@@ -63,7 +67,7 @@
 			c.err = fmt.Errorf("decode data: %w", err)
 		}
 	case frame.End:
-		c.err = io.EOF
+		c.err = c.endOf(m.Body)
 	case frame.Cancel:
 		c.closing = true
 	default:
@@ -71,11 +75,26 @@
 	}
 }
 
-// Write sends bytes to the endpoint, in as many frames as needed.
+// endOf returns the error after the last byte of an endpoint that has closed the connection. Boxes of earlier versions don't tell how many
+// bytes were written to it.
+func (c *conn) endOf(body []byte) error {
+	c.ended.Store(true)
+	var written int64
+	if len(body) == 0 || msgpack.Unmarshal(body, &written) == nil && written >= c.sent.Load() {
+		return io.EOF
+	}
+	return errBroken
+}
+
+// Write sends bytes to the endpoint, in as many frames as needed. It fails once Read has found that the endpoint closed the connection.
 func (c *conn) Write(p []byte) (int, error) {
 	n := 0
 	for len(p) > 0 {
 		k := min(len(p), maxDataBytes)
+		c.sent.Add(int64(k))
+		if c.ended.Load() {
+			return n, errBroken
+		}
 		if err := writeData(c.frames, p[:k]); err != nil {
 			return n, err
 		}
--- a/tunnel/service.go
+++ b/tunnel/service.go
@@ -21,6 +21,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"birchlink.dev/birchlink/boottime"
+	"birchlink.dev/birchlink/connend"
 	"birchlink.dev/birchlink/frame"
 	"birchlink.dev/birchlink/kernel"
 	"birchlink.dev/birchlink/membudget"
@@ -262,7 +263,8 @@
 
 // pass passes bytes between the two ends of a tunnel. If the near end closes or is lost, the connection to
 // the endpoint is reset, so that nothing that was given up still arrives there.
-func pass(c context.Context, f *frame.Conn, n net.Conn) {
+func pass(c context.Context, f *frame.Conn, endpoint net.Conn) {
+	n := connend.New(endpoint)
 	stop := context.AfterFunc(c, func() { f.Close() })
 	defer stop()
 	done := make(chan struct{})
@@ -298,8 +300,9 @@
 	<-done
 }
 
-// passBack passes what the endpoint sends to the near end, and how the connection ended.
-func passBack(f *frame.Conn, n net.Conn) {
+// passBack passes what the endpoint sends to the near end, and how the connection ended. An orderly end has the number of bytes that
+// were written before it, since the near end may have sent more.
+func passBack(f *frame.Conn, n *connend.Conn) {
 	b := make([]byte, bufferSize)
 	for {
 		k, err := n.Read(b)
@@ -313,7 +316,8 @@
 		case err == nil:
 			continue
 		case errors.Is(err, io.EOF):
-			_ = f.Write(frame.Message{Type: frame.End}, writeTimeout)
+			b, _ := msgpack.Marshal(n.Written()) // a number can be encoded
+			_ = f.Write(frame.Message{Type: frame.End, Body: b}, writeTimeout)
 		default:
 			_ = f.Write(frame.Message{Type: frame.Fail}, writeTimeout)
 		}
