Don't lose or believe plain services' answers whose connections end in the upload

What callers saw at the own interface, in tests: a part of an answer without length or chunks as the whole one, if its connection was reset while a long request was still being written; and errors in place of whole answers with a length or chunks that came so early.

Cause: as in httpconn, the reader of a connection does not learn of a reset that a write was told of. http.Transport closes the connection after the write's error, which may come before or after the read of the end. It also drops an answer that has arrived but was not read.

Change: connections are those of package connend, and an answer without framing counts only if the bytes that were written are more than the body's. No write is waited for: the end has made it fail. On connections of one request, the end of the connection after its first bytes is left to reads, so that an answer is read.

--- a/serviceproxy/proxy.go
+++ b/serviceproxy/proxy.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -108,18 +107,17 @@
 
 // New returns a Proxy.
 func New() *Proxy {
-	d := net.Dialer{Timeout: dialTimeout}
 	// http.Transport retries some requests when a reused connection breaks. Requests that are not
 	// repeatable therefore get a new connection.
 	return &Proxy{
 		questions: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
-			DialContext: d.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: jsonhttp.MaxHeader,
+			DialContext: dial(false), DisableKeepAlives: true, MaxResponseHeaderBytes: jsonhttp.MaxHeader,
 		}},
 		pooled: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
-			DialContext: d.DialContext, MaxIdleConnsPerHost: 32, DisableCompression: true, MaxResponseHeaderBytes: jsonhttp.MaxHeader,
+			DialContext: dial(true), MaxIdleConnsPerHost: 32, DisableCompression: true, MaxResponseHeaderBytes: jsonhttp.MaxHeader,
 		}},
 		unpooled: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
-			DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: jsonhttp.MaxHeader,
+			DialContext: dial(false), DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: jsonhttp.MaxHeader,
 		}},
 	}
 }
@@ -354,6 +352,7 @@
 	defer s.InFlight.Add(-1)
 	var connected atomic.Bool
 	var late error // why the request was not sent once there was a connection
+	isSent := func() bool { return true }
 	x := httptrace.WithClientTrace(c, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
 			if late = p.MaySend(q); late != nil && !q.mayHaveRun {
@@ -361,6 +360,9 @@
 				return
 			}
 			connected.Store(true)
+			if n, ok := i.Conn.(*conn); ok {
+				isSent = n.begin(len(q.Body))
+			}
 		},
 	})
 	r, err := http.NewRequestWithContext(x, q.Method, "http://"+s.Address+q.Path, bytes.NewReader(q.Body))
@@ -369,7 +371,7 @@
 	}
 	r.Header = outgoingHeader(q, n)
 	h := p.unpooled
-	if q.Repeatable {
+	if q.Repeatable && len(q.Body) <= maxPooledBody {
 		h = p.pooled
 	}
 	resp, err := h.Do(r)
@@ -388,11 +390,11 @@
 		// be chosen for every request.
 		p.view.BackOffs.Extend(s.ProcessID(), backoff.ParseRetryAfter(resp.Header), boottime.Now())
 	}
-	return p.readResponse(c, resp, s)
+	return p.readResponse(c, resp, s, isSent)
 }
 
 // readResponse reads a response completely. A truncated response is an error, and so is one that may be.
-func (p *Proxy) readResponse(c context.Context, resp *http.Response, s *view.EndpointState) (*Response, recovery.Interruption, error) {
+func (p *Proxy) readResponse(c context.Context, resp *http.Response, s *view.EndpointState, isSent func() bool) (*Response, recovery.Interruption, error) {
 	box := s.Name
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
@@ -405,7 +407,11 @@
 		return nil, recovery.Disconnected, errors.New("the answer of " + box + " is short")
 	}
 	if !framed(resp) {
-		if err := p.confirmEnd(c, resp.Header, b, s); err != nil {
+		err := errNotSent
+		if isSent() {
+			err = p.confirmEnd(c, resp.Header, b, s)
+		}
+		if err != nil {
 			return nil, recovery.Disconnected, fmt.Errorf("the answer of %s has neither length nor chunks, so it may have been cut: %w", box, err)
 		}
 	}
