--- a/sequence/run.go
+++ b/sequence/run.go
@@ -7,16 +7,16 @@
 type Run[N comparable, P Numbering[N]] struct {
 	answer    *Answer[N, P]
 	id        int
-	dropped   int     // events in a row
-	repeats   int     // events dropped in all
-	isResumed bool    // the run continues the answer of another one
-	continues bool    // so does the next event that is accepted
-	atLast    bool    // the last event of the run is the last one of the answer
+	dropped   int  // events in a row
+	repeats   int  // events dropped in all
+	isResumed bool // the run continues the answer of another one
+	continues bool // so does the next event that is accepted
+	atLast    bool // the last event of the run is the last one of the answer
 
-	repeatsLast bool // the next event may be the last one of the answer again, with other bytes
-	failed    Verdict // on the event that did not follow; zero if there is none
-	held      int     // events after a gap
-	lastHeld  N       // number of the last of them
+	repeatsLast bool    // the next event may be the last one of the answer again, with other bytes
+	failed      Verdict // on the event that did not follow; zero if there is none
+	held        int     // events after a gap
+	lastHeld    N       // number of the last of them
 }
 
 // Judge returns the verdict on the next event of the run: Accepted, Dropped, Reversed, Gap, Joined, Unplaced, Held or Uncounted. After
