--- a/forward/continue.go
+++ b/forward/continue.go
@@ -56,25 +56,30 @@
 			break
 		}
 	}
-	outcome := "cancelled"
-	if c.Err() == nil && !s.confirmed {
-		outcome = "refused"
-	} else if c.Err() == nil {
-		outcome = "refused"
-		if used == s.handle { // a handle serves once, so the source needs another
-			if a, err := r.stopAndCopy(c, s.source, refused, s.ends, isStopped); err == nil && a.Handle != "" {
-				s.handle = a.Handle
-			}
-		}
-		from.Tokens, from.TypicalFirstEvent = 0, 0 // as for other destinations: nothing is prefilled again
-		out := r.continueAt(c, from, s, nil)
-		r.payContinuation(c, out, from.Endpoint)
-		if !out.isNotRun() {
-			r.recordMove(s, "returned", from, out)
-			return from, out
+	switch {
+	case c.Err() != nil:
+		return r.discardStopped(c, s, "cancelled", from, before)
+	case !s.confirmed:
+		return r.discardStopped(c, s, "refused", from, before)
+	}
+	if used == s.handle { // a handle serves once, so the source needs another
+		if a, err := r.stopAndCopy(c, s.source, refused, s.ends, isStopped); err == nil && a.Handle != "" {
+			s.handle = a.Handle
 		}
 	}
-	return r.discardStopped(c, s, outcome, from, before)
+	return r.continueAtSource(c, from, s, before)
+}
+
+// continueAtSource returns a stopped run to its source.
+func (r *run) continueAtSource(c context.Context, from balance.Choice, s *stoppedRun, before attemptResult) (balance.Choice, attemptResult) {
+	from.Tokens, from.TypicalFirstEvent = 0, 0 // as for other destinations: nothing is prefilled again
+	out := r.continueAt(c, from, s, nil)
+	r.payContinuation(c, out, from.Endpoint)
+	if out.isNotRun() {
+		return r.discardStopped(c, s, "refused", from, before)
+	}
+	r.recordMove(s, "returned", from, out)
+	return from, out
 }
 
 // discardStopped gives up a stopped run. The result is that of a lost run or, if it is not known to have been stopped, of the attempt
--- a/forward/move.go
+++ b/forward/move.go
@@ -310,19 +310,23 @@
 		if m.isBroken() {
 			retries++
 		}
-		repeatable := s.r.q.Route.Repeatable()
-		mayGoOn := repeatable || m.mayContinueCopy()
-		switch {
-		case m.isBroken() && (mayGoOn && retries > maxStopRetries || boottime.Since(m.since) > ttl):
-			return m.giveUp(t, copied, "no_answer")
-		case repeatable && boottime.Now().After(m.ends.Add(endGrace)):
-			m.sourceEnded = true
+		if m.isAnswerOverdue(retries, ttl) {
 			return m.giveUp(t, copied, "no_answer")
 		}
 		wait.For(m.c, stopRetryInterval)
 	}
 }
 
+// isAnswerOverdue reports whether a useful answer to an order is no longer waited for, after some retries since the stream has ended.
+func (m *move) isAnswerOverdue(retries int, ttl time.Duration) bool {
+	isRepeatable := m.s.r.q.Route.Repeatable()
+	if m.isBroken() && (retries > maxStopRetries && (isRepeatable || m.mayContinueCopy()) || boottime.Since(m.since) > ttl) {
+		return true
+	}
+	m.sourceEnded = isRepeatable && boottime.Now().After(m.ends.Add(endGrace))
+	return m.sourceEnded
+}
+
 // giveUp ends a move that is not known to have stopped the run. If the source has closed the stream after it was told to stop the run,
 // or has ended, the request can continue from the copy made before.
 func (m *move) giveUp(t *moveTarget, copied call.Copy, outcome string) string {
--- a/forward/response.go
+++ b/forward/response.go
@@ -313,7 +313,7 @@
 	isStated := errors.Is(err, io.EOF)
 	isDoubted := isStated && r.isEndDoubted(s)
 	if isStated && !isDoubted && !resp.Framed() {
-		if err = r.confirmStreamEnd(c, s); err != nil {
+		if err = r.confirmStreamEnd(c); err != nil {
 			isStated = false
 		}
 	}
@@ -394,7 +394,7 @@
 }
 
 // confirmStreamEnd is confirmEnd for a stream. A stream of a service whose streams end with a mark ends with it.
-func (r *run) confirmStreamEnd(c context.Context, s *attemptStream) error {
+func (r *run) confirmStreamEnd(c context.Context) error {
 	if r.answer.Passed() > 0 && r.f.EndMarks.Lacks(r.q.Service.Name, r.q.Call.ID, r.newest.last()) {
 		metrics.GetOrRegisterCounter("answers.unframed.unmarked", r.f.Metrics).Inc(1)
 		return errNoEndMark
--- a/forward/successor_test.go
+++ b/forward/successor_test.go
@@ -130,7 +130,8 @@
 func (s *pipeScript) do(id string, sink forward.Sink, e *catalog.Engine) error {
 	c := &call.Call{ID: id, Method: http.MethodPost, Host: "h", Target: "/x", Path: "/x", Body: []byte("body"), Arrived: boottime.Now()}
 	q := forward.Request{
-		Call: c, Route: &s.route, Service: &catalog.Service{Name: "s", HealthPath: s.service.HealthPath, Engine: e}, Account: &catalog.Account{Name: "a"}, Expires: boottime.Now().Add(20 * time.Second),
+		Call: c, Route: &s.route, Service: &catalog.Service{Name: "s", HealthPath: s.service.HealthPath, Engine: e},
+		Account: &catalog.Account{Name: "a"}, Expires: boottime.Now().Add(20 * time.Second),
 		Content: requesthash.HashOf("a", c),
 	}
 	_, err := s.f.Do(s.t.Context(), q, sink)
--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -29,7 +29,7 @@
 // errBody reports an informational response that announces a body, which would be read as the next response.
 var errBody = errors.New("an informational answer announces a body")
 
-// errManyInformational reports a response that more than maxInformational others precede.
+// errManyInformational reports a response that more than maxInformational informational ones precede.
 var errManyInformational = errors.New("too many informational answers")
 
 // maxMismatched is the number of late responses to earlier requests that are skipped on a
@@ -40,7 +40,7 @@
 	maxMismatchedBytes = 1 << 20
 )
 
-// maxInformational is the number of informational responses that are skipped.
+// maxInformational is the number of informational responses that are skipped for one request.
 const maxInformational = 100
 
 // writeGrace is the time that Close waits for the goroutine that writes the request. By the time
@@ -184,29 +184,15 @@
 // responses to earlier requests on the same connection are skipped. After a response with an invalid status nothing is read: its
 // body may look like another response.
 func readHead(n *Conn, q Request) (*http.Response, error) {
-	for informational, mismatched := 0, 0; mismatched <= maxMismatched; {
-		n.limiter.limit(maxHeadBytes)
-		r, err := http.ReadResponse(n.reader, &http.Request{Method: q.Method})
-		n.limiter.unlimit()
+	informational := 0
+	for range maxMismatched + 1 {
+		r, err := readFinalHead(n, q, &informational)
 		if err != nil {
-			return nil, fmt.Errorf("read the answer of %s: %w", q.Address, shorten(err))
-		}
-		if httpstatus.IsInformational(r.StatusCode) {
-			if informational++; informational > maxInformational {
-				return nil, fmt.Errorf("%s: %w", q.Address, errManyInformational)
-			}
-			if announcesBody(r) {
-				return nil, fmt.Errorf("%s: %w", q.Address, errBody)
-			}
-			continue
-		}
-		if err := httpstatus.Check(r.StatusCode); err != nil {
-			return nil, fmt.Errorf("read the answer of %s: %w", q.Address, err)
+			return nil, err
 		}
 		if q.Matches(r.Header) {
 			return r, nil
 		}
-		mismatched++
 		if r.Close || r.ContentLength < 0 && len(r.TransferEncoding) == 0 || r.Body == http.NoBody && announcesBody(r) {
 			break
 		}
@@ -217,6 +203,30 @@
 	return nil, fmt.Errorf("%s: %w", q.Address, errMismatched)
 }
 
+// readFinalHead reads the head of a response, and skips the informational ones before it, which it counts.
+func readFinalHead(n *Conn, q Request, informational *int) (*http.Response, error) {
+	for {
+		n.limiter.limit(maxHeadBytes)
+		r, err := http.ReadResponse(n.reader, &http.Request{Method: q.Method})
+		n.limiter.unlimit()
+		if err != nil {
+			return nil, fmt.Errorf("read the answer of %s: %w", q.Address, shorten(err))
+		}
+		if !httpstatus.IsInformational(r.StatusCode) {
+			if err := httpstatus.Check(r.StatusCode); err != nil {
+				return nil, fmt.Errorf("read the answer of %s: %w", q.Address, err)
+			}
+			return r, nil
+		}
+		if announcesBody(r) {
+			return nil, fmt.Errorf("%s: %w", q.Address, errBody)
+		}
+		if *informational++; *informational > maxInformational {
+			return nil, fmt.Errorf("%s: %w", q.Address, errManyInformational)
+		}
+	}
+}
+
 // announcesBody reports whether the head of a response says that a body follows, even if its status allows none.
 func announcesBody(r *http.Response) bool {
 	n := r.Header.Get("Content-Length")
