--- a/forward/continue.go
+++ b/forward/continue.go
@@ -83,6 +83,7 @@
 	s.discard()
 	r.recordMove(s, outcome, from, attemptResult{})
 	if !s.confirmed {
+		r.trace.Choice = from
 		return from, before
 	}
 	return from, attemptResult{interruption: recovery.Gone, err: fmt.Errorf("no endpoint continues the run that %s stopped", s.source.ID)}
