--- a/forward/liveness.go
+++ b/forward/liveness.go
@@ -35,18 +35,22 @@
 // it is not known whether it lives on: the connection may have ended with the process.
 var errConnectionEnd = errors.New("the connection ended, and the response has no length or chunks")
 
-// errNoEndMark reports a stream without a length or chunks that lacks the event with which the streams of its service end, and
-// errPartOfJSON a response that is part of a JSON text.
+// errNoEndMark reports a stream without a length or chunks that lacks the event with which the streams of its service end,
+// errPartOfJSON a response that is part of a JSON text, and errToldToStop one whose run was told to stop.
 var (
 	errNoEndMark  = fmt.Errorf("%w, and the stream lacks the last event of other streams", errConnectionEnd)
 	errPartOfJSON = fmt.Errorf("%w, and the body is part of a JSON text", errConnectionEnd)
+	errToldToStop = fmt.Errorf("%w, and its run was told to stop", errConnectionEnd)
 )
 
 // errOtherProcess reports that another process answers at the address of an endpoint.
 var errOtherProcess = errors.New("another process answers at the endpoint's address")
 
-// confirmPlainEnd is confirmEnd for a response that is not a stream.
+// confirmPlainEnd is confirmEnd for a response that is not a stream. Its run may have been told to stop before it was known to be none.
 func (r *run) confirmPlainEnd(c context.Context, h http.Header, body []byte) error {
+	if r.stream.closeToOrders() || r.shared.stopOrders.MayStop(r.trace.Choice.Endpoint.Incarnation()) {
+		return errToldToStop
+	}
 	if jsonhttp.IsPart(h, body) {
 		metrics.GetOrRegisterCounter("answers.unframed.part_of_json", r.f.Metrics).Inc(1)
 		return errPartOfJSON
