--- a/forward/migrate.go
+++ b/forward/migrate.go
@@ -128,6 +128,7 @@
 	settled     bool      // the stream has ended, and what becomes of it is known
 	move        *move     // the move in progress or the last one
 	moving      bool
+	isFinal     bool // it is not moved from here again, since its run may have been stopped
 	retryAt     time.Time
 	fruitless   int       // moves that count against maxFruitlessMoves
 	resuming    bool      // it gets a credit to be resumed elsewhere, or has one
@@ -181,7 +182,7 @@
 func (s *runningStream) describe(now time.Time) (migration.Stream, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.moving || s.resuming || s.settled || now.Before(s.retryAt) || s.x.Err() != nil || s.unnumbered {
+	if s.moving || s.isFinal || s.resuming || s.settled || now.Before(s.retryAt) || s.x.Err() != nil || s.unnumbered {
 		return migration.Stream{}, false
 	}
 	q, e := &s.r.q, s.r.q.Service.Engine
@@ -230,7 +231,7 @@
 func (s *runningStream) resume(reason string, ends time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.settled || s.moving || s.resuming {
+	if s.settled || s.moving || s.isFinal || s.resuming {
 		return
 	}
 	s.resuming = true
--- a/forward/move.go
+++ b/forward/move.go
@@ -119,7 +119,7 @@
 func (s *runningStream) startMove(ends time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.settled || s.moving {
+	if s.settled || s.moving || s.isFinal {
 		return false
 	}
 	c, stop := context.WithCancel(s.c)
@@ -228,7 +228,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	isNoRun := s.r.shared.stopOrders.IsNoRun(s.choice.Endpoint.Incarnation(), s.ordersBefore)
-	s.moving = m.result != nil || s.isToldToStop() && !isNoRun // a run that may be stopped is not moved from here again
+	s.moving, s.isFinal = m.result != nil, s.isToldToStop() && !isNoRun
 	if outcome == call.NoRoom.String() || outcome == call.NoSuchRun.String() && s.events > 0 {
 		s.fruitless++
 	}
