--- a/forward/response.go
+++ b/forward/response.go
@@ -356,7 +356,11 @@
 func (r *run) isEndDoubted(s *attemptStream) bool {
 	orders, source, isFramed := &r.shared.stopOrders, r.trace.Choice.Endpoint.Incarnation(), s.resp.Framed()
 	hasMark := r.newest.isLastNew() && r.f.EndMarks.Ends(r.q.Service.Name, r.newest.last())
-	if !r.stream.closeToOrders() {
+	isTold := r.stream.closeToOrders()
+	if s.resp.HasLength() {
+		return false // the length was stated before any order
+	}
+	if !isTold {
 		return !isFramed && !hasMark && orders.MayStop(source)
 	}
 	stopped := r.stream.settleDoubted(isFramed)
--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -251,6 +251,9 @@
 	return r.raw.ContentLength >= 0 || len(r.raw.TransferEncoding) > 0 || r.raw.Body == http.NoBody
 }
 
+// HasLength reports whether the response has a content length.
+func (r *Response) HasLength() bool { return r.raw.ContentLength >= 0 }
+
 // requestSent reports whether the request was sent completely. If the endpoint answers before
 // that, the rest of the body is still to be sent and the connection can't be used for another
 // request.
