--- a/forward/continue.go
+++ b/forward/continue.go
@@ -90,6 +90,7 @@
 	s.discard()
 	r.recordMove(s, outcome, from, attemptResult{})
 	if !s.confirmed {
+		r.trace.Choice = from
 		if s.isWhole && c.Err() == nil {
 			before.done, before.unproven, before.err = true, nil, nil
 		}
