--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -137,7 +137,8 @@
 	p.recordTraffic(n)
 	resp := &Response{Status: head.StatusCode, Header: head.Header, conn: n, pool: p, address: q.Address, raw: head, writeResult: wrote, detach: stop, Via: n.via}
 	resp.Body = &body{resp}
-	resp.EventStream = strings.HasPrefix(head.Header.Get("Content-Type"), "text/event-stream")
+	kind, _, _ := strings.Cut(head.Header.Get("Content-Type"), ";")
+	resp.EventStream = strings.EqualFold(strings.TrimSpace(kind), "text/event-stream")
 	return resp, nil
 }
 
