--- a/forward/end.go
+++ b/forward/end.go
@@ -58,7 +58,7 @@
 // mayAskAgain reports whether the request may be sent once more to an endpoint that has answered it, and pays for that. An endpoint that
 // may still be about to stop the request's run is not asked, since the end of the next one would show nothing.
 func (r *run) mayAskAgain(c context.Context, e endpoint.Endpoint) bool {
-	if !r.q.Route.Repeatable() || r.isExpired(c) || r.shared.stopOrders.MayStop(e.Incarnation()) {
+	if !r.q.Route.Repeatable() || r.isExpired(c) || r.shared.stopOrders.MayStop(e.ID) {
 		return false
 	}
 	p := permitState{started: boottime.Now()}
--- a/forward/migrate.go
+++ b/forward/migrate.go
@@ -144,7 +144,7 @@
 	}
 	s := &runningStream{
 		r: r, c: c, x: x, cancel: cancel, choice: ch, run: r.current, watchdog: w, started: boottime.Now(), passed: r.answer.Passed(), moves: r.moves,
-		ordersBefore: r.shared.stopOrders.Count(ch.Endpoint.Incarnation()),
+		ordersBefore: r.shared.stopOrders.Count(ch.Endpoint.ID),
 	}
 	r.f.streams.add(ch.Endpoint.Incarnation(), s)
 	return s
--- a/forward/move.go
+++ b/forward/move.go
@@ -190,7 +190,7 @@
 
 // isToldToStop reports whether an order to stop the run was sent.
 func (s *runningStream) isToldToStop() bool {
-	return s != nil && s.r.shared.stopOrders.Count(s.choice.Endpoint.Incarnation()) > s.ordersBefore
+	return s != nil && s.r.shared.stopOrders.Count(s.choice.Endpoint.ID) > s.ordersBefore
 }
 
 // closeToOrders is called when the stream has stated its end. No order is sent afterwards, unless one was before: closeToOrders reports
@@ -228,7 +228,7 @@
 	close(m.done)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	isNoRun := s.r.shared.stopOrders.IsNoRun(s.choice.Endpoint.Incarnation(), s.ordersBefore)
+	isNoRun := s.r.shared.stopOrders.IsNoRun(s.choice.Endpoint.ID, s.ordersBefore)
 	s.moving, s.isFinal = m.result != nil, s.isToldToStop() && !isNoRun
 	if outcome == call.NoRoom.String() || outcome == call.NoSuchRun.String() && s.events > 0 {
 		s.fruitless++
@@ -437,7 +437,7 @@
 	l, number := &r.shared.stopOrders, 0
 	a, err := r.f.copyRun(c, r.q.Call.ID, source, to, ends, func() bool {
 		if mayOrder() {
-			number = l.Send(source.Incarnation())
+			number = l.Send(source.ID)
 		}
 		return number > 0
 	})
@@ -446,7 +446,7 @@
 		answer = stoporder.Unanswered
 	}
 	if number > 0 {
-		l.Answer(source.Incarnation(), number, answer)
+		l.Answer(source.ID, number, answer)
 		metrics.GetOrRegisterCounter("moves.orders."+answer, r.f.Metrics).Inc(1)
 	}
 	return a, err
@@ -532,7 +532,7 @@
 // what it answered.
 func (r *run) marshalStopOrders(e endpoint.Endpoint) func(*zerolog.Event) {
 	return func(l *zerolog.Event) {
-		if answers, sent := r.shared.stopOrders.Answers(e.Incarnation()); sent > 0 {
+		if answers, sent := r.shared.stopOrders.Answers(e.ID); sent > 0 {
 			l.Int("stop_orders", sent).Strs("stop_answers", answers)
 		}
 	}
--- a/forward/response.go
+++ b/forward/response.go
@@ -322,7 +322,7 @@
 		v = sequence.Unproven
 		if out.stopped != nil {
 			// A stopped run ends without framing. One that ends with it, and whose source has answered, has likely ended by itself.
-			out.stopped.isWhole = resp.Framed() && !r.shared.stopOrders.MayStop(r.trace.Choice.Endpoint.Incarnation())
+			out.stopped.isWhole = resp.Framed() && !r.shared.stopOrders.MayStop(r.trace.Choice.Endpoint.ID)
 		}
 	}
 	r.recordEnd(v, resp, err)
@@ -361,7 +361,7 @@
 // isEndDoubted reports whether the end that a stream states may be the effect of an order to stop its run. If the run goes on elsewhere,
 // the result of the attempt has the stopped run. The end of a connection may also be the effect of an earlier order without an answer.
 func (r *run) isEndDoubted(s *attemptStream) bool {
-	orders, source, isFramed := &r.shared.stopOrders, r.trace.Choice.Endpoint.Incarnation(), s.resp.Framed()
+	orders, source, isFramed := &r.shared.stopOrders, r.trace.Choice.Endpoint.ID, s.resp.Framed()
 	hasMark := r.newest.isLastNew() && r.f.EndMarks.Ends(r.q.Service.Name, r.newest.last())
 	isTold := r.stream.closeToOrders()
 	if s.resp.HasLength() {
--- a/stoporder/log.go
+++ b/stoporder/log.go
@@ -19,7 +19,7 @@
 // Log records the orders of one request. Its zero value is ready to use, and its methods may be called concurrently.
 type Log struct {
 	mu        sync.Mutex
-	endpoints map[string]*orders // by incarnation
+	endpoints map[string]*orders // by ID: orders name no other
 }
 
 // orders are those that were sent to one endpoint.
@@ -30,26 +30,26 @@
 }
 
 // Count returns the number of orders that were sent to an endpoint.
-func (l *Log) Count(incarnation string) int {
+func (l *Log) Count(endpoint string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if o := l.endpoints[incarnation]; o != nil {
+	if o := l.endpoints[endpoint]; o != nil {
 		return o.sent
 	}
 	return 0
 }
 
 // Send records that an order is about to be sent to an endpoint, and returns its number there, from 1 on.
-func (l *Log) Send(incarnation string) int {
+func (l *Log) Send(endpoint string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.endpoints == nil {
 		l.endpoints = map[string]*orders{}
 	}
-	o := l.endpoints[incarnation]
+	o := l.endpoints[endpoint]
 	if o == nil {
 		o = &orders{}
-		l.endpoints[incarnation] = o
+		l.endpoints[endpoint] = o
 	}
 	if o.sent++; o.sent <= maxAnswers {
 		o.answers = append(o.answers, Unanswered)
@@ -58,10 +58,10 @@
 }
 
 // Answer records the answer to an order, or that there will be none.
-func (l *Log) Answer(incarnation string, number int, answer string) {
+func (l *Log) Answer(endpoint string, number int, answer string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	o := l.endpoints[incarnation]
+	o := l.endpoints[endpoint]
 	if o == nil || answer == Unanswered {
 		return
 	}
@@ -71,27 +71,27 @@
 }
 
 // MayStop reports whether an order has no answer, so that the endpoint may carry it out at any time.
-func (l *Log) MayStop(incarnation string) bool {
+func (l *Log) MayStop(endpoint string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	o := l.endpoints[incarnation]
+	o := l.endpoints[endpoint]
 	return o != nil && o.answered < o.sent
 }
 
 // IsNoRun reports whether a single order was sent to an endpoint after the first n, and its answer says that nothing runs.
-func (l *Log) IsNoRun(incarnation string, n int) bool {
+func (l *Log) IsNoRun(endpoint string, n int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	o := l.endpoints[incarnation]
+	o := l.endpoints[endpoint]
 	return o != nil && o.sent == n+1 && n < len(o.answers) && o.answers[n] == call.NoSuchRun.String()
 }
 
 // Answers returns the answers to the orders that were sent to an endpoint, in the order in which these were sent: all that are kept,
 // and the number of orders.
-func (l *Log) Answers(incarnation string) (answers []string, sent int) {
+func (l *Log) Answers(endpoint string) (answers []string, sent int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	o := l.endpoints[incarnation]
+	o := l.endpoints[endpoint]
 	if o == nil {
 		return nil, 0
 	}
