--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -32,6 +33,7 @@
 	serial  int
 	freed   chan string // handles that were freed
 	named   bool        // events name the engine that sends them
+	piped   bool        // engines listen on pipes, so that they run on a fake clock
 }
 
 func newEngines(t *testing.T) *engines {
@@ -88,8 +90,7 @@
 
 func (s *engines) add(name string) *fakeEngine {
 	s.t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(s.t, err)
+	l := s.listen(name)
 	e := &fakeEngine{
 		all: s, name: name, version: "v1", total: totalEvents, listener: l, addr: l.Addr().String(), moves: []string{"ok"},
 		stopped: make(chan struct{}), released: make(chan struct{}), finished: make(chan struct{}), ended: make(chan struct{}),
@@ -116,6 +117,71 @@
 	return e
 }
 
+func (s *engines) listen(name string) net.Listener {
+	s.t.Helper()
+	if s.piped {
+		return &pipeListener{name: name, conns: make(chan net.Conn), closed: make(chan struct{})}
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(s.t, err)
+	return l
+}
+
+// pipeListener accepts connections that are pipes. Its address is the engine's name.
+type pipeListener struct {
+	name   string
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr  { return l }
+func (l *pipeListener) Network() string { return "pipe" }
+func (l *pipeListener) String() string  { return l.name }
+
+// enginePipes connects a forwarder to engines over pipes.
+type enginePipes struct {
+	pipes
+
+	engines *engines
+}
+
+func (p enginePipes) Connect(c context.Context, _, address string) (net.Conn, error) {
+	l := p.engines.engineAt(address).listener.(*pipeListener)
+	near, far := net.Pipe()
+	select {
+	case l.conns <- far:
+		return near, nil
+	case <-l.closed:
+		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	case <-c.Done():
+		return nil, c.Err()
+	}
+}
+
+func (p enginePipes) Refuses(_ context.Context, _, address string, _ time.Duration) (net.Conn, bool) {
+	select {
+	case <-p.engines.engineAt(address).listener.(*pipeListener).closed:
+		return nil, true
+	default:
+		return nil, false
+	}
+}
+
 // crash ends the process of the engine.
 func (e *fakeEngine) crash() {
 	e.mu.Lock()
--- a/forward/migrate_test.go
+++ b/forward/migrate_test.go
@@ -86,6 +86,7 @@
 	stops     bool   // the box shuts down when a drains
 	named     bool   // events name the engine that sends them
 	marked    bool   // the last event is known to end the streams of the service
+	piped     bool   // the engines are connected over pipes, as on a fake clock
 
 	reclaim       bool   // all engines are reclaimable
 	dataCentreOfC string // that of a and b if empty
@@ -142,14 +143,13 @@
 		},
 		// The answer to the stop is lost: the call is repeated, since only its handle allows to go on.
 		"answer lost": {moves: "ok answer_lost ok", wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "moved"},
-		// The answer remains unknown: once the source has closed the stream, the run goes on from the copy that was made before, on any route.
-		"answer never known":            {moves: "ok answer_lost", wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "moved"},
-		"answer never known, resumable": {moves: "ok answer_lost", resumable: true, wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "moved"},
-		// Without the copy, a run that must not run twice starts nowhere else.
-		"answer never known, copy refused": {
-			moves: "ok answer_lost", handleTTL: 300 * time.Millisecond, refuses: 1, wantEvents: "1 2 3", wantErr: "outcome_unknown", wantStarts: "a new",
-			wantMoves: "refused", wantFreed: 1,
+		// The answer remains unknown: a run that must not run twice starts nowhere else.
+		"answer never known": {
+			moves: "ok answer_lost", handleTTL: 300 * time.Millisecond, wantEvents: "1 2 3", wantErr: "outcome_unknown", wantStarts: "a new", wantMoves: "no_answer",
+			wantFreed: 1,
 		},
+		// A resumable stream goes on from the copy that was made before, once the source has closed it.
+		"answer never known, resumable": {moves: "ok answer_lost", resumable: true, wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "moved"},
 		"answer never known, copy refused, resumable": {
 			moves: "ok answer_lost", refuses: 1, c: true, resumable: true, wantEvents: all, wantStarts: "a new, c new 3", wantMoves: "refused", wantFreed: 1,
 		},
@@ -218,7 +218,7 @@
 		// That the source lives on shows nothing of a run that was told to stop.
 		"unframed, lives on": {unframed: true, health: true, wantEvents: all, wantStarts: "a new, b moved 3", wantMoves: "moved"},
 		"unframed, lives on, never known": {
-			unframed: true, health: true, moves: "ok last_chunk_mute", handleTTL: time.Millisecond, wantEvents: all, wantStarts: "a new, b moved 2",
+			unframed: true, health: true, moves: "ok last_chunk_mute", handleTTL: time.Millisecond, wantEvents: "1 2 3", wantErr: "outcome_unknown", wantStarts: "a new",
 		},
 		"unframed, lives on, never known, resumable": {
 			unframed: true, health: true, resumable: true, cancelled: true, moves: "ok last_chunk_mute", wantEvents: all, wantStarts: "a new, b moved 2",
@@ -317,8 +317,11 @@
 
 func (v moveTest) run(t *testing.T) {
 	es := newEngines(t)
-	es.named = v.named
+	es.named, es.piped = v.named, v.piped
 	s := newScript(t)
+	if v.piped {
+		s.f.Pool.Connector = enginePipes{engines: es}
+	}
 	if v.noBudget {
 		s.f.Budget = budget.New(budget.Limits{Window: time.Minute})
 	}
--- a/forward/move.go
+++ b/forward/move.go
@@ -106,10 +106,11 @@
 	since  time.Time
 	skip   map[string]bool
 	broken chan struct{} // closed when the stream has ended without its end
-	closed bool          // its connection has ended in order; set before broken is closed
+	end    streamEnd     // how it has; set before broken is closed
 	done   chan struct{} // closed when the fields below are final
 
 	isStopping bool        // the run is told to stop until that is answered; guarded by s.mu
+	isNoRun    bool        // the source has answered an order that nothing runs
 	result     *stoppedRun // the run from which the request continues
 
 	// sourceEnded reports that the source did not answer before its announced end, so that it may not send any more.
@@ -138,7 +139,8 @@
 
 const (
 	streamWhole  streamEnd = iota // with its end
-	streamClosed                  // without its end, or with one that an order to stop the run may have caused
+	streamEnded                   // with a framed end, which an order to stop the run may have caused
+	streamClosed                  // with the end of its connection
 	streamCut                     // by an error
 )
 
@@ -157,7 +159,7 @@
 	}
 	s.settled = true
 	if end != streamWhole {
-		m.closed = end == streamClosed
+		m.end = end
 		close(m.broken)
 	}
 	if end == streamWhole || !m.isStopping {
@@ -180,12 +182,15 @@
 	s.mu.Lock()
 	m := s.move
 	s.mu.Unlock()
-	if m != nil && isFramed {
+	if !isFramed {
+		return s.settle(streamClosed)
+	}
+	if m != nil {
 		// The caller waits for the answer of the source, which comes after the copy.
 		t := time.AfterFunc(stopAnswerTimeout, m.stop)
 		defer t.Stop()
 	}
-	return s.settle(streamClosed)
+	return s.settle(streamEnded)
 }
 
 // isToldToStop reports whether an order to stop the run was sent.
@@ -302,7 +307,8 @@
 			m.result = m.stopped(copied, t)
 			return ""
 		case err == nil && a.Result == call.NoSuchRun && !m.isReplaced():
-			m.awaitBreak()
+			m.isNoRun = true
+			m.awaitEndOfNoRun(ttl)
 			return m.giveUp(t, copied, a.Result.String())
 		case m.c.Err() != nil:
 			return m.giveUp(t, copied, "stream_ended")
@@ -349,8 +355,14 @@
 	}
 }
 
-// mayContinueCopy reports whether the source has closed the stream after it was told to stop the run.
-func (m *move) mayContinueCopy() bool { return m.isBroken() && m.closed && m.s.isToldToStop() }
+// mayContinueCopy reports whether the run has been told to stop and runs no more: its source has ended the stream, or has closed it and
+// says that nothing runs. A run that may be repeated may also go on there.
+func (m *move) mayContinueCopy() bool {
+	if !m.isBroken() || !m.s.isToldToStop() {
+		return false
+	}
+	return m.end == streamEnded || m.end == streamClosed && (m.isNoRun || m.s.r.q.Route.Repeatable())
+}
 
 // beginStop records that the run is to be told to stop, or returns what speaks against it: the stream has ended, or its last
 // event has no ID.
@@ -400,6 +412,22 @@
 	}
 }
 
+// awaitEndOfNoRun waits until the stream of a run has been read to its end of which the source says that it doesn't run: the caller may be
+// slow. The stream may get a successor meanwhile, and is no longer being moved.
+func (m *move) awaitEndOfNoRun(limit time.Duration) {
+	m.s.watchdog.hold(false)
+	m.s.mu.Lock()
+	m.s.moving, m.s.isFinal = false, true
+	m.s.mu.Unlock()
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	select {
+	case <-m.broken:
+	case <-m.c.Done():
+	case <-t.C:
+	}
+}
+
 // awaitBreak waits until the stream has ended. It returns false if nothing comes for streamEndTimeout.
 func (m *move) awaitBreak() bool {
 	s := m.s
