--- a/endmark/census.go
+++ b/endmark/census.go
@@ -98,14 +98,6 @@
 	t.row = 0
 }
 
-// Ends reports whether the answers of a service are known to end with an event.
-func (c *Census) Ends(service string, last uint64) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	t := c.services[service]
-	return t != nil && slices.Contains(t.marks(), last)
-}
-
 // Lacks reports whether the answers of a service are known to end with other events than this, with which one has ended. The answer is
 // the ID of its request.
 func (c *Census) Lacks(service, answer string, last uint64) bool {
--- a/forward/response.go
+++ b/forward/response.go
@@ -247,7 +247,7 @@
 	}
 	if e.IsContent() {
 		s.seq.Accept(sequenceEvent(e))
-		r.newest.add(endmark.HashOf(e.Raw))
+		r.lastEvent = endmark.HashOf(e.Raw)
 		r.recordNumbering()
 	}
 	r.recordEvent(s.n, &s.out)
@@ -344,7 +344,7 @@
 	default:
 		r.recordSurvival(resp, out.firstEventAt)
 		if out.advanced {
-			r.f.EndMarks.Record(r.q.Service.Name, r.trace.Choice.Endpoint.ID, r.newest.last())
+			r.f.EndMarks.Record(r.q.Service.Name, r.trace.Choice.Endpoint.ID, r.lastEvent)
 		}
 		out.done = true
 	}
@@ -362,22 +362,20 @@
 // the result of the attempt has the stopped run. The end of a connection may also be the effect of an earlier order without an answer.
 func (r *run) isEndDoubted(s *attemptStream) bool {
 	orders, source, isFramed := &r.shared.stopOrders, r.trace.Choice.Endpoint.ID, s.resp.Framed()
-	hasMark := r.newest.isLastNew() && r.f.EndMarks.Ends(r.q.Service.Name, r.newest.last())
 	isTold := r.stream.closeToOrders()
 	if s.resp.HasLength() {
 		return false // the length was stated before any order
 	}
 	if !isTold {
-		return !isFramed && !hasMark && orders.MayStop(source)
+		return !isFramed && orders.MayStop(source)
 	}
 	stopped := r.stream.settleDoubted(isFramed)
 	if stopped != nil && stopped.confirmed {
 		s.out.stopped = stopped
 		return true
 	}
-	// The end of a stopped run has no framing, and its source does not answer that nothing runs. Nor is its last event one with which only
-	// whole streams end.
-	if isFramed && orders.IsNoRun(source, r.stream.ordersBefore) || hasMark {
+	// The end of a stopped run has no framing, and its source does not answer that nothing runs.
+	if isFramed && orders.IsNoRun(source, r.stream.ordersBefore) {
 		r.discardWhole(stopped)
 		return false
 	}
@@ -399,7 +397,7 @@
 
 // confirmStreamEnd is confirmEnd for a stream. A stream of a service whose streams end with a mark ends with it.
 func (r *run) confirmStreamEnd(c context.Context) error {
-	if r.answer.Passed() > 0 && r.f.EndMarks.Lacks(r.q.Service.Name, r.q.Call.ID, r.newest.last()) {
+	if r.answer.Passed() > 0 && r.f.EndMarks.Lacks(r.q.Service.Name, r.q.Call.ID, r.lastEvent) {
 		metrics.GetOrRegisterCounter("answers.unframed.unmarked", r.f.Metrics).Inc(1)
 		return errNoEndMark
 	}
--- a/forward/run.go
+++ b/forward/run.go
@@ -58,7 +58,7 @@
 	late         error                                    // why the request can't be sent before the box has shut down; nil if it can
 	headSent     bool                                     // the sink has received a head
 	answer       sequence.Answer[string, eventid.Decimal] // what the sink has received of a stream
-	newest       newestEvents                             // that the sink has received
+	lastEvent    uint64                                   // hash of the last event that the sink has received, as of package endmark
 	moves        int                                      // moves of the request's run between endpoints
 	credit       *credit                                  // pays for the next arrival; nil if there is none
 
--- a/forward/successor.go
+++ b/forward/successor.go
@@ -66,7 +66,7 @@
 	r := &run{
 		f: p.f, q: p.q, sink: p.sink, tried: maps.Clone(p.tried), reached: append(slices.Clone(p.reached), reachedEndpoint{endpoint: e}),
 		failedDials: p.failedDials, refusedDials: p.refusedDials, mayHaveRun: true, shared: p.shared, headSent: p.headSent,
-		answer: p.answer, newest: p.newest, moves: p.moves, begun: p.begun,
+		answer: p.answer, lastEvent: p.lastEvent, moves: p.moves, begun: p.begun,
 	}
 	r.trace = Trace{Content: p.q.Content, Parts: p.q.Parts, Attempts: p.trace.Attempts}
 	for _, o := range w.successors {
