--- a/forward/response.go
+++ b/forward/response.go
@@ -359,7 +359,8 @@
 }
 
 // isEndDoubted reports whether the end that a stream states may be the effect of an order to stop its run. If the run goes on elsewhere,
-// the result of the attempt has the stopped run. The end of a connection may also be the effect of an earlier order without an answer.
+// the result of the attempt has the stopped run. It may also be the effect of an earlier order without
+// an answer.
 func (r *run) isEndDoubted(s *attemptStream) bool {
 	orders, source, isFramed := &r.shared.stopOrders, r.trace.Choice.Endpoint.ID, s.resp.Framed()
 	isTold := r.stream.closeToOrders()
@@ -367,7 +368,7 @@
 		return false // the length was stated before any order
 	}
 	if !isTold {
-		return !isFramed && orders.MayStop(source)
+		return orders.MayStop(source)
 	}
 	stopped := r.stream.settleDoubted(isFramed)
 	if stopped != nil && stopped.confirmed {
