--- a/forward/stoploss_test.go
+++ b/forward/stoploss_test.go
@@ -124,7 +124,7 @@
 func TestEndedRunsHoldUpMoves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newPipeScript(t, "stream", "2")
-		s.f.Codec, s.f.Moves = handleCodec{}, namedMoves{}
+		s.f.Codec, s.f.Moves, s.f.OnStart = handleCodec{}, namedMoves{}, func(string, time.Time) {}
 		var mu sync.Mutex
 		orders, gone, stopped := map[string]int{}, time.After(2*time.Second), make(chan struct{})
 		ends := make(chan struct{})
