--- a/forward/stoploss_test.go
+++ b/forward/stoploss_test.go
@@ -108,6 +108,28 @@
 	}
 }
 
+// Guards against callers who leave a whole stream: after its last event, they got nothing for as long as two orders without an answer take.
+// They wait for two seconds.
+func TestWholeStreamWithoutAnswer(t *testing.T) {
+	for _, route := range []string{"stream 2", "stream resumable 1"} {
+		t.Run(route, func(t *testing.T) {
+			a := newStoppable()
+			a.order = func(n int) string {
+				if n == 1 {
+					close(a.release)
+				}
+				time.Sleep(5 * time.Second)
+				return ""
+			}
+			v := stopTest{route: route, a: a, b: (&destination{total: 6, data: a.data}).serve, period: 3 * time.Second, early: true}
+			events, err := v.play(t)
+			require.NoError(t, err)
+			require.Equal(t, wholeStream, events)
+			require.Less(t, v.took, 2*time.Second)
+		})
+	}
+}
+
 // namedMoves is fakeMoves with the IDs of requests.
 type namedMoves struct{ fakeMoves }
 
--- a/forward/stoppable_test.go
+++ b/forward/stoppable_test.go
@@ -164,6 +164,7 @@
 	hidden  bool          // a's record does not say that it drains: the box was told in an answer
 	took    time.Duration
 	arrange func(s *pipeScript) // is called before the request
+	early   bool                // moves begin at the notice, since copies take long
 }
 
 // play makes the request on a fake clock, and returns its error and the events that the caller got.
@@ -221,6 +222,9 @@
 	if v.after != "" {
 		q.Version = "v1"
 	}
+	if v.early {
+		q.Service.Engine.LinkBytesPerSecond = 1
+	}
 	began := time.Now()
 	_, err := s.f.Do(t.Context(), q, v.sink)
 	v.took = time.Since(began)
