--- a/forward/stoploss_test.go
+++ b/forward/stoploss_test.go
@@ -212,3 +212,19 @@
 		require.Equal(t, wholeStream, sinks[2].(*lockedSink).events())
 	})
 }
+
+// Guards against streams that are broken off although another endpoint would begin them: the destination refused the copy of a run that was
+// stopped, and was not asked to resume the stream.
+func TestResumesWhereCopyWasRefused(t *testing.T) {
+	for _, answer := range []string{"", "no_run", "failed"} {
+		t.Run("answer_"+answer, func(t *testing.T) {
+			a := newStoppable()
+			a.order = a.stopAt(answer)
+			b := &destination{total: 6, handle: "none", data: a.data}
+			events, err := (&stopTest{route: "stream resumable 3", a: a, b: b.serve}).play(t)
+			t.Log("runs at b", b.runs)
+			require.NoError(t, err)
+			require.Equal(t, wholeStream, events)
+		})
+	}
+}
