--- a/forward/stoploss_test.go
+++ b/forward/stoploss_test.go
@@ -108,6 +108,28 @@
 	}
 }
 
+// Guards against callers who leave a whole stream: after its last event, they got nothing for as long as two orders without an answer take.
+// They wait for two seconds.
+func TestWholeStreamWithoutAnswer(t *testing.T) {
+	for _, route := range []string{"stream 2", "stream resumable 1"} {
+		t.Run(route, func(t *testing.T) {
+			a := newStoppable()
+			a.order = func(n int) string {
+				if n == 1 {
+					close(a.release)
+				}
+				time.Sleep(5 * time.Second)
+				return ""
+			}
+			v := stopTest{route: route, a: a, b: (&destination{total: 6, data: a.data}).serve, period: 3 * time.Second, early: true}
+			events, err := v.play(t)
+			require.NoError(t, err)
+			require.Equal(t, wholeStream, events)
+			require.Less(t, v.took, 2*time.Second)
+		})
+	}
+}
+
 // namedMoves is fakeMoves with the IDs of requests.
 type namedMoves struct{ fakeMoves }
 
@@ -124,7 +146,7 @@
 func TestEndedRunsHoldUpMoves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newPipeScript(t, "stream", "2")
-		s.f.Codec, s.f.Moves = handleCodec{}, namedMoves{}
+		s.f.Codec, s.f.Moves, s.f.OnStart = handleCodec{}, namedMoves{}, func(string, time.Time) {}
 		var mu sync.Mutex
 		orders, gone, stopped := map[string]int{}, time.After(2*time.Second), make(chan struct{})
 		ends := make(chan struct{})
@@ -190,3 +212,19 @@
 		require.Equal(t, wholeStream, sinks[2].(*lockedSink).events())
 	})
 }
+
+// Guards against streams that are broken off although another endpoint would begin them: the destination refused the copy of a run that was
+// stopped, and was not asked to resume the stream.
+func TestResumesWhereCopyWasRefused(t *testing.T) {
+	for _, answer := range []string{"", "no_run", "failed"} {
+		t.Run("answer_"+answer, func(t *testing.T) {
+			a := newStoppable()
+			a.order = a.stopAt(answer)
+			b := &destination{total: 6, handle: "none", data: a.data}
+			events, err := (&stopTest{route: "stream resumable 3", a: a, b: b.serve}).play(t)
+			t.Log("runs at b", b.runs)
+			require.NoError(t, err)
+			require.Equal(t, wholeStream, events)
+		})
+	}
+}
