--- a/forward/continue.go
+++ b/forward/continue.go
@@ -51,6 +51,7 @@
 		}
 		if out.interruption == recovery.Refused {
 			refused, used = t.choice.Endpoint, s.handle
+			delete(r.tried, refused.Incarnation()) // it refused the handle, and may begin the stream
 		}
 		if !isPaid {
 			break
