--- a/forward/liveness.go
+++ b/forward/liveness.go
@@ -48,7 +48,7 @@
 
 // confirmPlainEnd is confirmEnd for a response that is not a stream. Its run may have been told to stop before it was known to be none.
 func (r *run) confirmPlainEnd(c context.Context, h http.Header, body []byte) error {
-	if r.stream.closeToOrders() || r.shared.stopOrders.MayStop(r.trace.Choice.Endpoint.ID) {
+	if r.stream.refuseOrders() || r.shared.stopOrders.MayStop(r.trace.Choice.Endpoint.ID) {
 		return errToldToStop
 	}
 	if jsonhttp.IsPart(h, body) {
--- a/forward/move.go
+++ b/forward/move.go
@@ -70,7 +70,7 @@
 	}
 }
 
-// stoppedRun is a run that no longer runs and whose memory is held by the handle.
+// stoppedRun is a run whose stream has ended and which goes on from the memory that the handle holds.
 type stoppedRun struct {
 	source  endpoint.Endpoint
 	run     int // identifies it
@@ -198,9 +198,9 @@
 	return s != nil && s.r.shared.stopOrders.Count(s.choice.Endpoint.ID) > s.ordersBefore
 }
 
-// closeToOrders is called when the stream has stated its end. No order is sent afterwards, unless one was before: closeToOrders reports
-// that then.
-func (s *runningStream) closeToOrders() bool {
+// refuseOrders is called when the stream has stated its end. It reports whether an order to stop the run was sent before. If none was, none
+// is from then on.
+func (s *runningStream) refuseOrders() bool {
 	if s == nil {
 		return false
 	}
--- a/forward/response.go
+++ b/forward/response.go
@@ -311,7 +311,7 @@
 func (r *run) endEvents(c context.Context, s *attemptStream, err error) {
 	resp, out := s.resp, &s.out
 	isStated := errors.Is(err, io.EOF)
-	isDoubted := isStated && r.isEndDoubted(s)
+	isDoubted := isStated && r.settleStatedEnd(s)
 	if isStated && !isDoubted && !resp.Framed() {
 		if err = r.confirmStreamEnd(c); err != nil {
 			isStated = false
@@ -358,12 +358,11 @@
 	return streamCut
 }
 
-// isEndDoubted reports whether the end that a stream states may be the effect of an order to stop its run. If the run goes on elsewhere,
-// the result of the attempt has the stopped run. It may also be the effect of an earlier order without
-// an answer.
-func (r *run) isEndDoubted(s *attemptStream) bool {
+// settleStatedEnd ends the move of a stream that states its end, and reports whether that may be the effect of an order: one to stop this
+// run, or an earlier one without an answer. If the run may go on elsewhere, the result of the attempt has the stopped run.
+func (r *run) settleStatedEnd(s *attemptStream) bool {
 	orders, source, isFramed := &r.shared.stopOrders, r.trace.Choice.Endpoint.ID, s.resp.Framed()
-	isTold := r.stream.closeToOrders()
+	isTold := r.stream.refuseOrders()
 	if s.resp.HasLength() {
 		return false // the length was stated before any order
 	}
@@ -377,7 +376,7 @@
 	}
 	// The end of a stopped run has no framing, and its source does not answer that nothing runs.
 	if isFramed && orders.IsNoRun(source, r.stream.ordersBefore) {
-		r.discardWhole(stopped)
+		r.discardEnded(stopped)
 		return false
 	}
 	if s.out.stopped = stopped; stopped != nil {
@@ -386,14 +385,15 @@
 	return true
 }
 
-// discardWhole frees the copy of a run that has ended by itself before it was stopped; nil if there is none.
-func (r *run) discardWhole(s *stoppedRun) {
+// discardEnded frees the copy of a run that has ended by itself; nil if there is none.
+func (r *run) discardEnded(s *stoppedRun) {
 	if s == nil {
 		return
 	}
 	s.discard()
-	r.stream.logMove("fail", call.NoSuchRun.String(), endpoint.Endpoint{}, s.since, s.ends)
-	metrics.GetOrRegisterCounter("moves."+call.NoSuchRun.String(), r.f.Metrics).Inc(1)
+	outcome := call.NoSuchRun.String()
+	r.stream.logMove("fail", outcome, endpoint.Endpoint{}, s.since, s.ends)
+	metrics.GetOrRegisterCounter("moves."+outcome, r.f.Metrics).Inc(1)
 }
 
 // confirmStreamEnd is confirmEnd for a stream. A stream of a service whose streams end with a mark ends with it.
--- a/stoporder/log.go
+++ b/stoporder/log.go
@@ -1,6 +1,6 @@
-// Package stoporder records the orders by which endpoints were told to stop a run of a request, and what they answered. It tells whether
-// the end of a run may be the effect of an order. Once one is sent, no answer without a handle to the stopped run shows that it is not:
-// the endpoint may have stopped the run for this order, or for an earlier one whose answer was lost.
+// Package stoporder records the orders by which endpoints were told to stop a run of a request, and what they answered. Once
+// an order is sent, the end of a run may be its effect. An answer that nothing runs does not show the opposite: the endpoint may have
+// stopped the run for that order, or for an earlier one whose answer was lost.
 package stoporder
 
 import (
