--- a/Makefile
+++ b/Makefile
@@ -53,8 +53,11 @@
 VERSION_SEED ?= 12
 # And with boxes that are told to stop among slow requests, and answers that end with their connections.
 STOP_SEED ?= 12
+# And with servers that leave, and that forget the runs which they stop to be moved.
+FORGET_SEED ?= 2
 soak: build
 	./bin/birchsoak --seed $(SEED) --seeds $(SEEDS) --for $(FOR) --pass-over-given-up
 	./bin/birchsoak --seed $(STALL_SEED) --for $(STALL_FOR) --only hush storm configuration drain
 	./bin/birchsoak --seed $(VERSION_SEED) --for 7s --boxes 6 --servers 4 --callers 2 --moves none --only "second version"
 	./bin/birchsoak --seed $(STOP_SEED) --for 7s --only stop term unframed crash
+	./bin/birchsoak --seed $(FORGET_SEED) --for 7s --callers 60 --moves all --only forget
--- a/soak/run.go
+++ b/soak/run.go
@@ -160,7 +160,7 @@
 	case BoxServerLink:
 		r.cutBox(f, end)
 	case Appear, ServerLink, Drain, DrainByAnswer, Release, RefuseCalls, ReportLimit, ReportBrittle, SilentServers, EndlessServer, IrregularServer,
-		UnframedServer, Crash, Vacate, LossyServer:
+		UnframedServer, Crash, Vacate, Forget, LossyServer:
 		r.injectServer(f, end)
 	case Hush, PeerLink, LossyPeers:
 		r.injectStall(f, end)
@@ -258,7 +258,7 @@
 		applyLinkFault(s.proxy, f)
 	case Drain:
 		err = r.fleet.Drain(f.Target)
-	case Vacate:
+	case Vacate, Forget:
 		err = r.vacate(f)
 	case Appear:
 		err = r.appear(f)
@@ -301,6 +301,10 @@
 		return nil
 	}
 	s := r.fleet.Server(f.Target)
+	if f.Kind == Forget {
+		s.SendIrregular(f.Irregular)
+		time.Sleep(f.Duration)
+	}
 	if f.Move != standin.ContinuationRefused {
 		s.BreakMoves(f.Move)
 		return r.fleet.Drain(f.Target)
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -42,6 +42,7 @@
 	IrregularServer  Kind = "irregular" // an endpoint sends streams that break off, end early, or whose events do not follow each other
 	Crash            Kind = "crash"     // an endpoint's process ends, and its connections with it; its record lapses later, and another replaces it
 	Vacate           Kind = "vacate"    // as Drain, if runs can be moved; moves from the endpoint, or to others, go wrong
+	Forget           Kind = "forget"    // as Vacate, after a time in which the endpoint's streams have no framing; it stops runs and knows nothing of them then
 	LossyServer      Kind = "lossy"     // the boxes' link to one endpoint carries small pieces, some of which are late
 	LossyPeers       Kind = "lossy peers"
 	BoxServerLink    Kind = "box server link" // one box's link to Count endpoints
@@ -54,7 +55,7 @@
 
 // Fault is one entry of a schedule. Target is the index of a box or server, depending on Kind; Mode is
 // used by link faults, Crash, Appear and UnframedServer only, Count, the number of servers or boxes from Target on, by SilentServers Hush and
-// BoxServerLink, Form by EndlessServer, Irregular by IrregularServer and UnframedServer, Move by Vacate, and Appears by Appear.
+// BoxServerLink, Form by EndlessServer, Irregular by IrregularServer, UnframedServer and Forget, Move by Vacate and Forget, and Appears by Appear.
 type Fault struct {
 	At        time.Duration
 	Duration  time.Duration
@@ -82,6 +83,12 @@
 		return fmt.Sprintf("%6.2fs %s after %v %s (%v, %v), boxes from %d on %s for %v", f.At.Seconds(), f.Kind, v.After, v.Course, v.Life, v.Gap, f.Target, f.Mode, f.Duration)
 	case Vacate:
 		return fmt.Sprintf("%6.2fs %s %d %s", f.At.Seconds(), f.Kind, f.Target, cmp.Or(f.Move, "soundly"))
+	case Forget:
+		framing := "framed"
+		if f.Irregular.Unframed {
+			framing = "unframed"
+		}
+		return fmt.Sprintf("%6.2fs %s %d %s for %v, then %s", f.At.Seconds(), f.Kind, f.Target, framing, f.Duration, f.Move)
 	case Stop:
 		return fmt.Sprintf("%6.2fs %s %d", f.At.Seconds(), f.Kind, f.Target)
 	case UnframedServer:
@@ -134,6 +141,7 @@
 	out = append(out, drawAppearances(seed, span)...)
 	out = append(out, drawStops(seed, span, boxes)...)
 	out = append(out, drawUnframed(seed, span, servers)...)
+	out = append(out, drawForgets(seed, span, servers)...)
 	slices.SortStableFunc(out, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return out
 }
@@ -278,7 +286,9 @@
 const (
 	meanCrashGap  = time.Second
 	meanVacateGap = 600 * time.Millisecond
-	meanLossyGap  = 1500 * time.Millisecond
+
+	maxUnframedBefore = 1500 * time.Millisecond // before a server forgets runs
+	meanLossyGap      = 1500 * time.Millisecond
 )
 
 // drawCrashes draws the moments at which a server crashes. Its record lapses after Duration.
@@ -310,6 +320,25 @@
 	return out
 }
 
+// drawForgets draws the moments from which a server sends its streams, mostly without framing, for a while, before it announces its end and
+// forgets the runs that it stops.
+func drawForgets(seed uint64, span time.Duration, servers int) []Fault {
+	r := rand.New(rand.NewPCG(seed, 18))
+	gap := func() time.Duration { return time.Duration(r.Int64N(int64(2 * meanVacateGap))) }
+	var out []Fault
+	for at := faultFreeStart + gap(); at < span; at += gap() {
+		f := Fault{
+			At: at, Duration: minFaultDuration + time.Duration(r.Int64N(int64(maxUnframedBefore-minFaultDuration))), Kind: Forget, Target: r.IntN(servers),
+			Move: standin.ForgetFaults[r.IntN(len(standin.ForgetFaults))],
+		}
+		if r.IntN(4) > 0 {
+			f.Irregular = standin.Irregular{Unframed: true, HTTP10: r.IntN(2) == 0, First: standin.Regular, Resumed: standin.Regular}
+		}
+		out = append(out, f)
+	}
+	return out
+}
+
 // drawLossyLinks draws faults of links that carry small pieces.
 func drawLossyLinks(seed uint64, span time.Duration, boxes, servers int) []Fault {
 	r := rand.New(rand.NewPCG(seed, 13))
--- a/soak/schedule_test.go
+++ b/soak/schedule_test.go
@@ -172,6 +172,27 @@
 	}
 }
 
+// Servers forget runs that they stop, with each answer to the order, after streams of each framing, while boxes stop and others leave.
+func TestForgets(t *testing.T) {
+	answers, framings, overlaps := map[standin.MoveFault]bool{}, map[[2]bool]bool{}, map[soak.Kind]bool{}
+	for seed := range uint64(20) {
+		end := time.Duration(0)
+		for _, f := range soak.Schedule(seed, time.Minute, 5, 6) {
+			overlaps[f.Kind] = overlaps[f.Kind] || f.At < end
+			if f.Kind == soak.Forget {
+				v := f.Irregular
+				require.True(t, v.First == v.Resumed && !v.Answers)
+				answers[f.Move], framings[[2]bool{v.Unframed, v.HTTP10}], end = true, true, f.At+f.Duration
+			}
+		}
+	}
+	require.Len(t, answers, len(standin.ForgetFaults))
+	require.Len(t, framings, 3)
+	for _, k := range []soak.Kind{soak.Forget, soak.Stop, soak.Term, soak.Kill, soak.Drain, soak.Vacate, soak.Crash, soak.UnframedServer, soak.ServerLink} {
+		require.True(t, overlaps[k], k)
+	}
+}
+
 // Boxes are told to stop among slow requests, also while others stop or start. Servers send unframed answers in both protocol versions, and
 // then live on, or end with their connections closed or reset.
 func TestStopsAndUnframedServers(t *testing.T) {
