--- a/forward/response.go
+++ b/forward/response.go
@@ -322,7 +322,7 @@
 		v = sequence.Unproven
 		if out.stopped != nil {
 			// A stopped run ends without framing. One that ends with it, and whose source has answered, has likely ended by itself.
-			out.stopped.isWhole = resp.Framed() && !r.shared.stopOrders.MayStop(r.trace.Choice.Endpoint.ID)
+			out.stopped.isWhole = resp.Framed() && !r.q.Route.Repeatable() && !r.shared.stopOrders.MayStop(r.trace.Choice.Endpoint.ID)
 		}
 	}
 	r.recordEnd(v, resp, err)
@@ -374,28 +374,12 @@
 		s.out.stopped = stopped
 		return true
 	}
-	// The end of a stopped run has no framing, and its source does not answer that nothing runs.
-	if isFramed && orders.IsNoRun(source, r.stream.ordersBefore) {
-		r.discardEnded(stopped)
-		return false
-	}
 	if s.out.stopped = stopped; stopped != nil {
 		stopped.mayBeWhole = true
 	}
 	return true
 }
 
-// discardEnded frees the copy of a run that has ended by itself; nil if there is none.
-func (r *run) discardEnded(s *stoppedRun) {
-	if s == nil {
-		return
-	}
-	s.discard()
-	outcome := call.NoSuchRun.String()
-	r.stream.logMove("fail", outcome, endpoint.Endpoint{}, s.since, s.ends)
-	metrics.GetOrRegisterCounter("moves."+outcome, r.f.Metrics).Inc(1)
-}
-
 // confirmStreamEnd is confirmEnd for a stream. A stream of a service whose streams end with a mark ends with it.
 func (r *run) confirmStreamEnd(c context.Context) error {
 	if r.answer.Passed() > 0 && r.f.EndMarks.Lacks(r.q.Service.Name, r.q.Call.ID, r.lastEvent) {
