--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -49,7 +49,7 @@
 	resp, err := r.f.Pool.Do(x, httpconn.Request{
 		Endpoint: e.ID, Address: e.Address, Method: cl.Method, Target: cl.Target, Host: cl.Host, Header: r.f.Codec.Head(cl, a), Body: cl.Body, MaxIdle: maxIdle,
 		ShouldSend: func() bool {
-			if !r.isContinuedAtSource(ch) && !r.maySend(e) || r.checkShutdown() != nil {
+			if !r.mayAttempt(ch) || r.checkShutdown() != nil {
 				return false
 			}
 			r.recordArrival() // nothing is sent before
--- a/forward/continue.go
+++ b/forward/continue.go
@@ -137,10 +137,18 @@
 	return r.attempt(c, ch)
 }
 
-// isContinuedAtSource reports whether the attempt returns a stopped run to its source, which drains
-// but may continue what it ran.
-func (r *run) isContinuedAtSource(ch balance.Choice) bool {
-	return r.continued != nil && r.continued.source.Incarnation() == ch.Endpoint.Incarnation()
+// mayAttempt reports whether the attempt may be sent to the chosen endpoint. One that drains may continue a run that it stopped, or of
+// which it has the only copy.
+func (r *run) mayAttempt(ch balance.Choice) bool {
+	e := ch.Endpoint
+	switch s := r.continued; {
+	case s != nil && s.source.Incarnation() == e.Incarnation():
+		return true
+	case s != nil && !s.confirmed:
+		return r.isAdmitted(e)
+	default:
+		return r.maySend(e)
+	}
 }
 
 // isNotRun reports whether the endpoint did not and will not run the attempt.
--- a/forward/permit.go
+++ b/forward/permit.go
@@ -62,10 +62,13 @@
 // maySend reports whether the request may still be sent to the chosen endpoint. The endpoint may
 // have set a limit or requested a back-off while the connection was established, or others may have crashed under the
 // request's items.
-func (r *run) maySend(e endpoint.Endpoint) bool {
+func (r *run) maySend(e endpoint.Endpoint) bool { return r.f.isServing(e) && r.isAdmitted(e) }
+
+// isAdmitted is maySend for an endpoint that serves or drains.
+func (r *run) isAdmitted(e endpoint.Endpoint) bool {
 	now := boottime.Now()
 	a := &r.f.Balancer.Availability
-	if !r.f.isServing(e) || a.IsBackingOff(e.Incarnation(), now) || !r.hasPermit && a.IsRateLimited(e.Incarnation(), now) {
+	if a.IsBackingOff(e.Incarnation(), now) || !r.hasPermit && a.IsRateLimited(e.Incarnation(), now) {
 		return false
 	}
 	return r.f.Quarantine.Admit(r.quarantineAttempt(e), r.f.versionsFunc(e.Service), now)
