--- a/forward/move.go
+++ b/forward/move.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"fmt"
-	"io"
 	"syscall"
 	"time"
 
@@ -17,7 +15,6 @@
 	"birchlink.dev/birchlink/call"
 	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/httpconn"
-	"birchlink.dev/birchlink/stoporder"
 	"birchlink.dev/birchlink/wait"
 )
 
@@ -27,11 +24,6 @@
 	// maxTargets bounds the destinations that one move tries.
 	maxTargets = 3
 
-	// The timeout of a copy is the time that the source has left, within these bounds. A copy takes
-	// about 10 ms, but may wait for those of all other streams at the source, which take some 0.4 s.
-	minCopyTimeout = 100 * time.Millisecond
-	maxCopyTimeout = time.Second
-
 	// streamEndTimeout is the time without an event after which the stream of a stopped run is no
 	// longer read, for example because the link was cut. The source closes it after the last event.
 	streamEndTimeout = 250 * time.Millisecond
@@ -40,7 +32,7 @@
 	stopAnswerTimeout = 600 * time.Millisecond
 
 	// stopRetryInterval is the interval between repeated calls with last, and maxStopRetries bounds
-	// those after the stream broke, if the request can be computed again elsewhere. Each may take as
+	// those after the stream broke, if the request may go on without an answer. Each may take as
 	// long as it takes to find out that the source's box has ended.
 	stopRetryInterval = 50 * time.Millisecond
 	maxStopRetries    = 1
@@ -52,9 +44,6 @@
 	// defaultHandleTTL is how long a source keeps the memory of a stopped run if its configuration
 	// does not say. No answer is of use after that.
 	defaultHandleTTL = 5 * time.Second
-
-	freeTimeout       = 500 * time.Millisecond
-	maxCopyAnswerSize = 64 << 10
 )
 
 // moveTarget is the destination of a move. Until the request continues there, the attempt holds its
@@ -134,89 +123,6 @@
 	return true
 }
 
-// streamEnd is how a stream has ended.
-type streamEnd int
-
-const (
-	streamWhole  streamEnd = iota // with its end
-	streamEnded                   // with a framed end, which an order to stop the run may have caused
-	streamClosed                  // with the end of its connection
-	streamCut                     // by an error
-)
-
-// settle is called when the stream has ended. Unless it is whole, settle waits for the move in progress and returns the stopped run from
-// which the request continues, if there is one.
-func (s *runningStream) settle(end streamEnd) *stoppedRun {
-	if s == nil {
-		return nil
-	}
-	s.mu.Lock()
-	m := s.move
-	if s.settled || m == nil {
-		s.settled = true
-		s.mu.Unlock()
-		return nil
-	}
-	s.settled = true
-	if end != streamWhole {
-		m.end = end
-		close(m.broken)
-	}
-	if end == streamWhole || !m.isStopping {
-		m.stop()
-	}
-	s.mu.Unlock()
-	<-m.done
-	if end == streamWhole {
-		m.result.discard()
-		return nil
-	}
-	return m.result
-}
-
-// settleDoubted is settle for a stream that states its end, which an order to stop the run may have caused.
-func (s *runningStream) settleDoubted(isFramed bool) *stoppedRun {
-	if s == nil {
-		return nil
-	}
-	s.mu.Lock()
-	m := s.move
-	s.mu.Unlock()
-	end := streamClosed
-	if isFramed {
-		end = streamEnded
-	}
-	if m != nil && (isFramed || s.r.q.Route.Repeatable()) { // the request may go on without the answer of the source, which comes after the copy
-		t := time.AfterFunc(stopAnswerTimeout, m.stop)
-		defer t.Stop()
-	}
-	return s.settle(end)
-}
-
-// isToldToStop reports whether an order to stop the run was sent.
-func (s *runningStream) isToldToStop() bool {
-	return s != nil && s.r.shared.stopOrders.Count(s.choice.Endpoint.ID) > s.ordersBefore
-}
-
-// refuseOrders is called when the stream has stated its end. It reports whether an order to stop the run was sent before. If none was, none
-// is from then on.
-func (s *runningStream) refuseOrders() bool {
-	if s == nil {
-		return false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.hasEnded = true
-	return s.isToldToStop()
-}
-
-// mayOrder reports whether an order to stop the run may be sent: the stream has not ended, or one was sent before.
-func (s *runningStream) mayOrder() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return !s.hasEnded || s.isToldToStop()
-}
-
 // run makes the move up to the stop of the run and the end of its stream.
 func (m *move) run() {
 	s := m.s
@@ -455,96 +361,6 @@
 	}
 }
 
-// copy asks the source to copy the memory of the run, which goes on.
-func (m *move) copy(to endpoint.Endpoint) (call.Copy, error) {
-	return m.s.r.f.copyRun(m.c, m.s.r.q.Call.ID, m.s.choice.Endpoint, to, m.ends, nil)
-}
-
-// stopAndCopy orders the source to stop the run of the request, and to copy its memory. The order is sent only if mayOrder returns true.
-func (r *run) stopAndCopy(c context.Context, source, to endpoint.Endpoint, ends time.Time, mayOrder func() bool) (call.Copy, error) {
-	l, number := &r.shared.stopOrders, 0
-	a, err := r.f.copyRun(c, r.q.Call.ID, source, to, ends, func() bool {
-		if mayOrder() {
-			number = l.Send(source.ID)
-		}
-		return number > 0
-	})
-	answer := a.Result.String()
-	if err != nil {
-		answer = stoporder.Unanswered
-	}
-	if number > 0 {
-		l.Answer(source.ID, number, answer)
-		metrics.GetOrRegisterCounter("moves.orders."+answer, r.f.Metrics).Inc(1)
-	}
-	return a, err
-}
-
-// copyRun asks the source to copy the memory of a run. If shouldStop is not nil, the source is to stop the run first, and shouldStop is
-// called directly before it is told so. If that returns false, nothing is sent.
-func (f *Forwarder) copyRun(c context.Context, id string, source, to endpoint.Endpoint, ends time.Time, shouldStop func() bool) (call.Copy, error) {
-	q, err := f.Moves.Copy(id, source, to, shouldStop != nil)
-	if err != nil {
-		return call.Copy{}, fmt.Errorf("copy to %s: %w", to.ID, err)
-	}
-	q.ShouldSend = shouldStop
-	x, cancel := context.WithTimeout(c, min(max(boottime.Until(ends), minCopyTimeout), maxCopyTimeout))
-	defer cancel()
-	resp, err := f.Pool.Do(x, q)
-	if err != nil {
-		return call.Copy{}, fmt.Errorf("copy to %s: %w", to.ID, err)
-	}
-	defer resp.Close()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxCopyAnswerSize))
-	if err != nil {
-		return call.Copy{}, fmt.Errorf("read the answer of %s: %w", source.ID, err)
-	}
-	return f.Moves.DecodeCopy(resp.Status, b), nil
-}
-
-// free frees the memory of a handle at both ends. A failure costs nothing but the time until the
-// handle expires. The call outlives the request, for which the box may be stopping.
-func (f *Forwarder) free(c context.Context, source endpoint.Endpoint, handle string) {
-	if handle == "" {
-		return
-	}
-	go func() {
-		x, cancel := context.WithTimeout(context.WithoutCancel(c), freeTimeout)
-		defer cancel()
-		resp, err := f.Pool.Do(x, f.Moves.Free(source, handle))
-		if err != nil {
-			return
-		}
-		resp.Discard()
-		resp.Close()
-	}()
-}
-
-// chooseTarget chooses the destination of a move among the serving endpoints of the source's version,
-// or returns nil. The reclaimable endpoints of a data centre are often reclaimed together, so the others
-// come first if the source is one.
-func (r *run) chooseTarget(source endpoint.Endpoint, skip map[string]bool) *moveTarget {
-	// The copy is read from the source, so its data centre counts and not this box's. The request
-	// is let in first and has nothing to prefill.
-	q := balance.Query{
-		DataCentre: source.DataCentre, Skip: skip, UnlimitedOnly: true,
-		Eligible: func(e *endpoint.Endpoint) bool {
-			return isSameVersion(e, &source) && (!source.Reclaimable || !e.Reclaimable || e.DataCentre != source.DataCentre)
-		},
-	}
-	ch, _, ok := r.f.find(r.q.Service.Name, q)
-	if !ok && source.Reclaimable {
-		q.Eligible = func(e *endpoint.Endpoint) bool { return isSameVersion(e, &source) }
-		ch, _, ok = r.f.find(r.q.Service.Name, q)
-	}
-	if !ok {
-		return nil
-	}
-	ch.TypicalFirstEvent = 0 // a continuation says nothing about the version's speed
-	ch.Parts = r.newQuery().Parts
-	return &moveTarget{choice: ch, attempt: r.f.Balancer.Begin(ch.Endpoint, ch, boottime.Now())}
-}
-
 // logMove logs a move or its outcome.
 func (s *runningStream) logMove(action, outcome string, to endpoint.Endpoint, since, ends time.Time) {
 	s.mu.Lock()
