Tell a tunnel that the box leaves if that began while it was opened

Callers may have their requests sent over a tunnel that a stopping box serves, which then ends under them: Leave informs the tunnels that are tracked, and serve tracked a tunnel only after it had written the reply. A Leave in between passed it over.

track now returns whether Leave was called already, under the lock under which Leave reads the tunnels, and serve tells the tunnel itself then.

--- a/tunnel/service.go
+++ b/tunnel/service.go
@@ -218,8 +218,11 @@
 	if t, ok := f.NetConn().(*net.TCPConn); ok {
 		_ = t.SetKeepAliveConfig(keepAlive)
 	}
-	s.track(f, true)
-	defer s.track(f, false)
+	leaves := s.track(f)
+	defer s.untrack(f)
+	if leaves {
+		_ = f.Write(frame.Message{Type: frame.Cancel}, leaveTimeout)
+	}
 	f.Large = &s.large
 	pass(c, f, s.newLink(n, q))
 }
@@ -251,13 +254,17 @@
 	}
 }
 
-func (s *Service) track(f *frame.Conn, open bool) {
+// track adds a tunnel to those that Leave informs. It returns whether the box stops already, so that the tunnel is to be told now.
+func (s *Service) track(f *frame.Conn) (leaves bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tunnels[f] = true
+	return !s.leftAt.IsZero()
+}
+
+func (s *Service) untrack(f *frame.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if open {
-		s.tunnels[f] = true
-		return
-	}
 	delete(s.tunnels, f)
 }
 
--- a/tunnel/service_test.go
+++ b/tunnel/service_test.go
@@ -223,6 +223,25 @@
 	require.NoError(t, <-stopped)
 }
 
+// Guards against tunnels that serve further requests although their box left while it opened them.
+func TestBoxLeavesWhileTunnelOpens(t *testing.T) {
+	via := start(t)
+	dial := via.Dial
+	via.Dial = func(c context.Context, q tunnel.Request) (net.Conn, tunnel.Outcome) {
+		via.Leave()
+		return dial(c, q)
+	}
+	a := start(t, via)
+	address, conns := listen(t)
+	near, far := open(t, a, address, conns)
+	_, err := far.Write([]byte("rest"))
+	require.NoError(t, err)
+	_, err = io.ReadFull(near, make([]byte, 4))
+	require.NoError(t, err)
+	_, err = near.(syscall.Conn).SyscallConn()
+	require.Error(t, err, "the tunnel may serve no further request")
+}
+
 // Tunnels are spread over the boxes that reach the endpoint.
 func TestTunnelsAreSpread(t *testing.T) {
 	others := []*box{start(t), start(t), start(t), start(t)}
