--- a/cmd/birchctl/main.go
+++ b/cmd/birchctl/main.go
@@ -73,7 +73,7 @@
 
 func run(a arguments) error {
 	const limit = 15 * time.Second
-	h := &jsonhttp.Client{Base: "http://" + a.Address, Caller: "birchctl", HTTP: &http.Client{Timeout: limit, Transport: httpstatus.Transport{Base: bearerTransport(a.Key)}}}
+	h := &jsonhttp.Client{Base: "http://" + a.Address, Caller: "birchctl", HTTP: httpstatus.NewClient(bearerTransport(a.Key), limit)}
 	c, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	switch {
--- a/engine/client.go
+++ b/engine/client.go
@@ -55,10 +55,10 @@
 // NewClient returns a client that identifies itself as caller.
 func NewClient(caller string) *Client {
 	d := net.Dialer{Timeout: time.Second}
-	t := httpstatus.Transport{Base: &http.Transport{
+	t := &http.Transport{
 		DialContext: d.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: jsonhttp.MaxHeader,
-	}}
-	return &Client{Caller: caller, streams: &http.Client{Transport: t}, calls: &http.Client{Transport: t, Timeout: callTimeout}}
+	}
+	return &Client{Caller: caller, streams: httpstatus.NewClient(t, 0), calls: httpstatus.NewClient(t, callTimeout)}
 }
 
 // Close closes idle connections.
--- a/httpstatus/statustest/statustest.go
+++ b/httpstatus/statustest/statustest.go
@@ -1,4 +1,4 @@
-// Package statustest provides servers whose answers have invalid statuses, for tests.
+// Package statustest provides servers whose answers have invalid statuses or are redirects, for tests.
 package statustest
 
 import (
@@ -15,6 +15,12 @@
 // Invalid are statuses that no response may have.
 var Invalid = []string{"000", "099", "101", "600", "999", "+20"}
 
+// Redirects are the statuses of redirects that net/http follows.
+var Redirects = []string{"301", "302", "303", "307", "308"}
+
+// elsewhere is the location of redirects.
+const elsewhere = "/elsewhere"
+
 // Server answers each request with a status, a header and a body that is framed by its length. It keeps its connections.
 type Server struct {
 	Address string
@@ -23,6 +29,7 @@
 	Body    string
 
 	Connections, Requests atomic.Int64
+	Followed              atomic.Int64 // requests at the location of redirects
 
 	mu   sync.Mutex
 	open []net.Conn
@@ -61,6 +68,13 @@
 	return s
 }
 
+// NewRedirector returns a server that answers requests with redirects of a status, and those at their location with 200. All answers
+// have the same body.
+func NewRedirector(t testing.TB, status, body string) *Server {
+	t.Helper()
+	return NewServer(t, status, "Location: "+elsewhere+"\r\n", body)
+}
+
 func (s *Server) serve(c net.Conn) {
 	defer c.Close()
 	r := bufio.NewReader(c)
@@ -71,6 +85,11 @@
 		}
 		_, _ = io.Copy(io.Discard, q.Body)
 		s.Requests.Add(1)
-		fmt.Fprintf(c, "HTTP/1.1 %s X\r\n%sContent-Length: %d\r\n\r\n%s", *s.Status.Load(), s.Header, len(s.Body), s.Body)
+		status := *s.Status.Load()
+		if q.URL.Path == elsewhere {
+			s.Followed.Add(1)
+			status = "200"
+		}
+		fmt.Fprintf(c, "HTTP/1.1 %s X\r\n%sContent-Length: %d\r\n\r\n%s", status, s.Header, len(s.Body), s.Body)
 	}
 }
--- a/jsonhttp/client.go
+++ b/jsonhttp/client.go
@@ -36,12 +36,12 @@
 	return &Client{Base: "http://" + address, Caller: caller, HTTP: NewHTTPClient(timeout)}
 }
 
-// NewHTTPClient returns a client that applies timeout to each request, takes heads of responses of up to MaxHeader, and fails if
-// the status of a response is not valid.
+// NewHTTPClient returns a client that applies timeout to each request, takes heads of responses of up to MaxHeader, fails if
+// the status of a response is not valid, and follows no redirects.
 func NewHTTPClient(timeout time.Duration) *http.Client {
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.MaxResponseHeaderBytes = MaxHeader
-	return &http.Client{Timeout: timeout, Transport: httpstatus.Transport{Base: t}}
+	return httpstatus.NewClient(t, timeout)
 }
 
 // StatusError is the error for a response whose status is not 2xx.
--- a/load/balancer.go
+++ b/load/balancer.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"birchlink.dev/birchlink/httpstatus"
 	"birchlink.dev/birchlink/wait"
 )
 
@@ -16,6 +17,8 @@
 	checkTimeout  = time.Second
 )
 
+var checkClient = httpstatus.NewClient(http.DefaultTransport, checkTimeout)
+
 // Balancer is a stand-in for the load balancer of the platform. It selects the entry boxes that pass
 // their readiness check in round-robin order. Boxes are their addresses.
 type Balancer struct {
@@ -28,15 +31,14 @@
 
 // Run checks the boxes periodically until c is done.
 func (b *Balancer) Run(c context.Context) {
-	h := &http.Client{Timeout: checkTimeout}
 	for c.Err() == nil {
-		b.CheckAll(c, h)
+		b.CheckAll(c)
 		wait.For(c, checkInterval)
 	}
 }
 
 // CheckAll checks the readiness of all boxes once, in parallel.
-func (b *Balancer) CheckAll(c context.Context, h *http.Client) {
+func (b *Balancer) CheckAll(c context.Context) {
 	ok := make([]bool, len(b.Boxes))
 	var g sync.WaitGroup
 	for i, a := range b.Boxes {
@@ -45,7 +47,7 @@
 			if err != nil {
 				return
 			}
-			if p, err := h.Do(r); err == nil {
+			if p, err := checkClient.Do(r); err == nil {
 				ok[i] = p.StatusCode == http.StatusOK
 				p.Body.Close()
 			}
--- a/load/run.go
+++ b/load/run.go
@@ -30,7 +30,7 @@
 	b := &Balancer{Boxes: p.Boxes}
 	x, stop := context.WithCancel(context.WithoutCancel(c))
 	defer stop()
-	b.CheckAll(x, &http.Client{Timeout: checkTimeout})
+	b.CheckAll(x)
 	go b.Run(x)
 	l := &Client{Balancer: b, HTTP: NewHTTP(), ResolveModel: func(m string) string {
 		w, _ := p.Document.Resolve(m)
@@ -50,5 +50,5 @@
 // NewHTTP returns the HTTP client of callers. It uses a new connection for each request, so that
 // net/http does not retry a request on its own.
 func NewHTTP() *http.Client {
-	return &http.Client{Transport: httpstatus.Transport{Base: &http.Transport{MaxIdleConnsPerHost: 64, DisableKeepAlives: true}}}
+	return httpstatus.NewClient(&http.Transport{MaxIdleConnsPerHost: 64, DisableKeepAlives: true}, 0)
 }
--- a/serviceproxy/proxy.go
+++ b/serviceproxy/proxy.go
@@ -120,11 +120,9 @@
 // newClient returns a client that follows no redirects, bounds the heads of responses, and fails if the status of one is not valid.
 func newClient(t *http.Transport) *http.Client {
 	t.MaxResponseHeaderBytes = jsonhttp.MaxHeader
-	return &http.Client{CheckRedirect: noRedirect, Transport: httpstatus.Transport{Base: t}}
+	return httpstatus.NewClient(t, 0)
 }
 
-func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
 // Name returns the service's name.
 func (p *Proxy) Name() string { return Name }
 
