--- a/soak/appear.go
+++ b/soak/appear.go
@@ -207,7 +207,7 @@
 
 // startPairs starts pairs of attempts at neighbouring boxes, which name the first attempt and do not in turn.
 func (r *run) startPairs(g *sync.WaitGroup, done <-chan struct{}, id string) {
-	h := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: slots, DisableCompression: true}, Timeout: 2 * callTimeout}
+	h := newCaller(slots)
 	n, began := len(r.fleet.Boxes), time.Now()
 	for i := 0; ; i++ {
 		s := &standin.Stream{Unnamed: i/n%2 == 0}
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -28,10 +28,18 @@
 	return path == oncePath || path == fixedStreamPath || path == slowOncePath || path == slowFixedPath
 }
 
+// newCaller returns a client that keeps a number of connections to each box. Its responses may have any status, which is checked.
+func newCaller(connections int) *http.Client {
+	return &http.Client{
+		Timeout: 2 * callTimeout, CheckRedirect: httpstatus.NoRedirect,
+		Transport: &http.Transport{MaxIdleConnsPerHost: connections, DisableCompression: true},
+	}
+}
+
 // runCaller makes calls in sequence over keep-alive connections until c is done.
 func (r *run) runCaller(c context.Context, n int) {
 	rnd := rand.New(rand.NewPCG(r.Seed, uint64(n)+2))
-	h := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}, Timeout: 2 * callTimeout}
+	h := newCaller(2)
 	for i := 0; c.Err() == nil; i++ {
 		b := r.fleet.Boxes[rnd.IntN(len(r.fleet.Boxes))]
 		id := fmt.Sprintf("r-%d-%d-%d", r.Seed, n, i)
--- a/soak/export_test.go
+++ b/soak/export_test.go
@@ -9,6 +9,12 @@
 // FreeAddresses is freeAddresses.
 var FreeAddresses = freeAddresses
 
+// ProbeStatus returns the status that a caller gets for a call of a box.
+func ProbeStatus(b *Box) (int, error) { return probeStatus(newCaller(1), b, 1, "r-1") }
+
+// IsReady is isReady.
+var IsReady = isReady
+
 // Termed returns when processes of the box were first sent SIGTERM.
 func (b *Box) Termed() []time.Time { return b.termed }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"birchlink.dev/birchlink/httpstatus"
 	"birchlink.dev/birchlink/platform/standin"
 )
 
@@ -456,7 +457,7 @@
 }
 
 // readyClient has a timeout because a paused box accepts connections without answering.
-var readyClient = &http.Client{Timeout: time.Second}
+var readyClient = httpstatus.NewClient(http.DefaultTransport, time.Second)
 
 func isReady(b *Box) bool {
 	a, err := readyClient.Get("http://" + b.ReadyAddress + standin.ReadyPath)
