--- a/cloudapi/cloudapi.go
+++ b/cloudapi/cloudapi.go
@@ -7,11 +7,11 @@
 	"errors"
 )
 
-// Errors of a call. After ErrUnknown the call may have taken effect or may still do so. ErrFenced also
+// Errors of a call. After ErrUnknown the call may have taken effect or may still do so, after the others it has not. ErrFenced also
 // means that no endpoint of the ordered kind is available; the cloud has one status for both.
 var (
 	ErrFenced  = errors.New("refused: stale fence, or no endpoint of this kind is available")
-	ErrUnknown = errors.New("no response: the call may still take effect")
+	ErrUnknown = errors.New("no definite response: the call may have taken effect, or may still do so")
 	ErrRefused = errors.New("the cloud refused the call")
 )
 
--- a/store/store.go
+++ b/store/store.go
@@ -8,10 +8,10 @@
 	"time"
 )
 
-// Errors of calls. After ErrOutcomeUnknown a change may have taken effect, or may still do so.
+// Errors of calls. After ErrOutcomeUnknown a change may have taken effect, or may still do so. After the other errors it has not.
 var (
 	ErrConflict       = errors.New("a condition of the change does not hold")
-	ErrOutcomeUnknown = errors.New("no answer: the change may have taken effect")
+	ErrOutcomeUnknown = errors.New("no definite answer: the change may have taken effect")
 	ErrUnavailable    = errors.New("the store is unavailable")
 	ErrNoLease        = errors.New("the lease does not exist")
 	ErrCompacted      = errors.New("the history after the requested revision is not available")
