--- a/kv/client.go
+++ b/kv/client.go
@@ -24,10 +24,10 @@
 // notices the end of the outage.
 const maxBackOff = 5 * time.Second
 
-// Errors of calls. After ErrOutcomeUnknown a swap may have taken effect.
+// Errors of calls. After ErrOutcomeUnknown a swap may have taken effect, or may still do so. After the others it has not.
 var (
 	ErrConflict       = errors.New("the value has changed")
-	ErrOutcomeUnknown = errors.New("no answer: a change may have taken effect")
+	ErrOutcomeUnknown = errors.New("no definite answer: a change may have taken effect")
 	ErrUnavailable    = errors.New("the key-value service is away")
 )
 
@@ -109,11 +109,12 @@
 	defer cancel()
 	err := c.http.Do(x, method, path, in, out)
 	var s *jsonhttp.StatusError
+	isStatus, reads := errors.As(err, &s), method == http.MethodGet
 	switch {
-	case err == nil, errors.As(err, &s) && s.Status == http.StatusConflict:
+	case err == nil, isStatus && s.Status == http.StatusConflict && !reads:
 		c.recordResult(true)
 		return err
-	case errors.As(err, &s):
+	case isStatus && (reads || isRefusal(s.Status)):
 		c.recordResult(false)
 		return fmt.Errorf("%w: %w", ErrUnavailable, err)
 	case errors.Is(err, context.Canceled):
@@ -124,6 +125,11 @@
 	}
 }
 
+// isRefusal reports whether a status states that the service has changed nothing.
+func isRefusal(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
 func (c *Client) isBackingOff() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
