--- a/configsync/follower.go
+++ b/configsync/follower.go
@@ -39,8 +39,8 @@
 	watchTimeout       = 10 * time.Second       // longest wait of a watch
 	gossipInterval     = 2 * time.Second        // between requests to peers
 	callTimeout        = time.Second            // of one read of the key-value service or of one offer
-	confirmTimeout     = 3 * time.Second        // for reading back a swap with an unknown outcome
-	retryInterval      = 500 * time.Millisecond // after a failed watch, and between the reads that confirm a swap
+	confirmTimeout     = 3 * time.Second        // for repeating a swap with an unknown outcome
+	retryInterval      = 500 * time.Millisecond // after a failed watch, and between repeated swaps
 	readTimeout        = 10 * time.Second       // of one read of a configuration from a peer, which may be large and its link slow
 	stallTime          = 400 * time.Millisecond // after which a read of which nothing comes is joined by one from another peer
 	giveUpTime         = 2 * time.Second        // after which it has failed
@@ -409,49 +409,58 @@
 	if err != nil {
 		return r, fmt.Errorf("encode configuration: %w", err)
 	}
-	e, err := f.store.Swap(c, kv.Entry{Key: Key, Rev: rev, Value: b})
+	e := kv.Entry{Key: Key, Rev: rev, Value: b}
+	stored, err := f.store.Swap(c, e)
+	repeated := errors.Is(err, kv.ErrOutcomeUnknown)
+	if repeated {
+		stored, err = f.repeatSwap(c, e)
+	}
 	switch {
 	case err == nil:
 		f.Install(r)
 		f.announce(c)
 		return r, nil
 	case errors.Is(err, kv.ErrConflict):
-		return f.resolveConflict(e, r)
+		return f.resolveConflict(stored, r, repeated)
 	case errors.Is(err, kv.ErrUnavailable):
 		return r, errkind.New(errkind.Unavailable, "nothing was changed: %w", err)
+	default:
+		return r, outcomeUnknownError(r)
 	}
-	return f.confirmSwap(c, r)
 }
 
-// resolveConflict decides by the nonce whether the stored entry is the change r, which then has
-// succeeded, or another one, which is a conflict.
-func (f *Follower) resolveConflict(e kv.Entry, r Revision) (Revision, error) {
-	stored, err := decode(e)
-	if err != nil {
-		return r, err
-	}
-	if stored.Nonce != r.Nonce {
-		return stored, conflictError(stored)
-	}
-	f.Install(r)
-	return r, nil
+func outcomeUnknownError(r Revision) error {
+	return errkind.New(errkind.OutcomeUnknown, "version %d may be in force or not; read it before editing again", r.Version)
 }
 
-// confirmSwap reads the configuration back after a swap with an unknown outcome. The nonce identifies
-// the writer of the stored version.
-func (f *Follower) confirmSwap(c context.Context, r Revision) (Revision, error) {
+// repeatSwap repeats a swap with an unknown outcome until the answer settles it: afterwards only one of the swaps has taken effect
+// or can still do so. A read would not, since the first one may be carried out later.
+func (f *Follower) repeatSwap(c context.Context, e kv.Entry) (kv.Entry, error) {
 	c, cancel := context.WithTimeout(c, confirmTimeout)
 	defer cancel()
 	for c.Err() == nil {
 		wait.For(c, retryInterval)
-		e, err := f.store.Get(c, Key)
-		if err != nil {
-			continue
+		stored, err := f.store.Swap(c, e)
+		if err == nil || errors.Is(err, kv.ErrConflict) {
+			return stored, err
 		}
-		if stored, err := decode(e); err == nil && stored.Version < r.Version {
-			return r, errkind.New(errkind.Unavailable, "the change was lost on its way; version %d is in force", stored.Version)
-		}
-		return f.resolveConflict(e, r)
 	}
-	return r, errkind.New(errkind.OutcomeUnknown, "version %d may be in force or not; read it before editing again", r.Version)
+	return kv.Entry{}, kv.ErrOutcomeUnknown
+}
+
+// resolveConflict decides by the nonce whether the stored entry is the change r, which then has
+// succeeded, or another one, which is a conflict. If the swap was repeated, a later version may have replaced r.
+func (f *Follower) resolveConflict(e kv.Entry, r Revision, repeated bool) (Revision, error) {
+	stored, err := decode(e)
+	switch {
+	case err != nil:
+		return r, err
+	case stored.Nonce == r.Nonce:
+		f.Install(r)
+		return r, nil
+	case repeated && stored.Version > r.Version:
+		return r, outcomeUnknownError(r)
+	default:
+		return stored, conflictError(stored)
+	}
 }
