--- a/engine/client.go
+++ b/engine/client.go
@@ -92,20 +92,17 @@
 // Generate starts an attempt. ErrNotRun and ErrUnreachable mean that it did not run; after any other
 // error it may have run.
 func (c *Client) Generate(x context.Context, address string, q Request) (*Stream, error) {
-	s, err := c.open(x, address, "/generate", q)
-	if errors.Is(err, ErrRestarted) {
-		return nil, fmt.Errorf("%w: %w", ErrNotRun, err)
-	}
-	return s, err
+	return c.open(x, address, "/generate", q, refusalError)
 }
 
 // Resume reads an attempt from the token a.From on. ErrNotRun means that the engine never received
 // the attempt and will refuse it.
 func (c *Client) Resume(x context.Context, address string, a Attempt) (*Stream, error) {
-	return c.open(x, address, "/resume", a)
+	return c.open(x, address, "/resume", a, func(resp *http.Response) error { return attemptError(resp.StatusCode) })
 }
 
-func (c *Client) open(x context.Context, address, path string, in any) (*Stream, error) {
+// open opens a stream. The error for a response without one is that of failure.
+func (c *Client) open(x context.Context, address, path string, in any, failure func(*http.Response) error) (*Stream, error) {
 	b, err := json.Marshal(in)
 	if err != nil {
 		return nil, fmt.Errorf("encode request: %w", err)
@@ -121,10 +118,7 @@
 	}
 	if resp.StatusCode != http.StatusOK {
 		defer resp.Body.Close()
-		if d := backoff.ParseRetryAfter(resp.Header); d > 0 && resp.StatusCode == http.StatusServiceUnavailable {
-			return nil, &BackOffError{d}
-		}
-		return nil, statusError(resp.StatusCode)
+		return nil, failure(resp)
 	}
 	s := bufio.NewScanner(resp.Body)
 	s.Buffer(nil, maxLineBytes)
@@ -142,11 +136,28 @@
 	return fmt.Errorf("call engine: %w", err)
 }
 
-func statusError(status int) error {
+// refusalError returns the error for a response to a new attempt that has no stream.
+func refusalError(resp *http.Response) error {
+	if d := backoff.ParseRetryAfter(resp.Header); d > 0 && resp.StatusCode == http.StatusServiceUnavailable {
+		return &BackOffError{d}
+	}
+	switch resp.StatusCode {
+	case http.StatusBadRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return ErrNotRun
+	case http.StatusPreconditionFailed:
+		return fmt.Errorf("%w: %w", ErrNotRun, ErrRestarted)
+	default:
+		return attemptError(resp.StatusCode)
+	}
+}
+
+// attemptError returns the error for the status of a response to a call that concerns an earlier attempt. An engine that refuses the
+// call may run the attempt all the same; only 404 states that it never received it.
+func attemptError(status int) error {
 	switch status {
 	case http.StatusPreconditionFailed:
 		return ErrRestarted
-	case http.StatusNotFound, http.StatusBadRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	case http.StatusNotFound:
 		return ErrNotRun
 	default:
 		return fmt.Errorf("engine answered status %d", status)
@@ -158,7 +169,7 @@
 	err := h.Do(x, http.MethodPost, path, in, out)
 	var s *jsonhttp.StatusError
 	if errors.As(err, &s) {
-		return fmt.Errorf("%w: %w", statusError(s.Status), err)
+		return fmt.Errorf("%w: %w", attemptError(s.Status), err)
 	}
 	if err != nil {
 		return transportError(err)
