--- a/stream/relay.go
+++ b/stream/relay.go
@@ -337,7 +337,7 @@
 	go p.receive(x, q, l, started)
 	if err := <-started; err != nil {
 		stop()
-		return nil, engineError(err)
+		return nil, engineError(err, q.Resume)
 	}
 	return l, nil
 }
@@ -395,10 +395,13 @@
 	return nil
 }
 
-// engineError converts a peer's error to the engine error of the same meaning.
-func engineError(err error) error {
+// engineError converts a peer's error to the engine error of the same meaning. A peer that has no room for the call which resumes an
+// attempt may run the attempt all the same.
+func engineError(err error, resumed bool) error {
 	e := errkind.Of(err)
 	switch {
+	case resumed && e.Kind == errkind.BoxFull:
+		return err
 	case e.Kind.Response().Run == errkind.NotRun:
 		return fmt.Errorf("%w: %w", engine.ErrNotRun, err)
 	case e.Kind == errkind.Unavailable, e.Kind == errkind.CallerGone:
