--- a/autoscaler/autoscaler.go
+++ b/autoscaler/autoscaler.go
@@ -139,9 +139,10 @@
 }
 
 // undoneLate reports whether an earlier order without an answer seems to have been executed after
-// this one: endpoints that served are gone.
+// this one, which was accepted: endpoints that served are gone, or there are more than were ordered.
 func (o *lastOrder) undoneLate(have int, now time.Time) bool {
-	return have < o.maxServing && now.Sub(o.unansweredAt) < lateExecutionWindow && now.Sub(o.at) >= lateReorderDelay
+	return o.accepted && (have < o.maxServing || have > o.count) &&
+		now.Sub(o.unansweredAt) < lateExecutionWindow && now.Sub(o.at) >= lateReorderDelay
 }
 
 // scaleDown is a smaller count that has been wanted since a point in time.
@@ -275,16 +276,17 @@
 	if !lower {
 		delete(a.scaleDowns, p)
 	}
+	undone := ordered && last.count == n && last.undoneLate(have, now)
 	switch {
 	case ordered && last.outOfSupply && now.Sub(last.at) < supplyRetryDelay:
 		return
-	case ordered && last.accepted && last.count == n && !last.undoneLate(have, now) && (have >= n || now.Sub(last.at) < reorderDelay):
+	case ordered && last.accepted && last.count == n && !undone && (have >= n || now.Sub(last.at) < reorderDelay):
 		return
 	}
 	// An order for endpoints that are not available now is lowered at once, since it would
 	// reserve capacity that other endpoints can use.
 	unavailable := p.reclaimable && have == 0 && (last.outOfSupply || last.reclaiming)
-	if lower && !unavailable && !atOnce && !a.isScaleDownDue(p, n, now) {
+	if lower && !undone && !unavailable && !atOnce && !a.isScaleDownDue(p, n, now) {
 		n *= surplusFactor
 		if !p.reclaimable || n >= max(last.count, have) || !a.scaleDownPendingFor(p, surplusDelay, now) {
 			return
--- a/autoscaler/autoscaler_test.go
+++ b/autoscaler/autoscaler_test.go
@@ -52,8 +52,9 @@
 	outOfSupply bool // no reclaimable endpoints are available
 
 	// loseOnDemand is the time after which the next on-demand order that grows the fleet is executed as
-	// an order for one endpoint, without an answer; zero if orders are answered.
+	// an order for one endpoint, or for its own count if keepCount is set, without an answer; zero if orders are answered.
 	loseOnDemand time.Duration
+	keepCount    bool
 }
 
 var errNoAnswer = errors.New("no answer")
@@ -66,20 +67,27 @@
 	k := kind{o.DataCentre, o.Reclaimable}
 	if d := c.loseOnDemand; d > 0 && !o.Reclaimable && o.Count > len(c.have[k]) {
 		c.loseOnDemand = 0
+		late := 1
+		if c.keepCount {
+			late = o.Count
+		}
 		time.AfterFunc(d, func() {
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			for len(c.have[k]) > 1 {
-				c.drain(k)
-			}
+			_ = c.scale(k, late)
 		})
 		return errNoAnswer
 	}
-	for len(c.have[k]) > o.Count {
+	return c.scale(k, o.Count)
+}
+
+// scale drains or starts endpoints until there are n of a kind. The caller holds c.mu.
+func (c *cloud) scale(k kind, n int) error {
+	for len(c.have[k]) > n {
 		c.drain(k)
 	}
-	more := o.Count - len(c.have[k]) - c.starting[k]
-	if more > 0 && c.outOfSupply && o.Reclaimable {
+	more := n - len(c.have[k]) - c.starting[k]
+	if more > 0 && c.outOfSupply && k.reclaimable {
 		return cloudapi.ErrFenced
 	}
 	for range max(more, 0) {
@@ -425,6 +433,32 @@
 	})
 }
 
+// Guards against endpoints that stay for good since an order for more without an answer is executed after a newer one for fewer.
+func TestLargerOrderExecutedLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const lateBy = 16 * time.Second
+		f := start(t, 3, 3)
+		f.setDemand(60_000)
+		f.advance(40 * time.Second)
+		require.Equal(t, 1, f.count(false))
+		f.cloud.mu.Lock()
+		f.loseOnDemand, f.keepCount = lateBy, true
+		f.cloud.mu.Unlock()
+		f.reclaim("a")
+		f.advance(2 * time.Second)
+		require.Equal(t, 6, f.count(false))
+		f.cloud.mu.Lock()
+		f.outOfSupply = false
+		f.cloud.mu.Unlock()
+		f.advance(lateBy - 3*time.Second)
+		require.Equal(t, 1, f.count(false))
+		f.advance(startDelay)
+		require.Greater(t, f.count(false), 1, "the order is executed late")
+		f.advance(4 * time.Second)
+		require.Equal(t, 1, f.count(false))
+	})
+}
+
 // Guards against endpoints that are given up after a pause of the box: that fewer were wanted for the scale-down delay of 1.5 s
 // must have been seen, and not only before and after the pause.
 func TestPauseIsNoScaleDownDelay(t *testing.T) {
