--- a/duty/lease.go
+++ b/duty/lease.go
@@ -79,7 +79,11 @@
 	}
 	n, err := l.Store.Swap(c, kv.Entry{Key: l.Key, Rev: e.Rev, Value: b})
 	if errors.Is(err, kv.ErrConflict) {
-		l.clearHeld()
+		// The record is another box's, or one that this box wrote before without an answer.
+		if _, err := l.observe(n, boottime.Now()); err != nil {
+			l.clearHeld()
+			return err
+		}
 		return nil
 	}
 	if err != nil {
--- a/duty/lease_test.go
+++ b/duty/lease_test.go
@@ -14,11 +14,14 @@
 	"birchlink.dev/birchlink/kv"
 )
 
-// fakeStore is a store of one key that can be made unavailable.
+// fakeStore is a store of one key that can be made unavailable. If delayed is set, the next swap has no answer, and takes effect
+// directly after the next read.
 type fakeStore struct {
 	mu          sync.Mutex
 	entry       kv.Entry
 	unavailable bool
+	delayed     bool
+	pending     *kv.Entry
 }
 
 func (f *fakeStore) Get(context.Context, string) (kv.Entry, error) {
@@ -27,7 +30,12 @@
 	if f.unavailable {
 		return kv.Entry{}, kv.ErrUnavailable
 	}
-	return f.entry, nil
+	read := f.entry
+	if e := f.pending; e != nil {
+		f.pending = nil
+		_, _ = f.apply(*e)
+	}
+	return read, nil
 }
 
 func (f *fakeStore) Swap(_ context.Context, e kv.Entry) (kv.Entry, error) {
@@ -36,6 +44,15 @@
 	if f.unavailable {
 		return kv.Entry{}, kv.ErrUnavailable
 	}
+	if f.delayed {
+		f.delayed, f.pending = false, &e
+		return kv.Entry{}, kv.ErrOutcomeUnknown
+	}
+	return f.apply(e)
+}
+
+// apply swaps the entry. The caller holds f.mu.
+func (f *fakeStore) apply(e kv.Entry) (kv.Entry, error) {
 	if e.Rev != f.entry.Rev {
 		return f.entry, kv.ErrConflict
 	}
@@ -172,3 +189,37 @@
 		require.False(t, b.MayActUnfenced(boottime.Now(), 0), "an order of a may still be running")
 	})
 }
+
+// Guards against a holder that gives the lease up since its own renewal, which got no answer, was carried out late and conflicts with
+// the next one, and against a new holder that is not one for the same reason.
+func TestOwnSwapExecutedLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeStore{delayed: true}
+		a, b := &duty.Lease{Holder: "a", Store: f}, &duty.Lease{Holder: "b", Store: f}
+		step(t, a)
+		require.Zero(t, heldFence(a))
+		step(t, a)
+		require.Zero(t, heldFence(a), "the lease is not renewed")
+		step(t, a)
+		require.EqualValues(t, 1, heldFence(a))
+		for range 5 {
+			time.Sleep(duty.RenewInterval)
+			step(t, a)
+			step(t, b)
+		}
+		f.delayed = true
+		step(t, a)
+		step(t, a)
+		require.EqualValues(t, 1, heldFence(a))
+		step(t, b)
+		time.Sleep(duty.Term)
+		f.delayed = true
+		step(t, b)
+		step(t, b)
+		require.Zero(t, heldFence(b))
+		step(t, a)
+		require.Zero(t, heldFence(a), "b has taken the lease")
+		step(t, b)
+		require.EqualValues(t, 2, heldFence(b))
+	})
+}
