--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -183,8 +183,23 @@
 	if err != nil {
 		return fmt.Errorf("encode counts: %w", err)
 	}
-	_, err = r.Store.Commit(c, store.Change{
-		Put:    []store.Put{{Key: r.countsKey(window), Value: b}},
+	err = r.commitCounts(c, window, b, 0)
+	if !errors.Is(err, store.ErrConflict) {
+		return err
+	}
+	i, err := r.Store.Get(c, r.countsKey(window))
+	if err != nil {
+		return err
+	}
+	return r.commitCounts(c, window, b, i.Revision)
+}
+
+// commitCounts writes the counts of a window if their key is still at a revision. Without that condition, an earlier change that got
+// no answer could replace them with older counts later.
+func (r *Reporter) commitCounts(c context.Context, window int64, value []byte, revision uint64) error {
+	_, err := r.Store.Commit(c, store.Change{
+		If:     []store.Condition{{Key: r.countsKey(window), Revision: revision}},
+		Put:    []store.Put{{Key: r.countsKey(window), Value: value}},
 		Delete: []string{r.countsKey(window - r.retained())},
 	})
 	return err
