--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -134,6 +134,7 @@
 	rounds        atomic.Int64
 	relay         relaySlot // the relay that represents this box; itself while it is a relay
 	slotVacant    bool      // a relay slot of this data centre may be free
+	claimDoubtful bool      // the last claim of a slot may have taken effect, or may still do so
 	packedConfig  configCache
 	packedRecords recordsCache
 	slotWatch     *mirror.Mirror
--- a/gossip/slots.go
+++ b/gossip/slots.go
@@ -192,6 +192,8 @@
 			If:  []store.Condition{{Key: k}},
 			Put: []store.Put{{Key: k, Value: g.slotValue(), Lease: l}},
 		})
+		wasDoubtful := g.claimDoubtful
+		g.claimDoubtful = errors.Is(err, store.ErrOutcomeUnknown)
 		if err == nil {
 			g.applySlots([]store.Item{{Key: k, Value: g.slotValue()}}, false, 0)
 			g.log.Info().Str("event", "relay").Str("place", k).Msg("claimed a relay slot")
@@ -200,6 +202,9 @@
 		if !errors.Is(err, store.ErrConflict) {
 			return
 		}
+		if wasDoubtful {
+			break // an earlier claim of this box may have been carried out just now
+		}
 	}
 	// Other boxes were faster; look up immediately which they are.
 	g.requestSlotLookup()
--- a/gossip/slots_test.go
+++ b/gossip/slots_test.go
@@ -1,6 +1,7 @@
 package gossip_test
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
@@ -9,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"birchlink.dev/birchlink/stand/memstore"
+	"birchlink.dev/birchlink/store"
 	"birchlink.dev/birchlink/storesession"
 )
 
@@ -84,3 +86,39 @@
 	m.Set("config", `{"Version":5}`)
 	waitUntil(t, func() bool { return countBoxes(bs, func(b *box) bool { return b.version() == 5 }) == 9 })
 }
+
+// lateClaimStore is a store that carries out the first claim of a relay slot, which gets no answer, just before the next one.
+type lateClaimStore struct {
+	store.Store
+	pending *store.Change
+	claims  []string // keys of all claims
+}
+
+func (s *lateClaimStore) Commit(c context.Context, x store.Change) (uint64, error) {
+	if !strings.HasPrefix(x.Put[0].Key, "relays/") {
+		return s.Store.Commit(c, x)
+	}
+	s.claims = append(s.claims, x.Put[0].Key)
+	if len(s.claims) == 1 {
+		s.pending = &x
+		return 0, store.ErrOutcomeUnknown
+	}
+	if p := s.pending; p != nil {
+		s.pending = nil
+		if _, err := s.Store.Commit(c, *p); err != nil {
+			return 0, err
+		}
+	}
+	return s.Store.Commit(c, x)
+}
+
+// Guards against a box that takes both relay slots of its data centre, since its own claim of the first one was carried out late.
+func TestLateClaimTakesOneSlot(t *testing.T) {
+	m := &memstore.Store{}
+	m.Set("config", `{"Version":3}`)
+	s := &lateClaimStore{Store: m}
+	a := startBox(t, s, "a", "dc0")
+	waitUntil(t, a.IsRelay)
+	a.stop()
+	require.Equal(t, []string{"relays/dc0/0", "relays/dc0/0"}, s.claims)
+}
