--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -149,8 +149,7 @@
 	switch s := r.continued; {
 	case s != nil:
 		a.HandleAddress, a.Handle = s.source.Address, s.handle
-		// If the last event comes again, an end without others shows that the answer is whole.
-		if before, ok := r.answer.Previous(); ok && r.answer.Passed() > 0 && s.mayBeWhole {
+		if before, ok := r.answer.PreviousInRun(); ok && s.mayBeWhole {
 			a.LastEventID = before
 		}
 		return a, 0 // a handle serves once, so it must not be lost with an idle connection
--- a/forward/continue.go
+++ b/forward/continue.go
@@ -20,7 +20,7 @@
 	for out.stopped != nil {
 		from, s := ch, out.stopped
 		out.stopped = nil
-		if !r.answer.CanContinue() { // the run sent an event without an ID before it stopped
+		if !r.mayContinue(s) { // the run sent an event without an ID before it stopped
 			return r.discardStopped(c, s, noEventID, ch, out)
 		}
 		ch, out = r.continueStopped(c, from, s, out)
@@ -28,6 +28,13 @@
 	return ch, out
 }
 
+// mayContinue reports whether a stopped run can continue after the last event. One that may be whole sends that again, so that an end
+// without others shows that it is; if it has no ID, it comes again with the last event that has one.
+func (r *run) mayContinue(s *stoppedRun) bool {
+	_, comesAgain := r.answer.PreviousInRun()
+	return r.answer.CanContinue() || s.mayBeWhole && comesAgain
+}
+
 // continueStopped continues a stopped run at its destination, at others to which the source copies
 // the memory again while there are credits for those that refused, or at the source if that is known to have stopped it. If all of
 // them refuse, the result is that of a lost run. Before is the result of the attempt at the source.
--- a/forward/response.go
+++ b/forward/response.go
@@ -322,7 +322,7 @@
 		v = sequence.Unproven
 		if out.stopped != nil {
 			// A stopped run ends without framing. One that ends with it, and whose source has answered, has likely ended by itself.
-			out.stopped.isWhole = resp.Framed() && !r.q.Route.Repeatable() && !r.shared.stopOrders.MayStop(r.trace.Choice.Endpoint.ID)
+			out.stopped.isWhole = resp.Framed() && !r.isProvable() && !r.shared.stopOrders.MayStop(r.trace.Choice.Endpoint.ID)
 		}
 	}
 	r.recordEnd(v, resp, err)
@@ -350,6 +350,9 @@
 	}
 }
 
+// isProvable reports whether an attempt may show the end of the answer that is no part of the run that sent its last event.
+func (r *run) isProvable() bool { return r.q.Route.Repeatable() && r.answer.CanContinue() }
+
 // streamEndOf returns how a stream has ended that is not whole, by the error with which its last event was read.
 func streamEndOf(err error) streamEnd {
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, sse.ErrTruncated) || errors.Is(err, errConnectionEnd) {
--- a/forward/stoppable_test.go
+++ b/forward/stoppable_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -51,6 +53,7 @@
 	holds     int    // events before a run waits
 	total     int
 	data      func(i int) string
+	bare      bareEvents
 	order     func(n int) string // is called at the n-th order, and returns the answer, or "" for none
 	endsAt    int                // number of the run at whose first event the process ends
 
@@ -66,6 +69,38 @@
 	return &stoppable{holds: 3, total: 6, data: func(i int) string { return fmt.Sprint("a", i) }}
 }
 
+// bareEvents has the numbers of events that are sent without an ID. The IDs of the others count them.
+type bareEvents string
+
+func (b bareEvents) has(i int) bool {
+	return slices.Contains(strings.Fields(string(b)), strconv.Itoa(i))
+}
+
+// after returns the number of the event with an ID; zero if there is none.
+func (b bareEvents) after(id string) int {
+	n, _ := strconv.Atoi(id)
+	i := 0
+	for ; n > 0; i++ {
+		if !b.has(i + 1) {
+			n--
+		}
+	}
+	return i
+}
+
+func (b bareEvents) event(i int, data string) string {
+	if b.has(i) {
+		return fmt.Sprintf("data: %s\n\n", data)
+	}
+	id := i
+	for j := 1; j < i; j++ {
+		if b.has(j) {
+			id--
+		}
+	}
+	return fmt.Sprintf("id: %d\ndata: %s\n\n", id, data)
+}
+
 func (a *stoppable) serve(w io.Writer, q *http.Request, gone <-chan struct{}) {
 	switch {
 	case q.URL.Path == healthPath:
@@ -100,13 +135,12 @@
 }
 
 func (a *stoppable) run(w io.Writer, q *http.Request, gone <-chan struct{}) {
-	last := 0
-	_, _ = fmt.Sscan(q.Header.Get("Last-Event"), &last)
+	last := a.bare.after(q.Header.Get("Last-Event"))
 	a.mu.Lock()
 	a.runs = append(a.runs, strings.TrimSpace(q.Header.Get("Last-Event")+" "+q.Header.Get("Handle")))
 	n := len(a.runs)
 	a.mu.Unlock()
-	event := func(i int) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", i, a.data(i)) }
+	event := func(i int) string { return a.bare.event(i, a.data(i)) }
 	kind, framing := "text/event-stream", ""
 	if a.kind != "" {
 		kind = a.kind
@@ -244,12 +278,12 @@
 	total  int
 	handle string
 	data   func(i int) string
+	bare   bareEvents
 	runs   []string // the events after which they begin, with the handles
 }
 
 func (d *destination) serve(w io.Writer, q *http.Request, gone <-chan struct{}) {
-	last, handle := 0, q.Header.Get("Handle")
-	_, _ = fmt.Sscan(q.Header.Get("Last-Event"), &last)
+	last, handle := d.bare.after(q.Header.Get("Last-Event")), q.Header.Get("Handle")
 	if q.URL.Path == "/x" {
 		d.runs = append(d.runs, strings.TrimSpace(q.Header.Get("Last-Event")+" "+handle))
 	}
@@ -262,7 +296,8 @@
 		time.Sleep(10 * time.Millisecond)
 		writeHead(w, q)
 		for i := last + 1; i <= d.total; i++ {
-			writeEvent(w, i, d.data(i))
+			e := d.bare.event(i, d.data(i))
+			fmt.Fprintf(w, "%x\r\n%s\r\n", len(e), e)
 		}
 		writeEnd(w)
 	}
--- a/sequence/answer.go
+++ b/sequence/answer.go
@@ -82,7 +82,8 @@
 	hasPrevious bool
 	isFromFirst bool // the first event has the first number of a count
 	hasSkipped  bool // a number was left out
-	unnumbered  bool // the last event has no number
+	unnumbered  int  // events without a number after the last one that has one
+	leading     int  // those before that one, after the number before
 	recurs      bool // IDs that are no numbers have come again, so that none names an event
 	passed      int  // events
 
@@ -118,7 +119,7 @@
 func (a *Answer[N, P]) isShownCount() bool { return a.IsCount() && a.numbered >= shownCount }
 
 // CanContinue reports whether another run can continue after the last event: it has a number, or there is none yet.
-func (a *Answer[N, P]) CanContinue() bool { return !a.unnumbered && !a.recurs }
+func (a *Answer[N, P]) CanContinue() bool { return a.unnumbered == 0 && !a.recurs }
 
 // Previous returns the number after which a run sends the last event again, and nothing else if the answer is whole. It
 // returns false if that is not known.
@@ -127,6 +128,20 @@
 		var zero N
 		return zero, false
 	}
+	return a.beforeLast()
+}
+
+// PreviousInRun is Previous for a part of the run that sent the last event with a number, if one was sent. Those without a number that
+// follow it come again with it.
+func (a *Answer[N, P]) PreviousInRun() (N, bool) {
+	if a.numbered == 0 || a.recurs {
+		var zero N
+		return zero, false
+	}
+	return a.beforeLast()
+}
+
+func (a *Answer[N, P]) beforeLast() (N, bool) {
 	if a.hasPrevious {
 		return a.previous, true
 	}
@@ -142,11 +157,11 @@
 	return &Run[N, P]{answer: a, id: run, isResumed: a.HasLast, continues: a.HasLast, atLast: !a.HasLast && a.passed == 0}
 }
 
-// StartAtLast is Start for a part of a run that was asked for the last event again, if there is one, and for what follows. That event is
-// dropped whatever its bytes, which may name what sent it.
+// StartAtLast is Start for a part of a run that was asked to go on after PreviousInRun. What the answer has of that is dropped whatever
+// its bytes, which may name what sent it.
 func (a *Answer[N, P]) StartAtLast(run int) *Run[N, P] {
 	r := a.Start(run)
-	r.repeatsLast = a.HasLast && a.CanContinue()
+	r.repeatsLast, r.leading, r.trailing = a.HasLast, a.leading, a.unnumbered
 	return r
 }
 
@@ -222,9 +237,11 @@
 		a.runs++
 	}
 	a.run = run
-	if a.unnumbered = !a.hasNumber(e); a.unnumbered {
+	if !a.hasNumber(e) {
+		a.unnumbered++
 		return
 	}
+	a.leading, a.unnumbered = a.unnumbered, 0
 	if isKnown, _ := a.find(e); isKnown {
 		a.recurs = true
 	}
--- a/sequence/run.go
+++ b/sequence/run.go
@@ -13,7 +13,9 @@
 	continues bool // so does the next event that is accepted
 	atLast    bool // the last event of the run is the last one of the answer
 
-	repeatsLast bool    // the next event may be the last one of the answer again, with other bytes
+	repeatsLast bool    // the last event of the answer with a number may come again, with other bytes
+	leading     int     // events without a number that may come before it
+	trailing    int     // events without a number that must come after it
 	failed      Verdict // on the event that did not follow; zero if there is none
 	held        int     // events after a gap
 	lastHeld    N       // number of the last of them
@@ -46,12 +48,8 @@
 	if !a.mayContinue(r.id) {
 		return Joined
 	}
-	if r.repeatsLast {
-		if r.repeatsLast = false; a.hasNumber(e) && a.numbering.Relate(a.Last, e.Number) == Same {
-			r.atLast = true
-			r.repeats++
-			return Dropped
-		}
+	if v, ok := r.judgeRepeated(e); ok {
+		return v
 	}
 	if !a.hasNumber(e) {
 		if r.atLast {
@@ -63,7 +61,7 @@
 	if v != Dropped {
 		return v
 	}
-	r.atLast = !a.unnumbered && a.numbering.Relate(a.Last, e.Number) == Same
+	r.atLast = a.unnumbered == 0 && a.numbering.Relate(a.Last, e.Number) == Same
 	r.repeats++
 	if r.dropped++; r.dropped > maxDropped {
 		return Reversed
@@ -71,6 +69,29 @@
 	return Dropped
 }
 
+// judgeRepeated returns the verdict on one of the last events of the answer, if the run was asked for them again. It returns false if e is
+// none of them.
+func (r *Run[N, P]) judgeRepeated(e Event[N]) (Verdict, bool) {
+	a := r.answer
+	isNumbered := a.hasNumber(e)
+	switch {
+	case r.repeatsLast && isNumbered && a.numbering.Relate(a.Last, e.Number) == Same:
+		r.repeatsLast = false
+	case r.repeatsLast && !isNumbered && r.leading > 0:
+		r.leading--
+	case !r.repeatsLast && !isNumbered && r.trailing > 0:
+		r.trailing--
+	case r.trailing > 0 || r.repeatsLast && r.leading < a.leading: // it is not known which events were left out
+		return Unplaced, true
+	default:
+		r.repeatsLast = false
+		return 0, false
+	}
+	r.atLast = !r.repeatsLast && r.trailing == 0
+	r.repeats++
+	return Dropped, true
+}
+
 // judgeHeld returns the verdict on an event after those held.
 func (r *Run[N, P]) judgeHeld(e Event[N]) Verdict {
 	if !e.HasNumber || r.answer.numbering.Relate(r.lastHeld, e.Number) != Later {
