--- a/forward/continue.go
+++ b/forward/continue.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -52,6 +53,9 @@
 		s.skip[t.choice.Endpoint.Incarnation()] = true
 		out := r.continueAt(c, t.choice, s, t.attempt)
 		isPaid := r.payContinuation(c, out, t.choice.Endpoint)
+		if !out.isNotRun() && s.countsAsWhole() && out.showsNothing() && c.Err() == nil {
+			return r.discardStopped(c, s, "failed", from, before)
+		}
 		if !out.isNotRun() {
 			r.recordMove(s, "moved", t.choice, out)
 			return t.choice, out
@@ -99,7 +103,7 @@
 	r.recordMove(s, outcome, from, attemptResult{})
 	if !s.confirmed {
 		r.trace.Choice = from
-		if s.isWhole && c.Err() == nil {
+		if s.countsAsWhole() && c.Err() == nil {
 			before.done, before.unproven, before.err = true, nil, nil
 		}
 		return from, before
@@ -141,6 +145,13 @@
 	r.hasPermit = false
 	r.continued, r.reserved = s, reserved
 	defer func() { r.continued, r.reserved = nil, nil }()
+	if s.countsAsWhole() { // the caller waits for the end only
+		x, cancel := context.WithCancelCause(c)
+		defer cancel(nil)
+		s.timer = time.AfterFunc(maxSilence, func() { cancel(errNoProof) })
+		defer s.timer.Stop()
+		c = x
+	}
 	return r.attempt(c, ch)
 }
 
@@ -158,6 +169,9 @@
 	}
 }
 
+// showsNothing reports whether a continuation has shown neither that the answer is whole nor that it is not.
+func (r attemptResult) showsNothing() bool { return !r.done && !r.hasMore && r.stopped == nil }
+
 // isNotRun reports whether the endpoint did not and will not run the attempt.
 func (r attemptResult) isNotRun() bool {
 	if r.done || r.stopped != nil {
--- a/forward/move.go
+++ b/forward/move.go
@@ -75,6 +75,18 @@
 	// while the run went on, mayBeWhole reports that its stream has ended as one that is whole, and isWhole that it counts as whole if
 	// the copy can't show that.
 	confirmed, mayBeWhole, isWhole bool
+
+	timer *time.Timer // ends a continuation that shows nothing; nil if none is to be ended
+}
+
+// countsAsWhole reports whether the answer counts as whole unless a continuation shows that it is not.
+func (s *stoppedRun) countsAsWhole() bool { return s.isWhole && !s.confirmed }
+
+// recordMore records that a continuation has received events that the caller did not have.
+func (s *stoppedRun) recordMore() {
+	if s != nil && s.timer != nil {
+		s.timer.Stop()
+	}
 }
 
 // discard frees the memory of a run that is not continued, if there is one.
--- a/forward/response.go
+++ b/forward/response.go
@@ -197,6 +197,10 @@
 			return s.out
 		}
 		v, err := r.checkEvent(s.seq, e, resp.Framed())
+		if e.IsContent() && v != sequence.Dropped {
+			s.out.hasMore = true
+			r.continued.recordMore()
+		}
 		switch {
 		case err != nil:
 		case v == sequence.Accepted && !e.IsContent() && (!r.mayAnswer() || w.hasSuccessor()):
--- a/forward/run.go
+++ b/forward/run.go
@@ -133,6 +133,7 @@
 	err          error
 	done         bool        // the sink has received the complete response
 	advanced     bool        // the attempt added events to the caller's stream
+	hasMore      bool        // the attempt received events that the caller did not have
 	answered     bool        // the endpoint sent a complete response that can't be used
 	stopped      *stoppedRun // the run was stopped and continues elsewhere; nil otherwise
 	superseded   bool        // a successor goes on, and the attempt was recorded
--- a/forward/stopend_test.go
+++ b/forward/stopend_test.go
@@ -1,8 +1,11 @@
 package forward_test
 
 import (
+	"io"
+	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -56,3 +59,47 @@
 		})
 	}
 }
+
+// Guards against whole streams that are lost because the copy can't show their end: the destination fails or is silent. The chunks
+// had their end, and the orders were answered.
+func TestWholeStreamWhoseCopyShowsNothing(t *testing.T) {
+	for name, b := range map[string]func(io.Writer, *http.Request, <-chan struct{}){
+		"fails":              func(w io.Writer, q *http.Request, _ <-chan struct{}) { writeAnswer(w, q, 500, "", "") },
+		"closes":             func(io.Writer, *http.Request, <-chan struct{}) {},
+		"closes_after_head":  func(w io.Writer, q *http.Request, _ <-chan struct{}) { writeHead(w, q) },
+		"closes_after_event": func(w io.Writer, q *http.Request, _ <-chan struct{}) { writeHead(w, q); writeEvent(w, 6, "a6") },
+		"ends_without_event": func(w io.Writer, q *http.Request, _ <-chan struct{}) { writeHead(w, q); writeEnd(w) },
+		"is_silent":          func(_ io.Writer, _ *http.Request, gone <-chan struct{}) { <-gone },
+		"is_silent_after_event": func(w io.Writer, q *http.Request, gone <-chan struct{}) {
+			writeHead(w, q)
+			writeEvent(w, 6, "a6")
+			<-gone
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := newStoppable()
+			a.framing, a.order = "chunks", a.endAt("no_run")
+			v := stopTest{route: "stream 2", a: a, b: b}
+			events, err := v.play(t)
+			require.NoError(t, err)
+			require.Equal(t, wholeStream, events)
+			require.Less(t, v.took, 2*time.Second) // callers wait no longer
+		})
+	}
+}
+
+// Guards against parts of streams that end as complete because a continuation failed after it had shown that there is more.
+func TestPartOfStoppedRunWhoseCopyFails(t *testing.T) {
+	for name, after := range map[string]int{"event": 4, "gap": 5} {
+		t.Run("after_"+name, func(t *testing.T) {
+			a := newStoppable()
+			a.framing, a.lastChunk, a.order = "chunks", true, a.stopAt("no_run")
+			events, err := (&stopTest{route: "stream 2", a: a, b: func(w io.Writer, q *http.Request, _ <-chan struct{}) {
+				writeHead(w, q)
+				writeEvent(w, 3, "a3")
+				writeEvent(w, after, "a")
+			}}).play(t)
+			require.Error(t, err, "the part %s ends as complete", events)
+		})
+	}
+}
