--- a/forward/response.go
+++ b/forward/response.go
@@ -323,11 +323,7 @@
 	}
 	v := s.seq.End(isStated)
 	if isDoubted && v == sequence.Complete {
-		v = sequence.Unproven
-		if out.stopped != nil {
-			// A stopped run ends without framing. One that ends with it, and whose source has answered, has likely ended by itself.
-			out.stopped.isWhole = resp.Framed() && !r.isProvable() && !r.shared.stopOrders.MayStop(r.trace.Choice.Endpoint.ID)
-		}
+		v = r.judgeDoubted(resp, out.stopped)
 	}
 	r.recordEnd(v, resp, err)
 	switch {
@@ -347,13 +343,28 @@
 		out.err = errSuperseded
 	default:
 		r.recordSurvival(resp, out.firstEventAt)
-		if out.advanced {
+		if out.advanced && !isDoubted {
 			r.f.EndMarks.Record(r.q.Service.Name, r.trace.Choice.Endpoint.ID, r.lastEvent)
 		}
 		out.done = true
 	}
 }
 
+// judgeDoubted returns the verdict on the end of an answer that may be the effect of an order, and whose run may continue; stopped is nil
+// if it may not.
+func (r *run) judgeDoubted(resp *httpconn.Response, stopped *stoppedRun) sequence.Verdict {
+	// A stopped run ends without framing. One that ends with it, and whose source has answered, has likely ended by itself.
+	isWhole := resp.Framed() && !r.isProvable() && !r.shared.stopOrders.MayStop(r.trace.Choice.Endpoint.ID)
+	if stopped != nil {
+		stopped.isWhole = isWhole
+		return sequence.Unproven
+	}
+	if isWhole {
+		return sequence.Complete
+	}
+	return sequence.Unproven
+}
+
 // isProvable reports whether an attempt may show the end of the answer that is no part of the run that sent its last event.
 func (r *run) isProvable() bool { return r.q.Route.Repeatable() && r.answer.CanContinue() }
 
--- a/forward/stopend_test.go
+++ b/forward/stopend_test.go
@@ -103,3 +103,14 @@
 		})
 	}
 }
+
+// Guards against whole streams that are lost to slow callers because the copy has expired before the box has read the end. The chunks had
+// their end, and the order was answered.
+func TestWholeStreamWhoseCopyHasExpired(t *testing.T) {
+	a := newStoppable()
+	a.framing, a.order = "chunks", a.endAt("no_run")
+	v := stopTest{route: "stream 2", a: a, b: (&destination{total: 6, data: a.data}).serve, sink: &slowRecorder{delay: 1900 * time.Millisecond}}
+	events, err := v.play(t)
+	require.NoError(t, err)
+	require.Equal(t, wholeStream, events)
+}
