--- a/forward/liveness.go
+++ b/forward/liveness.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -35,29 +34,50 @@
 // it is not known whether it lives on: the connection may have ended with the process.
 var errConnectionEnd = errors.New("the connection ended, and the response has no length or chunks")
 
-// errNoEndMark reports a stream without a length or chunks that lacks the event with which the streams of its service end,
-// errPartOfJSON a response that is part of a JSON text, and errToldToStop one whose run was told to stop.
+// errNoEndMark reports a stream without a length or chunks that lacks the event with which the streams of its service end, and
+// errPartOfJSON a response that is part of a JSON text.
 var (
 	errNoEndMark  = fmt.Errorf("%w, and the stream lacks the last event of other streams", errConnectionEnd)
 	errPartOfJSON = fmt.Errorf("%w, and the body is part of a JSON text", errConnectionEnd)
-	errToldToStop = fmt.Errorf("%w, and its run was told to stop", errConnectionEnd)
 )
 
+// errToldToStop reports a response whose end may be the effect of an order to stop its run.
+var errToldToStop = errors.New("its run was told to stop")
+
 // errOtherProcess reports that another process answers at the address of an endpoint.
 var errOtherProcess = errors.New("another process answers at the endpoint's address")
 
-// confirmPlainEnd is confirmEnd for a response that is not a stream. Its run may have been told to stop before it was known to be none.
-func (r *run) confirmPlainEnd(c context.Context, h http.Header, body []byte) error {
-	if r.stream.refuseOrders() || r.shared.stopOrders.MayStop(r.trace.Choice.Endpoint.ID) {
+// confirmPlainEnd returns nil if a response that is not a stream, and states no length, is whole: its end is not the effect of an order to
+// stop its run, which may have been sent before the response was known to be none. An end without framing must be confirmed, too.
+func (r *run) confirmPlainEnd(c context.Context, resp *httpconn.Response, body []byte) error {
+	if r.isPlainEndDoubted(resp.Framed()) {
 		return errToldToStop
 	}
-	if jsonhttp.IsPart(h, body) {
+	if resp.Framed() {
+		return nil
+	}
+	if jsonhttp.IsPart(resp.Header, body) {
 		metrics.GetOrRegisterCounter("answers.unframed.part_of_json", r.f.Metrics).Inc(1)
 		return errPartOfJSON
 	}
 	return r.confirmEnd(c, answerPlain)
 }
 
+// isPlainEndDoubted reports whether the end of a response that is not a stream may be the effect of an order. As for streams, a framed one
+// whose orders were answered without a handle has likely ended by itself, and stands where the request may not be repeated.
+func (r *run) isPlainEndDoubted(isFramed bool) bool {
+	isTold := r.stream.refuseOrders()
+	if !isTold || !isFramed {
+		return isTold || r.shared.stopOrders.MayStop(r.trace.Choice.Endpoint.ID)
+	}
+	stopped := r.stream.settleDoubted(true)
+	if stopped != nil {
+		stopped.discard()
+	}
+	isConfirmed := stopped != nil && stopped.confirmed
+	return isConfirmed || r.q.Route.Repeatable() || r.shared.stopOrders.MayStop(r.trace.Choice.Endpoint.ID)
+}
+
 // confirmEnd returns nil if a response that has ended in order with its connection, and has neither length nor chunks, is whole: the
 // endpoint has closed the connection itself, since its process has outlived that.
 func (r *run) confirmEnd(c context.Context, kind string) error {
--- a/forward/response.go
+++ b/forward/response.go
@@ -47,8 +47,8 @@
 		return r.forwardEvents(c, resp, n, w)
 	}
 	b, err := resp.ReadAll(maxResponseSize)
-	if err == nil && !resp.Framed() {
-		err = r.confirmPlainEnd(c, resp.Header, b)
+	if err == nil && !resp.HasLength() { // a length was stated before any order
+		err = r.confirmPlainEnd(c, resp, b)
 	}
 	if err != nil {
 		return attemptResult{interruption: recovery.Gone, err: fmt.Errorf("the answer was cut: %w", err)}
--- a/forward/stopend_test.go
+++ b/forward/stopend_test.go
@@ -114,3 +114,33 @@
 	require.NoError(t, err)
 	require.Equal(t, wholeStream, events)
 }
+
+// Guards against parts of plain answers in chunks that end as complete, at an endpoint that ends the chunks of a stopped run.
+func TestPlainAnswerOfStoppedRunEndsChunks(t *testing.T) {
+	for _, route := range []string{"stream 2", "stream resumable 1"} {
+		for _, answer := range []string{"stopped", "no_run", "failed", ""} {
+			if route == "stream 2" && (answer == "no_run" || answer == "failed") {
+				continue // a run that ended by itself looks the same
+			}
+			t.Run(strings.ReplaceAll(route, " ", "_")+"_answer_"+answer, func(t *testing.T) {
+				a := newStoppable()
+				a.kind, a.framing, a.lastChunk, a.order = "text/plain", "chunks", true, a.stopAt(answer)
+				events, err := (&stopTest{route: route, a: a, b: (&destination{total: 6, data: a.data}).serve}).play(t)
+				require.False(t, err == nil && events != wholeStream, "the part %s ends as complete", events)
+			})
+		}
+	}
+}
+
+// Guards against whole plain answers in chunks that are lost because an order came too late.
+func TestWholePlainAnswerInChunks(t *testing.T) {
+	for _, answer := range []string{"no_run", "failed"} {
+		t.Run("answer_"+answer, func(t *testing.T) {
+			a := newStoppable()
+			a.kind, a.framing, a.order = "text/plain", "chunks", a.endAt(answer)
+			events, err := (&stopTest{route: "stream 2", a: a, b: (&destination{total: 6, data: a.data}).serve}).play(t)
+			require.NoError(t, err)
+			require.Equal(t, wholeStream, events)
+		})
+	}
+}
