--- a/forward/continue.go
+++ b/forward/continue.go
@@ -12,6 +12,7 @@
 	"birchlink.dev/birchlink/call"
 	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/recovery"
+	"birchlink.dev/birchlink/wait"
 )
 
 // continueMoved continues a request whose run was stopped to be moved, at as many endpoints in turn
@@ -152,9 +153,24 @@
 		defer s.timer.Stop()
 		c = x
 	}
+	if !s.confirmed {
+		r.awaitAdmission(c, ch.Endpoint)
+	}
 	return r.attempt(c, ch)
 }
 
+// awaitAdmission waits, for as long as callers may wait, until an endpoint that has the only copy of a run accepts requests of this box.
+func (r *run) awaitAdmission(c context.Context, e endpoint.Endpoint) {
+	p := permitState{started: boottime.Now()}
+	for c.Err() == nil && boottime.Since(p.started) < maxSilence {
+		if r.f.Balancer.Availability.UnavailableFor(e.Incarnation(), boottime.Now()) == 0 && r.acquirePermit(c, &p, e) {
+			return
+		}
+		r.hasPermit = false
+		wait.For(c, endpointPollInterval)
+	}
+}
+
 // mayAttempt reports whether the attempt may be sent to the chosen endpoint. One that drains may continue a run that it stopped, or of
 // which it has the only copy.
 func (r *run) mayAttempt(ch balance.Choice) bool {
--- a/forward/stopend_test.go
+++ b/forward/stopend_test.go
@@ -1,6 +1,8 @@
 package forward_test
 
 import (
+	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -8,6 +10,10 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"birchlink.dev/birchlink/boottime"
+	"birchlink.dev/birchlink/endpoint"
+	"birchlink.dev/birchlink/throttle"
 )
 
 // dataOf returns the data of the events that a sink received.
@@ -144,3 +150,51 @@
 		})
 	}
 }
+
+// Guards against runs that are lost because the endpoint that has their only copy takes no requests for a moment.
+func TestOnlyCopyIsAtRestingServer(t *testing.T) {
+	for _, route := range []string{"stream 2", "stream resumable 3"} {
+		for _, framing := range []string{"", "chunks"} {
+			for _, isStopped := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s_framing_%s_stopped_%v", strings.ReplaceAll(route, " ", "_"), framing, isStopped), func(t *testing.T) {
+					a, s := newStoppable(), (*pipeScript)(nil)
+					order := a.endAt("no_run")
+					if isStopped {
+						order = a.stopAt("no_run")
+					}
+					a.framing, a.lastChunk, a.order = framing, framing != "", func(n int) string {
+						s.f.Balancer.Availability.BackOff("b", 500*time.Millisecond, boottime.Now())
+						return order(n)
+					}
+					v := stopTest{route: route, a: a, b: (&destination{total: 6, data: a.data}).serve, arrange: func(p *pipeScript) { s = p }}
+					events, err := v.play(t)
+					require.NoError(t, err)
+					require.Equal(t, wholeStream, events)
+				})
+			}
+		}
+	}
+}
+
+// Guards against runs that are lost because the endpoint that has their only copy has set a limit to the rate of requests.
+func TestOnlyCopyIsAtLimitedServer(t *testing.T) {
+	for _, permits := range []int{0, 1, 3} {
+		t.Run(fmt.Sprint("permits_after_", permits), func(t *testing.T) {
+			a, s := newStoppable(), (*pipeScript)(nil)
+			order, asked := a.stopAt("no_run"), 0
+			a.order = func(n int) string {
+				s.f.RequestPermit = func(context.Context, throttle.Question) throttle.Answer {
+					asked++
+					return throttle.Answer{OK: asked > permits, After: 50 * time.Millisecond}
+				}
+				s.f.Balancer.Availability.Rates.Observe("b", endpoint.Limit{Limited: true, PerSecond: 10}, boottime.Now())
+				return order(n)
+			}
+			v := stopTest{route: "stream 2", a: a, b: (&destination{total: 6, data: a.data}).serve, arrange: func(p *pipeScript) { s = p }}
+			events, err := v.play(t)
+			require.NoError(t, err)
+			require.Equal(t, wholeStream, events)
+			require.Equal(t, permits+1, asked)
+		})
+	}
+}
