--- a/forward/stopend_test.go
+++ b/forward/stopend_test.go
@@ -94,6 +94,32 @@
 	}
 }
 
+// Guards against callers who leave a whole stream: the destination of the copy is silent, and the stream was resumed elsewhere as late as
+// after a new request.
+func TestWholeStreamWhoseCopyIsSilent(t *testing.T) {
+	for _, framing := range []string{"", "chunks"} {
+		for _, events := range []string{"", "6"} {
+			t.Run("framing_"+framing+"_events_"+events, func(t *testing.T) {
+				a := newStoppable()
+				a.framing, a.order = framing, a.endAt("no_run")
+				v := stopTest{route: "stream resumable 2", a: a, b: func(w io.Writer, q *http.Request, gone <-chan struct{}) {
+					if events != "" {
+						writeHead(w, q)
+						writeEvent(w, 6, "a6")
+					}
+					<-gone
+				}, arrange: func(s *pipeScript) {
+					time.AfterFunc(200*time.Millisecond, func() { s.add("c", (&destination{total: 6, data: a.data}).serve) })
+				}}
+				events, err := v.play(t)
+				require.NoError(t, err)
+				require.Equal(t, wholeStream, events)
+				require.Less(t, v.took, 2*time.Second)
+			})
+		}
+	}
+}
+
 // Guards against parts of streams that end as complete because a continuation failed after it had shown that there is more.
 func TestPartOfStoppedRunWhoseCopyFails(t *testing.T) {
 	for name, after := range map[string]int{"event": 4, "gap": 5} {
--- a/forward/watchdog.go
+++ b/forward/watchdog.go
@@ -69,6 +69,9 @@
 		r: r, c: c, cancel: cancel, choice: ch,
 		lastEventAt: time.Now(), allowedSilence: maxSilence + time.Duration(expectedFactor*float64(ch.Expected)),
 	}
+	if r.continued != nil && r.continued.mayBeWhole {
+		w.allowedSilence = maxSilence // nothing is prefilled, and the caller may wait for the end only
+	}
 	if !r.q.Route.Repeatable() {
 		return w
 	}
