--- a/forward/continue.go
+++ b/forward/continue.go
@@ -55,6 +55,7 @@
 		out := r.continueAt(c, t.choice, s, t.attempt)
 		isPaid := r.payContinuation(c, out, t.choice.Endpoint)
 		if !out.isNotRun() && s.countsAsWhole() && out.showsNothing() && c.Err() == nil {
+			r.checkCrash(c, out, t.choice.Endpoint)
 			return r.discardStopped(c, s, "failed", from, before)
 		}
 		if !out.isNotRun() {
--- a/forward/stopend_test.go
+++ b/forward/stopend_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -224,3 +225,18 @@
 		})
 	}
 }
+
+// Guards against destinations whose end is not reported: a whole stream stood although its copy showed nothing.
+func TestCopyCrashesDestination(t *testing.T) {
+	a := newStoppable()
+	a.framing, a.order = "chunks", a.endAt("no_run")
+	var ended atomic.Bool
+	var crashed []string
+	v := stopTest{route: "stream 2", a: a, b: func(w io.Writer, q *http.Request, _ <-chan struct{}) { ended.Store(true) }, arrange: func(s *pipeScript) {
+		s.f.Pool.Connector = refusingPipes{scriptPipes{s: s}, func(id string) bool { return id == "b" && ended.Load() }}
+		s.f.OnCrash = func(e endpoint.Endpoint) { crashed = append(crashed, e.ID) }
+	}}
+	_, err := v.play(t)
+	require.NoError(t, err)
+	require.Equal(t, []string{"b"}, crashed)
+}
