--- a/forward/move.go
+++ b/forward/move.go
@@ -273,13 +273,13 @@
 	}
 }
 
-// mayContinueCopy reports whether the run has been told to stop and runs no more: its source has ended the stream, or has closed it and
-// says that nothing runs. A run that may be repeated may also go on there.
+// mayContinueCopy reports whether the run has been told to stop and runs no more: its source has ended the stream, or the stream is over
+// and the source says that nothing runs. A run that may be repeated may also go on there.
 func (m *move) mayContinueCopy() bool {
 	if !m.isBroken() || !m.s.isToldToStop() {
 		return false
 	}
-	return m.end == streamEnded || m.end == streamClosed && (m.isNoRun || m.s.r.q.Route.Repeatable())
+	return m.isNoRun || m.end == streamEnded || m.end == streamClosed && m.s.r.q.Route.Repeatable()
 }
 
 // beginStop records that the run is to be told to stop, or returns what speaks against it: the stream has ended, or its last
--- a/forward/stopend_test.go
+++ b/forward/stopend_test.go
@@ -1,12 +1,16 @@
 package forward_test
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -240,3 +244,51 @@
 	require.NoError(t, err)
 	require.Equal(t, []string{"b"}, crashed)
 }
+
+// resetPipes are scriptPipes whose streams at endpoint a end with a reset.
+type resetPipes struct{ scriptPipes }
+
+func (p resetPipes) Connect(c context.Context, id, address string) (net.Conn, error) {
+	n, err := p.scriptPipes.Connect(c, id, address)
+	if id == "a" && err == nil {
+		n = &resetConn{Conn: n}
+	}
+	return n, err
+}
+
+type resetConn struct {
+	net.Conn
+	isStream atomic.Bool
+}
+
+func (c *resetConn) Write(b []byte) (int, error) {
+	if bytes.Contains(b, []byte(" /x ")) {
+		c.isStream.Store(true)
+	}
+	return c.Conn.Write(b)
+}
+
+func (c *resetConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) && c.isStream.Load() {
+		err = syscall.ECONNRESET
+	}
+	return n, err
+}
+
+// Guards against runs that are lost although their copy is left: their streams were reset when they were stopped, and the source says that
+// nothing runs.
+func TestStreamOfStoppedRunIsReset(t *testing.T) {
+	for _, framing := range []string{"", "chunks"} {
+		t.Run("framing_"+framing, func(t *testing.T) {
+			a := newStoppable()
+			a.framing, a.order = framing, a.stopAt("no_run")
+			v := stopTest{route: "stream 2", a: a, b: (&destination{total: 6, data: a.data}).serve, arrange: func(s *pipeScript) {
+				s.f.Pool.Connector = resetPipes{scriptPipes{s: s}}
+			}}
+			events, err := v.play(t)
+			require.NoError(t, err)
+			require.Equal(t, wholeStream, events)
+		})
+	}
+}
