--- a/forward/liveness.go
+++ b/forward/liveness.go
@@ -66,7 +66,7 @@
 // isPlainEndDoubted reports whether the end of a response that is not a stream may be the effect of an order. As for streams, a framed one
 // whose orders were answered without a handle has likely ended by itself, and stands where the request may not be repeated.
 func (r *run) isPlainEndDoubted(isFramed bool) bool {
-	isTold := r.stream.refuseOrders()
+	isTold := r.stream.isToldToStop()
 	if !isTold || !isFramed {
 		return isTold || r.shared.stopOrders.MayStop(r.trace.Choice.Endpoint.ID)
 	}
--- a/forward/migrate.go
+++ b/forward/migrate.go
@@ -120,21 +120,21 @@
 
 	ordersBefore int // orders to stop a run of the request that the endpoint was sent before this attempt
 
-	mu          sync.Mutex
-	events      int
-	first, last time.Time // of the first and the last event
-	unnumbered  bool      // no other endpoint can go on after the last event
-	hasEnded    bool      // the stream has stated its end
-	settled     bool      // the stream has ended, and what becomes of it is known
-	move        *move     // the move in progress or the last one
-	moving      bool
-	isFinal     bool // it is not moved from here again, since its run may have been stopped
-	retryAt     time.Time
-	fruitless   int       // moves that count against maxFruitlessMoves
-	resuming    bool      // it gets a credit to be resumed elsewhere, or has one
-	succeeding  bool      // it is resumed by a successor of the attempt
-	deniedAt    time.Time // when there was no credit to resume it; zero before
-	credit      *credit   // to resume it; nil if there is none
+	mu            sync.Mutex
+	events        int
+	first, last   time.Time // of the first and the last event
+	unnumbered    bool      // no other endpoint can go on after the last event
+	refusesOrders bool      // the run must not be told to stop, unless it was
+	settled       bool      // the stream has ended, and what becomes of it is known
+	move          *move     // the move in progress or the last one
+	moving        bool
+	isFinal       bool // it is not moved from here again, since its run may have been stopped
+	retryAt       time.Time
+	fruitless     int       // moves that count against maxFruitlessMoves
+	resuming      bool      // it gets a credit to be resumed elsewhere, or has one
+	succeeding    bool      // it is resumed by a successor of the attempt
+	deniedAt      time.Time // when there was no credit to resume it; zero before
+	credit        *credit   // to resume it; nil if there is none
 }
 
 // trackStream registers an attempt whose stream can be moved. It returns nil for any other.
@@ -197,7 +197,7 @@
 	if s.events >= minEventsForPause {
 		d.Pause = s.last.Sub(s.first) / time.Duration(s.events-1)
 	}
-	if s.fruitless >= maxFruitlessMoves {
+	if s.fruitless >= maxFruitlessMoves || s.refusesOrders {
 		d.Moves = migration.MaxMoves
 	}
 	return d, true
--- a/forward/move.go
+++ b/forward/move.go
@@ -118,11 +118,11 @@
 	sourceEnded bool
 }
 
-// startMove begins a move. It returns false if the stream has ended.
+// startMove begins a move. It returns false if the stream has ended or is not to be moved.
 func (s *runningStream) startMove(ends time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.settled || s.moving || s.isFinal {
+	if s.settled || s.moving || s.isFinal || s.refusesOrders {
 		return false
 	}
 	c, stop := context.WithCancel(s.c)
--- a/forward/response.go
+++ b/forward/response.go
@@ -46,10 +46,7 @@
 	if resp.EventStream && resp.Status < http.StatusMultipleChoices && r.isStream() {
 		return r.forwardEvents(c, resp, n, w)
 	}
-	b, err := resp.ReadAll(maxResponseSize)
-	if err == nil && !resp.HasLength() { // a length was stated before any order
-		err = r.confirmPlainEnd(c, resp, b)
-	}
+	b, err := r.readPlain(c, resp)
 	if err != nil {
 		return attemptResult{interruption: recovery.Gone, err: fmt.Errorf("the answer was cut: %w", err)}
 	}
@@ -85,6 +82,16 @@
 	return out
 }
 
+// readPlain reads a response that is not a stream. Its run can't be continued elsewhere, so that no order to stop it is sent from now on.
+func (r *run) readPlain(c context.Context, resp *httpconn.Response) ([]byte, error) {
+	r.stream.refuseOrders()
+	b, err := resp.ReadAll(maxResponseSize)
+	if err == nil && !resp.HasLength() { // a length was stated before any order
+		err = r.confirmPlainEnd(c, resp, b)
+	}
+	return b, err
+}
+
 // handleOutcome processes what a response reports about its endpoint: a back-off period, a rate
 // limit, or that it is draining. The last is broadcast to all boxes, since the endpoint's record
 // does not arrive while the store is unavailable.
--- a/forward/settle.go
+++ b/forward/settle.go
@@ -66,7 +66,7 @@
 	return s != nil && s.r.shared.stopOrders.Count(s.choice.Endpoint.ID) > s.ordersBefore
 }
 
-// refuseOrders is called when the stream has stated its end. It reports whether an order to stop the run was sent before. If none was, none
+// refuseOrders is called when the stream has stated its end, or the answer is known to be none. It reports whether an order to stop the run was sent before. If none was, none
 // is from then on.
 func (s *runningStream) refuseOrders() bool {
 	if s == nil {
@@ -74,13 +74,13 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.hasEnded = true
+	s.refusesOrders = true
 	return s.isToldToStop()
 }
 
-// mayOrder reports whether an order to stop the run may be sent: the stream has not ended, or one was sent before.
+// mayOrder reports whether an order to stop the run may be sent: they are not refused, or one was sent before.
 func (s *runningStream) mayOrder() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.hasEnded || s.isToldToStop()
+	return !s.refusesOrders || s.isToldToStop()
 }
--- a/forward/stopdoubt_test.go
+++ b/forward/stopdoubt_test.go
@@ -35,15 +35,16 @@
 }
 
 // Guards against parts of plain answers that end as complete after their runs were told to stop: the end of the connection was read as
-// that of the answer.
+// that of the answer. The order comes before the head.
 func TestPlainAnswerOfStoppedRunEndsAsComplete(t *testing.T) {
 	for _, answer := range []string{"stopped", "no_run", "failed", ""} {
 		t.Run("answer_"+answer, func(t *testing.T) {
 			a := newStoppable()
-			a.kind, a.order = "text/plain", a.stopAt(answer)
+			a.kind, a.lateHead, a.order = "text/plain", true, a.stopAt(answer)
 			v := stopTest{route: "stream 2", a: a, b: (&destination{total: 6, data: a.data}).serve}
 			events, err := v.play(t)
 			require.False(t, err == nil && events != wholeStream, "the part %s ends as complete", events)
+			require.Positive(t, a.orders)
 		})
 	}
 }
--- a/forward/stopend_test.go
+++ b/forward/stopend_test.go
@@ -161,9 +161,10 @@
 			}
 			t.Run(strings.ReplaceAll(route, " ", "_")+"_answer_"+answer, func(t *testing.T) {
 				a := newStoppable()
-				a.kind, a.framing, a.lastChunk, a.order = "text/plain", "chunks", true, a.stopAt(answer)
+				a.kind, a.framing, a.lastChunk, a.lateHead, a.order = "text/plain", "chunks", true, true, a.stopAt(answer)
 				events, err := (&stopTest{route: route, a: a, b: (&destination{total: 6, data: a.data}).serve}).play(t)
 				require.False(t, err == nil && events != wholeStream, "the part %s ends as complete", events)
+				require.Positive(t, a.orders)
 			})
 		}
 	}
@@ -174,10 +175,11 @@
 	for _, answer := range []string{"no_run", "failed"} {
 		t.Run("answer_"+answer, func(t *testing.T) {
 			a := newStoppable()
-			a.kind, a.framing, a.order = "text/plain", "chunks", a.endAt(answer)
+			a.kind, a.framing, a.lateHead, a.order = "text/plain", "chunks", true, a.endAt(answer)
 			events, err := (&stopTest{route: "stream 2", a: a, b: (&destination{total: 6, data: a.data}).serve}).play(t)
 			require.NoError(t, err)
 			require.Equal(t, wholeStream, events)
+			require.Positive(t, a.orders)
 		})
 	}
 }
@@ -292,3 +294,26 @@
 		})
 	}
 }
+
+// Guards against whole plain answers that are lost: their runs were told to stop, although they can't be continued as streams.
+func TestPlainAnswerIsNotStopped(t *testing.T) {
+	for _, route := range []string{"stream 2", "stream resumable 1"} {
+		for _, framing := range []string{"", "chunks"} {
+			t.Run(strings.ReplaceAll(route, " ", "_")+"_framing_"+framing, func(t *testing.T) {
+				a := newStoppable()
+				a.kind, a.framing, a.order = "text/plain", framing, a.endAt("no_run")
+				v := stopTest{route: route, a: a, b: (&destination{total: 6, data: a.data}).serve, arrange: func(*pipeScript) {
+					time.AfterFunc(time.Second, func() {
+						if a.orders == 0 {
+							close(a.release)
+						}
+					})
+				}}
+				events, err := v.play(t)
+				require.NoError(t, err)
+				require.Equal(t, wholeStream, events)
+				require.Zero(t, a.orders)
+			})
+		}
+	}
+}
--- a/forward/stoppable_test.go
+++ b/forward/stoppable_test.go
@@ -50,6 +50,7 @@
 	framing   string // "chunks" or "length"; empty for none
 	lastChunk bool   // the chunks of a stopped run end with a last one
 	kind      string // content type; that of a stream if it is empty
+	lateHead  bool   // the head is sent when the first order has come, and the events before that is carried out
 	holds     int    // events before a run waits
 	total     int
 	data      func(i int) string
@@ -61,6 +62,7 @@
 	orders  int
 	runs    []string // the events after which they begin, with the handles
 	dead    bool
+	ordered chan struct{} // closed when the first order has come
 	stop    chan struct{} // closed when runs are to stop
 	release chan struct{} // closed when runs may go on to their end
 }
@@ -115,6 +117,12 @@
 		a.orders++
 		n := a.orders
 		a.mu.Unlock()
+		if n == 1 {
+			close(a.ordered)
+		}
+		if a.lateHead && n == 1 {
+			time.Sleep(time.Millisecond)
+		}
 		if s := a.order(n); s != "" {
 			writeAnswer(w, q, 200, "", s)
 		}
@@ -140,6 +148,13 @@
 	a.runs = append(a.runs, strings.TrimSpace(q.Header.Get("Last-Event")+" "+q.Header.Get("Handle")))
 	n := len(a.runs)
 	a.mu.Unlock()
+	if a.lateHead {
+		select {
+		case <-a.ordered:
+		case <-gone:
+			return
+		}
+	}
 	event := func(i int) string { return a.bare.event(i, a.data(i)) }
 	kind, framing := "text/event-stream", ""
 	if a.kind != "" {
@@ -220,7 +235,7 @@
 // run makes the request, and returns its error. It must be called in a bubble of package synctest.
 func (v *stopTest) run(t *testing.T) error {
 	s := newPipeScript(t, strings.Fields(v.route)...)
-	v.a.stop, v.a.release = make(chan struct{}), make(chan struct{})
+	v.a.ordered, v.a.stop, v.a.release = make(chan struct{}), make(chan struct{}), make(chan struct{})
 	n := 0
 	s.f.Codec, s.f.Moves = handleCodec{}, fakeMoves{n: &n, decode: func(_ int, answer string) call.Copy { return stopAnswers[answer] }}
 	s.add("a", v.a.serve)
