--- a/forward/continue.go
+++ b/forward/continue.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -11,6 +12,7 @@
 	"birchlink.dev/birchlink/call"
 	"birchlink.dev/birchlink/endpoint"
 	"birchlink.dev/birchlink/recovery"
+	"birchlink.dev/birchlink/wait"
 )
 
 // continueMoved continues a request whose run was stopped to be moved, at as many endpoints in turn
@@ -20,7 +22,7 @@
 	for out.stopped != nil {
 		from, s := ch, out.stopped
 		out.stopped = nil
-		if !r.answer.CanContinue() { // the run sent an event without an ID before it stopped
+		if !r.mayContinue(s) { // the run sent an event without an ID before it stopped
 			return r.discardStopped(c, s, noEventID, ch, out)
 		}
 		ch, out = r.continueStopped(c, from, s, out)
@@ -28,6 +30,13 @@
 	return ch, out
 }
 
+// mayContinue reports whether a stopped run can continue after the last event. One that may be whole sends that again, so that an end
+// without others shows that it is; if it has no ID, it comes again with the last event that has one.
+func (r *run) mayContinue(s *stoppedRun) bool {
+	_, comesAgain := r.answer.PreviousInRun()
+	return r.answer.CanContinue() || s.mayBeWhole && comesAgain
+}
+
 // continueStopped continues a stopped run at its destination, at others to which the source copies
 // the memory again while there are credits for those that refused, or at the source if that is known to have stopped it. If all of
 // them refuse, the result is that of a lost run. Before is the result of the attempt at the source.
@@ -45,6 +54,10 @@
 		s.skip[t.choice.Endpoint.Incarnation()] = true
 		out := r.continueAt(c, t.choice, s, t.attempt)
 		isPaid := r.payContinuation(c, out, t.choice.Endpoint)
+		if !out.isNotRun() && s.countsAsWhole() && out.showsNothing() && c.Err() == nil {
+			r.checkCrash(c, out, t.choice.Endpoint)
+			return r.discardStopped(c, s, "failed", from, before)
+		}
 		if !out.isNotRun() {
 			r.recordMove(s, "moved", t.choice, out)
 			return t.choice, out
@@ -92,7 +105,7 @@
 	r.recordMove(s, outcome, from, attemptResult{})
 	if !s.confirmed {
 		r.trace.Choice = from
-		if s.isWhole && c.Err() == nil {
+		if s.countsAsWhole() && c.Err() == nil {
 			before.done, before.unproven, before.err = true, nil, nil
 		}
 		return from, before
@@ -134,9 +147,31 @@
 	r.hasPermit = false
 	r.continued, r.reserved = s, reserved
 	defer func() { r.continued, r.reserved = nil, nil }()
+	if s.countsAsWhole() { // the caller waits for the end only
+		x, cancel := context.WithCancelCause(c)
+		defer cancel(nil)
+		s.timer = time.AfterFunc(maxSilence, func() { cancel(errNoProof) })
+		defer s.timer.Stop()
+		c = x
+	}
+	if !s.confirmed {
+		r.awaitAdmission(c, ch.Endpoint)
+	}
 	return r.attempt(c, ch)
 }
 
+// awaitAdmission waits, for as long as callers may wait, until an endpoint that has the only copy of a run accepts requests of this box.
+func (r *run) awaitAdmission(c context.Context, e endpoint.Endpoint) {
+	p := permitState{started: boottime.Now()}
+	for c.Err() == nil && boottime.Since(p.started) < maxSilence {
+		if r.f.Balancer.Availability.UnavailableFor(e.Incarnation(), boottime.Now()) == 0 && r.acquirePermit(c, &p, e) {
+			return
+		}
+		r.hasPermit = false
+		wait.For(c, endpointPollInterval)
+	}
+}
+
 // mayAttempt reports whether the attempt may be sent to the chosen endpoint. One that drains may continue a run that it stopped, or of
 // which it has the only copy.
 func (r *run) mayAttempt(ch balance.Choice) bool {
@@ -151,6 +186,9 @@
 	}
 }
 
+// showsNothing reports whether a continuation has shown neither that the answer is whole nor that it is not.
+func (r attemptResult) showsNothing() bool { return !r.done && !r.hasMore && r.stopped == nil }
+
 // isNotRun reports whether the endpoint did not and will not run the attempt.
 func (r attemptResult) isNotRun() bool {
 	if r.done || r.stopped != nil {
--- a/forward/move.go
+++ b/forward/move.go
@@ -75,6 +75,18 @@
 	// while the run went on, mayBeWhole reports that its stream has ended as one that is whole, and isWhole that it counts as whole if
 	// the copy can't show that.
 	confirmed, mayBeWhole, isWhole bool
+
+	timer *time.Timer // ends a continuation that shows nothing; nil if none is to be ended
+}
+
+// countsAsWhole reports whether the answer counts as whole unless a continuation shows that it is not.
+func (s *stoppedRun) countsAsWhole() bool { return s.isWhole && !s.confirmed }
+
+// recordMore records that a continuation has received events that the caller did not have.
+func (s *stoppedRun) recordMore() {
+	if s != nil && s.timer != nil {
+		s.timer.Stop()
+	}
 }
 
 // discard frees the memory of a run that is not continued, if there is one.
@@ -106,11 +118,11 @@
 	sourceEnded bool
 }
 
-// startMove begins a move. It returns false if the stream has ended.
+// startMove begins a move. It returns false if the stream has ended or is not to be moved.
 func (s *runningStream) startMove(ends time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.settled || s.moving || s.isFinal {
+	if s.settled || s.moving || s.isFinal || s.refusesOrders {
 		return false
 	}
 	c, stop := context.WithCancel(s.c)
@@ -261,13 +273,13 @@
 	}
 }
 
-// mayContinueCopy reports whether the run has been told to stop and runs no more: its source has ended the stream, or has closed it and
-// says that nothing runs. A run that may be repeated may also go on there.
+// mayContinueCopy reports whether the run has been told to stop and runs no more: its source has ended the stream, or the stream is over
+// and the source says that nothing runs. A run that may be repeated may also go on there.
 func (m *move) mayContinueCopy() bool {
 	if !m.isBroken() || !m.s.isToldToStop() {
 		return false
 	}
-	return m.end == streamEnded || m.end == streamClosed && (m.isNoRun || m.s.r.q.Route.Repeatable())
+	return m.isNoRun || m.end == streamEnded || m.end == streamClosed && m.s.r.q.Route.Repeatable()
 }
 
 // beginStop records that the run is to be told to stop, or returns what speaks against it: the stream has ended, or its last
--- a/forward/response.go
+++ b/forward/response.go
@@ -46,10 +46,7 @@
 	if resp.EventStream && resp.Status < http.StatusMultipleChoices && r.isStream() {
 		return r.forwardEvents(c, resp, n, w)
 	}
-	b, err := resp.ReadAll(maxResponseSize)
-	if err == nil && !resp.Framed() {
-		err = r.confirmPlainEnd(c, resp.Header, b)
-	}
+	b, err := r.readPlain(c, resp)
 	if err != nil {
 		return attemptResult{interruption: recovery.Gone, err: fmt.Errorf("the answer was cut: %w", err)}
 	}
@@ -85,6 +82,16 @@
 	return out
 }
 
+// readPlain reads a response that is not a stream. Its run can't be continued elsewhere, so that no order to stop it is sent from now on.
+func (r *run) readPlain(c context.Context, resp *httpconn.Response) ([]byte, error) {
+	r.stream.refuseOrders()
+	b, err := resp.ReadAll(maxResponseSize)
+	if err == nil && !resp.HasLength() { // a length was stated before any order
+		err = r.confirmPlainEnd(c, resp, b)
+	}
+	return b, err
+}
+
 // handleOutcome processes what a response reports about its endpoint: a back-off period, a rate
 // limit, or that it is draining. The last is broadcast to all boxes, since the endpoint's record
 // does not arrive while the store is unavailable.
@@ -197,6 +204,10 @@
 			return s.out
 		}
 		v, err := r.checkEvent(s.seq, e, resp.Framed())
+		if e.IsContent() && v != sequence.Dropped {
+			s.out.hasMore = true
+			r.continued.recordMore()
+		}
 		switch {
 		case err != nil:
 		case v == sequence.Accepted && !e.IsContent() && (!r.mayAnswer() || w.hasSuccessor()):
@@ -319,11 +330,7 @@
 	}
 	v := s.seq.End(isStated)
 	if isDoubted && v == sequence.Complete {
-		v = sequence.Unproven
-		if out.stopped != nil {
-			// A stopped run ends without framing. One that ends with it, and whose source has answered, has likely ended by itself.
-			out.stopped.isWhole = resp.Framed() && !r.q.Route.Repeatable() && !r.shared.stopOrders.MayStop(r.trace.Choice.Endpoint.ID)
-		}
+		v = r.judgeDoubted(resp, out.stopped)
 	}
 	r.recordEnd(v, resp, err)
 	switch {
@@ -343,13 +350,31 @@
 		out.err = errSuperseded
 	default:
 		r.recordSurvival(resp, out.firstEventAt)
-		if out.advanced {
+		if out.advanced && !isDoubted {
 			r.f.EndMarks.Record(r.q.Service.Name, r.trace.Choice.Endpoint.ID, r.lastEvent)
 		}
 		out.done = true
 	}
 }
 
+// judgeDoubted returns the verdict on the end of an answer that may be the effect of an order, and whose run may continue; stopped is nil
+// if it may not.
+func (r *run) judgeDoubted(resp *httpconn.Response, stopped *stoppedRun) sequence.Verdict {
+	// A stopped run ends without framing. One that ends with it, and whose source has answered, has likely ended by itself.
+	isWhole := resp.Framed() && !r.isProvable() && !r.shared.stopOrders.MayStop(r.trace.Choice.Endpoint.ID)
+	if stopped != nil {
+		stopped.isWhole = isWhole
+		return sequence.Unproven
+	}
+	if isWhole {
+		return sequence.Complete
+	}
+	return sequence.Unproven
+}
+
+// isProvable reports whether an attempt may show the end of the answer that is no part of the run that sent its last event.
+func (r *run) isProvable() bool { return r.q.Route.Repeatable() && r.answer.CanContinue() }
+
 // streamEndOf returns how a stream has ended that is not whole, by the error with which its last event was read.
 func streamEndOf(err error) streamEnd {
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, sse.ErrTruncated) || errors.Is(err, errConnectionEnd) {
