--- a/front/front.go
+++ b/front/front.go
@@ -26,6 +26,7 @@
 	"birchlink.dev/birchlink/dispatch"
 	"birchlink.dev/birchlink/errkind"
 	"birchlink.dev/birchlink/kernel"
+	"birchlink.dev/birchlink/linger"
 	"birchlink.dev/birchlink/serviceproxy"
 	"birchlink.dev/birchlink/shutdown"
 	"birchlink.dev/birchlink/stream"
@@ -42,7 +43,9 @@
 	writeTimeout    = 15 * time.Second
 	idleTimeout     = 2 * time.Minute
 	handoverTimeout = 3 * time.Second
-	cancelDelay     = time.Second // between the handover of the streams and the end of the requests that are left
+	drainTimeout    = 500 * time.Millisecond // for the rest of a refused body, if the box stops
+	lingerTimeout   = 5 * time.Second        // for the rest of a refused body, as long as it comes
+	cancelDelay     = time.Second            // between the handover of the streams and the end of the requests that are left
 	maxHeaderBytes  = 32 << 10
 	maxHeldBytes    = 56 << 20
 	reservedBytes   = 8 << 20
@@ -111,9 +114,11 @@
 	if err != nil {
 		return err
 	}
-	if f.listener, err = net.Listen("tcp", f.Address); err != nil {
+	l, err := net.Listen("tcp", f.Address)
+	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
+	f.listener = linger.Listen(l.(*net.TCPListener))
 	f.server = f.newServer()
 	go func() {
 		if err := f.server.Serve(f.listener); !errors.Is(err, http.ErrServerClosed) {
@@ -134,6 +139,29 @@
 			r.ServeHTTP(w, q)
 		}),
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: func(c context.Context, n net.Conn) context.Context { return context.WithValue(c, connKey{}, n) },
+		ConnState: func(n net.Conn, s http.ConnState) {
+			if l, ok := n.(*linger.Conn); ok && s == http.StateIdle {
+				l.Linger(context.Background(), 0)
+			}
+		},
+	}
+}
+
+// connKey is the key of the connection in a request's context.
+type connKey struct{}
+
+// lingerOnClose makes the connection of a refused request read what is left of the body before it is closed.
+func (f *Front) lingerOnClose(r *http.Request) {
+	if r.ContentLength == 0 {
+		return
+	}
+	limit := lingerTimeout
+	if f.stopping.Load() {
+		limit = drainTimeout
+	}
+	if n, ok := r.Context().Value(connKey{}).(*linger.Conn); ok {
+		n.Linger(f.closing, limit)
 	}
 }
 
@@ -258,10 +286,10 @@
 	r.HandleFunc("/v1/tickets", f.handler(f.issueTickets)).Methods(http.MethodPost)
 	r.PathPrefix("/services/{service}").HandlerFunc(f.handler(f.callService))
 	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-		f.writeError(w, uuid.NewString(), errkind.New(errkind.BadRequest, "no such path: %s", q.URL.Path))
+		f.refuse(w, q, uuid.NewString(), errkind.New(errkind.BadRequest, "no such path: %s", q.URL.Path))
 	})
 	r.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-		f.writeError(w, uuid.NewString(), errkind.New(errkind.BadRequest, "%s is not for %s", q.Method, q.URL.Path))
+		f.refuse(w, q, uuid.NewString(), errkind.New(errkind.BadRequest, "%s is not for %s", q.Method, q.URL.Path))
 	})
 	return r
 }
@@ -298,11 +326,17 @@
 		w.Header().Set(RequestIDHeader, id)
 		if err := f.admit(w, r, id, h); err != nil {
 			// resumeStream replaces the header with the ID of the resumed request.
-			f.writeError(w, w.Header().Get(RequestIDHeader), err)
+			f.refuse(w, r, w.Header().Get(RequestIDHeader), err)
 		}
 	}
 }
 
+// refuse sends the error response for err to a caller whose body may not have been read.
+func (f *Front) refuse(w http.ResponseWriter, r *http.Request, id string, err error) {
+	f.lingerOnClose(r)
+	f.writeError(w, id, err)
+}
+
 // admit runs h if the box has capacity for another request and the request is valid.
 func (f *Front) admit(w http.ResponseWriter, r *http.Request, id string, h func(*session) error) error {
 	if !f.requests.TryAcquire(1) {
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -34,7 +34,6 @@
 		limit = min(limit, int64(n))
 	}
 	if r.ContentLength > limit {
-		limitDrain(w)
 		return func() {}, i.tooLarge(limit)
 	}
 	if r.ContentLength == 0 {
@@ -55,8 +54,6 @@
 	stop()
 	if late != nil {
 		release()
-		drainOnClose(r.Context())
-		limitDrain(w)
 		return func() {}, late
 	}
 	if err == nil {
@@ -69,10 +66,8 @@
 	case errors.Is(err, bodyroom.ErrFull):
 		// The rest of the body is not waited for.
 		w.Header().Set("Connection", "close")
-		limitDrain(w)
 		err = errkind.New(errkind.BoxFull, "%w", err).WithRetryAfter(fullRetryAfter)
 	case errors.As(err, &tooLarge):
-		limitDrain(w)
 		err = i.tooLarge(limit)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		err = errkind.New(errkind.BodyTooSlow, "the body did not come within %v", bodyTimeout)
@@ -82,10 +77,16 @@
 	return release, err
 }
 
-// limitDrain bounds the time in which the rest of the body of a refused request is read, which net/http does before it writes the
-// answer.
-func limitDrain(w http.ResponseWriter) {
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(drainTimeout))
+// refuseBody bounds how long what is left of a refused request's body is read: by net/http, which reads a part before it writes the answer,
+// and then until the connection is closed.
+func (i *Ingress) refuseBody(w http.ResponseWriter, r *http.Request, err error) {
+	if r.ContentLength == 0 {
+		return
+	}
+	if !errkind.Is(err, errkind.BodyTooSlow) { // the read deadline has passed
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(drainTimeout))
+	}
+	i.lingerOnClose(r.Context())
 }
 
 // tooLarge returns the error for a body over a limit in bytes, which is that of the configuration if it is below maxBodyBytes.
--- a/ingress/head.go
+++ b/ingress/head.go
@@ -15,6 +15,7 @@
 
 	"birchlink.dev/birchlink/errkind"
 	"birchlink.dev/birchlink/jsonhttp"
+	"birchlink.dev/birchlink/linger"
 	"birchlink.dev/birchlink/membudget"
 	"birchlink.dev/birchlink/openai"
 )
@@ -31,6 +32,9 @@
 	// drainTimeout is how long the rest of a refused head or body is read. A connection that is closed with unread bytes is reset,
 	// and the caller may not see why it was refused.
 	drainTimeout = 500 * time.Millisecond
+
+	// lingerTimeout is how long more of a refused body is read after the answer, as long as it comes.
+	lingerTimeout = 5 * time.Second
 )
 
 // errHeadsFull reports that all memory for heads is held. As an error of a read it makes net/http close the connection without
@@ -53,12 +57,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &headConn{TCPConn: c, listener: l}, nil
+	return &headConn{Conn: linger.New(c), listener: l}, nil
 }
 
 // headConn is a connection that counts the bytes of the head that it receives. They are held until the request has ended.
 type headConn struct {
-	*net.TCPConn
+	*linger.Conn
 	listener headListener
 
 	mu       sync.Mutex
@@ -67,8 +71,6 @@
 	isServed bool  // a handler has the request
 	bytes    int   // of the head
 	held     int64 // taken from the budget
-
-	drainUntil time.Time // when what the caller sends is read until the connection is closed; zero if it is not
 }
 
 // connKey is the key of the connection in a request's context.
@@ -107,31 +109,15 @@
 	}
 }
 
-// drainOnClose makes the connection of a context read what the caller still sends before it is closed, once the read of a body was
-// given up: net/http reads no more of a body after an error.
-func drainOnClose(c context.Context) {
-	if h, ok := connOf(c).(*headConn); ok {
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		h.drainUntil = time.Now().Add(drainTimeout)
+// lingerOnClose makes the connection of a context read what the caller still sends before it is closed, unless it is kept.
+func (i *Ingress) lingerOnClose(c context.Context) {
+	limit := lingerTimeout
+	if i.stopping.Load() {
+		limit = drainTimeout
 	}
-}
-
-// Close closes the connection.
-func (c *headConn) Close() error {
-	if t := c.takeDrain(); !t.IsZero() && c.CloseWrite() == nil && c.SetReadDeadline(t) == nil {
-		_, _ = io.Copy(io.Discard, c.TCPConn)
+	if h, ok := connOf(c).(*headConn); ok {
+		h.Linger(i.closing, limit)
 	}
-	return c.TCPConn.Close() //nolint:wrapcheck // the error is that of the connection
-}
-
-// takeDrain returns the time until which the connection is read before it is closed, the first time it is called.
-func (c *headConn) takeDrain() time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	t := c.drainUntil
-	c.drainUntil = time.Time{}
-	return t
 }
 
 // Write writes to the connection.
@@ -163,6 +149,9 @@
 	}
 	c.listener.heads.Release(c.held)
 	c.isBody, c.bytes, c.held = false, 0, 0
+	if s == http.StateIdle {
+		c.Linger(context.Background(), 0)
+	}
 	c.isEnded = s == http.StateClosed || s == http.StateHijacked
 }
 
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -47,7 +47,7 @@
 	}
 	cl, err := i.Codec.Decode(r, arrived)
 	if err != nil {
-		limitDrain(w)
+		i.refuseBody(w, r, err)
 		i.writeError(w, forward.Request{Call: cl}, errkind.New(errkind.BadRequest, "%w", err), forward.Trace{})
 		return
 	}
@@ -59,10 +59,10 @@
 		var release func()
 		release, err = i.readBody(w, r, &q)
 		defer release()
-	} else {
-		limitDrain(w)
 	}
-	if err == nil {
+	if err != nil {
+		i.refuseBody(w, r, err)
+	} else {
 		err = i.prepare(r.Context(), &q)
 	}
 	if err != nil {
