--- a/front/front.go
+++ b/front/front.go
@@ -43,8 +43,8 @@
 	writeTimeout    = 15 * time.Second
 	idleTimeout     = 2 * time.Minute
 	handoverTimeout = 3 * time.Second
-	drainTimeout    = 500 * time.Millisecond // for the rest of a refused body, if the box stops
-	lingerTimeout   = 5 * time.Second        // for the rest of a refused body, as long as it comes
+	drainTimeout    = 500 * time.Millisecond // for a part of a refused body before the answer
+	lingerTimeout   = 5 * time.Second        // for more of it after the answer, as long as it comes
 	cancelDelay     = time.Second            // between the handover of the streams and the end of the requests that are left
 	maxHeaderBytes  = 32 << 10
 	maxHeldBytes    = 56 << 20
@@ -133,7 +133,6 @@
 	return &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 			if q.ContentLength != 0 {
-				// It also bounds the time for the body of a request that is refused, which net/http reads before it answers.
 				_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
 			}
 			r.ServeHTTP(w, q)
@@ -151,11 +150,15 @@
 // connKey is the key of the connection in a request's context.
 type connKey struct{}
 
-// lingerOnClose makes the connection of a refused request read what is left of the body before it is closed.
-func (f *Front) lingerOnClose(r *http.Request) {
+// refuseBody bounds how long what is left of a refused request's body is read: by net/http, which reads a part before it writes the answer,
+// and then until the connection is closed.
+func (f *Front) refuseBody(w http.ResponseWriter, r *http.Request, err error) {
 	if r.ContentLength == 0 {
 		return
 	}
+	if !errkind.Is(err, errkind.BodyTooSlow) { // the read deadline has passed
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(drainTimeout))
+	}
 	limit := lingerTimeout
 	if f.stopping.Load() {
 		limit = drainTimeout
@@ -333,7 +336,7 @@
 
 // refuse sends the error response for err to a caller whose body may not have been read.
 func (f *Front) refuse(w http.ResponseWriter, r *http.Request, id string, err error) {
-	f.lingerOnClose(r)
+	f.refuseBody(w, r, err)
 	f.writeError(w, id, err)
 }
 
--- a/front/refused_test.go
+++ b/front/refused_test.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
@@ -62,3 +64,29 @@
 		}
 	}
 }
+
+// Guards against refusals that wait for a body, after which the connection was closed without an answer.
+func TestRefusalsWaitForBodies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := New(Options{MaxBody: 1 << 20, MaxRequests: 9}, metrics.NewRegistry(), zerolog.Nop())
+		f.follower = &configsync.Follower{}
+		s := f.newServer()
+		near, far := net.Pipe()
+		l := oneConn{conns: make(chan net.Conn, 1)}
+		l.conns <- far
+		go func() { _ = s.Serve(l) }()
+		defer func() {
+			near.Close()
+			close(l.conns)
+			_ = s.Close()
+		}()
+		began := time.Now()
+		_, err := io.WriteString(near, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf")
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(near), nil)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+		require.Equal(t, drainTimeout, time.Since(began))
+	})
+}
