--- a/forward/liveness.go
+++ b/forward/liveness.go
@@ -4,8 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -82,8 +82,8 @@
 	return fmt.Errorf("%w: %s", errConnectionEnd, f.Err.Error())
 }
 
-// A health check whose connection ends without an answer, or is not accepted in time, is sent again: an endpoint resets connections
-// that are too many. The pause doubles from minCheckInterval on.
+// A health check whose connection ends without an answer, or for which there is none, is sent again unless the process is known to have
+// ended: an endpoint resets connections that are too many, and other boxes may not answer. The pause doubles from minCheckInterval on.
 const (
 	minCheckInterval = 20 * time.Millisecond
 	maxChecks        = 6
@@ -93,7 +93,7 @@
 func (f *Forwarder) askHealth(c context.Context, e endpoint.Endpoint, path string) error {
 	for i := 0; ; i++ {
 		err := f.checkHealth(c, e, path)
-		isFinal := errors.Is(err, errOtherProcess) || errors.Is(err, httpconn.ErrUnreachable) && !isTimeout(err)
+		isFinal := errors.Is(err, errOtherProcess) || errors.Is(err, syscall.ECONNREFUSED)
 		if err == nil || isFinal || c.Err() != nil || i == maxChecks-1 {
 			return err
 		}
@@ -101,12 +101,6 @@
 	}
 }
 
-// isTimeout reports whether a connection failed because nothing came back.
-func isTimeout(err error) bool {
-	var n net.Error
-	return errors.As(err, &n) && n.Timeout()
-}
-
 // checkHealth sends a health check to an endpoint. The error is nil if its process has answered, whatever the answer says. The
 // check goes over a new connection: a process that is about to end may answer on one that it has not closed yet.
 func (f *Forwarder) checkHealth(c context.Context, e endpoint.Endpoint, path string) error {
