--- a/serviceproxy/proxy.go
+++ b/serviceproxy/proxy.go
@@ -429,7 +429,7 @@
 // Idempotency-Key and X-Idempotency-Key are among them because http.Transport would treat a request
 // that has one as idempotent and retry it.
 var droppedHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Connection", "Expect", "Keep-Alive", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 	"Authorization", "Idempotency-Key", "X-Idempotency-Key", "Birchlink-Ticket", "Birchlink-Repeatable", "Accept-Encoding",
 }
 
