--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -164,7 +164,7 @@
 	*daemon.PlatformDaemon
 	name string
 
-	callersAddress, metricsAddress, readyAddress string
+	callersAddress, metricsAddress, readyAddress, peersAddress string
 }
 
 // freeAddresses are the addresses returned by freeAddressAt. A port that is found free may be found again before a box
@@ -212,7 +212,17 @@
 // startBoxWith starts a box with options of its daemon.
 func (p *platform) startBoxWith(name, dc string, options []fx.Option, more ...string) *entryBox {
 	p.t.Helper()
-	b := &entryBox{name: name, callersAddress: freeAddress(p.t), metricsAddress: freeAddress(p.t), readyAddress: freeAddress(p.t)}
+	b := &entryBox{
+		name: name, callersAddress: freeAddress(p.t), metricsAddress: freeAddress(p.t), readyAddress: freeAddress(p.t),
+		peersAddress: cmp.Or(p.peers, freePeerAddress(p.t)),
+	}
+	p.startProcess(b, dc, options, more...)
+	return b
+}
+
+// startProcess starts a process of a box, at the addresses of the one before it.
+func (p *platform) startProcess(b *entryBox, dc string, options []fx.Option, more ...string) {
+	p.t.Helper()
 	log, level := io.Discard, "error"
 	if p.log != nil {
 		log, level = p.log, "info"
@@ -231,12 +241,11 @@
 slack = %d
 [log]
 level = %s
-%s`, name, dc, b.callersAddress, b.readyAddress, cmp.Or(p.peers, freePeerAddress(p.t)), b.metricsAddress, p.storeAddress, cmp.Or(p.slack, 100), level, strings.Join(more, "\n")))
+%s`, b.name, dc, b.callersAddress, b.readyAddress, b.peersAddress, b.metricsAddress, p.storeAddress, cmp.Or(p.slack, 100), level, strings.Join(more, "\n")))
 	require.NoError(p.t, err)
 	b.PlatformDaemon, err = daemon.NewPlatformDaemon(s, log, options...)
 	require.NoError(p.t, err)
 	require.NoError(p.t, b.App.Start(p.t.Context()))
-	return b
 }
 
 // stopAll stops all boxes at the same time.
--- a/fleetstate/service.go
+++ b/fleetstate/service.go
@@ -80,7 +80,9 @@
 	configView, recordsView view
 
 	table         atomic.Pointer[catalog.Table]
-	endpointsRead atomic.Bool // whether all endpoint records have been read once
+	endpointsRead atomic.Bool   // whether all endpoint records have been read once
+	ready         chan struct{} // closed once both are known
+	closeReady    func()
 
 	mu              sync.Mutex
 	rawConfig       []byte                 // the encoded configuration in force
@@ -98,9 +100,11 @@
 
 // New returns a service that reads src from s.
 func New(src Source, s store.Store, log zerolog.Logger) *Service {
+	ready := make(chan struct{})
 	return &Service{
 		Source: src, Store: s, log: log, pendingRemovals: map[string]*time.Timer{}, withStartTime: map[string]bool{},
 		configView: view{age: viewage.New()}, recordsView: view{age: viewage.New()},
+		ready: ready, closeReady: sync.OnceFunc(func() { close(ready) }),
 	}
 }
 
@@ -170,6 +174,16 @@
 // Ready reports whether the configuration and the endpoints are known.
 func (s *Service) Ready() bool { return s.table.Load() != nil && s.endpointsRead.Load() }
 
+// WhenReady returns a channel that is closed once the configuration and the endpoints are known.
+func (s *Service) WhenReady() <-chan struct{} { return s.ready }
+
+// signalReady closes the channel of WhenReady if the configuration and the endpoints are known.
+func (s *Service) signalReady() {
+	if s.Ready() {
+		s.closeReady()
+	}
+}
+
 // OnRawConfig registers a function that is called, on a goroutine of its own, with the
 // encoded form of each configuration installed from now on.
 func (s *Service) OnRawConfig(f func([]byte)) {
@@ -205,6 +219,7 @@
 	}
 	s.table.Store(t)
 	s.rawConfig = raw
+	s.signalReady()
 	s.configView.lag.Reach(d.Version)
 	for _, f := range s.configCallbacks {
 		s.group.Go(func() { f(raw) })
@@ -249,6 +264,7 @@
 	t := s.applyToRoster(c)
 	if c.Whole {
 		s.endpointsRead.Store(true)
+		s.signalReady()
 	}
 	s.recordsView.lag.Reach(s.Revision())
 	if t.advanced {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -106,6 +106,9 @@
 	bodies         *bodyroom.Room
 	closing        context.Context
 	cancelRequests context.CancelCauseFunc
+	started        time.Time       // when callers were first accepted
+	running        context.Context // until the box stops
+	endRunning     context.CancelFunc
 }
 
 // New returns an Ingress.
@@ -113,6 +116,7 @@
 	i := &Ingress{Options: o, Codec: codec, Limiter: l, Origins: s, forwarder: f, metrics: m, log: log}
 	i.heads.Total, i.bodies = maxHeldHeadBytes, bodyroom.New(maxHeldBytes, reservedBytes)
 	i.closing, i.cancelRequests = context.WithCancelCause(context.Background())
+	i.running, i.endRunning = context.WithCancel(context.Background())
 	return i
 }
 
@@ -126,6 +130,7 @@
 		return err
 	}
 	i.setServers()
+	i.started = boottime.Now()
 	if i.listener, err = i.listen(i.server, i.Address); err != nil {
 		return err
 	}
@@ -189,6 +194,7 @@
 // ShutdownTimeout expires are cancelled.
 func (i *Ingress) Stop(c context.Context) error {
 	i.stopping.Store(true)
+	i.endRunning()
 	began := boottime.Now()
 	i.stopBegan.Store(&began)
 	i.forwarder.Shutdown.Begin(began, i.ShutdownDelay, i.ShutdownTimeout)
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -20,6 +20,7 @@
 	"birchlink.dev/birchlink/openai"
 	"birchlink.dev/birchlink/requesthash"
 	"birchlink.dev/birchlink/shutdown"
+	"birchlink.dev/birchlink/startup"
 )
 
 // A key or route that the configuration lacks may exist if a newer one may. The store tells the boxes that watch it of changes;
@@ -51,7 +52,7 @@
 		i.writeError(w, forward.Request{Call: cl}, errkind.New(errkind.BadRequest, "%w", err), forward.Trace{})
 		return
 	}
-	q, err := i.resolve(cl)
+	q, err := i.resolve(r.Context(), cl)
 	if err == nil {
 		err = i.forwarder.CheckShutdown(&q)
 	}
@@ -125,13 +126,34 @@
 	return errkind.New(errkind.OutcomeUnknown, "this process stops")
 }
 
+// awaitState waits until the configuration and the endpoints are known. It returns an error if the request can't wait for that.
+func (i *Ingress) awaitState(c context.Context, q *call.Call) error {
+	if i.state.Ready() {
+		return nil
+	}
+	x, cancel := context.WithCancel(c)
+	defer cancel()
+	defer context.AfterFunc(i.running, cancel)()
+	g := startup.Gate{Started: i.started, Ready: i.state.WhenReady()}
+	switch {
+	case g.Wait(x, q.Deadline(defaultTimeout)):
+		return nil
+	case c.Err() != nil:
+		return errkind.New(errkind.CallerGone, "the caller left: %w", c.Err())
+	case x.Err() != nil:
+		return errkind.New(errkind.Stopping, "this box stops: it has no configuration yet")
+	default:
+		return errkind.New(errkind.NotReady, "no configuration yet").WithRetryAfter(startup.MaxWait - boottime.Since(q.Arrived))
+	}
+}
+
 // resolve looks up the route, the account and the service of a call.
-func (i *Ingress) resolve(c *call.Call) (forward.Request, error) {
+func (i *Ingress) resolve(x context.Context, c *call.Call) (forward.Request, error) {
 	q := forward.Request{Call: c}
-	t := i.state.Table()
-	if t == nil || !i.state.Ready() {
-		return q, errkind.New(errkind.NotReady, "no configuration yet").WithRetryAfter(time.Second / 2)
+	if err := i.awaitState(x, c); err != nil {
+		return q, err
 	}
+	t := i.state.Table()
 	q.Route = t.Route(c.Host, c.Path)
 	if q.Route == nil {
 		return q, i.denial(errkind.UnknownService, "no route for %s%s", c.Host, c.Path)
@@ -219,8 +241,8 @@
 	}
 	h := w.Header()
 	i.Codec.SetErrorHeader(h, c)
-	if i.stopping.Load() {
-		h.Set("Connection", "close")
+	if i.stopping.Load() || !i.state.Ready() {
+		h.Set("Connection", "close") // the caller's next connection may be to a box that serves
 	}
 	if resp.Retry && resp.Run == errkind.NotRun {
 		h.Set("Retry-After", strconv.FormatFloat(max(e.RetryAfter, minRetryAfter).Seconds(), 'f', 2, 64))
--- a/ingress/sink.go
+++ b/ingress/sink.go
@@ -102,6 +102,7 @@
 		l = l.Uint64("configuration", d.Document.Version)
 	}
 	if denials[e.Kind] || e.Kind == errkind.NotReady {
+		l = l.Dur("started", boottime.Since(i.started))
 		l = l.Dur("configuration_age", i.state.ConfigAge()).Dur("configuration_lag", i.state.ConfigLag()).Dur("store_age", i.session.StoreUnresponsiveFor())
 	}
 	return withAccount(l, q).EmbedObject(t)
--- a/ingress/slow_test.go
+++ b/ingress/slow_test.go
@@ -64,7 +64,7 @@
 }
 
 // Guards against connections that are held without end, or take bytes without end, in any state. The box has no configuration,
-// so that it refuses all requests.
+// so that it refuses all requests and closes their connections, or one without their path, so that it refuses them and keeps these.
 func TestConnectionsEnd(t *testing.T) {
 	const longest = idleTimeout + bodyTimeout
 	get, post := "GET /ready HTTP/1.1\r\nHost: h\r\n", "POST /a HTTP/1.1\r\nHost: h\r\n"
@@ -83,6 +83,8 @@
 		{"body comes slowly", false, post + "Content-Length: 999999\r\n\r\n", "x", true, 1 << 10},
 		{"answer is not read", false, post + "Content-Length: 0\r\n\r\n", "", false, 1 << 10},
 		{"idle", false, post + "Content-Length: 0\r\n\r\n", "", true, 1 << 10},
+		{"kept: answer is not read", false, post + "Content-Length: 0\r\n\r\n", "", false, 1 << 10},
+		{"kept: idle", false, post + "Content-Length: 0\r\n\r\n", "", true, 1 << 10},
 		{"ready: nothing is sent", true, "", "", true, 0},
 		{"ready: head has no end", true, get + strings.Repeat("X: y\r\n", 16<<10), "X: y\r\n", true, 32 << 10},
 		{"ready: body never comes", true, get + "Content-Length: 9\r\n\r\n", "", true, 1 << 10},
@@ -95,6 +97,9 @@
 				i.state = fleetstate.New(fleetstate.Source{}, &memstore.Store{}, zerolog.Nop())
 				i.session = storesession.New(&memstore.Store{}, zerolog.Nop())
 				i.setServers()
+				if strings.HasPrefix(c.name, "kept: ") {
+					i = newServing(t)
+				}
 				s := i.server
 				if c.ready {
 					s = i.readyServer
@@ -132,8 +137,8 @@
 	}
 }
 
-// serveConn serves one connection of a box with one route, and returns the caller's end of it.
-func serveConn(t *testing.T) net.Conn {
+// newServing returns a box with one route.
+func newServing(t *testing.T) *Ingress {
 	t.Helper()
 	i := New(Options{}, plainCodec{}, &forward.Forwarder{}, nil, nil, metrics.NewRegistry(), zerolog.Nop())
 	i.state = fleetstate.New(fleetstate.Source{DecodeConfig: func([]byte) (*catalog.Document, error) {
@@ -144,6 +149,13 @@
 	require.NoError(t, i.state.Install(nil, "test"))
 	i.state.Merge(fleetstate.Records{Whole: true, To: 1})
 	i.setServers()
+	return i
+}
+
+// serveConn serves one connection of a box with one route, and returns the caller's end of it.
+func serveConn(t *testing.T) net.Conn {
+	t.Helper()
+	i := newServing(t)
 	near, far := net.Pipe()
 	l := oneConn{conns: make(chan net.Conn, 1)}
 	l.conns <- far
