--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -271,7 +271,7 @@
 	d.Box, d.Versions, d.Relay, d.IsRelay = p.settings.Box, &p.state.Roster.Versions, p.gossip.RelayAddress, p.gossip.IsRelay
 	g := p.gossip
 	d.Boxes = func() origins.Boxes {
-		p := g.Peers()
+		p := g.PeersOrSeeds()
 		return origins.Boxes{Near: p.Near, Far: p.Far, Relays: g.RemoteRelays()}
 	}
 	d.Store, d.Prefix, d.Clock, d.RecordsLag = p.store, originsPrefix, p.clock, p.state.RecordsLag
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -223,6 +223,23 @@
 	})
 }
 
+// A box that starts in an outage of the store knows no other boxes, and must get by with the seeds until it does.
+func TestSeedsUntilPeersAreKnown(t *testing.T) {
+	m := &memstore.Store{}
+	m.Set("config", `{"Version":3}`)
+	a, b := startBox(t, m, "a", "dc0"), startBox(t, m, "b", "dc0")
+	waitUntil(t, func() bool { return len(a.Peers().Near) == 1 && len(b.Peers().Near) == 1 })
+	m.SetDown(true)
+	address := unusedAddress(t)
+	c := startBoxAt(t, m, "c", "dc0", address, address, a.Address)
+	waitUntil(t, func() bool { return c.roundCount() > 1 })
+	require.Empty(t, c.Peers().Near)
+	require.Equal(t, []string{a.Address}, c.PeersOrSeeds().Near)
+	m.SetDown(false)
+	waitUntil(t, func() bool { return len(c.Peers().Near) == 2 })
+	require.Equal(t, c.Peers(), c.PeersOrSeeds())
+}
+
 // In a larger fleet, boxes of one data centre exchange all hints, and boxes of different ones only
 // those of very long prompts.
 func TestHintPeersInLargeFleet(t *testing.T) {
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -35,6 +35,15 @@
 	return p
 }
 
+// PeersOrSeeds returns the other boxes as Peers does or, if this box knows none, the seeds as nearby ones.
+func (g *Gossip) PeersOrSeeds() Peers {
+	p := g.Peers()
+	if len(p.Near)+len(p.Far) == 0 {
+		p.Near = slices.DeleteFunc(slices.Clone(g.Seeds), func(a string) bool { return a == g.Address })
+	}
+	return p
+}
+
 // OtherBoxes returns the addresses of other boxes that this box may call: those with which it exchanges
 // all hints, and others, which in a large fleet are the relays. A box that knows none yet gets the
 // seeds.
