--- a/fleetstate/service.go
+++ b/fleetstate/service.go
@@ -84,11 +84,14 @@
 	ready         chan struct{} // closed once both are known
 	closeReady    func()
 
+	installMu sync.Mutex // held while a configuration is put in force
+
 	mu              sync.Mutex
 	rawConfig       []byte                 // the encoded configuration in force
 	pendingRemovals map[string]*time.Timer // by endpoint ID
 	withStartTime   map[string]bool        // endpoint IDs whose records have contained a start time
 	configCallbacks []func([]byte)
+	configHooks     []func(*catalog.Document)
 	stopWatch       context.CancelFunc // nil unless this box watches the store
 
 	orders map[string]rollout.Order // by service
@@ -192,6 +195,23 @@
 	s.configCallbacks = append(s.configCallbacks, f)
 }
 
+// OnConfig registers a function that is called with each configuration before it is in force, from now on.
+func (s *Service) OnConfig(f func(*catalog.Document)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.configHooks = append(s.configHooks, f)
+}
+
+// prepareConfig calls the functions of OnConfig.
+func (s *Service) prepareConfig(d *catalog.Document) {
+	s.mu.Lock()
+	fs := s.configHooks
+	s.mu.Unlock()
+	for _, f := range fs {
+		f(d)
+	}
+}
+
 // RawConfig returns the version of the configuration in force and its encoded form,
 // or zero values if none is known.
 func (s *Service) RawConfig() (uint64, []byte) {
@@ -210,13 +230,16 @@
 	if err != nil {
 		return fmt.Errorf("configuration from %s: %w", from, err)
 	}
-	t := catalog.NewTable(d)
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.installMu.Lock()
+	defer s.installMu.Unlock()
 	old := s.table.Load()
 	if old != nil && d.Version <= old.Document.Version {
 		return nil
 	}
+	s.prepareConfig(d)
+	t := catalog.NewTable(d)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.table.Store(t)
 	s.rawConfig = raw
 	s.signalReady()
--- a/fleetstate/service_test.go
+++ b/fleetstate/service_test.go
@@ -128,6 +128,24 @@
 	})
 }
 
+// Guards against requests of new accounts that are refused since their limits are not known yet.
+func TestConfigIsPreparedBeforeItIsInForce(t *testing.T) {
+	runWithBox(t, func(t *testing.T, m *memstore.Store, b *box) {
+		var prepared []uint64
+		b.OnConfig(func(d *catalog.Document) {
+			require.Less(t, b.version(), d.Version)
+			prepared = append(prepared, d.Version)
+		})
+		require.NoError(t, b.Install([]byte(`{"Version":9}`), "another box"))
+		require.NoError(t, b.Install([]byte(`{"Version":8}`), "another box"))
+		require.NoError(t, b.Install([]byte(`{"Version":9}`), "another box"))
+		m.Set("config", `{"Version":10}`)
+		wait.For(t.Context(), applyBound)
+		require.EqualValues(t, 10, b.version())
+		require.Equal(t, []uint64{9, 10}, prepared)
+	})
+}
+
 // A configuration with a lower version is ignored, from the store and from other boxes.
 func TestVersionNeverDecreases(t *testing.T) {
 	runWithBox(t, func(t *testing.T, m *memstore.Store, b *box) {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -218,8 +218,9 @@
 	}
 	g.session.OnReconnect(g.slotWatch.Restart)
 	g.state.OnRecords(func(r fleetstate.Records) { g.pushRecords(c, r) })
+	g.state.OnConfig(g.updateQuotaOf) // makes new accounts known before their first request
 	g.state.OnRawConfig(func([]byte) {
-		g.updateQuota() // makes new accounts known before their first request
+		g.updateQuota() // a round may have passed on the accounts of the configuration before
 		version, _ := g.state.RawConfig()
 		g.pushUpdate(c, update{Version: version})
 	})
--- a/gossip/quota.go
+++ b/gossip/quota.go
@@ -5,15 +5,19 @@
 	"slices"
 
 	"birchlink.dev/birchlink/boottime"
+	"birchlink.dev/birchlink/catalog"
 	"birchlink.dev/birchlink/quota"
 )
 
 // updateQuota passes this box's view of the fleet to the quotas of the accounts.
 func (g *Gossip) updateQuota() {
-	t := g.state.Table()
-	if t == nil {
-		return
+	if t := g.state.Table(); t != nil {
+		g.updateQuotaOf(t.Document)
 	}
+}
+
+// updateQuotaOf is updateQuota for the accounts of a configuration.
+func (g *Gossip) updateQuotaOf(d *catalog.Document) {
 	v := quota.View{Arbiters: g.arbiters(), Boxes: g.reachableBoxes()}
 	isRelay := g.holdsSlot()
 	g.mu.Lock()
@@ -25,7 +29,7 @@
 	}
 	v.Division = g.reply.Division
 	g.mu.Unlock()
-	g.Quota.Update(v, t.Document.Accounts, boottime.Now())
+	g.Quota.Update(v, d.Accounts, boottime.Now())
 }
 
 // representsItself reports whether this process has just started and no relay represents it yet.
