--- a/gossip/member.go
+++ b/gossip/member.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -111,27 +112,56 @@
 }
 
 // askOtherBoxes catches up from random boxes while neither the store nor a relay of this data centre
-// answers. If one of them is a relay, it represents this box from then on.
+// answers. A relay among them or among those that they name represents this box from then on, one of this data centre if there is any.
 func (g *Gossip) askOtherBoxes(c context.Context, candidates []relaySlot) {
 	for _, a := range g.Seeds {
 		candidates = append(candidates, relaySlot{address: a})
 	}
 	candidates = slices.DeleteFunc(candidates, func(s relaySlot) bool { return s.address == g.Address })
 	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	var relays []relaySlot
 	for _, s := range candidates[:min(len(candidates), maxAskedBoxes)] {
-		var w MemberReply
-		if err := g.call(c, s.address, "gossip.member", g.memberStatus(), &w); err != nil {
-			continue
-		}
-		g.mergeMissing(w.Records)
-		g.catchUp(s.address, w.Others.Version, w.Revision)
+		w, named := g.askOtherBox(c, s)
+		relays = append(relays, named...)
 		if w.Relay && s.box != "" {
+			relays = append(relays, s)
+		}
+		i := slices.IndexFunc(named, func(r relaySlot) bool { return r.address == s.address })
+		if w.Relay && i >= 0 && named[i].dataCentre == g.DataCentre {
+			g.joinRelay(named[i], w)
+			return
+		}
+	}
+	isRemote := func(s relaySlot) int {
+		if s.dataCentre == g.DataCentre {
+			return 0
+		}
+		return 1
+	}
+	slices.SortStableFunc(relays, func(a, b relaySlot) int { return cmp.Compare(isRemote(a), isRemote(b)) })
+	for _, s := range relays[:min(len(relays), maxAskedBoxes)] {
+		if w, _ := g.askOtherBox(c, s); w.Relay {
 			g.joinRelay(s, w)
 			return
 		}
 	}
 }
 
+// askOtherBox catches up from a box. It returns the box's reply, and the relays that the reply names, which may be the box itself.
+func (g *Gossip) askOtherBox(c context.Context, s relaySlot) (w MemberReply, relays []relaySlot) {
+	if err := g.call(c, s.address, "gossip.member", g.memberStatus(), &w); err != nil {
+		return MemberReply{}, nil
+	}
+	g.mergeMissing(w.Records)
+	g.catchUp(s.address, w.Others.Version, w.Revision)
+	for _, a := range w.Arbiters {
+		if a.Address != g.Address {
+			relays = append(relays, relaySlot{box: a.Box, dataCentre: a.DataCentre, address: a.Address})
+		}
+	}
+	return w, relays
+}
+
 // memberStatus returns what this box reports to its relay.
 func (g *Gossip) memberStatus() Status {
 	s := g.localStatus()
