--- a/fleetstate/service.go
+++ b/fleetstate/service.go
@@ -80,13 +80,18 @@
 	configView, recordsView view
 
 	table         atomic.Pointer[catalog.Table]
-	endpointsRead atomic.Bool // whether all endpoint records have been read once
+	endpointsRead atomic.Bool   // whether all endpoint records have been read once
+	ready         chan struct{} // closed once both are known
+	closeReady    func()
+
+	installMu sync.Mutex // held while a configuration is put in force
 
 	mu              sync.Mutex
 	rawConfig       []byte                 // the encoded configuration in force
 	pendingRemovals map[string]*time.Timer // by endpoint ID
 	withStartTime   map[string]bool        // endpoint IDs whose records have contained a start time
 	configCallbacks []func([]byte)
+	configHooks     []func(*catalog.Document)
 	stopWatch       context.CancelFunc // nil unless this box watches the store
 
 	orders map[string]rollout.Order // by service
@@ -98,9 +103,11 @@
 
 // New returns a service that reads src from s.
 func New(src Source, s store.Store, log zerolog.Logger) *Service {
+	ready := make(chan struct{})
 	return &Service{
 		Source: src, Store: s, log: log, pendingRemovals: map[string]*time.Timer{}, withStartTime: map[string]bool{},
 		configView: view{age: viewage.New()}, recordsView: view{age: viewage.New()},
+		ready: ready, closeReady: sync.OnceFunc(func() { close(ready) }),
 	}
 }
 
@@ -170,6 +177,16 @@
 // Ready reports whether the configuration and the endpoints are known.
 func (s *Service) Ready() bool { return s.table.Load() != nil && s.endpointsRead.Load() }
 
+// WhenReady returns a channel that is closed once the configuration and the endpoints are known.
+func (s *Service) WhenReady() <-chan struct{} { return s.ready }
+
+// signalReady closes the channel of WhenReady if the configuration and the endpoints are known.
+func (s *Service) signalReady() {
+	if s.Ready() {
+		s.closeReady()
+	}
+}
+
 // OnRawConfig registers a function that is called, on a goroutine of its own, with the
 // encoded form of each configuration installed from now on.
 func (s *Service) OnRawConfig(f func([]byte)) {
@@ -178,6 +195,23 @@
 	s.configCallbacks = append(s.configCallbacks, f)
 }
 
+// OnConfig registers a function that is called with each configuration before it is in force, from now on.
+func (s *Service) OnConfig(f func(*catalog.Document)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.configHooks = append(s.configHooks, f)
+}
+
+// prepareConfig calls the functions of OnConfig.
+func (s *Service) prepareConfig(d *catalog.Document) {
+	s.mu.Lock()
+	fs := s.configHooks
+	s.mu.Unlock()
+	for _, f := range fs {
+		f(d)
+	}
+}
+
 // RawConfig returns the version of the configuration in force and its encoded form,
 // or zero values if none is known.
 func (s *Service) RawConfig() (uint64, []byte) {
@@ -196,15 +230,19 @@
 	if err != nil {
 		return fmt.Errorf("configuration from %s: %w", from, err)
 	}
-	t := catalog.NewTable(d)
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.installMu.Lock()
+	defer s.installMu.Unlock()
 	old := s.table.Load()
 	if old != nil && d.Version <= old.Document.Version {
 		return nil
 	}
+	s.prepareConfig(d)
+	t := catalog.NewTable(d)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.table.Store(t)
 	s.rawConfig = raw
+	s.signalReady()
 	s.configView.lag.Reach(d.Version)
 	for _, f := range s.configCallbacks {
 		s.group.Go(func() { f(raw) })
@@ -249,6 +287,7 @@
 	t := s.applyToRoster(c)
 	if c.Whole {
 		s.endpointsRead.Store(true)
+		s.signalReady()
 	}
 	s.recordsView.lag.Reach(s.Revision())
 	if t.advanced {
