--- a/soak/export_test.go
+++ b/soak/export_test.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"birchlink.dev/birchlink/platform/standin"
 )
 
 // FreeAddresses is freeAddresses.
@@ -21,6 +23,16 @@
 	return pieces, took, err
 }
 
+// CheckBodies checks the bodies that servers have received, and returns the violations. The paths of the undisturbed requests are by their IDs.
+func CheckBodies(a *standin.Audit, undisturbed map[string]string) []string {
+	r := &run{fleet: &Fleet{Audit: a}, undisturbed: map[string]slowRequest{}, outcomes: map[string]int{}}
+	for id, path := range undisturbed {
+		r.undisturbed[id] = slowRequest{path: path, id: id}
+	}
+	r.checkBodies()
+	return r.violations
+}
+
 // PairOf returns the addresses of a connection that this process has opened.
 func PairOf(c net.Conn) ConnPair {
 	return ConnPair{hexAddress(c.LocalAddr()), hexAddress(c.RemoteAddr())}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -89,6 +89,7 @@
 type Server struct {
 	*standin.Server
 	lossy      expectedFaults // of its link, and its end
+	severed    expectedFaults // the same, but for links that carry small pieces
 	closedLink expectedFaults // a link to it has closed connections in order
 	endless    expectedFaults // it sends bytes without end
 	busy       expectedFaults // it is silent, refuses requests or says that it may
@@ -345,6 +346,14 @@
 	})
 }
 
+// expectLinkFault records that a link to the server has a fault until a time.
+func (s *Server) expectLinkFault(m Mode, until time.Time) {
+	s.lossy.ExpectFaultsUntil(until)
+	if m != Pieces {
+		s.severed.ExpectFaultsUntil(until)
+	}
+}
+
 // Drain marks a server as draining in its record and starts a replacement.
 func (f *Fleet) Drain(i int) error {
 	if f.engines == nil {
@@ -401,6 +410,7 @@
 // end ends the process of a server. Its record is deleted after a time.
 func (f *Fleet) end(s *Server, m Mode, lapse time.Duration) {
 	s.lossy.ExpectFaultsUntil(time.Now().Add(time.Hour)) // it does not return
+	s.severed.ExpectFaultsUntil(time.Now().Add(time.Hour))
 	if f.engines != nil {
 		f.engines.End(s.Server)
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -60,8 +60,9 @@
 
 	mu               sync.Mutex
 	violations       []string
-	refused          map[string]string // status codes of refused requests by id; these must not run
-	outcomes         map[string]int    // number of calls by outcome
+	refused          map[string]string      // status codes of refused requests by id; these must not run
+	undisturbed      map[string]slowRequest // by id, those that nothing but another attempt may end
+	outcomes         map[string]int         // number of calls by outcome
 	streams          streamCounts
 	pairs            map[string]pairCounts // by how callers take streams up
 	configuredAt     time.Time             // when the current version was stored
@@ -77,7 +78,10 @@
 		return nil, err
 	}
 	defer f.Close()
-	r := &run{Options: o, fleet: f, began: time.Now(), refused: map[string]string{}, outcomes: map[string]int{}, pairs: map[string]pairCounts{}, configuredAt: time.Now()}
+	r := &run{
+		Options: o, fleet: f, began: time.Now(), refused: map[string]string{}, undisturbed: map[string]slowRequest{}, outcomes: map[string]int{},
+		pairs: map[string]pairCounts{}, configuredAt: time.Now(),
+	}
 	if err := r.awaitReady(c, settleTime); err != nil {
 		return nil, err
 	}
@@ -215,7 +219,7 @@
 	}
 	for i := range f.Count {
 		s := r.fleet.Server(i)
-		s.lossy.ExpectFaultsUntil(end.Add(hostMargin))
+		s.expectLinkFault(f.Mode, end.Add(hostMargin))
 		if f.Mode == Closed {
 			s.closedLink.ExpectFaultsUntil(end)
 		}
@@ -254,7 +258,7 @@
 	var err error
 	switch f.Kind {
 	case ServerLink, LossyServer:
-		s.lossy.ExpectFaultsUntil(end)
+		s.expectLinkFault(f.Mode, end)
 		applyLinkFault(s.proxy, f)
 	case Drain:
 		err = r.fleet.Drain(f.Target)
@@ -467,7 +471,21 @@
 	return a.StatusCode == http.StatusOK
 }
 
-// checkAudits checks that no refused request ran and no run was at two servers, and adds the violations that the cloud stand-in
+// checkBodies checks that no body of a slow request was altered, and that one was cut only because its attempt was given up for another one, or
+// by a fault.
+func (r *run) checkBodies() {
+	for id, body := range r.fleet.Audit.Altered() {
+		r.violations = append(r.violations, fmt.Sprintf("%s reached a server with the body %.80q", id, body))
+	}
+	for id, part := range r.fleet.Audit.Cut() {
+		r.outcomes["slow: body cut"]++
+		if q, ok := r.undisturbed[id]; ok && (runsOnce(q.path) || r.fleet.Audit.Runs(id) < 2) {
+			r.violations = append(r.violations, fmt.Sprintf("%s (%v) was cut at a sound server after %q, not for another attempt", id, q, part))
+		}
+	}
+}
+
+// checkAudits checks that no refused request ran, no body was altered or cut and no run was at two servers, and adds the violations that the cloud stand-in
 // recorded.
 func (r *run) checkAudits() {
 	for id, status := range r.refused {
@@ -475,9 +493,7 @@
 			r.violations = append(r.violations, fmt.Sprintf("%s was answered %s and ran %d times", id, status, n))
 		}
 	}
-	for id, body := range r.fleet.Audit.Altered() {
-		r.violations = append(r.violations, fmt.Sprintf("%s reached a server with the body %.80q", id, body))
-	}
+	r.checkBodies()
 	r.violations = append(r.violations, r.fleet.Cloud.Violations()...)
 	if r.fleet.engines == nil {
 		return
--- a/soak/slow.go
+++ b/soak/slow.go
@@ -147,6 +147,14 @@
 	return x, nil
 }
 
+// whenSent returns when the last byte was written, or the end of the exchange if it was not.
+func (x *exchange) whenSent() time.Time {
+	if x.sent.IsZero() {
+		return x.ended
+	}
+	return x.sent
+}
+
 func isStreamPath(path string) bool { return strings.Contains(path, "stream") }
 
 // piece is what is sent after a pause.
@@ -229,6 +237,7 @@
 // checkSlow checks what became of a slow request, and reports whether another one may follow on its connection.
 func (r *run) checkSlow(b *Box, q slowRequest, x *exchange) bool {
 	r.checkRuns(q.path, q.id)
+	r.recordUndisturbed(b, q, x)
 	if x.answer == nil {
 		r.checkClosed(b, q, x)
 		return false
@@ -254,6 +263,20 @@
 	return x.err == nil && !x.answer.Close && !x.sent.IsZero()
 }
 
+// recordUndisturbed records a slow request whose box and servers had no fault but links that carry small pieces, so that its body may be cut
+// only because the attempt is given up for another one.
+func (r *run) recordUndisturbed(b *Box, q slowRequest, x *exchange) {
+	since := x.began.Add(-hostMargin)
+	ran, _ := r.fleet.serversOf(q.id)
+	severed := slices.ContainsFunc(ran, func(s *Server) bool { return s.severed.FaultySince(since) })
+	if severed || b.FaultySince(since) || x.ended.Sub(x.began) >= standin.SlowTimeout || b.MayCut(x.whenSent(), x.ended) {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.undisturbed[q.id] = q
+}
+
 // checkClosed checks a connection that ended without an answer. If a box had read the whole request, it must have answered.
 func (r *run) checkClosed(b *Box, q slowRequest, x *exchange) {
 	if r.fleet.Audit.Runs(q.id) > 0 {
@@ -280,10 +303,7 @@
 
 // checkSlowLoss checks a request that got no whole answer, as checkLoss does.
 func (r *run) checkSlowLoss(b *Box, q slowRequest, x *exchange) {
-	sent := x.sent
-	if sent.IsZero() {
-		sent = x.ended
-	}
+	sent := x.whenSent()
 	outcome := fmt.Sprintf("%d, %.100q, %v; %v, sent %s, ended %s", x.answer.StatusCode, x.text, x.err, q, b.sinceStop(sent), b.sinceStop(x.ended))
 	r.checkLoss(b, q.path, q.id, strings.Join(x.stream.Versions, ""), x.began, sent, standin.SlowTimeout, outcome)
 }
