--- a/forward/endpoint_test.go
+++ b/forward/endpoint_test.go
@@ -46,6 +46,12 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
+	return newFakeEndpointAt(t, l, name, sequence)
+}
+
+// newFakeEndpointAt returns a fake endpoint that listens with l. If it refuses connections, l is closed.
+func newFakeEndpointAt(t *testing.T, l net.Listener, name string, sequence []string) *fakeEndpoint {
+	t.Helper()
 	f := &fakeEndpoint{t: t, name: name, listener: l, behaviours: sequence, closed: make(chan struct{}, 16)}
 	if sequence[0] == "refuse" {
 		require.NoError(t, l.Close())
@@ -65,6 +71,9 @@
 		f.mu.Lock()
 		f.conns++
 		f.open = append(f.open, c)
+		if f.crashed {
+			_ = c.Close()
+		}
 		f.mu.Unlock()
 		go f.serve(c)
 	}
--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -89,7 +89,7 @@
 
 func (s *engines) add(name string) *fakeEngine {
 	s.t.Helper()
-	l := &pipeListener{name: name, conns: make(chan net.Conn), closed: make(chan struct{})}
+	l := newPipeListener(name)
 	e := &fakeEngine{
 		all: s, name: name, version: "v1", total: totalEvents, listener: l, addr: l.Addr().String(), moves: []string{"ok"},
 		stopped: make(chan struct{}), released: make(chan struct{}), finished: make(chan struct{}), ended: make(chan struct{}),
@@ -142,15 +142,19 @@
 func (l *pipeListener) Network() string { return "pipe" }
 func (l *pipeListener) String() string  { return l.name }
 
-// enginePipes connects a forwarder to engines over pipes.
-type enginePipes struct {
+func newPipeListener(name string) *pipeListener {
+	return &pipeListener{name: name, conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+// listenerPipes connects a forwarder to the listeners that at returns for their addresses.
+type listenerPipes struct {
 	pipes
 
-	engines *engines
+	at func(address string) net.Listener
 }
 
-func (p enginePipes) Connect(c context.Context, _, address string) (net.Conn, error) {
-	l := p.engines.engineAt(address).listener.(*pipeListener)
+func (p listenerPipes) Connect(c context.Context, _, address string) (net.Conn, error) {
+	l := p.at(address).(*pipeListener)
 	near, far := net.Pipe()
 	select {
 	case l.conns <- far:
@@ -162,13 +166,13 @@
 	}
 }
 
-func (p enginePipes) Refuses(c context.Context, id, address string, _ time.Duration) (net.Conn, bool) {
+func (p listenerPipes) Refuses(c context.Context, id, address string, _ time.Duration) (net.Conn, bool) {
 	n, err := p.Connect(c, id, address)
 	return n, errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// probe connects to an engine to find out whether its process has ended.
-func (p enginePipes) probe(c context.Context, e endpoint.Endpoint) tunnel.Outcome {
+// probe connects to an endpoint to find out whether its process has ended.
+func (p listenerPipes) probe(c context.Context, e endpoint.Endpoint) tunnel.Outcome {
 	n, err := p.Connect(c, e.ID, e.Address)
 	if err == nil {
 		_ = n.Close()
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -135,6 +136,7 @@
 	serial          int
 	lastEventID     string // of the next call
 	order           rollout.Order
+	piped           bool   // endpoints listen on pipes, so that they run on a fake clock
 	progressUpdates uint64 // progress updates so far
 }
 
@@ -143,13 +145,22 @@
 	"canary": rollout.Canary, "ramp": rollout.Ramp, "whole": rollout.Whole, "complete": rollout.Complete, "reverted": rollout.Reverted,
 }
 
-// TestScripts runs the scripts in testdata.
+// TestScripts runs the scripts in testdata, and on a fake clock those in testdata/clock, in which the choice of the endpoint must not depend on
+// how long answers take.
 func TestScripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txt")
-	require.NoError(t, err)
-	require.NotEmpty(t, files)
-	for _, p := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(p), ".txt"), func(t *testing.T) { runScript(t, p) })
+	for _, dir := range []string{"testdata", "testdata/clock"} {
+		files, err := filepath.Glob(dir + "/*.txt")
+		require.NoError(t, err)
+		require.NotEmpty(t, files)
+		for _, p := range files {
+			t.Run(strings.TrimSuffix(filepath.Base(p), ".txt"), func(t *testing.T) {
+				if dir == "testdata" {
+					runScript(t, newScript(t), p)
+					return
+				}
+				synctest.Test(t, func(t *testing.T) { runScript(t, newPipedScript(t), p) })
+			})
+		}
 	}
 }
 
@@ -204,18 +215,38 @@
 		for _, status := range []string{"000", "099", "101", "600", "999"} {
 			t.Run(strings.TrimSuffix(filepath.Base(p), ".txt")+"/"+status, func(t *testing.T) {
 				t.Parallel()
-				runScript(t, p, "STATUS", status)
+				runScript(t, newScript(t), p, "STATUS", status)
 			})
 		}
 	}
 }
 
+// newPipedScript returns a script whose endpoints listen on pipes.
+func newPipedScript(t *testing.T) *script {
+	t.Helper()
+	s := newScript(t)
+	links := listenerPipes{at: func(address string) net.Listener { return s.endpoints[address].listener }}
+	s.piped, s.f.Pool.Connector, s.f.Terminations.Probe = true, links, links.probe
+	return s
+}
+
+// newEndpoint returns a fake endpoint of the script.
+func (s *script) newEndpoint(name string, sequence []string) *fakeEndpoint {
+	s.t.Helper()
+	if s.piped {
+		f := newFakeEndpointAt(s.t, newPipeListener(name), name, sequence)
+		s.t.Cleanup(f.crash) // ends its goroutines
+		return f
+	}
+	return newFakeEndpoint(s.t, name, sequence)
+}
+
 // runScript runs a script in which some words are replaced, given as pairs.
-func runScript(t *testing.T, path string, replaced ...string) {
+func runScript(t *testing.T, s *script, path string, replaced ...string) {
+	t.Helper()
 	f, err := os.Open(path)
 	require.NoError(t, err)
 	defer f.Close()
-	s := newScript(t)
 	r, replacer := bufio.NewScanner(f), strings.NewReplacer(replaced...)
 	for n := 1; r.Scan(); n++ {
 		words := strings.Fields(replacer.Replace(r.Text()))
@@ -232,7 +263,7 @@
 	case "route":
 		s.setRoute(words[1:])
 	case "endpoint":
-		s.endpoints[words[1]] = newFakeEndpoint(s.t, words[1], words[2:])
+		s.endpoints[words[1]] = s.newEndpoint(words[1], words[2:])
 		s.endpoints[words[1]].drain = func() { s.f.Roster.Put(endpoint.Endpoint{ID: words[1], Draining: true}) }
 		s.endpoints[words[1]].lapse = func() { s.f.Roster.Remove(words[1]) }
 		s.f.Roster.Put(endpoint.Endpoint{ID: words[1], Service: "s", Slots: 4, Version: "v1", Address: s.endpoints[words[1]].listener.Addr().String()})
@@ -242,7 +273,7 @@
 	case "health": // endpoints have a health check
 		s.service.HealthPath = healthPath
 	case "process": // a process that is not registered as an endpoint
-		s.endpoints[words[1]] = newFakeEndpoint(s.t, words[1], words[2:])
+		s.endpoints[words[1]] = s.newEndpoint(words[1], words[2:])
 	case "version": // the software version of an endpoint
 		e, _ := s.f.Roster.Get(words[1])
 		e.Version = strings.Trim(words[2], "-") // "-" for unknown
--- a/forward/migrate_test.go
+++ b/forward/migrate_test.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -405,7 +406,7 @@
 		for <-sink.received != n {
 		}
 	}
-	links := enginePipes{engines: es}
+	links := listenerPipes{at: func(address string) net.Listener { return es.engineAt(address).listener }}
 	s.f.Pool.Connector, s.f.Terminations.Probe = links, links.probe
 	s.f.Codec, s.f.Log = platform.HeaderCodec{}, zerolog.New(zerolog.SyncWriter(log))
 	if !v.off {
