--- a/forward/settle.go
+++ b/forward/settle.go
@@ -66,8 +66,8 @@
 	return s != nil && s.r.shared.stopOrders.Count(s.choice.Endpoint.ID) > s.ordersBefore
 }
 
-// refuseOrders is called when the stream has stated its end, or the answer is known to be none. It reports whether an order to stop the run was sent before. If none was, none
-// is from then on.
+// refuseOrders is called when the stream has stated its end, or the answer is known to be no stream. It reports whether an order to stop
+// the run was sent before. If none was, none is from then on.
 func (s *runningStream) refuseOrders() bool {
 	if s == nil {
 		return false
