--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -86,7 +86,7 @@
 	}
 	p.servers = append(p.servers, s)
 	var h *httptest.Server
-	h = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	h = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
 		if err != nil || string(body) != crashBody && !p.hasCrashPart(s.Version, r.Header.Get(standin.PartsHeader)) {
 			s.ServeHTTP(w, r)
@@ -105,11 +105,27 @@
 			p.startServer()
 		})
 	}))
+	_ = h.Listener.Close()
+	h.Listener = listenAlone(p.t)
+	h.Start()
 	p.t.Cleanup(h.Close)
 	p.addresses[s.ID] = h.Listener.Addr().String()
 	p.store.Set(s.Record(h.Listener.Addr().String(), "north", "ready"))
 }
 
+// serverIPs counts the IP addresses of listenAlone.
+var serverIPs atomic.Uint32
+
+// listenAlone listens on an IP address of its own. No other server gets the address after the listener is closed, so that
+// connections are refused as those of a process that has ended.
+func listenAlone(t testing.TB) net.Listener {
+	t.Helper()
+	n := serverIPs.Add(1)
+	l, err := net.Listen("tcp", fmt.Sprintf("127.4.%d.%d:0", n/250%250, 1+n%250))
+	require.NoError(t, err)
+	return l
+}
+
 // hasCrashPart reports whether a server of a version crashes under a prompt with these parts.
 func (p *platform) hasCrashPart(version, parts string) bool {
 	p.mu.Lock()
