--- a/review/_stand2/cases.go
+++ b/review/_stand2/cases.go
@@ -19,7 +19,7 @@
 			o.Service, o.Slots = api, 6
 		}
 		if i%2 == 0 {
-			o.Unframed, o.Held = unframed, i%4 == 0
+			o.Unframed, o.Held = unframed, i != 2
 		}
 		if _, err := f.addServer(o, zones[i%len(zones)].name); err != nil {
 			return err
@@ -40,8 +40,10 @@
 
 // usual are the rates of pamoja-live.
 var usual = []rate{
-	{"/stream-recap/", 11.5, 8 * time.Second}, {"/stream-commentary/", 17.1, 15 * time.Second},
-	{"/alert/", 11, 600 * time.Millisecond}, {"/tick/", 6.79, 600 * time.Millisecond},
+	{"/stream-recap/", 11.5, 8 * time.Second},
+	{"/stream-commentary/", 17.1, 15 * time.Second},
+	{"/alert/", 11, 600 * time.Millisecond},
+	{"/tick/", 6.79, 600 * time.Millisecond},
 }
 
 const span = 76 * time.Second // of the traffic
@@ -78,7 +80,7 @@
 // restart plays servers that crash and start again at once under their IDs, while some answers have no length.
 func restart(f *fleet, trouble bool) (bool, string, error) {
 	const unframed = 5
-	if err := f.start(unframed, 80, 80); err != nil {
+	if err := f.start(unframed, 110, 110); err != nil {
 		return false, "", err
 	}
 	l := &load{f: f}
@@ -177,7 +179,8 @@
 			f.add("BROKEN: the stream %s goes on at %s with event %s, and %s works on it for %v more", id, after.server.ID, after.first, before.server.ID, until.Sub(after.began))
 		}
 	}
-	text := fmt.Sprintf("of %d requests %d got the whole answer and %d did not; %d times a stream began at another server, %d times it went on there %v or more after the last silence, and the server before worked on for over %v (%d more began there anew)",
+	text := fmt.Sprintf("of %d requests %d got the whole answer and %d did not; %d times a stream began at another server, "+
+		"%d times it went on there %v or more after the last silence, and the server before worked on for over %v (%d more began there anew)",
 		len(l.outcomes), wholes, others, moved, twice, contact, afterMove, anew)
 	if wholes < len(l.outcomes)/2 {
 		return false, text, fmt.Errorf("too few answers: %s", text)
--- a/review/_stand2/fleet.go
+++ b/review/_stand2/fleet.go
@@ -86,7 +86,9 @@
 
 func newFleet(r *record, dir, program string) (*fleet, error) {
 	f := &fleet{
-		record: r, dir: dir, program: program, store: &memstore.Store{}, cloud: &standin.Cloud{}, runs: map[string][]*serverProcess{}, unframed: map[string]bool{}, spans: map[string][]*workSpan{}, arrivals: map[string]time.Time{},
+		record: r, dir: dir, program: program, store: &memstore.Store{}, cloud: &standin.Cloud{},
+		runs: map[string][]*serverProcess{}, unframed: map[string]bool{},
+		spans: map[string][]*workSpan{}, arrivals: map[string]time.Time{},
 	}
 	var err error
 	if f.storeAt, err = serve(standin.StoreHandler(f.store)); err != nil {
@@ -137,7 +139,7 @@
 	for i := range rs {
 		rs[i].Host = host
 	}
-	engine := map[string]any{"slots": 128, "kv_capacity": 264479, "kv_token_bytes": 18432, "link_mbps": 370000.0, "moves": false, "backups": false, "stride": 3, "handle_s": 5.0}
+	engine := map[string]any{"slots": 128, "kv_capacity": 264479, "kv_token_bytes": 18432, "link_mbps": 370000.0, "moves": true, "backups": false, "stride": 3, "handle_s": 5.0}
 	b, err := json.Marshal(map[string]any{
 		"version": f.version, "routes": rs,
 		"services": []any{
--- a/review/_stand2/link.go
+++ b/review/_stand2/link.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -92,7 +93,7 @@
 		}
 		switch {
 		case err == nil:
-		case err == io.EOF:
+		case errors.Is(err, io.EOF):
 			_ = to.(*net.TCPConn).CloseWrite()
 			return
 		default:
--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -48,7 +48,7 @@
 		return failed
 	}
 	if os.Getenv("KEEP") == "" {
-		defer os.RemoveAll(dir)
+		defer func() { _ = os.RemoveAll(dir) }()
 	}
 	f, err := newFleet(r, dir, program)
 	if err == nil {
--- a/review/_stand2/server.go
+++ b/review/_stand2/server.go
@@ -43,6 +43,8 @@
 	serverOptions
 	mu      sync.Mutex
 	running int
+	streams map[string]chan struct{} // under way, by the ID of the request; closed when the run is to stop
+	handles int
 	out     *bufio.Writer
 }
 
@@ -56,7 +58,7 @@
 
 // runServer serves until the process is killed.
 func runServer(arg string) error {
-	s := &server{out: bufio.NewWriter(os.Stdout)}
+	s := &server{out: bufio.NewWriter(os.Stdout), streams: map[string]chan struct{}{}}
 	if err := json.Unmarshal([]byte(arg), &s.serverOptions); err != nil {
 		return err
 	}
@@ -68,6 +70,39 @@
 	return (&http.Server{Handler: s, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 10 * time.Second}).Serve(l)
 }
 
+// serveMove answers the orders that move runs. This server has no way to another one: it copies nothing, and stops a run if it is told to.
+func (s *server) serveMove(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodPost {
+		return // no handle is left to free
+	}
+	var q struct {
+		ID   string `json:"id"`
+		Last bool   `json:"last"`
+	}
+	if json.NewDecoder(r.Body).Decode(&q) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	stop, ok := s.streams[q.ID]
+	if ok && q.Last {
+		delete(s.streams, q.ID)
+		close(stop)
+		s.handles++
+	}
+	handle := s.handles
+	s.mu.Unlock()
+	switch {
+	case !ok:
+		w.WriteHeader(http.StatusNotFound)
+	case q.Last:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_ = json.NewEncoder(w).Encode(map[string]any{"handle": strconv.Itoa(handle), "created": 0})
+	default:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 func (s *server) listen() (net.Listener, error) {
 	if s.Held {
 		return net.FileListener(os.NewFile(3, "listener"))
@@ -107,11 +142,15 @@
 		return
 	}
 	h.Set("X-Request-Id", id)
+	if strings.HasPrefix(r.URL.Path, "/birchlink/kv-") {
+		s.serveMove(w, r)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
-	if id == "" || !s.acquire() {
+	if id == "" || r.Header.Get("Kv-From") != "" || !s.acquire() { // it has no copy of a run
 		h.Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -144,12 +183,26 @@
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		from = last
 	}
+	stop := make(chan struct{})
+	s.mu.Lock()
+	s.streams[id] = stop
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.streams[id] == stop {
+			delete(s.streams, id)
+		}
+	}()
 	pause := time.Duration(s.FirstMs) * time.Millisecond
 	for k := from + 1; k <= streamEvents(r.URL.Path, id); k++ {
 		select {
 		case <-r.Context().Done():
 			s.say("stops %s %d", id, k-1)
 			return
+		case <-stop:
+			s.say("stops %s %d", id, k-1)
+			panic(http.ErrAbortHandler) // closes the stream without its end
 		case <-time.After(pause):
 		}
 		if k == from+1 {
